--- /dev/null
+++ b/Makefile
@@ -0,0 +1,44 @@
+PY := .venv/bin/python
+SEED ?= 1
+
+.PHONY: setup test format format-check lint types demo bench policy slopes fuzz
+
+setup: .venv/.ready
+
+.venv/.ready: pyproject.toml
+	python3 -m venv .venv
+	.venv/bin/pip install -q --disable-pip-version-check -e '.[dev]'
+	touch $@
+
+test: setup
+	$(PY) -m pytest
+
+format: setup
+	.venv/bin/ruff check -q --fix --select I .
+	.venv/bin/ruff format -q .
+
+format-check: setup
+	.venv/bin/ruff format -q --check .
+
+lint: setup
+	.venv/bin/ruff check -q .
+	.venv/bin/flake8 hibiscusslip tests
+
+types: setup
+	.venv/bin/mypy
+
+demo: setup
+	$(PY) -m hibiscusslip.demo
+
+bench: setup
+	$(PY) -m hibiscusslip.bench
+
+policy: setup
+	.venv/bin/pip install -q --disable-pip-version-check -e '.[plot]'
+	$(PY) -m hibiscusslip.bench.policy
+
+slopes: setup
+	$(PY) -m hibiscusslip.bench.slopes
+
+fuzz: setup
+	HIBISCUSSLIP_FUZZ_SEED=$(SEED) $(PY) -m pytest tests/fuzz
--- /dev/null
+++ b/hibiscusslip/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measure decisions, whole paths and slopes."""
--- /dev/null
+++ b/hibiscusslip/caller/__init__.py
@@ -0,0 +1,1 @@
+"""Serve callers: submit, wait, cancel, explain."""
--- /dev/null
+++ b/hibiscusslip/codec.py
@@ -0,0 +1,30 @@
+"""Turn typed messages into CBOR and back."""
+
+import typing
+
+import cbor2
+import msgspec
+
+
+class CodecError(ValueError):
+    """Raise for bytes that are no message of the expected type."""
+
+
+def encode(message: msgspec.Struct) -> bytes:
+    """Return the CBOR bytes of a tagged message."""
+    return cbor2.dumps(msgspec.to_builtins(message, builtin_types=(bytes,)))
+
+
+def decode(data: bytes, expected: typing.Any) -> typing.Any:
+    """Return the message in `data`, checked against `expected`.
+
+    Raises CodecError when the bytes are no CBOR or not of that type.
+    """
+    try:
+        raw = cbor2.loads(data)
+        return msgspec.convert(raw, expected, builtin_types=(bytes,))
+    except (cbor2.CBORDecodeError, msgspec.ValidationError, ValueError) as exc:
+        raise CodecError(
+            f'not a valid message: {exc}; check that both hosts run'
+            ' compatible versions'
+        ) from exc
--- /dev/null
+++ b/hibiscusslip/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Define the command line programs."""
--- /dev/null
+++ b/hibiscusslip/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Publish configurations and take them into force."""
--- /dev/null
+++ b/hibiscusslip/endpoint/__init__.py
@@ -0,0 +1,1 @@
+"""Talk to endpoints: start, watch and stop tasks under leases."""
--- /dev/null
+++ b/hibiscusslip/http/__init__.py
@@ -0,0 +1,1 @@
+"""Serve and call HTTP with h11 on curio."""
--- /dev/null
+++ b/hibiscusslip/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Keep track of the other entry hosts: pure code."""
--- /dev/null
+++ b/hibiscusslip/model/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the data classes that every package shares."""
--- /dev/null
+++ b/hibiscusslip/node/__init__.py
@@ -0,0 +1,1 @@
+"""Wire decisions and peers together on one loop."""
--- /dev/null
+++ b/hibiscusslip/observe/__init__.py
@@ -0,0 +1,1 @@
+"""Write logs, metrics and traces."""
--- /dev/null
+++ b/hibiscusslip/operator/__init__.py
@@ -0,0 +1,1 @@
+"""Serve operators: status, drain, history."""
--- /dev/null
+++ b/hibiscusslip/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Decide who owns a shard: pure code over the log's records."""
--- /dev/null
+++ b/hibiscusslip/peer/__init__.py
@@ -0,0 +1,1 @@
+"""Talk to the other entry hosts over websockets with CBOR."""
--- /dev/null
+++ b/hibiscusslip/peer/base.py
@@ -0,0 +1,41 @@
+"""Define how the node calls other entry hosts and is called by them."""
+
+import abc
+
+from hibiscusslip.model import places
+from hibiscusslip.peer import messages
+
+
+class Handler(abc.ABC):
+    """Answer the calls of other entry hosts."""
+
+    @abc.abstractmethod
+    async def handle(
+        self, sender: places.HostId, body: messages.PeerMessage
+    ) -> messages.PeerMessage:
+        """Return the reply to a call; must not raise."""
+
+
+class Peers(abc.ABC):
+    """Call other entry hosts by name."""
+
+    @abc.abstractmethod
+    async def call(
+        self, host: str, body: messages.PeerMessage, timeout: float
+    ) -> messages.PeerMessage:
+        """Send a call and return the reply.
+
+        Raises PeerUnreachable, PeerUnsettled or PeerRefused.
+        """
+
+    @abc.abstractmethod
+    def set_address(self, host: str, address: str, port: int) -> None:
+        """Tell where a host listens; links are made when needed."""
+
+    @abc.abstractmethod
+    def incarnation_of(self, host: str) -> str:
+        """Return the incarnation at the other end, empty if not linked."""
+
+    @abc.abstractmethod
+    async def close(self) -> None:
+        """Close all links."""
--- /dev/null
+++ b/hibiscusslip/peer/messages.py
@@ -0,0 +1,332 @@
+"""Define the messages between entry hosts.
+
+Each call travels in an `Envelope` with a correlation id and the trace
+context; a reply carries the same id. Times are durations in seconds, never
+clock readings, as hosts share no clock.
+"""
+
+import typing
+
+import msgspec
+
+
+class ShardLoad(msgspec.Struct, frozen=True):
+    """Summarise one shard for others that may send work there."""
+
+    zone: str
+    number: int
+    epoch: int
+    free_cpu_milli: int
+    free_memory_mb: int
+    free_accelerators: int
+    free_slots: int
+    largest_cpu_milli: int
+    largest_memory_mb: int
+    largest_accelerators: int
+    queued: int
+    running: int
+
+
+class Heartbeat(msgspec.Struct, frozen=True, tag='heartbeat'):
+    """Tell that the sender lives, what it holds and what it knows."""
+
+    number: int
+    draining: bool
+    config_version: int
+    loads: list[ShardLoad]
+    known_hosts: list['KnownHost']
+
+
+class KnownHost(msgspec.Struct, frozen=True):
+    """Name an entry host and how long ago the sender heard of it."""
+
+    host: str
+    incarnation: str
+    zone: str
+    address: str
+    port: int
+    age: float
+
+
+class HeartbeatAck(msgspec.Struct, frozen=True, tag='heartbeat_ack'):
+    """Answer a heartbeat with what the receiver knows."""
+
+    number: int
+    draining: bool
+    config_version: int
+    loads: list[ShardLoad]
+    known_hosts: list[KnownHost]
+
+
+class HeldShard(msgspec.Struct, frozen=True):
+    """Name a shard with the epoch it is held at."""
+
+    shard: int
+    epoch: int
+
+
+class PromiseRequest(msgspec.Struct, frozen=True, tag='promise_request'):
+    """Ask a host of the same zone not to claim shards for a while."""
+
+    request_id: str
+    shards: list[HeldShard]
+    duration: float
+
+
+class PromiseReply(msgspec.Struct, frozen=True, tag='promise_reply'):
+    """Name the shards that the sender promises not to claim.
+
+    `open_for` lists holders it has open promises to, for newcomers.
+    """
+
+    request_id: str
+    granted: list[int]
+
+
+class IntroductionRequest(msgspec.Struct, frozen=True, tag='introduce'):
+    """Ask a host of the same zone to take this newcomer into account."""
+
+    request_id: str
+
+
+class OpenPromise(msgspec.Struct, frozen=True):
+    """Tell how long a promise to a holder stays open."""
+
+    shard: int
+    epoch: int
+    host: str
+    incarnation: str
+    remaining: float
+
+
+class IntroductionReply(msgspec.Struct, frozen=True, tag='introduced'):
+    """Confirm the introduction and tell the open promises."""
+
+    request_id: str
+    promises: list[OpenPromise]
+
+
+class JobSubmit(msgspec.Struct, frozen=True, tag='job_submit'):
+    """Send a job to the owner of its home shard."""
+
+    zone: str
+    shard: int
+    job: bytes
+
+
+class JobStatus(msgspec.Struct, frozen=True, tag='job_status'):
+    """Ask for a job's state; wait up to `wait` for a final one."""
+
+    zone: str
+    shard: int
+    job_id: str
+    wait: float
+
+
+class JobCancel(msgspec.Struct, frozen=True, tag='job_cancel'):
+    """Ask the owner of the home shard to cancel a job."""
+
+    zone: str
+    shard: int
+    job_id: str
+
+
+class JobExplain(msgspec.Struct, frozen=True, tag='job_explain'):
+    """Ask for a job's whole history with reasons."""
+
+    zone: str
+    shard: int
+    job_id: str
+
+
+class JobState(msgspec.Struct, frozen=True, tag='job_state'):
+    """Tell how a job stands; `answer` is whole when final."""
+
+    job_id: str
+    outcome: str
+    detail: str
+    answer: bytes
+    retry_after: float | None = None
+    nearest: str = ''
+
+
+class JobStory(msgspec.Struct, frozen=True, tag='job_story'):
+    """Tell a job's history, one line an event, the oldest first."""
+
+    job_id: str
+    outcome: str
+    lines: list[str]
+
+
+class HoldRequest(msgspec.Struct, frozen=True, tag='hold'):
+    """Ask a shard's owner to hold room for tasks of a foreign job."""
+
+    hold_id: str
+    zone: str
+    shard: int
+    home_zone: str
+    home_shard: int
+    home_epoch: int
+    job: bytes
+    tasks: list[int]
+    attempt: int
+    duration: float
+
+
+class HoldReply(msgspec.Struct, frozen=True, tag='held'):
+    """Name the tasks that room is held for, maybe none."""
+
+    hold_id: str
+    tasks: list[int]
+
+
+class CommitRequest(msgspec.Struct, frozen=True, tag='commit'):
+    """Start the tasks that room is held for."""
+
+    hold_id: str
+
+
+class CommitReply(msgspec.Struct, frozen=True, tag='committed'):
+    """Tell whether the held tasks start: False when it had expired."""
+
+    hold_id: str
+    committed: bool
+
+
+class ReleaseRequest(msgspec.Struct, frozen=True, tag='release'):
+    """Give held room back."""
+
+    hold_id: str
+
+
+class RemoteTaskQuery(msgspec.Struct, frozen=True, tag='remote_query'):
+    """Ask how tasks of a foreign job stand on a shard.
+
+    The receiver refuses older epochs of the home shard from then on.
+    """
+
+    zone: str
+    shard: int
+    home_zone: str
+    home_shard: int
+    home_epoch: int
+    tasks: list[str]
+
+
+class RemoteTaskState(msgspec.Struct, frozen=True, tag='remote_state'):
+    """Tell how one task on a foreign shard stands."""
+
+    task: str
+    attempt: int
+    state: str
+    detail: str
+    answer: bytes
+
+
+class RemoteTaskReport(msgspec.Struct, frozen=True, tag='remote_report'):
+    """Tell the home of tasks how they stand."""
+
+    tasks: list[RemoteTaskState]
+
+
+class StopTasks(msgspec.Struct, frozen=True, tag='stop_tasks'):
+    """Ask a shard's owner to stop tasks of a foreign job."""
+
+    zone: str
+    shard: int
+    home_zone: str
+    home_shard: int
+    home_epoch: int
+    tasks: list[str]
+
+
+class HandOver(msgspec.Struct, frozen=True, tag='hand_over'):
+    """Hand shards and all that is held for them to the receiver."""
+
+    transfer_id: str
+    shard: int
+    epoch: int
+    part: int
+    parts: int
+    state: bytes
+
+
+class ConfigQuery(msgspec.Struct, frozen=True, tag='config_query'):
+    """Ask for the newest configuration above a version."""
+
+    above: int
+
+
+class ConfigState(msgspec.Struct, frozen=True, tag='config_state'):
+    """Carry a configuration record as read from the log; empty if none."""
+
+    version: int
+    offset: int
+    record: bytes
+
+
+class StatusQuery(msgspec.Struct, frozen=True, tag='status_query'):
+    """Ask a host for its part of the operators' view."""
+
+
+class HostStatus(msgspec.Struct, frozen=True, tag='host_status'):
+    """Carry a host's part of the operators' view as JSON."""
+
+    document: bytes
+
+
+class Done(msgspec.Struct, frozen=True, tag='done'):
+    """Confirm a call that has nothing to tell."""
+
+
+class Refusal(msgspec.Struct, frozen=True, tag='refusal'):
+    """Decline a call: nothing of it was done."""
+
+    kind: str
+    detail: str
+    retry_after: float | None = None
+
+
+PeerMessage = typing.Union[  # noqa: UP007 - decoders need the plain union
+    Heartbeat,
+    HeartbeatAck,
+    PromiseRequest,
+    PromiseReply,
+    IntroductionRequest,
+    IntroductionReply,
+    JobSubmit,
+    JobStatus,
+    JobCancel,
+    JobExplain,
+    JobState,
+    JobStory,
+    HoldRequest,
+    HoldReply,
+    CommitRequest,
+    CommitReply,
+    ReleaseRequest,
+    RemoteTaskQuery,
+    RemoteTaskReport,
+    StopTasks,
+    HandOver,
+    ConfigQuery,
+    ConfigState,
+    StatusQuery,
+    HostStatus,
+    Done,
+    Refusal,
+]
+
+
+class Envelope(msgspec.Struct, frozen=True):
+    """Carry one message; `reply` tells a reply from a call.
+
+    `trace` is a W3C traceparent or empty, `expires` the seconds that the
+    sender goes on waiting for the reply, 0 when it waits for none.
+    """
+
+    call_id: int
+    reply: bool
+    trace: str
+    expires: float
+    body: PeerMessage
--- /dev/null
+++ b/hibiscusslip/scheduler/__init__.py
@@ -0,0 +1,1 @@
+"""Decide which task starts where: pure code, time is an argument."""
--- /dev/null
+++ b/hibiscusslip/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Read and check the settings of a process."""
--- /dev/null
+++ b/hibiscusslip/sheet/__init__.py
@@ -0,0 +1,1 @@
+"""Read the morning sheet and report its faults."""
--- /dev/null
+++ b/hibiscusslip/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for the platform and for endpoints in trials."""
