--- a/hibiscusslip/jobs/_finals.py
+++ b/hibiscusslip/jobs/_finals.py
@@ -4,7 +4,6 @@
 from hibiscusslip.jobs import _endings
 from hibiscusslip.jobs import _opening
 from hibiscusslip.jobs import _state
-from hibiscusslip.jobs import commands
 from hibiscusslip.jobs import model
 from hibiscusslip.model import work
 from hibiscusslip.records import job as job_records
