--- a/hibiscusslip/jobs/_finals.py
+++ b/hibiscusslip/jobs/_finals.py
@@ -4,6 +4,7 @@
 from hibiscusslip.jobs import _endings
 from hibiscusslip.jobs import _opening
 from hibiscusslip.jobs import _state
+from hibiscusslip.jobs import commands
 from hibiscusslip.jobs import model
 from hibiscusslip.model import work
 from hibiscusslip.records import job as job_records
@@ -33,6 +34,7 @@
         return
     job.recorded = True
     job.note('recorded', now)
+    st.commands.append(commands.JobKept(job.spec.job_id))
     if job.cancelled:
         for task in job.open_tasks:
             _endings.close_task(
--- a/hibiscusslip/jobs/commands.py
+++ b/hibiscusslip/jobs/commands.py
@@ -82,6 +82,13 @@
     outcome: work.Outcome
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobKept:
+    """Tell those who wait that a job's acceptance is on the log."""
+
+    job_id: str
+
+
 Command = (
     StartTasks
     | WriteRecord
@@ -92,4 +99,5 @@
     | FetchAnswer
     | HoldElsewhere
     | JobFinal
+    | JobKept
 )
--- a/hibiscusslip/jobs/engine.py
+++ b/hibiscusslip/jobs/engine.py
@@ -90,6 +90,10 @@
         self._st.commands = []
         return taken
 
+    def may_tell(self, job_id: str) -> bool:
+        """Tell whether an ended job's outcome need not be held back."""
+        return job_id not in self._st.held_back
+
     def restore(self, job: model.Job) -> None:
         """Take a job over from the log, before the shard opens."""
         self._st.jobs.setdefault(job.spec.job_id, job)
@@ -106,7 +110,7 @@
         Raises jobs.exceptions.JobError: nothing of the request was done.
         """
         st = self._st
-        known = st.jobs.get(spec.job_id)
+        known = self._known(spec.job_id)
         if known is not None and not known.partial:
             if model.fingerprint(known.spec) != model.fingerprint(spec):
                 raise exceptions.KeyReused(spec.job_id)
@@ -122,6 +126,16 @@
             raise exceptions.LogNeeded(LOG_DOWN_RETRY_SECONDS)
         return self._accept(spec, now)
 
+    def _known(self, job_id: str) -> model.Job | None:
+        """Return a known job, but none that may be asked for afresh."""
+        job = self._st.jobs.get(job_id)
+        if job is None or job.outcome != work.Outcome.NOT_RUN:
+            return job
+        if job.cancelled or job_id in self._st.held_back:
+            return job
+        del self._st.jobs[job_id]
+        return None
+
     def _accept(self, spec: work.JobSpec, now: float) -> model.Job:
         """Queue a new job, once it is on the log where it has to be."""
         st = self._st
--- /dev/null
+++ b/hibiscusslip/jobs/index.py
@@ -0,0 +1,184 @@
+"""Follow what the log tells about an availability zone's jobs.
+
+Every host of the zone keeps this index, so that it can take over a shard at
+any time. It holds open jobs and the latest ended ones, nothing more.
+"""
+
+import collections
+import dataclasses
+
+import msgspec
+
+from hibiscusslip import codec
+from hibiscusslip.jobs import model
+from hibiscusslip.model import work
+from hibiscusslip.records import job as job_records
+from hibiscusslip.records import zone as zone_records
+
+
+class KeptJob(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Carry what the log tells about one job, in a snapshot."""
+
+    job_id: str
+    job: bytes = b''
+    intents: list[int] = []
+    outcome: str = ''
+    detail: str = ''
+    answer: bytes = b''
+
+
+@dataclasses.dataclass(slots=True)
+class Entry:
+    """Hold what the log tells about one job."""
+
+    job_id: str
+    job: bytes = b''
+    intents: set[int] = dataclasses.field(default_factory=set)
+    outcome: str = ''
+    detail: str = ''
+    answer: bytes = b''
+
+
+class JobIndex:
+    """Keep the recorded jobs of all shards of an availability zone."""
+
+    def __init__(self, max_ended: int, max_ended_bytes: int) -> None:
+        self._max_ended = max_ended
+        self._max_ended_bytes = max_ended_bytes
+        self._shards: dict[int, dict[str, Entry]] = {}
+        self._ended: collections.deque[tuple[int, str]] = collections.deque()
+        self._ended_bytes = 0
+
+    def apply(self, record: zone_records.ZoneRecord) -> None:
+        """Take a record that is valid at its offset."""
+        if isinstance(record, zone_records.JobAccepted):
+            spec = job_records.decode_job(record.job)
+            entry = self._entry(record.shard, spec.job_id)
+            entry.job = record.job
+            if entry.outcome == work.Outcome.NOT_RUN:
+                # What was not run may be asked for again under its key.
+                entry.outcome = ''
+        elif isinstance(record, zone_records.StartIntent):
+            entry = self._entry(record.shard, record.job_id)
+            entry.intents.update(record.tasks)
+        elif isinstance(record, zone_records.JobEnded):
+            self._end(record)
+        elif isinstance(record, zone_records.Snapshot):
+            for data in record.jobs:
+                self._load(record.shard, data)
+
+    def _entry(self, shard: int, job_id: str) -> Entry:
+        jobs = self._shards.setdefault(shard, {})
+        return jobs.setdefault(job_id, Entry(job_id))
+
+    def _end(self, record: zone_records.JobEnded) -> None:
+        """Keep the end of a job, within the bounds for ended ones."""
+        entry = self._entry(record.shard, record.job_id)
+        if entry.outcome:
+            return
+        entry.outcome = record.outcome
+        entry.detail = record.detail
+        entry.answer = record.answer
+        self._count_ended(record.shard, entry)
+
+    def _count_ended(self, shard: int, entry: Entry) -> None:
+        self._ended.append((shard, entry.job_id))
+        self._ended_bytes += len(entry.answer) + len(entry.job)
+        while self._ended and self._too_much():
+            self._forget_oldest()
+
+    def _forget_oldest(self) -> None:
+        shard, job_id = self._ended.popleft()
+        old = self._shards[shard].get(job_id)
+        if old is None:
+            return
+        self._ended_bytes -= len(old.answer) + len(old.job)
+        if old.outcome:
+            del self._shards[shard][job_id]
+
+    def _too_much(self) -> bool:
+        return (
+            len(self._ended) > self._max_ended
+            or self._ended_bytes > self._max_ended_bytes
+        )
+
+    def _load(self, shard: int, data: bytes) -> None:
+        """Take a job from a snapshot; what is known already stays."""
+        kept = codec.decode(data, KeptJob)
+        entry = self._entry(shard, kept.job_id)
+        entry.job = entry.job or kept.job
+        entry.intents.update(kept.intents)
+        if kept.outcome and not entry.outcome:
+            entry.outcome = kept.outcome
+            entry.detail = kept.detail
+            entry.answer = kept.answer
+            self._count_ended(shard, entry)
+
+    def export(self, shard: int) -> list[bytes]:
+        """Return the jobs of a shard as they go into a snapshot."""
+        return [
+            codec.encode(
+                KeptJob(
+                    entry.job_id,
+                    entry.job,
+                    sorted(entry.intents),
+                    entry.outcome,
+                    entry.detail,
+                    entry.answer,
+                )
+            )
+            for entry in self._shards.get(shard, {}).values()
+        ]
+
+    def jobs(self, shard: int, now: float) -> list[model.Job]:
+        """Return the recorded jobs of a shard for a new owner."""
+        kept = self._shards.get(shard, {}).values()
+        return [_restored(entry, now) for entry in kept]
+
+    def clear(self) -> None:
+        """Forget everything, before a rebuild after a gap."""
+        self._shards.clear()
+        self._ended.clear()
+        self._ended_bytes = 0
+
+    def __len__(self) -> int:
+        return sum(len(jobs) for jobs in self._shards.values())
+
+
+def _restored(entry: Entry, now: float) -> model.Job:
+    """Return a job as a new owner starts with it."""
+    if entry.job:
+        spec = job_records.decode_job(entry.job)
+        job = model.new_job(spec, now)
+        job.recorded = True
+    else:
+        job = _intent_only(entry, now)
+    job.intents = set(entry.intents)
+    job.note('taken over from the log', now)
+    if entry.outcome:
+        _restore_end(job, entry, now)
+    return job
+
+
+def _intent_only(entry: Entry, now: float) -> model.Job:
+    """Return a job of which the log tells only that tasks may have run."""
+    last = max(entry.intents, default=0)
+    spec = work.JobSpec(
+        entry.job_id, team='', kind='', tasks=last + 1, repeatable=False
+    )
+    tasks = {index: model.Task(index) for index in entry.intents}
+    return model.Job(spec, now, tasks, partial=True)
+
+
+def _restore_end(job: model.Job, entry: Entry, now: float) -> None:
+    """Give a job the final outcome that the log tells."""
+    outcome = work.Outcome(entry.outcome)
+    for task in job.tasks.values():
+        task.phase = model.Phase.ENDED
+        task.outcome = outcome
+        task.detail = entry.detail
+    if len(job.tasks) == 1:
+        job.tasks[min(job.tasks)].answer = entry.answer
+    job.outcome = outcome
+    job.detail = entry.detail
+    job.ended_at = now
--- /dev/null
+++ b/hibiscusslip/jobs/view.py
@@ -0,0 +1,68 @@
+"""Show jobs to those who asked for them."""
+
+import base64
+import dataclasses
+import json
+
+from hibiscusslip.jobs import model
+from hibiscusslip.model import work
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobView:
+    """Hold how a job stands; `answer` is whole once it is final."""
+
+    job_id: str
+    outcome: work.Outcome
+    detail: str = ''
+    answer: bytes = b''
+    retry_after: float | None = None
+    nearest: str = ''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobStory:
+    """Hold a job's history, the oldest line first."""
+
+    job_id: str
+    outcome: work.Outcome
+    lines: list[str]
+
+
+def view_of(job: model.Job, told: bool = True) -> JobView:
+    """Return how a job stands; its end only when it may be told."""
+    outcome = job.outcome
+    if outcome.final and not told:
+        outcome = work.Outcome.RUNNING
+    answer = answer_of(job) if outcome.final else b''
+    return JobView(
+        job.spec.job_id, outcome, job.detail, answer, job.retry_after
+    )
+
+
+def answer_of(job: model.Job) -> bytes:
+    """Return the answer: the task's own, or JSON when there are many."""
+    tasks = [job.tasks[index] for index in sorted(job.tasks)]
+    if len(tasks) == 1 and job.spec.tasks == 1:
+        return tasks[0].answer
+    rows = [
+        {
+            'task': task.index,
+            'outcome': task.outcome.value,
+            'detail': task.detail,
+            'answer': base64.b64encode(task.answer).decode(),
+        }
+        for task in tasks
+    ]
+    return json.dumps({'tasks': rows}).encode()
+
+
+def story_of(job: model.Job, now: float, reasons: list[str]) -> JobStory:
+    """Return a job's history with why it waits."""
+    lines = [f'{now - e.at:8.1f} s ago: {e.text}' for e in job.history]
+    for task in job.tasks.values():
+        place = f' on {task.endpoint}' if task.endpoint else ''
+        if task.phase not in (model.Phase.ENDED, model.Phase.QUEUED):
+            lines.append(f'now: task {task.index} {task.phase}{place}')
+    lines.extend(f'waits: {reason}' for reason in reasons)
+    return JobStory(job.spec.job_id, job.outcome, lines)
--- a/hibiscusslip/model/work.py
+++ b/hibiscusslip/model/work.py
@@ -68,6 +68,11 @@
     payload: bytes = b''
 
 
+def with_id(spec: JobSpec, job_id: str) -> JobSpec:
+    """Return a specification under another job id."""
+    return dataclasses.replace(spec, job_id=job_id)
+
+
 def task_id(job_id: str, index: int) -> str:
     """Return the id of the task number `index` of a job."""
     return f'{job_id}/{index}'
--- /dev/null
+++ b/hibiscusslip/node/endpoint_driver.py
@@ -0,0 +1,188 @@
+"""Carry a shard engine's commands to one endpoint."""
+
+import collections
+
+import curio
+
+from hibiscusslip.endpoint import base
+from hibiscusslip.endpoint import exceptions
+from hibiscusslip.jobs import commands
+from hibiscusslip.model import places
+from hibiscusslip.node import clock
+from hibiscusslip.node import runner_base
+
+MAX_BATCH_ORDERS = 64
+EVENTS_WAIT_SECONDS = 5.0
+RETRY_SECONDS = 0.5
+
+
+class EndpointDriver:
+    """Run the loops that start, renew and watch on one endpoint."""
+
+    def __init__(
+        self,
+        info: places.EndpointInfo,
+        client: base.Endpoint,
+        shard: runner_base.ShardAccess,
+    ) -> None:
+        self.name = info.name
+        self._info = info
+        self._client = client
+        self._shard = shard
+        self._orders: collections.deque[base.StartOrder] = collections.deque()
+        self._wake = curio.Event()
+        self._next_event: int | None = None
+        self._tasks = curio.TaskGroup()
+
+    def reaches(self, info: places.EndpointInfo) -> bool:
+        """Tell whether the driver talks to the address of an endpoint."""
+        known = (self._info.address, self._info.port)
+        return known == (info.address, info.port)
+
+    async def start(self) -> None:
+        """Start the loops."""
+        await self._tasks.spawn(self._send_loop)
+        await self._tasks.spawn(self._renew_loop)
+        await self._tasks.spawn(self._events_loop)
+
+    async def stop(self) -> None:
+        """Stop the loops and close the connections."""
+        await self._tasks.cancel_remaining()
+        await self._client.close()
+
+    async def order(self, orders: list[base.StartOrder]) -> None:
+        """Queue start orders; those of one moment leave together."""
+        self._orders.extend(orders)
+        await self._wake.set()
+
+    async def _send_loop(self) -> None:
+        while True:
+            if not self._orders:
+                self._wake.clear()
+                await self._wake.wait()
+            size = min(len(self._orders), MAX_BATCH_ORDERS)
+            batch = [self._orders.popleft() for _ in range(size)]
+            await self._send(batch)
+
+    async def _send(self, batch: list[base.StartOrder]) -> None:
+        """Send one batch, with the lease checked before and after."""
+        engine = self._shard.engine
+        names = [order.task for order in batch]
+        if not self._shard.may_act(clock.now()):
+            engine.start_failed(self.name, names, False, clock.now())
+            return
+        try:
+            results = await self._client.start(batch)
+        except (exceptions.NotSent, exceptions.CallRefused):
+            engine.start_failed(self.name, names, False, clock.now())
+        except exceptions.EndpointError:
+            engine.start_failed(self.name, names, True, clock.now())
+        else:
+            engine.start_answered(self.name, results, clock.now())
+            if not self._shard.may_act(clock.now()):
+                await self._stop_late(results)
+        await self._shard.changed()
+
+    async def _stop_late(self, results: list[base.StartResult]) -> None:
+        """Stop what started while the lease ran out."""
+        for result in results:
+            if result.started:
+                await self._quietly(self._client.stop(result.task, 0.0))
+
+    async def _renew_loop(self) -> None:
+        lease = self._shard.worker_lease
+        while True:
+            await curio.sleep(lease / 4)
+            if not self._shard.may_act(clock.now()):
+                continue
+            names = self._shard.engine.renewing(self.name, clock.now())
+            try:
+                missing = await self._client.renew(names, lease)
+            except exceptions.EndpointError:
+                continue
+            self._shard.engine.renewed(self.name, missing, clock.now())
+            await self._shard.changed()
+
+    async def _events_loop(self) -> None:
+        while True:
+            if self._next_event is None:
+                await curio.sleep(RETRY_SECONDS / 10)
+                continue
+            try:
+                batch = await self._client.events(
+                    self._next_event, EVENTS_WAIT_SECONDS
+                )
+            except exceptions.EndpointError:
+                await curio.sleep(RETRY_SECONDS)
+                continue
+            self._next_event = batch.next_event
+            self._shard.engine.runs_ended(
+                self.name, batch.boot, batch.ended, clock.now()
+            )
+            await self._shard.changed()
+
+    async def carry_out(self, command: commands.Command) -> None:
+        """Carry out one command that concerns this endpoint."""
+        if isinstance(command, commands.ListRuns):
+            await self._list_runs()
+        elif isinstance(command, commands.FetchAnswer):
+            await self._fetch(command)
+        elif isinstance(command, commands.StopTask):
+            await self._quietly(self._client.stop(command.task, command.grace))
+        elif isinstance(command, commands.ThrottleTask):
+            await self._quietly(
+                self._client.throttle(command.task, command.share)
+            )
+        elif isinstance(command, commands.CheckpointTask):
+            await self._checkpoint(command)
+
+    async def _list_runs(self) -> None:
+        asked_at = clock.now()
+        engine = self._shard.engine
+        try:
+            listing = await self._client.runs()
+        except exceptions.EndpointError:
+            engine.listing_failed(self.name, clock.now())
+            return
+        if self._next_event is None or listing.boot != self._boot(engine):
+            self._next_event = listing.next_event
+        engine.endpoint_listed(self.name, listing, asked_at, clock.now())
+        await self._shard.changed()
+
+    def _boot(self, engine) -> str:
+        view = engine.endpoints.get(self.name)
+        return '' if view is None else view.boot
+
+    async def _fetch(self, command: commands.FetchAnswer) -> None:
+        """Fetch a large answer, trying again while the lease holds."""
+        answer = None
+        for _ in range(5):
+            try:
+                answer = await self._client.answer(
+                    command.task, command.attempt
+                )
+                break
+            except exceptions.CallRefused:
+                break
+            except exceptions.EndpointError:
+                await curio.sleep(RETRY_SECONDS)
+        self._shard.engine.answer_fetched(
+            command.task, command.attempt, answer, clock.now()
+        )
+        await self._shard.changed()
+
+    async def _checkpoint(self, command: commands.CheckpointTask) -> None:
+        """Save a task's state, then stop it; without a state it goes on."""
+        try:
+            data = await self._client.checkpoint(command.task)
+            self._shard.engine.checkpointed(command.task, data)
+            await self._client.stop(command.task, command.grace)
+        except exceptions.EndpointError:
+            return
+
+    async def _quietly(self, call) -> None:
+        """Await a call whose failure shows up elsewhere."""
+        try:
+            await call
+        except exceptions.EndpointError:
+            return
--- /dev/null
+++ b/hibiscusslip/node/home.py
@@ -0,0 +1,105 @@
+"""Serve requests for jobs whose home shard this host owns."""
+
+from hibiscusslip.jobs import exceptions
+from hibiscusslip.jobs import view
+from hibiscusslip.model import places
+from hibiscusslip.model import work
+from hibiscusslip.node import clock
+from hibiscusslip.node import shard_runner
+
+KEEP_WAIT_SECONDS = 5.0
+
+
+class NotOwner(exceptions.JobError):
+    """Raise when this host doesn't own the shard, or does no longer."""
+
+    def __init__(self, shard: places.Shard) -> None:
+        super().__init__(
+            f'this host does not own shard {shard}; ask its present owner'
+        )
+        self.retry_after = 0.2
+
+
+class UnknownJob(exceptions.JobError):
+    """Raise for a job id that the shard doesn't know."""
+
+    def __init__(self, job_id: str) -> None:
+        super().__init__(
+            f'job {job_id} is not known; it ended long ago, or its request'
+            ' was not kept (ask for durable work to have it kept)'
+        )
+
+
+class NotKeptYet(exceptions.JobError):
+    """Raise when it can't be told in time whether a job is on the log."""
+
+    def __init__(self, job_id: str) -> None:
+        super().__init__(
+            f'job {job_id} may be accepted: the log has not confirmed it yet;'
+            ' ask for its status before asking for it again'
+        )
+        self.retry_after = 1.0
+
+
+class Home:
+    """Give access to the jobs of the shards owned here."""
+
+    def __init__(self, runners: dict[int, shard_runner.ShardRunner]) -> None:
+        self._runners = runners
+
+    def _runner(self, shard: places.Shard) -> shard_runner.ShardRunner:
+        runner = self._runners.get(shard.number)
+        if runner is None or runner.shard != shard:
+            raise NotOwner(shard)
+        if not runner.may_act(clock.now()) or runner.frozen:
+            raise NotOwner(shard)
+        return runner
+
+    async def submit(
+        self, shard: places.Shard, spec: work.JobSpec, wait: float
+    ) -> view.JobView:
+        """Take a job and wait up to `wait` seconds for its end.
+
+        Raises jobs.exceptions.JobError: nothing of it was done.
+        """
+        runner = self._runner(shard)
+        runner.engine.submit(spec, clock.now())
+        await runner.changed()
+        if spec.durable:
+            kept = await runner.wait_kept(spec.job_id, KEEP_WAIT_SECONDS)
+            if not kept:
+                raise NotKeptYet(spec.job_id)
+        return await self._view(runner, spec.job_id, wait)
+
+    async def status(
+        self, shard: places.Shard, job_id: str, wait: float
+    ) -> view.JobView:
+        """Return how a job stands, waiting up to `wait` s for its end."""
+        return await self._view(self._runner(shard), job_id, wait)
+
+    async def cancel(self, shard: places.Shard, job_id: str) -> view.JobView:
+        """Cancel what has not ended of a job."""
+        runner = self._runner(shard)
+        runner.engine.cancel(job_id, clock.now())
+        await runner.changed()
+        return await self._view(runner, job_id, 0.0)
+
+    def explain(self, shard: places.Shard, job_id: str) -> view.JobStory:
+        """Return a job's history and why it waits."""
+        runner = self._runner(shard)
+        job = runner.engine.jobs.get(job_id)
+        if job is None:
+            raise UnknownJob(job_id)
+        now = clock.now()
+        told = runner.engine.scheduler.explain(job_id, now)
+        return view.story_of(job, now, told.reasons if told else [])
+
+    async def _view(
+        self, runner: shard_runner.ShardRunner, job_id: str, wait: float
+    ) -> view.JobView:
+        job = await runner.wait_final(job_id, wait)
+        if runner.stopped and not (job and job.outcome.final):
+            raise NotOwner(runner.shard)
+        if job is None:
+            raise UnknownJob(job_id)
+        return view.view_of(job, runner.is_told(job))
--- /dev/null
+++ b/hibiscusslip/node/remote_home.py
@@ -0,0 +1,188 @@
+"""Ask the owner of a job's home shard, be it here or on another host."""
+
+import dataclasses
+import enum
+
+import result
+
+from hibiscusslip.jobs import exceptions as job_exceptions
+from hibiscusslip.jobs import view
+from hibiscusslip.model import places
+from hibiscusslip.model import work
+from hibiscusslip.node import home
+from hibiscusslip.peer import base as peer_base
+from hibiscusslip.peer import exceptions as peer_exceptions
+from hibiscusslip.peer import messages
+from hibiscusslip.records import job as job_records
+
+CALL_MARGIN_SECONDS = 2.0
+
+
+class FailureKind(enum.StrEnum):
+    """Tell what a failed call to a home means for the request."""
+
+    REFUSED = 'refused'
+    UNKNOWN_JOB = 'unknown_job'
+    NOT_OWNER = 'not_owner'
+    NOT_DELIVERED = 'not_delivered'
+    UNSETTLED = 'unsettled'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Failure:
+    """Hold why a call failed; only UNSETTLED may have had an effect."""
+
+    kind: FailureKind
+    reason: str
+    detail: str
+    retry_after: float | None = None
+    nearest: str = ''
+
+
+ViewResult = result.Result[view.JobView, Failure]
+
+
+def refusal_of(exc: job_exceptions.JobError) -> messages.Refusal:
+    """Return the message that tells another host of a refusal."""
+    detail = str(exc)
+    if isinstance(exc, job_exceptions.NotAdmitted):
+        return messages.Refusal(
+            f'policy:{exc.kind}', detail, exc.retry_after, exc.nearest
+        )
+    return messages.Refusal(type(exc).__name__, detail, exc.retry_after)
+
+
+def failure_of(refusal: messages.Refusal) -> Failure:
+    """Return what a refusal means for the request."""
+    kinds = {
+        home.NotOwner.__name__: FailureKind.NOT_OWNER,
+        job_exceptions.ShardNotReady.__name__: FailureKind.NOT_OWNER,
+        home.UnknownJob.__name__: FailureKind.UNKNOWN_JOB,
+        home.NotKeptYet.__name__: FailureKind.UNSETTLED,
+        'busy': FailureKind.NOT_DELIVERED,
+    }
+    return Failure(
+        kinds.get(refusal.kind, FailureKind.REFUSED),
+        refusal.kind,
+        refusal.detail,
+        refusal.retry_after,
+        refusal.nearest,
+    )
+
+
+class HomeCalls:
+    """Call a home by host name, with one result type for all failures."""
+
+    def __init__(
+        self, me: str, here: home.Home, peers: peer_base.Peers
+    ) -> None:
+        self._me = me
+        self._here = here
+        self._peers = peers
+
+    async def submit(
+        self, host: str, shard: places.Shard, spec: work.JobSpec, wait: float
+    ) -> ViewResult:
+        """Take a job to its home and wait for its end."""
+        if host == self._me:
+            return await self._local(self._here.submit(shard, spec, wait))
+        body = messages.JobSubmit(
+            shard.zone, shard.number, job_records.encode_job(spec), wait
+        )
+        return await self._remote(host, body, wait)
+
+    async def status(
+        self, host: str, shard: places.Shard, job_id: str, wait: float
+    ) -> ViewResult:
+        """Ask how a job stands and wait for its end."""
+        if host == self._me:
+            return await self._local(self._here.status(shard, job_id, wait))
+        body = messages.JobStatus(shard.zone, shard.number, job_id, wait)
+        return await self._remote(host, body, wait)
+
+    async def cancel(
+        self, host: str, shard: places.Shard, job_id: str
+    ) -> ViewResult:
+        """Cancel what has not ended of a job."""
+        if host == self._me:
+            return await self._local(self._here.cancel(shard, job_id))
+        body = messages.JobCancel(shard.zone, shard.number, job_id)
+        return await self._remote(host, body, 0.0)
+
+    async def explain(
+        self, host: str, shard: places.Shard, job_id: str
+    ) -> result.Result[view.JobStory, Failure]:
+        """Ask for a job's history."""
+        if host == self._me:
+            try:
+                return result.Ok(self._here.explain(shard, job_id))
+            except job_exceptions.JobError as exc:
+                return result.Err(failure_of(refusal_of(exc)))
+        body = messages.JobExplain(shard.zone, shard.number, job_id)
+        reply = await self._call(host, body, CALL_MARGIN_SECONDS)
+        if isinstance(reply, Failure):
+            return result.Err(reply)
+        if not isinstance(reply, messages.JobStory):
+            return result.Err(_odd(reply))
+        outcome = work.Outcome(reply.outcome)
+        return result.Ok(view.JobStory(reply.job_id, outcome, reply.lines))
+
+    async def _local(self, call) -> ViewResult:
+        try:
+            return result.Ok(await call)
+        except job_exceptions.JobError as exc:
+            return result.Err(failure_of(refusal_of(exc)))
+
+    async def _remote(
+        self, host: str, body: messages.PeerMessage, wait: float
+    ) -> ViewResult:
+        reply = await self._call(host, body, wait + CALL_MARGIN_SECONDS)
+        if isinstance(reply, Failure):
+            return result.Err(reply)
+        if not isinstance(reply, messages.JobState):
+            return result.Err(_odd(reply))
+        return result.Ok(view_from(reply))
+
+    async def _call(
+        self, host: str, body: messages.PeerMessage, timeout: float
+    ) -> messages.PeerMessage | Failure:
+        """Call a host and sort its failures by what they leave open."""
+        try:
+            reply = await self._peers.call(host, body, timeout)
+        except peer_exceptions.PeerUnsettled as exc:
+            return Failure(FailureKind.UNSETTLED, 'unsettled', str(exc))
+        except peer_exceptions.PeerError as exc:
+            kind = FailureKind.NOT_DELIVERED
+            return Failure(kind, 'not_delivered', str(exc), 1.0)
+        if isinstance(reply, messages.Refusal):
+            return failure_of(reply)
+        return reply
+
+
+def view_from(state: messages.JobState) -> view.JobView:
+    """Return the view that a message carries."""
+    return view.JobView(
+        state.job_id,
+        work.Outcome(state.outcome),
+        state.detail,
+        state.answer,
+        state.retry_after,
+        state.nearest,
+    )
+
+
+def state_of(job: view.JobView) -> messages.JobState:
+    """Return the message that carries a view."""
+    return messages.JobState(
+        job.job_id,
+        job.outcome.value,
+        job.detail,
+        job.answer,
+        job.retry_after,
+        job.nearest,
+    )
+
+
+def _odd(reply: object) -> Failure:
+    detail = f'unexpected reply {type(reply).__name__}; upgrade the hosts'
+    return Failure(FailureKind.UNSETTLED, 'odd_reply', detail)
--- /dev/null
+++ b/hibiscusslip/node/runner_base.py
@@ -0,0 +1,20 @@
+"""Define what an endpoint's driver needs of its shard."""
+
+import abc
+
+from hibiscusslip.jobs import engine as jobs_engine
+
+
+class ShardAccess(abc.ABC):
+    """Give access to a shard's engine and lease."""
+
+    engine: jobs_engine.ShardEngine
+    worker_lease: float
+
+    @abc.abstractmethod
+    def may_act(self, now: float) -> bool:
+        """Tell whether this host may act for the shard now."""
+
+    @abc.abstractmethod
+    async def changed(self) -> None:
+        """Carry out what the engine wants after an event."""
--- /dev/null
+++ b/hibiscusslip/node/shard_runner.py
@@ -0,0 +1,208 @@
+"""Run one owned shard: feed its engine and carry out its commands."""
+
+import collections.abc
+
+import curio
+
+from hibiscusslip import codec
+from hibiscusslip.endpoint import base as endpoint_base
+from hibiscusslip.jobs import commands
+from hibiscusslip.jobs import engine as jobs_engine
+from hibiscusslip.jobs import model
+from hibiscusslip.model import places
+from hibiscusslip.node import appender
+from hibiscusslip.node import clock
+from hibiscusslip.node import endpoint_driver
+from hibiscusslip.node import runner_base
+from hibiscusslip.ownership import owner
+from hibiscusslip.records import zone as zone_records
+
+TICK_SECONDS = 0.1
+MAX_RECORD_WAITS = 4096
+
+EndpointFactory = collections.abc.Callable[
+    [places.EndpointInfo], endpoint_base.Endpoint
+]
+
+
+class ShardRunner(runner_base.ShardAccess):
+    """Own one shard as long as its lease holds."""
+
+    def __init__(
+        self,
+        shard: places.Shard,
+        engine: jobs_engine.ShardEngine,
+        ownership: owner.Ownership,
+        writer: appender.Appender,
+        connect: EndpointFactory,
+        worker_lease: float,
+    ) -> None:
+        self.shard = shard
+        self.engine = engine
+        self.worker_lease = worker_lease
+        self._ownership = ownership
+        self._writer = writer
+        self._connect = connect
+        self._drivers: dict[str, endpoint_driver.EndpointDriver] = {}
+        self._infos: dict[str, places.EndpointInfo] = {}
+        self._waiters: dict[str, curio.Event] = {}
+        self._tasks = curio.TaskGroup()
+        self._dirty = curio.Event()
+        self._ready = False
+        self.stopped = False
+        self.frozen = False
+
+    def may_act(self, now: float) -> bool:
+        """Tell whether this host may act for the shard now."""
+        return not self.stopped and self._ownership.may_act(self.shard, now)
+
+    async def start(self) -> None:
+        """Start the shard's loop."""
+        await self._tasks.spawn(self._loop)
+
+    async def stop(self) -> None:
+        """Stop acting for the shard and release those who wait."""
+        self.stopped = True
+        for waiter in list(self._waiters.values()):
+            await waiter.set()
+        await self._tasks.cancel_remaining()
+        for driver in list(self._drivers.values()):
+            await driver.stop()
+
+    async def _loop(self) -> None:
+        """Tick while the lease holds; decide at once after an event."""
+        while True:
+            async with curio.ignore_after(TICK_SECONDS):
+                await self._dirty.wait()
+            self._dirty.clear()
+            now = clock.now()
+            if not self.may_act(now) or self.frozen:
+                await curio.sleep(TICK_SECONDS)
+                continue
+            self.engine.set_log_up(self._writer.up)
+            self.engine.tick(now)
+            await self._carry_out()
+
+    async def changed(self) -> None:
+        """Wake the loop after an event."""
+        await self._dirty.set()
+
+    async def set_endpoints(self, infos: list[places.EndpointInfo]) -> None:
+        """Take the endpoints of this shard from the host list."""
+        for info in infos:
+            if self._infos.get(info.name) == info:
+                continue
+            self._infos[info.name] = info
+            self.engine.set_endpoint(info, clock.now())
+            await self._drive(info)
+        await self.changed()
+
+    async def _drive(self, info: places.EndpointInfo) -> None:
+        """Have a driver for an endpoint at its present address."""
+        old = self._drivers.pop(info.name, None)
+        if old is not None:
+            if old.reaches(info):
+                self._drivers[info.name] = old
+                return
+            await old.stop()
+        if info.state == places.EndpointState.GONE:
+            return
+        driver = endpoint_driver.EndpointDriver(
+            info, self._connect(info), self
+        )
+        self._drivers[info.name] = driver
+        await driver.start()
+
+    async def _carry_out(self) -> None:
+        """Carry out what the engine wants."""
+        for command in self.engine.take_commands():
+            if isinstance(command, commands.StartTasks):
+                await self._start_tasks(command)
+            elif isinstance(command, commands.WriteRecord):
+                await self._write(command.record)
+            elif isinstance(command, commands.JobFinal | commands.JobKept):
+                await self._wake_waiters(command.job_id)
+            elif isinstance(command, commands.HoldElsewhere):
+                continue
+            else:
+                await self._spawn(command)
+
+    async def _start_tasks(self, command: commands.StartTasks) -> None:
+        driver = self._drivers.get(command.endpoint)
+        if driver is not None:
+            await driver.order(command.orders)
+            return
+        names = [order.task for order in command.orders]
+        self.engine.start_failed(command.endpoint, names, False, clock.now())
+
+    async def _spawn(self, command) -> None:
+        """Carry out a command for one endpoint without waiting for it."""
+        driver = self._drivers.get(command.endpoint)
+        if driver is not None:
+            await curio.spawn(driver.carry_out, command, daemon=True)
+
+    async def _write(self, record: zone_records.ZoneRecord) -> None:
+        data = codec.encode(record)
+        if not await self._writer.add(record.record_id, data):
+            self.engine.record_failed(record.record_id, clock.now())
+            await self.changed()
+
+    async def _wake_waiters(self, job_id: str) -> None:
+        waiter = self._waiters.pop(job_id, None)
+        if waiter is not None:
+            await waiter.set()
+
+    async def record_seen(self, record_id: str, valid: bool) -> None:
+        """Take that a record of ours was read back."""
+        if valid:
+            self.engine.record_confirmed(record_id, clock.now())
+        else:
+            self.engine.record_failed(record_id, clock.now())
+        await self.changed()
+
+    async def records_refused(self, record_ids: list[str]) -> None:
+        """Take that records surely were not written."""
+        for record_id in record_ids:
+            self.engine.record_failed(record_id, clock.now())
+        await self.changed()
+
+    async def wait_final(
+        self, job_id: str, timeout: float
+    ) -> model.Job | None:
+        """Wait for a job's final outcome; return the job as it stands."""
+        await self._wait(job_id, timeout, self.is_told)
+        return self.engine.jobs.get(job_id)
+
+    async def wait_kept(self, job_id: str, timeout: float) -> bool:
+        """Wait until durable work is on the log; False when it is not."""
+
+        def kept(job: model.Job) -> bool:
+            return job.recorded or job.outcome.final
+
+        return await self._wait(job_id, timeout, kept)
+
+    async def _wait(
+        self,
+        job_id: str,
+        timeout: float,
+        reached: collections.abc.Callable[[model.Job], bool],
+    ) -> bool:
+        """Wait up to `timeout` s until a job has reached a state."""
+        due = clock.now() + timeout
+        while not self.stopped:
+            job = self.engine.jobs.get(job_id)
+            if job is None:
+                return False
+            if reached(job):
+                return True
+            left = due - clock.now()
+            if left <= 0:
+                return False
+            waiter = self._waiters.setdefault(job_id, curio.Event())
+            async with curio.ignore_after(left):
+                await waiter.wait()
+        return False
+
+    def is_told(self, job: model.Job) -> bool:
+        """Tell whether a job's outcome is final and may be told."""
+        return job.outcome.final and self.engine.may_tell(job.spec.job_id)
--- a/hibiscusslip/peer/messages.py
+++ b/hibiscusslip/peer/messages.py
@@ -112,6 +112,7 @@
     zone: str
     shard: int
     job: bytes
+    wait: float = 0.0
 
 
 class JobStatus(msgspec.Struct, frozen=True, tag='job_status'):
@@ -285,6 +286,7 @@
     kind: str
     detail: str
     retry_after: float | None = None
+    nearest: str = ''
 
 
 PeerMessage = typing.Union[  # noqa: UP007 - decoders need the plain union
