Schedule single tasks, gangs and services on one shard

Cause: the owner of a shard needs decisions. Change: booking over five dimensions, an index by free room, queue order by guarantee, urgency and fair shares of teams, bounded queues with truthful refusals, holds for foreign tasks, explanations and summaries.

--- /dev/null
+++ b/hibiscusslip/scheduler/_fair.py
@@ -0,0 +1,309 @@
+"""Order the queue by guarantee, urgency and fair shares of teams."""
+
+import collections
+import functools
+import heapq
+import typing
+
+from hibiscusslip.model import work
+from hibiscusslip.scheduler import _accounts
+from hibiscusslip.scheduler import _jobs
+from hibiscusslip.scheduler import _order
+from hibiscusslip.scheduler import _shapes
+from hibiscusslip.scheduler import _vector
+
+URGENCIES = tuple(work.Urgency)
+MIN_WEIGHTS = 1e-6
+LaneJobs = collections.OrderedDict[str, _jobs.Job]
+
+
+class TeamLane:
+    """Keep the jobs of one team, kind and urgency, grouped by shape."""
+
+    def __init__(self, team: str) -> None:
+        self.team = team
+        self.shapes: dict[int, LaneJobs] = {}
+        self.mask = 0
+        self.skip = 0
+
+    def push(self, job: _jobs.Job) -> bool:
+        """Add a job; tell whether its shape is new here."""
+        jobs = self.shapes.get(job.shape)
+        if jobs is None:
+            jobs = self.shapes[job.shape] = collections.OrderedDict()
+        jobs[job.job_id] = job
+        new = not self.mask >> job.shape & 1
+        self.mask |= 1 << job.shape
+        return new
+
+    def discard(self, job: _jobs.Job) -> bool:
+        """Take a job out; tell whether its shape is gone from here."""
+        jobs = self.shapes.get(job.shape)
+        if jobs is None or jobs.pop(job.job_id, None) is None:
+            return False
+        if jobs:
+            return False
+        del self.shapes[job.shape]
+        self.mask &= ~(1 << job.shape)
+        return True
+
+    def oldest(self, mask: int) -> _jobs.Job:
+        """Return the job that came first among the shapes in `mask`."""
+        heads = []
+        while mask:
+            bit = mask & -mask
+            mask ^= bit
+            heads.append(
+                next(iter(self.shapes[bit.bit_length() - 1].values()))
+            )
+        return min(heads, key=lambda job: job.seq)
+
+
+class Lane:
+    """Keep the teams that wait with one kind and urgency."""
+
+    def __init__(self) -> None:
+        self.teams: dict[str, TeamLane] = {}
+        self.heap: list[tuple[float, str]] = []
+        self.counts: collections.Counter[int] = collections.Counter()
+        self.mask = 0
+
+    def push(self, job: _jobs.Job, share: float) -> bool:
+        """Add a job of a team; tell whether the team is new here."""
+        team = job.spec.team
+        found = self.teams.get(team)
+        new = found is None
+        if found is None:
+            found = self.teams[team] = TeamLane(team)
+            heapq.heappush(self.heap, (share, team))
+        if found.push(job):
+            self.counts[job.shape] += 1
+            self.mask |= 1 << job.shape
+        return new
+
+    def discard(self, job: _jobs.Job) -> bool:
+        """Take a job out; tell whether its team is gone from here."""
+        found = self.teams.get(job.spec.team)
+        if found is None or not found.discard(job):
+            return False
+        self.counts[job.shape] -= 1
+        if not self.counts[job.shape]:
+            del self.counts[job.shape]
+            self.mask &= ~(1 << job.shape)
+        if found.mask:
+            return False
+        del self.teams[found.team]
+        return True
+
+    def reorder(self, team: str, share: float) -> None:
+        """Note the new share of a team."""
+        if team in self.teams:
+            heapq.heappush(self.heap, (share, team))
+            if len(self.heap) > 4 * len(self.teams) + 64:
+                self._compact()
+
+    def rebuild(self, share_of: typing.Callable[[str], float]) -> None:
+        """Order the teams anew."""
+        self.heap = [(share_of(team), team) for team in self.teams]
+        heapq.heapify(self.heap)
+
+    def _compact(self) -> None:
+        latest = {}
+        for share, team in self.heap:
+            if team in self.teams:
+                latest[team] = min(share, latest.get(team, share))
+        self.heap = [(share, team) for team, share in latest.items()]
+        heapq.heapify(self.heap)
+
+    def lowest(
+        self, mask: int, share_of: typing.Callable[[str], float]
+    ) -> tuple[float, TeamLane] | None:
+        """Return the team with the least share that waits with `mask`."""
+        aside = []
+        found = None
+        while self.heap:
+            share, team = heapq.heappop(self.heap)
+            lane = self.teams.get(team)
+            if lane is None:
+                continue
+            current = share_of(team)
+            if current != share:
+                heapq.heappush(self.heap, (current, team))
+                continue
+            if not aside or aside[-1] != (share, team):
+                aside.append((share, team))
+            if lane.mask & mask & ~lane.skip:
+                found = (share, lane)
+                break
+        for item in aside:
+            heapq.heappush(self.heap, item)
+        return found
+
+
+class KindQueue:
+    """Keep the lanes of one kind and the weights of the waiting teams."""
+
+    def __init__(self) -> None:
+        self.lanes = {urgency: Lane() for urgency in URGENCIES}
+        self.skip = 0
+        self.weights = 0.0
+        self.teams: collections.Counter[str] = collections.Counter()
+
+    def team_came(self, team: str, weight: float) -> None:
+        """Count a team that waits in one more lane."""
+        self.teams[team] += 1
+        if self.teams[team] == 1:
+            self.weights += weight
+
+    def team_left(self, team: str, weight: float) -> None:
+        """Uncount a team that waits in one lane less."""
+        self.teams[team] -= 1
+        if not self.teams[team]:
+            del self.teams[team]
+            self.weights = max(0.0, self.weights - weight)
+
+
+class Fair(_order.QueueOrder):
+    """Try kinds below their guarantee first, then by urgency.
+
+    Inside a kind and urgency the team with the least weighted dominant
+    share goes first; a more urgent job of a team beyond its fair share
+    yields to a less urgent one of a team below it.
+    """
+
+    def __init__(self, accounts: _accounts.Accounts) -> None:
+        self._accounts = accounts
+        self._kinds: dict[str, KindQueue] = {}
+        self._shapes = _shapes.Shapes()
+        self._skipped: list[TeamLane] = []
+
+    def push(self, job: _jobs.Job) -> None:
+        """Add a job that has pending tasks."""
+        if job.shape < 0:
+            job.shape = self._shapes.number(job)
+        spec = job.spec
+        share = self._accounts.team_share(spec.kind, spec.team)
+        if self._lane(job).push(job, share):
+            weight = self._accounts.weight(spec.team)
+            self._kinds[spec.kind].team_came(spec.team, weight)
+
+    def discard(self, job: _jobs.Job) -> None:
+        """Take a job out."""
+        if job.shape >= 0 and self._lane(job).discard(job):
+            spec = job.spec
+            weight = self._accounts.weight(spec.team)
+            self._kinds[spec.kind].team_left(spec.team, weight)
+
+    def begin(self, now: float) -> None:
+        """Forget what shares, quotas and single jobs kept back."""
+        for queue in self._kinds.values():
+            queue.skip = 0
+        for lane in self._skipped:
+            lane.skip = 0
+        self._skipped.clear()
+
+    def choose(self, now: float) -> _jobs.Job | None:
+        """Return the job to try next."""
+        ready = ~self._shapes.blocked
+        while True:
+            kind = self._next_kind(ready)
+            if kind is None:
+                return None
+            job = self._next_job(kind, ready)
+            if job is not None:
+                return job
+
+    def block(self, job: _jobs.Job, why: _order.Block) -> None:
+        """Skip a job's shape at the level that the reason allows."""
+        bit = 1 << job.shape
+        if why is _order.Block.ROOM:
+            self._shapes.block(job.shape)
+        elif why is _order.Block.SHARE:
+            self._kinds[job.spec.kind].skip |= bit
+        else:
+            lane = self._lane(job).teams.get(job.spec.team)
+            if lane is not None:
+                lane.skip |= bit
+                self._skipped.append(lane)
+
+    def held_changed(self, kind: str, team: str) -> None:
+        """Reorder the team in the lanes of the kind."""
+        queue = self._kinds.get(kind)
+        if queue is None:
+            return
+        share = self._accounts.team_share(kind, team)
+        for lane in queue.lanes.values():
+            lane.reorder(team, share)
+
+    def freed(self, free: _vector.Vector) -> None:
+        """Try the shapes again that may fit."""
+        self._shapes.freed(free)
+
+    def changed(self) -> None:
+        """Try every shape again and read all shares anew."""
+        self._shapes.unblock_all()
+        for kind, queue in self._kinds.items():
+            weights = map(self._accounts.weight, queue.teams)
+            queue.weights = sum(weights)
+            for lane in queue.lanes.values():
+                lane.rebuild(functools.partial(self._share, kind))
+
+    def _lane(self, job: _jobs.Job) -> Lane:
+        queue = self._kinds.get(job.spec.kind)
+        if queue is None:
+            queue = self._kinds[job.spec.kind] = KindQueue()
+        return queue.lanes[job.spec.urgency]
+
+    def _next_kind(self, ready: int) -> str | None:
+        best = None
+        for name, queue in self._kinds.items():
+            urgency = self._first_urgency(queue, ready)
+            if urgency is None:
+                continue
+            standing = self._accounts.standing(name)
+            rank = (standing >= 1.0, urgency, standing, name)
+            if best is None or rank < best:
+                best = rank
+        return best[3] if best else None
+
+    def _first_urgency(self, queue: KindQueue, ready: int) -> int | None:
+        usable = ready & ~queue.skip
+        for urgency, lane in queue.lanes.items():
+            if lane.mask & usable:
+                return int(urgency)
+        return None
+
+    def _next_job(self, kind: str, ready: int) -> _jobs.Job | None:
+        queue = self._kinds[kind]
+        usable = ready & ~queue.skip
+        fair = self._fair_share(kind, queue)
+        first = None
+        for lane in queue.lanes.values():
+            found = self._lowest(kind, lane, usable)
+            if found is None:
+                continue
+            first = first or found
+            if found[0] < fair:
+                first = found
+                break
+        if first is None:
+            queue.skip |= usable
+            return None
+        lane = first[1]
+        return lane.oldest(lane.mask & usable & ~lane.skip)
+
+    def _lowest(
+        self, kind: str, lane: Lane, usable: int
+    ) -> tuple[float, TeamLane] | None:
+        if not lane.mask & usable:
+            return None
+        return lane.lowest(usable, functools.partial(self._share, kind))
+
+    def _share(self, kind: str, team: str) -> float:
+        return self._accounts.team_share(kind, team)
+
+    def _fair_share(self, kind: str, queue: KindQueue) -> float:
+        account = self._accounts.kind(kind)
+        held = account.fraction(self._accounts.capacity)
+        level = max(held, account.share.guarantee)
+        return level / max(queue.weights, MIN_WEIGHTS)
--- /dev/null
+++ b/hibiscusslip/scheduler/_jobs.py
@@ -0,0 +1,56 @@
+"""Keep what the scheduler knows of a job that isn't over."""
+
+import collections
+import dataclasses
+
+from hibiscusslip.model import work
+from hibiscusslip.scheduler import _vector
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Job:
+    """Hold the state of the tasks of one job.
+
+    A task is in exactly one of `pending`, `delayed`, `placed` (booked or
+    held here) and `remote`, or it is over.
+    """
+
+    spec: work.JobSpec
+    demand: _vector.Vector
+    submitted: float
+    seq: int
+    shape: int = -1
+    foreign: bool = False
+    pending: collections.deque[int] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    delayed: set[int] = dataclasses.field(default_factory=set)
+    placed: dict[int, str] = dataclasses.field(default_factory=dict)
+    remote: set[int] = dataclasses.field(default_factory=set)
+    racks: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    accepted: bool = False
+    started_at: float = 0.0
+    failures: int = 0
+
+    @property
+    def job_id(self) -> str:
+        """Return the job's id."""
+        return self.spec.job_id
+
+    @property
+    def gang(self) -> bool:
+        """Tell whether all tasks have to start together."""
+        return self.spec.form is work.Form.GANG
+
+    @property
+    def spread(self) -> bool:
+        """Tell whether the tasks should land in different racks."""
+        return self.spec.spread or self.spec.form is work.Form.SERVICE
+
+    @property
+    def over(self) -> bool:
+        """Tell whether no task waits or runs any more."""
+        waits = self.pending or self.delayed
+        return not (waits or self.placed or self.remote)
--- /dev/null
+++ b/hibiscusslip/scheduler/_order.py
@@ -0,0 +1,96 @@
+"""Choose which queued job is tried next."""
+
+import abc
+import collections
+import enum
+
+from hibiscusslip.scheduler import _jobs
+from hibiscusslip.scheduler import _vector
+
+
+class Block(enum.Enum):
+    """Name why a job could not start, which tells what else is skipped."""
+
+    ROOM = 'room'
+    SHARE = 'share'
+    QUOTA = 'quota'
+    JOB = 'job'
+
+
+class QueueOrder(abc.ABC):
+    """Keep queued jobs and say which one is tried next."""
+
+    @abc.abstractmethod
+    def push(self, job: _jobs.Job) -> None:
+        """Add a job that has pending tasks."""
+
+    @abc.abstractmethod
+    def discard(self, job: _jobs.Job) -> None:
+        """Take a job out; nothing happens when it isn't queued."""
+
+    @abc.abstractmethod
+    def begin(self, now: float) -> None:
+        """Start a round of decisions."""
+
+    @abc.abstractmethod
+    def choose(self, now: float) -> _jobs.Job | None:
+        """Return the job to try next, None when none may start now."""
+
+    @abc.abstractmethod
+    def block(self, job: _jobs.Job, why: Block) -> None:
+        """Skip a job, and those like it, until that may change."""
+
+    @abc.abstractmethod
+    def held_changed(self, kind: str, team: str) -> None:
+        """Reorder after what a team holds of a kind has changed."""
+
+    @abc.abstractmethod
+    def freed(self, free: _vector.Vector) -> None:
+        """Try again what may fit into an endpoint's free room."""
+
+    @abc.abstractmethod
+    def changed(self) -> None:
+        """Try everything again, after endpoints or shares have changed."""
+
+
+class Fifo(QueueOrder):
+    """Take jobs strictly in the order of arrival."""
+
+    def __init__(self) -> None:
+        self._jobs: collections.OrderedDict[str, _jobs.Job] = (
+            collections.OrderedDict()
+        )
+        self._stuck = False
+
+    def push(self, job: _jobs.Job) -> None:
+        """Add a job at the end."""
+        self._jobs[job.job_id] = job
+
+    def discard(self, job: _jobs.Job) -> None:
+        """Take a job out."""
+        self._jobs.pop(job.job_id, None)
+
+    def begin(self, now: float) -> None:
+        """Try the head again."""
+        self._stuck = False
+
+    def choose(self, now: float) -> _jobs.Job | None:
+        """Return the oldest job unless it has just found no room."""
+        if self._stuck or not self._jobs:
+            return None
+        return next(iter(self._jobs.values()))
+
+    def block(self, job: _jobs.Job, why: Block) -> None:
+        """Wait for the head, whatever it lacks."""
+        self._stuck = True
+
+    def held_changed(self, kind: str, team: str) -> None:
+        """Do nothing: the order is that of arrival."""
+
+    def freed(self, free: _vector.Vector) -> None:
+        """Try the head again."""
+        self._stuck = False
+
+    def changed(self) -> None:
+        """Try the head again."""
+        self._stuck = False
--- /dev/null
+++ b/hibiscusslip/scheduler/_vector.py
@@ -0,0 +1,108 @@
+"""Compute with amounts of the five resources as plain tuples.
+
+The order is processors, memory, accelerators, slots, connections.
+"""
+
+from hibiscusslip.model import resources
+
+Vector = tuple[int, int, int, int, int]
+ZERO: Vector = (0, 0, 0, 0, 0)
+DIMENSIONS = ('processors', 'memory', 'accelerators', 'slots', 'connections')
+ACCELERATORS = 2
+
+
+def of(amount: resources.Resources) -> Vector:
+    """Return the vector of an amount."""
+    return (
+        amount.cpu_milli,
+        amount.memory_mb,
+        amount.accelerators,
+        amount.slots,
+        amount.connections,
+    )
+
+
+def amount(vector: Vector) -> resources.Resources:
+    """Return the amount of a vector."""
+    return resources.Resources(*vector)
+
+
+def fits(need: Vector, room: Vector) -> bool:
+    """Tell whether `need` fits into `room` in every dimension."""
+    return (
+        need[0] <= room[0]
+        and need[1] <= room[1]
+        and need[2] <= room[2]
+        and need[3] <= room[3]
+        and need[4] <= room[4]
+    )
+
+
+def add(a: Vector, b: Vector) -> Vector:
+    """Return the sum."""
+    return (
+        a[0] + b[0],
+        a[1] + b[1],
+        a[2] + b[2],
+        a[3] + b[3],
+        a[4] + b[4],
+    )
+
+
+def sub(a: Vector, b: Vector) -> Vector:
+    """Return the difference, which may be negative."""
+    return (
+        a[0] - b[0],
+        a[1] - b[1],
+        a[2] - b[2],
+        a[3] - b[3],
+        a[4] - b[4],
+    )
+
+
+def scale(a: Vector, factor: float) -> Vector:
+    """Return the product, rounded down."""
+    return (
+        int(a[0] * factor),
+        int(a[1] * factor),
+        int(a[2] * factor),
+        int(a[3] * factor),
+        int(a[4] * factor),
+    )
+
+
+def least(a: Vector, b: Vector) -> Vector:
+    """Return the smaller value of each dimension."""
+    return (
+        min(a[0], b[0]),
+        min(a[1], b[1]),
+        min(a[2], b[2]),
+        min(a[3], b[3]),
+        min(a[4], b[4]),
+    )
+
+
+def most(a: Vector, b: Vector) -> Vector:
+    """Return the larger value of each dimension."""
+    return (
+        max(a[0], b[0]),
+        max(a[1], b[1]),
+        max(a[2], b[2]),
+        max(a[3], b[3]),
+        max(a[4], b[4]),
+    )
+
+
+def dominant(need: Vector, capacity: Vector) -> float:
+    """Return the largest fraction of `capacity` that `need` takes."""
+    share = 0.0
+    for part, whole in zip(need, capacity, strict=True):
+        if part > 0:
+            share = max(share, part / whole if whole > 0 else 1.0)
+    return share
+
+
+def short(need: Vector, room: Vector) -> list[str]:
+    """Return the names of the dimensions in which `need` doesn't fit."""
+    rows = zip(DIMENSIONS, need, room, strict=True)
+    return [name for name, part, whole in rows if part > whole]
--- /dev/null
+++ b/hibiscusslip/scheduler/exceptions.py
@@ -0,0 +1,15 @@
+"""Define what a scheduler raises."""
+
+
+class SchedulerError(Exception):
+    """Stand for every error of a scheduler."""
+
+
+class UnknownTask(SchedulerError):
+    """Tell that the scheduler has no record of a task's job."""
+
+    def __init__(self, task: str) -> None:
+        super().__init__(
+            f'no record of the job of task {task}: submit the job again'
+        )
+        self.task = task
--- /dev/null
+++ b/hibiscusslip/scheduler/limits.py
@@ -0,0 +1,25 @@
+"""Set the bounds that a shard's scheduler keeps."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limits:
+    """Hold the bounds of queues and the times of one shard's scheduler.
+
+    Queues are counted in tasks, times are in seconds. `unix_offset` is
+    what has to be added to `now` to get unix time, for deadlines;
+    `quota_fraction` is the part of each team's quota that this shard
+    may give out.
+    """
+
+    max_queued: int = 100_000
+    max_queued_per_kind: int = 50_000
+    max_queued_per_team: int = 20_000
+    max_retry_after: float = 600.0
+    unix_offset: float = 0.0
+    quota_fraction: float = 1.0
+    gang_hold: float = 10.0
+    gang_retry: float = 5.0
+    service_backoff: float = 1.0
+    max_service_backoff: float = 60.0
