--- a/hibiscusslip/peer/base.py
+++ b/hibiscusslip/peer/base.py
@@ -15,16 +15,30 @@
     ) -> messages.PeerMessage:
         """Return the reply to a call; must not raise."""
 
+    async def handle_traced(
+        self, sender: places.HostId, body: messages.PeerMessage, trace: str
+    ) -> messages.PeerMessage:
+        """Return the reply; `trace` is the caller's traceparent or ''."""
+        return await self.handle(sender, body)
+
 
 class Peers(abc.ABC):
     """Call other entry hosts by name."""
 
     @abc.abstractmethod
     async def call(
-        self, host: str, body: messages.PeerMessage, timeout: float
+        self,
+        host: str,
+        body: messages.PeerMessage,
+        timeout: float,
+        *,
+        incarnation: str = '',
+        trace: str = '',
     ) -> messages.PeerMessage:
         """Send a call and return the reply.
 
+        `incarnation`, when set, must be the one at the other end, `trace`
+        is a W3C traceparent or empty, `timeout` is in seconds.
         Raises PeerUnreachable, PeerUnsettled or PeerRefused.
         """
 
--- /dev/null
+++ b/hibiscusslip/peer/limits.py
@@ -0,0 +1,25 @@
+"""Bound what one link to another entry host may use."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limits:
+    """Hold the limits of a link; sizes in bytes, times in seconds."""
+
+    max_frame_bytes: int = 1024 * 1024
+    max_queue_bytes: int = 4 * 1024 * 1024
+    max_write_bytes: int = 64 * 1024
+    max_calls: int = 256
+    max_in_flight: int = 64
+    max_links: int = 256
+    connect_timeout: float = 3.0
+    hello_timeout: float = 3.0
+    write_timeout: float = 10.0
+    user_timeout: float = 5.0
+    idle_timeout: float = 60.0
+    max_call_time: float = 120.0
+    handler_grace: float = 5.0
+    busy_retry_after: float = 0.2
+    min_backoff: float = 0.05
+    max_backoff: float = 2.0
--- /dev/null
+++ b/hibiscusslip/peer/server.py
@@ -0,0 +1,161 @@
+"""Listen for the links of other entry hosts and answer their calls."""
+
+import socket
+import time
+import typing
+
+import curio
+import loguru
+
+from hibiscusslip.model import places
+from hibiscusslip.peer import _channel
+from hibiscusslip.peer import _handshake
+from hibiscusslip.peer import _session
+from hibiscusslip.peer import base
+from hibiscusslip.peer import counts
+from hibiscusslip.peer import exceptions
+from hibiscusslip.peer import hello
+from hibiscusslip.peer import limits
+
+ACCEPT_PAUSE_SECONDS = 0.1
+BACKLOG = 128
+# The caller closes an idle link first, so that no call meets a close.
+IDLE_FACTOR = 2
+
+
+class PeerServer:
+    """Accept links and hand each call to the handler."""
+
+    def __init__(
+        self,
+        me: places.HostId,
+        info: hello.HelloInfo,
+        keys: hello.Keys,
+        lim: limits.Limits | None,
+        handler: base.Handler,
+    ):
+        self._side = _handshake.Side(me, info, keys)
+        self._limits = lim or limits.Limits()
+        self._handler = handler
+        self._sock: curio.io.Socket | None = None
+        self._sessions: set[_session.Session] = set()
+        self._links = 0
+        self._tasks: set[curio.Task] = set()
+        self._stop = curio.Event()
+        self.counts = counts.Counts()
+
+    def set_keys(self, keys: hello.Keys) -> None:
+        """Use other shared keys for the links made from now on."""
+        self._side.keys = keys
+
+    def linked(self) -> list[places.HostId]:
+        """Return the hosts that have an open link to this one."""
+        return [session.peer for session in self._sessions if session.peer]
+
+    async def listen(self, address: str, port: int) -> int:
+        """Bind and return the port; 0 asks for a free one."""
+        family = socket.AF_INET6 if ':' in address else socket.AF_INET
+        self._sock = curio.network.tcp_server_socket(
+            address, port, family=family, backlog=BACKLOG
+        )
+        return self._sock.getsockname()[1]
+
+    async def serve(self) -> None:
+        """Accept links until cancelled or closed."""
+        if self._sock is None:
+            raise exceptions.PeerError('call listen() before serve()')
+        acceptor = await curio.spawn(self._accept_all(self._sock))
+        sweeper = await curio.spawn(self._sweep())
+        try:
+            await self._stop.wait()
+        finally:
+            await acceptor.cancel()
+            await sweeper.cancel()
+            await self._sock.close()
+            await self._cancel_all()
+
+    async def _accept_all(self, listener: curio.io.Socket) -> None:
+        while True:
+            try:
+                sock, _ = await listener.accept()
+            except OSError as exc:
+                loguru.logger.warning('no link accepted: {}', exc)
+                await curio.sleep(ACCEPT_PAUSE_SECONDS)
+                continue
+            if self._links >= self._limits.max_links:
+                await sock.close()
+                continue
+            self._links += 1
+            await self._spawn(self._serve_link(sock))
+
+    async def _serve_link(self, sock: curio.io.Socket) -> None:
+        session = None
+        try:
+            _channel.tune(sock, self._limits)
+            session = _session.Session(
+                sock, self._side, self._handler, self._limits, self.counts
+            )
+            await self._serve_session(session)
+        except OSError as exc:
+            loguru.logger.debug('link ended: {}', exc)
+        finally:
+            self._links -= 1
+            await (session or sock).close()
+
+    async def _serve_session(self, session: _session.Session) -> None:
+        try:
+            await session.greet()
+        except exceptions.HelloRefused as exc:
+            self.counts.hellos_refused += 1
+            loguru.logger.warning('link refused: {}', exc)
+            return
+        except (curio.TaskTimeout, exceptions.PeerError) as exc:
+            loguru.logger.info('link not opened: {}', exc)
+            return
+        self.counts.links_made += 1
+        self._sessions.add(session)
+        try:
+            await session.serve(self._spawn)
+        finally:
+            self._sessions.discard(session)
+            self.counts.links_lost += 1
+
+    async def _spawn(
+        self, coro: typing.Coroutine[typing.Any, typing.Any, None]
+    ) -> None:
+        task = await curio.spawn(self._run(coro), daemon=True)
+        self._tasks.add(task)
+
+    async def _run(
+        self, coro: typing.Coroutine[typing.Any, typing.Any, None]
+    ) -> None:
+        try:
+            await coro
+        finally:
+            self._tasks.discard(await curio.current_task())
+
+    async def _sweep(self) -> None:
+        limit = self._limits.idle_timeout * IDLE_FACTOR
+        while True:
+            await curio.sleep(self._limits.idle_timeout)
+            oldest = time.monotonic() - limit
+            for session in list(self._sessions):
+                if session.last_used < oldest and not session.in_flight:
+                    await session.shut()
+
+    async def _cancel_all(self) -> None:
+        for task in list(self._tasks):
+            await task.cancel()
+        self._tasks.clear()
+
+    async def close(self, grace: float = 5.0) -> None:
+        """Stop accepting, answer what is in flight, then close.
+
+        `grace` bounds the wait for answers, in seconds.
+        """
+        async with curio.ignore_after(grace):
+            for session in list(self._sessions):
+                await session.drain()
+        await self._stop.set()
+        if self._sock is not None:
+            await self._cancel_all()
--- /dev/null
+++ b/tests/peer/__init__.py
@@ -0,0 +1,1 @@
+"""Check the links between entry hosts."""
