--- /dev/null
+++ b/hibiscusslip/observe/metrics.py
@@ -0,0 +1,144 @@
+"""Count and time, and send the sums to statsd now and then.
+
+Nothing is sent when a value changes: the node calls `flush` at its own
+pace, so that the cost doesn't grow with the load.
+"""
+
+import abc
+import typing
+
+MAX_SAMPLES = 512
+MAX_NAMES = 1000
+
+
+class Metrics(abc.ABC):
+    """Take counters, gauges and timings by name."""
+
+    @abc.abstractmethod
+    def count(self, name: str, amount: int = 1) -> None:
+        """Add to a counter."""
+
+    @abc.abstractmethod
+    def gauge(self, name: str, value: float) -> None:
+        """Set a gauge."""
+
+    @abc.abstractmethod
+    def time(self, name: str, seconds: float) -> None:
+        """Add one duration to a timer."""
+
+    @abc.abstractmethod
+    def flush(self) -> None:
+        """Send what has been gathered since the last flush."""
+
+
+class NoMetrics(Metrics):
+    """Take everything and keep nothing."""
+
+    def count(self, name: str, amount: int = 1) -> None:
+        """Do nothing."""
+
+    def gauge(self, name: str, value: float) -> None:
+        """Do nothing."""
+
+    def time(self, name: str, seconds: float) -> None:
+        """Do nothing."""
+
+    def flush(self) -> None:
+        """Do nothing."""
+
+
+class Timer:
+    """Keep a bounded, evenly thinned sample of durations.
+
+    When the sample is full every second value is dropped, and from then on
+    only every second new one is kept, and so on.
+    """
+
+    __slots__ = ('count', 'maximum', '_samples', '_stride')
+
+    def __init__(self) -> None:
+        self.count = 0
+        self.maximum = 0.0
+        self._samples: list[float] = []
+        self._stride = 1
+
+    def add(self, seconds: float) -> None:
+        """Add one duration."""
+        if self.count % self._stride == 0:
+            self._samples.append(seconds)
+        self.count += 1
+        self.maximum = max(self.maximum, seconds)
+        if len(self._samples) >= MAX_SAMPLES:
+            del self._samples[1::2]
+            self._stride *= 2
+
+    def quantile(self, share: float) -> float:
+        """Return the duration that `share` of the values don't exceed."""
+        ordered = sorted(self._samples)
+        place = min(int(share * len(ordered)), len(ordered) - 1)
+        return ordered[place] if ordered else 0.0
+
+
+class StatsdMetrics(Metrics):
+    """Sum up here and send to a statsd server over UDP."""
+
+    def __init__(self, address: str, port: int, prefix: str):
+        # Imported here, as most hosts run without a statsd server.
+        import statsd
+
+        self._client = statsd.StatsClient(
+            address, port, prefix=prefix, ipv6=':' in address
+        )
+        self._counters: dict[str, int] = {}
+        self._gauges: dict[str, float] = {}
+        self._timers: dict[str, Timer] = {}
+
+    def count(self, name: str, amount: int = 1) -> None:
+        """Add to a counter."""
+        if name in self._counters or len(self._counters) < MAX_NAMES:
+            self._counters[name] = self._counters.get(name, 0) + amount
+
+    def gauge(self, name: str, value: float) -> None:
+        """Set a gauge."""
+        if name in self._gauges or len(self._gauges) < MAX_NAMES:
+            self._gauges[name] = value
+
+    def time(self, name: str, seconds: float) -> None:
+        """Add one duration to a timer."""
+        timer = self._timers.get(name)
+        if timer is None:
+            if len(self._timers) >= MAX_NAMES:
+                return
+            timer = self._timers[name] = Timer()
+        timer.add(seconds)
+
+    def flush(self) -> None:
+        """Send sums, gauges and quantiles in as few packets as fit."""
+        with self._client.pipeline() as pipe:
+            for name, amount in self._counters.items():
+                pipe.incr(name, amount)
+            for name, value in self._gauges.items():
+                pipe.gauge(name, value)
+            for name, timer in self._timers.items():
+                _send_timer(pipe, name, timer)
+        self._counters.clear()
+        self._gauges.clear()
+        self._timers.clear()
+
+    def close(self) -> None:
+        """Close the socket."""
+        self._client.close()
+
+
+def _send_timer(pipe: typing.Any, name: str, timer: Timer) -> None:
+    pipe.incr(f'{name}.count', timer.count)
+    pipe.gauge(f'{name}.p50_ms', round(timer.quantile(0.5) * 1000, 3))
+    pipe.gauge(f'{name}.p99_ms', round(timer.quantile(0.99) * 1000, 3))
+    pipe.gauge(f'{name}.max_ms', round(timer.maximum * 1000, 3))
+
+
+def make(address: str, port: int, prefix: str) -> Metrics:
+    """Return a statsd sender, or one that does nothing without address."""
+    if not address:
+        return NoMetrics()
+    return StatsdMetrics(address, port, prefix)
--- /dev/null
+++ b/tests/observe/__init__.py
@@ -0,0 +1,1 @@
+"""Check logs, metrics and traces."""
--- /dev/null
+++ b/tests/observe/test_metrics.py
@@ -0,0 +1,51 @@
+"""Check that metrics are summed up and sent on flush."""
+
+import socket
+
+from hibiscusslip.observe import metrics
+
+
+def _received(fill):
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.bind(('127.0.0.1', 0))
+        sock.settimeout(5)
+        sender = metrics.make('127.0.0.1', sock.getsockname()[1], 'h1')
+        fill(sender)
+        sender.flush()
+        sender.close()
+        return sock.recv(65536).decode().split('\n')
+
+
+def test_counters_are_summed_between_flushes():
+    def fill(sender):
+        for _ in range(3):
+            sender.count('calls', 2)
+
+    assert _received(fill) == ['h1.calls:6|c']
+
+
+def test_timer_sends_quantiles():
+    def fill(sender):
+        for number in range(1, 101):
+            sender.time('wait', number / 1000)
+
+    lines = _received(fill)
+    assert 'h1.wait.count:100|c' in lines
+    assert 'h1.wait.p50_ms:51.0|g' in lines
+    assert 'h1.wait.max_ms:100.0|g' in lines
+
+
+def test_timer_keeps_a_bounded_even_sample():
+    timer = metrics.Timer()
+    for number in range(100_000):
+        timer.add(number)
+    assert timer.count == 100_000
+    assert abs(timer.quantile(0.5) - 50_000) < 1_000
+    assert timer.maximum == 99_999
+
+
+def test_without_address_nothing_is_kept():
+    sender = metrics.make('', 0, 'h1')
+    sender.count('calls')
+    sender.flush()
+    assert isinstance(sender, metrics.NoMetrics)
