--- a/hibiscusslip/http/__init__.py
+++ b/hibiscusslip/http/__init__.py
@@ -1,1 +1,1 @@
-"""Serve and call HTTP with h11 on curio."""
+"""Serve and call HTTP/1.1 with h11 on one curio loop."""
--- /dev/null
+++ b/hibiscusslip/http/client.py
@@ -0,0 +1,108 @@
+"""Call an HTTP server over pooled connections."""
+
+import time
+
+import curio
+import h11
+
+from hibiscusslip.http import _exchange
+from hibiscusslip.http import exceptions
+from hibiscusslip.http import limits
+from hibiscusslip.http import messages
+
+
+class Pool:
+    """Call one server over at most `max_connections` connections.
+
+    Nothing is retried. A call that finds all connections in use waits for
+    one as long as its timeout allows.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        port: int,
+        bounds: limits.Limits = limits.DEFAULT,
+        max_connections: int = 4,
+    ) -> None:
+        self._address = address
+        self._port = port
+        self._limits = bounds
+        self._host = f'{address}:{port}'.encode('ascii')
+        self._slots = curio.Semaphore(max_connections)
+        self._idle: list[_exchange.ClientConnection] = []
+        self._closed = False
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        *,
+        body: bytes = b'',
+        headers: dict[str, str] | None = None,
+        timeout: float,
+    ) -> messages.Response:
+        """Send a request and return its whole response.
+
+        Raises NotSent when no byte of it was written, CallUnsettled when
+        it may have been handled, Malformed when the answer can't be read.
+        """
+        head = self._head(method, path, body, headers)
+        progress = _exchange.Progress()
+        try:
+            async with curio.timeout_after(timeout):
+                async with self._slots:
+                    return await self._perform(head, body, progress)
+        except curio.TaskTimeout as exc:
+            raise progress.failure(f'no answer in {timeout:g} s') from exc
+
+    async def close(self) -> None:
+        """Close the idle connections and refuse further calls."""
+        self._closed = True
+        while self._idle:
+            await self._idle.pop().close()
+
+    def _head(
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        headers: dict[str, str] | None,
+    ) -> h11.Request:
+        fields = [(b'host', self._host)]
+        if body or method not in ('GET', 'HEAD'):
+            fields.append((b'content-length', b'%d' % len(body)))
+        for name, value in (headers or {}).items():
+            fields.append((name.encode('ascii'), value.encode('latin-1')))
+        try:
+            return h11.Request(method=method, target=path, headers=fields)
+        except h11.LocalProtocolError as exc:
+            raise exceptions.NotSent(
+                f'not a valid request: {exc}; mend the call'
+            ) from exc
+
+    async def _perform(
+        self, head: h11.Request, body: bytes, progress: _exchange.Progress
+    ) -> messages.Response:
+        conn = await self._take()
+        try:
+            response = await conn.exchange(head, body, progress)
+        except BaseException:
+            await conn.close()
+            raise
+        if conn.recycle() and not self._closed:
+            self._idle.append(conn)
+        else:
+            await conn.close()
+        return response
+
+    async def _take(self) -> _exchange.ClientConnection:
+        if self._closed:
+            raise exceptions.NotSent('the pool is closed; make a new one')
+        now = time.monotonic()
+        while self._idle:
+            conn = self._idle.pop()
+            if conn.usable(now):
+                return conn
+            await conn.close()
+        return await _exchange.connect(self._address, self._port, self._limits)
--- /dev/null
+++ b/hibiscusslip/http/limits.py
@@ -0,0 +1,32 @@
+"""Bound what one peer can take of the process."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limits:
+    """Hold bounds of a server or a client; times are in seconds.
+
+    A request has to arrive within `read_timeout` plus the time that its
+    body needs at `min_bytes_per_s`. Each piece of a response has to be
+    taken by the peer within `write_timeout`. A connection without a request
+    is closed after `idle_timeout`. While draining, idle connections stay
+    open for `drain_idle`, so that requests on their way are answered.
+    """
+
+    max_header_bytes: int = 16 * 1024
+    max_body_bytes: int = 8 * 1024 * 1024
+    read_timeout: float = 10.0
+    write_timeout: float = 10.0
+    idle_timeout: float = 75.0
+    connect_timeout: float = 3.0
+    min_bytes_per_s: int = 16 * 1024
+    max_connections: int = 1024
+    backlog: int = 512
+    drain_idle: float = 0.5
+    linger: float = 2.0
+    sweep_interval: float = 0.25
+    tcp_user_timeout: float = 5.0
+
+
+DEFAULT = Limits()
