--- /dev/null
+++ b/hibiscusslip/endpoint/http_endpoint.py
@@ -0,0 +1,139 @@
+"""Reach an endpoint by HTTP and JSON."""
+
+import typing
+import urllib.parse
+
+import msgspec
+
+from hibiscusslip.endpoint import base
+from hibiscusslip.endpoint import exceptions
+from hibiscusslip.endpoint import wire
+from hibiscusslip.http import client
+from hibiscusslip.http import exceptions as http_exceptions
+from hibiscusslip.http import limits
+
+CALL_CONNECTIONS = 4
+WATCH_CONNECTIONS = 1
+DEFAULT_TIMEOUT_S = 5.0
+REFUSED_STATUSES = (*range(400, 500), 503)
+
+
+class HttpEndpoint(base.Endpoint):
+    """Call the endpoint at one address.
+
+    `timeout` in seconds bounds every call, for events on top of their wait
+    and for stops on top of their grace. Waiting for events has its own
+    connection.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        port: int,
+        timeout: float = DEFAULT_TIMEOUT_S,
+        bounds: limits.Limits = limits.DEFAULT,
+    ) -> None:
+        self._timeout = timeout
+        self._calls = client.Pool(address, port, bounds, CALL_CONNECTIONS)
+        self._watch = client.Pool(address, port, bounds, WATCH_CONNECTIONS)
+
+    async def start(
+        self, orders: list[base.StartOrder]
+    ) -> list[base.StartResult]:
+        """Start the ordered tasks in one call."""
+        body = wire.StartRequest([wire.order(start) for start in orders])
+        reply = await self._post(wire.START_PATH, body, wire.StartReply)
+        return [
+            base.StartResult(res.task, res.started, res.detail)
+            for res in reply.results
+        ]
+
+    async def renew(self, tasks: list[str], lease: float) -> list[str]:
+        """Renew the leases and return the tasks that run no longer."""
+        body = wire.RenewRequest(tasks, lease)
+        reply = await self._post(wire.RENEW_PATH, body, wire.RenewReply)
+        return reply.gone
+
+    async def runs(self) -> base.RunListing:
+        """Return what runs or has ended lately."""
+        body = await self._call(self._calls, 'GET', wire.RUNS_PATH)
+        reply = wire.decode(body, wire.RunsReply)
+        runs = [entry.run() for entry in reply.runs]
+        return base.RunListing(reply.boot, reply.next_event, runs)
+
+    async def events(self, after: int, wait: float) -> base.EventBatch:
+        """Return runs ended since event `after`, waiting up to `wait` s."""
+        path = f'{wire.EVENTS_PATH}?after={after}&wait={wait:g}'
+        body = await self._call(self._watch, 'GET', path, extra=wait)
+        reply = wire.decode(body, wire.RunsReply)
+        ended = [entry.run() for entry in reply.runs]
+        return base.EventBatch(reply.boot, reply.next_event, ended)
+
+    async def answer(self, task: str, attempt: int) -> bytes:
+        """Return the whole answer of an ended run."""
+        query = urllib.parse.urlencode({'task': task, 'attempt': attempt})
+        path = f'{wire.ANSWER_PATH}?{query}'
+        return await self._call(self._calls, 'GET', path)
+
+    async def checkpoint(self, task: str) -> bytes:
+        """Have a task save its state and return it."""
+        body = msgspec.json.encode(wire.CheckpointRequest(task))
+        return await self._call(
+            self._calls, 'POST', wire.CHECKPOINT_PATH, body
+        )
+
+    async def throttle(self, task: str, share: float) -> None:
+        """Slow a task down to `share` of its demand (0 < share <= 1)."""
+        body = msgspec.json.encode(wire.ThrottleRequest(task, share))
+        await self._call(self._calls, 'POST', wire.THROTTLE_PATH, body)
+
+    async def stop(self, task: str, grace: float) -> None:
+        """Stop a task, which has `grace` seconds to end by itself."""
+        body = msgspec.json.encode(wire.StopRequest(task, grace))
+        await self._call(
+            self._calls, 'POST', wire.STOP_PATH, body, extra=grace
+        )
+
+    async def usage(self) -> list[base.Usage]:
+        """Return the lagging usage of all runs."""
+        body = await self._call(self._calls, 'GET', wire.USAGE_PATH)
+        reply = wire.decode(body, wire.UsageReply)
+        return [entry.usage() for entry in reply.usage]
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._calls.close()
+        await self._watch.close()
+
+    async def _post(
+        self, path: str, message: msgspec.Struct, expected: typing.Any
+    ) -> typing.Any:
+        body = msgspec.json.encode(message)
+        answer = await self._call(self._calls, 'POST', path, body)
+        return wire.decode(answer, expected)
+
+    async def _call(
+        self,
+        pool: client.Pool,
+        method: str,
+        path: str,
+        body: bytes = b'',
+        extra: float = 0.0,
+    ) -> bytes:
+        timeout = self._timeout + extra
+        try:
+            response = await pool.call(
+                method, path, body=body, timeout=timeout
+            )
+        except http_exceptions.NotSent as exc:
+            raise exceptions.NotSent(str(exc)) from exc
+        except http_exceptions.HttpError as exc:
+            raise exceptions.CallUnsettled(str(exc)) from exc
+        assert isinstance(response.body, bytes)
+        if response.status == wire.STATUS_OK:
+            return response.body
+        text = response.body.decode('utf-8', 'replace')[:200]
+        kind: type[exceptions.EndpointError] = exceptions.CallUnsettled
+        if response.status in REFUSED_STATUSES:
+            kind = exceptions.CallRefused
+        raise kind(f'{path} answered {response.status}: {text}')
--- /dev/null
+++ b/hibiscusslip/endpoint/wire.py
@@ -0,0 +1,232 @@
+"""Define the JSON messages of the endpoints' HTTP protocol.
+
+Bytes travel as base64, answers and checkpoints as plain bodies.
+"""
+
+import typing
+
+import msgspec
+
+from hibiscusslip.endpoint import base
+from hibiscusslip.endpoint import exceptions
+from hibiscusslip.model import resources
+
+STATUS_OK = 200
+
+START_PATH = '/start'
+RENEW_PATH = '/renew'
+RUNS_PATH = '/runs'
+EVENTS_PATH = '/events'
+ANSWER_PATH = '/answer'
+CHECKPOINT_PATH = '/checkpoint'
+THROTTLE_PATH = '/throttle'
+STOP_PATH = '/stop'
+USAGE_PATH = '/usage'
+
+INLINE_ANSWER_BYTES = 16 * 1024
+
+Seconds = typing.Annotated[float, msgspec.Meta(ge=0)]
+Share = typing.Annotated[float, msgspec.Meta(gt=0, le=1)]
+Amount = typing.Annotated[int, msgspec.Meta(ge=0)]
+
+
+class Demand(msgspec.Struct, frozen=True, array_like=True):
+    """Hold amounts of resources in the order of the data class."""
+
+    cpu_milli: Amount
+    memory_mb: Amount
+    accelerators: Amount
+    slots: Amount
+    connections: Amount
+
+    def resources(self) -> resources.Resources:
+        """Return the amounts as a data class."""
+        return resources.Resources(
+            self.cpu_milli,
+            self.memory_mb,
+            self.accelerators,
+            self.slots,
+            self.connections,
+        )
+
+
+class Order(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Ask for the start of one task."""
+
+    task: str
+    attempt: int
+    demand: Demand
+    lease: Seconds
+    tag: bytes
+    payload: bytes
+    checkpoint: bytes = b''
+
+    def order(self) -> base.StartOrder:
+        """Return the order as a data class."""
+        return base.StartOrder(
+            self.task,
+            self.attempt,
+            self.demand.resources(),
+            self.lease,
+            self.tag,
+            self.payload,
+            self.checkpoint,
+        )
+
+
+class StartRequest(msgspec.Struct, frozen=True):
+    """Ask for the start of some tasks."""
+
+    orders: list[Order]
+
+
+class Started(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Tell for one order whether it started."""
+
+    task: str
+    started: bool
+    detail: str = ''
+
+
+class StartReply(msgspec.Struct, frozen=True):
+    """Hold the results in the order of the request."""
+
+    results: list[Started]
+
+
+class RenewRequest(msgspec.Struct, frozen=True):
+    """Ask to renew leases."""
+
+    tasks: list[str]
+    lease: Seconds
+
+
+class RenewReply(msgspec.Struct, frozen=True):
+    """Name the tasks that run no longer."""
+
+    gone: list[str]
+
+
+class RunEntry(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Hold the state of one run."""
+
+    task: str
+    attempt: int
+    state: base.RunState
+    demand: Demand
+    tag: bytes
+    answer: bytes | None = None
+    answer_size: int = 0
+    detail: str = ''
+
+    def run(self) -> base.Run:
+        """Return the run as a data class."""
+        return base.Run(
+            self.task,
+            self.attempt,
+            self.state,
+            self.demand.resources(),
+            self.tag,
+            self.answer,
+            self.answer_size,
+            self.detail,
+        )
+
+
+class RunsReply(msgspec.Struct, frozen=True):
+    """Hold runs or ended runs."""
+
+    boot: str
+    next_event: int
+    runs: list[RunEntry]
+
+
+class CheckpointRequest(msgspec.Struct, frozen=True):
+    """Ask a task to save its state."""
+
+    task: str
+
+
+class ThrottleRequest(msgspec.Struct, frozen=True):
+    """Ask to slow a task down."""
+
+    task: str
+    share: Share
+
+
+class StopRequest(msgspec.Struct, frozen=True):
+    """Ask to stop a task."""
+
+    task: str
+    grace: Seconds
+
+
+class UsageEntry(msgspec.Struct, frozen=True):
+    """Hold the lagging use of one run."""
+
+    task: str
+    used: Demand
+    age: Seconds
+
+    def usage(self) -> base.Usage:
+        """Return the usage as a data class."""
+        return base.Usage(self.task, self.used.resources(), self.age)
+
+
+class UsageReply(msgspec.Struct, frozen=True):
+    """Hold the usage of all runs."""
+
+    usage: list[UsageEntry]
+
+
+def demand(amount: resources.Resources) -> Demand:
+    """Return the message for an amount of resources."""
+    return Demand(
+        amount.cpu_milli,
+        amount.memory_mb,
+        amount.accelerators,
+        amount.slots,
+        amount.connections,
+    )
+
+
+def order(start: base.StartOrder) -> Order:
+    """Return the message for one order."""
+    return Order(
+        start.task,
+        start.attempt,
+        demand(start.demand),
+        start.lease,
+        start.tag,
+        start.payload,
+        start.checkpoint,
+    )
+
+
+def run_entry(run: base.Run) -> RunEntry:
+    """Return the message for one run."""
+    return RunEntry(
+        run.task,
+        run.attempt,
+        run.state,
+        demand(run.demand),
+        run.tag,
+        run.answer,
+        run.answer_size,
+        run.detail,
+    )
+
+
+def usage_entry(usage: base.Usage) -> UsageEntry:
+    """Return the message for the use of one run."""
+    return UsageEntry(usage.task, demand(usage.used), usage.age)
+
+
+def decode(body: typing.Any, expected: typing.Any) -> typing.Any:
+    """Return the checked message in `body`; raises CallUnsettled."""
+    try:
+        return msgspec.json.decode(body, type=expected)
+    except (msgspec.DecodeError, ValueError) as exc:
+        raise exceptions.CallUnsettled(
+            f'not a valid message: {exc}; check what listens there'
+        ) from exc
