Test the shard engine by hand-fed events

Cause: doubt, take-over and intents decide whether anything runs twice. Change: focused tests over the real scheduler; no I/O.

--- a/hibiscusslip/jobs/_adoption.py
+++ b/hibiscusslip/jobs/_adoption.py
@@ -155,7 +155,7 @@
     now: float,
 ) -> None:
     """Stop a run that no task accounts for."""
-    st.commands.append(
+    st.pending.append(
         commands.StopTask(view.info.name, run.task, st.cfg.stop_grace)
     )
 
--- a/hibiscusslip/jobs/_endings.py
+++ b/hibiscusslip/jobs/_endings.py
@@ -32,7 +32,7 @@
     large = run.state == RunState.SUCCEEDED and run.answer is None
     if large and run.answer_size:
         task.phase = model.Phase.FETCHING
-        st.commands.append(
+        st.pending.append(
             commands.FetchAnswer(endpoint, run.task, run.attempt)
         )
         return
@@ -162,7 +162,7 @@
     """Cancel one task as far as it has come."""
     name = work.task_id(job.spec.job_id, task.index)
     if task.phase == model.Phase.RUNNING:
-        st.commands.append(
+        st.pending.append(
             commands.StopTask(task.endpoint, name, st.cfg.stop_grace)
         )
         return
@@ -188,7 +188,7 @@
     st.finals.append(job_id)
     st.final_bytes += sum(len(t.answer) for t in job.tasks.values())
     if not job.recorded and not job.intents:
-        st.commands.append(commands.JobFinal(job_id, job.outcome))
+        st.pending.append(commands.JobFinal(job_id, job.outcome))
         return
     answer = b''
     if len(job.tasks) == 1:
@@ -215,7 +215,7 @@
     if st.held_back.pop(job_id, None) is None:
         return
     job = st.jobs[job_id]
-    st.commands.append(commands.JobFinal(job_id, job.outcome))
+    st.pending.append(commands.JobFinal(job_id, job.outcome))
 
 
 def _free(
--- a/hibiscusslip/jobs/_finals.py
+++ b/hibiscusslip/jobs/_finals.py
@@ -34,7 +34,7 @@
         return
     job.recorded = True
     job.note('recorded', now)
-    st.commands.append(commands.JobKept(job.spec.job_id))
+    st.pending.append(commands.JobKept(job.spec.job_id))
     if job.cancelled:
         for task in job.open_tasks:
             _endings.close_task(
--- a/hibiscusslip/jobs/_starting.py
+++ b/hibiscusslip/jobs/_starting.py
@@ -26,7 +26,7 @@
         elif isinstance(decision, scheduler_base.GangStart):
             ready.extend(decision.placements)
         elif isinstance(decision, scheduler_base.GangWanted):
-            st.commands.append(
+            st.pending.append(
                 commands.HoldElsewhere(
                     decision.job_id, decision.missing, decision.expires
                 )
@@ -140,7 +140,7 @@
         orders.setdefault(start.endpoint, []).append(order)
         st.counters.starts += 1
     for endpoint, batch in orders.items():
-        st.commands.append(commands.StartTasks(endpoint, batch))
+        st.pending.append(commands.StartTasks(endpoint, batch))
 
 
 def _order(
@@ -192,7 +192,7 @@
     job.note(f'task {task.index} started on {task.endpoint}', now)
     if job.cancelled:
         name = work.task_id(job.spec.job_id, task.index)
-        st.commands.append(
+        st.pending.append(
             commands.StopTask(task.endpoint, name, st.cfg.stop_grace)
         )
 
@@ -247,7 +247,7 @@
         command = commands.StopTask(
             task.endpoint, decision.task, st.cfg.stop_grace
         )
-    st.commands.append(command)
+    st.pending.append(command)
 
 
 def _drop(
--- a/hibiscusslip/jobs/_state.py
+++ b/hibiscusslip/jobs/_state.py
@@ -88,7 +88,7 @@
     endpoints: dict[str, EndpointView] = dataclasses.field(
         default_factory=dict
     )
-    commands: list[commands.Command] = dataclasses.field(default_factory=list)
+    pending: list[commands.Command] = dataclasses.field(default_factory=list)
     writing: dict[str, zone_records.ZoneRecord] = dataclasses.field(
         default_factory=dict
     )
@@ -114,4 +114,4 @@
     def write(self, record: zone_records.ZoneRecord) -> None:
         """Ask the node to write a record and remember it until confirmed."""
         self.writing[record.record_id] = record
-        self.commands.append(commands.WriteRecord(record))
+        self.pending.append(commands.WriteRecord(record))
--- a/hibiscusslip/jobs/engine.py
+++ b/hibiscusslip/jobs/engine.py
@@ -86,8 +86,8 @@
 
     def take_commands(self) -> list[commands.Command]:
         """Return what is to be done, and forget it."""
-        taken = self._st.commands
-        self._st.commands = []
+        taken = self._st.pending
+        self._st.pending = []
         return taken
 
     def may_tell(self, job_id: str) -> bool:
@@ -327,4 +327,4 @@
         if unlisted and not view.listing and now >= view.list_at:
             view.listing = True
             view.list_at = 0.0
-            st.commands.append(commands.ListRuns(view.info.name))
+            st.pending.append(commands.ListRuns(view.info.name))
--- /dev/null
+++ b/tests/jobs/support.py
@@ -0,0 +1,135 @@
+"""Drive a shard's engine by hand."""
+
+import random
+
+from hibiscusslip import scheduler
+from hibiscusslip.endpoint import base as endpoint_base
+from hibiscusslip.jobs import commands
+from hibiscusslip.jobs import engine as jobs_engine
+from hibiscusslip.model import places
+from hibiscusslip.model import resources
+from hibiscusslip.model import work
+from hibiscusslip.records import job as job_records
+from hibiscusslip.scheduler import base as scheduler_base
+from hibiscusslip.scheduler import limits
+
+SHARD = places.Shard('z1', 0)
+CAPACITY = resources.Resources(4000, 4096, 0, 8, 64)
+DEMAND = resources.Resources(1000, 512, 0, 1, 1)
+RunState = endpoint_base.RunState
+
+
+def policy():
+    """Return a policy that knows one kind and one team."""
+    shares = {'print': scheduler_base.KindShare('print', 0.5, 1.0)}
+    quotas = {
+        't1': scheduler_base.TeamQuota(
+            't1', resources.Resources(10**9, 10**9, 10**9, 10**9, 10**9)
+        )
+    }
+    return scheduler_base.FleetPolicy(1, shares, quotas)
+
+
+def endpoint(name, state=places.EndpointState.LIVE):
+    """Return what the host list says of an endpoint."""
+    return places.EndpointInfo(
+        name, 'z1', 'rack1', '127.0.0.1', 1, CAPACITY, state
+    )
+
+
+def spec(job_id='z1.0.rj1', **changes):
+    """Return a job specification."""
+    values = {'team': 't1', 'kind': 'print', 'demand': DEMAND}
+    return work.JobSpec(job_id, **(values | changes))
+
+
+class Bench:
+    """Hold an engine, its clock and the commands it gave."""
+
+    def __init__(self, epoch=1, endpoints=('e1', 'e2'), jobs=()):
+        self.now = 100.0
+        sched = scheduler.build(
+            SHARD, policy(), limits.Limits(), random.Random(1)
+        )
+        self.cfg = jobs_engine.EngineConfig()
+        self.engine = jobs_engine.ShardEngine(
+            SHARD,
+            epoch,
+            sched,
+            self.cfg,
+            jobs_engine.record_ids(f'h1.{epoch}'),
+            self.now,
+        )
+        for job in jobs:
+            self.engine.restore(job)
+        for name in endpoints:
+            self.engine.set_endpoint(endpoint(name), self.now)
+
+    def tick(self, seconds=0.0):
+        """Let time pass and return the commands that came out."""
+        self.now += seconds
+        self.engine.tick(self.now)
+        return self.engine.take_commands()
+
+    def list_all(self, runs=None, boot='b1', names=None):
+        """Answer the engine's listings of all endpoints."""
+        for name in names or list(self.engine.endpoints):
+            found = (runs or {}).get(name, [])
+            listing = endpoint_base.RunListing(boot, 0, found)
+            self.engine.endpoint_listed(name, listing, self.now, self.now)
+
+    def opened(self):
+        """Open the shard with nothing running."""
+        self.tick()
+        self.list_all()
+        return self
+
+    def starts(self, seconds=0.0):
+        """Let time pass and return the start orders with their endpoint."""
+        found = []
+        for command in self.tick(seconds):
+            if isinstance(command, commands.StartTasks):
+                found.extend((command.endpoint, o) for o in command.orders)
+        return found
+
+    def confirm(self, found, kind):
+        """Read back all written records of a kind."""
+        records = [
+            c.record
+            for c in found
+            if isinstance(c, commands.WriteRecord)
+            and isinstance(c.record, kind)
+        ]
+        for record in records:
+            self.engine.record_confirmed(record.record_id, self.now)
+        return records
+
+    def started(self, where, order):
+        """Answer that an order was carried out."""
+        result = endpoint_base.StartResult(order.task, True)
+        self.engine.start_answered(where, [result], self.now)
+
+    def end(self, where, order, state=RunState.SUCCEEDED, answer=b'ok'):
+        """Tell that a run has ended."""
+        run = run_of(order, state, answer)
+        self.engine.runs_ended(where, 'b1', [run], self.now)
+
+
+def run_of(order, state=RunState.RUNNING, answer=None):
+    """Return the run that an order led to."""
+    return endpoint_base.Run(
+        order.task, order.attempt, state, order.demand, order.tag, answer
+    )
+
+
+def found_run(job, index=0, attempt=1, state=RunState.RUNNING, answer=None):
+    """Return a run as an earlier owner would have left it."""
+    tag = job_records.encode_tag(SHARD.zone, SHARD.number, job)
+    return endpoint_base.Run(
+        work.task_id(job.job_id, index),
+        attempt,
+        state,
+        job.demand,
+        tag,
+        answer,
+    )
--- /dev/null
+++ b/tests/jobs/test_engine_takeover.py
@@ -0,0 +1,152 @@
+"""Check what a new owner makes of what it finds."""
+
+from hibiscusslip.jobs import commands
+from hibiscusslip.jobs import index as jobs_index
+from hibiscusslip.model import work
+from hibiscusslip.records import job as job_records
+from hibiscusslip.records import zone
+from tests.jobs import support
+
+Outcome = work.Outcome
+RunState = support.RunState
+
+
+def index_with(*records):
+    index = jobs_index.JobIndex(max_ended=10, max_ended_bytes=10_000)
+    for record in records:
+        index.apply(record)
+    return index
+
+
+def accepted(spec):
+    return zone.JobAccepted('r1', 0, 1, job_records.encode_job(spec))
+
+
+def intent(spec, tasks=(0,)):
+    return zone.StartIntent('r2', 0, 1, spec.job_id, list(tasks), 1, 'z1:0')
+
+
+def ended(spec, outcome='succeeded', answer=b'ok'):
+    return zone.JobEnded('r3', 0, 1, spec.job_id, outcome, '', answer)
+
+
+def test_run_found_on_an_endpoint_is_adopted_not_started_again():
+    spec = support.spec(durable=True)
+    jobs = index_with(accepted(spec)).jobs(0, 0.0)
+    bench = support.Bench(epoch=2, jobs=jobs)
+    bench.tick()
+    bench.list_all(runs={'e1': [support.found_run(spec)]})
+    assert bench.starts(1) == []
+    assert bench.engine.jobs[spec.job_id].outcome == Outcome.RUNNING
+
+
+def test_accepted_job_that_runs_nowhere_is_started():
+    spec = support.spec(durable=True)
+    jobs = index_with(accepted(spec)).jobs(0, 0.0)
+    bench = support.Bench(epoch=2, jobs=jobs).opened()
+    assert [o.task for _, o in bench.starts()] == [f'{spec.job_id}/0']
+
+
+def test_intent_without_outcome_is_unknown_and_never_started():
+    spec = support.spec(durable=True, repeatable=False)
+    jobs = index_with(accepted(spec), intent(spec)).jobs(0, 0.0)
+    bench = support.Bench(epoch=2, jobs=jobs).opened()
+    assert bench.starts(60) == []
+    assert bench.engine.jobs[spec.job_id].outcome == Outcome.UNKNOWN
+
+
+def test_accepted_unrepeatable_job_without_intent_still_waits():
+    spec = support.spec(durable=True, repeatable=False)
+    jobs = index_with(accepted(spec)).jobs(0, 0.0)
+    bench = support.Bench(epoch=2, jobs=jobs).opened()
+    bench.confirm(bench.tick(), zone.StartIntent)
+    assert len(bench.starts()) == 1
+
+
+def test_unrepeatable_run_that_is_found_goes_on():
+    spec = support.spec(repeatable=False)
+    jobs = index_with(intent(spec)).jobs(0, 0.0)
+    bench = support.Bench(epoch=2, jobs=jobs)
+    bench.tick()
+    bench.list_all(runs={'e1': [support.found_run(spec)]})
+    assert bench.engine.jobs[spec.job_id].outcome == Outcome.RUNNING
+
+
+def test_unrepeatable_request_asked_again_after_a_takeover_is_unknown():
+    spec = support.spec(repeatable=False)
+    jobs = index_with(intent(spec)).jobs(0, 0.0)
+    bench = support.Bench(epoch=2, jobs=jobs).opened()
+    job = bench.engine.submit(spec, bench.now)
+    assert job.outcome == Outcome.UNKNOWN
+    assert bench.starts(60) == []
+
+
+def test_request_asked_again_finds_its_adopted_run():
+    spec = support.spec(payload=b'long payload')
+    bench = support.Bench(epoch=2)
+    bench.tick()
+    bench.list_all(runs={'e2': [support.found_run(spec)]})
+    job = bench.engine.submit(spec, bench.now)
+    assert job.outcome == Outcome.RUNNING
+    assert bench.starts(1) == []
+
+
+def test_answer_of_a_run_that_ended_between_owners_is_given():
+    spec = support.spec()
+    run = support.found_run(spec, state=RunState.SUCCEEDED, answer=b'plan')
+    bench = support.Bench(epoch=2)
+    bench.tick()
+    bench.list_all(runs={'e1': [run]})
+    job = bench.engine.submit(spec, bench.now)
+    assert job.outcome == Outcome.SUCCEEDED
+    assert job.tasks[0].answer == b'plan'
+
+
+def test_ended_job_is_told_from_the_log():
+    spec = support.spec(durable=True)
+    jobs = index_with(accepted(spec), ended(spec)).jobs(0, 0.0)
+    bench = support.Bench(epoch=2, jobs=jobs).opened()
+    job = bench.engine.submit(spec, bench.now)
+    assert job.outcome == Outcome.SUCCEEDED
+    assert job.tasks[0].answer == b'ok'
+    assert bench.starts(1) == []
+
+
+def test_run_of_another_shard_is_left_alone():
+    spec = support.spec('z1.1.rother')
+    tag = job_records.encode_tag('z1', 1, spec)
+    run = support.found_run(spec)
+    run = type(run)(
+        run.task, run.attempt, run.state, run.demand, tag, run.answer
+    )
+    bench = support.Bench(epoch=2)
+    bench.tick()
+    bench.list_all(runs={'e1': [run]})
+    assert spec.job_id not in bench.engine.jobs
+    stops = [c for c in bench.tick() if isinstance(c, commands.StopTask)]
+    assert stops == []
+
+
+def test_index_forgets_the_oldest_ended_jobs_only():
+    index = jobs_index.JobIndex(max_ended=2, max_ended_bytes=10_000)
+    specs = [support.spec(f'z1.0.r{n}', durable=True) for n in range(5)]
+    for spec in specs:
+        index.apply(accepted(spec))
+    for spec in specs[:4]:
+        index.apply(ended(spec))
+    kept = {job.spec.job_id for job in index.jobs(0, 0.0)}
+    assert kept == {specs[2].job_id, specs[3].job_id, specs[4].job_id}
+
+
+def test_snapshot_carries_the_index_to_another_host():
+    spec = support.spec(durable=True, repeatable=False)
+    done = support.spec('z1.0.rdone', durable=True)
+    index = index_with(
+        accepted(spec), intent(spec), accepted(done), ended(done)
+    )
+    snapshot = zone.Snapshot(
+        'r9', 0, 1, 4, 'h1', 'i1', 10, 1, 1, index.export(0)
+    )
+    jobs = {j.spec.job_id: j for j in index_with(snapshot).jobs(0, 0.0)}
+    assert jobs[spec.job_id].intents == {0}
+    assert jobs['z1.0.rdone'].outcome == Outcome.SUCCEEDED
