--- /dev/null
+++ b/hibiscusslip/jobs/snapshots.py
@@ -0,0 +1,57 @@
+"""Split snapshots into records and tell when one has come whole."""
+
+import collections.abc
+
+from hibiscusslip.records import zone as zone_records
+
+MAX_PART_BYTES = 48 * 1024
+
+
+def split(
+    head: zone_records.Snapshot,
+    jobs: list[bytes],
+    ids: collections.abc.Iterator[str],
+) -> list[zone_records.Snapshot]:
+    """Return the parts of a snapshot; `head` gives all but the jobs."""
+    groups: list[list[bytes]] = [[]]
+    size = 0
+    for job in jobs:
+        if groups[-1] and size + len(job) > MAX_PART_BYTES:
+            groups.append([])
+            size = 0
+        groups[-1].append(job)
+        size += len(job)
+    return [
+        zone_records.Snapshot(
+            record_id=next(ids),
+            shard=head.shard,
+            epoch=head.epoch,
+            seq=head.seq,
+            host=head.host,
+            incarnation=head.incarnation,
+            as_of=head.as_of,
+            part=part,
+            parts=len(groups),
+            jobs=group,
+        )
+        for part, group in enumerate(groups)
+    ]
+
+
+class Assembler:
+    """Watch for the last missing part of each shard's newest snapshot."""
+
+    def __init__(self) -> None:
+        self._as_of: dict[int, int] = {}
+        self._parts: dict[int, set[int]] = {}
+
+    def add(self, record: zone_records.Snapshot) -> bool:
+        """Take a part; True when it makes its snapshot whole."""
+        if self._as_of.get(record.shard) != record.as_of:
+            self._as_of[record.shard] = record.as_of
+            self._parts[record.shard] = set()
+        seen = self._parts[record.shard]
+        if record.part in seen:
+            return False
+        seen.add(record.part)
+        return len(seen) == record.parts
--- /dev/null
+++ b/hibiscusslip/node/zone_feed.py
@@ -0,0 +1,167 @@
+"""Read the zone's stream and pass on what it tells."""
+
+import abc
+
+import curio
+from loguru import logger
+
+from hibiscusslip import codec
+from hibiscusslip.jobs import index as jobs_index
+from hibiscusslip.jobs import snapshots
+from hibiscusslip.node import clock
+from hibiscusslip.ownership import owner
+from hibiscusslip.platform import base
+from hibiscusslip.platform import exceptions
+from hibiscusslip.records import zone as zone_records
+
+READ_LIMIT_RECORDS = 1000
+READ_WAIT_SECONDS = 1.0
+RETRY_SECONDS = 0.3
+MAX_UNDECIDED_RECORDS = 20_000
+
+JOB_RECORDS = (
+    zone_records.JobAccepted,
+    zone_records.StartIntent,
+    zone_records.JobEnded,
+)
+
+
+class Seen(abc.ABC):
+    """Hear of records that were read back."""
+
+    @abc.abstractmethod
+    async def record_seen(
+        self, record: zone_records.ZoneRecord, valid: bool
+    ) -> None:
+        """Take a record of the zone's stream and whether it counts."""
+
+    @abc.abstractmethod
+    async def caught_up(self) -> None:
+        """Take that the stream was read to its end."""
+
+
+class ZoneFeed:
+    """Follow one zone's stream from its oldest kept record."""
+
+    def __init__(
+        self,
+        log: base.Log,
+        zone: str,
+        ownership: owner.Ownership,
+        index: jobs_index.JobIndex,
+        seen: Seen,
+    ) -> None:
+        self._log = log
+        self._stream = zone_records.stream_of(zone)
+        self._ownership = ownership
+        self._index = index
+        self._seen = seen
+        self._assembler = snapshots.Assembler()
+        self._undecided: dict[int, list[zone_records.ZoneRecord]] = {}
+        self.offset = 0
+        self.end_offset = 0
+        self.up = False
+
+    async def run(self) -> None:
+        """Read until cancelled."""
+        while True:
+            try:
+                batch = await self._log.read(
+                    self._stream,
+                    self.offset,
+                    READ_LIMIT_RECORDS,
+                    READ_WAIT_SECONDS,
+                )
+            except exceptions.RecordsTrimmed as exc:
+                self._restart(exc.first)
+                continue
+            except exceptions.PlatformError as exc:
+                self._note_down(exc)
+                await curio.sleep(RETRY_SECONDS)
+                continue
+            await self._take(batch)
+
+    def _note_down(self, exc: exceptions.PlatformError) -> None:
+        if self.up:
+            logger.warning('the log can not be read: {}', exc)
+        self.up = False
+
+    def _restart(self, first: int) -> None:
+        """Start over after a gap: state comes from snapshots again."""
+        if self.offset:
+            logger.warning(
+                'records {} to {} of {} are gone; rebuilding from snapshots',
+                self.offset,
+                first,
+                self._stream,
+            )
+        self.offset = first
+        self._index.clear()
+        self._assembler = snapshots.Assembler()
+        self._undecided.clear()
+        self._ownership.on_gap(first, clock.now())
+
+    async def _take(self, batch: base.ReadBatch) -> None:
+        if not self.up:
+            logger.info('the log is read from offset {}', self.offset)
+        self.up = True
+        self.end_offset = batch.end_offset
+        for record in batch.records:
+            await self._take_record(record)
+            self.offset = record.offset + 1
+        self.offset = max(self.offset, batch.next_offset)
+        if self.offset >= batch.end_offset:
+            self._ownership.on_caught_up(batch.end_offset, clock.now())
+            await self._seen.caught_up()
+
+    async def _take_record(self, raw: base.LogRecord) -> None:
+        record = _decode(raw)
+        whole = True
+        if isinstance(record, zone_records.Snapshot):
+            self._index.apply(record)
+            whole = self._assembler.add(record)
+        # A snapshot counts for ownership once all its jobs have come.
+        counted = record if whole else None
+        self._ownership.on_record(raw.offset, counted, clock.now())
+        self._decide_late()
+        if record is None:
+            return
+        valid = True
+        if isinstance(record, JOB_RECORDS):
+            valid = self._take_job_record(record)
+        await self._seen.record_seen(record, valid)
+
+    def _take_job_record(self, record) -> bool:
+        """Keep a job's record if its writer owned the shard at that time."""
+        ledger = self._ownership.ledger
+        if ledger.latest(record.shard) is None:
+            waiting = self._undecided.setdefault(record.shard, [])
+            if len(waiting) < MAX_UNDECIDED_RECORDS:
+                waiting.append(record)
+            return False
+        if not ledger.valid_at(record.shard, record.epoch):
+            return False
+        self._index.apply(record)
+        return True
+
+    def _decide_late(self) -> None:
+        """Keep records that came before the snapshot they follow.
+
+        One that was void is kept as well: it makes a later owner more
+        careful, never less.
+        """
+        for shard in list(self._undecided):
+            holding = self._ownership.ledger.latest(shard)
+            if holding is None:
+                continue
+            for record in self._undecided.pop(shard):
+                self._index.apply(record)
+
+
+def _decode(raw: base.LogRecord) -> zone_records.ZoneRecord | None:
+    """Return the record, None for bytes of an unknown form."""
+    try:
+        return codec.decode(raw.data, zone_records.ZoneRecord)
+    except codec.CodecError as exc:
+        logger.error('record {} is not readable: {}', raw.offset, exc)
+        return None
