Decide ownership of shards from the log and by promises

Cause: one host at a time may act for a shard, with no consensus group. PromiseRequest names the claimants, IntroductionReply the hosts that the sender is known to (fields with defaults).

--- /dev/null
+++ b/hibiscusslip/ownership/_appends.py
@@ -0,0 +1,134 @@
+"""Keep track of own appends until the log settles them."""
+
+import dataclasses
+import enum
+
+from hibiscusslip.ownership import _track
+from hibiscusslip.records import zone as zone_records
+
+MAX_OPEN = 16
+
+
+class Settled(enum.Enum):
+    """Tell what the answer to an append says.
+
+    UNSETTLED is for a lost answer: only reading the log settles it.
+    """
+
+    APPENDED = 'appended'
+    REFUSED = 'refused'
+    UNSETTLED = 'unsettled'
+
+
+@dataclasses.dataclass(slots=True)
+class Append:
+    """Hold one own record that may be in the log already or later.
+
+    `shards` maps each shard to the named predecessor (epoch, seq). `waits`
+    is true while the answer is awaited or, after a lost one, until the log
+    has been read to its end without finding the record.
+    """
+
+    record_id: str
+    kind: _track.Kind
+    sent_at: float
+    shards: dict[int, tuple[int, int]]
+    waits: bool = True
+    unsettled: bool = False
+    renounced: bool = False
+
+
+class Appends:
+    """Hold the open appends of one host."""
+
+    def __init__(self) -> None:
+        self._open: dict[str, Append] = {}
+
+    def add(self, append: Append) -> None:
+        """Remember a record that is about to be sent."""
+        self._open[append.record_id] = append
+
+    def sent(self, record_id: str, sent_at: float) -> None:
+        """Note the time right before the first send, in seconds."""
+        append = self._open.get(record_id)
+        if append is not None and not append.unsettled:
+            append.sent_at = sent_at
+
+    def settle(self, record_id: str, settled: Settled) -> Append | None:
+        """Note an answer and return the append if it surely didn't land."""
+        append = self._open.get(record_id)
+        if append is None:
+            return None
+        if settled is Settled.REFUSED and not append.unsettled:
+            return self._open.pop(record_id)
+        if settled is Settled.UNSETTLED:
+            append.unsettled = True
+        return None
+
+    def found(self, record_id: str) -> Append | None:
+        """Return and forget the append whose record the log shows."""
+        return self._open.pop(record_id, None)
+
+    def caught_up(self) -> None:
+        """Let shards of lost answers go on: the log was read to its end."""
+        for append in self._open.values():
+            if append.unsettled:
+                append.waits = False
+
+    def lose_track(self) -> None:
+        """Take all open appends for unsettled: records were missed."""
+        for append in self._open.values():
+            append.unsettled = True
+
+    def passed(self, shard: int, latest: _track.Holding, entry: bool) -> None:
+        """Drop what can't be valid any more as the shard moved on.
+
+        `entry` tells a new entry from a snapshot of what was known before:
+        only the former ends a founding.
+        """
+        for record_id, append in list(self._open.items()):
+            if append.kind is _track.Kind.FOUNDING:
+                dead = entry and shard in append.shards
+            else:
+                now_latest = (latest.epoch, latest.seq)
+                dead = append.shards.get(shard, now_latest) != now_latest
+            if dead:
+                del append.shards[shard]
+                if not append.shards:
+                    del self._open[record_id]
+
+    def busy(self, shard: int) -> bool:
+        """Tell whether to wait before another record names the shard."""
+        return any(
+            append.waits and shard in append.shards
+            for append in self._open.values()
+        )
+
+    def full(self) -> bool:
+        """Tell whether too many appends are open to add another."""
+        return len(self._open) >= MAX_OPEN
+
+    def claims(self, shard: int) -> bool:
+        """Tell whether a claim of the shard may still take effect."""
+        kinds = (_track.Kind.CLAIM, _track.Kind.FOUNDING)
+        return any(
+            append.kind in kinds
+            and not append.renounced
+            and shard in append.shards
+            for append in self._open.values()
+        )
+
+    def renounce(self) -> None:
+        """Give up the effect of claims that still might land."""
+        for append in self._open.values():
+            append.renounced = True
+
+
+def entries_of(
+    shards: dict[int, tuple[int, int]],
+) -> list[zone_records.ClaimEntry]:
+    """Return the entries of a record from shards and predecessors."""
+    return [
+        zone_records.ClaimEntry(shard, epoch, seq)
+        for shard, (epoch, seq) in sorted(shards.items())
+    ]
--- /dev/null
+++ b/hibiscusslip/ownership/_claiming.py
@@ -0,0 +1,137 @@
+"""Decide when to try to take a shard over."""
+
+import math
+
+from hibiscusslip.model import places
+from hibiscusslip.ownership import _appends
+from hibiscusslip.ownership import _state
+from hibiscusslip.ownership import _track
+from hibiscusslip.ownership import actions
+from hibiscusslip.ownership import ledger
+from hibiscusslip.peer import messages
+from hibiscusslip.records import zone as zone_records
+
+MAX_FOUNDINGS = 8
+
+
+def claim_at(state: _state.State, shard: int) -> float:
+    """Return from when on a claim of the shard is safe, inf for never.
+
+    Clocks only decide when to try; the log decides what becomes of it.
+    """
+    holding = state.ledger.latest(shard)
+    if holding is None:
+        at = _unknown_at(state, shard)
+    elif holding.host is None:
+        at = state.log.caught_up_since
+    else:
+        at = _released_at(state, holding.host, holding.read_at)
+    return max(at, state.given.until(shard))
+
+
+def _released_at(
+    state: _state.State, holder: places.HostId, since: float
+) -> float:
+    if holder == state.me:
+        return math.inf
+    if holder.name == state.me.name:
+        # The record was written before this process read it, so the other
+        # incarnation is the older one and has ended.
+        return state.started_at
+    if holder in state.gone:
+        return state.gone[holder]
+    return state.introductions.clear_at(holder, since)
+
+
+def _unknown_at(state: _state.State, shard: int) -> float:
+    since = state.ledger.last_entry(shard)
+    hosts = set(state.ledger.hosts_of_unknown(shard))
+    hosts.update(state.members)
+    hosts.discard(state.me)
+    at = since + state.timing.lease_wait
+    for host in hosts:
+        at = max(at, _released_at(state, host, since))
+    return at
+
+
+def introduce(state: _state.State, now: float) -> None:
+    """Introduce this host to the others of its zone."""
+    if state.draining:
+        return
+    touch = _needs_touch(state)
+    for host, member in state.members.items():
+        due = state.introductions.due(host, touch, now)
+        if not member.alive or host in state.gone or not due:
+            continue
+        request = messages.IntroductionRequest(state.new_id())
+        state.introductions.sent(host, request.request_id, now)
+        state.out.append(actions.Introduce(host, request))
+
+
+def _needs_touch(state: _state.State) -> bool:
+    holders = {
+        holding.host
+        for holding in map(state.ledger.latest, range(state.shards))
+        if holding is not None and holding.host is not None
+    }
+    return any(
+        holder.name != state.me.name
+        and holder not in state.gone
+        and not state.introductions.knows_me(holder)
+        for holder in holders
+    )
+
+
+def try_claims(state: _state.State, now: float) -> None:
+    """Append one claim of all shards that this host should take over."""
+    if state.draining or not state.readable(now):
+        return
+    if now < state.log.next_claim_at or state.appends.full():
+        return
+    claims: dict[int, tuple[int, int]] = {}
+    unknown: list[int] = []
+    for shard in range(state.shards):
+        if not _wanted(state, shard, now):
+            continue
+        holding = state.ledger.latest(shard)
+        if holding is None:
+            unknown.append(shard)
+        else:
+            claims[shard] = (holding.epoch, holding.seq)
+    if claims:
+        _claim(state, claims, now)
+    for shard in unknown[:MAX_FOUNDINGS]:
+        _found(state, shard, now)
+    if claims or unknown:
+        pause = state.timing.renew_interval * state.rng.uniform(0.5, 1.0)
+        state.log.next_claim_at = now + pause
+
+
+def _wanted(state: _state.State, shard: int, now: float) -> bool:
+    holding = state.ledger.latest(shard)
+    if holding is not None and holding.host == state.me:
+        return False
+    if state.appends.busy(shard):
+        return False
+    turn = state.rank(shard) * state.timing.stagger
+    return now >= claim_at(state, shard) + turn
+
+
+def _claim(
+    state: _state.State, claims: dict[int, tuple[int, int]], now: float
+) -> None:
+    record = zone_records.Claim(
+        state.new_id(),
+        state.me.name,
+        state.me.incarnation,
+        _appends.entries_of(claims),
+    )
+    state.append(record, _track.Kind.CLAIM, claims, now)
+
+
+def _found(state: _state.State, shard: int, now: float) -> None:
+    if state.appends.full():
+        return
+    as_of = state.ledger.next_offset - 1
+    record = ledger.founding(state.new_id(), shard, as_of)
+    state.append(record, _track.Kind.FOUNDING, {shard: (0, 0)}, now)
--- /dev/null
+++ b/hibiscusslip/ownership/_handing.py
@@ -0,0 +1,131 @@
+"""Hand shards over from their owner to its successor."""
+
+from hibiscusslip.membership import members as members_
+from hibiscusslip.model import places
+from hibiscusslip.ownership import _appends
+from hibiscusslip.ownership import _state
+from hibiscusslip.ownership import _track
+from hibiscusslip.ownership import actions
+from hibiscusslip.records import zone as zone_records
+
+MAX_RECEIVED = 256
+
+
+def plan(
+    state: _state.State, shard: int, successor: places.HostId, now: float
+) -> actions.HandOverPlan | actions.HandOverRefused:
+    """Freeze a shard for its successor, or tell why that can't be."""
+    reason = _obstacle(state, shard, successor, now)
+    if reason:
+        return actions.HandOverRefused(shard, reason)
+    lease = state.leases.get(shard)
+    assert lease is not None
+    lease.transfer_id = state.new_id()
+    return actions.HandOverPlan(
+        lease.transfer_id, shard, lease.epoch, successor
+    )
+
+
+def _obstacle(
+    state: _state.State, shard: int, successor: places.HostId, now: float
+) -> str:
+    lease = state.leases.get(shard)
+    if lease is None or state.leases.left(shard, now) <= 0:
+        return 'the shard is not held here'
+    if lease.transfer_id:
+        return 'a hand-over of the shard is under way'
+    if now < lease.settle_until:
+        return 'the take-over waits still run; retry when they have ended'
+    if not state.readable(now) or state.log.appends_fail:
+        return 'the log is down; the shard stays here until it is back'
+    member = state.members.get(successor)
+    if member is None or not member.alive or member.draining:
+        return f'{successor} is no live host of the zone that takes shards'
+    return ''
+
+
+def commit(
+    state: _state.State, planned: actions.HandOverPlan, now: float
+) -> actions.HandOverRefused | None:
+    """Stop acting for good and append the transfer.
+
+    Refused while a renewal is in flight: retry a little later.
+    """
+    shard, successor = planned.shard, planned.successor
+    lease = state.leases.get(shard)
+    holding = state.ledger.latest(shard)
+    if lease is None or lease.transfer_id != planned.transfer_id:
+        return actions.HandOverRefused(shard, 'no such hand-over is planned')
+    if lease.transfer_sent:
+        return actions.HandOverRefused(shard, 'it is committed already')
+    if state.leases.left(shard, now) <= 0:
+        lease.transfer_id = ''
+        return actions.HandOverRefused(shard, 'the lease has run out')
+    if holding is None or state.appends.busy(shard) or state.appends.full():
+        return actions.HandOverRefused(shard, 'a renewal is in flight; retry')
+    lease.transfer_sent = True
+    lease.last_sent = now
+    entries = {shard: (holding.epoch, holding.seq)}
+    record = zone_records.Transfer(
+        lease.transfer_id,
+        state.me.name,
+        state.me.incarnation,
+        successor.name,
+        successor.incarnation,
+        _appends.entries_of(entries),
+    )
+    state.append(record, _track.Kind.TRANSFER, entries, now)
+    return None
+
+
+def cancel(state: _state.State, planned: actions.HandOverPlan) -> bool:
+    """Thaw a shard, False when its transfer may be on its way."""
+    lease = state.leases.get(planned.shard)
+    if lease is None or lease.transfer_sent:
+        return False
+    if lease.transfer_id != planned.transfer_id:
+        return False
+    lease.transfer_id = ''
+    return True
+
+
+def thaw(state: _state.State, shard: int) -> None:
+    """Act again, as the transfer surely has no effect."""
+    lease = state.leases.get(shard)
+    if lease is None or not lease.transfer_sent:
+        return
+    lease.transfer_id = ''
+    lease.transfer_sent = False
+    state.out.append(actions.HandOverFailed(shard, lease.epoch))
+
+
+def receive(state: _state.State, transfer_id: str, now: float) -> None:
+    """Note the arrival of a shard's state, before its transfer is sent."""
+    state.received.setdefault(transfer_id, now)
+    if len(state.received) > MAX_RECEIVED:
+        del state.received[next(iter(state.received))]
+
+
+def suggest(state: _state.State, now: float) -> None:
+    """Suggest the hand-over of one shard that is better owned elsewhere."""
+    if now < state.suggested_at + state.timing.renew_interval:
+        return
+    for shard, lease in state.leases.items():
+        if lease.transfer_id or not state.leases.may_act(shard, now):
+            continue
+        best = _successor(state, shard)
+        if best is not None:
+            state.suggested_at = now
+            state.out.append(actions.SuggestHandOver(shard, best.host))
+            if not state.draining:
+                return
+
+
+def _successor(state: _state.State, shard: int) -> members_.Member | None:
+    names = state.ranking(shard)
+    if not names or names[0] == state.me.name:
+        return None
+    for member in state.members.values():
+        if member.host.name == names[0] and member.alive:
+            return member
+    return None
--- a/hibiscusslip/peer/messages.py
+++ b/hibiscusslip/peer/messages.py
@@ -66,11 +66,16 @@
 
 
 class PromiseRequest(msgspec.Struct, frozen=True, tag='promise_request'):
-    """Ask a host of the same zone not to claim shards for a while."""
+    """Ask a host of the same zone not to claim shards for a while.
+
+    `claimants` lists all hosts that are asked; a host that knows of one
+    more grants nothing.
+    """
 
     request_id: str
     shards: list[HeldShard]
     duration: float
+    claimants: list[str] = []
 
 
 class PromiseReply(msgspec.Struct, frozen=True, tag='promise_reply'):
@@ -100,10 +105,15 @@
 
 
 class IntroductionReply(msgspec.Struct, frozen=True, tag='introduced'):
-    """Confirm the introduction and tell the open promises."""
+    """Confirm the introduction and tell the open promises.
+
+    `known_to` lists the hosts that ask the sender for promises: it makes
+    none that leaves the newcomer out.
+    """
 
     request_id: str
     promises: list[OpenPromise]
+    known_to: list[str] = []
 
 
 class JobSubmit(msgspec.Struct, frozen=True, tag='job_submit'):
--- /dev/null
+++ b/tests/ownership/test_single_host.py
@@ -0,0 +1,87 @@
+"""Check that one host claims, renews and loses shards."""
+
+import random
+
+from hibiscusslip.model import places
+from hibiscusslip.ownership import actions
+from hibiscusslip.ownership import owner
+from hibiscusslip.ownership import timing
+from hibiscusslip.records import zone
+
+TIMING = timing.Timing()
+ME = places.HostId('a', 'i1')
+
+
+def new_owner(now=0.0):
+    return owner.Ownership(ME, 'z1', 4, TIMING, random.Random(1), now)
+
+
+def appends(own, now):
+    return [
+        action.record
+        for action in own.tick(now)
+        if isinstance(action, actions.AppendRecord)
+    ]
+
+
+def claim_all(own, now=0.0):
+    own.on_caught_up(0, now)
+    (claim,) = appends(own, now)
+    own.on_append_sent(claim.record_id, now)
+    own.on_append_settled(claim.record_id, owner.Settled.APPENDED, now + 0.1)
+    own.on_record(0, claim, now + 0.2)
+    return claim
+
+
+def test_claims_free_shards_in_one_record():
+    own = new_owner()
+    claim = claim_all(own)
+    assert [entry.shard for entry in claim.entries] == [0, 1, 2, 3]
+    assert own.owned(0.2) == [0, 1, 2, 3]
+    assert own.may_act(0, 0.2)
+
+
+def test_lease_counts_from_before_the_send():
+    own = new_owner()
+    claim_all(own)
+    assert own.may_act(0, TIMING.lease - 0.01)
+    assert not own.may_act(0, TIMING.lease)
+
+
+def test_nothing_is_held_before_the_log_shows_it():
+    own = new_owner()
+    own.on_caught_up(0, 0.0)
+    (claim,) = appends(own, 0.0)
+    own.on_append_settled(claim.record_id, owner.Settled.APPENDED, 0.1)
+    assert own.owned(0.1) == []
+
+
+def test_renews_in_one_record_and_extends_the_lease():
+    own = new_owner()
+    claim_all(own)
+    assert appends(own, 1.0) == []
+    (renewal,) = appends(own, TIMING.renew_interval)
+    assert isinstance(renewal, zone.Renewal)
+    assert len(renewal.entries) == 4
+    own.on_record(1, renewal, 4.0)
+    assert own.lease_left(0, 4.0) == TIMING.renew_interval + TIMING.lease - 4.0
+
+
+def test_loses_a_shard_to_a_later_claim():
+    own = new_owner()
+    claim_all(own)
+    rival = zone.Claim('r', 'b', 'j1', [zone.ClaimEntry(2, 1, 1)])
+    own.on_record(1, rival, 5.0)
+    assert actions.LostShard(2, 1) in own.tick(5.0)
+    assert own.owned(5.0) == [0, 1, 3]
+
+
+def test_single_host_goes_on_without_the_log():
+    own = new_owner()
+    claim_all(own)
+    now = 0.0
+    while now < 100:
+        now += 0.5
+        for record in appends(own, now):
+            own.on_append_settled(record.record_id, owner.Settled.REFUSED, now)
+        assert own.may_act(0, now)
