--- /dev/null
+++ b/hibiscusslip/standin/memory_log.py
@@ -0,0 +1,164 @@
+"""Serve the log from memory, with faults on demand."""
+
+import collections
+import dataclasses
+import time
+
+import curio
+
+from hibiscusslip.platform import base
+from hibiscusslip.platform import exceptions
+from hibiscusslip.standin import faults
+from hibiscusslip.standin import rate
+from hibiscusslip.standin import streams
+
+APPEND_QUEUE_S = 2.0
+MAX_DELAYED_APPENDS = 1000
+MAX_RECORD_BYTES = 1024 * 1024
+
+
+@dataclasses.dataclass(slots=True)
+class LogCounters:
+    """Count what the log was asked for."""
+
+    appends: int = 0
+    records: int = 0
+    reads: int = 0
+    refused: int = 0
+    lost_answers: int = 0
+    delayed: int = 0
+
+
+class MemoryLog(base.Log):
+    """Keep streams in memory, limited in rate, age and size."""
+
+    def __init__(
+        self,
+        appends_per_s: float = 0.0,
+        retention: streams.Retention | None = None,
+    ) -> None:
+        self.counters = LogCounters()
+        self.faults = faults.LogFaultState()
+        self._store = streams.StreamStore(retention or streams.Retention())
+        self._rate = rate.RateLimit(appends_per_s, APPEND_QUEUE_S)
+        self._grown: dict[str, curio.Event] = collections.defaultdict(
+            curio.Event
+        )
+        self._delayed = 0
+
+    async def append(self, stream: str, records: list[bytes]) -> int:
+        """Append records in one step and return the first one's offset.
+
+        Raises LogUnavailable when surely nothing was written and
+        AppendUnsettled when that can't be told.
+        """
+        self._check_up()
+        self._check_records(records)
+        delay = self._rate.take(time.monotonic())
+        if delay is None:
+            raise self._refused('the log gets too many appends; try later')
+        await curio.sleep(self.faults.latency + delay)
+        self._check_up()
+        if self.faults.delay_appends > 0:
+            await self._append_later(stream, records)
+            raise exceptions.AppendUnsettled(
+                'no answer from the log; read it to settle the append'
+            )
+        offset = await self._append_now(stream, records)
+        await curio.sleep(self.faults.latency)
+        if self.faults.lose_answers > 0:
+            self.faults.lose_answers -= 1
+            self.counters.lost_answers += 1
+            raise exceptions.AppendUnsettled(
+                'the answer was lost; read the log to settle the append'
+            )
+        return offset
+
+    async def read(
+        self, stream: str, offset: int, limit: int, wait: float
+    ) -> base.ReadBatch:
+        """Read up to `limit` records from `offset`, wait up to `wait` s.
+
+        Raises LogUnavailable, and RecordsTrimmed when `offset` lies before
+        the oldest record that is kept.
+        """
+        self._check_up()
+        self.counters.reads += 1
+        await curio.sleep(self.faults.latency)
+        deadline = time.monotonic() + wait
+        while True:
+            self._check_up()
+            now = time.monotonic()
+            batch = self._store.read(now, stream, offset, limit)
+            if batch.records or now >= deadline:
+                return batch
+            async with curio.ignore_after(deadline - now):
+                await self._grown[stream].wait()
+
+    async def close(self) -> None:
+        """Do nothing: the log stays for its other users."""
+
+    async def set_faults(self, order: faults.LogFaults) -> None:
+        """Change the faults; readers that wait notice an outage."""
+        faults.apply(order, self.faults)
+        if order.appends_per_s is not None:
+            self._rate.per_second = order.appends_per_s
+        for name, offset in (order.trim_before or {}).items():
+            self._store.stream(name).drop_before(offset)
+        for name in list(self._grown):
+            await self._wake(name)
+
+    def end_offsets(self) -> dict[str, int]:
+        """Return one past the newest offset of every stream."""
+        store = self._store
+        return {name: store.stream(name).end_offset for name in store.names()}
+
+    async def _append_now(self, stream: str, records: list[bytes]) -> int:
+        self.counters.appends += 1
+        self.counters.records += len(records)
+        now = time.monotonic()
+        offset = self._store.stream(stream).append(now, records)
+        await self._wake(stream)
+        return offset
+
+    async def _append_later(self, stream: str, records: list[bytes]) -> None:
+        if self._delayed >= MAX_DELAYED_APPENDS:
+            raise self._refused('too many delayed appends; delay fewer')
+        self.faults.delay_appends -= 1
+        self.counters.delayed += 1
+        self._delayed += 1
+        await curio.spawn(
+            self._take_effect,
+            stream,
+            records,
+            self.faults.delay_s,
+            daemon=True,
+        )
+
+    async def _take_effect(
+        self, stream: str, records: list[bytes], delay: float
+    ) -> None:
+        try:
+            await curio.sleep(delay)
+            await self._append_now(stream, records)
+        finally:
+            self._delayed -= 1
+
+    async def _wake(self, stream: str) -> None:
+        event = self._grown.pop(stream, None)
+        if event is not None:
+            await event.set()
+
+    def _check_up(self) -> None:
+        if self.faults.down:
+            raise self._refused('the log is down; try again later')
+
+    def _check_records(self, records: list[bytes]) -> None:
+        if not records or max(map(len, records)) > MAX_RECORD_BYTES:
+            raise self._refused(
+                f'append 1 or more records of up to {MAX_RECORD_BYTES} bytes'
+            )
+
+    def _refused(self, reason: str) -> exceptions.LogUnavailable:
+        self.counters.refused += 1
+        return exceptions.LogUnavailable(reason)
