--- a/hibiscusslip/peer/links.py
+++ b/hibiscusslip/peer/links.py
@@ -49,21 +49,27 @@
         self._limits = lim or limits.Limits()
         self._rng = rng or random.Random()
         self._peers: dict[str, _Peer] = {}
+        self._links: set[_link.Link] = set()
         self._tasks: set[curio.Task] = set()
         self._sweeper: curio.Task | None = None
         self._closed = False
         self.counts = counts.Counts()
 
     def set_address(self, host: str, address: str, port: int) -> None:
-        """Tell where a host listens; a changed one ends the backoff."""
+        """Tell where a host listens.
+
+        A changed address ends the backoff and the use of the old link;
+        calls that wait on the old link may still be answered.
+        """
         peer = self._peers.get(host)
         if peer is not None and (peer.address, peer.port) == (address, port):
             return
         backoff = _backoff.Backoff(self._limits, self._rng)
-        renewed = _Peer(host, address, port, backoff)
-        if peer is not None:
-            renewed.link = peer.link
-        self._peers[host] = renewed
+        self._peers[host] = _Peer(host, address, port, backoff)
+
+    def forget(self, host: str) -> None:
+        """Drop what is known of a host that is gone for good."""
+        self._peers.pop(host, None)
 
     def set_keys(self, keys: hello.Keys) -> None:
         """Use other shared keys for the links made from now on."""
@@ -199,9 +205,11 @@
         peer.backoff.failed(time.monotonic())
 
     async def _carry(self, peer: _Peer, link: _link.Link) -> None:
+        self._links.add(link)
         try:
             await link.run()
         finally:
+            self._links.discard(link)
             self.counts.links_lost += 1
             if peer.link is link:
                 peer.link = None
@@ -223,11 +231,8 @@
         while True:
             await curio.sleep(self._limits.idle_timeout / 4)
             oldest = time.monotonic() - self._limits.idle_timeout
-            for peer in list(self._peers.values()):
-                link = peer.link
-                if link is None or link.pending:
-                    continue
-                if link.last_used < oldest:
+            for link in list(self._links):
+                if link.last_used < oldest and not link.pending:
                     await link.shut()
 
     async def close(self) -> None:
--- a/tests/peer/test_links.py
+++ b/tests/peer/test_links.py
@@ -156,3 +156,20 @@
                 await links.call('c', QUERY, 1)
 
     curio.run(scenario)
+
+
+def test_changed_address_ends_the_use_of_the_old_link():
+    async def scenario():
+        moved = places.HostId('b', 'i2')
+        async with fakes.serving() as old, fakes.serving(me=moved) as new:
+            async with fakes.linked(old.port) as links:
+                await links.call('b', QUERY, 5)
+                links.set_address('b', '127.0.0.1', new.port)
+                assert links.incarnation_of('b') == ''
+                await links.call('b', QUERY, 5)
+                assert links.incarnation_of('b') == 'i2'
+                links.forget('b')
+                with pytest.raises(exceptions.PeerUnreachable):
+                    await links.call('b', QUERY, 5)
+
+    curio.run(scenario)
