--- /dev/null
+++ b/hibiscusslip/sheet/_cross.py
@@ -0,0 +1,155 @@
+"""Check rows against each other.
+
+A row whose cells are faulty in part is still checked by its other cells,
+so that every fault shows at once.
+"""
+
+import collections.abc
+
+from hibiscusslip.model import work
+from hibiscusslip.sheet import _model
+from hibiscusslip.sheet import _rows
+
+# Sums of decimal fractions miss 1 by rounding.
+ROUNDING = 1e-9
+
+Faults = collections.abc.Iterator[_model.Fault]
+Rows = list[_rows.Row]
+
+
+def check(rows: Rows) -> list[_model.Fault]:
+    """Return what is wrong between rows."""
+    shares = [row for row in rows if row.type is _rows.RowType.SHARE]
+    quotas = [row for row in rows if row.type is _rows.RowType.QUOTA]
+    workloads = [row for row in rows if row.type is _rows.RowType.WORKLOAD]
+    return [
+        *_check_any_share(shares),
+        *_check_guarantees(shares),
+        *_check_ceilings(shares),
+        *_check_duplicates(shares, 'kind'),
+        *_check_duplicates(quotas, 'team'),
+        *_check_duplicates(workloads, 'name'),
+        *_check_known(workloads, shares, 'kind', 'share'),
+        *_check_known(workloads, quotas, 'team', 'quota'),
+        *_check_services(workloads),
+        *_check_run_times(workloads),
+        *_check_fits(workloads, quotas),
+    ]
+
+
+def _check_any_share(shares: Rows) -> Faults:
+    if not shares:
+        yield _model.Fault(
+            0,
+            'row',
+            'there is no share row',
+            'give each kind of work a share row',
+        )
+
+
+def _check_guarantees(shares: Rows) -> Faults:
+    total = 0.0
+    for row in shares:
+        total += row.values.get('guarantee') or 0.0
+        if total > 1 + ROUNDING:
+            yield _model.Fault(
+                row.number,
+                'guarantee',
+                f'the guarantees add up to {total:g} by this row',
+                'lower guarantees until they add up to 1 or less',
+            )
+            return
+
+
+def _check_ceilings(shares: Rows) -> Faults:
+    for row in shares:
+        guarantee = row.values.get('guarantee')
+        ceiling = row.values.get('ceiling')
+        if guarantee is None or ceiling is None:
+            continue
+        if ceiling < guarantee:
+            yield _model.Fault(
+                row.number,
+                'ceiling',
+                f'the ceiling {ceiling:g} is below the guarantee'
+                f' {guarantee:g}',
+                'raise the ceiling or lower the guarantee',
+            )
+
+
+def _check_duplicates(rows: Rows, column: str) -> Faults:
+    first: dict[str, int] = {}
+    for row in rows:
+        name = row.values.get(column)
+        if name is None:
+            continue
+        if name in first:
+            yield _model.Fault(
+                row.number,
+                column,
+                f'{name!r} stands in row {first[name]} already',
+                'rename or remove one of the rows',
+            )
+        first.setdefault(name, row.number)
+
+
+def _check_known(
+    workloads: Rows, known: Rows, column: str, row_type: str
+) -> Faults:
+    names = {row.values.get(column) for row in known}
+    for row in workloads:
+        name = row.values.get(column)
+        if name is not None and name not in names:
+            yield _model.Fault(
+                row.number,
+                column,
+                f'there is no {row_type} row for {name!r}',
+                f'add a {row_type} row or correct the name',
+            )
+
+
+def _check_services(workloads: Rows) -> Faults:
+    for row in workloads:
+        service = row.values.get('form') is work.Form.SERVICE
+        if service and row.values.get('repeatable') is False:
+            yield _model.Fault(
+                row.number,
+                'repeatable',
+                'a service is started again after a failure',
+                'write yes, or make it a batch',
+            )
+
+
+def _check_run_times(workloads: Rows) -> Faults:
+    for row in workloads:
+        form = row.values.get('form')
+        ends = form in (work.Form.BATCH, work.Form.GANG)
+        if ends and row.values.get('run_time_s', 1) is None:
+            yield _model.Fault(
+                row.number,
+                'run_time_s',
+                'the cell is blank',
+                f'fill it in, as each {form} needs a run time',
+            )
+
+
+def _check_fits(workloads: Rows, quotas: Rows) -> Faults:
+    limits = {row.values.get('team'): row.values for row in quotas}
+    for row in workloads:
+        team = row.values.get('team')
+        quota = limits.get(team, {})
+        gang = row.values.get('form') is work.Form.GANG
+        at_once = row.values.get('copies', 1) if gang else 1
+        for column in ('cores', 'memory_gb', 'accelerators'):
+            each = row.values.get(column)
+            limit = quota.get(column)
+            if each is None or limit is None:
+                continue
+            if each * at_once > limit:
+                yield _model.Fault(
+                    row.number,
+                    column,
+                    f'{at_once} at once exceed the quota of {team!r}, so it'
+                    ' could never run',
+                    'lower the demand or raise the quota',
+                )
