--- /dev/null
+++ b/hibiscusslip/node/config.py
@@ -0,0 +1,37 @@
+"""Hold what a node is told about itself."""
+
+import dataclasses
+
+from hibiscusslip.jobs import engine as jobs_engine
+from hibiscusslip.model import places
+from hibiscusslip.ownership import timing as ownership_timing
+from hibiscusslip.scheduler import limits as scheduler_limits
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NodeConfig:
+    """Hold a node's identity, its cell and its limits.
+
+    `zones` are the availability zones of the region, in any order.
+    """
+
+    me: places.HostId
+    region: str
+    zone: str
+    zones: tuple[str, ...]
+    shards_per_zone: int
+    timing: ownership_timing.Timing = ownership_timing.Timing()
+    engine: jobs_engine.EngineConfig = jobs_engine.EngineConfig()
+    scheduler: scheduler_limits.Limits = scheduler_limits.Limits()
+    host_list_interval: float = 2.0
+    max_ended_jobs: int = 2_000
+    max_ended_bytes: int = 2 * 1024 * 1024
+
+    @property
+    def shards(self) -> list[places.Shard]:
+        """Return all shards of the region."""
+        return [
+            places.Shard(zone, number)
+            for zone in sorted(self.zones)
+            for number in range(self.shards_per_zone)
+        ]
--- /dev/null
+++ b/hibiscusslip/node/fleet.py
@@ -0,0 +1,177 @@
+"""Keep one runner for each shard that this host owns."""
+
+import collections.abc
+import random
+
+from loguru import logger
+
+from hibiscusslip import scheduler
+from hibiscusslip.jobs import engine as jobs_engine
+from hibiscusslip.jobs import identity
+from hibiscusslip.jobs import index as jobs_index
+from hibiscusslip.model import places
+from hibiscusslip.node import appender
+from hibiscusslip.node import clock
+from hibiscusslip.node import config
+from hibiscusslip.node import shard_runner
+from hibiscusslip.ownership import owner
+from hibiscusslip.peer import messages
+from hibiscusslip.scheduler import base as scheduler_base
+
+
+class Fleet:
+    """Start and stop shard runners and tell them what is news."""
+
+    def __init__(
+        self,
+        cfg: config.NodeConfig,
+        ownership: owner.Ownership,
+        index: jobs_index.JobIndex,
+        writer: appender.Appender,
+        connect: shard_runner.EndpointFactory,
+        ids: collections.abc.Iterator[str],
+        rng: random.Random,
+    ) -> None:
+        self._cfg = cfg
+        self._ownership = ownership
+        self._index = index
+        self._writer = writer
+        self._connect = connect
+        self._ids = ids
+        self._rng = rng
+        self._endpoints: dict[str, places.EndpointInfo] = {}
+        self._policy: scheduler_base.FleetPolicy | None = None
+        self.runners: dict[int, shard_runner.ShardRunner] = {}
+        self.waiting: dict[int, int] = {}
+
+    async def take(self, number: int, epoch: int) -> None:
+        """Note a shard that is owned from now on at an epoch."""
+        await self.drop(number)
+        self.waiting[number] = epoch
+
+    async def drop(self, number: int) -> None:
+        """Stop acting for a shard."""
+        self.waiting.pop(number, None)
+        runner = self.runners.pop(number, None)
+        if runner is not None:
+            logger.info('shard {} is let go', runner.shard)
+            await runner.stop()
+
+    async def start_ready(self) -> None:
+        """Start the shards whose take-over waits are over.
+
+        Without a configuration there is nothing to run them by.
+        """
+        if self._policy is None:
+            return
+        now = clock.now()
+        for number, epoch in list(self.waiting.items()):
+            if self._ownership.may_act(number, now):
+                del self.waiting[number]
+                await self._start(number, epoch, now)
+
+    async def _start(self, number: int, epoch: int, now: float) -> None:
+        assert self._policy is not None
+        shard = places.Shard(self._cfg.zone, number)
+        sched = scheduler.build(
+            shard, self._policy, self._cfg.scheduler, self._rng
+        )
+        engine = jobs_engine.ShardEngine(
+            shard, epoch, sched, self._cfg.engine, self._ids, now
+        )
+        for job in self._index.jobs(number, now):
+            engine.restore(job)
+        runner = shard_runner.ShardRunner(
+            shard,
+            engine,
+            self._ownership,
+            self._writer,
+            self._connect,
+            self._cfg.engine.worker_lease,
+        )
+        self.runners[number] = runner
+        logger.info('shard {} is owned at epoch {}', shard, epoch)
+        await runner.set_endpoints(self._of_shard(shard))
+        await runner.start()
+
+    def _of_shard(self, shard: places.Shard) -> list[places.EndpointInfo]:
+        count = self._cfg.shards_per_zone
+        return [
+            info
+            for info in self._endpoints.values()
+            if identity.shard_of_endpoint(info.name, info.zone, count) == shard
+        ]
+
+    async def set_endpoints(self, infos: list[places.EndpointInfo]) -> None:
+        """Take the endpoints of this zone from the host list.
+
+        An endpoint that left the list counts as gone: no new work, and its
+        runs end when their leases do.
+        """
+        listed = {i.name: i for i in infos if i.zone == self._cfg.zone}
+        for name, known in self._endpoints.items():
+            if name not in listed:
+                listed[name] = _gone(known)
+        self._endpoints = listed
+        for runner in list(self.runners.values()):
+            await runner.set_endpoints(self._of_shard(runner.shard))
+
+    async def set_policy(self, policy: scheduler_base.FleetPolicy) -> None:
+        """Take a newer configuration into force."""
+        if self._policy and policy.version <= self._policy.version:
+            return
+        self._policy = policy
+        for runner in list(self.runners.values()):
+            runner.engine.scheduler.set_policy(policy, clock.now())
+            await runner.changed()
+
+    @property
+    def policy_version(self) -> int:
+        """Return the version in force, 0 without one."""
+        return self._policy.version if self._policy else 0
+
+    def loads(self) -> list[messages.ShardLoad]:
+        """Return the loads of the shards that take requests."""
+        now = clock.now()
+        return [
+            _load(runner, self._ownership.epoch(runner.shard.number), now)
+            for runner in self.runners.values()
+            if runner.engine.is_open and runner.may_act(now)
+        ]
+
+    async def stop(self) -> None:
+        """Stop all shards."""
+        for number in list(self.runners):
+            await self.drop(number)
+
+
+def _gone(info: places.EndpointInfo) -> places.EndpointInfo:
+    return places.EndpointInfo(
+        info.name,
+        info.zone,
+        info.rack,
+        info.address,
+        info.port,
+        info.capacity,
+        places.EndpointState.GONE,
+    )
+
+
+def _load(
+    runner: shard_runner.ShardRunner, epoch: int, now: float
+) -> messages.ShardLoad:
+    summary = runner.engine.scheduler.summary(now)
+    return messages.ShardLoad(
+        zone=runner.shard.zone,
+        number=runner.shard.number,
+        epoch=epoch,
+        free_cpu_milli=summary.free.cpu_milli,
+        free_memory_mb=summary.free.memory_mb,
+        free_accelerators=summary.free.accelerators,
+        free_slots=summary.free.slots,
+        largest_cpu_milli=summary.largest_free.cpu_milli,
+        largest_memory_mb=summary.largest_free.memory_mb,
+        largest_accelerators=summary.largest_free.accelerators,
+        queued=sum(kind.queued for kind in summary.kinds),
+        running=sum(kind.running for kind in summary.kinds),
+    )
--- /dev/null
+++ b/hibiscusslip/node/ownership_driver.py
@@ -0,0 +1,159 @@
+"""Carry out what the ownership code decides."""
+
+import abc
+import collections.abc
+
+import curio
+from loguru import logger
+
+from hibiscusslip import codec
+from hibiscusslip.jobs import index as jobs_index
+from hibiscusslip.jobs import snapshots
+from hibiscusslip.model import places
+from hibiscusslip.node import appender
+from hibiscusslip.node import clock
+from hibiscusslip.ownership import actions
+from hibiscusslip.ownership import owner
+from hibiscusslip.peer import base as peer_base
+from hibiscusslip.peer import exceptions as peer_exceptions
+from hibiscusslip.peer import messages
+from hibiscusslip.platform import base as platform_base
+from hibiscusslip.platform import exceptions as platform_exceptions
+from hibiscusslip.records import zone as zone_records
+
+CALL_TIMEOUT_SECONDS = 1.5
+TICK_SECONDS = 0.1
+
+
+class ShardEvents(abc.ABC):
+    """Hear which shards come and go."""
+
+    @abc.abstractmethod
+    async def took_over(self, action: actions.TookOver) -> None:
+        """Start to act for a shard once its waits are over."""
+
+    @abc.abstractmethod
+    async def lost(self, action: actions.LostShard) -> None:
+        """Stop to act for a shard."""
+
+    @abc.abstractmethod
+    async def better_elsewhere(self, action: actions.SuggestHandOver) -> None:
+        """Hand a shard over in a planned way."""
+
+    @abc.abstractmethod
+    async def hand_over_failed(self, action: actions.HandOverFailed) -> None:
+        """Act on for a shard whose hand-over had no effect."""
+
+
+class OwnershipDriver:
+    """Tick the ownership code and do what it asks for."""
+
+    def __init__(
+        self,
+        ownership: owner.Ownership,
+        log: platform_base.Log,
+        stream: str,
+        peers: peer_base.Peers,
+        events: ShardEvents,
+        index: jobs_index.JobIndex,
+        writer: appender.Appender,
+        ids: collections.abc.Iterator[str],
+        me: places.HostId,
+    ) -> None:
+        self._ownership = ownership
+        self._log = log
+        self._stream = stream
+        self._peers = peers
+        self._events = events
+        self._index = index
+        self._writer = writer
+        self._ids = ids
+        self._me = me
+        self.log_writable = True
+
+    async def run(self) -> None:
+        """Tick until cancelled."""
+        while True:
+            await self.tick()
+            await curio.sleep(TICK_SECONDS)
+
+    async def tick(self) -> None:
+        """Carry out what is due now."""
+        for action in self._ownership.tick(clock.now()):
+            await self._carry_out(action)
+
+    async def _carry_out(self, action: actions.Action) -> None:
+        if isinstance(action, actions.AppendRecord):
+            await curio.spawn(self._append, action.record, daemon=True)
+        elif isinstance(action, actions.AskPromise):
+            await curio.spawn(self._ask_promise, action, daemon=True)
+        elif isinstance(action, actions.Introduce):
+            await curio.spawn(self._introduce, action, daemon=True)
+        elif isinstance(action, actions.TookOver):
+            await self._events.took_over(action)
+        elif isinstance(action, actions.LostShard):
+            await self._events.lost(action)
+        elif isinstance(action, actions.SuggestHandOver):
+            await self._events.better_elsewhere(action)
+        elif isinstance(action, actions.HandOverFailed):
+            await self._events.hand_over_failed(action)
+        else:
+            await self._write_snapshot(action)
+
+    async def _append(self, record: zone_records.ZoneRecord) -> None:
+        """Append one record; reading it back tells whether it is valid."""
+        record_id = record.record_id
+        data = codec.encode(record)
+        self._ownership.on_append_sent(record_id, clock.now())
+        try:
+            await self._log.append(self._stream, [data])
+            settled = owner.Settled.APPENDED
+        except platform_exceptions.AppendUnsettled:
+            settled = owner.Settled.UNSETTLED
+        except platform_exceptions.PlatformError as exc:
+            logger.debug('not appended: {}', exc)
+            settled = owner.Settled.REFUSED
+        self.log_writable = settled is owner.Settled.APPENDED
+        self._ownership.on_append_settled(record_id, settled, clock.now())
+
+    async def _ask_promise(self, action: actions.AskPromise) -> None:
+        reply = await self._call(action.host, action.request)
+        if isinstance(reply, messages.PromiseReply):
+            self._ownership.on_promise_reply(action.host, reply, clock.now())
+
+    async def _introduce(self, action: actions.Introduce) -> None:
+        reply = await self._call(action.host, action.request)
+        if isinstance(reply, messages.IntroductionReply):
+            self._ownership.on_introduced(action.host, reply, clock.now())
+
+    async def _call(
+        self, host: places.HostId, body: messages.PeerMessage
+    ) -> messages.PeerMessage | None:
+        try:
+            return await self._peers.call(
+                host.name,
+                body,
+                CALL_TIMEOUT_SECONDS,
+                incarnation=host.incarnation,
+            )
+        except peer_exceptions.PeerError as exc:
+            logger.debug('{}: {}', host, exc)
+            return None
+
+    async def _write_snapshot(self, action: actions.SnapshotDue) -> None:
+        """Write a shard's recorded jobs anew, ahead of retention."""
+        head = zone_records.Snapshot(
+            record_id='',
+            shard=action.shard,
+            epoch=action.epoch,
+            seq=action.seq,
+            host=self._me.name,
+            incarnation=self._me.incarnation,
+            as_of=action.as_of,
+            part=0,
+            parts=1,
+            jobs=[],
+        )
+        jobs = self._index.export(action.shard)
+        for part in snapshots.split(head, jobs, self._ids):
+            await self._writer.add(part.record_id, codec.encode(part))
--- /dev/null
+++ b/hibiscusslip/node/peer_handler.py
@@ -0,0 +1,83 @@
+"""Answer the calls of other entry hosts."""
+
+import collections.abc
+
+from hibiscusslip import codec
+from hibiscusslip.jobs import exceptions as job_exceptions
+from hibiscusslip.model import places
+from hibiscusslip.node import clock
+from hibiscusslip.node import home
+from hibiscusslip.node import remote_home
+from hibiscusslip.ownership import owner
+from hibiscusslip.peer import base
+from hibiscusslip.peer import messages
+from hibiscusslip.records import job as job_records
+
+Answer = collections.abc.Callable[
+    [places.HostId, messages.PeerMessage],
+    collections.abc.Awaitable[messages.PeerMessage],
+]
+
+
+class PeerHandler(base.Handler):
+    """Sort calls by their type; parts of the node add their own."""
+
+    def __init__(self, here: home.Home, ownership: owner.Ownership) -> None:
+        self._home = here
+        self._ownership = ownership
+        self._answers: dict[type, Answer] = {
+            messages.JobSubmit: self._submit,
+            messages.JobStatus: self._status,
+            messages.JobCancel: self._cancel,
+            messages.JobExplain: self._explain,
+            messages.PromiseRequest: self._promise,
+            messages.IntroductionRequest: self._introduce,
+        }
+
+    def add(self, kind: type, answer: Answer) -> None:
+        """Have calls of one type answered by another part of the node."""
+        self._answers[kind] = answer
+
+    async def handle(
+        self, sender: places.HostId, body: messages.PeerMessage
+    ) -> messages.PeerMessage:
+        """Return the reply to a call."""
+        answer = self._answers.get(type(body))
+        if answer is None:
+            detail = f'{type(body).__name__} is not served; upgrade this host'
+            return messages.Refusal('not_served', detail)
+        try:
+            return await answer(sender, body)
+        except job_exceptions.JobError as exc:
+            return remote_home.refusal_of(exc)
+        except codec.CodecError as exc:
+            return messages.Refusal('malformed', str(exc))
+
+    async def _submit(self, sender, body: messages.JobSubmit):
+        shard = places.Shard(body.zone, body.shard)
+        spec = job_records.decode_job(body.job)
+        view = await self._home.submit(shard, spec, body.wait)
+        return remote_home.state_of(view)
+
+    async def _status(self, sender, body: messages.JobStatus):
+        shard = places.Shard(body.zone, body.shard)
+        view = await self._home.status(shard, body.job_id, body.wait)
+        return remote_home.state_of(view)
+
+    async def _cancel(self, sender, body: messages.JobCancel):
+        shard = places.Shard(body.zone, body.shard)
+        view = await self._home.cancel(shard, body.job_id)
+        return remote_home.state_of(view)
+
+    async def _explain(self, sender, body: messages.JobExplain):
+        shard = places.Shard(body.zone, body.shard)
+        story = self._home.explain(shard, body.job_id)
+        return messages.JobStory(
+            story.job_id, story.outcome.value, story.lines
+        )
+
+    async def _promise(self, sender, body: messages.PromiseRequest):
+        return self._ownership.on_promise_request(sender, body, clock.now())
+
+    async def _introduce(self, sender, body: messages.IntroductionRequest):
+        return self._ownership.on_introduction(sender, body, clock.now())
--- a/hibiscusslip/node/shard_runner.py
+++ b/hibiscusslip/node/shard_runner.py
@@ -54,7 +54,9 @@
 
     def may_act(self, now: float) -> bool:
         """Tell whether this host may act for the shard now."""
-        return not self.stopped and self._ownership.may_act(self.shard, now)
+        return not self.stopped and self._ownership.may_act(
+            self.shard.number, now
+        )
 
     async def start(self) -> None:
         """Start the shard's loop."""
