--- a/hibiscusslip/membership/__init__.py
+++ b/hibiscusslip/membership/__init__.py
@@ -1,1 +1,1 @@
-"""Keep track of the other entry hosts: pure code."""
+"""Know the entry hosts of all zones: pure code over heartbeats."""
--- a/hibiscusslip/membership/_member.py
+++ b/hibiscusslip/membership/_member.py
@@ -10,7 +10,7 @@
     """Hold what this host knows of another one.
 
     `alive` is False while it is suspected; `draining` is only ever true
-    when the host said so itself.
+    when the host said so itself, `leaving` is the host list's word.
     """
 
     host: places.HostId
@@ -19,3 +19,4 @@
     port: int = 0
     alive: bool = True
     draining: bool = False
+    leaving: bool = False
--- /dev/null
+++ b/hibiscusslip/membership/pacing.py
@@ -0,0 +1,41 @@
+"""Hold how often hosts are asked and when silence counts."""
+
+import dataclasses
+
+from hibiscusslip.membership import exceptions
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pacing:
+    """Hold durations in seconds and the bounds of what is kept.
+
+    `foreign_fanout` is how many hosts of other zones one host asks,
+    `passed_on` how many known hosts one message carries, `list_lag` how
+    long the platform's host list may lag behind.
+    """
+
+    heartbeat: float = 0.5
+    suspect_after: float = 2.0
+    foreign_heartbeat: float = 2.0
+    foreign_suspect_after: float = 20.0
+    forget_after: float = 120.0
+    list_lag: float = 60.0
+    foreign_fanout: int = 4
+    passed_on: int = 12
+    max_hosts: int = 512
+
+    def __post_init__(self) -> None:
+        if self.suspect_after < 2 * self.heartbeat:
+            raise exceptions.InvalidPacing(
+                'suspect_after leaves no room for a lost heartbeat; give at'
+                ' least twice heartbeat'
+            )
+        if self.foreign_suspect_after < 2 * self.foreign_heartbeat:
+            raise exceptions.InvalidPacing(
+                'foreign_suspect_after leaves no room for a lost heartbeat;'
+                ' give at least twice foreign_heartbeat'
+            )
+        if self.foreign_fanout < 1 or self.passed_on < 1:
+            raise exceptions.InvalidPacing(
+                'foreign_fanout and passed_on must be 1 or more'
+            )
--- a/hibiscusslip/ownership/_introductions.py
+++ b/hibiscusslip/ownership/_introductions.py
@@ -37,20 +37,34 @@
         self._contacts: dict[places.HostId, Contact] = {}
         self._sent: dict[str, float] = {}
         self._asked: dict[places.HostId, float] = {}
-        self.claimants: set[places.HostId] = set()
+        self._claimants: dict[places.HostId, float] = {}
 
-    def admit(self, host: places.HostId) -> bool:
+    @property
+    def claimants(self) -> set[places.HostId]:
+        """Return the hosts that may claim from this one."""
+        return set(self._claimants)
+
+    def admit(self, host: places.HostId, now: float) -> bool:
         """Count a newcomer among the claimants, False if there is no room."""
         if host == self._me:
             return False
-        if len(self.claimants) >= MAX_CLAIMANTS:
-            return host in self.claimants
-        self.claimants.add(host)
+        if host not in self._claimants:
+            if len(self._claimants) >= MAX_CLAIMANTS:
+                return False
+            self._claimants[host] = now
         return True
 
+    def excuse(self, host: places.HostId) -> None:
+        """Count a host no more that said it claims nothing from now on."""
+        self._claimants.pop(host, None)
+
+    def known_before(self, at: float) -> list[places.HostId]:
+        """Return the claimants that were known before a time."""
+        return [host for host, since in self._claimants.items() if since < at]
+
     def drop(self, host: places.HostId) -> None:
         """Forget a host that can't claim any more."""
-        self.claimants.discard(host)
+        self._claimants.pop(host, None)
         self._contacts.pop(host, None)
         self._asked.pop(host, None)
 
@@ -74,11 +88,14 @@
         host: places.HostId,
         reply: messages.IntroductionReply,
         now: float,
-    ) -> None:
-        """Note that a host counts this one among its claimants."""
+    ) -> float | None:
+        """Note that a host counts this one among its claimants.
+
+        Return when the request was sent, None for an unknown one.
+        """
         sent_at = self._sent.pop(reply.request_id, None)
         if sent_at is None:
-            return
+            return None
         contact = self._contacts.get(host)
         if contact is None:
             contact = Contact(now, sent_at, {})
@@ -89,6 +106,7 @@
             holder: known.get(holder, now)
             for holder in map(parse_host, reply.known_to)
         }
+        return sent_at
 
     def knows_me(self, host: places.HostId) -> bool:
         """Tell whether a host counts this one among its claimants."""
--- a/hibiscusslip/ownership/_state.py
+++ b/hibiscusslip/ownership/_state.py
@@ -95,7 +95,7 @@
         names = {
             member.host.name
             for member in self.members.values()
-            if member.alive and not member.draining
+            if member.alive and not (member.draining or member.leaving)
         }
         names.discard(self.me.name)
         if not self.draining:
@@ -120,6 +120,25 @@
         """Rank anew, as the candidates may have changed."""
         self._rankings = {}
 
+    def outlive(
+        self, host: places.HostId, asked_at: float, now: float
+    ) -> None:
+        """Mark older processes of a host that answered as gone.
+
+        A process that answers what was sent at `asked_at` lives after all
+        that was known by then, and a host runs one process at a time.
+        """
+        older = set(self.introductions.known_before(asked_at))
+        for shard in range(self.shards):
+            holding = self.ledger.latest(shard)
+            if holding is None or holding.host is None:
+                continue
+            if holding.read_at < asked_at:
+                older.add(holding.host)
+        for other in older:
+            if other.name == host.name and other != host:
+                self.mark_gone(other, now)
+
     def mark_gone(self, host: places.HostId, now: float) -> None:
         """Note the proof that a host's process has ended."""
         if host == self.me or host in self.gone:
--- a/hibiscusslip/ownership/owner.py
+++ b/hibiscusslip/ownership/owner.py
@@ -103,7 +103,7 @@
         }
         for member in state.members.values():
             if member.draining:
-                state.introductions.claimants.discard(member.host)
+                state.introductions.excuse(member.host)
         if state.candidates() != before:
             state.forget_rankings()
 
@@ -136,7 +136,11 @@
     ) -> messages.IntroductionReply | messages.Refusal:
         """Count a newcomer among the hosts that may claim."""
         state = self._state
-        if not state.introductions.admit(host):
+        if host in state.gone:
+            return messages.Refusal(
+                'gone', f'{host} has ended; start a new incarnation'
+            )
+        if not state.introductions.admit(host, now):
             return messages.Refusal(
                 'full', 'too many hosts in the zone; remove dead ones'
             )
@@ -152,7 +156,15 @@
         now: float,
     ) -> None:
         """Note that a host counts this one among those that may claim."""
-        self._state.introductions.confirmed(host, reply, now)
+        asked_at = self._state.introductions.confirmed(host, reply, now)
+        if asked_at is not None:
+            self._state.outlive(host, asked_at, now)
+
+    def on_answered(
+        self, host: places.HostId, asked_at: float, now: float
+    ) -> None:
+        """Note that a host answered a heartbeat sent at `asked_at`."""
+        self._state.outlive(host, asked_at, now)
 
     def tick(self, now: float) -> list[actions.Action]:
         """Return what to do now; call it at least once a heartbeat."""
