Run the stand-ins as processes with HTTP in front

Tests with real processes need the log, the host list and the workers outside of the process under test.

--- a/hibiscusslip/standin/memory_endpoint.py
+++ b/hibiscusslip/standin/memory_endpoint.py
@@ -10,6 +10,8 @@
 from hibiscusslip.standin import faults
 from hibiscusslip.standin import workers
 
+MAX_SLEEP_S = 60.0
+
 
 class FleetPump:
     """End runs when they are due and wake whoever waits for events."""
@@ -27,9 +29,8 @@
             self._changed.clear()
             due = self.fleet.next_due()
             self._sleeping_until = due
-            delay = due - time.monotonic()
-            timeout = delay if delay < math.inf else None
-            async with curio.ignore_after(timeout):
+            delay = min(due - time.monotonic(), MAX_SLEEP_S)
+            async with curio.ignore_after(max(delay, 0.0)):
                 await self._changed.wait()
 
     async def advance(self) -> float:
--- /dev/null
+++ b/hibiscusslip/standin/processes.py
@@ -0,0 +1,138 @@
+"""Run stand-ins as processes of their own."""
+
+import dataclasses
+import secrets
+import typing
+
+import curio
+import msgspec
+
+from hibiscusslip.http import client
+from hibiscusslip.http import limits
+from hibiscusslip.http import server
+from hibiscusslip.platform import wire as platform_wire
+from hibiscusslip.standin import exceptions
+from hibiscusslip.standin import fleet_file
+from hibiscusslip.standin import hosts_front
+from hibiscusslip.standin import log_front
+from hibiscusslip.standin import memory_endpoint
+from hibiscusslip.standin import memory_hosts
+from hibiscusslip.standin import memory_log
+from hibiscusslip.standin import streams
+from hibiscusslip.standin import wire
+from hibiscusslip.standin import worker_front
+from hibiscusslip.standin import workers
+
+REGISTER_TIMEOUT_S = 10.0
+BOOT_BYTES = 4
+WORKER_LIMITS = limits.Limits(sweep_interval=2.0, max_body_bytes=64 << 20)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlatformOptions:
+    """Hold where the platform's stand-ins listen and how they behave."""
+
+    address: str
+    log_port: int
+    hosts_port: int
+    appends_per_s: float
+    lag: float
+    retention: streams.Retention
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Bound:
+    """Name one listening stand-in."""
+
+    name: str
+    address: str
+    port: int
+
+
+Announce = typing.Callable[[list[Bound]], None]
+
+
+async def run_platform(
+    options: PlatformOptions,
+    fleet: fleet_file.FleetFile,
+    announce: Announce,
+) -> None:
+    """Serve a log and a host list until cancelled."""
+    log = memory_log.MemoryLog(options.appends_per_s, options.retention)
+    hosts = memory_hosts.MemoryHostList(options.lag)
+    for member in fleet.members:
+        hosts.table.put(0.0, member.info())
+    log_server = server.Server(log_front.LogFront(log))
+    hosts_server = server.Server(hosts_front.HostsFront(hosts))
+    address = options.address
+    log_port = await _listen(log_server, address, options.log_port)
+    hosts_port = await _listen(hosts_server, address, options.hosts_port)
+    async with curio.TaskGroup() as group:
+        await group.spawn(log_server.serve)
+        await group.spawn(hosts_server.serve)
+        announce(
+            [
+                Bound('log', address, log_port),
+                Bound('hosts', address, hosts_port),
+            ]
+        )
+    _raise_failure(group)
+
+
+async def run_workers(
+    fleet: fleet_file.FleetFile,
+    register_at: tuple[str, int] | None,
+    announce: Announce,
+) -> None:
+    """Serve all endpoints of a fleet file until cancelled."""
+    running = workers.Fleet(secrets.token_hex(BOOT_BYTES))
+    pump = memory_endpoint.FleetPump(running)
+    async with curio.TaskGroup() as group:
+        await group.spawn(pump.run)
+        bound: list[platform_wire.EndpointEntry] = []
+        for entry in fleet.endpoints:
+            worker = running.add(entry.info())
+            endpoint = memory_endpoint.MemoryEndpoint(worker, pump)
+            front = worker_front.WorkerFront(endpoint, running.violations)
+            listener = server.Server(front, WORKER_LIMITS)
+            port = await _listen(listener, entry.address, entry.port)
+            await group.spawn(listener.serve)
+            bound.append(msgspec.structs.replace(entry, port=port))
+        if register_at is not None:
+            await _register(*register_at, bound)
+        announce([Bound(e.name, e.address, e.port) for e in bound])
+    _raise_failure(group)
+
+
+def _raise_failure(group: curio.TaskGroup) -> None:
+    """Raise what ended a group; leaving the group alone hides it."""
+    if group.exception is not None:
+        raise group.exception
+
+
+async def _listen(listener: server.Server, address: str, port: int) -> int:
+    try:
+        return await listener.listen(address, port)
+    except OSError as exc:
+        raise exceptions.StandinError(
+            f'{address}:{port}: {exc}; choose a free port of this machine'
+        ) from exc
+
+
+async def _register(
+    address: str, port: int, bound: list[platform_wire.EndpointEntry]
+) -> None:
+    pool = client.Pool(address, port)
+    try:
+        response = await pool.call(
+            'POST',
+            wire.ENDPOINTS_PATH,
+            body=msgspec.json.encode(bound),
+            timeout=REGISTER_TIMEOUT_S,
+        )
+    finally:
+        await pool.close()
+    if response.status != platform_wire.STATUS_OK:
+        raise exceptions.StandinError(
+            f'the host list answered {response.status}; check its address'
+        )
