--- a/hibiscusslip/codec.py
+++ b/hibiscusslip/codec.py
@@ -15,6 +15,11 @@
     return cbor2.dumps(msgspec.to_builtins(message, builtin_types=(bytes,)))
 
 
+def encode_list(items: list[bytes]) -> bytes:
+    """Return the CBOR bytes of a list of byte strings."""
+    return cbor2.dumps(items)
+
+
 def decode(data: bytes, expected: typing.Any) -> typing.Any:
     """Return the message in `data`, checked against `expected`.
 
--- a/hibiscusslip/jobs/_opening.py
+++ b/hibiscusslip/jobs/_opening.py
@@ -28,7 +28,7 @@
     waiting = [t for t in job.tasks.values() if t.phase == model.Phase.QUEUED]
     fresh = []
     for task in waiting:
-        if task.index in job.intents:
+        if task.index in job.intents and not task.unstarted:
             leave_unknown(st, job, task, now)
         else:
             fresh.append(task)
--- a/hibiscusslip/jobs/model.py
+++ b/hibiscusslip/jobs/model.py
@@ -27,7 +27,8 @@
     """Hold one task.
 
     `lapse_at` is when a run that can't be seen has surely ended, `booked`
-    tells whether the scheduler still books its run.
+    tells whether the scheduler still books its run,
+    `unstarted` that an earlier owner proved that it did not start.
     """
 
     index: int
@@ -42,6 +43,7 @@
     lapse_at: float = 0.0
     started: bool = False
     booked: bool = True
+    unstarted: bool = False
     tried: int = 0
 
 
--- a/hibiscusslip/node/endpoint_driver.py
+++ b/hibiscusslip/node/endpoint_driver.py
@@ -33,6 +33,12 @@
         self._wake = curio.Event()
         self._next_event: int | None = None
         self._tasks = curio.TaskGroup()
+        self._in_flight = 0
+
+    @property
+    def sending(self) -> bool:
+        """Tell whether start orders wait here or are on their way."""
+        return bool(self._orders) or self._in_flight > 0
 
     def reaches(self, info: places.EndpointInfo) -> bool:
         """Tell whether the driver talks to the address of an endpoint."""
@@ -62,7 +68,9 @@
                 await self._wake.wait()
             size = min(len(self._orders), MAX_BATCH_ORDERS)
             batch = [self._orders.popleft() for _ in range(size)]
+            self._in_flight = len(batch)
             await self._send(batch)
+            self._in_flight = 0
 
     async def _send(self, batch: list[base.StartOrder]) -> None:
         """Send one batch, with the lease checked before and after."""
--- a/hibiscusslip/node/fleet.py
+++ b/hibiscusslip/node/fleet.py
@@ -9,6 +9,7 @@
 from hibiscusslip.jobs import engine as jobs_engine
 from hibiscusslip.jobs import identity
 from hibiscusslip.jobs import index as jobs_index
+from hibiscusslip.jobs import model
 from hibiscusslip.model import places
 from hibiscusslip.node import appender
 from hibiscusslip.node import clock
@@ -18,6 +19,12 @@
 from hibiscusslip.peer import messages
 from hibiscusslip.scheduler import base as scheduler_base
 
+Arrived = collections.abc.Callable[[int, int], list[model.Job]]
+
+
+def _nothing_arrived(shard: int, epoch: int) -> list[model.Job]:
+    return []
+
 
 class Fleet:
     """Start and stop shard runners and tell them what is news."""
@@ -43,6 +50,11 @@
         self._policy: scheduler_base.FleetPolicy | None = None
         self.runners: dict[int, shard_runner.ShardRunner] = {}
         self.waiting: dict[int, int] = {}
+        self._arrived: Arrived = _nothing_arrived
+
+    def set_arrived(self, arrived: 'Arrived') -> None:
+        """Tell where jobs come from that were handed over."""
+        self._arrived = arrived
 
     async def take(self, number: int, epoch: int) -> None:
         """Note a shard that is owned from now on at an epoch."""
@@ -71,6 +83,7 @@
                 await self._start(number, epoch, now)
 
     async def _start(self, number: int, epoch: int, now: float) -> None:
+        handed = self._arrived(number, epoch)
         assert self._policy is not None
         shard = places.Shard(self._cfg.zone, number)
         sched = scheduler.build(
@@ -79,7 +92,7 @@
         engine = jobs_engine.ShardEngine(
             shard, epoch, sched, self._cfg.engine, self._ids, now
         )
-        for job in self._index.jobs(number, now):
+        for job in handed + self._index.jobs(number, now):
             engine.restore(job)
         runner = shard_runner.ShardRunner(
             shard,
--- /dev/null
+++ b/hibiscusslip/node/hand_over.py
@@ -0,0 +1,165 @@
+"""Hand shards over in a planned way, and take them so."""
+
+import collections
+
+import curio
+from loguru import logger
+
+from hibiscusslip import codec
+from hibiscusslip.jobs import handover
+from hibiscusslip.jobs import model
+from hibiscusslip.model import places
+from hibiscusslip.node import clock
+from hibiscusslip.node import fleet
+from hibiscusslip.node import shard_runner
+from hibiscusslip.ownership import actions
+from hibiscusslip.ownership import owner
+from hibiscusslip.peer import base as peer_base
+from hibiscusslip.peer import exceptions as peer_exceptions
+from hibiscusslip.peer import messages
+
+MAX_PART_BYTES = 256 * 1024
+MAX_PARTS = 4096
+MAX_TRANSFERS = 64
+PART_TIMEOUT_SECONDS = 5.0
+SENDS_TIMEOUT_SECONDS = 5.0
+COMMIT_TRIES = 40
+COMMIT_PAUSE_SECONDS = 0.05
+
+
+class HandOvers:
+    """Send and receive the state of shards."""
+
+    def __init__(
+        self,
+        ownership: owner.Ownership,
+        shards: fleet.Fleet,
+        peers: peer_base.Peers,
+    ) -> None:
+        self._ownership = ownership
+        self._fleet = shards
+        self._peers = peers
+        self._parts: collections.OrderedDict[str, dict[int, bytes]] = (
+            collections.OrderedDict()
+        )
+        self._arrived: dict[tuple[int, int], list[model.Job]] = {}
+        self._under_way: set[int] = set()
+
+    async def give(self, shard: int, successor: places.HostId) -> bool:
+        """Hand a shard over; False when it stays here."""
+        runner = self._fleet.runners.get(shard)
+        if runner is None or shard in self._under_way:
+            return False
+        plan = self._ownership.plan_hand_over(shard, successor, clock.now())
+        if isinstance(plan, actions.HandOverRefused):
+            logger.info('shard {} stays: {}', shard, plan.reason)
+            return False
+        self._under_way.add(shard)
+        try:
+            return await self._carry_out(runner, plan)
+        finally:
+            self._under_way.discard(shard)
+
+    async def _carry_out(
+        self, runner: shard_runner.ShardRunner, plan: actions.HandOverPlan
+    ) -> bool:
+        runner.frozen = True
+        sent = await runner.wait_sends(SENDS_TIMEOUT_SECONDS)
+        if sent and await self._send_state(runner, plan):
+            if await self._commit(plan):
+                return True
+        if self._ownership.cancel_hand_over(plan):
+            runner.frozen = False
+            await runner.changed()
+        return False
+
+    async def _send_state(
+        self, runner: shard_runner.ShardRunner, plan: actions.HandOverPlan
+    ) -> bool:
+        """Send all jobs of a shard, part by part, each one confirmed."""
+        jobs = [handover.pack(job) for job in runner.engine.jobs.values()]
+        parts = _group(jobs)
+        for number, part in enumerate(parts):
+            body = messages.HandOver(
+                plan.transfer_id,
+                plan.shard,
+                plan.epoch,
+                number,
+                len(parts),
+                part,
+            )
+            if not await self._send_part(plan.successor, body):
+                return False
+        return True
+
+    async def _send_part(
+        self, successor: places.HostId, body: messages.HandOver
+    ) -> bool:
+        try:
+            reply = await self._peers.call(
+                successor.name,
+                body,
+                PART_TIMEOUT_SECONDS,
+                incarnation=successor.incarnation,
+            )
+        except peer_exceptions.PeerError as exc:
+            logger.warning('hand-over to {} failed: {}', successor, exc)
+            return False
+        return isinstance(reply, messages.Done)
+
+    async def _commit(self, plan: actions.HandOverPlan) -> bool:
+        """Commit once no renewal of the shard is in flight."""
+        for _ in range(COMMIT_TRIES):
+            refused = self._ownership.commit_hand_over(plan, clock.now())
+            if refused is None:
+                return True
+            await curio.sleep(COMMIT_PAUSE_SECONDS)
+        return False
+
+    async def take_part(
+        self, sender: places.HostId, body: messages.HandOver
+    ) -> messages.PeerMessage:
+        """Take one part of a shard's state."""
+        if not 0 <= body.part < body.parts <= MAX_PARTS:
+            return messages.Refusal('malformed', 'no such part')
+        parts = self._parts.setdefault(body.transfer_id, {})
+        parts[body.part] = body.state
+        while len(self._parts) > MAX_TRANSFERS:
+            self._parts.popitem(last=False)
+        if len(parts) == body.parts:
+            self._arrive(body, parts)
+        return messages.Done()
+
+    def _arrive(
+        self, body: messages.HandOver, parts: dict[int, bytes]
+    ) -> None:
+        """Keep a shard's whole state for the moment the shard is ours."""
+        now = clock.now()
+        jobs = [
+            handover.unpack(data, now)
+            for number in sorted(parts)
+            for data in codec.decode(parts[number], list[bytes])
+        ]
+        # The transfer record makes the epoch grow by one.
+        self._arrived[(body.shard, body.epoch + 1)] = jobs
+        while len(self._arrived) > MAX_TRANSFERS:
+            del self._arrived[next(iter(self._arrived))]
+        self._parts.pop(body.transfer_id, None)
+        self._ownership.on_hand_over_received(body.transfer_id, now)
+
+    def arrived(self, shard: int, epoch: int) -> list[model.Job]:
+        """Return and forget the jobs handed over for an epoch."""
+        return self._arrived.pop((shard, epoch), [])
+
+
+def _group(jobs: list[bytes]) -> list[bytes]:
+    """Return the jobs in parts of a bounded size, at least one."""
+    groups: list[list[bytes]] = [[]]
+    size = 0
+    for job in jobs:
+        if groups[-1] and size + len(job) > MAX_PART_BYTES:
+            groups.append([])
+            size = 0
+        groups[-1].append(job)
+        size += len(job)
+    return [codec.encode_list(group) for group in groups]
--- /dev/null
+++ b/hibiscusslip/node/neighbours.py
@@ -0,0 +1,129 @@
+"""Keep in touch with the other entry hosts of the region."""
+
+import collections.abc
+
+import curio
+from loguru import logger
+
+from hibiscusslip.membership import members as members_
+from hibiscusslip.model import places
+from hibiscusslip.node import clock
+from hibiscusslip.node import config
+from hibiscusslip.node import fleet
+from hibiscusslip.ownership import owner
+from hibiscusslip.peer import base as peer_base
+from hibiscusslip.peer import exceptions as peer_exceptions
+from hibiscusslip.peer import messages
+from hibiscusslip.platform import base as platform_base
+from hibiscusslip.routing import directory
+
+TICK_SECONDS = 0.1
+BEAT_TIMEOUT_SECONDS = 1.5
+
+HeardVersion = collections.abc.Callable[
+    [str, int], collections.abc.Awaitable[None]
+]
+
+
+class Neighbours:
+    """Send and answer heartbeats, and pass on what they tell."""
+
+    def __init__(
+        self,
+        cfg: config.NodeConfig,
+        members: members_.Members,
+        ownership: owner.Ownership,
+        shards: fleet.Fleet,
+        owners: directory.ShardDirectory,
+        peers: peer_base.Peers,
+        heard_version: HeardVersion,
+    ) -> None:
+        self._cfg = cfg
+        self._members = members
+        self._ownership = ownership
+        self._fleet = shards
+        self._owners = owners
+        self._peers = peers
+        self._heard_version = heard_version
+        self.address = ''
+        self.port = 0
+        self.versions: dict[str, int] = {}
+
+    async def run(self) -> None:
+        """Send heartbeats until cancelled."""
+        while True:
+            now = clock.now()
+            for beat in self._members.tick(now):
+                await curio.spawn(self._beat, beat, daemon=True)
+            self._ownership.set_members(self._members.members(now), now)
+            self._owners.learn(self._cfg.me.name, self._fleet.loads(), now)
+            await curio.sleep(TICK_SECONDS)
+
+    async def _beat(self, beat: members_.Beat) -> None:
+        """Send one heartbeat and take in its answer."""
+        self._peers.set_address(beat.name, beat.address, beat.port)
+        body = messages.Heartbeat(
+            beat.number,
+            self._ownership.draining,
+            self._fleet.policy_version,
+            self._fleet.loads(),
+            beat.known_hosts,
+            self._cfg.zone,
+            self.address,
+            self.port,
+        )
+        try:
+            ack = await self._peers.call(beat.name, body, BEAT_TIMEOUT_SECONDS)
+        except peer_exceptions.PeerError as exc:
+            logger.trace('{}: no heartbeat: {}', beat.name, exc)
+            return
+        if isinstance(ack, messages.HeartbeatAck):
+            incarnation = self._peers.incarnation_of(beat.name)
+            sender = places.HostId(beat.name, incarnation)
+            await self._take_ack(sender, ack)
+
+    async def _take_ack(
+        self, sender: places.HostId, ack: messages.HeartbeatAck
+    ) -> None:
+        now = clock.now()
+        answered = self._members.on_ack(sender, ack, now)
+        if answered is None:
+            return
+        for ended in answered.ended:
+            self._ownership.on_gone(ended, now)
+        self._owners.learn(sender.name, ack.loads, now)
+        self.versions[sender.name] = ack.config_version
+        await self._heard_version(sender.name, ack.config_version)
+
+    async def answer(
+        self, sender: places.HostId, body: messages.Heartbeat
+    ) -> messages.PeerMessage:
+        """Answer a heartbeat."""
+        now = clock.now()
+        self._members.on_heartbeat(
+            sender, body.zone, body.address, body.port, body, now
+        )
+        self._owners.learn(sender.name, body.loads, now)
+        self.versions[sender.name] = body.config_version
+        await self._heard_version(sender.name, body.config_version)
+        return messages.HeartbeatAck(
+            body.number,
+            self._ownership.draining,
+            self._fleet.policy_version,
+            self._fleet.loads(),
+            self._members.known_hosts(now),
+        )
+
+    def take_listing(self, listing: platform_base.HostListing) -> None:
+        """Take the host list as a hint, and as proof of who has ended."""
+        now = clock.now()
+        hosts = [h for h in listing.entry_hosts if h.zone in self._cfg.zones]
+        for ended in self._members.on_listing(hosts, now):
+            self._ownership.on_gone(ended, now)
+
+    def joined(self, host: places.HostId, address: str, port: int) -> None:
+        """Take a host of this zone that the log tells of."""
+        if host.name != self._cfg.me.name:
+            self._members.on_joined(
+                host, self._cfg.zone, address, port, clock.now()
+            )
--- a/hibiscusslip/node/peer_handler.py
+++ b/hibiscusslip/node/peer_handler.py
@@ -1,6 +1,7 @@
 """Answer the calls of other entry hosts."""
 
 import collections.abc
+import typing
 
 from hibiscusslip import codec
 from hibiscusslip.jobs import exceptions as job_exceptions
@@ -14,7 +15,7 @@
 from hibiscusslip.records import job as job_records
 
 Answer = collections.abc.Callable[
-    [places.HostId, messages.PeerMessage],
+    [places.HostId, typing.Any],
     collections.abc.Awaitable[messages.PeerMessage],
 ]
 
--- a/hibiscusslip/node/shard_runner.py
+++ b/hibiscusslip/node/shard_runner.py
@@ -18,6 +18,7 @@
 from hibiscusslip.records import zone as zone_records
 
 TICK_SECONDS = 0.1
+SEND_POLL_SECONDS = 0.01
 MAX_RECORD_WAITS = 4096
 
 EndpointFactory = collections.abc.Callable[
@@ -115,6 +116,15 @@
         self._drivers[info.name] = driver
         await driver.start()
 
+    async def wait_sends(self, timeout: float) -> bool:
+        """Wait until no start order is on its way; False when too long."""
+        due = clock.now() + timeout
+        while any(d.sending for d in self._drivers.values()):
+            if clock.now() >= due:
+                return False
+            await curio.sleep(SEND_POLL_SECONDS)
+        return True
+
     async def _carry_out(self) -> None:
         """Carry out what the engine wants."""
         for command in self.engine.take_commands():
--- a/hibiscusslip/peer/messages.py
+++ b/hibiscusslip/peer/messages.py
@@ -35,6 +35,9 @@
     config_version: int
     loads: list[ShardLoad]
     known_hosts: list['KnownHost']
+    zone: str = ''
+    address: str = ''
+    port: int = 0
 
 
 class KnownHost(msgspec.Struct, frozen=True):
