Take configurations into force by log order

Cause: operators race, answers get lost, the log forgets, and an accepted configuration must never be reverted. Conclusion: holds against a fold over the whole log in a stateful test with late appends, trimming, fresh readers and passing on.

--- a/hibiscusslip/configuration/__init__.py
+++ b/hibiscusslip/configuration/__init__.py
@@ -1,1 +1,23 @@
 """Publish configurations and take them into force."""
+
+from hibiscusslip.configuration import _policy
+from hibiscusslip.configuration import _publishing
+from hibiscusslip.configuration import _records
+from hibiscusslip.configuration import _tracker
+from hibiscusslip.configuration import _view
+
+Accepted = _publishing.Accepted
+ConfigRecord = _records.ConfigRecord
+ConfigSnapshot = _records.ConfigSnapshot
+Configurations = _tracker.Configurations
+LogView = _view.LogView
+LostRace = _publishing.LostRace
+NotPublished = _publishing.NotPublished
+Publication = _publishing.Publication
+Unsettled = _publishing.Unsettled
+decode = _records.decode
+encode = _records.encode
+make_record = _records.make
+publish = _publishing.publish
+read_on = _publishing.read_on
+to_policy = _policy.to_policy
--- /dev/null
+++ b/tests/configuration/test_configurations.py
@@ -0,0 +1,242 @@
+"""Check trackers of the configuration against a simple oracle."""
+
+import random
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+import pytest
+
+from hibiscusslip import codec
+import hibiscusslip.configuration as configuration
+from hibiscusslip.model import work
+import hibiscusslip.sheet as sheet
+
+RETENTION = 90.0
+MAX_READERS = 4
+
+
+def sheet_of(share):
+    """Return a sheet with one kind."""
+    row = sheet.Share('web', share, 1.0, work.Urgency.NORMAL, True)
+    return sheet.Sheet((row,), (), ())
+
+
+def record_of(number, made_from, after_gap=False):
+    """Return a configuration record."""
+    return configuration.make_record(
+        f'r{number}', made_from, 'ann', sheet_of(0.5), 0.0, after_gap
+    )
+
+
+def tracker_of(*records):
+    """Return a tracker that has read the records from offset 0."""
+    tracker = configuration.Configurations(RETENTION, random.Random(1))
+    for offset, record in enumerate(records):
+        tracker.on_record(offset, configuration.encode(record), 0.0)
+    tracker.on_caught_up(0.0)
+    return tracker
+
+
+class Oracle:
+    """Hold the whole log and decide by a fold over it."""
+
+    def __init__(self):
+        self.log = []
+        self.first = 0
+
+    def valid_at(self, offset):
+        """Return the latest valid record up to and with an offset."""
+        latest = None
+        for record in self.log[: offset + 1]:
+            version = latest.version if latest else 0
+            plain = isinstance(record, configuration.ConfigRecord)
+            if plain and record.made_from == version:
+                latest = record
+        return latest
+
+    def ever_valid(self):
+        """Return the ids of all records that were valid once."""
+        found = {self.valid_at(offset) for offset in range(len(self.log))}
+        return {record.record_id for record in found if record}
+
+
+class Machine(stateful.RuleBasedStateMachine):
+    """Publish, delay, trim, read and pass on in any order."""
+
+    def __init__(self):
+        super().__init__()
+        self.oracle = Oracle()
+        self.readers = [tracker_of()]
+        self.highest = [0]
+        self.in_flight = []
+        self.number = 0
+
+    def reader(self, pick):
+        """Return one of the readers."""
+        return self.readers[pick % len(self.readers)]
+
+    @stateful.rule(pick=st.integers(0, 9), late=st.booleans())
+    def publish(self, pick, late):
+        """Publish from what a reader holds; it may land much later."""
+        view = self.reader(pick).view()
+        if view.anchored:
+            self.number += 1
+            self.send(record_of(self.number, view.version), late)
+
+    @stateful.rule(pick=st.integers(0, 9), late=st.booleans())
+    def keep(self, pick, late):
+        """Append the version in force again, whether due or not."""
+        tracker = self.reader(pick)
+        if tracker.current is not None:
+            data = tracker.make_snapshot('s', 0.0)
+            self.send(configuration.decode(data), late)
+
+    def send(self, record, late):
+        """Append a record now or keep it in flight."""
+        if late:
+            self.in_flight.append(record)
+        else:
+            self.oracle.log.append(record)
+
+    @stateful.rule(pick=st.integers(0, 9))
+    def land(self, pick):
+        """Have an append take effect late."""
+        if self.in_flight:
+            record = self.in_flight.pop(pick % len(self.in_flight))
+            self.oracle.log.append(record)
+
+    @stateful.rule(count=st.integers(1, 4))
+    def trim(self, count):
+        """Forget the oldest records."""
+        self.oracle.first = min(
+            self.oracle.first + count, len(self.oracle.log)
+        )
+
+    @stateful.rule(pick=st.integers(0, 9), limit=st.integers(1, 9))
+    def read(self, pick, limit):
+        """Have a reader read on, maybe to the end."""
+        tracker = self.reader(pick)
+        tracker.on_trimmed(self.oracle.first, 0.0)
+        start = tracker.next_offset
+        for offset in range(start, min(start + limit, len(self.oracle.log))):
+            data = configuration.encode(self.oracle.log[offset])
+            tracker.on_record(offset, data, 0.0)
+        if tracker.next_offset >= len(self.oracle.log):
+            tracker.on_caught_up(0.0)
+
+    @stateful.rule(giver=st.integers(0, 9), taker=st.integers(0, 9))
+    def pass_on(self, giver, taker):
+        """Have a reader pass its version on to another."""
+        source = self.reader(giver)
+        if source.current is not None:
+            data = configuration.encode(source.current)
+            self.reader(taker).on_passed_on(
+                source.version, source.offset, data, 0.0
+            )
+
+    @stateful.rule(pick=st.integers(0, 9))
+    def replace(self, pick):
+        """Start a reader that knows nothing, maybe in place of one."""
+        tracker = configuration.Configurations(RETENTION, random.Random(2))
+        if len(self.readers) < MAX_READERS:
+            self.readers.append(tracker)
+            self.highest.append(0)
+        else:
+            self.readers[pick % MAX_READERS] = tracker
+            self.highest[pick % MAX_READERS] = 0
+
+    @stateful.invariant()
+    def in_force_was_valid_and_never_reverts(self):
+        """Compare what is in force with the oracle."""
+        valid = self.oracle.ever_valid()
+        for index, tracker in enumerate(self.readers):
+            assert tracker.version >= self.highest[index]
+            self.highest[index] = tracker.version
+            if tracker.current is not None:
+                assert tracker.current.record_id in valid
+
+    @stateful.invariant()
+    def anchored_views_agree_with_the_whole_log(self):
+        """Compare each anchored view with the fold at its offset."""
+        for tracker in self.readers:
+            view = tracker.view()
+            if view.anchored:
+                latest = view.latest.config if view.latest else None
+                assert latest == self.oracle.valid_at(view.next_offset - 1)
+
+
+Machine.TestCase.settings = hypothesis.settings(
+    derandomize=True,
+    deadline=None,
+    max_examples=200,
+    stateful_step_count=60,
+)
+TestMachine = Machine.TestCase
+
+
+def test_first_in_log_order_wins_and_higher_versions_only():
+    tracker = tracker_of(record_of(1, 0), record_of(2, 0), record_of(3, 1))
+    assert (tracker.version, tracker.current.record_id) == (2, 'r3')
+
+
+def test_nothing_is_in_force_before_the_log_is_read_to_its_end():
+    tracker = configuration.Configurations(RETENTION, random.Random(1))
+    data = configuration.encode(record_of(1, 0))
+    assert not tracker.on_record(0, data, 0.0)
+    assert tracker.current is None
+    assert tracker.on_caught_up(0.0)
+    assert tracker.version == 1
+
+
+def test_bytes_that_are_no_record_are_skipped_and_counted():
+    tracker = tracker_of()
+    tracker.on_record(0, b'\xff', 0.0)
+    assert (tracker.malformed, tracker.next_offset) == (1, 1)
+
+
+def test_passed_on_record_must_be_what_it_says():
+    with pytest.raises(codec.CodecError, match='ask another host'):
+        tracker_of().on_passed_on(
+            9, 0, configuration.encode(record_of(1, 0)), 0.0
+        )
+
+
+def test_version_is_kept_before_the_log_forgets_it():
+    tracker = tracker_of(record_of(1, 0))
+    due = next(n for n in range(99) if tracker.snapshot_due(float(n)))
+    assert due <= RETENTION / 3
+    snapshot = tracker.make_snapshot('s', float(due))
+    assert not tracker.snapshot_due(due + RETENTION / 3 - 1)
+    assert tracker.snapshot_due(due + RETENTION * 2 / 3)
+    fresh = configuration.Configurations(RETENTION, random.Random(2))
+    fresh.on_trimmed(1, 0.0)
+    fresh.on_record(1, snapshot, 0.0)
+    fresh.on_caught_up(0.0)
+    assert (fresh.version, fresh.anchored) == (1, True)
+
+
+def test_snapshot_by_another_host_puts_the_next_one_off():
+    tracker = tracker_of(record_of(1, 0))
+    other = tracker_of(record_of(1, 0))
+    tracker.on_record(1, other.make_snapshot('s', 0.0), 40.0)
+    assert not tracker.snapshot_due(40.0 + RETENTION / 3 - 1)
+
+
+def test_operator_restarts_the_sequence_after_a_gap():
+    tracker = tracker_of(record_of(1, 0))
+    tracker.on_trimmed(5, 0.0)
+    assert (tracker.version, tracker.anchored) == (1, False)
+    tracker.on_record(5, configuration.encode(record_of(6, 1)), 0.0)
+    assert (tracker.version, tracker.anchored) == (1, False)
+    tracker.on_record(6, configuration.encode(record_of(7, 1, True)), 0.0)
+    assert (tracker.current.record_id, tracker.anchored) == ('r7', True)
+
+
+def test_policy_carries_shares_and_quotas():
+    quota = sheet.Quota('red', 1000, 2048, 3, 2.0)
+    content = sheet.Sheet(sheet_of(0.5).shares, (quota,), ())
+    policy = configuration.to_policy(content, 7)
+    assert policy.version == 7
+    assert policy.shares['web'].guarantee == 0.5
+    assert policy.quotas['red'].limit.memory_mb == 2048
