--- a/hibiscusslip/peer/_channel.py
+++ b/hibiscusslip/peer/_channel.py
@@ -140,7 +140,8 @@
         out = Outgoing(data)
         self._outbox.append(out)
         self._outbox_bytes += len(data)
-        await self._wake.set()
+        if not self._wake.is_set():
+            await self._wake.set()
         return out
 
     async def write_queued(self) -> None:
