--- /dev/null
+++ b/hibiscusslip/node/config_feed.py
@@ -0,0 +1,137 @@
+"""Follow the configuration, from the log and from neighbours."""
+
+import collections.abc
+import random
+
+import curio
+from loguru import logger
+
+from hibiscusslip import codec
+from hibiscusslip import configuration
+from hibiscusslip.model import places
+from hibiscusslip.node import clock
+from hibiscusslip.peer import base as peer_base
+from hibiscusslip.peer import exceptions as peer_exceptions
+from hibiscusslip.peer import messages
+from hibiscusslip.platform import base
+from hibiscusslip.platform import exceptions
+from hibiscusslip.records import zone as zone_records
+
+READ_LIMIT_RECORDS = 100
+READ_WAIT_SECONDS = 1.0
+RETRY_SECONDS = 0.3
+FETCH_TIMEOUT_SECONDS = 2.0
+
+InForce = collections.abc.Callable[
+    [configuration.ConfigRecord], collections.abc.Awaitable[None]
+]
+
+
+class ConfigFeed:
+    """Keep the newest configuration in force; never go back."""
+
+    def __init__(
+        self,
+        log: base.Log,
+        peers: peer_base.Peers,
+        retention: float,
+        rng: random.Random,
+        ids: collections.abc.Iterator[str],
+        in_force: InForce,
+    ) -> None:
+        self._log = log
+        self._peers = peers
+        self._ids = ids
+        self._in_force = in_force
+        self._fetching: set[str] = set()
+        self.configurations = configuration.Configurations(retention, rng)
+
+    async def run(self) -> None:
+        """Read the configuration's stream until cancelled."""
+        while True:
+            known = self.configurations
+            try:
+                batch = await self._log.read(
+                    zone_records.CONFIG_STREAM,
+                    known.next_offset,
+                    READ_LIMIT_RECORDS,
+                    READ_WAIT_SECONDS,
+                )
+            except exceptions.RecordsTrimmed as exc:
+                known.on_trimmed(exc.first, clock.now())
+                continue
+            except exceptions.PlatformError:
+                await curio.sleep(RETRY_SECONDS)
+                continue
+            await self._take(batch)
+
+    async def _take(self, batch: base.ReadBatch) -> None:
+        known = self.configurations
+        now = clock.now()
+        came = False
+        for record in batch.records:
+            came |= known.on_record(record.offset, record.data, now)
+        if known.next_offset >= batch.end_offset:
+            came |= known.on_caught_up(now)
+        if came:
+            await self._announce()
+        if known.snapshot_due(now):
+            await self._keep(known.make_snapshot(next(self._ids), now))
+
+    async def _announce(self) -> None:
+        """Put the newest configuration into force on this host."""
+        current = self.configurations.current
+        if current is not None:
+            logger.info('configuration {} is in force', current.version)
+            await self._in_force(current)
+
+    async def _keep(self, data: bytes) -> None:
+        """Write the configuration anew, ahead of the log's retention."""
+        try:
+            await self._log.append(zone_records.CONFIG_STREAM, [data])
+        except exceptions.PlatformError as exc:
+            logger.warning('the configuration was not kept anew: {}', exc)
+
+    async def heard_version(self, host: str, version: int) -> None:
+        """Fetch a configuration that a neighbour has and this host hasn't."""
+        if version <= self.configurations.version or host in self._fetching:
+            return
+        self._fetching.add(host)
+        await curio.spawn(self._fetch, host, daemon=True)
+
+    async def _fetch(self, host: str) -> None:
+        query = messages.ConfigQuery(self.configurations.version)
+        try:
+            reply = await self._peers.call(host, query, FETCH_TIMEOUT_SECONDS)
+        except peer_exceptions.PeerError:
+            return
+        finally:
+            self._fetching.discard(host)
+        if isinstance(reply, messages.ConfigState) and reply.record:
+            await self._take_passed_on(host, reply)
+
+    async def _take_passed_on(
+        self, host: str, state: messages.ConfigState
+    ) -> None:
+        try:
+            came = self.configurations.on_passed_on(
+                state.version, state.offset, state.record, clock.now()
+            )
+        except codec.CodecError as exc:
+            logger.error('{} passed on a bad configuration: {}', host, exc)
+            return
+        if came:
+            await self._announce()
+
+    async def answer(
+        self, sender: places.HostId, body: messages.ConfigQuery
+    ) -> messages.PeerMessage:
+        """Pass the configuration in force on to a neighbour."""
+        current = self.configurations.current
+        if current is None or current.version <= body.above:
+            return messages.ConfigState(0, -1, b'')
+        return messages.ConfigState(
+            current.version,
+            self.configurations.offset,
+            codec.encode(current),
+        )
--- /dev/null
+++ b/hibiscusslip/node/node.py
@@ -0,0 +1,255 @@
+"""Wire decisions, peers and the platform together on one loop."""
+
+import dataclasses
+import random
+
+import curio
+from loguru import logger
+
+from hibiscusslip import codec
+from hibiscusslip import configuration
+from hibiscusslip.jobs import engine as jobs_engine
+from hibiscusslip.jobs import index as jobs_index
+from hibiscusslip.membership import members as members_
+from hibiscusslip.membership import pacing
+from hibiscusslip.model import places
+from hibiscusslip.model import work
+from hibiscusslip.node import acceptor
+from hibiscusslip.node import appender
+from hibiscusslip.node import clock
+from hibiscusslip.node import config
+from hibiscusslip.node import config_feed
+from hibiscusslip.node import fleet
+from hibiscusslip.node import hand_over
+from hibiscusslip.node import home
+from hibiscusslip.node import neighbours
+from hibiscusslip.node import ownership_driver
+from hibiscusslip.node import peer_handler
+from hibiscusslip.node import remote_home
+from hibiscusslip.node import shard_runner
+from hibiscusslip.node import zone_feed
+from hibiscusslip.ownership import actions
+from hibiscusslip.ownership import owner
+from hibiscusslip.peer import base as peer_base
+from hibiscusslip.peer import messages
+from hibiscusslip.platform import base as platform_base
+from hibiscusslip.platform import exceptions as platform_exceptions
+from hibiscusslip.records import zone as zone_records
+from hibiscusslip.routing import choice
+from hibiscusslip.routing import directory
+
+MAX_LOAD_AGE_SECONDS = 10.0
+READY_POLL_SECONDS = 0.05
+GIVE_AWAY_PAUSE_SECONDS = 0.2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Parts:
+    """Hold the ways out of the node; tests put fakes here."""
+
+    log: platform_base.Log
+    host_list: platform_base.HostList
+    peers: peer_base.Peers
+    connect: shard_runner.EndpointFactory
+    retention: float
+
+
+class Node(zone_feed.Seen, ownership_driver.ShardEvents):
+    """Be one entry host of the system."""
+
+    def __init__(
+        self, cfg: config.NodeConfig, parts: Parts, rng: random.Random
+    ) -> None:
+        self.cfg = cfg
+        self._parts = parts
+        self._rng = rng
+        now = clock.now()
+        self.ids = jobs_engine.record_ids(str(cfg.me))
+        self.index = jobs_index.JobIndex(
+            cfg.max_ended_jobs, cfg.max_ended_bytes
+        )
+        self.ownership = owner.Ownership(
+            cfg.me, cfg.zone, cfg.shards_per_zone, cfg.timing, rng, now
+        )
+        stream = zone_records.stream_of(cfg.zone)
+        self.writer = appender.Appender(parts.log, stream, self._refused)
+        self.fleet = fleet.Fleet(
+            cfg,
+            self.ownership,
+            self.index,
+            self.writer,
+            parts.connect,
+            self.ids,
+            rng,
+        )
+        self.feed = zone_feed.ZoneFeed(
+            parts.log, cfg.zone, self.ownership, self.index, self
+        )
+        self.driver = ownership_driver.OwnershipDriver(
+            self.ownership,
+            parts.log,
+            stream,
+            parts.peers,
+            self,
+            self.index,
+            self.writer,
+            self.ids,
+            cfg.me,
+        )
+        self.owners = directory.ShardDirectory(len(cfg.shards))
+        self.home = home.Home(self.fleet.runners)
+        calls = remote_home.HomeCalls(cfg.me.name, self.home, parts.peers)
+        self.acceptor = acceptor.Acceptor(
+            calls, self.owners, self._find_owner, self._choose_home, rng
+        )
+        self.config = config_feed.ConfigFeed(
+            parts.log,
+            parts.peers,
+            parts.retention,
+            rng,
+            self.ids,
+            self._in_force,
+        )
+        self.hand_overs = hand_over.HandOvers(
+            self.ownership, self.fleet, parts.peers
+        )
+        self.fleet.set_arrived(self.hand_overs.arrived)
+        self.members = members_.Members(
+            cfg.me, cfg.zone, pacing.Pacing(), rng, now
+        )
+        self.neighbours = neighbours.Neighbours(
+            cfg,
+            self.members,
+            self.ownership,
+            self.fleet,
+            self.owners,
+            parts.peers,
+            self.config.heard_version,
+        )
+        self.handler = self._make_handler()
+        self._tasks = curio.TaskGroup()
+
+    def _make_handler(self) -> peer_handler.PeerHandler:
+        handler = peer_handler.PeerHandler(self.home, self.ownership)
+        handler.add(messages.Heartbeat, self.neighbours.answer)
+        handler.add(messages.ConfigQuery, self.config.answer)
+        handler.add(messages.HandOver, self.hand_overs.take_part)
+        return handler
+
+    async def start(self, address: str, port: int) -> None:
+        """Start all loops; other hosts reach this one at the address."""
+        self.neighbours.address = address
+        self.neighbours.port = port
+        loops = (
+            self.feed.run,
+            self.writer.run,
+            self.driver.run,
+            self.config.run,
+            self.neighbours.run,
+            self._follow_host_list,
+            self._start_ready_shards,
+        )
+        for loop in loops:
+            await self._tasks.spawn(loop)
+        joined = zone_records.Joined(
+            next(self.ids),
+            self.cfg.me.name,
+            self.cfg.me.incarnation,
+            address,
+            port,
+        )
+        await self.writer.add(joined.record_id, codec.encode(joined))
+
+    async def stop(self) -> None:
+        """Stop all loops at once, as a crash would, but tidily."""
+        await self._tasks.cancel_remaining()
+        await self.fleet.stop()
+
+    async def drain(self, grace: float) -> bool:
+        """Hand all shards over; False when some are left after `grace` s."""
+        self.ownership.drain(clock.now())
+        due = clock.now() + grace
+        while self.fleet.runners or self.fleet.waiting:
+            if clock.now() >= due:
+                return False
+            await curio.sleep(GIVE_AWAY_PAUSE_SECONDS)
+        return True
+
+    async def _follow_host_list(self) -> None:
+        while True:
+            try:
+                listing = await self._parts.host_list.fetch()
+            except platform_exceptions.PlatformError as exc:
+                logger.debug('no host list: {}', exc)
+            else:
+                self.neighbours.take_listing(listing)
+                await self.fleet.set_endpoints(listing.endpoints)
+            await curio.sleep(self.cfg.host_list_interval)
+
+    async def _start_ready_shards(self) -> None:
+        while True:
+            await self.fleet.start_ready()
+            await curio.sleep(READY_POLL_SECONDS)
+
+    async def _in_force(self, record: configuration.ConfigRecord) -> None:
+        policy = configuration.to_policy(record.sheet, record.version)
+        await self.fleet.set_policy(policy)
+
+    async def _refused(self, record_ids: list[str]) -> None:
+        for runner in list(self.fleet.runners.values()):
+            await runner.records_refused(record_ids)
+
+    async def record_seen(
+        self, record: zone_records.ZoneRecord, valid: bool
+    ) -> None:
+        """Take a record of the zone's stream and whether it counts."""
+        self.writer.read_back(record.record_id)
+        if isinstance(record, zone_records.Joined):
+            host = places.HostId(record.host, record.incarnation)
+            self.neighbours.joined(host, record.address, record.port)
+        if isinstance(record, zone_feed.JOB_RECORDS):
+            runner = self.fleet.runners.get(record.shard)
+            if runner is not None:
+                await runner.record_seen(record.record_id, valid)
+
+    async def caught_up(self) -> None:
+        """Take that the stream was read to its end."""
+        await self.driver.tick()
+
+    async def took_over(self, action: actions.TookOver) -> None:
+        """Start to act for a shard once its waits are over."""
+        await self.fleet.take(action.shard, action.epoch)
+
+    async def lost(self, action: actions.LostShard) -> None:
+        """Stop to act for a shard."""
+        await self.fleet.drop(action.shard)
+
+    async def better_elsewhere(self, action: actions.SuggestHandOver) -> None:
+        """Hand a shard over in a planned way."""
+        await curio.spawn(
+            self.hand_overs.give, action.shard, action.successor, daemon=True
+        )
+
+    async def hand_over_failed(self, action: actions.HandOverFailed) -> None:
+        """Act on for a shard whose hand-over had no effect."""
+        runner = self.fleet.runners.get(action.shard)
+        if runner is not None:
+            runner.frozen = False
+            await runner.changed()
+
+    def _find_owner(self, shard: places.Shard) -> str | None:
+        """Return the host that owns a shard, as far as is known here."""
+        if shard.zone == self.cfg.zone:
+            runner = self.fleet.runners.get(shard.number)
+            if runner is not None and runner.may_act(clock.now()):
+                return self.cfg.me.name
+        known = self.owners.owner(shard)
+        return None if known is None else known.host
+
+    def _choose_home(
+        self, spec: work.JobSpec, tried: frozenset[places.Shard]
+    ) -> places.Shard | None:
+        """Choose a home for a request without a key."""
+        fresh = self.owners.fresh(clock.now(), MAX_LOAD_AGE_SECONDS)
+        loads = [owner_.load for owner_ in fresh]
+        return choice.choose(loads, spec, self.cfg.zone, tried, self._rng)
