--- a/hibiscusslip/http/_connection.py
+++ b/hibiscusslip/http/_connection.py
@@ -7,6 +7,8 @@
 import typing
 import urllib.parse
 
+import curio
+import curio.meta
 import h11
 from loguru import logger
 
@@ -245,9 +247,15 @@
     async def _stream(
         self, out: bytes, body: typing.Any, silent: bool
     ) -> None:
+        async with curio.meta.finalize(body) as pieces:
+            if not silent:
+                out = await self._send_pieces(out, pieces)
+        await self._write(out + self._conn.send(h11.EndOfMessage()))
+
+    async def _send_pieces(self, out: bytes, pieces: typing.Any) -> bytes:
         try:
-            async for piece in body:
-                if piece and not silent:
+            async for piece in pieces:
+                if piece:
                     out += self._conn.send(h11.Data(data=piece))
                     await self._write(out)
                     out = b''
@@ -256,7 +264,7 @@
         except Exception as exc:
             logger.exception('a streamed response failed')
             raise exceptions.DropConnection('stream failed') from exc
-        await self._write(out + self._conn.send(h11.EndOfMessage()))
+        return out
 
     async def _write(self, data: bytes) -> None:
         timeout = self._limits.write_timeout
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test the project."""
--- /dev/null
+++ b/tests/faults/__init__.py
@@ -0,0 +1,1 @@
+"""Help tests to run real processes and to break what is between them."""
--- /dev/null
+++ b/tests/faults/cluster.py
@@ -0,0 +1,245 @@
+"""Run a whole cell of real processes with a proxy between all of them.
+
+Routes of the proxy are named `SOURCE>TARGET`: `host>log` and `host>hosts`
+for an entry host's way to the platform, `zone>host` and `zone>worker` for
+what the hosts of an availability zone reach, `caller>host` for callers.
+"""
+
+import dataclasses
+import json
+import pathlib
+
+from tests.faults import process
+from tests.faults import settings_file
+from tests.faults import web
+
+HELD = {'hold': True}
+FREE = {'hold': False}
+
+
+@dataclasses.dataclass(frozen=True)
+class Plan:
+    """Hold the size of a cell and how its parts behave."""
+
+    zones: tuple[str, ...] = ('a', 'b')
+    hosts_per_zone: int = 1
+    workers_per_zone: int = 2
+    cpu_milli: int = 4000
+    memory_mb: int = 16_000
+    accelerators: int = 0
+    slots: int = 8
+    connections: int = 64
+    appends_per_s: float = 300.0
+    lag: float = 0.0
+    shards_per_zone: int = 4
+    timing: dict[str, float] = dataclasses.field(default_factory=dict)
+    limits: dict[str, float] = dataclasses.field(default_factory=dict)
+    seed: int = 1
+
+
+@dataclasses.dataclass
+class EntryHost:
+    """Hold one entry host; its ports are those of the process itself."""
+
+    plan: settings_file.EntryPlan
+    callers: int = 0
+    running: process.Process | None = None
+
+
+class Cluster:
+    """Start and break a cell; use it as a context manager."""
+
+    def __init__(self, directory: pathlib.Path, plan: Plan) -> None:
+        self.plan = plan
+        self.hosts: dict[str, EntryHost] = {}
+        self.workers: dict[str, int] = {}
+        self.log = 0
+        self._dir = directory
+        self._control = 0
+        self._host_lists: dict[str, int] = {}
+        self._processes: list[process.Process] = []
+
+    def __enter__(self) -> 'Cluster':
+        """Start everything but the entry hosts."""
+        try:
+            self._start()
+        except BaseException:
+            self.close()
+            raise
+        return self
+
+    def __exit__(self, *args: object) -> None:
+        """End all processes."""
+        self.close()
+
+    def close(self) -> None:
+        """End all processes."""
+        for started in reversed(self._processes):
+            started.close()
+
+    def start_host(self, name: str) -> EntryHost:
+        """Start the process of an entry host and wait until it listens."""
+        host = self.hosts[name]
+        path = self._dir / f'{name}.toml'
+        secret = self._dir / settings_file.SECRET_NAME
+        secret.write_text(settings_file.SECRET)
+        path.write_text(settings_file.render(host.plan, secret))
+        args = ['-m', 'hibiscusslip.commands.entry', '--settings', str(path)]
+        host.running = self._run(f'{name}.{len(self._processes)}', args)
+        process.wait_for_port(host.plan.callers_port, host.running)
+        return host
+
+    def start_hosts(self) -> None:
+        """Start the processes of all entry hosts."""
+        for name in self.hosts:
+            self.start_host(name)
+
+    def fault(self, route: str, **changes: object) -> None:
+        """Change the faults of the proxy's routes; see tests.faults.proxy."""
+        order = {'route': route, **changes}
+        web.call_json(self._control, 'POST', '/faults', order)
+
+    def log_fault(self, **changes: object) -> None:
+        """Change the faults of the log."""
+        web.call_json(self.log, 'POST', '/faults', changes)
+
+    def worker_fault(self, name: str, **changes: object) -> None:
+        """Change the faults of one worker."""
+        web.call_json(self.workers[name], 'POST', '/faults', changes)
+
+    def set_state(self, name: str, state: str) -> None:
+        """Change the state of an endpoint or entry host on every list."""
+        body = {'name': name, 'state': state}
+        for port in self._host_lists.values():
+            web.call_json(port, 'POST', '/members/state', body)
+
+    def counters(self) -> dict:
+        """Return what the workers counted, violations included."""
+        port = next(iter(self.workers.values()))
+        return web.call_json(port, 'GET', '/counters')
+
+    def started(self) -> dict[str, int]:
+        """Return how often each task was started."""
+        port = next(iter(self.workers.values()))
+        return web.call_json(port, 'GET', '/started')
+
+    def partition(self, zone: str, with_platform: bool = False) -> None:
+        """Hold all bytes between a zone and the others."""
+        for name in self._crossing(zone, with_platform):
+            self.fault(name, up=HELD, down=HELD)
+
+    def heal(self) -> None:
+        """Lift all faults of the proxy."""
+        self.fault('*', heal=True)
+
+    def _crossing(self, zone: str, with_platform: bool) -> list[str]:
+        routes = [
+            f'{source}>{target}'
+            for source in self.plan.zones
+            for target, host in self.hosts.items()
+            if (source == zone) != (host.plan.zone == zone)
+        ]
+        if with_platform:
+            for name, host in self.hosts.items():
+                if host.plan.zone == zone:
+                    routes += [f'{name}>log', f'{name}>hosts']
+        return routes
+
+    def _start(self) -> None:
+        seed = str(self.plan.seed)
+        proxy = self._run(
+            'proxy', ['-m', 'tests.faults.proxy'], '--seed', seed
+        )
+        self._control = proxy.ready()[0]['port']
+        for zone in self.plan.zones:
+            self._start_platform(zone)
+        self._start_workers()
+        for zone in self.plan.zones:
+            for number in range(self.plan.hosts_per_zone):
+                self._plan_host(zone, f'{zone}-host{number}')
+        for zone in self.plan.zones:
+            self._list_members(zone)
+
+    def _start_platform(self, zone: str) -> None:
+        args = ['-m', 'hibiscusslip.commands.standin', 'platform', '--json']
+        rate, lag = str(self.plan.appends_per_s), str(self.plan.lag)
+        started = self._run(
+            f'platform-{zone}', args, '--appends-per-s', rate, '--lag', lag
+        )
+        ports = {item['name']: item['port'] for item in started.ready()}
+        self.log = self.log or ports['log']
+        self._host_lists[zone] = ports['hosts']
+
+    def _start_workers(self) -> None:
+        path = self._dir / 'fleet.toml'
+        path.write_text(''.join(map(_toml, self._worker_entries())))
+        args = ['-m', 'hibiscusslip.commands.standin', 'workers', str(path)]
+        started = self._run('workers', args, '--json')
+        self.workers = {m['name']: m['port'] for m in started.ready()}
+
+    def _worker_entries(self) -> list[dict]:
+        plan = self.plan
+        return [
+            {
+                'name': f'{zone}-worker{number}',
+                'zone': zone,
+                'rack': f'{zone}-rack{number // 2}',
+                'address': '127.0.0.1',
+                'port': 0,
+                'cpu_milli': plan.cpu_milli,
+                'memory_mb': plan.memory_mb,
+                'accelerators': plan.accelerators,
+                'slots': plan.slots,
+                'connections': plan.connections,
+            }
+            for zone in plan.zones
+            for number in range(plan.workers_per_zone)
+        ]
+
+    def _plan_host(self, zone: str, name: str) -> None:
+        ports = process.free_ports(3)
+        hosts_port = self._host_lists[zone]
+        entry = settings_file.EntryPlan(
+            name,
+            zone,
+            *ports,
+            log_port=self._route(f'{name}>log', self.log),
+            hosts_port=self._route(f'{name}>hosts', hosts_port),
+            shards_per_zone=self.plan.shards_per_zone,
+            timing=self.plan.timing,
+            limits=self.plan.limits,
+        )
+        callers = self._route(f'caller>{name}', entry.callers_port)
+        self.hosts[name] = EntryHost(entry, callers=callers)
+
+    def _list_members(self, zone: str) -> None:
+        endpoints = self._worker_entries()
+        for entry in endpoints:
+            name = entry['name']
+            entry['port'] = self._route(f'{zone}>{name}', self.workers[name])
+        hosts = [
+            {
+                'name': name,
+                'zone': host.plan.zone,
+                'address': '127.0.0.1',
+                'port': self._route(f'{zone}>{name}', host.plan.peers_port),
+            }
+            for name, host in self.hosts.items()
+        ]
+        port = self._host_lists[zone]
+        web.call_json(port, 'POST', '/members/endpoints', endpoints)
+        web.call_json(port, 'POST', '/members/entry-hosts', hosts)
+
+    def _route(self, name: str, port: int) -> int:
+        order = {'name': name, 'address': '127.0.0.1', 'port': port}
+        return web.call_json(self._control, 'POST', '/routes', order)['port']
+
+    def _run(self, name: str, args: list[str], *more: str) -> process.Process:
+        started = process.Process(name, [*args, *more], self._dir)
+        self._processes.append(started)
+        return started
+
+
+def _toml(entry: dict) -> str:
+    lines = [f'{name} = {json.dumps(value)}' for name, value in entry.items()]
+    return '\n'.join(['[[endpoints]]', *lines, ''])
