--- /dev/null
+++ b/hibiscusslip/demo/cell.py
@@ -0,0 +1,183 @@
+"""Build a whole cell in one process, over the stand-ins."""
+
+import dataclasses
+import random
+import time
+
+import curio
+
+from hibiscusslip import configuration
+from hibiscusslip import sheet
+from hibiscusslip.jobs import engine as jobs_engine
+from hibiscusslip.model import places
+from hibiscusslip.model import resources
+from hibiscusslip.node import config
+from hibiscusslip.node import node as node_
+from hibiscusslip.ownership import timing
+from hibiscusslip.peer import loopback
+from hibiscusslip.platform import base as platform_base
+from hibiscusslip.standin import memory_endpoint
+from hibiscusslip.standin import memory_hosts
+from hibiscusslip.standin import memory_log
+from hibiscusslip.standin import workers
+
+RETENTION_SECONDS = 3600.0
+QUICK_TIMING = timing.Timing(
+    lease=1.5,
+    promise=1.2,
+    margin=0.1,
+    settle=0.2,
+    renew_interval=0.4,
+    promise_interval=0.2,
+    heartbeat=0.2,
+    stagger=0.1,
+)
+QUICK_ENGINE = jobs_engine.EngineConfig(
+    worker_lease=3.0, settle=0.2, contact_lost_after=2.0
+)
+MB_PER_GB = 1024
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Group:
+    """Describe workers of one make, spread over the zones in turn."""
+
+    name: str
+    count: int
+    cores: int
+    memory_gb: int
+    accelerators: int
+    per_rack: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Deployment:
+    """Describe a firm's cell; `sheet` is its morning sheet."""
+
+    name: str
+    region: str
+    zones: tuple[str, ...]
+    groups: tuple[Group, ...]
+    sheet: bytes
+    shards_per_zone: int = 1
+
+
+def endpoints_of(deployment: Deployment) -> list[places.EndpointInfo]:
+    """Return all endpoints of a deployment."""
+    found = []
+    for group in deployment.groups:
+        for number in range(group.count):
+            zone = deployment.zones[number % len(deployment.zones)]
+            rack = number // len(deployment.zones) // group.per_rack
+            capacity = resources.Resources(
+                group.cores * 1000,
+                group.memory_gb * MB_PER_GB,
+                group.accelerators,
+                8,
+                64,
+            )
+            found.append(
+                places.EndpointInfo(
+                    f'{group.name}-{number}',
+                    zone,
+                    f'{zone}-{group.name}-{rack}',
+                    '127.0.0.1',
+                    1,
+                    capacity,
+                )
+            )
+    return found
+
+
+class Cell:
+    """Hold a cell's nodes, its platform and its workers."""
+
+    def __init__(self, deployment: Deployment, seed: int) -> None:
+        self.deployment = deployment
+        self.fleet = workers.Fleet()
+        self.pump = memory_endpoint.FleetPump(self.fleet)
+        self.log = memory_log.MemoryLog(appends_per_s=300.0)
+        self.hosts = memory_hosts.MemoryHostList()
+        self.switch = loopback.Switch()
+        self.rng = random.Random(seed)
+        self.nodes: dict[str, node_.Node] = {}
+        self._pump_task: curio.Task | None = None
+
+    async def start(self, hosts_per_zone: int = 1) -> None:
+        """Start the workers and the entry hosts."""
+        now = time.monotonic()
+        for info in endpoints_of(self.deployment):
+            self.fleet.add(info)
+            self.hosts.table.put(now, info)
+        self._pump_task = await curio.spawn(self.pump.run, daemon=True)
+        for zone in self.deployment.zones:
+            for number in range(hosts_per_zone):
+                await self.add_host(f'{zone}-h{number}', zone)
+
+    async def add_host(self, name: str, zone: str) -> node_.Node:
+        """Start an entry host, or its next incarnation."""
+        token = f'{self.rng.getrandbits(32):08x}'
+        me = places.HostId(name, token)
+        info = platform_base.EntryHostInfo(name, zone, '127.0.0.1', 1)
+        self.hosts.table.put(time.monotonic(), info)
+        cfg = config.NodeConfig(
+            me=me,
+            region=self.deployment.region,
+            zone=zone,
+            zones=self.deployment.zones,
+            shards_per_zone=self.deployment.shards_per_zone,
+            timing=QUICK_TIMING,
+            engine=QUICK_ENGINE,
+            host_list_interval=0.5,
+        )
+        parts = node_.Parts(
+            self.log,
+            self.hosts,
+            loopback.LoopbackPeers(me, self.switch),
+            self._connect,
+            RETENTION_SECONDS,
+        )
+        node = node_.Node(cfg, parts, random.Random(token))
+        self.nodes[name] = node
+        self.switch.plug(me, node.handler)
+        await node.start('127.0.0.1', 1)
+        return node
+
+    async def remove_host(self, name: str) -> None:
+        """End an entry host at once, as a crash would."""
+        self.switch.unplug(name)
+        await self.nodes.pop(name).stop()
+
+    def _connect(
+        self, info: places.EndpointInfo
+    ) -> memory_endpoint.MemoryEndpoint:
+        worker = self.fleet.workers[info.name]
+        return memory_endpoint.MemoryEndpoint(worker, self.pump)
+
+    async def publish(self, version: int, content: sheet.Sheet) -> None:
+        """Publish a sheet as the version after `version`."""
+        record = configuration.make_record(
+            f'demo-{version}', version, 'planner', content, time.time()
+        )
+        view = configuration.LogView()
+        await configuration.publish(
+            self.log, view, record, time.monotonic, 5.0
+        )
+
+    async def wait_open(self, timeout: float) -> bool:
+        """Wait until every shard of the cell takes requests."""
+        due = time.monotonic() + timeout
+        wanted = len(self.deployment.zones) * self.deployment.shards_per_zone
+        while time.monotonic() < due:
+            loads = [n.fleet.loads() for n in self.nodes.values()]
+            if sum(map(len, loads)) == wanted:
+                return True
+            await curio.sleep(0.05)
+        return False
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        for node in list(self.nodes.values()):
+            await node.stop()
+        if self._pump_task is not None:
+            await self._pump_task.cancel()
--- /dev/null
+++ b/hibiscusslip/jobs/standing.py
@@ -0,0 +1,115 @@
+"""Derive from the sheet which jobs a shard has to run by itself."""
+
+import hashlib
+
+from hibiscusslip import sheet
+from hibiscusslip.jobs import identity
+from hibiscusslip.model import places
+from hibiscusslip.model import work
+
+SECONDS_PER_DAY = 86_400
+DIGEST_BYTES = 8
+SERVICE_MARK = 's'
+BATCH_MARK = 'b'
+
+
+def wanted(
+    content: sheet.Sheet,
+    published: float,
+    shard: places.Shard,
+    shards: list[places.Shard],
+) -> list[work.JobSpec]:
+    """Return the jobs of a sheet that are at home in a shard.
+
+    `published` is unix time in seconds, `shards` are all of the region, in
+    the same order on every host. Batch rows run once for each day on which
+    a sheet with them is published; services run as long as they are listed.
+    """
+    found = []
+    for row in content.workloads:
+        if row.form == work.Form.SERVICE:
+            spec = _service(row, shard, shards)
+        else:
+            spec = _batch(row, published, shard, shards)
+        if spec is not None:
+            found.append(spec)
+    return found
+
+
+def is_service_id(job_id: str) -> bool:
+    """Tell whether a job id is that of a service from the sheet."""
+    return job_id.rpartition('.')[2].startswith(SERVICE_MARK)
+
+
+def _service(
+    row: sheet.Workload, shard: places.Shard, shards: list[places.Shard]
+) -> work.JobSpec | None:
+    """Return a shard's part of a service, None without any copies."""
+    copies = _part(row.name, row.copies, shard, shards)
+    if copies == 0:
+        return None
+    mark = _digest(row, str(copies))
+    job_id = f'{shard.zone}.{shard.number}.{SERVICE_MARK}{mark}'
+    return _spec(row, job_id, copies, durable=False)
+
+
+def _part(
+    name: str, copies: int, shard: places.Shard, shards: list[places.Shard]
+) -> int:
+    """Return how many copies fall to a shard: as even as can be."""
+    digest = hashlib.blake2b(name.encode(), digest_size=4).digest()
+    first = int.from_bytes(digest, 'big') % len(shards)
+    place = (shards.index(shard) - first) % len(shards)
+    return copies // len(shards) + (place < copies % len(shards))
+
+
+def _batch(
+    row: sheet.Workload,
+    published: float,
+    shard: places.Shard,
+    shards: list[places.Shard],
+) -> work.JobSpec | None:
+    """Return a batch run or a gang if this shard is its home."""
+    day = int(published // SECONDS_PER_DAY)
+    mark = _digest(row, f'{row.copies}:{day}')
+    if identity.keyed_home(row.team, mark, shards) != shard:
+        return None
+    job_id = f'{shard.zone}.{shard.number}.{BATCH_MARK}{mark}'
+    return _spec(row, job_id, row.copies, durable=True)
+
+
+def _digest(row: sheet.Workload, more: str) -> str:
+    """Return a digest that changes with anything the tasks depend on."""
+    text = '\0'.join(
+        (
+            row.name,
+            row.team,
+            row.kind,
+            row.form.value,
+            repr(row.demand),
+            str(row.repeatable),
+            row.payload,
+            more,
+        )
+    )
+    return hashlib.blake2b(text.encode(), digest_size=DIGEST_BYTES).hexdigest()
+
+
+def _spec(
+    row: sheet.Workload, job_id: str, tasks: int, durable: bool
+) -> work.JobSpec:
+    return work.JobSpec(
+        job_id=job_id,
+        team=row.team,
+        kind=row.kind,
+        form=row.form,
+        urgency=row.urgency,
+        tasks=tasks,
+        demand=row.demand,
+        run_time=row.run_time,
+        repeatable=row.repeatable,
+        durable=durable,
+        spread=row.spread,
+        workload=row.name,
+        payload=row.payload.encode(),
+    )
--- a/hibiscusslip/node/node.py
+++ b/hibiscusslip/node/node.py
@@ -27,6 +27,7 @@
 from hibiscusslip.node import peer_handler
 from hibiscusslip.node import remote_home
 from hibiscusslip.node import shard_runner
+from hibiscusslip.node import standing_keeper
 from hibiscusslip.node import zone_feed
 from hibiscusslip.ownership import actions
 from hibiscusslip.ownership import owner
@@ -40,6 +41,7 @@
 
 MAX_LOAD_AGE_SECONDS = 10.0
 READY_POLL_SECONDS = 0.05
+STANDING_INTERVAL_SECONDS = 0.5
 GIVE_AWAY_PAUSE_SECONDS = 0.2
 
 
@@ -96,6 +98,7 @@
             self.ids,
             cfg.me,
         )
+        self.standing = standing_keeper.StandingKeeper(cfg.shards)
         self.owners = directory.ShardDirectory(len(cfg.shards))
         self.home = home.Home(self.fleet.runners)
         calls = remote_home.HomeCalls(cfg.me.name, self.home, parts.peers)
@@ -148,6 +151,7 @@
             self.neighbours.run,
             self._follow_host_list,
             self._start_ready_shards,
+            self._keep_standing,
         )
         for loop in loops:
             await self._tasks.spawn(loop)
@@ -191,7 +195,14 @@
             await self.fleet.start_ready()
             await curio.sleep(READY_POLL_SECONDS)
 
+    async def _keep_standing(self) -> None:
+        while True:
+            for runner in list(self.fleet.runners.values()):
+                await self.standing.keep(runner)
+            await curio.sleep(STANDING_INTERVAL_SECONDS)
+
     async def _in_force(self, record: configuration.ConfigRecord) -> None:
+        self.standing.set_record(record)
         policy = configuration.to_policy(record.sheet, record.version)
         await self.fleet.set_policy(policy)
 
--- /dev/null
+++ b/hibiscusslip/node/standing_keeper.py
@@ -0,0 +1,103 @@
+"""Keep the jobs running that the sheet lists."""
+
+from loguru import logger
+
+from hibiscusslip import configuration
+from hibiscusslip.jobs import exceptions
+from hibiscusslip.jobs import model
+from hibiscusslip.jobs import standing
+from hibiscusslip.model import places
+from hibiscusslip.model import work
+from hibiscusslip.node import clock
+from hibiscusslip.node import shard_runner
+
+REPLACE_WAIT_SECONDS = 60.0
+
+
+class StandingKeeper:
+    """Submit listed jobs and end services that are listed no longer."""
+
+    def __init__(self, shards: list[places.Shard]) -> None:
+        self._shards = shards
+        self._record: configuration.ConfigRecord | None = None
+        self._changed_at = 0.0
+
+    def set_record(self, record: configuration.ConfigRecord) -> None:
+        """Take a newer configuration."""
+        self._record = record
+        self._changed_at = clock.now()
+
+    async def keep(self, runner: shard_runner.ShardRunner) -> None:
+        """Bring one shard in line with the sheet."""
+        now = clock.now()
+        if self._record is None or not runner.engine.is_open:
+            return
+        if runner.frozen or not runner.may_act(now):
+            return
+        wanted = standing.wanted(
+            self._record.sheet,
+            self._record.published,
+            runner.shard,
+            self._shards,
+        )
+        for spec in wanted:
+            self._submit(runner, spec, now)
+        self._end_unlisted(runner, {s.job_id: s for s in wanted}, now)
+        await runner.changed()
+
+    def _submit(
+        self,
+        runner: shard_runner.ShardRunner,
+        spec: work.JobSpec,
+        now: float,
+    ) -> None:
+        """Submit a listed job unless it is known."""
+        known = runner.engine.jobs.get(spec.job_id)
+        if known is not None and not known.partial:
+            return
+        try:
+            runner.engine.submit(spec, now)
+        except exceptions.JobError as exc:
+            logger.warning('{} is not taken: {}', spec.workload, exc)
+
+    def _end_unlisted(
+        self,
+        runner: shard_runner.ShardRunner,
+        wanted: dict[str, work.JobSpec],
+        now: float,
+    ) -> None:
+        """Cancel services whose row is gone, or whose new form runs."""
+        jobs = list(runner.engine.jobs.values())
+        for job in jobs:
+            job_id = job.spec.job_id
+            if job.outcome.final or job.cancelled or job_id in wanted:
+                continue
+            if not standing.is_service_id(job_id):
+                continue
+            if self._replaced(runner, job, wanted, now):
+                runner.engine.cancel(job_id, now)
+
+    def _replaced(
+        self,
+        runner: shard_runner.ShardRunner,
+        job: model.Job,
+        wanted: dict[str, work.JobSpec],
+        now: float,
+    ) -> bool:
+        """Tell whether a service may end: nothing follows, or it runs."""
+        successors = [
+            job_id
+            for job_id, spec in wanted.items()
+            if spec.workload == job.spec.workload
+            and spec.form == work.Form.SERVICE
+        ]
+        if now - self._changed_at > REPLACE_WAIT_SECONDS:
+            return True
+        return all(_all_running(runner, job_id) for job_id in successors)
+
+
+def _all_running(runner: shard_runner.ShardRunner, job_id: str) -> bool:
+    job = runner.engine.jobs.get(job_id)
+    if job is None:
+        return False
+    return all(t.phase == model.Phase.RUNNING for t in job.tasks.values())
--- /dev/null
+++ b/hibiscusslip/peer/loopback.py
@@ -0,0 +1,82 @@
+"""Call other nodes within one process."""
+
+import curio
+
+from hibiscusslip import codec
+from hibiscusslip.model import places
+from hibiscusslip.peer import base
+from hibiscusslip.peer import exceptions
+from hibiscusslip.peer import messages
+
+
+class Switch:
+    """Hold the nodes of one process; cut pairs can't reach each other."""
+
+    def __init__(self) -> None:
+        self.handlers: dict[str, base.Handler] = {}
+        self.hosts: dict[str, places.HostId] = {}
+        self.cut: set[frozenset[str]] = set()
+
+    def plug(self, host: places.HostId, handler: base.Handler) -> None:
+        """Make a node reachable, or its new incarnation."""
+        self.hosts[host.name] = host
+        self.handlers[host.name] = handler
+
+    def unplug(self, name: str) -> None:
+        """Make a node unreachable, as when its process is gone."""
+        self.hosts.pop(name, None)
+        self.handlers.pop(name, None)
+
+    def reachable(self, one: str, other: str) -> bool:
+        """Tell whether calls between two nodes get through."""
+        joined = one in self.handlers and other in self.handlers
+        return joined and frozenset((one, other)) not in self.cut
+
+
+class LoopbackPeers(base.Peers):
+    """Call nodes on the same switch; messages pass through the codec."""
+
+    def __init__(self, me: places.HostId, switch: Switch) -> None:
+        self._me = me
+        self._switch = switch
+
+    async def call(
+        self,
+        host: str,
+        body: messages.PeerMessage,
+        timeout: float,
+        *,
+        incarnation: str = '',
+        trace: str = '',
+    ) -> messages.PeerMessage:
+        """Send a call and return the reply."""
+        if not self._switch.reachable(self._me.name, host):
+            raise exceptions.PeerUnreachable(f'{host} is not reachable')
+        known = self._switch.hosts[host].incarnation
+        if incarnation and incarnation != known:
+            raise exceptions.PeerUnreachable(f'{host} has restarted')
+        handler = self._switch.handlers[host]
+        sent = codec.decode(codec.encode(body), messages.PeerMessage)
+        try:
+            async with curio.timeout_after(timeout):
+                reply = await handler.handle(self._me, sent)
+        except curio.TaskTimeout:
+            raise exceptions.PeerUnsettled(
+                f'{host} did not answer in time; ask again by the same id'
+            ) from None
+        if not self._switch.reachable(self._me.name, host):
+            raise exceptions.PeerUnsettled(
+                f'{host} went away; ask again by the same id'
+            )
+        return codec.decode(codec.encode(reply), messages.PeerMessage)
+
+    def set_address(self, host: str, address: str, port: int) -> None:
+        """Do nothing: nodes on a switch have no addresses."""
+
+    def incarnation_of(self, host: str) -> str:
+        """Return the incarnation at the other end, empty if not there."""
+        known = self._switch.hosts.get(host)
+        return known.incarnation if known else ''
+
+    async def close(self) -> None:
+        """Do nothing: there are no links."""
