--- a/tests/configuration/test_configurations.py
+++ b/tests/configuration/test_configurations.py
@@ -240,3 +240,17 @@
     assert policy.version == 7
     assert policy.shares['web'].guarantee == 0.5
     assert policy.quotas['red'].limit.memory_mb == 2048
+
+
+def test_late_snapshot_does_not_let_a_lost_race_win_behind_a_gap():
+    stale = configuration.ConfigSnapshot('s', 0, record_of(1, 0))
+    fresh = configuration.Configurations(RETENTION, random.Random(2))
+    # Offset 1 held version 2 and is gone; offset 3 lost against it.
+    fresh.on_trimmed(2, 0.0)
+    fresh.on_record(2, configuration.encode(stale), 0.0)
+    fresh.on_record(3, configuration.encode(record_of(3, 1)), 0.0)
+    fresh.on_caught_up(0.0)
+    assert (fresh.version, fresh.anchored) == (1, False)
+    winner = configuration.encode(record_of(2, 1))
+    assert fresh.on_passed_on(2, 1, winner, 0.0)
+    assert (fresh.current.record_id, fresh.anchored) == ('r2', True)
