--- a/hibiscusslip/bench/http_server.py
+++ b/hibiscusslip/bench/http_server.py
@@ -55,9 +55,7 @@
 async def serve_bare_connection(sock: typing.Any, peer: typing.Any) -> None:
     """Answer requests as the least code with h11 does."""
     conn = h11.Connection(h11.SERVER)
-    head = h11.Response(
-        status_code=200, headers=[(b'content-length', b'2')]
-    )
+    head = h11.Response(status_code=200, headers=[(b'content-length', b'2')])
     while True:
         event = conn.next_event()
         if event is h11.NEED_DATA:
--- a/hibiscusslip/http/server.py
+++ b/hibiscusslip/http/server.py
@@ -64,11 +64,11 @@
         await self._take_pending()
         await self._stop_accepting()
         for conn in self._connections:
-            conn.draining = True
+            conn.watch.draining = True
         while self._connections and time.monotonic() < start + grace:
             self._close_idle(time.monotonic(), start)
             await curio.sleep(DRAIN_POLL_S)
-        cut = sum(conn.busy for conn in self._connections)
+        cut = sum(conn.watch.busy for conn in self._connections)
         for conn in self._connections:
             conn.cut()
         await self._done.set()
@@ -76,8 +76,8 @@
 
     def _close_idle(self, now: float, start: float) -> None:
         for conn in self._connections:
-            since = max(conn.idle_since, start)
-            if not conn.busy and now >= since + self._limits.drain_idle:
+            since = max(conn.watch.idle_since, start)
+            if not conn.watch.busy and now >= since + self._limits.drain_idle:
                 conn.cut()
 
     async def _accept(self) -> None:
@@ -115,7 +115,7 @@
         conn = _connection.Connection(
             sock, f'{peer[0]}:{peer[1]}', self._handler, self._limits
         )
-        conn.draining = self._draining
+        conn.watch.draining = self._draining
         full = len(self._connections) >= self._limits.max_connections
         work = self._refuse if full else self._run
         self._connections[conn] = await curio.spawn(work, conn, daemon=True)
@@ -140,5 +140,5 @@
             await curio.sleep(self._limits.sweep_interval)
             now = time.monotonic()
             for conn in self._connections:
-                if conn.deadline < now:
+                if conn.watch.deadline < now:
                     conn.expire()
