--- a/hibiscusslip/membership/members.py
+++ b/hibiscusslip/membership/members.py
@@ -130,6 +130,12 @@
             peer.host = host
             peer.zone, peer.address, peer.port = zone, address, port
 
+    def on_seed(
+        self, name: str, zone: str, address: str, port: int, now: float
+    ) -> None:
+        """Take a host from the settings; its incarnation is open."""
+        self._peer_of(name, zone, address, port, now)
+
     def on_listing(
         self, entry_hosts: list[platform.EntryHostInfo], now: float
     ) -> list[places.HostId]:
--- /dev/null
+++ b/hibiscusslip/node/assembly.py
@@ -0,0 +1,119 @@
+"""Build a node and its listeners from settings."""
+
+import dataclasses
+import random
+import secrets
+
+from hibiscusslip import settings
+from hibiscusslip.endpoint import http_endpoint
+from hibiscusslip.jobs import engine as jobs_engine
+from hibiscusslip.model import places
+from hibiscusslip.node import config
+from hibiscusslip.node import node as node_
+from hibiscusslip.ownership import timing
+from hibiscusslip.peer import hello
+from hibiscusslip.peer import limits as peer_limits
+from hibiscusslip.peer import links
+from hibiscusslip.peer import server as peer_server
+from hibiscusslip.platform import http_hosts
+from hibiscusslip.platform import http_log
+from hibiscusslip.scheduler import limits as scheduler_limits
+
+MAX_WAITING_CALLS = 4096
+CONTACT_LOST_PART = 0.5
+INCARNATION_BYTES = 6
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Assembled:
+    """Hold a node with the server for its neighbours' links."""
+
+    node: node_.Node
+    peers: peer_server.PeerServer
+
+
+def node_config(
+    cfg: settings.Settings, me: places.HostId, unix_offset: float
+) -> config.NodeConfig:
+    """Return what the node needs of the settings."""
+    zones = cfg.host.zones
+    shard_count = len(zones) * cfg.shards_per_zone
+    return config.NodeConfig(
+        me=me,
+        region=cfg.host.region,
+        zone=cfg.host.zone,
+        zones=zones,
+        shards_per_zone=cfg.shards_per_zone,
+        timing=_timing(cfg.timing),
+        engine=_engine(cfg.timing),
+        scheduler=scheduler_limits.Limits(
+            max_queued=cfg.limits.max_queued_jobs,
+            unix_offset=unix_offset,
+            quota_fraction=1.0 / shard_count,
+        ),
+        host_list_interval=cfg.platform.host_list_interval,
+    )
+
+
+def _timing(cfg: settings.Timing) -> timing.Timing:
+    return timing.Timing(
+        lease=cfg.lease,
+        promise=cfg.promise,
+        drift=cfg.drift,
+        margin=cfg.margin,
+        settle=cfg.send_timeout + cfg.margin,
+        renew_interval=cfg.renew_interval,
+        promise_interval=cfg.promise / 4,
+        heartbeat=cfg.heartbeat_interval,
+    )
+
+
+def _engine(cfg: settings.Timing) -> jobs_engine.EngineConfig:
+    return jobs_engine.EngineConfig(
+        worker_lease=cfg.task_lease,
+        settle=cfg.send_timeout + cfg.margin,
+        clock_drift=cfg.drift,
+        contact_lost_after=cfg.task_lease * CONTACT_LOST_PART,
+    )
+
+
+def peer_keys(keys: tuple[settings.Key, ...]) -> hello.Keys:
+    """Return the keys shared by entry hosts, the signing one first."""
+    return hello.Keys({key.key_id: key.secret for key in keys})
+
+
+def build(cfg: settings.Settings, unix_offset: float) -> Assembled:
+    """Build the node; nothing listens or runs yet."""
+    me = places.HostId(cfg.host.name, secrets.token_hex(INCARNATION_BYTES))
+    info = hello.HelloInfo(cfg.host.zone, cfg.host.region, cfg.shards_per_zone)
+    keys = peer_keys(cfg.keys.peers)
+    bounds = peer_limits.Limits(
+        max_calls=MAX_WAITING_CALLS,
+        max_in_flight=MAX_WAITING_CALLS,
+        user_timeout=cfg.timing.send_timeout,
+    )
+    peers = links.PeerLinks(me, info, keys, bounds)
+    for seed in cfg.seeds:
+        peers.set_address(seed.name, seed.address, seed.port)
+    log = cfg.platform.log
+    host_list = cfg.platform.host_list
+    parts = node_.Parts(
+        http_log.HttpLog(log.address, log.port),
+        http_hosts.HttpHostList(host_list.address, host_list.port),
+        peers,
+        lambda place: _connect(place, cfg.timing.send_timeout),
+        cfg.platform.log_retention,
+    )
+    made = node_.Node(
+        node_config(cfg, me, unix_offset), parts, random.Random()
+    )
+    for seed in cfg.seeds:
+        made.neighbours.seed(seed.name, seed.zone, seed.address, seed.port)
+    server = peer_server.PeerServer(me, info, keys, bounds, made.handler)
+    return Assembled(made, server)
+
+
+def _connect(
+    place: places.EndpointInfo, timeout: float
+) -> http_endpoint.HttpEndpoint:
+    return http_endpoint.HttpEndpoint(place.address, place.port, timeout)
--- a/hibiscusslip/node/neighbours.py
+++ b/hibiscusslip/node/neighbours.py
@@ -121,6 +121,10 @@
         for ended in self._members.on_listing(hosts, now):
             self._ownership.on_gone(ended, now)
 
+    def seed(self, name: str, zone: str, address: str, port: int) -> None:
+        """Take a host that the settings name; its incarnation is open."""
+        self._members.on_seed(name, zone, address, port, clock.now())
+
     def joined(self, host: places.HostId, address: str, port: int) -> None:
         """Take a host of this zone that the log tells of."""
         if host.name != self._cfg.me.name:
--- a/hibiscusslip/settings/_file.py
+++ b/hibiscusslip/settings/_file.py
@@ -116,7 +116,7 @@
     name: Name
     region: Name
     zone: Name
-    shards_per_zone: ShardCount = 16
+    shards_per_zone: ShardCount = 1
 
 
 class ListenAddress(msgspec.Struct, frozen=True):
@@ -159,6 +159,12 @@
     port: Port
 
 
+class ZoneSection(msgspec.Struct, frozen=True):
+    """Name an availability zone of the region."""
+
+    name: Name
+
+
 class TimingSection(msgspec.Struct, frozen=True):
     """Set durations in seconds."""
 
@@ -227,6 +233,7 @@
     listen: ListenSection
     platform: PlatformSection
     keys: KeysSection
+    zones: list[ZoneSection] = []
     seeds: list[SeedSection] = []
     timing: TimingSection = TimingSection()
     limits: LimitsSection = LimitsSection()
--- a/hibiscusslip/settings/_load.py
+++ b/hibiscusslip/settings/_load.py
@@ -78,7 +78,7 @@
 def _build(cfg: _file.SettingsFile, keys: _model.Keys) -> _model.Settings:
     seeds = [seed for seed in cfg.seeds if seed.name != cfg.host.name]
     return _model.Settings(
-        host=_model.Host(cfg.host.name, cfg.host.region, cfg.host.zone),
+        host=_host(cfg),
         shards_per_zone=cfg.host.shards_per_zone,
         listeners=_model.Listeners(
             callers=_address(cfg.listen.callers),
@@ -102,6 +102,13 @@
     )
 
 
+def _host(cfg: _file.SettingsFile) -> _model.Host:
+    zones = {zone.name for zone in cfg.zones} | {cfg.host.zone}
+    return _model.Host(
+        cfg.host.name, cfg.host.region, cfg.host.zone, tuple(sorted(zones))
+    )
+
+
 def _address(
     section: _file.ListenAddress | _file.RemoteAddress,
 ) -> _model.Address:
--- a/hibiscusslip/settings/_model.py
+++ b/hibiscusslip/settings/_model.py
@@ -21,11 +21,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Host:
-    """Name this entry host and where it stands."""
+    """Name this entry host and where it stands.
+
+    `zones` are all availability zones of the region.
+    """
 
     name: str
     region: str
     zone: str
+    zones: tuple[str, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/settings/test_settings.py
+++ b/tests/settings/test_settings.py
@@ -67,7 +67,9 @@
 
 def test_load_returns_what_the_file_says(tmp_path):
     cfg = load(tmp_path, GOOD)
-    assert cfg.host == settings.Host('ga-east-a-1', 'ga-east', 'ga-east-a')
+    assert cfg.host == settings.Host(
+        'ga-east-a-1', 'ga-east', 'ga-east-a', ('ga-east-a',)
+    )
     assert cfg.listeners.peers == settings.Address('127.0.0.1', 7402)
     assert cfg.seeds[0].name == 'ga-east-a-2'
     assert cfg.keys.peers == (settings.Key('p1', SECRET.encode()),)
