--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PY := .venv/bin/python
 SEED ?= 1
 
-.PHONY: setup test format format-check lint types demo bench policy slopes fuzz
+.PHONY: setup test format format-check lint types demo bench policy slopes fuzz bench-http
 
 setup: .venv/.ready
 
@@ -42,3 +42,12 @@
 
 fuzz: setup
 	HIBISCUSSLIP_FUZZ_SEED=$(SEED) $(PY) -m pytest tests/fuzz
+
+bench-http: setup
+	@dir=$$(mktemp -d); \
+	$(PY) -m hibiscusslip.bench.http_server serve bare >$$dir/bare & bare=$$!; \
+	$(PY) -m hibiscusslip.bench.http_server serve ours >$$dir/ours & ours=$$!; \
+	trap 'kill $$bare $$ours; rm -r $$dir' EXIT; \
+	until [ -s $$dir/bare ] && [ -s $$dir/ours ]; do sleep 0.1; done; \
+	$(PY) -m hibiscusslip.bench.http_server drive \
+	  $$(cat $$dir/bare) $$(cat $$dir/ours)
--- a/hibiscusslip/bench/http_server.py
+++ b/hibiscusslip/bench/http_server.py
@@ -1,11 +1,14 @@
 """Compare the HTTP server with a bare curio and h11 server.
 
-`serve KIND` runs one server and prints its port; `drive BARE OURS` sends
-requests to both by turns and prints the rates and their ratio.
+`serve KIND` runs one server and prints its port and process id; `drive`
+sends requests to both by turns. The ratio is that of requests per second of
+processor time, so that other work on the machine counts little.
 """
 
 import dataclasses
 import json
+import os
+import pathlib
 import statistics
 import sys
 import time
@@ -25,6 +28,8 @@
     b'user-agent: bench\r\n\r\n'
 )
 END_OF_ANSWER = b'ok'
+USER_FIELD = 11
+SYSTEM_FIELD = 12
 BARE = 'bare'
 OURS = 'ours'
 
@@ -32,16 +37,26 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Rates:
-    """Hold requests per second of each round."""
+class Target:
+    """Name a running server."""
 
-    bare: list[float]
-    ours: list[float]
+    port: int
+    pid: int
 
-    @property
-    def ratio(self) -> float:
-        """Return the ratio of the medians."""
-        return statistics.median(self.ours) / statistics.median(self.bare)
+    def cpu_s(self) -> float:
+        """Return the processor time that the server has used."""
+        text = pathlib.Path(f'/proc/{self.pid}/stat').read_text()
+        fields = text.rpartition(')')[2].split()
+        ticks = int(fields[USER_FIELD]) + int(fields[SYSTEM_FIELD])
+        return ticks / os.sysconf('SC_CLK_TCK')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rate:
+    """Hold requests per second, by the clock and of processor time."""
+
+    per_s: float
+    per_cpu_s: float
 
 
 class OkHandler(server.Handler):
@@ -73,27 +88,31 @@
     sock = curio.socket.socket()
     sock.bind(('127.0.0.1', 0))
     sock.listen(CONNECTIONS * 2)
-    print(sock.getsockname()[1], flush=True)
+    print(sock.getsockname()[1], os.getpid(), flush=True)
     await curio.network.run_server(sock, serve_bare_connection)
 
 
 async def serve_ours() -> None:
     """Serve on a free port and print it."""
     running = server.Server(OkHandler())
-    print(await running.listen('127.0.0.1', 0), flush=True)
+    port = await running.listen('127.0.0.1', 0)
+    print(port, os.getpid(), flush=True)
     await running.serve()
 
 
-async def measure(port: int, seconds: float) -> float:
-    """Return the requests per second over many connections."""
+async def measure(target: Target, seconds: float) -> Rate:
+    """Return the rate over many connections."""
     counts = [0] * CONNECTIONS
-    start = time.perf_counter()
+    start, cpu_start = time.perf_counter(), target.cpu_s()
+    until = start + seconds
     async with curio.TaskGroup() as group:
         for index in range(CONNECTIONS):
-            await group.spawn(_ask, port, start + seconds, counts, index)
+            await group.spawn(_ask, target.port, until, counts, index)
     if group.exception is not None:
         raise group.exception
-    return sum(counts) / (time.perf_counter() - start)
+    took = time.perf_counter() - start
+    count = sum(counts)
+    return Rate(count / took, count / (target.cpu_s() - cpu_start))
 
 
 async def _ask(port: int, until: float, counts: list[int], at: int) -> None:
@@ -110,13 +129,14 @@
     await sock.close()
 
 
-async def compare(bare: int, ours: int, rounds: int, seconds: float) -> Rates:
-    """Measure both servers by turns."""
-    rates = Rates([], [])
-    for _ in range(rounds):
-        rates.bare.append(await measure(bare, seconds))
-        rates.ours.append(await measure(ours, seconds))
-    return rates
+async def compare(
+    bare: Target, ours: Target, rounds: int, seconds: float
+) -> list[tuple[Rate, Rate]]:
+    """Measure both servers by turns; return pairs of bare and ours."""
+    return [
+        (await measure(bare, seconds), await measure(ours, seconds))
+        for _ in range(rounds)
+    ]
 
 
 @app.command
@@ -133,26 +153,40 @@
 
 @app.command
 def drive(
-    bare: int, ours: int, *, rounds: int = 5, seconds: float = 2.0
+    bare_port: int,
+    bare_pid: int,
+    ours_port: int,
+    ours_pid: int,
+    *,
+    rounds: int = 5,
+    seconds: float = 2.0,
 ) -> None:
     """Send requests to both servers by turns and print the rates.
 
     Parameters
     ----------
-    bare
+    bare_port
         Port of the bare server.
-    ours
+    bare_pid
+        Process id of the bare server.
+    ours_port
         Port of the other server.
+    ours_pid
+        Process id of the other server.
     rounds
         How often to measure each.
     seconds
         How long a round takes.
     """
-    rates = curio.run(compare, bare, ours, rounds, seconds)
+    bare, ours = Target(bare_port, bare_pid), Target(ours_port, ours_pid)
+    pairs = curio.run(compare, bare, ours, rounds, seconds)
+    ratios = [ours.per_cpu_s / bare.per_cpu_s for bare, ours in pairs]
     shown = {
-        'bare_per_s': [round(rate) for rate in rates.bare],
-        'ours_per_s': [round(rate) for rate in rates.ours],
-        'ratio': round(rates.ratio, 3),
+        'bare_per_s': [round(bare.per_s) for bare, _ in pairs],
+        'ours_per_s': [round(ours.per_s) for _, ours in pairs],
+        'bare_per_cpu_s': [round(bare.per_cpu_s) for bare, _ in pairs],
+        'ours_per_cpu_s': [round(ours.per_cpu_s) for _, ours in pairs],
+        'ratio': round(statistics.median(ratios), 3),
     }
     print(json.dumps(shown))
 
