--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PY := .venv/bin/python
 SEED ?= 1
 
-.PHONY: setup test format format-check lint types demo bench policy slopes fuzz
+.PHONY: setup test format format-check lint types demo bench policy slopes fuzz bytecode memory
 
 setup: .venv/.ready
 
@@ -10,6 +10,15 @@
 	.venv/bin/pip install -q --disable-pip-version-check -e '.[dev]'
 	touch $@
 
+# Compile what the daemon loads, without docstrings: it then takes less memory.
+bytecode: setup
+	env -u PYTHONDONTWRITEBYTECODE $(PY) -OO \
+		-X pycache_prefix=$(CURDIR)/.venv/bytecode \
+		-m hibiscusslip.bench.memory warm
+
+memory: bytecode
+	$(PY) -m hibiscusslip.bench.memory
+
 test: setup
 	$(PY) -m pytest
 
--- /dev/null
+++ b/tests/test_lean.py
@@ -0,0 +1,36 @@
+"""Check that a process can be replaced by a leaner one."""
+
+import subprocess
+import sys
+
+from hibiscusslip import lean
+
+_CODE = """
+import os
+import sys
+from hibiscusslip import lean
+print(os.getpid())
+lean.become('hibiscusslip.tests_probe', ['x'])
+"""
+
+
+def test_become_keeps_the_pid_and_passes_arguments(tmp_path):
+    package = tmp_path / 'probe.py'
+    package.write_text('import os, sys\nprint(os.getpid(), sys.argv[1:])\n')
+    code = _CODE.replace('hibiscusslip.tests_probe', 'probe')
+    done = subprocess.run(
+        [sys.executable, '-c', code],
+        env={'PYTHONPATH': str(tmp_path)},
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    first, second = done.stdout.splitlines()
+    assert second == f"{first} ['x']"
+
+
+def test_flags_are_used_only_with_prepared_bytecode(tmp_path, monkeypatch):
+    monkeypatch.setattr(sys, 'prefix', str(tmp_path))
+    assert lean.flags() == []
+    (tmp_path / lean.BYTECODE_DIRECTORY).mkdir()
+    assert lean.flags()[0] == '-OO'
