Send peer messages as arrays without field names

Field names were more than half of a heartbeat. No field or type changed in Python; a new field now has to go last and have a default.

--- a/hibiscusslip/peer/messages.py
+++ b/hibiscusslip/peer/messages.py
@@ -10,7 +10,14 @@
 import msgspec
 
 
-class ShardLoad(msgspec.Struct, frozen=True):
+class _Message(msgspec.Struct, frozen=True, array_like=True):
+    """Travel as an array without field names, which saves bytes.
+
+    So a new field goes last and has a default.
+    """
+
+
+class ShardLoad(_Message, frozen=True):
     """Summarise one shard for others that may send work there."""
 
     zone: str
@@ -27,7 +34,7 @@
     running: int
 
 
-class Heartbeat(msgspec.Struct, frozen=True, tag='heartbeat'):
+class Heartbeat(_Message, frozen=True, tag='heartbeat'):
     """Tell that the sender lives, what it holds and what it knows."""
 
     number: int
@@ -40,7 +47,7 @@
     port: int = 0
 
 
-class KnownHost(msgspec.Struct, frozen=True):
+class KnownHost(_Message, frozen=True):
     """Name an entry host and how long ago the sender heard of it."""
 
     host: str
@@ -51,7 +58,7 @@
     age: float
 
 
-class HeartbeatAck(msgspec.Struct, frozen=True, tag='heartbeat_ack'):
+class HeartbeatAck(_Message, frozen=True, tag='heartbeat_ack'):
     """Answer a heartbeat with what the receiver knows."""
 
     number: int
@@ -61,14 +68,14 @@
     known_hosts: list[KnownHost]
 
 
-class HeldShard(msgspec.Struct, frozen=True):
+class HeldShard(_Message, frozen=True):
     """Name a shard with the epoch it is held at."""
 
     shard: int
     epoch: int
 
 
-class PromiseRequest(msgspec.Struct, frozen=True, tag='promise_request'):
+class PromiseRequest(_Message, frozen=True, tag='promise_request'):
     """Ask a host of the same zone not to claim shards for a while.
 
     `claimants` lists all hosts that are asked; a host that knows of one
@@ -81,7 +88,7 @@
     claimants: list[str] = []
 
 
-class PromiseReply(msgspec.Struct, frozen=True, tag='promise_reply'):
+class PromiseReply(_Message, frozen=True, tag='promise_reply'):
     """Name the shards that the sender promises not to claim.
 
     `open_for` lists holders it has open promises to, for newcomers.
@@ -91,13 +98,13 @@
     granted: list[int]
 
 
-class IntroductionRequest(msgspec.Struct, frozen=True, tag='introduce'):
+class IntroductionRequest(_Message, frozen=True, tag='introduce'):
     """Ask a host of the same zone to take this newcomer into account."""
 
     request_id: str
 
 
-class OpenPromise(msgspec.Struct, frozen=True):
+class OpenPromise(_Message, frozen=True):
     """Tell how long a promise to a holder stays open."""
 
     shard: int
@@ -107,7 +114,7 @@
     remaining: float
 
 
-class IntroductionReply(msgspec.Struct, frozen=True, tag='introduced'):
+class IntroductionReply(_Message, frozen=True, tag='introduced'):
     """Confirm the introduction and tell the open promises.
 
     `known_to` lists the hosts that ask the sender for promises: it makes
@@ -119,7 +126,7 @@
     known_to: list[str] = []
 
 
-class JobSubmit(msgspec.Struct, frozen=True, tag='job_submit'):
+class JobSubmit(_Message, frozen=True, tag='job_submit'):
     """Send a job to the owner of its home shard."""
 
     zone: str
@@ -128,7 +135,7 @@
     wait: float = 0.0
 
 
-class JobStatus(msgspec.Struct, frozen=True, tag='job_status'):
+class JobStatus(_Message, frozen=True, tag='job_status'):
     """Ask for a job's state; wait up to `wait` for a final one."""
 
     zone: str
@@ -137,7 +144,7 @@
     wait: float
 
 
-class JobCancel(msgspec.Struct, frozen=True, tag='job_cancel'):
+class JobCancel(_Message, frozen=True, tag='job_cancel'):
     """Ask the owner of the home shard to cancel a job."""
 
     zone: str
@@ -145,7 +152,7 @@
     job_id: str
 
 
-class JobExplain(msgspec.Struct, frozen=True, tag='job_explain'):
+class JobExplain(_Message, frozen=True, tag='job_explain'):
     """Ask for a job's whole history with reasons."""
 
     zone: str
@@ -153,7 +160,7 @@
     job_id: str
 
 
-class JobState(msgspec.Struct, frozen=True, tag='job_state'):
+class JobState(_Message, frozen=True, tag='job_state'):
     """Tell how a job stands; `answer` is whole when final."""
 
     job_id: str
@@ -164,7 +171,7 @@
     nearest: str = ''
 
 
-class JobStory(msgspec.Struct, frozen=True, tag='job_story'):
+class JobStory(_Message, frozen=True, tag='job_story'):
     """Tell a job's history, one line an event, the oldest first."""
 
     job_id: str
@@ -172,7 +179,7 @@
     lines: list[str]
 
 
-class HoldRequest(msgspec.Struct, frozen=True, tag='hold'):
+class HoldRequest(_Message, frozen=True, tag='hold'):
     """Ask a shard's owner to hold room for tasks of a foreign job."""
 
     hold_id: str
@@ -187,33 +194,33 @@
     duration: float
 
 
-class HoldReply(msgspec.Struct, frozen=True, tag='held'):
+class HoldReply(_Message, frozen=True, tag='held'):
     """Name the tasks that room is held for, maybe none."""
 
     hold_id: str
     tasks: list[int]
 
 
-class CommitRequest(msgspec.Struct, frozen=True, tag='commit'):
+class CommitRequest(_Message, frozen=True, tag='commit'):
     """Start the tasks that room is held for."""
 
     hold_id: str
 
 
-class CommitReply(msgspec.Struct, frozen=True, tag='committed'):
+class CommitReply(_Message, frozen=True, tag='committed'):
     """Tell whether the held tasks start: False when it had expired."""
 
     hold_id: str
     committed: bool
 
 
-class ReleaseRequest(msgspec.Struct, frozen=True, tag='release'):
+class ReleaseRequest(_Message, frozen=True, tag='release'):
     """Give held room back."""
 
     hold_id: str
 
 
-class RemoteTaskQuery(msgspec.Struct, frozen=True, tag='remote_query'):
+class RemoteTaskQuery(_Message, frozen=True, tag='remote_query'):
     """Ask how tasks of a foreign job stand on a shard.
 
     The receiver refuses older epochs of the home shard from then on.
@@ -227,7 +234,7 @@
     tasks: list[str]
 
 
-class RemoteTaskState(msgspec.Struct, frozen=True, tag='remote_state'):
+class RemoteTaskState(_Message, frozen=True, tag='remote_state'):
     """Tell how one task on a foreign shard stands."""
 
     task: str
@@ -237,13 +244,13 @@
     answer: bytes
 
 
-class RemoteTaskReport(msgspec.Struct, frozen=True, tag='remote_report'):
+class RemoteTaskReport(_Message, frozen=True, tag='remote_report'):
     """Tell the home of tasks how they stand."""
 
     tasks: list[RemoteTaskState]
 
 
-class StopTasks(msgspec.Struct, frozen=True, tag='stop_tasks'):
+class StopTasks(_Message, frozen=True, tag='stop_tasks'):
     """Ask a shard's owner to stop tasks of a foreign job."""
 
     zone: str
@@ -254,7 +261,7 @@
     tasks: list[str]
 
 
-class HandOver(msgspec.Struct, frozen=True, tag='hand_over'):
+class HandOver(_Message, frozen=True, tag='hand_over'):
     """Hand shards and all that is held for them to the receiver."""
 
     transfer_id: str
@@ -265,13 +272,13 @@
     state: bytes
 
 
-class ConfigQuery(msgspec.Struct, frozen=True, tag='config_query'):
+class ConfigQuery(_Message, frozen=True, tag='config_query'):
     """Ask for the newest configuration above a version."""
 
     above: int
 
 
-class ConfigState(msgspec.Struct, frozen=True, tag='config_state'):
+class ConfigState(_Message, frozen=True, tag='config_state'):
     """Carry a configuration record as read from the log; empty if none."""
 
     version: int
@@ -279,21 +286,21 @@
     record: bytes
 
 
-class StatusQuery(msgspec.Struct, frozen=True, tag='status_query'):
+class StatusQuery(_Message, frozen=True, tag='status_query'):
     """Ask a host for its part of the operators' view."""
 
 
-class HostStatus(msgspec.Struct, frozen=True, tag='host_status'):
+class HostStatus(_Message, frozen=True, tag='host_status'):
     """Carry a host's part of the operators' view as JSON."""
 
     document: bytes
 
 
-class Done(msgspec.Struct, frozen=True, tag='done'):
+class Done(_Message, frozen=True, tag='done'):
     """Confirm a call that has nothing to tell."""
 
 
-class Refusal(msgspec.Struct, frozen=True, tag='refusal'):
+class Refusal(_Message, frozen=True, tag='refusal'):
     """Decline a call: nothing of it was done."""
 
     kind: str
@@ -333,7 +340,7 @@
 ]
 
 
-class Envelope(msgspec.Struct, frozen=True):
+class Envelope(_Message, frozen=True):
     """Carry one message; `reply` tells a reply from a call.
 
     `trace` is a W3C traceparent or empty, `expires` the seconds that the
