Start, watch and take over tasks on shards that are not their home

Cause: a gang may need more room than its home shard has. Change: holds with an expiry, commits against it, fences by home epoch, reports and queries; guests are adopted and booked by their tag.

--- a/hibiscusslip/jobs/_adoption.py
+++ b/hibiscusslip/jobs/_adoption.py
@@ -105,18 +105,19 @@
     run: endpoint_base.Run,
     now: float,
 ) -> None:
-    """Make a job of a run whose job isn't known, if it belongs here."""
+    """Make a job of a run whose job isn't known, or a guest."""
     try:
         tag = job_records.decode_tag(run.tag)
     except codec.CodecError:
         return
-    here = (tag.zone, tag.shard) == (st.shard.zone, st.shard.number)
-    if not here or tag.job.job_id != work.job_of(run.task):
+    if tag.job.job_id != work.job_of(run.task):
         return
+    home = places.Shard(tag.zone, tag.shard)
     spec = job_records.from_record(tag.job)
     job = st.jobs.get(spec.job_id)
     if job is None:
-        job = model.Job(spec, now, {}, partial=True)
+        guest_of = None if home == st.shard else home
+        job = model.Job(spec, now, {}, partial=True, guest_of=guest_of)
         st.jobs[spec.job_id] = job
     index = work.index_of(run.task)
     task = model.Task(index)
--- a/hibiscusslip/jobs/_endings.py
+++ b/hibiscusslip/jobs/_endings.py
@@ -10,6 +10,25 @@
 
 EndKind = scheduler_base.EndKind
 RunState = endpoint_base.RunState
+RemoteState = commands.RemoteState
+
+_GUEST_STATES = {
+    RunState.SUCCEEDED: RemoteState.SUCCEEDED,
+    RunState.FAILED: RemoteState.FAILED,
+    RunState.STOPPED: RemoteState.STOPPED,
+    RunState.LAPSED: RemoteState.LOST,
+}
+_GUEST_ENDS = {
+    RemoteState.SUCCEEDED: EndKind.SUCCEEDED,
+    RemoteState.FAILED: EndKind.FAILED,
+    RemoteState.STOPPED: EndKind.STOPPED,
+    RemoteState.LOST: EndKind.ENDPOINT_LOST,
+    RemoteState.NOT_STARTED: EndKind.NOT_STARTED,
+}
+_GUEST_OUTCOMES = {
+    RemoteState.SUCCEEDED: work.Outcome.SUCCEEDED,
+    RemoteState.NOT_STARTED: work.Outcome.NOT_RUN,
+}
 
 
 def run_ended(
@@ -50,6 +69,9 @@
     job.note(f'task {task.index} {run.state} on {task.endpoint}', now)
     if run.state == RunState.SUCCEEDED:
         task.answer = run.answer or b''
+    if job.guest_of is not None:
+        guest_ended(st, job, task, _GUEST_STATES[run.state], run.detail, now)
+        return
     if job.spec.form == work.Form.SERVICE and not job.cancelled:
         _restart_service(st, job, task, run.state, now)
         return
@@ -81,6 +103,9 @@
 ) -> None:
     """Take that a run has provably ended without telling its result."""
     job.note(f'task {task.index} lost: {why}', now)
+    if job.guest_of is not None:
+        guest_ended(st, job, task, RemoteState.LOST, why, now)
+        return
     _free(st, job, task, EndKind.ENDPOINT_LOST, now)
     if job.spec.repeatable and not job.cancelled:
         requeue(st, job, task, st.cfg.retry_delay, now)
@@ -102,6 +127,9 @@
 ) -> None:
     """Take that a start provably did not happen."""
     job.note(f'task {task.index} not started on {task.endpoint}: {why}', now)
+    if job.guest_of is not None:
+        guest_ended(st, job, task, RemoteState.NOT_STARTED, why, now)
+        return
     _free(st, job, task, EndKind.NOT_STARTED, now)
     if job.cancelled:
         close_task(st, job, task, work.Outcome.NOT_RUN, 'cancelled', now)
@@ -111,6 +139,35 @@
     requeue(st, job, task, delay, now)
 
 
+def guest_ended(
+    st: _state.ShardState,
+    job: model.Job,
+    task: model.Task,
+    state: RemoteState,
+    detail: str,
+    now: float,
+) -> None:
+    """Tell a guest's home how its task ended; the home decides on."""
+    assert job.guest_of is not None
+    _free(st, job, task, _GUEST_ENDS[state], now)
+    task.phase = model.Phase.ENDED
+    task.outcome = _GUEST_OUTCOMES.get(state, work.Outcome.FAILED)
+    task.detail = state.value
+    report = commands.RemoteTask(
+        work.task_id(job.spec.job_id, task.index),
+        task.attempt,
+        state,
+        detail,
+        task.answer,
+    )
+    st.pending.append(commands.ReportTask(job.guest_of, report))
+    if not job.open_tasks:
+        job.outcome = model.job_outcome(job)
+        job.ended_at = now
+        st.finals.append(job.spec.job_id)
+        st.final_bytes += sum(len(t.answer) for t in job.tasks.values())
+
+
 def requeue(
     st: _state.ShardState,
     job: model.Job,
--- /dev/null
+++ b/hibiscusslip/jobs/_guests.py
@@ -0,0 +1,165 @@
+"""Hold room for, start and watch tasks whose home is another shard.
+
+A home may be taken over at any time. So a hold that was asked for at an
+older epoch of the home than one seen since is worth nothing, and a commit
+counts only while its hold has not expired on this host's clock.
+"""
+
+from hibiscusslip.jobs import _starting
+from hibiscusslip.jobs import _state
+from hibiscusslip.jobs import commands
+from hibiscusslip.jobs import exceptions
+from hibiscusslip.jobs import model
+from hibiscusslip.model import places
+from hibiscusslip.model import work
+
+MAX_HOLD_SECONDS = 10.0
+MAX_GUEST_HOLDS = 1024
+KEEP_COMMITTED_SECONDS = 60.0
+NOT_READY_RETRY_SECONDS = 1.0
+
+RemoteState = commands.RemoteState
+
+
+def check_home(
+    st: _state.ShardState, home: places.Shard, epoch: int, now: float
+) -> None:
+    """Refuse a home's older epochs from now on; raises StaleHome."""
+    newest = st.fences.get(home, 0)
+    if epoch < newest:
+        raise exceptions.StaleHome(home, epoch)
+    if epoch > newest:
+        st.fences[home] = epoch
+        _release_older(st, home, epoch, now)
+
+
+def _release_older(
+    st: _state.ShardState, home: places.Shard, epoch: int, now: float
+) -> None:
+    for hold_id, guest in list(st.guests.items()):
+        if guest.home == home and guest.home_epoch < epoch:
+            release(st, hold_id, now)
+
+
+def hold(
+    st: _state.ShardState,
+    hold_id: str,
+    guest: _state.Guest,
+    tasks: list[int],
+    now: float,
+) -> list[int]:
+    """Hold room for tasks of a foreign job; return those that fit."""
+    check_home(st, guest.home, guest.home_epoch, now)
+    expire(st, now)
+    if not st.open or len(st.guests) >= MAX_GUEST_HOLDS:
+        return []
+    until = min(guest.until, now + MAX_HOLD_SECONDS)
+    starts = st.scheduler.hold(hold_id, guest.spec, tasks, until)
+    if not starts:
+        return []
+    st.guests[hold_id] = _state.Guest(
+        guest.home,
+        guest.home_epoch,
+        guest.spec,
+        guest.attempt,
+        starts,
+        until,
+    )
+    return [work.index_of(start.task) for start in starts]
+
+
+def commit(st: _state.ShardState, hold_id: str, now: float) -> bool:
+    """Start what room is held for; False when the hold has expired."""
+    if hold_id in st.committed:
+        return True
+    guest = st.guests.pop(hold_id, None)
+    if guest is None:
+        return False
+    if now >= guest.until or not st.scheduler.commit_hold(hold_id, now):
+        st.scheduler.release_hold(hold_id, now)
+        return False
+    st.committed[hold_id] = now
+    job = _guest_job(st, guest, now)
+    for start in guest.starts:
+        index = work.index_of(start.task)
+        task = model.Task(index, attempt=guest.attempt - 1)
+        task.endpoint = start.endpoint
+        job.tasks[index] = task
+    _starting.send(st, guest.starts, now)
+    return True
+
+
+def _guest_job(
+    st: _state.ShardState, guest: _state.Guest, now: float
+) -> model.Job:
+    job_id = guest.spec.job_id
+    job = st.jobs.get(job_id)
+    if job is None or job.guest_of is None:
+        job = model.Job(guest.spec, now, {}, guest_of=guest.home)
+        st.jobs[job_id] = job
+    job.outcome = work.Outcome.RUNNING
+    job.note(f'taken in for shard {guest.home}', now)
+    return job
+
+
+def release(st: _state.ShardState, hold_id: str, now: float) -> None:
+    """Give the room of a hold back, if it is not committed."""
+    if st.guests.pop(hold_id, None) is not None:
+        st.scheduler.release_hold(hold_id, now)
+
+
+def expire(st: _state.ShardState, now: float) -> None:
+    """Release expired holds and forget old commits."""
+    for hold_id, guest in list(st.guests.items()):
+        if now >= guest.until:
+            release(st, hold_id, now)
+    for hold_id, at in list(st.committed.items()):
+        if now - at > KEEP_COMMITTED_SECONDS:
+            del st.committed[hold_id]
+
+
+def query(
+    st: _state.ShardState,
+    home: places.Shard,
+    epoch: int,
+    tasks: list[str],
+    now: float,
+) -> list[commands.RemoteTask]:
+    """Tell a home how its tasks stand; raises StaleHome, ShardNotReady."""
+    check_home(st, home, epoch, now)
+    if not st.open:
+        raise exceptions.ShardNotReady(NOT_READY_RETRY_SECONDS)
+    return [_state_of(st, home, name) for name in tasks]
+
+
+def _state_of(
+    st: _state.ShardState, home: places.Shard, name: str
+) -> commands.RemoteTask:
+    found = st.find(name)
+    if found is None or found[0].guest_of != home:
+        return commands.RemoteTask(name, 0, RemoteState.ABSENT)
+    task = found[1]
+    if task.phase != model.Phase.ENDED:
+        return commands.RemoteTask(name, task.attempt, RemoteState.RUNNING)
+    state = RemoteState(task.detail)
+    return commands.RemoteTask(name, task.attempt, state, '', task.answer)
+
+
+def stop(
+    st: _state.ShardState,
+    home: places.Shard,
+    epoch: int,
+    tasks: list[str],
+    now: float,
+) -> None:
+    """Stop tasks for their home; raises StaleHome."""
+    check_home(st, home, epoch, now)
+    for name in tasks:
+        found = st.find(name)
+        if found is None or found[0].guest_of != home:
+            continue
+        task = found[1]
+        if task.phase in (model.Phase.RUNNING, model.Phase.DOUBT):
+            st.pending.append(
+                commands.StopTask(task.endpoint, name, st.cfg.stop_grace)
+            )
--- a/hibiscusslip/jobs/_opening.py
+++ b/hibiscusslip/jobs/_opening.py
@@ -23,15 +23,18 @@
 
 def _queue_rest(st: _state.ShardState, job: model.Job, now: float) -> None:
     """Queue what was accepted before and doesn't run anywhere."""
-    if job.outcome.final:
+    if job.outcome.final or job.guest_of is not None:
         return
     waiting = [t for t in job.tasks.values() if t.phase == model.Phase.QUEUED]
     fresh = []
+    elsewhere = job.places - {str(st.shard)}
     for task in waiting:
-        if task.index in job.intents and not task.unstarted:
-            leave_unknown(st, job, task, now)
-        else:
+        if task.index not in job.intents or task.unstarted:
             fresh.append(task)
+        elif elsewhere:
+            task.phase = model.Phase.ASKING
+        else:
+            leave_unknown(st, job, task, now)
     if not fresh:
         return
     if len(fresh) == job.spec.tasks:
--- /dev/null
+++ b/hibiscusslip/jobs/_remote.py
@@ -0,0 +1,169 @@
+"""Follow the tasks of own jobs that are on other shards."""
+
+from hibiscusslip.endpoint import base as endpoint_base
+from hibiscusslip.jobs import _endings
+from hibiscusslip.jobs import _opening
+from hibiscusslip.jobs import _state
+from hibiscusslip.jobs import commands
+from hibiscusslip.jobs import model
+from hibiscusslip.model import work
+from hibiscusslip.records import zone as zone_records
+
+RemoteState = commands.RemoteState
+RunState = endpoint_base.RunState
+
+_RUN_STATES = {
+    RemoteState.SUCCEEDED: RunState.SUCCEEDED,
+    RemoteState.FAILED: RunState.FAILED,
+    RemoteState.STOPPED: RunState.STOPPED,
+}
+
+
+def write_intent(
+    st: _state.ShardState, job_id: str, tasks: list[int], places: list[str]
+) -> str:
+    """Write that tasks may start on other shards; return the record's id."""
+    record = zone_records.StartIntent(
+        record_id=next(st.ids),
+        shard=st.shard.number,
+        epoch=st.epoch,
+        job_id=job_id,
+        tasks=tasks,
+        attempt=1,
+        place=' '.join(places),
+    )
+    st.write(record)
+    return record.record_id
+
+
+def mark_remote(
+    st: _state.ShardState, job_id: str, index: int, place: str, now: float
+) -> int:
+    """Note that a task starts on another shard; return its attempt."""
+    job = st.jobs[job_id]
+    task = job.tasks[index]
+    task.phase = model.Phase.REMOTE
+    task.place = place
+    task.attempt += 1
+    task.outcome = work.Outcome.RUNNING
+    job.outcome = work.Outcome.RUNNING
+    job.note(f'task {index} goes to shard {place}', now)
+    return task.attempt
+
+
+def take_report(
+    st: _state.ShardState, report: commands.RemoteTask, now: float
+) -> None:
+    """Take how a task on another shard stands."""
+    found = st.find(report.task)
+    if found is None:
+        return
+    job, task = found
+    if task.phase != model.Phase.REMOTE:
+        st.counters.late_answers += 1
+        return
+    if report.state == RemoteState.RUNNING:
+        task.started = True
+        return
+    absent = report.state == RemoteState.ABSENT
+    if not absent and report.attempt != task.attempt:
+        st.counters.late_answers += 1
+        return
+    _take_end(st, job, task, report, now)
+
+
+def _take_end(
+    st: _state.ShardState,
+    job: model.Job,
+    task: model.Task,
+    report: commands.RemoteTask,
+    now: float,
+) -> None:
+    """Decide what the end of a task elsewhere means."""
+    run_state = _RUN_STATES.get(report.state)
+    if run_state is not None:
+        task.started = True
+        run = endpoint_base.Run(
+            report.task,
+            report.attempt,
+            run_state,
+            job.spec.demand,
+            b'',
+            report.answer,
+            detail=report.detail,
+        )
+        _endings.finish_run(st, job, task, run, now)
+    elif report.state == RemoteState.NOT_STARTED:
+        _endings.not_started(st, job, task, report.detail, now)
+    else:
+        why = report.detail or f'shard {task.place} has it no longer'
+        _endings.run_lost(st, job, task, why, now)
+
+
+def never_committed(
+    st: _state.ShardState, job_id: str, index: int, why: str, now: float
+) -> None:
+    """Take that a remote task's hold surely expired uncommitted."""
+    job = st.jobs.get(job_id)
+    if job is None:
+        return
+    task = job.tasks[index]
+    if task.phase == model.Phase.REMOTE and not task.started:
+        _endings.not_started(st, job, task, why, now)
+
+
+def open_remote(st: _state.ShardState) -> dict[str, list[str]]:
+    """Return the names of tasks to ask after, by the shard to ask."""
+    found: dict[str, list[str]] = {}
+    for job in st.jobs.values():
+        for task in job.tasks.values():
+            name = work.task_id(job.spec.job_id, task.index)
+            if task.phase == model.Phase.REMOTE:
+                found.setdefault(task.place, []).append(name)
+            elif task.phase == model.Phase.ASKING:
+                for place in job.places - {str(st.shard)}:
+                    found.setdefault(place, []).append(name)
+    return found
+
+
+def take_answer(
+    st: _state.ShardState,
+    place: str,
+    report: commands.RemoteTask,
+    now: float,
+) -> None:
+    """Take a shard's answer about a task of an own job."""
+    found = st.find(report.task)
+    if found is None:
+        return
+    job, task = found
+    if task.phase != model.Phase.ASKING:
+        if task.place == place:
+            take_report(st, report, now)
+        return
+    if report.state == RemoteState.ABSENT:
+        _absent(st, job, task, place, now)
+        return
+    # An earlier owner of this home had it started there.
+    task.phase = model.Phase.REMOTE
+    task.place = place
+    task.attempt = report.attempt
+    task.outcome = work.Outcome.RUNNING
+    take_report(st, report, now)
+
+
+def _absent(
+    st: _state.ShardState,
+    job: model.Job,
+    task: model.Task,
+    place: str,
+    now: float,
+) -> None:
+    """Decide about a task once no shard that may have it has it."""
+    task.absent_at.add(place)
+    if not task.absent_at >= job.places - {str(st.shard)}:
+        return
+    if job.spec.repeatable:
+        _endings.requeue(st, job, task, 0.0, now)
+    else:
+        _opening.leave_unknown(st, job, task, now)
--- a/hibiscusslip/jobs/_starting.py
+++ b/hibiscusslip/jobs/_starting.py
@@ -35,10 +35,10 @@
             _preempt(st, decision, now)
         else:
             _drop(st, decision, now)
-    _prepare(st, ready, now)
+    prepare(st, ready, now)
 
 
-def _prepare(
+def prepare(
     st: _state.ShardState,
     ready: list[scheduler_base.Start],
     now: float,
@@ -147,12 +147,13 @@
     st: _state.ShardState, job: model.Job, task: model.Task
 ) -> endpoint_base.StartOrder:
     """Return the order that starts a task."""
+    home = job.guest_of or st.shard
     return endpoint_base.StartOrder(
         task=work.task_id(job.spec.job_id, task.index),
         attempt=task.attempt,
         demand=job.spec.demand,
         lease=st.cfg.worker_lease,
-        tag=job_records.encode_tag(st.shard.zone, st.shard.number, job.spec),
+        tag=job_records.encode_tag(home.zone, home.number, job.spec),
         payload=job.spec.payload,
         checkpoint=task.checkpoint,
     )
--- a/hibiscusslip/jobs/_state.py
+++ b/hibiscusslip/jobs/_state.py
@@ -8,6 +8,7 @@
 from hibiscusslip.jobs import commands
 from hibiscusslip.jobs import model
 from hibiscusslip.model import places
+from hibiscusslip.model import work
 from hibiscusslip.records import zone as zone_records
 from hibiscusslip.scheduler import base as scheduler_base
 
@@ -61,6 +62,18 @@
     tasks: set[str] = dataclasses.field(default_factory=set)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Guest:
+    """Hold what a foreign home asked room for."""
+
+    home: places.Shard
+    home_epoch: int
+    spec: work.JobSpec
+    attempt: int
+    starts: list[scheduler_base.Start]
+    until: float
+
+
 @dataclasses.dataclass(slots=True)
 class Counters:
     """Count what the engine met; the node publishes them."""
@@ -92,6 +105,9 @@
     writing: dict[str, zone_records.ZoneRecord] = dataclasses.field(
         default_factory=dict
     )
+    guests: dict[str, Guest] = dataclasses.field(default_factory=dict)
+    committed: dict[str, float] = dataclasses.field(default_factory=dict)
+    fences: dict[places.Shard, int] = dataclasses.field(default_factory=dict)
     held_back: dict[str, float] = dataclasses.field(default_factory=dict)
     finals: collections.deque = dataclasses.field(
         default_factory=collections.deque
--- a/hibiscusslip/jobs/commands.py
+++ b/hibiscusslip/jobs/commands.py
@@ -1,8 +1,10 @@
 """Define what a shard's engine asks the node to do."""
 
 import dataclasses
+import enum
 
 from hibiscusslip.endpoint import base as endpoint_base
+from hibiscusslip.model import places
 from hibiscusslip.model import work
 from hibiscusslip.records import zone
 
@@ -89,6 +91,41 @@
     job_id: str
 
 
+class RemoteState(enum.StrEnum):
+    """Tell how a task stands on a shard that is not its home.
+
+    LOST has started and has provably ended without a result, NOT_STARTED
+    never started, ABSENT is not known there and runs on no endpoint there.
+    """
+
+    RUNNING = 'running'
+    SUCCEEDED = 'succeeded'
+    FAILED = 'failed'
+    STOPPED = 'stopped'
+    LOST = 'lost'
+    NOT_STARTED = 'not_started'
+    ABSENT = 'absent'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RemoteTask:
+    """Tell how one task of a foreign job stands."""
+
+    task: str
+    attempt: int
+    state: RemoteState
+    detail: str = ''
+    answer: bytes = b''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReportTask:
+    """Tell a guest's home how its task stands."""
+
+    home: places.Shard
+    report: RemoteTask
+
+
 Command = (
     StartTasks
     | WriteRecord
@@ -100,4 +137,5 @@
     | HoldElsewhere
     | JobFinal
     | JobKept
+    | ReportTask
 )
--- a/hibiscusslip/jobs/engine.py
+++ b/hibiscusslip/jobs/engine.py
@@ -11,7 +11,9 @@
 from hibiscusslip.jobs import _adoption
 from hibiscusslip.jobs import _endings
 from hibiscusslip.jobs import _finals
+from hibiscusslip.jobs import _guests
 from hibiscusslip.jobs import _opening
+from hibiscusslip.jobs import _remote
 from hibiscusslip.jobs import _starting
 from hibiscusslip.jobs import _state
 from hibiscusslip.jobs import budget
@@ -26,6 +28,7 @@
 EngineConfig = _state.EngineConfig
 Counters = _state.Counters
 Contact = _state.Contact
+Guest = _state.Guest
 
 RETRY_SHARE = 0.1
 RETRY_RESERVE = 20.0
@@ -295,6 +298,76 @@
         if found is not None:
             found[1].checkpoint = data
 
+    def hold(
+        self,
+        hold_id: str,
+        guest: Guest,
+        tasks: list[int],
+        now: float,
+    ) -> list[int]:
+        """Hold room for a foreign job's tasks; return those that fit.
+
+        Raises StaleHome.
+        """
+        return _guests.hold(self._st, hold_id, guest, tasks, now)
+
+    def commit_hold(self, hold_id: str, now: float) -> bool:
+        """Start what room is held for; False when the hold has expired."""
+        return _guests.commit(self._st, hold_id, now)
+
+    def release_hold(self, hold_id: str, now: float) -> None:
+        """Give the room of a hold back."""
+        _guests.release(self._st, hold_id, now)
+
+    def query_guests(
+        self, home: places.Shard, epoch: int, tasks: list[str], now: float
+    ) -> list[commands.RemoteTask]:
+        """Tell a home how its tasks stand here.
+
+        Raises StaleHome or ShardNotReady.
+        """
+        return _guests.query(self._st, home, epoch, tasks, now)
+
+    def stop_guests(
+        self, home: places.Shard, epoch: int, tasks: list[str], now: float
+    ) -> None:
+        """Stop a foreign home's tasks; raises StaleHome."""
+        _guests.stop(self._st, home, epoch, tasks, now)
+
+    def write_remote_intent(
+        self, job_id: str, tasks: list[int], at: list[str]
+    ) -> str:
+        """Write that tasks may start on other shards; return the id."""
+        return _remote.write_intent(self._st, job_id, tasks, at)
+
+    def mark_remote(
+        self, job_id: str, index: int, place: str, now: float
+    ) -> int:
+        """Note that a task starts on another shard; return its attempt."""
+        return _remote.mark_remote(self._st, job_id, index, place, now)
+
+    def never_committed(
+        self, job_id: str, index: int, why: str, now: float
+    ) -> None:
+        """Take that a remote task's hold surely expired uncommitted."""
+        _remote.never_committed(self._st, job_id, index, why, now)
+
+    def start_local(
+        self, starts: list[scheduler_base.Start], now: float
+    ) -> None:
+        """Start the local part of a gang."""
+        _starting.prepare(self._st, starts, now)
+
+    def open_remote(self) -> dict[str, list[str]]:
+        """Return the tasks to ask other shards after, by shard."""
+        return _remote.open_remote(self._st)
+
+    def remote_answered(
+        self, place: str, report: commands.RemoteTask, now: float
+    ) -> None:
+        """Take another shard's word on a task of an own job."""
+        _remote.take_answer(self._st, place, report, now)
+
     def tick(self, now: float) -> None:
         """Do what has come due, and decide what starts."""
         st = self._st
@@ -303,6 +376,7 @@
         _opening.try_open(st, now)
         _finals.release_due(st, now)
         _finals.evict(st, now)
+        _guests.expire(st, now)
         self.decide(now)
 
     def decide(self, now: float) -> None:
--- a/hibiscusslip/jobs/exceptions.py
+++ b/hibiscusslip/jobs/exceptions.py
@@ -1,5 +1,7 @@
 """Name why a shard does not take a request; nothing of it was done."""
 
+from hibiscusslip.model import places
+
 
 class JobError(Exception):
     """Raise for a request that the shard does not take."""
@@ -59,3 +61,13 @@
             ' ask again later, or ask for repeatable, not durable work'
         )
         self.retry_after = retry_after
+
+
+class StaleHome(JobError):
+    """Raise for calls of a home that has been taken over since."""
+
+    def __init__(self, home: places.Shard, epoch: int) -> None:
+        super().__init__(
+            f'shard {home} has a newer owner than that of epoch {epoch};'
+            ' read the log to its end before asking again'
+        )
--- a/hibiscusslip/jobs/handover.py
+++ b/hibiscusslip/jobs/handover.py
@@ -4,6 +4,7 @@
 
 from hibiscusslip import codec
 from hibiscusslip.jobs import model
+from hibiscusslip.model import places
 from hibiscusslip.model import work
 from hibiscusslip.records import job as job_records
 
@@ -18,6 +19,7 @@
     answer: bytes = b''
     checkpoint: bytes = b''
     unstarted: bool = False
+    place: str = ''
 
 
 class HandedJob(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -31,6 +33,8 @@
     cancelled: bool = False
     partial: bool = False
     intents: list[int] = []
+    places: list[str] = []
+    guest_of: str = ''
 
 
 def pack(job: model.Job) -> bytes:
@@ -45,6 +49,8 @@
             cancelled=job.cancelled,
             partial=job.partial,
             intents=sorted(job.intents),
+            places=sorted(job.places),
+            guest_of='' if job.guest_of is None else str(job.guest_of),
         )
     )
 
@@ -59,6 +65,7 @@
         task.answer,
         task.checkpoint,
         task.phase in waiting,
+        task.place if task.phase == model.Phase.REMOTE else '',
     )
 
 
@@ -80,7 +87,9 @@
         recorded=handed.recorded,
         cancelled=handed.cancelled,
         partial=handed.partial,
+        guest_of=_shard(handed.guest_of),
         intents=set(handed.intents),
+        places=set(handed.places),
     )
     if job.outcome.final:
         job.ended_at = now
@@ -88,11 +97,19 @@
     return job
 
 
+def _shard(text: str) -> places.Shard | None:
+    return places.parse_shard(text) if text else None
+
+
 def _unpack_task(handed: HandedTask) -> model.Task:
     outcome = work.Outcome(handed.outcome)
     task = model.Task(handed.index, attempt=handed.attempt)
     task.checkpoint = handed.checkpoint
     task.unstarted = handed.unstarted
+    if handed.place:
+        task.place = handed.place
+        task.phase = model.Phase.REMOTE
+        task.outcome = work.Outcome.RUNNING
     if outcome.final:
         task.phase = model.Phase.ENDED
         task.outcome = outcome
--- a/hibiscusslip/jobs/index.py
+++ b/hibiscusslip/jobs/index.py
@@ -22,6 +22,7 @@
     job_id: str
     job: bytes = b''
     intents: list[int] = []
+    places: list[str] = []
     outcome: str = ''
     detail: str = ''
     answer: bytes = b''
@@ -34,6 +35,7 @@
     job_id: str
     job: bytes = b''
     intents: set[int] = dataclasses.field(default_factory=set)
+    places: set[str] = dataclasses.field(default_factory=set)
     outcome: str = ''
     detail: str = ''
     answer: bytes = b''
@@ -61,6 +63,7 @@
         elif isinstance(record, zone_records.StartIntent):
             entry = self._entry(record.shard, record.job_id)
             entry.intents.update(record.tasks)
+            entry.places.update(record.place.split())
         elif isinstance(record, zone_records.JobEnded):
             self._end(record)
         elif isinstance(record, zone_records.Snapshot):
@@ -108,6 +111,7 @@
         entry = self._entry(shard, kept.job_id)
         entry.job = entry.job or kept.job
         entry.intents.update(kept.intents)
+        entry.places.update(kept.places)
         if kept.outcome and not entry.outcome:
             entry.outcome = kept.outcome
             entry.detail = kept.detail
@@ -122,6 +126,7 @@
                     entry.job_id,
                     entry.job,
                     sorted(entry.intents),
+                    sorted(entry.places),
                     entry.outcome,
                     entry.detail,
                     entry.answer,
@@ -154,6 +159,7 @@
     else:
         job = _intent_only(entry, now)
     job.intents = set(entry.intents)
+    job.places = set(entry.places)
     job.note('taken over from the log', now)
     if entry.outcome:
         _restore_end(job, entry, now)
--- a/hibiscusslip/jobs/model.py
+++ b/hibiscusslip/jobs/model.py
@@ -5,6 +5,7 @@
 import enum
 import hashlib
 
+from hibiscusslip.model import places
 from hibiscusslip.model import work
 
 HISTORY_LINES = 24
@@ -18,6 +19,8 @@
     STARTING = 'starting'
     DOUBT = 'doubt'
     RUNNING = 'running'
+    REMOTE = 'remote'
+    ASKING = 'asking'
     FETCHING = 'fetching'
     ENDED = 'ended'
 
@@ -28,7 +31,9 @@
 
     `lapse_at` is when a run that can't be seen has surely ended, `booked`
     tells whether the scheduler still books its run,
-    `unstarted` that an earlier owner proved that it did not start.
+    `unstarted` that an earlier owner proved that it did not start,
+    `place` names the foreign shard that a remote task is on,
+    `absent_at` those that said that they don't have it.
     """
 
     index: int
@@ -44,6 +49,8 @@
     started: bool = False
     booked: bool = True
     unstarted: bool = False
+    place: str = ''
+    absent_at: set[str] = dataclasses.field(default_factory=set)
     tried: int = 0
 
 
@@ -60,7 +67,8 @@
     """Hold a job, its tasks and its history.
 
     `recorded` tells that its acceptance is on the log, `intents` names the
-    tasks whose start intent is.
+    tasks whose start intent is, `places` the shards that those name. A guest's home is another shard, which
+    decides what its tasks' ends mean.
     """
 
     spec: work.JobSpec
@@ -73,7 +81,9 @@
     recorded: bool = False
     cancelled: bool = False
     partial: bool = False
+    guest_of: places.Shard | None = None
     intents: set[int] = dataclasses.field(default_factory=set)
+    places: set[str] = dataclasses.field(default_factory=set)
     history: collections.deque = dataclasses.field(
         default_factory=lambda: collections.deque(maxlen=HISTORY_LINES)
     )
