--- a/hibiscusslip/jobs/_remote.py
+++ b/hibiscusslip/jobs/_remote.py
@@ -37,13 +37,22 @@
 
 
 def mark_remote(
-    st: _state.ShardState, job_id: str, index: int, place: str, now: float
+    st: _state.ShardState,
+    job_id: str,
+    index: int,
+    place: str,
+    settled_at: float,
+    now: float,
 ) -> int:
-    """Note that a task starts on another shard; return its attempt."""
+    """Note that a task starts on another shard; return its attempt.
+
+    Until `settled_at` it may still be about to start there.
+    """
     job = st.jobs[job_id]
     task = job.tasks[index]
     task.phase = model.Phase.REMOTE
     task.place = place
+    task.lapse_at = settled_at
     task.attempt += 1
     task.outcome = work.Outcome.RUNNING
     job.outcome = work.Outcome.RUNNING
@@ -112,13 +121,13 @@
         _endings.not_started(st, job, task, why, now)
 
 
-def open_remote(st: _state.ShardState) -> dict[str, list[str]]:
+def open_remote(st: _state.ShardState, now: float) -> dict[str, list[str]]:
     """Return the names of tasks to ask after, by the shard to ask."""
     found: dict[str, list[str]] = {}
     for job in st.jobs.values():
         for task in job.tasks.values():
             name = work.task_id(job.spec.job_id, task.index)
-            if task.phase == model.Phase.REMOTE:
+            if task.phase == model.Phase.REMOTE and now >= task.lapse_at:
                 found.setdefault(task.place, []).append(name)
             elif task.phase == model.Phase.ASKING:
                 for place in job.places - {str(st.shard)}:
--- a/hibiscusslip/jobs/engine.py
+++ b/hibiscusslip/jobs/engine.py
@@ -341,10 +341,17 @@
         return _remote.write_intent(self._st, job_id, tasks, at)
 
     def mark_remote(
-        self, job_id: str, index: int, place: str, now: float
+        self,
+        job_id: str,
+        index: int,
+        place: str,
+        settled_at: float,
+        now: float,
     ) -> int:
         """Note that a task starts on another shard; return its attempt."""
-        return _remote.mark_remote(self._st, job_id, index, place, now)
+        return _remote.mark_remote(
+            self._st, job_id, index, place, settled_at, now
+        )
 
     def never_committed(
         self, job_id: str, index: int, why: str, now: float
@@ -358,9 +365,9 @@
         """Start the local part of a gang."""
         _starting.prepare(self._st, starts, now)
 
-    def open_remote(self) -> dict[str, list[str]]:
+    def open_remote(self, now: float) -> dict[str, list[str]]:
         """Return the tasks to ask other shards after, by shard."""
-        return _remote.open_remote(self._st)
+        return _remote.open_remote(self._st, now)
 
     def remote_answered(
         self, place: str, report: commands.RemoteTask, now: float
--- a/hibiscusslip/jobs/model.py
+++ b/hibiscusslip/jobs/model.py
@@ -67,8 +67,8 @@
     """Hold a job, its tasks and its history.
 
     `recorded` tells that its acceptance is on the log, `intents` names the
-    tasks whose start intent is, `places` the shards that those name. A guest's home is another shard, which
-    decides what its tasks' ends mean.
+    tasks whose start intent is, `places` the shards that those name. A
+    guest's home is another shard, which decides what its ends mean.
     """
 
     spec: work.JobSpec
