Follow the durations that ownership and membership take

Cause: the settings lacked settle, promise and foreign heartbeat times. Change: the timing section carries them, one table of bounds checks them, and a test compares the reference page with the models.

--- a/hibiscusslip/settings/_checks.py
+++ b/hibiscusslip/settings/_checks.py
@@ -87,39 +87,41 @@
         seen.setdefault(place, name)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Bound:
+    """Say that a duration is at most (or below) a part of another."""
+
+    name: str
+    other: str
+    part: float
+    strict: bool = False
+
+
+_BOUNDS = (
+    _Bound('promise', 'lease', 1),
+    _Bound('margin', 'lease', 1 / 2),
+    _Bound('hold', 'lease', 1 / 2),
+    _Bound('renew_interval', 'lease', 1 / 2, strict=True),
+    _Bound('promise_interval', 'promise', 1 / 2, strict=True),
+    _Bound('suspect_after', 'lease', 1),
+    _Bound('heartbeat_interval', 'suspect_after', 1 / 2),
+    _Bound('foreign_heartbeat_interval', 'foreign_suspect_after', 1 / 2),
+)
+
+
 @register
-def check_leases(cfg: _file.SettingsFile) -> Problems:
-    """Check that renewals and promises fit inside the lease."""
-    timing = cfg.timing
-    bounds = (
-        ('promise', timing.promise, timing.lease, 'timing.lease'),
-        (
-            'renew_interval',
-            timing.renew_interval,
-            timing.lease / 2,
-            'half of timing.lease',
-        ),
-        (
-            'heartbeat_interval',
-            timing.heartbeat_interval,
-            timing.heartbeat_budget / 2,
-            'half of timing.heartbeat_budget',
-        ),
-        (
-            'heartbeat_budget',
-            timing.heartbeat_budget,
-            timing.lease,
-            'timing.lease',
-        ),
-        ('hold', timing.hold, timing.lease / 2, 'half of timing.lease'),
-        ('margin', timing.margin, timing.lease / 2, 'half of timing.lease'),
-    )
-    for name, value, limit, limit_name in bounds:
-        if value > limit:
+def check_durations(cfg: _file.SettingsFile) -> Problems:
+    """Check that renewals, promises and heartbeats leave room for loss."""
+    for bound in _BOUNDS:
+        value = getattr(cfg.timing, bound.name)
+        limit = getattr(cfg.timing, bound.other) * bound.part
+        if value > limit or (bound.strict and value == limit):
+            word = 'below' if bound.strict else 'at most'
             yield Problem(
-                f'timing.{name}',
-                f'at most {limit_name} ({limit:g} s), found {value:g}',
-                f'lower it to {limit:g} or raise the other',
+                f'timing.{bound.name}',
+                f'{word} {limit:g} s, {bound.part:g} times'
+                f' timing.{bound.other}, found {value:g}',
+                f'lower it, or raise timing.{bound.other}',
             )
 
 
--- a/hibiscusslip/settings/_model.py
+++ b/hibiscusslip/settings/_model.py
@@ -59,15 +59,22 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Timing:
-    """Hold durations in seconds; `drift` is a fraction of elapsed time."""
+    """Hold durations in seconds; `drift` is a fraction."""
 
     lease: float
     promise: float
     drift: float
     margin: float
+    settle: float
     renew_interval: float
+    promise_interval: float
+    stagger: float
+    snapshot_interval: float
     heartbeat_interval: float
-    heartbeat_budget: float
+    suspect_after: float
+    foreign_heartbeat_interval: float
+    foreign_suspect_after: float
+    list_lag: float
     send_timeout: float
     task_lease: float
     hold: float
--- a/tests/settings/test_settings.py
+++ b/tests/settings/test_settings.py
@@ -2,9 +2,11 @@
 
 import pathlib
 
+import msgspec
 import pytest
 
 from hibiscusslip import settings
+from hibiscusslip.settings import _file
 
 SECRET = 'never-show-this-secret'
 GOOD = """
@@ -96,7 +98,15 @@
         ('lease = 10', 'lease = -1', 'timing.lease', 'above 0', '2.5'),
         ('lease = 10', 'lease = nan', 'timing.lease', 'above 0', ''),
         ('lease = 10', 'promise = 11', 'timing.promise', 'at most', 'lower'),
-        ('lease = 10', 'hold = 9', 'timing.hold', 'half of', 'lower'),
+        ('lease = 10', 'hold = 9', 'timing.hold', '0.5 times', 'lower'),
+        ('lease = 10', 'lease = 6', 'timing.renew_interval', 'below 3', ''),
+        (
+            'lease = 10',
+            'suspect_after = 0.6',
+            'timing.heartbeat_interval',
+            '',
+            '',
+        ),
         ('lease = 10', 'leas = 1', 'timing.leas', 'one of', 'rename it to l'),
         ('"INFO"', '"LOUD"', 'observe.log_level', "'DEBUG'", 'INFO'),
         ('"none"', '"file"', 'observe.trace_file', 'a path', 'none'),
@@ -152,3 +162,23 @@
     assert 'keys.operators[1].id' in faults_of(
         tmp_path, text.replace('o2', 'o1')
     )
+
+
+def test_reference_page_names_every_key_with_its_default():
+    page = pathlib.Path('docs/SETTINGS.md').read_text()
+    for section in ('host', 'platform', 'timing', 'limits', 'observe'):
+        model = dict(_fields(_file.SettingsFile))[section].type
+        for name, field in _fields(model):
+            if isinstance(field.default, float | int):
+                row = f'| `{section}.{name}` | {_shown(field.default)} |'
+                assert row in page
+
+
+def _fields(model):
+    return [(field.name, field) for field in msgspec.structs.fields(model)]
+
+
+def _shown(value):
+    if isinstance(value, bool):
+        return str(value).lower()
+    return f'{value:g}' if isinstance(value, float) else str(value)
