Serve callers by HTTP

Cause: callers need to submit, wait, cancel and ask, and have to be told truthfully what became of a request even when something fails half-way. Change: strict documents, problem details with remedies, job ids derived from team and key, rates per address and team, a service interface for the node, API.md and an OpenAPI file that a test compares with the routes. Conclusion: each failure path tells not_run only where nothing was queued.

--- /dev/null
+++ b/hibiscusslip/caller/handler.py
@@ -0,0 +1,226 @@
+"""Answer callers' HTTP requests."""
+
+import collections.abc
+import time
+import typing
+
+from hibiscusslip.caller import _documents
+from hibiscusslip.caller import _submissions
+from hibiscusslip.caller import exceptions
+from hibiscusslip.caller import service
+from hibiscusslip.http import messages
+from hibiscusslip.model import work
+from hibiscusslip.rest import exceptions as rest_exceptions
+from hibiscusslip.rest import rates
+from hibiscusslip.rest import routing
+
+PIECE_BYTES = 64 * 1024
+OCTETS = 'application/octet-stream'
+
+Bounds = _submissions.Bounds
+T = typing.TypeVar('T')
+Clock = collections.abc.Callable[[], float]
+
+
+class CallerHandler(routing.Router):
+    """Serve the routes of docs/API.md from a job service."""
+
+    def __init__(
+        self,
+        jobs: service.JobService,
+        bounds: Bounds = Bounds(),
+        peer_calls_per_second: float = 5000.0,
+        team_jobs_per_second: float = 2000.0,
+        clock: Clock = time.monotonic,
+        unix_clock: Clock = time.time,
+    ) -> None:
+        self._jobs = jobs
+        self._bounds = bounds
+        self._peer_rates = rates.RateLimiter(peer_calls_per_second)
+        self._team_rates = rates.RateLimiter(team_jobs_per_second)
+        self._clock = clock
+        self._unix_clock = unix_clock
+        one = '/v1/jobs/{id}'
+        super().__init__(
+            [
+                routing.Route('POST', '/v1/jobs', self._submit, ('wait',)),
+                routing.Route('GET', one, self._status, ('wait',)),
+                routing.Route('DELETE', one, self._cancel),
+                routing.Route('GET', f'{one}/explain', self._explain),
+                routing.Route('GET', f'{one}/answer', self._answer),
+                routing.Route('GET', '/healthz', self._health),
+            ]
+        )
+
+    async def _submit(
+        self, req: messages.Request, _: str
+    ) -> messages.Response:
+        self._limit_peer(req)
+        now = self._unix_clock()
+        submission = _submissions.read(req, self._jobs, self._bounds, now)
+        self._limit_teams(submission.specs)
+        try:
+            states = await self._queue(submission)
+        except exceptions.JobError as exc:
+            raise _refusal(exc, submitting=True) from exc
+        if submission.single:
+            return _tell_submitted(states[0])
+        jobs = [_documents.from_state(state) for state in states]
+        return routing.respond(200, _documents.StatesDocument(jobs))
+
+    async def _queue(
+        self, submission: _submissions.Submission
+    ) -> list[service.JobState]:
+        if submission.single:
+            states = [await self._jobs.submit(submission.specs[0])]
+        else:
+            states = await self._jobs.submit_all(submission.specs)
+        if not submission.wait:
+            return states
+        deadline = self._clock() + submission.wait
+        return [await self._wait(state, deadline) for state in states]
+
+    async def _wait(
+        self, state: service.JobState, deadline: float
+    ) -> service.JobState:
+        left = deadline - self._clock()
+        if state.outcome.final or left <= 0:
+            return state
+        try:
+            return await self._jobs.wait(state.job_id, left)
+        except exceptions.JobError:
+            # It was queued, and that is what the caller has to learn.
+            return state
+
+    async def _status(
+        self, req: messages.Request, job_id: str
+    ) -> messages.Response:
+        self._limit_peer(req)
+        wait = routing.seconds(req, 'wait', self._bounds.max_wait)
+        if wait > 0:
+            state = await _served(self._jobs.wait(job_id, wait))
+        else:
+            state = await _served(self._jobs.status(job_id))
+        return routing.respond(200, _documents.from_state(state))
+
+    async def _cancel(
+        self, req: messages.Request, job_id: str
+    ) -> messages.Response:
+        self._limit_peer(req)
+        state = await _served(self._jobs.cancel(job_id))
+        status = 200 if state.outcome.final else 202
+        return routing.respond(status, _documents.from_state(state))
+
+    async def _explain(
+        self, req: messages.Request, job_id: str
+    ) -> messages.Response:
+        self._limit_peer(req)
+        story = await _served(self._jobs.explain(job_id))
+        return routing.respond(
+            200,
+            _documents.StoryDocument(story.job_id, story.outcome, story.lines),
+        )
+
+    async def _answer(
+        self, req: messages.Request, job_id: str
+    ) -> messages.Response:
+        self._limit_peer(req)
+        state = await _served(self._jobs.status(job_id))
+        if state.outcome is not work.Outcome.SUCCEEDED:
+            raise rest_exceptions.Refusal(
+                409,
+                'no-answer',
+                f'the job is {state.outcome}, and only one that succeeded has'
+                ' an answer; wait for it with GET /v1/jobs/{id}?wait=60',
+                extra={'job_id': job_id, 'outcome': state.outcome},
+            )
+        answer = await _served(self._jobs.answer(job_id))
+        headers = {'content-type': OCTETS}
+        if not isinstance(answer, bytes):
+            return messages.Response(200, headers, answer)
+        headers['content-length'] = str(len(answer))
+        return messages.Response(200, headers, _pieces(answer))
+
+    async def _health(
+        self, req: messages.Request, _: str
+    ) -> messages.Response:
+        found = self._jobs.readiness()
+        document = _documents.ReadinessDocument(found.ready, found.detail)
+        return routing.respond(200 if found.ready else 503, document)
+
+    def _limit_peer(self, req: messages.Request) -> None:
+        peer = req.peer.rpartition(':')[0]
+        wait = self._peer_rates.take(peer, self._clock())
+        if wait > 0:
+            raise _too_many('calls come from this address', wait)
+
+    def _limit_teams(self, specs: list[work.JobSpec]) -> None:
+        counts: dict[str, int] = {}
+        for spec in specs:
+            counts[spec.team] = counts.get(spec.team, 0) + 1
+        for team, count in counts.items():
+            wait = self._team_rates.take(team, self._clock(), count)
+            if wait > 0:
+                raise _too_many(f'jobs come from the team {team!r}', wait)
+
+
+async def _served(
+    call: collections.abc.Awaitable[T],
+) -> T:
+    try:
+        return await call
+    except exceptions.JobError as exc:
+        raise _refusal(exc, submitting=False) from exc
+
+
+async def _pieces(data: bytes) -> collections.abc.AsyncIterator[bytes]:
+    for start in range(0, len(data), PIECE_BYTES):
+        yield data[start : start + PIECE_BYTES]
+
+
+def _too_many(what: str, wait: float) -> rest_exceptions.Refusal:
+    return rest_exceptions.Refusal(
+        429,
+        'too-many-requests',
+        f'too many {what}; nothing was done, try again after retry_after s',
+        retry_after=wait,
+        extra={'outcome': work.Outcome.NOT_RUN},
+    )
+
+
+def _tell_submitted(state: service.JobState) -> messages.Response:
+    if state.outcome is work.Outcome.NOT_RUN:
+        raise rest_exceptions.Refusal(
+            422 if state.retry_after is None else 429,
+            'not-run',
+            state.detail,
+            retry_after=state.retry_after,
+            extra={
+                'job_id': state.job_id,
+                'outcome': state.outcome,
+                'nearest': state.nearest,
+            },
+        )
+    response = routing.respond(
+        200 if state.outcome.final else 202, _documents.from_state(state)
+    )
+    location = {'location': f'/v1/jobs/{state.job_id}'}
+    return messages.Response(
+        response.status, response.headers | location, response.body
+    )
+
+
+def _refusal(
+    exc: exceptions.JobError, submitting: bool
+) -> rest_exceptions.Refusal:
+    if isinstance(exc, exceptions.UnknownJob):
+        return rest_exceptions.Refusal(404, 'unknown-job', str(exc))
+    if isinstance(exc, exceptions.KeyReused):
+        return rest_exceptions.Refusal(422, 'key-reused', str(exc))
+    if isinstance(exc, exceptions.Unavailable):
+        extra = {'outcome': work.Outcome.NOT_RUN} if submitting else {}
+        return rest_exceptions.Refusal(
+            503, 'unavailable', str(exc), exc.retry_after, extra
+        )
+    extra = {'outcome': work.Outcome.UNKNOWN} if submitting else {}
+    return rest_exceptions.Refusal(504, 'unsettled', str(exc), extra=extra)
--- /dev/null
+++ b/hibiscusslip/rest/__init__.py
@@ -0,0 +1,1 @@
+"""Share what the HTTP borders have in common: routes, errors, rates."""
--- /dev/null
+++ b/tests/caller/test_handler.py
@@ -0,0 +1,320 @@
+"""Check the callers' border by calling its handler."""
+
+import json
+import pathlib
+
+import curio
+import pytest
+
+from hibiscusslip.caller import _documents
+from hibiscusslip.caller import exceptions
+from hibiscusslip.caller import handler
+from hibiscusslip.caller import service
+from hibiscusslip.http import messages
+from hibiscusslip.model import work
+from hibiscusslip.rest import rates
+
+JOB = {'team': 'red', 'kind': 'web'}
+NOW = 1000.0
+
+
+class FakeJobs(service.JobService):
+    """Answer each job as told and remember what was asked."""
+
+    def __init__(self):
+        self.specs = []
+        self.calls = []
+        self.error = None
+        self.wait_error = None
+        self.fail_from = None
+        self.queued = work.Outcome.QUEUED
+        self.final = {}
+
+    async def submit(self, spec):
+        if self.error and len(self.specs) >= (self.fail_from or 0):
+            raise self.error
+        self.specs.append(spec)
+        return service.JobState(spec.job_id, self.queued, 'because')
+
+    async def wait(self, job_id, timeout):
+        self.calls.append(('wait', job_id, timeout))
+        if self.wait_error:
+            raise self.wait_error
+        return self._state(job_id)
+
+    async def cancel(self, job_id):
+        self.calls.append(('cancel', job_id))
+        return self._state(job_id)
+
+    async def status(self, job_id):
+        if self.error:
+            raise self.error
+        return self._state(job_id)
+
+    async def explain(self, job_id):
+        return service.JobStory(job_id, work.Outcome.QUEUED, ['waits'])
+
+    def readiness(self):
+        return service.Readiness(False, 'no configuration yet')
+
+    def _state(self, job_id):
+        if job_id not in self.final:
+            raise exceptions.UnknownJob('no such job; check the id')
+        return self.final[job_id]
+
+
+@pytest.fixture
+def jobs():
+    """Return a fake job service."""
+    return FakeJobs()
+
+
+def call(jobs, method, path, body=b'', **options):
+    """Send one request to a fresh handler."""
+    return curio.run(send, make(jobs), method, path, body, options)
+
+
+def make(jobs, **limits):
+    """Return a handler with still clocks."""
+    return handler.CallerHandler(
+        jobs,
+        handler.Bounds(max_jobs=3, max_tasks=5, max_wait=9.0),
+        clock=lambda: 0.0,
+        unix_clock=lambda: NOW,
+        **limits,
+    )
+
+
+async def send(border, method, path, body=b'', options=None):
+    """Return status, headers and document of a response."""
+    options = options or {}
+    if not isinstance(body, bytes):
+        body = json.dumps(body).encode()
+    req = messages.Request(
+        method,
+        path,
+        options.get('query', {}),
+        options.get('headers', {}),
+        body,
+        '10.0.0.1:999',
+    )
+    found = await border.handle(req)
+    data = found.body
+    if not isinstance(data, bytes):
+        data = b''.join([piece async for piece in data])
+    plain = found.headers['content-type'] == handler.OCTETS
+    return found.status, found.headers, data if plain else json.loads(data)
+
+
+def test_submitted_job_is_what_was_asked(jobs):
+    body = JOB | {
+        'form': 'gang',
+        'urgency': 'urgent',
+        'tasks': 3,
+        'cores': 1.5,
+        'memory_gb': 0.5,
+        'repeatable': False,
+        'deadline': NOW + 5,
+        'payload': 'x',
+    }
+    status, headers, document = call(jobs, 'POST', '/v1/jobs', body)
+    (spec,) = jobs.specs
+    assert status == 202
+    assert headers['location'] == f'/v1/jobs/{spec.job_id}'
+    assert document == {
+        'job_id': spec.job_id,
+        'outcome': 'queued',
+        'detail': 'because',
+    }
+    assert (spec.form, spec.urgency) == (work.Form.GANG, work.Urgency.URGENT)
+    assert (spec.demand.cpu_milli, spec.demand.memory_mb) == (1500, 512)
+    assert (spec.durable, spec.repeatable) == (True, False)
+    assert (spec.deadline, spec.payload) == (NOW + 5, b'x')
+
+
+def test_waiting_caller_gets_the_final_state(jobs):
+    jobs.new_job_id = lambda team, key: 'j1'
+    jobs.final['j1'] = service.JobState(
+        'j1', work.Outcome.SUCCEEDED, answer=b'\xff'
+    )
+    status, _, document = call(
+        jobs, 'POST', '/v1/jobs', JOB, query={'wait': '4'}
+    )
+    assert jobs.calls == [('wait', 'j1', 4.0)]
+    assert not jobs.specs[0].durable
+    assert (status, document['answer_base64']) == (200, '/w==')
+
+
+def test_queued_job_is_told_as_queued_when_the_wait_fails(jobs):
+    jobs.wait_error = exceptions.Unavailable('cut off; try later')
+    status, _, document = call(
+        jobs, 'POST', '/v1/jobs', JOB, query={'wait': '4'}
+    )
+    assert (status, document['outcome']) == (202, 'queued')
+
+
+def test_same_key_and_team_give_the_same_id(jobs):
+    key = {'idempotency-key': 'k1'}
+    for team in ('red', 'red', 'blue'):
+        call(jobs, 'POST', '/v1/jobs', JOB | {'team': team}, headers=key)
+    call(jobs, 'POST', '/v1/jobs', [JOB, JOB], headers=key)
+    ids = [spec.job_id for spec in jobs.specs]
+    assert ids[0] == ids[1]
+    assert len(set(ids)) == 4
+    assert [spec.key for spec in jobs.specs[3:]] == ['k1/0', 'k1/1']
+
+
+def test_list_tells_each_job_its_own_outcome(jobs):
+    jobs.error = exceptions.Unavailable('the log is down', 2.0)
+    jobs.fail_from = 1
+    status, _, document = call(jobs, 'POST', '/v1/jobs', [JOB, JOB])
+    assert status == 200
+    found = [item['outcome'] for item in document['jobs']]
+    assert found == ['queued', 'not_run']
+
+
+@pytest.mark.parametrize(
+    ('error', 'status', 'outcome'),
+    [
+        (exceptions.Unavailable('down', 2.5), 503, 'not_run'),
+        (exceptions.Unsettled('no answer'), 504, 'unknown'),
+        (exceptions.KeyReused('other job'), 422, None),
+    ],
+)
+def test_failed_submission_tells_the_truth(jobs, error, status, outcome):
+    jobs.error = error
+    found, headers, document = call(jobs, 'POST', '/v1/jobs', JOB)
+    assert (found, document.get('outcome')) == (status, outcome)
+    assert headers.get('retry-after') == ('3' if status == 503 else None)
+
+
+def test_refused_job_is_a_problem_that_says_not_run(jobs):
+    jobs.queued = work.Outcome.NOT_RUN
+    status, headers, document = call(jobs, 'POST', '/v1/jobs', JOB)
+    assert status == 422
+    assert headers['content-type'] == 'application/problem+json'
+    assert document['outcome'] == 'not_run'
+    assert document['detail'] == 'because'
+
+
+@pytest.mark.parametrize(
+    ('body', 'headers', 'query', 'status'),
+    [
+        (b'', {}, {}, 400),
+        (b'{', {}, {}, 400),
+        (b'null', {}, {}, 400),
+        (b'\xff', {}, {}, 400),
+        ([], {}, {}, 400),
+        ([JOB] * 4, {}, {}, 400),
+        ([JOB, 1], {}, {}, 400),
+        ({'team': 'red'}, {}, {}, 400),
+        (JOB | {'tram': 1}, {}, {}, 400),
+        (JOB | {'tasks': 0}, {}, {}, 400),
+        (JOB | {'tasks': 6}, {}, {}, 400),
+        (JOB | {'tasks': '1'}, {}, {}, 400),
+        (JOB | {'cores': 0}, {}, {}, 400),
+        (JOB | {'cores': 1e300}, {}, {}, 400),
+        (JOB | {'team': 'r d'}, {}, {}, 400),
+        (JOB | {'team': ''}, {}, {}, 400),
+        (JOB | {'urgency': 'now'}, {}, {}, 400),
+        (JOB | {'payload_base64': '%'}, {}, {}, 400),
+        (JOB | {'payload': 'a', 'payload_base64': 'YQ=='}, {}, {}, 400),
+        (JOB | {'deadline': NOW}, {}, {}, 422),
+        (JOB, {'idempotency-key': ''}, {}, 400),
+        (JOB, {'idempotency-key': 'k' * 129}, {}, 400),
+        (JOB, {'idempotency-key': 'a b'}, {}, 400),
+        (JOB, {'content-type': 'text/plain'}, {}, 415),
+        (JOB, {'content-encoding': 'gzip'}, {}, 415),
+        (JOB, {}, {'wait': 'nan'}, 400),
+        (JOB, {}, {'wait': '-1'}, 400),
+        (JOB, {}, {'wait': '10'}, 400),
+        (JOB, {}, {'weight': '1'}, 400),
+    ],
+)
+def test_malformed_submission_is_refused(jobs, body, headers, query, status):
+    found = call(jobs, 'POST', '/v1/jobs', body, headers=headers, query=query)
+    assert found[0] == status
+    assert found[2]['detail']
+    assert jobs.specs == []
+
+
+@pytest.mark.parametrize(
+    ('method', 'path', 'status'),
+    [
+        ('GET', '/v1/jobs', 405),
+        ('PUT', '/v1/jobs/j1', 405),
+        ('GET', '/v1/jobs/', 404),
+        ('GET', '/v1/jobs/j1/else', 404),
+        ('GET', '/', 404),
+        ('GET', '/v1/jobs/j1', 404),
+        ('DELETE', '/v1/jobs/j1', 404),
+        ('GET', '/healthz', 503),
+        ('GET', '/v1/jobs/j1/explain', 200),
+    ],
+)
+def test_paths_and_methods(jobs, method, path, status):
+    assert call(jobs, method, path)[0] == status
+
+
+def test_answer_is_whole_and_large_ones_are_fetched_apart(jobs):
+    answer = bytes(range(256)) * 1000
+    jobs.final['j1'] = service.JobState(
+        'j1', work.Outcome.SUCCEEDED, answer=answer
+    )
+    document = call(jobs, 'GET', '/v1/jobs/j1')[2]
+    assert document['answer_size'] == len(answer)
+    assert 'answer' not in document
+    _, headers, data = call(jobs, 'GET', document['answer_href'])
+    assert (headers['content-length'], data) == (str(len(answer)), answer)
+
+
+@pytest.mark.parametrize('outcome', set(work.Outcome) - {'succeeded'})
+def test_job_without_success_has_no_answer(jobs, outcome):
+    jobs.final['j1'] = service.JobState('j1', outcome, answer=b'half')
+    assert call(jobs, 'GET', '/v1/jobs/j1/answer')[0] == 409
+    assert 'answer' not in call(jobs, 'GET', '/v1/jobs/j1')[2]
+
+
+def test_one_team_above_its_rate_is_told_to_retry(jobs):
+    border = make(jobs, team_jobs_per_second=1.0)
+
+    async def submit(team):
+        return await send(border, 'POST', '/v1/jobs', JOB | {'team': team})
+
+    assert curio.run(submit, 'red')[0] == 202
+    status, headers, document = curio.run(submit, 'red')
+    assert (status, headers['retry-after']) == (429, '1')
+    assert document['outcome'] == 'not_run'
+    assert curio.run(submit, 'blue')[0] == 202
+
+
+def test_rate_limiter_refills_and_stays_bounded():
+    limiter = rates.RateLimiter(2.0)
+    assert [limiter.take('a', 0.0) for _ in range(3)] == [0.0, 0.0, 0.5]
+    assert limiter.take('a', 0.5) == 0.0
+    for number in range(2 * rates.MAX_SENDERS):
+        limiter.take(str(number), 1.0)
+    assert len(limiter._buckets) == rates.MAX_SENDERS
+
+
+def test_openapi_file_has_the_routes_and_members(jobs):
+    page = json.loads(pathlib.Path('docs/openapi.json').read_text())
+    served = {(r.path, r.method.lower(), r.query) for r in make(jobs).routes}
+    described = {
+        (
+            path,
+            method,
+            tuple(
+                item['name']
+                for item in action.get('parameters', [])
+                if item['in'] == 'query'
+            ),
+        )
+        for path, actions in page['paths'].items()
+        for method, action in actions.items()
+    }
+    assert served == described
+    schemas = page['components']['schemas']
+    pairs = {'Job': _documents.JobDocument, 'State': _documents.StateDocument}
+    for name, model in pairs.items():
+        assert set(schemas[name]['properties']) == set(model.__struct_fields__)
