--- /dev/null
+++ b/tests/serving.py
@@ -0,0 +1,78 @@
+"""Serve and call within one curio loop, for tests."""
+
+import contextlib
+
+import curio
+
+from hibiscusslip.http import limits
+from hibiscusslip.http import messages
+from hibiscusslip.http import server
+
+LOOP_TIMEOUT_S = 30.0
+QUICK = limits.Limits(
+    read_timeout=0.3,
+    write_timeout=0.3,
+    idle_timeout=5.0,
+    drain_idle=0.1,
+    linger=0.3,
+    sweep_interval=0.05,
+    max_body_bytes=1024 * 1024,
+)
+
+
+class Echo(server.Handler):
+    """Answer with what a function of the request returns."""
+
+    def __init__(self, answer=None):
+        self.seen = []
+        self._answer = answer
+
+    async def handle(self, req):
+        """Note the request and answer it."""
+        self.seen.append(req)
+        if self._answer is None:
+            return messages.Response(200, {}, req.body or req.path.encode())
+        return await self._answer(req)
+
+
+def run(work, *args):
+    """Run a coroutine function to its end, within a limit."""
+
+    async def bounded():
+        async with curio.timeout_after(LOOP_TIMEOUT_S):
+            return await work(*args)
+
+    return curio.run(bounded)
+
+
+@contextlib.asynccontextmanager
+async def serving(handler, bounds=QUICK):
+    """Serve a handler; give the server and its port."""
+    running = server.Server(handler, bounds)
+    port = await running.listen('127.0.0.1', 0)
+    task = await curio.spawn(running.serve)
+    try:
+        yield running, port
+    finally:
+        await task.cancel()
+
+
+async def send(port, *pieces, pause=0.0):
+    """Send raw bytes and return all that comes until the end."""
+    sock = await curio.open_connection('127.0.0.1', port)
+    async with sock:
+        for piece in pieces:
+            await sock.sendall(piece)
+            await curio.sleep(pause)
+        return await read_all(sock)
+
+
+async def read_all(sock):
+    """Return what comes until the peer ends or resets the connection."""
+    got = b''
+    try:
+        while piece := await sock.recv(65536):
+            got += piece
+    except ConnectionError:
+        pass
+    return got
--- /dev/null
+++ b/tests/test_http_client.py
@@ -0,0 +1,129 @@
+"""Check that the client tells an unsent call from an unsettled one."""
+
+import curio
+import pytest
+
+from hibiscusslip.http import client
+from hibiscusslip.http import exceptions
+from hibiscusslip.http import limits
+from hibiscusslip.http import messages
+from tests import serving
+from tests.faults import process
+
+
+async def raw_server(answer):
+    """Answer each connection's first bytes with raw bytes, then close."""
+    sock = curio.socket.socket()
+    sock.bind(('127.0.0.1', 0))
+    sock.listen(5)
+
+    async def serve(conn, peer):
+        await conn.recv(65536)
+        await conn.sendall(answer)
+
+    await curio.spawn(curio.network.run_server, sock, serve, daemon=True)
+    return sock.getsockname()[1]
+
+
+@pytest.mark.parametrize(
+    ('answer', 'kind'),
+    [
+        (b'', exceptions.CallUnsettled),
+        (b'HTTP/1.1 200 OK\r\ncontent-le', exceptions.CallUnsettled),
+        (
+            b'HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nabc',
+            exceptions.CallUnsettled,
+        ),
+        (b'nonsense\r\n\r\n', exceptions.Malformed),
+        (
+            b'HTTP/1.1 200 OK\r\ncontent-length: 99\r\n\r\n' + b'a' * 99,
+            exceptions.Malformed,
+        ),
+    ],
+)
+def test_broken_answer_leaves_the_call_unsettled(answer, kind):
+    async def work():
+        port = await raw_server(answer)
+        pool = client.Pool('127.0.0.1', port, limits.Limits(max_body_bytes=50))
+        with pytest.raises(kind):
+            await pool.call('POST', '/', body=b'x', timeout=5)
+
+    serving.run(work)
+
+
+def test_refused_connection_means_not_sent():
+    async def work():
+        pool = client.Pool('127.0.0.1', process.free_ports(1)[0])
+        with pytest.raises(exceptions.NotSent):
+            await pool.call('POST', '/', body=b'x', timeout=5)
+
+    serving.run(work)
+
+
+async def hang(req):
+    """Answer nothing until cancelled."""
+    await curio.sleep(1000)
+
+
+def test_wait_for_a_free_connection_ends_unsent():
+    async def work():
+        handler = serving.Echo(hang)
+        async with serving.serving(handler) as (_, port):
+            pool = client.Pool('127.0.0.1', port, max_connections=1)
+
+            async def occupy():
+                await pool.call('GET', '/1', timeout=60)
+
+            first = await curio.spawn(occupy, daemon=True)
+            while not handler.seen:
+                await curio.sleep(0.01)
+            with pytest.raises(exceptions.NotSent):
+                await pool.call('GET', '/2', timeout=0.1)
+            await first.cancel()
+            assert [req.path for req in handler.seen] == ['/1']
+
+    serving.run(work)
+
+
+def test_timeout_after_the_write_leaves_the_call_unsettled():
+    async def work():
+        handler = serving.Echo(hang)
+        async with serving.serving(handler) as (_, port):
+            pool = client.Pool('127.0.0.1', port)
+            with pytest.raises(exceptions.CallUnsettled):
+                await pool.call('GET', '/1', timeout=1)
+            assert [req.path for req in handler.seen] == ['/1']
+
+    serving.run(work)
+
+
+def test_connection_closed_while_idle_is_replaced():
+    async def work():
+        bounds = limits.Limits(idle_timeout=0.1, sweep_interval=0.02)
+        handler = serving.Echo()
+        async with serving.serving(handler, bounds) as (running, port):
+            pool = client.Pool('127.0.0.1', port)
+            await pool.call('GET', '/1', timeout=5)
+            while running.open_connections:
+                await curio.sleep(0.01)
+            await pool.call('GET', '/2', timeout=5)
+            assert [req.path for req in handler.seen] == ['/1', '/2']
+
+    serving.run(work)
+
+
+def test_abandoned_call_never_answers_another():
+    async def answer(req):
+        await curio.sleep(0.2 if req.path == '/slow' else 0)
+        return messages.Response(200, {}, req.path.encode())
+
+    async def work():
+        async with serving.serving(serving.Echo(answer)) as (_, port):
+            pool = client.Pool('127.0.0.1', port, max_connections=1)
+            for _ in range(3):
+                with pytest.raises(exceptions.HttpError):
+                    await pool.call('GET', '/slow', timeout=0.05)
+                response = await pool.call('GET', '/quick', timeout=5)
+                assert response.body == b'/quick'
+
+    serving.run(work)
