--- /dev/null
+++ b/tests/test_endpoint_http.py
@@ -0,0 +1,226 @@
+"""Check the endpoints' protocol against unguarded stand-in workers."""
+
+import contextlib
+
+import curio
+import pytest
+
+from hibiscusslip.endpoint import base
+from hibiscusslip.endpoint import exceptions
+from hibiscusslip.endpoint import http_endpoint
+from hibiscusslip.http import limits
+from hibiscusslip.model import places
+from hibiscusslip.model import resources
+from hibiscusslip.standin import faults
+from hibiscusslip.standin import memory_endpoint
+from hibiscusslip.standin import payload
+from hibiscusslip.standin import worker_front
+from hibiscusslip.standin import workers
+from tests.faults import serving
+
+ROOM = resources.Resources(4000, 8000, 0, 8, 64)
+HALF = resources.Resources(2000, 1000)
+States = base.RunState
+
+
+def order(task='j/0', attempt=1, lease=60.0, saved=b'', **does):
+    """Return an order for a task that does what the payload says."""
+    data = payload.encode(payload.Payload(**does))
+    return base.StartOrder(task, attempt, HALF, lease, b'\x00t', data, saved)
+
+
+def add_worker(fleet, name='w1'):
+    """Add a worker to a fleet."""
+    return fleet.add(places.EndpointInfo(name, 'a', 'r', '', 0, ROOM))
+
+
+@contextlib.asynccontextmanager
+async def endpoint_pair():
+    """Give a stand-in worker and an endpoint that calls it by HTTP."""
+    fleet = workers.Fleet()
+    pump = memory_endpoint.FleetPump(fleet)
+    pumping = await curio.spawn(pump.run, daemon=True)
+    kept = memory_endpoint.MemoryEndpoint(add_worker(fleet), pump)
+    front = worker_front.WorkerFront(kept, fleet.violations)
+    async with serving.serving(front, limits.DEFAULT) as (_, port):
+        called = http_endpoint.HttpEndpoint('127.0.0.1', port)
+        yield kept, called, port
+        await called.close()
+    await pumping.cancel()
+
+
+def test_run_ends_with_its_own_whole_answer():
+    async def work():
+        async with endpoint_pair() as (_, called, _):
+            long = order('j/1', answer_bytes=200_000, echo='b', run_s=0.0)
+            batch = [order(echo='a', run_s=0.0), long]
+            results = await called.start(batch)
+            assert [res.started for res in results] == [True, True]
+            ended = []
+            while len(ended) < 2:
+                events = await called.events(len(ended), 20)
+                ended += events.ended
+            runs = {run.task: run for run in ended}
+            assert runs['j/0'].answer == payload.answer_of('j/0', 'a')
+            assert runs['j/0'].tag == b'\x00t'
+            assert runs['j/1'].answer is None
+            assert runs['j/1'].answer_size == 200_000
+            whole = payload.answer_of('j/1', 'b', 200_000)
+            assert await called.answer('j/1', 1) == whole
+            with pytest.raises(exceptions.CallRefused):
+                await called.answer('j/1', 2)
+
+    serving.run(work)
+
+
+def test_lost_answer_of_a_start_is_unsettled_and_it_runs():
+    async def work():
+        async with endpoint_pair() as (kept, called, _):
+            await kept.set_faults(faults.WorkerFaults(lose_answers=1))
+            with pytest.raises(exceptions.CallUnsettled):
+                await called.start([order(run_s=60.0)])
+            runs = (await called.runs()).runs
+            assert [run.state for run in runs] == [States.RUNNING]
+
+    serving.run(work)
+
+
+def test_frozen_worker_starts_late_what_its_caller_gave_up():
+    async def work():
+        async with endpoint_pair() as (kept, called, port):
+            await kept.set_faults(faults.WorkerFaults(frozen=True))
+            hasty = http_endpoint.HttpEndpoint('127.0.0.1', port, timeout=1)
+            with pytest.raises(exceptions.CallUnsettled):
+                await hasty.start([order(run_s=60.0)])
+            assert kept.worker.used == resources.NOTHING
+            await kept.set_faults(faults.WorkerFaults(frozen=False))
+            runs = (await called.runs()).runs
+            assert [run.task for run in runs] == ['j/0']
+
+    serving.run(work)
+
+
+def test_restart_loses_runs_and_shows_a_new_boot():
+    async def work():
+        async with endpoint_pair() as (kept, called, _):
+            await called.start([order(never_ends=True)])
+            before = await called.runs()
+            await kept.set_faults(faults.WorkerFaults(restart=True))
+            after = await called.runs()
+            assert after.boot != before.boot
+            assert after.runs == []
+            assert await called.renew(['j/0'], 60.0) == ['j/0']
+
+    serving.run(work)
+
+
+def test_stop_throttle_and_checkpoint_work_by_http():
+    async def work():
+        async with endpoint_pair() as (kept, called, _):
+            await called.start([order(run_s=1000.0, stop_s=5.0)])
+            await called.throttle('j/0', 0.5)
+            saved = await called.checkpoint('j/0')
+            assert b'left_s' in saved
+            kept.worker.faults.usage_lag = 0.0
+            (usage,) = await called.usage()
+            assert usage.used.cpu_milli == 1000
+            await called.stop('j/0', 0.05)
+            events = await called.events(0, 20)
+            assert [run.state for run in events.ended] == [States.STOPPED]
+            with pytest.raises(exceptions.CallRefused):
+                await called.checkpoint('j/0')
+
+    serving.run(work)
+
+
+def count(fleet):
+    """Return what the workers of a fleet counted."""
+    return fleet.violations.counters
+
+
+def test_duplicates_are_started_and_counted_on_any_worker():
+    fleet = workers.Fleet()
+    one, two = add_worker(fleet), add_worker(fleet, 'w2')
+    assert one.start(0.0, order(run_s=5.0)).started
+    assert two.start(1.0, order(run_s=5.0)).started
+    assert count(fleet).overlaps == 1
+    fleet.advance(7.0)
+    one.start(7.0, order(run_s=5.0))
+    assert count(fleet).overlaps == 1
+    assert count(fleet).repeated_starts == 0
+    assert count(fleet).violations == 1
+
+
+def test_second_start_of_what_is_not_repeatable_is_counted():
+    fleet = workers.Fleet()
+    worker = add_worker(fleet)
+    does = {'run_s': 1.0, 'repeatable': False, 'request': 'press'}
+    worker.start(0.0, order('j/0', **does))
+    worker.start(0.0, order('j/1', **does))
+    assert count(fleet).repeated_starts == 0
+    fleet.advance(2.0)
+    worker.start(2.0, order('other/1', **does))
+    assert count(fleet).repeated_starts == 1
+    assert count(fleet).overlaps == 0
+
+
+def test_overcommit_is_allowed_and_counted_with_its_peak():
+    fleet = workers.Fleet()
+    worker = add_worker(fleet)
+    for number in range(4):
+        worker.start(0.0, order(f'j/{number}', run_s=5.0))
+    assert count(fleet).overcommits == {'cpu_milli': 2}
+    assert count(fleet).overcommit_peak == {'cpu_milli': 4000}
+    fleet.advance(5.0)
+    assert worker.used == resources.NOTHING
+
+
+def test_lease_that_is_not_renewed_ends_the_run():
+    fleet = workers.Fleet()
+    worker = add_worker(fleet)
+    worker.start(0.0, order('j/0', lease=5.0, never_ends=True))
+    worker.start(0.0, order('j/1', lease=5.0, never_ends=True))
+    assert worker.renew(4.0, ['j/0', 'none'], 5.0) == ['none']
+    fleet.advance(8.0)
+    (lapsed,) = worker.events(0).ended
+    assert (lapsed.task, lapsed.state) == ('j/1', States.LAPSED)
+    fleet.advance(9.0)
+    assert worker.renew(9.0, ['j/0'], 5.0) == ['j/0']
+    worker.start(9.0, order('j/0'))
+    assert count(fleet).overlaps == 0
+
+
+def test_checkpoint_lets_another_run_go_on():
+    fleet = workers.Fleet()
+    worker = add_worker(fleet)
+    worker.start(0.0, order('j/0', run_s=10.0))
+    worker.throttle(2.0, 'j/0', 0.5)
+    saved = worker.checkpoint(6.0, 'j/0')
+    worker.stop(6.0, 'j/0', 0.0)
+    fleet.advance(6.0)
+    worker.start(6.0, order('j/0', attempt=2, run_s=10.0, saved=saved))
+    fleet.advance(11.9)
+    assert [run.attempt for run in worker.events(0).ended] == [1]
+    fleet.advance(12.0)
+    last = worker.events(0).ended[-1]
+    assert (last.attempt, last.state) == (2, States.SUCCEEDED)
+    assert count(fleet).overlaps == 0
+
+
+def test_worker_that_fails_everything_fails_quickly():
+    fleet = workers.Fleet()
+    worker = add_worker(fleet)
+    worker.faults.fail_all = True
+    worker.start(0.0, order(run_s=1000.0))
+    fleet.advance(1.0)
+    (failed,) = worker.events(0).ended
+    assert failed.state is States.FAILED
+    assert failed.answer is None
+
+
+def test_broken_payload_fails_the_run():
+    fleet = workers.Fleet()
+    worker = add_worker(fleet)
+    worker.start(0.0, base.StartOrder('j/0', 1, HALF, 9.0, b'', b'no json'))
+    fleet.advance(0.0)
+    assert worker.events(0).ended[0].state is States.FAILED
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -7,8 +7,8 @@
 from hibiscusslip.http import exceptions
 from hibiscusslip.http import limits
 from hibiscusslip.http import messages
-from tests import serving
 from tests.faults import process
+from tests.faults import serving
 
 
 async def raw_server(answer):
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -10,7 +10,7 @@
 from hibiscusslip.http import exceptions
 from hibiscusslip.http import limits
 from hibiscusslip.http import messages
-from tests import serving
+from tests.faults import serving
 
 GET = b'GET /%b HTTP/1.1\r\nhost: x\r\n\r\n'
 LAST = b'GET /last HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n'
