--- /dev/null
+++ b/hibiscusslip/bench/capacity/memory_slopes.py
@@ -0,0 +1,151 @@
+"""Measure the bytes of memory that each thing takes that a host keeps."""
+
+import dataclasses
+import random
+
+import curio
+
+from hibiscusslip.bench.capacity import clocks
+from hibiscusslip.bench.capacity import fleets
+from hibiscusslip.bench.capacity import samples
+from hibiscusslip.bench.capacity import sizes
+from hibiscusslip.endpoint import http_endpoint
+from hibiscusslip.jobs import index as jobs_index
+from hibiscusslip.node import endpoint_driver
+from hibiscusslip.node import runner_base
+from hibiscusslip.records import job as job_records
+from hibiscusslip.records import zone as zone_records
+from hibiscusslip.routing import directory
+
+MANY = 500
+FEW_HOSTS = 4
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MemorySlopes:
+    """Hold bytes kept by the allocator, sockets' buffers not counted."""
+
+    queued_task: float
+    running_task: float
+    ended_job: float
+    endpoint: float
+    driver: float
+    known_host: float
+    known_shard: float
+    recorded_job: float
+    team: float
+
+
+def _tasks(shape: sizes.Shape) -> tuple[float, float]:
+    """Return the bytes of a queued and of a running task."""
+    engine = fleets.new_engine(shape, MANY // 8)
+    spec = samples.job(1, MANY)
+    queued, _ = clocks.weigh(lambda: engine.submit(spec, 1.0))
+    started, _ = clocks.weigh(lambda: len(fleets.start_all(engine, 1.0)))
+    return queued / MANY, (queued + started) / MANY
+
+
+def _ended_job(shape: sizes.Shape) -> float:
+    """Return the bytes of an ended one-task job that is kept."""
+    engine = fleets.new_engine(shape)
+    answer = shape.assumed.answer_bytes
+
+    def run() -> int:
+        for number in range(MANY):
+            engine.submit(samples.job(number, 1), 1.0)
+            fleets.end_all(engine, fleets.start_all(engine, 1.0), answer, 1.0)
+        return len(engine.jobs)
+
+    used, kept = clocks.weigh(run)
+    return used / kept
+
+
+def _endpoints(shape: sizes.Shape) -> float:
+    used, _ = clocks.weigh(lambda: fleets.new_engine(shape, MANY))
+    few, _ = clocks.weigh(lambda: fleets.new_engine(shape, 0))
+    return (used - few) / MANY
+
+
+class _Shard(runner_base.ShardAccess):
+    worker_lease = 1e6
+
+    def may_act(self, now: float) -> bool:
+        return True
+
+    async def changed(self) -> None:
+        return None
+
+
+async def _drivers() -> float:
+    """Return the bytes of an endpoint's loops, before it is connected."""
+    shard = _Shard()
+    drivers = []
+    for number in range(MANY):
+        info = samples.endpoint(number)
+        link = http_endpoint.HttpEndpoint(info.address, info.port)
+        drivers.append(endpoint_driver.EndpointDriver(info, link, shard))
+    before = clocks.traced()
+    for driver in drivers:
+        await driver.start()
+    await curio.sleep(0)
+    used = clocks.traced() - before
+    for driver in drivers:
+        await driver.stop()
+    return used / MANY
+
+
+def _known_host(shape: sizes.Shape) -> float:
+    def build(hosts: int) -> fleets.Beating:
+        beating = fleets.Beating(hosts, shape.assumed, random.Random(1))
+        for _ in range(50):
+            beating.step()
+        return beating
+
+    many, _ = clocks.weigh(lambda: build(MANY))
+    few, _ = clocks.weigh(lambda: build(FEW_HOSTS))
+    return (many - few) / (MANY - FEW_HOSTS)
+
+
+def _known_shard() -> float:
+    def build() -> directory.ShardDirectory:
+        owners = directory.ShardDirectory(MANY)
+        for number in range(MANY):
+            owners.learn(samples.host(1), [samples.load(number)], 1.0)
+        return owners
+
+    return clocks.weigh(build)[0] / MANY
+
+
+def _recorded_job(assumed: sizes.Assumptions) -> float:
+    def build() -> jobs_index.JobIndex:
+        index = jobs_index.JobIndex(MANY, 1024 * 1024)
+        for number in range(MANY):
+            spec = samples.job(
+                number, assumed.tasks_per_job, assumed.payload_bytes
+            )
+            data = job_records.encode_job(spec)
+            index.apply(zone_records.JobAccepted(f'r{number}', 3, 17, data))
+        return index
+
+    return clocks.weigh(build)[0] / MANY
+
+
+def _team(shape: sizes.Shape) -> float:
+    used, policy = clocks.weigh(lambda: samples.policy(shape.assumed))
+    return used / len(policy.quotas)
+
+
+def measure(shape: sizes.Shape) -> MemorySlopes:
+    """Return the memory of each thing at the size of `shape`."""
+    queued, running = _tasks(shape)
+    return MemorySlopes(
+        queued_task=queued,
+        running_task=running,
+        ended_job=_ended_job(shape),
+        endpoint=_endpoints(shape),
+        driver=clocks.tracing(lambda: curio.run(_drivers)),
+        known_host=_known_host(shape),
+        known_shard=_known_shard(),
+        recorded_job=_recorded_job(shape.assumed),
+        team=_team(shape),
+    )
--- /dev/null
+++ b/hibiscusslip/bench/capacity/samples.py
@@ -0,0 +1,197 @@
+"""Make messages, records and jobs of the target's size."""
+
+from hibiscusslip.bench.capacity import sizes
+from hibiscusslip.endpoint import base as endpoint_base
+from hibiscusslip.model import places
+from hibiscusslip.model import resources
+from hibiscusslip.model import work
+from hibiscusslip.peer import messages
+from hibiscusslip.records import job as job_records
+from hibiscusslip.records import zone as zone_records
+from hibiscusslip.scheduler import base as scheduler_base
+import hibiscusslip.sheet as sheet
+
+ZONE = 'eu-north-a'
+INCARNATION = '6f1c2a9be04d'
+CAPACITY = resources.Resources(64_000, 262_144, 8, 8, 64)
+DEMAND = resources.Resources(2_000, 8_192, 0, 1, 1)
+PLENTY = resources.Resources(10**9, 10**9, 10**6, 10**6, 10**6)
+
+
+def host(number: int) -> str:
+    """Return a host name of usual length."""
+    return f'{ZONE}-host-{number:02}'
+
+
+def job_id(number: int) -> str:
+    """Return a job id of usual length."""
+    return f'{ZONE}.3.r{number:016x}'
+
+
+def load(number: int) -> messages.ShardLoad:
+    """Return the load of one shard."""
+    return messages.ShardLoad(
+        zone=ZONE,
+        number=number,
+        epoch=17,
+        free_cpu_milli=212_000,
+        free_memory_mb=1_048_576,
+        free_accelerators=24,
+        free_slots=31,
+        largest_cpu_milli=64_000,
+        largest_memory_mb=262_144,
+        largest_accelerators=8,
+        queued=120,
+        running=34,
+    )
+
+
+def known(number: int) -> messages.KnownHost:
+    """Return one host as it is passed on."""
+    return messages.KnownHost(
+        host(number), INCARNATION, ZONE, '10.11.12.13', 7402, 0.417233
+    )
+
+
+def heartbeat(loads: int, hosts: int) -> messages.Heartbeat:
+    """Return a heartbeat with so many shard loads and known hosts."""
+    return messages.Heartbeat(
+        412_345,
+        False,
+        7_300,
+        [load(number) for number in range(loads)],
+        [known(number) for number in range(hosts)],
+        ZONE,
+        '10.11.12.13',
+        7402,
+    )
+
+
+def job(number: int, tasks: int, payload: int = 0) -> work.JobSpec:
+    """Return a job with so many tasks."""
+    return work.JobSpec(
+        job_id=job_id(number),
+        team=f'team-{number % 8}',
+        kind=f'kind-{number % 4}',
+        tasks=tasks,
+        demand=DEMAND,
+        run_time=40.0,
+        workload='weekly-reflow',
+        payload=bytes(payload),
+    )
+
+
+def order(number: int, payload: int) -> endpoint_base.StartOrder:
+    """Return the order to start one task."""
+    spec = job(number, 1, payload)
+    return endpoint_base.StartOrder(
+        work.task_id(spec.job_id, 0),
+        1,
+        spec.demand,
+        12.0,
+        job_records.encode_tag(ZONE, 3, spec),
+        spec.payload,
+    )
+
+
+def ended(order_: endpoint_base.StartOrder, answer: int) -> endpoint_base.Run:
+    """Return the run that an order led to, ended well."""
+    return endpoint_base.Run(
+        order_.task,
+        order_.attempt,
+        endpoint_base.RunState.SUCCEEDED,
+        order_.demand,
+        order_.tag,
+        bytes(answer),
+    )
+
+
+def endpoint(number: int) -> places.EndpointInfo:
+    """Return a worker as the host list shows it."""
+    return places.EndpointInfo(
+        f'{ZONE}-worker-{number:04}',
+        ZONE,
+        f'{ZONE}-rack-{number // 5:03}',
+        '10.11.12.13',
+        7000,
+        CAPACITY,
+    )
+
+
+def policy(assumed: sizes.Assumptions) -> scheduler_base.FleetPolicy:
+    """Return shares and quotas for the kinds and teams of `job`."""
+    part = 1.0 / assumed.kinds
+    shares = {
+        f'kind-{number}': scheduler_base.KindShare(f'kind-{number}', part, 1.0)
+        for number in range(assumed.kinds)
+    }
+    quotas = {
+        f'team-{number}': scheduler_base.TeamQuota(f'team-{number}', PLENTY)
+        for number in range(sizes.Target().teams)
+    }
+    return scheduler_base.FleetPolicy(1, shares, quotas)
+
+
+def morning_sheet(teams: int, assumed: sizes.Assumptions) -> sheet.Sheet:
+    """Return a sheet with so many teams."""
+    shares = tuple(
+        sheet.Share(
+            f'kind-{number}',
+            1.0 / assumed.kinds,
+            1.0,
+            work.Urgency.NORMAL,
+            True,
+        )
+        for number in range(assumed.kinds)
+    )
+    quotas = tuple(
+        sheet.Quota(f'team-{number}', 640_000, 2_621_440, 8)
+        for number in range(teams)
+    )
+    workloads = tuple(_workload(n, assumed) for n in range(assumed.workloads))
+    return sheet.Sheet(shares, quotas, workloads)
+
+
+def _workload(number: int, assumed: sizes.Assumptions) -> sheet.Workload:
+    return sheet.Workload(
+        f'workload-{number}',
+        f'team-{number}',
+        f'kind-{number % assumed.kinds}',
+        work.Form.BATCH,
+        work.Urgency.NORMAL,
+        3,
+        DEMAND,
+        40.0,
+        True,
+        False,
+    )
+
+
+def renewal(shards: int) -> zone_records.Renewal:
+    """Return the renewal of so many shards."""
+    entries = [zone_records.ClaimEntry(n, 17, 40_123) for n in range(shards)]
+    return zone_records.Renewal(
+        f'{host(1)}#{INCARNATION}.99123', host(1), INCARNATION, entries
+    )
+
+
+def job_records_of(
+    assumed: sizes.Assumptions,
+) -> tuple[zone_records.ZoneRecord, ...]:
+    """Return the three records of one job that is kept on the log."""
+    spec = job(7, assumed.tasks_per_job, assumed.payload_bytes)
+    name = f'{host(1)}#{INCARNATION}.99123'
+    tasks = list(range(spec.tasks))
+    return (
+        zone_records.JobAccepted(name, 3, 17, job_records.encode_job(spec)),
+        zone_records.StartIntent(name, 3, 17, spec.job_id, tasks, 1, 'p'),
+        zone_records.JobEnded(
+            name,
+            3,
+            17,
+            spec.job_id,
+            'succeeded',
+            '',
+            bytes(assumed.answer_bytes),
+        ),
+    )
--- /dev/null
+++ b/hibiscusslip/bench/capacity/sizes.py
@@ -0,0 +1,109 @@
+"""Hold the size to design for and what is assumed about it."""
+
+import dataclasses
+
+SECONDS_PER_DAY = 86_400.0
+KIB = 1024
+MIB = 1024 * 1024
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Target:
+    """Hold the two-year size of the fleet and the budget of a host."""
+
+    workers: int = 2_500
+    jobs_per_day: int = 10_000
+    starts_per_second: float = 450.0
+    running_tasks: int = 11_000
+    service_share: float = 0.2
+    teams: int = 260
+    urgent_wait_seconds: float = 8.7
+    regions: int = 8
+    zones: int = 23
+    changes_per_day: int = 7_300
+    in_force_seconds: float = 5.0
+    failures_per_day: int = 39
+    replacements_per_day: int = 410
+    core_share: float = 0.027
+    memory_bytes: float = 32.0 * MIB
+    bytes_per_second: float = 24.0 * KIB
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Assumptions:
+    """Hold what the target leaves open.
+
+    `zones_per_region` is that of the largest region. Answers and payloads
+    are in bytes, `queued_per_running` counts waiting tasks per running one.
+    """
+
+    hosts_per_zone: int = 4
+    zones_per_region: int = 4
+    shards_per_zone: int = 16
+    kinds: int = 12
+    workloads: int = 200
+    tasks_per_job: int = 100
+    recorded_share: float = 0.2
+    queued_per_running: float = 1.0
+    kept_jobs: int = 500
+    payload_bytes: int = 512
+    answer_bytes: int = 512
+    log_appends_per_second: float = 300.0
+    log_retention_seconds: float = SECONDS_PER_DAY
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Shape:
+    """Hold what one host of the fleet has to do with."""
+
+    target: Target = Target()
+    assumed: Assumptions = Assumptions()
+
+    @property
+    def hosts(self) -> int:
+        """Return the number of entry hosts of the whole fleet."""
+        return self.target.zones * self.assumed.hosts_per_zone
+
+    @property
+    def hosts_in_region(self) -> int:
+        """Return the number of entry hosts of the largest region."""
+        return self.assumed.zones_per_region * self.assumed.hosts_per_zone
+
+    @property
+    def shards_per_host(self) -> float:
+        """Return how many shards a host owns when all hosts are up."""
+        return self.assumed.shards_per_zone / self.assumed.hosts_per_zone
+
+    @property
+    def workers_per_host(self) -> float:
+        """Return how many workers the shards of a host hold."""
+        return self.target.workers / self.hosts
+
+    @property
+    def workers_per_shard(self) -> float:
+        """Return how many workers a shard holds."""
+        return self.workers_per_host / self.shards_per_host
+
+    @property
+    def running_per_host(self) -> float:
+        """Return the tasks that run on the workers of a host."""
+        return self.target.running_tasks / self.hosts
+
+    @property
+    def starts_per_host(self) -> float:
+        """Return the task starts a second of a host at the peak."""
+        return self.target.starts_per_second / self.hosts
+
+    @property
+    def jobs_per_host(self) -> float:
+        """Return the jobs a second of a host at the peak of starts."""
+        return self.starts_per_host / self.assumed.tasks_per_job
+
+    @property
+    def records_per_zone(self) -> float:
+        """Return the job records a second of a zone at the peak.
+
+        A recorded job has three: accepted, start intent, ended.
+        """
+        jobs = self.jobs_per_host * self.assumed.hosts_per_zone
+        return jobs * self.assumed.recorded_share * 3
