Serve callers by HTTP from a daemon of real processes

Cause: the whole path must run from end to end before it is thickened. Change: the daemon with its listeners, graceful stop, caller service. Conclusion: sheet, request, placement, start and answer work as processes.

--- a/hibiscusslip/caller/handler.py
+++ b/hibiscusslip/caller/handler.py
@@ -71,26 +71,11 @@
     async def _queue(
         self, submission: _submissions.Submission
     ) -> list[service.JobState]:
+        wait = submission.wait
         if submission.single:
-            states = [await self._jobs.submit(submission.specs[0])]
-        else:
-            states = await self._jobs.submit_all(submission.specs)
-        if not submission.wait:
-            return states
-        deadline = self._clock() + submission.wait
-        return [await self._wait(state, deadline) for state in states]
-
-    async def _wait(
-        self, state: service.JobState, deadline: float
-    ) -> service.JobState:
-        left = deadline - self._clock()
-        if state.outcome.final or left <= 0:
-            return state
-        try:
-            return await self._jobs.wait(state.job_id, left)
-        except exceptions.JobError:
-            # It was queued, and that is what the caller has to learn.
-            return state
+            spec = submission.specs[0]
+            return [await self._jobs.submit_waiting(spec, wait)]
+        return await self._jobs.submit_all(submission.specs, wait)
 
     async def _status(
         self, req: messages.Request, job_id: str
--- a/hibiscusslip/caller/service.py
+++ b/hibiscusslip/caller/service.py
@@ -79,17 +79,38 @@
     def readiness(self) -> Readiness:
         """Tell whether this host takes work."""
 
-    async def submit_all(self, specs: list[work.JobSpec]) -> list[JobState]:
+    async def submit_waiting(
+        self, spec: work.JobSpec, wait: float
+    ) -> JobState:
+        """Queue a job and wait up to `wait` s for its end.
+
+        Raises as `submit` does; a failed wait leaves the job queued.
+        """
+        state = await self.submit(spec)
+        if state.outcome.final or wait <= 0:
+            return state
+        try:
+            return await self.wait(state.job_id, wait)
+        except exceptions.JobError:
+            # It was queued, and that is what the caller has to learn.
+            return state
+
+    async def submit_all(
+        self, specs: list[work.JobSpec], wait: float
+    ) -> list[JobState]:
         """Queue jobs and return the state of each; raises no JobError.
 
         A job that can't be queued is told so by its own outcome, as others
         of the list may be queued already.
         """
-        return [await self._submit_or_tell(spec) for spec in specs]
+        return [await self.submit_or_tell(spec, wait) for spec in specs]
 
-    async def _submit_or_tell(self, spec: work.JobSpec) -> JobState:
+    async def submit_or_tell(
+        self, spec: work.JobSpec, wait: float
+    ) -> JobState:
+        """Queue one of many jobs; its own outcome tells a failure."""
         try:
-            return await self.submit(spec)
+            return await self.submit_waiting(spec, wait)
         except exceptions.Unavailable as exc:
             return JobState(
                 spec.job_id,
--- /dev/null
+++ b/hibiscusslip/node/__main__.py
@@ -0,0 +1,114 @@
+"""Run the daemon of an entry host."""
+
+import sys
+
+import curio
+from loguru import logger
+
+from hibiscusslip import settings
+from hibiscusslip.caller import handler as caller_handler
+from hibiscusslip.http import limits as http_limits
+from hibiscusslip.http import server as http_server
+from hibiscusslip.node import assembly
+from hibiscusslip.node import caller_service
+from hibiscusslip.node import clock
+from hibiscusslip.node import signals
+from hibiscusslip.observe import logs
+
+USAGE_EXIT = 2
+CLOSE_PART = 0.8
+
+
+def http_bounds(cfg: settings.Limits) -> http_limits.Limits:
+    """Return the bounds of the listeners for callers and operators."""
+    return http_limits.Limits(
+        max_header_bytes=cfg.max_header_bytes,
+        max_body_bytes=cfg.max_body_bytes,
+        read_timeout=cfg.read_timeout,
+        write_timeout=cfg.write_timeout,
+        idle_timeout=cfg.idle_timeout,
+        max_connections=cfg.max_connections,
+    )
+
+
+class Daemon:
+    """Run the node and its listeners until told to stop."""
+
+    def __init__(self, cfg: settings.Settings) -> None:
+        self._cfg = cfg
+        offset = clock.wall() - clock.now()
+        assembled = assembly.build(cfg, offset)
+        self._node = assembled.node
+        self._peers = assembled.peers
+        self._service = caller_service.CallerService(self._node)
+        limits = cfg.limits
+        handler = caller_handler.CallerHandler(
+            self._service,
+            caller_handler.Bounds(
+                limits.max_jobs_per_request,
+                limits.max_tasks_per_job,
+                limits.max_wait,
+            ),
+            limits.peer_calls_per_second,
+            limits.team_jobs_per_second,
+        )
+        self._callers = http_server.Server(handler, http_bounds(limits))
+
+    async def run(self) -> None:
+        """Serve until SIGTERM or SIGINT, then stop gracefully."""
+        stop = signals.StopSignals()
+        listen = self._cfg.listeners
+        port = await self._peers.listen(
+            listen.peers.address, listen.peers.port
+        )
+        callers_port = await self._callers.listen(
+            listen.callers.address, listen.callers.port
+        )
+        await curio.spawn(self._peers.serve, daemon=True)
+        await self._node.start(listen.peers.address, port)
+        await curio.spawn(self._callers.serve, daemon=True)
+        logger.info(
+            'serving callers on {}:{}, peers on port {}',
+            listen.callers.address,
+            callers_port,
+            port,
+        )
+        await stop.wait()
+        await self._stop()
+
+    async def _stop(self) -> None:
+        """Hand everything over and answer all requests in flight."""
+        grace = self._cfg.timing.drain_grace
+        logger.info('stopping within {} s', grace)
+        self._service.close_by(clock.now() + CLOSE_PART * grace)
+        handing = await curio.spawn(self._node.drain, grace)
+        cut = await self._callers.drain(grace)
+        given = await handing.join()
+        if cut or not given:
+            logger.warning(
+                '{} requests were cut off, all shards handed over: {}',
+                cut,
+                given,
+            )
+        await self._node.stop()
+        await self._peers.close()
+        logger.info('stopped')
+
+
+def main() -> int:
+    """Read the settings file named by the only argument and run."""
+    if len(sys.argv) != 2:
+        print('usage: python -m hibiscusslip.node SETTINGS', file=sys.stderr)
+        return USAGE_EXIT
+    try:
+        cfg = settings.load(sys.argv[1])
+    except settings.SettingsError as exc:
+        print(exc, file=sys.stderr)
+        return USAGE_EXIT
+    logs.configure(cfg.observe.log_level, cfg.observe.log_json, cfg.host.name)
+    curio.run(Daemon(cfg).run)
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/hibiscusslip/node/assembly.py
+++ b/hibiscusslip/node/assembly.py
@@ -7,6 +7,7 @@
 from hibiscusslip import settings
 from hibiscusslip.endpoint import http_endpoint
 from hibiscusslip.jobs import engine as jobs_engine
+from hibiscusslip.membership import pacing
 from hibiscusslip.model import places
 from hibiscusslip.node import config
 from hibiscusslip.node import node as node_
@@ -45,6 +46,8 @@
         zones=zones,
         shards_per_zone=cfg.shards_per_zone,
         timing=_timing(cfg.timing),
+        pacing=_pacing(cfg.timing),
+        hold=cfg.timing.hold,
         engine=_engine(cfg.timing),
         scheduler=scheduler_limits.Limits(
             max_queued=cfg.limits.max_queued_jobs,
@@ -61,17 +64,29 @@
         promise=cfg.promise,
         drift=cfg.drift,
         margin=cfg.margin,
-        settle=cfg.send_timeout + cfg.margin,
+        settle=cfg.settle,
         renew_interval=cfg.renew_interval,
-        promise_interval=cfg.promise / 4,
+        promise_interval=cfg.promise_interval,
         heartbeat=cfg.heartbeat_interval,
+        stagger=cfg.stagger,
+        snapshot_interval=cfg.snapshot_interval,
+    )
+
+
+def _pacing(cfg: settings.Timing) -> pacing.Pacing:
+    return pacing.Pacing(
+        heartbeat=cfg.heartbeat_interval,
+        suspect_after=cfg.suspect_after,
+        foreign_heartbeat=cfg.foreign_heartbeat_interval,
+        foreign_suspect_after=cfg.foreign_suspect_after,
+        list_lag=cfg.list_lag,
     )
 
 
 def _engine(cfg: settings.Timing) -> jobs_engine.EngineConfig:
     return jobs_engine.EngineConfig(
         worker_lease=cfg.task_lease,
-        settle=cfg.send_timeout + cfg.margin,
+        settle=cfg.settle,
         clock_drift=cfg.drift,
         contact_lost_after=cfg.task_lease * CONTACT_LOST_PART,
     )
--- /dev/null
+++ b/hibiscusslip/node/caller_service.py
@@ -0,0 +1,173 @@
+"""Serve callers' jobs through the acceptor."""
+
+import collections.abc
+import dataclasses
+
+import curio
+
+from hibiscusslip.caller import exceptions
+from hibiscusslip.caller import service
+from hibiscusslip.jobs import identity
+from hibiscusslip.jobs import view
+from hibiscusslip.model import work
+from hibiscusslip.node import acceptor
+from hibiscusslip.node import clock
+from hibiscusslip.node import node as node_
+from hibiscusslip.node import remote_home
+
+MAX_SLICE_SECONDS = 5.0
+MAX_AT_ONCE = 64
+DEFAULT_RETRY_SECONDS = 1.0
+KEY_REUSED = 'KeyReused'
+
+FailureKind = remote_home.FailureKind
+
+
+class CallerService(service.JobService):
+    """Turn callers' requests into calls of the acceptor."""
+
+    def __init__(self, node: node_.Node) -> None:
+        self._node = node
+        self._closes_at: float | None = None
+
+    def close_by(self, due: float) -> None:
+        """Answer all who wait by `due`, with how their jobs stand then."""
+        self._closes_at = due
+
+    def new_job_id(self, team: str, key: str) -> str:
+        """Return the id of a key's job; without a key it comes later."""
+        if not key:
+            return ''
+        home = identity.keyed_home(team, key, self._node.cfg.shards)
+        return identity.keyed_id(home, team, key)
+
+    def default_urgency(self, kind: str) -> work.Urgency:
+        """Return the urgency that the sheet gives to a kind."""
+        return self._node.standing.urgency_of(kind)
+
+    def readiness(self) -> service.Readiness:
+        """Tell whether this host takes work."""
+        if not self._node.fleet.policy_version:
+            detail = 'no configuration is in force yet; publish a sheet'
+            return service.Readiness(False, detail)
+        if self._node.ownership.draining:
+            return service.Readiness(False, 'this host is being drained')
+        return service.Readiness(True)
+
+    async def submit(self, spec: work.JobSpec) -> service.JobState:
+        """Queue a job."""
+        return await self.submit_waiting(spec, 0.0)
+
+    async def submit_waiting(
+        self, spec: work.JobSpec, wait: float
+    ) -> service.JobState:
+        """Queue a job and see it through for up to `wait` s.
+
+        Work that isn't durable lives as long as somebody waits for it, so
+        the acceptor asks for it again when its home is taken over.
+        """
+        if not self._node.fleet.policy_version:
+            raise exceptions.Unavailable(self.readiness().detail)
+        due = clock.now() + wait
+        door = self._node.acceptor
+        state = await _told(door.submit(spec, self._slice(due)))
+        while not state.outcome.final and self._slice(due) > 0:
+            again = work.with_id(spec, state.job_id)
+            state = await _told(door.submit(again, self._slice(due)))
+        return state
+
+    async def submit_all(
+        self, specs: list[work.JobSpec], wait: float
+    ) -> list[service.JobState]:
+        """Queue jobs side by side and return their states in order."""
+        states: dict[int, service.JobState] = {}
+        gate = curio.Semaphore(MAX_AT_ONCE)
+
+        async def one(index: int) -> None:
+            async with gate:
+                states[index] = await self.submit_or_tell(specs[index], wait)
+
+        async with curio.TaskGroup() as group:
+            for index in range(len(specs)):
+                await group.spawn(one, index)
+        return [states[index] for index in range(len(specs))]
+
+    async def wait(self, job_id: str, timeout: float) -> service.JobState:
+        """Return the state once it is final or the time is over."""
+        due = clock.now() + timeout
+        while True:
+            left = self._slice(due)
+            state = await _told(self._node.acceptor.status(job_id, left))
+            if state.outcome.final or self._slice(due) <= 0:
+                return state
+
+    async def status(self, job_id: str) -> service.JobState:
+        """Return how a job stands."""
+        return await _told(self._node.acceptor.status(job_id, 0.0))
+
+    async def cancel(self, job_id: str) -> service.JobState:
+        """Cancel what has not ended of a job."""
+        return await _told(self._node.acceptor.cancel(job_id))
+
+    async def explain(self, job_id: str) -> service.JobStory:
+        """Return a job's history with reasons."""
+        try:
+            story = await self._node.acceptor.explain(job_id)
+        except identity.BadJobId as exc:
+            raise exceptions.UnknownJob(str(exc)) from exc
+        except acceptor.RequestFailed as exc:
+            raise _error_of(exc) from exc
+        return service.JobStory(story.job_id, story.outcome, story.lines)
+
+    def _slice(self, due: float) -> float:
+        """Return how long to wait before looking up again, in seconds."""
+        if self._closes_at is not None:
+            due = min(due, self._closes_at)
+        return min(max(due - clock.now(), 0.0), MAX_SLICE_SECONDS)
+
+
+async def _told(
+    call: collections.abc.Awaitable[view.JobView],
+) -> service.JobState:
+    """Return a job's state, or the caller's error for a failure."""
+    try:
+        job = await call
+    except identity.BadJobId as exc:
+        raise exceptions.UnknownJob(str(exc)) from exc
+    except acceptor.RequestFailed as exc:
+        refused = _refused_state(exc)
+        if refused is not None:
+            return refused
+        raise _error_of(exc) from exc
+    fields = dataclasses.fields(view.JobView)
+    return service.JobState(*(getattr(job, f.name) for f in fields))
+
+
+def _refused_state(exc: acceptor.RequestFailed) -> service.JobState | None:
+    """Return the state of a request that the policy refused for good."""
+    failure = exc.failure
+    refused = failure.kind == FailureKind.REFUSED and not exc.maybe_run
+    if not refused or not failure.reason.startswith('policy:'):
+        return None
+    return service.JobState(
+        exc.job_id,
+        work.Outcome.NOT_RUN,
+        failure.detail,
+        retry_after=failure.retry_after,
+        nearest=failure.nearest,
+    )
+
+
+def _error_of(exc: acceptor.RequestFailed) -> exceptions.JobError:
+    failure = exc.failure
+    if failure.kind == FailureKind.UNKNOWN_JOB:
+        return exceptions.UnknownJob(failure.detail)
+    if failure.reason == KEY_REUSED:
+        return exceptions.KeyReused(failure.detail)
+    if exc.maybe_run:
+        return exceptions.Unsettled(
+            f'{failure.detail}; the job may run: ask for its state'
+            f' by GET /v1/jobs/{exc.job_id}'
+        )
+    after = failure.retry_after or DEFAULT_RETRY_SECONDS
+    return exceptions.Unavailable(failure.detail, after)
--- a/hibiscusslip/node/config.py
+++ b/hibiscusslip/node/config.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from hibiscusslip.jobs import engine as jobs_engine
+from hibiscusslip.membership import pacing as membership_pacing
 from hibiscusslip.model import places
 from hibiscusslip.ownership import timing as ownership_timing
 from hibiscusslip.scheduler import limits as scheduler_limits
@@ -21,6 +22,8 @@
     zones: tuple[str, ...]
     shards_per_zone: int
     timing: ownership_timing.Timing = ownership_timing.Timing()
+    pacing: membership_pacing.Pacing = membership_pacing.Pacing()
+    hold: float = 2.0
     engine: jobs_engine.EngineConfig = jobs_engine.EngineConfig()
     scheduler: scheduler_limits.Limits = scheduler_limits.Limits()
     host_list_interval: float = 2.0
--- a/hibiscusslip/node/node.py
+++ b/hibiscusslip/node/node.py
@@ -11,7 +11,6 @@
 from hibiscusslip.jobs import engine as jobs_engine
 from hibiscusslip.jobs import index as jobs_index
 from hibiscusslip.membership import members as members_
-from hibiscusslip.membership import pacing
 from hibiscusslip.model import places
 from hibiscusslip.model import work
 from hibiscusslip.node import acceptor
@@ -117,9 +116,7 @@
             self.ownership, self.fleet, parts.peers
         )
         self.fleet.set_arrived(self.hand_overs.arrived)
-        self.members = members_.Members(
-            cfg.me, cfg.zone, pacing.Pacing(), rng, now
-        )
+        self.members = members_.Members(cfg.me, cfg.zone, cfg.pacing, rng, now)
         self.neighbours = neighbours.Neighbours(
             cfg,
             self.members,
--- a/hibiscusslip/node/standing_keeper.py
+++ b/hibiscusslip/node/standing_keeper.py
@@ -27,6 +27,14 @@
         self._record = record
         self._changed_at = clock.now()
 
+    def urgency_of(self, kind: str) -> work.Urgency:
+        """Return the urgency that the sheet gives to a kind."""
+        if self._record is not None:
+            for share in self._record.sheet.shares:
+                if share.kind == kind:
+                    return share.urgency
+        return work.Urgency.NORMAL
+
     async def keep(self, runner: shard_runner.ShardRunner) -> None:
         """Bring one shard in line with the sheet."""
         now = clock.now()
--- a/tests/faults/settings_file.py
+++ b/tests/faults/settings_file.py
@@ -46,6 +46,8 @@
         '[limits]',
         *(f'{name} = {value}' for name, value in plan.limits.items()),
     ]
+    for zone in sorted({zone for _, zone, _ in plan.seeds}):
+        lines += ['[[zones]]', f'name = "{zone}"']
     for name, zone, port in plan.seeds:
         lines += [
             '[[seeds]]',
