Test shares against shape masks instead of job by job

Change: sorted tables give the mask of shapes that fit a room or an allowance; accounts keep what shares mean as vectors.

--- a/hibiscusslip/scheduler/_accounts.py
+++ b/hibiscusslip/scheduler/_accounts.py
@@ -7,14 +7,17 @@
 from hibiscusslip.scheduler import base
 
 PEAK_HALF_LIFE_S = 60.0
+PEAK_STEP_S = 1.0
+MIN_GUARANTEE = 1e-6
 
 
 @dataclasses.dataclass(slots=True, eq=False)
 class KindAccount:
     """Hold what a kind has booked and what is kept for it.
 
-    `peak` is the most it held or wanted lately; idle guarantee beyond it is
-    lent to other kinds.
+    `peak` is the most it held lately, idle guarantee beyond it is lent to
+    other kinds; `fraction` is what it holds of its bound dimension and
+    `standing` that over its guarantee.
     """
 
     share: base.KindShare
@@ -23,23 +26,35 @@
     peak: _vector.Vector = _vector.ZERO
     peak_at: float = 0.0
 
-    def fraction(self, capacity: _vector.Vector) -> float:
-        """Return the held share of the bound dimension."""
-        return _vector.dominant(self.held, capacity)
+    guarantee: _vector.Vector = _vector.ZERO
+    ceiling: _vector.Vector = _vector.ZERO
+    idle: _vector.Vector = _vector.ZERO
 
-    def reserved(self, capacity: _vector.Vector) -> _vector.Vector:
-        """Return what others mustn't borrow of the kind's guarantee."""
-        guarantee = _vector.scale(capacity, self.share.guarantee)
-        if not self.share.lendable:
-            return guarantee
-        return _vector.least(self.peak, guarantee)
+    capacity: _vector.Vector = _vector.ZERO
+    fraction: float = 0.0
+    standing: float = 0.0
 
-    def note_peak(self, now: float) -> None:
-        """Follow the held amount up at once and down slowly."""
+    def set_capacity(self, capacity: _vector.Vector) -> None:
+        """Work out what the shares mean for a new capacity."""
+        self.capacity = capacity
+        self.guarantee = _vector.scale(capacity, self.share.guarantee)
+        self.ceiling = _vector.scale(capacity, self.share.ceiling)
+
+    def refresh(self, now: float) -> None:
+        """Work out what is kept: the peak fades, and rises with use."""
         age = max(0.0, now - self.peak_at)
-        faded = _vector.scale(self.peak, 0.5 ** (age / PEAK_HALF_LIFE_S))
-        self.peak = _vector.most(faded, self.held)
-        self.peak_at = now
+        if age >= PEAK_STEP_S:
+            fade = 0.5 ** (age / PEAK_HALF_LIFE_S)
+            self.peak = _vector.scale(self.peak, fade)
+            self.peak_at = now
+        self.peak = _vector.most(self.peak, self.held)
+        kept = self.guarantee
+        if self.share.lendable:
+            kept = _vector.least(self.peak, kept)
+        self.idle = _vector.positive(_vector.sub(kept, self.held))
+        self.fraction = _vector.dominant(self.held, self.capacity)
+        least = max(self.share.guarantee, MIN_GUARANTEE)
+        self.standing = self.fraction / least
 
 
 class Accounts:
@@ -51,6 +66,7 @@
         self._configured: frozenset[str] = frozenset()
         self.capacity = _vector.ZERO
         self.held = _vector.ZERO
+        self._idle = _vector.ZERO
         self._teams: dict[str, _vector.Vector] = {}
         self._parts: dict[tuple[str, str], _vector.Vector] = {}
         self.running: collections.Counter[str] = collections.Counter()
@@ -69,6 +85,26 @@
                 self.kinds[name] = account
         self.quotas = policy.quotas
         self._configured = frozenset(policy.shares)
+        self.set_capacity(self.capacity)
+
+    def set_capacity(self, capacity: _vector.Vector) -> None:
+        """Take the capacity that shares are fractions of."""
+        self.capacity = capacity
+        for account in self.kinds.values():
+            account.set_capacity(capacity)
+        self.refresh(None)
+
+    def refresh(self, now: float | None) -> None:
+        """Work out anew what is kept for each kind."""
+        self._idle = _vector.ZERO
+        for account in self.kinds.values():
+            account.refresh(account.peak_at if now is None else now)
+            self._idle = _vector.add(self._idle, account.idle)
+
+    def _refresh_kind(self, account: KindAccount) -> None:
+        others = _vector.sub(self._idle, account.idle)
+        account.refresh(account.peak_at)
+        self._idle = _vector.add(others, account.idle)
 
     def known_kind(self, name: str) -> bool:
         """Tell whether the configuration has a share for a kind."""
@@ -86,14 +122,12 @@
             self.kinds[name] = account
         return account
 
-    def take(
-        self, kind: str, team: str, need: _vector.Vector, now: float
-    ) -> None:
+    def take(self, kind: str, team: str, need: _vector.Vector) -> None:
         """Count a booked task."""
         account = self.kind(kind)
         account.held = _vector.add(account.held, need)
         account.running += 1
-        account.note_peak(now)
+        self._refresh_kind(account)
         self._count(kind, team, need)
         self.running[team] += 1
 
@@ -102,6 +136,7 @@
         account = self.kind(kind)
         account.held = _vector.sub(account.held, need)
         account.running -= 1
+        self._refresh_kind(account)
         self._count(kind, team, _vector.scale(need, -1))
         self.running[team] -= 1
 
@@ -142,47 +177,33 @@
         part = _vector.scale(whole, fraction)
         return _vector.fits(_vector.add(held, need), part)
 
-    def over_guarantee(self, kind: str) -> bool:
-        """Tell whether a kind holds all that is guaranteed to it."""
-        account = self.kind(kind)
-        return account.fraction(self.capacity) >= account.share.guarantee
-
     def standing(self, kind: str) -> float:
         """Return held over guaranteed; 0 means nothing held."""
-        account = self.kind(kind)
-        fraction = account.fraction(self.capacity)
-        return fraction / max(account.share.guarantee, 1e-6)
+        return self.kind(kind).standing
 
-    def below_ceiling(self, kind: str, need: _vector.Vector) -> bool:
-        """Tell whether a kind may hold `need` more."""
+    def allowances(self, kind: str) -> tuple[_vector.Vector, _vector.Vector]:
+        """Return what a kind may hold more: guaranteed, and borrowed.
+
+        A demand that fits into either may start. What is borrowed stays
+        below the ceiling and leaves what other kinds have used of their
+        guarantee lately.
+        """
         account = self.kind(kind)
-        after = _vector.add(account.held, need)
-        share = _vector.dominant(after, self.capacity)
-        return share <= account.share.ceiling + 1e-9
+        guaranteed = _vector.sub(account.guarantee, account.held)
+        ceiling = _vector.sub(account.ceiling, account.held)
+        if not account.running and account.share.guarantee > 0:
+            return guaranteed, ceiling
+        kept = _vector.sub(self._idle, account.idle)
+        free = _vector.sub(self.capacity, self.held)
+        return guaranteed, _vector.least(ceiling, _vector.sub(free, kept))
 
     def may_hold(self, kind: str, need: _vector.Vector) -> bool:
-        """Tell whether shares let a kind hold `need` more.
+        """Tell whether shares let a kind hold `need` more."""
+        guaranteed, borrowed = self.allowances(kind)
+        return _vector.fits(need, guaranteed) or _vector.fits(need, borrowed)
 
-        Within its guarantee it may; beyond, only up to its ceiling, and
-        only what no other kind has used of its own guarantee lately.
-        """
-        if not self.below_ceiling(kind, need):
-            return False
+    def below_ceiling(self, kind: str, need: _vector.Vector) -> bool:
+        """Tell whether a kind may hold `need` more by its ceiling."""
         account = self.kind(kind)
         after = _vector.add(account.held, need)
-        guarantee = account.share.guarantee
-        if _vector.dominant(after, self.capacity) <= guarantee:
-            return True
-        if self.standing(kind) < 1.0 and not account.running:
-            return True
-        return self._lent_room(kind, need)
-
-    def _lent_room(self, kind: str, need: _vector.Vector) -> bool:
-        kept = _vector.add(self.held, need)
-        for name, other in self.kinds.items():
-            if name != kind:
-                reserved = other.reserved(self.capacity)
-                idle = _vector.sub(reserved, other.held)
-                kept = _vector.add(kept, _vector.most(idle, _vector.ZERO))
-        pairs = zip(need, kept, self.capacity, strict=True)
-        return all(part == 0 or whole <= cap for part, whole, cap in pairs)
+        return _vector.fits(after, account.ceiling)
--- a/hibiscusslip/scheduler/_fair.py
+++ b/hibiscusslip/scheduler/_fair.py
@@ -108,7 +108,7 @@
         heapq.heapify(self.heap)
 
     def _compact(self) -> None:
-        latest = {}
+        latest: dict[str, float] = {}
         for share, team in self.heap:
             if team in self.teams:
                 latest[team] = min(share, latest.get(team, share))
@@ -119,7 +119,7 @@
         self, mask: int, share_of: typing.Callable[[str], float]
     ) -> tuple[float, TeamLane] | None:
         """Return the team with the least share that waits with `mask`."""
-        aside = []
+        aside: list[tuple[float, str]] = []
         found = None
         while self.heap:
             share, team = heapq.heappop(self.heap)
@@ -146,9 +146,18 @@
     def __init__(self) -> None:
         self.lanes = {urgency: Lane() for urgency in URGENCIES}
         self.skip = 0
+        self.allowed = 0
+        self.known: tuple[object, int] | None = None
         self.weights = 0.0
         self.teams: collections.Counter[str] = collections.Counter()
 
+    def mask(self) -> int:
+        """Return the shapes that wait."""
+        mask = 0
+        for lane in self.lanes.values():
+            mask |= lane.mask
+        return mask
+
     def team_came(self, team: str, weight: float) -> None:
         """Count a team that waits in one more lane."""
         self.teams[team] += 1
@@ -257,7 +266,7 @@
     def _next_kind(self, ready: int) -> str | None:
         best = None
         for name, queue in self._kinds.items():
-            urgency = self._first_urgency(queue, ready)
+            urgency = self._first_urgency(name, queue, ready)
             if urgency is None:
                 continue
             standing = self._accounts.standing(name)
@@ -266,16 +275,32 @@
                 best = rank
         return best[3] if best else None
 
-    def _first_urgency(self, queue: KindQueue, ready: int) -> int | None:
-        usable = ready & ~queue.skip
+    def _first_urgency(
+        self, kind: str, queue: KindQueue, ready: int
+    ) -> int | None:
+        usable = ready & queue.mask() & ~queue.skip
+        if not usable:
+            return None
+        self._allow(kind, queue)
+        usable &= queue.allowed
         for urgency, lane in queue.lanes.items():
             if lane.mask & usable:
                 return int(urgency)
         return None
 
+    def _allow(self, kind: str, queue: KindQueue) -> None:
+        allowances = self._accounts.allowances(kind)
+        known = (allowances, self._shapes.version)
+        if queue.known == known:
+            return
+        fitting = self._shapes.fitting
+        guaranteed, borrowed = allowances
+        queue.allowed = fitting(guaranteed) | fitting(borrowed)
+        queue.known = known
+
     def _next_job(self, kind: str, ready: int) -> _jobs.Job | None:
         queue = self._kinds[kind]
-        usable = ready & ~queue.skip
+        usable = ready & queue.allowed & ~queue.skip
         fair = self._fair_share(kind, queue)
         first = None
         for lane in queue.lanes.values():
@@ -289,8 +314,8 @@
         if first is None:
             queue.skip |= usable
             return None
-        lane = first[1]
-        return lane.oldest(lane.mask & usable & ~lane.skip)
+        team = first[1]
+        return team.oldest(team.mask & usable & ~team.skip)
 
     def _lowest(
         self, kind: str, lane: Lane, usable: int
@@ -304,6 +329,5 @@
 
     def _fair_share(self, kind: str, queue: KindQueue) -> float:
         account = self._accounts.kind(kind)
-        held = account.fraction(self._accounts.capacity)
-        level = max(held, account.share.guarantee)
+        level = max(account.fraction, account.share.guarantee)
         return level / max(queue.weights, MIN_WEIGHTS)
--- a/hibiscusslip/scheduler/_ledger.py
+++ b/hibiscusslip/scheduler/_ledger.py
@@ -104,7 +104,7 @@
         job.placed[index] = endpoint
         job.racks[room.rack] += 1
         job.started_at = now
-        self.accounts.take(spec.kind, spec.team, job.demand, now)
+        self.accounts.take(spec.kind, spec.team, job.demand)
         self.order.held_changed(spec.kind, spec.team)
 
     def release(self, job: _jobs.Job, index: int) -> None:
--- a/hibiscusslip/scheduler/_shapes.py
+++ b/hibiscusslip/scheduler/_shapes.py
@@ -1,5 +1,7 @@
 """Group demands of about the same size."""
 
+import bisect
+
 from hibiscusslip.scheduler import _index
 from hibiscusslip.scheduler import _jobs
 from hibiscusslip.scheduler import _vector
@@ -18,7 +20,10 @@
     def __init__(self) -> None:
         self._numbers: dict[tuple[int, ...], int] = {}
         self._lowest: list[_vector.Vector | None] = [None]
+        self._tables: list[tuple[list[int], list[int]]] = []
         self.blocked = 0
+        self.all = 1
+        self.version = 0
 
     def number(self, job: _jobs.Job) -> int:
         """Return the shape of a job."""
@@ -37,7 +42,10 @@
         if found is None:
             found = self._new(key)
         low = self._lowest[found]
-        self._lowest[found] = _vector.least(low, need) if low else need
+        if low is None or not _vector.fits(low, need):
+            self._lowest[found] = _vector.least(low or need, need)
+            self._tables = []
+            self.version += 1
         return found
 
     def _new(self, key: tuple[int, ...]) -> int:
@@ -46,6 +54,7 @@
         number = len(self._lowest)
         self._numbers[key] = number
         self._lowest.append(None)
+        self.all |= 1 << number
         return number
 
     def block(self, number: int) -> None:
@@ -54,14 +63,26 @@
 
     def freed(self, free: _vector.Vector) -> None:
         """Unblock the shapes that may fit into an endpoint's free room."""
-        mask = self.blocked
-        while mask:
-            bit = mask & -mask
-            mask ^= bit
-            low = self._lowest[bit.bit_length() - 1]
-            if low is None or _vector.fits(low, free):
-                self.blocked ^= bit
+        if self.blocked:
+            self.blocked &= ~self.fitting(free)
 
     def unblock_all(self) -> None:
         """Try every shape again."""
         self.blocked = 0
+
+    def fitting(self, room: _vector.Vector) -> int:
+        """Return the mask of the shapes that may fit into `room`."""
+        if not self._tables:
+            self._tables = [self._table(i) for i in range(len(room))]
+        mask = self.all
+        for (values, masks), have in zip(self._tables, room, strict=True):
+            mask &= masks[bisect.bisect_right(values, have)]
+        return mask
+
+    def _table(self, dimension: int) -> tuple[list[int], list[int]]:
+        lows = [(low or _vector.ZERO)[dimension] for low in self._lowest]
+        order = sorted(range(len(lows)), key=lows.__getitem__)
+        masks = [0]
+        for number in order:
+            masks.append(masks[-1] | 1 << number)
+        return [lows[number] for number in order], masks
--- a/hibiscusslip/scheduler/_shard.py
+++ b/hibiscusslip/scheduler/_shard.py
@@ -137,6 +137,7 @@
         self._ripen(now)
         decisions: list[base.Decision] = list(self._drops[:limit])
         del self._drops[:limit]
+        self._ledger.accounts.refresh(now)
         self._ledger.order.begin(now)
         while len(decisions) < limit:
             job = self._ledger.order.choose(now)
@@ -197,7 +198,7 @@
         return _summary.summary(self._shard, self._ledger, now)
 
     def _endpoints_changed(self) -> None:
-        self._ledger.accounts.capacity = self._ledger.book.capacity
+        self._ledger.accounts.set_capacity(self._ledger.book.capacity)
         self._ledger.order.changed()
 
     def _ripen(self, now: float) -> None:
--- a/hibiscusslip/scheduler/_summary.py
+++ b/hibiscusslip/scheduler/_summary.py
@@ -47,7 +47,7 @@
 def _share_reason(ledger: _ledger.Ledger, job: _jobs.Job) -> str:
     accounts = ledger.accounts
     account = accounts.kind(job.spec.kind)
-    held = account.fraction(accounts.capacity)
+    held = account.fraction
     if not accounts.below_ceiling(job.spec.kind, job.demand):
         return (
             f'Kind {job.spec.kind} holds {held:.0%} of the shard, and its '
--- a/hibiscusslip/scheduler/_vector.py
+++ b/hibiscusslip/scheduler/_vector.py
@@ -38,6 +38,17 @@
     )
 
 
+def positive(a: Vector) -> Vector:
+    """Return the vector with 0 in place of what is negative."""
+    return (
+        a[0] if a[0] > 0 else 0,
+        a[1] if a[1] > 0 else 0,
+        a[2] if a[2] > 0 else 0,
+        a[3] if a[3] > 0 else 0,
+        a[4] if a[4] > 0 else 0,
+    )
+
+
 def add(a: Vector, b: Vector) -> Vector:
     """Return the sum."""
     return (
@@ -74,31 +85,42 @@
 def least(a: Vector, b: Vector) -> Vector:
     """Return the smaller value of each dimension."""
     return (
-        min(a[0], b[0]),
-        min(a[1], b[1]),
-        min(a[2], b[2]),
-        min(a[3], b[3]),
-        min(a[4], b[4]),
+        a[0] if a[0] < b[0] else b[0],
+        a[1] if a[1] < b[1] else b[1],
+        a[2] if a[2] < b[2] else b[2],
+        a[3] if a[3] < b[3] else b[3],
+        a[4] if a[4] < b[4] else b[4],
     )
 
 
 def most(a: Vector, b: Vector) -> Vector:
     """Return the larger value of each dimension."""
     return (
-        max(a[0], b[0]),
-        max(a[1], b[1]),
-        max(a[2], b[2]),
-        max(a[3], b[3]),
-        max(a[4], b[4]),
+        a[0] if a[0] > b[0] else b[0],
+        a[1] if a[1] > b[1] else b[1],
+        a[2] if a[2] > b[2] else b[2],
+        a[3] if a[3] > b[3] else b[3],
+        a[4] if a[4] > b[4] else b[4],
     )
 
 
 def dominant(need: Vector, capacity: Vector) -> float:
     """Return the largest fraction of `capacity` that `need` takes."""
     share = 0.0
-    for part, whole in zip(need, capacity, strict=True):
-        if part > 0:
-            share = max(share, part / whole if whole > 0 else 1.0)
+    if need[0] > 0:
+        share = need[0] / capacity[0] if capacity[0] > 0 else 1.0
+    if need[1] > 0:
+        part = need[1] / capacity[1] if capacity[1] > 0 else 1.0
+        share = part if part > share else share
+    if need[2] > 0:
+        part = need[2] / capacity[2] if capacity[2] > 0 else 1.0
+        share = part if part > share else share
+    if need[3] > 0:
+        part = need[3] / capacity[3] if capacity[3] > 0 else 1.0
+        share = part if part > share else share
+    if need[4] > 0:
+        part = need[4] / capacity[4] if capacity[4] > 0 else 1.0
+        share = part if part > share else share
     return share
 
 
