Keep configuration records small and join where neighbours stand

Change: records are compressed; a fresh host jumps to the offset up to which a neighbour has read; few records are read at once; a record that no message between hosts could carry is refused before the append.

--- a/hibiscusslip/configuration/_publishing.py
+++ b/hibiscusslip/configuration/_publishing.py
@@ -14,7 +14,10 @@
 from hibiscusslip.records import zone
 import hibiscusslip.sheet as sheet
 
-READ_LIMIT = 64
+# A record has to fit in one message between entry hosts.
+MAX_RECORD_BYTES = 900_000
+# Few at once, as each record holds a whole sheet.
+READ_LIMIT = 8
 READ_WAIT_S = 1.0
 RETRY_DELAY_S = 0.2
 
@@ -67,17 +70,13 @@
     `view` is a copy of the tracker's view, which this call advances. An
     append without an answer is settled by reading, for up to `timeout` s.
     """
-    if not view.anchored and not record.after_gap:
-        return NotPublished(
-            'the log has lost records that this host did not read, so the'
-            ' latest version is not certain; apply through another host, or'
-            ' apply with --after-gap when none can'
-        )
-    if view.anchored and record.made_from != view.version:
-        return _lost(view, record)
+    data = _records.encode(record)
+    early = _settle_early(view, record, len(data))
+    if early is not None:
+        return early
     deadline = clock() + timeout
     try:
-        await log.append(zone.CONFIG_STREAM, [_records.encode(record)])
+        await log.append(zone.CONFIG_STREAM, [data])
     except exceptions.AppendUnsettled:
         # The reading below finds out.
         pass
@@ -86,6 +85,29 @@
     return await _settle(log, view, record, clock, deadline)
 
 
+def _settle_early(
+    view: _view.LogView, record: _records.ConfigRecord, size: int
+) -> Publication | None:
+    """Return what can be told before anything is written."""
+    if view.latest and view.latest.config.record_id == record.record_id:
+        return Accepted(record.version, view.latest.offset)
+    if not view.anchored and not record.after_gap:
+        return NotPublished(
+            'the log has lost records that this host did not read, so the'
+            ' latest version is not certain; apply through another host, or'
+            ' apply with --after-gap when none can'
+        )
+    if view.anchored and record.made_from != view.version:
+        return _lost(view, record)
+    if size > MAX_RECORD_BYTES:
+        return NotPublished(
+            f'the sheet takes {size} bytes on the log, at most'
+            f' {MAX_RECORD_BYTES} are allowed; shorten payloads or split'
+            ' workloads off'
+        )
+    return None
+
+
 async def _settle(
     log: base.Log,
     view: _view.LogView,
--- a/hibiscusslip/configuration/_records.py
+++ b/hibiscusslip/configuration/_records.py
@@ -1,6 +1,7 @@
 """Define the records of the configuration stream."""
 
 import typing
+import zlib
 
 import msgspec
 
@@ -38,6 +39,9 @@
     config: ConfigRecord
 
 
+MAX_UNPACKED_BYTES = 16 * 2**20
+_COMPRESSION_LEVEL = 6
+
 StreamRecord = typing.Union[  # noqa: UP007 - decoders need the plain union
     ConfigRecord,
     ConfigSnapshot,
@@ -46,7 +50,7 @@
 
 def decode_config(data: bytes) -> ConfigRecord:
     """Return the configuration in `data`; raises CodecError."""
-    record: ConfigRecord = codec.decode(data, ConfigRecord)
+    record: ConfigRecord = codec.decode(_unpack(data), ConfigRecord)
     return record
 
 
@@ -65,11 +69,29 @@
 
 
 def encode(record: ConfigRecord | ConfigSnapshot) -> bytes:
-    """Return the bytes of a record."""
-    return codec.encode(record)
+    """Return the bytes of a record, compressed as sheets repeat much."""
+    return zlib.compress(codec.encode(record), _COMPRESSION_LEVEL)
 
 
 def decode(data: bytes) -> ConfigRecord | ConfigSnapshot:
     """Return the record in `data`; raises CodecError."""
-    record: ConfigRecord | ConfigSnapshot = codec.decode(data, StreamRecord)
+    record: ConfigRecord | ConfigSnapshot = codec.decode(
+        _unpack(data), StreamRecord
+    )
     return record
+
+
+def _unpack(data: bytes) -> bytes:
+    unpacker = zlib.decompressobj()
+    try:
+        plain = unpacker.decompress(data, MAX_UNPACKED_BYTES)
+    except zlib.error as exc:
+        raise codec.CodecError(
+            f'not a compressed record: {exc}; check that all hosts run'
+            ' compatible versions'
+        ) from exc
+    if not unpacker.eof:
+        raise codec.CodecError(
+            'the record is cut off or too large; publish it again'
+        )
+    return plain
--- a/hibiscusslip/configuration/_view.py
+++ b/hibiscusslip/configuration/_view.py
@@ -72,10 +72,11 @@
     def anchor(self, config: _records.ConfigRecord, as_of: int) -> None:
         """Take `config` as the latest valid version at offset `as_of`.
 
-        Does nothing on an anchored view, or when records after `as_of`
-        were not all read here.
+        Jumps ahead of what was read. Does nothing when records after
+        `as_of` were not all read here, or an anchored view read them.
         """
-        if self.anchored or as_of + 1 < self._start:
+        ahead = as_of >= self.next_offset
+        if not ahead and (self.anchored or as_of + 1 < self._start):
             return
         self.anchored = True
         self.latest = Placed(config, as_of)
--- /dev/null
+++ b/hibiscusslip/operator/documents.py
@@ -0,0 +1,102 @@
+"""Define the documents that operators send and get."""
+
+import typing
+
+import msgspec
+
+import hibiscusslip.configuration as configuration
+from hibiscusslip.operator import service
+import hibiscusslip.sheet as sheet
+
+Outcome = typing.Literal['', 'queued', 'running']
+Count = typing.Annotated[int, msgspec.Meta(ge=0)]
+
+
+class CancelDocument(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Ask for the cancellation of jobs that were previewed."""
+
+    at_most: Count
+    team: str = ''
+    kind: str = ''
+    workload: str = ''
+    outcome: Outcome = ''
+
+
+class ConfigDocument(msgspec.Struct, frozen=True):
+    """Tell the configuration in force; version 0 stands for none."""
+
+    version: int
+    made_from: int = 0
+    author: str = ''
+    published: float = 0.0
+    record_id: str = ''
+    sheet: str = ''
+
+
+class AppliedDocument(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Tell what became of a published configuration.
+
+    `result` is accepted, lost_race, not_published, unsettled or faulty.
+    """
+
+    result: str
+    version: int = 0
+    detail: str = ''
+    winner_author: str = ''
+    winner_version: int = 0
+    changes: list[str] = []
+    faults: list[sheet.Fault] = []
+
+
+class EventsDocument(msgspec.Struct, frozen=True):
+    """List events, the newest first."""
+
+    events: list[service.Event]
+
+
+class StoryDocument(msgspec.Struct, frozen=True):
+    """Tell a job's history, the oldest event first."""
+
+    job_id: str
+    lines: list[str]
+
+
+class InForceDocument(msgspec.Struct, frozen=True):
+    """Tell which version is in force where."""
+
+    hosts: list[service.HostVersion]
+
+
+def from_record(record: configuration.ConfigRecord | None) -> ConfigDocument:
+    """Return the document that tells a configuration."""
+    if record is None:
+        return ConfigDocument(0)
+    return ConfigDocument(
+        record.version,
+        record.made_from,
+        record.author,
+        record.published,
+        record.record_id,
+        sheet.render(record.sheet).decode(),
+    )
+
+
+def from_publication(
+    result: configuration.Publication,
+) -> AppliedDocument:
+    """Return the document that tells what became of a publication."""
+    if isinstance(result, configuration.Accepted):
+        return AppliedDocument('accepted', result.version)
+    if isinstance(result, configuration.NotPublished):
+        return AppliedDocument('not_published', detail=result.detail)
+    if isinstance(result, configuration.Unsettled):
+        return AppliedDocument('unsettled', detail=result.detail)
+    winner = result.winner
+    return AppliedDocument(
+        'lost_race',
+        detail=f'{winner.author} published version {winner.version} first;'
+        ' get it, repeat your changes on it and apply again',
+        winner_author=winner.author,
+        winner_version=winner.version,
+        changes=[str(change) for change in result.changes],
+    )
--- a/hibiscusslip/rest/routing.py
+++ b/hibiscusslip/rest/routing.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import typing
 
 import msgspec
 
@@ -45,11 +46,12 @@
     async def handle(self, req: messages.Request) -> messages.Response:
         """Return the response of the route that fits, or a problem."""
         try:
-            return await self._dispatch(req)
+            return await self.dispatch(req)
         except exceptions.Refusal as refusal:
             return problems.respond(refusal)
 
-    async def _dispatch(self, req: messages.Request) -> messages.Response:
+    async def dispatch(self, req: messages.Request) -> messages.Response:
+        """Return the response of the route that fits; raises Refusal."""
         parts = req.path.split('/')
         for shape, methods in self._by_shape.items():
             if not _fits(shape, parts):
@@ -65,7 +67,7 @@
         )
 
 
-def respond(status: int, document: msgspec.Struct) -> messages.Response:
+def respond(status: int, document: typing.Any) -> messages.Response:
     """Return a response with a JSON document."""
     return messages.Response(
         status, JSON_HEADERS, msgspec.json.encode(document)
--- a/tests/configuration/test_configurations.py
+++ b/tests/configuration/test_configurations.py
@@ -189,9 +189,10 @@
     assert tracker.version == 1
 
 
-def test_bytes_that_are_no_record_are_skipped_and_counted():
+@pytest.mark.parametrize('cut', [0, 9, -1])
+def test_bytes_that_are_no_record_are_skipped_and_counted(cut):
     tracker = tracker_of()
-    tracker.on_record(0, b'\xff', 0.0)
+    tracker.on_record(0, configuration.encode(record_of(1, 0))[:cut], 0.0)
     assert (tracker.malformed, tracker.next_offset) == (1, 1)
 
 
@@ -254,3 +255,10 @@
     winner = configuration.encode(record_of(2, 1))
     assert fresh.on_passed_on(2, 1, winner, 0.0)
     assert (fresh.current.record_id, fresh.anchored) == ('r2', True)
+
+
+def test_fresh_host_jumps_to_where_a_neighbour_stands():
+    fresh = configuration.Configurations(RETENTION, random.Random(2))
+    data = configuration.encode(record_of(9, 8))
+    assert fresh.on_passed_on(9, 70, data, 0.0)
+    assert (fresh.version, fresh.next_offset) == (9, 71)
