--- a/tests/caller/test_handler.py
+++ b/tests/caller/test_handler.py
@@ -13,60 +13,16 @@
 from hibiscusslip.http import messages
 from hibiscusslip.model import work
 from hibiscusslip.rest import rates
+from tests.caller import fakes
 
 JOB = {'team': 'red', 'kind': 'web'}
 NOW = 1000.0
 
 
-class FakeJobs(service.JobService):
-    """Answer each job as told and remember what was asked."""
-
-    def __init__(self):
-        self.specs = []
-        self.calls = []
-        self.error = None
-        self.wait_error = None
-        self.fail_from = None
-        self.queued = work.Outcome.QUEUED
-        self.final = {}
-
-    async def submit(self, spec):
-        if self.error and len(self.specs) >= (self.fail_from or 0):
-            raise self.error
-        self.specs.append(spec)
-        return service.JobState(spec.job_id, self.queued, 'because')
-
-    async def wait(self, job_id, timeout):
-        self.calls.append(('wait', job_id, timeout))
-        if self.wait_error:
-            raise self.wait_error
-        return self._state(job_id)
-
-    async def cancel(self, job_id):
-        self.calls.append(('cancel', job_id))
-        return self._state(job_id)
-
-    async def status(self, job_id):
-        if self.error:
-            raise self.error
-        return self._state(job_id)
-
-    async def explain(self, job_id):
-        return service.JobStory(job_id, work.Outcome.QUEUED, ['waits'])
-
-    def readiness(self):
-        return service.Readiness(False, 'no configuration yet')
-
-    def _state(self, job_id):
-        if job_id not in self.final:
-            raise exceptions.UnknownJob('no such job; check the id')
-        return self.final[job_id]
-
-
 @pytest.fixture
 def jobs():
     """Return a fake job service."""
-    return FakeJobs()
+    return fakes.FakeJobs()
 
 
 def call(jobs, method, path, body=b'', **options):
