--- a/hibiscusslip/commands/standin.py
+++ b/hibiscusslip/commands/standin.py
@@ -73,11 +73,11 @@
         streams.Retention(retention_s, retention_records),
     )
 
-    def work() -> typing.Any:
+    def _work() -> typing.Any:
         members = fleet_file.load(fleet) if fleet else fleet_file.FleetFile()
         return processes.run_platform(options, members, _announcer(json))
 
-    return _run(work)
+    return _run(_work)
 
 
 @app.command
@@ -100,12 +100,12 @@
         Print the bound ports as one line of JSON.
     """
 
-    def work() -> typing.Any:
+    def _work() -> typing.Any:
         members = fleet_file.load(fleet)
         register_at = _parse_address(hosts) if hosts else None
         return processes.run_workers(members, register_at, _announcer(json))
 
-    return _run(work)
+    return _run(_work)
 
 
 def main() -> None:
@@ -114,14 +114,14 @@
 
 
 def _announcer(as_json: bool) -> processes.Announce:
-    def announce(bound: list[processes.Bound]) -> None:
+    def _announce(bound: list[processes.Bound]) -> None:
         if as_json:
             print(msgspec.json.encode(bound).decode(), flush=True)
             return
         for item in bound:
             print(f'{item.name} {item.address}:{item.port}', flush=True)
 
-    return announce
+    return _announce
 
 
 def _parse_address(text: str) -> tuple[str, int]:
--- a/hibiscusslip/http/_connection.py
+++ b/hibiscusslip/http/_connection.py
@@ -99,16 +99,21 @@
             self._conn.start_next_cycle()
 
     async def _answer(self, req: messages.Request) -> None:
+        only_head = req.method == 'HEAD'
         try:
             response = await self._handler.handle(req)
         except exceptions.DropConnection:
             raise
         except Exception:
-            logger.exception('{} {} failed', req.method, req.path)
-            response = messages.problem(
-                500, 'internal error', 'try again; see the log of this process'
-            )
-        await self._sender.respond(response, req.method == 'HEAD')
+            logger.exception('{} {!r} failed', req.method, req.path)
+            response = _failure()
+        try:
+            await self._sender.respond(response, only_head)
+        except (h11.LocalProtocolError, UnicodeError) as exc:
+            logger.exception('{} {!r} got no response', req.method, req.path)
+            if self._conn.our_state is not h11.SEND_RESPONSE:
+                raise exceptions.DropConnection('bad response') from exc
+            await self._sender.respond(_failure(), only_head)
         self.watch.busy = False
 
     async def _refuse_input(self, exc: h11.RemoteProtocolError) -> None:
@@ -122,3 +127,9 @@
         self.watch.draining = True
         await self._sender.respond(response, False)
         await self._sender.linger()
+
+
+def _failure() -> messages.Response:
+    return messages.problem(
+        500, 'internal error', 'try again; see the log of this process'
+    )
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -166,11 +166,14 @@
     async def answer(req):
         if req.path == '/bad':
             raise RuntimeError('broken')
+        if req.path == '/split':
+            return messages.Response(200, {'x': 'a\r\nset-cookie: b'})
         return messages.Response(200, {}, b'good')
 
     async def work():
         async with serving.serving(serving.Echo(answer)) as (_, port):
             assert (await ask(port, '/bad')).status == 500
+            assert (await ask(port, '/split')).status == 500
             assert (await ask(port, '/')).body == b'good'
 
     serving.run(work)
