--- a/hibiscusslip/http/_exchange.py
+++ b/hibiscusslip/http/_exchange.py
@@ -12,6 +12,7 @@
 from hibiscusslip.http import messages
 
 READ_BYTES = 64 * 1024
+END = h11.EndOfMessage()
 
 
 class Progress:
@@ -61,7 +62,7 @@
         out = self._conn.send(head)
         if body:
             out += self._conn.send(h11.Data(data=body))
-        out += self._conn.send(h11.EndOfMessage())
+        out += self._conn.send(END)
         try:
             await self._write(out, progress)
         except OSError as exc:
@@ -74,6 +75,8 @@
         states = (self._conn.our_state, self._conn.their_state)
         if states != (h11.DONE, h11.DONE):
             return False
+        if self._conn.trailing_data[0]:
+            return False  # It would pass for the answer to the next request.
         self._conn.start_next_cycle()
         self.idle_since = time.monotonic()
         return True
@@ -85,44 +88,44 @@
             await self._sock.sendall(memoryview(out)[sent:])
 
     async def _read_response(self, progress: Progress) -> messages.Response:
-        head: h11.Response | None = None
+        try:
+            return await self._collect(progress)
+        except OSError as exc:
+            raise progress.failure(str(exc)) from exc
+        except h11.RemoteProtocolError as exc:
+            raise exceptions.Malformed(
+                f'bad response: {exc}; check what listens there'
+            ) from exc
+
+    async def _collect(self, progress: Progress) -> messages.Response:
+        conn = self._conn
+        head: typing.Any = None
         pieces: list[bytes] = []
         size = 0
-        while True:
-            event = await self._next_event(progress)
-            if type(event) is h11.Data:
+        event: typing.Any = h11.NEED_DATA
+        while type(event) is not h11.EndOfMessage:
+            if event is h11.NEED_DATA:
+                await self._read(progress)
+            elif type(event) is h11.Data:
                 size += len(event.data)
                 self._check_size(size)
                 pieces.append(bytes(event.data))
             elif type(event) is h11.Response:
                 head = event
-            elif type(event) is h11.EndOfMessage:
-                break
             elif type(event) is h11.ConnectionClosed:
                 raise progress.failure('the connection was closed')
-        assert head is not None
+            event = conn.next_event()
         return messages.Response(
             head.status_code,
             {k.decode('ascii'): v.decode('latin-1') for k, v in head.headers},
             b''.join(pieces),
         )
 
-    async def _next_event(self, progress: Progress) -> typing.Any:
-        try:
-            event = self._conn.next_event()
-            while event is h11.NEED_DATA:
-                data = await self._sock.recv(READ_BYTES)
-                if not data and self._conn.their_state is h11.SEND_RESPONSE:
-                    raise progress.failure('the connection was closed')
-                self._conn.receive_data(data)
-                event = self._conn.next_event()
-        except OSError as exc:
-            raise progress.failure(str(exc)) from exc
-        except h11.RemoteProtocolError as exc:
-            raise exceptions.Malformed(
-                f'bad response: {exc}; check what listens there'
-            ) from exc
-        return event
+    async def _read(self, progress: Progress) -> None:
+        data = await self._sock.recv(READ_BYTES)
+        if not data and self._conn.their_state is h11.SEND_RESPONSE:
+            raise progress.failure('the connection was closed')
+        self._conn.receive_data(data)
 
     def _check_size(self, size: int) -> None:
         if size > self._limits.max_body_bytes:
--- a/hibiscusslip/http/client.py
+++ b/hibiscusslip/http/client.py
@@ -1,5 +1,6 @@
 """Call an HTTP server over pooled connections."""
 
+import functools
 import time
 
 import curio
@@ -10,6 +11,8 @@
 from hibiscusslip.http import limits
 from hibiscusslip.http import messages
 
+CACHED_HEADS = 1024
+
 
 class Pool:
     """Call one server over at most `max_connections` connections.
@@ -69,14 +72,12 @@
         body: bytes,
         headers: dict[str, str] | None,
     ) -> h11.Request:
-        fields = [(b'host', self._host)]
-        if body or method not in ('GET', 'HEAD'):
-            fields.append((b'content-length', b'%d' % len(body)))
-        for name, value in (headers or {}).items():
-            fields.append((name.encode('ascii'), value.encode('latin-1')))
+        sized = bool(body) or method not in ('GET', 'HEAD')
+        size = len(body) if sized else None
+        items = tuple(headers.items()) if headers else ()
         try:
-            return h11.Request(method=method, target=path, headers=fields)
-        except h11.LocalProtocolError as exc:
+            return _make_head(method, path, self._host, size, items)
+        except (h11.LocalProtocolError, UnicodeError) as exc:
             raise exceptions.NotSent(
                 f'not a valid request: {exc}; mend the call'
             ) from exc
@@ -106,3 +107,19 @@
                 return conn
             await conn.close()
         return await _exchange.connect(self._address, self._port, self._limits)
+
+
+@functools.lru_cache(CACHED_HEADS)
+def _make_head(
+    method: str,
+    path: str,
+    host: bytes,
+    size: int | None,
+    items: tuple[tuple[str, str], ...],
+) -> h11.Request:
+    fields = [(b'host', host)]
+    if size is not None:
+        fields.append((b'content-length', b'%d' % size))
+    for name, value in items:
+        fields.append((name.encode('ascii'), value.encode('latin-1')))
+    return h11.Request(method=method, target=path, headers=fields)
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -11,8 +11,8 @@
 from tests.faults import serving
 
 
-async def raw_server(answer):
-    """Answer each connection's first bytes with raw bytes, then close."""
+async def raw_server(answer, closes=True):
+    """Answer each connection's first bytes with raw bytes."""
     sock = curio.socket.socket()
     sock.bind(('127.0.0.1', 0))
     sock.listen(5)
@@ -20,6 +20,8 @@
     async def serve(conn, peer):
         await conn.recv(65536)
         await conn.sendall(answer)
+        while not closes and await conn.recv(65536):
+            continue
 
     await curio.spawn(curio.network.run_server, sock, serve, daemon=True)
     return sock.getsockname()[1]
@@ -112,6 +114,17 @@
     serving.run(work)
 
 
+def test_bytes_after_an_answer_never_answer_the_next_call():
+    async def work():
+        ok = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n'
+        port = await raw_server(ok + b'my' + ok + b'no', closes=False)
+        pool = client.Pool('127.0.0.1', port)
+        for _ in range(3):
+            assert (await pool.call('GET', '/', timeout=5)).body == b'my'
+
+    serving.run(work)
+
+
 def test_abandoned_call_never_answers_another():
     async def answer(req):
         await curio.sleep(0.2 if req.path == '/slow' else 0)
