--- a/hibiscusslip/commands/entry.py
+++ b/hibiscusslip/commands/entry.py
@@ -4,13 +4,12 @@
 what parsing needs doesn't stay in the daemon's memory.
 """
 
-import os
 import pathlib
-import sys
 import typing
 
 import cyclopts
 
+from hibiscusslip import lean
 from hibiscusslip.commands import _output
 from hibiscusslip.commands import exceptions
 import hibiscusslip.settings as settings
@@ -56,20 +55,7 @@
     if check:
         print(f'{settings_file}: no fault, host {cfg.host.name}')
         return exceptions.Exit.DONE
-    sys.stdout.flush()
-    os.execv(sys.executable, daemon_args(settings_file))
-
-
-def daemon_args(settings_file: pathlib.Path) -> list[str]:
-    """Return the arguments with which the daemon is started."""
-    return [
-        sys.executable,
-        '-OO',
-        '-m',
-        NODE_MODULE,
-        '--settings',
-        str(settings_file),
-    ]
+    lean.become(NODE_MODULE, ['--settings', str(settings_file)])
 
 
 def main() -> None:
--- a/hibiscusslip/node/__main__.py
+++ b/hibiscusslip/node/__main__.py
@@ -15,6 +15,7 @@
 from hibiscusslip.node import signals
 from hibiscusslip.observe import logs
 
+USAGE = 'usage: python -m hibiscusslip.node --settings FILE'
 USAGE_EXIT = 2
 CLOSE_PART = 0.8
 
@@ -96,12 +97,15 @@
 
 
 def main() -> int:
-    """Read the settings file named by the only argument and run."""
-    if len(sys.argv) != 2:
-        print('usage: python -m hibiscusslip.node SETTINGS', file=sys.stderr)
-        return USAGE_EXIT
+    """Read the settings file and run; `hibiscusslip-entry` starts this."""
+    match sys.argv[1:]:
+        case ['--settings', path]:
+            pass
+        case _:
+            print(USAGE, file=sys.stderr)
+            return USAGE_EXIT
     try:
-        cfg = settings.load(sys.argv[1])
+        cfg = settings.load(path)
     except settings.SettingsError as exc:
         print(exc, file=sys.stderr)
         return USAGE_EXIT
