--- a/hibiscusslip/jobs/index.py
+++ b/hibiscusslip/jobs/index.py
@@ -50,6 +50,7 @@
         self._shards: dict[int, dict[str, Entry]] = {}
         self._ended: collections.deque[tuple[int, str]] = collections.deque()
         self._ended_bytes = 0
+        self.drained: set[str] = set()
 
     def apply(self, record: zone_records.ZoneRecord) -> None:
         """Take a record that is valid at its offset."""
@@ -66,7 +67,10 @@
             entry.places.update(record.place.split())
         elif isinstance(record, zone_records.JobEnded):
             self._end(record)
+        elif isinstance(record, zone_records.EndpointDrain):
+            self.drained.add(record.endpoint)
         elif isinstance(record, zone_records.Snapshot):
+            self.drained.update(record.drained)
             for data in record.jobs:
                 self._load(record.shard, data)
 
--- a/hibiscusslip/jobs/snapshots.py
+++ b/hibiscusslip/jobs/snapshots.py
@@ -33,6 +33,7 @@
             part=part,
             parts=len(groups),
             jobs=group,
+            drained=head.drained,
         )
         for part, group in enumerate(groups)
     ]
--- a/hibiscusslip/node/__main__.py
+++ b/hibiscusslip/node/__main__.py
@@ -12,12 +12,16 @@
 from hibiscusslip.node import assembly
 from hibiscusslip.node import caller_service
 from hibiscusslip.node import clock
+from hibiscusslip.node import operator_service
 from hibiscusslip.node import signals
 from hibiscusslip.observe import logs
+from hibiscusslip.operator import handler as operator_handler
+from hibiscusslip.operator import signing
 
 USAGE = 'usage: python -m hibiscusslip.node --settings FILE'
 USAGE_EXIT = 2
 CLOSE_PART = 0.8
+STOP_POLL_SECONDS = 0.05
 
 
 def http_bounds(cfg: settings.Limits) -> http_limits.Limits:
@@ -54,6 +58,16 @@
             limits.team_jobs_per_second,
         )
         self._callers = http_server.Server(handler, http_bounds(limits))
+        verifier = signing.Verifier(
+            {key.key_id: key.secret for key in cfg.keys.operators}
+        )
+        fleet_service = operator_service.OperatorService(
+            self._node, self._node.parts.log
+        )
+        self._operators = http_server.Server(
+            operator_handler.OperatorHandler(fleet_service, verifier),
+            http_bounds(limits),
+        )
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then stop gracefully."""
@@ -65,6 +79,10 @@
         callers_port = await self._callers.listen(
             listen.callers.address, listen.callers.port
         )
+        await self._operators.listen(
+            listen.operators.address, listen.operators.port
+        )
+        await curio.spawn(self._operators.serve, daemon=True)
         await curio.spawn(self._peers.serve, daemon=True)
         await self._node.start(listen.peers.address, port)
         await curio.spawn(self._callers.serve, daemon=True)
@@ -74,7 +92,8 @@
             callers_port,
             port,
         )
-        await stop.wait()
+        while not (stop.came or self._node.stop_asked):
+            await curio.sleep(STOP_POLL_SECONDS)
         await self._stop()
 
     async def _stop(self) -> None:
--- a/hibiscusslip/node/fleet.py
+++ b/hibiscusslip/node/fleet.py
@@ -1,6 +1,7 @@
 """Keep one runner for each shard that this host owns."""
 
 import collections.abc
+import dataclasses
 import random
 
 from loguru import logger
@@ -19,6 +20,10 @@
 from hibiscusslip.peer import messages
 from hibiscusslip.scheduler import base as scheduler_base
 
+LIVE = places.EndpointState.LIVE
+LEAVING = places.EndpointState.LEAVING
+GONE = places.EndpointState.GONE
+
 Arrived = collections.abc.Callable[[int, int], list[model.Job]]
 
 
@@ -124,11 +129,23 @@
         listed = {i.name: i for i in infos if i.zone == self._cfg.zone}
         for name, known in self._endpoints.items():
             if name not in listed:
-                listed[name] = _gone(known)
+                listed[name] = _in_state(known, GONE)
         self._endpoints = listed
+        await self.refresh()
+
+    async def refresh(self) -> None:
+        """Tell all shards how their endpoints stand."""
+        for name, info in self._endpoints.items():
+            self._endpoints[name] = self._with_drain(info)
         for runner in list(self.runners.values()):
             await runner.set_endpoints(self._of_shard(runner.shard))
 
+    def _with_drain(self, info: places.EndpointInfo) -> places.EndpointInfo:
+        """Return an endpoint as leaving when operators drain it."""
+        if info.name in self._index.drained and info.state == LIVE:
+            return _in_state(info, LEAVING)
+        return info
+
     async def set_policy(self, policy: scheduler_base.FleetPolicy) -> None:
         """Take a newer configuration into force."""
         if self._policy and policy.version <= self._policy.version:
@@ -152,22 +169,21 @@
             if runner.engine.is_open and runner.may_act(now)
         ]
 
+    async def wake(self) -> None:
+        """Have all shards carry out what has changed."""
+        for runner in list(self.runners.values()):
+            await runner.changed()
+
     async def stop(self) -> None:
         """Stop all shards."""
         for number in list(self.runners):
             await self.drop(number)
 
 
-def _gone(info: places.EndpointInfo) -> places.EndpointInfo:
-    return places.EndpointInfo(
-        info.name,
-        info.zone,
-        info.rack,
-        info.address,
-        info.port,
-        info.capacity,
-        places.EndpointState.GONE,
-    )
+def _in_state(
+    info: places.EndpointInfo, state: places.EndpointState
+) -> places.EndpointInfo:
+    return dataclasses.replace(info, state=state)
 
 
 def _load(
--- /dev/null
+++ b/hibiscusslip/node/history.py
@@ -0,0 +1,27 @@
+"""Remember what this host did by itself, and why."""
+
+import collections
+
+from hibiscusslip.node import clock
+from hibiscusslip.operator import service
+
+MAX_EVENTS = 500
+
+
+class History:
+    """Keep the latest events, oldest first."""
+
+    def __init__(self, host: str) -> None:
+        self._host = host
+        self._events: collections.deque[service.Event] = collections.deque(
+            maxlen=MAX_EVENTS
+        )
+
+    def note(self, what: str, why: str) -> None:
+        """Add an event that happened now."""
+        event = service.Event(clock.wall(), self._host, what, why)
+        self._events.append(event)
+
+    def latest(self, limit: int) -> list[service.Event]:
+        """Return the latest events, the newest first."""
+        return list(reversed(self._events))[:limit]
--- /dev/null
+++ b/hibiscusslip/node/host_view.py
@@ -0,0 +1,186 @@
+"""Show one host's part of the fleet to operators."""
+
+import msgspec
+
+from hibiscusslip.jobs import model
+from hibiscusslip.model import places
+from hibiscusslip.model import resources
+from hibiscusslip.model import work
+from hibiscusslip.node import clock
+from hibiscusslip.node import node as node_
+from hibiscusslip.operator import service
+from hibiscusslip.operator import views
+from hibiscusslip.peer import messages
+
+MAX_SAMPLE = 20
+
+
+class LocalSelection(msgspec.Struct, frozen=True):
+    """Carry how many jobs of one host match and some of them."""
+
+    count: int
+    sample: list[service.JobLine]
+
+
+class HostView:
+    """Answer operators' questions about this host alone."""
+
+    def __init__(self, node: node_.Node) -> None:
+        self._node = node
+
+    def serve(self) -> None:
+        """Answer other hosts that ask on an operator's behalf."""
+        handler = self._node.handler
+        handler.add(messages.StatusQuery, self._status)
+        handler.add(messages.EventsQuery, self._events)
+        handler.add(messages.SelectJobs, self._select)
+        handler.add(messages.DrainEndpoint, self._drain_endpoint)
+        handler.add(messages.StopHost, self._stop)
+
+    def view(self) -> views.HostView:
+        """Return this host's standing."""
+        node = self._node
+        now = clock.now()
+        shards = []
+        kinds: list[views.KindView] = []
+        capacity = resources.NOTHING
+        for runner in node.fleet.runners.values():
+            summary = runner.engine.scheduler.summary(now)
+            capacity = capacity + summary.capacity
+            kinds.extend(_kind_view(kind) for kind in summary.kinds)
+            shards.append(
+                views.ShardView(
+                    str(runner.shard),
+                    node.ownership.epoch(runner.shard.number),
+                    sum(kind.queued for kind in summary.kinds),
+                    sum(kind.running for kind in summary.kinds),
+                )
+            )
+        merged = views.merge(0, '', [self._bare(kinds, capacity)])
+        return self._bare(merged.kinds, capacity, shards)
+
+    def _bare(
+        self,
+        kinds: list[views.KindView],
+        capacity: resources.Resources,
+        shards: list[views.ShardView] | None = None,
+    ) -> views.HostView:
+        node = self._node
+        draining = node.ownership.draining
+        up = node.feed.up and node.driver.log_writable and node.writer.up
+        return views.HostView(
+            node.cfg.me.name,
+            node.cfg.zone,
+            views.HostCondition.DRAINING
+            if draining
+            else views.HostCondition.LIVE,
+            node.cfg.me.incarnation,
+            node.fleet.policy_version,
+            views.LogHealth.GOOD if up else views.LogHealth.DOWN,
+            shards or [],
+            kinds,
+            capacity,
+        )
+
+    def select(
+        self, selector: service.Selector, cancel: bool
+    ) -> LocalSelection:
+        """Return the open jobs at home here that match, maybe cancelled."""
+        now = clock.now()
+        count = 0
+        sample: list[service.JobLine] = []
+        for runner in self._node.fleet.runners.values():
+            if not runner.may_act(now):
+                continue
+            for job in list(runner.engine.jobs.values()):
+                if not _matches(job, selector):
+                    continue
+                count += 1
+                if len(sample) < MAX_SAMPLE:
+                    sample.append(_line(job, now))
+                if cancel:
+                    runner.engine.cancel(job.spec.job_id, now)
+        return LocalSelection(count, sample)
+
+    def drain_endpoint(self, name: str) -> messages.EndpointDraining:
+        """Tell how far the drain of an endpoint of this host has come."""
+        for runner in self._node.fleet.runners.values():
+            view = runner.engine.endpoints.get(name)
+            if view is not None:
+                return messages.EndpointDraining(True, len(view.tasks))
+        return messages.EndpointDraining(False, 0)
+
+    async def _status(
+        self, sender: places.HostId, body: messages.StatusQuery
+    ) -> messages.PeerMessage:
+        return messages.HostStatus(views.encode_host(self.view()))
+
+    async def _events(
+        self, sender: places.HostId, body: messages.EventsQuery
+    ) -> messages.PeerMessage:
+        events = self._node.history.latest(body.limit)
+        return messages.HostStatus(msgspec.json.encode(events))
+
+    async def _select(
+        self, sender: places.HostId, body: messages.SelectJobs
+    ) -> messages.PeerMessage:
+        selector = service.Selector(
+            body.team, body.kind, body.workload, body.outcome
+        )
+        found = self.select(selector, body.cancel)
+        if body.cancel:
+            await self._node.fleet.wake()
+        return messages.HostStatus(msgspec.json.encode(found))
+
+    async def _drain_endpoint(
+        self, sender: places.HostId, body: messages.DrainEndpoint
+    ) -> messages.PeerMessage:
+        found = self.drain_endpoint(body.endpoint)
+        if found.known:
+            await self._node.drain_endpoint(body.endpoint)
+        return found
+
+    async def _stop(
+        self, sender: places.HostId, body: messages.StopHost
+    ) -> messages.PeerMessage:
+        self._node.stop_asked = True
+        return messages.Done()
+
+
+def _kind_view(kind) -> views.KindView:
+    return views.KindView(
+        kind.kind,
+        kind.queued,
+        kind.running,
+        kind.held,
+        kind.guaranteed,
+        kind.oldest_wait,
+    )
+
+
+def _matches(job: model.Job, selector: service.Selector) -> bool:
+    """Tell whether an open job is one that a selector names."""
+    spec = job.spec
+    if job.outcome.final or job.cancelled or job.guest_of is not None:
+        return False
+    outcome = selector.outcome
+    return (
+        selector.team in ('', spec.team)
+        and selector.kind in ('', spec.kind)
+        and selector.workload in ('', spec.workload)
+        and outcome in ('', job.outcome.value)
+    )
+
+
+def _line(job: model.Job, now: float) -> service.JobLine:
+    spec = job.spec
+    queued = job.outcome == work.Outcome.QUEUED
+    return service.JobLine(
+        spec.job_id,
+        spec.team,
+        spec.kind,
+        spec.workload,
+        'queued' if queued else 'running',
+        spec.tasks,
+        now - job.accepted_at,
+    )
--- a/hibiscusslip/node/neighbours.py
+++ b/hibiscusslip/node/neighbours.py
@@ -114,6 +114,12 @@
             self._members.known_hosts(now),
         )
 
+    def others(self) -> list[members_.Member]:
+        """Return the other hosts of the region that are known."""
+        zones = self._cfg.zones
+        known = self._members.members(clock.now())
+        return [member for member in known if member.zone in zones]
+
     def take_listing(self, listing: platform_base.HostListing) -> None:
         """Take the host list as a hint, and as proof of who has ended."""
         now = clock.now()
--- a/hibiscusslip/node/node.py
+++ b/hibiscusslip/node/node.py
@@ -20,6 +20,7 @@
 from hibiscusslip.node import config_feed
 from hibiscusslip.node import fleet
 from hibiscusslip.node import hand_over
+from hibiscusslip.node import history
 from hibiscusslip.node import home
 from hibiscusslip.node import neighbours
 from hibiscusslip.node import ownership_driver
@@ -62,7 +63,7 @@
         self, cfg: config.NodeConfig, parts: Parts, rng: random.Random
     ) -> None:
         self.cfg = cfg
-        self._parts = parts
+        self.parts = parts
         self._rng = rng
         now = clock.now()
         self.ids = jobs_engine.record_ids(str(cfg.me))
@@ -127,6 +128,8 @@
             self.config.heard_version,
         )
         self.handler = self._make_handler()
+        self.history = history.History(cfg.me.name)
+        self.stop_asked = False
         self._tasks = curio.TaskGroup()
 
     def _make_handler(self) -> peer_handler.PeerHandler:
@@ -176,10 +179,20 @@
             await curio.sleep(GIVE_AWAY_PAUSE_SECONDS)
         return True
 
+    async def drain_endpoint(self, endpoint: str) -> None:
+        """Give an endpoint no new work, whoever owns it later."""
+        if endpoint in self.index.drained:
+            return
+        record = zone_records.EndpointDrain(next(self.ids), endpoint)
+        self.index.apply(record)
+        self.history.note(f'drains endpoint {endpoint}', 'an operator asked')
+        await self.writer.add(record.record_id, codec.encode(record))
+        await self.fleet.refresh()
+
     async def _follow_host_list(self) -> None:
         while True:
             try:
-                listing = await self._parts.host_list.fetch()
+                listing = await self.parts.host_list.fetch()
             except platform_exceptions.PlatformError as exc:
                 logger.debug('no host list: {}', exc)
             else:
@@ -199,6 +212,10 @@
             await curio.sleep(STANDING_INTERVAL_SECONDS)
 
     async def _in_force(self, record: configuration.ConfigRecord) -> None:
+        self.history.note(
+            f'put configuration {record.version} into force',
+            f'{record.author} published it',
+        )
         self.standing.set_record(record)
         policy = configuration.to_policy(record.sheet, record.version)
         await self.fleet.set_policy(policy)
@@ -226,10 +243,17 @@
 
     async def took_over(self, action: actions.TookOver) -> None:
         """Start to act for a shard once its waits are over."""
+        why = 'it was free, or its owner fell silent'
+        if action.handed_over:
+            why = 'its owner handed it over'
+        self.history.note(f'took shard {action.shard} over', why)
         await self.fleet.take(action.shard, action.epoch)
 
     async def lost(self, action: actions.LostShard) -> None:
         """Stop to act for a shard."""
+        self.history.note(
+            f'let shard {action.shard} go', 'the log names a newer owner'
+        )
         await self.fleet.drop(action.shard)
 
     async def better_elsewhere(self, action: actions.SuggestHandOver) -> None:
--- /dev/null
+++ b/hibiscusslip/node/operator_service.py
@@ -0,0 +1,219 @@
+"""Serve operators: ask all hosts and put their answers together."""
+
+import curio
+import msgspec
+
+from hibiscusslip import configuration
+from hibiscusslip.jobs import identity
+from hibiscusslip.node import acceptor
+from hibiscusslip.node import clock
+from hibiscusslip.node import host_view
+from hibiscusslip.node import node as node_
+from hibiscusslip.operator import exceptions
+from hibiscusslip.operator import service
+from hibiscusslip.operator import views
+from hibiscusslip.peer import exceptions as peer_exceptions
+from hibiscusslip.peer import messages
+from hibiscusslip.platform import base as platform_base
+
+ASK_TIMEOUT_SECONDS = 2.0
+PUBLISH_TIMEOUT_SECONDS = 10.0
+
+
+class OperatorService(service.FleetService):
+    """Answer from this host and all others that can be reached."""
+
+    def __init__(self, node: node_.Node, log: platform_base.Log) -> None:
+        self._node = node
+        self._log = log
+        self._here = host_view.HostView(node)
+        self._here.serve()
+
+    async def _ask_all(
+        self, body: messages.PeerMessage
+    ) -> dict[str, messages.PeerMessage | None]:
+        """Ask all other hosts at once; None for those out of reach."""
+        answers: dict[str, messages.PeerMessage | None] = {}
+
+        async def ask(host: str) -> None:
+            answers[host] = await self._ask(host, body)
+
+        async with curio.TaskGroup() as group:
+            for member in self._node.neighbours.others():
+                await group.spawn(ask, member.host.name)
+        return answers
+
+    async def _ask(
+        self, host: str, body: messages.PeerMessage
+    ) -> messages.PeerMessage | None:
+        peers = self._node.parts.peers
+        try:
+            return await peers.call(host, body, ASK_TIMEOUT_SECONDS)
+        except peer_exceptions.PeerError:
+            return None
+
+    async def status(self) -> views.FleetStatus:
+        """Return the view of the fleet; hosts out of reach are named."""
+        hosts = [self._here.view()]
+        answers = await self._ask_all(messages.StatusQuery())
+        for member in self._node.neighbours.others():
+            answer = answers.get(member.host.name)
+            if isinstance(answer, messages.HostStatus):
+                hosts.append(views.decode_host(answer.document))
+            else:
+                hosts.append(
+                    views.HostView(
+                        member.host.name,
+                        member.zone,
+                        views.HostCondition.UNREACHABLE,
+                    )
+                )
+        current = self._node.config.configurations.current
+        version = current.version if current else 0
+        author = current.author if current else ''
+        return views.merge(version, author, hosts)
+
+    async def history(self, limit: int) -> list[service.Event]:
+        """Return the latest events, the newest first."""
+        events = self._node.history.latest(limit)
+        answers = await self._ask_all(messages.EventsQuery(limit))
+        for answer in answers.values():
+            if isinstance(answer, messages.HostStatus):
+                events.extend(
+                    msgspec.json.decode(
+                        answer.document, type=list[service.Event]
+                    )
+                )
+        events.sort(key=lambda event: event.at, reverse=True)
+        return events[:limit]
+
+    async def drain_host(self, host: str) -> service.DrainState:
+        """Start a planned stop of an entry host."""
+        if host == self._node.cfg.me.name:
+            self._node.stop_asked = True
+        elif host not in self._names():
+            raise exceptions.UnknownTarget(
+                f'no entry host is named {host!r}; see the status for names'
+            )
+        elif await self._ask(host, messages.StopHost()) is None:
+            raise exceptions.Unsettled(
+                f'{host} did not answer; see the status whether it drains'
+            )
+        detail = 'it hands its shards over, answers its callers and stops'
+        return service.DrainState(host, False, detail)
+
+    def _names(self) -> set[str]:
+        return {m.host.name for m in self._node.neighbours.others()}
+
+    async def drain_endpoint(self, endpoint: str) -> service.DrainState:
+        """Give an endpoint no new work, or tell how far it is."""
+        found = self._here.drain_endpoint(endpoint)
+        if found.known:
+            await self._node.drain_endpoint(endpoint)
+            return _drain_state(endpoint, found)
+        answers = await self._ask_all(messages.DrainEndpoint(endpoint))
+        for answer in answers.values():
+            if isinstance(answer, messages.EndpointDraining) and answer.known:
+                return _drain_state(endpoint, answer)
+        raise exceptions.UnknownTarget(
+            f'no reachable host owns an endpoint {endpoint!r}; check the name'
+        )
+
+    async def select(self, selector: service.Selector) -> service.Selection:
+        """Return which jobs match."""
+        count, sample, unreachable = await self._select(selector, False)
+        return service.Selection(
+            count, sample[: host_view.MAX_SAMPLE], unreachable
+        )
+
+    async def cancel(
+        self, selector: service.Selector, at_most: int
+    ) -> service.Cancellation:
+        """Cancel all jobs that match, unless they have become more."""
+        count, _, _ = await self._select(selector, False)
+        if count > at_most:
+            raise exceptions.SelectionGrew(
+                f'{count} jobs match now, more than {at_most}; look at them'
+                ' again before you cancel'
+            )
+        count, _, unreachable = await self._select(selector, True)
+        return service.Cancellation(count, unreachable)
+
+    async def _select(
+        self, selector: service.Selector, cancel: bool
+    ) -> tuple[int, list[service.JobLine], list[str]]:
+        here = self._here.select(selector, cancel)
+        if cancel:
+            await self._node.fleet.wake()
+        count, sample = here.count, list(here.sample)
+        unreachable = []
+        body = messages.SelectJobs(
+            selector.team,
+            selector.kind,
+            selector.workload,
+            selector.outcome,
+            cancel,
+        )
+        for host, answer in (await self._ask_all(body)).items():
+            if not isinstance(answer, messages.HostStatus):
+                unreachable.append(host)
+                continue
+            part = msgspec.json.decode(
+                answer.document, type=host_view.LocalSelection
+            )
+            count += part.count
+            sample.extend(part.sample)
+        return count, sample, sorted(unreachable)
+
+    async def explain(self, job_id: str) -> list[str]:
+        """Return a job's whole history with reasons, the oldest first."""
+        try:
+            story = await self._node.acceptor.explain(job_id)
+        except (identity.BadJobId, acceptor.RequestFailed) as exc:
+            raise exceptions.UnknownTarget(str(exc)) from exc
+        return [f'{story.outcome}', *story.lines]
+
+    async def current(self) -> configuration.ConfigRecord | None:
+        """Return the configuration in force on this host."""
+        return self._node.config.configurations.current
+
+    async def apply(
+        self, proposal: service.ConfigProposal
+    ) -> configuration.Publication:
+        """Publish a configuration and tell what became of it."""
+        record = configuration.make_record(
+            proposal.record_id,
+            proposal.made_from,
+            proposal.author,
+            proposal.content,
+            clock.wall(),
+            proposal.after_gap,
+        )
+        return await configuration.publish(
+            self._log,
+            self._node.config.configurations.view(),
+            record,
+            clock.now,
+            PUBLISH_TIMEOUT_SECONDS,
+        )
+
+    async def in_force(self) -> list[service.HostVersion]:
+        """Return which version is in force on which host."""
+        status = await self.status()
+        return [
+            service.HostVersion(
+                host.name,
+                host.zone,
+                host.condition is not views.HostCondition.UNREACHABLE,
+                host.config_version,
+            )
+            for host in status.hosts
+        ]
+
+
+def _drain_state(
+    endpoint: str, found: messages.EndpointDraining
+) -> service.DrainState:
+    done = found.running == 0
+    detail = f'{found.running} tasks still run on it; it gets no new ones'
+    return service.DrainState(endpoint, done, detail)
--- a/hibiscusslip/node/ownership_driver.py
+++ b/hibiscusslip/node/ownership_driver.py
@@ -153,6 +153,7 @@
             part=0,
             parts=1,
             jobs=[],
+            drained=sorted(self._index.drained),
         )
         jobs = self._index.export(action.shard)
         for part in snapshots.split(head, jobs, self._ids):
--- a/hibiscusslip/node/signals.py
+++ b/hibiscusslip/node/signals.py
@@ -3,24 +3,15 @@
 import signal
 import types
 
-import curio
-
-POLL_SECONDS = 0.05
-
 
 class StopSignals:
     """Remember whether SIGTERM or SIGINT has come."""
 
     def __init__(self) -> None:
-        self._came = False
+        self.came = False
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, self._note)
 
     def _note(self, number: int, frame: types.FrameType | None) -> None:
         # A handler runs between any two bytecodes, so it only sets a flag.
-        self._came = True
-
-    async def wait(self) -> None:
-        """Wait until one has come."""
-        while not self._came:
-            await curio.sleep(POLL_SECONDS)
+        self.came = True
--- a/hibiscusslip/node/zone_feed.py
+++ b/hibiscusslip/node/zone_feed.py
@@ -129,6 +129,8 @@
         valid = True
         if isinstance(record, JOB_RECORDS):
             valid = self._take_job_record(record)
+        elif isinstance(record, zone_records.EndpointDrain):
+            self._index.apply(record)
         await self._seen.record_seen(record, valid)
 
     def _take_job_record(self, record) -> bool:
--- a/hibiscusslip/peer/messages.py
+++ b/hibiscusslip/peer/messages.py
@@ -296,6 +296,42 @@
     document: bytes
 
 
+class EventsQuery(_Message, frozen=True, tag='events_query'):
+    """Ask for the latest events of a host, as JSON in a HostStatus."""
+
+    limit: int
+
+
+class StopHost(_Message, frozen=True, tag='stop_host'):
+    """Ask a host for its planned stop."""
+
+
+class DrainEndpoint(_Message, frozen=True, tag='drain_endpoint'):
+    """Ask an owner to give an endpoint no new work."""
+
+    endpoint: str
+
+
+class EndpointDraining(_Message, frozen=True, tag='endpoint_draining'):
+    """Tell how many tasks a draining endpoint still runs."""
+
+    known: bool
+    running: int
+
+
+class SelectJobs(_Message, frozen=True, tag='select_jobs'):
+    """Ask for the jobs that match, as JSON in a HostStatus.
+
+    With `cancel` the matching jobs are cancelled as well.
+    """
+
+    team: str
+    kind: str
+    workload: str
+    outcome: str
+    cancel: bool
+
+
 class Done(_Message, frozen=True, tag='done'):
     """Confirm a call that has nothing to tell."""
 
@@ -335,6 +371,11 @@
     ConfigState,
     StatusQuery,
     HostStatus,
+    EventsQuery,
+    StopHost,
+    DrainEndpoint,
+    EndpointDraining,
+    SelectJobs,
     Done,
     Refusal,
 ]
--- a/hibiscusslip/records/zone.py
+++ b/hibiscusslip/records/zone.py
@@ -100,6 +100,13 @@
     answer: bytes
 
 
+class EndpointDrain(msgspec.Struct, frozen=True, tag='drain'):
+    """Give an endpoint no new work until the host list drops it."""
+
+    record_id: str
+    endpoint: str
+
+
 class Snapshot(msgspec.Struct, frozen=True, tag='snapshot'):
     """Hold the live state of one shard, one part of `parts`.
 
@@ -117,6 +124,7 @@
     part: int
     parts: int
     jobs: list[bytes]
+    drained: list[str] = []
 
 
 ZoneRecord = typing.Union[  # noqa: UP007 - decoders need the plain union
@@ -127,6 +135,7 @@
     JobAccepted,
     StartIntent,
     JobEnded,
+    EndpointDrain,
     Snapshot,
 ]
 
