Fuzz ownership with a world of failing log, network and clocks

Cause: two hosts must never act on a shard at a time. Change: a hypothesis machine over real Ownership and Members, oracle on true time and on sends as they arrive; faults planted on purpose. Found at once: a fresh host never took over from a holder that it only knew from the log, as the host list's silence on it wasn't noted; Members.on_logged mends that.

--- a/hibiscusslip/membership/members.py
+++ b/hibiscusslip/membership/members.py
@@ -64,7 +64,7 @@
         self._forget(now)
         beats = []
         for peer in self._watched(now):
-            if now < peer.next_beat_at:
+            if now < peer.next_beat_at or not peer.address:
                 continue
             jitter = self._rng.uniform(0.9, 1.0)
             peer.next_beat_at = now + self._interval(peer) * jitter
@@ -113,22 +113,27 @@
         self.on_heartbeat(host, peer.zone, peer.address, peer.port, ack, now)
         return Answered(asked_at, peer.outlived(host.incarnation, asked_at))
 
-    def on_joined(
+    def on_logged(
         self,
         host: places.HostId,
         zone: str,
-        address: str,
-        port: int,
         now: float,
+        address: str = '',
+        port: int = 0,
     ) -> None:
-        """Take a host from the log as a hint of where to find it."""
+        """Take a host that the log names as a hint of whom to look for.
+
+        Call it for records that tell of a start, and before each listing
+        for the holders of shards, so that their absence is noted.
+        """
         peer = self._peer_of(host.name, zone, address, port, now)
         if peer is None:
             return
         peer.see(host.incarnation, now)
         if peer.host is None:
             peer.host = host
-            peer.zone, peer.address, peer.port = zone, address, port
+        if address and not peer.address:
+            peer.address, peer.port = address, port
 
     def on_listing(
         self, entry_hosts: list[platform.EntryHostInfo], now: float
@@ -144,6 +149,8 @@
                 info.name, info.zone, info.address, info.port, now
             )
             if peer is not None:
+                if not peer.address:
+                    peer.address, peer.port = info.address, info.port
                 peer.leaving = info.state is places.EndpointState.LEAVING
         ended: list[places.HostId] = []
         for peer in self._peers.values():
@@ -177,10 +184,10 @@
         ]
 
     def members(self, now: float) -> list[Member]:
-        """Return the other hosts whose incarnation is known."""
+        """Return the other hosts; the incarnation is empty if unknown."""
         return [
             Member(
-                peer.host,
+                peer.host or places.HostId(peer.name, ''),
                 peer.zone,
                 peer.address,
                 peer.port,
@@ -189,7 +196,6 @@
                 peer.leaving,
             )
             for peer in self._peers.values()
-            if peer.host is not None
         ]
 
     def _peer_of(
@@ -252,9 +258,10 @@
             return []
         if now < peer.heard_at + self._pacing.list_lag:
             return []
+        known = {'': peer.known_at, **peer.seen}
         return [
             places.HostId(peer.name, incarnation)
-            for incarnation, known_at in peer.seen.items()
+            for incarnation, known_at in known.items()
             if known_at <= since
         ]
 
--- a/hibiscusslip/ownership/owner.py
+++ b/hibiscusslip/ownership/owner.py
@@ -207,6 +207,19 @@
             if self.holds(shard, now)
         ]
 
+    def holders(self) -> list[places.HostId]:
+        """Return the hosts that hold shards by the log's last word."""
+        state = self._state
+        hosts: set[places.HostId] = set()
+        for shard in range(state.shards):
+            holding = state.ledger.latest(shard)
+            if holding is None:
+                hosts.update(state.ledger.hosts_of_unknown(shard))
+            elif holding.host is not None:
+                hosts.add(holding.host)
+        hosts.discard(state.me)
+        return sorted(hosts)
+
     def drain(self, now: float) -> None:
         """Take no more shards and suggest to hand over all that are held."""
         self._state.draining = True
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Check the packages."""
--- /dev/null
+++ b/tests/fuzz/__init__.py
@@ -0,0 +1,1 @@
+"""Fuzz pure decisions against simple oracles."""
--- /dev/null
+++ b/tests/fuzz/test_ownership_machine.py
@@ -0,0 +1,137 @@
+"""Fuzz ownership: two hosts never act on a shard at the same time."""
+
+import os
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from tests.fuzz import world
+
+SEED = os.environ.get('HIBISCUSSLIP_FUZZ_SEED')
+NAMES = ['a', 'b', 'c', 'd']
+MODES = ['ok', 'ok', 'cut', 'never', 'lost', 'late', 'slow', 'blind']
+EXAMPLES = int(os.environ.get('HIBISCUSSLIP_FUZZ_EXAMPLES', '1000'))
+PAUSES = ['before_actions', 'in_append', 'in_send']
+ALL = len(NAMES)
+
+
+class OwnershipMachine(stateful.RuleBasedStateMachine):
+    """Drive a zone through faults; the world checks at each step."""
+
+    plant = world.Plant()
+
+    @stateful.initialize(
+        seed=strategies.integers(0, 2**32), hosts=strategies.integers(1, 3)
+    )
+    def begin(self, seed, hosts):
+        self.world = world.World(seed, self.plant)
+        for name in NAMES[:hosts]:
+            self.world.start(name)
+        self.world.advance(12)
+
+    def pick(self, index):
+        hosts = self.world.hosts
+        return hosts[index % len(hosts)] if hosts else None
+
+    @stateful.rule(steps=strategies.sampled_from([1, 4, 16, 30]))
+    def advance(self, steps):
+        self.world.advance(steps)
+
+    @stateful.rule(name=strategies.sampled_from(NAMES))
+    def start(self, name):
+        running = {host.id.name for host in self.world.hosts}
+        if name not in running:
+            self.world.start(name)
+
+    @stateful.rule(name=strategies.sampled_from(NAMES))
+    def join_cut_off(self, name):
+        running = {host.id.name for host in self.world.hosts}
+        if name not in running:
+            self.isolate(name)
+            self.world.start(name)
+
+    @stateful.rule(index=strategies.integers(0, 3))
+    def crash(self, index):
+        host = self.pick(index)
+        if host is not None:
+            self.world.crash(host)
+
+    @stateful.rule(index=strategies.integers(0, 3))
+    def restart(self, index):
+        host = self.pick(index)
+        if host is not None:
+            self.world.crash(host)
+            self.world.start(host.id.name)
+
+    @stateful.rule(
+        index=strategies.integers(0, ALL),
+        mode=strategies.sampled_from(MODES),
+    )
+    def set_log(self, index, mode):
+        chosen = self.world.hosts if index == ALL else [self.pick(index)]
+        for host in chosen:
+            if host is not None:
+                host.log_mode = mode
+
+    @stateful.rule(
+        one=strategies.sampled_from(NAMES), two=strategies.sampled_from(NAMES)
+    )
+    def cut(self, one, two):
+        if one != two:
+            self.world.cuts ^= {frozenset((one, two))}
+
+    @stateful.rule(name=strategies.sampled_from(NAMES))
+    def isolate(self, name):
+        self.world.cuts |= {
+            frozenset((name, other)) for other in NAMES if other != name
+        }
+
+    @stateful.rule()
+    def reconnect(self):
+        self.world.cuts.clear()
+
+    @stateful.rule(
+        index=strategies.integers(0, 3),
+        point=strategies.sampled_from(PAUSES),
+        pause=strategies.sampled_from([0.5, 3.0, 6.0, 12.0]),
+    )
+    def pause(self, index, point, pause):
+        host = self.pick(index)
+        if host is not None:
+            host.pause_at = point
+            self.world.pause = pause
+
+    @stateful.rule(index=strategies.integers(0, 3))
+    def drain(self, index):
+        host = self.pick(index)
+        if host is not None:
+            host.own.drain(host.now())
+
+    @stateful.rule()
+    def trim(self):
+        self.world.log.trim(self.world.time)
+
+    def teardown(self):
+        if hasattr(self, 'world'):
+            self.world.heal()
+
+
+def settings():
+    """Return fixed settings for CI, longer ones for a given seed."""
+    return hypothesis.settings(
+        max_examples=60 if SEED is None else EXAMPLES,
+        stateful_step_count=30,
+        derandomize=SEED is None,
+        database=None,
+        deadline=None,
+        print_blob=False,
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
+
+
+def test_no_two_hosts_act_on_a_shard():
+    machine = OwnershipMachine
+    if SEED is not None:
+        machine = hypothesis.seed(int(SEED))(machine)
+    stateful.run_state_machine_as_test(machine, settings=settings())
--- /dev/null
+++ b/tests/fuzz/test_ownership_planted.py
@@ -0,0 +1,124 @@
+"""Show that the fuzz finds faults that are planted on purpose."""
+
+import dataclasses
+import math
+
+import hypothesis
+from hypothesis import stateful
+import pytest
+
+from hibiscusslip.ownership import owner
+from hibiscusslip.ownership import timing
+from hibiscusslip.records import zone
+from tests.fuzz import test_ownership_machine
+from tests.fuzz import world
+
+PLANT_SEED = 7
+
+
+class ImpatientTiming(timing.Timing):
+    """Claim without waiting for the holder's lease."""
+
+    @property
+    def lease_wait(self):
+        return 0.0
+
+
+class TrustsLostAppends(owner.Ownership):
+    """Hold what a claim without an answer asked for."""
+
+    def on_append_settled(self, record_id, settled, now):
+        append = self._state.appends._open.get(record_id)
+        super().on_append_settled(record_id, settled, now)
+        if settled is not owner.Settled.UNSETTLED or append is None:
+            return
+        if append.kind.value == 'claim':
+            for shard, (epoch, _) in append.shards.items():
+                self._state.leases.begin(
+                    shard, epoch + 1, append.sent_at, -math.inf
+                )
+
+
+class PromisesWhileClaiming(owner.Ownership):
+    """Promise in spite of an unsettled claim, and revive lapsed leases."""
+
+    def __init__(self, *args):
+        super().__init__(*args)
+        self._state.appends.claims = lambda shard: False
+        self._state.leases.promise = self.revive
+
+    def revive(self, shard, asked_at, now):
+        lease = self._state.leases.get(shard)
+        lease.promise_until = asked_at + self._state.timing.promise
+
+
+class ClaimsUnknown(owner.Ownership):
+    """Claim from holders that don't know of this host."""
+
+    def __init__(self, *args):
+        super().__init__(*args)
+        wait = self._state.timing.lease_wait
+        self._state.introductions.clear_at = lambda host, since: since + wait
+
+
+class CountsFromAnswer(owner.Ownership):
+    """Count the lease from the answer instead of before the send."""
+
+    def on_append_settled(self, record_id, settled, now):
+        append = self._state.appends._open.get(record_id)
+        if settled is owner.Settled.APPENDED and append is not None:
+            append.sent_at = now
+        super().on_append_settled(record_id, settled, now)
+
+
+class CountsFromReading(owner.Ownership):
+    """Count the lease from when its record is read."""
+
+    def on_record(self, offset, record, now):
+        if isinstance(record, zone.Claim | zone.Renewal):
+            append = self._state.appends._open.get(record.record_id)
+            if append is not None:
+                append.sent_at = now
+        return super().on_record(offset, record, now)
+
+
+def impatient(**changes):
+    fields = dataclasses.asdict(world.TIMING) | changes
+    return ImpatientTiming(**fields)
+
+
+PLANTS = {
+    'no check after the write': world.Plant(check_after_write=False),
+    'no wait for the lease': world.Plant(durations=impatient()),
+    'no wait for sends': world.Plant(
+        durations=dataclasses.replace(world.TIMING, settle=0.0)
+    ),
+    'trusts a lost append': world.Plant(ownership=TrustsLostAppends),
+    'promises while claiming': world.Plant(ownership=PromisesWhileClaiming),
+    'newcomer not introduced': world.Plant(ownership=ClaimsUnknown),
+    'counts from the answer': world.Plant(ownership=CountsFromAnswer),
+    'counts from reading': world.Plant(ownership=CountsFromReading),
+}
+
+
+@pytest.mark.parametrize('name', PLANTS)
+def test_fuzz_finds_planted(name):
+    steps = []
+
+    class Planted(test_ownership_machine.OwnershipMachine):
+        plant = PLANTS[name]
+
+        def check_invariants(self, *args, **kwargs):
+            steps.append(1)
+            super().check_invariants(*args, **kwargs)
+
+    settings = hypothesis.settings(
+        test_ownership_machine.settings(),
+        max_examples=400,
+        derandomize=False,
+        phases=[hypothesis.Phase.generate],
+    )
+    machine = hypothesis.seed(PLANT_SEED)(Planted)
+    with pytest.raises(AssertionError, match=' act on | arrives while '):
+        stateful.run_state_machine_as_test(machine, settings=settings)
+    print(f'{name}: seed {PLANT_SEED}, found after {len(steps)} steps')
