--- a/hibiscusslip/commands/_output.py
+++ b/hibiscusslip/commands/_output.py
@@ -47,10 +47,13 @@
         print(text, flush=True)
 
 
-def run_app(app: cyclopts.App) -> typing.NoReturn:
+def run_app(
+    app: cyclopts.App, tokens: list[str] | None = None
+) -> typing.NoReturn:
     """Run a program's command line and exit with its code."""
+    tokens = sys.argv[1:] if tokens is None else tokens
     try:
-        code = app(exit_on_error=False, print_error=True)
+        code = app(tokens, exit_on_error=False, print_error=True)
     except cyclopts.CycloptsError:
         code = exceptions.Exit.USAGE
     except exceptions.CommandError as exc:
