--- a/hibiscusslip/caller/handler.py
+++ b/hibiscusslip/caller/handler.py
@@ -201,12 +201,10 @@
                 'nearest': state.nearest,
             },
         )
-    response = routing.respond(
-        200 if state.outcome.final else 202, _documents.from_state(state)
-    )
-    location = {'location': f'/v1/jobs/{state.job_id}'}
-    return messages.Response(
-        response.status, response.headers | location, response.body
+    return routing.respond(
+        200 if state.outcome.final else 202,
+        _documents.from_state(state),
+        routing.JSON_HEADERS | {'location': f'/v1/jobs/{state.job_id}'},
     )
 
 
--- a/hibiscusslip/operator/handler.py
+++ b/hibiscusslip/operator/handler.py
@@ -216,7 +216,12 @@
 def _refusal(exc: exceptions.OperatorError) -> rest_exceptions.Refusal:
     detail = str(exc)
     if isinstance(exc, exceptions.NotAuthentic):
-        return rest_exceptions.Refusal(401, 'not-authentic', detail)
+        return rest_exceptions.Refusal(
+            401,
+            'not-authentic',
+            detail,
+            headers={'www-authenticate': signing.SCHEME},
+        )
     if isinstance(exc, exceptions.UnknownTarget):
         return rest_exceptions.Refusal(404, 'unknown-target', detail)
     if isinstance(exc, exceptions.SelectionGrew):
--- a/hibiscusslip/rest/exceptions.py
+++ b/hibiscusslip/rest/exceptions.py
@@ -8,7 +8,7 @@
 
     `code` names the kind of problem for programs, `detail` tells people
     the cause and the remedy, `retry_after` is in seconds, `extra` holds
-    further members of the document.
+    further members of the document, `headers` further header fields.
     """
 
     def __init__(
@@ -18,6 +18,7 @@
         detail: str,
         retry_after: float | None = None,
         extra: dict[str, typing.Any] | None = None,
+        headers: dict[str, str] | None = None,
     ) -> None:
         super().__init__(detail)
         self.status = status
@@ -25,3 +26,4 @@
         self.detail = detail
         self.retry_after = retry_after
         self.extra = extra or {}
+        self.headers = headers or {}
--- a/hibiscusslip/rest/problems.py
+++ b/hibiscusslip/rest/problems.py
@@ -21,7 +21,7 @@
         'detail': refusal.detail,
         **refusal.extra,
     }
-    headers = {'content-type': MEDIA_TYPE}
+    headers = {'content-type': MEDIA_TYPE, **refusal.headers}
     if refusal.retry_after is not None:
         document['retry_after'] = refusal.retry_after
         seconds = max(1, math.ceil(refusal.retry_after))
--- a/hibiscusslip/rest/routing.py
+++ b/hibiscusslip/rest/routing.py
@@ -38,10 +38,14 @@
 
     def __init__(self, routes: list[Route]) -> None:
         self.routes = routes
-        self._by_shape: dict[tuple[str, ...], dict[str, Route]] = {}
+        self._by_path: dict[str, dict[str, Route]] = {}
         for route in routes:
-            shape = tuple(route.path.split('/'))
-            self._by_shape.setdefault(shape, {})[route.method] = route
+            self._by_path.setdefault(route.path, {})[route.method] = route
+        self._shapes = [
+            tuple(path.split('/'))
+            for path in self._by_path
+            if PARAMETER in path
+        ]
 
     async def handle(self, req: messages.Request) -> messages.Response:
         """Return the response of the route that fits, or a problem."""
@@ -52,26 +56,35 @@
 
     async def dispatch(self, req: messages.Request) -> messages.Response:
         """Return the response of the route that fits; raises Refusal."""
-        parts = req.path.split('/')
-        for shape, methods in self._by_shape.items():
-            if not _fits(shape, parts):
-                continue
-            route = methods.get(req.method)
-            if route is None:
-                raise _wrong_method(req, list(methods))
-            _check_query(req, route)
-            found = parts[shape.index(PARAMETER)] if PARAMETER in shape else ''
-            return await route.action(req, found)
+        methods, found = self._find(req.path)
+        route = methods.get(req.method)
+        if route is None:
+            raise _wrong_method(req, list(methods))
+        _check_query(req, route)
+        return await route.action(req, found)
+
+    def _find(self, path: str) -> tuple[dict[str, Route], str]:
+        """Return the routes of a path by method, and its parameter."""
+        methods = self._by_path.get(path)
+        if methods is not None and PARAMETER not in path:
+            return methods, ''
+        parts = path.split('/')
+        for shape in self._shapes:
+            if _fits(shape, parts):
+                found = parts[shape.index(PARAMETER)]
+                return self._by_path['/'.join(shape)], found
         raise exceptions.Refusal(
-            404, 'no-such-path', f'{req.path} is not served; see docs/API.md'
+            404, 'no-such-path', f'{path} is not served; see docs/API.md'
         )
 
 
-def respond(status: int, document: typing.Any) -> messages.Response:
+def respond(
+    status: int,
+    document: typing.Any,
+    headers: dict[str, str] = JSON_HEADERS,
+) -> messages.Response:
     """Return a response with a JSON document."""
-    return messages.Response(
-        status, JSON_HEADERS, msgspec.json.encode(document)
-    )
+    return messages.Response(status, headers, msgspec.json.encode(document))
 
 
 def check_json(req: messages.Request) -> None:
@@ -119,6 +132,7 @@
         405,
         'wrong-method',
         f'{req.path} does not take {req.method}; use {names}',
+        headers={'allow': names},
     )
 
 
--- a/tests/caller/test_handler.py
+++ b/tests/caller/test_handler.py
@@ -209,7 +209,9 @@
     ],
 )
 def test_paths_and_methods(jobs, method, path, status):
-    assert call(jobs, method, path)[0] == status
+    found, headers, _ = call(jobs, method, path)
+    assert found == status
+    assert ('allow' in headers) == (status == 405)
 
 
 def test_answer_is_whole_and_large_ones_are_fetched_apart(jobs):
