Bring events over one long response

A call for each batch of events cost as much as a start. Events read in order now come as lines of a streamed response; any break opens it again at the last event that was read.

--- a/hibiscusslip/endpoint/http_endpoint.py
+++ b/hibiscusslip/endpoint/http_endpoint.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from hibiscusslip.endpoint import _event_reader
 from hibiscusslip.endpoint import base
 from hibiscusslip.endpoint import exceptions
 from hibiscusslip.endpoint import wire
@@ -13,8 +14,8 @@
 from hibiscusslip.http import limits
 
 CALL_CONNECTIONS = 4
-WATCH_CONNECTIONS = 1
 DEFAULT_TIMEOUT_S = 5.0
+MIN_STREAM_WAIT_S = 0.5
 REFUSED_STATUSES = (*range(400, 500), 503)
 
 
@@ -22,8 +23,8 @@
     """Call the endpoint at one address.
 
     `timeout` in seconds bounds every call, for events on top of their wait
-    and for stops on top of their grace. Waiting for events has its own
-    connection.
+    and for stops on top of their grace. Events that are read in order and
+    waited for come over one long response; one task at a time reads them.
     """
 
     def __init__(
@@ -35,7 +36,9 @@
     ) -> None:
         self._timeout = timeout
         self._calls = client.Pool(address, port, bounds, CALL_CONNECTIONS)
-        self._watch = client.Pool(address, port, bounds, WATCH_CONNECTIONS)
+        self._events = _event_reader.EventReader(
+            address, port, timeout, bounds
+        )
 
     async def start(
         self, orders: list[base.StartOrder]
@@ -56,16 +59,19 @@
 
     async def runs(self) -> base.RunListing:
         """Return what runs or has ended lately."""
-        body = await self._call(self._calls, 'GET', wire.RUNS_PATH)
+        body = await self._call('GET', wire.RUNS_PATH)
         reply = wire.decode(body, wire.RunsReply)
         runs = [entry.run() for entry in reply.runs]
         return base.RunListing(reply.boot, reply.next_event, runs)
 
     async def events(self, after: int, wait: float) -> base.EventBatch:
         """Return runs ended since event `after`, waiting up to `wait` s."""
-        path = f'{wire.EVENTS_PATH}?after={after}&wait={wait:g}'
-        body = await self._call(self._watch, 'GET', path, extra=wait)
-        reply = wire.decode(body, wire.RunsReply)
+        if wait >= MIN_STREAM_WAIT_S:
+            reply = await self._events.read(after, wait)
+        else:
+            path = f'{wire.EVENTS_PATH}?after={after}&wait={wait:g}'
+            body = await self._call('GET', path, extra=wait)
+            reply = wire.decode(body, wire.RunsReply)
         ended = [entry.run() for entry in reply.runs]
         return base.EventBatch(reply.boot, reply.next_event, ended)
 
@@ -73,48 +79,43 @@
         """Return the whole answer of an ended run."""
         query = urllib.parse.urlencode({'task': task, 'attempt': attempt})
         path = f'{wire.ANSWER_PATH}?{query}'
-        return await self._call(self._calls, 'GET', path)
+        return await self._call('GET', path)
 
     async def checkpoint(self, task: str) -> bytes:
         """Have a task save its state and return it."""
         body = msgspec.json.encode(wire.CheckpointRequest(task))
-        return await self._call(
-            self._calls, 'POST', wire.CHECKPOINT_PATH, body
-        )
+        return await self._call('POST', wire.CHECKPOINT_PATH, body)
 
     async def throttle(self, task: str, share: float) -> None:
         """Slow a task down to `share` of its demand (0 < share <= 1)."""
         body = msgspec.json.encode(wire.ThrottleRequest(task, share))
-        await self._call(self._calls, 'POST', wire.THROTTLE_PATH, body)
+        await self._call('POST', wire.THROTTLE_PATH, body)
 
     async def stop(self, task: str, grace: float) -> None:
         """Stop a task, which has `grace` seconds to end by itself."""
         body = msgspec.json.encode(wire.StopRequest(task, grace))
-        await self._call(
-            self._calls, 'POST', wire.STOP_PATH, body, extra=grace
-        )
+        await self._call('POST', wire.STOP_PATH, body, extra=grace)
 
     async def usage(self) -> list[base.Usage]:
         """Return the lagging usage of all runs."""
-        body = await self._call(self._calls, 'GET', wire.USAGE_PATH)
+        body = await self._call('GET', wire.USAGE_PATH)
         reply = wire.decode(body, wire.UsageReply)
         return [entry.usage() for entry in reply.usage]
 
     async def close(self) -> None:
         """Close the connections."""
         await self._calls.close()
-        await self._watch.close()
+        await self._events.close()
 
     async def _post(
         self, path: str, message: msgspec.Struct, expected: typing.Any
     ) -> typing.Any:
         body = msgspec.json.encode(message)
-        answer = await self._call(self._calls, 'POST', path, body)
+        answer = await self._call('POST', path, body)
         return wire.decode(answer, expected)
 
     async def _call(
         self,
-        pool: client.Pool,
         method: str,
         path: str,
         body: bytes = b'',
@@ -122,7 +123,7 @@
     ) -> bytes:
         timeout = self._timeout + extra
         try:
-            response = await pool.call(
+            response = await self._calls.call(
                 method, path, body=body, timeout=timeout
             )
         except http_exceptions.NotSent as exc:
--- a/hibiscusslip/endpoint/wire.py
+++ b/hibiscusslip/endpoint/wire.py
@@ -1,6 +1,8 @@
 """Define the JSON messages of the endpoints' HTTP protocol.
 
-Bytes travel as base64, answers and checkpoints as plain bodies.
+Bytes travel as base64, answers and checkpoints as plain bodies. The event
+stream is a response without an end: a line for each batch of events, and
+one at least every `wait` seconds; empty lines mean nothing.
 """
 
 import typing
@@ -17,6 +19,7 @@
 RENEW_PATH = '/renew'
 RUNS_PATH = '/runs'
 EVENTS_PATH = '/events'
+EVENT_STREAM_PATH = '/event-stream'
 ANSWER_PATH = '/answer'
 CHECKPOINT_PATH = '/checkpoint'
 THROTTLE_PATH = '/throttle'
--- a/hibiscusslip/http/_exchange.py
+++ b/hibiscusslip/http/_exchange.py
@@ -139,6 +139,13 @@
     address: str, port: int, bounds: limits.Limits
 ) -> ClientConnection:
     """Open a connection; raises NotSent."""
+    return ClientConnection(await open_socket(address, port, bounds), bounds)
+
+
+async def open_socket(
+    address: str, port: int, bounds: limits.Limits
+) -> typing.Any:
+    """Return a connected socket; raises NotSent."""
     family = _sockets.family_of(address)
     sock = curio.socket.socket(family, curio.socket.SOCK_STREAM)
     try:
@@ -153,4 +160,4 @@
     except BaseException:
         await sock.close()
         raise
-    return ClientConnection(sock, bounds)
+    return sock
--- a/hibiscusslip/http/_sender.py
+++ b/hibiscusslip/http/_sender.py
@@ -94,7 +94,7 @@
                     out += self._conn.send(h11.Data(data=piece))
                     await self._write(out)
                     out = b''
-        except OSError:
+        except (OSError, exceptions.DropConnection):
             raise
         except Exception as exc:
             logger.exception('a streamed response failed')
--- /dev/null
+++ b/hibiscusslip/http/stream.py
@@ -0,0 +1,130 @@
+"""Read a streamed response line by line."""
+
+import typing
+
+import curio
+import h11
+
+from hibiscusslip.http import _exchange
+from hibiscusslip.http import exceptions
+from hibiscusslip.http import limits
+
+READ_BYTES = 64 * 1024
+STATUS_OK = 200
+LINE_END = b'\n'
+
+
+class LineStream:
+    """Hold one open response; no line is lost when a wait times out."""
+
+    def __init__(
+        self, sock: typing.Any, conn: h11.Connection, bounds: limits.Limits
+    ) -> None:
+        self._sock = sock
+        self._conn = conn
+        self._limits = bounds
+        self._buffer = bytearray()
+
+    async def next_line(self, timeout: float) -> bytes:
+        """Return the next line without its end.
+
+        Raises CallUnsettled when none came in `timeout` seconds or the
+        stream ended, Malformed when it can't be read.
+        """
+        try:
+            async with curio.timeout_after(timeout):
+                while LINE_END not in self._buffer:
+                    await self._extend()
+        except curio.TaskTimeout as exc:
+            raise exceptions.CallUnsettled(
+                f'no line in {timeout:g} s; open the stream again'
+            ) from exc
+        end = self._buffer.index(LINE_END)
+        line = bytes(self._buffer[:end])
+        del self._buffer[: end + 1]
+        return line
+
+    async def close(self) -> None:
+        """Close the connection."""
+        await self._sock.close()
+
+    async def read_head(self, timeout: float) -> None:
+        """Read the head of the response; errors as in `next_line`."""
+        try:
+            async with curio.timeout_after(timeout):
+                event = await self._next_event()
+        except curio.TaskTimeout as exc:
+            raise exceptions.CallUnsettled(
+                f'no answer in {timeout:g} s; open the stream again'
+            ) from exc
+        if type(event) is not h11.Response or event.status_code != STATUS_OK:
+            raise exceptions.Malformed(
+                f'no stream but {event!r}; check what listens there'
+            )
+
+    async def _extend(self) -> None:
+        event = await self._next_event()
+        if type(event) is not h11.Data:
+            raise exceptions.CallUnsettled(
+                'the stream has ended; open it again'
+            )
+        self._buffer += event.data
+        if len(self._buffer) > self._limits.max_body_bytes:
+            raise exceptions.Malformed(
+                f'a line over {self._limits.max_body_bytes} bytes; raise'
+                ' max_body_bytes'
+            )
+
+    async def _next_event(self) -> typing.Any:
+        try:
+            event = self._conn.next_event()
+            while event is h11.NEED_DATA:
+                self._conn.receive_data(await self._sock.recv(READ_BYTES))
+                event = self._conn.next_event()
+        except OSError as exc:
+            raise exceptions.CallUnsettled(
+                f'{exc}; open the stream again'
+            ) from exc
+        except h11.RemoteProtocolError as exc:
+            raise exceptions.Malformed(
+                f'bad response: {exc}; check what listens there'
+            ) from exc
+        return event
+
+
+async def open_stream(
+    address: str,
+    port: int,
+    path: str,
+    timeout: float,
+    bounds: limits.Limits = limits.DEFAULT,
+) -> LineStream:
+    """Ask for a streamed response on a connection of its own.
+
+    Raises NotSent when no byte of the request was written, CallUnsettled
+    and Malformed as `LineStream.next_line` does.
+    """
+    sock = await _exchange.open_socket(address, port, bounds)
+    conn = h11.Connection(
+        h11.CLIENT, max_incomplete_event_size=bounds.max_header_bytes
+    )
+    headers = [('host', f'{address}:{port}')]
+    head = h11.Request(method='GET', target=path, headers=headers)
+    out = conn.send(head) + conn.send(h11.EndOfMessage())
+    opened = LineStream(sock, conn, bounds)
+    try:
+        await _send(sock, out)
+        await opened.read_head(timeout)
+    except BaseException:
+        await opened.close()
+        raise
+    return opened
+
+
+async def _send(sock: typing.Any, out: bytes) -> None:
+    try:
+        await sock.sendall(out)
+    except OSError as exc:
+        raise exceptions.CallUnsettled(
+            f'{exc}; open the stream again'
+        ) from exc
--- a/hibiscusslip/standin/faults.py
+++ b/hibiscusslip/standin/faults.py
@@ -35,7 +35,8 @@
 
     While `down`, connections are dropped. While `frozen`, calls hang.
     `fail_all` fails every run after `fail_after` seconds. `lose_answers`
-    calls take effect without an answer. `restart` ends all runs and gives
+    calls of any kind, event streams included, take effect without an
+    answer, `lose_starts` the next starts. `restart` ends all runs and gives
     the worker a new boot id.
     """
 
@@ -45,6 +46,7 @@
     fail_all: bool | None = None
     fail_after: float | None = None
     lose_answers: int | None = None
+    lose_starts: int | None = None
     refuse_starts: bool | None = None
     usage_lag: float | None = None
     restart: bool = False
@@ -80,6 +82,7 @@
     fail_all: bool = False
     fail_after: float = 0.01
     lose_answers: int = 0
+    lose_starts: int = 0
     refuse_starts: bool = False
     usage_lag: float = 1.0
 
--- a/hibiscusslip/standin/memory_endpoint.py
+++ b/hibiscusslip/standin/memory_endpoint.py
@@ -73,6 +73,9 @@
         now = await self._enter()
         results = [self.worker.start(now, order) for order in orders]
         await self._pump.replan()
+        if self.worker.faults.lose_starts > 0:
+            self.worker.faults.lose_starts -= 1
+            raise self._lost()
         self._leave()
         return results
 
@@ -177,6 +180,9 @@
         state = self.worker.faults
         if state.lose_answers > 0:
             state.lose_answers -= 1
-            raise exceptions.CallUnsettled(
-                f'{self.worker.info.name} lost the answer; list its runs'
-            )
+            raise self._lost()
+
+    def _lost(self) -> exceptions.CallUnsettled:
+        return exceptions.CallUnsettled(
+            f'{self.worker.info.name} lost the answer; list its runs'
+        )
--- a/hibiscusslip/standin/worker_front.py
+++ b/hibiscusslip/standin/worker_front.py
@@ -1,7 +1,10 @@
 """Serve one stand-in worker by HTTP."""
 
+import collections.abc
 import dataclasses
 
+import msgspec
+
 from hibiscusslip.endpoint import base
 from hibiscusslip.endpoint import exceptions
 from hibiscusslip.endpoint import wire
@@ -12,6 +15,8 @@
 from hibiscusslip.standin import memory_endpoint
 from hibiscusslip.standin import violations
 
+MIN_STREAM_WAIT_S = 0.5
+
 
 class WorkerFront(_front.Front):
     """Answer an endpoint's calls, change faults and show counters.
@@ -32,6 +37,7 @@
             ('POST', wire.RENEW_PATH): self._renew,
             ('GET', wire.RUNS_PATH): self._runs,
             ('GET', wire.EVENTS_PATH): self._events,
+            ('GET', wire.EVENT_STREAM_PATH): self._event_stream,
             ('GET', wire.ANSWER_PATH): self._answer,
             ('POST', wire.CHECKPOINT_PATH): self._checkpoint,
             ('POST', wire.THROTTLE_PATH): self._throttle,
@@ -75,6 +81,26 @@
         found = await self._endpoint.events(after, _front.wait_of(req))
         return _runs_reply(found.boot, found.next_event, found.ended)
 
+    async def _event_stream(self, req: messages.Request) -> messages.Response:
+        after = int(_front.number(req, 'after', 0))
+        wait = max(_front.wait_of(req), MIN_STREAM_WAIT_S)
+        headers = {'content-type': 'application/x-ndjson'}
+        return messages.Response(200, headers, self._lines(after, wait))
+
+    async def _lines(
+        self, after: int, wait: float
+    ) -> collections.abc.AsyncIterator[bytes]:
+        yield b'\n'
+        while True:
+            try:
+                found = await self._endpoint.events(after, wait)
+            except exceptions.EndpointError as exc:
+                raise http_exceptions.DropConnection(str(exc)) from exc
+            after = found.next_event
+            entries = [wire.run_entry(run) for run in found.ended]
+            batch = wire.RunsReply(found.boot, after, entries)
+            yield msgspec.json.encode(batch) + b'\n'
+
     async def _answer(self, req: messages.Request) -> messages.Response:
         task = req.query.get('task', '')
         attempt = int(_front.number(req, 'attempt', 0))
--- a/tests/test_endpoint_http.py
+++ b/tests/test_endpoint_http.py
@@ -100,6 +100,54 @@
     serving.run(work)
 
 
+async def read_events(called, after, count):
+    """Return `count` events after one, in order, and the position."""
+    ended = []
+    while len(ended) < count:
+        batch = await called.events(after, 20)
+        ended += batch.ended
+        after = batch.next_event
+    return [run.task for run in ended], after
+
+
+def test_events_survive_lost_answers_and_an_outage():
+    async def work():
+        async with endpoint_pair() as (kept, called, _):
+            await called.start([order('j/0', run_s=0.0)])
+            assert await read_events(called, 0, 1) == (['j/0'], 1)
+            await kept.set_faults(faults.WorkerFaults(lose_starts=2))
+            for number in (1, 2):
+                with pytest.raises(exceptions.CallUnsettled):
+                    await called.start([order(f'j/{number}', run_s=0.0)])
+            await kept.set_faults(faults.WorkerFaults(down=True))
+            with pytest.raises(exceptions.EndpointError):
+                while True:
+                    await called.events(1, 20)
+            await kept.set_faults(faults.WorkerFaults(down=False))
+            found = await read_events(called, 1, 2)
+            assert found == (['j/1', 'j/2'], 3)
+            assert await read_events(called, 0, 3) == (
+                ['j/0', 'j/1', 'j/2'],
+                3,
+            )
+
+    serving.run(work)
+
+
+def test_reader_of_events_learns_of_a_restart():
+    async def work():
+        async with endpoint_pair() as (kept, called, _):
+            await called.start([order('j/0', run_s=0.0)])
+            await read_events(called, 0, 1)
+            boot = kept.worker.boot
+            waiting = await curio.spawn(called.events, 1, 20)
+            await kept.set_faults(faults.WorkerFaults(restart=True))
+            batch = await waiting.join()
+            assert (batch.boot != boot, batch.next_event) == (True, 0)
+
+    serving.run(work)
+
+
 def test_restart_loses_runs_and_shows_a_new_boot():
     async def work():
         async with endpoint_pair() as (kept, called, _):
