--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,8 @@
 PY := .venv/bin/python
 SEED ?= 1
 
-.PHONY: setup test format format-check lint types demo bench policy slopes fuzz bench-http
+.PHONY: setup test format format-check lint types demo bench bench-http policy
+.PHONY: slopes fuzz bytecode memory
 
 setup: .venv/.ready
 
@@ -10,6 +11,15 @@
 	.venv/bin/pip install -q --disable-pip-version-check -e '.[dev]'
 	touch $@
 
+# Compile what the daemon loads, without docstrings: it then takes less memory.
+bytecode: setup
+	env -u PYTHONDONTWRITEBYTECODE $(PY) -OO \
+		-X pycache_prefix=$(CURDIR)/.venv/bytecode \
+		-m hibiscusslip.bench.memory warm
+
+memory: bytecode
+	$(PY) -m hibiscusslip.bench.memory
+
 test: setup
 	$(PY) -m pytest
 
