--- a/hibiscusslip/bench/capacity/fleets.py
+++ b/hibiscusslip/bench/capacity/fleets.py
@@ -24,6 +24,7 @@
 PASSED_ON = PACING.passed_on
 TIMING = timing.Timing()
 TICK_SECONDS = 0.1
+LIST_INTERVAL_SECONDS = 10.0
 SHARD = places.Shard(samples.ZONE, 3)
 _ME = places.HostId(samples.host(0), samples.INCARNATION)
 _BOOT = 'boot'
--- /dev/null
+++ b/hibiscusslip/bench/capacity/lines.py
@@ -0,0 +1,263 @@
+"""Work out what one host spends at the target size."""
+
+import collections.abc
+
+from hibiscusslip.bench.capacity import fleets
+from hibiscusslip.bench.capacity import parts
+from hibiscusslip.bench.capacity import sizes
+from hibiscusslip.jobs import engine as jobs_engine
+from hibiscusslip.node import config_feed
+from hibiscusslip.node import endpoint_driver
+from hibiscusslip.node import neighbours
+from hibiscusslip.node import node
+from hibiscusslip.node import ownership_driver
+from hibiscusslip.node import shard_runner
+from hibiscusslip.node import zone_feed
+
+RENEWALS_PER_LEASE = 4
+# A call over HTTP or a link has two ends; a host pays for one.
+ENDS = 2
+
+
+class Model:
+    """Multiply slopes by rates, one method for each part."""
+
+    def __init__(
+        self, shape: sizes.Shape, slopes: parts.Slopes, pace: parts.Pace
+    ) -> None:
+        self._shape = shape
+        self._slopes = slopes
+        self._pace = pace
+
+    def lines(self) -> list[parts.Line]:
+        """Return the lines of all parts of one host."""
+        steps: list[collections.abc.Callable[[], parts.Line]] = [
+            self._process,
+            self._acceptor,
+            self._members,
+            self._ownership,
+            self._shards,
+            self._starts,
+            self._renewals,
+            self._job_home,
+            self._configuration,
+            self._zone_feed,
+            self._writer,
+            self._host_list,
+        ]
+        return [part() for part in steps]
+
+    def _http_bytes(self, body: float) -> float:
+        packets = 2 * self._shape.assumed.packet_bytes
+        return self._slopes.wire.http_pair + packets + body
+
+    def _process(self) -> parts.Line:
+        loops = 1 / neighbours.TICK_SECONDS + 1 / node.READY_POLL_SECONDS
+        loops += 1 / ownership_driver.TICK_SECONDS
+        return parts.Line(
+            'Process',
+            'interpreter, libraries, code',
+            'one loop on one thread; lean start',
+            micros=loops * self._slopes.time.wakeup,
+            memory=self._slopes.idle_bytes,
+        )
+
+    def _acceptor(self) -> parts.Line:
+        shape, slopes = self._shape, self._slopes
+        jobs = shape.jobs_per_host
+        wire = slopes.wire
+        return parts.Line(
+            'Acceptor',
+            f'{shape.hosts_in_region * shape.shards_per_host:.0f} shards of'
+            ' the region with owner and load',
+            'hash or load picks a home; one call to it',
+            messages=2 * jobs,
+            micros=jobs * (slopes.time.http_call + slopes.time.peer_call),
+            memory=slopes.memory.known_shard
+            * shape.hosts_in_region
+            * shape.shards_per_host,
+            sent=jobs
+            * (self._http_bytes(2 * wire.start_order) + 2 * wire.small_call),
+        )
+
+    def heartbeats(self) -> float:
+        """Return the heartbeats a second that a host sends or answers."""
+        own = self._shape.assumed.hosts_per_zone - 1
+        others = self._shape.hosts_in_region - 1 - own
+        foreign = min(fleets.PACING.foreign_fanout, others)
+        sent = own / self._pace.heartbeat
+        sent += foreign / self._pace.foreign_heartbeat
+        return 2 * sent
+
+    def _members(self) -> parts.Line:
+        shape, slopes = self._shape, self._slopes
+        wire = slopes.wire
+        beats = self.heartbeats()
+        size = wire.heartbeat + wire.heartbeat_load * shape.shards_per_host
+        size += wire.known_host * self._pace.passed_on
+        codec = slopes.time.heartbeat * size / self._usual_heartbeat()
+        cost = (slopes.time.peer_call + codec) / ENDS
+        ticks = slopes.time.members_tick / neighbours.TICK_SECONDS
+        return parts.Line(
+            'Member of its region',
+            f'{shape.hosts_in_region} entry hosts',
+            'heartbeats to all hosts of the zone and a fixed number beyond',
+            messages=beats,
+            micros=beats * cost + ticks,
+            memory=slopes.memory.known_host * shape.hosts_in_region,
+            sent=2 * beats * (size + shape.assumed.packet_bytes),
+        )
+
+    def _usual_heartbeat(self) -> float:
+        wire = self._slopes.wire
+        size = wire.heartbeat + wire.known_host * fleets.PASSED_ON
+        return size + wire.heartbeat_load * self._shape.shards_per_host
+
+    def _ownership(self) -> parts.Line:
+        ticks = 1 / ownership_driver.TICK_SECONDS
+        return parts.Line(
+            'Shard owner: leases',
+            f'{self._shape.assumed.shards_per_zone} shards of its zone',
+            'one renewal record for all shards of a host',
+            micros=ticks * self._slopes.time.ownership_tick,
+        )
+
+    def _shards(self) -> parts.Line:
+        shape, slopes = self._shape, self._slopes
+        ticks = shape.shards_per_host / shard_runner.TICK_SECONDS
+        workers = shape.workers_per_host
+        held = slopes.memory.endpoint + slopes.memory.driver
+        return parts.Line(
+            'Shard owner: workers',
+            f'{workers:.0f} workers in {shape.shards_per_host:.0f} shards',
+            'only the owner books a worker, in memory',
+            micros=ticks * (slopes.time.shard_tick + slopes.time.wakeup),
+            memory=workers * held,
+        )
+
+    def _starts(self) -> parts.Line:
+        shape, slopes = self._shape, self._slopes
+        starts, wire = shape.starts_per_host, slopes.wire
+        calls = slopes.time.http_call / ENDS * 2
+        body = wire.start_order + wire.ended_run
+        return parts.Line(
+            'Shard owner: starts and ends',
+            f'{shape.running_per_host:.0f} running tasks',
+            'one order and one event for a task; batched when they come'
+            ' together',
+            messages=2 * starts,
+            micros=starts * (slopes.time.start + slopes.time.start_codec)
+            + starts * calls,
+            memory=shape.running_per_host * slopes.memory.running_task,
+            sent=starts * (self._http_bytes(0) * 2 + body),
+        )
+
+    def _renewals(self) -> parts.Line:
+        shape, slopes = self._shape, self._slopes
+        lease = jobs_engine.EngineConfig().worker_lease
+        renewals = shape.workers_per_host * RENEWALS_PER_LEASE / lease
+        polls = shape.workers_per_host / endpoint_driver.EVENTS_WAIT_SECONDS
+        tasks = shape.running_per_host / shape.workers_per_host
+        body = slopes.wire.renew_call + tasks * slopes.wire.renew_task
+        calls = renewals + polls
+        return parts.Line(
+            'Shard owner: task leases',
+            'none beyond the tasks',
+            'one renewal for all tasks of a worker; long polls for events',
+            messages=calls,
+            micros=calls * slopes.time.http_call / ENDS,
+            sent=calls * self._http_bytes(0) + renewals * body,
+        )
+
+    def _job_home(self) -> parts.Line:
+        shape, slopes = self._shape, self._slopes
+        queued = shape.running_per_host * shape.assumed.queued_per_running
+        return parts.Line(
+            'Job home',
+            f'{queued:.0f} queued and {shape.kept_tasks:.0f} ended tasks',
+            'bounded queues; ended jobs kept for an hour, by count and size',
+            memory=queued * slopes.memory.queued_task
+            + shape.kept_tasks * slopes.memory.ended_task,
+        )
+
+    def config_bytes(self) -> float:
+        """Return the bytes of one configuration as read from the log."""
+        wire = self._slopes.wire
+        return (
+            wire.config_packed
+            if self._pace.config_packed
+            else (wire.config_read)
+        )
+
+    def _configuration(self) -> parts.Line:
+        shape, slopes = self._shape, self._slopes
+        rate = shape.target.changes_per_day / sizes.SECONDS_PER_DAY
+        polls = 1 / config_feed.READ_WAIT_SECONDS
+        return parts.Line(
+            'Configuration reader',
+            f'{shape.target.teams} teams, one version',
+            'each host follows one stream; neighbours pass versions on',
+            messages=polls + rate,
+            micros=rate * slopes.time.config_change
+            + polls * slopes.time.http_call / ENDS,
+            memory=shape.target.teams * slopes.memory.team
+            + slopes.wire.config_read,
+            sent=polls * self._http_bytes(0) + rate * self.config_bytes(),
+        )
+
+    def renewal_rate(self) -> float:
+        """Return the renewal records a second of one host."""
+        return 1 / fleets.TIMING.renew_interval
+
+    def _zone_feed(self) -> parts.Line:
+        shape, slopes = self._shape, self._slopes
+        hosts = shape.assumed.hosts_per_zone
+        renewals = hosts * self.renewal_rate()
+        records = shape.records_per_zone
+        polls = max(1 / zone_feed.READ_WAIT_SECONDS, renewals)
+        kept = shape.kept_tasks / shape.assumed.tasks_per_job * hosts
+        micros = (renewals + records) * slopes.time.zone_record
+        return parts.Line(
+            'Log reader',
+            f'{kept * shape.assumed.recorded_share:.0f} recorded jobs of the'
+            ' zone',
+            'one stream for each zone; nobody reads another zone',
+            messages=polls,
+            micros=micros + polls * slopes.time.http_call / ENDS,
+            memory=kept
+            * shape.assumed.recorded_share
+            * slopes.memory.recorded_job,
+            sent=polls * self._http_bytes(0)
+            + renewals * slopes.wire.renewal_read
+            + records / 3 * slopes.wire.job_read,
+        )
+
+    def _writer(self) -> parts.Line:
+        shape, slopes = self._shape, self._slopes
+        jobs = shape.records_per_zone / 3 / shape.assumed.hosts_per_zone
+        appends = self.renewal_rate() + 3 * jobs
+        return parts.Line(
+            'Log writer',
+            'records until they are read back',
+            'group commit, one append in flight',
+            messages=appends,
+            micros=appends * slopes.time.http_call / ENDS,
+            sent=appends * self._http_bytes(0)
+            + self.renewal_rate() * slopes.wire.renewal_append
+            + jobs * slopes.wire.job_append,
+        )
+
+    def _host_list(self) -> parts.Line:
+        slopes, pace = self._slopes, self._pace
+        asked, entries = 1 / pace.list_interval, pace.listed_workers
+        read = pace.lists_sent * entries
+        return parts.Line(
+            'Host list reader',
+            f'{entries:.0f} workers while it is read',
+            'a hint that may lag; leases decide',
+            messages=asked,
+            micros=read * slopes.time.host_entry
+            + asked * slopes.time.http_call / ENDS,
+            memory=entries * slopes.memory.host_entry,
+            sent=asked * self._http_bytes(0) + read * slopes.wire.host_entry,
+        )
--- /dev/null
+++ b/tests/test_bench_capacity.py
@@ -0,0 +1,72 @@
+"""Check how the page on capacity is worked out and kept up."""
+
+import pathlib
+import random
+
+import pytest
+
+from hibiscusslip.bench import slopes
+from hibiscusslip.bench.capacity import fleets
+from hibiscusslip.bench.capacity import parts
+from hibiscusslip.bench.capacity import sizes
+
+PAGE = pathlib.Path(__file__).parent.parent / 'docs' / 'CAPACITY.md'
+TARGETS = (
+    '2,500 workers',
+    '10,000 jobs a day',
+    '450 task starts a second',
+    '11,000 tasks running',
+    'a fifth of them long-running services',
+    '260 teams',
+    'urgent work starts within 8.7 s',
+    '8 regions with 23 zones',
+    '7,300 changes of configuration a day',
+    'in force everywhere within 5.0 s',
+    '39 hosts fail a day',
+    '410 restarted or replaced a day',
+    'a rack or switch',
+    'a zone every other month',
+    'regions lose each other for an hour',
+)
+
+
+def _beats(hosts):
+    beating = fleets.Beating(hosts, sizes.Assumptions(), random.Random(1))
+    return beating.beats_per_second(30.0)
+
+
+def test_heartbeats_of_a_host_do_not_grow_with_its_region():
+    assert _beats(64) == pytest.approx(_beats(16), rel=0.02)
+    assert _beats(16) > 0
+
+
+def test_shares_of_all_hosts_add_up_to_the_target():
+    shape = sizes.Shape()
+    assert shape.workers_per_host * shape.hosts == pytest.approx(2_500)
+    assert shape.starts_per_host * shape.hosts == pytest.approx(450)
+    per_zone = shape.shards_per_host * shape.assumed.hosts_per_zone
+    assert per_zone == shape.assumed.shards_per_zone
+
+
+def test_total_sums_all_lines():
+    lines = [
+        parts.Line('a', '', '', messages=1, micros=2, memory=3, sent=4),
+        parts.Line('b', '', '', messages=10, micros=20, memory=30, sent=40),
+    ]
+    whole = parts.total(lines)
+    found = (whole.messages, whole.micros, whole.memory, whole.sent)
+    assert found == (11, 22, 33, 44)
+
+
+@pytest.mark.parametrize('target', TARGETS)
+def test_page_has_a_row_for_each_target(target):
+    figures = PAGE.read_text().partition(slopes.BEGIN)[2]
+    assert f'| {target}' in figures
+
+
+def test_tables_are_replaced_between_the_markers_only():
+    page = f'a\n{slopes.BEGIN}\nold\n{slopes.END}\nz\n'
+    made = slopes.replace_tables(page, 'new')
+    assert made == f'a\n{slopes.BEGIN}\n\nnew\n{slopes.END}\nz\n'
+    with pytest.raises(ValueError, match='markers'):
+        slopes.replace_tables('a', 'new')
