Report totals as metrics and describe what is observed

Parts keep totals; a reporter turns them into counters on flush, also for shards that come and go. docs/METRICS.md names them, and a test holds it to the data classes.

--- a/hibiscusslip/observe/metrics.py
+++ b/hibiscusslip/observe/metrics.py
@@ -5,6 +5,7 @@
 """
 
 import abc
+import dataclasses
 import typing
 
 MAX_SAMPLES = 512
@@ -137,6 +138,49 @@
     pipe.gauge(f'{name}.max_ms', round(timer.maximum * 1000, 3))
 
 
+class Totals:
+    """Turn totals that only grow, fields of a data class, into counters."""
+
+    def __init__(self, sender: Metrics, prefix: str, source: typing.Any):
+        self._sender = sender
+        self._prefix = prefix
+        self._source = source
+        self._names = [field.name for field in dataclasses.fields(source)]
+        self._sent = dict.fromkeys(self._names, 0)
+
+    def report(self) -> None:
+        """Count what was added since the last report."""
+        for name in self._names:
+            value = getattr(self._source, name)
+            grown = value - self._sent[name]
+            if grown:
+                self._sender.count(f'{self._prefix}.{name}', grown)
+                self._sent[name] = value
+
+
+class Reporter:
+    """Report the totals of parts that come and go, such as shards."""
+
+    def __init__(self, sender: Metrics):
+        self._sender = sender
+        self._totals: dict[str, dict[int, Totals]] = {}
+
+    def report(
+        self, prefix: str, sources: typing.Iterable[typing.Any]
+    ) -> None:
+        """Count what the present parts added, summed under one prefix."""
+        known = self._totals.get(prefix, {})
+        present: dict[int, Totals] = {}
+        for source in sources:
+            totals = known.get(id(source))
+            present[id(source)] = totals or Totals(
+                self._sender, prefix, source
+            )
+        self._totals[prefix] = present
+        for totals in present.values():
+            totals.report()
+
+
 def make(address: str, port: int, prefix: str) -> Metrics:
     """Return a statsd sender, or one that does nothing without address."""
     if not address:
--- a/tests/observe/test_metrics.py
+++ b/tests/observe/test_metrics.py
@@ -1,8 +1,16 @@
 """Check that metrics are summed up and sent on flush."""
 
+import dataclasses
+import pathlib
 import socket
 
+import pytest
+
+from hibiscusslip.jobs import engine as jobs_engine
 from hibiscusslip.observe import metrics
+from hibiscusslip.peer import counts
+
+DOCS = pathlib.Path(__file__).parents[2] / 'docs'
 
 
 def _received(fill):
@@ -49,3 +57,40 @@
     sender.count('calls')
     sender.flush()
     assert isinstance(sender, metrics.NoMetrics)
+
+
+def test_totals_are_sent_as_what_was_added():
+    totals = counts.Counts()
+
+    def fill(sender):
+        report = metrics.Totals(sender, 'peer.out', totals)
+        totals.calls = 5
+        report.report()
+        totals.calls = 7
+        report.report()
+
+    assert _received(fill) == ['h1.peer.out.calls:7|c']
+
+
+def test_reporter_sums_parts_that_come_and_go():
+    first, second = counts.Counts(calls=2), counts.Counts(calls=5)
+
+    def fill(sender):
+        reporter = metrics.Reporter(sender)
+        reporter.report('jobs', [first])
+        reporter.report('jobs', [first, second])
+        first.calls += 1
+        reporter.report('jobs', [first])
+
+    assert _received(fill) == ['h1.jobs.calls:8|c']
+
+
+@pytest.mark.parametrize('source', [counts.Counts, jobs_engine.Counters])
+def test_page_names_all_totals(source):
+    page = (DOCS / 'METRICS.md').read_text()
+    missing = [
+        field.name
+        for field in dataclasses.fields(source)
+        if f'`{field.name}`' not in page
+    ]
+    assert missing == []
