--- a/hibiscusslip/node/neighbours.py
+++ b/hibiscusslip/node/neighbours.py
@@ -123,10 +123,20 @@
     def take_listing(self, listing: platform_base.HostListing) -> None:
         """Take the host list as a hint, and as proof of who has ended."""
         now = clock.now()
+        self._note_holders(now)
         hosts = [h for h in listing.entry_hosts if h.zone in self._cfg.zones]
         for ended in self._members.on_listing(hosts, now):
             self._ownership.on_gone(ended, now)
 
+    def _note_holders(self, now: float) -> None:
+        """Have the holders of shards looked for, so that absence shows."""
+        for shard in range(self._cfg.shards_per_zone):
+            holding = self._ownership.ledger.latest(shard)
+            if holding is None or holding.host is None:
+                continue
+            if holding.host.name != self._cfg.me.name:
+                self._members.on_logged(holding.host, self._cfg.zone, now)
+
     def seed(self, name: str, zone: str, address: str, port: int) -> None:
         """Take a host that the settings name; its incarnation is open."""
         self._members.on_seed(name, zone, address, port, clock.now())
@@ -134,6 +144,6 @@
     def joined(self, host: places.HostId, address: str, port: int) -> None:
         """Take a host of this zone that the log tells of."""
         if host.name != self._cfg.me.name:
-            self._members.on_joined(
-                host, self._cfg.zone, address, port, clock.now()
+            self._members.on_logged(
+                host, self._cfg.zone, clock.now(), address, port
             )
