Gather gangs over several owners: hold, record, commit

Cause: a gang may need room on several shards, all or none. Change: holds with expiry on foreign shards, the intent on the log, the commit only while the home's lease outlasts the holds; reports and queries.

--- a/hibiscusslip/jobs/_endings.py
+++ b/hibiscusslip/jobs/_endings.py
@@ -223,6 +223,9 @@
             commands.StopTask(task.endpoint, name, st.cfg.stop_grace)
         )
         return
+    if task.phase == model.Phase.REMOTE:
+        st.pending.append(commands.StopRemote(task.place, name))
+        return
     if task.phase != model.Phase.QUEUED:
         return
     if job.spec.durable and not job.recorded:
--- a/hibiscusslip/jobs/commands.py
+++ b/hibiscusslip/jobs/commands.py
@@ -126,6 +126,14 @@
     report: RemoteTask
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopRemote:
+    """Stop a task on another shard."""
+
+    place: str
+    task: str
+
+
 Command = (
     StartTasks
     | WriteRecord
@@ -138,4 +146,5 @@
     | JobFinal
     | JobKept
     | ReportTask
+    | StopRemote
 )
--- a/hibiscusslip/node/fleet.py
+++ b/hibiscusslip/node/fleet.py
@@ -43,6 +43,7 @@
         connect: shard_runner.EndpointFactory,
         ids: collections.abc.Iterator[str],
         rng: random.Random,
+        remote: shard_runner.RemoteWork,
     ) -> None:
         self._cfg = cfg
         self._ownership = ownership
@@ -51,6 +52,7 @@
         self._connect = connect
         self._ids = ids
         self._rng = rng
+        self._remote = remote
         self._endpoints: dict[str, places.EndpointInfo] = {}
         self._policy: scheduler_base.FleetPolicy | None = None
         self.runners: dict[int, shard_runner.ShardRunner] = {}
@@ -106,6 +108,8 @@
             self._writer,
             self._connect,
             self._cfg.engine.worker_lease,
+            epoch,
+            self._remote,
         )
         self.runners[number] = runner
         logger.info('shard {} is owned at epoch {}', shard, epoch)
--- /dev/null
+++ b/hibiscusslip/node/guest_handler.py
@@ -0,0 +1,92 @@
+"""Serve homes on other hosts that have tasks on shards owned here."""
+
+from hibiscusslip.jobs import engine as jobs_engine
+from hibiscusslip.model import places
+from hibiscusslip.node import clock
+from hibiscusslip.node import fleet
+from hibiscusslip.node import home
+from hibiscusslip.node import peer_handler
+from hibiscusslip.node import remote_starts
+from hibiscusslip.node import shard_runner
+from hibiscusslip.peer import messages
+from hibiscusslip.records import job as job_records
+
+
+class GuestHandler:
+    """Answer holds, commits, queries and reports."""
+
+    def __init__(
+        self, shards: fleet.Fleet, starts: remote_starts.RemoteStarts
+    ) -> None:
+        self._fleet = shards
+        self._starts = starts
+
+    def serve(self, handler: peer_handler.PeerHandler) -> None:
+        """Answer the calls of other hosts."""
+        handler.add(messages.HoldRequest, self._hold)
+        handler.add(messages.CommitRequest, self._commit)
+        handler.add(messages.ReleaseRequest, self._release)
+        handler.add(messages.RemoteTaskQuery, self._query)
+        handler.add(messages.RemoteTaskReport, self._report)
+        handler.add(messages.StopTasks, self._stop)
+
+    def _runner(self, zone: str, number: int) -> shard_runner.ShardRunner:
+        """Return the runner of a shard; raises NotOwner."""
+        runner = self._fleet.runners.get(number)
+        shard = places.Shard(zone, number)
+        if runner is None or runner.shard != shard:
+            raise home.NotOwner(shard)
+        if runner.frozen or not runner.may_act(clock.now()):
+            raise home.NotOwner(shard)
+        return runner
+
+    async def _hold(self, sender, body: messages.HoldRequest):
+        runner = self._runner(body.zone, body.shard)
+        now = clock.now()
+        guest = jobs_engine.Guest(
+            places.Shard(body.home_zone, body.home_shard),
+            body.home_epoch,
+            job_records.decode_job(body.job),
+            body.attempt,
+            [],
+            now + body.duration,
+        )
+        tasks = runner.engine.hold(body.hold_id, guest, body.tasks, now)
+        return messages.HoldReply(body.hold_id, tasks)
+
+    async def _commit(self, sender, body: messages.CommitRequest):
+        runner = self._runner(body.zone, body.shard)
+        done = runner.engine.commit_hold(body.hold_id, clock.now())
+        await runner.changed()
+        return messages.CommitReply(body.hold_id, done)
+
+    async def _release(self, sender, body: messages.ReleaseRequest):
+        runner = self._runner(body.zone, body.shard)
+        runner.engine.release_hold(body.hold_id, clock.now())
+        await runner.changed()
+        return messages.Done()
+
+    async def _query(self, sender, body: messages.RemoteTaskQuery):
+        runner = self._runner(body.zone, body.shard)
+        asking = places.Shard(body.home_zone, body.home_shard)
+        found = runner.engine.query_guests(
+            asking, body.home_epoch, body.tasks, clock.now()
+        )
+        states = [remote_starts.state_of(report) for report in found]
+        return messages.RemoteTaskReport(
+            states, body.home_zone, body.home_shard, str(runner.shard)
+        )
+
+    async def _report(self, sender, body: messages.RemoteTaskReport):
+        runner = self._runner(body.home_zone, body.home_shard)
+        await self._starts.take_report(runner, body.place, body)
+        return messages.Done()
+
+    async def _stop(self, sender, body: messages.StopTasks):
+        runner = self._runner(body.zone, body.shard)
+        asking = places.Shard(body.home_zone, body.home_shard)
+        runner.engine.stop_guests(
+            asking, body.home_epoch, body.tasks, clock.now()
+        )
+        await runner.changed()
+        return messages.Done()
--- /dev/null
+++ b/hibiscusslip/node/home_peers.py
@@ -0,0 +1,48 @@
+"""Call other hosts, and this one as if it were another."""
+
+from hibiscusslip.model import places
+from hibiscusslip.peer import base
+from hibiscusslip.peer import messages
+
+
+class SelfPeers(base.Peers):
+    """Pass calls to the own host on to its handler at once."""
+
+    def __init__(self, me: places.HostId, others: base.Peers) -> None:
+        self._me = me
+        self._others = others
+        self._handler: base.Handler | None = None
+
+    def plug(self, handler: base.Handler) -> None:
+        """Tell who answers calls to the own host."""
+        self._handler = handler
+
+    async def call(
+        self,
+        host: str,
+        body: messages.PeerMessage,
+        timeout: float,
+        *,
+        incarnation: str = '',
+        trace: str = '',
+    ) -> messages.PeerMessage:
+        """Send a call and return the reply."""
+        if host == self._me.name and self._handler is not None:
+            return await self._handler.handle(self._me, body)
+        return await self._others.call(
+            host, body, timeout, incarnation=incarnation, trace=trace
+        )
+
+    def set_address(self, host: str, address: str, port: int) -> None:
+        """Tell where a host listens."""
+        self._others.set_address(host, address, port)
+
+    def incarnation_of(self, host: str) -> str:
+        """Return the incarnation at the other end, empty if not linked."""
+        if host == self._me.name:
+            return self._me.incarnation
+        return self._others.incarnation_of(host)
+
+    async def close(self) -> None:
+        """Close all links."""
+        await self._others.close()
--- a/hibiscusslip/node/node.py
+++ b/hibiscusslip/node/node.py
@@ -19,13 +19,16 @@
 from hibiscusslip.node import config
 from hibiscusslip.node import config_feed
 from hibiscusslip.node import fleet
+from hibiscusslip.node import guest_handler
 from hibiscusslip.node import hand_over
 from hibiscusslip.node import history
 from hibiscusslip.node import home
+from hibiscusslip.node import home_peers
 from hibiscusslip.node import neighbours
 from hibiscusslip.node import ownership_driver
 from hibiscusslip.node import peer_handler
 from hibiscusslip.node import remote_home
+from hibiscusslip.node import remote_starts
 from hibiscusslip.node import shard_runner
 from hibiscusslip.node import standing_keeper
 from hibiscusslip.node import zone_feed
@@ -75,6 +78,17 @@
         )
         stream = zone_records.stream_of(cfg.zone)
         self.writer = appender.Appender(parts.log, stream, self._refused)
+        self.owners = directory.ShardDirectory(len(cfg.shards))
+        peers = home_peers.SelfPeers(cfg.me, parts.peers)
+        self.remote = remote_starts.RemoteStarts(
+            cfg.me,
+            self.ownership,
+            peers,
+            self.owners,
+            self._find_owner,
+            self.ids,
+            cfg.hold,
+        )
         self.fleet = fleet.Fleet(
             cfg,
             self.ownership,
@@ -83,6 +97,7 @@
             parts.connect,
             self.ids,
             rng,
+            self.remote,
         )
         self.feed = zone_feed.ZoneFeed(
             parts.log, cfg.zone, self.ownership, self.index, self
@@ -99,7 +114,6 @@
             cfg.me,
         )
         self.standing = standing_keeper.StandingKeeper(cfg.shards)
-        self.owners = directory.ShardDirectory(len(cfg.shards))
         self.home = home.Home(self.fleet.runners)
         calls = remote_home.HomeCalls(cfg.me.name, self.home, parts.peers)
         self.acceptor = acceptor.Acceptor(
@@ -128,6 +142,7 @@
             self.config.heard_version,
         )
         self.handler = self._make_handler()
+        peers.plug(self.handler)
         self.history = history.History(cfg.me.name)
         self.stop_asked = False
         self._tasks = curio.TaskGroup()
@@ -137,6 +152,7 @@
         handler.add(messages.Heartbeat, self.neighbours.answer)
         handler.add(messages.ConfigQuery, self.config.answer)
         handler.add(messages.HandOver, self.hand_overs.take_part)
+        guest_handler.GuestHandler(self.fleet, self.remote).serve(handler)
         return handler
 
     async def start(self, address: str, port: int) -> None:
@@ -152,6 +168,7 @@
             self._follow_host_list,
             self._start_ready_shards,
             self._keep_standing,
+            self._ask_after_remote,
         )
         for loop in loops:
             await self._tasks.spawn(loop)
@@ -211,6 +228,12 @@
                 await self.standing.keep(runner)
             await curio.sleep(STANDING_INTERVAL_SECONDS)
 
+    async def _ask_after_remote(self) -> None:
+        while True:
+            for runner in list(self.fleet.runners.values()):
+                await self.remote.ask(runner)
+            await curio.sleep(remote_starts.ASK_INTERVAL_SECONDS)
+
     async def _in_force(self, record: configuration.ConfigRecord) -> None:
         self.history.note(
             f'put configuration {record.version} into force',
--- a/hibiscusslip/node/shard_runner.py
+++ b/hibiscusslip/node/shard_runner.py
@@ -1,5 +1,6 @@
 """Run one owned shard: feed its engine and carry out its commands."""
 
+import abc
 import collections.abc
 
 import curio
@@ -26,6 +27,32 @@
 ]
 
 
+class RemoteWork(abc.ABC):
+    """Start, stop and report tasks across shards."""
+
+    @abc.abstractmethod
+    async def gather(
+        self, runner: 'ShardRunner', wanted: commands.HoldElsewhere
+    ) -> None:
+        """Hold room for the missing tasks of a gang, then start it."""
+
+    @abc.abstractmethod
+    async def report(
+        self, runner: 'ShardRunner', command: commands.ReportTask
+    ) -> None:
+        """Tell a guest's home how its task stands."""
+
+    @abc.abstractmethod
+    async def stop(
+        self, runner: 'ShardRunner', command: commands.StopRemote
+    ) -> None:
+        """Stop a task on another shard."""
+
+    @abc.abstractmethod
+    async def ask(self, runner: 'ShardRunner') -> None:
+        """Ask other shards after the tasks that they have of ours."""
+
+
 class ShardRunner(runner_base.ShardAccess):
     """Own one shard as long as its lease holds."""
 
@@ -37,6 +64,8 @@
         writer: appender.Appender,
         connect: EndpointFactory,
         worker_lease: float,
+        epoch: int,
+        remote: RemoteWork,
     ) -> None:
         self.shard = shard
         self.engine = engine
@@ -47,6 +76,8 @@
         self._drivers: dict[str, endpoint_driver.EndpointDriver] = {}
         self._infos: dict[str, places.EndpointInfo] = {}
         self._waiters: dict[str, curio.Event] = {}
+        self.epoch = epoch
+        self.remote = remote
         self._tasks = curio.TaskGroup()
         self._dirty = curio.Event()
         self._ready = False
@@ -135,7 +166,15 @@
             elif isinstance(command, commands.JobFinal | commands.JobKept):
                 await self._wake_waiters(command.job_id)
             elif isinstance(command, commands.HoldElsewhere):
-                continue
+                await curio.spawn(
+                    self.remote.gather, self, command, daemon=True
+                )
+            elif isinstance(command, commands.ReportTask):
+                await curio.spawn(
+                    self.remote.report, self, command, daemon=True
+                )
+            elif isinstance(command, commands.StopRemote):
+                await curio.spawn(self.remote.stop, self, command, daemon=True)
             else:
                 await self._spawn(command)
 
@@ -193,6 +232,18 @@
 
         return await self._wait(job_id, timeout, kept)
 
+    async def wait_intent(
+        self, job_id: str, tasks: list[int], timeout: float
+    ) -> bool:
+        """Wait until the start intents of tasks are on the log."""
+
+        def written(job: model.Job) -> bool:
+            return job.intents >= set(tasks) or job.outcome.final
+
+        if not await self._wait(job_id, timeout, written):
+            return False
+        return not self.engine.jobs[job_id].outcome.final
+
     async def _wait(
         self,
         job_id: str,
--- a/hibiscusslip/ownership/owner.py
+++ b/hibiscusslip/ownership/owner.py
@@ -43,6 +43,11 @@
         """Return the ledger, to check other records against."""
         return self._state.ledger
 
+    @property
+    def timing(self) -> timing_.Timing:
+        """Return the durations that ownership rests on."""
+        return self._state.timing
+
     @property
     def draining(self) -> bool:
         """Tell whether this host takes no more shards."""
--- a/hibiscusslip/peer/messages.py
+++ b/hibiscusslip/peer/messages.py
@@ -205,6 +205,8 @@
     """Start the tasks that room is held for."""
 
     hold_id: str
+    zone: str
+    shard: int
 
 
 class CommitReply(_Message, frozen=True, tag='committed'):
@@ -218,6 +220,8 @@
     """Give held room back."""
 
     hold_id: str
+    zone: str
+    shard: int
 
 
 class RemoteTaskQuery(_Message, frozen=True, tag='remote_query'):
@@ -245,9 +249,12 @@
 
 
 class RemoteTaskReport(_Message, frozen=True, tag='remote_report'):
-    """Tell the home of tasks how they stand."""
+    """Tell the home of tasks how they stand on a shard, `place`."""
 
     tasks: list[RemoteTaskState]
+    home_zone: str
+    home_shard: int
+    place: str
 
 
 class StopTasks(_Message, frozen=True, tag='stop_tasks'):
