--- a/hibiscusslip/settings/_checks.py
+++ b/hibiscusslip/settings/_checks.py
@@ -159,6 +159,25 @@
             )
 
 
+@register
+def check_zones(cfg: _file.SettingsFile) -> Problems:
+    """Check that the list of zones has each once, and this host's own."""
+    names = [zone.name for zone in cfg.zones]
+    for index, name in enumerate(names):
+        if name in names[:index]:
+            yield Problem(
+                f'zones[{index}].name',
+                f'a name no other zone has, found {name!r} twice',
+                'remove one of the two entries',
+            )
+    if names and cfg.host.zone not in names:
+        yield Problem(
+            'zones',
+            f'the zone of this host, {cfg.host.zone!r}, among them',
+            'add it: all hosts of a region need the same list',
+        )
+
+
 @register
 def check_trace_file(cfg: _file.SettingsFile) -> Problems:
     """Check that the file exporter has a file to write to."""
--- a/tests/settings/test_settings.py
+++ b/tests/settings/test_settings.py
@@ -184,3 +184,13 @@
     if isinstance(value, bool):
         return str(value).lower()
     return f'{value:g}' if isinstance(value, float) else str(value)
+
+
+def test_zones_are_listed_once_and_hold_the_own_one(tmp_path):
+    own = '[[zones]]\nname = "ga-east-a"\n'
+    other = own.replace('east-a', 'east-b')
+    zones = load(tmp_path, GOOD + other + own).host.zones
+    assert zones == ('ga-east-a', 'ga-east-b')
+    assert 'zones' in faults_of(tmp_path, GOOD + other)
+    found = faults_of(tmp_path, GOOD + own + own)
+    assert set(found) == {'zones[1].name'}
