Follow a drained host to its end, ask it only once

Cause: ctl polled by asking the host again, so a drained host ended in exit code 5, and one that replaced it under the same name would have been asked to stop too. Change: one request, then the status is watched until that incarnation is gone. Job options and drains have their own modules. Conclusion: the command's test follows a host and an endpoint to the end; the fake fails when a host is asked twice.

--- a/hibiscusslip/commands/_client.py
+++ b/hibiscusslip/commands/_client.py
@@ -185,6 +185,14 @@
     return int(curio.run(main))
 
 
+async def fetch(client_: Client, call: Call, model: typing.Any) -> typing.Any:
+    """Return the document that answers a call; raises CommandError."""
+    reply = await client_.call(call)
+    if not reply.good:
+        raise tell_problem(reply)
+    return reply.read(model)
+
+
 def tell_problem(reply: Reply) -> exceptions.CommandError:
     """Return the error that tells a refused call."""
     problem = reply.read(Problem)
--- a/hibiscusslip/commands/_sheets.py
+++ b/hibiscusslip/commands/_sheets.py
@@ -86,10 +86,9 @@
 
 async def fetch(client: _client.Client) -> documents.ConfigDocument:
     """Return the configuration in force on the host that is called."""
-    reply = await client.call(_client.Call('GET', CONFIG_PATH))
-    if not reply.good:
-        raise _client.tell_problem(reply)
-    document: documents.ConfigDocument = reply.read(documents.ConfigDocument)
+    document: documents.ConfigDocument = await _client.fetch(
+        client, _client.Call('GET', CONFIG_PATH), documents.ConfigDocument
+    )
     return document
 
 
@@ -186,12 +185,9 @@
 ) -> ApplyReport:
     shown = -1
     while True:
-        reply = await client.call(
-            _client.Call('GET', f'{CONFIG_PATH}/in-force')
-        )
-        if not reply.good:
-            raise _client.tell_problem(reply)
-        hosts = reply.read(documents.InForceDocument).hosts
+        call = _client.Call('GET', f'{CONFIG_PATH}/in-force')
+        found = await _client.fetch(client, call, documents.InForceDocument)
+        hosts = found.hosts
         missing = [
             host.host for host in hosts if host.version < applied.version
         ]
--- a/hibiscusslip/commands/ctl.py
+++ b/hibiscusslip/commands/ctl.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from hibiscusslip.commands import _client
+from hibiscusslip.commands import _drains
 from hibiscusslip.commands import _options
 from hibiscusslip.commands import _output
 from hibiscusslip.commands import _sheets
@@ -19,7 +20,6 @@
 from hibiscusslip.operator import views
 
 CLEAR_SCREEN = '\x1b[2J\x1b[H'
-DRAIN_POLL_S = 1.0
 
 app = cyclopts.App(
     name='hibiscusslip-ctl',
@@ -141,7 +141,7 @@
 
     async def work(client: _client.Client) -> int:
         call = _client.Call('GET', '/v1/history', {'limit': str(limit)})
-        found = await _fetch(client, call, documents.EventsDocument)
+        found = await _client.fetch(client, call, documents.EventsDocument)
         _output.show(found, options.json, _views.events(found.events))
         return exceptions.Exit.DONE
 
@@ -155,7 +155,7 @@
     async def work(client: _client.Client) -> int:
         path = _client.path_of('v1', 'jobs', job, 'explain')
         call = _client.Call('GET', path)
-        found = await _fetch(client, call, documents.StoryDocument)
+        found = await _client.fetch(client, call, documents.StoryDocument)
         _output.show(found, options.json, '\n'.join(found.lines))
         return exceptions.Exit.DONE
 
@@ -179,25 +179,13 @@
     endpoint
         The name is that of an endpoint.
     wait
-        Seconds to wait until it is empty.
+        Seconds to wait until it is empty, and a host has stopped.
     """
-    place = 'endpoints' if endpoint else 'hosts'
-    path = _client.path_of('v1', place, name, 'drain')
-
-    async def work(client: _client.Client) -> int:
-        shown = ''
-        for _ in range(max(1, round(wait / DRAIN_POLL_S))):
-            call = _client.Call('POST', path)
-            found = await _fetch(client, call, service.DrainState)
-            if found.detail != shown:
-                shown = found.detail
-                _output.show(found, options.json, f'{name}: {shown}')
-            if found.done:
-                return exceptions.Exit.DONE
-            await curio.sleep(DRAIN_POLL_S)
-        return exceptions.Exit.INCOMPLETE
-
-    return _client.run(options.client(), work)
+    flow = _drains.drain_endpoint if endpoint else _drains.drain_host
+    return _client.run(
+        options.client(),
+        lambda client: flow(client, name, wait, options.json),
+    )
 
 
 @app.command
@@ -237,13 +225,13 @@
 
     async def work(client: _client.Client) -> int:
         call = _client.Call('GET', '/v1/jobs', selector)
-        found = await _fetch(client, call, service.Selection)
+        found = await _client.fetch(client, call, service.Selection)
         _output.show(found, options.json, _views.selection(found))
         if not yes or not found.count:
             return _complete(found.unreachable)
         body = msgspec.json.encode(selector | {'at_most': found.count})
         call = _client.Call('POST', '/v1/cancellations', body=body)
-        done = await _fetch(client, call, service.Cancellation)
+        done = await _client.fetch(client, call, service.Cancellation)
         _output.show(done, options.json, f'{done.count} jobs cancelled')
         return _complete(done.unreachable)
 
@@ -252,20 +240,11 @@
 
 async def _show_status(client: _client.Client, as_json: bool) -> int:
     call = _client.Call('GET', '/v1/status')
-    found = await _fetch(client, call, views.FleetStatus)
+    found = await _client.fetch(client, call, views.FleetStatus)
     _output.show(found, as_json, _views.status(found))
     return _complete(found.unreachable)
 
 
-async def _fetch(
-    client: _client.Client, call: _client.Call, model: typing.Any
-) -> typing.Any:
-    reply = await client.call(call)
-    if not reply.good:
-        raise _client.tell_problem(reply)
-    return reply.read(model)
-
-
 def _complete(unreachable: list[str]) -> int:
     if unreachable:
         return exceptions.Exit.INCOMPLETE
--- a/hibiscusslip/commands/submit.py
+++ b/hibiscusslip/commands/submit.py
@@ -1,6 +1,5 @@
 """Let callers submit jobs, wait for them, cancel and explain them."""
 
-import dataclasses
 import pathlib
 import sys
 import typing
@@ -10,6 +9,7 @@
 import msgspec
 
 from hibiscusslip.commands import _client
+from hibiscusslip.commands import _jobs
 from hibiscusslip.commands import _load
 from hibiscusslip.commands import _options
 from hibiscusslip.commands import _output
@@ -60,77 +60,10 @@
     lines: list[str]
 
 
-@cyclopts.Parameter(name='*')
-@dataclasses.dataclass(frozen=True)
-class JobOptions:
-    """Describe a job; amounts are per task."""
-
-    team: typing.Annotated[
-        str, cyclopts.Parameter(help='Team, as in the sheet.')
-    ]
-    kind: typing.Annotated[
-        str, cyclopts.Parameter(help='Kind of work, as in the sheet.')
-    ]
-    form: typing.Annotated[
-        work.Form,
-        cyclopts.Parameter(help='Gangs start all tasks at once or none.'),
-    ] = work.Form.BATCH
-    urgency: typing.Annotated[
-        typing.Literal['urgent', 'high', 'normal', 'low'] | None,
-        cyclopts.Parameter(help='By default that of the kind.'),
-    ] = None
-    tasks: typing.Annotated[
-        int, cyclopts.Parameter(help='Number of tasks.')
-    ] = 1
-    cores: typing.Annotated[float, cyclopts.Parameter(help='Processors.')] = (
-        1.0
-    )
-    memory_gb: typing.Annotated[float, cyclopts.Parameter(help='GiB.')] = 1.0
-    accelerators: typing.Annotated[
-        int, cyclopts.Parameter(help='Accelerators.')
-    ] = 0
-    run_time: typing.Annotated[
-        float, cyclopts.Parameter(help='Declared run time in seconds.')
-    ] = 1.0
-    once: typing.Annotated[
-        bool,
-        cyclopts.Parameter(
-            help='Not repeatable: run at most once.', negative=''
-        ),
-    ] = False
-    spread: typing.Annotated[
-        bool,
-        cyclopts.Parameter(help='Use different racks.', negative=''),
-    ] = False
-    workload: typing.Annotated[
-        str,
-        cyclopts.Parameter(help='Name under which run times are learned.'),
-    ] = ''
-    deadline: typing.Annotated[
-        float | None,
-        cyclopts.Parameter(
-            help='Unix time after which it is not started any more.'
-        ),
-    ] = None
-    payload: typing.Annotated[
-        str, cyclopts.Parameter(help='Text for the tasks.')
-    ] = ''
-
-    def document(self) -> bytes:
-        """Return the JSON document that submits the job."""
-        values = dataclasses.asdict(self)
-        values['repeatable'] = not values.pop('once')
-        if self.urgency is None:
-            del values['urgency']
-        if self.deadline is None:
-            del values['deadline']
-        return msgspec.json.encode(values)
-
-
 @app.command
 def submit(
     *,
-    job: JobOptions,
+    job: _jobs.JobOptions,
     wait: float = 0.0,
     key: str = '',
     options: Options = DEFAULTS,
@@ -191,10 +124,7 @@
 
     async def work_(client: _client.Client) -> int:
         path = _client.path_of('v1', 'jobs', job, 'explain')
-        reply = await client.call(_client.Call('GET', path))
-        if not reply.good:
-            raise _client.tell_problem(reply)
-        story = reply.read(Story)
+        story = await _client.fetch(client, _client.Call('GET', path), Story)
         _output.show(story, options.json, '\n'.join(story.lines))
         return exceptions.Exit.DONE
 
@@ -236,7 +166,7 @@
 @app.command
 def load(
     *,
-    job: JobOptions,
+    job: _jobs.JobOptions,
     rate: float = 100.0,
     duration: float = 10.0,
     wait: float = 30.0,
--- a/tests/commands/border_process.py
+++ b/tests/commands/border_process.py
@@ -41,14 +41,22 @@
         super().__init__()
         self.version = 2
         self.drained = 0
+        self.looked = 0
 
     async def status(self):
-        """Return two hosts, one of them out of reach."""
+        """Return two hosts, one of them out of reach.
+
+        The other is gone from the second look after its drain on.
+        """
+        live = views.HostCondition.LIVE
+        if self.drained:
+            self.drained += 1
+            live = (
+                views.HostCondition.UNREACHABLE if self.drained > 2 else live
+            )
         shard = views.ShardView('a:1', 7, 3, 4)
         hosts = [
-            views.HostView(
-                'h1', 'a', views.HostCondition.LIVE, 'i', 3, shards=[shard]
-            ),
+            views.HostView('h1', 'a', live, 'i', 3, shards=[shard]),
             views.HostView('h2', 'b', views.HostCondition.UNREACHABLE),
         ]
         return views.merge(3, 'ann', hosts)
@@ -76,10 +84,16 @@
         return service.Selection(1, [line], [])
 
     async def drain_host(self, host):
-        """Be done at the second look."""
-        self.drained += 1
-        left = 2 - self.drained
-        return service.DrainState(host, not left, f'{left} shards left')
+        """Refuse to be asked twice."""
+        assert not self.drained
+        self.drained = 1
+        return service.DrainState(host, False, 'stops')
+
+    async def drain_endpoint(self, endpoint):
+        """Be empty at the second look."""
+        self.looked += 1
+        left = 2 - self.looked
+        return service.DrainState(endpoint, not left, f'{left} tasks left')
 
     async def current(self):
         """Return version 3, the sample of Estendal."""
--- a/tests/commands/test_commands.py
+++ b/tests/commands/test_commands.py
@@ -138,11 +138,20 @@
     assert max(map(len, out.splitlines())) <= 80
 
 
-def test_history_explain_and_drain(ports, capsys):
+def test_history_and_explain(ports, capsys):
     assert 'h2 died' in operate(ports, capsys, 'history')[1]
     assert 'j1 waits' in operate(ports, capsys, 'explain', 'j1')[1]
-    code, out, _ = operate(ports, capsys, 'drain', 'h1')
-    assert (code, out) == (0, 'h1: 1 shards left\nh1: 0 shards left\n')
+
+
+def test_drain_waits_until_the_host_or_endpoint_is_done(behind_ports, capsys):
+    drain = ('drain', 'w1', '--endpoint')
+    code, out, _ = operate(behind_ports, capsys, *drain)
+    assert (code, out) == (0, 'w1: 1 tasks left\nw1: 0 tasks left\n')
+    code, out, _ = operate(behind_ports, capsys, 'drain', 'h1')
+    assert (code, out) == (
+        0,
+        'h1: stops\nh1: it has stopped, or can not be reached\n',
+    )
 
 
 def test_cancel_previews_and_acts_only_when_told(ports, capsys):
