Refuse settings that would give one key two homes

Cause: in a trial a host of zone a and one of zone b, neither with a list of zones, took the same key of the same team as two jobs. Change: a settings file whose seeds stand in another zone has to list the zones of its region. Arbitrary bodies are fed to the submission route.

--- a/hibiscusslip/settings/_checks.py
+++ b/hibiscusslip/settings/_checks.py
@@ -178,6 +178,23 @@
         )
 
 
+@register
+def check_foreign_seeds(cfg: _file.SettingsFile) -> Problems:
+    """Check that zones are listed where seeds show that there are more.
+
+    Hosts with unlike lists give the same key different homes, and a retry
+    by way of another zone would run the job twice.
+    """
+    foreign = {seed.zone for seed in cfg.seeds} - {cfg.host.zone}
+    if foreign and not cfg.zones:
+        yield Problem(
+            'zones',
+            'all availability zones of the region, as seeds name'
+            f' {", ".join(sorted(foreign))} besides {cfg.host.zone}',
+            'add an entry [[zones]] for each zone of this region',
+        )
+
+
 @register
 def check_trace_file(cfg: _file.SettingsFile) -> Problems:
     """Check that the file exporter has a file to write to."""
--- a/tests/caller/test_handler.py
+++ b/tests/caller/test_handler.py
@@ -4,6 +4,8 @@
 import pathlib
 
 import curio
+import hypothesis
+from hypothesis import strategies as st
 import pytest
 
 from hibiscusslip.caller import _documents
@@ -276,3 +278,19 @@
     pairs = {'Job': _documents.JobDocument, 'State': _documents.StateDocument}
     for name, model in pairs.items():
         assert set(schemas[name]['properties']) == set(model.__struct_fields__)
+
+
+VALUES = st.none() | st.booleans() | st.integers() | st.floats() | st.text()
+MEMBERS = st.sampled_from(_documents.JobDocument.__struct_fields__)
+BODIES = st.binary() | st.dictionaries(MEMBERS | st.text(), VALUES).map(
+    lambda extra: json.dumps(JOB | extra).encode()
+)
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=300)
+@hypothesis.given(BODIES, st.dictionaries(st.text(), st.text(), max_size=2))
+def test_any_submission_is_queued_or_refused(body, query):
+    jobs = fakes.FakeJobs()
+    status, _, document = call(jobs, 'POST', '/v1/jobs', body, query=query)
+    assert (status == 202) == (len(jobs.specs) == 1)
+    assert status == 202 or (status in (400, 422) and document['detail'])
--- a/tests/settings/test_settings.py
+++ b/tests/settings/test_settings.py
@@ -192,5 +192,10 @@
     zones = load(tmp_path, GOOD + other + own).host.zones
     assert zones == ('ga-east-a', 'ga-east-b')
     assert 'zones' in faults_of(tmp_path, GOOD + other)
+    foreign = GOOD.replace(
+        'zone = "ga-east-a"\naddress', 'zone = "b"\naddress'
+    )
+    assert 'zones' in faults_of(tmp_path, foreign)
+    assert load(tmp_path, foreign + own).host.zones == ('ga-east-a',)
     found = faults_of(tmp_path, GOOD + own + own)
     assert set(found) == {'zones[1].name'}
