Let nothing of an abandoned call travel on

Closing a socket leaves the kernel sending what it holds, so an order whose caller gave up could reach an endpoint later than a new owner waits for. Abandoned calls are reset, and an endpoint's sockets give up after the call timeout.

--- a/hibiscusslip/endpoint/http_endpoint.py
+++ b/hibiscusslip/endpoint/http_endpoint.py
@@ -1,5 +1,6 @@
 """Reach an endpoint by HTTP and JSON."""
 
+import dataclasses
 import typing
 import urllib.parse
 
@@ -23,8 +24,10 @@
     """Call the endpoint at one address.
 
     `timeout` in seconds bounds every call, for events on top of their wait
-    and for stops on top of their grace. Events that are read in order and
-    waited for come over one long response; one task at a time reads them.
+    and for stops on top of their grace; it also bounds how long bytes that
+    aren't acknowledged travel, so that no order arrives much later. Events
+    that are read in order and waited for come over one long response; one
+    task at a time reads them.
     """
 
     def __init__(
@@ -35,6 +38,7 @@
         bounds: limits.Limits = limits.DEFAULT,
     ) -> None:
         self._timeout = timeout
+        bounds = dataclasses.replace(bounds, tcp_user_timeout=timeout)
         self._calls = client.Pool(address, port, bounds, CALL_CONNECTIONS)
         self._events = _event_reader.EventReader(
             address, port, timeout, bounds
--- a/hibiscusslip/http/_exchange.py
+++ b/hibiscusslip/http/_exchange.py
@@ -55,6 +55,11 @@
         """Close the connection."""
         await self._sock.close()
 
+    async def abort(self) -> None:
+        """Close the connection and send nothing more of an open request."""
+        _sockets.discard_unsent(self._sock)
+        await self._sock.close()
+
     async def exchange(
         self, head: h11.Request, body: bytes, progress: Progress
     ) -> messages.Response:
--- a/hibiscusslip/http/_sockets.py
+++ b/hibiscusslip/http/_sockets.py
@@ -1,11 +1,13 @@
 """Set socket options and read what a socket holds."""
 
 import socket
+import struct
 import typing
 
 from curio import socket as curio_socket
 
 MS_PER_S = 1000
+DISCARD_UNSENT = struct.pack('ii', 1, 0)
 
 
 def set_options(sock: typing.Any, user_timeout: float) -> None:
@@ -37,6 +39,16 @@
         return
 
 
+def discard_unsent(sock: typing.Any) -> None:
+    """Have closing drop what the kernel hasn't sent yet."""
+    try:
+        sock._socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, DISCARD_UNSENT
+        )
+    except (OSError, AttributeError):
+        return
+
+
 def quiet(sock: typing.Any) -> bool:
     """Tell whether an idle socket is open and holds no data."""
     try:
--- a/hibiscusslip/http/client.py
+++ b/hibiscusslip/http/client.py
@@ -89,7 +89,7 @@
         try:
             response = await conn.exchange(head, body, progress)
         except BaseException:
-            await conn.close()
+            await conn.abort()
             raise
         if conn.recycle() and not self._closed:
             self._idle.append(conn)
