--- a/tests/test_faults_cluster.py
+++ b/tests/test_faults_cluster.py
@@ -63,10 +63,11 @@
     serving.run(work)
 
 
-def test_held_request_takes_effect_after_the_heal(cell):
+def test_held_request_may_take_effect_after_the_heal(cell):
     async def work():
         before = end_offset(cell)
         log = log_of(cell, timeout=1.0)
+        cell.fault(ROUTE, up={'late': True})
         cell.partition('a', with_platform=True)
         with pytest.raises(exceptions.AppendUnsettled):
             await log.append(STREAM, [b'late'])
@@ -78,6 +79,19 @@
     serving.run(work)
 
 
+def test_abandoned_request_goes_no_further(cell):
+    async def work():
+        before = end_offset(cell)
+        log = log_of(cell, timeout=1.0)
+        cell.partition('a', with_platform=True)
+        with pytest.raises(exceptions.AppendUnsettled):
+            await log.append(STREAM, [b'gone'])
+        cell.heal()
+        assert await log.append(STREAM, [b'next']) == before
+
+    serving.run(work)
+
+
 @pytest.mark.parametrize('way', ['up', 'down'])
 def test_dropped_bytes_reset_the_connection_after_the_heal(cell, way):
     async def work():
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -99,6 +99,22 @@
     serving.run(work)
 
 
+def test_abandoned_request_is_reset_and_not_sent_to_its_end():
+    async def work():
+        sock = curio.socket.socket()
+        sock.bind(('127.0.0.1', 0))
+        sock.listen(1)
+        pool = client.Pool('127.0.0.1', sock.getsockname()[1])
+        with pytest.raises(exceptions.CallUnsettled):
+            await pool.call('POST', '/', body=b'x' * 2**24, timeout=0.5)
+        peer, _ = await sock.accept()
+        with pytest.raises(ConnectionError):
+            while await peer.recv(65536):
+                continue
+
+    serving.run(work)
+
+
 def test_connection_closed_while_idle_is_replaced():
     async def work():
         bounds = limits.Limits(idle_timeout=0.1, sweep_interval=0.02)
