--- a/hibiscusslip/bench/capacity/memory_slopes.py
+++ b/hibiscusslip/bench/capacity/memory_slopes.py
@@ -53,7 +53,7 @@
     engine = fleets.new_engine(shape)
     assumed = shape.assumed
 
-    def run() -> int:
+    def _run() -> int:
         now = 1.0
         for number in range(MANY // assumed.tasks_per_job):
             engine.submit(samples.job(number, assumed.tasks_per_job), now)
@@ -62,7 +62,7 @@
                 fleets.end_all(engine, started, assumed.answer_bytes, now)
         return sum(len(job.tasks) for job in engine.jobs.values())
 
-    used, kept = clocks.weigh(run)
+    used, kept = clocks.weigh(_run)
     return used / kept
 
 
@@ -76,9 +76,11 @@
     worker_lease = 1e6
 
     def may_act(self, now: float) -> bool:
+        """Tell that the shard is held."""
         return True
 
     async def changed(self) -> None:
+        """Do nothing."""
         return None
 
 
@@ -101,29 +103,29 @@
 
 
 def _known_host(shape: sizes.Shape) -> float:
-    def build(hosts: int) -> fleets.Beating:
+    def _build(hosts: int) -> fleets.Beating:
         beating = fleets.Beating(hosts, shape.assumed, random.Random(1))
         for _ in range(50):
             beating.step()
         return beating
 
-    many, _ = clocks.weigh(lambda: build(MANY))
-    few, _ = clocks.weigh(lambda: build(FEW_HOSTS))
+    many, _ = clocks.weigh(lambda: _build(MANY))
+    few, _ = clocks.weigh(lambda: _build(FEW_HOSTS))
     return (many - few) / (MANY - FEW_HOSTS)
 
 
 def _known_shard() -> float:
-    def build() -> directory.ShardDirectory:
+    def _build() -> directory.ShardDirectory:
         owners = directory.ShardDirectory(MANY)
         for number in range(MANY):
             owners.learn(samples.host(1), [samples.load(number)], 1.0)
         return owners
 
-    return clocks.weigh(build)[0] / MANY
+    return clocks.weigh(_build)[0] / MANY
 
 
 def _recorded_job(assumed: sizes.Assumptions) -> float:
-    def build() -> jobs_index.JobIndex:
+    def _build() -> jobs_index.JobIndex:
         index = jobs_index.JobIndex(MANY, 1024 * 1024)
         for number in range(MANY):
             spec = samples.job(
@@ -133,7 +135,7 @@
             index.apply(zone_records.JobAccepted(f'r{number}', 3, 17, data))
         return index
 
-    return clocks.weigh(build)[0] / MANY
+    return clocks.weigh(_build)[0] / MANY
 
 
 def _team(shape: sizes.Shape) -> float:
@@ -149,13 +151,13 @@
     ]
     data = msgspec.json.encode(platform_wire.HostsReply(entries, []))
 
-    def read() -> platform_wire.HostsReply:
+    def _read() -> platform_wire.HostsReply:
         listing: platform_wire.HostsReply = platform_wire.decode(
             data, platform_wire.HostsReply
         )
         return listing
 
-    return clocks.weigh(read)[0] / MANY
+    return clocks.weigh(_read)[0] / MANY
 
 
 def measure(shape: sizes.Shape) -> MemorySlopes:
--- a/hibiscusslip/bench/capacity/time_slopes.py
+++ b/hibiscusslip/bench/capacity/time_slopes.py
@@ -64,6 +64,7 @@
     async def handle(
         self, req: http_messages.Request
     ) -> http_messages.Response:
+        """Return an answer at once."""
         return http_messages.Response(200, {}, req.body)
 
 
@@ -124,14 +125,14 @@
         fleets.new_engine(shape) for _ in range(round(shape.shards_per_host))
     ]
 
-    def change() -> None:
+    def _change() -> None:
         record = configuration.decode(data)
         assert isinstance(record, configuration.ConfigRecord)
         policy = configuration.to_policy(record.sheet, record.version)
         for engine in shards:
             engine.scheduler.set_policy(policy, 1.0)
 
-    return clocks.cpu_micros(change, CHANGES)
+    return clocks.cpu_micros(_change, CHANGES)
 
 
 def _zone_record(assumed: sizes.Assumptions) -> float:
@@ -139,11 +140,11 @@
     index = jobs_index.JobIndex(100, 1024 * 1024)
     data = [codec.encode(item) for item in samples.job_records_of(assumed)]
 
-    def read() -> None:
+    def _read() -> None:
         for item in data:
             index.apply(codec.decode(item, zone_records.ZoneRecord))
 
-    return clocks.cpu_micros(read, REPEATS // 4) / len(data)
+    return clocks.cpu_micros(_read, REPEATS // 4) / len(data)
 
 
 def _host_entry() -> float:
@@ -154,10 +155,10 @@
     ]
     data = msgspec.json.encode(platform_wire.HostsReply(entries, []))
 
-    def read() -> None:
+    def _read() -> None:
         platform_wire.decode(data, platform_wire.HostsReply).listing()
 
-    return clocks.cpu_micros(read, CHANGES) / len(entries)
+    return clocks.cpu_micros(_read, CHANGES) / len(entries)
 
 
 def measure(shape: sizes.Shape) -> TimeSlopes:
--- a/hibiscusslip/bench/capacity/wire_slopes.py
+++ b/hibiscusslip/bench/capacity/wire_slopes.py
@@ -115,6 +115,7 @@
     async def handle(
         self, req: http_messages.Request
     ) -> http_messages.Response:
+        """Return an answer at once."""
         return http_messages.Response(200)
 
 
--- a/hibiscusslip/bench/peer_link.py
+++ b/hibiscusslip/bench/peer_link.py
@@ -48,6 +48,7 @@
     async def handle(
         self, sender: places.HostId, body: messages.PeerMessage
     ) -> messages.PeerMessage:
+        """Confirm the call."""
         return messages.Done()
 
 
