--- a/hibiscusslip/peer/limits.py
+++ b/hibiscusslip/peer/limits.py
@@ -5,7 +5,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Limits:
-    """Hold the limits of a link; sizes in bytes, times in seconds."""
+    """Hold the limits of a link; sizes in bytes, times in seconds.
+
+    `max_unproved` bounds the connections that haven't shown a key yet.
+    """
 
     max_frame_bytes: int = 1024 * 1024
     max_queue_bytes: int = 4 * 1024 * 1024
@@ -13,6 +16,7 @@
     max_calls: int = 256
     max_in_flight: int = 64
     max_links: int = 256
+    max_unproved: int = 32
     connect_timeout: float = 3.0
     hello_timeout: float = 3.0
     write_timeout: float = 10.0
--- a/hibiscusslip/peer/server.py
+++ b/hibiscusslip/peer/server.py
@@ -82,12 +82,19 @@
                 loguru.logger.warning('no link accepted: {}', exc)
                 await curio.sleep(ACCEPT_PAUSE_SECONDS)
                 continue
-            if self._links >= self._limits.max_links:
+            if self._full():
                 await sock.close()
                 continue
             self._links += 1
             await self._spawn(self._serve_link(sock))
 
+    def _full(self) -> bool:
+        unproved = self._links - len(self._sessions)
+        return (
+            self._links >= self._limits.max_links
+            or unproved >= self._limits.max_unproved
+        )
+
     async def _serve_link(self, sock: curio.io.Socket) -> None:
         session = None
         try:
--- a/tests/peer/test_faults.py
+++ b/tests/peer/test_faults.py
@@ -137,6 +137,29 @@
     curio.run(scenario)
 
 
+def test_too_many_unproved_connections_are_closed():
+    lim = fakes.limits.Limits(max_unproved=1)
+
+    async def scenario():
+        async with fakes.serving(lim=lim) as running:
+            async with raw.calling(running.port):
+                extra = await curio.open_connection('127.0.0.1', running.port)
+                assert await extra.recv(1) == b''
+                await extra.close()
+            async with fakes.linked(running.port) as links:
+                while not await _answered(links):
+                    await curio.sleep(0.01)
+
+    curio.run(scenario)
+
+
+async def _answered(links):
+    try:
+        return await links.call('b', QUERY, 5)
+    except exceptions.PeerUnreachable:
+        return None
+
+
 class StuckSocket:
     """Take half of each write and then fail."""
 
