--- a/hibiscusslip/demo/cell.py
+++ b/hibiscusslip/demo/cell.py
@@ -128,6 +128,7 @@
             shards_per_zone=self.deployment.shards_per_zone,
             timing=QUICK_TIMING,
             engine=QUICK_ENGINE,
+            hold=0.5,
             host_list_interval=0.5,
         )
         parts = node_.Parts(
--- a/hibiscusslip/jobs/_starting.py
+++ b/hibiscusslip/jobs/_starting.py
@@ -28,7 +28,10 @@
         elif isinstance(decision, scheduler_base.GangWanted):
             st.pending.append(
                 commands.HoldElsewhere(
-                    decision.job_id, decision.missing, decision.expires
+                    decision.job_id,
+                    decision.missing,
+                    decision.expires,
+                    decision.local,
                 )
             )
         elif isinstance(decision, scheduler_base.Preempt):
--- a/hibiscusslip/jobs/commands.py
+++ b/hibiscusslip/jobs/commands.py
@@ -7,6 +7,7 @@
 from hibiscusslip.model import places
 from hibiscusslip.model import work
 from hibiscusslip.records import zone
+from hibiscusslip.scheduler import base as scheduler_base
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -74,6 +75,7 @@
     job_id: str
     tasks: list[int]
     expires: float
+    local: list[scheduler_base.Start]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hibiscusslip/node/remote_starts.py
+++ b/hibiscusslip/node/remote_starts.py
@@ -87,11 +87,11 @@
             return
         held = await self._hold_all(runner, job.spec, wanted.tasks)
         if held and await self._may_start(runner, job.spec, held):
-            await self._start(runner, job.spec.job_id, held)
+            await self._start(runner, wanted, held)
             return
         for part in held:
             await self._release(part)
-        runner.engine.scheduler.gang_failed(wanted.job_id, clock.now())
+        runner.engine.scheduler.release_hold(wanted.job_id, clock.now())
 
     async def _hold_all(
         self,
@@ -184,18 +184,16 @@
     async def _start(
         self,
         runner: shard_runner.ShardRunner,
-        job_id: str,
+        wanted: commands.HoldElsewhere,
         held: list[HeldPart],
     ) -> None:
         """Start the local part and commit the held ones."""
         now = clock.now()
         engine = runner.engine
-        tasks = [index for part in held for index in part.tasks]
-        starts = engine.scheduler.gang_filled(job_id, tasks, now)
-        if starts is None:
+        job_id = wanted.job_id
+        if not engine.scheduler.commit_hold(job_id, now):
             for part in held:
                 await self._release(part)
-            engine.scheduler.gang_failed(job_id, now)
             return
         margin = 1 + self._ownership_drift()
         for part in held:
@@ -204,7 +202,7 @@
                 engine.mark_remote(
                     job_id, index, str(part.shard), settled_at, now
                 )
-        engine.start_local(starts, now)
+        engine.start_local(wanted.local, now)
         await runner.changed()
         async with curio.TaskGroup() as group:
             for part in held:
--- a/hibiscusslip/scheduler/_accounts.py
+++ b/hibiscusslip/scheduler/_accounts.py
@@ -202,6 +202,18 @@
         guaranteed, borrowed = self.allowances(kind)
         return _vector.fits(need, guaranteed) or _vector.fits(need, borrowed)
 
+    def could_hold(
+        self, kind: str, team: str, need: _vector.Vector, fraction: float
+    ) -> bool:
+        """Tell whether `need` fits a kind and a team that hold nothing."""
+        if not _vector.fits(need, self.kind(kind).ceiling):
+            return False
+        quota = self.quotas.get(team)
+        if quota is None:
+            return True
+        part = _vector.scale(_vector.of(quota.limit), fraction)
+        return _vector.fits(need, part)
+
     def below_ceiling(self, kind: str, need: _vector.Vector) -> bool:
         """Tell whether a kind may hold `need` more by its ceiling."""
         account = self.kind(kind)
--- a/hibiscusslip/scheduler/_starter.py
+++ b/hibiscusslip/scheduler/_starter.py
@@ -113,7 +113,7 @@
         need = _vector.scale(job.demand, len(job.pending))
         lack = self.lacking(job, need)
         if lack is not None:
-            return lack
+            return self._beyond_shard(job, need, now) or lack
         plan = self._gatherer.plan
         if plan is not None and plan.job is job:
             return _order.Block.ROOM
@@ -126,6 +126,18 @@
             return _order.Block.JOB
         return _order.Block.ELSEWHERE
 
+    def _beyond_shard(
+        self, job: _jobs.Job, need: _vector.Vector, now: float
+    ) -> _order.Block | None:
+        """Tell where to look for a gang that never fits the shares here."""
+        accounts = self._ledger.accounts
+        fraction = self._bounds.quota_fraction
+        if accounts.could_hold(job.spec.kind, job.spec.team, need, fraction):
+            return None
+        if now < job.next_try:
+            return _order.Block.JOB
+        return _order.Block.ELSEWHERE
+
     def _place_whole(
         self, job: _jobs.Job, now: float
     ) -> base.GangStart | None:
--- a/hibiscusslip/scheduler/base.py
+++ b/hibiscusslip/scheduler/base.py
@@ -101,7 +101,8 @@
     """Decide to gather room for a gang on other shards too.
 
     `local` are placements held here until `expires`, `missing` the numbers
-    of tasks that need room elsewhere.
+    of tasks that need room elsewhere. The hold's id is the job's: commit it
+    once the rest is held, release it to have the gang try again later.
     """
 
     job_id: str
