--- a/hibiscusslip/scheduler/_holds.py
+++ b/hibiscusslip/scheduler/_holds.py
@@ -89,6 +89,14 @@
         hold = self._holds.get(job_id)
         return hold is not None and not hold.committed
 
+    @property
+    def gathering(self) -> bool:
+        """Tell whether a gang of this shard waits for room elsewhere."""
+        return any(
+            not (hold.committed or hold.job.foreign)
+            for hold in self._holds.values()
+        )
+
     def commit(self, hold_id: str, now: float) -> bool:
         """Turn a hold into bookings; True again for a committed one."""
         hold = self._holds.get(hold_id)
--- a/hibiscusslip/scheduler/_shard.py
+++ b/hibiscusslip/scheduler/_shard.py
@@ -282,7 +282,10 @@
             if job is None:
                 return
             decision = self._starter.start(job, now)
-            if decision is _order.Block.ELSEWHERE:
+            if decision is _order.Block.ELSEWHERE and self._holds.gathering:
+                # One at a time, or each keeps what the other lacks.
+                order.block(job, _order.Block.JOB)
+            elif decision is _order.Block.ELSEWHERE:
                 decisions.append(self._holds.gather(job, now))
             elif isinstance(decision, _order.Block):
                 order.block(job, decision)
--- a/hibiscusslip/scheduler/limits.py
+++ b/hibiscusslip/scheduler/limits.py
@@ -20,8 +20,8 @@
     max_retry_after: float = 600.0
     unix_offset: float = 0.0
     quota_fraction: float = 1.0
-    gang_hold: float = 10.0
-    gang_retry: float = 5.0
+    gang_hold: float = 5.0
+    gang_retry: float = 0.5
     service_backoff: float = 1.0
     max_service_backoff: float = 60.0
     suspicion: bool = True
