Start gangs over several shards as soon as their intent is read back

Cause: a gang beyond its shard's share waited for its intent until the hold had expired, as nobody was woken; and gangs of two shards could keep what the other lacked for ever. Change: the intent wakes its waiter; after a failure a shard pauses for a random while before it gathers again.

--- a/hibiscusslip/demo/__main__.py
+++ b/hibiscusslip/demo/__main__.py
@@ -19,7 +19,7 @@
 
 SEED = 20
 RATE_PER_SECOND = 60.0
-TRAFFIC_SECONDS = 6.0
+TRAFFIC_SECONDS = 4.0
 OPEN_SECONDS = 8.0
 SETTLE_SECONDS = 8.0
 
--- a/hibiscusslip/jobs/_starting.py
+++ b/hibiscusslip/jobs/_starting.py
@@ -93,6 +93,10 @@
     if job is None:
         return
     job.intents.update(record.tasks)
+    job.places.update(record.place.split())
+    if record.place != str(st.shard):
+        st.pending.append(commands.JobKept(record.job_id))
+        return
     starts = []
     for index in record.tasks:
         task = job.tasks[index]
--- a/hibiscusslip/scheduler/_holds.py
+++ b/hibiscusslip/scheduler/_holds.py
@@ -13,6 +13,7 @@
 from hibiscusslip.scheduler import limits
 
 MAX_TRY_DOUBLINGS = 4
+MAX_PAUSE_DOUBLINGS = 4
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -52,6 +53,8 @@
         self._holds: dict[str, Hold] = {}
         self._expiries: list[tuple[float, str]] = []
         self._now = 0.0
+        self._gather_at = 0.0
+        self._failures = 0
 
     def hold(
         self, hold_id: str, spec: work.JobSpec, tasks: list[int], until: float
@@ -89,13 +92,18 @@
         hold = self._holds.get(job_id)
         return hold is not None and not hold.committed
 
-    @property
-    def gathering(self) -> bool:
-        """Tell whether a gang of this shard waits for room elsewhere."""
-        return any(
+    def may_gather(self, now: float) -> bool:
+        """Tell whether a gang may look for room on other shards now.
+
+        One gang of a shard at a time, and after a failure the shard pauses
+        for a random while: else gangs of two shards, each keeping what the
+        other lacks, could fail for ever.
+        """
+        gathering = any(
             not (hold.committed or hold.job.foreign)
             for hold in self._holds.values()
         )
+        return not gathering and now >= self._gather_at
 
     def commit(self, hold_id: str, now: float) -> bool:
         """Turn a hold into bookings; True again for a committed one."""
@@ -109,6 +117,8 @@
             return False
         hold.committed = True
         hold.job.ran = True
+        if not hold.job.foreign:
+            self._failures = 0
         return True
 
     def release(self, hold_id: str, now: float) -> None:
@@ -162,10 +172,18 @@
         job.tries += 1
         until = now + wait * self._rng.uniform(0.5, 1.0)
         job.next_try = until
+        self._pause(now)
         started = [work.index_of(start.task) for start in hold.starts]
         for index in started + hold.missing:
             self._delays.add(job, index, until)
 
+    def _pause(self, now: float) -> None:
+        """Have the shard gather nothing for a while, longer each time."""
+        doublings = min(self._failures, MAX_PAUSE_DOUBLINGS)
+        pause = self._bounds.gang_pause * 2**doublings
+        self._gather_at = now + pause * self._rng.uniform(0.1, 1.0)
+        self._failures += 1
+
     def _admitted(self, job: _jobs.Job, free: list[int]) -> list[base.Start]:
         starts: list[base.Start] = []
         for index in free:
--- a/hibiscusslip/scheduler/_shard.py
+++ b/hibiscusslip/scheduler/_shard.py
@@ -282,11 +282,11 @@
             if job is None:
                 return
             decision = self._starter.start(job, now)
-            if decision is _order.Block.ELSEWHERE and self._holds.gathering:
-                # One at a time, or each keeps what the other lacks.
-                order.block(job, _order.Block.JOB)
-            elif decision is _order.Block.ELSEWHERE:
+            elsewhere = decision is _order.Block.ELSEWHERE
+            if elsewhere and self._holds.may_gather(now):
                 decisions.append(self._holds.gather(job, now))
+            elif elsewhere:
+                order.block(job, _order.Block.JOB)
             elif isinstance(decision, _order.Block):
                 order.block(job, decision)
             else:
--- a/hibiscusslip/scheduler/limits.py
+++ b/hibiscusslip/scheduler/limits.py
@@ -22,6 +22,7 @@
     quota_fraction: float = 1.0
     gang_hold: float = 5.0
     gang_retry: float = 0.5
+    gang_pause: float = 0.1
     service_backoff: float = 1.0
     max_service_backoff: float = 60.0
     suspicion: bool = True
