Shorten the default lease and settle undecidable foundings

Cause: urgent work is to start within seconds of a host's death; a reader that starts after a founding's offset can't tell whether it is valid. Change: lease 5 s, renewals each 1.5 s; such a reader takes the shard for unknown until an anchor follows; free shards wait for three heartbeats.

--- a/hibiscusslip/ownership/_claiming.py
+++ b/hibiscusslip/ownership/_claiming.py
@@ -11,6 +11,7 @@
 from hibiscusslip.peer import messages
 from hibiscusslip.records import zone as zone_records
 
+HEARD_BY = 3
 MAX_FOUNDINGS = 8
 
 
@@ -23,7 +24,9 @@
     if holding is None:
         at = _unknown_at(state, shard)
     elif holding.host is None:
-        at = state.log.caught_up_since
+        # Hear of the others first, so that few shards move afterwards.
+        heard_by = state.started_at + HEARD_BY * state.timing.heartbeat
+        at = max(state.log.caught_up_since, heard_by)
     else:
         at = _released_at(state, holding.host, holding.read_at)
     return max(at, state.given.until(shard))
--- a/hibiscusslip/ownership/_track.py
+++ b/hibiscusslip/ownership/_track.py
@@ -122,6 +122,11 @@
         if self.last_offset > step.as_of:
             return 'other entries came first'
         if step.as_of + 1 < self._floor:
+            # Entries before the floor may have come first: only an anchor
+            # after this offset tells.
+            self.holding = None
+            self._floor = step.offset + 1
+            self._pending = []
             return 'not known yet'
         self.holding = Holding(None, step.epoch, 0, step.offset, step.read_at)
         self._pending = []
--- a/hibiscusslip/ownership/owner.py
+++ b/hibiscusslip/ownership/owner.py
@@ -68,7 +68,11 @@
         self._state.appends.lose_track()
 
     def on_caught_up(self, end_offset: int, now: float) -> None:
-        """Note that the log was read up to its end just now."""
+        """Note that the log was read up to its end just now.
+
+        Claims need that at least once a renew interval, so wait for new
+        records no longer than that.
+        """
         if self._state.ledger.next_offset < end_offset:
             return
         log = self._state.log
--- a/hibiscusslip/ownership/timing.py
+++ b/hibiscusslip/ownership/timing.py
@@ -9,17 +9,18 @@
 class Timing:
     """Hold durations in seconds, the same on all hosts of a zone.
 
-    `drift` is the largest relative error of a clock's rate. Raises
+    `drift` is the largest relative error of a clock's rate, `settle` how
+    long a send may stay on its way to an endpoint. Raises
     InvalidTiming when the values don't fit together.
     """
 
-    lease: float = 10.0
-    promise: float = 8.0
+    lease: float = 5.0
+    promise: float = 4.0
     drift: float = 0.001
-    margin: float = 0.5
-    settle: float = 3.0
-    renew_interval: float = 3.0
-    promise_interval: float = 1.0
+    margin: float = 0.25
+    settle: float = 2.0
+    renew_interval: float = 1.5
+    promise_interval: float = 0.5
     heartbeat: float = 0.5
     stagger: float = 1.0
     snapshot_interval: float = 600.0
