Let rounds of promises overlap, test each fault combination

Cause: a round trip longer than promise_interval voided each round, so that no holder lasted without the log (found by test_log_down_stops_nothing). Change: rounds are kept until they are of no use. One test for each row of faults, on the fuzz's world.

--- a/hibiscusslip/ownership/_promises.py
+++ b/hibiscusslip/ownership/_promises.py
@@ -63,30 +63,38 @@
 
 
 class Asking:
-    """Ask for promises while the log doesn't confirm renewals."""
+    """Ask for promises while the log doesn't confirm renewals.
+
+    Rounds overlap, as replies may take longer than the pause between two.
+    """
 
     def __init__(self, timing: timing_.Timing) -> None:
         self._timing = timing
-        self._round: Round | None = None
+        self._rounds: dict[str, Round] = {}
+        self._asked_at = -math.inf
 
     def due(self, now: float) -> bool:
         """Tell whether another round may begin."""
-        if self._round is None:
-            return True
-        return now >= self._round.asked_at + self._timing.promise_interval
+        return now >= self._asked_at + self._timing.promise_interval
 
     def begin(
         self, request_id: str, epochs: dict[int, int], now: float
     ) -> Round:
-        """Begin a round; replies to older ones count no more."""
-        self._round = Round(request_id, now, epochs, {})
-        return self._round
+        """Begin a round; rounds too old to be of use are dropped."""
+        self._asked_at = now
+        self._rounds = {
+            key: asked
+            for key, asked in self._rounds.items()
+            if now < asked.asked_at + self._timing.promise
+        }
+        self._rounds[request_id] = Round(request_id, now, epochs, {})
+        return self._rounds[request_id]
 
     def reply(
         self, host: places.HostId, reply: messages.PromiseReply
     ) -> Round | None:
-        """Note a reply and return its round if that is the present one."""
-        if self._round is None or reply.request_id != self._round.request_id:
-            return None
-        self._round.granted[host] = frozenset(reply.granted)
-        return self._round
+        """Note a reply and return its round, None when that is dropped."""
+        asked = self._rounds.get(reply.request_id)
+        if asked is not None:
+            asked.granted[host] = frozenset(reply.granted)
+        return asked
--- a/tests/fuzz/world.py
+++ b/tests/fuzz/world.py
@@ -370,6 +370,7 @@
         self.plant = plant
         self.time = 0.0
         self.pause = 1.0
+        self.delays = [0.0, 0.1, 0.6]
         self.log = Log()
         self.hosts = []
         self.cuts = set()
@@ -416,7 +417,7 @@
             return
         for host in self.hosts:
             if host.id.name == name and only in (None, host.id):
-                arrives = self.time + self.rng.choice([0.0, 0.1, 0.6])
+                arrives = self.time + self.rng.choice(self.delays)
                 handle = getattr(host, method)
                 call = functools.partial(handle, sender.id, message)
                 host.inbox.append((arrives, call))
--- /dev/null
+++ b/tests/ownership/test_faults.py
@@ -0,0 +1,223 @@
+"""Check what each combination of faults stops, and what goes on."""
+
+import pytest
+
+from hibiscusslip.ownership import actions
+from tests.fuzz import world
+
+LEASE = world.TIMING.lease
+TAKE_OVER = world.TIMING.lease_wait + world.SETTLE + 3.0
+
+
+def new_zone(*names, seed=1):
+    zone = world.World(seed, world.Plant())
+    for name in names:
+        zone.start(name)
+    run(zone, 8.0)
+    for shard in range(world.SHARDS):
+        assert zone.acting(shard)
+    return zone
+
+
+def run(zone, seconds):
+    """Advance and return, for each shard, how long nobody acted."""
+    idle = [0.0] * world.SHARDS
+    for _ in range(int(seconds / world.STEP)):
+        zone.advance(1)
+        for shard in range(world.SHARDS):
+            if not zone.acting(shard):
+                idle[shard] += world.STEP
+    return idle
+
+
+def host(zone, name):
+    return next(h for h in zone.hosts if h.id.name == name)
+
+
+def holder(zone, shard=0):
+    (acting,) = zone.acting(shard)
+    return next(h for h in zone.hosts if h.id == acting)
+
+
+def set_log(zone, mode, hosts=None):
+    for each in hosts or zone.hosts:
+        each.log_mode = mode
+
+
+def isolate(zone, name):
+    for other in 'abcd':
+        if other != name:
+            zone.cuts.add(frozenset((name, other)))
+
+
+def test_log_down_stops_nothing():
+    zone = new_zone('a', 'b', 'c')
+    set_log(zone, 'cut')
+    assert run(zone, 60.0) == [0.0, 0.0]
+
+
+def test_log_that_loses_every_answer_stops_nothing():
+    zone = new_zone('a', 'b', 'c')
+    set_log(zone, 'lost')
+    assert run(zone, 60.0) == [0.0, 0.0]
+
+
+def test_holder_cut_from_the_log_goes_on_by_promises():
+    zone = new_zone('a', 'b', 'c')
+    mine = holder(zone)
+    set_log(zone, 'cut', [mine])
+    assert run(zone, 40.0)[0] == 0.0
+    assert holder(zone) is mine
+
+
+def test_holder_cut_from_all_is_replaced():
+    zone = new_zone('a', 'b', 'c')
+    mine = holder(zone)
+    set_log(zone, 'cut', [mine])
+    isolate(zone, mine.id.name)
+    assert run(zone, 20.0)[0] <= TAKE_OVER
+    assert holder(zone) is not mine
+
+
+def test_holder_without_one_promise_stops_and_is_replaced():
+    zone = new_zone('a', 'b', 'c')
+    mine = holder(zone)
+    other = next(h for h in zone.hosts if h is not mine)
+    set_log(zone, 'cut', [mine])
+    zone.cuts.add(frozenset((mine.id.name, other.id.name)))
+    assert run(zone, 20.0)[0] <= TAKE_OVER
+    assert holder(zone) is not mine
+
+
+def test_dead_holder_is_replaced():
+    zone = new_zone('a', 'b')
+    zone.crash(holder(zone))
+    assert 0.0 < run(zone, 20.0)[0] <= TAKE_OVER
+
+
+def test_restarted_holder_waits_out_only_its_sends():
+    zone = new_zone('a')
+    zone.crash(host(zone, 'a'))
+    zone.start('a')
+    assert run(zone, 10.0)[0] <= world.SETTLE + 3.0
+
+
+def test_dead_host_and_log_down_stops_until_the_list_tells():
+    zone = new_zone('a', 'b', 'c')
+    set_log(zone, 'cut')
+    mine = holder(zone)
+    zone.crash(next(h for h in zone.hosts if h is not mine))
+    idle = run(zone, 8.0)
+    assert idle[0] > 0.0
+    set_log(zone, 'ok')
+    run(zone, 12.0)
+    assert zone.acting(0)
+
+
+def test_restarted_host_and_log_down_lets_others_go_on():
+    zone = new_zone('a', 'b', 'c')
+    zone.delays = [0.0]
+    set_log(zone, 'cut')
+    mine = holder(zone)
+    other = next(h for h in zone.hosts if h is not mine)
+    zone.crash(other)
+    zone.start(other.id.name).log_mode = 'cut'
+    assert run(zone, 30.0)[0] == 0.0
+    assert holder(zone) is mine
+
+
+def test_newcomer_leaves_a_silent_holder_alone():
+    zone = new_zone('a')
+    mine = holder(zone)
+    set_log(zone, 'cut', [mine])
+    isolate(zone, 'a')
+    zone.start('b')
+    assert run(zone, 60.0) == [0.0, 0.0]
+    assert holder(zone) is mine
+
+
+def test_newcomer_takes_over_when_the_list_drops_the_holder():
+    zone = new_zone('a')
+    zone.crash(host(zone, 'a'))
+    zone.start('b')
+    lag = world.LIST_LAG + world.PACING.list_lag
+    assert run(zone, 30.0)[0] <= lag + TAKE_OVER
+
+
+def test_newcomer_is_covered_by_a_host_that_the_holder_asks():
+    zone = new_zone('a', 'b')
+    mine = holder(zone)
+    other = next(h for h in zone.hosts if h is not mine)
+    set_log(zone, 'cut', [mine])
+    zone.cuts.add(frozenset((mine.id.name, 'c')))
+    zone.start('c')
+    run(zone, 5.0)
+    zone.crash(other)
+    run(zone, 30.0)
+    assert holder(zone).id.name == 'c'
+
+
+def test_trimmed_log_and_all_hosts_new():
+    zone = new_zone('a')
+    zone.crash(host(zone, 'a'))
+    zone.time += 100.0
+    zone.log.trim(zone.time)
+    assert zone.log.first == len(zone.log.records)
+    zone.start('b')
+    run(zone, 30.0)
+    assert zone.acting(0)
+    assert holder(zone).own.epoch(0) > 1
+
+
+def test_snapshots_anchor_a_reader_of_a_trimmed_log():
+    zone = new_zone('a', 'b')
+    for _ in range(6):
+        run(zone, 20.0)
+        zone.log.trim(zone.time)
+    assert zone.log.first > 0
+    late = zone.start('c')
+    run(zone, 1.0)
+    assert late.own.ledger.latest(0) is not None
+
+
+@pytest.mark.parametrize('pause', [1.0, LEASE + 2.0, 30.0])
+@pytest.mark.parametrize('point', ['before_actions', 'in_send', 'in_append'])
+def test_pause_at_any_step_lets_two_never_act(pause, point):
+    zone = new_zone('a', 'b', 'c')
+    mine = holder(zone)
+    mine.pause_at = point
+    zone.pause = pause
+    run(zone, pause + 20.0)
+    assert zone.acting(0)
+
+
+def test_planned_hand_over_needs_no_take_over_waits():
+    zone = new_zone('a', 'b', 'c')
+    mine = holder(zone)
+    mine.own.drain(mine.now())
+    assert run(zone, 20.0)[0] <= 2.0
+    assert holder(zone) is not mine
+    assert mine.own.owned(mine.now()) == []
+
+
+def test_hand_over_without_the_log_is_refused():
+    zone = new_zone('a', 'b')
+    mine = holder(zone)
+    other = next(h for h in zone.hosts if h is not mine)
+    set_log(zone, 'cut')
+    run(zone, 10.0)
+    answer = mine.own.plan_hand_over(0, other.id, mine.now())
+    assert isinstance(answer, actions.HandOverRefused)
+    assert 'log is down' in answer.reason
+    assert mine.own.may_act(0, mine.now())
+
+
+def test_rolling_replacement_of_all_hosts():
+    zone = new_zone('a', 'b', 'c')
+    for name in ('a', 'b', 'c'):
+        old = host(zone, name)
+        old.own.drain(old.now())
+        assert max(run(zone, 15.0)) <= 2.0
+        zone.crash(old)
+        zone.start(name)
+        assert max(run(zone, 15.0)) <= 2.0
