--- a/hibiscusslip/ownership/owner.py
+++ b/hibiscusslip/ownership/owner.py
@@ -43,6 +43,11 @@
         """Return the ledger, to check other records against."""
         return self._state.ledger
 
+    @property
+    def zone(self) -> str:
+        """Return the name of the zone whose shards are decided on."""
+        return self._state.zone
+
     @property
     def draining(self) -> bool:
         """Tell whether this host takes no more shards."""
--- /dev/null
+++ b/tests/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Check who is known to live."""
--- /dev/null
+++ b/tests/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Check who owns which shards."""
