Resume lapsed holdings by promises, ask newcomers to know every host

Cause: with the log down, a host of the zone that died for longer than a promise stopped its neighbours for the rest of the outage. Change: a holding that lapsed goes on once all hosts that may claim have promised, after the wait for sends of whoever held it in between. For that a claim now needs that every host of the zone that may live knows the claimer; the way round through a third host is gone, and with it the fields claimants and known_to. A promise binds its giver in hand-overs too.

--- a/hibiscusslip/membership/members.py
+++ b/hibiscusslip/membership/members.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import hashlib
+import math
 import random
 
 from hibiscusslip.membership import _member
@@ -89,16 +90,23 @@
         port: int,
         message: messages.Heartbeat | messages.HeartbeatAck,
         now: float,
-    ) -> None:
-        """Take in a heartbeat; answer it with `known_hosts`."""
+    ) -> list[places.HostId]:
+        """Take in a heartbeat; answer it with `known_hosts`.
+
+        Return the host if the heartbeat was its last word.
+        """
         peer = self._peer_of(host.name, zone, address, port, now)
         if peer is None:
-            return
+            return []
         peer.zone, peer.address, peer.port = zone, address, port
         peer.hear(host, now)
         peer.draining = peer.draining or message.draining
         for known in message.known_hosts:
             self._hear_of(known, now)
+        if isinstance(message, messages.Heartbeat) and message.ended:
+            peer.direct_at = peer.heard_at = -math.inf
+            return [host]
+        return []
 
     def on_ack(
         self, host: places.HostId, ack: messages.HeartbeatAck, now: float
--- a/hibiscusslip/ownership/_claiming.py
+++ b/hibiscusslip/ownership/_claiming.py
@@ -21,70 +21,66 @@
     Clocks only decide when to try; the log decides what becomes of it.
     """
     holding = state.ledger.latest(shard)
-    if holding is None:
-        at = _unknown_at(state, shard)
-    elif holding.host is None:
+    if holding is not None and holding.epoch == 0:
         # Hear of the others first, so that few shards move afterwards.
         heard_by = state.started_at + HEARD_BY * state.timing.heartbeat
-        at = max(state.log.caught_up_since, heard_by)
+        return max(state.log.caught_up_since, heard_by)
+    if holding is None:
+        released = state.ledger.last_entry(shard) + state.timing.lease_wait
+    elif holding.host is None:
+        released = state.log.caught_up_since
     else:
-        at = _released_at(state, holding.host, holding.read_at)
-    return max(at, state.given.until(shard))
+        released = _released_at(state, holding.host, holding.read_at)
+    return max(
+        released, _introduced_at(state, shard), state.given.until(shard)
+    )
 
 
 def _released_at(
-    state: _state.State, holder: places.HostId, since: float
+    state: _state.State, holder: places.HostId, read_at: float
 ) -> float:
     if holder == state.me:
         return math.inf
-    if holder.name == state.me.name:
-        # The record was written before this process read it, so the other
-        # incarnation is the older one and has ended.
-        return state.started_at
-    if holder in state.gone:
-        return state.gone[holder]
-    return state.introductions.clear_at(holder, since)
-
-
-def _unknown_at(state: _state.State, shard: int) -> float:
-    since = state.ledger.last_entry(shard)
-    hosts = set(state.ledger.hosts_of_unknown(shard))
-    hosts.update(state.members)
+    ended_at = state.ended_at(holder)
+    if ended_at is not None:
+        return ended_at
+    return read_at + state.timing.lease_wait
+
+
+def _introduced_at(state: _state.State, shard: int) -> float:
+    """Return when each host that may hold the shard knew this one."""
+    if not state.listed:
+        return math.inf
+    hosts = set(state.members)
+    holding = state.ledger.latest(shard)
+    if holding is None:
+        hosts.update(state.ledger.hosts_of_unknown(shard))
+    elif holding.host is not None:
+        hosts.add(holding.host)
     hosts.discard(state.me)
-    at = since + state.timing.lease_wait
-    for host in hosts:
-        at = max(at, _released_at(state, host, since))
-    return at
+    return max(
+        (
+            state.introductions.clear_at(host)
+            for host in hosts
+            if state.ended_at(host) is None
+        ),
+        default=-math.inf,
+    )
 
 
 def introduce(state: _state.State, now: float) -> None:
     """Introduce this host to the others of its zone."""
     if state.draining:
         return
-    touch = _needs_touch(state)
     for host, member in state.members.items():
-        due = state.introductions.due(host, touch, now)
-        if not member.alive or host in state.gone or not due:
+        due = state.introductions.due(host, now)
+        if not member.alive or state.ended_at(host) is not None or not due:
             continue
         request = messages.IntroductionRequest(state.new_id())
         state.introductions.sent(host, request.request_id, now)
         state.out.append(actions.Introduce(host, request))
 
 
-def _needs_touch(state: _state.State) -> bool:
-    holders = {
-        holding.host
-        for holding in map(state.ledger.latest, range(state.shards))
-        if holding is not None and holding.host is not None
-    }
-    return any(
-        holder.name != state.me.name
-        and holder not in state.gone
-        and not state.introductions.knows_me(holder)
-        for holder in holders
-    )
-
-
 def try_claims(state: _state.State, now: float) -> None:
     """Append one claim of all shards that this host should take over."""
     if state.draining or not state.readable(now):
--- a/hibiscusslip/ownership/_introductions.py
+++ b/hibiscusslip/ownership/_introductions.py
@@ -1,11 +1,10 @@
 """Make sure that holders know who may claim from them.
 
 A holder that is cut from the log goes on by promises of all claimants it
-knows. So a host may claim from a holder only when that one counts it among
-its claimants, or surely holds nothing any more.
+knows. So a host may claim only when each other host of the zone that may
+live counts it among its claimants.
 """
 
-import dataclasses
 import math
 
 from hibiscusslip.model import places
@@ -15,26 +14,13 @@
 MAX_CLAIMANTS = 256
 
 
-@dataclasses.dataclass(slots=True)
-class Contact:
-    """Hold when a host confirmed to know this one.
-
-    `known_to` maps each holder that asks the host for promises to when it
-    was first told, `last_sent` is when the last confirmed request went out.
-    """
-
-    first_ack: float
-    last_sent: float
-    known_to: dict[places.HostId, float]
-
-
 class Introductions:
     """Hold who knows this host, and whom this host knows as claimants."""
 
     def __init__(self, me: places.HostId, timing: timing_.Timing) -> None:
         self._me = me
         self._timing = timing
-        self._contacts: dict[places.HostId, Contact] = {}
+        self._known_since: dict[places.HostId, float] = {}
         self._sent: dict[str, float] = {}
         self._asked: dict[places.HostId, float] = {}
         self._claimants: dict[places.HostId, float] = {}
@@ -54,10 +40,6 @@
             self._claimants[host] = now
         return True
 
-    def excuse(self, host: places.HostId) -> None:
-        """Count a host no more that said it claims nothing from now on."""
-        self._claimants.pop(host, None)
-
     def known_before(self, at: float) -> list[places.HostId]:
         """Return the claimants that were known before a time."""
         return [host for host, since in self._claimants.items() if since < at]
@@ -65,12 +47,12 @@
     def drop(self, host: places.HostId) -> None:
         """Forget a host that can't claim any more."""
         self._claimants.pop(host, None)
-        self._contacts.pop(host, None)
+        self._known_since.pop(host, None)
         self._asked.pop(host, None)
 
-    def due(self, host: places.HostId, touch: bool, now: float) -> bool:
-        """Tell whether to send an introduction, `touch` for known hosts."""
-        if host in self._contacts and not touch:
+    def due(self, host: places.HostId, now: float) -> bool:
+        """Tell whether to send an introduction, again if unanswered."""
+        if host in self._known_since:
             return False
         asked = self._asked.get(host, -math.inf)
         interval = self._timing.promise_interval
@@ -96,48 +78,13 @@
         sent_at = self._sent.pop(reply.request_id, None)
         if sent_at is None:
             return None
-        contact = self._contacts.get(host)
-        if contact is None:
-            contact = Contact(now, sent_at, {})
-            self._contacts[host] = contact
-        contact.last_sent = max(contact.last_sent, sent_at)
-        known = contact.known_to
-        contact.known_to = {
-            holder: known.get(holder, now)
-            for holder in map(parse_host, reply.known_to)
-        }
+        self._known_since.setdefault(host, now)
         return sent_at
 
-    def knows_me(self, host: places.HostId) -> bool:
-        """Tell whether a host counts this one among its claimants."""
-        return host in self._contacts
-
-    def known_to(self) -> list[str]:
-        """Return the hosts that count this one among their claimants."""
-        return sorted(str(host) for host in self._contacts)
-
-    def clear_at(self, holder: places.HostId, since: float) -> float:
-        """Return when the holder's rights as of `since` have run out.
+    def clear_at(self, host: places.HostId) -> float:
+        """Return when promises that left this host out have run out.
 
-        Infinite while the holder may go on without asking this host.
+        Infinite while the host doesn't count it among its claimants.
         """
-        wait = self._timing.lease_wait
-        contact = self._contacts.get(holder)
-        if contact is not None:
-            return max(since, contact.first_ack) + wait
-        return min(
-            (
-                max(since, other.known_to[holder]) + wait
-                for other in self._contacts.values()
-                if holder in other.known_to
-                and other.last_sent
-                >= max(since, other.known_to[holder]) + wait
-            ),
-            default=math.inf,
-        )
-
-
-def parse_host(text: str) -> places.HostId:
-    """Return the host that `str(host)` was made from."""
-    name, _, incarnation = text.partition('#')
-    return places.HostId(name, incarnation)
+        since = self._known_since.get(host, math.inf)
+        return since + self._timing.lease_wait
--- a/hibiscusslip/ownership/_leases.py
+++ b/hibiscusslip/ownership/_leases.py
@@ -59,16 +59,19 @@
         lease.log_until = max(lease.log_until, sent_at + self._timing.lease)
 
     def promise(self, shard: int, asked_at: float, now: float) -> bool:
-        """Extend a lease that hasn't lapsed by promises of all claimants.
+        """Extend a lease by promises of all claimants.
 
-        A lapsed one can't be revived so: a claim may have come between.
+        Return whether it had lapsed. Then a host that has ended since may
+        have held the shard in between, and its sends have to settle.
         """
-        lease = self._held.get(shard)
-        if lease is None or now >= lease.until:
+        lease = self._held[shard]
+        until = asked_at + self._timing.promise
+        lapsed = now >= lease.until
+        lease.promise_until = max(lease.promise_until, until)
+        if not lapsed or now >= until:
             return False
-        lease.promise_until = max(
-            lease.promise_until, asked_at + self._timing.promise
-        )
+        settled_at = now + self._timing.outlast(self._timing.settle)
+        lease.settle_until = max(lease.settle_until, settled_at)
         return True
 
     def end(self, shard: int) -> Lease | None:
--- a/hibiscusslip/ownership/_reading.py
+++ b/hibiscusslip/ownership/_reading.py
@@ -82,6 +82,8 @@
         if append is not None:
             settle = state.timing.outlast(state.timing.settle)
             settle_until = append.sent_at + settle
+    # A promise to another holder binds until it has run out.
+    settle_until = max(settle_until, state.given.until(change.shard))
     lease = state.leases.begin(
         change.shard, holding.epoch, counted_from, settle_until
     )
--- a/hibiscusslip/ownership/_renewing.py
+++ b/hibiscusslip/ownership/_renewing.py
@@ -62,7 +62,8 @@
     epochs = {
         shard: lease.epoch
         for shard, lease in state.leases.items()
-        if 0 < state.leases.left(shard, now) < state.timing.overdue
+        if not lease.transfer_sent
+        and state.leases.left(shard, now) < state.timing.overdue
     }
     if not epochs:
         return
@@ -72,7 +73,6 @@
         asked.request_id,
         [messages.HeldShard(*pair) for pair in sorted(epochs.items())],
         state.timing.promise,
-        [str(host) for host in claimants],
     )
     for host in claimants:
         state.out.append(actions.AskPromise(host, request))
@@ -83,8 +83,10 @@
     """Extend the leases of shards that all claimants have granted."""
     for shard in asked.complete(state.introductions.claimants):
         lease = state.leases.get(shard)
-        if lease is not None and lease.epoch == asked.epochs[shard]:
-            state.leases.promise(shard, asked.asked_at, now)
+        if lease is None or lease.epoch != asked.epochs[shard]:
+            continue
+        if state.leases.promise(shard, asked.asked_at, now):
+            state.out.append(actions.Resumed(shard, lease.epoch))
 
 
 def answer_promise(
@@ -95,10 +97,7 @@
 ) -> messages.PromiseReply:
     """Grant what this host may leave alone, and remember it."""
     granted: list[int] = []
-    others = {str(host) for host in state.introductions.claimants}
-    others.discard(str(holder))
-    known = others <= set(request.claimants)
-    if known and request.duration <= state.timing.lease:
+    if request.duration <= state.timing.lease:
         for held in request.shards:
             if may_promise(state, holder, held, now):
                 state.given.give(holder, held, request.duration, now)
--- a/hibiscusslip/ownership/_state.py
+++ b/hibiscusslip/ownership/_state.py
@@ -61,6 +61,7 @@
         self.introductions = _introductions.Introductions(me, timing)
         self.members: dict[places.HostId, members_.Member] = {}
         self.gone: dict[places.HostId, float] = {}
+        self.listed = False
         self.draining = False
         self.out: list[actions.Action] = []
         self.received: dict[str, float] = {}
@@ -120,6 +121,16 @@
         """Rank anew, as the candidates may have changed."""
         self._rankings = {}
 
+    def ended_at(self, host: places.HostId) -> float | None:
+        """Return when a process was known to have ended, None if not.
+
+        Another incarnation of this host is the older one: it was named
+        before this process read of it.
+        """
+        if host.name == self.me.name and host != self.me:
+            return self.started_at
+        return self.gone.get(host)
+
     def outlive(
         self, host: places.HostId, asked_at: float, now: float
     ) -> None:
--- a/hibiscusslip/ownership/actions.py
+++ b/hibiscusslip/ownership/actions.py
@@ -57,6 +57,18 @@
     epoch: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Resumed:
+    """Tell that a lapsed holding goes on by promises of all claimants.
+
+    Another host may have held the shard and ended in between: proceed as
+    after a take-over.
+    """
+
+    shard: int
+    epoch: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class SuggestHandOver:
     """Tell that a shard is better owned elsewhere; plan a hand-over."""
@@ -89,6 +101,7 @@
     | Introduce
     | TookOver
     | LostShard
+    | Resumed
     | SuggestHandOver
     | HandOverFailed
     | SnapshotDue
--- a/hibiscusslip/ownership/owner.py
+++ b/hibiscusslip/ownership/owner.py
@@ -101,8 +101,14 @@
             for shard in refused.shards:
                 _handing.thaw(state, shard)
 
-    def set_members(self, members: list[members_.Member], now: float) -> None:
-        """Take over what membership knows of the hosts of all zones."""
+    def set_members(
+        self, members: list[members_.Member], now: float, listed: bool = True
+    ) -> None:
+        """Take over what membership knows of the hosts of all zones.
+
+        `listed` tells that this process has read the platform's host list:
+        without it there may be hosts that nobody told of.
+        """
         state = self._state
         before = state.candidates()
         state.members = {
@@ -110,9 +116,7 @@
             for member in members
             if member.zone == state.zone and member.host != state.me
         }
-        for member in state.members.values():
-            if member.draining:
-                state.introductions.excuse(member.host)
+        state.listed = state.listed or listed
         if state.candidates() != before:
             state.forget_rankings()
 
@@ -153,9 +157,8 @@
             return messages.Refusal(
                 'full', 'too many hosts in the zone; remove dead ones'
             )
-        known_to = [] if state.draining else state.introductions.known_to()
         return messages.IntroductionReply(
-            request.request_id, state.given.open(now), known_to
+            request.request_id, state.given.open(now)
         )
 
     def on_introduced(
--- a/hibiscusslip/peer/messages.py
+++ b/hibiscusslip/peer/messages.py
@@ -28,13 +28,17 @@
 
 
 class Heartbeat(msgspec.Struct, frozen=True, tag='heartbeat'):
-    """Tell that the sender lives, what it holds and what it knows."""
+    """Tell that the sender lives, what it holds and what it knows.
+
+    `ended` is the last word of a process: it acts for nothing any more.
+    """
 
     number: int
     draining: bool
     config_version: int
     loads: list[ShardLoad]
     known_hosts: list['KnownHost']
+    ended: bool = False
 
 
 class KnownHost(msgspec.Struct, frozen=True):
@@ -66,16 +70,11 @@
 
 
 class PromiseRequest(msgspec.Struct, frozen=True, tag='promise_request'):
-    """Ask a host of the same zone not to claim shards for a while.
-
-    `claimants` lists all hosts that are asked; a host that knows of one
-    more grants nothing.
-    """
+    """Ask a host of the same zone not to claim shards for a while."""
 
     request_id: str
     shards: list[HeldShard]
     duration: float
-    claimants: list[str] = []
 
 
 class PromiseReply(msgspec.Struct, frozen=True, tag='promise_reply'):
@@ -105,15 +104,10 @@
 
 
 class IntroductionReply(msgspec.Struct, frozen=True, tag='introduced'):
-    """Confirm the introduction and tell the open promises.
-
-    `known_to` lists the hosts that ask the sender for promises: it makes
-    none that leaves the newcomer out.
-    """
+    """Confirm the introduction and tell the open promises."""
 
     request_id: str
     promises: list[OpenPromise]
-    known_to: list[str] = []
 
 
 class JobSubmit(msgspec.Struct, frozen=True, tag='job_submit'):
