--- a/hibiscusslip/scheduler/_accounts.py
+++ b/hibiscusslip/scheduler/_accounts.py
@@ -8,6 +8,7 @@
 from hibiscusslip.scheduler import base
 
 PEAK_HALF_LIFE_S = 60.0
+PEAK_HEADROOM = 1.5
 PEAK_STEP_S = 1.0
 MIN_GUARANTEE = 1e-6
 
@@ -51,7 +52,8 @@
         self.peak = _vector.most(self.peak, self.held)
         kept = self.guarantee
         if self.share.lendable:
-            kept = _vector.least(self.peak, kept)
+            wanted = _vector.scale(self.peak, PEAK_HEADROOM)
+            kept = _vector.least(wanted, kept)
         self.idle = _vector.positive(_vector.sub(kept, self.held))
         self.fraction = _vector.dominant(self.held, self.capacity)
         least = max(self.share.guarantee, MIN_GUARANTEE)
@@ -186,14 +188,15 @@
     def allowances(self, kind: str) -> tuple[_vector.Vector, _vector.Vector]:
         """Return what a kind may hold more: guaranteed, and borrowed.
 
-        A demand that fits into either may start. What is borrowed stays
-        below the ceiling and leaves what other kinds have used of their
-        guarantee lately.
+        A demand that fits into either may start. Below its guarantee a
+        kind may go beyond it with one more task or gang. What is borrowed
+        stays below the ceiling and leaves what other kinds have used of
+        their guarantee lately.
         """
         account = self.kind(kind)
         guaranteed = _vector.sub(account.guarantee, account.held)
         ceiling = _vector.sub(account.ceiling, account.held)
-        if not account.running and account.share.guarantee > 0:
+        if account.standing < 1.0 and account.share.guarantee > 0:
             return guaranteed, ceiling
         kept = _vector.sub(self._idle, account.idle)
         free = _vector.sub(self.capacity, self.held)
