Keep the ports of entry hosts for them in tests

A free port that is only looked up could be taken by another connection before the entry host listened on it: seen once in a trial. It is kept bound now, and the settings name all zones.

--- a/tests/faults/cluster.py
+++ b/tests/faults/cluster.py
@@ -58,6 +58,7 @@
         self._control = 0
         self._host_lists: dict[str, int] = {}
         self._processes: list[process.Process] = []
+        self._ports = process.Ports()
 
     def __enter__(self) -> 'Cluster':
         """Start everything but the entry hosts."""
@@ -76,6 +77,7 @@
         """End all processes."""
         for started in reversed(self._processes):
             started.close()
+        self._ports.close()
 
     def start_host(self, name: str) -> EntryHost:
         """Start the process of an entry host and wait until it listens."""
@@ -197,7 +199,7 @@
         ]
 
     def _plan_host(self, zone: str, name: str) -> None:
-        ports = process.free_ports(3)
+        ports = [self._ports.take() for _ in range(3)]
         hosts_port = self._host_lists[zone]
         entry = settings_file.EntryPlan(
             name,
@@ -205,6 +207,7 @@
             *ports,
             log_port=self._route(f'{name}>log', self.log),
             hosts_port=self._route(f'{name}>hosts', hosts_port),
+            zones=self.plan.zones,
             shards_per_zone=self.plan.shards_per_zone,
             timing=self.plan.timing,
             limits=self.plan.limits,
--- a/tests/faults/process.py
+++ b/tests/faults/process.py
@@ -88,15 +88,27 @@
         self._popen.wait(END_TIMEOUT_S)
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports that nobody listens on."""
-    socks = [socket.socket() for _ in range(count)]
-    try:
-        for sock in socks:
-            sock.bind(('127.0.0.1', 0))
-        return [sock.getsockname()[1] for sock in socks]
-    finally:
-        for sock in socks:
+class Ports:
+    """Keep free ports for processes that are to listen on them later.
+
+    A port is bound but not listened on, so that nobody else gets it while
+    a process that reuses addresses can listen, die and listen again.
+    """
+
+    def __init__(self) -> None:
+        self._socks: list[socket.socket] = []
+
+    def take(self) -> int:
+        """Return a port of this machine that nobody else gets."""
+        sock = socket.socket()
+        self._socks.append(sock)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind(('127.0.0.1', 0))
+        return sock.getsockname()[1]
+
+    def close(self) -> None:
+        """Give all ports back."""
+        for sock in self._socks:
             sock.close()
 
 
--- a/tests/faults/settings_file.py
+++ b/tests/faults/settings_file.py
@@ -19,6 +19,7 @@
     log_port: int
     hosts_port: int
     region: str = 'test'
+    zones: tuple[str, ...] = ()
     shards_per_zone: int = 4
     timing: dict[str, float] = dataclasses.field(default_factory=dict)
     limits: dict[str, float] = dataclasses.field(default_factory=dict)
@@ -46,7 +47,8 @@
         '[limits]',
         *(f'{name} = {value}' for name, value in plan.limits.items()),
     ]
-    for zone in sorted({zone for _, zone, _ in plan.seeds}):
+    named = {zone for _, zone, _ in plan.seeds}.union(plan.zones)
+    for zone in sorted(named):
         lines += ['[[zones]]', f'name = "{zone}"']
     for name, zone, port in plan.seeds:
         lines += [
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -55,7 +55,7 @@
 
 def test_refused_connection_means_not_sent():
     async def work():
-        pool = client.Pool('127.0.0.1', process.free_ports(1)[0])
+        pool = client.Pool('127.0.0.1', process.Ports().take())
         with pytest.raises(exceptions.NotSent):
             await pool.call('POST', '/', body=b'x', timeout=5)
 
--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -107,7 +107,7 @@
 
 def test_refused_connection_surely_wrote_nothing():
     async def work():
-        log = http_log.HttpLog('127.0.0.1', process.free_ports(1)[0])
+        log = http_log.HttpLog('127.0.0.1', process.Ports().take())
         with pytest.raises(exceptions.LogUnavailable):
             await log.append(STREAM, [b'a'])
 
