--- a/hibiscusslip/jobs/commands.py
+++ b/hibiscusslip/jobs/commands.py
@@ -7,6 +7,7 @@
 from hibiscusslip.model import places
 from hibiscusslip.model import work
 from hibiscusslip.records import zone
+from hibiscusslip.scheduler import base as scheduler_base
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -74,6 +75,7 @@
     job_id: str
     tasks: list[int]
     expires: float
+    local: list[scheduler_base.Start]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -126,6 +128,14 @@
     report: RemoteTask
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopRemote:
+    """Stop a task on another shard."""
+
+    place: str
+    task: str
+
+
 Command = (
     StartTasks
     | WriteRecord
@@ -138,4 +148,5 @@
     | JobFinal
     | JobKept
     | ReportTask
+    | StopRemote
 )
--- a/hibiscusslip/scheduler/base.py
+++ b/hibiscusslip/scheduler/base.py
@@ -101,7 +101,8 @@
     """Decide to gather room for a gang on other shards too.
 
     `local` are placements held here until `expires`, `missing` the numbers
-    of tasks that need room elsewhere.
+    of tasks that need room elsewhere. The hold's id is the job's: commit it
+    once the rest is held, release it to have the gang try again later.
     """
 
     job_id: str
@@ -221,6 +222,12 @@
     def ended(self, task: str, how: EndKind, now: float) -> None:
         """Free what a task held and learn from how it ended."""
 
+    @abc.abstractmethod
+    def observe(
+        self, task: str, used: resources.Resources, now: float
+    ) -> None:
+        """Learn the size of a workload from the lagging use of a run."""
+
     @abc.abstractmethod
     def hold(
         self, hold_id: str, spec: work.JobSpec, tasks: list[int], until: float
