Close gaps in the tests of links

Removing a check one by one showed six that no test missed: abandoned messages, either side's check of names and of the server's proof, the backoff, and frames that aren't whole and binary.

--- a/tests/peer/raw.py
+++ b/tests/peer/raw.py
@@ -21,8 +21,9 @@
 class RawCaller:
     """Hold a connection whose hello messages a test sends itself."""
 
-    def __init__(self, sock, channel, side):
+    def __init__(self, sock, proto, channel, side):
         self.sock = sock
+        self.proto = proto
         self.channel = channel
         self.side = side
 
@@ -61,5 +62,5 @@
     await channel.flush()
     await channel.receive_http()
     side = _handshake.Side(me, info, shared or fakes.keys())
-    yield RawCaller(sock, channel, side)
+    yield RawCaller(sock, proto, channel, side)
     await channel.close()
--- a/tests/peer/test_faults.py
+++ b/tests/peer/test_faults.py
@@ -14,6 +14,7 @@
 from tests.peer import raw
 
 QUERY = messages.StatusQuery()
+CALL = codec.encode(messages.Envelope(1, False, '', 1.0, QUERY))
 HALF_FRAME = b'\x82\x7e\x10\x00half'
 
 
@@ -75,6 +76,27 @@
     curio.run(scenario)
 
 
+@pytest.mark.parametrize(
+    'send',
+    [
+        lambda proto: proto.send_text(CALL),
+        lambda proto: proto.send_binary(CALL, fin=False),
+    ],
+)
+def test_other_frames_than_whole_binary_ones_end_the_link(send):
+    async def scenario():
+        async with fakes.serving() as running:
+            async with raw.calling(running.port) as caller:
+                await caller.shake_hands()
+                send(caller.proto)
+                await caller.channel.flush()
+                await _closed(caller)
+            assert running.handler.seen == []
+            await _still_serves(running)
+
+    curio.run(scenario)
+
+
 def test_reset_in_the_middle_of_a_call_frame():
     async def scenario():
         async with fakes.serving() as running:
@@ -97,7 +119,7 @@
     await session.greet()
     await sock.recv(4096)
     await sock.sendall(HALF_FRAME)
-    await raw.RawCaller(sock, None, side).reset()
+    await raw.RawCaller(sock, None, None, side).reset()
 
 
 def test_reset_in_the_middle_of_a_reply_leaves_the_call_unsettled():
@@ -211,6 +233,33 @@
     curio.run(scenario)
 
 
+class OpenSocket(StuckSocket):
+    """Take each write whole."""
+
+    async def sendall(self, data):
+        """Take the data."""
+        self.taken += data
+
+
+def test_abandoned_message_is_not_sent():
+    async def scenario():
+        sock = OpenSocket()
+        channel = _channel.Channel(
+            sock, PlainProtocol(), fakes.LIMITS, counts.Counts()
+        )
+        abandoned = await channel.push(b'first')
+        await channel.push(b'second')
+        abandoned.dropped = True
+        writer = await curio.spawn(channel.write_queued)
+        while channel.queued or not sock.taken:
+            await curio.sleep(0)
+        await writer.cancel()
+        assert sock.taken == b'second'
+        assert not abandoned.written
+
+    curio.run(scenario)
+
+
 def test_full_queue_refuses_and_sends_nothing():
     lim = fakes.limits.Limits(max_queue_bytes=10)
 
--- a/tests/peer/test_handshake.py
+++ b/tests/peer/test_handshake.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 import curio
+import msgspec
 import pytest
 
 from hibiscusslip.model import places
@@ -163,3 +164,30 @@
 
 def test_keys_show_no_secret():
     assert fakes.SECRET.decode() not in repr(fakes.keys())
+
+
+def _sides():
+    """Return both sides of a handshake without a connection."""
+    keys = fakes.keys()
+    caller = _handshake.Side(fakes.CALLER, fakes.INFO, keys)
+    return caller, _handshake.Side(fakes.SERVER, fakes.INFO, keys)
+
+
+def test_caller_checks_the_servers_proof_itself():
+    caller, server = _sides()
+    opening = caller.hello('b', raw.NONCE)
+    reply = server.reply(opening, raw.NONCE)
+    forged = msgspec.structs.replace(reply, proof=b'x' * 32)
+    with pytest.raises(exceptions.HelloRefused, match='wrong_key'):
+        caller.answer(opening, forged)
+    caller.answer(opening, reply)
+
+
+def test_both_sides_check_who_was_meant():
+    caller, server = _sides()
+    opening = caller.hello('c', raw.NONCE)
+    with pytest.raises(exceptions.HelloRefused, match='wrong_host'):
+        server.reply(opening, raw.NONCE)
+    reply = server.reply(caller.hello('b', raw.NONCE), raw.NONCE)
+    with pytest.raises(exceptions.HelloRefused, match='wrong_host'):
+        caller.answer(opening, reply)
