--- a/hibiscusslip/node/__main__.py
+++ b/hibiscusslip/node/__main__.py
@@ -111,6 +111,7 @@
                 given,
             )
         await self._node.stop()
+        await self._node.say_goodbye()
         await self._peers.close()
         logger.info('stopped')
 
--- a/hibiscusslip/node/neighbours.py
+++ b/hibiscusslip/node/neighbours.py
@@ -62,25 +62,47 @@
     async def _beat(self, beat: members_.Beat) -> None:
         """Send one heartbeat and take in its answer."""
         self._peers.set_address(beat.name, beat.address, beat.port)
-        body = messages.Heartbeat(
-            beat.number,
+        body = self._heartbeat(beat.number, beat.known_hosts, False)
+        ack = await self._call(beat.name, body)
+        if isinstance(ack, messages.HeartbeatAck):
+            incarnation = self._peers.incarnation_of(beat.name)
+            sender = places.HostId(beat.name, incarnation)
+            await self._take_ack(sender, ack)
+
+    def _heartbeat(
+        self, number: int, known: list[messages.KnownHost], ended: bool
+    ) -> messages.Heartbeat:
+        return messages.Heartbeat(
+            number,
             self._ownership.draining,
             self._fleet.policy_version,
             self._fleet.loads(),
-            beat.known_hosts,
+            known,
             self._cfg.zone,
             self.address,
             self.port,
+            ended,
         )
+
+    async def _call(
+        self, host: str, body: messages.Heartbeat
+    ) -> messages.PeerMessage | None:
         try:
-            ack = await self._peers.call(beat.name, body, BEAT_TIMEOUT_SECONDS)
+            return await self._peers.call(host, body, BEAT_TIMEOUT_SECONDS)
         except peer_exceptions.PeerError as exc:
-            logger.trace('{}: no heartbeat: {}', beat.name, exc)
-            return
-        if isinstance(ack, messages.HeartbeatAck):
-            incarnation = self._peers.incarnation_of(beat.name)
-            sender = places.HostId(beat.name, incarnation)
-            await self._take_ack(sender, ack)
+            logger.trace('{}: no heartbeat: {}', host, exc)
+            return None
+
+    async def say_ended(self) -> None:
+        """Tell the zone that this process acts for nothing any more.
+
+        Call it only once that is so: others may then claim at once.
+        """
+        body = self._heartbeat(0, [], True)
+        async with curio.TaskGroup() as group:
+            for member in self.others():
+                if member.zone == self._cfg.zone and member.alive:
+                    await group.spawn(self._call, member.host.name, body)
 
     async def _take_ack(
         self, sender: places.HostId, ack: messages.HeartbeatAck
@@ -100,9 +122,11 @@
     ) -> messages.PeerMessage:
         """Answer a heartbeat."""
         now = clock.now()
-        self._members.on_heartbeat(
+        ended = self._members.on_heartbeat(
             sender, body.zone, body.address, body.port, body, now
         )
+        for host in ended:
+            self._ownership.on_gone(host, now)
         self._owners.learn(sender.name, body.loads, now)
         self.versions[sender.name] = body.config_version
         await self._heard_version(sender.name, body.config_version)
--- a/hibiscusslip/node/node.py
+++ b/hibiscusslip/node/node.py
@@ -182,10 +182,14 @@
         await self.writer.add(joined.record_id, codec.encode(joined))
 
     async def stop(self) -> None:
-        """Stop all loops at once, as a crash would, but tidily."""
+        """Stop all loops at once."""
         await self._tasks.cancel_remaining()
         await self.fleet.stop()
 
+    async def say_goodbye(self) -> None:
+        """Tell the zone, after `stop`, that this process has ended."""
+        await self.neighbours.say_ended()
+
     async def drain(self, grace: float) -> bool:
         """Hand all shards over; False when some are left after `grace` s."""
         self.ownership.drain(clock.now())
@@ -279,6 +283,14 @@
         )
         await self.fleet.drop(action.shard)
 
+    async def resumed(self, action: actions.Resumed) -> None:
+        """Proceed as after a take-over: others may have acted since."""
+        self.history.note(
+            f'went on with shard {action.shard}',
+            'its lease had lapsed, and all hosts of the zone agreed',
+        )
+        await self.fleet.take(action.shard, action.epoch)
+
     async def better_elsewhere(self, action: actions.SuggestHandOver) -> None:
         """Hand a shard over in a planned way."""
         await curio.spawn(
--- a/hibiscusslip/node/ownership_driver.py
+++ b/hibiscusslip/node/ownership_driver.py
@@ -36,6 +36,10 @@
     async def lost(self, action: actions.LostShard) -> None:
         """Stop to act for a shard."""
 
+    @abc.abstractmethod
+    async def resumed(self, action: actions.Resumed) -> None:
+        """Proceed as after a take-over: others may have acted since."""
+
     @abc.abstractmethod
     async def better_elsewhere(self, action: actions.SuggestHandOver) -> None:
         """Hand a shard over in a planned way."""
@@ -93,6 +97,8 @@
             await self._events.took_over(action)
         elif isinstance(action, actions.LostShard):
             await self._events.lost(action)
+        elif isinstance(action, actions.Resumed):
+            await self._events.resumed(action)
         elif isinstance(action, actions.SuggestHandOver):
             await self._events.better_elsewhere(action)
         elif isinstance(action, actions.HandOverFailed):
