Keep idle guarantees by counting where typical tasks still fit

Change: free room is counted endpoint by endpoint in typical tasks of each kind, and only the rest is lent; the headroom follows the recent range.

--- a/hibiscusslip/bench/fleets.py
+++ b/hibiscusslip/bench/fleets.py
@@ -26,11 +26,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Fleet:
-    """Hold the endpoints of one deployment and its teams."""
+    """Hold the endpoints of one deployment and its teams.
+
+    Run times are `pace` times as long as usual.
+    """
 
     name: str
     pools: tuple[Pool, ...]
     teams: int
+    pace: float = 1.0
 
 
 PEACHTREE = Fleet(
@@ -50,6 +54,7 @@
         Pool('accelerated', 500, 128, 256, 8, 20),
     ),
     260,
+    3.5,
 )
 
 
--- a/hibiscusslip/scheduler/_accounts.py
+++ b/hibiscusslip/scheduler/_accounts.py
@@ -3,12 +3,13 @@
 import collections
 import dataclasses
 
-from hibiscusslip.scheduler import _accelerators
+from hibiscusslip.scheduler import _reserve
 from hibiscusslip.scheduler import _vector
 from hibiscusslip.scheduler import base
 
 PEAK_HALF_LIFE_S = 60.0
-PEAK_HEADROOM = 1.5
+PEAK_HEADROOM = 0.25
+TROUGH_SPEED = 4
 PEAK_STEP_S = 1.0
 MIN_GUARANTEE = 1e-6
 
@@ -17,8 +18,9 @@
 class KindAccount:
     """Hold what a kind has booked and what is kept for it.
 
-    `peak` is the most it held lately, idle guarantee beyond it is lent to
-    other kinds; `fraction` is what it holds of its bound dimension and
+    `peak` and `trough` are the most and the least it held lately; idle
+    guarantee beyond the peak and some of their distance is lent to other
+    kinds; `fraction` is what it holds of its bound dimension and
     `standing` that over its guarantee.
     """
 
@@ -27,6 +29,7 @@
     running: int = 0
     peak: _vector.Vector = _vector.ZERO
     peak_at: float = 0.0
+    trough: _vector.Vector = _vector.ZERO
 
     guarantee: _vector.Vector = _vector.ZERO
     ceiling: _vector.Vector = _vector.ZERO
@@ -36,6 +39,11 @@
     fraction: float = 0.0
     standing: float = 0.0
 
+    @property
+    def on_accelerators(self) -> bool:
+        """Tell whether the kind has used accelerators lately."""
+        return self.peak[_vector.ACCELERATORS] > 0
+
     def set_capacity(self, capacity: _vector.Vector) -> None:
         """Work out what the shares mean for a new capacity."""
         self.capacity = capacity
@@ -48,11 +56,17 @@
         if age >= PEAK_STEP_S:
             fade = 0.5 ** (age / PEAK_HALF_LIFE_S)
             self.peak = _vector.scale(self.peak, fade)
+            above = _vector.sub(self.held, self.trough)
+            gone = _vector.scale(above, fade**TROUGH_SPEED)
+            self.trough = _vector.sub(self.held, gone)
             self.peak_at = now
         self.peak = _vector.most(self.peak, self.held)
+        self.trough = _vector.least(self.trough, self.held)
         kept = self.guarantee
         if self.share.lendable:
-            wanted = _vector.scale(self.peak, PEAK_HEADROOM)
+            span = _vector.sub(self.peak, self.trough)
+            room = _vector.scale(span, PEAK_HEADROOM)
+            wanted = _vector.add(self.peak, room)
             kept = _vector.least(wanted, kept)
         self.idle = _vector.positive(_vector.sub(kept, self.held))
         self.fraction = _vector.dominant(self.held, self.capacity)
@@ -63,8 +77,8 @@
 class Accounts:
     """Count held amounts by kind, by team and by team within a kind."""
 
-    def __init__(self, guard: _accelerators.Guard) -> None:
-        self.guard = guard
+    def __init__(self, reserve: _reserve.Reserve) -> None:
+        self.reserve = reserve
         self.kinds: dict[str, KindAccount] = {}
         self.quotas: dict[str, base.TeamQuota] = {}
         self._configured: frozenset[str] = frozenset()
@@ -198,20 +212,26 @@
         ceiling = _vector.sub(account.ceiling, account.held)
         if account.standing < 1.0 and account.share.guarantee > 0:
             return guaranteed, ceiling
-        kept = _vector.sub(self._idle, account.idle)
-        free = _vector.sub(self.capacity, self.held)
-        if not account.peak[_vector.ACCELERATORS]:
-            kept = _vector.add(kept, self._beside_accelerators())
-        return guaranteed, _vector.least(ceiling, _vector.sub(free, kept))
-
-    def _beside_accelerators(self) -> _vector.Vector:
-        """Return what is kept beside free accelerators, not counted yet."""
-        number = _vector.ACCELERATORS
-        kept = self.guard.kept(self.capacity[number] - self.held[number])
-        for account in self.kinds.values():
-            if account.peak[number]:
-                kept = _vector.sub(kept, account.idle)
-        return _vector.positive(kept)
+        return guaranteed, _vector.least(ceiling, self._lent(account))
+
+    def _lent(self, borrower: KindAccount) -> _vector.Vector:
+        """Return what may be lent while what is kept still fits.
+
+        Work on accelerators and other work don't take each other's room:
+        what accelerators need beside them is kept anyway.
+        """
+        room = _vector.sub(self.capacity, self.held)
+        kept = _vector.ZERO
+        for name, account in self.kinds.items():
+            alike = account.on_accelerators == borrower.on_accelerators
+            if not alike or account is borrower:
+                continue
+            if account.idle != _vector.ZERO:
+                kept = _vector.add(kept, account.idle)
+                spare = self.reserve.lendable(name, account.idle)
+                room = _vector.least(room, spare)
+        free = _vector.sub(self.capacity, _vector.add(self.held, kept))
+        return _vector.least(room, free)
 
     def may_hold(self, kind: str, need: _vector.Vector) -> bool:
         """Tell whether shares let a kind hold `need` more."""
--- a/hibiscusslip/scheduler/_endpoints.py
+++ b/hibiscusslip/scheduler/_endpoints.py
@@ -7,6 +7,7 @@
 from hibiscusslip.model import places
 from hibiscusslip.scheduler import _accelerators
 from hibiscusslip.scheduler import _index
+from hibiscusslip.scheduler import _reserve
 from hibiscusslip.scheduler import _vector
 
 
@@ -53,6 +54,7 @@
         self.racks: dict[str, dict[str, Room]] = {}
         self.where: dict[str, Room] = {}
         self.guard = _accelerators.Guard()
+        self.reserve = _reserve.Reserve(self.guard)
         self._all: list[Room] = []
         self.index = _index.Index()
         self.capacity = _vector.ZERO
@@ -88,6 +90,7 @@
             self._all[room.position] = last
             last.position = room.position
         self._count(room, -1)
+        self.reserve.forget(room)
         self.index.remove(room)
         self.racks[room.rack].pop(name, None)
         del self.rooms[name]
@@ -133,6 +136,7 @@
 
     def refresh(self, room: Room) -> None:
         """Put an endpoint where the index expects its free room."""
+        self.reserve.update(room)
         if room.open:
             self.index.put(room)
         else:
--- a/hibiscusslip/scheduler/_gather.py
+++ b/hibiscusslip/scheduler/_gather.py
@@ -7,6 +7,7 @@
 from hibiscusslip.scheduler import _jobs
 from hibiscusslip.scheduler import _learning
 from hibiscusslip.scheduler import _ledger
+from hibiscusslip.scheduler import _reserve
 from hibiscusslip.scheduler import _vector
 
 MAX_ROOMS_LOOKED_AT = 256
@@ -82,8 +83,8 @@
         if plan is None:
             return False
         need = plan.job.demand
-        count = sum(_count(need, room.free) for room in plan.rooms)
-        return count >= len(plan.job.pending)
+        fits = sum(_reserve.count(need, r.free) for r in plan.rooms)
+        return fits >= len(plan.job.pending)
 
     def backfill(self, job: _jobs.Job, now: float) -> _endpoints.Room | None:
         """Return a kept endpoint that a short task may use meanwhile."""
@@ -136,11 +137,11 @@
         now: float,
     ) -> list[tuple[float, int, int]]:
         free = room.free
-        count = _count(need, free)
+        count = _reserve.count(need, free)
         steps = [(now, position, count)] if count else []
         for when, amount in sorted(self._ends(room, now)):
             free = _vector.add(free, amount)
-            more = _count(need, free) - count
+            more = _reserve.count(need, free) - count
             if more > 0:
                 steps.append((when, position, more))
                 count += more
@@ -160,11 +161,3 @@
                 end = now + max(now - since, REPLAN_AFTER_S)
             ends.append((end, amount))
         return ends
-
-
-def _count(need: _vector.Vector, free: _vector.Vector) -> int:
-    """Return how many times `need` fits into `free`."""
-    if not _vector.fits(need, free):
-        return 0
-    pairs = zip(need, free, strict=True)
-    return min((room // part for part, room in pairs if part), default=1)
--- a/hibiscusslip/scheduler/_shard.py
+++ b/hibiscusslip/scheduler/_shard.py
@@ -48,7 +48,7 @@
         self._bounds = bounds
         self._rng = rng
         book = _endpoints.Book()
-        accounts = _accounts.Accounts(book.guard)
+        accounts = _accounts.Accounts(book.reserve)
         accounts.set_policy(policy)
         order = _fair.Fair(accounts) if fair else _order.Fifo()
         self._ledger = _ledger.Ledger(book, accounts, order)
@@ -115,6 +115,7 @@
         job.accepted = True
         job.short = self._learner.estimate(spec).high <= SHORT_RUN_S
         self._ledger.book.guard.note(job.demand, now)
+        self._ledger.book.reserve.note(spec.kind, job.demand)
         missing = [i for i in range(spec.tasks) if i not in job.placed]
         self._ledger.queue(job, missing)
         self._deadlines.watch(job)
@@ -269,6 +270,8 @@
         for room in self._health.ripen(now):
             self._ledger.order.freed(room.free)
         self._gatherer.check(now)
+        book = self._ledger.book
+        book.reserve.refresh(book.rooms.values(), now)
         self._ledger.accounts.refresh(now)
         self._ledger.book.guard.set_now(now)
         self._ledger.order.begin(now)
