--- a/hibiscusslip/bench/capacity/wire_slopes.py
+++ b/hibiscusslip/bench/capacity/wire_slopes.py
@@ -167,7 +167,7 @@
         heartbeat=base,
         heartbeat_load=(_peer_bytes(samples.heartbeat(10, 0)) - base) / 10,
         known_host=(_peer_bytes(samples.heartbeat(0, 10)) - base) / 10,
-        small_call=_peer_bytes(messages.CommitRequest('0123456789abcdef')),
+        small_call=_peer_bytes(messages.JobCancel('eu-north-a', 3, '0123456789abcdef')),
         http_pair=curio.run(_request_head) + curio.run(_response_head),
         start_order=_order_bytes(assumed),
         ended_run=_ended_bytes(assumed),
--- a/hibiscusslip/bench/peer_link.py
+++ b/hibiscusslip/bench/peer_link.py
@@ -53,7 +53,7 @@
 
 
 async def _call_many(peers: links.PeerLinks, calls: int) -> None:
-    body = messages.CommitRequest('0123456789abcdef')
+    body = messages.JobCancel('eu-north-a', 3, '0123456789abcdef')
     for _ in range(calls):
         await peers.call('b', body, CALL_TIMEOUT_SECONDS)
 
--- a/tests/peer/test_links.py
+++ b/tests/peer/test_links.py
@@ -26,7 +26,7 @@
 
 def test_each_of_many_calls_gets_its_own_reply():
     async def one(links, number):
-        ask = messages.CommitRequest(f'h{number}')
+        ask = messages.JobCancel('z1', 1, f'j{number}')
         assert await links.call('b', ask, 5) == ask
 
     async def scenario():
@@ -129,7 +129,7 @@
         async with fakes.serving() as running:
             async with fakes.linked(running.port) as links:
                 with pytest.raises(exceptions.PeerUnsettled):
-                    broken = messages.ReleaseRequest('h1')
+                    broken = messages.JobExplain('z1', 1, 'j1')
                     await links.call('b', broken, 0.1)
                 await links.call('b', QUERY, 5)
 
