--- a/hibiscusslip/jobs/_starting.py
+++ b/hibiscusslip/jobs/_starting.py
@@ -28,7 +28,10 @@
         elif isinstance(decision, scheduler_base.GangWanted):
             st.pending.append(
                 commands.HoldElsewhere(
-                    decision.job_id, decision.missing, decision.expires
+                    decision.job_id,
+                    decision.missing,
+                    decision.expires,
+                    decision.local,
                 )
             )
         elif isinstance(decision, scheduler_base.Preempt):
@@ -90,6 +93,10 @@
     if job is None:
         return
     job.intents.update(record.tasks)
+    job.places.update(record.place.split())
+    if record.place != str(st.shard):
+        st.pending.append(commands.JobKept(record.job_id))
+        return
     starts = []
     for index in record.tasks:
         task = job.tasks[index]
--- a/hibiscusslip/peer/messages.py
+++ b/hibiscusslip/peer/messages.py
@@ -35,7 +35,10 @@
 
 
 class Heartbeat(_Message, frozen=True, tag='heartbeat'):
-    """Tell that the sender lives, what it holds and what it knows."""
+    """Tell that the sender lives, what it holds and what it knows.
+
+    `ended` is the last word of a process: it acts for nothing any more.
+    """
 
     number: int
     draining: bool
@@ -45,6 +48,7 @@
     zone: str = ''
     address: str = ''
     port: int = 0
+    ended: bool = False
 
 
 class KnownHost(_Message, frozen=True):
@@ -76,16 +80,11 @@
 
 
 class PromiseRequest(_Message, frozen=True, tag='promise_request'):
-    """Ask a host of the same zone not to claim shards for a while.
-
-    `claimants` lists all hosts that are asked; a host that knows of one
-    more grants nothing.
-    """
+    """Ask a host of the same zone not to claim shards for a while."""
 
     request_id: str
     shards: list[HeldShard]
     duration: float
-    claimants: list[str] = []
 
 
 class PromiseReply(_Message, frozen=True, tag='promise_reply'):
@@ -115,15 +114,10 @@
 
 
 class IntroductionReply(_Message, frozen=True, tag='introduced'):
-    """Confirm the introduction and tell the open promises.
-
-    `known_to` lists the hosts that ask the sender for promises: it makes
-    none that leaves the newcomer out.
-    """
+    """Confirm the introduction and tell the open promises."""
 
     request_id: str
     promises: list[OpenPromise]
-    known_to: list[str] = []
 
 
 class JobSubmit(_Message, frozen=True, tag='job_submit'):
--- a/hibiscusslip/scheduler/_accounts.py
+++ b/hibiscusslip/scheduler/_accounts.py
@@ -3,10 +3,12 @@
 import collections
 import dataclasses
 
+from hibiscusslip.scheduler import _accelerators
 from hibiscusslip.scheduler import _vector
 from hibiscusslip.scheduler import base
 
 PEAK_HALF_LIFE_S = 60.0
+PEAK_HEADROOM = 1.5
 PEAK_STEP_S = 1.0
 MIN_GUARANTEE = 1e-6
 
@@ -50,7 +52,8 @@
         self.peak = _vector.most(self.peak, self.held)
         kept = self.guarantee
         if self.share.lendable:
-            kept = _vector.least(self.peak, kept)
+            wanted = _vector.scale(self.peak, PEAK_HEADROOM)
+            kept = _vector.least(wanted, kept)
         self.idle = _vector.positive(_vector.sub(kept, self.held))
         self.fraction = _vector.dominant(self.held, self.capacity)
         least = max(self.share.guarantee, MIN_GUARANTEE)
@@ -60,7 +63,8 @@
 class Accounts:
     """Count held amounts by kind, by team and by team within a kind."""
 
-    def __init__(self) -> None:
+    def __init__(self, guard: _accelerators.Guard) -> None:
+        self.guard = guard
         self.kinds: dict[str, KindAccount] = {}
         self.quotas: dict[str, base.TeamQuota] = {}
         self._configured: frozenset[str] = frozenset()
@@ -184,24 +188,48 @@
     def allowances(self, kind: str) -> tuple[_vector.Vector, _vector.Vector]:
         """Return what a kind may hold more: guaranteed, and borrowed.
 
-        A demand that fits into either may start. What is borrowed stays
-        below the ceiling and leaves what other kinds have used of their
-        guarantee lately.
+        A demand that fits into either may start. Below its guarantee a
+        kind may go beyond it with one more task or gang. What is borrowed
+        stays below the ceiling and leaves what other kinds have used of
+        their guarantee lately.
         """
         account = self.kind(kind)
         guaranteed = _vector.sub(account.guarantee, account.held)
         ceiling = _vector.sub(account.ceiling, account.held)
-        if not account.running and account.share.guarantee > 0:
+        if account.standing < 1.0 and account.share.guarantee > 0:
             return guaranteed, ceiling
         kept = _vector.sub(self._idle, account.idle)
         free = _vector.sub(self.capacity, self.held)
+        if not account.peak[_vector.ACCELERATORS]:
+            kept = _vector.add(kept, self._beside_accelerators())
         return guaranteed, _vector.least(ceiling, _vector.sub(free, kept))
 
+    def _beside_accelerators(self) -> _vector.Vector:
+        """Return what is kept beside free accelerators, not counted yet."""
+        number = _vector.ACCELERATORS
+        kept = self.guard.kept(self.capacity[number] - self.held[number])
+        for account in self.kinds.values():
+            if account.peak[number]:
+                kept = _vector.sub(kept, account.idle)
+        return _vector.positive(kept)
+
     def may_hold(self, kind: str, need: _vector.Vector) -> bool:
         """Tell whether shares let a kind hold `need` more."""
         guaranteed, borrowed = self.allowances(kind)
         return _vector.fits(need, guaranteed) or _vector.fits(need, borrowed)
 
+    def could_hold(
+        self, kind: str, team: str, need: _vector.Vector, fraction: float
+    ) -> bool:
+        """Tell whether `need` fits a kind and a team that hold nothing."""
+        if not _vector.fits(need, self.kind(kind).ceiling):
+            return False
+        quota = self.quotas.get(team)
+        if quota is None:
+            return True
+        part = _vector.scale(_vector.of(quota.limit), fraction)
+        return _vector.fits(need, part)
+
     def below_ceiling(self, kind: str, need: _vector.Vector) -> bool:
         """Tell whether a kind may hold `need` more by its ceiling."""
         account = self.kind(kind)
--- a/hibiscusslip/scheduler/limits.py
+++ b/hibiscusslip/scheduler/limits.py
@@ -10,7 +10,8 @@
     Queues are counted in tasks, times are in seconds. `unix_offset` is
     what has to be added to `now` to get unix time, for deadlines;
     `quota_fraction` is the part of each team's quota that this shard
-    may give out.
+    may give out. `suspicion` turns the suspension of failing endpoints
+    on, `backfill` lets short work use what a gang gathers.
     """
 
     max_queued: int = 100_000
@@ -19,7 +20,10 @@
     max_retry_after: float = 600.0
     unix_offset: float = 0.0
     quota_fraction: float = 1.0
-    gang_hold: float = 10.0
-    gang_retry: float = 5.0
+    gang_hold: float = 5.0
+    gang_retry: float = 0.5
+    gang_pause: float = 0.1
     service_backoff: float = 1.0
     max_service_backoff: float = 60.0
+    suspicion: bool = True
+    backfill: bool = True
