--- a/tests/peer/fakes.py
+++ b/tests/peer/fakes.py
@@ -48,7 +48,7 @@
         if isinstance(body, messages.ConfigQuery):
             await self.release.wait()
             return messages.ConfigState(body.above, 0, b'')
-        if isinstance(body, messages.JobExplain):
+        if isinstance(body, messages.ReleaseRequest):
             raise RuntimeError('broken on purpose')
         return body
 
