Ask only hosts that may hold a shard to know the claimer

Cause: a listed host that never started blocked all take-overs of its zone. Change: former holders and hosts known since before reading began count.

--- a/hibiscusslip/ownership/_claiming.py
+++ b/hibiscusslip/ownership/_claiming.py
@@ -51,19 +51,8 @@
     """Return when each host that may hold the shard knew this one."""
     if not state.listed:
         return math.inf
-    hosts = set(state.members)
-    holding = state.ledger.latest(shard)
-    if holding is None:
-        hosts.update(state.ledger.hosts_of_unknown(shard))
-    elif holding.host is not None:
-        hosts.add(holding.host)
-    hosts.discard(state.me)
     return max(
-        (
-            state.introductions.clear_at(host)
-            for host in hosts
-            if state.ended_at(host) is None
-        ),
+        map(state.introductions.clear_at, state.may_hold(shard)),
         default=-math.inf,
     )
 
--- a/hibiscusslip/ownership/_reading.py
+++ b/hibiscusslip/ownership/_reading.py
@@ -41,6 +41,8 @@
     lease = state.leases.get(change.shard)
     holding = change.current
     mine = holding.host == state.me
+    if holding.host is not None and not mine:
+        state.holders.setdefault(change.shard, set()).add(holding.host)
     if mine and lease is not None and lease.epoch == holding.epoch:
         _go_on(state, change.shard, append)
         return
--- a/hibiscusslip/ownership/_state.py
+++ b/hibiscusslip/ownership/_state.py
@@ -62,6 +62,9 @@
         self.members: dict[places.HostId, members_.Member] = {}
         self.gone: dict[places.HostId, float] = {}
         self.listed = False
+        self.baseline_at = now
+        self.first_known: dict[str, float] = {}
+        self.holders: dict[int, set[places.HostId]] = {}
         self.draining = False
         self.out: list[actions.Action] = []
         self.received: dict[str, float] = {}
@@ -131,6 +134,32 @@
             return self.started_at
         return self.gone.get(host)
 
+    def note_names(self, now: float) -> None:
+        """Note when the names of members were first known."""
+        present = {host.name for host in self.members}
+        self.first_known = {
+            name: self.first_known.get(name, now) for name in present
+        }
+
+    def may_hold(self, shard: int) -> set[places.HostId]:
+        """Return the other hosts that may hold a shard without the log.
+
+        Those that held it by records read here, and those that may have
+        held it before reading began. Whoever the host list shows only
+        later has started since.
+        """
+        known_by = self.baseline_at + self.timing.list_lag
+        hosts = set(self.holders.get(shard, ()))
+        hosts.update(
+            host
+            for host in self.members
+            if self.first_known.get(host.name, known_by) <= known_by
+        )
+        if self.ledger.latest(shard) is None:
+            hosts.update(self.ledger.hosts_of_unknown(shard))
+        hosts.discard(self.me)
+        return {host for host in hosts if self.ended_at(host) is None}
+
     def outlive(
         self, host: places.HostId, asked_at: float, now: float
     ) -> None:
@@ -156,5 +185,7 @@
             return
         self.gone[host] = now
         self.introductions.drop(host)
+        for holders in self.holders.values():
+            holders.discard(host)
         if len(self.gone) > MAX_GONE:
             del self.gone[next(iter(self.gone))]
--- a/hibiscusslip/ownership/owner.py
+++ b/hibiscusslip/ownership/owner.py
@@ -71,6 +71,7 @@
         """Read on from the oldest kept offset, earlier records are gone."""
         self._state.ledger.restart(first_offset, now)
         self._state.appends.lose_track()
+        self._state.baseline_at = now
 
     def on_caught_up(self, end_offset: int, now: float) -> None:
         """Note that the log was read up to its end just now.
@@ -117,6 +118,7 @@
             if member.zone == state.zone and member.host != state.me
         }
         state.listed = state.listed or listed
+        state.note_names(now)
         if state.candidates() != before:
             state.forget_rankings()
 
--- a/hibiscusslip/ownership/timing.py
+++ b/hibiscusslip/ownership/timing.py
@@ -10,7 +10,8 @@
     """Hold durations in seconds, the same on all hosts of a zone.
 
     `drift` is the largest relative error of a clock's rate, `settle` how
-    long a send may stay on its way to an endpoint. Raises
+    long a send may stay on its way to an endpoint, `list_lag` how long the
+    platform's host list may miss a host that lives. Raises
     InvalidTiming when the values don't fit together.
     """
 
@@ -24,6 +25,7 @@
     heartbeat: float = 0.5
     stagger: float = 1.0
     snapshot_interval: float = 600.0
+    list_lag: float = 60.0
 
     def __post_init__(self) -> None:
         for field in dataclasses.fields(self):
--- a/tests/fuzz/test_ownership_planted.py
+++ b/tests/fuzz/test_ownership_planted.py
@@ -39,13 +39,27 @@
                 )
 
 
+class ForgetsPromises(owner.Ownership):
+    """Claim in spite of an open promise."""
+
+    def __init__(self, *args):
+        super().__init__(*args)
+        self._state.given.until = lambda shard: -math.inf
+
+
 class PromisesWhileClaiming(owner.Ownership):
-    """Promise in spite of an unsettled claim."""
+    """Promise in spite of an unsettled claim, and act once that lands."""
 
     def __init__(self, *args):
         super().__init__(*args)
         self._state.appends.claims = lambda shard: False
 
+    def on_record(self, offset, record, now):
+        self._state.given.until = lambda shard: -math.inf
+        applied = super().on_record(offset, record, now)
+        del self._state.given.until
+        return applied
+
 
 class ResumesAtOnce(owner.Ownership):
     """Resume a lapsed holding without waiting for sends of others."""
@@ -98,6 +112,7 @@
         durations=dataclasses.replace(world.TIMING, settle=0.0)
     ),
     'trusts a lost append': world.Plant(ownership=TrustsLostAppends),
+    'forgets its promises': world.Plant(ownership=ForgetsPromises),
     'promises while claiming': world.Plant(ownership=PromisesWhileClaiming),
     'resumes at once': world.Plant(ownership=ResumesAtOnce),
     'newcomer not introduced': world.Plant(ownership=ClaimsUnknown),
@@ -109,6 +124,7 @@
     'no wait for the lease': 1,
     'no wait for sends': 1,
     'trusts a lost append': 1,
+    'forgets its promises': 1,
     'promises while claiming': 1,
     'resumes at once': 1,
     'newcomer not introduced': 3,
--- a/tests/fuzz/world.py
+++ b/tests/fuzz/world.py
@@ -31,6 +31,7 @@
     heartbeat=0.5,
     stagger=0.5,
     snapshot_interval=12.0,
+    list_lag=8.0,
 )
 PACING = pacing.Pacing(
     suspect_after=1.5, forget_after=30.0, list_lag=8.0, max_hosts=32
