End the process when one of its core loops has crashed

Cause: loops ran in a task group that nobody joins, so a crash ended one loop silently. The host went on to renew leases and take requests. Change: a supervisor guards the loops of node, shards, endpoint drivers and listeners; the daemon ends with exit code 70 and logs where it crashed. The log shows lines only: an exception's text may quote what is secret. Settings of test hosts also list all zones, as keys' homes need them.

--- a/hibiscusslip/commands/entry.py
+++ b/hibiscusslip/commands/entry.py
@@ -22,7 +22,7 @@
     help_epilogue=(
         'SIGTERM stops it gracefully: work is handed over and no request in'
         ' flight is cut off. Exit codes: 0 stopped or settings without a'
-        ' fault, 1 failed, 2 settings with faults.'
+        ' fault, 1 failed, 2 settings with faults, 70 crashed.'
     ),
     result_action='return_value',
 )
--- a/hibiscusslip/node/__main__.py
+++ b/hibiscusslip/node/__main__.py
@@ -20,6 +20,7 @@
 
 USAGE = 'usage: python -m hibiscusslip.node --settings FILE'
 USAGE_EXIT = 2
+CRASH_EXIT = 70
 CLOSE_PART = 0.8
 STOP_POLL_SECONDS = 0.05
 
@@ -69,8 +70,11 @@
             http_bounds(limits),
         )
 
-    async def run(self) -> None:
-        """Serve until SIGTERM or SIGINT, then stop gracefully."""
+    async def run(self) -> int:
+        """Serve until SIGTERM or SIGINT, then stop gracefully.
+
+        Returns the exit code; a host that lost a loop ends at once.
+        """
         stop = signals.StopSignals()
         listen = self._cfg.listeners
         port = await self._peers.listen(
@@ -82,19 +86,24 @@
         await self._operators.listen(
             listen.operators.address, listen.operators.port
         )
-        await curio.spawn(self._operators.serve, daemon=True)
-        await curio.spawn(self._peers.serve, daemon=True)
+        guard = self._node.supervisor.guard
+        await curio.spawn(guard, self._operators.serve, daemon=True)
+        await curio.spawn(guard, self._peers.serve, daemon=True)
         await self._node.start(listen.peers.address, port)
-        await curio.spawn(self._callers.serve, daemon=True)
+        await curio.spawn(guard, self._callers.serve, daemon=True)
         logger.info(
             'serving callers on {}:{}, peers on port {}',
             listen.callers.address,
             callers_port,
             port,
         )
+        supervisor = self._node.supervisor
         while not (stop.came or self._node.stop_asked):
+            if supervisor.crashed:
+                return CRASH_EXIT
             await curio.sleep(STOP_POLL_SECONDS)
         await self._stop()
+        return 0
 
     async def _stop(self) -> None:
         """Hand everything over and answer all requests in flight."""
@@ -129,8 +138,7 @@
         print(exc, file=sys.stderr)
         return USAGE_EXIT
     logs.configure(cfg.observe.log_level, cfg.observe.log_json, cfg.host.name)
-    curio.run(Daemon(cfg).run)
-    return 0
+    return int(curio.run(Daemon(cfg).run))
 
 
 if __name__ == '__main__':
--- a/hibiscusslip/node/endpoint_driver.py
+++ b/hibiscusslip/node/endpoint_driver.py
@@ -47,9 +47,9 @@
 
     async def start(self) -> None:
         """Start the loops."""
-        await self._tasks.spawn(self._send_loop)
-        await self._tasks.spawn(self._renew_loop)
-        await self._tasks.spawn(self._events_loop)
+        guard = self._shard.supervisor.guard
+        for loop in (self._send_loop, self._renew_loop, self._events_loop):
+            await self._tasks.spawn(guard, loop)
 
     async def stop(self) -> None:
         """Stop the loops and close the connections."""
--- a/hibiscusslip/node/fleet.py
+++ b/hibiscusslip/node/fleet.py
@@ -16,6 +16,7 @@
 from hibiscusslip.node import clock
 from hibiscusslip.node import config
 from hibiscusslip.node import shard_runner
+from hibiscusslip.node import supervision
 from hibiscusslip.ownership import owner
 from hibiscusslip.peer import messages
 from hibiscusslip.scheduler import base as scheduler_base
@@ -44,6 +45,7 @@
         ids: collections.abc.Iterator[str],
         rng: random.Random,
         remote: shard_runner.RemoteWork,
+        supervisor: supervision.Supervisor,
     ) -> None:
         self._cfg = cfg
         self._ownership = ownership
@@ -53,6 +55,7 @@
         self._ids = ids
         self._rng = rng
         self._remote = remote
+        self._supervisor = supervisor
         self._endpoints: dict[str, places.EndpointInfo] = {}
         self._policy: scheduler_base.FleetPolicy | None = None
         self.runners: dict[int, shard_runner.ShardRunner] = {}
@@ -110,6 +113,7 @@
             self._cfg.engine.worker_lease,
             epoch,
             self._remote,
+            self._supervisor,
         )
         self.runners[number] = runner
         logger.info('shard {} is owned at epoch {}', shard, epoch)
--- a/hibiscusslip/node/node.py
+++ b/hibiscusslip/node/node.py
@@ -31,6 +31,7 @@
 from hibiscusslip.node import remote_starts
 from hibiscusslip.node import shard_runner
 from hibiscusslip.node import standing_keeper
+from hibiscusslip.node import supervision
 from hibiscusslip.node import zone_feed
 from hibiscusslip.ownership import actions
 from hibiscusslip.ownership import owner
@@ -68,6 +69,7 @@
         self.cfg = cfg
         self.parts = parts
         self._rng = rng
+        self.supervisor = supervision.Supervisor()
         now = clock.now()
         self.ids = jobs_engine.record_ids(str(cfg.me))
         self.index = jobs_index.JobIndex(
@@ -98,6 +100,7 @@
             self.ids,
             rng,
             self.remote,
+            self.supervisor,
         )
         self.feed = zone_feed.ZoneFeed(
             parts.log, cfg.zone, self.ownership, self.index, self
@@ -171,7 +174,7 @@
             self._ask_after_remote,
         )
         for loop in loops:
-            await self._tasks.spawn(loop)
+            await self._tasks.spawn(self.supervisor.guard, loop)
         joined = zone_records.Joined(
             next(self.ids),
             self.cfg.me.name,
--- a/hibiscusslip/node/runner_base.py
+++ b/hibiscusslip/node/runner_base.py
@@ -3,6 +3,7 @@
 import abc
 
 from hibiscusslip.jobs import engine as jobs_engine
+from hibiscusslip.node import supervision
 
 
 class ShardAccess(abc.ABC):
@@ -10,6 +11,7 @@
 
     engine: jobs_engine.ShardEngine
     worker_lease: float
+    supervisor: supervision.Supervisor
 
     @abc.abstractmethod
     def may_act(self, now: float) -> bool:
--- a/hibiscusslip/node/shard_runner.py
+++ b/hibiscusslip/node/shard_runner.py
@@ -15,6 +15,7 @@
 from hibiscusslip.node import clock
 from hibiscusslip.node import endpoint_driver
 from hibiscusslip.node import runner_base
+from hibiscusslip.node import supervision
 from hibiscusslip.ownership import owner
 from hibiscusslip.records import zone as zone_records
 
@@ -66,6 +67,7 @@
         worker_lease: float,
         epoch: int,
         remote: RemoteWork,
+        supervisor: supervision.Supervisor,
     ) -> None:
         self.shard = shard
         self.engine = engine
@@ -78,6 +80,7 @@
         self._waiters: dict[str, curio.Event] = {}
         self.epoch = epoch
         self.remote = remote
+        self.supervisor = supervisor
         self._tasks = curio.TaskGroup()
         self._dirty = curio.Event()
         self._ready = False
@@ -92,7 +95,7 @@
 
     async def start(self) -> None:
         """Start the shard's loop."""
-        await self._tasks.spawn(self._loop)
+        await self._tasks.spawn(self.supervisor.guard, self._loop)
 
     async def stop(self) -> None:
         """Stop acting for the shard and release those who wait."""
--- a/tests/faults/settings_file.py
+++ b/tests/faults/settings_file.py
@@ -23,6 +23,7 @@
     timing: dict[str, float] = dataclasses.field(default_factory=dict)
     limits: dict[str, float] = dataclasses.field(default_factory=dict)
     seeds: tuple[tuple[str, str, int], ...] = ()
+    zones: tuple[str, ...] = ()
 
 
 def render(plan: EntryPlan, secret_file: pathlib.Path) -> str:
@@ -46,7 +47,7 @@
         '[limits]',
         *(f'{name} = {value}' for name, value in plan.limits.items()),
     ]
-    for zone in sorted({zone for _, zone, _ in plan.seeds}):
+    for zone in plan.zones or sorted({zone for _, zone, _ in plan.seeds}):
         lines += ['[[zones]]', f'name = "{zone}"']
     for name, zone, port in plan.seeds:
         lines += [
