--- /dev/null
+++ b/tests/integration/test_owner_dies.py
@@ -0,0 +1,79 @@
+"""Check that work goes on when owners die, pause or are replaced."""
+
+import time
+
+from tests.integration import callers
+from tests.integration import cell as cells
+
+TWO_PER_ZONE = cells.plan(zones=('a',), hosts_per_zone=2)
+
+
+def settle(cell, load):
+    """Check what callers and workers saw once all is quiet."""
+    cells.wait_idle(cell)
+    callers.check_truth(cell, load.seen)
+    outcomes = load.outcomes()
+    assert set(outcomes) == {'succeeded'}, outcomes
+    assert len(load.seen) > 20, outcomes
+    return cells.check_workers(cell)
+
+
+def test_kill_of_an_owner_under_load(tmp_path):
+    with cells.running(tmp_path, TWO_PER_ZONE) as cell:
+        with callers.Load(callers.ports_of(cell)) as load:
+            time.sleep(2)
+            cell.hosts['a-host0'].running.kill()
+            cells.wait_served(cell)
+            time.sleep(1)
+            cell.start_host('a-host0')
+            cells.wait_served(cell)
+            time.sleep(1)
+        settle(cell, load)
+
+
+def test_pause_of_an_owner_beyond_all_leases_under_load(tmp_path):
+    with cells.running(tmp_path, TWO_PER_ZONE) as cell:
+        paused = cell.hosts['a-host0'].running
+        with callers.Load(callers.ports_of(cell, ['a-host1'])) as load:
+            time.sleep(1)
+            paused.pause()
+            try:
+                time.sleep(cells.LEASES_S + 2)
+            finally:
+                paused.resume()
+            cells.wait_served(cell)
+            time.sleep(2)
+        settle(cell, load)
+
+
+def test_replacement_of_all_hosts_under_load(tmp_path):
+    plan = cells.plan(hosts_per_zone=2)
+    with cells.running(tmp_path, plan) as cell:
+        for name in cell.hosts:
+            others = [other for other in cell.hosts if other != name]
+            ports = callers.ports_of(cell, others)
+            # One caller a host that isn't replaced, and nobody retries.
+            with callers.Load(ports, retry=False, keyed=False) as load:
+                stopping = cell.hosts[name].running
+                stopping.terminate()
+                assert stopping.wait(30) == 0, stopping.log()
+                cell.start_host(name)
+                cells.wait_served(cell)
+            settle(cell, load)
+
+
+def test_request_in_flight_on_a_stopping_host_is_answered(tmp_path):
+    with cells.running(tmp_path, TWO_PER_ZONE) as cell:
+        stopping = cell.hosts['a-host0']
+        ports = callers.ports_of(cell, ['a-host0'])
+        with callers.Load(
+            ports, threads=4, retry=False, keyed=False, run_s=2.0
+        ) as load:
+            time.sleep(1)
+            load._stop.set()
+            stopping.running.terminate()
+            code = stopping.running.wait(30)
+        assert code == 0
+        assert {seen.outcome for seen in load.seen} == {'succeeded'}
+        callers.check_truth(cell, load.seen)
+        cells.check_workers(cell)
