Keep TLS out of the daemon's memory

Cause: an idle entry host took 37 MB, the limit is 32 MB. Ruled out: our own modules, which take about 5 MB in all. Change: the daemon makes imports of ssl and of OpenSSL's digests fail before it loads anything; the libraries go on without them, and Python's own digests serve.

--- a/hibiscusslip/lean.py
+++ b/hibiscusslip/lean.py
@@ -30,3 +30,13 @@
     sys.stdout.flush()
     sys.stderr.flush()
     os.execv(sys.executable, line)
+
+
+def leave_out(modules: tuple[str, ...]) -> None:
+    """Have imports of optional modules fail, as if they weren't installed.
+
+    Call it before anything else is imported. The libraries then take the
+    way that they have for Pythons without these modules.
+    """
+    for name in modules:
+        sys.modules.setdefault(name, None)  # type: ignore[arg-type]
--- a/hibiscusslip/node/__main__.py
+++ b/hibiscusslip/node/__main__.py
@@ -2,144 +2,20 @@
 
 import sys
 
-import curio
-from loguru import logger
+from hibiscusslip import lean
 
-from hibiscusslip import settings
-from hibiscusslip.caller import handler as caller_handler
-from hibiscusslip.http import limits as http_limits
-from hibiscusslip.http import server as http_server
-from hibiscusslip.node import assembly
-from hibiscusslip.node import caller_service
-from hibiscusslip.node import clock
-from hibiscusslip.node import operator_service
-from hibiscusslip.node import signals
-from hibiscusslip.observe import logs
-from hibiscusslip.operator import handler as operator_handler
-from hibiscusslip.operator import signing
-
-USAGE = 'usage: python -m hibiscusslip.node --settings FILE'
-USAGE_EXIT = 2
-CRASH_EXIT = 70
-CLOSE_PART = 0.8
-STOP_POLL_SECONDS = 0.05
-
-
-def http_bounds(cfg: settings.Limits) -> http_limits.Limits:
-    """Return the bounds of the listeners for callers and operators."""
-    return http_limits.Limits(
-        max_header_bytes=cfg.max_header_bytes,
-        max_body_bytes=cfg.max_body_bytes,
-        read_timeout=cfg.read_timeout,
-        write_timeout=cfg.write_timeout,
-        idle_timeout=cfg.idle_timeout,
-        max_connections=cfg.max_connections,
-    )
-
-
-class Daemon:
-    """Run the node and its listeners until told to stop."""
-
-    def __init__(self, cfg: settings.Settings) -> None:
-        self._cfg = cfg
-        offset = clock.wall() - clock.now()
-        assembled = assembly.build(cfg, offset)
-        self._node = assembled.node
-        self._peers = assembled.peers
-        self._service = caller_service.CallerService(self._node)
-        limits = cfg.limits
-        handler = caller_handler.CallerHandler(
-            self._service,
-            caller_handler.Bounds(
-                limits.max_jobs_per_request,
-                limits.max_tasks_per_job,
-                limits.max_wait,
-            ),
-            limits.peer_calls_per_second,
-            limits.team_jobs_per_second,
-        )
-        self._callers = http_server.Server(handler, http_bounds(limits))
-        verifier = signing.Verifier(
-            {key.key_id: key.secret for key in cfg.keys.operators}
-        )
-        fleet_service = operator_service.OperatorService(
-            self._node, self._node.parts.log
-        )
-        self._operators = http_server.Server(
-            operator_handler.OperatorHandler(fleet_service, verifier),
-            http_bounds(limits),
-        )
-
-    async def run(self) -> int:
-        """Serve until SIGTERM or SIGINT, then stop gracefully.
-
-        Returns the exit code; a host that lost a loop ends at once.
-        """
-        stop = signals.StopSignals()
-        listen = self._cfg.listeners
-        port = await self._peers.listen(
-            listen.peers.address, listen.peers.port
-        )
-        callers_port = await self._callers.listen(
-            listen.callers.address, listen.callers.port
-        )
-        await self._operators.listen(
-            listen.operators.address, listen.operators.port
-        )
-        guard = self._node.supervisor.guard
-        await curio.spawn(guard, self._operators.serve, daemon=True)
-        await curio.spawn(guard, self._peers.serve, daemon=True)
-        await self._node.start(listen.peers.address, port)
-        await curio.spawn(guard, self._callers.serve, daemon=True)
-        logger.info(
-            'serving callers on {}:{}, peers on port {}',
-            listen.callers.address,
-            callers_port,
-            port,
-        )
-        supervisor = self._node.supervisor
-        while not (stop.came or self._node.stop_asked):
-            if supervisor.crashed:
-                return CRASH_EXIT
-            await curio.sleep(STOP_POLL_SECONDS)
-        await self._stop()
-        return 0
-
-    async def _stop(self) -> None:
-        """Hand everything over and answer all requests in flight."""
-        grace = self._cfg.timing.drain_grace
-        logger.info('stopping within {} s', grace)
-        self._service.close_by(clock.now() + CLOSE_PART * grace)
-        handing = await curio.spawn(self._node.drain, grace)
-        cut = await self._callers.drain(grace)
-        given = await handing.join()
-        if cut or not given:
-            logger.warning(
-                '{} requests were cut off, all shards handed over: {}',
-                cut,
-                given,
-            )
-        await self._node.stop()
-        await self._node.say_goodbye()
-        await self._peers.close()
-        logger.info('stopped')
+# The daemon speaks no TLS. Its digests are those of Python itself, so the
+# libraries behind these modules would only take memory.
+UNUSED_MODULES = ('ssl', '_ssl', '_hashlib')
 
 
 def main() -> int:
-    """Read the settings file and run; `hibiscusslip-entry` starts this."""
-    match sys.argv[1:]:
-        case ['--settings', path]:
-            pass
-        case _:
-            print(USAGE, file=sys.stderr)
-            return USAGE_EXIT
-    try:
-        cfg = settings.load(path)
-    except settings.SettingsError as exc:
-        print(exc, file=sys.stderr)
-        return USAGE_EXIT
-    logs.configure(cfg.observe.log_level, cfg.observe.log_json, cfg.host.name)
-    return int(curio.run(Daemon(cfg).run))
+    """Run the daemon without what it doesn't need."""
+    lean.leave_out(UNUSED_MODULES)
+    # Imported here, as the libraries must not come before the line above.
+    from hibiscusslip.node import daemon
+
+    return daemon.main()
 
 
 if __name__ == '__main__':
--- a/tests/integration/test_core_loop.py
+++ b/tests/integration/test_core_loop.py
@@ -8,7 +8,7 @@
 CRASH_EXIT = 70
 BROKEN = """
 import sys
-from hibiscusslip.node import __main__ as daemon
+from hibiscusslip.node import daemon
 from hibiscusslip.node import {module} as module
 
 async def broken(self, *args):
--- a/tests/test_lean.py
+++ b/tests/test_lean.py
@@ -34,3 +34,23 @@
     assert lean.flags() == []
     (tmp_path / lean.BYTECODE_DIRECTORY).mkdir()
     assert lean.flags()[0] == '-OO'
+
+
+def test_daemon_loads_no_tls_and_its_digests_work():
+    code = (
+        'import sys\n'
+        'from hibiscusslip.node import __main__ as node\n'
+        'from hibiscusslip import lean\n'
+        'lean.leave_out(node.UNUSED_MODULES)\n'
+        'from hibiscusslip.node import daemon\n'
+        'import hmac, hashlib\n'
+        'hmac.digest(b"k", b"d", "sha256"), hashlib.blake2b(b"x")\n'
+        'print([n for n in node.UNUSED_MODULES if sys.modules[n]])\n'
+    )
+    done = subprocess.run(
+        [sys.executable, '-c', code],
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    assert done.stdout.strip() == '[]'
