Work capacity out by the durations a daemon really has

The model took defaults of the parts, which differ from those of the settings. It now builds a node's configuration from settings with all defaults.

--- a/hibiscusslip/bench/capacity/fleets.py
+++ b/hibiscusslip/bench/capacity/fleets.py
@@ -5,24 +5,20 @@
 
 from hibiscusslip import scheduler
 from hibiscusslip.bench.capacity import clocks
+from hibiscusslip.bench.capacity import daemon
 from hibiscusslip.bench.capacity import samples
 from hibiscusslip.bench.capacity import sizes
 from hibiscusslip.endpoint import base as endpoint_base
 from hibiscusslip.jobs import commands
 from hibiscusslip.jobs import engine as jobs_engine
 from hibiscusslip.membership import members
-from hibiscusslip.membership import pacing
 from hibiscusslip.model import places
 from hibiscusslip.ownership import actions
 from hibiscusslip.ownership import owner
-from hibiscusslip.ownership import timing
 from hibiscusslip.peer import messages
 from hibiscusslip.platform import base as platform_base
 from hibiscusslip.scheduler import limits
 
-PACING = pacing.Pacing()
-PASSED_ON = PACING.passed_on
-TIMING = timing.Timing()
 TICK_SECONDS = 0.1
 LIST_INTERVAL_SECONDS = 10.0
 SHARD = places.Shard(samples.ZONE, 3)
@@ -41,7 +37,7 @@
         limits.Limits(),
         random.Random(1),
     )
-    cfg = jobs_engine.EngineConfig()
+    cfg = daemon.node().engine
     ids = jobs_engine.record_ids('record')
     engine = jobs_engine.ShardEngine(SHARD, 1, sched, cfg, ids, 0.0)
     for number in range(count):
@@ -126,7 +122,9 @@
 ) -> owner.Ownership:
     """Return the part of a host that holds its shards."""
     shards = round(shape.shards_per_host)
-    own = owner.Ownership(_ME, samples.ZONE, shards, TIMING, rng, 0.0)
+    own = owner.Ownership(
+        _ME, samples.ZONE, shards, daemon.node().timing, rng, 0.0
+    )
     own.on_caught_up(0, 0.0)
     for action in own.tick(0.0):
         if isinstance(action, actions.AppendRecord):
@@ -144,7 +142,9 @@
     def __init__(
         self, hosts: int, assumed: sizes.Assumptions, rng: random.Random
     ) -> None:
-        self._members = members.Members(_ME, _zone_of(0), PACING, rng, 0.0)
+        self._members = members.Members(
+            _ME, _zone_of(0), daemon.node().pacing, rng, 0.0
+        )
         self._now = 0.0
         self.beats = 0
         listing = [
--- a/hibiscusslip/bench/capacity/lines.py
+++ b/hibiscusslip/bench/capacity/lines.py
@@ -2,10 +2,9 @@
 
 import collections.abc
 
-from hibiscusslip.bench.capacity import fleets
+from hibiscusslip.bench.capacity import daemon
 from hibiscusslip.bench.capacity import parts
 from hibiscusslip.bench.capacity import sizes
-from hibiscusslip.jobs import engine as jobs_engine
 from hibiscusslip.node import config_feed
 from hibiscusslip.node import endpoint_driver
 from hibiscusslip.node import neighbours
@@ -84,7 +83,7 @@
         """Return the heartbeats a second that a host sends or answers."""
         own = self._shape.assumed.hosts_per_zone - 1
         others = self._shape.hosts_in_region - 1 - own
-        foreign = min(fleets.PACING.foreign_fanout, others)
+        foreign = min(daemon.node().pacing.foreign_fanout, others)
         sent = own / self._pace.heartbeat
         sent += foreign / self._pace.foreign_heartbeat
         return 2 * sent
@@ -110,7 +109,9 @@
 
     def _usual_heartbeat(self) -> float:
         wire = self._slopes.wire
-        size = wire.heartbeat + wire.known_host * fleets.PASSED_ON
+        size = (
+            wire.heartbeat + wire.known_host * daemon.node().pacing.passed_on
+        )
         return size + wire.heartbeat_load * self._shape.shards_per_host
 
     def _ownership(self) -> parts.Line:
@@ -154,7 +155,7 @@
 
     def _renewals(self) -> parts.Line:
         shape, slopes = self._shape, self._slopes
-        lease = jobs_engine.EngineConfig().worker_lease
+        lease = daemon.node().engine.worker_lease
         renewals = shape.workers_per_host * RENEWALS_PER_LEASE / lease
         polls = shape.workers_per_host / endpoint_driver.EVENTS_WAIT_SECONDS
         tasks = shape.running_per_host / shape.workers_per_host
@@ -180,15 +181,6 @@
             + shape.kept_tasks * slopes.memory.ended_task,
         )
 
-    def config_bytes(self) -> float:
-        """Return the bytes of one configuration as read from the log."""
-        wire = self._slopes.wire
-        return (
-            wire.config_packed
-            if self._pace.config_packed
-            else (wire.config_read)
-        )
-
     def _configuration(self) -> parts.Line:
         shape, slopes = self._shape, self._slopes
         rate = shape.target.changes_per_day / sizes.SECONDS_PER_DAY
@@ -202,12 +194,12 @@
             + polls * slopes.time.http_call / ENDS,
             memory=shape.target.teams * slopes.memory.team
             + slopes.wire.config_read,
-            sent=polls * self._http_bytes(0) + rate * self.config_bytes(),
+            sent=polls * self._http_bytes(0) + rate * slopes.wire.config_read,
         )
 
     def renewal_rate(self) -> float:
         """Return the renewal records a second of one host."""
-        return 1 / fleets.TIMING.renew_interval
+        return 1 / daemon.node().timing.renew_interval
 
     def _zone_feed(self) -> parts.Line:
         shape, slopes = self._shape, self._slopes
--- a/hibiscusslip/bench/capacity/parts.py
+++ b/hibiscusslip/bench/capacity/parts.py
@@ -2,13 +2,12 @@
 
 import dataclasses
 
+from hibiscusslip.bench.capacity import daemon
 from hibiscusslip.bench.capacity import fleets
 from hibiscusslip.bench.capacity import memory_slopes
 from hibiscusslip.bench.capacity import sizes
 from hibiscusslip.bench.capacity import time_slopes
 from hibiscusslip.bench.capacity import wire_slopes
-from hibiscusslip.model import places
-from hibiscusslip.node import config
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -42,7 +41,6 @@
     listed_workers: float
     list_interval: float
     lists_sent: float
-    config_packed: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -57,16 +55,14 @@
 
 def defaults(shape: sizes.Shape) -> Pace:
     """Return the pace of the code as it is."""
-    me = places.HostId('', '')
-    interval = config.NodeConfig(me, '', '', (), 1).host_list_interval
+    interval = daemon.node().host_list_interval
     return Pace(
-        heartbeat=fleets.PACING.heartbeat,
-        foreign_heartbeat=fleets.PACING.foreign_heartbeat,
-        passed_on=fleets.PACING.passed_on,
+        heartbeat=daemon.node().pacing.heartbeat,
+        foreign_heartbeat=daemon.node().pacing.foreign_heartbeat,
+        passed_on=daemon.node().pacing.passed_on,
         listed_workers=shape.target.workers,
         list_interval=interval,
         lists_sent=1 / interval,
-        config_packed=False,
     )
 
 
@@ -76,12 +72,11 @@
     changes = target.failures_per_day + target.replacements_per_day
     return Pace(
         heartbeat=1.0,
-        foreign_heartbeat=fleets.PACING.foreign_heartbeat,
+        foreign_heartbeat=daemon.node().pacing.foreign_heartbeat,
         passed_on=3,
         listed_workers=target.workers / target.zones,
         list_interval=fleets.LIST_INTERVAL_SECONDS,
         lists_sent=changes / target.zones / sizes.SECONDS_PER_DAY,
-        config_packed=True,
     )
 
 
--- a/hibiscusslip/bench/capacity/samples.py
+++ b/hibiscusslip/bench/capacity/samples.py
@@ -1,5 +1,7 @@
 """Make messages, records and jobs of the target's size."""
 
+import random
+
 from hibiscusslip.bench.capacity import sizes
 from hibiscusslip.endpoint import base as endpoint_base
 from hibiscusslip.model import places
@@ -133,7 +135,8 @@
 
 
 def morning_sheet(teams: int, assumed: sizes.Assumptions) -> sheet.Sheet:
-    """Return a sheet with so many teams."""
+    """Return a sheet with so many teams; names and amounts are irregular."""
+    rng = random.Random(teams)
     shares = tuple(
         sheet.Share(
             f'kind-{number}',
@@ -144,26 +147,38 @@
         )
         for number in range(assumed.kinds)
     )
-    quotas = tuple(
-        sheet.Quota(f'team-{number}', 640_000, 2_621_440, 8)
-        for number in range(teams)
-    )
-    workloads = tuple(_workload(n, assumed) for n in range(assumed.workloads))
+    quotas = tuple(_quota(rng) for _ in range(teams))
+    workloads = tuple(_workload(rng) for _ in range(assumed.workloads))
     return sheet.Sheet(shares, quotas, workloads)
 
 
-def _workload(number: int, assumed: sizes.Assumptions) -> sheet.Workload:
+def _name(rng: random.Random) -> str:
+    return f'{rng.getrandbits(48):012x}'
+
+
+def _quota(rng: random.Random) -> sheet.Quota:
+    return sheet.Quota(
+        _name(rng),
+        rng.randrange(1, 2_000) * 1_000,
+        rng.randrange(1, 8_000) * 1_024,
+        rng.randrange(16),
+    )
+
+
+def _workload(rng: random.Random) -> sheet.Workload:
     return sheet.Workload(
-        f'workload-{number}',
-        f'team-{number}',
-        f'kind-{number % assumed.kinds}',
-        work.Form.BATCH,
-        work.Urgency.NORMAL,
-        3,
-        DEMAND,
-        40.0,
-        True,
-        False,
+        _name(rng),
+        _name(rng),
+        f'kind-{rng.randrange(4)}',
+        rng.choice(list(work.Form)),
+        rng.choice(list(work.Urgency)),
+        rng.randrange(1, 40),
+        resources.Resources(
+            rng.randrange(1, 64) * 500, rng.randrange(1, 64) * 512, 0, 1, 1
+        ),
+        rng.randrange(1, 9_000) / 10,
+        rng.random() < 0.8,
+        rng.random() < 0.2,
     )
 
 
--- a/hibiscusslip/bench/capacity/targets.py
+++ b/hibiscusslip/bench/capacity/targets.py
@@ -2,11 +2,10 @@
 
 import dataclasses
 
-from hibiscusslip.bench.capacity import fleets
+from hibiscusslip.bench.capacity import daemon
 from hibiscusslip.bench.capacity import lines
 from hibiscusslip.bench.capacity import parts
 from hibiscusslip.bench.capacity import sizes
-from hibiscusslip.jobs import engine as jobs_engine
 from hibiscusslip.node import config_feed
 from hibiscusslip.node import ownership_driver
 from hibiscusslip.node import shard_runner
@@ -121,7 +120,7 @@
         )
 
     def _urgent(self) -> Figure:
-        timing, cfg = fleets.TIMING, jobs_engine.EngineConfig()
+        timing, cfg = daemon.node().timing, daemon.node().engine
         usual = shard_runner.TICK_SECONDS
         claimed = timing.lease_wait + timing.outlast(timing.settle)
         limit = self._shape.target.urgent_wait_seconds
@@ -157,7 +156,7 @@
         )
 
     def _in_force(self) -> Figure:
-        pace = fleets.PACING
+        pace = daemon.node().pacing
         direct = config_feed.READ_WAIT_SECONDS
         passed = pace.foreign_heartbeat + pace.heartbeat
         apply_ = self._slopes.time.config_change / 1e6
@@ -219,7 +218,7 @@
 
     def _region_lost(self) -> Figure:
         others = self._shape.assumed.hosts_per_zone - 1
-        asked = others / fleets.TIMING.promise_interval
+        asked = others / daemon.node().timing.promise_interval
         spent = 2 * asked * self._slopes.time.peer_call / lines.ENDS
         ticks = ownership_driver.TICK_SECONDS
         return Figure(
--- a/hibiscusslip/bench/capacity/time_slopes.py
+++ b/hibiscusslip/bench/capacity/time_slopes.py
@@ -11,6 +11,7 @@
 from hibiscusslip import configuration
 from hibiscusslip.bench import peer_link
 from hibiscusslip.bench.capacity import clocks
+from hibiscusslip.bench.capacity import daemon
 from hibiscusslip.bench.capacity import fleets
 from hibiscusslip.bench.capacity import samples
 from hibiscusslip.bench.capacity import sizes
@@ -91,7 +92,7 @@
 def _heartbeat(shape: sizes.Shape) -> float:
     """Return what a heartbeat and its answer cost in the codec."""
     loads = round(shape.shards_per_host)
-    body = samples.heartbeat(loads, fleets.PASSED_ON)
+    body = samples.heartbeat(loads, daemon.node().pacing.passed_on)
     envelope = messages.Envelope(412_345, False, '', 1.5, body)
     data = codec.encode(envelope)
     encode = clocks.cpu_micros(lambda: codec.encode(envelope), REPEATS)
--- a/hibiscusslip/bench/capacity/wire_slopes.py
+++ b/hibiscusslip/bench/capacity/wire_slopes.py
@@ -1,7 +1,6 @@
 """Measure how many bytes each message and record takes on the wire."""
 
 import dataclasses
-import zlib
 
 import curio
 import msgspec
@@ -45,7 +44,6 @@
     host_entry: float
     config_read: int
     config_team: float
-    config_packed: int
 
 
 def _peer_bytes(body: messages.PeerMessage) -> int:
@@ -78,14 +76,6 @@
     return _read_bytes([configuration.encode(record)])
 
 
-def _config_packed(teams: int, assumed: sizes.Assumptions) -> int:
-    """Return the bytes of the same record if it were compressed."""
-    record = configuration.make_record(
-        'record', 7_299, 'operator', samples.morning_sheet(teams, assumed), 0.0
-    )
-    return _read_bytes([zlib.compress(configuration.encode(record))])
-
-
 def _renew_bytes(tasks: int) -> int:
     names = [f'{samples.job_id(n)}/{n}' for n in range(tasks)]
     return len(msgspec.json.encode(endpoint_wire.RenewRequest(names, 12.0)))
@@ -181,6 +171,5 @@
         job_read=_read_of(records),
         host_entry=_host_entry_bytes(),
         config_read=config,
-        config_packed=_config_packed(teams, assumed),
         config_team=(config - _config_bytes(0, assumed)) / teams,
     )
