--- a/tests/faults/cluster.py
+++ b/tests/faults/cluster.py
@@ -81,20 +81,28 @@
 
     def start_host(self, name: str) -> EntryHost:
         """Start the process of an entry host and wait until it listens."""
-        host = self.hosts[name]
-        path = self._dir / f'{name}.toml'
-        secret = self._dir / settings_file.SECRET_NAME
-        secret.write_text(settings_file.SECRET)
-        path.write_text(settings_file.render(host.plan, secret))
-        args = ['-m', 'hibiscusslip.commands.entry', '--settings', str(path)]
-        host.running = self._run(f'{name}.{len(self._processes)}', args)
+        host = self._launch(name)
         process.wait_for_port(host.plan.callers_port, host.running)
         return host
 
     def start_hosts(self) -> None:
         """Start the processes of all entry hosts."""
-        for name in self.hosts:
-            self.start_host(name)
+        for host in [self._launch(name) for name in self.hosts]:
+            process.wait_for_port(host.plan.callers_port, host.running)
+
+    def apply(self, sheet: str) -> None:
+        """Publish a sheet and wait until it is in force everywhere."""
+        path = self._dir / 'sheet.csv'
+        path.write_text(sheet)
+        secret = self._dir / settings_file.SECRET_NAME
+        args = ['-m', 'hibiscusslip.commands.ctl', 'apply', str(path)]
+        args += ['--key-id', settings_file.KEY_ID]
+        args += ['--secret-file', str(secret)]
+        for host in self.hosts.values():
+            args += ['--entry', f'127.0.0.1:{host.plan.operators_port}']
+        started = self._run(f'ctl.{len(self._processes)}', args)
+        code = started.wait(process.READY_TIMEOUT_S * 3)
+        assert code == 0, started.log()
 
     def fault(self, route: str, **changes: object) -> None:
         """Change the faults of the proxy's routes; see tests.faults.proxy."""
@@ -134,6 +142,16 @@
         """Lift all faults of the proxy."""
         self.fault('*', heal=True)
 
+    def _launch(self, name: str) -> EntryHost:
+        host = self.hosts[name]
+        path = self._dir / f'{name}.toml'
+        secret = self._dir / settings_file.SECRET_NAME
+        secret.write_text(settings_file.SECRET)
+        path.write_text(settings_file.render(host.plan, secret))
+        args = ['-m', 'hibiscusslip.commands.entry', '--settings', str(path)]
+        host.running = self._run(f'{name}.{len(self._processes)}', args)
+        return host
+
     def _crossing(self, zone: str, with_platform: bool) -> list[str]:
         routes = [
             f'{source}>{target}'
--- a/tests/faults/settings_file.py
+++ b/tests/faults/settings_file.py
@@ -4,6 +4,7 @@
 import pathlib
 
 SECRET_NAME = 'shared.key'
+KEY_ID = 'k1'
 SECRET = '0123456789abcdef0123456789abcdef'
 
 
@@ -59,7 +60,7 @@
             f'port = {port}',
         ]
     for kind in ('peers', 'operators'):
-        lines += [f'[[keys.{kind}]]', 'id = "k1"']
+        lines += [f'[[keys.{kind}]]', f'id = "{KEY_ID}"']
         lines.append(f'secret_file = "{secret_file}"')
     return '\n'.join(lines) + '\n'
 
