--- /dev/null
+++ b/tests/test_http_fuzz.py
@@ -0,0 +1,65 @@
+"""Throw split and broken input at the server."""
+
+import hypothesis
+from hypothesis import strategies
+
+from tests.faults import serving
+
+STEADY = hypothesis.settings(
+    deadline=None, derandomize=True, max_examples=40, database=None
+)
+BODY = strategies.binary(max_size=300)
+
+
+def request(body, last):
+    """Return the bytes of one request."""
+    end = b'connection: close\r\n' if last else b''
+    head = b'POST /x HTTP/1.1\r\nhost: h\r\ncontent-length: %d\r\n' % len(body)
+    return head + end + b'\r\n' + body
+
+
+def split(raw, cuts):
+    """Return the pieces of `raw` between the cuts."""
+    places = sorted({0, len(raw), *(cut % (len(raw) + 1) for cut in cuts)})
+    return [raw[a:b] for a, b in zip(places, places[1:], strict=False)]
+
+
+@STEADY
+@hypothesis.given(
+    strategies.lists(BODY, min_size=1, max_size=4),
+    strategies.lists(strategies.integers(0, 10**6), max_size=6),
+)
+def test_requests_arrive_whole_however_they_are_split(bodies, cuts):
+    async def work():
+        handler = serving.Echo()
+        raw = b''.join(request(body, False) for body in bodies[:-1])
+        raw += request(bodies[-1], True)
+        async with serving.serving(handler) as (_, port):
+            answer = await serving.send(port, *split(raw, cuts))
+        assert [req.body for req in handler.seen] == bodies
+        assert answer.count(b'HTTP/1.1 200') == len(bodies)
+
+    serving.run(work)
+
+
+@STEADY
+@hypothesis.given(
+    BODY,
+    strategies.integers(0, 10**6),
+    strategies.binary(min_size=1, max_size=8),
+)
+def test_broken_input_leaves_the_server_well(body, at, noise):
+    async def work():
+        handler = serving.Echo()
+        raw = request(body, True)
+        at_byte = at % len(raw)
+        broken = raw[:at_byte] + noise + raw[at_byte + len(noise) :]
+        async with serving.serving(handler) as (_, port):
+            answer = await serving.send(port, broken)
+            assert answer.startswith(b'HTTP/1.1 ')
+            before = len(handler.seen)
+            good = await serving.send(port, request(b'good', True))
+            assert good.startswith(b'HTTP/1.1 200')
+            assert handler.seen[before].body == b'good'
+
+    serving.run(work)
