Trace each hop of a request and report metrics

Change: the trace context travels with the job, from the caller's header to the endpoint's order; totals go to statsd every 10 s; what all shards of a host share is one Context instead of nine arguments.

--- a/hibiscusslip/caller/_documents.py
+++ b/hibiscusslip/caller/_documents.py
@@ -95,6 +95,7 @@
     key: str,
     waiting: bool,
     default: work.Urgency,
+    trace: str,
 ) -> work.JobSpec:
     """Return the job that a document describes."""
     named = document.urgency
@@ -119,6 +120,7 @@
         key=key,
         deadline=document.deadline,
         payload=document.payload_base64 or document.payload.encode(),
+        trace=trace,
     )
 
 
--- a/hibiscusslip/caller/_submissions.py
+++ b/hibiscusslip/caller/_submissions.py
@@ -9,6 +9,7 @@
 from hibiscusslip.caller import service
 from hibiscusslip.http import messages
 from hibiscusslip.model import work
+from hibiscusslip.observe import traces
 from hibiscusslip.rest import exceptions
 from hibiscusslip.rest import routing
 
@@ -50,6 +51,7 @@
     routing.check_json(req)
     wait = routing.seconds(req, 'wait', bounds.max_wait)
     key = _key(req)
+    trace = traces.parent_of(req.headers)
     single = not req.body.lstrip(b' \t\r\n').startswith(b'[')
     documents = _decode(req.body, single)
     if not 1 <= len(documents) <= bounds.max_jobs:
@@ -61,7 +63,8 @@
     for index, document in enumerate(documents):
         _check(document, index, bounds, now)
         own_key = key if single or not key else f'{key}/{index}'
-        specs.append(_to_spec(document, jobs, own_key, wait > 0))
+        spec = _to_spec(document, jobs, own_key, wait > 0, trace)
+        specs.append(spec)
     return Submission(specs, single, wait)
 
 
@@ -111,6 +114,7 @@
     jobs: service.JobService,
     key: str,
     waiting: bool,
+    trace: str,
 ) -> work.JobSpec:
     return _documents.to_spec(
         document,
@@ -118,6 +122,7 @@
         key,
         waiting,
         jobs.default_urgency(document.kind),
+        trace,
     )
 
 
--- a/hibiscusslip/demo/cell.py
+++ b/hibiscusslip/demo/cell.py
@@ -13,6 +13,7 @@
 from hibiscusslip.model import resources
 from hibiscusslip.node import config
 from hibiscusslip.node import node as node_
+from hibiscusslip.observe import traces
 from hibiscusslip.ownership import timing
 from hibiscusslip.peer import loopback
 from hibiscusslip.platform import base as platform_base
@@ -92,7 +93,13 @@
 class Cell:
     """Hold a cell's nodes, its platform and its workers."""
 
-    def __init__(self, deployment: Deployment, seed: int) -> None:
+    def __init__(
+        self,
+        deployment: Deployment,
+        seed: int,
+        tracer: traces.Tracer = traces.OFF,
+    ) -> None:
+        self._tracer = tracer
         self.deployment = deployment
         self.fleet = workers.Fleet()
         self.pump = memory_endpoint.FleetPump(self.fleet)
@@ -137,6 +144,7 @@
             loopback.LoopbackPeers(me, self.switch),
             self._connect,
             RETENTION_SECONDS,
+            self._tracer,
         )
         node = node_.Node(cfg, parts, random.Random(token))
         self.nodes[name] = node
--- a/hibiscusslip/endpoint/base.py
+++ b/hibiscusslip/endpoint/base.py
@@ -16,7 +16,7 @@
     """Ask for the start of one task; `lease` is in seconds.
 
     `tag` travels with the task and comes back in `running` and `events`, so
-    that a new owner can adopt what it finds.
+    that a new owner can adopt what it finds; `trace` is a W3C traceparent.
     """
 
     task: str
@@ -26,6 +26,7 @@
     tag: bytes
     payload: bytes
     checkpoint: bytes = b''
+    trace: str = ''
 
 
 class RunState(enum.StrEnum):
--- a/hibiscusslip/endpoint/wire.py
+++ b/hibiscusslip/endpoint/wire.py
@@ -63,6 +63,7 @@
     tag: bytes
     payload: bytes
     checkpoint: bytes = b''
+    trace: str = ''
 
     def order(self) -> base.StartOrder:
         """Return the order as a data class."""
@@ -74,6 +75,7 @@
             self.tag,
             self.payload,
             self.checkpoint,
+            self.trace,
         )
 
 
@@ -203,6 +205,7 @@
         start.tag,
         start.payload,
         start.checkpoint,
+        start.trace,
     )
 
 
--- a/hibiscusslip/jobs/_starting.py
+++ b/hibiscusslip/jobs/_starting.py
@@ -163,6 +163,7 @@
         tag=job_records.encode_tag(home.zone, home.number, job.spec),
         payload=job.spec.payload,
         checkpoint=task.checkpoint,
+        trace=job.spec.trace,
     )
 
 
--- a/hibiscusslip/model/work.py
+++ b/hibiscusslip/model/work.py
@@ -48,7 +48,8 @@
     """Hold what a caller asked for.
 
     `kind` names a kind of work with a share of the fleet, `demand` is per
-    task, times are in seconds, `deadline` is unix time in seconds.
+    task, times are in seconds, `deadline` is unix time in seconds, `trace`
+    is the W3C traceparent of the hop before.
     """
 
     job_id: str
@@ -66,6 +67,7 @@
     key: str = ''
     deadline: float | None = None
     payload: bytes = b''
+    trace: str = ''
 
 
 def with_id(spec: JobSpec, job_id: str) -> JobSpec:
@@ -73,6 +75,11 @@
     return dataclasses.replace(spec, job_id=job_id)
 
 
+def with_trace(spec: JobSpec, trace: str) -> JobSpec:
+    """Return a specification as a later hop of its trace."""
+    return dataclasses.replace(spec, trace=trace)
+
+
 def task_id(job_id: str, index: int) -> str:
     """Return the id of the task number `index` of a job."""
     return f'{job_id}/{index}'
--- a/hibiscusslip/node/assembly.py
+++ b/hibiscusslip/node/assembly.py
@@ -11,6 +11,8 @@
 from hibiscusslip.model import places
 from hibiscusslip.node import config
 from hibiscusslip.node import node as node_
+from hibiscusslip.observe import metrics
+from hibiscusslip.observe import traces
 from hibiscusslip.ownership import timing
 from hibiscusslip.peer import hello
 from hibiscusslip.peer import limits as peer_limits
@@ -23,6 +25,7 @@
 MAX_WAITING_CALLS = 4096
 CONTACT_LOST_PART = 0.5
 INCARNATION_BYTES = 6
+METRICS_PREFIX = 'hibiscusslip'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -118,6 +121,8 @@
         peers,
         lambda place: _connect(place, cfg.timing.send_timeout),
         cfg.platform.log_retention,
+        _tracer(cfg),
+        _metrics(cfg),
     )
     made = node_.Node(
         node_config(cfg, me, unix_offset), parts, random.Random()
@@ -128,6 +133,20 @@
     return Assembled(made, server)
 
 
+def _tracer(cfg: settings.Settings) -> traces.Tracer:
+    to_file = cfg.observe.trace_exporter is settings.TraceExporter.FILE
+    path = cfg.observe.trace_file if to_file else ''
+    return traces.make(path, cfg.host.name)
+
+
+def _metrics(cfg: settings.Settings) -> metrics.Metrics:
+    place = cfg.observe.statsd
+    if place is None:
+        return metrics.NoMetrics()
+    prefix = f'{METRICS_PREFIX}.{cfg.host.name}'
+    return metrics.make(place.address, place.port, prefix)
+
+
 def _connect(
     place: places.EndpointInfo, timeout: float
 ) -> http_endpoint.HttpEndpoint:
--- a/hibiscusslip/node/caller_service.py
+++ b/hibiscusslip/node/caller_service.py
@@ -68,6 +68,14 @@
         """
         if not self._node.fleet.policy_version:
             raise exceptions.Unavailable(self.readiness().detail)
+        with self._node.tracer.hop('accept', spec.trace) as hop:
+            hop.note('team', spec.team)
+            traced = work.with_trace(spec, hop.traceparent)
+            return await self._see_through(traced, wait)
+
+    async def _see_through(
+        self, spec: work.JobSpec, wait: float
+    ) -> service.JobState:
         due = clock.now() + wait
         door = self._node.acceptor
         state = await _told(door.submit(spec, self._slice(due)))
--- a/hibiscusslip/node/endpoint_driver.py
+++ b/hibiscusslip/node/endpoint_driver.py
@@ -1,6 +1,8 @@
 """Carry a shard engine's commands to one endpoint."""
 
 import collections
+import contextlib
+import dataclasses
 
 import curio
 
@@ -80,7 +82,7 @@
             engine.start_failed(self.name, names, False, clock.now())
             return
         try:
-            results = await self._client.start(batch)
+            results = await self._start(batch)
         except (exceptions.NotSent, exceptions.CallRefused):
             engine.start_failed(self.name, names, False, clock.now())
         except exceptions.EndpointError:
@@ -91,6 +93,22 @@
                 await self._stop_late(results)
         await self._shard.changed()
 
+    async def _start(
+        self, batch: list[base.StartOrder]
+    ) -> list[base.StartResult]:
+        """Call the endpoint, in a span for each order that is traced."""
+        tracer = self._shard.tracer
+        traced = []
+        with contextlib.ExitStack() as hops:
+            for order in batch:
+                hop = hops.enter_context(tracer.hop('start', order.trace))
+                hop.note('task', order.task)
+                hop.note('endpoint', self.name)
+                traced.append(
+                    dataclasses.replace(order, trace=hop.traceparent)
+                )
+            return await self._client.start(traced)
+
     async def _stop_late(self, results: list[base.StartResult]) -> None:
         """Stop what started while the lease ran out."""
         for result in results:
--- a/hibiscusslip/node/fleet.py
+++ b/hibiscusslip/node/fleet.py
@@ -12,12 +12,9 @@
 from hibiscusslip.jobs import index as jobs_index
 from hibiscusslip.jobs import model
 from hibiscusslip.model import places
-from hibiscusslip.node import appender
 from hibiscusslip.node import clock
 from hibiscusslip.node import config
 from hibiscusslip.node import shard_runner
-from hibiscusslip.node import supervision
-from hibiscusslip.ownership import owner
 from hibiscusslip.peer import messages
 from hibiscusslip.scheduler import base as scheduler_base
 
@@ -38,24 +35,17 @@
     def __init__(
         self,
         cfg: config.NodeConfig,
-        ownership: owner.Ownership,
         index: jobs_index.JobIndex,
-        writer: appender.Appender,
-        connect: shard_runner.EndpointFactory,
         ids: collections.abc.Iterator[str],
         rng: random.Random,
-        remote: shard_runner.RemoteWork,
-        supervisor: supervision.Supervisor,
+        context: shard_runner.Context,
     ) -> None:
         self._cfg = cfg
-        self._ownership = ownership
         self._index = index
-        self._writer = writer
-        self._connect = connect
         self._ids = ids
         self._rng = rng
-        self._remote = remote
-        self._supervisor = supervisor
+        self._context = context
+        self._ownership = context.ownership
         self._endpoints: dict[str, places.EndpointInfo] = {}
         self._policy: scheduler_base.FleetPolicy | None = None
         self.runners: dict[int, shard_runner.ShardRunner] = {}
@@ -104,17 +94,7 @@
         )
         for job in handed + self._index.jobs(number, now):
             engine.restore(job)
-        runner = shard_runner.ShardRunner(
-            shard,
-            engine,
-            self._ownership,
-            self._writer,
-            self._connect,
-            self._cfg.engine.worker_lease,
-            epoch,
-            self._remote,
-            self._supervisor,
-        )
+        runner = shard_runner.ShardRunner(shard, epoch, engine, self._context)
         self.runners[number] = runner
         logger.info('shard {} is owned at epoch {}', shard, epoch)
         await runner.set_endpoints(self._of_shard(shard))
--- a/hibiscusslip/node/home.py
+++ b/hibiscusslip/node/home.py
@@ -6,6 +6,7 @@
 from hibiscusslip.model import work
 from hibiscusslip.node import clock
 from hibiscusslip.node import shard_runner
+from hibiscusslip.observe import traces
 
 KEEP_WAIT_SECONDS = 5.0
 
@@ -44,8 +45,13 @@
 class Home:
     """Give access to the jobs of the shards owned here."""
 
-    def __init__(self, runners: dict[int, shard_runner.ShardRunner]) -> None:
+    def __init__(
+        self,
+        runners: dict[int, shard_runner.ShardRunner],
+        tracer: traces.Tracer,
+    ) -> None:
         self._runners = runners
+        self._tracer = tracer
 
     def _runner(self, shard: places.Shard) -> shard_runner.ShardRunner:
         runner = self._runners.get(shard.number)
@@ -63,7 +69,10 @@
         Raises jobs.exceptions.JobError: nothing of it was done.
         """
         runner = self._runner(shard)
-        runner.engine.submit(spec, clock.now())
+        with self._tracer.hop('home', spec.trace) as hop:
+            hop.note('job', spec.job_id)
+            traced = work.with_trace(spec, hop.traceparent)
+            runner.engine.submit(traced, clock.now())
         await runner.changed()
         if spec.durable:
             kept = await runner.wait_kept(spec.job_id, KEEP_WAIT_SECONDS)
--- a/hibiscusslip/node/node.py
+++ b/hibiscusslip/node/node.py
@@ -33,6 +33,8 @@
 from hibiscusslip.node import standing_keeper
 from hibiscusslip.node import supervision
 from hibiscusslip.node import zone_feed
+from hibiscusslip.observe import metrics
+from hibiscusslip.observe import traces
 from hibiscusslip.ownership import actions
 from hibiscusslip.ownership import owner
 from hibiscusslip.peer import base as peer_base
@@ -46,6 +48,7 @@
 MAX_LOAD_AGE_SECONDS = 10.0
 READY_POLL_SECONDS = 0.05
 STANDING_INTERVAL_SECONDS = 0.5
+REPORT_INTERVAL_SECONDS = 10.0
 GIVE_AWAY_PAUSE_SECONDS = 0.2
 
 
@@ -58,6 +61,8 @@
     peers: peer_base.Peers
     connect: shard_runner.EndpointFactory
     retention: float
+    tracer: traces.Tracer = traces.OFF
+    sender: metrics.Metrics = metrics.NoMetrics()
 
 
 class Node(zone_feed.Seen, ownership_driver.ShardEvents):
@@ -68,6 +73,7 @@
     ) -> None:
         self.cfg = cfg
         self.parts = parts
+        self.tracer = parts.tracer
         self._rng = rng
         self.supervisor = supervision.Supervisor()
         now = clock.now()
@@ -91,17 +97,16 @@
             self.ids,
             cfg.hold,
         )
-        self.fleet = fleet.Fleet(
-            cfg,
+        context = shard_runner.Context(
             self.ownership,
-            self.index,
             self.writer,
             parts.connect,
-            self.ids,
-            rng,
+            cfg.engine.worker_lease,
             self.remote,
             self.supervisor,
+            parts.tracer,
         )
+        self.fleet = fleet.Fleet(cfg, self.index, self.ids, rng, context)
         self.feed = zone_feed.ZoneFeed(
             parts.log, cfg.zone, self.ownership, self.index, self
         )
@@ -117,7 +122,7 @@
             cfg.me,
         )
         self.standing = standing_keeper.StandingKeeper(cfg.shards)
-        self.home = home.Home(self.fleet.runners)
+        self.home = home.Home(self.fleet.runners, parts.tracer)
         calls = remote_home.HomeCalls(cfg.me.name, self.home, parts.peers)
         self.acceptor = acceptor.Acceptor(
             calls, self.owners, self._find_owner, self._choose_home, rng
@@ -172,6 +177,7 @@
             self._start_ready_shards,
             self._keep_standing,
             self._ask_after_remote,
+            self._report,
         )
         for loop in loops:
             await self._tasks.spawn(self.supervisor.guard, loop)
@@ -241,6 +247,21 @@
                 await self.remote.ask(runner)
             await curio.sleep(remote_starts.ASK_INTERVAL_SECONDS)
 
+    async def _report(self) -> None:
+        sender = self.parts.sender
+        reporter = metrics.Reporter(sender)
+        while True:
+            await curio.sleep(REPORT_INTERVAL_SECONDS)
+            runners = list(self.fleet.runners.values())
+            reporter.report('jobs', [r.engine.counters for r in runners])
+            sender.gauge('shards', len(runners))
+            sender.gauge('log.appends', self.writer.appends)
+            sender.gauge('log.records', self.writer.records)
+            sender.gauge('acceptor.retries', self.acceptor.retries)
+            sender.gauge('config.version', self.fleet.policy_version)
+            sender.flush()
+            self.tracer.flush()
+
     async def _in_force(self, record: configuration.ConfigRecord) -> None:
         self.history.note(
             f'put configuration {record.version} into force',
--- a/hibiscusslip/node/runner_base.py
+++ b/hibiscusslip/node/runner_base.py
@@ -4,6 +4,7 @@
 
 from hibiscusslip.jobs import engine as jobs_engine
 from hibiscusslip.node import supervision
+from hibiscusslip.observe import traces
 
 
 class ShardAccess(abc.ABC):
@@ -11,6 +12,7 @@
 
     engine: jobs_engine.ShardEngine
     worker_lease: float
+    tracer: traces.Tracer
     supervisor: supervision.Supervisor
 
     @abc.abstractmethod
--- a/hibiscusslip/node/shard_runner.py
+++ b/hibiscusslip/node/shard_runner.py
@@ -2,6 +2,7 @@
 
 import abc
 import collections.abc
+import dataclasses
 
 import curio
 
@@ -16,6 +17,7 @@
 from hibiscusslip.node import endpoint_driver
 from hibiscusslip.node import runner_base
 from hibiscusslip.node import supervision
+from hibiscusslip.observe import traces
 from hibiscusslip.ownership import owner
 from hibiscusslip.records import zone as zone_records
 
@@ -54,42 +56,47 @@
         """Ask other shards after the tasks that they have of ours."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Context:
+    """Hold what all shards of a host share; the lease is in seconds."""
+
+    ownership: owner.Ownership
+    writer: appender.Appender
+    connect: EndpointFactory
+    worker_lease: float
+    remote: RemoteWork
+    supervisor: supervision.Supervisor
+    tracer: traces.Tracer
+
+
 class ShardRunner(runner_base.ShardAccess):
     """Own one shard as long as its lease holds."""
 
     def __init__(
         self,
         shard: places.Shard,
-        engine: jobs_engine.ShardEngine,
-        ownership: owner.Ownership,
-        writer: appender.Appender,
-        connect: EndpointFactory,
-        worker_lease: float,
         epoch: int,
-        remote: RemoteWork,
-        supervisor: supervision.Supervisor,
+        engine: jobs_engine.ShardEngine,
+        context: Context,
     ) -> None:
         self.shard = shard
+        self.epoch = epoch
         self.engine = engine
-        self.worker_lease = worker_lease
-        self._ownership = ownership
-        self._writer = writer
-        self._connect = connect
+        self.worker_lease = context.worker_lease
+        self.supervisor = context.supervisor
+        self.tracer = context.tracer
+        self._context = context
         self._drivers: dict[str, endpoint_driver.EndpointDriver] = {}
         self._infos: dict[str, places.EndpointInfo] = {}
         self._waiters: dict[str, curio.Event] = {}
-        self.epoch = epoch
-        self.remote = remote
-        self.supervisor = supervisor
         self._tasks = curio.TaskGroup()
         self._dirty = curio.Event()
-        self._ready = False
         self.stopped = False
         self.frozen = False
 
     def may_act(self, now: float) -> bool:
         """Tell whether this host may act for the shard now."""
-        return not self.stopped and self._ownership.may_act(
+        return not self.stopped and self._context.ownership.may_act(
             self.shard.number, now
         )
 
@@ -116,7 +123,7 @@
             if not self.may_act(now) or self.frozen:
                 await curio.sleep(TICK_SECONDS)
                 continue
-            self.engine.set_log_up(self._writer.up)
+            self.engine.set_log_up(self._context.writer.up)
             self.engine.tick(now)
             await self._carry_out()
 
@@ -145,7 +152,7 @@
         if info.state == places.EndpointState.GONE:
             return
         driver = endpoint_driver.EndpointDriver(
-            info, self._connect(info), self
+            info, self._context.connect(info), self
         )
         self._drivers[info.name] = driver
         await driver.start()
@@ -170,14 +177,16 @@
                 await self._wake_waiters(command.job_id)
             elif isinstance(command, commands.HoldElsewhere):
                 await curio.spawn(
-                    self.remote.gather, self, command, daemon=True
+                    self._context.remote.gather, self, command, daemon=True
                 )
             elif isinstance(command, commands.ReportTask):
                 await curio.spawn(
-                    self.remote.report, self, command, daemon=True
+                    self._context.remote.report, self, command, daemon=True
                 )
             elif isinstance(command, commands.StopRemote):
-                await curio.spawn(self.remote.stop, self, command, daemon=True)
+                await curio.spawn(
+                    self._context.remote.stop, self, command, daemon=True
+                )
             else:
                 await self._spawn(command)
 
@@ -197,7 +206,7 @@
 
     async def _write(self, record: zone_records.ZoneRecord) -> None:
         data = codec.encode(record)
-        if not await self._writer.add(record.record_id, data):
+        if not await self._context.writer.add(record.record_id, data):
             self.engine.record_failed(record.record_id, clock.now())
             await self.changed()
 
--- a/hibiscusslip/records/job.py
+++ b/hibiscusslip/records/job.py
@@ -25,6 +25,7 @@
     key: str = ''
     deadline: float | None = None
     payload: bytes = b''
+    trace: str = ''
 
 
 class Tag(msgspec.Struct, frozen=True):
@@ -60,6 +61,7 @@
         key=spec.key,
         deadline=spec.deadline,
         payload=spec.payload if payload else b'',
+        trace=spec.trace if payload else '',
     )
 
 
@@ -81,6 +83,7 @@
         key=record.key,
         deadline=record.deadline,
         payload=record.payload,
+        trace=record.trace,
     )
 
 
--- /dev/null
+++ b/tests/node/__init__.py
@@ -0,0 +1,1 @@
+"""Check the node in one process, over the stand-ins."""
