Keep a heap of teams for each shape; never stop what has just started

Change: only tasks that started in an earlier round are taken back; each lane keeps one heap of teams for each shape.

--- a/hibiscusslip/scheduler/_accounts.py
+++ b/hibiscusslip/scheduler/_accounts.py
@@ -87,6 +87,7 @@
         self._idle = _vector.ZERO
         self._teams: dict[str, _vector.Vector] = {}
         self._parts: dict[tuple[str, str], _vector.Vector] = {}
+        self._shares: dict[tuple[str, str], float] = {}
         self.running: collections.Counter[str] = collections.Counter()
 
     def set_policy(self, policy: base.FleetPolicy) -> None:
@@ -110,6 +111,10 @@
         self.capacity = capacity
         for account in self.kinds.values():
             account.set_capacity(capacity)
+        self._shares = {
+            key: self._weighted(key[1], part)
+            for key, part in self._parts.items()
+        }
         self.refresh(None)
 
     def refresh(self, now: float | None) -> None:
@@ -163,14 +168,16 @@
         team_held = self._teams.get(team, _vector.ZERO)
         self._teams[team] = _vector.add(team_held, need)
         part = self._parts.get((kind, team), _vector.ZERO)
-        self._parts[kind, team] = _vector.add(part, need)
+        part = _vector.add(part, need)
+        self._parts[kind, team] = part
+        self._shares[kind, team] = self._weighted(team, part)
+
+    def _weighted(self, team: str, part: _vector.Vector) -> float:
+        return _vector.dominant(part, self.capacity) / self.weight(team)
 
     def team_share(self, kind: str, team: str) -> float:
         """Return the weighted dominant share of a team within a kind."""
-        part = self._parts.get((kind, team))
-        if part is None:
-            return 0.0
-        return _vector.dominant(part, self.capacity) / self.weight(team)
+        return self._shares.get((kind, team), 0.0)
 
     def weight(self, team: str) -> float:
         """Return the weight of a team."""
--- a/hibiscusslip/scheduler/_fair.py
+++ b/hibiscusslip/scheduler/_fair.py
@@ -1,9 +1,9 @@
 """Order the queue by guarantee, urgency and fair shares of teams."""
 
 import collections
+import collections.abc
 import functools
 import heapq
-import typing
 
 from hibiscusslip.model import work
 from hibiscusslip.scheduler import _accounts
@@ -21,6 +21,7 @@
     work.Urgency.LOW: 3600.0,
 }
 MIN_WEIGHTS = 1e-6
+ShareOf = collections.abc.Callable[[str], float]
 LaneJobs = collections.OrderedDict[str, _jobs.Job]
 
 
@@ -67,13 +68,16 @@
 
 
 class Lane:
-    """Keep the teams that wait with one kind and urgency."""
+    """Keep the teams that wait with one kind and urgency.
+
+    Each shape has its own heap of teams by share; an entry whose share has
+    changed is put right when it comes up.
+    """
 
     def __init__(self) -> None:
         self.teams: dict[str, TeamLane] = {}
         self.arrived: LaneJobs = collections.OrderedDict()
-        self.heap: list[tuple[float, str]] = []
-        self.counts: collections.Counter[int] = collections.Counter()
+        self.heaps: dict[int, list[tuple[float, str]]] = {}
         self.mask = 0
 
     def push(self, job: _jobs.Job, share: float) -> bool:
@@ -84,9 +88,9 @@
         new = found is None
         if found is None:
             found = self.teams[team] = TeamLane(team)
-            heapq.heappush(self.heap, (share, team))
         if found.push(job):
-            self.counts[job.shape] += 1
+            heap = self.heaps.setdefault(job.shape, [])
+            heapq.heappush(heap, (share, team))
             self.mask |= 1 << job.shape
         return new
 
@@ -96,10 +100,6 @@
         found = self.teams.get(job.spec.team)
         if found is None or not found.discard(job):
             return False
-        self.counts[job.shape] -= 1
-        if not self.counts[job.shape]:
-            del self.counts[job.shape]
-            self.mask &= ~(1 << job.shape)
         if found.mask:
             return False
         del self.teams[found.team]
@@ -110,49 +110,72 @@
         return next(iter(self.arrived.values()), None)
 
     def reorder(self, team: str, share: float) -> None:
-        """Note the new share of a team."""
-        if team in self.teams:
-            heapq.heappush(self.heap, (share, team))
-            if len(self.heap) > 4 * len(self.teams) + 64:
-                self._compact()
+        """Note that the share of a team has become smaller."""
+        found = self.teams.get(team)
+        if found is None:
+            return
+        for shape in found.shapes:
+            heap = self.heaps[shape]
+            heapq.heappush(heap, (share, team))
+            if len(heap) > 4 * len(self.teams) + 64:
+                self._compact(heap)
 
-    def rebuild(self, share_of: typing.Callable[[str], float]) -> None:
+    def rebuild(self, share_of: ShareOf) -> None:
         """Order the teams anew."""
-        self.heap = [(share_of(team), team) for team in self.teams]
-        heapq.heapify(self.heap)
-
-    def _compact(self) -> None:
-        latest: dict[str, float] = {}
-        for share, team in self.heap:
-            if team in self.teams:
-                latest[team] = min(share, latest.get(team, share))
-        self.heap = [(share, team) for team, share in latest.items()]
-        heapq.heapify(self.heap)
+        for shape in list(self.heaps):
+            heap = [
+                (share_of(team), team)
+                for team, lane in self.teams.items()
+                if lane.mask >> shape & 1
+            ]
+            heapq.heapify(heap)
+            self.heaps[shape] = heap
 
     def lowest(
-        self, mask: int, share_of: typing.Callable[[str], float]
+        self, mask: int, share_of: ShareOf
     ) -> tuple[float, TeamLane] | None:
         """Return the team with the least share that waits with `mask`."""
-        aside: list[tuple[float, str]] = []
+        best: tuple[float, str] | None = None
+        left = mask & self.mask
+        while left:
+            bit = left & -left
+            left ^= bit
+            shape = bit.bit_length() - 1
+            top = self._top(shape, share_of)
+            if top is not None and (best is None or top < best):
+                best = top
+        return (best[0], self.teams[best[1]]) if best else None
+
+    def _top(self, shape: int, share_of: ShareOf) -> tuple[float, str] | None:
+        heap = self.heaps[shape]
+        aside = []
         found = None
-        while self.heap:
-            share, team = heapq.heappop(self.heap)
+        while heap and found is None:
+            share, team = heap[0]
             lane = self.teams.get(team)
-            if lane is None:
-                continue
-            current = share_of(team)
-            if current != share:
-                heapq.heappush(self.heap, (current, team))
-                continue
-            if not aside or aside[-1] != (share, team):
-                aside.append((share, team))
-            if lane.mask & mask & ~lane.skip:
-                found = (share, lane)
-                break
+            if lane is None or not lane.mask >> shape & 1:
+                heapq.heappop(heap)
+            elif (current := share_of(team)) != share:
+                heapq.heapreplace(heap, (current, team))
+            elif lane.skip >> shape & 1:
+                aside.append(heapq.heappop(heap))
+            else:
+                found = heap[0]
         for item in aside:
-            heapq.heappush(self.heap, item)
+            heapq.heappush(heap, item)
+        if not heap:
+            del self.heaps[shape]
+            self.mask &= ~(1 << shape)
         return found
 
+    @staticmethod
+    def _compact(heap: list[tuple[float, str]]) -> None:
+        latest: dict[str, float] = {}
+        for share, team in heap:
+            latest[team] = min(share, latest.get(team, share))
+        heap[:] = [(share, team) for team, share in latest.items()]
+        heapq.heapify(heap)
+
 
 class KindQueue:
     """Keep the lanes of one kind and the weights of the waiting teams."""
--- a/hibiscusslip/scheduler/_reclaim.py
+++ b/hibiscusslip/scheduler/_reclaim.py
@@ -11,8 +11,8 @@
 from hibiscusslip.scheduler import base
 
 CHECK_EVERY_S = 0.1
-ROOMS_SAMPLED = 24
-MAX_PER_CHECK = 64
+ROOMS_SAMPLED = 12
+MAX_PER_CHECK = 8
 PATIENCE_S = 30.0
 CHECKPOINT_COST_S = 2.0
 
@@ -137,6 +137,8 @@
             job = self._ledger.jobs.get(work.job_of(task))
             if job is None or task in self._coming:
                 continue
+            if job.since.get(work.index_of(task), now) >= now:
+                continue
             if job.spec.kind in lenders and _stoppable(job):
                 found.append(self._victim(job, task, need, now))
         return sorted(found, key=lambda v: (-v.job.spec.urgency, v.cost))
