Forget at once what a freed endpoint can't take any more

Cause: one free slot unblocked dozens of shapes, and after it was taken each of them searched in vain: 97 tries in one round. Change: shapes that only that endpoint had unblocked are blocked again when it is booked; room kept beside accelerators doesn't wake other work.

--- a/hibiscusslip/scheduler/_fair.py
+++ b/hibiscusslip/scheduler/_fair.py
@@ -31,6 +31,7 @@
     def __init__(self, team: str) -> None:
         self.team = team
         self.shapes: dict[int, LaneJobs] = {}
+        self.floors: dict[int, float] = {}
         self.mask = 0
         self.skip = 0
 
@@ -70,8 +71,9 @@
 class Lane:
     """Keep the teams that wait with one kind and urgency.
 
-    Each shape has its own heap of teams by share; an entry whose share has
-    changed is put right when it comes up.
+    Each shape has its own heap of teams by share. The entry of a team is
+    the one with its floor, never above its share; it is put right when it
+    comes up.
     """
 
     def __init__(self) -> None:
@@ -91,6 +93,7 @@
         if found.push(job):
             heap = self.heaps.setdefault(job.shape, [])
             heapq.heappush(heap, (share, team))
+            found.floors[job.shape] = share
             self.mask |= 1 << job.shape
         return new
 
@@ -115,10 +118,13 @@
         if found is None:
             return
         for shape in found.shapes:
+            if found.floors[shape] <= share:
+                continue
+            found.floors[shape] = share
             heap = self.heaps[shape]
             heapq.heappush(heap, (share, team))
             if len(heap) > 4 * len(self.teams) + 64:
-                self._compact(heap)
+                self._compact(shape, heap)
 
     def rebuild(self, share_of: ShareOf) -> None:
         """Order the teams anew."""
@@ -128,6 +134,8 @@
                 for team, lane in self.teams.items()
                 if lane.mask >> shape & 1
             ]
+            for share, team in heap:
+                self.teams[team].floors[shape] = share
             heapq.heapify(heap)
             self.heaps[shape] = heap
 
@@ -155,8 +163,11 @@
             lane = self.teams.get(team)
             if lane is None or not lane.mask >> shape & 1:
                 heapq.heappop(heap)
+            elif lane.floors[shape] != share:
+                heapq.heappop(heap)
             elif (current := share_of(team)) != share:
                 heapq.heapreplace(heap, (current, team))
+                lane.floors[shape] = current
             elif lane.skip >> shape & 1:
                 aside.append(heapq.heappop(heap))
             else:
@@ -168,12 +179,12 @@
             self.mask &= ~(1 << shape)
         return found
 
-    @staticmethod
-    def _compact(heap: list[tuple[float, str]]) -> None:
-        latest: dict[str, float] = {}
-        for share, team in heap:
-            latest[team] = min(share, latest.get(team, share))
-        heap[:] = [(share, team) for team, share in latest.items()]
+    def _compact(self, shape: int, heap: list[tuple[float, str]]) -> None:
+        heap[:] = [
+            (lane.floors[shape], team)
+            for team, lane in self.teams.items()
+            if lane.mask >> shape & 1
+        ]
         heapq.heapify(heap)
 
 
@@ -261,6 +272,7 @@
         while True:
             kind = self._next_kind(ready)
             if kind is None:
+                self._shapes.settle()
                 return None
             job = self._next_job(kind, ready)
             if job is not None:
@@ -296,9 +308,17 @@
         heads = [lane.head() for lane in queue.lanes.values()]
         return [job for job in heads if job is not None]
 
-    def freed(self, free: _vector.Vector) -> None:
+    def freed(
+        self, name: str, free: _vector.Vector, plain: _vector.Vector
+    ) -> None:
         """Try the shapes again that may fit."""
-        self._shapes.freed(free)
+        self._shapes.freed(name, free, plain)
+
+    def booked(
+        self, name: str, free: _vector.Vector, plain: _vector.Vector
+    ) -> None:
+        """Skip again what an endpoint can't take any more."""
+        self._shapes.booked(name, free, plain)
 
     def changed(self) -> None:
         """Try every shape again and read all shares anew."""
--- a/hibiscusslip/scheduler/_gather.py
+++ b/hibiscusslip/scheduler/_gather.py
@@ -63,7 +63,7 @@
         for room in rooms:
             self._fence(room, False)
             if room.open:
-                self._ledger.order.freed(room.free)
+                self._ledger.freed(room)
 
     def check(self, now: float) -> None:
         """Stop for a gang that is gone, plan anew when it is late."""
--- a/hibiscusslip/scheduler/_ledger.py
+++ b/hibiscusslip/scheduler/_ledger.py
@@ -117,6 +117,8 @@
         job.racks[room.rack] += 1
         job.since[index] = now
         self.accounts.take(spec.kind, spec.team, job.demand)
+        plain = self.book.reserve.reachable(room)
+        self.order.booked(room.name, room.free, plain)
         self.order.held_changed(spec.kind, spec.team)
 
     def release(self, job: _jobs.Job, index: int) -> None:
@@ -125,9 +127,14 @@
         if room is None:
             return
         if room.usable:
-            self.order.freed(room.free)
+            self.freed(room)
         self.fenced_freed |= room.fenced
 
+    def freed(self, room: _endpoints.Room) -> None:
+        """Let jobs try the free room of an endpoint."""
+        plain = self.book.reserve.reachable(room)
+        self.order.freed(room.name, room.free, plain)
+
     def undo(self, job: _jobs.Job, index: int) -> _endpoints.Room | None:
         """Take a booking back that never mattered to other jobs."""
         if index not in job.placed:
--- a/hibiscusslip/scheduler/_order.py
+++ b/hibiscusslip/scheduler/_order.py
@@ -50,8 +50,19 @@
         """Return the oldest jobs of a kind, one of each urgency."""
 
     @abc.abstractmethod
-    def freed(self, free: _vector.Vector) -> None:
-        """Try again what may fit into an endpoint's free room."""
+    def freed(
+        self, name: str, free: _vector.Vector, plain: _vector.Vector
+    ) -> None:
+        """Try again what may fit into an endpoint's free room.
+
+        `plain` is what work without accelerators may use of it.
+        """
+
+    @abc.abstractmethod
+    def booked(
+        self, name: str, free: _vector.Vector, plain: _vector.Vector
+    ) -> None:
+        """Note that an endpoint has less free room than before."""
 
     @abc.abstractmethod
     def changed(self) -> None:
@@ -96,10 +107,17 @@
         """Return nothing: nothing is taken back for anybody."""
         return []
 
-    def freed(self, free: _vector.Vector) -> None:
+    def freed(
+        self, name: str, free: _vector.Vector, plain: _vector.Vector
+    ) -> None:
         """Try the head again."""
         self._stuck = False
 
+    def booked(
+        self, name: str, free: _vector.Vector, plain: _vector.Vector
+    ) -> None:
+        """Do nothing: only the head is tried."""
+
     def changed(self) -> None:
         """Try the head again."""
         self._stuck = False
--- a/hibiscusslip/scheduler/_reclaim.py
+++ b/hibiscusslip/scheduler/_reclaim.py
@@ -10,7 +10,7 @@
 from hibiscusslip.scheduler import _vector
 from hibiscusslip.scheduler import base
 
-CHECK_EVERY_S = 0.1
+CHECK_EVERY_S = 0.25
 ROOMS_SAMPLED = 12
 MAX_PER_CHECK = 8
 PATIENCE_S = 30.0
--- a/hibiscusslip/scheduler/_reserve.py
+++ b/hibiscusslip/scheduler/_reserve.py
@@ -60,7 +60,7 @@
     def update(self, room: '_endpoints.Room') -> None:
         """Count anew for one endpoint whose free room has changed."""
         counts = self._counts.setdefault(room.name, {})
-        free = self._reachable(room)
+        free = self.reachable(room)
         for kind, typical in self.kinds.items():
             number = 0
             if room.usable:
@@ -109,7 +109,7 @@
         )
         return (cpu, memory, acc, slots, conns)
 
-    def _reachable(self, room: '_endpoints.Room') -> _vector.Vector:
+    def reachable(self, room: '_endpoints.Room') -> _vector.Vector:
         """Return what work without accelerators may use."""
         number = room.free[_vector.ACCELERATORS]
         if number <= 0:
--- a/hibiscusslip/scheduler/_shapes.py
+++ b/hibiscusslip/scheduler/_shapes.py
@@ -22,7 +22,9 @@
         self._lowest: list[_vector.Vector | None] = [None]
         self._tables: list[tuple[list[int], list[int]]] = []
         self.blocked = 0
+        self._revived: dict[str, int] = {}
         self.all = 1
+        self._accelerated = 1 << CATCH_ALL
         self.version = 0
 
     def number(self, job: _jobs.Job) -> int:
@@ -56,16 +58,49 @@
         self._numbers[key] = number
         self._lowest.append(None)
         self.all |= 1 << number
+        if key[_vector.ACCELERATORS]:
+            self._accelerated |= 1 << number
         return number
 
     def block(self, number: int) -> None:
         """Skip a shape until room is freed."""
         self.blocked |= 1 << number
 
-    def freed(self, free: _vector.Vector) -> None:
+    def freed(
+        self, name: str, free: _vector.Vector, plain: _vector.Vector
+    ) -> None:
         """Unblock the shapes that may fit into an endpoint's free room."""
         if self.blocked:
-            self.blocked &= ~self.fitting(free)
+            candidates = self.blocked
+            for mask in self._revived.values():
+                candidates |= mask
+            revived = candidates & self._fitting(free, plain)
+            self._revived[name] = revived
+            self.blocked &= ~revived
+
+    def booked(
+        self, name: str, free: _vector.Vector, plain: _vector.Vector
+    ) -> None:
+        """Block again what the endpoint had unblocked and can't take now."""
+        revived = self._revived.get(name)
+        if not revived:
+            return
+        kept = revived & self._fitting(free, plain)
+        self._revived[name] = kept
+        others = 0
+        for mask in self._revived.values():
+            others |= mask
+        self.blocked |= revived & ~others
+
+    def settle(self) -> None:
+        """Forget which endpoints unblocked what, at the end of a round."""
+        self._revived.clear()
+
+    def _fitting(self, free: _vector.Vector, plain: _vector.Vector) -> int:
+        fitting = self.fitting(free)
+        if plain is not free:
+            fitting &= self._accelerated | self.fitting(plain)
+        return fitting
 
     def unblock_all(self) -> None:
         """Try every shape again."""
--- a/hibiscusslip/scheduler/_shard.py
+++ b/hibiscusslip/scheduler/_shard.py
@@ -268,7 +268,7 @@
         for job in self._deadlines.expired(now):
             self._drop(job, _deadlines.refusal('it waited too long'))
         for room in self._health.ripen(now):
-            self._ledger.order.freed(room.free)
+            self._ledger.freed(room)
         self._gatherer.check(now)
         book = self._ledger.book
         book.reserve.refresh(book.rooms.values(), now)
