Let successors act only when former holders know them

Cause: a host that was cut off could resume while a successor that it had never heard of acted, once the one in between had ended (found by reasoning, test_successor_of_a_successor_is_known_to_the_first_holder failed with two hosts acting). Change: a shard handed over is acted on once all hosts that may resume it know the successor; on_hand_over_received tells so beforehand. Answers prove the end of all older holders, holders() names all that may still live.

--- a/hibiscusslip/membership/_peer.py
+++ b/hibiscusslip/membership/_peer.py
@@ -5,7 +5,7 @@
 
 from hibiscusslip.model import places
 
-MAX_INCARNATIONS = 8
+MAX_INCARNATIONS = 32
 MAX_BEATS = 16
 
 
--- a/hibiscusslip/ownership/_claiming.py
+++ b/hibiscusslip/ownership/_claiming.py
@@ -31,9 +31,7 @@
         released = state.log.caught_up_since
     else:
         released = _released_at(state, holding.host, holding.read_at)
-    return max(
-        released, _introduced_at(state, shard), state.given.until(shard)
-    )
+    return max(released, introduced_at(state, shard), state.given.until(shard))
 
 
 def _released_at(
@@ -47,7 +45,7 @@
     return read_at + state.timing.lease_wait
 
 
-def _introduced_at(state: _state.State, shard: int) -> float:
+def introduced_at(state: _state.State, shard: int) -> float:
     """Return when each host that may hold the shard knew this one."""
     if not state.listed:
         return math.inf
--- a/hibiscusslip/ownership/_handing.py
+++ b/hibiscusslip/ownership/_handing.py
@@ -3,6 +3,7 @@
 from hibiscusslip.membership import members as members_
 from hibiscusslip.model import places
 from hibiscusslip.ownership import _appends
+from hibiscusslip.ownership import _claiming
 from hibiscusslip.ownership import _state
 from hibiscusslip.ownership import _track
 from hibiscusslip.ownership import actions
@@ -86,6 +87,7 @@
     if lease.transfer_id != planned.transfer_id:
         return False
     lease.transfer_id = ''
+    state.suggested_at += state.timing.lease_wait
     return True
 
 
@@ -99,11 +101,17 @@
     state.out.append(actions.HandOverFailed(shard, lease.epoch))
 
 
-def receive(state: _state.State, transfer_id: str, now: float) -> None:
+def receive(state: _state.State, transfer_id: str, now: float) -> bool:
     """Note the arrival of a shard's state, before its transfer is sent."""
+    known_at = max(
+        _claiming.introduced_at(state, shard) for shard in range(state.shards)
+    )
+    if now < known_at or state.draining:
+        return False
     state.received.setdefault(transfer_id, now)
     if len(state.received) > MAX_RECEIVED:
         del state.received[next(iter(state.received))]
+    return True
 
 
 def suggest(state: _state.State, now: float) -> None:
@@ -113,7 +121,7 @@
     for shard, lease in state.leases.items():
         if lease.transfer_id or not state.leases.may_act(shard, now):
             continue
-        best = _successor(state, shard)
+        best = _successor(state, shard, now)
         if best is not None:
             state.suggested_at = now
             state.out.append(actions.SuggestHandOver(shard, best.host))
@@ -121,11 +129,15 @@
                 return
 
 
-def _successor(state: _state.State, shard: int) -> members_.Member | None:
+def _successor(
+    state: _state.State, shard: int, now: float
+) -> members_.Member | None:
     names = state.ranking(shard)
     if not names or names[0] == state.me.name:
         return None
-    for member in state.members.values():
-        if member.host.name == names[0] and member.alive:
-            return member
+    # A newcomer refuses until the hosts of the zone have known it for long.
+    known_by = now - state.timing.lease_wait - 2 * state.timing.stagger
+    for host, since in state.alive_since.items():
+        if host.name == names[0] and since <= known_by:
+            return state.members[host]
     return None
--- a/hibiscusslip/ownership/_reading.py
+++ b/hibiscusslip/ownership/_reading.py
@@ -3,6 +3,7 @@
 import math
 
 from hibiscusslip.ownership import _appends
+from hibiscusslip.ownership import _claiming
 from hibiscusslip.ownership import _handing
 from hibiscusslip.ownership import _state
 from hibiscusslip.ownership import actions
@@ -42,7 +43,8 @@
     holding = change.current
     mine = holding.host == state.me
     if holding.host is not None and not mine:
-        state.holders.setdefault(change.shard, set()).add(holding.host)
+        holders = state.holders.setdefault(change.shard, {})
+        holders.setdefault(holding.host, holding.read_at)
     if mine and lease is not None and lease.epoch == holding.epoch:
         _go_on(state, change.shard, append)
         return
@@ -84,6 +86,11 @@
         if append is not None:
             settle = state.timing.outlast(state.timing.settle)
             settle_until = append.sent_at + settle
+    if isinstance(record, zone_records.Transfer):
+        # A former holder may resume while it doesn't know this host.
+        settle_until = max(
+            settle_until, _claiming.introduced_at(state, change.shard)
+        )
     # A promise to another holder binds until it has run out.
     settle_until = max(settle_until, state.given.until(change.shard))
     lease = state.leases.begin(
@@ -98,6 +105,13 @@
     )
 
 
+def await_introductions(state: _state.State, now: float) -> None:
+    """Start on shards handed over once all former holders know this host."""
+    for shard, lease in state.leases.items():
+        if lease.settle_until == math.inf:
+            lease.settle_until = _claiming.introduced_at(state, shard)
+
+
 def _note_snapshot(
     state: _state.State, record: zone_records.Snapshot, now: float
 ) -> None:
--- a/hibiscusslip/ownership/_state.py
+++ b/hibiscusslip/ownership/_state.py
@@ -64,7 +64,8 @@
         self.listed = False
         self.baseline_at = now
         self.first_known: dict[str, float] = {}
-        self.holders: dict[int, set[places.HostId]] = {}
+        self.alive_since: dict[places.HostId, float] = {}
+        self.holders: dict[int, dict[places.HostId, float]] = {}
         self.draining = False
         self.out: list[actions.Action] = []
         self.received: dict[str, float] = {}
@@ -134,12 +135,17 @@
             return self.started_at
         return self.gone.get(host)
 
-    def note_names(self, now: float) -> None:
-        """Note when the names of members were first known."""
+    def note_members(self, now: float) -> None:
+        """Note when members were first known, and since when they live."""
         present = {host.name for host in self.members}
         self.first_known = {
             name: self.first_known.get(name, now) for name in present
         }
+        self.alive_since = {
+            host: self.alive_since.get(host, now)
+            for host, member in self.members.items()
+            if member.alive
+        }
 
     def may_hold(self, shard: int) -> set[places.HostId]:
         """Return the other hosts that may hold a shard without the log.
@@ -169,12 +175,8 @@
         that was known by then, and a host runs one process at a time.
         """
         older = set(self.introductions.known_before(asked_at))
-        for shard in range(self.shards):
-            holding = self.ledger.latest(shard)
-            if holding is None or holding.host is None:
-                continue
-            if holding.read_at < asked_at:
-                older.add(holding.host)
+        for holders in self.holders.values():
+            older.update(h for h, read in holders.items() if read < asked_at)
         for other in older:
             if other.name == host.name and other != host:
                 self.mark_gone(other, now)
@@ -186,6 +188,6 @@
         self.gone[host] = now
         self.introductions.drop(host)
         for holders in self.holders.values():
-            holders.discard(host)
+            holders.pop(host, None)
         if len(self.gone) > MAX_GONE:
             del self.gone[next(iter(self.gone))]
--- a/hibiscusslip/ownership/owner.py
+++ b/hibiscusslip/ownership/owner.py
@@ -118,7 +118,7 @@
             if member.zone == state.zone and member.host != state.me
         }
         state.listed = state.listed or listed
-        state.note_names(now)
+        state.note_members(now)
         if state.candidates() != before:
             state.forget_rankings()
 
@@ -183,6 +183,7 @@
     def tick(self, now: float) -> list[actions.Action]:
         """Return what to do now; call it at least once a heartbeat."""
         state = self._state
+        _reading.await_introductions(state, now)
         _renewing.renew(state, now)
         _renewing.ask_promises(state, now)
         _claiming.introduce(state, now)
@@ -222,15 +223,16 @@
         ]
 
     def holders(self) -> list[places.HostId]:
-        """Return the hosts that hold shards by the log's last word."""
+        """Return the others that hold or held shards and may still live.
+
+        Tell membership of them before each listing, so that it notes whom
+        the list leaves out.
+        """
         state = self._state
         hosts: set[places.HostId] = set()
         for shard in range(state.shards):
-            holding = state.ledger.latest(shard)
-            if holding is None:
-                hosts.update(state.ledger.hosts_of_unknown(shard))
-            elif holding.host is not None:
-                hosts.add(holding.host)
+            hosts.update(state.holders.get(shard, ()))
+            hosts.update(state.ledger.hosts_of_unknown(shard))
         hosts.discard(state.me)
         return sorted(hosts)
 
@@ -256,6 +258,10 @@
         """Act on here again, False when the transfer may be on its way."""
         return _handing.cancel(self._state, plan)
 
-    def on_hand_over_received(self, transfer_id: str, now: float) -> None:
-        """Note a shard's state, right before its arrival is confirmed."""
-        _handing.receive(self._state, transfer_id, now)
+    def on_hand_over_received(self, transfer_id: str, now: float) -> bool:
+        """Note a shard's state, right before its arrival is confirmed.
+
+        False while a host that may resume a shard doesn't know this one:
+        refuse the hand-over then.
+        """
+        return _handing.receive(self._state, transfer_id, now)
