--- a/hibiscusslip/ownership/_claiming.py
+++ b/hibiscusslip/ownership/_claiming.py
@@ -20,29 +20,28 @@
 
     Clocks only decide when to try; the log decides what becomes of it.
     """
+    released = _released_at(state, shard)
     holding = state.ledger.latest(shard)
     if holding is not None and holding.epoch == 0:
-        # Hear of the others first, so that few shards move afterwards.
-        heard_by = state.started_at + HEARD_BY * state.timing.heartbeat
-        return max(state.log.caught_up_since, heard_by)
-    if holding is None:
-        released = state.ledger.last_entry(shard) + state.timing.lease_wait
-    elif holding.host is None:
-        released = state.log.caught_up_since
-    else:
-        released = _released_at(state, holding.host, holding.read_at)
+        return released
     return max(released, introduced_at(state, shard), state.given.until(shard))
 
 
-def _released_at(
-    state: _state.State, holder: places.HostId, read_at: float
-) -> float:
-    if holder == state.me:
+def _released_at(state: _state.State, shard: int) -> float:
+    """Return when the lease that the log's last entry gives has run out."""
+    holding = state.ledger.latest(shard)
+    if holding is None:
+        return state.ledger.last_entry(shard) + state.timing.lease_wait
+    if holding.host is None:
+        # Hear of the others first, so that few shards move afterwards.
+        heard_by = state.started_at + HEARD_BY * state.timing.heartbeat
+        return max(state.log.caught_up_since, heard_by)
+    if holding.host == state.me:
         return math.inf
-    ended_at = state.ended_at(holder)
+    ended_at = state.ended_at(holding.host)
     if ended_at is not None:
         return ended_at
-    return read_at + state.timing.lease_wait
+    return holding.read_at + state.timing.lease_wait
 
 
 def introduced_at(state: _state.State, shard: int) -> float:
@@ -94,10 +93,7 @@
 
 
 def _wanted(state: _state.State, shard: int, now: float) -> bool:
-    holding = state.ledger.latest(shard)
-    if holding is not None and holding.host == state.me:
-        return False
-    if state.appends.busy(shard):
+    if now < _released_at(state, shard) or state.appends.busy(shard):
         return False
     turn = state.rank(shard) * state.timing.stagger
     return now >= claim_at(state, shard) + turn
--- a/tests/ownership/test_single_host.py
+++ b/tests/ownership/test_single_host.py
@@ -6,6 +6,7 @@
 from hibiscusslip.ownership import actions
 from hibiscusslip.ownership import owner
 from hibiscusslip.ownership import timing
+from hibiscusslip.peer import messages
 from hibiscusslip.records import zone
 
 TIMING = timing.Timing()
@@ -89,3 +90,41 @@
         for record in appends(own, now):
             own.on_append_settled(record.record_id, owner.Settled.REFUSED, now)
         assert own.may_act(0, now)
+
+
+def test_resumed_holding_waits_out_sends_of_others():
+    own = new_owner()
+    claim_all(own)
+    lapsed = START + TIMING.lease + 1.0
+    assert not own.may_act(0, lapsed)
+    assert actions.Resumed(0, 1) in own.tick(lapsed)
+    assert own.settling(0, lapsed + TIMING.settle)
+    assert own.holds(0, lapsed + TIMING.settle)
+    assert not own.may_act(0, lapsed + TIMING.settle)
+    assert own.may_act(0, lapsed + TIMING.outlast(TIMING.settle))
+
+
+def test_promises_bind_in_hand_overs():
+    own = new_owner()
+    holder = places.HostId('b', 'j1')
+    held = messages.HeldShard(0, 1)
+    claim = zone.Claim('r', 'b', 'j1', [zone.ClaimEntry(0, 0, 0)])
+    own.on_record(0, claim, START)
+    request = messages.PromiseRequest('p', [held], TIMING.promise)
+    reply = own.on_promise_request(holder, request, START)
+    assert reply.granted == [0]
+    entries = [zone.ClaimEntry(0, 1, 1)]
+    own.on_record(1, zone.Transfer('t', 'b', 'j1', 'a', 'i1', entries), START)
+    assert not own.may_act(0, START + 0.1)
+
+
+def test_no_promise_while_an_own_claim_may_land():
+    own = new_owner()
+    own.on_caught_up(0, START)
+    (claim,) = appends(own, START)
+    own.on_append_settled(claim.record_id, owner.Settled.UNSETTLED, START)
+    request = messages.PromiseRequest(
+        'p', [messages.HeldShard(0, 1)], TIMING.promise
+    )
+    holder = places.HostId('b', 'j1')
+    assert own.on_promise_request(holder, request, START).granted == []
