--- a/hibiscusslip/ownership/_claiming.py
+++ b/hibiscusslip/ownership/_claiming.py
@@ -2,7 +2,6 @@
 
 import math
 
-from hibiscusslip.model import places
 from hibiscusslip.ownership import _appends
 from hibiscusslip.ownership import _state
 from hibiscusslip.ownership import _track
