--- a/hibiscusslip/node/acceptor.py
+++ b/hibiscusslip/node/acceptor.py
@@ -24,6 +24,7 @@
 RETRY_SECONDS = 0.1
 MAX_RETRY_SECONDS = 1.0
 MAX_CALL_WAIT_SECONDS = 30.0
+ELSEWHERE_REASONS = ('policy:impossible', 'policy:queue_full', 'TooManyJobs')
 
 FindOwner = collections.abc.Callable[[places.Shard], str | None]
 ChooseHome = collections.abc.Callable[
@@ -71,19 +72,40 @@
         RequestFailed.
         """
         tried: frozenset[places.Shard] = frozenset()
+        ends_at = clock.now() + wait
         due = clock.now() + max(wait, PATIENCE_SECONDS)
-        keyed = bool(spec.job_id)
+        if spec.job_id:
+            return await self._see_through(spec, wait, due, True)
         while True:
-            placed = spec if keyed else self._place(spec, tried)
+            placed = await self._place_by(ends_at, spec, tried)
+            left = max(ends_at - clock.now(), 0.0)
             try:
-                return await self._see_through(placed, wait, due, keyed)
+                return await self._see_through(placed, left, due, False)
             except RequestFailed as exc:
-                if keyed or exc.maybe_run or clock.now() >= due:
+                if exc.maybe_run or clock.now() >= due:
+                    raise
+                if not _elsewhere(exc.failure):
                     raise
-                if exc.failure.kind == FailureKind.REFUSED:
+                refused = exc
+            tried |= {identity.home_of(placed.job_id)}
+            self.retries += 1
+            if self._choose_home(spec, tried) is None:
+                raise refused
+
+    async def _place_by(
+        self,
+        ends_at: float,
+        spec: work.JobSpec,
+        tried: frozenset[places.Shard],
+    ) -> work.JobSpec:
+        """Give a request a home, as soon as one is known."""
+        while True:
+            try:
+                return self._place(spec, tried)
+            except RequestFailed:
+                if clock.now() >= ends_at:
                     raise
-                tried |= {identity.home_of(placed.job_id)}
-                self.retries += 1
+            await curio.sleep(RETRY_SECONDS)
 
     def _place(
         self, spec: work.JobSpec, tried: frozenset[places.Shard]
@@ -226,6 +248,13 @@
         await curio.sleep(RETRY_SECONDS)
 
 
+def _elsewhere(failure: remote_home.Failure) -> bool:
+    """Tell whether another home may take what one did not."""
+    if failure.kind != FailureKind.REFUSED:
+        return True
+    return failure.reason in ELSEWHERE_REASONS
+
+
 def _no_owner(shard: places.Shard) -> remote_home.Failure:
     detail = f'no owner of shard {shard} is known yet; ask again'
     return remote_home.Failure(
