Keep ends, holds on batch runs and doubts through changes of owner

Cause: a read-through found ways to run work again or lose a record: an end that the log refused was never written, an ended batch run of the sheet was forgotten after an hour and asked for afresh, a large answer could be forgotten before its caller read it, a start in doubt could be handed over, durable work could change hands before its record, a guest that runs nowhere stayed running for ever, and a log seen down was not tried again.

--- a/hibiscusslip/jobs/_finals.py
+++ b/hibiscusslip/jobs/_finals.py
@@ -13,18 +13,6 @@
 Phase = model.Phase
 
 
-def acceptance(
-    st: _state.ShardState, job: model.Job
-) -> zone_records.JobAccepted:
-    """Return the record that keeps a job."""
-    return zone_records.JobAccepted(
-        record_id=next(st.ids),
-        shard=st.shard.number,
-        epoch=st.epoch,
-        job=job_records.encode_job(job.spec),
-    )
-
-
 def acceptance_confirmed(
     st: _state.ShardState, record: zone_records.JobAccepted, now: float
 ) -> None:
@@ -94,8 +82,18 @@
             _endings.release_final(st, job_id)
 
 
+def write_owed(st: _state.ShardState) -> None:
+    """Write ends again that the log refused while it was down."""
+    if not st.log_up:
+        return
+    for record in st.owed:
+        st.write(record)
+    st.owed.clear()
+
+
 def evict(st: _state.ShardState, now: float) -> None:
     """Forget ended jobs that are old or too many."""
+    st.pinned_seen = 0
     while st.finals:
         job = st.jobs.get(st.finals[0])
         if job is None or job.ended_at is None:
@@ -104,9 +102,16 @@
         old = now - job.ended_at > st.cfg.keep_final
         many = len(st.finals) > st.cfg.max_finals
         large = st.final_bytes > st.cfg.max_final_bytes
+        fresh = now - job.ended_at < st.cfg.keep_fresh
         waiting = job.spec.job_id in st.held_back
-        if waiting or not (old or many or large):
+        if fresh or waiting or not (old or many or large):
             return
+        if job.spec.job_id in st.pinned:
+            st.finals.rotate(-1)
+            st.pinned_seen += 1
+            if st.pinned_seen > len(st.pinned):
+                return
+            continue
         st.finals.popleft()
         st.final_bytes -= sum(len(t.answer) for t in job.tasks.values())
         del st.jobs[job.spec.job_id]
--- a/hibiscusslip/jobs/_opening.py
+++ b/hibiscusslip/jobs/_opening.py
@@ -4,6 +4,8 @@
 from hibiscusslip.jobs import _state
 from hibiscusslip.jobs import model
 from hibiscusslip.model import work
+from hibiscusslip.records import job as job_records
+from hibiscusslip.records import zone as zone_records
 from hibiscusslip.scheduler import base as scheduler_base
 
 
@@ -23,7 +25,14 @@
 
 def _queue_rest(st: _state.ShardState, job: model.Job, now: float) -> None:
     """Queue what was accepted before and doesn't run anywhere."""
-    if job.outcome.final or job.guest_of is not None:
+    if job.outcome.final:
+        return
+    if job.guest_of is not None:
+        _drop_unfound(st, job)
+        return
+    if job.spec.durable and not job.recorded:
+        # Its acceptance was on its way when the shard changed hands.
+        st.write(acceptance(st, job))
         return
     waiting = [t for t in job.tasks.values() if t.phase == model.Phase.QUEUED]
     fresh = []
@@ -44,6 +53,27 @@
         _endings.requeue(st, job, task, 0.0, now)
 
 
+def _drop_unfound(st: _state.ShardState, job: model.Job) -> None:
+    """Forget a guest's tasks that run on no endpoint of this shard."""
+    for task in list(job.tasks.values()):
+        if task.phase == model.Phase.QUEUED:
+            del job.tasks[task.index]
+    if not job.tasks:
+        del st.jobs[job.spec.job_id]
+
+
+def acceptance(
+    st: _state.ShardState, job: model.Job
+) -> zone_records.JobAccepted:
+    """Return the record that keeps a job."""
+    return zone_records.JobAccepted(
+        record_id=next(st.ids),
+        shard=st.shard.number,
+        epoch=st.epoch,
+        job=job_records.encode_job(job.spec),
+    )
+
+
 def leave_unknown(
     st: _state.ShardState, job: model.Job, task: model.Task, now: float
 ) -> None:
--- a/hibiscusslip/jobs/_state.py
+++ b/hibiscusslip/jobs/_state.py
@@ -32,6 +32,7 @@
     max_finals: int = 4_000
     max_final_bytes: int = 4 * 1024 * 1024
     keep_final: float = 3600.0
+    keep_fresh: float = 10.0
     max_recorded_answer: int = 64 * 1024
 
     @property
@@ -113,6 +114,9 @@
         default_factory=collections.deque
     )
     final_bytes: int = 0
+    pinned: frozenset[str] = frozenset()
+    pinned_seen: int = 0
+    owed: list[zone_records.JobEnded] = dataclasses.field(default_factory=list)
     open: bool = False
     opens_at: float = 0.0
     log_up: bool = True
--- a/hibiscusslip/jobs/engine.py
+++ b/hibiscusslip/jobs/engine.py
@@ -103,6 +103,19 @@
         if job.outcome.final:
             self._st.finals.append(job.spec.job_id)
 
+    @property
+    def unsettled(self) -> bool:
+        """Tell whether some start is on its way or in doubt."""
+        return any(
+            task.phase in (model.Phase.STARTING, model.Phase.DOUBT)
+            for job in self._st.jobs.values()
+            for task in job.open_tasks
+        )
+
+    def pin(self, job_ids: frozenset[str]) -> None:
+        """Keep ended jobs that must not be asked for afresh."""
+        self._st.pinned = job_ids
+
     def set_log_up(self, up: bool) -> None:
         """Tell whether the platform's log can be written."""
         self._st.log_up = up
@@ -115,7 +128,7 @@
         st = self._st
         known = self._known(spec.job_id)
         if known is not None and not known.partial:
-            if model.fingerprint(known.spec) != model.fingerprint(spec):
+            if not model.same_request(known, spec):
                 raise exceptions.KeyReused(spec.job_id)
             return known
         if not st.open:
@@ -180,8 +193,7 @@
     def _write_acceptance(self, job: model.Job) -> None:
         """Write a job that has to outlive this host."""
         st = self._st
-        record = _finals.acceptance(st, job)
-        st.write(record)
+        st.write(_opening.acceptance(st, job))
 
     def cancel(self, job_id: str, now: float) -> model.Job | None:
         """Cancel what has not ended of a job; None when it isn't known."""
@@ -211,6 +223,7 @@
         elif isinstance(record, zone_records.JobAccepted):
             _finals.acceptance_failed(self._st, record, now)
         elif isinstance(record, zone_records.JobEnded):
+            self._st.owed.append(record)
             _endings.release_final(self._st, record.job_id)
 
     def start_answered(
@@ -382,6 +395,7 @@
             self._watch(view, now)
         _opening.try_open(st, now)
         _finals.release_due(st, now)
+        _finals.write_owed(st)
         _finals.evict(st, now)
         _guests.expire(st, now)
         self.decide(now)
--- a/hibiscusslip/jobs/index.py
+++ b/hibiscusslip/jobs/index.py
@@ -11,10 +11,13 @@
 
 from hibiscusslip import codec
 from hibiscusslip.jobs import model
+from hibiscusslip.jobs import standing
 from hibiscusslip.model import work
 from hibiscusslip.records import job as job_records
 from hibiscusslip.records import zone as zone_records
 
+MAX_ENDED_BATCHES = 10_000
+
 
 class KeptJob(msgspec.Struct, frozen=True, omit_defaults=True):
     """Carry what the log tells about one job, in a snapshot."""
@@ -50,6 +53,7 @@
         self._shards: dict[int, dict[str, Entry]] = {}
         self._ended: collections.deque[tuple[int, str]] = collections.deque()
         self._ended_bytes = 0
+        self._batches: collections.deque[tuple[int, str]] = collections.deque()
         self.drained: set[str] = set()
 
     def apply(self, record: zone_records.ZoneRecord) -> None:
@@ -89,6 +93,14 @@
         self._count_ended(record.shard, entry)
 
     def _count_ended(self, shard: int, entry: Entry) -> None:
+        if standing.is_batch_id(entry.job_id):
+            # Asked for anew by the sheet itself, so never forgotten first.
+            entry.job = b''
+            self._batches.append((shard, entry.job_id))
+            while len(self._batches) > MAX_ENDED_BATCHES:
+                old_shard, job_id = self._batches.popleft()
+                self._shards[old_shard].pop(job_id, None)
+            return
         self._ended.append((shard, entry.job_id))
         self._ended_bytes += len(entry.answer) + len(entry.job)
         while self._ended and self._too_much():
@@ -122,6 +134,11 @@
             entry.answer = kept.answer
             self._count_ended(shard, entry)
 
+    def find(self, shard: int, job_id: str, now: float) -> model.Job | None:
+        """Return a recorded job, None when the log tells nothing of it."""
+        entry = self._shards.get(shard, {}).get(job_id)
+        return None if entry is None else _restored(entry, now)
+
     def export(self, shard: int) -> list[bytes]:
         """Return the jobs of a shard as they go into a snapshot."""
         return [
@@ -148,6 +165,7 @@
         """Forget everything, before a rebuild after a gap."""
         self._shards.clear()
         self._ended.clear()
+        self._batches.clear()
         self._ended_bytes = 0
 
     def __len__(self) -> int:
@@ -192,3 +210,4 @@
     job.outcome = outcome
     job.detail = entry.detail
     job.ended_at = now
+    job.partial = False
--- a/hibiscusslip/jobs/model.py
+++ b/hibiscusslip/jobs/model.py
@@ -121,6 +121,16 @@
     return digest.hexdigest()
 
 
+def same_request(job: Job, spec: work.JobSpec) -> bool:
+    """Tell whether a request asks for what a job was asked for.
+
+    Of some ended jobs only the end is known, and their id.
+    """
+    if not job.spec.team:
+        return True
+    return fingerprint(job.spec) == fingerprint(spec)
+
+
 def job_outcome(job: Job) -> work.Outcome:
     """Return what the outcomes of a job's tasks amount to."""
     outcomes = {task.outcome for task in job.tasks.values()}
--- a/hibiscusslip/jobs/standing.py
+++ b/hibiscusslip/jobs/standing.py
@@ -41,6 +41,11 @@
     return job_id.rpartition('.')[2].startswith(SERVICE_MARK)
 
 
+def is_batch_id(job_id: str) -> bool:
+    """Tell whether a job id is that of a batch run from the sheet."""
+    return job_id.rpartition('.')[2].startswith(BATCH_MARK)
+
+
 def _service(
     row: sheet.Workload, shard: places.Shard, shards: list[places.Shard]
 ) -> work.JobSpec | None:
--- a/hibiscusslip/node/appender.py
+++ b/hibiscusslip/node/appender.py
@@ -66,6 +66,10 @@
         """Take that the stream's reader met a record."""
         self._sent.pop(record_id, None)
 
+    def note_readable(self) -> None:
+        """Take that the log answers again, so that appends are tried."""
+        self.up = True
+
     def forget(self, record_id: str) -> None:
         """Stop writing a record that has become void."""
         self._sent.pop(record_id, None)
--- a/hibiscusslip/node/hand_over.py
+++ b/hibiscusslip/node/hand_over.py
@@ -50,6 +50,9 @@
         runner = self._fleet.runners.get(shard)
         if runner is None or shard in self._under_way:
             return False
+        if runner.engine.unsettled:
+            logger.info('shard {} stays: a start is not settled yet', shard)
+            return False
         plan = self._ownership.plan_hand_over(shard, successor, clock.now())
         if isinstance(plan, actions.HandOverRefused):
             logger.info('shard {} stays: {}', shard, plan.reason)
@@ -65,7 +68,9 @@
     ) -> bool:
         runner.frozen = True
         sent = await runner.wait_sends(SENDS_TIMEOUT_SECONDS)
-        if sent and await self._send_state(runner, plan):
+        # A start in doubt may still arrive; only this host knows of it.
+        settled = sent and not runner.engine.unsettled
+        if settled and await self._send_state(runner, plan):
             if await self._commit(plan):
                 return True
         if self._ownership.cancel_hand_over(plan):
--- a/hibiscusslip/node/home.py
+++ b/hibiscusslip/node/home.py
@@ -1,6 +1,7 @@
 """Serve requests for jobs whose home shard this host owns."""
 
 from hibiscusslip.jobs import exceptions
+from hibiscusslip.jobs import index as jobs_index
 from hibiscusslip.jobs import view
 from hibiscusslip.model import places
 from hibiscusslip.model import work
@@ -59,9 +60,11 @@
     def __init__(
         self,
         runners: dict[int, shard_runner.ShardRunner],
+        index: jobs_index.JobIndex,
         tracer: traces.Tracer,
     ) -> None:
         self._runners = runners
+        self._index = index
         self._tracer = tracer
 
     def _runner(self, shard: places.Shard) -> shard_runner.ShardRunner:
@@ -84,6 +87,7 @@
         with self._tracer.hop('home', spec.trace) as hop:
             hop.note('job', spec.job_id)
             traced = work.with_trace(spec, hop.traceparent)
+            self._recall(runner, spec.job_id)
             runner.engine.submit(traced, clock.now())
         await runner.changed()
         if spec.durable:
@@ -95,11 +99,25 @@
         except (NotOwner, UnknownJob) as exc:
             raise OwnerChanged(spec.job_id) from exc
 
+    def _recall(self, runner: shard_runner.ShardRunner, job_id: str) -> None:
+        """Bring a job back that only the log remembers.
+
+        So work that must not be repeated isn't, though its home has
+        forgotten it.
+        """
+        if job_id in runner.engine.jobs:
+            return
+        job = self._index.find(runner.shard.number, job_id, clock.now())
+        if job is not None and job.outcome.final:
+            runner.engine.restore(job)
+
     async def status(
         self, shard: places.Shard, job_id: str, wait: float
     ) -> view.JobView:
         """Return how a job stands, waiting up to `wait` s for its end."""
-        return await self._view(self._runner(shard), job_id, wait)
+        runner = self._runner(shard)
+        self._recall(runner, job_id)
+        return await self._view(runner, job_id, wait)
 
     async def cancel(self, shard: places.Shard, job_id: str) -> view.JobView:
         """Cancel what has not ended of a job."""
@@ -111,6 +129,7 @@
     def explain(self, shard: places.Shard, job_id: str) -> view.JobStory:
         """Return a job's history and why it waits."""
         runner = self._runner(shard)
+        self._recall(runner, job_id)
         job = runner.engine.jobs.get(job_id)
         if job is None:
             raise UnknownJob(job_id)
--- a/hibiscusslip/node/node.py
+++ b/hibiscusslip/node/node.py
@@ -122,7 +122,7 @@
             cfg.me,
         )
         self.standing = standing_keeper.StandingKeeper(cfg.shards)
-        self.home = home.Home(self.fleet.runners, parts.tracer)
+        self.home = home.Home(self.fleet.runners, self.index, parts.tracer)
         calls = remote_home.HomeCalls(cfg.me.name, self.home, parts.peers)
         self.acceptor = acceptor.Acceptor(
             calls, self.owners, self._find_owner, self._choose_home, rng
@@ -290,6 +290,7 @@
 
     async def caught_up(self) -> None:
         """Take that the stream was read to its end."""
+        self.writer.note_readable()
         await self.driver.tick()
 
     async def took_over(self, action: actions.TookOver) -> None:
--- a/hibiscusslip/node/standing_keeper.py
+++ b/hibiscusslip/node/standing_keeper.py
@@ -48,6 +48,7 @@
             runner.shard,
             self._shards,
         )
+        runner.engine.pin(frozenset(spec.job_id for spec in wanted))
         for spec in wanted:
             self._submit(runner, spec, now)
         self._end_unlisted(runner, {s.job_id: s for s in wanted}, now)
