Let a kind save up for a gang; deliver drops without losing sight of jobs

Cause: gangs of a kind at its ceiling of lent room starved behind its own single tasks (24 gang tasks ran of about 200); a job whose drop waited for the next round was neither queued nor dropped. Change: after 2 s only more urgent and short work of the kind starts beside the gang; jobs stay queued until their drop is handed out; gangs beyond the kind's ceiling ask other shards.

--- a/hibiscusslip/bench/replay.py
+++ b/hibiscusslip/bench/replay.py
@@ -168,7 +168,9 @@
         if task.attempts == 0 and self._measuring:
             spec = task.arrival.spec
             wait = self.now - task.waits_since
-            self.tally.waits[spec.kind, spec.urgency].append(wait)
+            gang = spec.form is work.Form.GANG
+            name = 'gang' if gang else spec.kind
+            self.tally.waits[name, spec.urgency].append(wait)
         if start.endpoint in self._broken:
             self._end_at(start.task, QUICK_FAILURE_S, base.EndKind.FAILED)
         else:
--- a/hibiscusslip/scheduler/_fair.py
+++ b/hibiscusslip/scheduler/_fair.py
@@ -13,6 +13,7 @@
 from hibiscusslip.scheduler import _vector
 
 URGENCIES = tuple(work.Urgency)
+SAVE_AFTER_S = 2.0
 OVERDUE_TURNS = 16
 TARGETS_S = {
     work.Urgency.URGENT: 8.7,
@@ -195,6 +196,7 @@
         self.lanes = {urgency: Lane() for urgency in URGENCIES}
         self.skip = 0
         self.allowed = 0
+        self.saving: _jobs.Job | None = None
         self.known: tuple[object, int] | None = None
         self.weights = 0.0
         self.teams: collections.Counter[str] = collections.Counter()
@@ -206,6 +208,18 @@
             mask |= lane.mask
         return mask
 
+    def usable(self, urgency: int, ready: int, short: int) -> int:
+        """Return the shapes that may start with an urgency now.
+
+        While the kind saves up for a gang, only more urgent work and
+        `short` work starts beside it.
+        """
+        mask = ready & self.allowed & ~self.skip
+        gang = self.saving
+        if gang is None or urgency < gang.spec.urgency:
+            return mask
+        return mask & (short | 1 << gang.shape)
+
     def team_came(self, team: str, weight: float) -> None:
         """Count a team that waits in one more lane."""
         self.teams[team] += 1
@@ -226,15 +240,18 @@
     Inside a kind and urgency the team with the least weighted dominant
     share goes first; a more urgent job of a team beyond its fair share
     yields to a less urgent one of a team below it. Some turns go to jobs
-    that have waited longer than the target of their urgency.
+    that have waited longer than the target of their urgency. A kind that
+    may not hold a whole gang more saves up for it.
     """
 
-    def __init__(self, accounts: _accounts.Accounts) -> None:
+    def __init__(self, accounts: _accounts.Accounts, backfill: bool) -> None:
         self._accounts = accounts
+        self._backfill = backfill
         self._kinds: dict[str, KindQueue] = {}
         self._shapes = _shapes.Shapes()
         self._skipped: list[TeamLane] = []
         self._turn = 0
+        self._now = 0.0
 
     def push(self, job: _jobs.Job) -> None:
         """Add a job that has pending tasks."""
@@ -248,13 +265,17 @@
 
     def discard(self, job: _jobs.Job) -> None:
         """Take a job out."""
+        spec = job.spec
+        queue = self._kinds.get(spec.kind)
+        if queue is not None and queue.saving is job:
+            queue.saving = None
         if job.shape >= 0 and self._lane(job).discard(job):
-            spec = job.spec
             weight = self._accounts.weight(spec.team)
             self._kinds[spec.kind].team_left(spec.team, weight)
 
     def begin(self, now: float) -> None:
         """Forget what shares, quotas and single jobs kept back."""
+        self._now = now
         for queue in self._kinds.values():
             queue.skip = 0
         for lane in self._skipped:
@@ -284,7 +305,11 @@
         if why is _order.Block.ROOM:
             self._shapes.block(job.shape)
         elif why is _order.Block.SHARE:
-            self._kinds[job.spec.kind].skip |= bit
+            queue = self._kinds[job.spec.kind]
+            queue.skip |= bit
+            waited = self._now - job.submitted
+            if job.gang and not queue.saving and waited >= SAVE_AFTER_S:
+                queue.saving = job
         else:
             lane = self._lane(job).teams.get(job.spec.team)
             if lane is not None:
@@ -350,16 +375,18 @@
     def _first_urgency(
         self, kind: str, queue: KindQueue, ready: int
     ) -> int | None:
-        usable = ready & queue.mask() & ~queue.skip
-        if not usable:
+        if not ready & queue.mask() & ~queue.skip:
             return None
         self._allow(kind, queue)
-        usable &= queue.allowed
+        short = self._short()
         for urgency, lane in queue.lanes.items():
-            if lane.mask & usable:
+            if lane.mask & queue.usable(urgency, ready, short):
                 return int(urgency)
         return None
 
+    def _short(self) -> int:
+        return self._shapes.short if self._backfill else 0
+
     def _overdue(self, now: float, ready: int) -> _jobs.Job | None:
         """Return a job that has waited far longer than it should."""
         for kind, queue in self._kinds.items():
@@ -368,8 +395,9 @@
                 if job is None or now - job.submitted < TARGETS_S[urgency]:
                     continue
                 self._allow(kind, queue)
-                skip = queue.skip | lane.teams[job.spec.team].skip
-                if 1 << job.shape & ready & queue.allowed & ~skip:
+                usable = queue.usable(urgency, ready, self._short())
+                usable &= ~lane.teams[job.spec.team].skip
+                if usable >> job.shape & 1:
                     return job
         return None
 
@@ -385,21 +413,21 @@
 
     def _next_job(self, kind: str, ready: int) -> _jobs.Job | None:
         queue = self._kinds[kind]
-        usable = ready & queue.allowed & ~queue.skip
         fair = self._fair_share(kind, queue)
         first = None
-        for lane in queue.lanes.values():
+        for urgency, lane in queue.lanes.items():
+            usable = queue.usable(urgency, ready, self._short())
             found = self._lowest(kind, lane, usable)
             if found is None:
                 continue
-            first = first or found
+            if first is None or found[0] < fair:
+                first = (found[1], usable)
             if found[0] < fair:
-                first = found
                 break
         if first is None:
-            queue.skip |= usable
+            queue.skip |= ready & queue.allowed
             return None
-        team = first[1]
+        team, usable = first
         return team.oldest(team.mask & usable & ~team.skip)
 
     def _lowest(
--- a/hibiscusslip/scheduler/_holds.py
+++ b/hibiscusslip/scheduler/_holds.py
@@ -77,7 +77,8 @@
         indices = sorted(job.pending)
         for _ in indices:
             self._ledger.take_pending(job)
-        starts = self._starter.place_all(job, indices, now)
+        self._now = now
+        starts = self._admitted(job, indices)
         missing = indices[len(starts) :]
         job.remote.update(missing)
         until = now + self._bounds.gang_hold
--- a/hibiscusslip/scheduler/_shapes.py
+++ b/hibiscusslip/scheduler/_shapes.py
@@ -24,6 +24,7 @@
         self.blocked = 0
         self._revived: dict[str, int] = {}
         self.all = 1
+        self.short = 0
         self._accelerated = 1 << CATCH_ALL
         self.version = 0
 
@@ -58,6 +59,8 @@
         self._numbers[key] = number
         self._lowest.append(None)
         self.all |= 1 << number
+        if key[-1]:
+            self.short |= 1 << number
         if key[_vector.ACCELERATORS]:
             self._accelerated |= 1 << number
         return number
--- a/hibiscusslip/scheduler/_shard.py
+++ b/hibiscusslip/scheduler/_shard.py
@@ -1,5 +1,6 @@
 """Serve one shard: queue, book and decide."""
 
+import collections
 import random
 
 from hibiscusslip.model import places
@@ -50,10 +51,15 @@
         book = _endpoints.Book()
         accounts = _accounts.Accounts(book.reserve)
         accounts.set_policy(policy)
-        order = _fair.Fair(accounts) if fair else _order.Fifo()
+        order = (
+            _fair.Fair(accounts, bounds.backfill) if fair else _order.Fifo()
+        )
         self._ledger = _ledger.Ledger(book, accounts, order)
         self._build_parts(placement)
         self._waiting: list[base.Decision] = []
+        self._doomed: collections.deque[tuple[_jobs.Job, base.Refused]] = (
+            collections.deque()
+        )
 
     def _build_parts(self, placement: _placement.Placement) -> None:
         ledger, bounds, rng = self._ledger, self._bounds, self._rng
@@ -81,8 +87,8 @@
         self._ledger.order.changed()
         for job in list(self._ledger.jobs.values()):
             refusal = self._door.unknown(job.spec)
-            if refusal and not (job.ran or job.placed or job.remote):
-                self._drop(job, refusal)
+            if refusal:
+                self._doomed.append((job, refusal))
 
     def set_endpoint(self, info: places.EndpointInfo, now: float) -> None:
         """Add an endpoint or change its state."""
@@ -177,6 +183,7 @@
         waiting = list(filter(self._still_due, self._waiting))
         decisions = waiting[:limit]
         self._waiting = waiting[limit:]
+        self._drop_doomed(decisions, limit)
         if self._ledger.fenced_freed and len(decisions) < limit:
             self._ledger.fenced_freed = False
             gathered = self._starter.start_gathered(now)
@@ -230,7 +237,7 @@
 
     def next_wakeup(self, now: float) -> float | None:
         """Return when `decide` is worth calling again without an event."""
-        if self._waiting:
+        if self._waiting or self._doomed:
             return now
         times = [
             self._delays.next_time(),
@@ -266,7 +273,8 @@
         self._holds.expire(now)
         self._delays.ripen(now)
         for job in self._deadlines.expired(now):
-            self._drop(job, _deadlines.refusal('it waited too long'))
+            refusal = _deadlines.refusal('it waited too long')
+            self._doomed.append((job, refusal))
         for room in self._health.ripen(now):
             self._ledger.freed(room)
         self._gatherer.check(now)
@@ -336,10 +344,14 @@
             return decision.task in self._ledger.book.where
         return True
 
-    def _drop(self, job: _jobs.Job, refusal: base.Refused) -> None:
-        self._ledger.unqueue(job)
-        self._ledger.settle(job)
-        self._waiting.append(base.Drop(job.job_id, refusal))
+    def _drop_doomed(self, decisions: list[base.Decision], limit: int) -> None:
+        while self._doomed and len(decisions) < limit:
+            job, refusal = self._doomed.popleft()
+            idle = not (job.ran or job.placed or job.remote)
+            if idle and (job.pending or job.delayed):
+                self._ledger.unqueue(job)
+                self._ledger.settle(job)
+                decisions.append(base.Drop(job.job_id, refusal))
 
     def _free(self, task: str) -> None:
         job = self._ledger.jobs.get(work.job_of(task))
--- a/hibiscusslip/scheduler/_starter.py
+++ b/hibiscusslip/scheduler/_starter.py
@@ -111,6 +111,9 @@
         self, job: _jobs.Job, now: float
     ) -> base.GangStart | _order.Block:
         need = _vector.scale(job.demand, len(job.pending))
+        accounts = self._ledger.accounts
+        if not _vector.fits(need, accounts.kind(job.spec.kind).ceiling):
+            return self._elsewhere(job, now)
         lack = self.lacking(job, need)
         if lack is not None:
             return lack
@@ -122,9 +125,12 @@
             return started
         if plan is not None or self._gatherer.begin(job, now):
             return _order.Block.ROOM
-        if now < job.next_try:
-            return _order.Block.JOB
-        return _order.Block.ELSEWHERE
+        return self._elsewhere(job, now)
+
+    @staticmethod
+    def _elsewhere(job: _jobs.Job, now: float) -> _order.Block:
+        late = now >= job.next_try
+        return _order.Block.ELSEWHERE if late else _order.Block.JOB
 
     def _place_whole(
         self, job: _jobs.Job, now: float
