--- /dev/null
+++ b/tests/scheduler/test_gangs.py
@@ -0,0 +1,152 @@
+"""Check gangs, holds, failing endpoints and failing services."""
+
+from hibiscusslip.model import work
+from hibiscusslip.scheduler import base
+from tests.scheduler import samples
+
+GANG = work.Form.GANG
+ONE_KIND = {'a': (1.0, 1.0)}
+
+
+def full(endpoints=2):
+    """Return a scheduler with one endpoint full of long work."""
+    sched = samples.build(shares=ONE_KIND)
+    samples.add_endpoints(sched, endpoints)
+    for i in range(8):
+        sched.submit(samples.job(f'long{i}', run_time=100.0), 0.0)
+    sched.decide(0.0)
+    return sched
+
+
+def test_a_gang_starts_whole_or_not_at_all():
+    sched = full()
+    sched.submit(samples.job('g', form=GANG, tasks=9), 0.0)
+    assert sched.decide(0.0) == []
+    sched.ended('long0/0', base.EndKind.SUCCEEDED, 1.0)
+    (start,) = sched.decide(1.0)
+    assert len(start.placements) == 9
+
+
+def test_while_a_kind_saves_up_for_a_gang_only_short_work_starts():
+    sched = full()
+    sched.submit(samples.job('g', form=GANG, tasks=9), 0.0)
+    sched.decide(3.0)
+    sched.submit(samples.job('slow', run_time=500.0), 3.0)
+    sched.submit(samples.job('quick', run_time=5.0), 3.0)
+    assert [d.task for d in sched.decide(3.0)] == ['quick/0']
+
+
+def test_endpoints_gathered_for_a_gang_take_only_short_work():
+    sched = samples.build(shares=ONE_KIND)
+    samples.add_endpoints(sched, 3, per_rack=1)
+    sched.submit(samples.job('s', spread=True, tasks=3, run_time=100.0), 0.0)
+    used = {d.task: d.endpoint for d in sched.decide(0.0)}
+    assert len(set(used.values())) == 3
+    whole = samples.amount(8000)
+    gang = samples.job('g', form=GANG, tasks=2, demand=whole)
+    sched.submit(gang, 1.0)
+    assert sched.decide(1.0) == []
+    assert 'gathers 2 endpoints' in sched.explain('g', 1.0).reasons[0]
+    sched.submit(samples.job('slow', tasks=8, run_time=500.0), 1.0)
+    slow = [d.endpoint for d in sched.decide(1.0)]
+    assert len(slow) == 7
+    sched.submit(samples.job('quick', run_time=5.0), 1.0)
+    (quick,) = sched.decide(1.0)
+    assert quick.endpoint not in slow
+    sched.ended('quick/0', base.EndKind.SUCCEEDED, 6.0)
+    for task, endpoint in used.items():
+        if endpoint not in slow:
+            sched.ended(task, base.EndKind.SUCCEEDED, 90.0)
+    starts = [d for d in sched.decide(90.0) if isinstance(d, base.GangStart)]
+    assert len(starts[0].placements) == 2
+
+
+def test_two_gangs_that_exclude_each_other_both_run():
+    sched = full()
+    for name in ('g', 'h'):
+        sched.submit(samples.job(name, form=GANG, tasks=12), 0.0)
+    sched.decide(0.0)
+    for i in range(8):
+        sched.ended(f'long{i}/0', base.EndKind.SUCCEEDED, 1.0)
+    (first,) = sched.decide(1.0)
+    for start in first.placements:
+        sched.ended(start.task, base.EndKind.SUCCEEDED, 2.0)
+    (second,) = sched.decide(2.0)
+    assert {first.job_id, second.job_id} == {'g', 'h'}
+
+
+def test_a_gang_too_large_for_the_shard_asks_others_and_gives_back():
+    sched = samples.build(shares=ONE_KIND)
+    samples.add_endpoints(sched, 1)
+    sched.submit(samples.job('g', form=GANG, tasks=10), 0.0)
+    (wanted,) = sched.decide(0.0)
+    assert (len(wanted.local), wanted.missing) == (8, [8, 9])
+    assert not sched.commit_hold('g', wanted.expires)
+    assert sched.summary(20.0).kinds[0].running == 0
+    (again,) = sched.decide(wanted.expires + 10.0)
+    assert sched.commit_hold('g', again.expires - 1.0)
+    assert sched.decide(again.expires + 1.0) == []
+    assert sched.summary(60.0).kinds[0].running == 8
+    sched.requeue('g/9', 60.0)
+    assert 'g/9' not in sched.cancel('g', 61.0)
+
+
+def test_a_foreign_hold_expires_by_itself_and_commits_once():
+    sched = samples.build(shares=ONE_KIND)
+    samples.add_endpoints(sched, 1)
+    spec = samples.job('f', form=GANG, tasks=4)
+    first = sched.hold('h1', spec, [0, 1], until=5.0)
+    assert sched.hold('h1', spec, [0, 1], until=5.0) == first
+    assert len(first) == 2
+    assert not sched.commit_hold('h1', 5.0)
+    assert len(sched.hold('h2', spec, [0, 1], until=9.0)) == 2
+    assert sched.commit_hold('h2', 8.0)
+    assert sched.commit_hold('h2', 8.5)
+    sched.decide(20.0)
+    assert sched.summary(20.0).kinds[0].running == 2
+
+
+def test_an_endpoint_that_fails_everything_is_suspended_and_comes_back():
+    sched = samples.build(shares=ONE_KIND)
+    samples.add_endpoints(sched, 3)
+    good = samples.job('good', workload='w')
+    sched.adopt(good, 'good/0', 'e1', 0.0)
+    sched.ended('good/0', base.EndKind.SUCCEEDED, 0.5)
+    bad, now, runs = 'e0', 0.0, []
+    for i in range(140):
+        now += 1.0
+        sched.submit(samples.job(f'j{i}', workload='w', tasks=2), now)
+        for start in sched.decide(now):
+            runs.append((now, start.endpoint))
+            broken = start.endpoint == bad and now < 40.0
+            how = base.EndKind.FAILED if broken else base.EndKind.SUCCEEDED
+            sched.ended(start.task, how, now + 0.1)
+    on_bad = [when for when, endpoint in runs if endpoint == bad]
+    assert len([when for when in on_bad if when < 30.0]) <= 4
+    probes = [when for when in on_bad if 30.0 <= when < 90.0]
+    assert len(probes) == 1
+    assert len([when for when in on_bad if when >= 90.0]) > 20
+
+
+def test_work_that_fails_everywhere_suspends_no_endpoint():
+    sched = samples.build(shares=ONE_KIND)
+    samples.add_endpoints(sched, 3)
+    for i in range(9):
+        sched.submit(samples.job(f'j{i}', workload='faulty'), float(i))
+        for start in sched.decide(float(i)):
+            sched.ended(start.task, base.EndKind.FAILED, i + 0.1)
+    assert sched.summary(9.0).free.slots == 24
+
+
+def test_a_failing_service_is_restarted_later_each_time():
+    sched = samples.build(shares=ONE_KIND)
+    samples.add_endpoints(sched, 2)
+    sched.submit(samples.job('s', form=work.Form.SERVICE), 0.0)
+    now, waits = 0.0, []
+    for _ in range(4):
+        assert sched.decide(now)
+        sched.ended('s/0', base.EndKind.FAILED, now)
+        sched.requeue('s/0', now)
+        waits.append(sched._delays.next_time() - now)
+        now += waits[-1]
+    assert waits == [1.0, 2.0, 4.0, 8.0]
