--- a/hibiscusslip/scheduler/_deadlines.py
+++ b/hibiscusslip/scheduler/_deadlines.py
@@ -33,13 +33,10 @@
             heapq.heappush(self._heap, (latest, job.seq, job))
 
     def expired(self, now: float) -> list[_jobs.Job]:
-        """Return the jobs of which nothing started in time."""
+        """Return the jobs that are too late now unless they started."""
         found = []
         while self._heap and self._heap[0][0] < now:
-            _, _, job = heapq.heappop(self._heap)
-            idle = not (job.ran or job.placed or job.remote)
-            if idle and (job.pending or job.delayed):
-                found.append(job)
+            found.append(heapq.heappop(self._heap)[2])
         return found
 
     def next_time(self) -> float | None:
