Promise nothing for shards that this host could renew itself

Cause: a host that lost track of the log in a gap could promise for a shard whose lease it can still renew. Entries read before an anchor may name hosts that can resume as well. Change: refuse such promises; count those hosts, and prove their end alike.

--- a/hibiscusslip/ownership/_renewing.py
+++ b/hibiscusslip/ownership/_renewing.py
@@ -113,12 +113,16 @@
 ) -> bool:
     """Tell whether a promise for a shard is safe to give.
 
-    Not while an own claim may still land, nor to a superseded holder.
+    Not while an own claim may still land, nor to a superseded holder, nor
+    for what this host holds or could renew itself.
     """
     if not 0 <= held.shard < state.shards:
         return False
     if state.appends.claims(held.shard):
         return False
+    own = state.leases.get(held.shard)
+    if own is not None and own.epoch >= held.epoch:
+        return False
     if state.leases.left(held.shard, now) > 0:
         return False
     latest = state.ledger.latest(held.shard)
--- a/hibiscusslip/ownership/_state.py
+++ b/hibiscusslip/ownership/_state.py
@@ -161,8 +161,7 @@
             for host in self.members
             if self.first_known.get(host.name, known_by) <= known_by
         )
-        if self.ledger.latest(shard) is None:
-            hosts.update(self.ledger.hosts_of_unknown(shard))
+        hosts.update(self.ledger.hosts_of_unknown(shard))
         hosts.discard(self.me)
         return {host for host in hosts if self.ended_at(host) is None}
 
@@ -175,8 +174,10 @@
         that was known by then, and a host runs one process at a time.
         """
         older = set(self.introductions.known_before(asked_at))
-        for holders in self.holders.values():
-            older.update(h for h, read in holders.items() if read < asked_at)
+        for shard in range(self.shards):
+            held = self.holders.get(shard, {})
+            named = held | self.ledger.hosts_of_unknown(shard)
+            older.update(h for h, read in named.items() if read < asked_at)
         for other in older:
             if other.name == host.name and other != host:
                 self.mark_gone(other, now)
--- a/hibiscusslip/ownership/_track.py
+++ b/hibiscusslip/ownership/_track.py
@@ -83,7 +83,7 @@
         self.holding: Holding | None = FREE if floor == 0 else None
         self.last_offset = -1
         self.last_read_at = now
-        self.hosts: set[places.HostId] = set()
+        self.hosts: dict[places.HostId, float] = {}
         self._floor = floor
         self._pending: list[Step] = []
 
@@ -103,7 +103,6 @@
         for step in pending:
             if step.offset > as_of:
                 self._apply(step)
-        self.hosts = set()
         return True
 
     def _apply(self, step: Step) -> str:
@@ -133,7 +132,9 @@
         return ''
 
     def _keep(self, step: Step) -> None:
-        self.hosts.add(step.host)
+        self.hosts.setdefault(step.host, step.read_at)
+        if step.to_host is not None:
+            self.hosts.setdefault(step.to_host, step.read_at)
         self._pending.append(step)
         if len(self._pending) > MAX_PENDING:
             self._floor = self._pending.pop(0).offset + 1
--- a/hibiscusslip/ownership/ledger.py
+++ b/hibiscusslip/ownership/ledger.py
@@ -107,8 +107,8 @@
         """
         return self._tracks[shard].last_read_at
 
-    def hosts_of_unknown(self, shard: int) -> set[places.HostId]:
-        """Return the hosts that entries of an unknown shard name."""
+    def hosts_of_unknown(self, shard: int) -> dict[places.HostId, float]:
+        """Return whom entries named while a shard was unknown, since when."""
         return self._tracks[shard].hosts
 
     def valid_at(self, shard: int, epoch: int) -> bool:
--- a/hibiscusslip/ownership/owner.py
+++ b/hibiscusslip/ownership/owner.py
@@ -234,7 +234,7 @@
             hosts.update(state.holders.get(shard, ()))
             hosts.update(state.ledger.hosts_of_unknown(shard))
         hosts.discard(state.me)
-        return sorted(hosts)
+        return sorted(h for h in hosts if state.ended_at(h) is None)
 
     def drain(self, now: float) -> None:
         """Take no more shards and suggest to hand over all that are held."""
--- a/tests/ownership/test_faults.py
+++ b/tests/ownership/test_faults.py
@@ -280,3 +280,15 @@
         assert run(zone, 20.0)[shard] <= TAKE_OVER
         zone.start('d')
         run(zone, 20.0)
+
+
+def test_hosts_named_before_an_anchor_must_know_the_claimer():
+    zone = new_zone('a', 'b')
+    for _ in range(6):
+        run(zone, 20.0)
+        zone.log.trim(zone.time)
+    late = zone.start('c')
+    run(zone, 20.0)
+    assert holder(zone).id in late.own.holders()
+    zone.crash(holder(zone))
+    assert run(zone, 20.0)[0] <= TAKE_OVER
--- a/tests/ownership/test_ledger.py
+++ b/tests/ownership/test_ledger.py
@@ -88,7 +88,7 @@
     renewals = [record(zone.Renewal, A, 1, seq) for seq in (5, 6, 7)]
     read(book, renewals, 10)
     assert book.latest(0) is None
-    assert book.hosts_of_unknown(0) == {A}
+    assert set(book.hosts_of_unknown(0)) == {A}
 
 
 def test_a_snapshot_anchors_and_what_follows_it_is_replayed():
