Sort the refusals of remote homes by what they leave open

Cause: links raise a refusal as PeerRefused, and HomeCalls took every PeerError but PeerUnsettled as not delivered; its own branch for refusals was never reached. So a remote home's 'taken, then moved' (OwnerChanged), 'not on the log yet' (NotKeptYet) and all its final refusals counted as nothing done and were placed anew under another id. Ruled out: hand-over itself (the job moved and ended at its new owner). The loopback peers returned refusals instead of raising them, which hid it; they now raise as links do.

--- a/hibiscusslip/node/home_peers.py
+++ b/hibiscusslip/node/home_peers.py
@@ -2,6 +2,7 @@
 
 from hibiscusslip.model import places
 from hibiscusslip.peer import base
+from hibiscusslip.peer import exceptions
 from hibiscusslip.peer import messages
 
 
@@ -28,7 +29,12 @@
     ) -> messages.PeerMessage:
         """Send a call and return the reply."""
         if host == self._me.name and self._handler is not None:
-            return await self._handler.handle(self._me, body)
+            reply = await self._handler.handle(self._me, body)
+            if isinstance(reply, messages.Refusal):
+                raise exceptions.PeerRefused(
+                    reply.kind, reply.detail, reply.retry_after, reply.nearest
+                )
+            return reply
         return await self._others.call(
             host, body, timeout, incarnation=incarnation, trace=trace
         )
--- a/hibiscusslip/node/remote_home.py
+++ b/hibiscusslip/node/remote_home.py
@@ -61,6 +61,8 @@
         home.NotKeptYet.__name__: FailureKind.UNSETTLED,
         home.OwnerChanged.__name__: FailureKind.UNSETTLED,
         'busy': FailureKind.NOT_DELIVERED,
+        'closing': FailureKind.NOT_DELIVERED,
+        'not_served': FailureKind.NOT_DELIVERED,
     }
     return Failure(
         kinds.get(refusal.kind, FailureKind.REFUSED),
@@ -149,15 +151,18 @@
     ) -> messages.PeerMessage | Failure:
         """Call a host and sort its failures by what they leave open."""
         try:
-            reply = await self._peers.call(host, body, timeout)
+            return await self._peers.call(host, body, timeout)
+        except peer_exceptions.PeerRefused as exc:
+            return failure_of(
+                messages.Refusal(
+                    exc.kind, exc.detail, exc.retry_after, exc.nearest
+                )
+            )
         except peer_exceptions.PeerUnsettled as exc:
             return Failure(FailureKind.UNSETTLED, 'unsettled', str(exc))
         except peer_exceptions.PeerError as exc:
             kind = FailureKind.NOT_DELIVERED
             return Failure(kind, 'not_delivered', str(exc), 1.0)
-        if isinstance(reply, messages.Refusal):
-            return failure_of(reply)
-        return reply
 
 
 def view_from(state: messages.JobState) -> view.JobView:
--- a/hibiscusslip/peer/_link.py
+++ b/hibiscusslip/peer/_link.py
@@ -147,7 +147,7 @@
         reply = waiter.reply
         if isinstance(reply, messages.Refusal):
             raise exceptions.PeerRefused(
-                reply.kind, reply.detail, reply.retry_after
+                reply.kind, reply.detail, reply.retry_after, reply.nearest
             )
         if reply is not None:
             return reply
--- a/hibiscusslip/peer/exceptions.py
+++ b/hibiscusslip/peer/exceptions.py
@@ -20,16 +20,22 @@
 class PeerRefused(PeerError):
     """Raise when the other host answered that it won't do it.
 
-    `retry_after` is in seconds, None when a retry won't help.
+    `retry_after` is in seconds, None when a retry won't help; `nearest` is
+    the closest demand that would be taken, if there is one.
     """
 
     def __init__(
-        self, kind: str, detail: str, retry_after: float | None = None
+        self,
+        kind: str,
+        detail: str,
+        retry_after: float | None = None,
+        nearest: str = '',
     ):
         super().__init__(f'{kind}: {detail}')
         self.kind = kind
         self.detail = detail
         self.retry_after = retry_after
+        self.nearest = nearest
 
 
 class ChannelClosed(PeerError):
--- a/hibiscusslip/peer/loopback.py
+++ b/hibiscusslip/peer/loopback.py
@@ -68,6 +68,10 @@
             raise exceptions.PeerUnsettled(
                 f'{host} went away; ask again by the same id'
             )
+        if isinstance(reply, messages.Refusal):
+            raise exceptions.PeerRefused(
+                reply.kind, reply.detail, reply.retry_after, reply.nearest
+            )
         return codec.decode(codec.encode(reply), messages.PeerMessage)
 
     def set_address(self, host: str, address: str, port: int) -> None:
