--- a/hibiscusslip/ownership/_state.py
+++ b/hibiscusslip/ownership/_state.py
@@ -62,6 +62,10 @@
         self.members: dict[places.HostId, members_.Member] = {}
         self.gone: dict[places.HostId, float] = {}
         self.listed = False
+        self.baseline_at = now
+        self.first_known: dict[str, float] = {}
+        self.alive_since: dict[places.HostId, float] = {}
+        self.holders: dict[int, dict[places.HostId, float]] = {}
         self.draining = False
         self.out: list[actions.Action] = []
         self.received: dict[str, float] = {}
@@ -131,6 +135,37 @@
             return self.started_at
         return self.gone.get(host)
 
+    def note_members(self, now: float) -> None:
+        """Note when members were first known, and since when they live."""
+        present = {host.name for host in self.members}
+        self.first_known = {
+            name: self.first_known.get(name, now) for name in present
+        }
+        self.alive_since = {
+            host: self.alive_since.get(host, now)
+            for host, member in self.members.items()
+            if member.alive
+        }
+
+    def may_hold(self, shard: int) -> set[places.HostId]:
+        """Return the other hosts that may hold a shard without the log.
+
+        Those that held it by records read here, and those that may have
+        held it before reading began. Whoever the host list shows only
+        later has started since.
+        """
+        known_by = self.baseline_at + self.timing.list_lag
+        hosts = set(self.holders.get(shard, ()))
+        hosts.update(
+            host
+            for host in self.members
+            if self.first_known.get(host.name, known_by) <= known_by
+        )
+        if self.ledger.latest(shard) is None:
+            hosts.update(self.ledger.hosts_of_unknown(shard))
+        hosts.discard(self.me)
+        return {host for host in hosts if self.ended_at(host) is None}
+
     def outlive(
         self, host: places.HostId, asked_at: float, now: float
     ) -> None:
@@ -140,12 +175,8 @@
         that was known by then, and a host runs one process at a time.
         """
         older = set(self.introductions.known_before(asked_at))
-        for shard in range(self.shards):
-            holding = self.ledger.latest(shard)
-            if holding is None or holding.host is None:
-                continue
-            if holding.read_at < asked_at:
-                older.add(holding.host)
+        for holders in self.holders.values():
+            older.update(h for h, read in holders.items() if read < asked_at)
         for other in older:
             if other.name == host.name and other != host:
                 self.mark_gone(other, now)
@@ -156,5 +187,7 @@
             return
         self.gone[host] = now
         self.introductions.drop(host)
+        for holders in self.holders.values():
+            holders.pop(host, None)
         if len(self.gone) > MAX_GONE:
             del self.gone[next(iter(self.gone))]
