--- a/hibiscusslip/bench/decide.py
+++ b/hibiscusslip/bench/decide.py
@@ -1,6 +1,7 @@
 """Measure how long one decision takes as workers and queues grow."""
 
 import collections
+import collections.abc
 import dataclasses
 import gc
 import random
@@ -18,6 +19,7 @@
 DECISIONS = 20_000
 WORKERS = (27, 250, 2_500, 25_000)
 QUEUES = (1_000, 10_000, 100_000, 1_000_000)
+MANY_WORKERS = 2_500
 FEW_QUEUED = 10_000
 SHARES = {'service': (0.3, 1.0), 'batch': (0.4, 1.0), 'render': (0.2, 1.0)}
 
@@ -129,11 +131,12 @@
     )
 
 
-def rows() -> list[Figures]:
+def rows() -> collections.abc.Iterator[Figures]:
     """Measure all sizes of fleet and of queue."""
-    found = [measure(workers, FEW_QUEUED) for workers in WORKERS]
-    found += [measure(2_500, queue) for queue in QUEUES]
-    return found
+    for workers in WORKERS:
+        yield measure(workers, FEW_QUEUED)
+    for queue in QUEUES:
+        yield measure(MANY_WORKERS, queue)
 
 
 def main() -> None:
--- a/tests/scheduler/test_booking.py
+++ b/tests/scheduler/test_booking.py
@@ -21,11 +21,13 @@
     room = samples.amount(20, 20, 20, 20, 20)
     room = dataclasses.replace(room, **{dimension: 5})
     sched = samples.build(shares={'a': (1.0, 1.0)})
-    sched.set_endpoint(samples.endpoint('e0', capacity=room), 0.0)
+    for name in ('e0', 'e1'):
+        info = samples.endpoint(name, capacity=room)
+        sched.set_endpoint(info, 0.0)
     need = samples.amount(2, 2, 2, 2, 2)
-    for i in range(5):
+    for i in range(9):
         sched.submit(samples.job(f'j{i}', demand=need), 0.0)
-    assert len(starts(sched)) == 2
+    assert len(starts(sched)) == 4
 
 
 def test_adopted_runs_are_booked_beyond_capacity_and_stop_new_starts():
