--- a/hibiscusslip/bench/loads.py
+++ b/hibiscusslip/bench/loads.py
@@ -41,7 +41,7 @@
 SHARES = {
     'service': (0.15, 0.5),
     'quote': (0.20, 1.0),
-    'batch': (0.40, 1.0),
+    'batch': (0.30, 1.0),
     'render': (0.25, 1.0),
 }
 
