--- a/hibiscusslip/scheduler/_accounts.py
+++ b/hibiscusslip/scheduler/_accounts.py
@@ -85,6 +85,7 @@
         self.capacity = _vector.ZERO
         self.held = _vector.ZERO
         self._idle = _vector.ZERO
+        self._faded_at = float('-inf')
         self._teams: dict[str, _vector.Vector] = {}
         self._parts: dict[tuple[str, str], _vector.Vector] = {}
         self._shares: dict[tuple[str, str], float] = {}
@@ -117,6 +118,12 @@
         }
         self.refresh(None)
 
+    def pass_time(self, now: float) -> None:
+        """Let recent peaks fade."""
+        if now - self._faded_at >= PEAK_STEP_S:
+            self._faded_at = now
+            self.refresh(now)
+
     def refresh(self, now: float | None) -> None:
         """Work out anew what is kept for each kind."""
         self._idle = _vector.ZERO
--- a/hibiscusslip/scheduler/_learning.py
+++ b/hibiscusslip/scheduler/_learning.py
@@ -9,6 +9,7 @@
 SAMPLES = 64
 MIN_SAMPLES = 5
 MAX_WORKLOADS = 4096
+FEW_ENDS = 16
 REFRESH_EVERY = 8
 
 
@@ -39,7 +40,7 @@
         """Add a run time."""
         self.times.append(elapsed)
         self.ends += 1
-        few = self.ends < SAMPLES
+        few = self.ends < FEW_ENDS
         if len(self.times) >= MIN_SAMPLES and (
             few or self.ends % REFRESH_EVERY == 0
         ):
--- a/hibiscusslip/scheduler/_shard.py
+++ b/hibiscusslip/scheduler/_shard.py
@@ -280,7 +280,7 @@
         self._gatherer.check(now)
         book = self._ledger.book
         book.reserve.refresh(book.rooms.values(), now)
-        self._ledger.accounts.refresh(now)
+        self._ledger.accounts.pass_time(now)
         self._ledger.book.guard.set_now(now)
         self._ledger.order.begin(now)
 
