--- a/hibiscusslip/scheduler/_reserve.py
+++ b/hibiscusslip/scheduler/_reserve.py
@@ -23,6 +23,7 @@
     mean: list[float]
     need: _vector.Vector
     fits: int = 0
+    counted: bool = False
 
     @property
     def stale(self) -> bool:
@@ -82,13 +83,15 @@
         if now - self._recounted < RECOUNT_EVERY_S:
             return
         self._recounted = now
-        moved = [t for t in self.kinds.values() if t.stale or not t.fits]
+        kinds = self.kinds.values()
+        moved = [t for t in kinds if t.stale or not t.counted]
         if not moved:
             return
         for typical in moved:
             cpu, memory, acc, slots, conns = (
                 round(value) for value in typical.mean
             )
+            typical.counted = True
             typical.need = (cpu, memory, acc, slots, conns)
         for room in rooms:
             self.update(room)
