--- a/hibiscusslip/bench/policy.py
+++ b/hibiscusslip/bench/policy.py
@@ -97,7 +97,8 @@
         report.note_wait(fleet.name, 'usual', policy.name, tally)
     urgent = found['chosen'].waits['quote', work.Urgency.URGENT]
     p99 = quantiles(sorted(urgent))[1]
-    rate = found['chosen'].started / (scenarios.WARM_UP_S + scenarios.FLOOD_S)
+    starts = sum(map(len, found['chosen'].waits.values()))
+    rate = starts / scenarios.FLOOD_S
     print(
         f'urgent p99 {p99:.2f} s at {rate:.0f} starts/s, target '
         f'{URGENT_TARGET_S} s: {verdict(p99 <= URGENT_TARGET_S)}'
@@ -280,11 +281,15 @@
             yield fleet
 
 
-def main(fleet: str = 'all', slopes: bool = True) -> None:
+def main(
+    fleet: str = 'all', slopes: bool = True, only_waits: bool = False
+) -> None:
     """Run all parts for the named fleets and draw the plot."""
     report = Report()
     for one in chosen_fleets(fleet):
         calm = timed(waits, report, one)
+        if only_waits:
+            continue
         timed(floods, report, one, calm)
         timed(packing, report, one)
         timed(faults, report, one)
--- a/hibiscusslip/scheduler/_shard.py
+++ b/hibiscusslip/scheduler/_shard.py
@@ -137,6 +137,7 @@
             return
         self._ledger.release(job, index)
         self._ledger.forget_waiting(job, index)
+        job.remote.discard(index)
         self._ledger.place(job, index, endpoint, now)
         job.ran = True
         room = self._ledger.book.rooms[endpoint]
