--- a/hibiscusslip/scheduler/_shard.py
+++ b/hibiscusslip/scheduler/_shard.py
@@ -83,8 +83,15 @@
 
     def set_policy(self, policy: base.FleetPolicy, now: float) -> None:
         """Take a newer configuration; drop what it doesn't know."""
-        self._ledger.accounts.set_policy(policy)
+        accounts = self._ledger.accounts
+        gone = set(accounts.known_kinds()) - policy.shares.keys()
+        gone |= accounts.quotas.keys() - policy.quotas.keys()
+        accounts.set_policy(policy)
         self._ledger.order.changed()
+        if gone:
+            self._doom_unknown()
+
+    def _doom_unknown(self) -> None:
         for job in list(self._ledger.jobs.values()):
             refusal = self._door.unknown(job.spec)
             if refusal:
