--- a/hibiscusslip/bench/capacity/memory_slopes.py
+++ b/hibiscusslip/bench/capacity/memory_slopes.py
@@ -14,6 +14,7 @@
 from hibiscusslip.jobs import index as jobs_index
 from hibiscusslip.node import endpoint_driver
 from hibiscusslip.node import runner_base
+from hibiscusslip.node import supervision
 from hibiscusslip.platform import wire as platform_wire
 from hibiscusslip.records import job as job_records
 from hibiscusslip.records import zone as zone_records
@@ -74,6 +75,7 @@
 
 class _Shard(runner_base.ShardAccess):
     worker_lease = 1e6
+    supervisor = supervision.Supervisor()
 
     def may_act(self, now: float) -> bool:
         """Tell that the shard is held."""
--- a/tests/test_bench_capacity.py
+++ b/tests/test_bench_capacity.py
@@ -1,5 +1,6 @@
 """Check how the page on capacity is worked out and kept up."""
 
+import dataclasses
 import pathlib
 import random
 
@@ -7,8 +8,12 @@
 
 from hibiscusslip.bench import slopes
 from hibiscusslip.bench.capacity import fleets
+from hibiscusslip.bench.capacity import memory_slopes
+from hibiscusslip.bench.capacity import page
 from hibiscusslip.bench.capacity import parts
 from hibiscusslip.bench.capacity import sizes
+from hibiscusslip.bench.capacity import time_slopes as times
+from hibiscusslip.bench.capacity import wire_slopes
 
 PAGE = pathlib.Path(__file__).parent.parent / 'docs' / 'CAPACITY.md'
 TARGETS = (
@@ -64,9 +69,25 @@
     assert f'| {target}' in figures
 
 
+def test_slopes_can_be_measured_and_make_all_tables():
+    shape = sizes.Shape()
+    steps = [field.name for field in dataclasses.fields(times.TimeSlopes)]
+    measured = parts.Slopes(
+        wire_slopes.measure(shape),
+        times.TimeSlopes(**dict.fromkeys(steps, 100.0)),
+        memory_slopes.measure(shape),
+        idle_bytes=30.0 * sizes.MIB,
+    )
+    tables = page.render(shape, measured)
+    assert all(f'| {target}' in tables for target in TARGETS)
+    for group in (measured.wire, measured.memory):
+        for field in dataclasses.fields(group):
+            assert getattr(group, field.name) > 0, field.name
+
+
 def test_tables_are_replaced_between_the_markers_only():
-    page = f'a\n{slopes.BEGIN}\nold\n{slopes.END}\nz\n'
-    made = slopes.replace_tables(page, 'new')
+    text = f'a\n{slopes.BEGIN}\nold\n{slopes.END}\nz\n'
+    made = slopes.replace_tables(text, 'new')
     assert made == f'a\n{slopes.BEGIN}\n\nnew\n{slopes.END}\nz\n'
     with pytest.raises(ValueError, match='markers'):
         slopes.replace_tables('a', 'new')
