--- a/hibiscusslip/ownership/owner.py
+++ b/hibiscusslip/ownership/owner.py
@@ -123,7 +123,7 @@
             if member.zone == state.zone and member.host != state.me
         }
         state.listed = state.listed or listed
-        state.note_names(now)
+        state.note_members(now)
         if state.candidates() != before:
             state.forget_rankings()
 
@@ -188,6 +188,7 @@
     def tick(self, now: float) -> list[actions.Action]:
         """Return what to do now; call it at least once a heartbeat."""
         state = self._state
+        _reading.await_introductions(state, now)
         _renewing.renew(state, now)
         _renewing.ask_promises(state, now)
         _claiming.introduce(state, now)
@@ -227,17 +228,18 @@
         ]
 
     def holders(self) -> list[places.HostId]:
-        """Return the hosts that hold shards by the log's last word."""
+        """Return the others that hold or held shards and may still live.
+
+        Tell membership of them before each listing, so that it notes whom
+        the list leaves out.
+        """
         state = self._state
         hosts: set[places.HostId] = set()
         for shard in range(state.shards):
-            holding = state.ledger.latest(shard)
-            if holding is None:
-                hosts.update(state.ledger.hosts_of_unknown(shard))
-            elif holding.host is not None:
-                hosts.add(holding.host)
+            hosts.update(state.holders.get(shard, ()))
+            hosts.update(state.ledger.hosts_of_unknown(shard))
         hosts.discard(state.me)
-        return sorted(hosts)
+        return sorted(h for h in hosts if state.ended_at(h) is None)
 
     def drain(self, now: float) -> None:
         """Take no more shards and suggest to hand over all that are held."""
@@ -261,6 +263,10 @@
         """Act on here again, False when the transfer may be on its way."""
         return _handing.cancel(self._state, plan)
 
-    def on_hand_over_received(self, transfer_id: str, now: float) -> None:
-        """Note a shard's state, right before its arrival is confirmed."""
-        _handing.receive(self._state, transfer_id, now)
+    def on_hand_over_received(self, transfer_id: str, now: float) -> bool:
+        """Note a shard's state, right before its arrival is confirmed.
+
+        False while a host that may resume a shard doesn't know this one:
+        refuse the hand-over then.
+        """
+        return _handing.receive(self._state, transfer_id, now)
