--- a/tests/fuzz/test_ownership_machine.py
+++ b/tests/fuzz/test_ownership_machine.py
@@ -45,17 +45,24 @@
         hosts = self.world.hosts
         return hosts[index % len(hosts)] if hosts else None
 
-    @stateful.rule(name=strategies.sampled_from(NAMES), steps=STEPS)
-    def start(self, name, steps):
+    @stateful.rule(
+        name=strategies.sampled_from(NAMES),
+        listed=strategies.sampled_from([True, True, False]),
+        steps=STEPS,
+    )
+    def start(self, name, listed, steps):
         running = {host.id.name for host in self.world.hosts}
         if name not in running:
-            self.world.start(name)
+            self.world.start(name).list_up = listed
         self.world.advance(steps)
 
     @stateful.rule(name=strategies.sampled_from(NAMES), steps=STEPS)
     def join_cut_off(self, name, steps):
         self.isolate(name)
-        self.start(name, steps)
+        running = {host.id.name for host in self.world.hosts}
+        if name not in running:
+            self.world.start(name)
+        self.world.advance(steps)
 
     @stateful.rule(index=strategies.integers(0, 3), steps=STEPS)
     def crash(self, index, steps):
@@ -132,6 +139,13 @@
             host.own.drain(host.now())
         self.world.advance(steps)
 
+    @stateful.rule(index=strategies.integers(0, 3), steps=STEPS)
+    def toggle_list(self, index, steps):
+        host = self.pick(index)
+        if host is not None:
+            host.list_up = not host.list_up
+        self.world.advance(steps)
+
     @stateful.rule(steps=STEPS)
     def trim(self, steps):
         self.world.log.trim(self.world.time)
--- a/tests/fuzz/test_ownership_planted.py
+++ b/tests/fuzz/test_ownership_planted.py
@@ -112,7 +112,7 @@
     'no check after the write': 2,
     'no wait for the lease': 1,
     'no wait for sends': 1,
-    'trusts a lost append': 1,
+    'trusts a lost append': 2,
     'forgets its promises': 1,
     'promises while claiming': 1,
     'newcomer not introduced': 3,
--- a/tests/fuzz/world.py
+++ b/tests/fuzz/world.py
@@ -136,6 +136,8 @@
         )
         self.members = members.Members(self.id, 'z', PACING, rng, now)
         self.listed_at = now - 100
+        self.listed = False
+        self.list_up = True
 
     def now(self):
         return self.world.time * self.rate + self.offset
@@ -205,8 +207,9 @@
 
     def follow_members(self):
         now = self.now()
-        if now - self.listed_at > 1.0:
+        if now - self.listed_at > 1.0 and self.list_up:
             self.listed_at = now
+            self.listed = True
             for host in self.own.holders():
                 self.members.on_logged(host, 'z', now)
             for host in self.members.on_listing(self.world.listing(), now):
@@ -216,7 +219,7 @@
                 beat.number, self.own.draining, 0, [], beat.known_hosts
             )
             self.world.send(self, beat.name, 'on_beat', message)
-        self.own.set_members(self.members.members(now), now)
+        self.own.set_members(self.members.members(now), now, self.listed)
 
     def on_beat(self, sender, message):
         now = self.now()
@@ -474,6 +477,7 @@
         self.cuts.clear()
         for host in self.hosts:
             host.log_mode = 'ok'
+            host.list_up = True
             host.pause_at = ''
             host.paused_until = -1.0
         serving = [h for h in self.hosts if not h.own.draining]
