Forget the oldest append without an answer instead of stopping

Change: the oldest such append is forgotten; it gives no lease if it lands, and that a claim may still land is kept by shard, for promises.

--- a/hibiscusslip/ownership/_appends.py
+++ b/hibiscusslip/ownership/_appends.py
@@ -7,6 +7,9 @@
 from hibiscusslip.records import zone as zone_records
 
 MAX_OPEN = 16
+CLAIMS = (_track.Kind.CLAIM, _track.Kind.FOUNDING)
+
+Predecessor = tuple[int, int]
 
 
 class Settled(enum.Enum):
@@ -39,15 +42,29 @@
 
 
 class Appends:
-    """Hold the open appends of one host."""
+    """Hold the open appends of one host.
+
+    When there are too many, the oldest one without an answer is forgotten.
+    It gives no lease if it lands after all; that a claim may land is kept
+    by shard.
+    """
 
     def __init__(self) -> None:
         self._open: dict[str, Append] = {}
+        self._forgotten: dict[tuple[int, _track.Kind], Predecessor] = {}
 
     def add(self, append: Append) -> None:
         """Remember a record that is about to be sent."""
+        if len(self._open) >= MAX_OPEN:
+            self._forget(next(a for a in self._open.values() if not a.waits))
         self._open[append.record_id] = append
 
+    def _forget(self, append: Append) -> None:
+        del self._open[append.record_id]
+        if append.kind in CLAIMS and not append.renounced:
+            for shard, predecessor in append.shards.items():
+                self._forgotten[shard, append.kind] = predecessor
+
     def sent(self, record_id: str, sent_at: float) -> None:
         """Note the time right before the first send, in seconds."""
         append = self._open.get(record_id)
@@ -86,11 +103,15 @@
         `entry` tells a new entry from a snapshot of what was known before:
         only the former ends a founding.
         """
+        now_latest = (latest.epoch, latest.seq)
+        if entry:
+            self._forgotten.pop((shard, _track.Kind.FOUNDING), None)
+        if self._forgotten.get((shard, _track.Kind.CLAIM)) != now_latest:
+            self._forgotten.pop((shard, _track.Kind.CLAIM), None)
         for record_id, append in list(self._open.items()):
             if append.kind is _track.Kind.FOUNDING:
                 dead = entry and shard in append.shards
             else:
-                now_latest = (latest.epoch, latest.seq)
                 dead = append.shards.get(shard, now_latest) != now_latest
             if dead:
                 del append.shards[shard]
@@ -106,13 +127,15 @@
 
     def full(self) -> bool:
         """Tell whether too many appends are open to add another."""
-        return len(self._open) >= MAX_OPEN
+        waiting = sum(append.waits for append in self._open.values())
+        return waiting >= MAX_OPEN
 
     def claims(self, shard: int) -> bool:
         """Tell whether a claim of the shard may still take effect."""
-        kinds = (_track.Kind.CLAIM, _track.Kind.FOUNDING)
+        if any((shard, kind) in self._forgotten for kind in CLAIMS):
+            return True
         return any(
-            append.kind in kinds
+            append.kind in CLAIMS
             and not append.renounced
             and shard in append.shards
             for append in self._open.values()
@@ -120,6 +143,7 @@
 
     def renounce(self) -> None:
         """Give up the effect of claims that still might land."""
+        self._forgotten.clear()
         for append in self._open.values():
             append.renounced = True
 
--- a/hibiscusslip/ownership/_reading.py
+++ b/hibiscusslip/ownership/_reading.py
@@ -51,7 +51,10 @@
     if lease is not None:
         state.leases.end(change.shard)
         state.out.append(actions.LostShard(change.shard, lease.epoch))
-    if mine and not (append is not None and append.renounced):
+    renounced = append is not None and append.renounced
+    if state.draining and isinstance(record, zone_records.Claim):
+        renounced = True
+    if mine and not renounced:
         _begin(state, change, record, append)
 
 
--- a/tests/ownership/test_faults.py
+++ b/tests/ownership/test_faults.py
@@ -62,6 +62,18 @@
     assert run(zone, 60.0) == [0.0, 0.0]
 
 
+def test_log_that_takes_no_appends_stops_nothing_before_or_after():
+    zone = new_zone('a', 'b', 'c')
+    set_log(zone, 'never')
+    assert run(zone, 60.0) == [0.0, 0.0]
+    set_log(zone, 'ok')
+    appended = len(zone.log.records)
+    assert run(zone, 20.0) == [0.0, 0.0]
+    assert len(zone.log.records) > appended + 10
+    zone.crash(holder(zone))
+    assert run(zone, 20.0)[0] <= TAKE_OVER
+
+
 def test_holder_cut_from_the_log_goes_on_by_promises():
     zone = new_zone('a', 'b', 'c')
     mine = holder(zone)
