--- a/tests/faults/cluster.py
+++ b/tests/faults/cluster.py
@@ -113,6 +113,11 @@
         """Change the faults of the log."""
         web.call_json(self.log, 'POST', '/faults', changes)
 
+    def host_list_fault(self, **changes: object) -> None:
+        """Change the faults of every zone's host list."""
+        for port in self._host_lists.values():
+            web.call_json(port, 'POST', '/faults', changes)
+
     def worker_fault(self, name: str, **changes: object) -> None:
         """Change the faults of one worker."""
         web.call_json(self.workers[name], 'POST', '/faults', changes)
@@ -138,6 +143,11 @@
         for name in self._crossing(zone, with_platform):
             self.fault(name, up=HELD, down=HELD)
 
+    def cut_platform(self, zone: str) -> None:
+        """Hold all bytes between a zone's hosts and the platform."""
+        for name in self._to_platform(zone):
+            self.fault(name, up=HELD, down=HELD)
+
     def heal(self) -> None:
         """Lift all faults of the proxy."""
         self.fault('*', heal=True)
@@ -159,11 +169,11 @@
             for target, host in self.hosts.items()
             if (source == zone) != (host.plan.zone == zone)
         ]
-        if with_platform:
-            for name, host in self.hosts.items():
-                if host.plan.zone == zone:
-                    routes += [f'{name}>log', f'{name}>hosts']
-        return routes
+        return routes + (self._to_platform(zone) if with_platform else [])
+
+    def _to_platform(self, zone: str) -> list[str]:
+        names = [n for n, h in self.hosts.items() if h.plan.zone == zone]
+        return [f'{n}>{t}' for n in names for t in ('log', 'hosts')]
 
     def _start(self) -> None:
         seed = str(self.plan.seed)
--- a/tests/integration/callers.py
+++ b/tests/integration/callers.py
@@ -30,6 +30,7 @@
     job_id: str = ''
     detail: str = ''
     answer: str = ''
+    answer_href: str = ''
     status: int = 0
     attempts: int = 0
     took: float = 0.0
@@ -86,6 +87,7 @@
     seen.job_id = told.get('job_id', seen.job_id)
     seen.detail = told.get('detail', '')
     seen.answer = told.get('answer') or ''
+    seen.answer_href = told.get('answer_href', '')
     outcome = told.get('outcome', '')
     if outcome in FINAL:
         seen.outcome = outcome
