--- a/hibiscusslip/scheduler/_holds.py
+++ b/hibiscusslip/scheduler/_holds.py
@@ -80,6 +80,7 @@
         indices = sorted(job.pending)
         for _ in indices:
             self._ledger.take_pending(job)
+        self._now = now
         starts = self._admitted(job, indices)
         missing = indices[len(starts) :]
         job.remote.update(missing)
