Pass a configuration on in the form that neighbours read

Cause: a neighbour's answer held the plain record, while on_passed_on reads the compressed form of the log. So a host without the log never took a newer version from neighbours and logged an error at every heartbeat. Ruled out: links and heartbeats (the versions were heard and fetched). Before: both tests without a log fail (zone cut from the platform, fresh host while the log is down). After: both pass, 2 s and 1 s within their bounds.

--- a/hibiscusslip/node/config_feed.py
+++ b/hibiscusslip/node/config_feed.py
@@ -133,5 +133,5 @@
         return messages.ConfigState(
             current.version,
             self.configurations.offset,
-            codec.encode(current),
+            configuration.encode(current),
         )
