Keep hosts behind the proxy in tests

Cause: hosts tell neighbours where they listen, so after the first heartbeat links went past the proxy and a cut between zones cut nothing. Shown by test_healed_zone_shows_no_version_but_the_newest: the zone that was cut off took version 4. Hosts of tests now keep to the addresses on their list. After: that test and the four of test_zone_cut pass with the cut in effect.

--- a/tests/faults/cluster.py
+++ b/tests/faults/cluster.py
@@ -158,7 +158,7 @@
         secret = self._dir / settings_file.SECRET_NAME
         secret.write_text(settings_file.SECRET)
         path.write_text(settings_file.render(host.plan, secret))
-        args = ['-m', 'hibiscusslip.commands.entry', '--settings', str(path)]
+        args = ['-m', 'tests.faults.entry', '--settings', str(path)]
         host.running = self._run(f'{name}.{len(self._processes)}', args)
         return host
 
