--- a/hibiscusslip/bench/scenarios.py
+++ b/hibiscusslip/bench/scenarios.py
@@ -18,6 +18,7 @@
 WARM_UP_S = 20.0
 FLOOD_S = 40.0
 QUEUE_TASKS = 20_000
+DEEP_QUEUE_TASKS = 200_000
 PLACEMENTS = tuple(strategies.PlacementName)
 OVERLOAD = 1.6
 
@@ -45,13 +46,13 @@
 
 
 def scheduler(
-    fleet: fleets.Fleet, policy: Policy, seed: int
+    fleet: fleets.Fleet, policy: Policy, seed: int, queue: int = QUEUE_TASKS
 ) -> base.Scheduler:
     """Return a scheduler with the given strategies."""
     bounds = limits.Limits(
-        max_queued=QUEUE_TASKS * 4,
-        max_queued_per_kind=QUEUE_TASKS,
-        max_queued_per_team=QUEUE_TASKS // 4,
+        max_queued=queue * 4,
+        max_queued_per_kind=queue,
+        max_queued_per_team=queue // 4,
         suspicion=policy.helpers,
         backfill=policy.backfill,
     )
@@ -74,6 +75,7 @@
         policy: Policy,
         seed: int,
         broken: float = 0.0,
+        queue: int = QUEUE_TASKS,
     ) -> None:
         self.fleet = fleet
         rng = random.Random(seed)
@@ -86,7 +88,7 @@
         for source in self.sources.values():
             self.arrivals.extend(source.standing())
         self.replay = replay.Replay(
-            scheduler(fleet, policy, seed),
+            scheduler(fleet, policy, seed, queue),
             infos,
             frozenset(info.name for info in bad),
         )
@@ -148,7 +150,7 @@
     """Replay more of every kind than fits, to see the packing."""
     name = strategies.PlacementName(placement)
     policy = Policy(placement, strategies.OrderName.FAIR, name)
-    trial = Trial(fleet, policy, seed)
+    trial = Trial(fleet, policy, seed, queue=DEEP_QUEUE_TASKS)
     until = WARM_UP_S + FLOOD_S
     trial.add_mix(until, OVERLOAD)
     backlog = [
