Run work elsewhere that no endpoint of its home fits

Cause: with more shards than endpoints, or with a key whose home lacks accelerators, work stayed queued for ever or was called impossible. Change: a shard knows the sizes of other shards' endpoints; what fits only those is gathered there one task at a time. The node follows six points of ownership: refuse state that may not be taken, say when the host list was read, look for all former holders, count suspended time, one tick at a time, act at the runner's own epoch only. Settings default to ownership's timing. Before: 24 keyed requests over 8 shards with 3 endpoints: queued after 20 s. After: all succeeded, each started once, no violation.

--- a/hibiscusslip/demo/__main__.py
+++ b/hibiscusslip/demo/__main__.py
@@ -9,13 +9,13 @@
 import time
 
 import curio
-from loguru import logger
 
 from hibiscusslip import sheet
 from hibiscusslip.demo import cell
 from hibiscusslip.demo import traffic
 from hibiscusslip.jobs import model
 from hibiscusslip.model import work
+from hibiscusslip.observe import logs
 
 SEED = 20
 RATE_PER_SECOND = 60.0
@@ -215,8 +215,7 @@
 
 def main() -> int:
     """Run both deployments; return 1 when anything was broken."""
-    logger.remove()
-    logger.add(sys.stderr, level='ERROR')
+    logs.configure('ERROR')
     broken = False
     for deployment in deployments():
         report = curio.run(run, deployment, SEED)
--- a/hibiscusslip/node/assembly.py
+++ b/hibiscusslip/node/assembly.py
@@ -73,6 +73,7 @@
         heartbeat=cfg.heartbeat_interval,
         stagger=cfg.stagger,
         snapshot_interval=cfg.snapshot_interval,
+        list_lag=cfg.list_lag,
     )
 
 
--- a/hibiscusslip/node/clock.py
+++ b/hibiscusslip/node/clock.py
@@ -4,8 +4,11 @@
 
 
 def now() -> float:
-    """Return the monotonic clock in seconds."""
-    return time.monotonic()
+    """Return seconds on a clock that never steps back.
+
+    It goes on while the machine is suspended, as leases do elsewhere.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
 def wall() -> float:
--- a/hibiscusslip/node/daemon.py
+++ b/hibiscusslip/node/daemon.py
@@ -138,5 +138,11 @@
     except settings.SettingsError as exc:
         print(exc, file=sys.stderr)
         return USAGE_EXIT
-    logs.configure(cfg.observe.log_level, cfg.observe.log_json, cfg.host.name)
+    keys = cfg.keys.peers + cfg.keys.operators
+    logs.configure(
+        cfg.observe.log_level,
+        cfg.observe.log_json,
+        cfg.host.name,
+        [key.secret.decode(errors='replace') for key in keys],
+    )
     return int(curio.run(Daemon(cfg).run))
--- a/hibiscusslip/node/fleet.py
+++ b/hibiscusslip/node/fleet.py
@@ -12,12 +12,14 @@
 from hibiscusslip.jobs import index as jobs_index
 from hibiscusslip.jobs import model
 from hibiscusslip.model import places
+from hibiscusslip.model import resources
 from hibiscusslip.node import clock
 from hibiscusslip.node import config
 from hibiscusslip.node import shard_runner
 from hibiscusslip.peer import messages
 from hibiscusslip.scheduler import base as scheduler_base
 
+MAX_SIZES = 256
 LIVE = places.EndpointState.LIVE
 LEAVING = places.EndpointState.LEAVING
 GONE = places.EndpointState.GONE
@@ -47,6 +49,7 @@
         self._context = context
         self._ownership = context.ownership
         self._endpoints: dict[str, places.EndpointInfo] = {}
+        self._sizes: list[resources.Resources] = []
         self._policy: scheduler_base.FleetPolicy | None = None
         self.runners: dict[int, shard_runner.ShardRunner] = {}
         self.waiting: dict[int, int] = {}
@@ -97,6 +100,7 @@
         runner = shard_runner.ShardRunner(shard, epoch, engine, self._context)
         self.runners[number] = runner
         logger.info('shard {} is owned at epoch {}', shard, epoch)
+        sched.set_elsewhere(self._sizes)
         await runner.set_endpoints(self._of_shard(shard))
         await runner.start()
 
@@ -115,6 +119,9 @@
         runs end when their leases do.
         """
         listed = {i.name: i for i in infos if i.zone == self._cfg.zone}
+        # Few sizes are in use, so this doesn't grow with the fleet.
+        sizes = {i.capacity for i in infos if i.zone in self._cfg.zones}
+        self._sizes = sorted(sizes, key=str)[:MAX_SIZES]
         for name, known in self._endpoints.items():
             if name not in listed:
                 listed[name] = _in_state(known, GONE)
@@ -126,6 +133,7 @@
         for name, info in self._endpoints.items():
             self._endpoints[name] = self._with_drain(info)
         for runner in list(self.runners.values()):
+            runner.engine.scheduler.set_elsewhere(self._sizes)
             await runner.set_endpoints(self._of_shard(runner.shard))
 
     def _with_drain(self, info: places.EndpointInfo) -> places.EndpointInfo:
--- a/hibiscusslip/node/hand_over.py
+++ b/hibiscusslip/node/hand_over.py
@@ -131,15 +131,22 @@
         parts[body.part] = body.state
         while len(self._parts) > MAX_TRANSFERS:
             self._parts.popitem(last=False)
-        if len(parts) == body.parts:
-            self._arrive(body, parts)
+        if len(parts) == body.parts and not self._arrive(body, parts):
+            detail = 'a host of the zone does not know this one yet; try later'
+            return messages.Refusal('not_known', detail)
         return messages.Done()
 
     def _arrive(
         self, body: messages.HandOver, parts: dict[int, bytes]
-    ) -> None:
-        """Keep a shard's whole state for the moment the shard is ours."""
+    ) -> bool:
+        """Keep a shard's whole state for the moment the shard is ours.
+
+        False when it may not become ours.
+        """
         now = clock.now()
+        self._parts.pop(body.transfer_id, None)
+        if not self._ownership.on_hand_over_received(body.transfer_id, now):
+            return False
         jobs = [
             handover.unpack(data, now)
             for number in sorted(parts)
@@ -149,8 +156,7 @@
         self._arrived[(body.shard, body.epoch + 1)] = jobs
         while len(self._arrived) > MAX_TRANSFERS:
             del self._arrived[next(iter(self._arrived))]
-        self._parts.pop(body.transfer_id, None)
-        self._ownership.on_hand_over_received(body.transfer_id, now)
+        return True
 
     def arrived(self, shard: int, epoch: int) -> list[model.Job]:
         """Return and forget the jobs handed over for an epoch."""
--- a/hibiscusslip/node/neighbours.py
+++ b/hibiscusslip/node/neighbours.py
@@ -45,6 +45,7 @@
         self._owners = owners
         self._peers = peers
         self._heard_version = heard_version
+        self._listed = False
         self.address = ''
         self.port = 0
         self.versions: dict[str, int] = {}
@@ -55,7 +56,9 @@
             now = clock.now()
             for beat in self._members.tick(now):
                 await curio.spawn(self._beat, beat, daemon=True)
-            self._ownership.set_members(self._members.members(now), now)
+            self._ownership.set_members(
+                self._members.members(now), now, self._listed
+            )
             self._owners.learn(self._cfg.me.name, self._fleet.loads(), now)
             await curio.sleep(TICK_SECONDS)
 
@@ -147,20 +150,13 @@
     def take_listing(self, listing: platform_base.HostListing) -> None:
         """Take the host list as a hint, and as proof of who has ended."""
         now = clock.now()
-        self._note_holders(now)
+        self._listed = True
+        for holder in self._ownership.holders():
+            self._members.on_logged(holder, self._cfg.zone, now)
         hosts = [h for h in listing.entry_hosts if h.zone in self._cfg.zones]
         for ended in self._members.on_listing(hosts, now):
             self._ownership.on_gone(ended, now)
 
-    def _note_holders(self, now: float) -> None:
-        """Have the holders of shards looked for, so that absence shows."""
-        for shard in range(self._cfg.shards_per_zone):
-            holding = self._ownership.ledger.latest(shard)
-            if holding is None or holding.host is None:
-                continue
-            if holding.host.name != self._cfg.me.name:
-                self._members.on_logged(holding.host, self._cfg.zone, now)
-
     def seed(self, name: str, zone: str, address: str, port: int) -> None:
         """Take a host that the settings name; its incarnation is open."""
         self._members.on_seed(name, zone, address, port, clock.now())
--- a/hibiscusslip/node/ownership_driver.py
+++ b/hibiscusslip/node/ownership_driver.py
@@ -73,6 +73,7 @@
         self._writer = writer
         self._ids = ids
         self._me = me
+        self._lock = curio.Lock()
         self.log_writable = True
 
     async def run(self) -> None:
@@ -83,8 +84,10 @@
 
     async def tick(self) -> None:
         """Carry out what is due now."""
-        for action in self._ownership.tick(clock.now()):
-            await self._carry_out(action)
+        # Two loops call this, and their actions must not overtake.
+        async with self._lock:
+            for action in self._ownership.tick(clock.now()):
+                await self._carry_out(action)
 
     async def _carry_out(self, action: actions.Action) -> None:
         if isinstance(action, actions.AppendRecord):
--- a/hibiscusslip/node/shard_runner.py
+++ b/hibiscusslip/node/shard_runner.py
@@ -96,9 +96,10 @@
 
     def may_act(self, now: float) -> bool:
         """Tell whether this host may act for the shard now."""
-        return not self.stopped and self._context.ownership.may_act(
-            self.shard.number, now
-        )
+        ownership = self._context.ownership
+        number = self.shard.number
+        current = ownership.epoch(number) == self.epoch
+        return current and not self.stopped and ownership.may_act(number, now)
 
     async def start(self) -> None:
         """Start the shard's loop."""
--- a/hibiscusslip/observe/logs.py
+++ b/hibiscusslip/observe/logs.py
@@ -10,6 +10,7 @@
 
 LEVELS = ('TRACE', 'DEBUG', 'INFO', 'WARNING', 'ERROR', 'CRITICAL')
 HIDDEN = '[hidden]'
+CURIO_TIME_LOGGER = 'curio.time'
 _LINE = '{time:YYYY-MM-DDTHH:mm:ss.SSSZ} {level:<7} {extra[host]} {message}\n'
 
 
@@ -56,6 +57,8 @@
         diagnose=False,
     )
     logging.basicConfig(handlers=[_Bridge()], level='WARNING', force=True)
+    # It warns of every timeout that an event has just outrun.
+    logging.getLogger(CURIO_TIME_LOGGER).setLevel('ERROR')
 
 
 def _clean(record: typing.Any, hidden: list[str]) -> None:
--- a/hibiscusslip/scheduler/_admission.py
+++ b/hibiscusslip/scheduler/_admission.py
@@ -103,7 +103,8 @@
         need = _vector.of(spec.demand)
         if min(need) >= 0 and spec.tasks > 0 and book.could_fit(need):
             return None
-        known = map(_vector.amount, book.capacities)
+        known = [_vector.amount(room) for room in book.capacities]
+        known.extend(self._ledger.book.elsewhere)
         return feasibility.judge(spec, known)
 
     def _full(self, spec: work.JobSpec, now: float) -> base.Refused | None:
--- a/hibiscusslip/scheduler/_endpoints.py
+++ b/hibiscusslip/scheduler/_endpoints.py
@@ -5,6 +5,7 @@
 import random
 
 from hibiscusslip.model import places
+from hibiscusslip.model import resources
 from hibiscusslip.scheduler import _accelerators
 from hibiscusslip.scheduler import _index
 from hibiscusslip.scheduler import _reserve
@@ -58,6 +59,7 @@
         self._all: list[Room] = []
         self.index = _index.Index()
         self.capacity = _vector.ZERO
+        self.elsewhere: list[resources.Resources] = []
         self.capacities: collections.Counter[_vector.Vector] = (
             collections.Counter()
         )
@@ -134,6 +136,12 @@
         """Tell whether a live endpoint could ever hold `need`."""
         return any(_vector.fits(need, room) for room in self.capacities)
 
+    def fits_elsewhere(self, need: _vector.Vector) -> bool:
+        """Tell whether an endpoint of another shard could hold `need`."""
+        return any(
+            _vector.fits(need, _vector.of(size)) for size in self.elsewhere
+        )
+
     def refresh(self, room: Room) -> None:
         """Put an endpoint where the index expects its free room."""
         self.reserve.update(room)
--- a/hibiscusslip/scheduler/_holds.py
+++ b/hibiscusslip/scheduler/_holds.py
@@ -76,10 +76,12 @@
         return list(starts)
 
     def gather(self, job: _jobs.Job, now: float) -> base.GangWanted:
-        """Keep what has room for a gang and ask for the rest."""
-        indices = sorted(job.pending)
-        for _ in indices:
-            self._ledger.take_pending(job)
+        """Keep what has room for a gang and ask for the rest.
+
+        Of another job, whose tasks fit no endpoint here, one task at a time.
+        """
+        count = len(job.pending) if job.gang else 1
+        indices = sorted(self._ledger.take_pending(job) for _ in range(count))
         self._now = now
         starts = self._admitted(job, indices)
         missing = indices[len(starts) :]
--- /dev/null
+++ b/hibiscusslip/scheduler/_outbound.py
@@ -0,0 +1,47 @@
+"""Remember the jobs that fit no endpoint of this shard."""
+
+import collections
+
+from hibiscusslip.scheduler import _jobs
+from hibiscusslip.scheduler import _ledger
+
+MAX_LOOKED_AT = 64
+
+
+class Outbound:
+    """Offer jobs whose tasks only other shards can run, in turn.
+
+    They don't take part in the order of the others, as no room or share of
+    this shard could ever let them start here.
+    """
+
+    def __init__(self, ledger: _ledger.Ledger) -> None:
+        self._ledger = ledger
+        self._jobs: collections.OrderedDict[str, _jobs.Job] = (
+            collections.OrderedDict()
+        )
+
+    def note(self, job: _jobs.Job) -> None:
+        """Remember a job if only other shards can ever run its tasks."""
+        book = self._ledger.book
+        here = book.could_fit(job.demand)
+        if not here and book.fits_elsewhere(job.demand):
+            self._jobs[job.job_id] = job
+
+    def rescan(self) -> None:
+        """Look at all jobs again, as the endpoints have changed."""
+        self._jobs.clear()
+        for job in self._ledger.jobs.values():
+            if not job.foreign:
+                self.note(job)
+
+    def choose(self, now: float) -> _jobs.Job | None:
+        """Return the next job to look for room elsewhere for."""
+        for _ in range(min(len(self._jobs), MAX_LOOKED_AT)):
+            job_id, job = self._jobs.popitem(last=False)
+            if self._ledger.jobs.get(job_id) is not job:
+                continue
+            self._jobs[job_id] = job
+            if job.pending and now >= job.next_try:
+                return job
+        return None
--- a/hibiscusslip/scheduler/_shard.py
+++ b/hibiscusslip/scheduler/_shard.py
@@ -19,6 +19,7 @@
 from hibiscusslip.scheduler import _learning
 from hibiscusslip.scheduler import _ledger
 from hibiscusslip.scheduler import _order
+from hibiscusslip.scheduler import _outbound
 from hibiscusslip.scheduler import _placement
 from hibiscusslip.scheduler import _reclaim
 from hibiscusslip.scheduler import _starter
@@ -76,6 +77,7 @@
             ledger, placement, self._gatherer, self._health, bounds
         )
         self._delays = _delays.Delays(ledger)
+        self._outbound = _outbound.Outbound(self._ledger)
         self._holds = _holds.Holds(
             ledger, self._starter, self._delays, bounds, rng
         )
@@ -102,6 +104,12 @@
         self._ledger.book.set_endpoint(info)
         self._endpoints_changed()
 
+    def set_elsewhere(self, capacities: list[resources.Resources]) -> None:
+        """Tell which sizes of endpoints other shards of the cell have."""
+        if capacities != self._ledger.book.elsewhere:
+            self._ledger.book.elsewhere = capacities
+            self._outbound.rescan()
+
     def endpoint_lost(self, endpoint: str, now: float) -> list[str]:
         """Drop an endpoint and return the tasks booked on it."""
         room = self._ledger.book.rooms.get(endpoint)
@@ -131,6 +139,7 @@
         self._ledger.book.reserve.note(spec.kind, job.demand)
         missing = [i for i in range(spec.tasks) if i not in job.placed]
         self._ledger.queue(job, missing)
+        self._outbound.note(job)
         self._deadlines.watch(job)
         return base.Admitted()
 
@@ -198,6 +207,7 @@
             if gathered is not None:
                 decisions.append(gathered)
         self._start_queued(decisions, now, limit)
+        self._look_elsewhere(decisions, now)
         if len(decisions) < limit:
             preempts = self._reclaimer.check(now)
             decisions.extend(preempts)
@@ -292,6 +302,15 @@
         self._ledger.book.guard.set_now(now)
         self._ledger.order.begin(now)
 
+    def _look_elsewhere(
+        self, decisions: list[base.Decision], now: float
+    ) -> None:
+        """Look for room elsewhere for a job that never fits here."""
+        if self._holds.may_gather(now):
+            job = self._outbound.choose(now)
+            if job is not None:
+                decisions.append(self._holds.gather(job, now))
+
     def _start_queued(
         self, decisions: list[base.Decision], now: float, limit: int
     ) -> None:
@@ -349,6 +368,7 @@
     def _endpoints_changed(self) -> None:
         self._ledger.accounts.set_capacity(self._ledger.book.capacity)
         self._ledger.order.changed()
+        self._outbound.rescan()
 
     def _still_due(self, decision: base.Decision) -> bool:
         if isinstance(decision, base.Preempt):
--- a/hibiscusslip/scheduler/_starter.py
+++ b/hibiscusslip/scheduler/_starter.py
@@ -140,9 +140,7 @@
         fraction = self._bounds.quota_fraction
         if accounts.could_hold(job.spec.kind, job.spec.team, need, fraction):
             return None
-        if now < job.next_try:
-            return _order.Block.JOB
-        return _order.Block.ELSEWHERE
+        return self._elsewhere(job, now)
 
     def _place_whole(
         self, job: _jobs.Job, now: float
--- a/hibiscusslip/scheduler/base.py
+++ b/hibiscusslip/scheduler/base.py
@@ -192,6 +192,10 @@
     def set_endpoint(self, info: places.EndpointInfo, now: float) -> None:
         """Add an endpoint or change its state (live, leaving, gone)."""
 
+    @abc.abstractmethod
+    def set_elsewhere(self, capacities: list[resources.Resources]) -> None:
+        """Tell which sizes of endpoints other shards of the cell have."""
+
     @abc.abstractmethod
     def endpoint_lost(self, endpoint: str, now: float) -> list[str]:
         """Drop an endpoint and return the tasks that were booked on it."""
--- a/hibiscusslip/settings/_file.py
+++ b/hibiscusslip/settings/_file.py
@@ -168,13 +168,13 @@
 class TimingSection(msgspec.Struct, frozen=True):
     """Set durations in seconds."""
 
-    lease: Seconds = 10.0
-    promise: Seconds = 8.0
+    lease: Seconds = 5.0
+    promise: Seconds = 4.0
     drift: Fraction = 0.001
-    margin: Seconds = 0.5
-    settle: Seconds = 3.0
-    renew_interval: Seconds = 3.0
-    promise_interval: Seconds = 1.0
+    margin: Seconds = 0.25
+    settle: Seconds = 2.0
+    renew_interval: Seconds = 1.5
+    promise_interval: Seconds = 0.5
     stagger: Seconds = 1.0
     snapshot_interval: Seconds = 600.0
     heartbeat_interval: Seconds = 0.5
--- /dev/null
+++ b/tests/node/test_elsewhere.py
@@ -0,0 +1,87 @@
+"""Check work that its home shard can't run itself."""
+
+import curio
+
+from hibiscusslip import sheet
+from hibiscusslip.demo import cell
+from hibiscusslip.demo import traffic
+from hibiscusslip.model import resources
+from hibiscusslip.model import work
+from hibiscusslip.sheet import samples
+from hibiscusslip.standin import payload
+
+SHARDS_PER_ZONE = 4
+REQUESTS = 24
+
+
+async def in_cell(scenario):
+    """Run a scenario in a cell with more shards than endpoints."""
+    groups = (
+        cell.Group('planner', 2, 64, 256, 0, 2),
+        cell.Group('print', 1, 128, 256, 8, 3),
+    )
+    made = cell.Cell(
+        cell.Deployment('t', 'r', ('a', 'b'), groups, b'', SHARDS_PER_ZONE), 1
+    )
+    await made.start()
+    try:
+        content = sheet.parse(samples.read('peachtree'))
+        rows = tuple(
+            row for row in content.workloads if row.copies and row.name == ''
+        )
+        empty = type(content)(content.shares, content.quotas, rows)
+        await made.publish(0, traffic.for_standins(empty))
+        assert await made.wait_open(10.0)
+        return await scenario(made)
+    finally:
+        await made.stop()
+
+
+def spec(job_id, kind='timetable', team='planner-north', **demand):
+    """Return a short request."""
+    what = payload.Payload(run_s=0.02, echo=job_id)
+    wanted = {'cpu_milli': 1000, 'memory_mb': 512} | demand
+    return work.JobSpec(
+        job_id,
+        team,
+        kind,
+        demand=resources.Resources(**wanted),
+        payload=payload.encode(what),
+    )
+
+
+async def ask_for_many(made):
+    """Ask for keyed work that is at home in each of the shards."""
+    door = made.nodes['a-h0'].acceptor
+    homes = made.nodes['a-h0'].cfg.shards
+    specs = [
+        spec(f'{home.zone}.{home.number}.kx{number}')
+        for number in range(REQUESTS // len(homes))
+        for home in homes
+    ]
+    tasks = [await curio.spawn(door.submit, one, 20.0) for one in specs]
+    states = [await task.join() for task in tasks]
+    return specs, states, made.fleet.violations.counters
+
+
+def test_work_at_home_in_a_shard_without_endpoints_runs_elsewhere():
+    specs, states, counters = curio.run(in_cell, ask_for_many)
+    assert len(specs) == REQUESTS
+    for one, state in zip(specs, states, strict=True):
+        assert state.outcome == work.Outcome.SUCCEEDED, state
+        name = work.task_id(one.job_id, 0)
+        assert state.answer == payload.answer_of(name, one.job_id)
+    assert counters.starts == REQUESTS
+    assert counters.violations == 0
+
+
+async def ask_for_accelerators(made):
+    """Ask for work that fits one endpoint of the cell only."""
+    door = made.nodes['b-h0'].acceptor
+    one = spec('b.0.kacc', 'press', 'print', accelerators=2)
+    return await door.submit(one, 20.0)
+
+
+def test_work_that_fits_another_shard_only_is_not_called_impossible():
+    state = curio.run(in_cell, ask_for_accelerators)
+    assert state.outcome == work.Outcome.SUCCEEDED, state
--- a/tests/settings/test_settings.py
+++ b/tests/settings/test_settings.py
@@ -101,7 +101,13 @@
         ('lease = 10', 'lease = nan', 'timing.lease', 'above 0', ''),
         ('lease = 10', 'promise = 11', 'timing.promise', 'at most', 'lower'),
         ('lease = 10', 'hold = 9', 'timing.hold', '0.5 times', 'lower'),
-        ('lease = 10', 'lease = 6', 'timing.renew_interval', 'below 3', ''),
+        (
+            'lease = 10',
+            'renew_interval = 3',
+            'timing.renew_interval',
+            'below 2.5',
+            '',
+        ),
         (
             'lease = 10',
             'suspect_after = 0.6',
