Give large answers time and connections of their own

Cause: an answer above the inline size was fetched within send_timeout (2 s, in tests 1 s) over the connections of starts and renewals. Over a slow way the fetch never ended, its task counted as lost and ran again, each time. Ruled out: the workers' delays alone (answers up to 64 KiB came).

--- a/hibiscusslip/endpoint/http_endpoint.py
+++ b/hibiscusslip/endpoint/http_endpoint.py
@@ -15,6 +15,8 @@
 from hibiscusslip.http import limits
 
 CALL_CONNECTIONS = 4
+TRANSFER_CONNECTIONS = 2
+TRANSFER_SECONDS = 15.0
 DEFAULT_TIMEOUT_S = 5.0
 MIN_STREAM_WAIT_S = 0.5
 REFUSED_STATUSES = (*range(400, 500), 503)
@@ -23,11 +25,13 @@
 class HttpEndpoint(base.Endpoint):
     """Call the endpoint at one address.
 
-    `timeout` in seconds bounds every call, for events on top of their wait
-    and for stops on top of their grace; it also bounds how long bytes that
-    aren't acknowledged travel, so that no order arrives much later. Events
-    that are read in order and waited for come over one long response; one
-    task at a time reads them.
+    `timeout` in seconds bounds every call, for events on top of their wait,
+    for answers on top of TRANSFER_SECONDS and for stops on top of their
+    grace; it also bounds how long bytes that aren't acknowledged travel, so
+    that no order arrives much later. Answers have connections of their own,
+    so that large ones hold up no start and no renewal. Events that are read
+    in order and waited for come over one long response; one task at a time
+    reads them.
     """
 
     def __init__(
@@ -40,6 +44,9 @@
         self._timeout = timeout
         bounds = dataclasses.replace(bounds, tcp_user_timeout=timeout)
         self._calls = client.Pool(address, port, bounds, CALL_CONNECTIONS)
+        self._transfers = client.Pool(
+            address, port, bounds, TRANSFER_CONNECTIONS
+        )
         self._events = _event_reader.EventReader(
             address, port, timeout, bounds
         )
@@ -83,7 +90,9 @@
         """Return the whole answer of an ended run."""
         query = urllib.parse.urlencode({'task': task, 'attempt': attempt})
         path = f'{wire.ANSWER_PATH}?{query}'
-        return await self._call('GET', path)
+        return await self._call(
+            'GET', path, extra=TRANSFER_SECONDS, pool=self._transfers
+        )
 
     async def checkpoint(self, task: str) -> bytes:
         """Have a task save its state and return it."""
@@ -109,6 +118,7 @@
     async def close(self) -> None:
         """Close the connections."""
         await self._calls.close()
+        await self._transfers.close()
         await self._events.close()
 
     async def _post(
@@ -124,10 +134,12 @@
         path: str,
         body: bytes = b'',
         extra: float = 0.0,
+        pool: client.Pool | None = None,
     ) -> bytes:
         timeout = self._timeout + extra
+        calls = pool or self._calls
         try:
-            response = await self._calls.call(
+            response = await calls.call(
                 method, path, body=body, timeout=timeout
             )
         except http_exceptions.NotSent as exc:
