--- a/hibiscusslip/scheduler/_shard.py
+++ b/hibiscusslip/scheduler/_shard.py
@@ -83,8 +83,15 @@
 
     def set_policy(self, policy: base.FleetPolicy, now: float) -> None:
         """Take a newer configuration; drop what it doesn't know."""
-        self._ledger.accounts.set_policy(policy)
+        accounts = self._ledger.accounts
+        gone = set(accounts.known_kinds()) - policy.shares.keys()
+        gone |= accounts.quotas.keys() - policy.quotas.keys()
+        accounts.set_policy(policy)
         self._ledger.order.changed()
+        if gone:
+            self._doom_unknown()
+
+    def _doom_unknown(self) -> None:
         for job in list(self._ledger.jobs.values()):
             refusal = self._door.unknown(job.spec)
             if refusal:
@@ -137,6 +144,7 @@
             return
         self._ledger.release(job, index)
         self._ledger.forget_waiting(job, index)
+        job.remote.discard(index)
         self._ledger.place(job, index, endpoint, now)
         job.ran = True
         room = self._ledger.book.rooms[endpoint]
@@ -280,7 +288,7 @@
         self._gatherer.check(now)
         book = self._ledger.book
         book.reserve.refresh(book.rooms.values(), now)
-        self._ledger.accounts.refresh(now)
+        self._ledger.accounts.pass_time(now)
         self._ledger.book.guard.set_now(now)
         self._ledger.order.begin(now)
 
