Choose homes by the policy's router; learn from usage reports

Cause: two pieces of code chose a shard for a request. Change: the router that counts what was sent since a summary serves both; endpoints' usage goes to the scheduler every 15 s; the daemon freezes what is loaded at its start out of garbage collections.

--- a/hibiscusslip/bench/capacity/memory_slopes.py
+++ b/hibiscusslip/bench/capacity/memory_slopes.py
@@ -12,6 +12,7 @@
 from hibiscusslip.bench.capacity import sizes
 from hibiscusslip.endpoint import http_endpoint
 from hibiscusslip.jobs import index as jobs_index
+from hibiscusslip.model import places
 from hibiscusslip.node import endpoint_driver
 from hibiscusslip.node import runner_base
 from hibiscusslip.node import supervision
@@ -116,9 +117,13 @@
     return (many - few) / (MANY - FEW_HOSTS)
 
 
+def _ignore(shard: places.Shard) -> None:
+    pass
+
+
 def _known_shard() -> float:
     def _build() -> directory.ShardDirectory:
-        owners = directory.ShardDirectory(MANY)
+        owners = directory.ShardDirectory(MANY, _ignore)
         for number in range(MANY):
             owners.learn(samples.host(1), [samples.load(number)], 1.0)
         return owners
--- a/hibiscusslip/jobs/engine.py
+++ b/hibiscusslip/jobs/engine.py
@@ -388,6 +388,12 @@
         """Take another shard's word on a task of an own job."""
         _remote.take_answer(self._st, place, report, now)
 
+    def observe(self, usage: list[endpoint_base.Usage], now: float) -> None:
+        """Take the lagging use of runs, to learn sizes from."""
+        for report in usage:
+            if self._st.find(report.task) is not None:
+                self._st.scheduler.observe(report.task, report.used, now)
+
     def tick(self, now: float) -> None:
         """Do what has come due, and decide what starts."""
         st = self._st
--- a/hibiscusslip/node/daemon.py
+++ b/hibiscusslip/node/daemon.py
@@ -1,5 +1,6 @@
 """Serve as an entry host until told to stop."""
 
+import gc
 import sys
 
 import curio
@@ -91,6 +92,9 @@
         await curio.spawn(guard, self._peers.serve, daemon=True)
         await self._node.start(listen.peers.address, port)
         await curio.spawn(guard, self._callers.serve, daemon=True)
+        # What is loaded by now stays: no collection need look at it again.
+        gc.collect()
+        gc.freeze()
         logger.info(
             'serving callers on {}:{}, peers on port {}',
             listen.callers.address,
--- a/hibiscusslip/node/endpoint_driver.py
+++ b/hibiscusslip/node/endpoint_driver.py
@@ -15,6 +15,7 @@
 
 MAX_BATCH_ORDERS = 64
 EVENTS_WAIT_SECONDS = 5.0
+USAGE_INTERVAL_SECONDS = 15.0
 RETRY_SECONDS = 0.5
 
 
@@ -50,7 +51,7 @@
     async def start(self) -> None:
         """Start the loops."""
         guard = self._shard.supervisor.guard
-        for loop in (self._send_loop, self._renew_loop, self._events_loop):
+        for loop in self._loops():
             await self._tasks.spawn(guard, loop)
 
     async def stop(self) -> None:
@@ -58,6 +59,14 @@
         await self._tasks.cancel_remaining()
         await self._client.close()
 
+    def _loops(self):
+        return (
+            self._send_loop,
+            self._renew_loop,
+            self._events_loop,
+            self._usage_loop,
+        )
+
     async def order(self, orders: list[base.StartOrder]) -> None:
         """Queue start orders; those of one moment leave together."""
         self._orders.extend(orders)
@@ -147,6 +156,18 @@
             )
             await self._shard.changed()
 
+    async def _usage_loop(self) -> None:
+        """Tell the scheduler, now and then, what the runs use."""
+        while True:
+            await curio.sleep(USAGE_INTERVAL_SECONDS)
+            if not self._shard.may_act(clock.now()):
+                continue
+            try:
+                usage = await self._client.usage()
+            except exceptions.EndpointError:
+                continue
+            self._shard.engine.observe(usage, clock.now())
+
     async def carry_out(self, command: commands.Command) -> None:
         """Carry out one command that concerns this endpoint."""
         if isinstance(command, commands.ListRuns):
--- a/hibiscusslip/node/node.py
+++ b/hibiscusslip/node/node.py
@@ -86,7 +86,10 @@
         )
         stream = zone_records.stream_of(cfg.zone)
         self.writer = appender.Appender(parts.log, stream, self._refused)
-        self.owners = directory.ShardDirectory(len(cfg.shards))
+        self.router = choice.Router(rng)
+        self.owners = directory.ShardDirectory(
+            len(cfg.shards), self.router.update
+        )
         peers = home_peers.SelfPeers(cfg.me, parts.peers)
         self.remote = remote_starts.RemoteStarts(
             cfg.me,
@@ -343,5 +346,9 @@
     ) -> places.Shard | None:
         """Choose a home for a request without a key."""
         fresh = self.owners.fresh(clock.now(), MAX_LOAD_AGE_SECONDS)
-        loads = [owner_.load for owner_ in fresh]
-        return choice.choose(loads, spec, self.cfg.zone, tried, self._rng)
+        loads = [
+            owner_.load
+            for owner_ in fresh
+            if places.Shard(owner_.load.zone, owner_.load.number) not in tried
+        ]
+        return self.router.choose(spec, loads)
--- a/hibiscusslip/routing/choice.py
+++ b/hibiscusslip/routing/choice.py
@@ -1,42 +1,65 @@
-"""Choose a home shard for a request without a key."""
+"""Choose a shard for a job from lagging summaries."""
 
+import collections.abc
 import random
 
 from hibiscusslip.model import places
 from hibiscusslip.model import work
 from hibiscusslip.peer import messages
 
+CHOICES = 2
 
-def choose(
-    loads: list[messages.ShardLoad],
-    spec: work.JobSpec,
-    zone: str,
-    tried: frozenset[places.Shard],
-    rng: random.Random,
-) -> places.Shard | None:
-    """Return the less loaded of two random shards, None without any.
+Loads = collections.abc.Sequence[messages.ShardLoad]
 
-    Loads lag, so that the best of all would draw every request at once.
+
+class Router:
+    """Spread jobs over shards without herding.
+
+    Of two shards drawn at random the less loaded one is taken, and what
+    was sent since a summary came is counted on top of it.
     """
-    left = [load for load in loads if shard_of(load) not in tried]
-    roomy = [load for load in left if _has_room(load, spec)]
-    pool = roomy or left
-    if not pool:
-        return None
-    pair = [rng.choice(pool), rng.choice(pool)]
-    best = min(pair, key=lambda load: (load.queued, load.zone != zone))
-    return shard_of(best)
 
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self._sent: dict[places.Shard, int] = {}
+
+    def update(self, shard: places.Shard) -> None:
+        """Note that a fresh summary of a shard has come."""
+        self._sent.pop(shard, None)
 
-def shard_of(load: messages.ShardLoad) -> places.Shard:
-    """Return the shard that a load tells about."""
-    return places.Shard(load.zone, load.number)
+    def choose(self, spec: work.JobSpec, loads: Loads) -> places.Shard | None:
+        """Return a shard for a job; None without any shard."""
+        suited = [load for load in loads if has_room(spec, load)] or loads
+        if not suited:
+            return None
+        drawn = self._rng.sample(suited, min(CHOICES, len(suited)))
+        best = min(drawn, key=lambda load: self._pressure(spec, load))
+        shard = places.Shard(best.zone, best.number)
+        self._sent[shard] = self._sent.get(shard, 0) + spec.tasks
+        return shard
 
+    def _pressure(
+        self, spec: work.JobSpec, load: messages.ShardLoad
+    ) -> tuple[float, float]:
+        shard = places.Shard(load.zone, load.number)
+        waiting = load.queued + self._sent.get(shard, 0)
+        size = max(1, load.running + load.free_slots)
+        return waiting / size, -float(free_of(spec, load))
 
-def _has_room(load: messages.ShardLoad, spec: work.JobSpec) -> bool:
-    """Tell whether one task of a job fits at present, as far as known."""
+
+def has_room(spec: work.JobSpec, load: messages.ShardLoad) -> bool:
+    """Tell whether one task fits on some endpoint of a shard now."""
+    demand = spec.demand
     return (
-        spec.demand.cpu_milli <= load.largest_cpu_milli
-        and spec.demand.memory_mb <= load.largest_memory_mb
-        and spec.demand.accelerators <= load.largest_accelerators
+        demand.cpu_milli <= load.largest_cpu_milli
+        and demand.memory_mb <= load.largest_memory_mb
+        and demand.accelerators <= load.largest_accelerators
+        and demand.slots <= load.free_slots
     )
+
+
+def free_of(spec: work.JobSpec, load: messages.ShardLoad) -> int:
+    """Return what is free of the scarcest resource that a job needs."""
+    if spec.demand.accelerators:
+        return load.free_accelerators
+    return load.free_slots
--- a/hibiscusslip/routing/directory.py
+++ b/hibiscusslip/routing/directory.py
@@ -1,5 +1,6 @@
 """Remember who owns which shard of the region, and how loaded it is."""
 
+import collections.abc
 import dataclasses
 
 from hibiscusslip.model import places
@@ -19,8 +20,13 @@
 class ShardDirectory:
     """Keep the newest owner of each shard, by epoch."""
 
-    def __init__(self, max_shards: int) -> None:
+    def __init__(
+        self,
+        max_shards: int,
+        refreshed: collections.abc.Callable[[places.Shard], None],
+    ) -> None:
         self._max_shards = max_shards
+        self._refreshed = refreshed
         self._owners: dict[places.Shard, Owner] = {}
 
     def learn(
@@ -34,6 +40,7 @@
                 continue
             if known is None or load.epoch >= known.epoch:
                 self._owners[shard] = Owner(host, load.epoch, now, load)
+                self._refreshed(shard)
 
     def lost(self, shard: places.Shard, host: str) -> None:
         """Forget a host that turned out not to own a shard."""
--- /dev/null
+++ b/tests/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Check how requests find their way."""
--- a/tests/scheduler/test_routing.py
+++ b/tests/routing/test_choice.py
@@ -5,7 +5,7 @@
 
 from hibiscusslip.model import places
 from hibiscusslip.peer import messages
-from hibiscusslip.scheduler import routing
+from hibiscusslip.routing import choice
 from tests.scheduler import samples
 
 
@@ -17,7 +17,7 @@
 
 
 def test_old_summaries_do_not_send_everything_to_one_shard():
-    router = routing.Router(random.Random(1))
+    router = choice.Router(random.Random(1))
     loads = [load(0, free=101)] + [load(i, queued=1) for i in range(1, 8)]
     chosen = collections.Counter(
         router.choose(samples.job(f'j{i}'), loads) for i in range(800)
@@ -27,7 +27,7 @@
 
 
 def test_a_busy_shard_gets_less():
-    router = routing.Router(random.Random(1))
+    router = choice.Router(random.Random(1))
     loads = [load(0, queued=5000), load(1), load(2)]
     chosen = collections.Counter(
         router.choose(samples.job(f'j{i}'), loads) for i in range(300)
@@ -36,7 +36,7 @@
 
 
 def test_shards_with_room_for_the_demand_go_first():
-    router = routing.Router(random.Random(1))
+    router = choice.Router(random.Random(1))
     spec = samples.job('j', demand=samples.amount(acc=2))
     loads = [load(0), load(1, queued=900, acc=4), load(2)]
     assert router.choose(spec, loads) == places.Shard('z1', 1)
@@ -45,7 +45,7 @@
 
 
 def test_a_fresh_summary_forgets_what_was_sent():
-    router = routing.Router(random.Random(1))
+    router = choice.Router(random.Random(1))
     loads = [load(0), load(1, queued=50)]
     for i in range(200):
         router.choose(samples.job(f'j{i}'), loads)
