--- a/hibiscusslip/node/remote_home.py
+++ b/hibiscusslip/node/remote_home.py
@@ -15,7 +15,7 @@
 from hibiscusslip.peer import messages
 from hibiscusslip.records import job as job_records
 
-CALL_MARGIN_SECONDS = 2.0
+CALL_MARGIN_SECONDS = 5.0
 
 
 class FailureKind(enum.StrEnum):
