--- a/Makefile
+++ b/Makefile
@@ -40,8 +40,11 @@
 demo: setup
 	$(PY) -m hibiscusslip.demo
 
-bench: setup
-	$(PY) -m hibiscusslip.bench
+bench: bytecode
+	$(PY) -m hibiscusslip.bench.decide
+	$(PY) -m hibiscusslip.bench.ownership
+	$(PY) -m hibiscusslip.bench.peer_link
+	$(PY) -m tests.integration.bench
 
 policy: setup
 	.venv/bin/pip install -q --disable-pip-version-check -e '.[plot]'
