--- a/hibiscusslip/jobs/_remote.py
+++ b/hibiscusslip/jobs/_remote.py
@@ -169,7 +169,7 @@
     now: float,
 ) -> None:
     """Decide about a task once no shard that may have it has it."""
-    task.absent_at.add(place)
+    task.absent_at |= {place}
     if not task.absent_at >= job.places - {str(st.shard)}:
         return
     if job.spec.repeatable:
--- a/hibiscusslip/jobs/_starting.py
+++ b/hibiscusslip/jobs/_starting.py
@@ -92,8 +92,8 @@
     job = st.jobs.get(record.job_id)
     if job is None:
         return
-    job.intents.update(record.tasks)
-    job.places.update(record.place.split())
+    job.intents |= frozenset(record.tasks)
+    job.places |= frozenset(record.place.split())
     if record.place != str(st.shard):
         st.pending.append(commands.JobKept(record.job_id))
         return
--- a/hibiscusslip/jobs/_state.py
+++ b/hibiscusslip/jobs/_state.py
@@ -29,10 +29,10 @@
     service_backoff_max: float = 60.0
     max_attempts: int = 3
     max_jobs: int = 20_000
-    max_finals: int = 4_000
+    max_finals: int = 2_000
     max_final_bytes: int = 4 * 1024 * 1024
     keep_final: float = 3600.0
-    keep_fresh: float = 10.0
+    keep_fresh: float = 2.0
     max_recorded_answer: int = 64 * 1024
 
     @property
--- a/hibiscusslip/jobs/handover.py
+++ b/hibiscusslip/jobs/handover.py
@@ -88,8 +88,8 @@
         cancelled=handed.cancelled,
         partial=handed.partial,
         guest_of=_shard(handed.guest_of),
-        intents=set(handed.intents),
-        places=set(handed.places),
+        intents=frozenset(handed.intents),
+        places=frozenset(handed.places),
     )
     if job.outcome.final:
         job.ended_at = now
--- a/hibiscusslip/jobs/index.py
+++ b/hibiscusslip/jobs/index.py
@@ -180,8 +180,8 @@
         job.recorded = True
     else:
         job = _intent_only(entry, now)
-    job.intents = set(entry.intents)
-    job.places = set(entry.places)
+    job.intents = frozenset(entry.intents)
+    job.places = frozenset(entry.places)
     job.note('taken over from the log', now)
     if entry.outcome:
         _restore_end(job, entry, now)
--- a/hibiscusslip/jobs/model.py
+++ b/hibiscusslip/jobs/model.py
@@ -1,6 +1,5 @@
 """Hold jobs and tasks as their home keeps them."""
 
-import collections
 import dataclasses
 import enum
 import hashlib
@@ -50,7 +49,7 @@
     booked: bool = True
     unstarted: bool = False
     place: str = ''
-    absent_at: set[str] = dataclasses.field(default_factory=set)
+    absent_at: frozenset[str] = frozenset()
     tried: int = 0
 
 
@@ -82,14 +81,14 @@
     cancelled: bool = False
     partial: bool = False
     guest_of: places.Shard | None = None
-    intents: set[int] = dataclasses.field(default_factory=set)
-    places: set[str] = dataclasses.field(default_factory=set)
-    history: collections.deque = dataclasses.field(
-        default_factory=lambda: collections.deque(maxlen=HISTORY_LINES)
-    )
+    intents: frozenset[int] = frozenset()
+    places: frozenset[str] = frozenset()
+    history: list[Event] = dataclasses.field(default_factory=list)
 
     def note(self, text: str, now: float) -> None:
         """Add a line to the history."""
+        if len(self.history) >= HISTORY_LINES:
+            del self.history[0]
         self.history.append(Event(now, text))
 
     @property
--- a/hibiscusslip/model/work.py
+++ b/hibiscusslip/model/work.py
@@ -77,6 +77,8 @@
 
 def with_trace(spec: JobSpec, trace: str) -> JobSpec:
     """Return a specification as a later hop of its trace."""
+    if spec.trace == trace:
+        return spec
     return dataclasses.replace(spec, trace=trace)
 
 
--- a/hibiscusslip/node/endpoint_driver.py
+++ b/hibiscusslip/node/endpoint_driver.py
@@ -107,6 +107,8 @@
     ) -> list[base.StartResult]:
         """Call the endpoint, in a span for each order that is traced."""
         tracer = self._shard.tracer
+        if not any(order.trace for order in batch):
+            return await self._client.start(batch)
         traced = []
         with contextlib.ExitStack() as hops:
             for order in batch:
