--- a/hibiscusslip/jobs/_state.py
+++ b/hibiscusslip/jobs/_state.py
@@ -24,6 +24,7 @@
     doubt_limit: float = 60.0
     record_wait: float = 2.0
     stop_grace: float = 5.0
+    event_wait: float = 1.0
     retry_delay: float = 0.05
     service_backoff: float = 1.0
     service_backoff_max: float = 60.0
@@ -51,7 +52,11 @@
 
 @dataclasses.dataclass(slots=True)
 class EndpointView:
-    """Hold the engine's view of one endpoint of the shard."""
+    """Hold the engine's view of one endpoint of the shard.
+
+    `missing` are tasks that a renewal did not find; whether they are still
+    waited for is looked at from `check_at` on.
+    """
 
     info: places.EndpointInfo
     contact: Contact = Contact.UNLISTED
@@ -60,6 +65,8 @@
     list_at: float = 0.0
     contact_at: float = 0.0
     renewed_at: float = 0.0
+    check_at: float = 0.0
+    missing: frozenset[str] = frozenset()
     tasks: set[str] = dataclasses.field(default_factory=set)
 
 
--- a/hibiscusslip/jobs/engine.py
+++ b/hibiscusslip/jobs/engine.py
@@ -302,8 +302,10 @@
         if view is None:
             return
         view.contact_at = now
-        if missing:
-            view.list_at = now
+        if missing and not view.check_at:
+            # Most have just ended, and the event that tells is on its way.
+            view.missing = frozenset(missing)
+            view.check_at = now + self._st.cfg.event_wait
 
     def checkpointed(self, task: str, data: bytes) -> None:
         """Keep a task's saved state for its next run."""
@@ -420,6 +422,10 @@
             _adoption.lose_contact(st, view, now)
         if view.contact == Contact.LOST:
             _adoption.lapse(st, view, now)
+        if view.check_at and now >= view.check_at:
+            view.check_at = 0.0
+            if view.missing & view.tasks:
+                view.list_at = now
         gone = view.info.state == places.EndpointState.GONE
         if gone and view.contact == Contact.LOST and not view.tasks:
             del st.endpoints[view.info.name]
--- a/tests/integration/bench.py
+++ b/tests/integration/bench.py
@@ -113,10 +113,17 @@
                 line = bare_process.out.read_text()
             bare = http_server.Target(*map(int, line.split()))
             host = cell.hosts['a-host0']
-            entry = http_server.Target(
-                host.plan.callers_port, host.running.pid
-            )
-            return compare(bare, entry)
+            host.running.kill()
+            args = ['-m', 'hibiscusslip.commands.entry', '--settings']
+            args.append(str(directory / 'a-host0.toml'))
+            started = process.Process('entry', args, directory)
+            try:
+                cells.wait_taken(host.callers, 60.0)
+                port = host.plan.callers_port
+                entry = http_server.Target(port, started.pid)
+                return compare(bare, entry)
+            finally:
+                started.close()
     finally:
         bare_process.close()
 
--- a/tests/jobs/test_engine_life.py
+++ b/tests/jobs/test_engine_life.py
@@ -269,3 +269,28 @@
     bench.end(*starts[0], state=RunState.FAILED)
     stops = [c for c in bench.tick() if isinstance(c, commands.StopTask)]
     assert {c.task for c in stops} == {o.task for _, o in starts[1:]}
+
+
+def listings(found):
+    """Return the endpoints that are to be listed."""
+    return [c.endpoint for c in found if isinstance(c, commands.ListRuns)]
+
+
+def test_renewal_that_misses_a_task_has_its_endpoint_listed():
+    bench = support.Bench(endpoints=('e1',)).opened()
+    bench.engine.submit(support.spec(), bench.now)
+    [(where, order)] = bench.starts()
+    bench.started(where, order)
+    bench.engine.renewed(where, [order.task], bench.now)
+    assert listings(bench.tick(0.5)) == []
+    assert listings(bench.tick(bench.cfg.event_wait)) == [where]
+
+
+def test_renewal_that_misses_an_ended_task_needs_no_listing():
+    bench = support.Bench(endpoints=('e1',)).opened()
+    bench.engine.submit(support.spec(), bench.now)
+    [(where, order)] = bench.starts()
+    bench.started(where, order)
+    bench.engine.renewed(where, [order.task], bench.now)
+    bench.end(where, order)
+    assert listings(bench.tick(bench.cfg.event_wait + 0.1)) == []
