--- a/hibiscusslip/caller/service.py
+++ b/hibiscusslip/caller/service.py
@@ -7,34 +7,14 @@
 import secrets
 
 from hibiscusslip.caller import exceptions
+from hibiscusslip.jobs import view
 from hibiscusslip.model import work
 
 ID_BYTES = 12
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class JobState:
-    """Tell how a job stands; `answer` is whole once it succeeded.
-
-    `retry_after` in seconds and `nearest`, the closest job that could run,
-    belong to jobs that were refused.
-    """
-
-    job_id: str
-    outcome: work.Outcome
-    detail: str = ''
-    answer: bytes = b''
-    retry_after: float | None = None
-    nearest: str = ''
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class JobStory:
-    """Tell a job's history, one line an event, the oldest first."""
-
-    job_id: str
-    outcome: work.Outcome
-    lines: list[str]
+JobState = view.JobView
+JobStory = view.JobStory
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hibiscusslip/node/caller_service.py
+++ b/hibiscusslip/node/caller_service.py
@@ -1,7 +1,6 @@
 """Serve callers' jobs through the acceptor."""
 
 import collections.abc
-import dataclasses
 
 import curio
 
@@ -125,7 +124,7 @@
             raise exceptions.UnknownJob(str(exc)) from exc
         except acceptor.RequestFailed as exc:
             raise _error_of(exc) from exc
-        return service.JobStory(story.job_id, story.outcome, story.lines)
+        return story
 
     def _slice(self, due: float) -> float:
         """Return how long to wait before looking up again, in seconds."""
@@ -139,7 +138,7 @@
 ) -> service.JobState:
     """Return a job's state, or the caller's error for a failure."""
     try:
-        job = await call
+        return await call
     except identity.BadJobId as exc:
         raise exceptions.UnknownJob(str(exc)) from exc
     except acceptor.RequestFailed as exc:
@@ -147,8 +146,6 @@
         if refused is not None:
             return refused
         raise _error_of(exc) from exc
-    fields = dataclasses.fields(view.JobView)
-    return service.JobState(*(getattr(job, f.name) for f in fields))
 
 
 def _refused_state(exc: acceptor.RequestFailed) -> service.JobState | None:
--- a/hibiscusslip/node/node.py
+++ b/hibiscusslip/node/node.py
@@ -74,23 +74,58 @@
         self.cfg = cfg
         self.parts = parts
         self.tracer = parts.tracer
-        self._rng = rng
         self.supervisor = supervision.Supervisor()
-        now = clock.now()
         self.ids = jobs_engine.record_ids(str(cfg.me))
+        self.history = history.History(cfg.me.name)
+        self.stop_asked = False
+        self._rng = rng
+        self._tasks = curio.TaskGroup()
+        self._build_log()
+        peers = home_peers.SelfPeers(cfg.me, parts.peers)
+        self._build_shards(peers)
+        self._build_door()
+        self._build_neighbours()
+        self.handler = self._make_handler()
+        peers.plug(self.handler)
+
+    def _build_log(self) -> None:
+        """Build what follows and writes the zone's stream."""
+        cfg, log = self.cfg, self.parts.log
+        self._stream = zone_records.stream_of(cfg.zone)
         self.index = jobs_index.JobIndex(
             cfg.max_ended_jobs, cfg.max_ended_bytes
         )
         self.ownership = owner.Ownership(
-            cfg.me, cfg.zone, cfg.shards_per_zone, cfg.timing, rng, now
+            cfg.me,
+            cfg.zone,
+            cfg.shards_per_zone,
+            cfg.timing,
+            self._rng,
+            clock.now(),
+        )
+        self.writer = appender.Appender(log, self._stream, self._refused)
+        self.feed = zone_feed.ZoneFeed(
+            log, cfg.zone, self.ownership, self.index, self
         )
-        stream = zone_records.stream_of(cfg.zone)
-        self.writer = appender.Appender(parts.log, stream, self._refused)
-        self.router = choice.Router(rng)
+        self.driver = ownership_driver.OwnershipDriver(
+            self.ownership,
+            log,
+            self._stream,
+            self.parts.peers,
+            self,
+            self.index,
+            self.writer,
+            self.ids,
+            cfg.me,
+        )
+
+    def _build_shards(self, peers: peer_base.Peers) -> None:
+        """Build what runs the owned shards."""
+        cfg = self.cfg
+        self.router = choice.Router(self._rng)
         self.owners = directory.ShardDirectory(
             len(cfg.shards), self.router.update
         )
-        peers = home_peers.SelfPeers(cfg.me, parts.peers)
         self.remote = remote_starts.RemoteStarts(
             cfg.me,
             self.ownership,
@@ -103,46 +138,47 @@
         context = shard_runner.Context(
             self.ownership,
             self.writer,
-            parts.connect,
+            self.parts.connect,
             cfg.engine.worker_lease,
             self.remote,
             self.supervisor,
-            parts.tracer,
+            self.tracer,
         )
-        self.fleet = fleet.Fleet(cfg, self.index, self.ids, rng, context)
-        self.feed = zone_feed.ZoneFeed(
-            parts.log, cfg.zone, self.ownership, self.index, self
+        self.fleet = fleet.Fleet(cfg, self.index, self.ids, self._rng, context)
+        self.standing = standing_keeper.StandingKeeper(cfg.shards)
+        self.hand_overs = hand_over.HandOvers(
+            self.ownership, self.fleet, self.parts.peers
         )
-        self.driver = ownership_driver.OwnershipDriver(
-            self.ownership,
-            parts.log,
-            stream,
-            parts.peers,
-            self,
-            self.index,
-            self.writer,
-            self.ids,
-            cfg.me,
+        self.fleet.set_arrived(self.hand_overs.arrived)
+
+    def _build_door(self) -> None:
+        """Build what takes requests, from callers and other hosts."""
+        self.home = home.Home(self.fleet.runners, self.index, self.tracer)
+        calls = remote_home.HomeCalls(
+            self.cfg.me.name, self.home, self.parts.peers
         )
-        self.standing = standing_keeper.StandingKeeper(cfg.shards)
-        self.home = home.Home(self.fleet.runners, self.index, parts.tracer)
-        calls = remote_home.HomeCalls(cfg.me.name, self.home, parts.peers)
         self.acceptor = acceptor.Acceptor(
-            calls, self.owners, self._find_owner, self._choose_home, rng
+            calls,
+            self.owners,
+            self._find_owner,
+            self._choose_home,
+            self._rng,
         )
+
+    def _build_neighbours(self) -> None:
+        """Build what keeps in touch with other hosts."""
+        cfg, parts = self.cfg, self.parts
         self.config = config_feed.ConfigFeed(
             parts.log,
             parts.peers,
             parts.retention,
-            rng,
+            self._rng,
             self.ids,
             self._in_force,
         )
-        self.hand_overs = hand_over.HandOvers(
-            self.ownership, self.fleet, parts.peers
+        self.members = members_.Members(
+            cfg.me, cfg.zone, cfg.pacing, self._rng, clock.now()
         )
-        self.fleet.set_arrived(self.hand_overs.arrived)
-        self.members = members_.Members(cfg.me, cfg.zone, cfg.pacing, rng, now)
         self.neighbours = neighbours.Neighbours(
             cfg,
             self.members,
@@ -152,11 +188,6 @@
             parts.peers,
             self.config.heard_version,
         )
-        self.handler = self._make_handler()
-        peers.plug(self.handler)
-        self.history = history.History(cfg.me.name)
-        self.stop_asked = False
-        self._tasks = curio.TaskGroup()
 
     def _make_handler(self) -> peer_handler.PeerHandler:
         handler = peer_handler.PeerHandler(self.home, self.ownership)
