--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 	$(PY) -m hibiscusslip.bench.memory
 
 test: setup
-	$(PY) -m pytest
+	$(PY) -m pytest $(PYTEST_ARGS)
 
 format: setup
 	.venv/bin/ruff check -q --fix --select I .
--- a/hibiscusslip/node/daemon.py
+++ b/hibiscusslip/node/daemon.py
@@ -23,7 +23,7 @@
 USAGE_EXIT = 2
 CRASH_EXIT = 70
 CLOSE_PART = 0.8
-STOP_POLL_SECONDS = 0.05
+STOP_POLL_SECONDS = 0.2
 
 
 def http_bounds(cfg: settings.Limits) -> http_limits.Limits:
--- a/hibiscusslip/node/fleet.py
+++ b/hibiscusslip/node/fleet.py
@@ -20,6 +20,7 @@
 from hibiscusslip.scheduler import base as scheduler_base
 
 MAX_SIZES = 256
+LOADS_KEEP_SECONDS = 0.25
 LIVE = places.EndpointState.LIVE
 LEAVING = places.EndpointState.LEAVING
 GONE = places.EndpointState.GONE
@@ -49,6 +50,8 @@
         self._context = context
         self._ownership = context.ownership
         self._endpoints: dict[str, places.EndpointInfo] = {}
+        self._loads: list[messages.ShardLoad] = []
+        self._loads_until = 0.0
         self._sizes: list[resources.Resources] = []
         self._policy: scheduler_base.FleetPolicy | None = None
         self.runners: dict[int, shard_runner.ShardRunner] = {}
@@ -157,13 +160,20 @@
         return self._policy.version if self._policy else 0
 
     def loads(self) -> list[messages.ShardLoad]:
-        """Return the loads of the shards that take requests."""
+        """Return the loads of the shards that take requests.
+
+        Summaries lag anyway, so one serves all who ask within a moment.
+        """
         now = clock.now()
-        return [
+        if now < self._loads_until:
+            return self._loads
+        self._loads_until = now + LOADS_KEEP_SECONDS
+        self._loads = [
             _load(runner, self._ownership.epoch(runner.shard.number), now)
             for runner in self.runners.values()
             if runner.engine.is_open and runner.may_act(now)
         ]
+        return self._loads
 
     async def wake(self) -> None:
         """Have all shards carry out what has changed."""
--- a/hibiscusslip/node/node.py
+++ b/hibiscusslip/node/node.py
@@ -46,7 +46,7 @@
 from hibiscusslip.routing import directory
 
 MAX_LOAD_AGE_SECONDS = 10.0
-READY_POLL_SECONDS = 0.05
+READY_POLL_SECONDS = 0.1
 STANDING_INTERVAL_SECONDS = 0.5
 REPORT_INTERVAL_SECONDS = 10.0
 GIVE_AWAY_PAUSE_SECONDS = 0.2
