Accept that a worker ended a run whose owners were away too long

Cause: in the test of a trimmed log all hosts are killed in turn; where that takes longer than a worker's lease, the worker ends the run and says so, and the caller is told 'failed' with that reason, which is the truth: it started once and ended without a result. Ruled out: a second start (the counters forbid it) and a wrong 'not_run'. Change: 'failed' is accepted only with the detail that the lease lapsed.

--- a/tests/integration/test_log_faults.py
+++ b/tests/integration/test_log_faults.py
@@ -117,7 +117,9 @@
             assert one.outcome == 'succeeded', one
         for one in waiting:
             callers.submit(ports()[0], one, 0.0, run_s=25.0)
-            assert one.outcome in ('', 'unknown', 'succeeded'), one
+            assert one.outcome in ('', 'unknown', 'succeeded', 'failed'), one
+            # The worker itself ends a run whose owners were away too long.
+            assert one.outcome != 'failed' or 'lapsed' in one.detail, one
         started = cell.started()
         assert all(started[f'{one.name}/0'] == 1 for one in done + waiting)
         assert cells.check_workers(cell)['repeated_starts'] == 0
