--- /dev/null
+++ b/hibiscusslip/scheduler/_lanes.py
@@ -0,0 +1,173 @@
+"""Group the waiting jobs of one kind by urgency, team and shape."""
+
+import collections
+import collections.abc
+import heapq
+
+from hibiscusslip.scheduler import _jobs
+
+ShareOf = collections.abc.Callable[[str], float]
+LaneJobs = collections.OrderedDict[str, _jobs.Job]
+
+
+class TeamLane:
+    """Keep the jobs of one team, kind and urgency, grouped by shape."""
+
+    def __init__(self, team: str) -> None:
+        self.team = team
+        self.shapes: dict[int, LaneJobs] = {}
+        self.floors: dict[int, float] = {}
+        self.mask = 0
+        self.skip = 0
+
+    def push(self, job: _jobs.Job) -> bool:
+        """Add a job; tell whether its shape is new here."""
+        jobs = self.shapes.get(job.shape)
+        if jobs is None:
+            jobs = self.shapes[job.shape] = collections.OrderedDict()
+        jobs[job.job_id] = job
+        new = not self.mask >> job.shape & 1
+        self.mask |= 1 << job.shape
+        return new
+
+    def discard(self, job: _jobs.Job) -> bool:
+        """Take a job out; tell whether its shape is gone from here."""
+        jobs = self.shapes.get(job.shape)
+        if jobs is None or jobs.pop(job.job_id, None) is None:
+            return False
+        if jobs:
+            return False
+        del self.shapes[job.shape]
+        self.mask &= ~(1 << job.shape)
+        return True
+
+    def oldest(self, mask: int) -> _jobs.Job:
+        """Return the job that came first among the shapes in `mask`."""
+        heads = []
+        while mask:
+            bit = mask & -mask
+            mask ^= bit
+            heads.append(
+                next(iter(self.shapes[bit.bit_length() - 1].values()))
+            )
+        return min(heads, key=lambda job: job.seq)
+
+
+class Lane:
+    """Keep the teams that wait with one kind and urgency.
+
+    Each shape has its own heap of teams by share. The entry of a team is
+    the one with its floor, never above its share; it is put right when it
+    comes up.
+    """
+
+    def __init__(self) -> None:
+        self.teams: dict[str, TeamLane] = {}
+        self.arrived: LaneJobs = collections.OrderedDict()
+        self.heaps: dict[int, list[tuple[float, str]]] = {}
+        self.mask = 0
+
+    def push(self, job: _jobs.Job, share: float) -> bool:
+        """Add a job of a team; tell whether the team is new here."""
+        self.arrived[job.job_id] = job
+        team = job.spec.team
+        found = self.teams.get(team)
+        new = found is None
+        if found is None:
+            found = self.teams[team] = TeamLane(team)
+        if found.push(job):
+            heap = self.heaps.setdefault(job.shape, [])
+            heapq.heappush(heap, (share, team))
+            found.floors[job.shape] = share
+            self.mask |= 1 << job.shape
+        return new
+
+    def discard(self, job: _jobs.Job) -> bool:
+        """Take a job out; tell whether its team is gone from here."""
+        self.arrived.pop(job.job_id, None)
+        found = self.teams.get(job.spec.team)
+        if found is None or not found.discard(job):
+            return False
+        if found.mask:
+            return False
+        del self.teams[found.team]
+        return True
+
+    def head(self) -> _jobs.Job | None:
+        """Return the job that came first."""
+        return next(iter(self.arrived.values()), None)
+
+    def reorder(self, team: str, share: float) -> None:
+        """Note that the share of a team has become smaller."""
+        found = self.teams.get(team)
+        if found is None:
+            return
+        for shape in found.shapes:
+            if found.floors[shape] <= share:
+                continue
+            found.floors[shape] = share
+            heap = self.heaps[shape]
+            heapq.heappush(heap, (share, team))
+            if len(heap) > 4 * len(self.teams) + 64:
+                self._compact(shape, heap)
+
+    def rebuild(self, share_of: ShareOf) -> None:
+        """Order the teams anew."""
+        for shape in list(self.heaps):
+            heap = [
+                (share_of(team), team)
+                for team, lane in self.teams.items()
+                if lane.mask >> shape & 1
+            ]
+            for share, team in heap:
+                self.teams[team].floors[shape] = share
+            heapq.heapify(heap)
+            self.heaps[shape] = heap
+
+    def lowest(
+        self, mask: int, share_of: ShareOf
+    ) -> tuple[float, TeamLane] | None:
+        """Return the team with the least share that waits with `mask`."""
+        best: tuple[float, str] | None = None
+        left = mask & self.mask
+        while left:
+            bit = left & -left
+            left ^= bit
+            shape = bit.bit_length() - 1
+            top = self._top(shape, share_of)
+            if top is not None and (best is None or top < best):
+                best = top
+        return (best[0], self.teams[best[1]]) if best else None
+
+    def _top(self, shape: int, share_of: ShareOf) -> tuple[float, str] | None:
+        heap = self.heaps[shape]
+        aside = []
+        found = None
+        while heap and found is None:
+            share, team = heap[0]
+            lane = self.teams.get(team)
+            if lane is None or not lane.mask >> shape & 1:
+                heapq.heappop(heap)
+            elif lane.floors[shape] != share:
+                heapq.heappop(heap)
+            elif (current := share_of(team)) != share:
+                heapq.heapreplace(heap, (current, team))
+                lane.floors[shape] = current
+            elif lane.skip >> shape & 1:
+                aside.append(heapq.heappop(heap))
+            else:
+                found = heap[0]
+        for item in aside:
+            heapq.heappush(heap, item)
+        if not heap:
+            del self.heaps[shape]
+            self.mask &= ~(1 << shape)
+        return found
+
+    def _compact(self, shape: int, heap: list[tuple[float, str]]) -> None:
+        heap[:] = [
+            (lane.floors[shape], team)
+            for team, lane in self.teams.items()
+            if lane.mask >> shape & 1
+        ]
+        heapq.heapify(heap)
