--- /dev/null
+++ b/hibiscusslip/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Decide where and when tasks run; no I/O, the time is an argument."""
--- /dev/null
+++ b/hibiscusslip/dispatch/commands.py
@@ -0,0 +1,52 @@
+"""Describe what the decisions ask the host to do."""
+
+import dataclasses
+
+from hibiscusslip.dispatch import state
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Start:
+    """Start a run once the job's record is written.
+
+    `deadline` is on the endpoint's clock, `decided` on the host's.
+    """
+
+    endpoint: str
+    address: str
+    task: state.Task
+    run: int
+    payload: str
+    deadline: float
+    checkpoint: str
+    ticket: str
+    decided: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stop:
+    """Stop a run; `reason` is for the log."""
+
+    endpoint: str
+    task: str
+    run: int
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pace:
+    """Have a run work at a share of its speed."""
+
+    endpoint: str
+    task: str
+    run: int
+    percent: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ask:
+    """Ask the advice service about endpoints for a step."""
+
+    step: state.StepState
+    endpoints: tuple[str, ...]
+    cost: float
--- /dev/null
+++ b/hibiscusslip/dispatch/engine.py
@@ -0,0 +1,287 @@
+"""Turn what is submitted, seen and due into starts and stops."""
+
+import collections.abc
+import typing
+
+from hibiscusslip.dispatch import _looking
+from hibiscusslip.dispatch import _planning
+from hibiscusslip.dispatch import commands
+from hibiscusslip.dispatch import estimates
+from hibiscusslip.dispatch import model
+from hibiscusslip.dispatch import records
+from hibiscusslip.dispatch import state
+
+Note = collections.abc.Callable[..., None]
+
+
+def _ignore(event: str, **fields: typing.Any) -> None:
+    return None
+
+
+class Engine:
+    """Hold the whole state of one owner; the caller feeds and persists it.
+
+    `now` is the host's steady clock, `wall` a Unix time. Jobs whose record
+    has to be written are in `dirty`, what to do is in `starts` (only after
+    that record is written), `stops`, `paces` and `asks`.
+    """
+
+    def __init__(self, lease: float, note: Note = _ignore) -> None:
+        self.lease = lease
+        self.note = note
+        self.jobs: dict[str, state.Job] = {}
+        self.endpoints: dict[str, state.Endpoint] = {}
+        self.config: model.Configuration | None = None
+        self.estimates = estimates.Estimates()
+        self.dirty: set[str] = set()
+        self.starts: list[commands.Start] = []
+        self.stops: list[commands.Stop] = []
+        self.paces: list[commands.Pace] = []
+        self.asks: list[commands.Ask] = []
+        self.active: dict[str, state.StepState] = {}
+        self.timed: dict[str, state.Job] = {}
+
+    # Jobs.
+
+    def submit(
+        self,
+        ident: str,
+        submission: records.Submission,
+        spec: model.JobSpec,
+        now: float,
+        wall: float,
+    ) -> state.Job:
+        """Take an accepted job; a second one of the same name is the first."""
+        known = self.jobs.get(ident)
+        if known is not None:
+            return known
+        job = state.Job(ident, submission.queue, submission.service, spec, now)
+        self.jobs[ident] = job
+        if spec.times:
+            self.timed[ident] = job
+        else:
+            self.open_occurrence(job, 0, now)
+        self.open_due(now, wall)
+        return job
+
+    def open_occurrence(self, job: state.Job, number: int, now: float) -> None:
+        """Make the tasks of one occurrence."""
+        steps = []
+        for place, spec in enumerate(job.spec.steps):
+            step = state.StepState(job, number, place, spec)
+            step.waiting_since = now
+            step.due_from = now
+            for index in range(spec.count):
+                name = model.task_name(job.ident, number, place, index)
+                step.tasks.append(state.Task(name, step, index))
+            steps.append(step)
+            self.active[step.name] = step
+        job.occurrences[number] = steps
+
+    def open_due(self, now: float, wall: float) -> None:
+        """Make the occurrences whose time has come."""
+        for job in list(self.timed.values()):
+            spec = job.spec
+            while len(job.occurrences) < spec.times:
+                number = len(job.occurrences)
+                if wall < spec.first_due + number * spec.interval:
+                    break
+                self.open_occurrence(job, number, now)
+                self.dirty.add(job.ident)
+            if len(job.occurrences) >= spec.times:
+                self.timed.pop(job.ident, None)
+
+    def cancel(self, ident: str, now: float) -> bool:
+        """Cancel a job; False when no such job is known."""
+        job = self.jobs.get(ident)
+        if job is None:
+            return False
+        if not job.state.final:
+            self.finish(job, model.JobState.CANCELLED, now)
+        return True
+
+    def finish(
+        self, job: state.Job, outcome: model.JobState, now: float
+    ) -> None:
+        """End a job and stop what still runs of it."""
+        job.state = outcome
+        job.final_at = now
+        self.dirty.add(job.ident)
+        self.timed.pop(job.ident, None)
+        for step in job.steps():
+            self.active.pop(step.name, None)
+            for task in step.tasks:
+                if task.status.placed:
+                    self.stop(task, outcome.value, now)
+        self.note('job_ended', job=job.ident, outcome=outcome.value)
+
+    def stop(self, task: state.Task, reason: str, now: float) -> None:
+        """Ask for the end of a task's run."""
+        endpoint = self.endpoints.get(task.endpoint)
+        if endpoint is None:
+            return
+        booking = endpoint.bookings.get((task.name, task.run))
+        if booking is not None and not booking.stopping:
+            booking.stopping = now
+        self.stops.append(
+            commands.Stop(task.endpoint, task.name, task.run, reason)
+        )
+
+    def forget_older(self, before: float) -> list[str]:
+        """Drop jobs that ended before a time; return their names."""
+        old = [
+            job.ident
+            for job in self.jobs.values()
+            if job.state.final and job.shown.final and job.final_at < before
+        ]
+        for ident in old:
+            del self.jobs[ident]
+        return old
+
+    def queue_of(self, job: state.Job) -> model.Queue:
+        """Return a job's queue; one that is gone has plain values."""
+        queue = self.config.queues.get(job.queue) if self.config else None
+        return queue or estimates.DEFAULT_QUEUE
+
+    def pending(self) -> dict[str, int]:
+        """Return for each queue how many jobs haven't begun."""
+        counts: dict[str, int] = {}
+        for job in self.jobs.values():
+            if not job.begun and not job.state.final:
+                counts[job.queue] = counts.get(job.queue, 0) + 1
+        return counts
+
+    # Endpoints.
+
+    def list_endpoint(self, entry: model.EndpointEntry, now: float) -> None:
+        """Take an endpoint's report."""
+        endpoint = self.endpoints.get(entry.name)
+        if endpoint is None:
+            endpoint = self.endpoints[entry.name] = state.Endpoint(entry.name)
+            self.note('endpoint_found', endpoint=entry.name)
+        known = endpoint.entry
+        if known is not None and known.born == entry.born:
+            if known.seq > entry.seq:
+                return  # an old report, read late
+        endpoint.entry = entry
+        if entry.draining and not endpoint.drained_at:
+            endpoint.drained_at = now
+            self.note('endpoint_draining', endpoint=entry.name)
+        elif not entry.draining:
+            endpoint.drained_at = 0.0
+
+    def unlist_endpoint(self, name: str, now: float) -> None:
+        """Take note that the platform doesn't list an endpoint any more."""
+        endpoint = self.endpoints.get(name)
+        if endpoint is None or endpoint.entry is None:
+            return
+        endpoint.entry = None
+        self.note('endpoint_unlisted', endpoint=name)
+
+    def looked(
+        self,
+        name: str,
+        look: model.Look,
+        sent: float,
+        now: float,
+    ) -> None:
+        """Take what an endpoint lists in answer to a call sent at `sent`."""
+        endpoint = self.endpoints.get(name)
+        if endpoint is not None:
+            _looking.take(self, endpoint, look, sent, now)
+
+    def silent(self, name: str, now: float) -> None:
+        """Take note that an endpoint gave no answer."""
+        endpoint = self.endpoints.get(name)
+        if endpoint is None:
+            return
+        if endpoint.answering:
+            endpoint.answering = False
+            endpoint.silent_since = now
+            self.note('endpoint_silent', endpoint=name)
+
+    def replaced(self, name: str, now: float) -> None:
+        """Take note that another endpoint has an endpoint's address."""
+        endpoint = self.endpoints.get(name)
+        if endpoint is None:
+            return
+        endpoint.entry = None
+        endpoint.answering = False
+        for task, run in list(endpoint.bookings):
+            _looking.lost(self, endpoint, task, run, 'replaced', now)
+
+    # Starts.
+
+    def started(
+        self, start: commands.Start, clock: float | None, now: float
+    ) -> None:
+        """Take note that an endpoint confirmed a start."""
+        booking = self._booking(start)
+        if booking is not None:
+            booking.answered = now
+            task = start.task
+            if task.run == start.run and task.status is state.Status.ORDERED:
+                task.status = state.Status.RUNNING
+
+    def not_started(
+        self, start: commands.Start, reason: str, now: float
+    ) -> None:
+        """Take note that a start surely has no effect, and why."""
+        endpoint = self.endpoints.get(start.endpoint)
+        if endpoint is None:
+            return
+        _looking.start_failed(self, endpoint, start, reason, now)
+
+    def _booking(self, start: commands.Start) -> state.Booking | None:
+        endpoint = self.endpoints.get(start.endpoint)
+        if endpoint is None:
+            return None
+        return endpoint.bookings.get((start.task.name, start.run))
+
+    # Advice.
+
+    def advised(
+        self,
+        ask: commands.Ask,
+        tickets: dict[str, str] | None,
+        valid: float,
+        asked_at: float,
+        now: float,
+    ) -> None:
+        """Take the answer of the advice service, None for none."""
+        step = ask.step
+        step.asking = False
+        if tickets is None:
+            step.ask_again = now + _planning.ASK_PAUSE_S
+            return
+        step.asked.update(ask.endpoints)
+        step.tickets = tickets
+        step.tickets_until = asked_at + valid
+        self.note(
+            'advised',
+            step=step.name,
+            asked=len(ask.endpoints),
+            eligible=len(tickets),
+            took_ms=int((now - asked_at) * 1000),
+        )
+
+    # Time.
+
+    def plan(self, now: float, wall: float) -> None:
+        """Decide what to start, stop, pace and ask now."""
+        self.open_due(now, wall)
+        _looking.check_lapsed(self, now)
+        _planning.plan(self, now)
+
+    def committed(
+        self, written: dict[str, model.JobState], seen: dict[str, int]
+    ) -> None:
+        """Take note that records of jobs, and ends, are on the store."""
+        for ident, outcome in written.items():
+            job = self.jobs.get(ident)
+            if job is not None:
+                job.shown = outcome
+        for name, number in seen.items():
+            endpoint = self.endpoints.get(name)
+            if endpoint is not None:
+                endpoint.seen = max(endpoint.seen, number)
--- /dev/null
+++ b/hibiscusslip/dispatch/estimates.py
@@ -0,0 +1,60 @@
+"""Learn how long tasks run and judge by when a job has to be served."""
+
+import dataclasses
+
+from hibiscusslip.dispatch import model
+from hibiscusslip.dispatch import state
+
+LEARNING_RATE = 0.1
+LEAST_RATIO = 0.2
+MOST_RATIO = 5.0
+LATE_FACTOR = 3.0  # later than three times its objective a job earns nothing
+SHORTEST_S = 0.05
+DEFAULT_QUEUE = model.Queue('', '', '', '')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Objective:
+    """Hold by when a job is on time, and by when it is worth anything."""
+
+    on_time: float
+    last: float
+
+
+class Estimates:
+    """Learn for each queue how declared run times compare with real ones."""
+
+    def __init__(self) -> None:
+        self._ratios: dict[str, float] = {}
+
+    def learn(self, queue: str, declared: float, real: float) -> None:
+        """Take note of a run that ended as done."""
+        ratio = real / max(declared, SHORTEST_S)
+        ratio = min(max(ratio, LEAST_RATIO), MOST_RATIO)
+        known = self._ratios.get(queue, 1.0)
+        self._ratios[queue] = known + LEARNING_RATE * (ratio - known)
+
+    def run_time(self, step: state.StepState) -> float:
+        """Return how long a task of a step should run, in seconds."""
+        return step.spec.estimate * self._ratios.get(step.job.queue, 1.0)
+
+    def chain(self, job: state.Job, start: int = 0) -> float:
+        """Return the longest chain of work from a step on, in seconds.
+
+        From step 0 it is the longest chain of the whole job.
+        """
+        ratio = self._ratios.get(job.queue, 1.0)
+        steps = job.spec.steps
+        tails = [step.estimate * ratio for step in steps]
+        for number in range(len(steps) - 1, -1, -1):
+            for before in steps[number].after:
+                own = steps[before].estimate * ratio
+                tails[before] = max(tails[before], own + tails[number])
+        return max(tails) if start == 0 else tails[start]
+
+    def objective(self, job: state.Job, queue: model.Queue) -> Objective:
+        """Return by when a job has to be served, on the host's clock."""
+        allowed = queue.stretch * self.chain(job) + queue.target
+        return Objective(
+            job.submitted + allowed, job.submitted + LATE_FACTOR * allowed
+        )
--- /dev/null
+++ b/hibiscusslip/dispatch/records.py
@@ -0,0 +1,146 @@
+"""Write jobs to records and read them back."""
+
+import typing
+
+import msgspec
+
+from hibiscusslip.dispatch import model
+from hibiscusslip.dispatch import state
+
+
+class Submission(msgspec.Struct, array_like=True):
+    """Hold an accepted job as the accepting host writes it once.
+
+    `accepted` is a Unix time by the accepting host's clock.
+    """
+
+    queue: str
+    service: str
+    accepted: float
+    body: bytes
+
+
+class TaskRow(msgspec.Struct, array_like=True):
+    """Hold a task that was started at least once."""
+
+    occurrence: int
+    step: int
+    index: int
+    status: int
+    run: int
+    failures: int
+    endpoint: str
+    checkpoint: str
+
+
+class StepRow(msgspec.Struct, array_like=True):
+    """Hold what a gang has in common."""
+
+    occurrence: int
+    step: int
+    failures: int
+    failed_run: int
+    checkpoint: str
+
+
+class JobRow(msgspec.Struct, array_like=True):
+    """Hold how far a job is."""
+
+    state: str
+    tasks: list[TaskRow]
+    steps: list[StepRow]
+    occurrences: list[int] = []
+
+
+class Unreadable(ValueError):
+    """Raise for a record of another layout; leave it out and say so."""
+
+
+def encode_submission(submission: Submission) -> bytes:
+    """Return the record of an accepted job."""
+    return msgspec.msgpack.encode(submission)
+
+
+def decode_submission(data: bytes) -> Submission:
+    """Return an accepted job; raises Unreadable."""
+    return _decode(data, Submission)
+
+
+def encode_job(job: state.Job) -> bytes:
+    """Return the record of a job's progress."""
+    tasks = []
+    steps = []
+    if not job.state.final:
+        for step in job.steps():
+            tasks.extend(_task_rows(step))
+            if step.failures or step.checkpoint:
+                steps.append(_step_row(step))
+    row = JobRow(job.state.value, tasks, steps, list(job.occurrences))
+    return msgspec.msgpack.encode(row)
+
+
+def _task_rows(step: state.StepState) -> list[TaskRow]:
+    return [
+        TaskRow(
+            step.occurrence,
+            step.number,
+            task.index,
+            int(task.status),
+            task.run,
+            task.failures,
+            task.endpoint,
+            task.checkpoint,
+        )
+        for task in step.tasks
+        if task.run
+    ]
+
+
+def _step_row(step: state.StepState) -> StepRow:
+    return StepRow(
+        step.occurrence,
+        step.number,
+        step.failures,
+        step.failed_run,
+        step.checkpoint,
+    )
+
+
+def decode_job(data: bytes) -> JobRow:
+    """Return a job's progress; raises Unreadable."""
+    return _decode(data, JobRow)
+
+
+def restore(job: state.Job, row: JobRow) -> None:
+    """Put a record's progress into a job whose occurrences exist."""
+    job.state = model.JobState(row.state)
+    job.shown = job.state
+    for step_row in row.steps:
+        step = job.occurrences[step_row.occurrence][step_row.step]
+        step.failures = step_row.failures
+        step.failed_run = step_row.failed_run
+        step.checkpoint = step_row.checkpoint
+    for task_row in row.tasks:
+        step = job.occurrences[task_row.occurrence][task_row.step]
+        _restore_task(step, task_row)
+        job.begun = True
+
+
+def _restore_task(step: state.StepState, row: TaskRow) -> None:
+    task = step.tasks[row.index]
+    task.status = state.Status(row.status)
+    task.run = row.run
+    task.failures = row.failures
+    task.endpoint = row.endpoint
+    task.checkpoint = row.checkpoint
+    if task.status is state.Status.DONE:
+        step.done += 1
+
+
+def _decode(data: bytes, kind: typing.Any) -> typing.Any:
+    try:
+        return msgspec.msgpack.decode(data, type=kind)
+    except msgspec.MsgspecError as exc:
+        raise Unreadable(
+            f'a record of another layout: {exc}; all hosts run one release'
+        ) from exc
--- /dev/null
+++ b/hibiscusslip/dispatch/state.py
@@ -0,0 +1,191 @@
+"""Hold jobs, their tasks and the endpoints that run them."""
+
+import dataclasses
+import enum
+
+from hibiscusslip.dispatch import model
+
+SLOWEST_CLOCK = 0.98  # an endpoint's clock may run 2% slow
+LAPSE_SLACK_S = 0.25
+
+
+class Status(enum.IntEnum):
+    """Tell how far a task is; the numbers are written to records."""
+
+    WAITING = 0
+    ORDERED = 1
+    RUNNING = 2
+    DONE = 4
+    FAILED = 5
+
+    @property
+    def placed(self) -> bool:
+        """Tell whether a run of the task may be at work."""
+        return self is Status.ORDERED or self is Status.RUNNING
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Task:
+    """Hold one task; `run` numbers its last start, 0 before the first."""
+
+    name: str
+    step: 'StepState'
+    index: int
+    status: Status = Status.WAITING
+    run: int = 0
+    failures: int = 0
+    endpoint: str = ''
+    checkpoint: str = ''
+    not_before: float = 0.0
+    started: float = 0.0
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class StepState:
+    """Hold one step of one occurrence of a job.
+
+    `tickets` are what the advice service gave for endpoints that may run
+    it, None before it was asked; `asked` are the endpoints it was asked of.
+    """
+
+    job: 'Job'
+    occurrence: int
+    number: int
+    spec: model.Step
+    tasks: list[Task] = dataclasses.field(default_factory=list)
+    due_from: float = 0.0
+    tickets: dict[str, str] | None = None
+    tickets_until: float = 0.0
+    asked: set[str] = dataclasses.field(default_factory=set)
+    asking: bool = False
+    ask_again: float = 0.0
+    failures: int = 0
+    failed_run: int = 0
+    checkpoint: str = ''
+    done: int = 0
+    waiting_since: float = 0.0
+
+    @property
+    def name(self) -> str:
+        """Return the name of the step."""
+        return model.step_name(self.job.ident, self.occurrence, self.number)
+
+    @property
+    def complete(self) -> bool:
+        """Tell whether all tasks have ended as done."""
+        return self.done == len(self.tasks)
+
+    def waiting(self) -> list[Task]:
+        """Return the tasks that wait to be started."""
+        return [t for t in self.tasks if t.status is Status.WAITING]
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Job:
+    """Hold one accepted job; `shown` is the state that is on the store."""
+
+    ident: str
+    queue: str
+    service: str
+    spec: model.JobSpec
+    submitted: float
+    state: model.JobState = model.JobState.QUEUED
+    shown: model.JobState = model.JobState.QUEUED
+    occurrences: dict[int, list[StepState]] = dataclasses.field(
+        default_factory=dict
+    )
+    final_at: float = 0.0
+    begun: bool = False
+
+    def steps(self) -> list[StepState]:
+        """Return the steps of all occurrences that are due."""
+        return [s for steps in self.occurrences.values() for s in steps]
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Booking:
+    """Hold what one run takes of an endpoint until it surely has ended.
+
+    `deadline` is when its order is void, on the endpoint's clock;
+    `answered` when the endpoint confirmed the start, 0 before.
+    """
+
+    task: Task | None
+    run: int
+    demand: model.Demand
+    ordered: float
+    deadline: float = 0.0
+    answered: float = 0.0
+    listed: bool = False
+    recovered: bool = False
+    stopping: float = 0.0
+    percent: int = 100
+    usage: float = 0.0
+    paced: int = 100
+    over_since: float = 0.0
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Endpoint:
+    """Hold what is known of one endpoint and what is booked on it."""
+
+    name: str
+    entry: model.EndpointEntry | None = None
+    bookings: dict[tuple[str, int], Booking] = dataclasses.field(
+        default_factory=dict
+    )
+    used: model.Demand = dataclasses.field(default_factory=model.Demand)
+    born: float = 0.0
+    clock: float = 0.0
+    clock_at: float = 0.0
+    looked: bool = False
+    answering: bool = False
+    granted: float = 0.0
+    settle_by: float = 0.0
+    handled: int = 0
+    seen: int = 0
+    silent_since: float = 0.0
+    trust_after: float = 0.0
+    strikes: int = 0
+    no_room_until: float = 0.0
+    speed: float = 1.0
+    drained_at: float = 0.0
+
+    def clock_now(self, now: float) -> float:
+        """Return the endpoint's clock as it should read now."""
+        return self.clock + (now - self.clock_at)
+
+    def lapsed(self, now: float) -> bool:
+        """Tell whether every lease given to this endpoint is surely over."""
+        if not self.looked:
+            return now >= self.settle_by
+        least = self.clock + (now - self.clock_at) * SLOWEST_CLOCK
+        return least > self.granted + LAPSE_SLACK_S and now >= self.settle_by
+
+    def usable(self, now: float) -> bool:
+        """Tell whether new runs may be started here."""
+        return (
+            self.entry is not None
+            and not self.entry.draining
+            and self.looked
+            and self.answering
+            and now >= self.trust_after
+            and now >= self.no_room_until
+        )
+
+    def free(self) -> model.Demand:
+        """Return what isn't booked."""
+        assert self.entry is not None
+        return self.entry.capacity - self.used
+
+    def book(self, task: str, booking: Booking) -> None:
+        """Take a run's demand until it is released."""
+        self.bookings[(task, booking.run)] = booking
+        self.used = self.used + booking.demand
+
+    def release(self, task: str, run: int) -> Booking | None:
+        """Give back what a run took."""
+        booking = self.bookings.pop((task, run), None)
+        if booking is not None:
+            self.used = self.used - booking.demand
+        return booking
--- /dev/null
+++ b/hibiscusslip/host/__main__.py
@@ -0,0 +1,56 @@
+"""Start a host from the settings file that the platform hands over."""
+
+import os
+import secrets
+import sys
+import zlib
+
+import curio
+
+from hibiscusslip.host import context
+from hibiscusslip.host import host
+from hibiscusslip.host import ownership
+from hibiscusslip.observe import events
+from hibiscusslip.observe import exposition
+from hibiscusslip.observe import logs
+from hibiscusslip.platform import exceptions
+from hibiscusslip.platform import settings
+from hibiscusslip.platform import store
+
+SECRET_VARIABLE = 'HIBISCUSSLIP_PEER_SECRET'
+EXIT_SETTINGS = 2
+
+
+def main() -> int:
+    """Run a host; return the exit status."""
+    path = os.environ.get(settings.FILE_VARIABLE, '')
+    secret = os.environ.get(SECRET_VARIABLE, '').encode()
+    try:
+        cfg = settings.load(path)
+    except exceptions.SettingsInvalid as exc:
+        print(exc, file=sys.stderr)
+        return EXIT_SETTINGS
+    logs.configure('WARNING', True, cfg.name)
+    ctx = make_context(cfg)
+    curio.run(host.Host(ctx, secret).run)
+    return 0
+
+
+def make_context(cfg: settings.HostSettings) -> context.Context:
+    """Return what the parts of a host share."""
+    incarnation = secrets.token_hex(4)
+    share = zlib.crc32(cfg.name.encode()) / 2**32
+    strength = cfg.cpu_share * cfg.cores
+    wait = ownership.stagger(strength, share)
+    return context.Context(
+        cfg=cfg,
+        incarnation=incarnation,
+        store=store.Store(cfg.store),
+        log=events.open_log(cfg.name),
+        metrics=exposition.Metrics(),
+        ownership=ownership.Ownership(cfg.name, incarnation, wait),
+    )
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/hibiscusslip/host/feeds.py
@@ -0,0 +1,109 @@
+"""Follow the configuration, the hosts and the owner on the store."""
+
+from hibiscusslip.host import context
+from hibiscusslip.host import notices
+from hibiscusslip.host import tailing
+from hibiscusslip.host import topics
+from hibiscusslip.platform import documents
+from hibiscusslip.platform import exceptions
+from hibiscusslip.platform import store
+
+LOAD_TIMEOUT_S = 1.5
+
+
+class ConfigFeed(tailing.Tail):
+    """Follow the operator's configuration; a version never goes back."""
+
+    topic = store.CONFIG_TOPIC
+    wait = 2.0
+
+    async def load(self) -> int:
+        """Read the newest configuration."""
+        newest = await self.ctx.store.newest(self.topic, LOAD_TIMEOUT_S)
+        self._take_value(newest.values.get(store.CONFIG_KEY, b''))
+        return newest.end
+
+    async def take(self, offset: int, record: bytes) -> None:
+        """Take a record of the operator."""
+        key, value = store.split_keyed(record)
+        if key == store.CONFIG_KEY:
+            self._take_value(value)
+
+    def _take_value(self, value: bytes) -> None:
+        if not value:
+            return
+        config = documents.read_configuration(value)
+        if config is None:
+            self.ctx.log.note('config_unreadable', size=len(value))
+            return
+        known = self.ctx.config
+        if known is not None and known.version >= config.version:
+            return
+        self.ctx.config = config
+        self.ctx.metrics.gauge('config_version', config.version)
+        self.ctx.log.note(
+            'config_taken',
+            version=config.version,
+            before=known.version if known else None,
+            queues=len(config.queues),
+        )
+
+
+class HostFeed(tailing.Tail):
+    """Follow where the other hosts listen."""
+
+    topic = topics.HOSTS
+    wait = 5.0
+
+    async def load(self) -> int:
+        """Read the newest record of each host."""
+        newest = await self.ctx.store.newest(self.topic, LOAD_TIMEOUT_S)
+        for name, value in newest.values.items():
+            self._take_value(name, value)
+        return newest.end
+
+    async def take(self, offset: int, record: bytes) -> None:
+        """Take a host's record."""
+        name, value = store.split_keyed(record)
+        self._take_value(name, value)
+
+    def _take_value(self, name: str, value: bytes) -> None:
+        host = notices.decode_host(value) if value else None
+        if host is None:
+            self.ctx.hosts.pop(name, None)
+        else:
+            self.ctx.hosts[name] = host
+
+
+class OwnerFeed(tailing.Tail):
+    """Follow the claims and heartbeats of the owner."""
+
+    topic = topics.OWNER
+    wait = 0.6
+
+    async def load(self) -> int:
+        """Find the oldest record that is kept."""
+        try:
+            batch = await self.ctx.store.read(
+                self.topic, 0, 0.0, LOAD_TIMEOUT_S
+            )
+        except exceptions.HistoryGone as exc:
+            return exc.first
+        return batch.first
+
+    async def take(self, offset: int, record: bytes) -> None:
+        """Take a notice."""
+        notice = notices.decode_owner(record)
+        if notice is None:
+            self.ctx.log.note('owner_notice_unreadable', offset=offset)
+            return
+        before = self.ctx.ownership.epoch
+        self.ctx.ownership.take(notice, context.steady())
+        if self.ctx.ownership.epoch != before:
+            self.ctx.log.note(
+                'owner_known', epoch=notice.epoch, owner=notice.host
+            )
+
+    async def caught_up(self, end: int) -> None:
+        """Take note that the topic was read to its end."""
+        self.ctx.ownership.read_to(end, context.steady())
--- /dev/null
+++ b/hibiscusslip/host/front.py
@@ -0,0 +1,189 @@
+"""Answer callers: take jobs, tell their state, cancel them."""
+
+import abc
+import re
+
+import curio
+
+from hibiscusslip.dispatch import model
+from hibiscusslip.dispatch import records
+from hibiscusslip.host import context
+from hibiscusslip.host import topics
+from hibiscusslip.http import messages
+from hibiscusslip.http import server
+from hibiscusslip.platform import callers
+from hibiscusslip.platform import exceptions
+from hibiscusslip.platform import store
+
+APPEND_TIMEOUT_S = 0.6
+RETRY_PAUSE_S = 0.05
+UNSENT_PATIENCE_S = 0.4
+ANSWER_RESERVE_S = 0.25
+RETRY_AFTER_S = 1
+IDENT = re.compile(r'[0-9a-f]{16}\Z')
+
+
+class Cell(abc.ABC):
+    """Ask the owner of the cell, wherever it is."""
+
+    @abc.abstractmethod
+    async def state_of(self, ident: str) -> model.JobState | None:
+        """Return a job's state, None when it surely doesn't exist.
+
+        Raises OwnerUnknown when that can't be told now.
+        """
+
+
+class OwnerUnknown(Exception):
+    """Raise when the owner can't be asked; try again in a moment."""
+
+
+class Front(server.Handler):
+    """Handle the requests of callers."""
+
+    def __init__(self, ctx: context.Context, cell: Cell) -> None:
+        self._ctx = ctx
+        self._cell = cell
+
+    async def handle(self, req: messages.Request) -> messages.Response:
+        """Return the response to one request."""
+        started = context.steady()
+        config = self._ctx.config
+        if config is None:
+            return callers.unavailable('no configuration yet', RETRY_AFTER_S)
+        queue = config.find(callers.host_of(req), req.path)
+        if queue is None:
+            return callers.no_queue()
+        ident = req.path[len(queue.prefix) :]
+        response = await self._route(req, queue, ident, started)
+        self._count(req.method, response.status, started)
+        return response
+
+    def _count(self, method: str, status: int, started: float) -> None:
+        self._ctx.metrics.count('answers', method=method, status=str(status))
+        self._ctx.metrics.time(
+            f'answer_{method.lower()}', context.steady() - started
+        )
+
+    async def _route(
+        self,
+        req: messages.Request,
+        queue: model.Queue,
+        ident: str,
+        started: float,
+    ) -> messages.Response:
+        if req.method == 'GET' and not ident:
+            return callers.queue_size(self._pending(queue.name))
+        if not IDENT.match(ident):
+            return callers.bad_request("a job's name has 16 hex digits")
+        deadline = started + callers.patience(req) - ANSWER_RESERVE_S
+        if req.method == 'POST':
+            return await self._submit(req, queue, ident, deadline)
+        if req.method == 'GET':
+            return await self._show(ident)
+        if req.method == 'DELETE':
+            return await self._cancel(ident, deadline)
+        return callers.bad_method()
+
+    def _pending(self, queue: str) -> int:
+        owner = self._ctx.ownership.owner
+        load = owner.loads.get(queue) if owner else None
+        return load.pending if load else 0
+
+    async def _submit(
+        self,
+        req: messages.Request,
+        queue: model.Queue,
+        ident: str,
+        deadline: float,
+    ) -> messages.Response:
+        try:
+            callers.read_job(req)
+        except exceptions.RequestInvalid as exc:
+            self._note('job_invalid', ident, error=str(exc)[:200])
+            return callers.bad_request(str(exc))
+        submission = records.Submission(
+            queue.name, queue.service, context.wall(), req.body
+        )
+        value = records.encode_submission(submission)
+        outcome = await self._append(ident, value, deadline)
+        self._note(
+            f'job_{outcome}', ident, queue=queue.name, bytes=len(req.body)
+        )
+        if outcome == 'accepted':
+            return callers.accepted()
+        if outcome == 'refused':
+            return callers.unavailable('the store is away', RETRY_AFTER_S)
+        return callers.in_doubt()
+
+    async def _append(self, key: str, value: bytes, deadline: float) -> str:
+        """Write to the inbox; `refused` only if surely nothing was written.
+
+        Once an answer was lost the record may appear, so writing it goes on
+        until it's known to be there or the caller leaves.
+        """
+        record = store.keyed(key, value)
+        doubtful = False
+        give_up = context.steady() + UNSENT_PATIENCE_S
+        while True:
+            try:
+                await self._ctx.store.append(
+                    topics.INBOX, [record], APPEND_TIMEOUT_S
+                )
+                self._ctx.store_answered = context.steady()
+                return 'accepted'
+            except exceptions.StoreUnavailable:
+                now = context.steady()
+                if not doubtful and now >= min(give_up, deadline):
+                    return 'refused'
+            except exceptions.StoreUnsettled:
+                doubtful = True
+            if context.steady() >= deadline:
+                return 'in_doubt'
+            await curio.sleep(RETRY_PAUSE_S)
+
+    async def _show(self, ident: str) -> messages.Response:
+        try:
+            found = await self._cell.state_of(ident)
+        except OwnerUnknown as exc:
+            self._note('state_unknown', ident, error=str(exc)[:120])
+            return callers.unavailable("the owner can't be asked", 1)
+        if found is None:
+            self._note('job_not_found', ident)
+            return callers.gone()
+        return callers.job_state(found.value)
+
+    async def _cancel(self, ident: str, deadline: float) -> messages.Response:
+        key = f'{topics.CANCEL_PREFIX}{ident}'
+        outcome = await self._append(key, b'1', deadline)
+        self._note(f'cancel_{outcome}', ident)
+        if outcome == 'accepted':
+            return callers.accepted()
+        if outcome == 'refused':
+            return callers.unavailable('the store is away', RETRY_AFTER_S)
+        return callers.in_doubt()
+
+    def _note(self, event: str, ident: str, **fields: object) -> None:
+        self._ctx.log.note(event, job=ident, **fields)
+
+
+class Ready(server.Handler):
+    """Tell the platform whether this host should get connections."""
+
+    def __init__(self, ctx: context.Context) -> None:
+        self._ctx = ctx
+
+    async def handle(self, req: messages.Request) -> messages.Response:
+        """Return 200 while callers are served well here."""
+        ctx = self._ctx
+        if req.path == callers.METRICS_PATH:
+            return callers.metrics(ctx.metrics.render())
+        ok = (
+            not ctx.stopping
+            and ctx.config is not None
+            and ctx.store_ok(context.steady(), STORE_PATIENCE_S)
+        )
+        return callers.readiness(ok)
+
+
+STORE_PATIENCE_S = 1.5
--- /dev/null
+++ b/hibiscusslip/host/host.py
@@ -0,0 +1,297 @@
+"""Put a host together and run it until it's told to stop."""
+
+import os
+import signal
+import types
+
+import curio
+
+from hibiscusslip.dispatch import model
+from hibiscusslip.host import advising
+from hibiscusslip.host import context
+from hibiscusslip.host import feeds
+from hibiscusslip.host import front
+from hibiscusslip.host import guarding
+from hibiscusslip.host import notices
+from hibiscusslip.host import owner
+from hibiscusslip.host import topics
+from hibiscusslip.http import limits as http_limits
+from hibiscusslip.http import server
+from hibiscusslip.model import places
+from hibiscusslip.peer import base
+from hibiscusslip.peer import exceptions as peer_exceptions
+from hibiscusslip.peer import hello
+from hibiscusslip.peer import limits as peer_limits
+from hibiscusslip.peer import links
+from hibiscusslip.peer import messages
+from hibiscusslip.peer import server as peer_server
+from hibiscusslip.platform import advice
+from hibiscusslip.platform import exceptions
+from hibiscusslip.platform import store
+
+ASK_TIMEOUT_S = 0.5
+CLAIM_PAUSE_S = 0.05
+CLAIM_TIMEOUT_S = 0.8
+FLUSH_S = 0.1
+SIGNAL_POLL_S = 0.05
+ANNOUNCE_PAUSE_S = 0.3
+STOP_ADVANCE_S = 2.6
+STOP_DRAIN_S = 2.0
+KEY_ID = 'cell'
+_FRONT_HTTP = http_limits.Limits(
+    idle_timeout=30.0,
+    read_timeout=4.0,
+    write_timeout=4.0,
+    max_connections=1500,
+    linger=0.5,
+)
+_PEER = peer_limits.Limits(
+    connect_timeout=0.5,
+    hello_timeout=0.7,
+    user_timeout=1.5,
+    min_backoff=0.05,
+    max_backoff=0.5,
+)
+
+
+class _Signals:
+    """Remember which signals have come; a handler only sets a flag."""
+
+    def __init__(self) -> None:
+        self.stop = False
+        self.reload = False
+        signal.signal(signal.SIGTERM, self._note)
+        signal.signal(signal.SIGINT, self._note)
+        signal.signal(signal.SIGHUP, self._note)
+
+    def _note(self, number: int, frame: types.FrameType | None) -> None:
+        if number == signal.SIGHUP:
+            self.reload = True
+        else:
+            self.stop = True
+
+
+class Host(front.Cell, base.Handler):
+    """Run the servers, the feeds and, at times, the owner."""
+
+    def __init__(self, ctx: context.Context, secret: bytes) -> None:
+        self._ctx = ctx
+        cfg = ctx.cfg
+        me = places.HostId(cfg.name, ctx.incarnation)
+        info = hello.HelloInfo(cfg.zone, '', 1)
+        keys = hello.Keys({KEY_ID: secret})
+        self._links = links.PeerLinks(me, info, keys, _PEER)
+        self._peers = peer_server.PeerServer(me, info, keys, _PEER, self)
+        service = advice.AdviceService(cfg.advice) if cfg.advice else None
+        self._advisers = advising.Advisers(ctx, service, self._links)
+        self._front = server.Server(front.Front(ctx, self), _FRONT_HTTP)
+        self._ready = server.Server(front.Ready(ctx), _FRONT_HTTP)
+        self._owner: owner.Owner | None = None
+
+    async def run(self) -> None:
+        """Run until SIGTERM, then stop in good order."""
+        cfg = self._ctx.cfg
+        await self._ready.listen(cfg.ready.ip, cfg.ready.port)
+        await self._front.listen(cfg.front.ip, cfg.front.port)
+        await self._peers.listen(cfg.front.ip, cfg.ports[0])
+        self._ctx.log.note('host_started', zone=cfg.zone, pid=os.getpid())
+        async with curio.TaskGroup(wait=any) as group:
+            for loop in (
+                self._ready.serve,
+                self._front.serve,
+                self._peers.serve,
+                feeds.ConfigFeed(self._ctx).run,
+                feeds.HostFeed(self._ctx).run,
+                feeds.OwnerFeed(self._ctx).run,
+                self._announce,
+                self._own,
+                self._flush,
+                self._await_stop,
+            ):
+                await group.spawn(guarding.guard, self._ctx, loop)
+        self._ctx.log.note('host_stopped')
+        self._ctx.log.flush()
+
+    async def _flush(self) -> None:
+        while True:
+            await curio.sleep(FLUSH_S)
+            self._ctx.log.flush()
+
+    async def _await_stop(self) -> None:
+        seen = _Signals()
+        while not seen.stop:
+            await curio.sleep(SIGNAL_POLL_S)
+            if seen.reload:
+                seen.reload = False
+                self._ctx.log.note('reload_asked')
+        await self._stop()
+
+    async def _stop(self) -> None:
+        ctx = self._ctx
+        started = context.steady()
+        ctx.stopping = True
+        ctx.log.note('host_stopping', owner=self._owner is not None)
+        if self._owner is not None:
+            await self._owner.hand_over()
+        left = started + STOP_ADVANCE_S - context.steady()
+        await curio.sleep(max(left, 0.0))
+        cut = await self._front.drain(STOP_DRAIN_S)
+        if cut:
+            ctx.log.note('requests_cut', count=cut)
+
+    async def _announce(self) -> None:
+        """Tell the other hosts where this one listens."""
+        cfg = self._ctx.cfg
+        record = notices.HostRecord(
+            cfg.name,
+            self._ctx.incarnation,
+            cfg.zone,
+            cfg.front.ip,
+            cfg.ports[0],
+            cfg.cpu_share * cfg.cores,
+        )
+        entry = store.keyed(cfg.name, notices.encode(record))
+        while True:
+            try:
+                await self._ctx.store.append(
+                    topics.HOSTS, [entry], CLAIM_TIMEOUT_S
+                )
+                break
+            except exceptions.PlatformError as exc:
+                self._ctx.log.note('announce_failed', error=str(exc)[:120])
+                await curio.sleep(ANNOUNCE_PAUSE_S)
+        while True:
+            await curio.sleep(3600)
+
+    async def _own(self) -> None:
+        """Claim the ownership when nobody has it, and use it."""
+        ctx = self._ctx
+        while True:
+            now = context.steady()
+            if ctx.ownership.held and not ctx.stopping:
+                await self._own_once(ctx.ownership.held)
+            elif not ctx.stopping and ctx.ownership.may_claim(now):
+                await self._claim(now)
+            await curio.sleep(CLAIM_PAUSE_S)
+
+    async def _claim(self, now: float) -> None:
+        ctx = self._ctx
+        end = ctx.ownership.end
+        epoch = end + 1
+        notice = notices.OwnerNotice(
+            notices.CLAIM,
+            epoch,
+            ctx.cfg.name,
+            ctx.incarnation,
+            ctx.cfg.front.ip,
+            ctx.cfg.ports[0],
+        )
+        try:
+            await ctx.store.append(
+                topics.OWNER,
+                [notices.encode(notice)],
+                CLAIM_TIMEOUT_S,
+                at=end,
+            )
+        except exceptions.StoreConflict:
+            return
+        except exceptions.PlatformError as exc:
+            ctx.log.note('claim_failed', error=str(exc)[:120])
+            return
+        ctx.ownership.won(epoch, now)
+        ctx.log.note(
+            'owner_won', epoch=epoch, silent_s=round(now - ctx.ownership.heard)
+        )
+
+    async def _own_once(self, epoch: int) -> None:
+        ctx = self._ctx
+        self._owner = owner.Owner(ctx, self._advisers, epoch)
+        try:
+            await self._owner.run()
+        except exceptions.ProducerFenced:
+            ctx.log.note('owner_fenced', epoch=epoch)
+        except Exception as exc:
+            guarding.note_crash(ctx, 'owner', exc)
+        finally:
+            ctx.ownership.lose()
+            self._owner = None
+            ctx.log.note('owner_lost', epoch=epoch)
+
+    # The cell, as the front asks it.
+
+    async def state_of(self, ident: str) -> model.JobState | None:
+        """Return a job's state from the owner, here or elsewhere."""
+        mine = self._owner
+        if mine is not None and mine.ready:
+            return await self._state_here(mine, ident)
+        known = self._ctx.ownership.owner
+        if known is None or known.host == self._ctx.cfg.name:
+            raise front.OwnerUnknown('no owner is known; try again')
+        return await self._state_there(known, ident)
+
+    async def _state_here(
+        self, mine: owner.Owner, ident: str
+    ) -> model.JobState | None:
+        try:
+            return await mine.state_of(ident)
+        except exceptions.PlatformError as exc:
+            raise front.OwnerUnknown(str(exc)) from exc
+
+    async def _state_there(
+        self, known: notices.OwnerNotice, ident: str
+    ) -> model.JobState | None:
+        self._links.set_address(known.host, known.address, known.port)
+        query = messages.CellJobQuery(ident)
+        try:
+            reply = await self._links.call(known.host, query, ASK_TIMEOUT_S)
+        except peer_exceptions.PeerUnsettled as exc:
+            # The connection may have gone silent: make a new one.
+            self._links.forget(known.host)
+            raise front.OwnerUnknown(str(exc)) from exc
+        except peer_exceptions.PeerError as exc:
+            raise front.OwnerUnknown(str(exc)) from exc
+        if not isinstance(reply, messages.CellJobReply):
+            raise front.OwnerUnknown('the owner gave no state')
+        return model.JobState(reply.state) if reply.known else None
+
+    # Calls of other hosts.
+
+    async def handle(
+        self, sender: places.HostId, body: messages.PeerMessage
+    ) -> messages.PeerMessage:
+        """Answer another host; must not raise."""
+        if isinstance(body, messages.CellJobQuery):
+            return await self._tell_state(body)
+        if isinstance(body, messages.AdviceQuery):
+            return await self._advise(body)
+        return messages.Refusal('unknown', "this call isn't served here")
+
+    async def _tell_state(
+        self, query: messages.CellJobQuery
+    ) -> messages.PeerMessage:
+        mine = self._owner
+        if mine is None or not mine.ready:
+            return messages.Refusal('not_owner', 'ask the owner', 0.2)
+        try:
+            found = await self._state_here(mine, query.job)
+        except front.OwnerUnknown as exc:
+            return messages.Refusal('unknown', str(exc), 0.2)
+        if found is None:
+            return messages.CellJobReply(False, '')
+        return messages.CellJobReply(True, found.value)
+
+    async def _advise(
+        self, query: messages.AdviceQuery
+    ) -> messages.PeerMessage:
+        sent = context.steady()
+        try:
+            told = await self._advisers.ask_here(
+                query.step, query.endpoints, ADVICE_TIMEOUT_S
+            )
+        except exceptions.PlatformError as exc:
+            return messages.Refusal('no_advice', str(exc), 0.2)
+        del sent
+        return messages.AdviceReply(told.tickets, told.valid, 0.0)
+
+
+ADVICE_TIMEOUT_S = 4.0
--- /dev/null
+++ b/hibiscusslip/host/ownership.py
@@ -0,0 +1,101 @@
+"""Decide who owns the cell and until when its owner may act; no I/O.
+
+A claim is an append on condition that the topic ends where the claimant has
+read to, so of two claims one fails. The owner's heartbeats go to the same
+topic; hosts that read the store and hear none for a while claim. An owner
+that can't reach the store starts nothing, as each start needs a record
+first, and extends leases only until `RENEW_S` after its last record.
+"""
+
+import dataclasses
+
+from hibiscusslip.host import notices
+
+BEAT_S = 0.5
+SILENCE_S = 1.7
+RENEW_S = 10.0
+FRESH_READ_S = 0.9
+MOST_STAGGER_S = 0.5
+
+
+@dataclasses.dataclass(slots=True)
+class Ownership:
+    """Hold what one host knows of the ownership.
+
+    `stagger` keeps hosts from claiming all at once, the strongest first.
+    """
+
+    name: str
+    incarnation: str
+    stagger: float
+    end: int = 0
+    epoch: int = 0
+    owner: notices.OwnerNotice | None = None
+    heard: float = 0.0
+    read: float = 0.0
+    held: int = 0
+    confirmed: float = 0.0
+
+    def read_to(self, end: int, now: float) -> None:
+        """Take note that the topic was read to its end."""
+        self.end = max(self.end, end)
+        self.read = now
+        if not self.heard:
+            self.heard = now
+
+    def take(self, notice: notices.OwnerNotice, now: float) -> None:
+        """Take a notice in the order of the topic."""
+        if notice.epoch < self.epoch:
+            return  # of an owner that another one has followed
+        self.epoch = notice.epoch
+        self.owner = notice
+        self.heard = now
+        if self.held and notice.epoch > self.held:
+            self.held = 0
+
+    def may_claim(self, now: float) -> bool:
+        """Tell whether this host should try to become the owner."""
+        if self.held or not self.read or now > self.read + FRESH_READ_S:
+            return False
+        patience = SILENCE_S
+        owner = self.owner
+        if owner is None and self.end == 0:
+            patience = 0.0
+        elif owner is not None and owner.kind == notices.RELEASE:
+            patience = 0.0
+        elif owner is not None and self._was_me(owner):
+            patience = 0.0  # the owner was this host's last incarnation
+        return now >= self.heard + patience + self.stagger
+
+    def _was_me(self, owner: notices.OwnerNotice) -> bool:
+        return (
+            owner.host == self.name and owner.incarnation != self.incarnation
+        )
+
+    def won(self, epoch: int, sent: float) -> None:
+        """Take note that this host's claim was written."""
+        self.held = epoch
+        self.epoch = epoch
+        self.confirmed = sent
+
+    def confirm(self, sent: float) -> None:
+        """Take note that a record sent at `sent` was written as owner."""
+        self.confirmed = max(self.confirmed, sent)
+
+    def lose(self) -> None:
+        """Stop being the owner."""
+        self.held = 0
+
+    def may_renew(self, now: float) -> bool:
+        """Tell whether this owner may still extend leases."""
+        return bool(self.held) and now < self.confirmed + RENEW_S
+
+
+def stagger(strength: float, share: float) -> float:
+    """Return how long a host waits before it claims, in seconds.
+
+    `strength` is its processor in cores, `share` from 0 to 1 tells hosts
+    of one strength apart.
+    """
+    weak = 1.0 / (1.0 + max(strength, 0.0))
+    return MOST_STAGGER_S * (0.7 * weak + 0.3 * share)
--- /dev/null
+++ b/hibiscusslip/host/recovery.py
@@ -0,0 +1,158 @@
+"""Build an owner's state from the store, after another owner or a restart."""
+
+import dataclasses
+
+from hibiscusslip.dispatch import engine as engines
+from hibiscusslip.dispatch import model
+from hibiscusslip.dispatch import records
+from hibiscusslip.dispatch import state
+from hibiscusslip.host import context
+from hibiscusslip.host import ownership
+from hibiscusslip.host import topics
+from hibiscusslip.platform import documents
+from hibiscusslip.platform import exceptions
+from hibiscusslip.platform import store
+
+READ_TIMEOUT_S = 2.5
+MOST_AGE_S = 60.0
+SETTLE_SLACK_S = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Recovered:
+    """Hold from where the owner follows the inbox and the endpoints."""
+
+    inbox: int
+    endpoints: int
+    orphans: list[str]
+
+
+async def recover(ctx: context.Context, engine: engines.Engine) -> Recovered:
+    """Read all records into a fresh engine; raises PlatformError."""
+    progress = await ctx.store.newest(topics.JOBS, READ_TIMEOUT_S)
+    inbox = await ctx.store.newest(topics.INBOX, READ_TIMEOUT_S)
+    listed = await ctx.store.newest(store.WORKERS_TOPIC, READ_TIMEOUT_S)
+    now = context.steady()
+    for name, value in listed.values.items():
+        entry = documents.read_entry(name, value)
+        if entry is not None:
+            engine.list_endpoint(entry, now)
+    _submit_all(ctx, engine, inbox, now)
+    _restore_all(ctx, engine, progress, now)
+    _cancel_all(engine, inbox, now)
+    ctx.log.note(
+        'state_recovered',
+        jobs=len(engine.jobs),
+        endpoints=len(engine.endpoints),
+        placed=sum(len(e.bookings) for e in engine.endpoints.values()),
+    )
+    orphans = [k for k, v in progress.values.items() if v]
+    orphans = [ident for ident in orphans if ident not in engine.jobs]
+    return Recovered(inbox.end, listed.end, orphans)
+
+
+def _submit_all(
+    ctx: context.Context,
+    engine: engines.Engine,
+    inbox: store.Newest,
+    now: float,
+) -> None:
+    wall = context.wall()
+    for key in sorted(inbox.values, key=lambda name: inbox.offsets[name]):
+        value = inbox.values[key]
+        if value and not key.startswith(topics.CANCEL_PREFIX):
+            submit(ctx, engine, key, value, now, wall)
+
+
+def submit(
+    ctx: context.Context,
+    engine: engines.Engine,
+    ident: str,
+    value: bytes,
+    now: float,
+    wall: float,
+) -> None:
+    """Take the record of an accepted job."""
+    try:
+        submission = records.decode_submission(value)
+        spec = documents.read_job(submission.body)
+    except (records.Unreadable, exceptions.RequestInvalid) as exc:
+        ctx.log.note('submission_unreadable', job=ident, error=str(exc)[:200])
+        return
+    age = min(max(wall - submission.accepted, 0.0), MOST_AGE_S)
+    engine.submit(ident, submission, spec, now - age, wall)
+
+
+def _restore_all(
+    ctx: context.Context,
+    engine: engines.Engine,
+    progress: store.Newest,
+    now: float,
+) -> None:
+    for ident, value in progress.values.items():
+        job = engine.jobs.get(ident)
+        if job is None or not value:
+            continue
+        try:
+            row = records.decode_job(value)
+            for number in row.occurrences:
+                if number not in job.occurrences:
+                    engine.open_occurrence(job, number, now)
+            records.restore(job, row)
+        except (records.Unreadable, KeyError, IndexError, ValueError) as exc:
+            ctx.log.note('progress_unreadable', job=ident, error=repr(exc))
+            continue
+        _place_all(ctx, engine, job, now)
+
+
+def _place_all(
+    ctx: context.Context, engine: engines.Engine, job: state.Job, now: float
+) -> None:
+    """Book what may still run, until its endpoint was looked at."""
+    if job.state.final:
+        job.final_at = now
+        engine.timed.pop(job.ident, None)
+    for step in job.steps():
+        if job.state.final or step.complete:
+            engine.active.pop(step.name, None)
+        for task in step.tasks:
+            if task.status.placed:
+                _book(ctx, engine, task, now)
+
+
+def _book(
+    ctx: context.Context, engine: engines.Engine, task: state.Task, now: float
+) -> None:
+    endpoint = engine.endpoints.get(task.endpoint)
+    if endpoint is None:
+        endpoint = state.Endpoint(task.endpoint)
+        engine.endpoints[task.endpoint] = endpoint
+    longest = ctx.cfg.bounds.max_lease / state.SLOWEST_CLOCK
+    endpoint.settle_by = now + ownership.RENEW_S + longest + SETTLE_SLACK_S
+    booking = state.Booking(
+        task, task.run, task.step.spec.booked, now, recovered=True
+    )
+    endpoint.book(task.name, booking)
+
+
+def _cancel_all(
+    engine: engines.Engine, inbox: store.Newest, now: float
+) -> None:
+    for key, value in inbox.values.items():
+        if value and key.startswith(topics.CANCEL_PREFIX):
+            engine.cancel(key[len(topics.CANCEL_PREFIX) :], now)
+
+
+def is_final(engine: engines.Engine, ident: str) -> bool:
+    """Tell whether a job has ended and its record says so."""
+    job = engine.jobs.get(ident)
+    return job is not None and job.shown.final
+
+
+def shown_state(job: state.Job) -> model.JobState:
+    """Return what callers are told of a job."""
+    if job.shown.final:
+        return job.shown
+    if job.begun:
+        return model.JobState.RUNNING
+    return model.JobState.QUEUED
--- /dev/null
+++ b/hibiscusslip/host/tailing.py
@@ -0,0 +1,81 @@
+"""Follow topics of the store, whatever becomes of their history."""
+
+import abc
+
+import curio
+
+from hibiscusslip.host import context
+from hibiscusslip.platform import exceptions
+from hibiscusslip.platform import store
+
+CALL_TIMEOUT_S = 1.2
+LEAST_PAUSE_S = 0.05
+MOST_PAUSE_S = 0.4
+
+
+class Tail(abc.ABC):
+    """Follow one topic; a subclass says what its records mean."""
+
+    topic = ''
+    wait = 0.5  # how long a read waits at the store for a record, in s
+    pause = 0.0  # how long to rest between two reads, in s
+
+    def __init__(self, ctx: context.Context) -> None:
+        self.ctx = ctx
+        self.offset: int | None = None
+        self._pause = LEAST_PAUSE_S
+
+    @abc.abstractmethod
+    async def load(self) -> int:
+        """Read what is there now; return the offset to go on from."""
+
+    @abc.abstractmethod
+    async def take(self, offset: int, record: bytes) -> None:
+        """Take one record."""
+
+    async def caught_up(self, end: int) -> None:  # noqa: B027
+        """Take note that all records before `end` were taken."""
+        return None
+
+    async def run(self) -> None:
+        """Follow the topic until cancelled."""
+        while True:
+            try:
+                await self.read_once(self.wait)
+                self._pause = LEAST_PAUSE_S
+                if self.pause:
+                    await curio.sleep(self.pause)
+            except exceptions.HistoryGone as exc:
+                self.ctx.log.note(
+                    'history_gone', topic=self.topic, first=exc.first
+                )
+                self.offset = None
+            except exceptions.PlatformError as exc:
+                self.ctx.metrics.count('tail_failures', topic=self.topic)
+                self.ctx.log.note(
+                    'tail_failed', topic=self.topic, error=str(exc)[:120]
+                )
+                await curio.sleep(self._pause)
+                self._pause = min(self._pause * 2, MOST_PAUSE_S)
+
+    async def read_once(self, wait: float) -> None:
+        """Read on once; raises PlatformError."""
+        if self.offset is None:
+            self.offset = await self.load()
+            self.ctx.store_answered = context.steady()
+        batch = await self.ctx.store.read(
+            self.topic, self.offset, wait, CALL_TIMEOUT_S
+        )
+        self.ctx.store_answered = context.steady()
+        if batch.start < self.offset:
+            return  # another reader of this tail was faster
+        await self._take_all(batch)
+
+    async def _take_all(self, batch: store.Batch) -> None:
+        for number, record in enumerate(batch.records):
+            offset = batch.start + number
+            if self.offset is not None and offset >= self.offset:
+                self.offset = offset + 1
+                await self.take(offset, record)
+        if self.offset is not None and self.offset >= batch.end:
+            await self.caught_up(batch.end)
--- /dev/null
+++ b/hibiscusslip/host/watching.py
@@ -0,0 +1,230 @@
+"""Hold the runs of endpoints and take what they list."""
+
+import curio
+
+from hibiscusslip.dispatch import commands
+from hibiscusslip.dispatch import engine as engines
+from hibiscusslip.dispatch import state
+from hibiscusslip.host import context
+from hibiscusslip.host import signals
+from hibiscusslip.platform import exceptions
+from hibiscusslip.platform import orders
+
+HOLD_WAIT_S = 1.0
+HOLD_TIMEOUT_S = 0.7
+IDLE_LOOK_S = 3.0
+SILENT_PAUSE_S = 0.25
+RECORD_WAIT_S = 0.6
+ORDER_TIMEOUT_S = 0.4
+ORDER_PAUSE_S = 0.05
+ORDER_RESERVE_S = 0.2
+MOST_ORDER_AGE_S = 1.0
+STOP_ATTEMPTS = 3
+LEAST_GAP_S = 0.02
+
+
+class Watcher:
+    """Look at one endpoint as long as it's known, and give it orders."""
+
+    def __init__(
+        self,
+        ctx: context.Context,
+        engine: engines.Engine,
+        name: str,
+        address: str,
+        epoch: int,
+        changed: signals.Wake,
+        record: signals.Wake,
+    ) -> None:
+        self.name = name
+        self.address = address
+        self.wake = signals.Wake()
+        self._ctx = ctx
+        self._engine = engine
+        self._epoch = epoch
+        self._changed = changed
+        self._record = record
+        self._orders = orders.Orders(name, address)
+
+    async def run(self) -> None:
+        """Look and hold until the endpoint is forgotten."""
+        while self.name in self._engine.endpoints:
+            endpoint = self._engine.endpoints[self.name]
+            try:
+                await self._look(endpoint)
+            except exceptions.OrderRefused as exc:
+                await self._refused(exc.reason)
+            except exceptions.PlatformError:
+                self._engine.silent(self.name, context.steady())
+                await self._changed.set()
+                await curio.sleep(SILENT_PAUSE_S)
+        await self._orders.close()
+
+    async def _look(self, endpoint: state.Endpoint) -> None:
+        sent = context.steady()
+        busy = bool(endpoint.bookings)
+        wait = HOLD_WAIT_S if busy and endpoint.looked else 0.0
+        handled = endpoint.handled
+        look = await self._orders.hold(
+            self._deadline(endpoint, sent),
+            self._epoch,
+            endpoint.seen,
+            wait,
+            HOLD_TIMEOUT_S,
+        )
+        now = context.steady()
+        self._ctx.metrics.count('looks')
+        first = not endpoint.looked
+        self._engine.looked(self.name, look, sent, now)
+        if endpoint.handled != handled or first or self._engine.stops:
+            await self._record.set()
+            await self._changed.set()
+        await self._pause(endpoint, busy, now - sent)
+
+    def _deadline(self, endpoint: state.Endpoint, now: float) -> float | None:
+        """Return until when runs may go on, on the endpoint's clock."""
+        if not endpoint.looked or not endpoint.bookings:
+            return None
+        if not self._ctx.ownership.may_renew(now):
+            return None
+        lease = self._engine.lease
+        if self._ctx.stopping or not self._ctx.store_ok(now, 1.0):
+            lease = self._ctx.cfg.bounds.max_lease
+        deadline = endpoint.clock_now(now) + lease
+        endpoint.granted = max(endpoint.granted, deadline)
+        return deadline
+
+    async def _pause(
+        self, endpoint: state.Endpoint, busy: bool, took: float
+    ) -> None:
+        if endpoint.seen < endpoint.handled:
+            await self._await_record(endpoint)
+        elif not endpoint.bookings:
+            await self.wake.wait(IDLE_LOOK_S)
+        elif took < LEAST_GAP_S:
+            await curio.sleep(LEAST_GAP_S)
+
+    async def _await_record(self, endpoint: state.Endpoint) -> None:
+        give_up = context.steady() + RECORD_WAIT_S
+        while endpoint.seen < endpoint.handled:
+            if context.steady() >= give_up:
+                return
+            await curio.sleep(LEAST_GAP_S)
+
+    async def _refused(self, reason: str) -> None:
+        self._ctx.log.note('hold_refused', endpoint=self.name, reason=reason)
+        if reason == 'instance':
+            self._engine.replaced(self.name, context.steady())
+            await self._changed.set()
+        await curio.sleep(SILENT_PAUSE_S)
+
+    async def start(self, start: commands.Start) -> None:
+        """Send a start until it's answered or void."""
+        doubtful = False
+        now = context.steady()
+        if now > start.decided + MOST_ORDER_AGE_S:
+            self._engine.not_started(start, 'too old to send', now)
+            await self._changed.set()
+            return
+        order = orders.StartOrder(
+            start.task.name,
+            start.run,
+            start.payload,
+            start.deadline,
+            self._epoch,
+            start.checkpoint,
+            start.ticket,
+        )
+        give_up = start.decided + MOST_ORDER_AGE_S + ORDER_RESERVE_S
+        while now < give_up and self._ctx.ownership.held:
+            try:
+                clock = await self._orders.start(order, ORDER_TIMEOUT_S)
+                await self._started(start, clock, now)
+                return
+            except exceptions.OrderRefused as exc:
+                await self._start_refused(start, exc.reason, doubtful)
+                return
+            except exceptions.OrderUnsettled:
+                doubtful = True
+                self._ctx.metrics.count('orders_unanswered')
+            except exceptions.OrderNotSent:
+                pass
+            await curio.sleep(ORDER_PAUSE_S)
+            now = context.steady()
+        reason = 'in doubt' if doubtful else 'unreached'
+        await self._start_refused(start, reason, doubtful)
+
+    async def _started(
+        self, start: commands.Start, clock: float | None, sent: float
+    ) -> None:
+        now = context.steady()
+        self._ctx.metrics.time('start_order', now - sent)
+        self._ctx.metrics.count('starts')
+        self._engine.started(start, clock, now)
+        self._ctx.log.note(
+            'run_ordered',
+            task=start.task.name,
+            run=start.run,
+            endpoint=self.name,
+            decided_ms_ago=int((now - start.decided) * 1000),
+        )
+        await self.wake.set()
+
+    async def _start_refused(
+        self, start: commands.Start, reason: str, doubtful: bool
+    ) -> None:
+        self._ctx.metrics.count('starts_refused', reason=reason)
+        if doubtful:
+            self._ctx.log.note(
+                'start_in_doubt',
+                task=start.task.name,
+                run=start.run,
+                endpoint=self.name,
+                reason=reason,
+            )
+            await self.wake.set()
+            return
+        self._engine.not_started(start, reason, context.steady())
+        await self._record.set()
+        await self._changed.set()
+
+    async def stop(self, stop: commands.Stop) -> None:
+        """Send a stop a few times; later looks repeat it if need be."""
+        self._ctx.log.note(
+            'run_stopped',
+            task=stop.task,
+            run=stop.run,
+            endpoint=self.name,
+            reason=stop.reason,
+        )
+        for _ in range(STOP_ATTEMPTS):
+            try:
+                await self._orders.stop(
+                    stop.task, stop.run, self._epoch, ORDER_TIMEOUT_S
+                )
+                break
+            except exceptions.OrderRefused:
+                break
+            except exceptions.PlatformError:
+                await curio.sleep(ORDER_PAUSE_S)
+        await self.wake.set()
+
+    async def pace(self, pace: commands.Pace) -> None:
+        """Send a pace once; the next plan repeats it if need be."""
+        self._ctx.log.note(
+            'run_paced',
+            task=pace.task,
+            run=pace.run,
+            endpoint=self.name,
+            percent=pace.percent,
+        )
+        try:
+            await self._orders.pace(
+                pace.task,
+                pace.run,
+                pace.percent,
+                self._epoch,
+                ORDER_TIMEOUT_S,
+            )
+        except exceptions.PlatformError as exc:
+            self._ctx.log.note('pace_failed', task=pace.task, error=str(exc))
--- a/hibiscusslip/peer/messages.py
+++ b/hibiscusslip/peer/messages.py
@@ -333,6 +333,37 @@
     cancel: bool
 
 
+class CellJobQuery(_Message, frozen=True, tag='cell_job_query'):
+    """Ask the owner of the cell how far a job is."""
+
+    job: str
+
+
+class CellJobReply(_Message, frozen=True, tag='cell_job_reply'):
+    """Tell a job's state; `known` is false when no such job exists."""
+
+    known: bool
+    state: str
+
+
+class AdviceQuery(_Message, frozen=True, tag='advice_query'):
+    """Ask a host to call the advice service for the owner."""
+
+    step: str
+    endpoints: list[str]
+
+
+class AdviceReply(_Message, frozen=True, tag='advice_reply'):
+    """Tell a ticket for each eligible endpoint and how long they hold.
+
+    `age` is for how long the tickets have been valid, in seconds.
+    """
+
+    tickets: dict[str, str]
+    valid: float
+    age: float
+
+
 class Done(_Message, frozen=True, tag='done'):
     """Confirm a call that has nothing to tell."""
 
@@ -377,6 +408,10 @@
     DrainEndpoint,
     EndpointDraining,
     SelectJobs,
+    CellJobQuery,
+    CellJobReply,
+    AdviceQuery,
+    AdviceReply,
     Done,
     Refusal,
 ]
--- /dev/null
+++ b/hibiscusslip/platform/advice.py
@@ -0,0 +1,69 @@
+"""Ask which endpoints a queue's policy allows for a step."""
+
+import dataclasses
+
+import msgspec
+
+from hibiscusslip.http import client
+from hibiscusslip.http import exceptions as http_exceptions
+from hibiscusslip.http import limits
+from hibiscusslip.platform import exceptions
+from hibiscusslip.platform import settings
+
+MOST_ENDPOINTS = 100
+_HTTP = limits.Limits(connect_timeout=0.7, idle_timeout=20.0)
+_HEADERS = {'content-type': 'application/json'}
+
+
+class _Eligible(msgspec.Struct, rename='pascal'):
+    eligible: list[tuple[str, str]] = []
+    valid_ms: float = 2000.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Eligible:
+    """Hold a ticket for each endpoint that may run the step.
+
+    `valid` is for how long the tickets hold, in seconds.
+    """
+
+    tickets: dict[str, str]
+    valid: float
+
+
+class AdviceService:
+    """Hold the connection to the advice service, one call at a time."""
+
+    def __init__(self, address: settings.Address) -> None:
+        self._pool = client.Pool(address.ip, address.port, _HTTP, 2)
+
+    async def ask(
+        self, step: str, endpoints: list[str], timeout: float
+    ) -> Eligible:
+        """Return tickets for a step; raises StoreUnavailable."""
+        body = msgspec.json.encode(
+            {'Step': step, 'Workers': endpoints[:MOST_ENDPOINTS]}
+        )
+        try:
+            response = await self._pool.call(
+                'POST',
+                '/v1/advise',
+                body=body,
+                headers=_HEADERS,
+                timeout=timeout,
+            )
+            if response.status != 200:
+                raise exceptions.StoreUnavailable(
+                    f'the advice service answered {response.status}'
+                )
+            told = msgspec.json.decode(response.body, type=_Eligible)
+        except (http_exceptions.HttpError, msgspec.MsgspecError) as exc:
+            raise exceptions.StoreUnavailable(
+                f'no advice: {exc}; ask again'
+            ) from exc
+        valid = told.valid_ms / settings.MS_PER_S
+        return Eligible(dict(told.eligible), valid)
+
+    async def close(self) -> None:
+        """Close the connection."""
+        await self._pool.close()
--- /dev/null
+++ b/hibiscusslip/platform/documents.py
@@ -0,0 +1,269 @@
+"""Read the documents of the platform into the types of the product."""
+
+import typing
+
+import msgspec
+
+from hibiscusslip.dispatch import model
+from hibiscusslip.platform import exceptions
+
+MS_PER_S = 1000.0
+CACHED_CHARS = 4000
+MAX_STEPS = 100
+MAX_TASKS = 10000
+
+
+class _Named(msgspec.Struct, rename='pascal'):
+    """Name fields as the pages do."""
+
+
+class _Amounts(_Named):
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+
+    def demand(self) -> model.Demand:
+        """Return the amounts as the product's type."""
+        return model.Demand(self.cpu, self.mem_mb, self.gpu)
+
+
+class _Step(_Amounts):
+    count: int = 1
+    estimate_ms: float = 0.0
+    depends_on: list[int] = []
+    checkpoints: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    requires: str = ''
+    affinity: str = ''
+    anti_affinity: int = 0
+    speculative: bool = False
+    long_running: bool = False
+    image: str = ''
+    target_ms: float = 0.0
+    fills: bool = False
+    may_miss: int = 0
+
+
+class _Job(_Named):
+    spec: str
+    steps: list[_Step]
+    times: int = 0
+    start_ms: float = 0.0
+    interval_ms: float = 0.0
+
+
+class _Advice(_Named):
+    decision_ms: float = 0.0
+    period_ms: float = 0.0
+    valid_ms: float = 2000.0
+
+
+class _Route(_Named):
+    name: str
+    host: str
+    path_prefix: str
+    service: str
+    target_latency_ms: float = 1000.0
+    priority: int = 0
+    max_attempts: int = 1
+    stretch: float = 1.0
+    advice: _Advice | None = None
+
+
+class _Service(_Named):
+    name: str
+    health_path: str = ''
+    rejects_overload: bool = False
+    standby: bool = False
+
+
+class _Limits(_Named):
+    max_body_bytes: int = 262144
+
+
+class _Config(_Named):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+class _Entry(_Named):
+    service: str
+    addr: str
+    zone: str
+    state: str
+    capacity: _Amounts
+    labels: list[str] = []
+    seq: int = 0
+    clock_ms: float | None = None
+    born: int = msgspec.field(name='born', default=0)
+
+
+def read_job(body: bytes) -> model.JobSpec:
+    """Return the job in a caller's request; raises RequestInvalid."""
+    try:
+        job = msgspec.json.decode(body, type=_Job)
+    except msgspec.MsgspecError as exc:
+        raise exceptions.RequestInvalid(
+            f"the job can't be read: {exc}; mend the body"
+        ) from exc
+    _check_job(job)
+    return model.JobSpec(
+        payload=job.spec,
+        steps=tuple(_step(step) for step in job.steps),
+        times=job.times,
+        first_due=job.start_ms / MS_PER_S,
+        interval=job.interval_ms / MS_PER_S,
+    )
+
+
+def _check_job(job: _Job) -> None:
+    if not 1 <= len(job.steps) <= MAX_STEPS:
+        raise exceptions.RequestInvalid(
+            f'a job has 1 to {MAX_STEPS} steps; mend the body'
+        )
+    if len(job.spec) > CACHED_CHARS:
+        raise exceptions.RequestInvalid(
+            f'the specification is over {CACHED_CHARS} characters; shorten it'
+        )
+    tasks = sum(max(step.count, 0) for step in job.steps)
+    if tasks > MAX_TASKS or any(step.count < 1 for step in job.steps):
+        raise exceptions.RequestInvalid(
+            f'a step has at least one task, a job at most {MAX_TASKS}; mend'
+            ' the counts'
+        )
+    for number, step in enumerate(job.steps):
+        if any(not 0 <= other < number for other in step.depends_on):
+            raise exceptions.RequestInvalid(
+                f"step {number} depends on a step that isn't an earlier one;"
+                ' order the steps'
+            )
+
+
+def _step(step: _Step) -> model.Step:
+    return model.Step(
+        count=step.count,
+        demand=step.demand(),
+        estimate=step.estimate_ms / MS_PER_S or 1.0,
+        after=tuple(step.depends_on),
+        checkpoints=step.checkpoints,
+        gang=step.gang,
+        same_rack=step.same_rack,
+        label=step.requires,
+        rack=step.affinity,
+        spread=step.anti_affinity,
+        speculative=step.speculative,
+        lasts=step.long_running,
+        image=step.image,
+        tail_target=step.target_ms / MS_PER_S,
+        fills=step.fills,
+        may_miss=step.may_miss,
+    )
+
+
+def read_configuration(value: bytes) -> model.Configuration | None:
+    """Return the configuration in a record, None if it can't be read."""
+    try:
+        config = msgspec.json.decode(value, type=_Config)
+    except msgspec.MsgspecError:
+        return None
+    return model.Configuration(
+        version=config.version,
+        queues={route.name: _queue(route) for route in config.routes},
+        services={
+            service.name: model.Service(
+                service.name,
+                service.health_path,
+                service.rejects_overload,
+                service.standby,
+            )
+            for service in config.services
+        },
+        max_body_bytes=config.limits.max_body_bytes,
+    )
+
+
+def _queue(route: _Route) -> model.Queue:
+    advice = None
+    if route.advice is not None:
+        advice = model.Advice(
+            route.advice.decision_ms / MS_PER_S,
+            route.advice.period_ms / MS_PER_S,
+            route.advice.valid_ms / MS_PER_S,
+        )
+    return model.Queue(
+        name=route.name,
+        host=route.host,
+        prefix=route.path_prefix,
+        service=route.service,
+        target=route.target_latency_ms / MS_PER_S,
+        priority=route.priority,
+        max_attempts=route.max_attempts,
+        stretch=route.stretch,
+        advice=advice,
+    )
+
+
+def read_entry(name: str, value: bytes) -> model.EndpointEntry | None:
+    """Return an endpoint's report, None if it names none to use."""
+    try:
+        entry = msgspec.json.decode(value, type=_Entry)
+    except msgspec.MsgspecError:
+        return None
+    if entry.state not in ('ready', 'draining') or ':' not in entry.addr:
+        return None
+    return model.EndpointEntry(
+        name=name,
+        service=entry.service,
+        address=entry.addr,
+        zone=entry.zone,
+        labels=tuple(entry.labels),
+        capacity=entry.capacity.demand(),
+        draining=entry.state == 'draining',
+        seq=entry.seq,
+        born=entry.born / MS_PER_S,
+        clock=_seconds(entry.clock_ms),
+    )
+
+
+def _seconds(clock_ms: float | None) -> float | None:
+    return None if clock_ms is None else clock_ms / MS_PER_S
+
+
+class _Listing(_Named):
+    clock_ms: float
+    running: list[tuple[typing.Any, ...]] = []
+    ended: list[tuple[typing.Any, ...]] = []
+    born: int = msgspec.field(name='born', default=0)
+
+
+def read_look(body: bytes) -> model.Look:
+    """Return what an endpoint lists; raises OrderUnsettled."""
+    try:
+        listing = msgspec.json.decode(body, type=_Listing)
+        return model.Look(
+            born=listing.born / MS_PER_S,
+            clock=listing.clock_ms / MS_PER_S,
+            running=tuple(_running(row) for row in listing.running),
+            ended=tuple(_ended(row) for row in listing.ended),
+        )
+    except (msgspec.MsgspecError, ValueError, TypeError, IndexError) as exc:
+        raise exceptions.OrderUnsettled(
+            f'the endpoint sent a broken list: {exc}; look again'
+        ) from exc
+
+
+def _running(row: tuple[typing.Any, ...]) -> model.RunningRun:
+    usage = float(row[4]) if len(row) > 4 and row[4] is not None else 0.0
+    return model.RunningRun(
+        str(row[0]), int(row[1]), row[2] or '', int(row[3] or 0), usage
+    )
+
+
+def _ended(row: tuple[typing.Any, ...]) -> model.EndedRun:
+    how = model.Ending(row[3])
+    return model.EndedRun(
+        int(row[0]), str(row[1]), int(row[2]), how, row[4] or ''
+    )
--- a/hibiscusslip/platform/exceptions.py
+++ b/hibiscusslip/platform/exceptions.py
@@ -28,3 +28,64 @@
         self.stream = stream
         self.asked = asked
         self.first = first
+
+
+class SettingsInvalid(PlatformError):
+    """Raise when the settings file can't be used."""
+
+
+class StoreUnavailable(PlatformError):
+    """Raise when the store surely did nothing; try again later."""
+
+
+class StoreUnsettled(PlatformError):
+    """Raise when no answer of the store came: it may have done the call."""
+
+
+class StoreConflict(PlatformError):
+    """Raise when a condition on an append doesn't hold; read the end."""
+
+    def __init__(self, end: int) -> None:
+        super().__init__(f'the partition ends at {end}; read up to there')
+        self.end = end
+
+
+class ProducerFenced(PlatformError):
+    """Raise when a producer with a higher epoch has written since."""
+
+
+class ProducerOutOfStep(PlatformError):
+    """Raise when a sequence number doesn't follow the last one."""
+
+    def __init__(self, expected: int) -> None:
+        super().__init__(f'the store expects sequence {expected}; use it')
+        self.expected = expected
+
+
+class HistoryGone(PlatformError):
+    """Raise when records before `first` are gone; read the newest."""
+
+    def __init__(self, first: int) -> None:
+        super().__init__(f'the first kept record is {first}; read anew')
+        self.first = first
+
+
+class OrderUnsettled(PlatformError):
+    """Raise when a worker gave no answer: it may carry the order out."""
+
+
+class OrderNotSent(PlatformError):
+    """Raise when an order surely didn't reach a worker."""
+
+
+class OrderRefused(PlatformError):
+    """Raise when a worker declined an order; `reason` says why."""
+
+    def __init__(self, reason: str, clock_ms: int | None = None) -> None:
+        super().__init__(f'the worker declined: {reason}')
+        self.reason = reason
+        self.clock_ms = clock_ms
+
+
+class RequestInvalid(PlatformError):
+    """Raise when a caller's job can't be read; the text says what to mend."""
--- /dev/null
+++ b/hibiscusslip/platform/settings.py
@@ -0,0 +1,142 @@
+"""Read the settings file that the platform hands to each process."""
+
+import dataclasses
+import pathlib
+
+from hibiscusslip.platform import exceptions
+
+FILE_VARIABLE = 'HIBISCUSSLIP_NODE_FILE'
+MS_PER_S = 1000.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Address:
+    """Hold an IP number and a port."""
+
+    ip: str
+    port: int
+
+    def __str__(self) -> str:
+        return f'{self.ip}:{self.port}'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Bounds:
+    """Hold the time bounds of the deployment, in seconds."""
+
+    max_lease: float = 6.0
+    stop_timeout: float = 1.0
+    gang_wait: float = 3.0
+    grace: float = 6.0
+    drain: float = 2.0
+    far_factor: float = 2.0
+    restore: float = 0.6
+    status_kept: float = 120.0
+    interference: float = 4.0
+    notice: float = 4.5
+    upkeep: float = 2.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HostSettings:
+    """Hold what a host is told of itself and its surroundings.
+
+    `first_start` tells that the whole system starts for the first time.
+    `cpu_share` and `cores` describe the processor: the share of a core, and
+    how many times as fast it runs.
+    """
+
+    name: str
+    zone: str
+    front: Address
+    ready: Address
+    ports: tuple[int, int]
+    store: Address
+    advice: Address | None
+    cloud: Address | None
+    first_start: bool
+    cpu_share: float
+    cores: float
+    link_mbps: float
+    heartbeat: float
+    bounds: Bounds
+
+
+_BOUND_KEYS = {
+    'max_lease': ('MaxHoldMs', MS_PER_S),
+    'stop_timeout': ('StopTimeoutMs', MS_PER_S),
+    'gang_wait': ('GangWaitMs', MS_PER_S),
+    'grace': ('GraceS', 1.0),
+    'drain': ('DrainMs', MS_PER_S),
+    'far_factor': ('FarFactor', 1.0),
+    'restore': ('RestoreMs', MS_PER_S),
+    'status_kept': ('status_s', 1.0),
+    'interference': ('InterferenceMs', MS_PER_S),
+    'notice': ('NoticeMs', MS_PER_S),
+    'upkeep': ('MaintenanceS', 1.0),
+}
+
+
+def load(path: str) -> HostSettings:
+    """Return the settings in a file; raises SettingsInvalid."""
+    try:
+        text = pathlib.Path(path).read_text(encoding='utf-8')
+    except (OSError, UnicodeError) as exc:
+        raise exceptions.SettingsInvalid(
+            f'{path}: {exc}; name a readable settings file'
+        ) from exc
+    return parse(text)
+
+
+def parse(text: str) -> HostSettings:
+    """Return the settings in `key=value` lines; raises SettingsInvalid."""
+    fields: dict[str, str] = {}
+    for line in text.splitlines():
+        key, found, value = line.partition('=')
+        if found:
+            fields[key.strip()] = value.strip()
+    try:
+        return _build(fields)
+    except (KeyError, ValueError) as exc:
+        raise exceptions.SettingsInvalid(
+            f'the settings lack or misspell a field: {exc!r}; see the'
+            " platform team's page on settings"
+        ) from exc
+
+
+def _build(fields: dict[str, str]) -> HostSettings:
+    low, high = fields['PortRange'].split(',')
+    return HostSettings(
+        name=fields['Node'],
+        zone=fields['Zone'],
+        front=_address(fields['Listen.Front']),
+        ready=_address(fields['Listen.Ready']),
+        ports=(int(low), int(high)),
+        store=_address(fields['platform.Addr']),
+        advice=_optional_address(fields.get('Advice', '')),
+        cloud=_optional_address(fields.get('CloudApi.Addr', '')),
+        first_start=fields.get('Bootstrap', '') == 'true',
+        cpu_share=float(fields.get('Limits.CpuShare', '1')),
+        cores=float(fields.get('Limits.Cores', '1')),
+        link_mbps=float(fields.get('Limits.LinkMbps', '1000')),
+        heartbeat=float(fields.get('HeartbeatMs', '1500')) / MS_PER_S,
+        bounds=_bounds(fields),
+    )
+
+
+def _bounds(fields: dict[str, str]) -> Bounds:
+    found = {}
+    for name, (key, scale) in _BOUND_KEYS.items():
+        text = fields.get(f'Bounds.{key}', '')
+        if text:
+            found[name] = float(text) / scale
+    return Bounds(**found)
+
+
+def _address(text: str) -> Address:
+    ip, _, port = text.rpartition(':')
+    return Address(ip, int(port))
+
+
+def _optional_address(text: str) -> Address | None:
+    return _address(text) if text else None
--- /dev/null
+++ b/hibiscusslip/platform/store.py
@@ -0,0 +1,267 @@
+"""Call the platform's store: logs, and the newest record of each key."""
+
+import base64
+import binascii
+import dataclasses
+import struct
+import typing
+import urllib.parse
+
+import msgspec
+
+from hibiscusslip.http import client
+from hibiscusslip.http import exceptions as http_exceptions
+from hibiscusslip.http import limits
+from hibiscusslip.http import messages
+from hibiscusslip.platform import exceptions
+from hibiscusslip.platform import settings
+
+CONFIG_TOPIC = 'keyed.op'
+WORKERS_TOPIC = 'keyed.servers'
+STATUS_TOPIC = 'keyed.status'
+CONFIG_KEY = 'config'
+WAVE_PREFIX = 'wave/'
+KEYED_PREFIX = 'keyed.'
+CONNECTIONS = 24
+MAX_READ_KB = 1024
+WAIT_SLACK_S = 0.8
+
+_LENGTH = struct.Struct('>I')
+_BOUNDS = struct.Struct('>QQ')
+_JSON = {'content-type': 'application/json'}
+_RAW = {'content-type': 'application/octet-stream'}
+_HTTP = limits.Limits(
+    connect_timeout=0.7, idle_timeout=20.0, tcp_user_timeout=2.0
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Batch:
+    """Hold records from `start` on; `end` is one past the newest."""
+
+    start: int
+    records: list[bytes]
+    first: int
+    end: int
+
+    @property
+    def following(self) -> int:
+        """Return the offset to read on from."""
+        return self.start + len(self.records)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Newest:
+    """Hold the newest value of each key, and where to read on from."""
+
+    values: dict[str, bytes]
+    offsets: dict[str, int]
+    end: int
+
+
+class _Item(msgspec.Struct):
+    key: str = msgspec.field(name='Key')
+    value: str = msgspec.field(name='Value', default='')
+    offset: int = msgspec.field(name='Offset', default=0)
+
+
+class _Page(msgspec.Struct):
+    items: list[_Item]
+    end: int = msgspec.field(name='End')
+    more: bool = msgspec.field(name='MorePages', default=False)
+
+
+class _Appended(msgspec.Struct):
+    offset: int = msgspec.field(name='Offset', default=0)
+    end: int = msgspec.field(name='End', default=0)
+
+
+class _Conflict(msgspec.Struct):
+    reason: str = msgspec.field(name='Reason', default='')
+    end: int = msgspec.field(name='End', default=0)
+    seq: int = msgspec.field(name='Seq', default=0)
+    first: int = msgspec.field(name='First', default=0)
+
+
+class Store:
+    """Hold the connections to the store; counts its calls by result."""
+
+    def __init__(self, address: settings.Address) -> None:
+        self._pool = client.Pool(address.ip, address.port, _HTTP, CONNECTIONS)
+        self.calls: dict[str, int] = {}
+
+    async def append(
+        self,
+        topic: str,
+        records: list[bytes],
+        timeout: float,
+        *,
+        at: int | None = None,
+        producer: tuple[str, int, int] | None = None,
+    ) -> int:
+        """Append records to the first partition; return the first offset.
+
+        `at` asks that the partition ends there, `producer` is a name, an
+        epoch and a sequence number. Raises StoreUnavailable,
+        StoreUnsettled, StoreConflict, ProducerFenced, ProducerOutOfStep.
+        """
+        query: dict[str, typing.Any] = {'Topic': topic, 'part': 0}
+        if at is not None:
+            query['At'] = at
+        if producer is not None:
+            query['Producer'], query['epoch'], query['Seq'] = producer
+        body = b''.join(_LENGTH.pack(len(r)) + r for r in records)
+        path = f'/v1/log-append?{urllib.parse.urlencode(query)}'
+        response = await self._call('POST', path, body, _RAW, timeout)
+        if response.status == 200:
+            return _decode(response, _Appended).offset
+        raise self._refusal(response)
+
+    async def read(
+        self, topic: str, start: int, wait: float, timeout: float
+    ) -> Batch:
+        """Read on from an offset, waiting up to `wait` s for a record.
+
+        Raises HistoryGone, StoreUnavailable, StoreUnsettled.
+        """
+        query = urllib.parse.urlencode(
+            {
+                'Topic': topic,
+                'part': 0,
+                'From': start,
+                'MaxKb': MAX_READ_KB,
+                'WaitMs': int(wait * settings.MS_PER_S),
+            }
+        )
+        path = f'/v1/log-read?{query}'
+        response = await self._call('GET', path, b'', {}, timeout + wait)
+        if response.status == 200:
+            return _split(start, typing.cast(bytes, response.body))
+        if response.status == 404:
+            return Batch(start, [], 0, 0)  # nothing was ever written
+        raise self._refusal(response)
+
+    async def newest(self, topic: str, timeout: float) -> Newest:
+        """Read the newest record of each key of a keyed topic.
+
+        Raises StoreUnavailable, StoreUnsettled.
+        """
+        values: dict[str, bytes] = {}
+        offsets: dict[str, int] = {}
+        end: int | None = None
+        after = ''
+        while True:
+            page = await self._page(topic, after, timeout)
+            end = page.end if end is None else min(end, page.end)
+            for item in page.items:
+                offsets[item.key] = item.offset
+                values[item.key] = _unpack(item)
+            if not page.more or not page.items:
+                return Newest(values, offsets, end)
+            after = page.items[-1].key
+
+    async def _page(self, topic: str, after: str, timeout: float) -> _Page:
+        query = {'Topic': topic, 'part': '0'}
+        if after:
+            query['DependsOn'] = after  # here: the key to go on after
+        path = f'/v1/log-newest?{urllib.parse.urlencode(query)}'
+        response = await self._call('GET', path, b'', {}, timeout)
+        if response.status == 404:
+            return _Page([], 0)
+        if response.status != 200:
+            raise self._refusal(response)
+        return _decode(response, _Page)
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._pool.close()
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        headers: dict[str, str],
+        timeout: float,
+    ) -> messages.Response:
+        try:
+            response = await self._pool.call(
+                method, path, body=body, headers=headers, timeout=timeout
+            )
+        except http_exceptions.NotSent as exc:
+            self._count('not_sent')
+            raise exceptions.StoreUnavailable(str(exc)) from exc
+        except http_exceptions.HttpError as exc:
+            self._count('unsettled')
+            raise exceptions.StoreUnsettled(str(exc)) from exc
+        self._count(str(response.status))
+        return response
+
+    def _count(self, outcome: str) -> None:
+        self.calls[outcome] = self.calls.get(outcome, 0) + 1
+
+    def _refusal(self, response: messages.Response) -> Exception:
+        status = response.status
+        if status == 412:
+            return exceptions.StoreConflict(_decode(response, _Conflict).end)
+        if status == 410:
+            return exceptions.HistoryGone(_decode(response, _Conflict).first)
+        if status == 409:
+            told = _decode(response, _Conflict)
+            if told.reason == 'fenced':
+                return exceptions.ProducerFenced('a newer epoch has written')
+            return exceptions.ProducerOutOfStep(told.seq)
+        return exceptions.StoreUnavailable(
+            f'the store answered {status}; try again later'
+        )
+
+
+def keyed(key: str, value: bytes = b'') -> bytes:
+    """Return a record of a keyed topic; without a value the key is dropped."""
+    name = key.encode('utf-8')
+    return bytes([len(name)]) + name + value
+
+
+def split_keyed(record: bytes) -> tuple[str, bytes]:
+    """Return key and value of a record of a keyed topic.
+
+    An unreadable record has the key ''.
+    """
+    if not record:
+        return '', b''
+    size = record[0]
+    name = record[1 : 1 + size].decode('utf-8', 'replace')
+    return name, record[1 + size :]
+
+
+def _unpack(item: _Item) -> bytes:
+    try:
+        return base64.b64decode(item.value)
+    except (binascii.Error, ValueError):
+        return b''
+
+
+def _split(start: int, body: bytes) -> Batch:
+    try:
+        end, first = _BOUNDS.unpack_from(body)
+        records = []
+        place = _BOUNDS.size
+        while place < len(body):
+            (size,) = _LENGTH.unpack_from(body, place)
+            place += _LENGTH.size
+            records.append(body[place : place + size])
+            place += size
+    except struct.error as exc:
+        raise exceptions.StoreUnsettled(
+            f'the store sent a broken answer: {exc}; read again'
+        ) from exc
+    return Batch(start, records, first, end)
+
+
+def _decode(response: messages.Response, kind: typing.Any) -> typing.Any:
+    try:
+        return msgspec.json.decode(response.body, type=kind)
+    except msgspec.MsgspecError as exc:
+        raise exceptions.StoreUnsettled(
+            f'the store sent a broken answer: {exc}; call again'
+        ) from exc
