Ask for tickets ahead, renew them while a step waits, order by priority

Change: ask as a step waits and while the step before is still at work; renew tickets before they end; within what can be on time the queue's priority goes first. Ruled out: processor time (0.15 cores at most on the owner).

--- /dev/null
+++ b/hibiscusslip/dispatch/_asking.py
@@ -0,0 +1,102 @@
+"""Decide when to ask the advice service, and about which endpoints.
+
+Which endpoints are eligible for a step never changes, only the tickets age.
+So the first question names all that could run it, and later ones just those
+that were eligible. Tickets are renewed before they end while a step waits,
+and got ahead while the step before is still at work, as a call can take
+longer than a task.
+"""
+
+import typing
+
+from hibiscusslip.dispatch import commands
+from hibiscusslip.dispatch import state
+
+if typing.TYPE_CHECKING:
+    from hibiscusslip.dispatch import engine as engines
+
+MARGIN_S = 0.25  # a start has to arrive while its ticket holds
+LEAD_S = 0.15
+PAUSE_S = 0.3
+MOST_ASKED = 100
+LOAD_PER_ADVISER_S = 0.9
+
+
+def fresh(step: state.StepState, now: float) -> bool:
+    """Tell whether the tickets of a step still hold for a start."""
+    return step.tickets is not None and now + MARGIN_S < step.tickets_until
+
+
+def ask_if_needed(
+    engine: 'engines.Engine',
+    step: state.StepState,
+    pool: list[state.Endpoint],
+    now: float,
+) -> None:
+    """Ask for tickets if a step will need them soon."""
+    advice = engine.queue_of(step.job).advice
+    if advice is None or step.asking or now < step.ask_again:
+        return
+    if not step.has_waiting():
+        return
+    names = _names(step, pool)
+    if not names:
+        return
+    cost = advice.decision + advice.per_endpoint * len(names)
+    lead = cost + MARGIN_S + LEAD_S
+    if step.tickets is not None and now + lead < step.tickets_until:
+        return
+    if not _soon(engine, step, cost, now):
+        return
+    allowed = LOAD_PER_ADVISER_S * engine.advisers
+    if engine.asking_cost and engine.asking_cost + cost > allowed:
+        return
+    step.asking = True
+    engine.asking_cost += cost
+    engine.asks.append(commands.Ask(step, names, cost))
+
+
+def _names(
+    step: state.StepState, pool: list[state.Endpoint]
+) -> tuple[str, ...]:
+    """Return the endpoints to ask about."""
+    names = []
+    for endpoint in pool:
+        assert endpoint.entry is not None
+        if endpoint.entry.draining:
+            continue
+        label = step.spec.label
+        if label and label not in endpoint.entry.labels:
+            continue
+        known = step.tickets is not None and endpoint.name in step.asked
+        if known and endpoint.name not in (step.tickets or {}):
+            continue
+        names.append(endpoint.name)
+    return tuple(names[:MOST_ASKED])
+
+
+def _soon(
+    engine: 'engines.Engine', step: state.StepState, cost: float, now: float
+) -> bool:
+    """Tell whether the steps before will be done when the answer is here."""
+    others = step.job.occurrences[step.occurrence]
+    for number in step.spec.after:
+        before = others[number]
+        if before.complete:
+            continue
+        left = _time_left(before, engine.estimates.run_time(before), now)
+        if left > cost + LEAD_S:
+            return False
+    return True
+
+
+def _time_left(before: state.StepState, run_time: float, now: float) -> float:
+    """Return how long the tasks of a step should still take."""
+    left = 0.0
+    for task in before.tasks:
+        if task.status is state.Status.DONE:
+            continue
+        if task.status is not state.Status.RUNNING:
+            return float('inf')
+        left = max(left, task.started + run_time - now)
+    return left
--- a/hibiscusslip/dispatch/_planning.py
+++ b/hibiscusslip/dispatch/_planning.py
@@ -1,7 +1,9 @@
 """Decide which waiting tasks to start where, and what to ask first."""
 
+import dataclasses
 import typing
 
+from hibiscusslip.dispatch import _asking
 from hibiscusslip.dispatch import commands
 from hibiscusslip.dispatch import ordering
 from hibiscusslip.dispatch import placement
@@ -11,17 +13,26 @@
     from hibiscusslip.dispatch import engine as engines
 
 ORDER_VALID_S = 2.0
-TICKET_MARGIN_S = 0.25
-ASK_PAUSE_S = 0.3
-MOST_ASKED = 100
+ASK_PAUSE_S = _asking.PAUSE_S
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Round:
+    """Hold what one round of planning knows."""
+
+    engine: 'engines.Engine'
+    services: dict[str, list[state.Endpoint]]
+    now: float
 
 
 def plan(engine: 'engines.Engine', now: float) -> None:
     """Start what fits, the most pressing steps first."""
-    services = _by_service(engine)
-    for step in _in_order(engine, now):
-        endpoints = services.get(step.job.service, [])
-        _plan_step(engine, step, endpoints, now)
+    current = _Round(engine, _by_service(engine), now)
+    for _, step in _in_order(engine, now):
+        pool = current.services.get(step.job.service, [])
+        if _ready(step):
+            _plan_step(current, step, pool)
+        _asking.ask_if_needed(engine, step, pool, now)
 
 
 def _by_service(
@@ -35,98 +46,61 @@
     return services
 
 
-def _in_order(engine: 'engines.Engine', now: float) -> list[state.StepState]:
+def _in_order(
+    engine: 'engines.Engine', now: float
+) -> list[tuple[ordering.Rank, state.StepState]]:
     ranked = []
     for step in engine.active.values():
-        if not _ready(step):
+        if step.job.state.final or not step.has_waiting():
             continue
         job = step.job
-        objective = engine.estimates.objective(job, engine.queue_of(job))
-        remaining = engine.estimates.chain(job, step.number)
-        rank = ordering.rank(step, objective, remaining, now)
+        queue = engine.queue_of(job)
+        rank = ordering.rank(
+            step,
+            engine.estimates.objective(job, queue),
+            engine.estimates.chain(job, step.number),
+            queue.priority,
+            now,
+        )
         ranked.append((rank, step))
     ranked.sort(key=lambda pair: pair[0])
-    return [step for _, step in ranked]
+    return ranked
 
 
 def _ready(step: state.StepState) -> bool:
-    if step.job.state.final:
-        return False
-    if not any(t.status is state.Status.WAITING for t in step.tasks):
-        return False
     others = step.job.occurrences[step.occurrence]
     return all(others[number].complete for number in step.spec.after)
 
 
 def _plan_step(
-    engine: 'engines.Engine',
-    step: state.StepState,
-    pool: list[state.Endpoint],
-    now: float,
+    current: _Round, step: state.StepState, pool: list[state.Endpoint]
 ) -> None:
+    now = current.now
     tasks = [task for task in step.waiting() if task.not_before <= now]
     if not tasks or (step.spec.gang and len(tasks) < len(step.tasks)):
         return
     endpoints = [e for e in pool if placement.allowed(step, e, now)]
-    needs_ticket = engine.queue_of(step.job).advice is not None
-    if needs_ticket and step.tickets is not None:
-        if endpoints and all(e.name in step.asked for e in endpoints):
-            endpoints = [e for e in endpoints if e.name in step.tickets]
-    choices = placement.choose(step, tasks, endpoints)
-    if not choices:
-        return
-    if needs_ticket and not _has_tickets(engine, step, endpoints, pool, now):
-        return
+    if current.engine.queue_of(step.job).advice is not None:
+        if not _asking.fresh(step, now):
+            return
+        tickets = step.tickets or {}
+        endpoints = [e for e in endpoints if e.name in tickets]
     newest = max(task.run for task in step.tasks)
-    for choice in choices:
+    for choice in placement.choose(step, tasks, endpoints):
         run = 1 + (newest if step.spec.gang else choice.task.run)
-        _start(engine, step, choice, run, now)
-
-
-def _has_tickets(
-    engine: 'engines.Engine',
-    step: state.StepState,
-    endpoints: list[state.Endpoint],
-    pool: list[state.Endpoint],
-    now: float,
-) -> bool:
-    """Tell whether tickets hold for all of `endpoints`; else ask."""
-    tickets = step.tickets
-    fresh = now + TICKET_MARGIN_S < step.tickets_until
-    if tickets is not None and fresh:
-        if all(endpoint.name in tickets for endpoint in endpoints):
-            return True
-    if step.asking or now < step.ask_again:
-        return False
-    _ask(engine, step, endpoints, now)
-    return False
-
-
-def _ask(
-    engine: 'engines.Engine',
-    step: state.StepState,
-    endpoints: list[state.Endpoint],
-    now: float,
-) -> None:
-    advice = engine.queue_of(step.job).advice
-    assert advice is not None
-    names = tuple(e.name for e in endpoints[:MOST_ASKED])
-    cost = advice.decision + advice.per_endpoint * len(names)
-    step.asking = True
-    engine.asks.append(commands.Ask(step, names, cost))
+        _start(current, step, choice, run)
 
 
 def _start(
-    engine: 'engines.Engine',
+    current: _Round,
     step: state.StepState,
     choice: placement.Choice,
     run: int,
-    now: float,
 ) -> None:
+    now = current.now
     task = choice.task
     endpoint = choice.endpoint
     assert endpoint.entry is not None
-    run = 1 + (max(t.run for t in step.tasks) if step.spec.gang else task.run)
     deadline = endpoint.clock_now(now) + ORDER_VALID_S
     task.status = state.Status.ORDERED
     task.run = run
@@ -140,8 +114,8 @@
     endpoint.granted = max(endpoint.granted, deadline)
     checkpoint = step.checkpoint if step.spec.gang else task.checkpoint
     tickets = step.tickets or {}
-    engine.dirty.add(step.job.ident)
-    engine.starts.append(
+    current.engine.dirty.add(step.job.ident)
+    current.engine.starts.append(
         commands.Start(
             endpoint.name,
             endpoint.entry.address,
--- a/hibiscusslip/dispatch/engine.py
+++ b/hibiscusslip/dispatch/engine.py
@@ -40,6 +40,8 @@
         self.asks: list[commands.Ask] = []
         self.active: dict[str, state.StepState] = {}
         self.timed: dict[str, state.Job] = {}
+        self.advisers = 1
+        self.asking_cost = 0.0
 
     # Jobs.
 
@@ -222,6 +224,7 @@
             task = start.task
             if task.run == start.run and task.status is state.Status.ORDERED:
                 task.status = state.Status.RUNNING
+                task.started = now
 
     def not_started(
         self, start: commands.Start, reason: str, now: float
@@ -251,6 +254,7 @@
         """Take the answer of the advice service, None for none."""
         step = ask.step
         step.asking = False
+        self.asking_cost -= ask.cost
         if tickets is None:
             step.ask_again = now + _planning.ASK_PAUSE_S
             return
--- a/hibiscusslip/dispatch/ordering.py
+++ b/hibiscusslip/dispatch/ordering.py
@@ -1,8 +1,9 @@
 """Order the steps that wait by what is lost if they wait on.
 
 The pattern it answers: bursts of twice one kind of work on a pool that is
-three quarters busy. Work that can still be on time goes first, by how soon
-it has to start; then what still earns something late; then the rest.
+three quarters busy. Work that can still be on time goes first, by its queue's
+priority and then by how soon it has to start; then what is still worth
+something late; then the rest, the oldest first.
 """
 
 import dataclasses
@@ -21,6 +22,7 @@
     """Hold the place of a step in the order; the lowest goes first."""
 
     tier: int
+    priority: int
     slack: float
     ident: str
 
@@ -29,16 +31,17 @@
     step: state.StepState,
     objective: estimates.Objective,
     remaining: float,
+    priority: int,
     now: float,
 ) -> Rank:
     """Return the place of a step; `remaining` is its chain of work."""
     if step.spec.lasts:
         slack = LASTING_PATIENCE_S - (now - step.waiting_since)
-        return Rank(ON_TIME, slack, step.name)
+        return Rank(ON_TIME, priority, slack, step.name)
     slack = objective.on_time - now - remaining
     if slack >= 0:
-        return Rank(ON_TIME, slack, step.name)
+        return Rank(ON_TIME, priority, slack, step.name)
     slack = objective.last - now - remaining
     if slack >= 0:
-        return Rank(LATE, slack, step.name)
-    return Rank(EXPIRED, step.job.submitted, step.name)
+        return Rank(LATE, priority, slack, step.name)
+    return Rank(EXPIRED, 0, step.job.submitted, step.name)
--- a/hibiscusslip/dispatch/state.py
+++ b/hibiscusslip/dispatch/state.py
@@ -75,6 +75,10 @@
         """Tell whether all tasks have ended as done."""
         return self.done == len(self.tasks)
 
+    def has_waiting(self) -> bool:
+        """Tell whether a task waits to be started."""
+        return any(t.status is Status.WAITING for t in self.tasks)
+
     def waiting(self) -> list[Task]:
         """Return the tasks that wait to be started."""
         return [t for t in self.tasks if t.status is Status.WAITING]
--- /dev/null
+++ b/hibiscusslip/dispatch/summary.py
@@ -0,0 +1,68 @@
+"""Sum up how full each service is and what waits for it."""
+
+import dataclasses
+
+from hibiscusslip.dispatch import engine as engines
+from hibiscusslip.dispatch import model
+from hibiscusslip.dispatch import state
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceLoad:
+    """Hold one service's load; `waiting` counts tasks by queue."""
+
+    service: str
+    endpoints: int
+    usable: int
+    cpu: int
+    cpu_used: int
+    accelerators: int
+    accelerators_used: int
+    waiting: dict[str, int]
+
+
+def summarise(engine: engines.Engine, now: float) -> list[ServiceLoad]:
+    """Return the load of each service that has endpoints."""
+    waiting = _waiting(engine)
+    pools: dict[str, list[state.Endpoint]] = {}
+    for endpoint in engine.endpoints.values():
+        if endpoint.entry is not None:
+            pools.setdefault(endpoint.entry.service, []).append(endpoint)
+    return [
+        _load(name, pool, waiting.get(name, {}), now)
+        for name, pool in pools.items()
+    ]
+
+
+def _waiting(engine: engines.Engine) -> dict[str, dict[str, int]]:
+    waiting: dict[str, dict[str, int]] = {}
+    for step in engine.active.values():
+        queues = waiting.setdefault(step.job.service, {})
+        queue = step.job.queue
+        queues[queue] = queues.get(queue, 0) + len(step.waiting())
+    return waiting
+
+
+def _load(
+    name: str,
+    pool: list[state.Endpoint],
+    waiting: dict[str, int],
+    now: float,
+) -> ServiceLoad:
+    usable = [e for e in pool if e.usable(now)]
+    room = model.Demand()
+    used = model.Demand()
+    for endpoint in usable:
+        assert endpoint.entry is not None
+        room = room + endpoint.entry.capacity
+        used = used + endpoint.used
+    return ServiceLoad(
+        name,
+        len(pool),
+        len(usable),
+        room.cpu // 1000,
+        used.cpu // 1000,
+        room.accelerators,
+        used.accelerators,
+        {queue: count for queue, count in waiting.items() if count},
+    )
--- a/hibiscusslip/host/owner.py
+++ b/hibiscusslip/host/owner.py
@@ -1,10 +1,13 @@
 """Own the cell: take jobs, place them and see them through."""
 
+import dataclasses
+
 import curio
 
 from hibiscusslip.dispatch import commands
 from hibiscusslip.dispatch import engine as engines
 from hibiscusslip.dispatch import model
+from hibiscusslip.dispatch import summary
 from hibiscusslip.host import advising
 from hibiscusslip.host import context
 from hibiscusslip.host import guarding
@@ -26,6 +29,7 @@
 BEAT_TIMEOUT_S = 0.8
 RECOVERY_PAUSE_S = 0.1
 FORGET_PERIOD_S = 5.0
+LOAD_PERIOD_S = 1.0
 STOP_FLUSH_S = 0.5
 
 
@@ -137,6 +141,7 @@
             await self._tasks.spawn(guarding.guard, self.ctx, self._beat)
             await self._tasks.spawn(guarding.guard, self.ctx, self._plan)
             await self._tasks.spawn(guarding.guard, self.ctx, self._forget)
+            await self._tasks.spawn(guarding.guard, self.ctx, self._tell_load)
             for name in list(self.engine.endpoints):
                 await self.watch(name)
             while self.ctx.ownership.held == self.epoch:
@@ -224,6 +229,7 @@
             await self.changed.wait(PLAN_IDLE_S)
             now = context.steady()
             self.engine.config = self.ctx.config
+            self.engine.advisers = max(len(self.ctx.hosts), 1)
             if not self.ctx.stopping:
                 self.engine.plan(now, context.wall())
             await self._carry_out()
@@ -298,6 +304,12 @@
             topics.OWNER, [notices.encode(notice)], BEAT_TIMEOUT_S
         )
 
+    async def _tell_load(self) -> None:
+        while True:
+            await curio.sleep(LOAD_PERIOD_S)
+            for load in summary.summarise(self.engine, context.steady()):
+                self.ctx.log.note('cell_load', **dataclasses.asdict(load))
+
     async def _forget(self) -> None:
         while True:
             await curio.sleep(FORGET_PERIOD_S)
--- a/hibiscusslip/observe/events.py
+++ b/hibiscusslip/observe/events.py
@@ -8,8 +8,8 @@
 
 MAX_BUFFER_BYTES = 512 * 1024
 WINDOW_S = 1.0
-LINES_PER_WINDOW = 400
-ROUTINE_LINES_PER_WINDOW = 150
+LINES_PER_WINDOW = 1000
+ROUTINE_LINES_PER_WINDOW = 500
 ROUTINE = frozenset(
     {'run_ordered', 'run_ended', 'advised', 'job_taken', 'job_accepted'}
 )
