Write what callers hand in by groups, a partition a zone, through others if need be

Change: one append in flight a host with all that waits, a partition for each availability zone, records relayed over the hosts' links.

--- a/hibiscusslip/host/front.py
+++ b/hibiscusslip/host/front.py
@@ -3,21 +3,16 @@
 import abc
 import re
 
-import curio
-
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import records
 from hibiscusslip.host import context
+from hibiscusslip.host import inbox
 from hibiscusslip.host import topics
 from hibiscusslip.http import messages
 from hibiscusslip.http import server
 from hibiscusslip.platform import callers
 from hibiscusslip.platform import exceptions
-from hibiscusslip.platform import store
 
-APPEND_TIMEOUT_S = 0.6
-RETRY_PAUSE_S = 0.05
-UNSENT_PATIENCE_S = 0.4
 ANSWER_RESERVE_S = 0.25
 RETRY_AFTER_S = 1
 IDENT = re.compile(r'[0-9a-f]{16}\Z')
@@ -41,9 +36,12 @@
 class Front(server.Handler):
     """Handle the requests of callers."""
 
-    def __init__(self, ctx: context.Context, cell: Cell) -> None:
+    def __init__(
+        self, ctx: context.Context, cell: Cell, box: inbox.Inbox
+    ) -> None:
         self._ctx = ctx
         self._cell = cell
+        self._inbox = box
 
     async def handle(self, req: messages.Request) -> messages.Response:
         """Return the response to one request."""
@@ -106,42 +104,19 @@
             queue.name, queue.service, context.wall(), req.body
         )
         value = records.encode_submission(submission)
-        outcome = await self._append(ident, value, deadline)
+        outcome = await self._inbox.write(ident, value, deadline)
         self._note(
-            f'job_{outcome}', ident, queue=queue.name, bytes=len(req.body)
+            f'job_{outcome.value}',
+            ident,
+            queue=queue.name,
+            bytes=len(req.body),
         )
-        if outcome == 'accepted':
+        if outcome is inbox.Outcome.ACCEPTED:
             return callers.accepted()
-        if outcome == 'refused':
+        if outcome is inbox.Outcome.REFUSED:
             return callers.unavailable('the store is away', RETRY_AFTER_S)
         return callers.in_doubt()
 
-    async def _append(self, key: str, value: bytes, deadline: float) -> str:
-        """Write to the inbox; `refused` only if surely nothing was written.
-
-        Once an answer was lost the record may appear, so writing it goes on
-        until it's known to be there or the caller leaves.
-        """
-        record = store.keyed(key, value)
-        doubtful = False
-        give_up = context.steady() + UNSENT_PATIENCE_S
-        while True:
-            try:
-                await self._ctx.store.append(
-                    topics.INBOX, [record], APPEND_TIMEOUT_S
-                )
-                self._ctx.store_answered = context.steady()
-                return 'accepted'
-            except exceptions.StoreUnavailable:
-                now = context.steady()
-                if not doubtful and now >= min(give_up, deadline):
-                    return 'refused'
-            except exceptions.StoreUnsettled:
-                doubtful = True
-            if context.steady() >= deadline:
-                return 'in_doubt'
-            await curio.sleep(RETRY_PAUSE_S)
-
     async def _show(self, ident: str) -> messages.Response:
         try:
             found = await self._cell.state_of(ident)
@@ -155,11 +130,11 @@
 
     async def _cancel(self, ident: str, deadline: float) -> messages.Response:
         key = f'{topics.CANCEL_PREFIX}{ident}'
-        outcome = await self._append(key, b'1', deadline)
-        self._note(f'cancel_{outcome}', ident)
-        if outcome == 'accepted':
+        outcome = await self._inbox.write(key, b'1', deadline)
+        self._note(f'cancel_{outcome.value}', ident)
+        if outcome is inbox.Outcome.ACCEPTED:
             return callers.accepted()
-        if outcome == 'refused':
+        if outcome is inbox.Outcome.REFUSED:
             return callers.unavailable('the store is away', RETRY_AFTER_S)
         return callers.in_doubt()
 
--- a/hibiscusslip/host/host.py
+++ b/hibiscusslip/host/host.py
@@ -1,6 +1,7 @@
 """Put a host together and run it until it's told to stop."""
 
 import os
+import random
 import signal
 import types
 
@@ -12,6 +13,7 @@
 from hibiscusslip.host import feeds
 from hibiscusslip.host import front
 from hibiscusslip.host import guarding
+from hibiscusslip.host import inbox
 from hibiscusslip.host import notices
 from hibiscusslip.host import owner
 from hibiscusslip.host import topics
@@ -31,6 +33,8 @@
 
 ASK_TIMEOUT_S = 0.5
 CLAIM_PAUSE_S = 0.05
+MOST_RELAYS = 2
+RELAY_TIMEOUT_S = 0.9
 CLAIM_TIMEOUT_S = 0.8
 FLUSH_S = 0.1
 SIGNAL_POLL_S = 0.05
@@ -71,7 +75,7 @@
             self.stop = True
 
 
-class Host(front.Cell, base.Handler):
+class Host(front.Cell, inbox.Relay, base.Handler):
     """Run the servers, the feeds and, at times, the owner."""
 
     def __init__(self, ctx: context.Context, secret: bytes) -> None:
@@ -84,7 +88,9 @@
         self._peers = peer_server.PeerServer(me, info, keys, _PEER, self)
         service = advice.AdviceService(cfg.advice) if cfg.advice else None
         self._advisers = advising.Advisers(ctx, service, self._links)
-        self._front = server.Server(front.Front(ctx, self), _FRONT_HTTP)
+        self._inbox = inbox.Inbox(ctx, self)
+        handler = front.Front(ctx, self, self._inbox)
+        self._front = server.Server(handler, _FRONT_HTTP)
         self._ready = server.Server(front.Ready(ctx), _FRONT_HTTP)
         self._owner: owner.Owner | None = None
 
@@ -103,6 +109,7 @@
                 feeds.ConfigFeed(self._ctx).run,
                 feeds.HostFeed(self._ctx).run,
                 feeds.OwnerFeed(self._ctx).run,
+                self._inbox.run,
                 self._announce,
                 self._own,
                 self._flush,
@@ -254,6 +261,59 @@
             raise front.OwnerUnknown('the owner gave no state')
         return model.JobState(reply.state) if reply.known else None
 
+    # Records that another host writes for this one.
+
+    async def write(self, items: list[tuple[str, bytes]]) -> inbox.Outcome:
+        """Ask up to two other hosts; the first that answers decides."""
+        outcome = inbox.Outcome.REFUSED
+        for name in self._relays()[:MOST_RELAYS]:
+            host = self._ctx.hosts[name]
+            self._links.set_address(name, host.address, host.port)
+            query = messages.InboxWrite(items)
+            try:
+                reply = await self._links.call(name, query, RELAY_TIMEOUT_S)
+            except peer_exceptions.PeerUnsettled:
+                outcome = inbox.Outcome.IN_DOUBT
+                self._links.forget(name)
+                continue
+            except peer_exceptions.PeerRefused as exc:
+                if exc.kind == inbox.Outcome.IN_DOUBT.value:
+                    outcome = inbox.Outcome.IN_DOUBT
+                continue
+            except peer_exceptions.PeerError:
+                continue
+            if isinstance(reply, messages.Done):
+                return inbox.Outcome.ACCEPTED
+        return outcome
+
+    def _relays(self) -> list[str]:
+        """Return other hosts, the owner and those of other zones first."""
+        ctx = self._ctx
+        owner = ctx.ownership.owner
+        first = owner.host if owner else ''
+        names = [name for name in ctx.hosts if name != ctx.cfg.name]
+        random.shuffle(names)
+        names.sort(
+            key=lambda name: (
+                name != first,
+                ctx.hosts[name].zone == ctx.cfg.zone,
+            )
+        )
+        return names
+
+    async def _write_for_other(
+        self, query: messages.InboxWrite
+    ) -> messages.PeerMessage:
+        deadline = context.steady() + RELAY_TIMEOUT_S * 0.8
+        outcome = inbox.Outcome.ACCEPTED
+        for key, value in query.items:
+            told = await self._inbox.write(key, value, deadline, True)
+            if told is not inbox.Outcome.ACCEPTED:
+                outcome = told
+        if outcome is inbox.Outcome.ACCEPTED:
+            return messages.Done()
+        return messages.Refusal(outcome.value, 'the store is away here', 0.2)
+
     # Calls of other hosts.
 
     async def handle(
@@ -262,6 +322,8 @@
         """Answer another host; must not raise."""
         if isinstance(body, messages.CellJobQuery):
             return await self._tell_state(body)
+        if isinstance(body, messages.InboxWrite):
+            return await self._write_for_other(body)
         if isinstance(body, messages.AdviceQuery):
             return await self._advise(body)
         return messages.Refusal('unknown', "this call isn't served here")
--- /dev/null
+++ b/hibiscusslip/host/inbox.py
@@ -0,0 +1,180 @@
+"""Write what callers hand in to the store, in groups.
+
+One append is in flight at a time and takes all that has come meanwhile. A
+host that the store doesn't serve asks other hosts to write for it.
+"""
+
+import abc
+import dataclasses
+import enum
+
+import curio
+
+from hibiscusslip.host import context
+from hibiscusslip.host import signals
+from hibiscusslip.host import topics
+from hibiscusslip.platform import exceptions
+from hibiscusslip.platform import store
+
+APPEND_TIMEOUT_S = 1.0
+RETRY_PAUSE_S = 0.03
+UNSENT_PATIENCE_S = 0.25
+STORE_FRESH_S = 1.0
+IDLE_S = 5.0
+MOST_WAITING = 500
+MOST_GROUP_BYTES = 512 * 1024
+
+
+class Outcome(enum.StrEnum):
+    """Tell what became of a record; `refused` ones surely weren't written."""
+
+    ACCEPTED = 'accepted'
+    REFUSED = 'refused'
+    IN_DOUBT = 'in_doubt'
+
+
+class Relay(abc.ABC):
+    """Ask another host to write records."""
+
+    @abc.abstractmethod
+    async def write(self, items: list[tuple[str, bytes]]) -> Outcome:
+        """Return what became of the records there."""
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Entry:
+    key: str
+    value: bytes
+    refuse_at: float
+    deadline: float
+    done: curio.Event
+    relayed: bool
+    doubtful: bool = False
+    outcome: Outcome = Outcome.IN_DOUBT
+
+
+class Inbox:
+    """Hold what waits to be written."""
+
+    def __init__(self, ctx: context.Context, relay: Relay) -> None:
+        self._ctx = ctx
+        self._relay = relay
+        self._waiting: list[_Entry] = []
+        self._wake = signals.Wake()
+        cfg = ctx.cfg
+        self._part = topics.inbox_part(cfg.zone, cfg.zones, cfg.partitions)
+
+    async def write(
+        self, key: str, value: bytes, deadline: float, relayed: bool = False
+    ) -> Outcome:
+        """Write one record; a relayed one isn't passed on again.
+
+        Once an answer was lost the record may appear, so writing it goes on
+        until it's known to be there or the deadline has come.
+        """
+        if len(self._waiting) >= MOST_WAITING:
+            return Outcome.REFUSED
+        now = context.steady()
+        refuse_at = min(now + UNSENT_PATIENCE_S, deadline)
+        entry = _Entry(key, value, refuse_at, deadline, curio.Event(), relayed)
+        self._waiting.append(entry)
+        await self._wake.set()
+        async with curio.ignore_after(max(deadline - now, 0.0)):
+            await entry.done.wait()
+        return entry.outcome
+
+    async def run(self) -> None:
+        """Write until cancelled."""
+        while True:
+            await self._wake.wait(IDLE_S)
+            while self._waiting:
+                group = self._take_group()
+                await self._write_group(group)
+
+    def _take_group(self) -> list[_Entry]:
+        size = 0
+        group = []
+        for entry in self._waiting:
+            size += len(entry.value)
+            if group and size > MOST_GROUP_BYTES:
+                break
+            group.append(entry)
+        self._waiting = self._waiting[len(group) :]
+        return group
+
+    async def _write_group(self, group: list[_Entry]) -> None:
+        now = context.steady()
+        outcome = Outcome.REFUSED
+        if self._ctx.store_ok(now, STORE_FRESH_S):
+            outcome = await self._append(group)
+        if outcome is not Outcome.ACCEPTED:
+            doubtful = outcome is Outcome.IN_DOUBT
+            outcome = await self._write_elsewhere(group)
+            if doubtful and outcome is Outcome.REFUSED:
+                outcome = Outcome.IN_DOUBT
+        if outcome is not Outcome.ACCEPTED and not self._ctx.store_ok(
+            now, STORE_FRESH_S
+        ):
+            probed = await self._append(group)
+            if probed is not Outcome.REFUSED:
+                outcome = probed
+        await self._settle(group, outcome)
+
+    async def _append(self, group: list[_Entry]) -> Outcome:
+        records = [store.keyed(entry.key, entry.value) for entry in group]
+        started = context.steady()
+        try:
+            await self._ctx.store.append(
+                topics.INBOX, records, APPEND_TIMEOUT_S, part=self._part
+            )
+        except exceptions.StoreUnavailable as exc:
+            self._note('inbox_refused', group, exc)
+            return Outcome.REFUSED
+        except exceptions.PlatformError as exc:
+            self._note('inbox_in_doubt', group, exc)
+            return Outcome.IN_DOUBT
+        now = context.steady()
+        self._ctx.store_answered = now
+        self._ctx.metrics.time('inbox_append', now - started)
+        return Outcome.ACCEPTED
+
+    async def _write_elsewhere(self, group: list[_Entry]) -> Outcome:
+        own = [entry for entry in group if not entry.relayed]
+        if not own:
+            return Outcome.REFUSED
+        items = [(entry.key, entry.value) for entry in own]
+        outcome = await self._relay.write(items)
+        self._ctx.metrics.count('inbox_relayed', outcome=outcome.value)
+        if outcome is Outcome.ACCEPTED and len(own) < len(group):
+            await self._settle(own, outcome)
+            return Outcome.REFUSED  # of the ones that are left
+        return outcome
+
+    async def _settle(self, group: list[_Entry], outcome: Outcome) -> None:
+        now = context.steady()
+        again = []
+        for entry in group:
+            if entry.done.is_set():
+                continue
+            if outcome is Outcome.ACCEPTED:
+                entry.outcome = outcome
+                await entry.done.set()
+                continue
+            entry.doubtful = entry.doubtful or outcome is Outcome.IN_DOUBT
+            if not entry.doubtful and now >= entry.refuse_at:
+                entry.outcome = Outcome.REFUSED
+                await entry.done.set()
+            elif now < entry.deadline:
+                again.append(entry)
+        if again:
+            self._waiting = again + self._waiting
+            await curio.sleep(RETRY_PAUSE_S)
+
+    def _note(self, event: str, group: list[_Entry], exc: Exception) -> None:
+        self._ctx.metrics.count(event)
+        self._ctx.log.note(
+            event,
+            jobs=[entry.key for entry in group[:5]],
+            count=len(group),
+            error=str(exc)[:120],
+        )
--- a/hibiscusslip/host/owner.py
+++ b/hibiscusslip/host/owner.py
@@ -26,7 +26,7 @@
 LEASE_S = 4.5
 PLAN_IDLE_S = 0.1
 PLAN_GAP_S = 0.01
-BEAT_TIMEOUT_S = 0.8
+BEAT_TIMEOUT_S = 1.2
 RECOVERY_PAUSE_S = 0.1
 FORGET_PERIOD_S = 5.0
 LOAD_PERIOD_S = 1.0
@@ -39,15 +39,16 @@
     topic = topics.INBOX
     wait = 1.0
 
-    def __init__(self, owner: 'Owner', offset: int) -> None:
+    def __init__(self, owner: 'Owner', part: int, offset: int) -> None:
         super().__init__(owner.ctx)
         self._owner = owner
+        self.part = part
         self.offset = offset
 
     async def load(self) -> int:
         """Read all again, after the history was dropped."""
         newest = await self.ctx.store.newest(
-            self.topic, recovery.READ_TIMEOUT_S
+            self.topic, recovery.READ_TIMEOUT_S, self.part
         )
         for key, value in newest.values.items():
             self._owner.take_inbox(key, value)
@@ -116,7 +117,7 @@
         self._advisers = advisers
         self._writer = writer.Writer(ctx, self.engine, epoch, self._release)
         self._watchers: dict[str, watching.Watcher] = {}
-        self._inbox: InboxFeed | None = None
+        self._inboxes: list[InboxFeed] = []
         self._tasks = curio.TaskGroup(wait=any)
         self._orphans: list[str] = []
 
@@ -131,12 +132,16 @@
             epoch=self.epoch,
             ms=int((context.steady() - started) * 1000),
         )
-        self._inbox = InboxFeed(self, recovered.inbox)
+        self._inboxes = [
+            InboxFeed(self, part, offset)
+            for part, offset in enumerate(recovered.inbox)
+        ]
         endpoints = EndpointFeed(self, recovered.endpoints)
         self._orphans = recovered.orphans
         try:
             await self._tasks.spawn(guarding.guard, self.ctx, self._writer.run)
-            await self._tasks.spawn(guarding.guard, self.ctx, self._inbox.run)
+            for feed in self._inboxes:
+                await self._tasks.spawn(guarding.guard, self.ctx, feed.run)
             await self._tasks.spawn(guarding.guard, self.ctx, endpoints.run)
             await self._tasks.spawn(guarding.guard, self.ctx, self._beat)
             await self._tasks.spawn(guarding.guard, self.ctx, self._plan)
@@ -189,8 +194,10 @@
         Raises PlatformError when the inbox can't be read to its end.
         """
         job = self.engine.jobs.get(ident)
-        if job is None and self._inbox is not None:
-            await self._inbox.read_once(0.0)
+        for feed in self._inboxes:
+            if job is not None:
+                break
+            await feed.read_once(0.0)
             job = self.engine.jobs.get(ident)
         return recovery.shown_state(job) if job else None
 
@@ -327,7 +334,11 @@
             store.keyed(f'{topics.CANCEL_PREFIX}{ident}') for ident in idents
         ]
         try:
-            await self.ctx.store.append(topics.INBOX, names, BEAT_TIMEOUT_S)
+            for part in range(len(self._inboxes)):
+                await self.ctx.store.append(
+                    topics.INBOX, names, BEAT_TIMEOUT_S, part=part
+                )
+            await self._writer.forget(idents)
         except exceptions.PlatformError as exc:
             self.ctx.log.note('forgetting_failed', error=str(exc)[:120])
             self._orphans = idents
--- a/hibiscusslip/host/recovery.py
+++ b/hibiscusslip/host/recovery.py
@@ -22,7 +22,7 @@
 class Recovered:
     """Hold from where the owner follows the inbox and the endpoints."""
 
-    inbox: int
+    inbox: list[int]
     endpoints: int
     orphans: list[str]
 
@@ -30,16 +30,18 @@
 async def recover(ctx: context.Context, engine: engines.Engine) -> Recovered:
     """Read all records into a fresh engine; raises PlatformError."""
     progress = await ctx.store.newest(topics.JOBS, READ_TIMEOUT_S)
-    inbox = await ctx.store.newest(topics.INBOX, READ_TIMEOUT_S)
+    boxes = await read_inbox(ctx)
     listed = await ctx.store.newest(store.WORKERS_TOPIC, READ_TIMEOUT_S)
     now = context.steady()
     for name, value in listed.values.items():
         entry = documents.read_entry(name, value)
         if entry is not None:
             engine.list_endpoint(entry, now)
-    _submit_all(ctx, engine, inbox, now)
+    for box in boxes:
+        _submit_all(ctx, engine, box, now)
     _restore_all(ctx, engine, progress, now)
-    _cancel_all(engine, inbox, now)
+    for box in boxes:
+        _cancel_all(engine, box, now)
     ctx.log.note(
         'state_recovered',
         jobs=len(engine.jobs),
@@ -48,7 +50,16 @@
     )
     orphans = [k for k, v in progress.values.items() if v]
     orphans = [ident for ident in orphans if ident not in engine.jobs]
-    return Recovered(inbox.end, listed.end, orphans)
+    return Recovered([box.end for box in boxes], listed.end, orphans)
+
+
+async def read_inbox(ctx: context.Context) -> list[store.Newest]:
+    """Return the newest records of each partition of the inbox."""
+    parts = topics.inbox_parts(ctx.cfg.zones, ctx.cfg.partitions)
+    return [
+        await ctx.store.newest(topics.INBOX, READ_TIMEOUT_S, part)
+        for part in range(parts)
+    ]
 
 
 def _submit_all(
--- a/hibiscusslip/host/tailing.py
+++ b/hibiscusslip/host/tailing.py
@@ -22,6 +22,7 @@
 
     def __init__(self, ctx: context.Context) -> None:
         self.ctx = ctx
+        self.part = 0
         self.offset: int | None = None
         self._pause = LEAST_PAUSE_S
 
@@ -64,7 +65,7 @@
             self.offset = await self.load()
             self.ctx.store_answered = context.steady()
         batch = await self.ctx.store.read(
-            self.topic, self.offset, wait, CALL_TIMEOUT_S
+            self.topic, self.offset, wait, CALL_TIMEOUT_S, self.part
         )
         self.ctx.store_answered = context.steady()
         if batch.start < self.offset:
--- a/hibiscusslip/host/writer.py
+++ b/hibiscusslip/host/writer.py
@@ -14,7 +14,7 @@
 from hibiscusslip.platform import exceptions
 from hibiscusslip.platform import store
 
-APPEND_TIMEOUT_S = 0.8
+APPEND_TIMEOUT_S = 1.2
 RETRY_PAUSE_S = 0.04
 MOST_RETRY_PAUSE_S = 0.3
 IDLE_S = 1.0
@@ -44,6 +44,7 @@
         self._epoch = epoch
         self._release = release
         self._sequence = 0
+        self._drops: list[bytes] = []
         self.wake = signals.Wake()
         self.behind_since = 0.0
 
@@ -55,7 +56,7 @@
         """Write until cancelled; raises ProducerFenced."""
         while True:
             await self.wake.wait(IDLE_S)
-            while self._engine.dirty or self._engine.starts:
+            while self._engine.dirty or self._engine.starts or self._drops:
                 await self._write()
 
     async def flush(self, timeout: float) -> None:
@@ -66,14 +67,17 @@
                 await curio.sleep(RETRY_PAUSE_S)
 
     async def forget(self, idents: list[str]) -> None:
-        """Drop the records of jobs that ended long ago."""
-        await self._append([store.keyed(ident) for ident in idents])
+        """Have the next group drop the records of jobs."""
+        self._drops.extend(store.keyed(ident) for ident in idents)
+        await self.wake.set()
 
     async def _write(self) -> None:
         engine = self._engine
         starts, engine.starts = engine.starts, []
         seen = {e.name: e.handled for e in engine.endpoints.values()}
         written, batch = self._encode()
+        batch += self._drops
+        self._drops = []
         if batch:
             self.behind_since = context.steady()
             await self._append(batch)
--- a/hibiscusslip/peer/messages.py
+++ b/hibiscusslip/peer/messages.py
@@ -364,6 +364,12 @@
     age: float
 
 
+class InboxWrite(_Message, frozen=True, tag='inbox_write'):
+    """Ask a host to write records to the inbox, for one that can't."""
+
+    items: list[tuple[str, bytes]]
+
+
 class Done(_Message, frozen=True, tag='done'):
     """Confirm a call that has nothing to tell."""
 
@@ -412,6 +418,7 @@
     CellJobReply,
     AdviceQuery,
     AdviceReply,
+    InboxWrite,
     Done,
     Refusal,
 ]
--- a/hibiscusslip/platform/settings.py
+++ b/hibiscusslip/platform/settings.py
@@ -48,6 +48,8 @@
 
     name: str
     zone: str
+    zones: tuple[str, ...]
+    partitions: int
     front: Address
     ready: Address
     ports: tuple[int, int]
@@ -109,6 +111,8 @@
     return HostSettings(
         name=fields['Node'],
         zone=fields['Zone'],
+        zones=_zones(fields),
+        partitions=int(fields.get('platform.parts', '1')),
         front=_address(fields['Listen.Front']),
         ready=_address(fields['Listen.Ready']),
         ports=(int(low), int(high)),
@@ -124,6 +128,12 @@
     )
 
 
+def _zones(fields: dict[str, str]) -> tuple[str, ...]:
+    prefix = 'Zones.'
+    names = [key[len(prefix) :] for key in fields if key.startswith(prefix)]
+    return tuple(sorted(names or [fields['Zone']]))
+
+
 def _bounds(fields: dict[str, str]) -> Bounds:
     found = {}
     for name, (key, scale) in _BOUND_KEYS.items():
--- a/hibiscusslip/platform/store.py
+++ b/hibiscusslip/platform/store.py
@@ -96,16 +96,17 @@
         records: list[bytes],
         timeout: float,
         *,
+        part: int = 0,
         at: int | None = None,
         producer: tuple[str, int, int] | None = None,
     ) -> int:
-        """Append records to the first partition; return the first offset.
+        """Append records to a partition; return the first offset.
 
         `at` asks that the partition ends there, `producer` is a name, an
         epoch and a sequence number. Raises StoreUnavailable,
         StoreUnsettled, StoreConflict, ProducerFenced, ProducerOutOfStep.
         """
-        query: dict[str, typing.Any] = {'Topic': topic, 'part': 0}
+        query: dict[str, typing.Any] = {'Topic': topic, 'part': part}
         if at is not None:
             query['At'] = at
         if producer is not None:
@@ -118,7 +119,12 @@
         raise self._refusal(response)
 
     async def read(
-        self, topic: str, start: int, wait: float, timeout: float
+        self,
+        topic: str,
+        start: int,
+        wait: float,
+        timeout: float,
+        part: int = 0,
     ) -> Batch:
         """Read on from an offset, waiting up to `wait` s for a record.
 
@@ -127,7 +133,7 @@
         query = urllib.parse.urlencode(
             {
                 'Topic': topic,
-                'part': 0,
+                'part': part,
                 'From': start,
                 'MaxKb': MAX_READ_KB,
                 'WaitMs': int(wait * settings.MS_PER_S),
@@ -141,7 +147,9 @@
             return Batch(start, [], 0, 0)  # nothing was ever written
         raise self._refusal(response)
 
-    async def newest(self, topic: str, timeout: float) -> Newest:
+    async def newest(
+        self, topic: str, timeout: float, part: int = 0
+    ) -> Newest:
         """Read the newest record of each key of a keyed topic.
 
         Raises StoreUnavailable, StoreUnsettled.
@@ -151,7 +159,7 @@
         end: int | None = None
         after = ''
         while True:
-            page = await self._page(topic, after, timeout)
+            page = await self._page(topic, part, after, timeout)
             end = page.end if end is None else min(end, page.end)
             for item in page.items:
                 offsets[item.key] = item.offset
@@ -160,8 +168,10 @@
                 return Newest(values, offsets, end)
             after = page.items[-1].key
 
-    async def _page(self, topic: str, after: str, timeout: float) -> _Page:
-        query = {'Topic': topic, 'part': '0'}
+    async def _page(
+        self, topic: str, part: int, after: str, timeout: float
+    ) -> _Page:
+        query = {'Topic': topic, 'part': str(part)}
         if after:
             query['DependsOn'] = after  # here: the key to go on after
         path = f'/v1/log-newest?{urllib.parse.urlencode(query)}'
