Order by priority among what still earns, keep short advice calls and urgent work apart

Change: two hosts serve no long calls, at most one long call a host; what the urgent queue uses (smoothed, x 0.6) is kept free; strict priority among steps that still earn.

--- a/hibiscusslip/dispatch/_planning.py
+++ b/hibiscusslip/dispatch/_planning.py
@@ -3,7 +3,8 @@
 import dataclasses
 import typing
 
-from hibiscusslip.dispatch import _asking
+from hibiscusslip.dispatch import _headroom
+from hibiscusslip.dispatch import asking
 from hibiscusslip.dispatch import commands
 from hibiscusslip.dispatch import ordering
 from hibiscusslip.dispatch import placement
@@ -13,7 +14,6 @@
     from hibiscusslip.dispatch import engine as engines
 
 ORDER_VALID_S = 2.0
-ASK_PAUSE_S = _asking.PAUSE_S
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -23,16 +23,19 @@
     engine: 'engines.Engine'
     services: dict[str, list[state.Endpoint]]
     now: float
+    spare: dict[str, float] = dataclasses.field(default_factory=dict)
+    urgent: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 def plan(engine: 'engines.Engine', now: float) -> None:
     """Start what fits, the most pressing steps first."""
     current = _Round(engine, _by_service(engine), now)
+    _measure_spare(current)
     for _, step in _in_order(engine, now):
         pool = current.services.get(step.job.service, [])
         if _ready(step):
             _plan_step(current, step, pool)
-        _asking.ask_if_needed(engine, step, pool, now)
+        asking.ask_if_needed(engine, step, pool, now)
 
 
 def _by_service(
@@ -46,6 +49,40 @@
     return services
 
 
+def _measure_spare(current: _Round) -> None:
+    """Find what queues that aren't urgent may take of each service."""
+    engine = current.engine
+    for service, pool in current.services.items():
+        priority = _headroom.urgent_priority(engine.config, service)
+        if priority is None or engine.config is None:
+            continue
+        headroom = engine.headroom.setdefault(service, _headroom.Headroom())
+        use = _headroom.urgent_use(pool, engine.config.queues, priority)
+        headroom.update(use, current.now)
+        usable = [e for e in pool if e.usable(current.now)]
+        size = sum(e.entry.capacity.cpu for e in usable if e.entry)
+        free = sum(e.free().cpu for e in usable)
+        current.urgent[service] = priority
+        current.spare[service] = free - headroom.wanted(size)
+
+
+def _within_spare(
+    current: _Round, step: state.StepState, tasks: list[state.Task]
+) -> list[state.Task]:
+    """Return the tasks that leave enough room for urgent ones."""
+    service = step.job.service
+    cpu = step.spec.booked.cpu
+    urgent = current.urgent.get(service)
+    if urgent is None or not cpu or step.spec.demand.accelerators:
+        return tasks
+    if current.engine.queue_of(step.job).priority <= urgent:
+        return tasks
+    most = max(int(current.spare[service] // cpu), 0)
+    if step.spec.gang and most < len(tasks):
+        return []
+    return tasks[:most]
+
+
 def _in_order(
     engine: 'engines.Engine', now: float
 ) -> list[tuple[ordering.Rank, state.StepState]]:
@@ -81,10 +118,11 @@
         return
     endpoints = [e for e in pool if placement.allowed(step, e, now)]
     if current.engine.queue_of(step.job).advice is not None:
-        if not _asking.fresh(step, now):
+        if not asking.fresh(step, now):
             return
         tickets = step.tickets or {}
         endpoints = [e for e in endpoints if e.name in tickets]
+    tasks = _within_spare(current, step, tasks)
     newest = max(task.run for task in step.tasks)
     for choice in placement.choose(step, tasks, endpoints):
         run = 1 + (newest if step.spec.gang else choice.task.run)
@@ -107,6 +145,8 @@
     task.endpoint = endpoint.name
     task.started = 0.0
     step.job.begun = True
+    if step.job.service in current.spare:
+        current.spare[step.job.service] -= step.spec.booked.cpu
     booking = state.Booking(
         task, run, step.spec.booked, now, deadline=deadline
     )
--- a/hibiscusslip/dispatch/_asking.py
+++ b/hibiscusslip/dispatch/asking.py
@@ -19,7 +19,9 @@
 LEAD_S = 0.15
 PAUSE_S = 0.3
 MOST_ASKED = 100
-LOAD_PER_ADVISER_S = 0.9
+LONG_CALL_S = 0.1
+SHORT_LOAD_S = 0.2
+SHORT_ADVISERS = 2  # hosts that are kept free of long calls
 
 
 def fresh(step: state.StepState, now: float) -> bool:
@@ -48,14 +50,42 @@
         return
     if not _soon(engine, step, cost, now):
         return
-    allowed = LOAD_PER_ADVISER_S * engine.advisers
-    if engine.asking_cost and engine.asking_cost + cost > allowed:
+    if not _may_ask(engine, cost):
         return
     step.asking = True
-    engine.asking_cost += cost
+    if is_long(cost):
+        engine.long_asks += 1
+    else:
+        engine.asking_cost += cost
     engine.asks.append(commands.Ask(step, names, cost))
 
 
+def is_long(cost: float) -> bool:
+    """Tell whether a call would hold up many short ones."""
+    return cost > LONG_CALL_S
+
+
+def answered(engine: 'engines.Engine', cost: float) -> None:
+    """Take note that a call has ended."""
+    if is_long(cost):
+        engine.long_asks -= 1
+    else:
+        engine.asking_cost -= cost
+
+
+def short_advisers(advisers: int) -> int:
+    """Return how many hosts are kept for short calls."""
+    return min(SHORT_ADVISERS, advisers // 2)
+
+
+def _may_ask(engine: 'engines.Engine', cost: float) -> bool:
+    """Tell whether a call would be answered without much of a queue."""
+    if is_long(cost):
+        most = engine.advisers - short_advisers(engine.advisers)
+        return engine.long_asks < most
+    return engine.asking_cost + cost <= SHORT_LOAD_S * engine.advisers
+
+
 def _names(
     step: state.StepState, pool: list[state.Endpoint]
 ) -> tuple[str, ...]:
--- a/hibiscusslip/dispatch/engine.py
+++ b/hibiscusslip/dispatch/engine.py
@@ -3,8 +3,10 @@
 import collections.abc
 import typing
 
+from hibiscusslip.dispatch import _headroom
 from hibiscusslip.dispatch import _looking
 from hibiscusslip.dispatch import _planning
+from hibiscusslip.dispatch import asking
 from hibiscusslip.dispatch import commands
 from hibiscusslip.dispatch import estimates
 from hibiscusslip.dispatch import model
@@ -42,6 +44,8 @@
         self.timed: dict[str, state.Job] = {}
         self.advisers = 1
         self.asking_cost = 0.0
+        self.long_asks = 0
+        self.headroom: dict[str, _headroom.Headroom] = {}
 
     # Jobs.
 
@@ -254,9 +258,9 @@
         """Take the answer of the advice service, None for none."""
         step = ask.step
         step.asking = False
-        self.asking_cost -= ask.cost
+        asking.answered(self, ask.cost)
         if tickets is None:
-            step.ask_again = now + _planning.ASK_PAUSE_S
+            step.ask_again = now + asking.PAUSE_S
             return
         step.asked.update(ask.endpoints)
         step.tickets = tickets
--- a/hibiscusslip/dispatch/ordering.py
+++ b/hibiscusslip/dispatch/ordering.py
@@ -1,9 +1,10 @@
 """Order the steps that wait by what is lost if they wait on.
 
 The pattern it answers: bursts of twice one kind of work on a pool that is
-three quarters busy. Work that can still be on time goes first, by its queue's
-priority and then by how soon it has to start; then what is still worth
-something late; then the rest, the oldest first.
+three quarters busy. Work that is still worth something goes by its queue's
+priority; within one priority what can be on time goes before what is late,
+by how soon it has to start. What is worth nothing any more goes last, the
+oldest first.
 """
 
 import dataclasses
@@ -12,17 +13,15 @@
 from hibiscusslip.dispatch import state
 
 LASTING_PATIENCE_S = 0.5
-ON_TIME = 0
-LATE = 1
-EXPIRED = 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True, order=True)
 class Rank:
     """Hold the place of a step in the order; the lowest goes first."""
 
-    tier: int
+    expired: bool
     priority: int
+    late: bool
     slack: float
     ident: str
 
@@ -37,11 +36,11 @@
     """Return the place of a step; `remaining` is its chain of work."""
     if step.spec.lasts:
         slack = LASTING_PATIENCE_S - (now - step.waiting_since)
-        return Rank(ON_TIME, priority, slack, step.name)
+        return Rank(False, priority, False, slack, step.name)
     slack = objective.on_time - now - remaining
     if slack >= 0:
-        return Rank(ON_TIME, priority, slack, step.name)
+        return Rank(False, priority, False, slack, step.name)
     slack = objective.last - now - remaining
     if slack >= 0:
-        return Rank(LATE, priority, slack, step.name)
-    return Rank(EXPIRED, 0, step.job.submitted, step.name)
+        return Rank(False, priority, True, slack, step.name)
+    return Rank(True, priority, True, step.job.submitted, step.name)
--- a/hibiscusslip/dispatch/summary.py
+++ b/hibiscusslip/dispatch/summary.py
@@ -37,6 +37,9 @@
 def _waiting(engine: engines.Engine) -> dict[str, dict[str, int]]:
     waiting: dict[str, dict[str, int]] = {}
     for step in engine.active.values():
+        others = step.job.occurrences[step.occurrence]
+        if not all(others[number].complete for number in step.spec.after):
+            continue
         queues = waiting.setdefault(step.job.service, {})
         queue = step.job.queue
         queues[queue] = queues.get(queue, 0) + len(step.waiting())
--- a/hibiscusslip/host/advising.py
+++ b/hibiscusslip/host/advising.py
@@ -4,6 +4,7 @@
 a second: one host alone couldn't ask for all steps of a busy cell.
 """
 
+from hibiscusslip.dispatch import asking
 from hibiscusslip.dispatch import commands
 from hibiscusslip.host import context
 from hibiscusslip.peer import base
@@ -37,7 +38,7 @@
     ) -> tuple[dict[str, str], float, float] | None:
         """Return tickets, their validity and when they began, or None."""
         now = context.steady()
-        name = self._choose(now)
+        name = self._choose(now, ask.cost)
         load = self._loads.get(name, 0.0)
         self._loads[name] = load + ask.cost
         try:
@@ -51,16 +52,22 @@
         finally:
             self._loads[name] -= ask.cost
 
-    def _choose(self, now: float) -> str:
+    def _choose(self, now: float, cost: float) -> str:
+        names = self._candidates(cost)
+        usable = [n for n in names if self._avoid.get(n, 0.0) <= now]
+        return min(usable or [self._ctx.cfg.name], key=self._load)
+
+    def _candidates(self, cost: float) -> list[str]:
+        """Return hosts; long calls leave some hosts to the short ones."""
         me = self._ctx.cfg.name
-        best, best_load = me, self._loads.get(me, 0.0)
-        for name in sorted(self._ctx.hosts):
-            if name == me or self._avoid.get(name, 0.0) > now:
-                continue
-            load = self._loads.get(name, 0.0) + REMOTE_COST_S
-            if load < best_load:
-                best, best_load = name, load
-        return best
+        names = [me, *sorted(n for n in self._ctx.hosts if n != me)]
+        if asking.is_long(cost):
+            return names[asking.short_advisers(len(names)) :]
+        return names
+
+    def _load(self, name: str) -> float:
+        remote = 0.0 if name == self._ctx.cfg.name else REMOTE_COST_S
+        return self._loads.get(name, 0.0) + remote
 
     async def _ask(
         self, name: str, ask: commands.Ask, load: float
