Repeat unanswered orders sooner; avoid endpoints that are slow or stand still

Change: shorter waits, silence after two failures, slowness learned from run times and progress, runs that stand still are stopped.

--- a/hibiscusslip/dispatch/_looking.py
+++ b/hibiscusslip/dispatch/_looking.py
@@ -4,6 +4,7 @@
 
 from hibiscusslip.dispatch import commands
 from hibiscusslip.dispatch import model
+from hibiscusslip.dispatch import progress
 from hibiscusslip.dispatch import state
 
 if typing.TYPE_CHECKING:
@@ -138,6 +139,8 @@
         return
     if task.started and not task.checkpoint and task.run == run:
         real = now - task.started
+        expected = engine.estimates.run_time(step)
+        progress.note_time(endpoint, expected, real, now)
         engine.estimates.learn(step.job.queue, step.spec.estimate, real)
     members = step.tasks if step.spec.gang else [task]
     for member in members:
@@ -237,13 +240,17 @@
         if booking is None:
             booking = _adopt(engine, endpoint, row, now)
         booking.listed = True
-        booking.percent = row.percent
         booking.usage = row.usage
+        progress.watch(engine, endpoint, booking, row, now)
         task = booking.task
         if task is not None and row.checkpoint:
             if row.checkpoint != task.checkpoint:
                 _save(task, row.checkpoint)
-        if task is None or not _expected(task, endpoint, row.run):
+        if (
+            booking.stopping
+            or task is None
+            or not _expected(task, endpoint, row.run)
+        ):
             _stop_stray(engine, endpoint, row, booking, now)
         elif task.status is state.Status.ORDERED:
             task.status = state.Status.RUNNING
--- a/hibiscusslip/dispatch/_planning.py
+++ b/hibiscusslip/dispatch/_planning.py
@@ -124,7 +124,7 @@
         endpoints = [e for e in endpoints if e.name in tickets]
     tasks = _within_spare(current, step, tasks)
     newest = max(task.run for task in step.tasks)
-    for choice in placement.choose(step, tasks, endpoints):
+    for choice in placement.choose(step, tasks, endpoints, now):
         run = 1 + (newest if step.spec.gang else choice.task.run)
         _start(current, step, choice, run)
 
--- a/hibiscusslip/dispatch/placement.py
+++ b/hibiscusslip/dispatch/placement.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from hibiscusslip.dispatch import model
+from hibiscusslip.dispatch import progress
 from hibiscusslip.dispatch import state
 
 
@@ -34,21 +35,25 @@
     step: state.StepState,
     tasks: list[state.Task],
     endpoints: list[state.Endpoint],
+    now: float,
 ) -> list[Choice]:
     """Return places for tasks, best fit first; a gang gets all or none."""
     if step.spec.same_rack:
-        return _in_one_rack(step, tasks, endpoints)
+        return _in_one_rack(step, tasks, endpoints, now)
     if step.spec.gang:
-        return _all_or_none(step, tasks, endpoints)
-    return _one_by_one(step, tasks, endpoints)
+        return _all_or_none(step, tasks, endpoints, now)
+    return _one_by_one(step, tasks, endpoints, now)
 
 
 class _Room:
     """Count down the room of an endpoint while tasks are placed."""
 
-    __slots__ = ('endpoint', 'free', 'left')
+    __slots__ = ('endpoint', 'free', 'left', 'slow')
 
-    def __init__(self, step: state.StepState, endpoint: state.Endpoint):
+    def __init__(
+        self, step: state.StepState, endpoint: state.Endpoint, now: float
+    ):
+        self.slow = progress.is_slow(endpoint, now)
         self.endpoint = endpoint
         self.free = endpoint.free()
         spread = step.spec.spread
@@ -70,9 +75,10 @@
     step: state.StepState,
     tasks: list[state.Task],
     endpoints: list[state.Endpoint],
+    now: float,
 ) -> list[Choice]:
     demand = step.spec.booked
-    rooms = [_Room(step, endpoint) for endpoint in endpoints]
+    rooms = [_Room(step, endpoint, now) for endpoint in endpoints]
     choices = []
     for task in tasks:
         fitting = [room for room in rooms if room.fits(demand)]
@@ -88,8 +94,9 @@
     step: state.StepState,
     tasks: list[state.Task],
     endpoints: list[state.Endpoint],
+    now: float,
 ) -> list[Choice]:
-    choices = _one_by_one(step, tasks, endpoints)
+    choices = _one_by_one(step, tasks, endpoints, now)
     return choices if len(choices) == len(tasks) else []
 
 
@@ -97,16 +104,17 @@
     step: state.StepState,
     tasks: list[state.Task],
     endpoints: list[state.Endpoint],
+    now: float,
 ) -> list[Choice]:
     racks: dict[str, list[state.Endpoint]] = {}
     for endpoint in endpoints:
         assert endpoint.entry is not None
         racks.setdefault(endpoint.entry.rack, []).append(endpoint)
     for members in sorted(racks.values(), key=len):
-        choices = _all_or_none(step, tasks, members)
+        choices = _all_or_none(step, tasks, members, now)
         if choices:
             return choices
-    return _all_or_none(step, tasks, endpoints)
+    return _all_or_none(step, tasks, endpoints, now)
 
 
 def _cost(
@@ -117,10 +125,10 @@
     far = bool(step.spec.rack) and step.spec.rack != entry.rack
     free = room.free
     if step.spec.fills:
-        return (far, _serving(room.endpoint), -free.cpu)
+        return (far, room.slow, _serving(room.endpoint), -free.cpu)
     noise = _filling(room.endpoint) if step.spec.tail_target else 0
     return (
-        far,
+        far or room.slow,
         noise,
         free.accelerators - demand.accelerators,
         free.cpu - demand.cpu,
--- a/hibiscusslip/dispatch/state.py
+++ b/hibiscusslip/dispatch/state.py
@@ -125,6 +125,7 @@
     stopping: float = 0.0
     percent: int = 100
     usage: float = 0.0
+    moved_at: float = 0.0
     paced: int = 100
     over_since: float = 0.0
 
@@ -152,7 +153,8 @@
     trust_after: float = 0.0
     strikes: int = 0
     no_room_until: float = 0.0
-    speed: float = 1.0
+    slowness: float = 1.0
+    slow_at: float = 0.0
     drained_at: float = 0.0
 
     def clock_now(self, now: float) -> float:
--- a/hibiscusslip/host/watching.py
+++ b/hibiscusslip/host/watching.py
@@ -10,13 +10,14 @@
 from hibiscusslip.platform import exceptions
 from hibiscusslip.platform import orders
 
-HOLD_WAIT_S = 1.0
-HOLD_TIMEOUT_S = 0.7
+HOLD_WAIT_S = 0.6
+HOLD_TIMEOUT_S = 0.25
+FAILURES_TO_SILENCE = 2
 IDLE_LOOK_S = 3.0
 SILENT_PAUSE_S = 0.25
 RECORD_WAIT_S = 0.6
-ORDER_TIMEOUT_S = 0.4
-ORDER_PAUSE_S = 0.05
+ORDER_TIMEOUT_S = 0.15
+ORDER_PAUSE_S = 0.03
 ORDER_RESERVE_S = 0.2
 MOST_ORDER_AGE_S = 1.0
 STOP_ATTEMPTS = 3
@@ -48,18 +49,27 @@
 
     async def run(self) -> None:
         """Look and hold until the endpoint is forgotten."""
+        failures = 0
         while self.name in self._engine.endpoints:
             endpoint = self._engine.endpoints[self.name]
             try:
                 await self._look(endpoint)
+                failures = 0
             except exceptions.OrderRefused as exc:
                 await self._refused(exc.reason)
             except exceptions.PlatformError:
-                self._engine.silent(self.name, context.steady())
-                await self._changed.set()
-                await curio.sleep(SILENT_PAUSE_S)
+                failures += 1
+                await self._unanswered(failures)
         await self._orders.close()
 
+    async def _unanswered(self, failures: int) -> None:
+        self._ctx.metrics.count('looks_unanswered')
+        if failures < FAILURES_TO_SILENCE:
+            return
+        self._engine.silent(self.name, context.steady())
+        await self._changed.set()
+        await curio.sleep(SILENT_PAUSE_S)
+
     async def _look(self, endpoint: state.Endpoint) -> None:
         sent = context.steady()
         busy = bool(endpoint.bookings)
