Keep endpoints for wide steps and let checkpointing work make way

Change: the endpoints that will have room soonest are kept for the first wide step, others may use them if they end before; tasks of a later priority that checkpoint are stopped for a step that can still be on time.

--- a/hibiscusslip/dispatch/_planning.py
+++ b/hibiscusslip/dispatch/_planning.py
@@ -4,6 +4,7 @@
 import typing
 
 from hibiscusslip.dispatch import _headroom
+from hibiscusslip.dispatch import _reserving
 from hibiscusslip.dispatch import asking
 from hibiscusslip.dispatch import commands
 from hibiscusslip.dispatch import ordering
@@ -25,16 +26,19 @@
     now: float
     spare: dict[str, float] = dataclasses.field(default_factory=dict)
     urgent: dict[str, int] = dataclasses.field(default_factory=dict)
+    reserved: _reserving.Reservations = dataclasses.field(
+        default_factory=_reserving.Reservations
+    )
 
 
 def plan(engine: 'engines.Engine', now: float) -> None:
     """Start what fits, the most pressing steps first."""
     current = _Round(engine, _by_service(engine), now)
     _measure_spare(current)
-    for _, step in _in_order(engine, now):
+    for rank, step in _in_order(engine, now):
         pool = current.services.get(step.job.service, [])
         if _ready(step):
-            _plan_step(current, step, pool)
+            _plan_step(current, step, pool, rank)
         asking.ask_if_needed(engine, step, pool, now)
 
 
@@ -110,23 +114,53 @@
 
 
 def _plan_step(
-    current: _Round, step: state.StepState, pool: list[state.Endpoint]
+    current: _Round,
+    step: state.StepState,
+    pool: list[state.Endpoint],
+    rank: ordering.Rank,
 ) -> None:
     now = current.now
     tasks = [task for task in step.waiting() if task.not_before <= now]
     if not tasks or (step.spec.gang and len(tasks) < len(step.tasks)):
         return
+    endpoints = _eligible(current, step, pool)
+    if endpoints is None:
+        return
+    run_time = current.engine.estimates.run_time(step)
+    reserved = current.reserved
+    open_ones = [e for e in endpoints if reserved.open_to(e, run_time, now)]
+    may_start = _within_spare(current, step, tasks)
+    if _may_start(current, step):
+        newest = max(task.run for task in step.tasks)
+        for choice in placement.choose(step, may_start, open_ones, now):
+            run = 1 + (newest if step.spec.gang else choice.task.run)
+            _start(current, step, choice, run)
+    if rank.expired or not step.has_waiting():
+        return
+    if _reserving.is_large(step, pool):
+        urgent = not rank.late
+        _reserving.reserve(
+            current.engine, reserved, step, endpoints, urgent, now
+        )
+
+
+def _eligible(
+    current: _Round, step: state.StepState, pool: list[state.Endpoint]
+) -> list[state.Endpoint] | None:
+    """Return the endpoints that may run a step, None if not known yet."""
+    now = current.now
     endpoints = [e for e in pool if placement.allowed(step, e, now)]
-    if current.engine.queue_of(step.job).advice is not None:
-        if not asking.fresh(step, now):
-            return
-        tickets = step.tickets or {}
-        endpoints = [e for e in endpoints if e.name in tickets]
-    tasks = _within_spare(current, step, tasks)
-    newest = max(task.run for task in step.tasks)
-    for choice in placement.choose(step, tasks, endpoints, now):
-        run = 1 + (newest if step.spec.gang else choice.task.run)
-        _start(current, step, choice, run)
+    if current.engine.queue_of(step.job).advice is None:
+        return endpoints
+    if step.tickets is None:
+        return None
+    return [e for e in endpoints if e.name in step.tickets]
+
+
+def _may_start(current: _Round, step: state.StepState) -> bool:
+    if current.engine.queue_of(step.job).advice is None:
+        return True
+    return asking.fresh(step, current.now)
 
 
 def _start(
--- /dev/null
+++ b/hibiscusslip/dispatch/_reserving.py
@@ -0,0 +1,187 @@
+"""Keep room for a step that needs much of an endpoint at once.
+
+The pattern it answers: jobs that need whole endpoints, or several at the
+same moment, on a pool that small tasks fill up again whenever one ends. The
+endpoints that will have room soonest are kept for the first such step; what
+ends before that may still start there. Tasks of a later priority that lose
+nothing by a stop, as they checkpoint, make way.
+"""
+
+import dataclasses
+import typing
+
+from hibiscusslip.dispatch import model
+from hibiscusslip.dispatch import state
+
+if typing.TYPE_CHECKING:
+    from hibiscusslip.dispatch import engine as engines
+
+LARGE_SHARE = 0.4  # of an endpoint
+OVERDUE_S = 0.3
+WORTH_A_STOP_S = 1.0
+NEVER = float('inf')
+
+
+@dataclasses.dataclass(slots=True)
+class Reservations:
+    """Hold until when endpoints are kept for a step."""
+
+    until: dict[str, float] = dataclasses.field(default_factory=dict)
+
+    def open_to(
+        self, endpoint: state.Endpoint, run_time: float, now: float
+    ) -> bool:
+        """Tell whether a task that takes `run_time` s may start there."""
+        until = self.until.get(endpoint.name)
+        return until is None or now + run_time <= until
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Option:
+    when: float
+    endpoint: state.Endpoint
+    count: int
+
+
+def is_large(step: state.StepState, pool: list[state.Endpoint]) -> bool:
+    """Tell whether a step needs room that small tasks would break up."""
+    demand = step.spec.booked
+    if step.spec.gang or demand.accelerators > 1:
+        return True
+    rooms = [e.entry.capacity.cpu for e in pool if e.entry is not None]
+    return bool(rooms) and demand.cpu >= LARGE_SHARE * max(rooms)
+
+
+def reserve(
+    engine: 'engines.Engine',
+    reservations: Reservations,
+    step: state.StepState,
+    endpoints: list[state.Endpoint],
+    urgent: bool,
+    now: float,
+) -> None:
+    """Keep the endpoints that will have room for a step soonest.
+
+    An `urgent` step, one that can still be on time, makes others stop.
+    """
+    needed = len(step.waiting())
+    options = [
+        option
+        for endpoint in endpoints
+        if endpoint.name not in reservations.until
+        and (option := _option(engine, step, endpoint, needed, now))
+    ]
+    if sum(option.count for option in options) < needed:
+        if step.spec.gang:
+            return
+    options.sort(key=lambda option: option.when)
+    for option in options:
+        if needed <= 0:
+            return
+        until = option.when
+        if urgent and until > now + WORTH_A_STOP_S:
+            until = _make_way(engine, step, option, now)
+        reservations.until[option.endpoint.name] = until
+        needed -= option.count
+
+
+def _option(
+    engine: 'engines.Engine',
+    step: state.StepState,
+    endpoint: state.Endpoint,
+    needed: int,
+    now: float,
+) -> _Option | None:
+    assert endpoint.entry is not None
+    demand = step.spec.booked
+    room = endpoint.entry.capacity
+    count = 0
+    total = model.Demand()
+    most = step.spec.spread or needed
+    while count < min(needed, most) and (total + demand).fits(room):
+        total = total + demand
+        count += 1
+    if not count:
+        return None
+    when = _when_free(engine, endpoint, total, now)
+    return None if when == NEVER else _Option(when, endpoint, count)
+
+
+def _when_free(
+    engine: 'engines.Engine',
+    endpoint: state.Endpoint,
+    demand: model.Demand,
+    now: float,
+) -> float:
+    """Return when that much should be free on an endpoint."""
+    free = endpoint.free()
+    if demand.fits(free):
+        return now
+    ends = [
+        (_end_of(engine, booking, now), number, booking.demand)
+        for number, booking in enumerate(endpoint.bookings.values())
+    ]
+    for end, _, given in sorted(ends, key=lambda row: row[:2]):
+        free = free + given
+        if demand.fits(free):
+            return end
+    return NEVER
+
+
+def _end_of(
+    engine: 'engines.Engine', booking: state.Booking, now: float
+) -> float:
+    task = booking.task
+    if booking.stopping:
+        return now + OVERDUE_S
+    if task is None or task.step.spec.lasts:
+        return NEVER
+    run_time = engine.estimates.run_time(task.step)
+    return max((task.started or now) + run_time, now + OVERDUE_S)
+
+
+def _make_way(
+    engine: 'engines.Engine',
+    step: state.StepState,
+    option: _Option,
+    now: float,
+) -> float:
+    """Stop tasks that make room for a step; return when it will be free."""
+    endpoint = option.endpoint
+    demand = model.Demand()
+    for _ in range(option.count):
+        demand = demand + step.spec.booked
+    free = endpoint.free()
+    chosen = []
+    for booking in _victims(engine, step, endpoint):
+        if demand.fits(free):
+            break
+        free = free + booking.demand
+        chosen.append(booking)
+    if not demand.fits(free):
+        return option.when
+    for booking in chosen:
+        assert booking.task is not None
+        engine.stop(booking.task, f'makes way for {step.name}', now)
+    return now + OVERDUE_S
+
+
+def _victims(
+    engine: 'engines.Engine', step: state.StepState, endpoint: state.Endpoint
+) -> list[state.Booking]:
+    """Return runs of a later priority that lose nothing by a stop."""
+    priority = engine.queue_of(step.job).priority
+    found = []
+    for booking in endpoint.bookings.values():
+        task = booking.task
+        if task is None or booking.stopping:
+            continue
+        spec = task.step.spec
+        if not spec.checkpoints or spec.gang or spec.lasts:
+            continue
+        if task.status is not state.Status.RUNNING:
+            continue
+        if engine.queue_of(task.step.job).priority > priority:
+            found.append(booking)
+    found.sort(key=lambda booking: -booking.demand.accelerators)
+    return found
