--- a/hibiscusslip/host/context.py
+++ b/hibiscusslip/host/context.py
@@ -11,6 +11,9 @@
 from hibiscusslip.platform import settings
 from hibiscusslip.platform import store
 
+FAILURES_TO_AWAY = 2
+STORE_PATIENCE_S = 1.5
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Context:
@@ -30,11 +33,28 @@
         default_factory=dict
     )
     store_answered: float = 0.0
+    store_failures: int = 0
     stopping: bool = False
 
-    def store_ok(self, now: float, patience: float) -> bool:
-        """Tell whether the store has answered lately."""
-        return now < self.store_answered + patience
+    def store_answers(self, now: float) -> None:
+        """Take note that the store has answered."""
+        if self.store_failures >= FAILURES_TO_AWAY:
+            self.log.note('store_regained', failures=self.store_failures)
+        self.store_answered = now
+        self.store_failures = 0
+
+    def store_fails(self, reason: str) -> None:
+        """Take note that a call to the store had no use."""
+        self.store_failures += 1
+        if self.store_failures == FAILURES_TO_AWAY:
+            self.log.note('store_lost', reason=reason[:120])
+
+    def store_ok(self, now: float) -> bool:
+        """Tell whether the store serves this host as far as is known."""
+        return (
+            self.store_failures < FAILURES_TO_AWAY
+            and now < self.store_answered + STORE_PATIENCE_S
+        )
 
 
 def steady() -> float:
--- a/hibiscusslip/host/front.py
+++ b/hibiscusslip/host/front.py
@@ -156,9 +156,6 @@
         ok = (
             not ctx.stopping
             and ctx.config is not None
-            and ctx.store_ok(context.steady(), STORE_PATIENCE_S)
+            and ctx.store_ok(context.steady())
         )
         return callers.readiness(ok)
-
-
-STORE_PATIENCE_S = 1.5
--- a/hibiscusslip/host/inbox.py
+++ b/hibiscusslip/host/inbox.py
@@ -19,7 +19,6 @@
 APPEND_TIMEOUT_S = 1.0
 RETRY_PAUSE_S = 0.03
 UNSENT_PATIENCE_S = 0.25
-STORE_FRESH_S = 1.0
 IDLE_S = 5.0
 MOST_WAITING = 500
 MOST_GROUP_BYTES = 512 * 1024
@@ -105,19 +104,13 @@
     async def _write_group(self, group: list[_Entry]) -> None:
         now = context.steady()
         outcome = Outcome.REFUSED
-        if self._ctx.store_ok(now, STORE_FRESH_S):
+        if self._ctx.store_ok(now):
             outcome = await self._append(group)
         if outcome is not Outcome.ACCEPTED:
             doubtful = outcome is Outcome.IN_DOUBT
             outcome = await self._write_elsewhere(group)
             if doubtful and outcome is Outcome.REFUSED:
                 outcome = Outcome.IN_DOUBT
-        if outcome is not Outcome.ACCEPTED and not self._ctx.store_ok(
-            now, STORE_FRESH_S
-        ):
-            probed = await self._append(group)
-            if probed is not Outcome.REFUSED:
-                outcome = probed
         await self._settle(group, outcome)
 
     async def _append(self, group: list[_Entry]) -> Outcome:
@@ -128,13 +121,15 @@
                 topics.INBOX, records, APPEND_TIMEOUT_S, part=self._part
             )
         except exceptions.StoreUnavailable as exc:
+            self._ctx.store_fails(str(exc))
             self._note('inbox_refused', group, exc)
             return Outcome.REFUSED
         except exceptions.PlatformError as exc:
+            self._ctx.store_fails(str(exc))
             self._note('inbox_in_doubt', group, exc)
             return Outcome.IN_DOUBT
         now = context.steady()
-        self._ctx.store_answered = now
+        self._ctx.store_answers(now)
         self._ctx.metrics.time('inbox_append', now - started)
         return Outcome.ACCEPTED
 
--- a/hibiscusslip/host/owner.py
+++ b/hibiscusslip/host/owner.py
@@ -23,7 +23,7 @@
 from hibiscusslip.platform import exceptions
 from hibiscusslip.platform import store
 
-LEASE_S = 4.5
+LEASE_S = 5.9
 PLAN_IDLE_S = 0.1
 PLAN_GAP_S = 0.01
 BEAT_TIMEOUT_S = 1.2
@@ -289,8 +289,9 @@
             try:
                 await self._notify(notices.BEAT)
                 self.ctx.ownership.confirm(sent)
-                self.ctx.store_answered = context.steady()
+                self.ctx.store_answers(context.steady())
             except exceptions.PlatformError as exc:
+                self.ctx.store_fails(str(exc))
                 self.ctx.log.note('beat_failed', error=str(exc)[:120])
             left = sent + ownership.BEAT_S - context.steady()
             await curio.sleep(max(left, 0.05))
--- a/hibiscusslip/host/tailing.py
+++ b/hibiscusslip/host/tailing.py
@@ -52,6 +52,7 @@
                 )
                 self.offset = None
             except exceptions.PlatformError as exc:
+                self.ctx.store_fails(str(exc))
                 self.ctx.metrics.count('tail_failures', topic=self.topic)
                 self.ctx.log.note(
                     'tail_failed', topic=self.topic, error=str(exc)[:120]
@@ -63,11 +64,11 @@
         """Read on once; raises PlatformError."""
         if self.offset is None:
             self.offset = await self.load()
-            self.ctx.store_answered = context.steady()
+            self.ctx.store_answers(context.steady())
         batch = await self.ctx.store.read(
             self.topic, self.offset, wait, CALL_TIMEOUT_S, self.part
         )
-        self.ctx.store_answered = context.steady()
+        self.ctx.store_answers(context.steady())
         if batch.start < self.offset:
             return  # another reader of this tail was faster
         await self._take_all(batch)
--- a/hibiscusslip/host/watching.py
+++ b/hibiscusslip/host/watching.py
@@ -98,7 +98,7 @@
         if not self._ctx.ownership.may_renew(now):
             return None
         lease = self._engine.lease
-        if self._ctx.stopping or not self._ctx.store_ok(now, 1.0):
+        if self._ctx.stopping or not self._ctx.store_ok(now):
             lease = self._ctx.cfg.bounds.max_lease
         deadline = endpoint.clock_now(now) + lease
         endpoint.granted = max(endpoint.granted, deadline)
--- a/hibiscusslip/host/writer.py
+++ b/hibiscusslip/host/writer.py
@@ -119,6 +119,7 @@
                 exceptions.StoreUnavailable,
                 exceptions.StoreUnsettled,
             ) as exc:
+                self._ctx.store_fails(str(exc))
                 self._ctx.metrics.count('record_retries')
                 self._ctx.log.note('record_retried', error=str(exc)[:120])
                 await curio.sleep(pause)
@@ -126,6 +127,6 @@
         now = context.steady()
         if batch:
             self._sequence += 1
-        self._ctx.store_answered = now
+        self._ctx.store_answers(now)
         self._ctx.ownership.confirm(sent)
         self._ctx.metrics.time('record_append', now - sent)
