--- a/hibiscusslip/host/front.py
+++ b/hibiscusslip/host/front.py
@@ -13,7 +13,7 @@
 from hibiscusslip.platform import callers
 from hibiscusslip.platform import exceptions
 
-ANSWER_RESERVE_S = 0.25
+ANSWER_RESERVE_S = 0.05
 RETRY_AFTER_S = 1
 IDENT = re.compile(r'[0-9a-f]{16}\Z')
 
@@ -104,7 +104,7 @@
             queue.name, queue.service, context.wall(), req.body
         )
         value = records.encode_submission(submission)
-        outcome = await self._inbox.write(ident, value, deadline)
+        outcome = await self._inbox.write([(ident, value)], deadline)
         self._note(
             f'job_{outcome.value}',
             ident,
@@ -130,7 +130,7 @@
 
     async def _cancel(self, ident: str, deadline: float) -> messages.Response:
         key = f'{topics.CANCEL_PREFIX}{ident}'
-        outcome = await self._inbox.write(key, b'1', deadline)
+        outcome = await self._inbox.write([(key, b'1')], deadline)
         self._note(f'cancel_{outcome.value}', ident)
         if outcome is inbox.Outcome.ACCEPTED:
             return callers.accepted()
--- a/hibiscusslip/host/host.py
+++ b/hibiscusslip/host/host.py
@@ -267,25 +267,41 @@
         """Ask up to two other hosts; the first that answers decides."""
         outcome = inbox.Outcome.REFUSED
         for name in self._relays()[:MOST_RELAYS]:
-            host = self._ctx.hosts[name]
-            self._links.set_address(name, host.address, host.port)
-            query = messages.InboxWrite(items)
-            try:
-                reply = await self._links.call(name, query, RELAY_TIMEOUT_S)
-            except peer_exceptions.PeerUnsettled:
-                outcome = inbox.Outcome.IN_DOUBT
-                self._links.forget(name)
-                continue
-            except peer_exceptions.PeerRefused as exc:
-                if exc.kind == inbox.Outcome.IN_DOUBT.value:
-                    outcome = inbox.Outcome.IN_DOUBT
-                continue
-            except peer_exceptions.PeerError:
-                continue
-            if isinstance(reply, messages.Done):
-                return inbox.Outcome.ACCEPTED
+            told = await self._write_at(name, items)
+            self._ctx.log.note(
+                'inbox_relayed',
+                to=name,
+                jobs=[key for key, _ in items],
+                outcome=told.value,
+            )
+            if told is inbox.Outcome.ACCEPTED:
+                return told
+            if told is inbox.Outcome.IN_DOUBT:
+                outcome = told
         return outcome
 
+    async def _write_at(
+        self, name: str, items: list[tuple[str, bytes]]
+    ) -> inbox.Outcome:
+        host = self._ctx.hosts[name]
+        self._links.set_address(name, host.address, host.port)
+        query = messages.InboxWrite(items)
+        try:
+            reply = await self._links.call(name, query, RELAY_TIMEOUT_S)
+        except peer_exceptions.PeerUnsettled:
+            self._links.forget(name)
+            return inbox.Outcome.IN_DOUBT
+        except peer_exceptions.PeerRefused as exc:
+            in_doubt = exc.kind == inbox.Outcome.IN_DOUBT.value
+            return (
+                inbox.Outcome.IN_DOUBT if in_doubt else inbox.Outcome.REFUSED
+            )
+        except peer_exceptions.PeerError:
+            return inbox.Outcome.REFUSED
+        if isinstance(reply, messages.Done):
+            return inbox.Outcome.ACCEPTED
+        return inbox.Outcome.IN_DOUBT
+
     def _relays(self) -> list[str]:
         """Return other hosts, the owner and those of other zones first."""
         ctx = self._ctx
@@ -304,12 +320,17 @@
     async def _write_for_other(
         self, query: messages.InboxWrite
     ) -> messages.PeerMessage:
-        deadline = context.steady() + RELAY_TIMEOUT_S * 0.8
-        outcome = inbox.Outcome.ACCEPTED
-        for key, value in query.items:
-            told = await self._inbox.write(key, value, deadline, True)
-            if told is not inbox.Outcome.ACCEPTED:
-                outcome = told
+        now = context.steady()
+        refused = inbox.Outcome.REFUSED
+        if not self._ctx.store_ok(now):
+            return messages.Refusal(refused.value, 'no store here', 0.2)
+        deadline = now + RELAY_TIMEOUT_S * 0.8
+        outcome = await self._inbox.write(query.items, deadline, True)
+        self._ctx.log.note(
+            'inbox_written_for_other',
+            jobs=[key for key, _ in query.items],
+            outcome=outcome.value,
+        )
         if outcome is inbox.Outcome.ACCEPTED:
             return messages.Done()
         return messages.Refusal(outcome.value, 'the store is away here', 0.2)
--- a/hibiscusslip/host/inbox.py
+++ b/hibiscusslip/host/inbox.py
@@ -20,6 +20,7 @@
 RETRY_PAUSE_S = 0.03
 UNSENT_PATIENCE_S = 0.25
 IDLE_S = 5.0
+LEAST_TIME_S = 0.04  # less than a write to the store takes
 MOST_WAITING = 500
 MOST_GROUP_BYTES = 512 * 1024
 
@@ -42,14 +43,13 @@
 
 @dataclasses.dataclass(slots=True, eq=False)
 class _Entry:
-    key: str
-    value: bytes
+    items: list[tuple[str, bytes]]
     refuse_at: float
     deadline: float
     done: curio.Event
     relayed: bool
     doubtful: bool = False
-    outcome: Outcome = Outcome.IN_DOUBT
+    outcome: Outcome = Outcome.REFUSED
 
 
 class Inbox:
@@ -64,22 +64,28 @@
         self._part = topics.inbox_part(cfg.zone, cfg.zones, cfg.partitions)
 
     async def write(
-        self, key: str, value: bytes, deadline: float, relayed: bool = False
+        self,
+        items: list[tuple[str, bytes]],
+        deadline: float,
+        relayed: bool = False,
     ) -> Outcome:
-        """Write one record; a relayed one isn't passed on again.
+        """Write keys with values, all or none; relayed ones go no further.
 
         Once an answer was lost the record may appear, so writing it goes on
         until it's known to be there or the deadline has come.
         """
-        if len(self._waiting) >= MOST_WAITING:
-            return Outcome.REFUSED
         now = context.steady()
+        hopeless = deadline < now + LEAST_TIME_S
+        if hopeless or len(self._waiting) >= MOST_WAITING:
+            return Outcome.REFUSED
         refuse_at = min(now + UNSENT_PATIENCE_S, deadline)
-        entry = _Entry(key, value, refuse_at, deadline, curio.Event(), relayed)
+        entry = _Entry(items, refuse_at, deadline, curio.Event(), relayed)
         self._waiting.append(entry)
         await self._wake.set()
         async with curio.ignore_after(max(deadline - now, 0.0)):
             await entry.done.wait()
+        if entry in self._waiting:
+            self._waiting.remove(entry)  # it must not be written any more
         return entry.outcome
 
     async def run(self) -> None:
@@ -94,27 +100,32 @@
         size = 0
         group = []
         for entry in self._waiting:
-            size += len(entry.value)
+            size += sum(len(value) for _, value in entry.items)
             if group and size > MOST_GROUP_BYTES:
                 break
             group.append(entry)
         self._waiting = self._waiting[len(group) :]
+        for entry in group:
+            entry.outcome = Outcome.IN_DOUBT  # until the attempt has ended
         return group
 
     async def _write_group(self, group: list[_Entry]) -> None:
-        now = context.steady()
+        """Try the store, then other hosts; what surely failed is refused.
+
+        While the store is known to be away nothing is sent to it, so that
+        what can't be stored is refused at once and never in doubt.
+        """
         outcome = Outcome.REFUSED
-        if self._ctx.store_ok(now):
+        away = not self._ctx.store_ok(context.steady())
+        if not away:
             outcome = await self._append(group)
         if outcome is not Outcome.ACCEPTED:
-            doubtful = outcome is Outcome.IN_DOUBT
+            _mark(group, outcome)
             outcome = await self._write_elsewhere(group)
-            if doubtful and outcome is Outcome.REFUSED:
-                outcome = Outcome.IN_DOUBT
-        await self._settle(group, outcome)
+        await self._settle(group, outcome, away)
 
     async def _append(self, group: list[_Entry]) -> Outcome:
-        records = [store.keyed(entry.key, entry.value) for entry in group]
+        records = [store.keyed(*item) for e in group for item in e.items]
         started = context.steady()
         try:
             await self._ctx.store.append(
@@ -137,27 +148,27 @@
         own = [entry for entry in group if not entry.relayed]
         if not own:
             return Outcome.REFUSED
-        items = [(entry.key, entry.value) for entry in own]
+        for entry in own:
+            entry.outcome = Outcome.IN_DOUBT  # until the attempt has ended
+        items = [item for entry in own for item in entry.items]
         outcome = await self._relay.write(items)
         self._ctx.metrics.count('inbox_relayed', outcome=outcome.value)
         if outcome is Outcome.ACCEPTED and len(own) < len(group):
-            await self._settle(own, outcome)
+            await self._settle(own, outcome, False)
             return Outcome.REFUSED  # of the ones that are left
         return outcome
 
-    async def _settle(self, group: list[_Entry], outcome: Outcome) -> None:
+    async def _settle(
+        self, group: list[_Entry], outcome: Outcome, away: bool
+    ) -> None:
         now = context.steady()
+        _mark(group, outcome)
         again = []
         for entry in group:
             if entry.done.is_set():
                 continue
-            if outcome is Outcome.ACCEPTED:
-                entry.outcome = outcome
-                await entry.done.set()
-                continue
-            entry.doubtful = entry.doubtful or outcome is Outcome.IN_DOUBT
-            if not entry.doubtful and now >= entry.refuse_at:
-                entry.outcome = Outcome.REFUSED
+            refused = not entry.doubtful and (away or now >= entry.refuse_at)
+            if outcome is Outcome.ACCEPTED or refused:
                 await entry.done.set()
             elif now < entry.deadline:
                 again.append(entry)
@@ -169,7 +180,19 @@
         self._ctx.metrics.count(event)
         self._ctx.log.note(
             event,
-            jobs=[entry.key for entry in group[:5]],
+            jobs=[key for entry in group[:5] for key, _ in entry.items],
             count=len(group),
             error=str(exc)[:120],
         )
+
+
+def _mark(group: list[_Entry], outcome: Outcome) -> None:
+    """Take note of how an attempt ended; a doubt stays."""
+    for entry in group:
+        if entry.done.is_set():
+            continue
+        if outcome is Outcome.IN_DOUBT:
+            entry.doubtful = True
+        entry.outcome = outcome
+        if outcome is Outcome.REFUSED and entry.doubtful:
+            entry.outcome = Outcome.IN_DOUBT
