--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,7 @@
 PY := .venv/bin/python
 SEED ?= 1
+# The tests wait more than they work, so they run side by side.
+TEST_PROCESSES ?= 4
 
 .PHONY: setup test format format-check lint types demo bench bench-http policy
 .PHONY: integration slopes fuzz bytecode memory capacity
@@ -21,7 +23,7 @@
 	$(PY) -m hibiscusslip.bench.memory
 
 test: setup
-	$(PY) -m pytest $(PYTEST_ARGS)
+	PYTHONHASHSEED=0 $(PY) -m pytest -n $(TEST_PROCESSES) $(PYTEST_ARGS)
 
 format: setup
 	.venv/bin/ruff check -q --fix --select I .
--- a/hibiscusslip/host/host.py
+++ b/hibiscusslip/host/host.py
@@ -206,9 +206,9 @@
             ctx.log.note('claim_failed', error=str(exc)[:120])
             return
         ctx.ownership.won(epoch, now)
-        ctx.log.note(
-            'owner_won', epoch=epoch, silent_s=round(now - ctx.ownership.heard)
-        )
+        heard = ctx.ownership.heard
+        silent = None if heard is None else round(now - heard, 2)
+        ctx.log.note('owner_won', epoch=epoch, silent_s=silent)
 
     async def _own_once(self, epoch: int) -> None:
         ctx = self._ctx
--- a/hibiscusslip/host/inbox.py
+++ b/hibiscusslip/host/inbox.py
@@ -98,7 +98,7 @@
 
     def _take_group(self) -> list[_Entry]:
         size = 0
-        group = []
+        group: list[_Entry] = []
         for entry in self._waiting:
             size += sum(len(value) for _, value in entry.items)
             if group and size > MOST_GROUP_BYTES:
--- a/hibiscusslip/host/ownership.py
+++ b/hibiscusslip/host/ownership.py
@@ -31,8 +31,8 @@
     end: int = 0
     epoch: int = 0
     owner: notices.OwnerNotice | None = None
-    heard: float = 0.0
-    read: float = 0.0
+    heard: float | None = None
+    read: float | None = None
     held: int = 0
     confirmed: float = 0.0
 
@@ -40,7 +40,7 @@
         """Take note that the topic was read to its end."""
         self.end = max(self.end, end)
         self.read = now
-        if not self.heard:
+        if self.heard is None:
             self.heard = now
 
     def take(self, notice: notices.OwnerNotice, now: float) -> None:
@@ -55,7 +55,9 @@
 
     def may_claim(self, now: float) -> bool:
         """Tell whether this host should try to become the owner."""
-        if self.held or not self.read or now > self.read + FRESH_READ_S:
+        if self.held or self.read is None or self.heard is None:
+            return False
+        if now > self.read + FRESH_READ_S:
             return False
         patience = SILENCE_S
         owner = self.owner
--- a/hibiscusslip/http/client.py
+++ b/hibiscusslip/http/client.py
@@ -117,7 +117,8 @@
     size: int | None,
     items: tuple[tuple[str, str], ...],
 ) -> h11.Request:
-    fields = [(b'host', host)]
+    named = any(name == 'host' for name, _ in items)
+    fields = [] if named else [(b'host', host)]
     if size is not None:
         fields.append((b'content-length', b'%d' % size))
     for name, value in items:
--- a/hibiscusslip/http/messages.py
+++ b/hibiscusslip/http/messages.py
@@ -34,6 +34,12 @@
     headers: dict[str, str] = dataclasses.field(default_factory=dict)
     body: Body = b''
 
+    @property
+    def content(self) -> bytes:
+        """Return a body that isn't streamed."""
+        assert isinstance(self.body, bytes)
+        return self.body
+
 
 def problem(status: int, title: str, detail: str) -> Response:
     """Return a problem-details response; `detail` names the remedy."""
--- a/hibiscusslip/platform/advice.py
+++ b/hibiscusslip/platform/advice.py
@@ -56,7 +56,7 @@
                 raise exceptions.StoreUnavailable(
                     f'the advice service answered {response.status}'
                 )
-            told = msgspec.json.decode(response.body, type=_Eligible)
+            told = msgspec.json.decode(response.content, type=_Eligible)
         except (http_exceptions.HttpError, msgspec.MsgspecError) as exc:
             raise exceptions.StoreUnavailable(
                 f'no advice: {exc}; ask again'
--- a/hibiscusslip/platform/orders.py
+++ b/hibiscusslip/platform/orders.py
@@ -103,7 +103,7 @@
         if wait > 0:
             body['WaitMs'] = int(wait * settings.MS_PER_S)
         response = await self._call('/v1/hold', body, timeout + wait)
-        return documents.read_look(typing.cast(bytes, response.body))
+        return documents.read_look(response.content)
 
     async def close(self) -> None:
         """Close the connections."""
@@ -149,7 +149,7 @@
 
 def _decode(response: messages.Response) -> _Answer:
     try:
-        return msgspec.json.decode(response.body, type=_Answer)
+        return msgspec.json.decode(response.content, type=_Answer)
     except msgspec.MsgspecError:
         return _Answer()
 
--- a/hibiscusslip/platform/store.py
+++ b/hibiscusslip/platform/store.py
@@ -142,7 +142,7 @@
         path = f'/v1/log-read?{query}'
         response = await self._call('GET', path, b'', {}, timeout + wait)
         if response.status == 200:
-            return _split(start, typing.cast(bytes, response.body))
+            return _split(start, response.content)
         if response.status == 404:
             return Batch(start, [], 0, 0)  # nothing was ever written
         raise self._refusal(response)
@@ -270,7 +270,7 @@
 
 def _decode(response: messages.Response, kind: typing.Any) -> typing.Any:
     try:
-        return msgspec.json.decode(response.body, type=kind)
+        return msgspec.json.decode(response.content, type=kind)
     except msgspec.MsgspecError as exc:
         raise exceptions.StoreUnsettled(
             f'the store sent a broken answer: {exc}; call again'
--- a/tests/caller/test_handler.py
+++ b/tests/caller/test_handler.py
@@ -228,9 +228,7 @@
     assert (headers['content-length'], data) == (str(len(answer)), answer)
 
 
-@pytest.mark.parametrize(
-    'outcome', sorted(set(work.Outcome) - {'succeeded'})
-)
+@pytest.mark.parametrize('outcome', sorted(set(work.Outcome) - {'succeeded'}))
 def test_job_without_success_has_no_answer(jobs, outcome):
     jobs.final['j1'] = service.JobState('j1', outcome, answer=b'half')
     assert call(jobs, 'GET', '/v1/jobs/j1/answer')[0] == 409
--- /dev/null
+++ b/tests/dispatch/support.py
@@ -0,0 +1,108 @@
+"""Build queues, jobs and endpoints, and drive an engine by hand."""
+
+from hibiscusslip.dispatch import engine as engines
+from hibiscusslip.dispatch import model
+from hibiscusslip.dispatch import records
+
+SERVICE = 'planner'
+WALL = 1_000_000.0
+
+
+def queue(name='small', **fields):
+    fields.setdefault('service', SERVICE)
+    fields.setdefault('max_attempts', 2)
+    fields.setdefault('stretch', 2.0)
+    return model.Queue(name, 'a.example', f'/{name}/', **fields)
+
+
+def config(*queues, version=1):
+    services = {q.service: model.Service(q.service) for q in queues}
+    return model.Configuration(version, {q.name: q for q in queues}, services)
+
+
+def step(count=1, cpu=1000, memory=100, accelerators=0, **fields):
+    demand = model.Demand(cpu, memory, accelerators)
+    return model.Step(count, demand, **fields)
+
+
+def entry(name, cpu=8000, memory=8000, accelerators=0, **fields):
+    fields.setdefault('service', SERVICE)
+    fields.setdefault('address', f'{name}:1')
+    fields.setdefault('zone', 'z1')
+    fields.setdefault('labels', ('a', 'r1'))
+    fields.setdefault('draining', False)
+    fields.setdefault('seq', 1)
+    fields.setdefault('born', 1.0)
+    fields.setdefault('clock', 0.0)
+    capacity = model.Demand(cpu, memory, accelerators)
+    return model.EndpointEntry(name=name, capacity=capacity, **fields)
+
+
+class Bench:
+    """Hold an engine whose records are written at once."""
+
+    def __init__(self, *queues, lease=5.0):
+        self.notes = []
+        self.engine = engines.Engine(lease, self.note)
+        self.engine.config = config(*(queues or (queue(),)))
+        self.now = 100.0
+        self.number = {}
+
+    def note(self, event, **fields):
+        self.notes.append((event, fields))
+
+    def events(self, name):
+        return [fields for event, fields in self.notes if event == name]
+
+    def endpoint(self, name, **fields):
+        item = entry(name, **fields)
+        self.engine.list_endpoint(item, self.now)
+        self.look(name)
+        return self.engine.endpoints[name]
+
+    def submit(self, ident, *steps, queue='small', **fields):
+        spec = model.JobSpec('payload', tuple(steps), **fields)
+        submission = records.Submission(queue, SERVICE, WALL, b'')
+        return self.engine.submit(ident, submission, spec, self.now, WALL)
+
+    def plan(self, wall=WALL):
+        """Plan, write all records and return the starts."""
+        self.engine.plan(self.now, wall)
+        return self.commit()
+
+    def commit(self):
+        engine = self.engine
+        starts, engine.starts = engine.starts, []
+        written = {i: engine.jobs[i].state for i in engine.dirty}
+        engine.dirty = set()
+        seen = {e.name: e.handled for e in engine.endpoints.values()}
+        engine.committed(written, seen)
+        return starts
+
+    def stops(self):
+        stops, self.engine.stops = self.engine.stops, []
+        return stops
+
+    def confirm(self, starts):
+        for start in starts:
+            self.engine.started(start, self.now, self.now)
+
+    def look(self, name, running=(), ended=(), born=1.0, sent=None):
+        clock = self.now
+        look = model.Look(born, clock, tuple(running), tuple(ended))
+        self.engine.looked(name, look, sent or self.now, self.now)
+
+    def run_of(self, start):
+        return model.RunningRun(start.task.name, start.run, '', 50, 0.0)
+
+    def end(self, start, how='done', checkpoint=''):
+        name = start.endpoint
+        self.number[name] = self.number.get(name, 0) + 1
+        ended = model.EndedRun(
+            self.number[name],
+            start.task.name,
+            start.run,
+            model.Ending(how),
+            checkpoint,
+        )
+        self.look(name, ended=[ended])
--- /dev/null
+++ b/tests/dispatch/test_doubt.py
@@ -0,0 +1,170 @@
+"""Check that no task runs twice when endpoints or orders are in doubt."""
+
+from hibiscusslip.dispatch import model
+from hibiscusslip.dispatch import state
+from tests.dispatch import support
+
+
+def placed(bench):
+    bench.endpoint('e1', cpu=1000)
+    bench.submit('j', support.step())
+    (start,) = bench.plan()
+    bench.endpoint('e2', cpu=1000)
+    return start
+
+
+def hold(bench, seconds):
+    """Give a lease that ends in so many seconds on the endpoint's clock."""
+    endpoint = bench.engine.endpoints['e1']
+    endpoint.granted = endpoint.clock_now(bench.now) + seconds
+
+
+def test_silent_endpoint_keeps_its_runs_until_the_lease_is_surely_over():
+    bench = support.Bench()
+    start = placed(bench)
+    bench.confirm([start])
+    hold(bench, 5.0)
+    bench.engine.silent('e1', bench.now)
+    began = bench.now
+    bench.now = began + 5.1  # over by a true clock, not by a slow one
+    assert bench.plan() == []
+    bench.now = began + 5.5
+    assert [s.endpoint for s in bench.plan()] == ['e2']
+
+
+def test_unanswered_start_isnt_given_to_another_endpoint():
+    bench = support.Bench()
+    start = placed(bench)
+    bench.now += 0.5
+    bench.look('e1', sent=bench.now - 0.1)
+    assert bench.plan() == []
+    assert start.task.status is state.Status.ORDERED
+
+
+def test_unanswered_start_is_void_after_its_deadline():
+    bench = support.Bench()
+    start = placed(bench)
+    bench.now = bench.now + (start.deadline - bench.now) + 0.1
+    bench.look('e1')
+    assert bench.events('run_lost')[0]['reason'] == 'not listed'
+    assert [s.run for s in bench.plan()] == [2]
+
+
+def test_unanswered_start_that_is_listed_counts_as_started():
+    bench = support.Bench()
+    start = placed(bench)
+    bench.look('e1', running=[bench.run_of(start)])
+    assert start.task.status is state.Status.RUNNING
+
+
+def test_look_sent_before_the_answer_says_nothing_of_the_start():
+    bench = support.Bench()
+    start = placed(bench)
+    sent = bench.now
+    bench.now += 0.01
+    bench.confirm([start])
+    bench.now += 0.01
+    bench.look('e1', sent=sent)
+    assert start.task.status is state.Status.RUNNING
+
+
+def test_confirmed_run_that_isnt_listed_later_is_lost():
+    bench = support.Bench()
+    start = placed(bench)
+    bench.confirm([start])
+    bench.now += 0.1
+    bench.look('e1')
+    assert bench.events('run_lost')
+
+
+def test_restarted_endpoint_has_lost_its_runs():
+    bench = support.Bench()
+    start = placed(bench)
+    bench.confirm([start])
+    bench.look('e1', born=2.0)
+    assert [s.run for s in bench.plan()] == [2]
+
+
+def test_order_on_its_way_to_a_restarted_endpoint_is_waited_for():
+    bench = support.Bench()
+    start = placed(bench)  # never answered: it may come 12 s later
+    bench.now += 0.2
+    bench.look('e1', born=2.0)
+    assert bench.plan() == []
+    bench.now += 12.5
+    bench.look('e1', born=2.0)
+    assert [s.task for s in bench.plan()] == [start.task]
+
+
+def test_run_that_isnt_expected_is_booked_and_stopped():
+    bench = support.Bench()
+    endpoint = bench.endpoint('e1', cpu=1000)
+    bench.submit('j', support.step())
+    stray = model.RunningRun('j.0.0.0', 7, '', 10, 0.0)
+    bench.look('e1', running=[stray])
+    assert [(s.task, s.run) for s in bench.stops()] == [('j.0.0.0', 7)]
+    assert endpoint.used.cpu == 1000
+    assert bench.plan() == []
+
+
+def test_late_done_of_an_earlier_run_is_kept_and_the_other_stopped():
+    bench = support.Bench()
+    start = placed(bench)
+    bench.confirm([start])
+    hold(bench, 1.0)
+    bench.engine.silent('e1', bench.now)
+    bench.now += 2
+    (again,) = bench.plan()
+    bench.confirm([again])
+    bench.end(start)
+    assert bench.engine.jobs['j'].state is model.JobState.COMPLETED
+    assert [(s.task, s.run) for s in bench.stops()] == [('j.0.0.0', 2)]
+
+
+def test_replaced_endpoint_has_lost_its_runs_at_once():
+    bench = support.Bench()
+    start = placed(bench)
+    bench.confirm([start])
+    bench.engine.replaced('e1', bench.now)
+    assert [s.endpoint for s in bench.plan()] == ['e2']
+
+
+def test_refused_start_is_tried_again_with_a_new_run_number():
+    bench = support.Bench()
+    start = placed(bench)
+    bench.engine.not_started(start, 'old', bench.now)
+    assert [s.run for s in bench.plan()] == [2]
+
+
+def test_refused_member_stops_the_rest_of_its_gang():
+    bench = support.Bench()
+    bench.endpoint('e1', cpu=1000)
+    bench.endpoint('e2', cpu=1000)
+    bench.submit('j', support.step(2, gang=True))
+    first, second = bench.plan()
+    bench.confirm([first])
+    bench.engine.not_started(second, 'ticket', bench.now)
+    assert [s.task for s in bench.stops()] == [first.task.name]
+    assert bench.plan() == []
+    bench.end(first, 'stopped')
+    assert {s.run for s in bench.plan()} == {2}
+
+
+def test_endpoint_is_unusable_while_it_doesnt_answer():
+    bench = support.Bench()
+    bench.endpoint('e1')
+    bench.engine.silent('e1', bench.now)
+    bench.submit('j', support.step())
+    assert bench.plan() == []
+    bench.look('e1')
+    assert len(bench.plan()) == 1
+
+
+def test_unlisted_endpoint_gets_nothing_new_and_is_still_held():
+    bench = support.Bench()
+    start = placed(bench)
+    bench.confirm([start])
+    bench.engine.unlist_endpoint('e1', bench.now)
+    assert 'e1' in bench.engine.endpoints
+    assert bench.plan() == []
+    assert start.task.status is state.Status.RUNNING
--- /dev/null
+++ b/tests/dispatch/test_engine.py
@@ -0,0 +1,287 @@
+"""Check how jobs go from their submission to their end."""
+
+import pytest
+
+from hibiscusslip.dispatch import model
+from hibiscusslip.dispatch import state
+from tests.dispatch import support
+
+
+def names(starts):
+    return sorted(start.task.name for start in starts)
+
+
+def test_job_is_shown_completed_only_once_its_record_is_written():
+    bench = support.Bench()
+    bench.endpoint('e1')
+    job = bench.submit('j', support.step())
+    (start,) = bench.plan()
+    bench.confirm([start])
+    bench.end(start)
+    assert job.state is model.JobState.COMPLETED
+    assert job.shown is model.JobState.QUEUED
+    bench.commit()
+    assert job.shown is model.JobState.COMPLETED
+
+
+def test_end_is_seen_only_once_its_record_is_written():
+    bench = support.Bench()
+    endpoint = bench.endpoint('e1')
+    bench.submit('j', support.step())
+    (start,) = bench.plan()
+    bench.end(start)
+    assert (endpoint.handled, endpoint.seen) == (1, 0)
+    bench.commit()
+    assert endpoint.seen == 1
+
+
+def test_same_job_handed_in_twice_is_one():
+    bench = support.Bench()
+    bench.endpoint('e1')
+    first = bench.submit('j', support.step())
+    assert bench.submit('j', support.step()) is first
+    assert len(bench.plan()) == 1
+
+
+def test_step_waits_for_the_steps_before():
+    bench = support.Bench()
+    bench.endpoint('e1')
+    bench.submit('j', support.step(2), support.step(after=(0,)))
+    first, second = bench.plan()
+    bench.end(first)
+    assert bench.plan() == []
+    bench.end(second)
+    assert names(bench.plan()) == ['j.0.1.0']
+
+
+def test_no_endpoint_is_given_more_than_it_has():
+    bench = support.Bench()
+    endpoint = bench.endpoint('e1', cpu=3500)
+    bench.submit('j', support.step(9))
+    assert len(bench.plan()) == 3
+    assert endpoint.used.cpu == 3000
+
+
+def test_room_of_a_stopped_run_is_free_only_when_its_end_is_listed():
+    bench = support.Bench()
+    endpoint = bench.endpoint('e1')
+    bench.submit('j', support.step())
+    (start,) = bench.plan()
+    bench.confirm([start])
+    bench.engine.cancel('j', bench.now)
+    assert [s.task for s in bench.stops()] == ['j.0.0.0']
+    assert endpoint.used.cpu == 1000
+    bench.end(start, 'stopped')
+    assert endpoint.used.cpu == 0
+
+
+def test_cancelled_job_starts_nothing_more():
+    bench = support.Bench()
+    bench.endpoint('e1', cpu=1000)
+    bench.submit('j', support.step(2))
+    (start,) = bench.plan()
+    bench.engine.cancel('j', bench.now)
+    bench.end(start, 'stopped')
+    assert bench.plan() == []
+    assert bench.engine.jobs['j'].state is model.JobState.CANCELLED
+
+
+def test_failed_run_is_tried_again_as_often_as_the_queue_allows():
+    bench = support.Bench(support.queue(max_attempts=2))
+    bench.endpoint('e1')
+    job = bench.submit('j', support.step())
+    (start,) = bench.plan()
+    bench.end(start, 'failed')
+    (again,) = bench.plan()
+    assert again.run == 2
+    bench.end(again, 'failed')
+    assert bench.plan() == []
+    assert job.state is model.JobState.FAILED
+
+
+@pytest.mark.parametrize('how', ['stopped', 'lapsed', 'broken', 'alone'])
+def test_other_ends_are_no_attempts(how):
+    bench = support.Bench(support.queue(max_attempts=1))
+    bench.endpoint('e1')
+    job = bench.submit('j', support.step())
+    for number in range(1, 4):
+        (start,) = bench.plan()
+        assert start.run == number
+        bench.end(start, how)
+    assert job.state is not model.JobState.FAILED
+
+
+def test_checkpoint_of_the_last_run_is_given_to_the_next():
+    bench = support.Bench()
+    bench.endpoint('e1')
+    bench.submit('j', support.step(checkpoints=True))
+    (start,) = bench.plan()
+    bench.end(start, 'stopped', checkpoint='c7')
+    (again,) = bench.plan()
+    assert again.checkpoint == 'c7'
+
+
+def test_gang_starts_whole_or_not_at_all():
+    bench = support.Bench()
+    bench.endpoint('e1', cpu=2000)
+    bench.submit('j', support.step(3, gang=True))
+    assert bench.plan() == []
+    bench.endpoint('e2', cpu=1000)
+    starts = bench.plan()
+    assert len(starts) == 3
+    assert {start.run for start in starts} == {1}
+
+
+def test_gang_starts_again_only_when_all_its_members_have_ended():
+    bench = support.Bench()
+    bench.endpoint('e1', cpu=1000)
+    bench.endpoint('e2', cpu=1000)
+    bench.submit('j', support.step(2, gang=True))
+    first, second = bench.plan()
+    bench.end(first, 'failed')
+    assert bench.plan() == []
+    bench.end(second, 'broken')
+    assert {start.run for start in bench.plan()} == {2}
+
+
+def test_one_end_of_a_gang_that_is_done_stands_for_all():
+    bench = support.Bench()
+    bench.endpoint('e1', cpu=1000)
+    bench.endpoint('e2', cpu=1000)
+    job = bench.submit('j', support.step(2, gang=True))
+    first, _ = bench.plan()
+    bench.end(first)
+    assert job.state is model.JobState.COMPLETED
+
+
+def test_failed_gang_counts_once():
+    bench = support.Bench(support.queue(max_attempts=2))
+    bench.endpoint('e1')
+    job = bench.submit('j', support.step(2, gang=True))
+    for start in bench.plan():
+        bench.end(start, 'failed')
+    assert not job.state.final
+    for start in bench.plan():
+        bench.end(start, 'failed')
+    assert job.state is model.JobState.FAILED
+
+
+def test_task_that_lasts_is_restarted_however_it_ends():
+    bench = support.Bench(support.queue(max_attempts=1))
+    bench.endpoint('e1')
+    bench.submit('j', support.step(lasts=True))
+    for how in ('failed', 'done', 'lapsed', 'failed'):
+        (start,) = bench.plan()
+        bench.end(start, how)
+    assert len(bench.plan()) == 1
+
+
+def test_spread_bounds_the_tasks_of_a_step_on_an_endpoint():
+    bench = support.Bench()
+    bench.endpoint('e1')
+    bench.submit('j', support.step(4, spread=1))
+    assert len(bench.plan()) == 1
+    bench.endpoint('e2')
+    assert [start.endpoint for start in bench.plan()] == ['e2']
+
+
+def test_label_is_required():
+    bench = support.Bench()
+    bench.endpoint('e1', labels=('a', 'r1'))
+    bench.submit('j', support.step(label='b'))
+    assert bench.plan() == []
+    bench.endpoint('e2', labels=('b', 'r1'))
+    assert [start.endpoint for start in bench.plan()] == ['e2']
+
+
+def test_draining_endpoint_gets_nothing_new():
+    bench = support.Bench()
+    bench.endpoint('e1')
+    bench.engine.list_endpoint(
+        support.entry('e1', draining=True, seq=2), bench.now
+    )
+    bench.submit('j', support.step())
+    assert bench.plan() == []
+
+
+def test_old_report_doesnt_undo_a_newer_one():
+    bench = support.Bench()
+    bench.endpoint('e1')
+    bench.engine.list_endpoint(
+        support.entry('e1', draining=True, seq=5), bench.now
+    )
+    bench.engine.list_endpoint(support.entry('e1', seq=4), bench.now)
+    assert bench.engine.endpoints['e1'].entry.draining
+
+
+def test_occurrences_start_when_they_are_due_and_not_before():
+    bench = support.Bench()
+    bench.endpoint('e1')
+    bench.submit(
+        'j',
+        support.step(),
+        times=2,
+        first_due=support.WALL + 10,
+        interval=5.0,
+    )
+    assert bench.plan(support.WALL + 9.9) == []
+    assert names(bench.plan(support.WALL + 10)) == ['j.0.0.0']
+    assert bench.plan(support.WALL + 14.9) == []
+    assert names(bench.plan(support.WALL + 15)) == ['j.1.0.0']
+
+
+def test_fills_arent_booked_against_processors():
+    bench = support.Bench()
+    endpoint = bench.endpoint('e1', cpu=1000)
+    bench.submit('j', support.step(5, cpu=4000, fills=True))
+    assert len(bench.plan()) == 5
+    assert endpoint.used.cpu == 0
+
+
+def test_failing_endpoint_is_left_alone_for_a_while():
+    bench = support.Bench(support.queue(max_attempts=9))
+    bench.endpoint('e1')
+    for number in range(3):
+        bench.submit(f'j{number}', support.step())
+    for start in bench.plan():
+        bench.end(start, 'failed')
+    assert bench.events('endpoint_distrusted')
+    assert bench.plan() == []
+    bench.now += 4
+    assert len(bench.plan()) == 3
+
+
+def test_first_jobs_of_a_queue_that_is_gone_still_run():
+    bench = support.Bench()
+    bench.endpoint('e1')
+    bench.submit('j', support.step(), queue='dropped')
+    assert len(bench.plan()) == 1
+
+
+def test_pending_counts_jobs_that_havent_begun():
+    bench = support.Bench()
+    bench.endpoint('e1', cpu=1000)
+    bench.submit('a', support.step())
+    bench.submit('b', support.step())
+    bench.plan()
+    assert bench.engine.pending() == {'small': 1}
+
+
+def test_ended_jobs_are_forgotten_after_a_while():
+    bench = support.Bench()
+    bench.endpoint('e1')
+    bench.submit('j', support.step())
+    (start,) = bench.plan()
+    bench.end(start)
+    bench.commit()
+    assert bench.engine.forget_older(bench.now) == []
+    assert bench.engine.forget_older(bench.now + 1) == ['j']
+    assert 'j' not in bench.engine.jobs
+
+
+def test_waiting_state_is_what_the_task_starts_with():
+    bench = support.Bench()
+    job = bench.submit('j', support.step())
+    (task,) = job.occurrences[0][0].tasks
+    assert task.status is state.Status.WAITING
+    assert not task.status.placed
--- /dev/null
+++ b/tests/dispatch/test_waiting.py
@@ -0,0 +1,270 @@
+"""Check in which order work waits and what is kept for whom."""
+
+from hibiscusslip.dispatch import estimates
+from hibiscusslip.dispatch import model
+from hibiscusslip.dispatch import ordering
+from hibiscusslip.dispatch import state
+from tests.dispatch import support
+
+ADVICE = model.Advice(decision=0.02, per_endpoint=0.001, valid=2.0)
+LONG_ADVICE = model.Advice(decision=0.6, per_endpoint=0.01, valid=2.0)
+
+
+def rank_of(ident, now, submitted=0.0, priority=0, estimate=1.0):
+    spec = model.JobSpec('', (support.step(estimate=estimate),))
+    job = state.Job(ident, 'q', 's', spec, submitted)
+    step = state.StepState(job, 0, 0, spec.steps[0])
+    queue = support.queue(stretch=2.0, target=1.0)
+    learned = estimates.Estimates()
+    objective = learned.objective(job, queue)
+    return ordering.rank(step, objective, estimate, priority, now)
+
+
+def test_priority_goes_first_then_what_can_be_on_time_then_the_rest():
+    on_time = rank_of('a', 0.0)
+    late = rank_of('b', 4.0)
+    expired = rank_of('c', 30.0)
+    second = rank_of('d', 0.0, priority=1)
+    assert sorted([expired, second, late, on_time]) == [
+        on_time,
+        late,
+        second,
+        expired,
+    ]
+
+
+def test_what_has_to_start_soonest_goes_first():
+    assert rank_of('a', 1.0, submitted=0.0) < rank_of('b', 1.0, submitted=0.5)
+
+
+def test_objective_comes_from_the_longest_chain():
+    steps = (
+        support.step(estimate=1.0),
+        support.step(estimate=2.0, after=(0,)),
+        support.step(estimate=5.0),
+    )
+    job = state.Job('j', 'q', 's', model.JobSpec('', steps), 10.0)
+    learned = estimates.Estimates()
+    assert learned.chain(job) == 5.0
+    assert learned.chain(job, 1) == 2.0
+    objective = learned.objective(job, support.queue(stretch=2.0, target=1.0))
+    assert (objective.on_time, objective.last) == (21.0, 43.0)
+
+
+def test_run_times_are_learned_for_each_queue():
+    learned = estimates.Estimates()
+    for _ in range(100):
+        learned.learn('q', 1.0, 2.0)
+    spec = model.JobSpec('', (support.step(estimate=1.0),))
+    step = state.StepState(
+        state.Job('j', 'q', 's', spec, 0.0), 0, 0, spec.steps[0]
+    )
+    assert 1.9 < learned.run_time(step) <= 2.0
+
+
+def test_small_urgent_task_passes_long_ones():
+    bench = support.Bench(
+        support.queue('small', priority=0), support.queue('big', priority=2)
+    )
+    bench.submit('b', support.step(4, estimate=5.0), queue='big')
+    bench.submit('s', support.step(2, estimate=0.5))
+    bench.endpoint('e1', cpu=2000)
+    assert {start.task.step.job.ident for start in bench.plan()} == {'s'}
+
+
+def test_room_is_kept_for_urgent_work():
+    bench = support.Bench(
+        support.queue('small', priority=0), support.queue('big', priority=2)
+    )
+    bench.endpoint('e1', cpu=10000)
+    for number in range(60):
+        bench.submit(f's{number}', support.step(4, estimate=0.5))
+        started = bench.plan()
+        bench.confirm(started)
+        bench.now += 0.25
+        bench.plan()
+        bench.now += 0.25
+        for start in started:
+            bench.end(start)
+    bench.submit('b', support.step(20, estimate=5.0), queue='big')
+    started = bench.plan()
+    assert 5 <= len(started) < 10
+    bench.submit('s', support.step(2, estimate=0.5))
+    assert len(bench.plan()) == 2
+
+
+def tickets(bench, names, valid=2.0):
+    (ask,) = bench.engine.asks
+    bench.engine.asks = []
+    given = {name: f't-{name}' for name in names}
+    bench.engine.advised(ask, given, valid, bench.now, bench.now)
+    return ask
+
+
+def test_start_carries_a_ticket_and_goes_where_it_is_allowed():
+    bench = support.Bench(support.queue(advice=ADVICE))
+    bench.endpoint('e1')
+    bench.endpoint('e2')
+    bench.submit('j', support.step())
+    assert bench.plan() == []
+    assert set(tickets(bench, ['e2']).endpoints) == {'e1', 'e2'}
+    (start,) = bench.plan()
+    assert (start.endpoint, start.ticket) == ('e2', 't-e2')
+
+
+def test_only_eligible_endpoints_are_asked_about_again():
+    bench = support.Bench(support.queue(advice=ADVICE))
+    bench.endpoint('e1', cpu=500)
+    bench.endpoint('e2', cpu=500)
+    bench.submit('j', support.step())
+    bench.plan()
+    tickets(bench, ['e2'])
+    bench.plan()
+    assert bench.engine.asks == []
+    bench.now += 1.9
+    bench.plan()
+    assert [ask.endpoints for ask in bench.engine.asks] == [('e2',)]
+
+
+def test_old_ticket_is_never_sent():
+    bench = support.Bench(support.queue(advice=ADVICE))
+    bench.submit('j', support.step())
+    bench.endpoint('e1', cpu=500)
+    bench.plan()
+    tickets(bench, ['e1'])
+    bench.now += 1.9
+    bench.endpoint('e1', cpu=2000, seq=2)
+    assert bench.plan() == []
+
+
+def test_refused_ticket_is_renewed():
+    bench = support.Bench(support.queue(advice=ADVICE))
+    bench.endpoint('e1')
+    bench.submit('j', support.step())
+    bench.plan()
+    tickets(bench, ['e1'])
+    (start,) = bench.plan()
+    bench.engine.not_started(start, 'ticket', bench.now)
+    assert bench.plan() == []
+    assert len(bench.engine.asks) == 1
+
+
+def test_tickets_are_asked_ahead_of_the_step_before():
+    bench = support.Bench(support.queue(advice=ADVICE))
+    bench.endpoint('e1')
+    bench.submit('j', support.step(estimate=1.0), support.step(after=(0,)))
+    bench.plan()
+    tickets(bench, ['e1'])
+    bench.confirm(bench.plan())
+    assert bench.engine.asks == []
+    bench.now += 0.9
+    bench.plan()
+    assert [ask.step.name for ask in bench.engine.asks] == ['j.0.1']
+
+
+def test_long_calls_leave_hosts_to_short_ones():
+    bench = support.Bench(
+        support.queue('wide', advice=LONG_ADVICE),
+        support.queue('small', advice=ADVICE),
+    )
+    bench.engine.advisers = 4
+    bench.endpoint('e1')
+    for number in range(6):
+        bench.submit(f'w{number}', support.step(), queue='wide')
+    bench.submit('s', support.step())
+    bench.plan()
+    asked = [ask.step.job.queue for ask in bench.engine.asks]
+    assert asked.count('wide') == 2
+    assert asked.count('small') == 1
+
+
+def gpu_bench():
+    bench = support.Bench(
+        support.queue('gang', priority=1, stretch=9.0),
+        support.queue('single', priority=2, stretch=9.0),
+    )
+    bench.endpoint('e1', cpu=64000, memory=64000, accelerators=8)
+    return bench
+
+
+def single(count, **fields):
+    return support.step(count, accelerators=1, estimate=4.0, **fields)
+
+
+def test_room_is_kept_for_a_gang_that_small_tasks_would_fill_up():
+    bench = gpu_bench()
+    bench.submit('s', single(8), queue='single')
+    first = bench.plan()
+    bench.confirm(first)
+    wide = support.step(1, accelerators=8, gang=True)
+    bench.submit('g', wide, queue='gang')
+    longer = support.step(4, accelerators=1, estimate=5.0)
+    bench.submit('t', longer, queue='single')
+    for start in first[:4]:
+        bench.end(start)
+    assert bench.plan() == []
+    for start in first[4:]:
+        bench.end(start)
+    assert [s.task.step.job.ident for s in bench.plan()] == ['g']
+
+
+def test_short_tasks_use_the_room_meanwhile():
+    bench = gpu_bench()
+    bench.submit('s', single(8), queue='single')
+    first = bench.plan()
+    bench.confirm(first)
+    bench.submit('g', support.step(1, accelerators=8, gang=True), queue='gang')
+    short = support.step(1, accelerators=1, estimate=0.5)
+    bench.submit('t', short, queue='single')
+    bench.end(first[0])
+    assert [s.task.step.job.ident for s in bench.plan()] == ['t']
+
+
+def test_checkpointing_tasks_make_way_and_go_on_later():
+    bench = gpu_bench()
+    bench.submit('s', single(8, checkpoints=True), queue='single')
+    first = bench.plan()
+    bench.confirm(first)
+    bench.submit('g', support.step(1, accelerators=8, gang=True), queue='gang')
+    bench.plan()
+    assert len(bench.stops()) == 8
+    for start in first:
+        bench.end(start, 'stopped', checkpoint='c1')
+    assert [s.task.step.job.ident for s in bench.plan()] == ['g']
+
+
+def test_tasks_that_would_lose_work_dont_make_way():
+    bench = gpu_bench()
+    bench.submit('s', single(8), queue='single')
+    bench.confirm(bench.plan())
+    bench.submit('g', support.step(1, accelerators=8, gang=True), queue='gang')
+    bench.plan()
+    assert bench.stops() == []
+
+
+def test_run_that_stands_still_is_stopped_and_its_endpoint_left_alone():
+    bench = support.Bench()
+    bench.endpoint('e1')
+    bench.submit('j', support.step(estimate=1.0))
+    (start,) = bench.plan()
+    bench.confirm([start])
+    for _ in range(4):
+        bench.now += 0.5
+        bench.look('e1', running=[bench.run_of(start)])
+    assert [(s.task, s.reason) for s in bench.stops()] == [
+        (start.task.name, 'stands still')
+    ]
+    assert not bench.engine.endpoints['e1'].usable(bench.now)
+
+
+def test_slow_endpoint_is_used_only_when_there_is_no_other():
+    bench = support.Bench()
+    bench.endpoint('e1')
+    bench.submit('j', support.step(estimate=1.0))
+    (start,) = bench.plan()
+    bench.confirm([start])
+    bench.now += 8
+    bench.end(start)
+    bench.endpoint('e2', cpu=16000)
+    bench.submit('k', support.step(estimate=1.0))
+    assert [s.endpoint for s in bench.plan()] == ['e2']
--- /dev/null
+++ b/tests/host/fakes.py
@@ -0,0 +1,95 @@
+"""Stand in for the store and other hosts, in memory."""
+
+from hibiscusslip.host import context
+from hibiscusslip.host import inbox
+from hibiscusslip.host import ownership
+from hibiscusslip.observe import exposition
+from hibiscusslip.platform import settings
+from hibiscusslip.platform import store
+
+ADDRESS = settings.Address('127.0.0.1', 1)
+
+
+class FakeLog:
+    """Keep the events that were noted."""
+
+    def __init__(self):
+        self.events = []
+
+    def note(self, event, **fields):
+        self.events.append((event, fields))
+
+    def flush(self):
+        pass
+
+    def named(self, name):
+        return [fields for event, fields in self.events if event == name]
+
+
+class FakeStore:
+    """Keep records; `script` holds what the next appends do."""
+
+    def __init__(self):
+        self.records = []
+        self.script = []
+        self.appends = 0
+
+    async def append(self, topic, records, timeout, **options):
+        self.appends += 1
+        action = self.script.pop(0) if self.script else None
+        if action is not None:
+            await action(self, topic, records)
+        self.records.extend((topic, record) for record in records)
+        return len(self.records) - len(records)
+
+    def keys(self):
+        return [store.split_keyed(record)[0] for _, record in self.records]
+
+
+class FakeRelay(inbox.Relay):
+    """Answer with what the script holds, else refuse."""
+
+    def __init__(self):
+        self.script = []
+        self.items = []
+
+    async def write(self, items):
+        self.items.append(items)
+        if not self.script:
+            return inbox.Outcome.REFUSED
+        action = self.script.pop(0)
+        return await action(items)
+
+
+def host_settings(name='h1'):
+    return settings.HostSettings(
+        name=name,
+        zone='z1',
+        zones=('z1', 'z2'),
+        partitions=12,
+        front=ADDRESS,
+        ready=ADDRESS,
+        ports=(7000, 7010),
+        store=ADDRESS,
+        advice=None,
+        cloud=None,
+        first_start=True,
+        cpu_share=1.0,
+        cores=1.0,
+        link_mbps=100.0,
+        heartbeat=1.5,
+        bounds=settings.Bounds(),
+    )
+
+
+def make_context(fake_store, name='h1'):
+    ctx = context.Context(
+        cfg=host_settings(name),
+        incarnation='i1',
+        store=fake_store,
+        log=FakeLog(),
+        metrics=exposition.Metrics(),
+        ownership=ownership.Ownership(name, 'i1', 0.1),
+    )
+    ctx.store_answers(context.steady())
+    return ctx
--- /dev/null
+++ b/tests/host/test_inbox.py
@@ -0,0 +1,190 @@
+"""Check that what is said of a record is true, whatever the store does."""
+
+import curio
+import pytest
+
+from hibiscusslip.host import context
+from hibiscusslip.host import inbox
+from hibiscusslip.platform import exceptions
+from tests.host import fakes
+
+ITEMS = [('job1', b'v')]
+
+
+async def unavailable(store, topic, records):
+    raise exceptions.StoreUnavailable('503')
+
+
+async def lost_answer(store, topic, records):
+    store.records.extend((topic, record) for record in records)
+    raise exceptions.StoreUnsettled('no answer')
+
+
+async def nothing_done(store, topic, records):
+    raise exceptions.StoreUnsettled('no answer')
+
+
+async def never(store, topic, records):
+    await curio.sleep(60)
+
+
+class Running:
+    def __init__(self):
+        self.store = fakes.FakeStore()
+        self.relay = fakes.FakeRelay()
+        self.ctx = fakes.make_context(self.store)
+        self.box = inbox.Inbox(self.ctx, self.relay)
+
+    def away(self):
+        for _ in range(context.FAILURES_TO_AWAY):
+            self.ctx.store_fails('test')
+
+    async def write(self, items=ITEMS, patience=1.0, relayed=False):
+        deadline = context.steady() + patience
+        return await self.box.write(items, deadline, relayed)
+
+
+def run(scenario, *args):
+    async def main():
+        running = Running()
+        task = await curio.spawn(running.box.run, daemon=True)
+        try:
+            return await scenario(running, *args)
+        finally:
+            await task.cancel()
+
+    return curio.run(main)
+
+
+def test_written_record_is_accepted():
+    async def scenario(running):
+        assert await running.write() is inbox.Outcome.ACCEPTED
+        assert running.store.keys() == ['job1']
+
+    run(scenario)
+
+
+def test_waiting_records_share_an_append():
+    async def scenario(running):
+        async def slow(store, topic, records):
+            await curio.sleep(0.05)
+
+        running.store.script = [slow]
+        async with curio.TaskGroup() as group:
+            for number in range(10):
+                await group.spawn(running.write, [(f'j{number}', b'v')])
+        assert running.store.appends <= 3
+        assert len(running.store.keys()) == 10
+
+    run(scenario)
+
+
+def test_refused_by_the_store_goes_through_another_host():
+    async def scenario(running):
+        async def accept(items):
+            return inbox.Outcome.ACCEPTED
+
+        running.store.script = [unavailable]
+        running.relay.script = [accept]
+        assert await running.write() is inbox.Outcome.ACCEPTED
+        assert running.relay.items == [ITEMS]
+
+    run(scenario)
+
+
+def test_relayed_record_goes_no_further():
+    async def scenario(running):
+        running.store.script = [unavailable] * 100
+        outcome = await running.write(relayed=True)
+        assert outcome is inbox.Outcome.REFUSED
+        assert running.relay.items == []
+
+    run(scenario)
+
+
+def test_lost_answer_is_settled_by_writing_again():
+    async def scenario(running):
+        running.store.script = [lost_answer]
+        assert await running.write() is inbox.Outcome.ACCEPTED
+
+    run(scenario)
+
+
+@pytest.mark.parametrize('after', [unavailable, nothing_done])
+def test_doubt_is_never_told_as_refused(after):
+    async def scenario(running):
+        running.store.script = [lost_answer, *[after] * 1000]
+        outcome = await running.write(patience=0.6)
+        assert outcome is inbox.Outcome.IN_DOUBT
+
+    run(scenario)
+
+
+def test_store_known_to_be_away_is_refused_at_once_and_not_tried():
+    async def scenario(running):
+        running.away()
+        began = context.steady()
+        assert await running.write() is inbox.Outcome.REFUSED
+        assert context.steady() - began < 0.2
+        assert running.store.appends == 0
+
+    run(scenario)
+
+
+def test_refused_record_is_never_written_afterwards():
+    async def scenario(running):
+        running.store.script = [unavailable] * 5
+        outcome = await running.write(patience=0.06)
+        await curio.sleep(0.5)
+        written = bool(running.store.keys())
+        assert written == (outcome is not inbox.Outcome.REFUSED)
+        assert outcome is inbox.Outcome.REFUSED
+
+    run(scenario)
+
+
+def test_caller_that_leaves_during_an_append_leaves_a_doubt():
+    async def scenario(running):
+        running.store.script = [never]
+        outcome = await running.write(patience=0.1)
+        assert outcome is inbox.Outcome.IN_DOUBT
+
+    run(scenario)
+
+
+def test_caller_that_leaves_during_a_relay_leaves_a_doubt():
+    async def scenario(running):
+        async def slow(items):
+            await curio.sleep(0.5)
+            return inbox.Outcome.ACCEPTED
+
+        running.away()
+        running.relay.script = [slow]
+        outcome = await running.write(patience=0.1)
+        assert outcome is inbox.Outcome.IN_DOUBT
+
+    run(scenario)
+
+
+def test_record_that_can_not_be_written_in_time_isnt_tried():
+    async def scenario(running):
+        outcome = await running.write(patience=0.01)
+        assert outcome is inbox.Outcome.REFUSED
+        await curio.sleep(0.1)
+        assert running.store.appends == 0
+
+    run(scenario)
+
+
+def test_group_that_is_too_long_a_queue_is_refused():
+    async def scenario(running):
+        running.store.script = [never]
+        async with curio.TaskGroup() as group:
+            tasks = [
+                await group.spawn(running.write, [(f'j{n}', b'')], 0.3)
+                for n in range(inbox.MOST_WAITING + 50)
+            ]
+        outcomes = [task.result for task in tasks]
+        assert outcomes.count(inbox.Outcome.REFUSED) >= 49
+
+    run(scenario)
--- /dev/null
+++ b/tests/host/test_ownership.py
@@ -0,0 +1,98 @@
+"""Check when a host may claim the cell and act for it."""
+
+from hibiscusslip.host import notices
+from hibiscusslip.host import ownership
+
+
+def notice(kind=notices.BEAT, epoch=5, host='other', incarnation='x'):
+    return notices.OwnerNotice(kind, epoch, host, incarnation, '10.0.0.1', 1)
+
+
+def fresh(now=0.0, end=10):
+    own = ownership.Ownership('me', 'i1', 0.1)
+    own.read_to(end, now)
+    return own
+
+
+def test_first_host_of_a_new_cell_claims_at_once():
+    own = fresh(end=0)
+    assert not own.may_claim(0.05)
+    assert own.may_claim(0.11)
+
+
+def test_host_that_hasnt_read_the_topic_claims_nothing():
+    own = ownership.Ownership('me', 'i1', 0.1)
+    assert not own.may_claim(100.0)
+
+
+def test_owner_that_beats_is_left_alone():
+    own = fresh()
+    for tenth in range(0, 100):
+        now = tenth / 10
+        own.read_to(10 + tenth, now)
+        if tenth % 5 == 0:
+            own.take(notice(), now)
+        assert not own.may_claim(now)
+
+
+def test_silent_owner_is_followed():
+    own = fresh()
+    own.take(notice(), 1.0)
+    own.read_to(11, 2.6)
+    assert not own.may_claim(2.6)
+    own.read_to(11, 2.9)
+    assert own.may_claim(2.9)
+
+
+def test_host_that_can_not_read_the_store_claims_nothing():
+    own = fresh()
+    own.take(notice(), 1.0)
+    assert not own.may_claim(30.0)
+
+
+def test_released_ownership_is_taken_at_once():
+    own = fresh()
+    own.take(notice(notices.RELEASE), 1.0)
+    own.read_to(11, 1.0)
+    assert own.may_claim(1.11)
+
+
+def test_own_last_incarnation_is_followed_at_once():
+    own = fresh()
+    own.take(notice(host='me', incarnation='i0'), 1.0)
+    own.read_to(11, 1.0)
+    assert own.may_claim(1.11)
+
+
+def test_notice_of_an_owner_that_was_followed_is_ignored():
+    own = fresh()
+    own.take(notice(epoch=9, host='new'), 1.0)
+    own.take(notice(epoch=5, host='old'), 2.0)
+    assert own.owner.host == 'new'
+    assert own.heard == 1.0
+
+
+def test_owner_loses_to_a_later_claim_only():
+    own = fresh()
+    own.won(11, 1.0)
+    own.take(notice(epoch=5), 1.1)
+    assert own.held == 11
+    own.take(notice(notices.CLAIM, epoch=30), 1.2)
+    assert own.held == 0
+
+
+def test_owner_extends_leases_only_for_a_while_after_its_last_record():
+    own = fresh()
+    own.won(11, 1.0)
+    own.confirm(4.0)
+    assert own.may_renew(4.0 + ownership.RENEW_S - 0.01)
+    assert not own.may_renew(4.0 + ownership.RENEW_S)
+    own.lose()
+    assert not own.may_renew(4.1)
+
+
+def test_strong_hosts_claim_first():
+    weak = ownership.stagger(0.5, 0.0)
+    strong = ownership.stagger(2.1, 0.0)
+    assert strong < weak
+    assert ownership.stagger(1.0, 1.0) <= ownership.MOST_STAGGER_S
--- /dev/null
+++ b/tests/observe/test_events.py
@@ -0,0 +1,72 @@
+"""Check that the event log is bounded and never blocks."""
+
+import json
+import os
+
+from hibiscusslip.observe import events
+from hibiscusslip.observe import exposition
+
+
+def test_each_event_is_one_json_line():
+    read, write = os.pipe()
+    log = events.open_log('h1', write)
+    log.note('job_accepted', job='a\nb', bytes=3)
+    log.flush()
+    (line,) = os.read(read, 10000).decode().splitlines()
+    told = json.loads(line)
+    assert (told['event'], told['host'], told['job']) == (
+        'job_accepted',
+        'h1',
+        'a\nb',
+    )
+
+
+def test_reader_that_stops_reading_holds_nothing_up():
+    read, write = os.pipe()
+    log = events.open_log('h1', write)
+    for number in range(20000):
+        log._counts.clear()
+        log.note('run_lost', task=f'{number:0200d}')
+        log.flush()
+    assert len(log._buffer) <= events.MAX_BUFFER_BYTES + 1000
+    assert log._left_out['run_lost'] > 0
+
+
+def test_what_is_left_out_is_told():
+    read, write = os.pipe()
+    log = events.open_log('h1', write)
+    for _ in range(events.LINES_PER_WINDOW + 7):
+        log.note('run_lost')
+    log._roll(log._window + 2)
+    log.flush()
+    lines = os.read(read, 1 << 20).decode().splitlines()
+    assert json.loads(lines[-1])['counts'] == {'run_lost': 7}
+
+
+def test_closed_reader_is_no_error():
+    read, write = os.pipe()
+    os.close(read)
+    log = events.open_log('h1', write)
+    log.note('host_started')
+    log.flush()
+    assert not log._buffer
+
+
+def test_metrics_are_told_in_the_exposition_format():
+    metrics = exposition.Metrics()
+    metrics.count('answers', method='GET', status='200')
+    metrics.gauge('config_version', 7)
+    metrics.time('plan', 0.03)
+    text = metrics.render().decode()
+    assert 'hibiscusslip_answers{method="GET",status="200"} 1' in text
+    assert 'hibiscusslip_config_version 7' in text
+    assert 'hibiscusslip_plan_seconds_bucket{le="0.05"} 1' in text
+    assert 'hibiscusslip_plan_seconds_bucket{le="0.025"} 0' in text
+    assert 'hibiscusslip_plan_seconds_count 1' in text
+
+
+def test_series_are_bounded():
+    metrics = exposition.Metrics()
+    for number in range(exposition.MAX_SERIES + 100):
+        metrics.count('x', label=str(number))
+    assert metrics.render().count(b'\n') <= exposition.MAX_SERIES + 2
--- /dev/null
+++ b/tests/platform/cell.py
@@ -0,0 +1,181 @@
+"""Run hosts against the stand-in of the platform, in one process."""
+
+import contextlib
+import itertools
+import os
+
+import curio
+import msgspec
+
+from hibiscusslip.host import __main__ as starter
+from hibiscusslip.host import host
+from hibiscusslip.http import client
+from hibiscusslip.http import server
+from hibiscusslip.platform import settings
+from tests.platform import standin
+
+SECRET = b'0123456789abcdef'
+SERVICE = 'planner'
+HOST = 'a.example'
+PREFIX = '/small/'
+_numbers = itertools.count(2)
+
+NODE_FILE = """
+Node={name}
+Zone=z1
+Zones.z1=r
+Ip={ip}
+Listen.Front={ip}:18149
+Listen.Ready={ip}:18141
+PortRange=17380,17395
+Bootstrap=true
+Limits.CpuShare=1
+Limits.Cores=1
+HeartbeatMs=1500
+Bounds.MaxHoldMs=6000
+platform.Addr={store}
+platform.parts=12
+"""
+
+
+def config_document(version=1, service=SERVICE, **route):
+    fields = {
+        'Name': 'r-small',
+        'Host': HOST,
+        'PathPrefix': PREFIX,
+        'Kind': 'unsafe',
+        'TimeoutMs': 3000,
+        'TargetLatencyMs': 1000,
+        'Priority': 0,
+        'Service': service,
+        'MaxAttempts': 2,
+        'Stretch': 2.0,
+    }
+    fields.update(route)
+    return msgspec.json.encode(
+        {
+            'Version': version,
+            'Routes': [fields],
+            'Services': [
+                {'Name': service, 'HealthPath': '/h', 'MaxConns': 64}
+            ],
+            'Limits': {'MaxBodyBytes': 262144},
+        }
+    )
+
+
+def _own_address(number):
+    """Return a loopback address that no other test process uses."""
+    pid = os.getpid()
+    return f'127.{1 + pid // 250 % 250}.{pid % 250}.{number}'
+
+
+class Cell:
+    """Hold a store, endpoints and hosts, each host with its own address."""
+
+    def __init__(self):
+        self.store = standin.Store()
+        self.endpoints = {}
+        self.hosts = {}
+        self.contexts = {}
+        self.addresses = {}
+        self._store_address = ''
+        self._tasks = []
+
+    async def start(self, hosts=1, endpoints=1, run_s=0.1):
+        self.store.put('keyed.op', 'config', config_document())
+        port = await self._serve(self.store, '127.0.0.1')
+        self._store_address = f'127.0.0.1:{port}'
+        for number in range(endpoints):
+            await self.add_endpoint(f'e{number}', run_s)
+        for number in range(hosts):
+            await self.add_host(f'h{number}')
+
+    async def add_endpoint(self, name, run_s=0.1):
+        endpoint = standin.Endpoint(name, run_s)
+        port = await self._serve(endpoint, '127.0.0.1')
+        address = f'127.0.0.1:{port}'
+        self.store.put('keyed.servers', name, endpoint.entry(address, SERVICE))
+        self.endpoints[name] = endpoint
+
+    async def add_host(self, name):
+        ip = _own_address(next(_numbers) % 250)
+        text = NODE_FILE.format(name=name, ip=ip, store=self._store_address)
+        ctx = starter.make_context(settings.parse(text))
+        task = await curio.spawn(host.Host(ctx, SECRET).run, daemon=True)
+        self.hosts[name] = task
+        self.contexts[name] = ctx
+        self.addresses[name] = ip
+        self._tasks.append(task)
+
+    async def kill(self, name):
+        await self.hosts.pop(name).cancel()
+        self.contexts.pop(name)
+
+    def owner(self):
+        for name, ctx in self.contexts.items():
+            if ctx.ownership.held:
+                return name
+        return None
+
+    async def until(self, condition, timeout=15.0):
+        async with curio.timeout_after(timeout):
+            while not condition():
+                await curio.sleep(0.02)
+
+    async def call(self, name, method, path, body=b''):
+        pool = client.Pool(self.addresses[name], 18149, max_connections=1)
+        try:
+            return await pool.call(
+                method,
+                path,
+                body=body,
+                headers={'host': HOST, 'x-deadline-ms': '3000'},
+                timeout=4.0,
+            )
+        finally:
+            await pool.close()
+
+    async def submit(self, name, ident, **fields):
+        step = {'Count': 2, 'Cpu': 1000, 'MemMb': 10, 'EstimateMs': 100}
+        step.update(fields)
+        body = msgspec.json.encode({'Spec': 'x', 'Steps': [step]})
+        return await self.call(name, 'POST', PREFIX + ident, body)
+
+    async def state(self, name, ident):
+        response = await self.call(name, 'GET', PREFIX + ident)
+        if response.status != 200:
+            return response.status
+        return msgspec.json.decode(response.content)['State']
+
+    async def until_state(self, name, ident, state, timeout=15.0):
+        async with curio.timeout_after(timeout):
+            while await self.state(name, ident) != state:
+                await curio.sleep(0.05)
+
+    def starts(self):
+        return [
+            (name, task, run)
+            for name, endpoint in self.endpoints.items()
+            for _, task, run in endpoint.starts
+        ]
+
+    async def _serve(self, handler, ip):
+        serving = server.Server(handler)
+        port = await serving.listen(ip, 0)
+        self._tasks.append(await curio.spawn(serving.serve, daemon=True))
+        return port
+
+    async def close(self):
+        for task in self._tasks:
+            await task.cancel()
+
+
+@contextlib.asynccontextmanager
+async def running(**options):
+    cell = Cell()
+    try:
+        await cell.start(**options)
+        yield cell
+    finally:
+        await cell.close()
--- /dev/null
+++ b/tests/platform/standin.py
@@ -0,0 +1,300 @@
+"""Stand in for the platform: its store, endpoints and advice service.
+
+They speak the wire of the platform team's pages over real sockets and keep
+what happened, so that a test can check the promises from outside.
+"""
+
+import base64
+import dataclasses
+import struct
+import time
+
+import curio
+import msgspec
+
+from hibiscusslip.http import exceptions as http_exceptions
+from hibiscusslip.http import messages
+from hibiscusslip.http import server
+from hibiscusslip.platform import store
+
+POLL_S = 0.005
+
+
+def answer(status, body=None):
+    data = b'' if body is None else msgspec.json.encode(body)
+    headers = {'content-type': 'application/json'}
+    return messages.Response(status, headers, data)
+
+
+@dataclasses.dataclass
+class Partition:
+    records: list = dataclasses.field(default_factory=list)
+    first: int = 0
+    producers: dict = dataclasses.field(default_factory=dict)
+
+    @property
+    def end(self):
+        return self.first + len(self.records)
+
+    def drop_history(self):
+        self.first = self.end
+        self.records = []
+
+
+class Store(server.Handler):
+    """Keep logs; `mode` says how it misbehaves.
+
+    '' serves, 'refuse' answers 503, 'silent' never answers, 'lost' does
+    what is asked and breaks the connection; `turned_away` are peers' IP
+    numbers that get 503.
+    """
+
+    def __init__(self):
+        self.topics = {}
+        self.newest = {}
+        self.mode = ''
+        self.turned_away = set()
+        self.calls = 0
+
+    def partition(self, topic, part=0):
+        return self.topics.setdefault((topic, part), Partition())
+
+    def put(self, topic, key, value):
+        """Write a keyed record, as the operator and endpoints do."""
+        record = store.keyed(key, value)
+        self._add(topic, 0, [record])
+
+    def values(self, topic, part=0):
+        kept = self.newest.get((topic, part), {})
+        return {key: value for key, (_, value) in kept.items()}
+
+    async def handle(self, req):
+        self.calls += 1
+        peer = req.peer.rpartition(':')[0]
+        if self.mode == 'refuse' or peer in self.turned_away:
+            return answer(503)
+        if self.mode == 'silent':
+            await curio.sleep(3600)
+        response = await self._serve(req)
+        if self.mode == 'lost' and req.method == 'POST':
+            raise http_exceptions.DropConnection('answer lost')
+        return response
+
+    async def _serve(self, req):
+        name = req.path.rpartition('/')[2]
+        part = int(req.query.get('part', 0))
+        if name == 'log-append':
+            return self._append(req, part)
+        if name == 'log-read':
+            return await self._read(req, part)
+        if name == 'log-newest':
+            return self._newest(req, part)
+        return answer(404)
+
+    def _append(self, req, part):
+        topic = req.query['Topic']
+        log = self.partition(topic, part)
+        records = list(_split(req.body))
+        if 'At' in req.query and int(req.query['At']) != log.end:
+            return answer(412, {'End': log.end})
+        if 'Producer' not in req.query:
+            return self._added(topic, part, records)
+        name = req.query['Producer']
+        epoch, seq = int(req.query['epoch']), int(req.query['Seq'])
+        known, last, answers = log.producers.get(name, (-1, -1, {}))
+        if epoch < known:
+            return answer(409, {'Reason': 'fenced', 'epoch': known})
+        if epoch > known:
+            last, answers = seq - 1, {}
+        if not records:
+            log.producers[name] = (epoch, last, answers)
+            return answer(200, {'Offset': log.end, 'End': log.end})
+        if seq in answers:
+            return answer(200, answers[seq])
+        if seq != last + 1:
+            return answer(409, {'Reason': 'seq', 'Seq': last + 1})
+        response = self._added(topic, part, records)
+        answers[seq] = msgspec.json.decode(response.body)
+        log.producers[name] = (epoch, seq, answers)
+        return response
+
+    def _added(self, topic, part, records):
+        offset = self._add(topic, part, records)
+        end = self.partition(topic, part).end
+        return answer(200, {'Offset': offset, 'End': end})
+
+    def _add(self, topic, part, records):
+        log = self.partition(topic, part)
+        offset = log.end
+        log.records.extend(records)
+        if topic.startswith(store.KEYED_PREFIX):
+            kept = self.newest.setdefault((topic, part), {})
+            for number, record in enumerate(records):
+                key, value = store.split_keyed(record)
+                kept.pop(key, None)
+                if value:
+                    kept[key] = (offset + number, value)
+        return offset
+
+    async def _read(self, req, part):
+        log = self.partition(req.query['Topic'], part)
+        start = int(req.query['From'])
+        if start < log.first:
+            return answer(410, {'First': log.first})
+        give_up = time.monotonic() + int(req.query.get('WaitMs', 0)) / 1000
+        while log.end <= start and time.monotonic() < give_up:
+            await curio.sleep(POLL_S)
+        body = struct.pack('>QQ', log.end, log.first)
+        for record in log.records[max(start - log.first, 0) :]:
+            body += struct.pack('>I', len(record)) + record
+        return messages.Response(200, {}, body)
+
+    def _newest(self, req, part):
+        kept = self.newest.get((req.query['Topic'], part), {})
+        after = req.query.get('DependsOn', '')
+        keys = sorted(key for key in kept if key > after)
+        items = [
+            {
+                'Key': key,
+                'Value': base64.b64encode(kept[key][1]).decode(),
+                'Offset': kept[key][0],
+            }
+            for key in keys[:2]
+        ]
+        end = self.partition(req.query['Topic'], part).end
+        more = len(keys) > 2
+        return answer(200, {'items': items, 'MorePages': more, 'End': end})
+
+
+def _split(body):
+    place = 0
+    while place < len(body):
+        (size,) = struct.unpack_from('>I', body, place)
+        place += 4
+        yield body[place : place + size]
+        place += size
+
+
+@dataclasses.dataclass
+class Run:
+    task: str
+    run: int
+    until: float
+    checkpoint: str = ''
+
+
+class Endpoint(server.Handler):
+    """Run what it's told to, without any check of room, under leases.
+
+    `mode` is '' or 'deaf': a deaf one carries starts out and doesn't
+    answer them.
+    """
+
+    def __init__(self, name, run_s=0.1):
+        self.name = name
+        self.run_s = run_s
+        self.began = time.monotonic()
+        self.born = int(time.time() * 1000)
+        self.running = {}
+        self.ended = []
+        self.number = 0
+        self.lease = 0.0
+        self.fence = 0
+        self.starts = []
+        self.mode = ''
+        self.fail = False
+
+    def clock_ms(self):
+        return int((time.monotonic() - self.began) * 1000)
+
+    def entry(self, address, service, seq=1, state='ready'):
+        return msgspec.json.encode(
+            {
+                'Service': service,
+                'Addr': address,
+                'Zone': 'z1',
+                'Version': 'v1',
+                'Slots': 8,
+                'State': state,
+                'ColdLeftMs': 0,
+                'Capacity': {'Cpu': 8000, 'MemMb': 8000, 'Gpu': 0},
+                'Labels': ['a', 'r1'],
+                'ClockMs': self.clock_ms(),
+                'Seq': seq,
+                'born': self.born,
+            }
+        )
+
+    async def handle(self, req):
+        self._advance()
+        name = req.path.rpartition('/')[2]
+        if req.headers.get('x-expect-instance') != self.name:
+            return answer(421)
+        body = msgspec.json.decode(req.body)
+        if body.get('Fence', 0) < self.fence:
+            return self._refuse('fence')
+        self.fence = max(self.fence, body.get('Fence', 0))
+        if name == 'run-start':
+            response = self._start(body)
+        elif name == 'run-stop':
+            response = self._stop(body)
+        elif name == 'hold':
+            response = await self._hold(body)
+        else:
+            response = answer(200, {'ClockMs': self.clock_ms()})
+        if self.mode == 'deaf' and name == 'run-start':
+            await curio.sleep(3600)
+        return response
+
+    def _refuse(self, reason):
+        return answer(409, {'ClockMs': self.clock_ms(), 'Reason': reason})
+
+    def _start(self, body):
+        key = (body['Task'], body['Run'])
+        self.lease = max(self.lease, body['DeadlineMs'])
+        if body['DeadlineMs'] < self.clock_ms():
+            return self._refuse('late')
+        if key not in self.running:
+            if any(t == key[0] and r >= key[1] for _, t, r, *_ in self.ended):
+                return self._refuse('old')
+            until = time.monotonic() + self.run_s
+            self.running[key] = Run(*key, until)
+            self.starts.append((time.monotonic(), *key))
+        return answer(200, {'ClockMs': self.clock_ms()})
+
+    def _stop(self, body):
+        self._end((body['Task'], body['Run']), 'stopped')
+        return answer(200, {'ClockMs': self.clock_ms()})
+
+    async def _hold(self, body):
+        self.lease = max(self.lease, body.get('DeadlineMs', 0))
+        seen = body.get('AckCursor', 0)
+        self.ended = [row for row in self.ended if row[0] > seen]
+        give_up = time.monotonic() + body.get('WaitMs', 0) / 1000
+        while not self.ended and time.monotonic() < give_up:
+            await curio.sleep(POLL_S)
+            self._advance()
+        running = [[t, r, '', 50, 0] for t, r in self.running]
+        return answer(
+            200,
+            {
+                'ClockMs': self.clock_ms(),
+                'Running': running,
+                'Ended': self.ended,
+                'born': self.born,
+            },
+        )
+
+    def _advance(self):
+        now = time.monotonic()
+        lapsed = self.clock_ms() > self.lease
+        for key, run in list(self.running.items()):
+            if run.until <= now:
+                self._end(key, 'failed' if self.fail else 'done')
+            elif lapsed:
+                self._end(key, 'lapsed')
+
+    def _end(self, key, how):
+        if self.running.pop(key, None) is not None:
+            self.number += 1
+            self.ended.append([self.number, key[0], key[1], how, ''])
--- /dev/null
+++ b/tests/platform/test_whole_path.py
@@ -0,0 +1,240 @@
+"""Check the whole path, from a caller's request to its end, over sockets."""
+
+import curio
+import msgspec
+import pytest
+
+from tests.platform import cell as cells
+
+JOB = '00000000000000a1'
+
+
+def run(scenario, **options):
+    async def main():
+        async with cells.running(**options) as cell:
+            await cell.until(lambda: cell.owner())
+            await scenario(cell)
+
+    curio.run(main)
+
+
+def test_job_is_accepted_run_once_and_shown_completed():
+    async def scenario(cell):
+        response = await cell.submit('h0', JOB)
+        assert response.status == 200
+        await cell.until_state('h0', JOB, 'completed')
+        assert sorted(task for _, task, _ in cell.starts()) == [
+            f'{JOB}.0.0.0',
+            f'{JOB}.0.0.1',
+        ]
+
+    run(scenario)
+
+
+def test_any_host_takes_jobs_and_tells_their_state():
+    async def scenario(cell):
+        for number, name in enumerate(cell.addresses):
+            ident = f'{number:016x}'
+            assert (await cell.submit(name, ident)).status == 200
+        for name in cell.addresses:
+            for number in range(3):
+                await cell.until_state(name, f'{number:016x}', 'completed')
+
+    run(scenario, hosts=3, endpoints=2)
+
+
+def test_unknown_job_is_gone_and_unknown_queue_not_found():
+    async def scenario(cell):
+        await cell.until_state('h0', JOB, 410)
+        response = await cell.call('h0', 'GET', f'/other/{JOB}')
+        assert response.status == 404
+
+    run(scenario)
+
+
+@pytest.mark.parametrize(
+    'path, body, status',
+    [
+        (JOB, b'{', 400),
+        (JOB, b'{"Spec":"x","Steps":[]}', 400),
+        (JOB, b'{"Spec":"x","Steps":[{"Count":0}]}', 400),
+        (JOB, b'{"Spec":"x","Steps":[{"DependsOn":[0]}]}', 400),
+        (JOB, b'{"Spec":1,"Steps":[{}]}', 400),
+        ('nothex', b'{"Spec":"x","Steps":[{}]}', 400),
+    ],
+)
+def test_bad_input_gets_a_clear_error(path, body, status):
+    async def scenario(cell):
+        response = await cell.call('h0', 'POST', cells.PREFIX + path, body)
+        assert response.status == status
+        assert msgspec.json.decode(response.content)['Error']
+
+    run(scenario)
+
+
+def test_cancelled_job_is_stopped():
+    async def scenario(cell):
+        await cell.submit('h0', JOB)
+        await cell.until(lambda: len(cell.starts()) == 2)
+        response = await cell.call('h0', 'DELETE', cells.PREFIX + JOB)
+        assert response.status == 200
+        await cell.until_state('h0', JOB, 'cancelled')
+        await cell.until(lambda: not cell.endpoints['e0'].running)
+
+    run(scenario, run_s=30.0)
+
+
+def test_failing_job_is_shown_failed_after_its_attempts():
+    async def scenario(cell):
+        cell.endpoints['e0'].fail = True
+        await cell.submit('h0', JOB, Count=1)
+        await cell.until_state('h0', JOB, 'failed')
+        assert [run for _, _, run in cell.starts()] == [1, 2]
+
+    run(scenario)
+
+
+def test_killed_owner_is_followed_and_nothing_runs_twice():
+    async def scenario(cell):
+        await cell.until(lambda: len(cell.contexts['h0'].hosts) == 3)
+        first = cell.owner()
+        other = next(name for name in cell.addresses if name != first)
+        for number in range(6):
+            await cell.submit(other, f'{number:016x}')
+        await cell.until(lambda: len(cell.starts()) >= 8)
+        await cell.kill(first)
+        await cell.until(lambda: cell.owner())
+        for number in range(6):
+            await cell.until_state(other, f'{number:016x}', 'completed')
+        tasks = [task for _, task, _ in cell.starts()]
+        assert len(tasks) == len(set(tasks)) == 12
+
+    run(scenario, hosts=3, endpoints=2, run_s=3.0)
+
+
+def test_all_hosts_lost_at_once_lose_no_accepted_job():
+    async def scenario(cell):
+        for number in range(4):
+            await cell.submit('h0', f'{number:016x}')
+        for name in list(cell.hosts):
+            await cell.kill(name)
+        await cell.add_host('h9')
+        await cell.until(lambda: cell.owner() == 'h9')
+        for number in range(4):
+            await cell.until_state('h9', f'{number:016x}', 'completed')
+        tasks = [task for _, task, _ in cell.starts()]
+        assert len(tasks) == len(set(tasks)) == 8
+
+    run(scenario, hosts=2)
+
+
+def test_dropped_history_of_the_store_loses_nothing():
+    async def scenario(cell):
+        await cell.submit('h0', JOB)
+        for partition in cell.store.topics.values():
+            partition.drop_history()
+        cell.store.put(
+            'keyed.op', 'config', cells.config_document(2, MaxAttempts=3)
+        )
+        await cell.until(lambda: cell.contexts['h0'].config.version == 2)
+        await cell.until_state('h0', JOB, 'completed')
+        assert (await cell.submit('h0', 'b' * 16)).status == 200
+        await cell.until_state('h0', 'b' * 16, 'completed')
+
+    run(scenario)
+
+
+def test_older_configuration_is_never_taken():
+    async def scenario(cell):
+        cell.store.put('keyed.op', 'config', cells.config_document(5))
+        await cell.until(lambda: cell.contexts['h0'].config.version == 5)
+        cell.store.put('keyed.op', 'config', cells.config_document(4))
+        cell.store.put('keyed.op', 'config', b'{broken')
+        cell.store.put('keyed.op', 'config', cells.config_document(6))
+        await cell.until(lambda: cell.contexts['h0'].config.version == 6)
+
+    run(scenario)
+
+
+def test_store_that_is_away_is_told_at_once_and_work_goes_on_after():
+    async def scenario(cell):
+        cell.store.mode = 'refuse'
+        await cell.until(lambda: cell.contexts['h0'].store_failures >= 2)
+        response = await cell.submit('h0', JOB)
+        assert response.status == 503
+        assert int(response.headers['retry-after']) >= 1
+        cell.store.mode = ''
+        await cell.until(lambda: not cell.contexts['h0'].store_failures)
+        assert (await cell.submit('h0', JOB)).status == 200
+        await cell.until_state('h0', JOB, 'completed')
+
+    run(scenario)
+
+
+def test_lost_answers_of_the_store_start_nothing_twice():
+    async def scenario(cell):
+        await cell.submit('h0', JOB)
+        cell.store.mode = 'lost'
+        await curio.sleep(0.5)
+        cell.store.mode = ''
+        await cell.until_state('h0', JOB, 'completed')
+        tasks = [task for _, task, _ in cell.starts()]
+        assert len(tasks) == len(set(tasks)) == 2
+
+    run(scenario)
+
+
+def test_host_that_the_store_turns_away_writes_through_another():
+    async def scenario(cell):
+        names = list(cell.addresses)
+        await cell.until(
+            lambda: all(len(c.hosts) == 3 for c in cell.contexts.values())
+        )
+        first = cell.owner()
+        cut = next(name for name in names if name != first)
+        # The stand-in sees the address that the host's sockets come from.
+        cell.contexts[cut].store = _Refusing(cell.contexts[cut].store)
+        await cell.until(lambda: cell.contexts[cut].store_failures >= 2)
+        assert (await cell.submit(cut, JOB)).status == 200
+        await cell.until_state(first, JOB, 'completed')
+
+    run(scenario, hosts=3)
+
+
+class _Refusing:
+    """Refuse every call, as the store does to hosts that it turns away."""
+
+    def __init__(self, real):
+        self._real = real
+
+    async def _refuse(self, *args, **kwargs):
+        from hibiscusslip.platform import exceptions
+
+        raise exceptions.StoreUnavailable('turned away')
+
+    append = read = newest = _refuse
+
+
+def test_unreadable_reports_name_no_endpoint_and_stop_nothing():
+    async def scenario(cell):
+        for number, value in enumerate(
+            (b'\xff', b'{}', b'{"Service":3}', b'[]')
+        ):
+            cell.store.put('keyed.servers', f'x{number}', value)
+        await cell.submit('h0', JOB)
+        await cell.until_state('h0', JOB, 'completed')
+
+    run(scenario)
+
+
+def test_deaf_endpoint_gets_the_same_run_again_and_no_other():
+    async def scenario(cell):
+        cell.endpoints['e0'].mode = 'deaf'
+        await cell.submit('h0', JOB, Count=1)
+        await cell.until(lambda: cell.starts())
+        await curio.sleep(0.5)
+        cell.endpoints['e0'].mode = ''
+        await cell.until_state('h0', JOB, 'completed')
+        assert cell.starts() == [('e0', f'{JOB}.0.0.0', 1)]
+
+    run(scenario)
