Move work off leaving endpoints, pace what fills, tell a job's story from logs

Lasting and checkpointing work leaves endpoints that drain; what fills stands still while what serves beside it is near its target; hibiscusslip-ctl why reads the hosts' logs; metrics have an address of their own.

--- a/hibiscusslip/commands/ctl.py
+++ b/hibiscusslip/commands/ctl.py
@@ -14,6 +14,7 @@
 from hibiscusslip.commands import _output
 from hibiscusslip.commands import _sheets
 from hibiscusslip.commands import _views
+from hibiscusslip.commands import _why
 from hibiscusslip.commands import exceptions
 from hibiscusslip.operator import documents
 from hibiscusslip.operator import service
@@ -238,6 +239,22 @@
     return _client.run(options.client(), work)
 
 
+@app.command
+def why(job: str, *logs: pathlib.Path, json: Flag = False) -> int:
+    """Tell a job's story from the logs of hosts; calls no host.
+
+    Parameters
+    ----------
+    job
+        Name of the job, as its caller chose it.
+    logs
+        Log files of as many hosts as there are, in any order.
+    json
+        Print one JSON document.
+    """
+    return _why.show(_why.read(job, list(logs)), json)
+
+
 async def _show_status(client: _client.Client, as_json: bool) -> int:
     call = _client.Call('GET', '/v1/status')
     found = await _client.fetch(client, call, views.FleetStatus)
--- a/hibiscusslip/dispatch/engine.py
+++ b/hibiscusslip/dispatch/engine.py
@@ -3,8 +3,10 @@
 import collections.abc
 import typing
 
+from hibiscusslip.dispatch import _draining
 from hibiscusslip.dispatch import _headroom
 from hibiscusslip.dispatch import _looking
+from hibiscusslip.dispatch import _pacing
 from hibiscusslip.dispatch import _planning
 from hibiscusslip.dispatch import asking
 from hibiscusslip.dispatch import commands
@@ -279,6 +281,8 @@
         """Decide what to start, stop, pace and ask now."""
         self.open_due(now, wall)
         _looking.check_lapsed(self, now)
+        _draining.leave(self, now)
+        _pacing.pace(self, now)
         _planning.plan(self, now)
 
     def committed(
--- a/hibiscusslip/dispatch/model.py
+++ b/hibiscusslip/dispatch/model.py
@@ -185,8 +185,8 @@
 class RunningRun:
     """Hold one run that an endpoint lists as at work.
 
-    `usage` is the tail of response times in seconds for a task that lasts,
-    else the processors in use.
+    `usage` is the tail of response times in milliseconds for a task that
+    serves, else the processors in use.
     """
 
     task: str
--- a/hibiscusslip/dispatch/progress.py
+++ b/hibiscusslip/dispatch/progress.py
@@ -56,6 +56,7 @@
     """Take note of a run's progress; stop one that stands still."""
     task = booking.task
     if task is None or task.step.spec.lasts or booking.paced < FULL:
+        booking.moved_at = now
         return
     if row.percent != booking.percent or not booking.moved_at:
         booking.percent = row.percent
--- a/hibiscusslip/host/front.py
+++ b/hibiscusslip/host/front.py
@@ -151,11 +151,34 @@
     async def handle(self, req: messages.Request) -> messages.Response:
         """Return 200 while callers are served well here."""
         ctx = self._ctx
-        if req.path == callers.METRICS_PATH:
-            return callers.metrics(ctx.metrics.render())
         ok = (
             not ctx.stopping
             and ctx.config is not None
             and ctx.store_ok(context.steady())
         )
         return callers.readiness(ok)
+
+
+class Telling(server.Handler):
+    """Tell the metrics of this host."""
+
+    def __init__(self, ctx: context.Context) -> None:
+        self._ctx = ctx
+
+    async def handle(self, req: messages.Request) -> messages.Response:
+        """Return counters, gauges and histograms as text."""
+        if req.path != callers.METRICS_PATH:
+            return callers.no_queue()
+        self._gauge_ages(context.steady())
+        return callers.metrics(self._ctx.metrics.render())
+
+    def _gauge_ages(self, now: float) -> None:
+        """Set the gauges that tell how old beliefs are, in seconds."""
+        ctx = self._ctx
+        ctx.metrics.gauge('store_answer_age', now - ctx.store_answered)
+        heard = ctx.ownership.heard
+        if heard is not None:
+            ctx.metrics.gauge('owner_heard_age', now - heard)
+        ctx.metrics.gauge('is_owner', 1.0 if ctx.ownership.held else 0.0)
+        for outcome, count in ctx.store.calls.items():
+            ctx.metrics.gauge('store_calls', count, outcome=outcome)
--- a/hibiscusslip/host/host.py
+++ b/hibiscusslip/host/host.py
@@ -42,6 +42,7 @@
 STOP_ADVANCE_S = 2.6
 STOP_DRAIN_S = 2.0
 KEY_ID = 'cell'
+METRICS_PORT = 9102
 _FRONT_HTTP = http_limits.Limits(
     idle_timeout=30.0,
     read_timeout=4.0,
@@ -92,6 +93,7 @@
         handler = front.Front(ctx, self, self._inbox)
         self._front = server.Server(handler, _FRONT_HTTP)
         self._ready = server.Server(front.Ready(ctx), _FRONT_HTTP)
+        self._metrics = server.Server(front.Telling(ctx), _FRONT_HTTP)
         self._owner: owner.Owner | None = None
 
     async def run(self) -> None:
@@ -100,10 +102,12 @@
         await self._ready.listen(cfg.ready.ip, cfg.ready.port)
         await self._front.listen(cfg.front.ip, cfg.front.port)
         await self._peers.listen(cfg.front.ip, cfg.ports[0])
+        await self._metrics.listen(cfg.front.ip, METRICS_PORT)
         self._ctx.log.note('host_started', zone=cfg.zone, pid=os.getpid())
         async with curio.TaskGroup(wait=any) as group:
             for loop in (
                 self._ready.serve,
+                self._metrics.serve,
                 self._front.serve,
                 self._peers.serve,
                 feeds.ConfigFeed(self._ctx).run,
