Follow an owner that alone is turned away at once; notice a lost store sooner

An owner whose beats fail while other hosts have the store asks one of them to write its release; beats begin with the claim; silence 1.4 s, a store unanswered for 1.1 s makes a host not ready.

--- a/hibiscusslip/host/context.py
+++ b/hibiscusslip/host/context.py
@@ -12,7 +12,7 @@
 from hibiscusslip.platform import store
 
 FAILURES_TO_AWAY = 2
-STORE_PATIENCE_S = 1.5
+STORE_PATIENCE_S = 1.1
 
 
 @dataclasses.dataclass(slots=True, eq=False)
--- a/hibiscusslip/host/feeds.py
+++ b/hibiscusslip/host/feeds.py
@@ -80,6 +80,7 @@
 
     topic = topics.OWNER
     wait = 0.6
+    timeout = 0.5  # short, as it tells first that the store is away
 
     async def load(self) -> int:
         """Find the oldest record that is kept."""
--- a/hibiscusslip/host/guarding.py
+++ b/hibiscusslip/host/guarding.py
@@ -4,6 +4,7 @@
 import traceback
 
 from hibiscusslip.host import context
+from hibiscusslip.platform import exceptions
 
 Loop = collections.abc.Callable[[], collections.abc.Awaitable[None]]
 MOST_FRAMES = 6
@@ -13,6 +14,8 @@
     """Run a loop; log the exception that ends it and raise it on."""
     try:
         await loop()
+    except exceptions.ProducerFenced:
+        raise  # the ordinary end of an ownership
     except Exception as exc:
         note_crash(ctx, getattr(loop, '__qualname__', repr(loop)), exc)
         raise
--- a/hibiscusslip/host/host.py
+++ b/hibiscusslip/host/host.py
@@ -76,7 +76,7 @@
             self.stop = True
 
 
-class Host(front.Cell, inbox.Relay, base.Handler):
+class Host(front.Cell, inbox.Relay, owner.Successors, base.Handler):
     """Run the servers, the feeds and, at times, the owner."""
 
     def __init__(self, ctx: context.Context, secret: bytes) -> None:
@@ -216,7 +216,7 @@
 
     async def _own_once(self, epoch: int) -> None:
         ctx = self._ctx
-        self._owner = owner.Owner(ctx, self._advisers, epoch)
+        self._owner = owner.Owner(ctx, self._advisers, self, epoch)
         try:
             await self._owner.run()
         except exceptions.ProducerFenced:
@@ -306,6 +306,35 @@
             return inbox.Outcome.ACCEPTED
         return inbox.Outcome.IN_DOUBT
 
+    async def release(self, notice: bytes) -> bool:
+        """Have another host write a release; tell whether one did."""
+        message = messages.OwnerRelease(notice)
+        for name in self._relays()[:MOST_RELAYS]:
+            host = self._ctx.hosts[name]
+            self._links.set_address(name, host.address, host.port)
+            try:
+                reply = await self._links.call(name, message, RELAY_TIMEOUT_S)
+            except peer_exceptions.PeerError:
+                continue
+            if isinstance(reply, messages.Done):
+                return True
+        return False
+
+    async def _write_release(
+        self, message: messages.OwnerRelease
+    ) -> messages.PeerMessage:
+        refusal = messages.Refusal('refused', 'no store here', 0.2)
+        if not self._ctx.store_ok(context.steady()):
+            return refusal
+        try:
+            await self._ctx.store.append(
+                topics.OWNER, [message.notice], CLAIM_TIMEOUT_S
+            )
+        except exceptions.PlatformError as exc:
+            self._ctx.log.note('release_failed', error=str(exc)[:120])
+            return refusal
+        return messages.Done()
+
     def _relays(self) -> list[str]:
         """Return other hosts, the owner and those of other zones first."""
         ctx = self._ctx
@@ -349,6 +378,8 @@
             return await self._tell_state(body)
         if isinstance(body, messages.InboxWrite):
             return await self._write_for_other(body)
+        if isinstance(body, messages.OwnerRelease):
+            return await self._write_release(body)
         if isinstance(body, messages.AdviceQuery):
             return await self._advise(body)
         return messages.Refusal('unknown', "this call isn't served here")
--- a/hibiscusslip/host/owner.py
+++ b/hibiscusslip/host/owner.py
@@ -1,5 +1,6 @@
 """Own the cell: take jobs, place them and see them through."""
 
+import abc
 import dataclasses
 
 import curio
@@ -100,6 +101,14 @@
         await self._owner.watch(name)
 
 
+class Successors(abc.ABC):
+    """Reach the hosts that may own the cell next."""
+
+    @abc.abstractmethod
+    async def release(self, notice: bytes) -> bool:
+        """Have another host write a release; tell whether one did."""
+
+
 class Owner:
     """Hold one epoch of the ownership from its claim to its end."""
 
@@ -107,6 +116,7 @@
         self,
         ctx: context.Context,
         advisers: advising.Advisers,
+        successors: Successors,
         epoch: int,
     ) -> None:
         self.ctx = ctx
@@ -115,6 +125,7 @@
         self.changed = signals.Wake()
         self.ready = False
         self._advisers = advisers
+        self._successors = successors
         self._writer = writer.Writer(ctx, self.engine, epoch, self._release)
         self._watchers: dict[str, watching.Watcher] = {}
         self._inboxes: list[InboxFeed] = []
@@ -123,7 +134,15 @@
 
     async def run(self) -> None:
         """Own until the ownership is lost or the task is cancelled."""
+        try:
+            await self._run()
+        finally:
+            self.ready = False
+            await self._tasks.cancel_remaining()
+
+    async def _run(self) -> None:
         started = context.steady()
+        await self._tasks.spawn(guarding.guard, self.ctx, self._beat)
         recovered = await self._recover()
         self.ready = True
         self.ctx.metrics.count('successions')
@@ -138,22 +157,19 @@
         ]
         endpoints = EndpointFeed(self, recovered.endpoints)
         self._orphans = recovered.orphans
-        try:
-            await self._tasks.spawn(guarding.guard, self.ctx, self._writer.run)
-            for feed in self._inboxes:
-                await self._tasks.spawn(guarding.guard, self.ctx, feed.run)
-            await self._tasks.spawn(guarding.guard, self.ctx, endpoints.run)
-            await self._tasks.spawn(guarding.guard, self.ctx, self._beat)
-            await self._tasks.spawn(guarding.guard, self.ctx, self._plan)
-            await self._tasks.spawn(guarding.guard, self.ctx, self._forget)
-            await self._tasks.spawn(guarding.guard, self.ctx, self._tell_load)
-            for name in list(self.engine.endpoints):
-                await self.watch(name)
-            while self.ctx.ownership.held == self.epoch:
-                await curio.sleep(PLAN_IDLE_S)
-        finally:
-            self.ready = False
-            await self._tasks.cancel_remaining()
+        for loop in (
+            self._writer.run,
+            *(feed.run for feed in self._inboxes),
+            endpoints.run,
+            self._plan,
+            self._forget,
+            self._tell_load,
+        ):
+            await self._tasks.spawn(guarding.guard, self.ctx, loop)
+        for name in list(self.engine.endpoints):
+            await self.watch(name)
+        while self.ctx.ownership.held == self.epoch:
+            await curio.sleep(PLAN_IDLE_S)
 
     async def _recover(self) -> recovery.Recovered:
         while True:
@@ -293,13 +309,31 @@
             except exceptions.PlatformError as exc:
                 self.ctx.store_fails(str(exc))
                 self.ctx.log.note('beat_failed', error=str(exc)[:120])
+                await self._release_elsewhere()
             left = sent + ownership.BEAT_S - context.steady()
             await curio.sleep(max(left, 0.05))
 
+    async def _release_elsewhere(self) -> None:
+        """Have another host end this ownership if the store serves it.
+
+        Nothing can be started without the store, so an owner that alone is
+        turned away is best followed at once.
+        """
+        if self.ctx.store_ok(context.steady()):
+            return
+        notice = notices.encode(self._notice(notices.RELEASE))
+        if await self._successors.release(notice):
+            self.ctx.log.note('owner_released', epoch=self.epoch)
+            self.ctx.ownership.lose()
+
     async def _notify(self, kind: str) -> None:
+        record = notices.encode(self._notice(kind))
+        await self.ctx.store.append(topics.OWNER, [record], BEAT_TIMEOUT_S)
+
+    def _notice(self, kind: str) -> notices.OwnerNotice:
         cfg = self.ctx.cfg
         pending = self.engine.pending()
-        notice = notices.OwnerNotice(
+        return notices.OwnerNotice(
             kind,
             self.epoch,
             cfg.name,
@@ -308,9 +342,6 @@
             cfg.ports[0],
             {name: notices.QueueLoad(n) for name, n in pending.items()},
         )
-        await self.ctx.store.append(
-            topics.OWNER, [notices.encode(notice)], BEAT_TIMEOUT_S
-        )
 
     async def _tell_load(self) -> None:
         while True:
--- a/hibiscusslip/host/ownership.py
+++ b/hibiscusslip/host/ownership.py
@@ -11,8 +11,8 @@
 
 from hibiscusslip.host import notices
 
-BEAT_S = 0.5
-SILENCE_S = 1.7
+BEAT_S = 0.4
+SILENCE_S = 1.4
 RENEW_S = 10.0
 FRESH_READ_S = 0.9
 MOST_STAGGER_S = 0.5
--- a/hibiscusslip/host/tailing.py
+++ b/hibiscusslip/host/tailing.py
@@ -19,6 +19,7 @@
     topic = ''
     wait = 0.5  # how long a read waits at the store for a record, in s
     pause = 0.0  # how long to rest between two reads, in s
+    timeout = CALL_TIMEOUT_S  # beyond the wait, in s
 
     def __init__(self, ctx: context.Context) -> None:
         self.ctx = ctx
@@ -66,7 +67,7 @@
             self.offset = await self.load()
             self.ctx.store_answers(context.steady())
         batch = await self.ctx.store.read(
-            self.topic, self.offset, wait, CALL_TIMEOUT_S, self.part
+            self.topic, self.offset, wait, self.timeout, self.part
         )
         self.ctx.store_answers(context.steady())
         if batch.start < self.offset:
--- a/hibiscusslip/host/writer.py
+++ b/hibiscusslip/host/writer.py
@@ -101,6 +101,8 @@
     async def _append(self, batch: list[bytes]) -> None:
         pause = RETRY_PAUSE_S
         while True:
+            if self._ctx.ownership.held != self._epoch:
+                raise exceptions.ProducerFenced('this ownership has ended')
             sent = context.steady()
             try:
                 await self._ctx.store.append(
--- a/hibiscusslip/peer/messages.py
+++ b/hibiscusslip/peer/messages.py
@@ -370,6 +370,15 @@
     items: list[tuple[str, bytes]]
 
 
+class OwnerRelease(_Message, frozen=True, tag='owner_release'):
+    """Ask a host to write down that the sender's ownership ends.
+
+    `notice` is the record for the store, which doesn't serve the sender.
+    """
+
+    notice: bytes
+
+
 class Done(_Message, frozen=True, tag='done'):
     """Confirm a call that has nothing to tell."""
 
@@ -419,6 +428,7 @@
     AdviceQuery,
     AdviceReply,
     InboxWrite,
+    OwnerRelease,
     Done,
     Refusal,
 ]
--- a/tests/host/test_ownership.py
+++ b/tests/host/test_ownership.py
@@ -38,10 +38,11 @@
 def test_silent_owner_is_followed():
     own = fresh()
     own.take(notice(), 1.0)
-    own.read_to(11, 2.6)
-    assert not own.may_claim(2.6)
-    own.read_to(11, 2.9)
-    assert own.may_claim(2.9)
+    early = 1.0 + ownership.SILENCE_S
+    own.read_to(11, early)
+    assert not own.may_claim(early)
+    own.read_to(11, early + own.stagger)
+    assert own.may_claim(early + own.stagger)
 
 
 def test_host_that_can_not_read_the_store_claims_nothing():
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -1,9 +1,12 @@
 """Check the whole path, from a caller's request to its end, over sockets."""
 
+import time
+
 import curio
 import msgspec
 import pytest
 
+from hibiscusslip.host import ownership
 from tests.platform import cell as cells
 
 JOB = '00000000000000a1'
@@ -238,3 +241,21 @@
         assert cell.starts() == [('e0', f'{JOB}.0.0.0', 1)]
 
     run(scenario)
+
+
+def test_owner_that_alone_is_turned_away_is_followed_at_once():
+    async def scenario(cell):
+        await cell.until(
+            lambda: all(len(c.hosts) == 3 for c in cell.contexts.values())
+        )
+        first = cell.owner()
+        ctx = cell.contexts[first]
+        ctx.store = _Refusing(ctx.store)
+        began = time.monotonic()
+        await cell.until(lambda: cell.owner() not in (first, None))
+        assert time.monotonic() - began < ownership.SILENCE_S
+        other = cell.owner()
+        assert (await cell.submit(other, JOB)).status == 200
+        await cell.until_state(other, JOB, 'completed')
+
+    run(scenario, hosts=3)
