Stop extending the lease of an endpoint that doesn't answer

Cause: each look that went unanswered counted as a grant, so the lease never surely ended. Change: while an endpoint is silent looks extend nothing.

--- a/hibiscusslip/host/watching.py
+++ b/hibiscusslip/host/watching.py
@@ -95,6 +95,8 @@
         """Return until when runs may go on, on the endpoint's clock."""
         if not endpoint.looked or not endpoint.bookings:
             return None
+        if not endpoint.answering:
+            return None  # a lease that is never known to end helps nobody
         if not self._ctx.ownership.may_renew(now):
             return None
         lease = self._engine.lease
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -186,8 +186,8 @@
 class Endpoint(server.Handler):
     """Run what it's told to, without any check of room, under leases.
 
-    `mode` is '' or 'deaf': a deaf one carries starts out and doesn't
-    answer them.
+    `mode` is '', 'deaf' or 'dark': a deaf one carries starts out and doesn't
+    answer them, a dark one does nothing any more.
     """
 
     def __init__(self, name, run_s=0.1):
@@ -227,6 +227,8 @@
 
     async def handle(self, req):
         self._advance()
+        if self.mode == 'dark':
+            await curio.sleep(3600)
         name = req.path.rpartition('/')[2]
         if req.headers.get('x-expect-instance') != self.name:
             return answer(421)
@@ -242,7 +244,8 @@
             response = await self._hold(body)
         else:
             response = answer(200, {'ClockMs': self.clock_ms()})
-        if self.mode == 'deaf' and name == 'run-start':
+        deaf = self.mode == 'deaf' and name == 'run-start'
+        if deaf or self.mode == 'dark':
             await curio.sleep(3600)
         return response
 
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -259,3 +259,15 @@
         await cell.until_state(other, JOB, 'completed')
 
     run(scenario, hosts=3)
+
+
+def test_runs_of_an_endpoint_that_is_gone_start_elsewhere():
+    async def scenario(cell):
+        await cell.submit('h0', JOB, Count=1)
+        await cell.until(lambda: cell.starts())
+        cell.endpoints['e0'].mode = 'dark'
+        await cell.add_endpoint('e1')
+        await cell.until_state('h0', JOB, 'completed', timeout=25.0)
+        assert cell.starts()[1:] == [('e1', f'{JOB}.0.0.0', 2)]
+
+    run(scenario, run_s=60.0)
