Go on starting accepted work while the store is away for all hosts

Change: while every other host promises not to claim (it must see the store away as well), the owner releases starts without records, which follow later; a host that gave such a promise and becomes owner waits until each endpoint was looked at, or its lease is over.

--- a/hibiscusslip/host/host.py
+++ b/hibiscusslip/host/host.py
@@ -16,6 +16,7 @@
 from hibiscusslip.host import inbox
 from hibiscusslip.host import notices
 from hibiscusslip.host import owner
+from hibiscusslip.host import ownership
 from hibiscusslip.host import topics
 from hibiscusslip.http import limits as http_limits
 from hibiscusslip.http import server
@@ -35,6 +36,7 @@
 CLAIM_PAUSE_S = 0.05
 MOST_RELAYS = 2
 RELAY_TIMEOUT_S = 0.9
+PROMISE_TIMEOUT_S = 0.3
 CLAIM_TIMEOUT_S = 0.8
 FLUSH_S = 0.1
 SIGNAL_POLL_S = 0.05
@@ -207,7 +209,11 @@
         except exceptions.StoreConflict:
             return
         except exceptions.PlatformError as exc:
-            ctx.log.note('claim_failed', error=str(exc)[:120])
+            doubt = isinstance(exc, exceptions.StoreUnsettled)
+            if doubt:
+                until = now + ownership.CLAIM_DOUBT_S
+                ctx.ownership.claim_doubt_until = until
+            ctx.log.note('claim_failed', doubt=doubt, error=str(exc)[:120])
             return
         ctx.ownership.won(epoch, now)
         heard = ctx.ownership.heard
@@ -320,6 +326,38 @@
                 return True
         return False
 
+    async def promise(self, epoch: int) -> bool:
+        """Ask all other hosts not to claim; tell whether all agreed."""
+        message = messages.ClaimPromise(epoch)
+        names = [n for n in self._ctx.hosts if n != self._ctx.cfg.name]
+        async with curio.TaskGroup(wait=all) as group:
+            tasks = [
+                await group.spawn(self._ask_promise, name, message)
+                for name in names
+            ]
+        return all(task.result for task in tasks)
+
+    async def _ask_promise(
+        self, name: str, message: messages.ClaimPromise
+    ) -> bool:
+        host = self._ctx.hosts[name]
+        self._links.set_address(name, host.address, host.port)
+        try:
+            reply = await self._links.call(name, message, PROMISE_TIMEOUT_S)
+        except peer_exceptions.PeerError:
+            return False
+        return isinstance(reply, messages.Done)
+
+    def _give_promise(
+        self, message: messages.ClaimPromise
+    ) -> messages.PeerMessage:
+        now = context.steady()
+        if self._ctx.store_ok(now):
+            return messages.Refusal('store_here', 'the store serves me', 0.2)
+        if self._ctx.ownership.promise(message.epoch, now):
+            return messages.Done()
+        return messages.Refusal('claiming', 'another owner may come', 0.2)
+
     async def _write_release(
         self, message: messages.OwnerRelease
     ) -> messages.PeerMessage:
@@ -378,6 +416,8 @@
             return await self._tell_state(body)
         if isinstance(body, messages.InboxWrite):
             return await self._write_for_other(body)
+        if isinstance(body, messages.ClaimPromise):
+            return self._give_promise(body)
         if isinstance(body, messages.OwnerRelease):
             return await self._write_release(body)
         if isinstance(body, messages.AdviceQuery):
--- a/hibiscusslip/host/watching.py
+++ b/hibiscusslip/host/watching.py
@@ -16,6 +16,7 @@
 IDLE_LOOK_S = 3.0
 SILENT_PAUSE_S = 0.25
 RECORD_WAIT_S = 0.6
+AWAY_WAIT_S = 0.12
 ORDER_TIMEOUT_S = 0.15
 ORDER_PAUSE_S = 0.03
 ORDER_RESERVE_S = 0.2
@@ -117,7 +118,11 @@
             await curio.sleep(LEAST_GAP_S)
 
     async def _await_record(self, endpoint: state.Endpoint) -> None:
-        give_up = context.steady() + RECORD_WAIT_S
+        now = context.steady()
+        patience = RECORD_WAIT_S
+        if not self._ctx.store_ok(now):
+            patience = AWAY_WAIT_S  # other ends are worth looking for
+        give_up = now + patience
         while endpoint.seen < endpoint.handled:
             if context.steady() >= give_up:
                 return
--- a/tests/dispatch/test_doubt.py
+++ b/tests/dispatch/test_doubt.py
@@ -168,3 +168,34 @@
     assert 'e1' in bench.engine.endpoints
     assert bench.plan() == []
     assert start.task.status is state.Status.RUNNING
+
+
+def test_nothing_starts_while_unrecorded_runs_may_be_hidden():
+    bench = support.Bench()
+    bench.endpoint('e1')
+    bench.engine.list_endpoint(support.entry('e2'), bench.now)
+    bench.engine.guard_until = bench.now + 16
+    bench.submit('j', support.step())
+    assert bench.plan() == []
+    bench.look('e2')
+    assert len(bench.plan()) == 1
+
+
+def test_guard_ends_with_the_longest_lease():
+    bench = support.Bench()
+    bench.endpoint('e1')
+    bench.engine.list_endpoint(support.entry('e2'), bench.now)
+    bench.engine.guard_until = bench.now + 16
+    bench.submit('j', support.step())
+    bench.now += 16
+    assert len(bench.plan()) == 1
+
+
+def test_guard_waits_for_entries_that_come_back():
+    bench = support.Bench()
+    bench.endpoint('e1')
+    bench.engine.guard_all_until = bench.now + 2.5
+    bench.submit('j', support.step())
+    assert bench.plan() == []
+    bench.now += 2.5
+    assert len(bench.plan()) == 1
--- a/tests/host/test_ownership.py
+++ b/tests/host/test_ownership.py
@@ -97,3 +97,48 @@
     strong = ownership.stagger(2.1, 0.0)
     assert strong < weak
     assert ownership.stagger(1.0, 1.0) <= ownership.MOST_STAGGER_S
+
+
+def test_promise_keeps_a_host_from_claiming():
+    own = fresh()
+    own.take(notice(), 1.0)
+    late = 1.0 + ownership.SILENCE_S + own.stagger
+    assert own.promise(5, late)
+    own.read_to(11, late + 0.1)
+    assert not own.may_claim(late + 0.1)
+    after = late + ownership.PROMISE_S
+    own.read_to(11, after)
+    assert own.may_claim(after)
+
+
+def test_no_promise_to_an_owner_that_was_followed():
+    own = fresh()
+    own.take(notice(epoch=9), 1.0)
+    assert not own.promise(5, 1.1)
+    assert own.promise(9, 1.1)
+
+
+def test_no_promise_while_an_own_claim_may_still_be_written():
+    own = fresh()
+    own.claim_doubt_until = 1.0 + ownership.CLAIM_DOUBT_S
+    assert not own.promise(5, 2.0)
+    assert own.promise(5, 1.0 + ownership.CLAIM_DOUBT_S)
+
+
+def test_owner_trusts_promises_for_less_than_they_last():
+    own = fresh()
+    own.won(11, 1.0)
+    assert not own.may_start_unrecorded(1.0)
+    own.trust(2.0)
+    assert own.may_start_unrecorded(2.0)
+    assert not own.may_start_unrecorded(2.0 + ownership.PROMISE_S)
+    own.lose()
+    assert not own.may_start_unrecorded(2.0)
+
+
+def test_successor_remembers_that_it_promised():
+    own = fresh()
+    assert not own.promised_lately(1.0)
+    own.promise(5, 1.0)
+    assert own.promised_lately(5.0)
+    assert not own.promised_lately(1.0 + ownership.REMEMBER_PROMISE_S)
