--- /dev/null
+++ b/hibiscusslip/host/answering.py
@@ -0,0 +1,130 @@
+"""Answer the other hosts of the cell."""
+
+import collections.abc
+
+from hibiscusslip.host import advising
+from hibiscusslip.host import context
+from hibiscusslip.host import inbox
+from hibiscusslip.host import neighbours
+from hibiscusslip.host import owner
+from hibiscusslip.host import topics
+from hibiscusslip.model import places
+from hibiscusslip.peer import base
+from hibiscusslip.peer import messages
+from hibiscusslip.platform import exceptions
+
+ADVICE_TIMEOUT_S = 4.0
+APPEND_TIMEOUT_S = 0.8
+RETRY_AFTER_S = 0.2
+
+Owning = collections.abc.Callable[[], owner.Owner | None]
+
+
+class Answering(base.Handler):
+    """Serve calls; `owning` returns the owner that runs here, if one does."""
+
+    def __init__(
+        self,
+        ctx: context.Context,
+        box: inbox.Inbox,
+        advisers: advising.Advisers,
+        owning: Owning,
+    ) -> None:
+        self._ctx = ctx
+        self._inbox = box
+        self._advisers = advisers
+        self._owning = owning
+
+    async def handle(
+        self, sender: places.HostId, body: messages.PeerMessage
+    ) -> messages.PeerMessage:
+        """Answer another host; must not raise."""
+        if isinstance(body, messages.CellJobQuery):
+            return await self._tell_state(body)
+        if isinstance(body, messages.InboxWrite):
+            return await self._write_for_other(body)
+        if isinstance(body, messages.ClaimPromise):
+            return self._give_promise(body)
+        if isinstance(body, messages.OwnerRelease):
+            return await self._write_release(body)
+        if isinstance(body, messages.AdviceQuery):
+            return await self._advise(body)
+        return messages.Refusal('unknown', "this call isn't served here")
+
+    async def _tell_state(
+        self, query: messages.CellJobQuery
+    ) -> messages.PeerMessage:
+        mine = self._owning()
+        if mine is None or not mine.ready:
+            return messages.Refusal(
+                'not_owner', 'ask the owner', RETRY_AFTER_S
+            )
+        try:
+            found = await mine.state_of(query.job)
+        except exceptions.PlatformError as exc:
+            return messages.Refusal('unknown', str(exc), RETRY_AFTER_S)
+        if found is None:
+            return messages.CellJobReply(False, '')
+        return messages.CellJobReply(True, found.value)
+
+    async def _advise(
+        self, query: messages.AdviceQuery
+    ) -> messages.PeerMessage:
+        try:
+            told = await self._advisers.ask_here(
+                query.step, query.endpoints, ADVICE_TIMEOUT_S
+            )
+        except exceptions.PlatformError as exc:
+            return messages.Refusal('no_advice', str(exc), RETRY_AFTER_S)
+        return messages.AdviceReply(told.tickets, told.valid, 0.0)
+
+    def _give_promise(
+        self, message: messages.ClaimPromise
+    ) -> messages.PeerMessage:
+        now = context.steady()
+        if self._ctx.store_ok(now):
+            return messages.Refusal(
+                'store_here', 'the store serves me', RETRY_AFTER_S
+            )
+        if self._ctx.ownership.promise(message.epoch, now):
+            return messages.Done()
+        return messages.Refusal(
+            'claiming', 'another owner may come', RETRY_AFTER_S
+        )
+
+    async def _write_release(
+        self, message: messages.OwnerRelease
+    ) -> messages.PeerMessage:
+        refusal = messages.Refusal('refused', 'no store here', RETRY_AFTER_S)
+        if not self._ctx.store_ok(context.steady()):
+            return refusal
+        try:
+            await self._ctx.store.append(
+                topics.OWNER, [message.notice], APPEND_TIMEOUT_S
+            )
+        except exceptions.PlatformError as exc:
+            self._ctx.log.note('release_failed', error=str(exc)[:120])
+            return refusal
+        return messages.Done()
+
+    async def _write_for_other(
+        self, query: messages.InboxWrite
+    ) -> messages.PeerMessage:
+        now = context.steady()
+        refused = inbox.Outcome.REFUSED
+        if not self._ctx.store_ok(now):
+            return messages.Refusal(
+                refused.value, 'no store here', RETRY_AFTER_S
+            )
+        deadline = now + neighbours.RELAY_TIMEOUT_S * 0.8
+        outcome = await self._inbox.write(query.items, deadline, True)
+        self._ctx.log.note(
+            'inbox_written_for_other',
+            jobs=[key for key, _ in query.items],
+            outcome=outcome.value,
+        )
+        if outcome is inbox.Outcome.ACCEPTED:
+            return messages.Done()
+        return messages.Refusal(
+            outcome.value, 'the store is away here', RETRY_AFTER_S
+        )
--- a/hibiscusslip/host/host.py
+++ b/hibiscusslip/host/host.py
@@ -1,7 +1,6 @@
 """Put a host together and run it until it's told to stop."""
 
 import os
-import random
 import signal
 import types
 
@@ -9,11 +8,13 @@
 
 from hibiscusslip.dispatch import model
 from hibiscusslip.host import advising
+from hibiscusslip.host import answering
 from hibiscusslip.host import context
 from hibiscusslip.host import feeds
 from hibiscusslip.host import front
 from hibiscusslip.host import guarding
 from hibiscusslip.host import inbox
+from hibiscusslip.host import neighbours
 from hibiscusslip.host import notices
 from hibiscusslip.host import owner
 from hibiscusslip.host import ownership
@@ -21,22 +22,15 @@
 from hibiscusslip.http import limits as http_limits
 from hibiscusslip.http import server
 from hibiscusslip.model import places
-from hibiscusslip.peer import base
-from hibiscusslip.peer import exceptions as peer_exceptions
 from hibiscusslip.peer import hello
 from hibiscusslip.peer import limits as peer_limits
 from hibiscusslip.peer import links
-from hibiscusslip.peer import messages
 from hibiscusslip.peer import server as peer_server
 from hibiscusslip.platform import advice
 from hibiscusslip.platform import exceptions
 from hibiscusslip.platform import store
 
-ASK_TIMEOUT_S = 0.5
 CLAIM_PAUSE_S = 0.05
-MOST_RELAYS = 2
-RELAY_TIMEOUT_S = 0.9
-PROMISE_TIMEOUT_S = 0.3
 CLAIM_TIMEOUT_S = 0.8
 FLUSH_S = 0.1
 SIGNAL_POLL_S = 0.05
@@ -78,7 +72,7 @@
             self.stop = True
 
 
-class Host(front.Cell, inbox.Relay, owner.Successors, base.Handler):
+class Host(front.Cell):
     """Run the servers, the feeds and, at times, the owner."""
 
     def __init__(self, ctx: context.Context, secret: bytes) -> None:
@@ -87,16 +81,20 @@
         me = places.HostId(cfg.name, ctx.incarnation)
         info = hello.HelloInfo(cfg.zone, '', 1)
         keys = hello.Keys({KEY_ID: secret})
-        self._links = links.PeerLinks(me, info, keys, _PEER)
-        self._peers = peer_server.PeerServer(me, info, keys, _PEER, self)
+        peers = links.PeerLinks(me, info, keys, _PEER)
         service = advice.AdviceService(cfg.advice) if cfg.advice else None
-        self._advisers = advising.Advisers(ctx, service, self._links)
-        self._inbox = inbox.Inbox(ctx, self)
+        self._neighbours = neighbours.Neighbours(ctx, peers)
+        self._advisers = advising.Advisers(ctx, service, peers)
+        self._inbox = inbox.Inbox(ctx, self._neighbours)
+        self._owner: owner.Owner | None = None
+        answers = answering.Answering(
+            ctx, self._inbox, self._advisers, lambda: self._owner
+        )
+        self._peers = peer_server.PeerServer(me, info, keys, _PEER, answers)
         handler = front.Front(ctx, self, self._inbox)
         self._front = server.Server(handler, _FRONT_HTTP)
         self._ready = server.Server(front.Ready(ctx), _FRONT_HTTP)
         self._metrics = server.Server(front.Telling(ctx), _FRONT_HTTP)
-        self._owner: owner.Owner | None = None
 
     async def run(self) -> None:
         """Run until SIGTERM, then stop in good order."""
@@ -222,7 +220,7 @@
 
     async def _own_once(self, epoch: int) -> None:
         ctx = self._ctx
-        self._owner = owner.Owner(ctx, self._advisers, self, epoch)
+        self._owner = owner.Owner(ctx, self._advisers, self._neighbours, epoch)
         try:
             await self._owner.run()
         except exceptions.ProducerFenced:
@@ -234,8 +232,6 @@
             self._owner = None
             ctx.log.note('owner_lost', epoch=epoch)
 
-    # The cell, as the front asks it.
-
     async def state_of(self, ident: str) -> model.JobState | None:
         """Return a job's state from the owner, here or elsewhere."""
         mine = self._owner
@@ -244,7 +240,7 @@
         known = self._ctx.ownership.owner
         if known is None or known.host == self._ctx.cfg.name:
             raise front.OwnerUnknown('no owner is known; try again')
-        return await self._state_there(known, ident)
+        return await self._neighbours.state_of(known, ident)
 
     async def _state_here(
         self, mine: owner.Owner, ident: str
@@ -253,203 +249,3 @@
             return await mine.state_of(ident)
         except exceptions.PlatformError as exc:
             raise front.OwnerUnknown(str(exc)) from exc
-
-    async def _state_there(
-        self, known: notices.OwnerNotice, ident: str
-    ) -> model.JobState | None:
-        self._links.set_address(known.host, known.address, known.port)
-        query = messages.CellJobQuery(ident)
-        try:
-            reply = await self._links.call(known.host, query, ASK_TIMEOUT_S)
-        except peer_exceptions.PeerUnsettled as exc:
-            # The connection may have gone silent: make a new one.
-            self._links.forget(known.host)
-            raise front.OwnerUnknown(str(exc)) from exc
-        except peer_exceptions.PeerError as exc:
-            raise front.OwnerUnknown(str(exc)) from exc
-        if not isinstance(reply, messages.CellJobReply):
-            raise front.OwnerUnknown('the owner gave no state')
-        return model.JobState(reply.state) if reply.known else None
-
-    # Records that another host writes for this one.
-
-    async def write(self, items: list[tuple[str, bytes]]) -> inbox.Outcome:
-        """Ask up to two other hosts; the first that answers decides."""
-        outcome = inbox.Outcome.REFUSED
-        for name in self._relays()[:MOST_RELAYS]:
-            told = await self._write_at(name, items)
-            self._ctx.log.note(
-                'inbox_relayed',
-                to=name,
-                jobs=[key for key, _ in items],
-                outcome=told.value,
-            )
-            if told is inbox.Outcome.ACCEPTED:
-                return told
-            if told is inbox.Outcome.IN_DOUBT:
-                outcome = told
-        return outcome
-
-    async def _write_at(
-        self, name: str, items: list[tuple[str, bytes]]
-    ) -> inbox.Outcome:
-        host = self._ctx.hosts[name]
-        self._links.set_address(name, host.address, host.port)
-        query = messages.InboxWrite(items)
-        try:
-            reply = await self._links.call(name, query, RELAY_TIMEOUT_S)
-        except peer_exceptions.PeerUnsettled:
-            self._links.forget(name)
-            return inbox.Outcome.IN_DOUBT
-        except peer_exceptions.PeerRefused as exc:
-            in_doubt = exc.kind == inbox.Outcome.IN_DOUBT.value
-            return (
-                inbox.Outcome.IN_DOUBT if in_doubt else inbox.Outcome.REFUSED
-            )
-        except peer_exceptions.PeerError:
-            return inbox.Outcome.REFUSED
-        if isinstance(reply, messages.Done):
-            return inbox.Outcome.ACCEPTED
-        return inbox.Outcome.IN_DOUBT
-
-    async def release(self, notice: bytes) -> bool:
-        """Have another host write a release; tell whether one did."""
-        message = messages.OwnerRelease(notice)
-        for name in self._relays()[:MOST_RELAYS]:
-            host = self._ctx.hosts[name]
-            self._links.set_address(name, host.address, host.port)
-            try:
-                reply = await self._links.call(name, message, RELAY_TIMEOUT_S)
-            except peer_exceptions.PeerError:
-                continue
-            if isinstance(reply, messages.Done):
-                return True
-        return False
-
-    async def promise(self, epoch: int) -> bool:
-        """Ask all other hosts not to claim; tell whether all agreed."""
-        message = messages.ClaimPromise(epoch)
-        names = [n for n in self._ctx.hosts if n != self._ctx.cfg.name]
-        async with curio.TaskGroup(wait=all) as group:
-            tasks = [
-                await group.spawn(self._ask_promise, name, message)
-                for name in names
-            ]
-        return all(task.result for task in tasks)
-
-    async def _ask_promise(
-        self, name: str, message: messages.ClaimPromise
-    ) -> bool:
-        host = self._ctx.hosts[name]
-        self._links.set_address(name, host.address, host.port)
-        try:
-            reply = await self._links.call(name, message, PROMISE_TIMEOUT_S)
-        except peer_exceptions.PeerError:
-            return False
-        return isinstance(reply, messages.Done)
-
-    def _give_promise(
-        self, message: messages.ClaimPromise
-    ) -> messages.PeerMessage:
-        now = context.steady()
-        if self._ctx.store_ok(now):
-            return messages.Refusal('store_here', 'the store serves me', 0.2)
-        if self._ctx.ownership.promise(message.epoch, now):
-            return messages.Done()
-        return messages.Refusal('claiming', 'another owner may come', 0.2)
-
-    async def _write_release(
-        self, message: messages.OwnerRelease
-    ) -> messages.PeerMessage:
-        refusal = messages.Refusal('refused', 'no store here', 0.2)
-        if not self._ctx.store_ok(context.steady()):
-            return refusal
-        try:
-            await self._ctx.store.append(
-                topics.OWNER, [message.notice], CLAIM_TIMEOUT_S
-            )
-        except exceptions.PlatformError as exc:
-            self._ctx.log.note('release_failed', error=str(exc)[:120])
-            return refusal
-        return messages.Done()
-
-    def _relays(self) -> list[str]:
-        """Return other hosts, the owner and those of other zones first."""
-        ctx = self._ctx
-        owner = ctx.ownership.owner
-        first = owner.host if owner else ''
-        names = [name for name in ctx.hosts if name != ctx.cfg.name]
-        random.shuffle(names)
-        names.sort(
-            key=lambda name: (
-                name != first,
-                ctx.hosts[name].zone == ctx.cfg.zone,
-            )
-        )
-        return names
-
-    async def _write_for_other(
-        self, query: messages.InboxWrite
-    ) -> messages.PeerMessage:
-        now = context.steady()
-        refused = inbox.Outcome.REFUSED
-        if not self._ctx.store_ok(now):
-            return messages.Refusal(refused.value, 'no store here', 0.2)
-        deadline = now + RELAY_TIMEOUT_S * 0.8
-        outcome = await self._inbox.write(query.items, deadline, True)
-        self._ctx.log.note(
-            'inbox_written_for_other',
-            jobs=[key for key, _ in query.items],
-            outcome=outcome.value,
-        )
-        if outcome is inbox.Outcome.ACCEPTED:
-            return messages.Done()
-        return messages.Refusal(outcome.value, 'the store is away here', 0.2)
-
-    # Calls of other hosts.
-
-    async def handle(
-        self, sender: places.HostId, body: messages.PeerMessage
-    ) -> messages.PeerMessage:
-        """Answer another host; must not raise."""
-        if isinstance(body, messages.CellJobQuery):
-            return await self._tell_state(body)
-        if isinstance(body, messages.InboxWrite):
-            return await self._write_for_other(body)
-        if isinstance(body, messages.ClaimPromise):
-            return self._give_promise(body)
-        if isinstance(body, messages.OwnerRelease):
-            return await self._write_release(body)
-        if isinstance(body, messages.AdviceQuery):
-            return await self._advise(body)
-        return messages.Refusal('unknown', "this call isn't served here")
-
-    async def _tell_state(
-        self, query: messages.CellJobQuery
-    ) -> messages.PeerMessage:
-        mine = self._owner
-        if mine is None or not mine.ready:
-            return messages.Refusal('not_owner', 'ask the owner', 0.2)
-        try:
-            found = await self._state_here(mine, query.job)
-        except front.OwnerUnknown as exc:
-            return messages.Refusal('unknown', str(exc), 0.2)
-        if found is None:
-            return messages.CellJobReply(False, '')
-        return messages.CellJobReply(True, found.value)
-
-    async def _advise(
-        self, query: messages.AdviceQuery
-    ) -> messages.PeerMessage:
-        sent = context.steady()
-        try:
-            told = await self._advisers.ask_here(
-                query.step, query.endpoints, ADVICE_TIMEOUT_S
-            )
-        except exceptions.PlatformError as exc:
-            return messages.Refusal('no_advice', str(exc), 0.2)
-        del sent
-        return messages.AdviceReply(told.tickets, told.valid, 0.0)
-
-
-ADVICE_TIMEOUT_S = 4.0
--- /dev/null
+++ b/hibiscusslip/host/neighbours.py
@@ -0,0 +1,136 @@
+"""Ask other hosts: for a job's state, to write, to make way, to promise."""
+
+import random
+
+import curio
+
+from hibiscusslip.dispatch import model
+from hibiscusslip.host import context
+from hibiscusslip.host import front
+from hibiscusslip.host import inbox
+from hibiscusslip.host import notices
+from hibiscusslip.host import owner
+from hibiscusslip.peer import exceptions as peer_exceptions
+from hibiscusslip.peer import links
+from hibiscusslip.peer import messages
+
+ASK_TIMEOUT_S = 0.5
+MOST_RELAYS = 2
+RELAY_TIMEOUT_S = 0.9
+PROMISE_TIMEOUT_S = 0.3
+
+
+class Neighbours(inbox.Relay, owner.Successors):
+    """Call the other hosts of the cell."""
+
+    def __init__(self, ctx: context.Context, peers: links.PeerLinks) -> None:
+        self._ctx = ctx
+        self._links = peers
+
+    async def state_of(
+        self, known: notices.OwnerNotice, ident: str
+    ) -> model.JobState | None:
+        """Ask the owner for a job's state; raises OwnerUnknown."""
+        self._links.set_address(known.host, known.address, known.port)
+        query = messages.CellJobQuery(ident)
+        try:
+            reply = await self._links.call(known.host, query, ASK_TIMEOUT_S)
+        except peer_exceptions.PeerUnsettled as exc:
+            # The connection may have gone silent: make a new one.
+            self._links.forget(known.host)
+            raise front.OwnerUnknown(str(exc)) from exc
+        except peer_exceptions.PeerError as exc:
+            raise front.OwnerUnknown(str(exc)) from exc
+        if not isinstance(reply, messages.CellJobReply):
+            raise front.OwnerUnknown('the owner gave no state')
+        return model.JobState(reply.state) if reply.known else None
+
+    async def write(self, items: list[tuple[str, bytes]]) -> inbox.Outcome:
+        """Ask up to two other hosts; the first that answers decides."""
+        outcome = inbox.Outcome.REFUSED
+        for name in self._relays()[:MOST_RELAYS]:
+            told = await self._write_at(name, items)
+            self._ctx.log.note(
+                'inbox_relayed',
+                to=name,
+                jobs=[key for key, _ in items],
+                outcome=told.value,
+            )
+            if told is inbox.Outcome.ACCEPTED:
+                return told
+            if told is inbox.Outcome.IN_DOUBT:
+                outcome = told
+        return outcome
+
+    async def _write_at(
+        self, name: str, items: list[tuple[str, bytes]]
+    ) -> inbox.Outcome:
+        host = self._ctx.hosts[name]
+        self._links.set_address(name, host.address, host.port)
+        query = messages.InboxWrite(items)
+        try:
+            reply = await self._links.call(name, query, RELAY_TIMEOUT_S)
+        except peer_exceptions.PeerUnsettled:
+            self._links.forget(name)
+            return inbox.Outcome.IN_DOUBT
+        except peer_exceptions.PeerRefused as exc:
+            in_doubt = exc.kind == inbox.Outcome.IN_DOUBT.value
+            return (
+                inbox.Outcome.IN_DOUBT if in_doubt else inbox.Outcome.REFUSED
+            )
+        except peer_exceptions.PeerError:
+            return inbox.Outcome.REFUSED
+        if isinstance(reply, messages.Done):
+            return inbox.Outcome.ACCEPTED
+        return inbox.Outcome.IN_DOUBT
+
+    async def release(self, notice: bytes) -> bool:
+        """Have another host write a release; tell whether one did."""
+        message = messages.OwnerRelease(notice)
+        for name in self._relays()[:MOST_RELAYS]:
+            host = self._ctx.hosts[name]
+            self._links.set_address(name, host.address, host.port)
+            try:
+                reply = await self._links.call(name, message, RELAY_TIMEOUT_S)
+            except peer_exceptions.PeerError:
+                continue
+            if isinstance(reply, messages.Done):
+                return True
+        return False
+
+    async def promise(self, epoch: int) -> bool:
+        """Ask all other hosts not to claim; tell whether all agreed."""
+        message = messages.ClaimPromise(epoch)
+        names = [n for n in self._ctx.hosts if n != self._ctx.cfg.name]
+        async with curio.TaskGroup(wait=all) as group:
+            tasks = [
+                await group.spawn(self._ask_promise, name, message)
+                for name in names
+            ]
+        return all(task.result for task in tasks)
+
+    async def _ask_promise(
+        self, name: str, message: messages.ClaimPromise
+    ) -> bool:
+        host = self._ctx.hosts[name]
+        self._links.set_address(name, host.address, host.port)
+        try:
+            reply = await self._links.call(name, message, PROMISE_TIMEOUT_S)
+        except peer_exceptions.PeerError:
+            return False
+        return isinstance(reply, messages.Done)
+
+    def _relays(self) -> list[str]:
+        """Return other hosts, the owner and those of other zones first."""
+        ctx = self._ctx
+        owner = ctx.ownership.owner
+        first = owner.host if owner else ''
+        names = [name for name in ctx.hosts if name != ctx.cfg.name]
+        random.shuffle(names)
+        names.sort(
+            key=lambda name: (
+                name != first,
+                ctx.hosts[name].zone == ctx.cfg.zone,
+            )
+        )
+        return names
