--- a/hibiscusslip/dispatch/progress.py
+++ b/hibiscusslip/dispatch/progress.py
@@ -20,6 +20,7 @@
 LEAST_PERCENT = 10
 STILL_S = 1.0
 STILL_SHARE = 0.25  # of the run time that a task may seem to stand still
+PATIENCE = 3  # times as long with each stop: its estimate may be far off
 DISTRUST_S = 3.0
 FULL = 100
 
@@ -69,7 +70,9 @@
             if total > SLOW * expected:
                 note_time(endpoint, expected, total, now)
     still = now - booking.moved_at
-    if still > STILL_S + STILL_SHARE * expected and not booking.stopping:
+    patience = (STILL_S + STILL_SHARE * expected) * PATIENCE**task.stalls
+    if still > patience and not booking.stopping:
+        task.stalls += 1
         engine.note(
             'run_stands_still',
             task=task.name,
--- a/hibiscusslip/dispatch/state.py
+++ b/hibiscusslip/dispatch/state.py
@@ -38,6 +38,7 @@
     checkpoint: str = ''
     not_before: float = 0.0
     started: float = 0.0
+    stalls: int = 0
 
 
 @dataclasses.dataclass(slots=True, eq=False)
--- a/hibiscusslip/host/host.py
+++ b/hibiscusslip/host/host.py
@@ -34,7 +34,7 @@
 CLAIM_TIMEOUT_S = 0.8
 FLUSH_S = 0.1
 SIGNAL_POLL_S = 0.05
-ANNOUNCE_PAUSE_S = 0.3
+ANNOUNCE_PAUSE_S = 0.5
 STOP_ADVANCE_S = 2.6
 STOP_DRAIN_S = 2.0
 KEY_ID = 'cell'
@@ -144,6 +144,7 @@
         ctx.log.note('host_stopping', owner=self._owner is not None)
         if self._owner is not None:
             await self._owner.hand_over()
+        await self._write_record(b'')
         left = started + STOP_ADVANCE_S - context.steady()
         await curio.sleep(max(left, 0.0))
         cut = await self._front.drain(STOP_DRAIN_S)
@@ -151,7 +152,11 @@
             ctx.log.note('requests_cut', count=cut)
 
     async def _announce(self) -> None:
-        """Tell the other hosts where this one listens."""
+        """Tell the other hosts where this one listens, as long as it runs.
+
+        The owner drops hosts that it can't reach; one that still reaches the
+        store tells of itself again, so that it's always asked for promises.
+        """
         cfg = self._ctx.cfg
         record = notices.HostRecord(
             cfg.name,
@@ -161,18 +166,20 @@
             cfg.ports[0],
             cfg.cpu_share * cfg.cores,
         )
-        entry = store.keyed(cfg.name, notices.encode(record))
-        while True:
-            try:
-                await self._ctx.store.append(
-                    topics.HOSTS, [entry], CLAIM_TIMEOUT_S
-                )
-                break
-            except exceptions.PlatformError as exc:
-                self._ctx.log.note('announce_failed', error=str(exc)[:120])
-                await curio.sleep(ANNOUNCE_PAUSE_S)
         while True:
-            await curio.sleep(3600)
+            known = self._ctx.hosts.get(cfg.name)
+            if known != record and not self._ctx.stopping:
+                await self._write_record(notices.encode(record))
+            await curio.sleep(ANNOUNCE_PAUSE_S)
+
+    async def _write_record(self, value: bytes) -> None:
+        entry = store.keyed(self._ctx.cfg.name, value)
+        try:
+            await self._ctx.store.append(
+                topics.HOSTS, [entry], CLAIM_TIMEOUT_S
+            )
+        except exceptions.PlatformError as exc:
+            self._ctx.log.note('announce_failed', error=str(exc)[:120])
 
     async def _own(self) -> None:
         """Claim the ownership when nobody has it, and use it."""
--- a/hibiscusslip/host/neighbours.py
+++ b/hibiscusslip/host/neighbours.py
@@ -100,25 +100,40 @@
 
     async def promise(self, epoch: int) -> bool:
         """Ask all other hosts not to claim; tell whether all agreed."""
-        message = messages.ClaimPromise(epoch)
+        replies = await self._ask_all(messages.ClaimPromise(epoch))
+        return all(isinstance(r, messages.Done) for r in replies.values())
+
+    async def unreachable(self) -> list[str]:
+        """Return the hosts that don't answer."""
+        replies = await self._ask_all(messages.CellJobQuery(''))
+        return [name for name, reply in replies.items() if reply is None]
+
+    async def _ask_all(
+        self, message: messages.PeerMessage
+    ) -> dict[str, messages.PeerMessage | None]:
+        """Return each host's reply, None for one that gave none."""
         names = [n for n in self._ctx.hosts if n != self._ctx.cfg.name]
         async with curio.TaskGroup(wait=all) as group:
-            tasks = [
-                await group.spawn(self._ask_promise, name, message)
+            tasks = {
+                name: await group.spawn(self._ask_one, name, message)
                 for name in names
-            ]
-        return all(task.result for task in tasks)
+            }
+        return {name: task.result for name, task in tasks.items()}
 
-    async def _ask_promise(
-        self, name: str, message: messages.ClaimPromise
-    ) -> bool:
+    async def _ask_one(
+        self, name: str, message: messages.PeerMessage
+    ) -> messages.PeerMessage | None:
         host = self._ctx.hosts[name]
         self._links.set_address(name, host.address, host.port)
         try:
-            reply = await self._links.call(name, message, PROMISE_TIMEOUT_S)
+            return await self._links.call(name, message, PROMISE_TIMEOUT_S)
+        except peer_exceptions.PeerRefused as exc:
+            return messages.Refusal(exc.kind, str(exc))
+        except peer_exceptions.PeerUnsettled:
+            self._links.forget(name)
+            return None
         except peer_exceptions.PeerError:
-            return False
-        return isinstance(reply, messages.Done)
+            return None
 
     def _relays(self) -> list[str]:
         """Return other hosts, the owner and those of other zones first."""
--- a/hibiscusslip/host/owner.py
+++ b/hibiscusslip/host/owner.py
@@ -36,6 +36,8 @@
 ALONE_POLL_S = 0.03
 PROMISE_AHEAD_S = 0.6
 RETURN_OF_ENTRIES_S = 2.5
+ROLL_CALL_S = 2.0
+MOST_MISSED = 4
 
 
 class InboxFeed(tailing.Tail):
@@ -116,6 +118,10 @@
     async def promise(self, epoch: int) -> bool:
         """Ask all other hosts not to claim; tell whether all agreed."""
 
+    @abc.abstractmethod
+    async def unreachable(self) -> list[str]:
+        """Return the hosts that don't answer."""
+
 
 class Owner:
     """Hold one epoch of the ownership from its claim to its end."""
@@ -174,6 +180,7 @@
             self._forget,
             self._tell_load,
             self._stay_alone,
+            self._drop_dead_hosts,
         ):
             await self._tasks.spawn(guarding.guard, self.ctx, loop)
         for name in list(self.engine.endpoints):
@@ -364,6 +371,26 @@
             if may:
                 await self._writer.release_unrecorded()
 
+    async def _drop_dead_hosts(self) -> None:
+        """Take hosts off the list that didn't answer for a while."""
+        missed: dict[str, int] = {}
+        while True:
+            await curio.sleep(ROLL_CALL_S)
+            silent = await self._successors.unreachable()
+            missed = {name: missed.get(name, 0) + 1 for name in silent}
+            dead = [n for n, times in missed.items() if times >= MOST_MISSED]
+            if dead and self.ctx.store_ok(context.steady()):
+                await self._drop_hosts(dead)
+
+    async def _drop_hosts(self, names: list[str]) -> None:
+        records = [store.keyed(name) for name in names]
+        try:
+            await self.ctx.store.append(topics.HOSTS, records, BEAT_TIMEOUT_S)
+        except exceptions.PlatformError as exc:
+            self.ctx.log.note('dropping_failed', error=str(exc)[:120])
+            return
+        self.ctx.log.note('hosts_dropped', hosts=names)
+
     async def _notify(self, kind: str) -> None:
         record = notices.encode(self._notice(kind))
         await self.ctx.store.append(topics.OWNER, [record], BEAT_TIMEOUT_S)
--- a/tests/dispatch/test_waiting.py
+++ b/tests/dispatch/test_waiting.py
@@ -268,3 +268,21 @@
     bench.endpoint('e2', cpu=16000)
     bench.submit('k', support.step(estimate=1.0))
     assert [s.endpoint for s in bench.plan()] == ['e2']
+
+
+def test_task_that_is_slow_everywhere_is_stopped_less_and_less():
+    bench = support.Bench()
+    bench.endpoint('e1')
+    bench.submit('j', support.step(estimate=1.0))
+    stopped = []
+    for _ in range(4):
+        began = bench.now
+        (start,) = bench.plan()
+        bench.confirm([start])
+        while not bench.stops():
+            bench.now += 0.5
+            bench.look('e1', running=[bench.run_of(start)])
+        stopped.append(bench.now - began)
+        bench.end(start, 'stopped')
+        bench.now += 5
+    assert all(b > 2 * a for a, b in zip(stopped, stopped[1:], strict=False))
