Take back starts without records; adopt late runs of waiting tasks

Likely cause: its successor saw those runs listed for tasks that its records call waiting, stopped them and started the tasks elsewhere at once. Not proved by a second failing run. PLATFORM.md still tells that accepted work waits while the store is away.

--- a/hibiscusslip/dispatch/_looking.py
+++ b/hibiscusslip/dispatch/_looking.py
@@ -275,11 +275,27 @@
     row: model.RunningRun,
     now: float,
 ) -> state.Booking:
-    """Book a run that is listed and wasn't known to be there."""
+    """Book a run that is listed and wasn't known to be there.
+
+    If its task waits, the run is taken as the task's own: it was started by
+    an order that was carried out late.
+    """
     task = find_task(engine, row.task)
     demand = task.step.spec.booked if task else model.Demand()
     booking = state.Booking(task, row.run, demand, now, answered=now)
     endpoint.book(row.task, booking)
+    if task is None or task.step.job.state.final or row.run < task.run:
+        return booking
+    if task.status is state.Status.WAITING:
+        task.status = state.Status.RUNNING
+        task.run = row.run
+        task.endpoint = endpoint.name
+        task.started = now
+        task.step.job.begun = True
+        engine.dirty.add(task.step.job.ident)
+        engine.note(
+            'run_adopted', task=row.task, run=row.run, endpoint=endpoint.name
+        )
     return booking
 
 
--- a/hibiscusslip/dispatch/_planning.py
+++ b/hibiscusslip/dispatch/_planning.py
@@ -120,8 +120,6 @@
     rank: ordering.Rank,
 ) -> None:
     now = current.now
-    if _guarded(current.engine, pool, now):
-        return
     tasks = [task for task in step.waiting() if task.not_before <= now]
     if not tasks or (step.spec.gang and len(tasks) < len(step.tasks)):
         return
@@ -146,17 +144,6 @@
         )
 
 
-def _guarded(
-    engine: 'engines.Engine', pool: list[state.Endpoint], now: float
-) -> bool:
-    """Tell whether runs without a record may be at work on a pool."""
-    if now < engine.guard_all_until:
-        return True
-    if now >= engine.guard_until:
-        return False
-    return any(not endpoint.looked for endpoint in pool)
-
-
 def _eligible(
     current: _Round, step: state.StepState, pool: list[state.Endpoint]
 ) -> list[state.Endpoint] | None:
--- a/hibiscusslip/dispatch/engine.py
+++ b/hibiscusslip/dispatch/engine.py
@@ -27,9 +27,7 @@
 
     `now` is the host's steady clock, `wall` a Unix time. Jobs whose record
     has to be written are in `dirty`, what to do is in `starts` (only after
-    that record is written), `stops`, `paces` and `asks`. Nothing is started
-    before `guard_all_until`, and before `guard_until` nothing on a service
-    with an endpoint that wasn't looked at: it may run what isn't recorded.
+    that record is written), `stops`, `paces` and `asks`.
     """
 
     def __init__(self, lease: float, note: Note = _ignore) -> None:
@@ -49,8 +47,6 @@
         self.advisers = 1
         self.asking_cost = 0.0
         self.long_asks = 0
-        self.guard_until = 0.0
-        self.guard_all_until = 0.0
         self.headroom: dict[str, _headroom.Headroom] = {}
 
     # Jobs.
--- a/hibiscusslip/host/answering.py
+++ b/hibiscusslip/host/answering.py
@@ -43,8 +43,6 @@
             return await self._tell_state(body)
         if isinstance(body, messages.InboxWrite):
             return await self._write_for_other(body)
-        if isinstance(body, messages.ClaimPromise):
-            return self._give_promise(body)
         if isinstance(body, messages.OwnerRelease):
             return await self._write_release(body)
         if isinstance(body, messages.AdviceQuery):
@@ -78,20 +76,6 @@
             return messages.Refusal('no_advice', str(exc), RETRY_AFTER_S)
         return messages.AdviceReply(told.tickets, told.valid, 0.0)
 
-    def _give_promise(
-        self, message: messages.ClaimPromise
-    ) -> messages.PeerMessage:
-        now = context.steady()
-        if self._ctx.store_ok(now):
-            return messages.Refusal(
-                'store_here', 'the store serves me', RETRY_AFTER_S
-            )
-        if self._ctx.ownership.promise(message.epoch, now):
-            return messages.Done()
-        return messages.Refusal(
-            'claiming', 'another owner may come', RETRY_AFTER_S
-        )
-
     async def _write_release(
         self, message: messages.OwnerRelease
     ) -> messages.PeerMessage:
--- a/hibiscusslip/host/host.py
+++ b/hibiscusslip/host/host.py
@@ -17,7 +17,6 @@
 from hibiscusslip.host import neighbours
 from hibiscusslip.host import notices
 from hibiscusslip.host import owner
-from hibiscusslip.host import ownership
 from hibiscusslip.host import topics
 from hibiscusslip.http import limits as http_limits
 from hibiscusslip.http import server
@@ -155,7 +154,7 @@
         """Tell the other hosts where this one listens, as long as it runs.
 
         The owner drops hosts that it can't reach; one that still reaches the
-        store tells of itself again, so that it's always asked for promises.
+        store tells of itself again, so that others find it.
         """
         cfg = self._ctx.cfg
         record = notices.HostRecord(
@@ -214,11 +213,7 @@
         except exceptions.StoreConflict:
             return
         except exceptions.PlatformError as exc:
-            doubt = isinstance(exc, exceptions.StoreUnsettled)
-            if doubt:
-                until = now + ownership.CLAIM_DOUBT_S
-                ctx.ownership.claim_doubt_until = until
-            ctx.log.note('claim_failed', doubt=doubt, error=str(exc)[:120])
+            ctx.log.note('claim_failed', error=str(exc)[:120])
             return
         ctx.ownership.won(epoch, now)
         heard = ctx.ownership.heard
--- a/hibiscusslip/host/neighbours.py
+++ b/hibiscusslip/host/neighbours.py
@@ -1,4 +1,4 @@
-"""Ask other hosts: for a job's state, to write, to make way, to promise."""
+"""Ask other hosts: for a job's state, to write, to make way."""
 
 import random
 
@@ -17,7 +17,7 @@
 ASK_TIMEOUT_S = 0.5
 MOST_RELAYS = 2
 RELAY_TIMEOUT_S = 0.9
-PROMISE_TIMEOUT_S = 0.3
+ROLL_CALL_TIMEOUT_S = 0.3
 
 
 class Neighbours(inbox.Relay, owner.Successors):
@@ -98,11 +98,6 @@
                 return True
         return False
 
-    async def promise(self, epoch: int) -> bool:
-        """Ask all other hosts not to claim; tell whether all agreed."""
-        replies = await self._ask_all(messages.ClaimPromise(epoch))
-        return all(isinstance(r, messages.Done) for r in replies.values())
-
     async def unreachable(self) -> list[str]:
         """Return the hosts that don't answer."""
         replies = await self._ask_all(messages.CellJobQuery(''))
@@ -126,7 +121,7 @@
         host = self._ctx.hosts[name]
         self._links.set_address(name, host.address, host.port)
         try:
-            return await self._links.call(name, message, PROMISE_TIMEOUT_S)
+            return await self._links.call(name, message, ROLL_CALL_TIMEOUT_S)
         except peer_exceptions.PeerRefused as exc:
             return messages.Refusal(exc.kind, str(exc))
         except peer_exceptions.PeerUnsettled:
--- a/hibiscusslip/host/owner.py
+++ b/hibiscusslip/host/owner.py
@@ -8,7 +8,6 @@
 from hibiscusslip.dispatch import commands
 from hibiscusslip.dispatch import engine as engines
 from hibiscusslip.dispatch import model
-from hibiscusslip.dispatch import state
 from hibiscusslip.dispatch import summary
 from hibiscusslip.host import advising
 from hibiscusslip.host import context
@@ -33,9 +32,6 @@
 FORGET_PERIOD_S = 5.0
 LOAD_PERIOD_S = 1.0
 STOP_FLUSH_S = 0.5
-ALONE_POLL_S = 0.03
-PROMISE_AHEAD_S = 0.6
-RETURN_OF_ENTRIES_S = 2.5
 ROLL_CALL_S = 2.0
 MOST_MISSED = 4
 
@@ -114,10 +110,6 @@
     async def release(self, notice: bytes) -> bool:
         """Have another host write a release; tell whether one did."""
 
-    @abc.abstractmethod
-    async def promise(self, epoch: int) -> bool:
-        """Ask all other hosts not to claim; tell whether all agreed."""
-
     @abc.abstractmethod
     async def unreachable(self) -> list[str]:
         """Return the hosts that don't answer."""
@@ -158,7 +150,6 @@
         started = context.steady()
         await self._tasks.spawn(guarding.guard, self.ctx, self._beat)
         recovered = await self._recover()
-        self._guard(context.steady())
         self.ready = True
         self.ctx.metrics.count('successions')
         self.ctx.log.note(
@@ -179,7 +170,6 @@
             self._plan,
             self._forget,
             self._tell_load,
-            self._stay_alone,
             self._drop_dead_hosts,
         ):
             await self._tasks.spawn(guarding.guard, self.ctx, loop)
@@ -343,34 +333,6 @@
             self.ctx.log.note('owner_released', epoch=self.epoch)
             self.ctx.ownership.lose()
 
-    def _guard(self, now: float) -> None:
-        """Start nothing yet that may run without a record somewhere."""
-        if not self.ctx.ownership.promised_lately(now):
-            return
-        longest = self.ctx.cfg.bounds.max_lease / state.SLOWEST_CLOCK
-        self.engine.guard_all_until = now + RETURN_OF_ENTRIES_S
-        self.engine.guard_until = now + ownership.RENEW_S + longest
-        self.ctx.log.note('starts_guarded', epoch=self.epoch)
-
-    async def _stay_alone(self) -> None:
-        """While the store is away for all, go on starting without records."""
-        alone = False
-        while True:
-            await curio.sleep(ALONE_POLL_S)
-            now = context.steady()
-            if self.ctx.store_ok(now):
-                alone = False
-                continue
-            if now > self.ctx.ownership.trusted_until - PROMISE_AHEAD_S:
-                if await self._successors.promise(self.epoch):
-                    self.ctx.ownership.trust(now)
-            may = self.ctx.ownership.may_start_unrecorded(context.steady())
-            if may != alone:
-                alone = may
-                self.ctx.log.note('starts_unrecorded', allowed=may)
-            if may:
-                await self._writer.release_unrecorded()
-
     async def _drop_dead_hosts(self) -> None:
         """Take hosts off the list that didn't answer for a while."""
         missed: dict[str, int] = {}
--- a/hibiscusslip/host/ownership.py
+++ b/hibiscusslip/host/ownership.py
@@ -4,9 +4,7 @@
 read to, so of two claims one fails. The owner's heartbeats go to the same
 topic; hosts that read the store and hear none for a while claim. An owner
 that can't reach the store extends leases only until `RENEW_S` after its last
-record. As each start needs a record first, it starts nothing, unless the
-store is away for all: while every other host promises not to claim, it is
-the only one, and starts go on without records.
+record. It starts nothing, as each start needs a record first.
 """
 
 import dataclasses
@@ -18,10 +16,6 @@
 RENEW_S = 10.0
 FRESH_READ_S = 0.9
 MOST_STAGGER_S = 0.5
-PROMISE_S = 1.5
-PROMISE_MARGIN_S = 0.3
-CLAIM_DOUBT_S = 12.5  # an unanswered claim may be written 12 s later
-REMEMBER_PROMISE_S = 20.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -41,9 +35,6 @@
     read: float | None = None
     held: int = 0
     confirmed: float = 0.0
-    promised: float | None = None
-    trusted_until: float = 0.0
-    claim_doubt_until: float = 0.0
 
     def read_to(self, end: int, now: float) -> None:
         """Take note that the topic was read to its end."""
@@ -68,8 +59,6 @@
             return False
         if now > self.read + FRESH_READ_S:
             return False
-        if self.promised is not None and now < self.promised + PROMISE_S:
-            return False
         patience = SILENCE_S
         owner = self.owner
         if owner is None and self.end == 0:
@@ -95,34 +84,9 @@
         """Take note that a record sent at `sent` was written as owner."""
         self.confirmed = max(self.confirmed, sent)
 
-    def promise(self, epoch: int, now: float) -> bool:
-        """Promise the owner of an epoch not to claim for a while.
-
-        False when another owner is known or an own claim is under way.
-        """
-        if self.held or epoch < self.epoch or now < self.claim_doubt_until:
-            return False
-        self.promised = now
-        return True
-
-    def promised_lately(self, now: float) -> bool:
-        """Tell whether the owner before may have started without records."""
-        if self.promised is None:
-            return False
-        return now < self.promised + REMEMBER_PROMISE_S
-
-    def trust(self, sent: float) -> None:
-        """Take note that all others promised, when asked at `sent`."""
-        self.trusted_until = sent + PROMISE_S - PROMISE_MARGIN_S
-
-    def may_start_unrecorded(self, now: float) -> bool:
-        """Tell whether no other host can own the cell, store or not."""
-        return bool(self.held) and now < self.trusted_until
-
     def lose(self) -> None:
         """Stop being the owner."""
         self.held = 0
-        self.trusted_until = 0.0
 
     def may_renew(self, now: float) -> bool:
         """Tell whether this owner may still extend leases."""
--- a/hibiscusslip/host/writer.py
+++ b/hibiscusslip/host/writer.py
@@ -45,7 +45,6 @@
         self._release = release
         self._sequence = 0
         self._drops: list[bytes] = []
-        self._pending: list[commands.Start] = []
         self.wake = signals.Wake()
         self.behind_since = 0.0
 
@@ -74,7 +73,7 @@
 
     async def _write(self) -> None:
         engine = self._engine
-        self._pending, engine.starts = engine.starts, []
+        starts, engine.starts = engine.starts, []
         seen = {e.name: e.handled for e in engine.endpoints.values()}
         written, batch = self._encode()
         batch += self._drops
@@ -84,15 +83,6 @@
             await self._append(batch)
             self.behind_since = 0.0
         engine.committed(written, seen)
-        starts, self._pending = self._pending, []
-        await self._release(starts)
-
-    async def release_unrecorded(self) -> None:
-        """Release all starts now; their records follow when they can."""
-        engine = self._engine
-        starts, self._pending = [*self._pending, *engine.starts], []
-        engine.starts = []
-        self._ctx.metrics.count('starts_unrecorded', len(starts))
         await self._release(starts)
 
     def _encode(self) -> tuple[dict[str, model.JobState], list[bytes]]:
--- a/hibiscusslip/peer/messages.py
+++ b/hibiscusslip/peer/messages.py
@@ -379,15 +379,6 @@
     notice: bytes
 
 
-class ClaimPromise(_Message, frozen=True, tag='claim_promise'):
-    """Ask a host not to claim the cell for a while.
-
-    It refuses while the store serves it: then the owner should be followed.
-    """
-
-    epoch: int
-
-
 class Done(_Message, frozen=True, tag='done'):
     """Confirm a call that has nothing to tell."""
 
@@ -438,7 +429,6 @@
     AdviceReply,
     InboxWrite,
     OwnerRelease,
-    ClaimPromise,
     Done,
     Refusal,
 ]
