--- a/hibiscusslip/dispatch/_looking.py
+++ b/hibiscusslip/dispatch/_looking.py
@@ -14,7 +14,6 @@
 STRIKES_TO_DISTRUST = 3
 DISTRUST_S = 3.0
 NO_ROOM_S = 0.5
-RESTART_PAUSE_S = 0.3
 REPEAT_STOP_S = 0.4
 
 
--- a/hibiscusslip/host/recovery.py
+++ b/hibiscusslip/host/recovery.py
@@ -154,12 +154,6 @@
             engine.cancel(key[len(topics.CANCEL_PREFIX) :], now)
 
 
-def is_final(engine: engines.Engine, ident: str) -> bool:
-    """Tell whether a job has ended and its record says so."""
-    job = engine.jobs.get(ident)
-    return job is not None and job.shown.final
-
-
 def shown_state(job: state.Job) -> model.JobState:
     """Return what callers are told of a job."""
     if job.shown.final:
--- a/hibiscusslip/host/writer.py
+++ b/hibiscusslip/host/writer.py
@@ -18,7 +18,6 @@
 RETRY_PAUSE_S = 0.04
 MOST_RETRY_PAUSE_S = 0.3
 IDLE_S = 1.0
-MAX_BATCH_BYTES = 1024 * 1024
 
 Release = collections.abc.Callable[
     [list[commands.Start]], collections.abc.Awaitable[None]
--- a/hibiscusslip/platform/callers.py
+++ b/hibiscusslip/platform/callers.py
@@ -51,11 +51,6 @@
     return _problem(503, reason, retry_after)
 
 
-def overloaded(reason: str, retry_after: int) -> messages.Response:
-    """Tell that the job never runs and when to come back, in seconds."""
-    return _problem(429, reason, retry_after)
-
-
 def no_queue() -> messages.Response:
     """Tell that no such queue exists."""
     return _problem(404, 'no such queue; check host and path')
--- a/hibiscusslip/platform/store.py
+++ b/hibiscusslip/platform/store.py
@@ -18,9 +18,7 @@
 
 CONFIG_TOPIC = 'keyed.op'
 WORKERS_TOPIC = 'keyed.servers'
-STATUS_TOPIC = 'keyed.status'
 CONFIG_KEY = 'config'
-WAVE_PREFIX = 'wave/'
 KEYED_PREFIX = 'keyed.'
 CONNECTIONS = 24
 MAX_READ_KB = 1024
