--- a/hibiscusslip/host/__main__.py
+++ b/hibiscusslip/host/__main__.py
@@ -40,8 +40,9 @@
     """Return what the parts of a host share."""
     incarnation = secrets.token_hex(4)
     share = zlib.crc32(cfg.name.encode()) / 2**32
-    strength = cfg.cpu_share * cfg.cores
-    wait = ownership.stagger(strength, share)
+    cores = cfg.cpu_share * cfg.cores
+    strong = ownership.strength(cores, cfg.link_mbps)
+    wait = ownership.stagger(strong, share)
     return context.Context(
         cfg=cfg,
         incarnation=incarnation,
--- a/hibiscusslip/host/ownership.py
+++ b/hibiscusslip/host/ownership.py
@@ -16,6 +16,7 @@
 RENEW_S = 10.0
 FRESH_READ_S = 0.9
 MOST_STAGGER_S = 0.5
+AMPLE_LINK_MBPS = 40.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -93,11 +94,20 @@
         return bool(self.held) and now < self.confirmed + RENEW_S
 
 
-def stagger(strength: float, share: float) -> float:
+def strength(cores: float, link_mbps: float) -> float:
+    """Return how well a host could own the cell, as a number of cores.
+
+    A thin link counts like a weak processor: at 380 starts a second an
+    owner sends and receives some 6 Mbit/s.
+    """
+    return cores * min(link_mbps / AMPLE_LINK_MBPS, 1.0)
+
+
+def stagger(strong: float, share: float) -> float:
     """Return how long a host waits before it claims, in seconds.
 
-    `strength` is its processor in cores, `share` from 0 to 1 tells hosts
-    of one strength apart.
+    `strong` is its strength, `share` from 0 to 1 tells hosts of one
+    strength apart.
     """
-    weak = 1.0 / (1.0 + max(strength, 0.0))
-    return MOST_STAGGER_S * (0.7 * weak + 0.3 * share)
+    weak = 1.0 / (1.0 + max(strong, 0.0))
+    return MOST_STAGGER_S * (0.9 * weak + 0.1 * share)
--- a/tests/host/test_ownership.py
+++ b/tests/host/test_ownership.py
@@ -94,6 +94,14 @@
 
 def test_strong_hosts_claim_first():
     weak = ownership.stagger(0.5, 0.0)
-    strong = ownership.stagger(2.1, 0.0)
+    strong = ownership.stagger(2.1, 1.0)
     assert strong < weak
-    assert ownership.stagger(1.0, 1.0) <= ownership.MOST_STAGGER_S
+    assert ownership.stagger(0.0, 1.0) <= ownership.MOST_STAGGER_S
+
+
+def test_thin_link_counts_like_a_weak_processor():
+    ample = ownership.strength(1.0, 1000.0)
+    thin = ownership.strength(2.1, 5.0)
+    assert ample == 1.0
+    assert thin < 0.3
+    assert ownership.stagger(ample, 1.0) < ownership.stagger(thin, 0.0)
