Call neighbours in one place; a host dropped meanwhile is no crash

Since the owner drops dead hosts, the second relay could meet a KeyError, which ends the inbox loop and so the process. One _call serves all and raises PeerUnreachable for a host that is off the list.

--- a/hibiscusslip/host/neighbours.py
+++ b/hibiscusslip/host/neighbours.py
@@ -65,13 +65,10 @@
     async def _write_at(
         self, name: str, items: list[tuple[str, bytes]]
     ) -> inbox.Outcome:
-        host = self._ctx.hosts[name]
-        self._links.set_address(name, host.address, host.port)
         query = messages.InboxWrite(items)
         try:
-            reply = await self._links.call(name, query, RELAY_TIMEOUT_S)
+            reply = await self._call(name, query, RELAY_TIMEOUT_S)
         except peer_exceptions.PeerUnsettled:
-            self._links.forget(name)
             return inbox.Outcome.IN_DOUBT
         except peer_exceptions.PeerRefused as exc:
             in_doubt = exc.kind == inbox.Outcome.IN_DOUBT.value
@@ -88,10 +85,8 @@
         """Have another host write a release; tell whether one did."""
         message = messages.OwnerRelease(notice)
         for name in self._relays()[:MOST_RELAYS]:
-            host = self._ctx.hosts[name]
-            self._links.set_address(name, host.address, host.port)
             try:
-                reply = await self._links.call(name, message, RELAY_TIMEOUT_S)
+                reply = await self._call(name, message, RELAY_TIMEOUT_S)
             except peer_exceptions.PeerError:
                 continue
             if isinstance(reply, messages.Done):
@@ -118,18 +113,30 @@
     async def _ask_one(
         self, name: str, message: messages.PeerMessage
     ) -> messages.PeerMessage | None:
-        host = self._ctx.hosts[name]
-        self._links.set_address(name, host.address, host.port)
         try:
-            return await self._links.call(name, message, ROLL_CALL_TIMEOUT_S)
+            return await self._call(name, message, ROLL_CALL_TIMEOUT_S)
         except peer_exceptions.PeerRefused as exc:
             return messages.Refusal(exc.kind, str(exc))
-        except peer_exceptions.PeerUnsettled:
-            self._links.forget(name)
-            return None
         except peer_exceptions.PeerError:
             return None
 
+    async def _call(
+        self, name: str, message: messages.PeerMessage, timeout: float
+    ) -> messages.PeerMessage:
+        """Call a host; raises PeerError, also when it was just dropped."""
+        host = self._ctx.hosts.get(name)
+        if host is None:
+            raise peer_exceptions.PeerUnreachable(
+                f'{name} was taken off the list; ask another host'
+            )
+        self._links.set_address(name, host.address, host.port)
+        try:
+            return await self._links.call(name, message, timeout)
+        except peer_exceptions.PeerUnsettled:
+            # The connection may have gone silent: make a new one.
+            self._links.forget(name)
+            raise
+
     def _relays(self) -> list[str]:
         """Return other hosts, the owner and those of other zones first."""
         ctx = self._ctx
--- /dev/null
+++ b/tests/host/test_neighbours.py
@@ -0,0 +1,32 @@
+"""Check that a host which is dropped meanwhile stops no call."""
+
+import curio
+
+from hibiscusslip.host import inbox
+from hibiscusslip.host import neighbours
+from hibiscusslip.host import notices
+from hibiscusslip.peer import exceptions
+from tests.host import fakes
+
+
+class DroppingLinks:
+    """Refuse the first call, by which time all hosts are off the list."""
+
+    def __init__(self, ctx):
+        self._ctx = ctx
+
+    def set_address(self, host, address, port):
+        pass
+
+    async def call(self, host, body, timeout):
+        self._ctx.hosts.clear()
+        raise exceptions.PeerRefused('refused', 'no store here')
+
+
+def test_hosts_that_are_dropped_during_a_relay_count_as_refusing():
+    ctx = fakes.make_context(fakes.FakeStore())
+    for name in ('h2', 'h3'):
+        ctx.hosts[name] = notices.HostRecord(name, 'i', 'z1', '10.0.0.1', 1)
+    calls = neighbours.Neighbours(ctx, DroppingLinks(ctx))
+    outcome = curio.run(calls.write, [('job1', b'v')])
+    assert outcome is inbox.Outcome.REFUSED
