Ask homes again that a request without a key missed for a moment

A request without a key asked each home once, and gave up when all were tried, though its caller waits 10 s: during a replacement each home can be missed within the same milliseconds. Change: homes that refused stay out; homes that were missed are asked again after 0.1 s until the caller's wait is over. Without a wait nothing changes.

--- a/hibiscusslip/node/acceptor.py
+++ b/hibiscusslip/node/acceptor.py
@@ -71,13 +71,14 @@
         `spec.job_id` is empty for a request without a key. Raises
         RequestFailed.
         """
-        tried: frozenset[places.Shard] = frozenset()
+        refusing: frozenset[places.Shard] = frozenset()
+        missed: frozenset[places.Shard] = frozenset()
         ends_at = clock.now() + wait
         due = clock.now() + max(wait, PATIENCE_SECONDS)
         if spec.job_id:
             return await self._see_through(spec, wait, due, True)
         while True:
-            placed = await self._place_by(ends_at, spec, tried)
+            placed = await self._place_by(ends_at, spec, refusing | missed)
             left = max(ends_at - clock.now(), 0.0)
             try:
                 return await self._see_through(placed, left, due, False)
@@ -86,11 +87,20 @@
                     raise
                 if not _elsewhere(exc.failure):
                     raise
-                refused = exc
-            tried |= {identity.home_of(placed.job_id)}
+                failed = exc
+            asked = frozenset({identity.home_of(placed.job_id)})
+            if failed.failure.kind == FailureKind.REFUSED:
+                refusing |= asked
+            else:
+                missed |= asked
             self.retries += 1
-            if self._choose_home(spec, tried) is None:
-                raise refused
+            if self._choose_home(spec, refusing | missed) is not None:
+                continue
+            if not missed or clock.now() >= ends_at:
+                raise failed
+            # Owners change: a home that wasn't reached soon has another.
+            missed = frozenset()
+            await curio.sleep(RETRY_SECONDS)
 
     async def _place_by(
         self,
