Never start again unrepeatable work whose start may be carried out late

Trace of five such requests (explain): 'may have started on a-worker0', 'no contact', after the thaw 'not started: the order never arrived', started on a-worker1; the endpoint answered the listing before it took up the start it still held. The decision took a listing asked for after the settle time as proof, whatever had been silent meanwhile. Change: work that must not be repeated stays in doubt until its lease on the endpoint has lapsed; a run that shows by then is adopted, else it is unknown. Two unit tests fail before. Ruled out, by those traces: the stand-in (it holds calls as a stopped process does) and the test (both starts had the same task and request).

--- a/hibiscusslip/jobs/_adoption.py
+++ b/hibiscusslip/jobs/_adoption.py
@@ -207,6 +207,14 @@
     if rebooted or task.boot != view.boot:
         _endings.run_lost(st, job, task, 'its endpoint restarted', now)
         return
+    if not job.spec.repeatable and now < task.lapse_at:
+        # An endpoint that stood still carries out late what it was sent.
+        view.list_at = max(view.list_at, now + st.cfg.settle)
+        return
+    if not job.spec.repeatable:
+        why = 'its start was neither confirmed nor denied'
+        _endings.run_lost(st, job, task, why, now)
+        return
     _endings.not_started(st, job, task, 'the order never arrived', now)
 
 
--- a/tests/jobs/test_engine_life.py
+++ b/tests/jobs/test_engine_life.py
@@ -76,6 +76,41 @@
     assert [o.attempt for _, o in again] == [2]
 
 
+def unrepeatable_in_doubt(bench):
+    """Have the start of work that must not run twice get no answer."""
+    bench.engine.submit(support.spec(repeatable=False), bench.now)
+    bench.confirm(bench.tick(), zone.StartIntent)
+    [(where, order)] = bench.starts()
+    bench.engine.start_failed(where, [order.task], True, bench.now)
+    return where, order
+
+
+def test_unrepeatable_start_carried_out_late_is_not_started_elsewhere():
+    bench = support.Bench().opened()
+    where, order = unrepeatable_in_doubt(bench)
+    waited = 0.0
+    while waited < bench.cfg.lapse - 1:
+        bench.list_all()
+        assert bench.starts(0.5) == []
+        waited += 0.5
+    bench.list_all(runs={where: [support.run_of(order)]}, names=[where])
+    assert job_of(bench).outcome == Outcome.RUNNING
+    assert bench.starts(60) == []
+
+
+def test_unrepeatable_start_that_never_shows_is_unknown():
+    bench = support.Bench().opened()
+    unrepeatable_in_doubt(bench)
+    waited = 0.0
+    while waited < bench.cfg.lapse:
+        assert bench.starts(0.5) == []
+        bench.list_all()
+        waited += 0.5
+    bench.confirm(bench.tick(), zone.JobEnded)
+    assert job_of(bench).outcome == Outcome.UNKNOWN
+    assert bench.starts(60) == []
+
+
 def test_listing_asked_for_too_early_settles_nothing():
     bench = support.Bench().opened()
     bench.engine.submit(support.spec(), bench.now)
