Give the leaving endpoint's test a load that needs the endpoint

Six callers of one core each on two shards of three endpoints with 4 cores: best fit has no reason to use the third endpoint of a shard, so a-worker0 may get nothing in 15 s. The check was empty where it passed by luck. The check itself stays.

--- a/tests/integration/test_endpoints.py
+++ b/tests/integration/test_endpoints.py
@@ -31,7 +31,11 @@
 def test_leaving_endpoint_gets_no_new_work_and_ends_its_own(tmp_path):
     with cells.running(tmp_path, PLAN) as cell:
         ports = callers.ports_of(cell)
-        with callers.Load(ports, retry=False, keyed=False) as load:
+        # More cores than two endpoints of a shard have, so that best fit
+        # needs the third.
+        with callers.Load(
+            ports, 20, retry=False, keyed=False, run_s=0.5
+        ) as load:
             time.sleep(2)
             # At a single moment it may have nothing to do.
             cells.wait_for(lambda: runs_on(cell, BAD), 15.0, 'work on it')
