Bound the owner's appends; take changed settings over while running; drop unused fields

Writer: an owner that has thousands of records to write, after an outage say, sent them in one append; the store takes 2 MB (RequestBytes). Settings: SIGHUP was only noted, a file changed without a signal not at all. reloading.py reads it again, takes over what is read at each use (bounds, the machine's shape), tells what needs a restart, and keeps the old settings when the file is wrong. tests/host/test_reloading.py. Neighbours.release has tests of its own. first_start, heartbeat and silent_since were set and never read: gone. One MS_PER_S in the adapter.

--- a/hibiscusslip/dispatch/engine.py
+++ b/hibiscusslip/dispatch/engine.py
@@ -198,14 +198,13 @@
         if endpoint is not None:
             _looking.take(self, endpoint, look, sent, now)
 
-    def silent(self, name: str, now: float) -> None:
+    def silent(self, name: str) -> None:
         """Take note that an endpoint gave no answer."""
         endpoint = self.endpoints.get(name)
         if endpoint is None:
             return
         if endpoint.answering:
             endpoint.answering = False
-            endpoint.silent_since = now
             self.note('endpoint_silent', endpoint=name)
 
     def replaced(self, name: str, now: float) -> None:
--- a/hibiscusslip/dispatch/state.py
+++ b/hibiscusslip/dispatch/state.py
@@ -150,7 +150,6 @@
     settle_by: float = 0.0
     handled: int = 0
     seen: int = 0
-    silent_since: float = 0.0
     trust_after: float = 0.0
     strikes: int = 0
     no_room_until: float = 0.0
--- a/hibiscusslip/host/__main__.py
+++ b/hibiscusslip/host/__main__.py
@@ -32,7 +32,7 @@
         return EXIT_SETTINGS
     logs.configure('WARNING', True, cfg.name)
     ctx = make_context(cfg)
-    curio.run(host.Host(ctx, secret).run)
+    curio.run(host.Host(ctx, secret, path).run)
     return 0
 
 
--- a/hibiscusslip/host/host.py
+++ b/hibiscusslip/host/host.py
@@ -17,6 +17,7 @@
 from hibiscusslip.host import neighbours
 from hibiscusslip.host import notices
 from hibiscusslip.host import owner
+from hibiscusslip.host import reloading
 from hibiscusslip.host import topics
 from hibiscusslip.http import limits as http_limits
 from hibiscusslip.http import server
@@ -74,9 +75,10 @@
 class Host(front.Cell):
     """Run the servers, the feeds and, at times, the owner."""
 
-    def __init__(self, ctx: context.Context, secret: bytes) -> None:
+    def __init__(self, ctx: context.Context, secret: bytes, path: str) -> None:
         self._ctx = ctx
         cfg = ctx.cfg
+        self._reloader = reloading.Reloader(ctx, path)
         me = places.HostId(cfg.name, ctx.incarnation)
         info = hello.HelloInfo(cfg.zone, '', 1)
         keys = hello.Keys({KEY_ID: secret})
@@ -116,6 +118,7 @@
                 self._announce,
                 self._own,
                 self._flush,
+                self._reloader.run,
                 self._await_stop,
             ):
                 await group.spawn(guarding.guard, self._ctx, loop)
@@ -133,7 +136,7 @@
             await curio.sleep(SIGNAL_POLL_S)
             if seen.reload:
                 seen.reload = False
-                self._ctx.log.note('reload_asked')
+                self._reloader.ask()
         await self._stop()
 
     async def _stop(self) -> None:
--- /dev/null
+++ b/hibiscusslip/host/reloading.py
@@ -0,0 +1,85 @@
+"""Take over settings that change while the host runs."""
+
+import dataclasses
+import pathlib
+
+import curio
+
+from hibiscusslip.host import context
+from hibiscusslip.platform import exceptions
+from hibiscusslip.platform import settings
+
+CHECK_PERIOD_S = 1.0
+# Read at each use; all others are bound to sockets or names at the start.
+LIVE_FIELDS = ('bounds', 'cpu_share', 'cores', 'link_mbps')
+
+
+class Reloader:
+    """Read the settings file again when it has changed, or on request.
+
+    A file that can't be read or is wrong changes nothing; it is read again
+    once it has changed.
+    """
+
+    def __init__(self, ctx: context.Context, path: str) -> None:
+        self._ctx = ctx
+        self._path = pathlib.Path(path)
+        self._read_as = self._stamp()
+        self._asked = False
+
+    def ask(self) -> None:
+        """Have the file read at the next check, changed or not."""
+        self._asked = True
+
+    async def run(self) -> None:
+        """Check until cancelled."""
+        while True:
+            await curio.sleep(CHECK_PERIOD_S)
+            self.check()
+
+    def check(self) -> None:
+        """Take the file's settings over if there is a reason to read it."""
+        stamp = self._stamp()
+        if stamp == self._read_as and not self._asked:
+            return
+        self._read_as = stamp
+        asked, self._asked = self._asked, False
+        try:
+            new = settings.load(str(self._path))
+        except exceptions.SettingsInvalid as exc:
+            self._ctx.log.note('reload_failed', error=str(exc)[:200])
+            return
+        live, rest = compare(self._ctx.cfg, new)
+        self._ctx.cfg = take_over(self._ctx.cfg, new)
+        self._ctx.log.note(
+            'settings_reloaded', asked=asked, changed=live, need_restart=rest
+        )
+
+    def _stamp(self) -> tuple[int, int] | None:
+        """Return what tells one state of the file from another."""
+        try:
+            found = self._path.stat()
+        except OSError:
+            return None
+        return found.st_mtime_ns, found.st_size
+
+
+def compare(
+    old: settings.HostSettings, new: settings.HostSettings
+) -> tuple[list[str], list[str]]:
+    """Return the changed fields: those taken over, and the others."""
+    changed = [
+        field.name
+        for field in dataclasses.fields(settings.HostSettings)
+        if getattr(old, field.name) != getattr(new, field.name)
+    ]
+    live = [name for name in changed if name in LIVE_FIELDS]
+    return live, [name for name in changed if name not in LIVE_FIELDS]
+
+
+def take_over(
+    old: settings.HostSettings, new: settings.HostSettings
+) -> settings.HostSettings:
+    """Return the settings with the live fields of the new ones."""
+    fields = {name: getattr(new, name) for name in LIVE_FIELDS}
+    return dataclasses.replace(old, **fields)
--- a/hibiscusslip/host/watching.py
+++ b/hibiscusslip/host/watching.py
@@ -67,7 +67,7 @@
         self._ctx.metrics.count('looks_unanswered')
         if failures < FAILURES_TO_SILENCE:
             return
-        self._engine.silent(self.name, context.steady())
+        self._engine.silent(self.name)
         await self._changed.set()
         await curio.sleep(SILENT_PAUSE_S)
 
--- a/hibiscusslip/host/writer.py
+++ b/hibiscusslip/host/writer.py
@@ -17,6 +17,7 @@
 APPEND_TIMEOUT_S = 1.2
 RETRY_PAUSE_S = 0.04
 MOST_RETRY_PAUSE_S = 0.3
+MOST_APPEND_BYTES = 1_000_000  # the store takes at most twice that at once
 IDLE_S = 1.0
 
 Release = collections.abc.Callable[
@@ -79,7 +80,8 @@
         self._drops = []
         if batch:
             self.behind_since = context.steady()
-            await self._append(batch)
+            for group in grouped(batch, MOST_APPEND_BYTES):
+                await self._append(group)
             self.behind_since = 0.0
         engine.committed(written, seen)
         await self._release(starts)
@@ -131,3 +133,19 @@
         self._ctx.store_answers(now)
         self._ctx.ownership.confirm(sent)
         self._ctx.metrics.time('record_append', now - sent)
+
+
+def grouped(batch: list[bytes], most: int) -> list[list[bytes]]:
+    """Divide records, in their order, into groups of at most `most` bytes.
+
+    A record that is larger makes a group of its own.
+    """
+    groups: list[list[bytes]] = [[]]
+    size = 0
+    for record in batch:
+        if groups[-1] and size + len(record) > most:
+            groups.append([])
+            size = 0
+        groups[-1].append(record)
+        size += len(record)
+    return groups
--- a/hibiscusslip/platform/documents.py
+++ b/hibiscusslip/platform/documents.py
@@ -6,8 +6,8 @@
 
 from hibiscusslip.dispatch import model
 from hibiscusslip.platform import exceptions
+from hibiscusslip.platform import settings
 
-MS_PER_S = 1000.0
 CACHED_CHARS = 4000
 MAX_STEPS = 100
 MAX_TASKS = 10000
@@ -114,8 +114,8 @@
         payload=job.spec,
         steps=tuple(_step(step) for step in job.steps),
         times=job.times,
-        first_due=job.start_ms / MS_PER_S,
-        interval=job.interval_ms / MS_PER_S,
+        first_due=job.start_ms / settings.MS_PER_S,
+        interval=job.interval_ms / settings.MS_PER_S,
     )
 
 
@@ -146,7 +146,7 @@
     return model.Step(
         count=step.count,
         demand=step.demand(),
-        estimate=step.estimate_ms / MS_PER_S or 1.0,
+        estimate=step.estimate_ms / settings.MS_PER_S or 1.0,
         after=tuple(step.depends_on),
         checkpoints=step.checkpoints,
         gang=step.gang,
@@ -157,7 +157,7 @@
         speculative=step.speculative,
         lasts=step.long_running,
         image=step.image,
-        tail_target=step.target_ms / MS_PER_S,
+        tail_target=step.target_ms / settings.MS_PER_S,
         fills=step.fills,
         may_miss=step.may_miss,
     )
@@ -189,16 +189,16 @@
     advice = None
     if route.advice is not None:
         advice = model.Advice(
-            route.advice.decision_ms / MS_PER_S,
-            route.advice.period_ms / MS_PER_S,
-            route.advice.valid_ms / MS_PER_S,
+            route.advice.decision_ms / settings.MS_PER_S,
+            route.advice.period_ms / settings.MS_PER_S,
+            route.advice.valid_ms / settings.MS_PER_S,
         )
     return model.Queue(
         name=route.name,
         host=route.host,
         prefix=route.path_prefix,
         service=route.service,
-        target=route.target_latency_ms / MS_PER_S,
+        target=route.target_latency_ms / settings.MS_PER_S,
         priority=route.priority,
         max_attempts=route.max_attempts,
         stretch=route.stretch,
@@ -223,13 +223,13 @@
         capacity=entry.capacity.demand(),
         draining=entry.state == 'draining',
         seq=entry.seq,
-        born=entry.born / MS_PER_S,
+        born=entry.born / settings.MS_PER_S,
         clock=_seconds(entry.clock_ms),
     )
 
 
 def _seconds(clock_ms: float | None) -> float | None:
-    return None if clock_ms is None else clock_ms / MS_PER_S
+    return None if clock_ms is None else clock_ms / settings.MS_PER_S
 
 
 class _Listing(_Named):
@@ -244,8 +244,8 @@
     try:
         listing = msgspec.json.decode(body, type=_Listing)
         return model.Look(
-            born=listing.born / MS_PER_S,
-            clock=listing.clock_ms / MS_PER_S,
+            born=listing.born / settings.MS_PER_S,
+            clock=listing.clock_ms / settings.MS_PER_S,
             running=tuple(_running(row) for row in listing.running),
             ended=tuple(_ended(row) for row in listing.ended),
         )
--- a/hibiscusslip/platform/settings.py
+++ b/hibiscusslip/platform/settings.py
@@ -41,7 +41,6 @@
 class HostSettings:
     """Hold what a host is told of itself and its surroundings.
 
-    `first_start` tells that the whole system starts for the first time.
     `cpu_share` and `cores` describe the processor: the share of a core, and
     how many times as fast it runs.
     """
@@ -56,11 +55,9 @@
     store: Address
     advice: Address | None
     cloud: Address | None
-    first_start: bool
     cpu_share: float
     cores: float
     link_mbps: float
-    heartbeat: float
     bounds: Bounds
 
 
@@ -119,11 +116,9 @@
         store=_address(fields['platform.Addr']),
         advice=_optional_address(fields.get('Advice', '')),
         cloud=_optional_address(fields.get('CloudApi.Addr', '')),
-        first_start=fields.get('Bootstrap', '') == 'true',
         cpu_share=float(fields.get('Limits.CpuShare', '1')),
         cores=float(fields.get('Limits.Cores', '1')),
         link_mbps=float(fields.get('Limits.LinkMbps', '1000')),
-        heartbeat=float(fields.get('HeartbeatMs', '1500')) / MS_PER_S,
         bounds=_bounds(fields),
     )
 
--- a/tests/dispatch/test_doubt.py
+++ b/tests/dispatch/test_doubt.py
@@ -24,7 +24,7 @@
     start = placed(bench)
     bench.confirm([start])
     hold(bench, 5.0)
-    bench.engine.silent('e1', bench.now)
+    bench.engine.silent('e1')
     began = bench.now
     bench.now = began + 5.1  # over by a true clock, not by a slow one
     assert bench.plan() == []
@@ -143,7 +143,7 @@
     start = placed(bench)
     bench.confirm([start])
     hold(bench, 1.0)
-    bench.engine.silent('e1', bench.now)
+    bench.engine.silent('e1')
     bench.now += 2
     (again,) = bench.plan()
     bench.confirm([again])
@@ -184,7 +184,7 @@
 def test_endpoint_is_unusable_while_it_doesnt_answer():
     bench = support.Bench()
     bench.endpoint('e1')
-    bench.engine.silent('e1', bench.now)
+    bench.engine.silent('e1')
     bench.submit('j', support.step())
     assert bench.plan() == []
     bench.look('e1')
--- a/tests/host/fakes.py
+++ b/tests/host/fakes.py
@@ -73,11 +73,9 @@
         store=ADDRESS,
         advice=None,
         cloud=None,
-        first_start=True,
         cpu_share=1.0,
         cores=1.0,
         link_mbps=100.0,
-        heartbeat=1.5,
         bounds=settings.Bounds(),
     )
 
--- a/tests/host/test_neighbours.py
+++ b/tests/host/test_neighbours.py
@@ -6,6 +6,7 @@
 from hibiscusslip.host import neighbours
 from hibiscusslip.host import notices
 from hibiscusslip.peer import exceptions
+from hibiscusslip.peer import messages
 from tests.host import fakes
 
 
@@ -30,3 +31,39 @@
     calls = neighbours.Neighbours(ctx, DroppingLinks(ctx))
     outcome = curio.run(calls.write, [('job1', b'v')])
     assert outcome is inbox.Outcome.REFUSED
+
+
+class AnsweringLinks:
+    """Answer a release with `Done` from one host; others refuse."""
+
+    def __init__(self, willing):
+        self._willing = willing
+
+    def set_address(self, host, address, port):
+        pass
+
+    def forget(self, host):
+        pass
+
+    async def call(self, host, body, timeout):
+        assert isinstance(body, messages.OwnerRelease)
+        if host != self._willing:
+            raise exceptions.PeerRefused('refused', 'no store here')
+        return messages.Done()
+
+
+def release(willing):
+    ctx = fakes.make_context(fakes.FakeStore())
+    for name in ('h2', 'h3'):
+        ctx.hosts[name] = notices.HostRecord(name, 'i', 'z1', '10.0.0.1', 1)
+    calls = neighbours.Neighbours(ctx, AnsweringLinks(willing))
+    return curio.run(calls.release, b'notice')
+
+
+def test_a_release_is_written_by_the_second_host_if_the_first_refuses():
+    assert release('h2')
+    assert release('h3')
+
+
+def test_a_release_that_no_host_writes_is_told_so():
+    assert not release('nobody')
--- /dev/null
+++ b/tests/host/test_reloading.py
@@ -0,0 +1,78 @@
+"""Check that changed settings are taken over, and bad ones are not."""
+
+import os
+
+from hibiscusslip.host import reloading
+from hibiscusslip.platform import settings
+from tests.host import fakes
+from tests.platform import cell
+
+
+def node_file(directory, extra=''):
+    """Write a settings file; return its path."""
+    text = cell.NODE_FILE.format(
+        name='h1', ip='127.0.0.1', store='127.0.0.1:1'
+    )
+    path = directory / 'node'
+    path.write_text(text + extra)
+    return path
+
+
+def rewrite(path, text):
+    """Write a file again, later than before."""
+    before = path.stat().st_mtime_ns
+    path.write_text(text)
+    os.utime(path, ns=(before + 1, before + 1))
+
+
+def reloader(path):
+    ctx = fakes.make_context(fakes.FakeStore())
+    ctx.cfg = settings.load(str(path))
+    return ctx, reloading.Reloader(ctx, str(path))
+
+
+def test_changed_bounds_are_in_force_without_a_signal(tmp_path):
+    path = node_file(tmp_path, '\nBounds.MaxHoldMs=6000\n')
+    ctx, loader = reloader(path)
+    text = path.read_text()
+    rewrite(path, text.replace('MaxHoldMs=6000', 'MaxHoldMs=4000'))
+    loader.check()
+    assert ctx.cfg.bounds.max_lease == 4.0
+    [event] = ctx.log.named('settings_reloaded')
+    assert event['changed'] == ['bounds']
+    assert not event['asked']
+
+
+def test_what_is_bound_to_sockets_waits_for_a_restart(tmp_path):
+    path = node_file(tmp_path)
+    ctx, loader = reloader(path)
+    before = ctx.cfg
+    rewrite(path, path.read_text().replace('Zone=', 'Zone=other'))
+    loader.check()
+    assert ctx.cfg == before
+    [event] = ctx.log.named('settings_reloaded')
+    assert 'zone' in event['need_restart']
+
+
+def test_a_file_that_is_wrong_changes_nothing_and_is_told(tmp_path):
+    path = node_file(tmp_path)
+    ctx, loader = reloader(path)
+    before = ctx.cfg
+    rewrite(path, 'PortRange=nothing\n')
+    loader.check()
+    assert ctx.cfg == before
+    assert len(ctx.log.named('reload_failed')) == 1
+    loader.check()
+    assert len(ctx.log.named('reload_failed')) == 1
+
+
+def test_a_signal_has_an_unchanged_file_read_once(tmp_path):
+    ctx, loader = reloader(node_file(tmp_path))
+    loader.check()
+    assert not ctx.log.events
+    loader.ask()
+    loader.check()
+    loader.check()
+    [event] = ctx.log.named('settings_reloaded')
+    assert event['asked']
+    assert event['changed'] == []
--- a/tests/platform/cell.py
+++ b/tests/platform/cell.py
@@ -102,7 +102,7 @@
         ip = _own_address(next(_numbers) % 250)
         text = NODE_FILE.format(name=name, ip=ip, store=self._store_address)
         ctx = starter.make_context(settings.parse(text))
-        task = await curio.spawn(host.Host(ctx, SECRET).run, daemon=True)
+        task = await curio.spawn(host.Host(ctx, SECRET, '').run, daemon=True)
         self.hosts[name] = task
         self.contexts[name] = ctx
         self.addresses[name] = ip
