Of a large pool, ask about the endpoints with room

Cause: a question names 100 endpoints at most, and these were always the first 100 of the pool as it was found: on the grown sites (126 and 127 endpoints in a pool) a fifth of the pool was asked about only when tickets were renewed. Change: of more than 100, the usable ones with room for a task go first, the emptiest before others. test_of_a_large_pool_those_with_room_are_asked_about fails before.

--- a/hibiscusslip/dispatch/asking.py
+++ b/hibiscusslip/dispatch/asking.py
@@ -41,7 +41,7 @@
         return
     if not step.has_waiting():
         return
-    names = _names(step, pool)
+    names = _names(step, pool, now)
     if not names:
         return
     cost = advice.decision + advice.per_endpoint * len(names)
@@ -87,10 +87,10 @@
 
 
 def _names(
-    step: state.StepState, pool: list[state.Endpoint]
+    step: state.StepState, pool: list[state.Endpoint], now: float
 ) -> tuple[str, ...]:
-    """Return the endpoints to ask about."""
-    names = []
+    """Return the endpoints to ask about, those with room before others."""
+    found = []
     for endpoint in pool:
         assert endpoint.entry is not None
         if endpoint.entry.draining:
@@ -101,8 +101,19 @@
         known = step.tickets is not None and endpoint.name in step.asked
         if known and endpoint.name not in (step.tickets or {}):
             continue
-        names.append(endpoint.name)
-    return tuple(names[:MOST_ASKED])
+        found.append(endpoint)
+    if len(found) > MOST_ASKED:
+        found.sort(key=lambda e: _standing(step, e, now))
+    return tuple(endpoint.name for endpoint in found[:MOST_ASKED])
+
+
+def _standing(
+    step: state.StepState, endpoint: state.Endpoint, now: float
+) -> tuple[bool, bool, int]:
+    """Return the place of an endpoint among those to ask about."""
+    free = endpoint.free()
+    fits = step.spec.booked.fits(free)
+    return not endpoint.usable(now), not fits, -free.cpu
 
 
 def _soon(
--- a/tests/dispatch/test_waiting.py
+++ b/tests/dispatch/test_waiting.py
@@ -1,5 +1,6 @@
 """Check in which order work waits and what is kept for whom."""
 
+from hibiscusslip.dispatch import asking
 from hibiscusslip.dispatch import estimates
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import ordering
@@ -191,6 +192,28 @@
     return support.step(count, accelerators=1, estimate=4.0, **fields)
 
 
+def test_of_a_large_pool_those_with_room_are_asked_about():
+    bench = support.Bench(support.queue(advice=ADVICE))
+    full = asking.MOST_ASKED
+    for number in range(full):
+        bench.endpoint(f'full{number}')
+    bench.submit('first', support.step(full, cpu=8000))
+    bench.plan()
+    (ask,) = bench.engine.asks
+    bench.engine.asks = []
+    tickets = dict.fromkeys(ask.endpoints, 't')
+    bench.engine.advised(ask, tickets, 2.0, bench.now, bench.now)
+    assert len(bench.plan()) == full
+    free = {f'free{number}' for number in range(20)}
+    for name in free:
+        bench.endpoint(name)
+    bench.submit('second', support.step(20, cpu=8000))
+    bench.plan()
+    (ask,) = bench.engine.asks
+    assert len(ask.endpoints) == asking.MOST_ASKED
+    assert free <= set(ask.endpoints)
+
+
 def test_room_is_kept_for_a_gang_that_small_tasks_would_fill_up():
     bench = gpu_bench()
     bench.submit('s', single(8), queue='single')
