--- a/hibiscusslip/dispatch/_headroom.py
+++ b/hibiscusslip/dispatch/_headroom.py
@@ -11,6 +11,7 @@
 from hibiscusslip.dispatch import state
 
 SMOOTHING_S = 8.0
+PERIOD_S = 0.1  # between two looks at all that is booked
 SHARE_OF_USE = 0.6  # of what the urgent queue uses on average
 MOST_SHARE = 0.25  # of the pool
 
@@ -22,6 +23,10 @@
     use: float = 0.0
     updated: float = 0.0
 
+    def is_old(self, now: float) -> bool:
+        """Tell whether the use has to be taken again."""
+        return now >= self.updated + PERIOD_S
+
     def update(self, use: float, now: float) -> None:
         """Take the present use, in thousandths of a core."""
         weight = min(max(now - self.updated, 0.0) / SMOOTHING_S, 1.0)
--- a/hibiscusslip/dispatch/_planning.py
+++ b/hibiscusslip/dispatch/_planning.py
@@ -23,6 +23,7 @@
 
     engine: 'engines.Engine'
     services: dict[str, list[state.Endpoint]]
+    rooms: dict[str, placement.Rooms]
     now: float
     spare: dict[str, float] = dataclasses.field(default_factory=dict)
     urgent: dict[str, int] = dataclasses.field(default_factory=dict)
@@ -33,7 +34,9 @@
 
 def plan(engine: 'engines.Engine', now: float) -> None:
     """Start what fits, the most pressing steps first."""
-    current = _Round(engine, _by_service(engine), now)
+    services = _by_service(engine)
+    rooms = {n: placement.Rooms(pool, now) for n, pool in services.items()}
+    current = _Round(engine, services, rooms, now)
     _measure_spare(current)
     for rank, step in _in_order(engine, now):
         pool = current.services.get(step.job.service, [])
@@ -61,11 +64,12 @@
         if priority is None or engine.config is None:
             continue
         headroom = engine.headroom.setdefault(service, _headroom.Headroom())
-        use = _headroom.urgent_use(pool, engine.config.queues, priority)
-        headroom.update(use, current.now)
-        usable = [e for e in pool if e.usable(current.now)]
-        size = sum(e.entry.capacity.cpu for e in usable if e.entry)
-        free = sum(e.free().cpu for e in usable)
+        if headroom.is_old(current.now):
+            use = _headroom.urgent_use(pool, engine.config.queues, priority)
+            headroom.update(use, current.now)
+        rooms = current.rooms[service].all
+        size = sum(room.entry.capacity.cpu for room in rooms)
+        free = sum(room.cpu for room in rooms)
         current.urgent[service] = priority
         current.spare[service] = free - headroom.wanted(size)
 
@@ -120,41 +124,44 @@
     rank: ordering.Rank,
 ) -> None:
     now = current.now
+    advised = current.engine.queue_of(step.job).advice is not None
+    if not pool or (advised and step.tickets is None):
+        return
     tasks = [task for task in step.waiting() if task.not_before <= now]
     if not tasks or (step.spec.gang and len(tasks) < len(step.tasks)):
         return
-    endpoints = _eligible(current, step, pool)
-    if endpoints is None:
-        return
-    run_time = current.engine.estimates.run_time(step)
-    reserved = current.reserved
-    open_ones = [e for e in endpoints if reserved.open_to(e, run_time, now)]
-    may_start = _within_spare(current, step, tasks)
-    if _may_start(current, step):
-        newest = max(task.run for task in step.tasks)
-        for choice in placement.choose(step, may_start, open_ones, now):
-            run = 1 + (newest if step.spec.gang else choice.task.run)
-            _start(current, step, choice, run)
-    if rank.expired or not step.has_waiting():
+    rooms = current.rooms[step.job.service]
+    tickets = step.tickets if advised else None
+    if rooms.may_fit(step.spec.booked) and _may_start(current, step):
+        _start_some(current, step, tasks, rooms.allowed(step, tickets))
+    if rank.expired or not _reserving.is_large(step, pool):
         return
-    if _reserving.is_large(step, pool):
+    if step.has_waiting():
+        endpoints = [room.endpoint for room in rooms.allowed(step, tickets)]
         urgent = not rank.late
         _reserving.reserve(
-            current.engine, reserved, step, endpoints, urgent, now
+            current.engine, current.reserved, step, endpoints, urgent, now
         )
 
 
-def _eligible(
-    current: _Round, step: state.StepState, pool: list[state.Endpoint]
-) -> list[state.Endpoint] | None:
-    """Return the endpoints that may run a step, None if not known yet."""
-    now = current.now
-    endpoints = [e for e in pool if placement.allowed(step, e, now)]
-    if current.engine.queue_of(step.job).advice is None:
-        return endpoints
-    if step.tickets is None:
-        return None
-    return [e for e in endpoints if e.name in step.tickets]
+def _start_some(
+    current: _Round,
+    step: state.StepState,
+    tasks: list[state.Task],
+    rooms: list[placement.Room],
+) -> None:
+    """Start what fits of the tasks of a step."""
+    run_time = current.engine.estimates.run_time(step)
+    open_rooms = [
+        room
+        for room in rooms
+        if current.reserved.open_to(room.endpoint, run_time, current.now)
+    ]
+    may_start = _within_spare(current, step, tasks)
+    newest = max(task.run for task in step.tasks)
+    for choice in placement.choose(step, may_start, open_rooms):
+        run = 1 + (newest if step.spec.gang else choice.task.run)
+        _start(current, step, choice, run)
 
 
 def _may_start(current: _Round, step: state.StepState) -> bool:
@@ -185,6 +192,7 @@
         task, run, step.spec.booked, now, deadline=deadline
     )
     endpoint.book(task.name, booking)
+    choice.room.take(step.spec.booked)
     endpoint.granted = max(endpoint.granted, deadline)
     checkpoint = step.checkpoint if step.spec.gang else task.checkpoint
     tickets = step.tickets or {}
--- a/hibiscusslip/dispatch/asking.py
+++ b/hibiscusslip/dispatch/asking.py
@@ -41,14 +41,12 @@
         return
     if not step.has_waiting():
         return
-    names = _names(step, pool, now)
-    if not names:
-        return
-    cost = advice.decision + advice.per_endpoint * len(names)
-    lead = cost + MARGIN_S + LEAD_S
-    if step.tickets is not None and now + lead < step.tickets_until:
+    most = min(len(pool), MOST_ASKED)
+    if not _needed(engine, step, advice.cost(most), now):
         return
-    if not _soon(engine, step, cost, now):
+    names = _names(step, pool, now)
+    cost = advice.cost(len(names))
+    if not names or not _needed(engine, step, cost, now):
         return
     if not _may_ask(engine, cost):
         return
@@ -60,6 +58,16 @@
     engine.asks.append(commands.Ask(step, names, cost))
 
 
+def _needed(
+    engine: 'engines.Engine', step: state.StepState, cost: float, now: float
+) -> bool:
+    """Tell whether a call of that cost should be made now."""
+    lead = cost + MARGIN_S + LEAD_S
+    if step.tickets is not None and now + lead < step.tickets_until:
+        return False
+    return _soon(engine, step, cost, now)
+
+
 def is_long(cost: float) -> bool:
     """Tell whether a call would hold up many short ones."""
     return cost > LONG_CALL_S
--- a/hibiscusslip/dispatch/model.py
+++ b/hibiscusslip/dispatch/model.py
@@ -102,6 +102,10 @@
     per_endpoint: float
     valid: float
 
+    def cost(self, endpoints: int) -> float:
+        """Return how long a call about so many endpoints takes, in s."""
+        return self.decision + self.per_endpoint * endpoints
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Queue:
--- a/hibiscusslip/dispatch/placement.py
+++ b/hibiscusslip/dispatch/placement.py
@@ -1,29 +1,109 @@
 """Choose endpoints for the tasks of one step."""
 
 import dataclasses
+import heapq
 
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import progress
 from hibiscusslip.dispatch import state
 
 
+class Room:
+    """Hold what a usable endpoint has left during one round of planning.
+
+    The amounts are kept apart from the endpoint's, as one round looks at
+    each of them for hundreds of steps.
+    """
+
+    __slots__ = (
+        'accelerators',
+        'cpu',
+        'endpoint',
+        'entry',
+        'memory',
+        'number',
+        'slow',
+    )
+
+    def __init__(self, endpoint: state.Endpoint, number: int, now: float):
+        assert endpoint.entry is not None
+        self.endpoint = endpoint
+        self.entry = endpoint.entry
+        self.number = number
+        self.slow = progress.is_slow(endpoint, now)
+        free = endpoint.free()
+        self.cpu = free.cpu
+        self.memory = free.memory
+        self.accelerators = free.accelerators
+
+    def take(self, demand: model.Demand) -> None:
+        """Place one task here."""
+        self.cpu -= demand.cpu
+        self.memory -= demand.memory
+        self.accelerators -= demand.accelerators
+
+    def fits(self, demand: model.Demand) -> bool:
+        """Tell whether one more task may be placed here."""
+        return (
+            demand.cpu <= self.cpu
+            and demand.memory <= self.memory
+            and demand.accelerators <= self.accelerators
+        )
+
+
+class Rooms:
+    """Hold the rooms of a service during one round of planning."""
+
+    def __init__(self, pool: list[state.Endpoint], now: float) -> None:
+        self.all = [
+            Room(endpoint, number, now)
+            for number, endpoint in enumerate(pool)
+            if endpoint.usable(now)
+        ]
+        self._by_name = {room.endpoint.name: room for room in self.all}
+        self._largest = (
+            max((room.cpu for room in self.all), default=-1),
+            max((room.memory for room in self.all), default=-1),
+            max((room.accelerators for room in self.all), default=-1),
+        )
+
+    def may_fit(self, demand: model.Demand) -> bool:
+        """Tell, at no cost, whether some room may be large enough.
+
+        It counts with the room at the begin of the round.
+        """
+        cpu, memory, accelerators = self._largest
+        return (
+            demand.cpu <= cpu
+            and demand.memory <= memory
+            and demand.accelerators <= accelerators
+        )
+
+    def allowed(
+        self, step: state.StepState, tickets: dict[str, str] | None
+    ) -> list[Room]:
+        """Return the rooms that a step's label, and its tickets, allow."""
+        rooms = self.all
+        if tickets is not None:
+            known = self._by_name
+            rooms = [known[name] for name in tickets if name in known]
+        label = step.spec.label
+        if not label:
+            return rooms
+        return [room for room in rooms if label in room.entry.labels]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Choice:
     """Hold one task and where to run it."""
 
     task: state.Task
-    endpoint: state.Endpoint
+    room: Room
 
-
-def allowed(
-    step: state.StepState, endpoint: state.Endpoint, now: float
-) -> bool:
-    """Tell whether a step's label and trust let it run on an endpoint."""
-    if not endpoint.usable(now):
-        return False
-    assert endpoint.entry is not None
-    label = step.spec.label
-    return not label or label in endpoint.entry.labels
+    @property
+    def endpoint(self) -> state.Endpoint:
+        """Return the endpoint of the room."""
+        return self.room.endpoint
 
 
 def placed_on(step: state.StepState, endpoint: str) -> int:
@@ -32,106 +112,102 @@
 
 
 def choose(
-    step: state.StepState,
-    tasks: list[state.Task],
-    endpoints: list[state.Endpoint],
-    now: float,
+    step: state.StepState, tasks: list[state.Task], rooms: list[Room]
 ) -> list[Choice]:
     """Return places for tasks, best fit first; a gang gets all or none."""
     if step.spec.same_rack:
-        return _in_one_rack(step, tasks, endpoints, now)
+        return _in_one_rack(step, tasks, rooms)
     if step.spec.gang:
-        return _all_or_none(step, tasks, endpoints, now)
-    return _one_by_one(step, tasks, endpoints, now)
+        return _all_or_none(step, tasks, rooms)
+    return _one_by_one(step, tasks, rooms)
 
 
-class _Room:
-    """Count down the room of an endpoint while tasks are placed."""
+class _Slot:
+    """Count down a room while the tasks of one step are placed."""
 
-    __slots__ = ('endpoint', 'free', 'left', 'slow')
+    __slots__ = ('accelerators', 'cpu', 'left', 'memory', 'room')
 
-    def __init__(
-        self, step: state.StepState, endpoint: state.Endpoint, now: float
-    ):
-        self.slow = progress.is_slow(endpoint, now)
-        self.endpoint = endpoint
-        self.free = endpoint.free()
+    def __init__(self, step: state.StepState, room: Room) -> None:
+        self.room = room
+        self.cpu = room.cpu
+        self.memory = room.memory
+        self.accelerators = room.accelerators
         spread = step.spec.spread
         self.left = len(step.tasks)
         if spread:
-            self.left = spread - placed_on(step, endpoint.name)
+            self.left = spread - placed_on(step, room.endpoint.name)
 
     def take(self, demand: model.Demand) -> None:
         """Place one task here."""
-        self.free = self.free - demand
+        self.cpu -= demand.cpu
+        self.memory -= demand.memory
+        self.accelerators -= demand.accelerators
         self.left -= 1
 
     def fits(self, demand: model.Demand) -> bool:
         """Tell whether one more task may be placed here."""
-        return self.left > 0 and demand.fits(self.free)
+        return (
+            self.left > 0
+            and demand.cpu <= self.cpu
+            and demand.memory <= self.memory
+            and demand.accelerators <= self.accelerators
+        )
 
 
 def _one_by_one(
-    step: state.StepState,
-    tasks: list[state.Task],
-    endpoints: list[state.Endpoint],
-    now: float,
+    step: state.StepState, tasks: list[state.Task], rooms: list[Room]
 ) -> list[Choice]:
     demand = step.spec.booked
-    rooms = [_Room(step, endpoint, now) for endpoint in endpoints]
-    choices = []
-    for task in tasks:
-        fitting = [room for room in rooms if room.fits(demand)]
-        if not fitting:
-            break
-        best = min(fitting, key=lambda room: _cost(step, room, demand))
-        best.take(demand)
-        choices.append(Choice(task, best.endpoint))
+    slots = [_Slot(step, room) for room in rooms if room.fits(demand)]
+    heap = [
+        (_cost(step, slot, demand), slot.room.number, slot)
+        for slot in slots
+        if slot.left > 0
+    ]
+    heapq.heapify(heap)
+    choices: list[Choice] = []
+    while heap and len(choices) < len(tasks):
+        _, number, slot = heapq.heappop(heap)
+        slot.take(demand)
+        choices.append(Choice(tasks[len(choices)], slot.room))
+        if slot.fits(demand):
+            heapq.heappush(heap, (_cost(step, slot, demand), number, slot))
     return choices
 
 
 def _all_or_none(
-    step: state.StepState,
-    tasks: list[state.Task],
-    endpoints: list[state.Endpoint],
-    now: float,
+    step: state.StepState, tasks: list[state.Task], rooms: list[Room]
 ) -> list[Choice]:
-    choices = _one_by_one(step, tasks, endpoints, now)
+    choices = _one_by_one(step, tasks, rooms)
     return choices if len(choices) == len(tasks) else []
 
 
 def _in_one_rack(
-    step: state.StepState,
-    tasks: list[state.Task],
-    endpoints: list[state.Endpoint],
-    now: float,
+    step: state.StepState, tasks: list[state.Task], rooms: list[Room]
 ) -> list[Choice]:
-    racks: dict[str, list[state.Endpoint]] = {}
-    for endpoint in endpoints:
-        assert endpoint.entry is not None
-        racks.setdefault(endpoint.entry.rack, []).append(endpoint)
+    racks: dict[str, list[Room]] = {}
+    for room in rooms:
+        racks.setdefault(room.entry.rack, []).append(room)
     for members in sorted(racks.values(), key=len):
-        choices = _all_or_none(step, tasks, members, now)
+        choices = _all_or_none(step, tasks, members)
         if choices:
             return choices
-    return _all_or_none(step, tasks, endpoints, now)
+    return _all_or_none(step, tasks, rooms)
 
 
 def _cost(
-    step: state.StepState, room: _Room, demand: model.Demand
+    step: state.StepState, slot: _Slot, demand: model.Demand
 ) -> tuple[float, ...]:
-    entry = room.endpoint.entry
-    assert entry is not None
-    far = bool(step.spec.rack) and step.spec.rack != entry.rack
-    free = room.free
+    room = slot.room
+    far = bool(step.spec.rack) and step.spec.rack != room.entry.rack
     if step.spec.fills:
-        return (far, room.slow, _serving(room.endpoint), -free.cpu)
+        return (far, room.slow, _serving(room.endpoint), -slot.cpu)
     noise = _filling(room.endpoint) if step.spec.tail_target else 0
     return (
         far or room.slow,
         noise,
-        free.accelerators - demand.accelerators,
-        free.cpu - demand.cpu,
+        slot.accelerators - demand.accelerators,
+        slot.cpu - demand.cpu,
     )
 
 
