--- a/hibiscusslip/dispatch/_planning.py
+++ b/hibiscusslip/dispatch/_planning.py
@@ -5,7 +5,6 @@
 
 from hibiscusslip.dispatch import _headroom
 from hibiscusslip.dispatch import _reserving
-from hibiscusslip.dispatch import _yielding
 from hibiscusslip.dispatch import asking
 from hibiscusslip.dispatch import commands
 from hibiscusslip.dispatch import ordering
@@ -28,7 +27,6 @@
     now: float
     spare: dict[str, float] = dataclasses.field(default_factory=dict)
     urgent: dict[str, int] = dataclasses.field(default_factory=dict)
-    short: dict[str, float] = dataclasses.field(default_factory=dict)
     reserved: _reserving.Reservations = dataclasses.field(
         default_factory=_reserving.Reservations
     )
@@ -45,10 +43,6 @@
         if _ready(step):
             _plan_step(current, step, pool, rank)
         asking.ask_if_needed(engine, step, pool, now)
-    for service in current.urgent:
-        wanted = current.short.get(service, 0.0)
-        pool = current.services[service]
-        _yielding.make_room(engine, service, pool, wanted, now)
 
 
 def _by_service(
@@ -140,7 +134,6 @@
     tickets = step.tickets if advised else None
     if rooms.may_fit(step.spec.booked) and _may_start(current, step):
         _start_some(current, step, tasks, rooms.allowed(step, tickets))
-    _note_short(current, step, rank, tasks)
     if rank.expired or not _reserving.is_large(step, pool):
         return
     if step.has_waiting():
@@ -151,23 +144,6 @@
         )
 
 
-def _note_short(
-    current: _Round,
-    step: state.StepState,
-    rank: ordering.Rank,
-    tasks: list[state.Task],
-) -> None:
-    """Take note of urgent work that could be on time and found no room."""
-    service = step.job.service
-    if rank.late or rank.priority != current.urgent.get(service):
-        return
-    if not _may_start(current, step):
-        return
-    waiting = sum(task.status is state.Status.WAITING for task in tasks)
-    short = current.short.get(service, 0.0)
-    current.short[service] = short + waiting * step.spec.booked.cpu
-
-
 def _start_some(
     current: _Round,
     step: state.StepState,
--- a/hibiscusslip/dispatch/engine.py
+++ b/hibiscusslip/dispatch/engine.py
@@ -48,7 +48,6 @@
         self.asking_cost = 0.0
         self.long_asks = 0
         self.headroom: dict[str, _headroom.Headroom] = {}
-        self.short_since: dict[str, float] = {}
 
     # Jobs.
 
