Write progress to the partition that is served

Change: two partitions of keyed.jobs; a failed append goes to the other next. Records carry epoch and number, recovery takes the newest of both. Both are fenced before they are read. An append without an answer keeps its sequence number until answered, so that no other is taken for its repeat. Drops go to each partition that was used. Cost: a new owner needs both partitions to be served.

--- a/hibiscusslip/dispatch/records.py
+++ b/hibiscusslip/dispatch/records.py
@@ -44,12 +44,18 @@
 
 
 class JobRow(msgspec.Struct, array_like=True):
-    """Hold how far a job is."""
+    """Hold how far a job is.
+
+    Of several records of a job the one with the highest `epoch`, then
+    `number`, is the newest; an owner numbers what it writes.
+    """
 
     state: str
     tasks: list[TaskRow]
     steps: list[StepRow]
     occurrences: list[int] = []
+    epoch: int = 0
+    number: int = 0
 
 
 class Unreadable(ValueError):
@@ -66,7 +72,7 @@
     return _decode(data, Submission)
 
 
-def encode_job(job: state.Job) -> bytes:
+def encode_job(job: state.Job, epoch: int = 0, number: int = 0) -> bytes:
     """Return the record of a job's progress."""
     tasks = []
     steps = []
@@ -75,7 +81,8 @@
             tasks.extend(_task_rows(step))
             if step.failures or step.checkpoint:
                 steps.append(_step_row(step))
-    row = JobRow(job.state.value, tasks, steps, list(job.occurrences))
+    numbers = list(job.occurrences)
+    row = JobRow(job.state.value, tasks, steps, numbers, epoch, number)
     return msgspec.msgpack.encode(row)
 
 
@@ -111,6 +118,18 @@
     return _decode(data, JobRow)
 
 
+def newest_of(values: list[bytes]) -> bytes:
+    """Return the newest of a job's records; raises Unreadable."""
+    if len(values) == 1:
+        return values[0]
+    return max(values, key=_age)
+
+
+def _age(value: bytes) -> tuple[int, int]:
+    row = decode_job(value)
+    return row.epoch, row.number
+
+
 def restore(job: state.Job, row: JobRow) -> None:
     """Put a record's progress into a job whose occurrences exist."""
     job.state = model.JobState(row.state)
--- a/hibiscusslip/host/owner.py
+++ b/hibiscusslip/host/owner.py
@@ -150,6 +150,7 @@
         started = context.steady()
         await self._tasks.spawn(guarding.guard, self.ctx, self._beat)
         recovered = await self._recover()
+        self._writer.found(recovered.parts)
         self.ready = True
         self.ctx.metrics.count('successions')
         self.ctx.log.note(
--- a/hibiscusslip/host/recovery.py
+++ b/hibiscusslip/host/recovery.py
@@ -20,16 +20,25 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Recovered:
-    """Hold from where the owner follows the inbox and the endpoints."""
+    """Hold from where the owner follows the inbox and the endpoints.
+
+    `orphans` are jobs with progress but no submission, `parts` the
+    partitions that hold progress.
+    """
 
     inbox: list[int]
     endpoints: int
     orphans: list[str]
+    parts: list[int]
 
 
 async def recover(ctx: context.Context, engine: engines.Engine) -> Recovered:
     """Read all records into a fresh engine; raises PlatformError."""
-    progress = await ctx.store.newest(topics.JOBS, READ_TIMEOUT_S)
+    parts = [
+        await ctx.store.newest(topics.JOBS, READ_TIMEOUT_S, part)
+        for part in range(topics.JOBS_PARTS)
+    ]
+    progress = _merge(ctx, parts)
     boxes = await read_inbox(ctx)
     listed = await ctx.store.newest(store.WORKERS_TOPIC, READ_TIMEOUT_S)
     now = context.steady()
@@ -48,9 +57,30 @@
         endpoints=len(engine.endpoints),
         placed=sum(len(e.bookings) for e in engine.endpoints.values()),
     )
-    orphans = [k for k, v in progress.values.items() if v]
-    orphans = [ident for ident in orphans if ident not in engine.jobs]
-    return Recovered([box.end for box in boxes], listed.end, orphans)
+    return Recovered(
+        [box.end for box in boxes],
+        listed.end,
+        [ident for ident in progress if ident not in engine.jobs],
+        [part for part, found in enumerate(parts) if found.values],
+    )
+
+
+def _merge(
+    ctx: context.Context, parts: list[store.Newest]
+) -> dict[str, bytes]:
+    """Return the newest record of each job, from whichever partition."""
+    found: dict[str, list[bytes]] = {}
+    for part in parts:
+        for ident, value in part.values.items():
+            if value:
+                found.setdefault(ident, []).append(value)
+    merged = {}
+    for ident, values in found.items():
+        try:
+            merged[ident] = records.newest_of(values)
+        except records.Unreadable as exc:
+            ctx.log.note('progress_unreadable', job=ident, error=repr(exc))
+    return merged
 
 
 async def read_inbox(ctx: context.Context) -> list[store.Newest]:
@@ -97,12 +127,12 @@
 def _restore_all(
     ctx: context.Context,
     engine: engines.Engine,
-    progress: store.Newest,
+    progress: dict[str, bytes],
     now: float,
 ) -> None:
-    for ident, value in progress.values.items():
+    for ident, value in progress.items():
         job = engine.jobs.get(ident)
-        if job is None or not value:
+        if job is None:
             continue
         try:
             row = records.decode_job(value)
--- a/hibiscusslip/host/topics.py
+++ b/hibiscusslip/host/topics.py
@@ -3,6 +3,7 @@
 HOSTS = 'keyed.hosts'  # host name -> HostRecord
 OWNER = 'owner'  # claims, heartbeats and releases of the ownership
 JOBS = 'keyed.jobs'  # job -> its progress, written by the owner only
+JOBS_PARTS = 2  # the owner writes to the one that is served
 INBOX = 'keyed.inbox'  # job -> its submission, CANCEL_PREFIX + job -> cancel
 # The inbox has a partition for each availability zone: a partition takes one
 # append at a time, which a slow store makes the bottleneck.
--- a/hibiscusslip/host/writer.py
+++ b/hibiscusslip/host/writer.py
@@ -1,6 +1,7 @@
 """Write the owner's records in groups, one append at a time."""
 
 import collections.abc
+import dataclasses
 
 import curio
 
@@ -25,11 +26,28 @@
 ]
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class _Lane:
+    """Hold how far the appends to one partition are.
+
+    `unsettled` got no answer and may be carried out late. Nothing else may
+    take its number before it is answered, or the store would take one for
+    a repeat of the other.
+    """
+
+    part: int
+    sequence: int = 0
+    unsettled: list[bytes] | None = None
+    used: bool = False
+
+
 class Writer:
     """Append what has changed; release starts once their record is there.
 
     All owners append under one producer name, each with its own epoch, so
-    that an owner which another one has followed can't write any more.
+    that an owner which another one has followed can't write any more. While
+    one partition isn't served the other takes what comes; each record is
+    numbered, so that a reader of both knows which one is newest.
     """
 
     def __init__(
@@ -43,14 +61,21 @@
         self._engine = engine
         self._epoch = epoch
         self._release = release
-        self._sequence = 0
+        self._lanes = [_Lane(part) for part in range(topics.JOBS_PARTS)]
+        self._number = 0
         self._drops: list[bytes] = []
         self.wake = signals.Wake()
         self.behind_since = 0.0
 
     async def fence(self) -> None:
         """Keep all former owners from writing; raises PlatformError."""
-        await self._append([])
+        for lane in self._lanes:
+            await self._send_once(lane, [])
+
+    def found(self, parts: list[int]) -> None:
+        """Take note of partitions that hold records of former owners."""
+        for lane in self._lanes:
+            lane.used = lane.used or lane.part in parts
 
     async def run(self) -> None:
         """Write until cancelled; raises ProducerFenced."""
@@ -76,8 +101,8 @@
         starts, engine.starts = engine.starts, []
         seen = {e.name: e.handled for e in engine.endpoints.values()}
         written, batch = self._encode()
-        batch += self._drops
-        self._drops = []
+        drops, self._drops = self._drops, []
+        batch += drops
         if batch:
             self.behind_since = context.steady()
             for group in grouped(batch, MOST_APPEND_BYTES):
@@ -85,6 +110,7 @@
             self.behind_since = 0.0
         engine.committed(written, seen)
         await self._release(starts)
+        await self._drop_elsewhere(drops)
 
     def _encode(self) -> tuple[dict[str, model.JobState], list[bytes]]:
         engine = self._engine
@@ -96,44 +122,86 @@
             if job is None:
                 continue
             written[ident] = job.state
-            batch.append(store.keyed(ident, records.encode_job(job)))
+            self._number += 1
+            value = records.encode_job(job, self._epoch, self._number)
+            batch.append(store.keyed(ident, value))
         return written, batch
 
     async def _append(self, batch: list[bytes]) -> None:
+        """Append to the partition that serves, until it is done."""
         pause = RETRY_PAUSE_S
         while True:
             if self._ctx.ownership.held != self._epoch:
                 raise exceptions.ProducerFenced('this ownership has ended')
             sent = context.steady()
+            lane = self._lanes[0]
             try:
-                await self._ctx.store.append(
-                    topics.JOBS,
-                    batch,
-                    APPEND_TIMEOUT_S,
-                    producer=(topics.PRODUCER, self._epoch, self._sequence),
-                )
+                await self._send(lane, batch)
                 break
             except exceptions.ProducerOutOfStep as exc:
                 self._ctx.log.note(
-                    'sequence_corrected', had=self._sequence, now=exc.expected
+                    'sequence_corrected', had=lane.sequence, now=exc.expected
                 )
-                self._sequence = exc.expected
+                lane.sequence = exc.expected
             except (
                 exceptions.StoreUnavailable,
                 exceptions.StoreUnsettled,
             ) as exc:
-                self._ctx.store_fails(str(exc))
-                self._ctx.metrics.count('record_retries')
-                self._ctx.log.note('record_retried', error=str(exc)[:120])
+                self._failed(lane, exc)
                 await curio.sleep(pause)
                 pause = min(pause * 2, MOST_RETRY_PAUSE_S)
         now = context.steady()
-        if batch:
-            self._sequence += 1
         self._ctx.store_answers(now)
         self._ctx.ownership.confirm(sent)
         self._ctx.metrics.time('record_append', now - sent)
 
+    def _failed(self, lane: _Lane, exc: Exception) -> None:
+        """Take note of a failure; the other partition is tried next."""
+        self._lanes.reverse()
+        self._ctx.store_fails(str(exc))
+        self._ctx.metrics.count('record_retries')
+        self._ctx.log.note(
+            'record_retried', part=lane.part, error=str(exc)[:120]
+        )
+
+    async def _send(self, lane: _Lane, batch: list[bytes]) -> None:
+        if lane.unsettled is not None and lane.unsettled is not batch:
+            await self._send_once(lane, lane.unsettled)
+        await self._send_once(lane, batch)
+
+    async def _send_once(self, lane: _Lane, batch: list[bytes]) -> None:
+        try:
+            await self._ctx.store.append(
+                topics.JOBS,
+                batch,
+                APPEND_TIMEOUT_S,
+                part=lane.part,
+                producer=(topics.PRODUCER, self._epoch, lane.sequence),
+            )
+        except exceptions.StoreUnsettled:
+            if batch:
+                lane.unsettled = batch
+            raise
+        if batch:
+            lane.unsettled = None
+            lane.sequence += 1
+            lane.used = True
+
+    async def _drop_elsewhere(self, drops: list[bytes]) -> None:
+        """Drop old records in the other partition, as far as it serves."""
+        lane = self._lanes[-1]
+        if not drops or not lane.used:
+            return
+        try:
+            await self._send(lane, drops)
+        except exceptions.ProducerOutOfStep as exc:
+            lane.sequence = exc.expected
+        except (
+            exceptions.StoreUnavailable,
+            exceptions.StoreUnsettled,
+        ) as exc:
+            self._ctx.log.note('forgetting_failed', error=str(exc)[:120])
+
 
 def grouped(batch: list[bytes], most: int) -> list[list[bytes]]:
     """Divide records, in their order, into groups of at most `most` bytes.
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -46,7 +46,7 @@
 
     '' serves, 'refuse' answers 503, 'silent' never answers, 'lost' does
     what is asked and breaks the connection; `turned_away` are peers' IP
-    numbers that get 503.
+    numbers that get 503, `away` are partitions that refuse.
     """
 
     def __init__(self):
@@ -54,6 +54,7 @@
         self.newest = {}
         self.mode = ''
         self.turned_away = set()
+        self.away = set()
         self.calls = 0
 
     def partition(self, topic, part=0):
@@ -83,6 +84,8 @@
     async def _serve(self, req):
         name = req.path.rpartition('/')[2]
         part = int(req.query.get('part', 0))
+        if (req.query.get('Topic'), part) in self.away:
+            return answer(503)
         if name == 'log-append':
             return self._append(req, part)
         if name == 'log-read':
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -174,6 +174,35 @@
     run(scenario)
 
 
+def test_work_goes_on_while_one_partition_of_the_progress_is_away():
+    async def scenario(cell):
+        await cell.submit('h0', JOB)
+        await cell.until_state('h0', JOB, 'completed')
+        cell.store.away.add(('keyed.jobs', 0))
+        other = JOB.replace('a', 'b')
+        assert (await cell.submit('h0', other)).status == 200
+        await cell.until_state('h0', other, 'completed', 3.0)
+
+    run(scenario)
+
+
+def test_newest_progress_is_found_in_either_partition():
+    async def scenario(cell):
+        assert (await cell.submit('h0', JOB)).status == 200
+        await cell.until(cell.starts)
+        cell.store.away.add(('keyed.jobs', 0))  # it has the job as running
+        name = cell.owner()
+        other = next(n for n in cell.hosts if n != name)
+        await cell.until_state(other, JOB, 'completed')
+        cell.store.away.clear()
+        await cell.kill(name)
+        await cell.until(cell.owner)
+        await cell.until_state(other, JOB, 'completed')
+        assert len(cell.starts()) == 2
+
+    run(scenario, hosts=2, run_s=0.5)
+
+
 def test_lost_answers_of_the_store_start_nothing_twice():
     async def scenario(cell):
         await cell.submit('h0', JOB)
