Spread the inbox over all partitions; no second writer while the store is only slow

A partition takes one append at a time, 0.2 s each while the store is 50 times as slow: 5 a second for the 9 hosts of a zone, and what was late was sent by another host once more. Change: hosts are spread over all partitions of the topic (12), read side by side by a new owner; another host is asked only while the store is silent to this one in all its calls. A cancel that is read before its job, from another partition, is kept until the job comes (it was lost before, between zones).

--- a/hibiscusslip/host/inbox.py
+++ b/hibiscusslip/host/inbox.py
@@ -3,8 +3,9 @@
 An append takes all that has come while the one before was in flight. The
 pattern it answers: a store that answers late, now after a second, now after
 two, to all hosts or to a few. An answer that is late is waited for as long
-as a caller does; meanwhile another host is asked to write the same, which
-does no harm, and what comes next goes out in an append of its own.
+as a caller does, and what comes next goes out in an append of its own. Is
+the store silent to this host altogether, another one is asked to write the
+same, which does no harm; else that would only make a slow store slower.
 """
 
 import abc
@@ -69,7 +70,7 @@
         self._wake = signals.Wake()
         self._groups: list[curio.Task] = []
         cfg = ctx.cfg
-        self._part = topics.inbox_part(cfg.zone, cfg.zones, cfg.partitions)
+        self._part = topics.inbox_part(cfg.name, cfg.partitions)
 
     async def write(
         self,
@@ -150,8 +151,12 @@
     async def _write_here(self, group: list[_Entry]) -> Outcome:
         """Append a group; ask another host as well once that takes long."""
         append = await curio.spawn(self._append, group, daemon=True)
-        async with curio.ignore_after(RELAY_AFTER_S):
-            await append.wait()
+        while not append.terminated:
+            async with curio.ignore_after(RELAY_AFTER_S):
+                await append.wait()
+            now = context.steady()
+            if now >= self._ctx.store_answered + RELAY_AFTER_S:
+                break
         here = append.result if append.terminated else Outcome.IN_DOUBT
         if here is Outcome.ACCEPTED:
             return here
--- a/hibiscusslip/host/owner.py
+++ b/hibiscusslip/host/owner.py
@@ -34,6 +34,7 @@
 STOP_FLUSH_S = 0.5
 ROLL_CALL_S = 2.0
 MOST_MISSED = 4
+MOST_EARLY_CANCELS = 10_000
 
 
 class InboxFeed(tailing.Tail):
@@ -137,6 +138,7 @@
         self._inboxes: list[InboxFeed] = []
         self._tasks = curio.TaskGroup(wait=any)
         self._orphans: list[str] = []
+        self._early_cancels: dict[str, bool] = {}
 
     async def run(self) -> None:
         """Own until the ownership is lost or the task is cancelled."""
@@ -204,6 +206,8 @@
         if key.startswith(topics.CANCEL_PREFIX):
             ident = key[len(topics.CANCEL_PREFIX) :]
             known = self.engine.cancel(ident, now)
+            if not known:
+                self._cancel_later(ident)
             self.ctx.log.note('cancel_taken', job=ident, known=known)
             return
         if key in self.engine.jobs:
@@ -211,6 +215,17 @@
         wall = context.wall()
         recovery.submit(self.ctx, self.engine, key, value, now, wall)
         self.ctx.log.note('job_taken', job=key)
+        if self._early_cancels.pop(key, False):
+            self.engine.cancel(key, now)
+
+    def _cancel_later(self, ident: str) -> None:
+        """Remember a cancel whose job is still to come.
+
+        They may be in different partitions, which are read one by one.
+        """
+        self._early_cancels[ident] = True
+        if len(self._early_cancels) > MOST_EARLY_CANCELS:
+            del self._early_cancels[next(iter(self._early_cancels))]
 
     async def state_of(self, ident: str) -> model.JobState | None:
         """Return a job's state, None when it surely doesn't exist.
--- a/hibiscusslip/host/recovery.py
+++ b/hibiscusslip/host/recovery.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+import curio
+
 from hibiscusslip.dispatch import engine as engines
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import records
@@ -85,11 +87,14 @@
 
 async def read_inbox(ctx: context.Context) -> list[store.Newest]:
     """Return the newest records of each partition of the inbox."""
-    parts = topics.inbox_parts(ctx.cfg.zones, ctx.cfg.partitions)
-    return [
-        await ctx.store.newest(topics.INBOX, READ_TIMEOUT_S, part)
-        for part in range(parts)
-    ]
+    async with curio.TaskGroup() as group:
+        reads = [
+            await group.spawn(
+                ctx.store.newest, topics.INBOX, READ_TIMEOUT_S, part
+            )
+            for part in range(ctx.cfg.partitions)
+        ]
+    return [read.result for read in reads]
 
 
 def _submit_all(
--- a/hibiscusslip/platform/store.py
+++ b/hibiscusslip/platform/store.py
@@ -20,7 +20,7 @@
 WORKERS_TOPIC = 'keyed.servers'
 CONFIG_KEY = 'config'
 KEYED_PREFIX = 'keyed.'
-CONNECTIONS = 24
+CONNECTIONS = 40
 MAX_READ_KB = 1024
 WAIT_SLACK_S = 0.8
 
--- a/tests/host/test_inbox.py
+++ b/tests/host/test_inbox.py
@@ -5,6 +5,7 @@
 
 from hibiscusslip.host import context
 from hibiscusslip.host import inbox
+from hibiscusslip.host import topics
 from hibiscusslip.platform import exceptions
 from tests.host import fakes
 
@@ -232,3 +233,27 @@
         assert await first.join() is inbox.Outcome.IN_DOUBT
 
     run(scenario)
+
+
+def test_no_other_host_is_asked_while_the_store_answers_other_calls():
+    async def scenario(running):
+        async def feed():
+            while True:
+                running.ctx.store_answers(context.steady())
+                await curio.sleep(0.2)
+
+        running.store.script = [late_answer]
+        other = await curio.spawn(feed, daemon=True)
+        outcome = await running.write(patience=2.8)
+        assert outcome is inbox.Outcome.ACCEPTED
+        assert running.relay.items == []
+        await other.cancel()
+
+    run(scenario)
+
+
+def test_hosts_are_spread_over_all_partitions():
+    names = [f'front-{zone}-{n}' for zone in 'abcde' for n in range(1, 10)]
+    parts = [topics.inbox_part(name, 12) for name in names]
+    assert set(parts) == set(range(12))
+    assert max(parts.count(part) for part in range(12)) <= 9
