Ask about eligible endpoints first again

Cause, found at the last read: of more than 100 candidates an eligible endpoint without room could be left out of the second question; it then counted as asked and not eligible for good (pools of more than about 130 endpoints). Change: eligible ones go first. test_eligible_endpoints_of_a_large_pool_are_ asked_about_again fails before.

--- a/hibiscusslip/dispatch/asking.py
+++ b/hibiscusslip/dispatch/asking.py
@@ -97,7 +97,11 @@
 def _names(
     step: state.StepState, pool: list[state.Endpoint], now: float
 ) -> tuple[str, ...]:
-    """Return the endpoints to ask about, those with room before others."""
+    """Return the endpoints to ask about.
+
+    Eligible ones go first, as one that isn't asked about again has no
+    ticket any more; then those with room.
+    """
     found = []
     for endpoint in pool:
         assert endpoint.entry is not None
@@ -117,11 +121,12 @@
 
 def _standing(
     step: state.StepState, endpoint: state.Endpoint, now: float
-) -> tuple[bool, bool, int]:
+) -> tuple[bool, bool, bool, int]:
     """Return the place of an endpoint among those to ask about."""
     free = endpoint.free()
+    eligible = step.tickets is not None and endpoint.name in step.tickets
     fits = step.spec.booked.fits(free)
-    return not endpoint.usable(now), not fits, -free.cpu
+    return not eligible, not endpoint.usable(now), not fits, -free.cpu
 
 
 def _soon(
--- a/tests/dispatch/test_waiting.py
+++ b/tests/dispatch/test_waiting.py
@@ -214,6 +214,23 @@
     assert free <= set(ask.endpoints)
 
 
+def test_eligible_endpoints_of_a_large_pool_are_asked_about_again():
+    bench = support.Bench(support.queue(advice=ADVICE))
+    for number in range(2 * asking.MOST_ASKED):
+        bench.endpoint(f'e{number}', cpu=500)
+    bench.submit('j', support.step())
+    bench.plan()
+    eligible = {f'e{number}' for number in range(60)}
+    tickets(bench, sorted(eligible))
+    for number in range(asking.MOST_ASKED):
+        bench.endpoint(f'later{number}', cpu=900)
+    bench.now += 1.9
+    bench.plan()
+    (ask,) = bench.engine.asks
+    assert eligible <= set(ask.endpoints)
+    assert len(ask.endpoints) == asking.MOST_ASKED
+
+
 def test_room_is_kept_for_a_gang_that_small_tasks_would_fill_up():
     bench = gpu_bench()
     bench.submit('s', single(8), queue='single')
