Write the hosts' shared key of a test cell once

Each start of a host in tests/faults wrote the key file again; a host started just before read it while it was empty.

--- a/tests/faults/cluster.py
+++ b/tests/faults/cluster.py
@@ -156,7 +156,8 @@
         host = self.hosts[name]
         path = self._dir / f'{name}.toml'
         secret = self._dir / settings_file.SECRET_NAME
-        secret.write_text(settings_file.SECRET)
+        if not secret.exists():  # hosts that start beside this one read it
+            secret.write_text(settings_file.SECRET)
         path.write_text(settings_file.render(host.plan, secret))
         args = ['-m', 'tests.faults.entry', '--settings', str(path)]
         host.running = self._run(f'{name}.{len(self._processes)}', args)
