--- a/hibiscusslip/bench/dispatching.py
+++ b/hibiscusslip/bench/dispatching.py
@@ -18,14 +18,14 @@
 
 from hibiscusslip.dispatch import commands
 from hibiscusslip.dispatch import engine as engines
+from hibiscusslip.dispatch import estimates
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import records
+from hibiscusslip.host import owner
 
 STEP_S = 0.05
-LEASE_S = 5.9
 WALL = 1_000_000.0
 ADVISERS = 45
-LATE_FACTOR = 3.0
 FAILED_SHARE = 0.005
 STOP_S = 0.3
 STOPPED = model.Ending.STOPPED
@@ -182,7 +182,9 @@
         self._left: dict[str, float] = {}
         self._open: dict[str, tuple[Kind, float, float]] = {}
         self._report = Report({k: Share() for k in self._kinds}, [])
-        self._engine = engines.Engine(LEASE_S, lambda event, **fields: None)
+        self._engine = engines.Engine(
+            owner.LEASE_S, lambda event, **fields: None
+        )
         self._engine.config = _configuration(kinds)
         self._engine.advisers = ADVISERS
         for pool in pools:
@@ -283,7 +285,7 @@
 
     def _start(self, start: commands.Start) -> None:
         """Run a task, from where it was stopped before."""
-        self._engine.started(start, self._now, self._now)
+        self._engine.started(start, self._now)
         kind = self._kinds[start.task.step.job.queue]
         whole = kind.run * self._rng.uniform(0.7, 1.3)
         took = whole * self._left.pop(start.task.name, 1.0)
@@ -343,7 +345,7 @@
             share = self._report.kinds[kind.name]
             if job.state is model.JobState.COMPLETED:
                 share.on_time += took <= allowed
-                share.late += allowed < took <= LATE_FACTOR * allowed
+                share.late += allowed < took <= estimates.LATE_FACTOR * allowed
             if job.state.final:
                 del self._open[ident]
 
--- a/hibiscusslip/dispatch/_draining.py
+++ b/hibiscusslip/dispatch/_draining.py
@@ -37,7 +37,7 @@
     spec = task.step.spec
     if spec.lasts:
         return True
-    if not spec.checkpoints or spec.gang:
+    if not spec.resumable:
         return False
     left = task.started + engine.estimates.run_time(task.step) - now
     return left > TIME_LEFT_S
--- a/hibiscusslip/dispatch/_planning.py
+++ b/hibiscusslip/dispatch/_planning.py
@@ -34,28 +34,17 @@
 
 def plan(engine: 'engines.Engine', now: float) -> None:
     """Start what fits, the most pressing steps first."""
-    services = _by_service(engine)
+    services = engine.pools()
     rooms = {n: placement.Rooms(pool, now) for n, pool in services.items()}
     current = _Round(engine, services, rooms, now)
     _measure_spare(current)
     for rank, step in _in_order(engine, now):
         pool = current.services.get(step.job.service, [])
-        if _ready(step):
+        if step.ready:
             _plan_step(current, step, pool, rank)
         asking.ask_if_needed(engine, step, pool, now)
 
 
-def _by_service(
-    engine: 'engines.Engine',
-) -> dict[str, list[state.Endpoint]]:
-    services: dict[str, list[state.Endpoint]] = {}
-    for endpoint in engine.endpoints.values():
-        if endpoint.entry is not None:
-            pool = services.setdefault(endpoint.entry.service, [])
-            pool.append(endpoint)
-    return services
-
-
 def _measure_spare(current: _Round) -> None:
     """Find what queues that aren't urgent may take of each service."""
     engine = current.engine
@@ -112,11 +101,6 @@
     return ranked
 
 
-def _ready(step: state.StepState) -> bool:
-    others = step.job.occurrences[step.occurrence]
-    return all(others[number].complete for number in step.spec.after)
-
-
 def _plan_step(
     current: _Round,
     step: state.StepState,
@@ -134,9 +118,9 @@
     tickets = step.tickets if advised else None
     if rooms.may_fit(step.spec.booked) and _may_start(current, step):
         _start_some(current, step, tasks, rooms.allowed(step, tickets))
-    if rank.expired or not _reserving.is_large(step, pool):
+    if rank.expired or not step.has_waiting():
         return
-    if step.has_waiting():
+    if _reserving.is_large(step, rooms.widest):
         endpoints = [room.endpoint for room in rooms.allowed(step, tickets)]
         urgent = not rank.late
         _reserving.reserve(
--- a/hibiscusslip/dispatch/_reserving.py
+++ b/hibiscusslip/dispatch/_reserving.py
@@ -43,13 +43,15 @@
     count: int
 
 
-def is_large(step: state.StepState, pool: list[state.Endpoint]) -> bool:
-    """Tell whether a step needs room that small tasks would break up."""
+def is_large(step: state.StepState, widest: int) -> bool:
+    """Tell whether a step needs room that small tasks would break up.
+
+    `widest` is the most processors that one endpoint has.
+    """
     demand = step.spec.booked
     if step.spec.gang or demand.accelerators > 1:
         return True
-    rooms = [e.entry.capacity.cpu for e in pool if e.entry is not None]
-    return bool(rooms) and demand.cpu >= LARGE_SHARE * max(rooms)
+    return demand.cpu >= LARGE_SHARE * widest
 
 
 def reserve(
@@ -176,8 +178,7 @@
         task = booking.task
         if task is None or booking.stopping:
             continue
-        spec = task.step.spec
-        if not spec.checkpoints or spec.gang or spec.lasts:
+        if not task.step.spec.resumable:
             continue
         if task.status is not state.Status.RUNNING:
             continue
--- a/hibiscusslip/dispatch/engine.py
+++ b/hibiscusslip/dispatch/engine.py
@@ -78,7 +78,6 @@
         for place, spec in enumerate(job.spec.steps):
             step = state.StepState(job, number, place, spec)
             step.waiting_since = now
-            step.due_from = now
             for index in range(spec.count):
                 name = model.task_name(job.ident, number, place, index)
                 step.tasks.append(state.Task(name, step, index))
@@ -161,6 +160,14 @@
 
     # Endpoints.
 
+    def pools(self) -> dict[str, list[state.Endpoint]]:
+        """Return the listed endpoints of each service."""
+        pools: dict[str, list[state.Endpoint]] = {}
+        for endpoint in self.endpoints.values():
+            if endpoint.entry is not None:
+                pools.setdefault(endpoint.entry.service, []).append(endpoint)
+        return pools
+
     def list_endpoint(self, entry: model.EndpointEntry, now: float) -> None:
         """Take an endpoint's report."""
         endpoint = self.endpoints.get(entry.name)
@@ -219,9 +226,7 @@
 
     # Starts.
 
-    def started(
-        self, start: commands.Start, clock: float | None, now: float
-    ) -> None:
+    def started(self, start: commands.Start, now: float) -> None:
         """Take note that an endpoint confirmed a start."""
         booking = self._booking(start)
         if booking is not None:
--- a/hibiscusslip/dispatch/model.py
+++ b/hibiscusslip/dispatch/model.py
@@ -72,6 +72,11 @@
             return Demand(0, self.demand.memory, self.demand.accelerators)
         return self.demand
 
+    @property
+    def resumable(self) -> bool:
+        """Tell whether a stopped task goes on alone from where it was."""
+        return self.checkpoints and not self.gang and not self.lasts
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class JobSpec:
--- a/hibiscusslip/dispatch/placement.py
+++ b/hibiscusslip/dispatch/placement.py
@@ -8,33 +8,15 @@
 from hibiscusslip.dispatch import state
 
 
-class Room:
-    """Hold what a usable endpoint has left during one round of planning.
+class _Left:
+    """Count down what is left of a room as tasks are placed."""
 
-    The amounts are kept apart from the endpoint's, as one round looks at
-    each of them for hundreds of steps.
-    """
+    __slots__ = ('accelerators', 'cpu', 'memory')
 
-    __slots__ = (
-        'accelerators',
-        'cpu',
-        'endpoint',
-        'entry',
-        'memory',
-        'number',
-        'slow',
-    )
-
-    def __init__(self, endpoint: state.Endpoint, number: int, now: float):
-        assert endpoint.entry is not None
-        self.endpoint = endpoint
-        self.entry = endpoint.entry
-        self.number = number
-        self.slow = progress.is_slow(endpoint, now)
-        free = endpoint.free()
-        self.cpu = free.cpu
-        self.memory = free.memory
-        self.accelerators = free.accelerators
+    def __init__(self, cpu: int, memory: int, accelerators: int) -> None:
+        self.cpu = cpu
+        self.memory = memory
+        self.accelerators = accelerators
 
     def take(self, demand: model.Demand) -> None:
         """Place one task here."""
@@ -51,8 +33,30 @@
         )
 
 
+class Room(_Left):
+    """Hold what a usable endpoint has left during one round of planning.
+
+    The amounts are kept apart from the endpoint's, as one round looks at
+    each of them for hundreds of steps.
+    """
+
+    __slots__ = ('endpoint', 'entry', 'number', 'slow')
+
+    def __init__(self, endpoint: state.Endpoint, number: int, now: float):
+        free = endpoint.free()
+        super().__init__(free.cpu, free.memory, free.accelerators)
+        assert endpoint.entry is not None
+        self.endpoint = endpoint
+        self.entry = endpoint.entry
+        self.number = number
+        self.slow = progress.is_slow(endpoint, now)
+
+
 class Rooms:
-    """Hold the rooms of a service during one round of planning."""
+    """Hold the rooms of a service during one round of planning.
+
+    `widest` is the most processors that one endpoint has, in use or not.
+    """
 
     def __init__(self, pool: list[state.Endpoint], now: float) -> None:
         self.all = [
@@ -61,23 +65,22 @@
             if endpoint.usable(now)
         ]
         self._by_name = {room.endpoint.name: room for room in self.all}
-        self._largest = (
+        self._largest = model.Demand(
             max((room.cpu for room in self.all), default=-1),
             max((room.memory for room in self.all), default=-1),
             max((room.accelerators for room in self.all), default=-1),
         )
+        self.widest = max(
+            (e.entry.capacity.cpu for e in pool if e.entry is not None),
+            default=0,
+        )
 
     def may_fit(self, demand: model.Demand) -> bool:
         """Tell, at no cost, whether some room may be large enough.
 
         It counts with the room at the begin of the round.
         """
-        cpu, memory, accelerators = self._largest
-        return (
-            demand.cpu <= cpu
-            and demand.memory <= memory
-            and demand.accelerators <= accelerators
-        )
+        return demand.fits(self._largest)
 
     def allowed(
         self, step: state.StepState, tickets: dict[str, str] | None
@@ -122,16 +125,14 @@
     return _one_by_one(step, tasks, rooms)
 
 
-class _Slot:
+class _Slot(_Left):
     """Count down a room while the tasks of one step are placed."""
 
-    __slots__ = ('accelerators', 'cpu', 'left', 'memory', 'room')
+    __slots__ = ('left', 'room')
 
     def __init__(self, step: state.StepState, room: Room) -> None:
+        super().__init__(room.cpu, room.memory, room.accelerators)
         self.room = room
-        self.cpu = room.cpu
-        self.memory = room.memory
-        self.accelerators = room.accelerators
         spread = step.spec.spread
         self.left = len(step.tasks)
         if spread:
@@ -139,19 +140,12 @@
 
     def take(self, demand: model.Demand) -> None:
         """Place one task here."""
-        self.cpu -= demand.cpu
-        self.memory -= demand.memory
-        self.accelerators -= demand.accelerators
+        super().take(demand)
         self.left -= 1
 
     def fits(self, demand: model.Demand) -> bool:
         """Tell whether one more task may be placed here."""
-        return (
-            self.left > 0
-            and demand.cpu <= self.cpu
-            and demand.memory <= self.memory
-            and demand.accelerators <= self.accelerators
-        )
+        return self.left > 0 and super().fits(demand)
 
 
 def _one_by_one(
--- a/hibiscusslip/dispatch/state.py
+++ b/hibiscusslip/dispatch/state.py
@@ -54,7 +54,6 @@
     number: int
     spec: model.Step
     tasks: list[Task] = dataclasses.field(default_factory=list)
-    due_from: float = 0.0
     tickets: dict[str, str] | None = None
     tickets_until: float = 0.0
     asked: set[str] = dataclasses.field(default_factory=set)
@@ -76,6 +75,12 @@
         """Tell whether all tasks have ended as done."""
         return self.done == len(self.tasks)
 
+    @property
+    def ready(self) -> bool:
+        """Tell whether all steps before are complete."""
+        others = self.job.occurrences[self.occurrence]
+        return all(others[number].complete for number in self.spec.after)
+
     def has_waiting(self) -> bool:
         """Tell whether a task waits to be started."""
         return any(t.status is Status.WAITING for t in self.tasks)
--- a/hibiscusslip/dispatch/summary.py
+++ b/hibiscusslip/dispatch/summary.py
@@ -24,21 +24,16 @@
 def summarise(engine: engines.Engine, now: float) -> list[ServiceLoad]:
     """Return the load of each service that has endpoints."""
     waiting = _waiting(engine)
-    pools: dict[str, list[state.Endpoint]] = {}
-    for endpoint in engine.endpoints.values():
-        if endpoint.entry is not None:
-            pools.setdefault(endpoint.entry.service, []).append(endpoint)
     return [
         _load(name, pool, waiting.get(name, {}), now)
-        for name, pool in pools.items()
+        for name, pool in engine.pools().items()
     ]
 
 
 def _waiting(engine: engines.Engine) -> dict[str, dict[str, int]]:
     waiting: dict[str, dict[str, int]] = {}
     for step in engine.active.values():
-        others = step.job.occurrences[step.occurrence]
-        if not all(others[number].complete for number in step.spec.after):
+        if not step.ready:
             continue
         queues = waiting.setdefault(step.job.service, {})
         queue = step.job.queue
--- a/hibiscusslip/host/watching.py
+++ b/hibiscusslip/host/watching.py
@@ -155,8 +155,8 @@
         give_up = start.decided + MOST_ORDER_AGE_S + ORDER_RESERVE_S
         while now < give_up and self._ctx.ownership.held:
             try:
-                clock = await self._orders.start(order, ORDER_TIMEOUT_S)
-                await self._started(start, clock, now)
+                await self._orders.start(order, ORDER_TIMEOUT_S)
+                await self._started(start, now)
                 return
             except exceptions.OrderRefused as exc:
                 await self._start_refused(start, exc.reason, doubtful)
@@ -171,13 +171,11 @@
         reason = 'in doubt' if doubtful else 'unreached'
         await self._start_refused(start, reason, doubtful)
 
-    async def _started(
-        self, start: commands.Start, clock: float | None, sent: float
-    ) -> None:
+    async def _started(self, start: commands.Start, sent: float) -> None:
         now = context.steady()
         self._ctx.metrics.time('start_order', now - sent)
         self._ctx.metrics.count('starts')
-        self._engine.started(start, clock, now)
+        self._engine.started(start, now)
         self._ctx.log.note(
             'run_ordered',
             task=start.task.name,
--- a/tests/dispatch/support.py
+++ b/tests/dispatch/support.py
@@ -85,7 +85,7 @@
 
     def confirm(self, starts):
         for start in starts:
-            self.engine.started(start, self.now, self.now)
+            self.engine.started(start, self.now)
 
     def look(self, name, running=(), ended=(), born=1.0, sent=None):
         clock = self.now
