Host: one read of partitions, one call to a neighbour, one answer to a written record

A second read of the change, behaviour as before: recovery read the partitions of the progress one by one and those of the inbox side by side; asking the owner repeated how a silent connection is dropped; submissions and cancels told the caller the same in two copies. HostRecord.strength and QueueLoad.wait were never read.

--- a/hibiscusslip/host/front.py
+++ b/hibiscusslip/host/front.py
@@ -111,18 +111,16 @@
             queue=queue.name,
             bytes=len(req.body),
         )
-        if outcome is inbox.Outcome.ACCEPTED:
-            return callers.accepted()
-        if outcome is inbox.Outcome.REFUSED:
-            return callers.unavailable('the store is away', RETRY_AFTER_S)
-        return callers.in_doubt()
+        return _written(outcome)
 
     async def _show(self, ident: str) -> messages.Response:
         try:
             found = await self._cell.state_of(ident)
         except OwnerUnknown as exc:
             self._note('state_unknown', ident, error=str(exc)[:120])
-            return callers.unavailable("the owner can't be asked", 1)
+            return callers.unavailable(
+                "the owner can't be asked", RETRY_AFTER_S
+            )
         if found is None:
             self._note('job_not_found', ident)
             return callers.gone()
@@ -132,16 +130,21 @@
         key = f'{topics.CANCEL_PREFIX}{ident}'
         outcome = await self._inbox.write([(key, b'1')], deadline)
         self._note(f'cancel_{outcome.value}', ident)
-        if outcome is inbox.Outcome.ACCEPTED:
-            return callers.accepted()
-        if outcome is inbox.Outcome.REFUSED:
-            return callers.unavailable('the store is away', RETRY_AFTER_S)
-        return callers.in_doubt()
+        return _written(outcome)
 
     def _note(self, event: str, ident: str, **fields: object) -> None:
         self._ctx.log.note(event, job=ident, **fields)
 
 
+def _written(outcome: inbox.Outcome) -> messages.Response:
+    """Return what a caller is told of a record that it handed in."""
+    if outcome is inbox.Outcome.ACCEPTED:
+        return callers.accepted()
+    if outcome is inbox.Outcome.REFUSED:
+        return callers.unavailable('the store is away', RETRY_AFTER_S)
+    return callers.in_doubt()
+
+
 class Ready(server.Handler):
     """Tell the platform whether this host should get connections."""
 
--- a/hibiscusslip/host/host.py
+++ b/hibiscusslip/host/host.py
@@ -166,7 +166,6 @@
             cfg.zone,
             cfg.front.ip,
             cfg.ports[0],
-            cfg.cpu_share * cfg.cores,
         )
         while True:
             known = self._ctx.hosts.get(cfg.name)
--- a/hibiscusslip/host/neighbours.py
+++ b/hibiscusslip/host/neighbours.py
@@ -34,11 +34,7 @@
         self._links.set_address(known.host, known.address, known.port)
         query = messages.CellJobQuery(ident)
         try:
-            reply = await self._links.call(known.host, query, ASK_TIMEOUT_S)
-        except peer_exceptions.PeerUnsettled as exc:
-            # The connection may have gone silent: make a new one.
-            self._links.forget(known.host)
-            raise front.OwnerUnknown(str(exc)) from exc
+            reply = await self._reach(known.host, query, ASK_TIMEOUT_S)
         except peer_exceptions.PeerError as exc:
             raise front.OwnerUnknown(str(exc)) from exc
         if not isinstance(reply, messages.CellJobReply):
@@ -130,6 +126,12 @@
                 f'{name} was taken off the list; ask another host'
             )
         self._links.set_address(name, host.address, host.port)
+        return await self._reach(name, message, timeout)
+
+    async def _reach(
+        self, name: str, message: messages.PeerMessage, timeout: float
+    ) -> messages.PeerMessage:
+        """Call a host whose address is set; raises PeerError."""
         try:
             return await self._links.call(name, message, timeout)
         except peer_exceptions.PeerUnsettled:
--- a/hibiscusslip/host/notices.py
+++ b/hibiscusslip/host/notices.py
@@ -17,14 +17,12 @@
     zone: str
     address: str
     port: int
-    strength: float = 1.0
 
 
 class QueueLoad(msgspec.Struct, array_like=True):
-    """Hold how many jobs of a queue wait, and how long a new one would."""
+    """Hold how many jobs of a queue haven't begun."""
 
     pending: int
-    wait: float = 0.0
 
 
 class OwnerNotice(msgspec.Struct, array_like=True):
--- a/hibiscusslip/host/recovery.py
+++ b/hibiscusslip/host/recovery.py
@@ -36,12 +36,9 @@
 
 async def recover(ctx: context.Context, engine: engines.Engine) -> Recovered:
     """Read all records into a fresh engine; raises PlatformError."""
-    parts = [
-        await ctx.store.newest(topics.JOBS, READ_TIMEOUT_S, part)
-        for part in range(topics.JOBS_PARTS)
-    ]
+    parts = await _newest(ctx, topics.JOBS, topics.JOBS_PARTS)
     progress = _merge(ctx, parts)
-    boxes = await read_inbox(ctx)
+    boxes = await _newest(ctx, topics.INBOX, ctx.cfg.partitions)
     listed = await ctx.store.newest(store.WORKERS_TOPIC, READ_TIMEOUT_S)
     now = context.steady()
     for name, value in listed.values.items():
@@ -85,14 +82,14 @@
     return merged
 
 
-async def read_inbox(ctx: context.Context) -> list[store.Newest]:
-    """Return the newest records of each partition of the inbox."""
+async def _newest(
+    ctx: context.Context, topic: str, parts: int
+) -> list[store.Newest]:
+    """Return the newest records of each partition, read side by side."""
     async with curio.TaskGroup() as group:
         reads = [
-            await group.spawn(
-                ctx.store.newest, topics.INBOX, READ_TIMEOUT_S, part
-            )
-            for part in range(ctx.cfg.partitions)
+            await group.spawn(ctx.store.newest, topic, READ_TIMEOUT_S, part)
+            for part in range(parts)
         ]
     return [read.result for read in reads]
 
