Stop the rest of a gang when a member is lost

Only a refused start broke a gang.

Change: losing a member stops the others at once, so that all start again together. Two tests fail without it.

--- a/hibiscusslip/dispatch/_looking.py
+++ b/hibiscusslip/dispatch/_looking.py
@@ -223,6 +223,8 @@
     if task is not None and task.run == run and task.status.placed:
         engine.dirty.add(task.step.job.ident)
         _back_to_waiting(engine, task, now)
+        if task.step.spec.gang:
+            _break_gang(engine, task.step, run, now)
 
 
 def _take_running(
@@ -381,6 +383,7 @@
 def _break_gang(
     engine: 'engines.Engine', step: state.StepState, run: int, now: float
 ) -> None:
+    """Stop the rest of a gang, which would wait in vain for a member."""
     for member in step.tasks:
         if member.status.placed and member.run == run:
-            engine.stop(member, "a member of its gang can't start", now)
+            engine.stop(member, 'a member of its gang is missing', now)
--- a/tests/dispatch/test_doubt.py
+++ b/tests/dispatch/test_doubt.py
@@ -181,6 +181,32 @@
     assert {s.run for s in bench.plan()} == {2}
 
 
+def gang_of_two(bench):
+    bench.endpoint('e1', cpu=1000)
+    bench.endpoint('e2', cpu=1000)
+    bench.submit('j', support.step(2, gang=True))
+    return bench.plan()
+
+
+def test_member_that_never_ran_stops_the_rest_of_its_gang():
+    bench = support.Bench()
+    first, second = gang_of_two(bench)
+    bench.confirm([first])  # the other start is never answered
+    bench.now += second.deadline - bench.now + 0.1
+    bench.look(second.endpoint)
+    assert [s.task for s in bench.stops()] == [first.task.name]
+    bench.end(first, 'stopped')
+    assert {s.run for s in bench.plan()} == {2}
+
+
+def test_member_lost_with_its_endpoint_stops_the_rest_of_its_gang():
+    bench = support.Bench()
+    first, second = gang_of_two(bench)
+    bench.confirm([first, second])
+    bench.look(second.endpoint, born=2.0)
+    assert [s.task for s in bench.stops()] == [first.task.name]
+
+
 def test_endpoint_is_unusable_while_it_doesnt_answer():
     bench = support.Bench()
     bench.endpoint('e1')
