Ask a host whether the store serves it before having it write

Clients don't send such work again after a 504; a refusal at once lets them come back.

Change: up to four other hosts are asked first whether the store serves them (150 ms); only those that say yes get the write. A test fails without it.

--- a/hibiscusslip/host/answering.py
+++ b/hibiscusslip/host/answering.py
@@ -41,6 +41,8 @@
         """Answer another host; must not raise."""
         if isinstance(body, messages.CellJobQuery):
             return await self._tell_state(body)
+        if isinstance(body, messages.StoreQuery):
+            return self._no_store() or messages.Done()
         if isinstance(body, messages.InboxWrite):
             return await self._write_for_other(body)
         if isinstance(body, messages.OwnerRelease):
@@ -76,11 +78,18 @@
             return messages.Refusal('no_advice', str(exc), RETRY_AFTER_S)
         return messages.AdviceReply(told.tickets, told.valid, 0.0)
 
+    def _no_store(self) -> messages.Refusal | None:
+        """Return a refusal if the store doesn't serve this host."""
+        if self._ctx.store_ok(context.steady()):
+            return None
+        refused = inbox.Outcome.REFUSED.value
+        return messages.Refusal(refused, 'no store here', RETRY_AFTER_S)
+
     async def _write_release(
         self, message: messages.OwnerRelease
     ) -> messages.PeerMessage:
-        refusal = messages.Refusal('refused', 'no store here', RETRY_AFTER_S)
-        if not self._ctx.store_ok(context.steady()):
+        refusal = self._no_store()
+        if refusal is not None:
             return refusal
         try:
             await self._ctx.store.append(
@@ -88,18 +97,18 @@
             )
         except exceptions.PlatformError as exc:
             self._ctx.log.note('release_failed', error=str(exc)[:120])
-            return refusal
+            return messages.Refusal(
+                inbox.Outcome.REFUSED.value, 'the store failed', RETRY_AFTER_S
+            )
         return messages.Done()
 
     async def _write_for_other(
         self, query: messages.InboxWrite
     ) -> messages.PeerMessage:
+        refusal = self._no_store()
+        if refusal is not None:
+            return refusal
         now = context.steady()
-        refused = inbox.Outcome.REFUSED
-        if not self._ctx.store_ok(now):
-            return messages.Refusal(
-                refused.value, 'no store here', RETRY_AFTER_S
-            )
         deadline = now + neighbours.RELAY_TIMEOUT_S * 0.8
         outcome = await self._inbox.write(query.items, deadline, True)
         self._ctx.log.note(
--- a/hibiscusslip/host/neighbours.py
+++ b/hibiscusslip/host/neighbours.py
@@ -16,6 +16,8 @@
 
 ASK_TIMEOUT_S = 0.5
 MOST_RELAYS = 2
+MOST_PROBED = 4
+PROBE_TIMEOUT_S = 0.15
 RELAY_TIMEOUT_S = 0.9
 ROLL_CALL_TIMEOUT_S = 0.3
 
@@ -42,9 +44,14 @@
         return model.JobState(reply.state) if reply.known else None
 
     async def write(self, items: list[tuple[str, bytes]]) -> inbox.Outcome:
-        """Ask up to two other hosts; the first that answers decides."""
+        """Ask up to two other hosts; the first that answers decides.
+
+        Only hosts that have just said that the store serves them: a write
+        sent to one that is cut off would leave the caller in doubt.
+        """
         outcome = inbox.Outcome.REFUSED
-        for name in self._relays()[:MOST_RELAYS]:
+        serving = await self._served(self._relays()[:MOST_PROBED])
+        for name in serving[:MOST_RELAYS]:
             told = await self._write_at(name, items)
             self._ctx.log.note(
                 'inbox_relayed',
@@ -58,6 +65,16 @@
                 outcome = told
         return outcome
 
+    async def _served(self, names: list[str]) -> list[str]:
+        """Return the hosts that say that the store serves them."""
+        query = messages.StoreQuery()
+        replies = await self._ask_all(names, query, PROBE_TIMEOUT_S)
+        return [
+            name
+            for name, reply in replies.items()
+            if isinstance(reply, messages.Done)
+        ]
+
     async def _write_at(
         self, name: str, items: list[tuple[str, bytes]]
     ) -> inbox.Outcome:
@@ -91,26 +108,27 @@
 
     async def unreachable(self) -> list[str]:
         """Return the hosts that don't answer."""
-        replies = await self._ask_all(messages.CellJobQuery(''))
+        names = [n for n in self._ctx.hosts if n != self._ctx.cfg.name]
+        query = messages.CellJobQuery('')
+        replies = await self._ask_all(names, query, ROLL_CALL_TIMEOUT_S)
         return [name for name, reply in replies.items() if reply is None]
 
     async def _ask_all(
-        self, message: messages.PeerMessage
+        self, names: list[str], message: messages.PeerMessage, timeout: float
     ) -> dict[str, messages.PeerMessage | None]:
         """Return each host's reply, None for one that gave none."""
-        names = [n for n in self._ctx.hosts if n != self._ctx.cfg.name]
         async with curio.TaskGroup(wait=all) as group:
             tasks = {
-                name: await group.spawn(self._ask_one, name, message)
+                name: await group.spawn(self._ask_one, name, message, timeout)
                 for name in names
             }
         return {name: task.result for name, task in tasks.items()}
 
     async def _ask_one(
-        self, name: str, message: messages.PeerMessage
+        self, name: str, message: messages.PeerMessage, timeout: float
     ) -> messages.PeerMessage | None:
         try:
-            return await self._call(name, message, ROLL_CALL_TIMEOUT_S)
+            return await self._call(name, message, timeout)
         except peer_exceptions.PeerRefused as exc:
             return messages.Refusal(exc.kind, str(exc))
         except peer_exceptions.PeerError:
--- a/hibiscusslip/peer/messages.py
+++ b/hibiscusslip/peer/messages.py
@@ -364,6 +364,10 @@
     age: float
 
 
+class StoreQuery(_Message, frozen=True, tag='store_query'):
+    """Ask a host whether the store serves it; `Done` says yes."""
+
+
 class InboxWrite(_Message, frozen=True, tag='inbox_write'):
     """Ask a host to write records to the inbox, for one that can't."""
 
@@ -427,6 +431,7 @@
     CellJobReply,
     AdviceQuery,
     AdviceReply,
+    StoreQuery,
     InboxWrite,
     OwnerRelease,
     Done,
--- a/tests/host/test_neighbours.py
+++ b/tests/host/test_neighbours.py
@@ -33,6 +33,35 @@
     assert outcome is inbox.Outcome.REFUSED
 
 
+class CutLinks:
+    """Lose whatever is sent; `sent` keeps it."""
+
+    def __init__(self):
+        self.sent = []
+
+    def set_address(self, host, address, port):
+        pass
+
+    def forget(self, host):
+        pass
+
+    async def call(self, host, body, timeout):
+        self.sent.append(body)
+        raise exceptions.PeerUnsettled('no answer')
+
+
+def test_nothing_is_sent_for_writing_to_hosts_that_are_cut_off():
+    """A store that is away and a zone that is cut leave no caller in doubt."""
+    ctx = fakes.make_context(fakes.FakeStore())
+    for name in ('h2', 'h3'):
+        ctx.hosts[name] = notices.HostRecord(name, 'i', 'z1', '10.0.0.1', 1)
+    cut = CutLinks()
+    calls = neighbours.Neighbours(ctx, cut)
+    outcome = curio.run(calls.write, [('job1', b'v')])
+    assert outcome is inbox.Outcome.REFUSED
+    assert all(isinstance(m, messages.StoreQuery) for m in cut.sent)
+
+
 class AnsweringLinks:
     """Answer a release with `Done` from one host; others refuse."""
 
