Doubt endpoints, and their zone, from the first unanswered call on

Cause: a cut zone or a dark endpoint was noticed by two looks without an answer, 0.85 to 1.7 s after it began. A start that is neither answered nor void is waited for 2 s and more, so a step of ten tasks with one of them is late.

Change: a call without an answer, to an endpoint that has answered nothing since it was sent, keeps new work away until it answers. Two such endpoints of one zone speak for the zone: each has to answer anew.

--- /dev/null
+++ b/hibiscusslip/dispatch/_doubting.py
@@ -0,0 +1,57 @@
+"""Doubt endpoints that leave calls unanswered, and those beside them.
+
+The pattern it answers: a zone that is cut off, or endpoints that fall silent,
+while starts go on at the full rate. A look only tells after a second; until
+then every step would have a task there whose start is neither answered nor
+void for seconds. The first unanswered call is enough to place elsewhere until
+the endpoint answers again; two such endpoints in one zone are enough to ask
+for a fresh answer of each of its endpoints.
+"""
+
+import collections.abc
+
+from hibiscusslip.dispatch import state
+
+MOST_ALONE = 1  # doubted endpoints of a zone that don't speak for the others
+SPREAD_S = 2.0  # later each endpoint of the zone has been called itself
+
+
+def unanswered(endpoint: state.Endpoint, sent: float, now: float) -> bool:
+    """Take note of a call without an answer; True when a doubt begins."""
+    if endpoint.doubted_at or endpoint.answered_at >= sent:
+        return False
+    endpoint.doubted_at = now
+    return True
+
+
+def answered(endpoint: state.Endpoint, now: float) -> None:
+    """Take note of an answer: it ends all doubt."""
+    endpoint.answered_at = max(endpoint.answered_at, now)
+    endpoint.doubted_at = 0.0
+
+
+class Doubts:
+    """Hold since when the endpoints of each zone have to have answered."""
+
+    def __init__(
+        self, endpoints: collections.abc.Iterable[state.Endpoint], now: float
+    ) -> None:
+        found: dict[str, list[float]] = {}
+        for endpoint in endpoints:
+            if endpoint.entry is None or not endpoint.doubted_at:
+                continue
+            if now <= endpoint.doubted_at + SPREAD_S:
+                times = found.setdefault(endpoint.entry.zone, [])
+                times.append(endpoint.doubted_at)
+        self._since = {
+            zone: min(times)
+            for zone, times in found.items()
+            if len(times) > MOST_ALONE
+        }
+
+    def clear(self, endpoint: state.Endpoint) -> bool:
+        """Tell whether nothing speaks against placing work there."""
+        if endpoint.doubted_at or endpoint.entry is None:
+            return False
+        since = self._since.get(endpoint.entry.zone)
+        return since is None or endpoint.answered_at >= since
--- a/hibiscusslip/dispatch/_planning.py
+++ b/hibiscusslip/dispatch/_planning.py
@@ -3,6 +3,7 @@
 import dataclasses
 import typing
 
+from hibiscusslip.dispatch import _doubting
 from hibiscusslip.dispatch import _headroom
 from hibiscusslip.dispatch import _reserving
 from hibiscusslip.dispatch import asking
@@ -35,7 +36,11 @@
 def plan(engine: 'engines.Engine', now: float) -> None:
     """Start what fits, the most pressing steps first."""
     services = engine.pools()
-    rooms = {n: placement.Rooms(pool, now) for n, pool in services.items()}
+    doubts = _doubting.Doubts(engine.endpoints.values(), now)
+    rooms = {
+        name: placement.Rooms(pool, doubts, now)
+        for name, pool in services.items()
+    }
     current = _Round(engine, services, rooms, now)
     _measure_spare(current)
     for rank, step in _in_order(engine, now):
--- a/hibiscusslip/dispatch/engine.py
+++ b/hibiscusslip/dispatch/engine.py
@@ -3,6 +3,7 @@
 import collections.abc
 import typing
 
+from hibiscusslip.dispatch import _doubting
 from hibiscusslip.dispatch import _draining
 from hibiscusslip.dispatch import _headroom
 from hibiscusslip.dispatch import _looking
@@ -203,8 +204,25 @@
         """Take what an endpoint lists in answer to a call sent at `sent`."""
         endpoint = self.endpoints.get(name)
         if endpoint is not None:
+            _doubting.answered(endpoint, now)
             _looking.take(self, endpoint, look, sent, now)
 
+    def answered(self, name: str, now: float) -> None:
+        """Take note that an endpoint answered a call."""
+        endpoint = self.endpoints.get(name)
+        if endpoint is not None:
+            _doubting.answered(endpoint, now)
+
+    def unanswered(self, name: str, sent: float, now: float) -> None:
+        """Take note that a call sent to an endpoint got no answer."""
+        endpoint = self.endpoints.get(name)
+        if endpoint is not None and _doubting.unanswered(endpoint, sent, now):
+            self.note(
+                'endpoint_doubted',
+                endpoint=name,
+                answered_ms_ago=int((now - endpoint.answered_at) * 1000),
+            )
+
     def silent(self, name: str) -> None:
         """Take note that an endpoint gave no answer."""
         endpoint = self.endpoints.get(name)
--- a/hibiscusslip/dispatch/placement.py
+++ b/hibiscusslip/dispatch/placement.py
@@ -3,6 +3,7 @@
 import dataclasses
 import heapq
 
+from hibiscusslip.dispatch import _doubting
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import progress
 from hibiscusslip.dispatch import state
@@ -58,11 +59,16 @@
     `widest` is the most processors that one endpoint has, in use or not.
     """
 
-    def __init__(self, pool: list[state.Endpoint], now: float) -> None:
+    def __init__(
+        self,
+        pool: list[state.Endpoint],
+        doubts: _doubting.Doubts,
+        now: float,
+    ) -> None:
         self.all = [
             Room(endpoint, number, now)
             for number, endpoint in enumerate(pool)
-            if endpoint.usable(now)
+            if endpoint.usable(now) and doubts.clear(endpoint)
         ]
         self._by_name = {room.endpoint.name: room for room in self.all}
         self._largest = model.Demand(
--- a/hibiscusslip/dispatch/state.py
+++ b/hibiscusslip/dispatch/state.py
@@ -138,7 +138,11 @@
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Endpoint:
-    """Hold what is known of one endpoint and what is booked on it."""
+    """Hold what is known of one endpoint and what is booked on it.
+
+    `answered_at` is when it last answered a call, `doubted_at` when one was
+    first left without an answer since then, 0 for none.
+    """
 
     name: str
     entry: model.EndpointEntry | None = None
@@ -161,6 +165,8 @@
     slowness: float = 1.0
     slow_at: float = 0.0
     drained_at: float = 0.0
+    answered_at: float = 0.0
+    doubted_at: float = 0.0
 
     def clock_now(self, now: float) -> float:
         """Return the endpoint's clock as it should read now."""
--- a/hibiscusslip/host/watching.py
+++ b/hibiscusslip/host/watching.py
@@ -53,26 +53,27 @@
         failures = 0
         while self.name in self._engine.endpoints:
             endpoint = self._engine.endpoints[self.name]
+            sent = context.steady()
             try:
-                await self._look(endpoint)
+                await self._look(endpoint, sent)
                 failures = 0
             except exceptions.OrderRefused as exc:
                 await self._refused(exc.reason)
             except exceptions.PlatformError:
                 failures += 1
-                await self._unanswered(failures)
+                await self._unanswered(failures, sent)
         await self._orders.close()
 
-    async def _unanswered(self, failures: int) -> None:
+    async def _unanswered(self, failures: int, sent: float) -> None:
         self._ctx.metrics.count('looks_unanswered')
+        self._engine.unanswered(self.name, sent, context.steady())
         if failures < FAILURES_TO_SILENCE:
             return
         self._engine.silent(self.name)
         await self._changed.set()
         await curio.sleep(SILENT_PAUSE_S)
 
-    async def _look(self, endpoint: state.Endpoint) -> None:
-        sent = context.steady()
+    async def _look(self, endpoint: state.Endpoint, sent: float) -> None:
         busy = bool(endpoint.bookings)
         wait = HOLD_WAIT_S if busy and endpoint.looked else 0.0
         handled = endpoint.handled
@@ -159,6 +160,7 @@
                 await self._started(start, now)
                 return
             except exceptions.OrderRefused as exc:
+                self._engine.answered(self.name, context.steady())
                 await self._start_refused(start, exc.reason, doubtful)
                 return
             except exceptions.OrderUnsettled:
@@ -166,6 +168,7 @@
                 self._ctx.metrics.count('orders_unanswered')
             except exceptions.OrderNotSent:
                 pass
+            self._engine.unanswered(self.name, now, context.steady())
             await curio.sleep(ORDER_PAUSE_S)
             now = context.steady()
         reason = 'in doubt' if doubtful else 'unreached'
@@ -175,6 +178,7 @@
         now = context.steady()
         self._ctx.metrics.time('start_order', now - sent)
         self._ctx.metrics.count('starts')
+        self._engine.answered(self.name, now)
         self._engine.started(start, now)
         self._ctx.log.note(
             'run_ordered',
