Ask another host for advice when one doesn't answer

Change: the slack is 0.3 s and 30 % of the expected time; the call goes to another host at once; hosts beside a silent one are left alone for 0.6 s.

--- a/hibiscusslip/host/advising.py
+++ b/hibiscusslip/host/advising.py
@@ -1,7 +1,10 @@
 """Spread calls to the advice service over the hosts of the cell.
 
 The service handles one call at a time for each host, and a call takes up to
-a second: one host alone couldn't ask for all steps of a busy cell.
+a second: one host alone couldn't ask for all steps of a busy cell. A host
+that doesn't answer in time is avoided, and the call made by another one; its
+whole zone may be cut off, so the other hosts there are left alone for a
+moment as well.
 """
 
 from hibiscusslip.dispatch import asking
@@ -13,8 +16,11 @@
 from hibiscusslip.platform import advice
 from hibiscusslip.platform import exceptions
 
-SLACK_S = 0.8
+SLACK_S = 0.3
+SLACK_SHARE = 0.3  # of the time that the calls before and this one take
 AVOID_S = 3.0
+AVOID_ZONE_S = 0.6
+MOST_ATTEMPTS = 2
 REMOTE_COST_S = 0.02
 
 
@@ -37,20 +43,38 @@
         self, ask: commands.Ask
     ) -> tuple[dict[str, str], float, float] | None:
         """Return tickets, their validity and when they began, or None."""
-        now = context.steady()
-        name = self._choose(now, ask.cost)
-        load = self._loads.get(name, 0.0)
-        self._loads[name] = load + ask.cost
-        try:
-            return await self._ask(name, ask, load)
-        except (exceptions.PlatformError, peer_exceptions.PeerError) as exc:
-            self._avoid[name] = context.steady() + AVOID_S
-            self._ctx.log.note(
-                'advice_failed', by=name, step=ask.step.name, error=str(exc)
-            )
-            return None
-        finally:
-            self._loads[name] -= ask.cost
+        for _ in range(MOST_ATTEMPTS):
+            name = self._choose(context.steady(), ask.cost)
+            load = self._loads.get(name, 0.0)
+            self._loads[name] = load + ask.cost
+            try:
+                return await self._ask(name, ask, load)
+            except (
+                exceptions.PlatformError,
+                peer_exceptions.PeerError,
+            ) as exc:
+                self._failed(name, exc, context.steady())
+                self._ctx.log.note(
+                    'advice_failed',
+                    by=name,
+                    step=ask.step.name,
+                    error=str(exc),
+                )
+            finally:
+                self._loads[name] -= ask.cost
+        return None
+
+    def _failed(self, name: str, exc: Exception, now: float) -> None:
+        """Leave a host alone for a while, and its zone if it is silent."""
+        host = self._ctx.hosts.get(name)
+        if host is not None and isinstance(exc, peer_exceptions.PeerUnsettled):
+            for other in self._ctx.hosts.values():
+                if other.zone == host.zone:
+                    self._leave_alone(other.name, now + AVOID_ZONE_S)
+        self._leave_alone(name, now + AVOID_S)
+
+    def _leave_alone(self, name: str, until: float) -> None:
+        self._avoid[name] = max(self._avoid.get(name, 0.0), until)
 
     def _choose(self, now: float, cost: float) -> str:
         names = self._candidates(cost)
@@ -72,7 +96,7 @@
     async def _ask(
         self, name: str, ask: commands.Ask, load: float
     ) -> tuple[dict[str, str], float, float]:
-        timeout = load + ask.cost + SLACK_S
+        timeout = (load + ask.cost) * (1.0 + SLACK_SHARE) + SLACK_S
         names = list(ask.endpoints)
         if name == self._ctx.cfg.name:
             told = await self.ask_here(ask.step.name, names, timeout)
