Have a strong host own the cell after an outage, and weak owners yield

At 34.5 s a host of half a core on a link of 10 Mbit/s wins: hosts count their patience from the owner's last heartbeat, 3.6 s before, so every stagger is over and the first to read the store again claims. It can't keep up with 380 starts a second: tickets end before starts are sent ('starts turned away'), looks are late, lasting tasks wait 12 s, a gang 4 s.

Change: patience also counts from when a host reads the store again; hosts tell their strength in their record, a weaker one waits up to 0.7 s longer; an owner of under half the strength of a host that the store serves hands over at its next roll call, which now asks just that. Tests fail without it. test_silent_owner_is_followed read the topic once in 2.4 s, which now counts as a gap: it reads it every 0.6 s, as hosts do.

--- a/hibiscusslip/host/__main__.py
+++ b/hibiscusslip/host/__main__.py
@@ -42,14 +42,13 @@
     share = zlib.crc32(cfg.name.encode()) / 2**32
     cores = cfg.cpu_share * cfg.cores
     strong = ownership.strength(cores, cfg.link_mbps)
-    wait = ownership.stagger(strong, share)
     return context.Context(
         cfg=cfg,
         incarnation=incarnation,
         store=store.Store(cfg.store),
         log=events.open_log(cfg.name),
         metrics=exposition.Metrics(),
-        ownership=ownership.Ownership(cfg.name, incarnation, wait),
+        ownership=ownership.Ownership(cfg.name, incarnation, strong, share),
     )
 
 
--- a/hibiscusslip/host/feeds.py
+++ b/hibiscusslip/host/feeds.py
@@ -73,6 +73,8 @@
             self.ctx.hosts.pop(name, None)
         else:
             self.ctx.hosts[name] = host
+        strengths = [known.strength for known in self.ctx.hosts.values()]
+        self.ctx.ownership.strongest = max(strengths, default=0.0)
 
 
 class OwnerFeed(tailing.Tail):
--- a/hibiscusslip/host/host.py
+++ b/hibiscusslip/host/host.py
@@ -166,6 +166,7 @@
             cfg.zone,
             cfg.front.ip,
             cfg.ports[0],
+            self._ctx.ownership.strength,
         )
         while True:
             known = self._ctx.hosts.get(cfg.name)
--- a/hibiscusslip/host/neighbours.py
+++ b/hibiscusslip/host/neighbours.py
@@ -68,12 +68,7 @@
     async def _served(self, names: list[str]) -> list[str]:
         """Return the hosts that say that the store serves them."""
         query = messages.StoreQuery()
-        replies = await self._ask_all(names, query, PROBE_TIMEOUT_S)
-        return [
-            name
-            for name, reply in replies.items()
-            if isinstance(reply, messages.Done)
-        ]
+        return _served(await self._ask_all(names, query, PROBE_TIMEOUT_S))
 
     async def _write_at(
         self, name: str, items: list[tuple[str, bytes]]
@@ -106,12 +101,15 @@
                 return True
         return False
 
-    async def unreachable(self) -> list[str]:
-        """Return the hosts that don't answer."""
+    async def roll_call(self) -> owner.RollCall:
+        """Ask all other hosts whether the store serves them."""
         names = [n for n in self._ctx.hosts if n != self._ctx.cfg.name]
-        query = messages.CellJobQuery('')
+        query = messages.StoreQuery()
         replies = await self._ask_all(names, query, ROLL_CALL_TIMEOUT_S)
-        return [name for name, reply in replies.items() if reply is None]
+        return owner.RollCall(
+            silent=[name for name, reply in replies.items() if reply is None],
+            served=_served(replies),
+        )
 
     async def _ask_all(
         self, names: list[str], message: messages.PeerMessage, timeout: float
@@ -171,3 +169,14 @@
             )
         )
         return names
+
+
+def _served(
+    replies: dict[str, messages.PeerMessage | None],
+) -> list[str]:
+    """Return the hosts that said that the store serves them."""
+    return [
+        name
+        for name, reply in replies.items()
+        if isinstance(reply, messages.Done)
+    ]
--- a/hibiscusslip/host/notices.py
+++ b/hibiscusslip/host/notices.py
@@ -10,13 +10,14 @@
 
 
 class HostRecord(msgspec.Struct, array_like=True):
-    """Hold where a host listens for other hosts."""
+    """Hold where a host listens for other hosts, and how strong it is."""
 
     name: str
     incarnation: str
     zone: str
     address: str
     port: int
+    strength: float = 0.0
 
 
 class QueueLoad(msgspec.Struct, array_like=True):
--- a/hibiscusslip/host/owner.py
+++ b/hibiscusslip/host/owner.py
@@ -104,6 +104,14 @@
         await self._owner.watch(name)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RollCall:
+    """Hold which hosts gave no answer, and which the store serves."""
+
+    silent: list[str]
+    served: list[str]
+
+
 class Successors(abc.ABC):
     """Reach the hosts that may own the cell next."""
 
@@ -112,8 +120,8 @@
         """Have another host write a release; tell whether one did."""
 
     @abc.abstractmethod
-    async def unreachable(self) -> list[str]:
-        """Return the hosts that don't answer."""
+    async def roll_call(self) -> RollCall:
+        """Ask all other hosts whether the store serves them."""
 
 
 class Owner:
@@ -173,7 +181,7 @@
             self._plan,
             self._forget,
             self._tell_load,
-            self._drop_dead_hosts,
+            self._call_roll,
         ):
             await self._tasks.spawn(guarding.guard, self.ctx, loop)
         for name in list(self.engine.endpoints):
@@ -349,16 +357,37 @@
             self.ctx.log.note('owner_released', epoch=self.epoch)
             self.ctx.ownership.lose()
 
-    async def _drop_dead_hosts(self) -> None:
-        """Take hosts off the list that didn't answer for a while."""
+    async def _call_roll(self) -> None:
+        """Drop hosts that are silent for long; make way for a stronger one."""
         missed: dict[str, int] = {}
         while True:
             await curio.sleep(ROLL_CALL_S)
-            silent = await self._successors.unreachable()
-            missed = {name: missed.get(name, 0) + 1 for name in silent}
+            called = await self._successors.roll_call()
+            missed = {name: missed.get(name, 0) + 1 for name in called.silent}
             dead = [n for n, times in missed.items() if times >= MOST_MISSED]
-            if dead and self.ctx.store_ok(context.steady()):
+            if not self.ctx.store_ok(context.steady()):
+                continue
+            if dead:
                 await self._drop_hosts(dead)
+            await self._yield_to_stronger(called.served)
+
+    async def _yield_to_stronger(self, served: list[str]) -> None:
+        """Hand over if a much stronger host is reached by the store.
+
+        A weak host may have claimed while all strong ones were away; under
+        full load it falls behind and tickets end before its starts are sent.
+        """
+        hosts = self.ctx.hosts
+        strengths = [hosts[n].strength for n in served if n in hosts]
+        strongest = max(strengths, default=0.0)
+        if self.ctx.ownership.should_yield(strongest):
+            self.ctx.log.note(
+                'owner_yields',
+                epoch=self.epoch,
+                strength=round(self.ctx.ownership.strength, 2),
+                strongest=round(strongest, 2),
+            )
+            await self.hand_over()
 
     async def _drop_hosts(self, names: list[str]) -> None:
         records = [store.keyed(name) for name in names]
--- a/hibiscusslip/host/ownership.py
+++ b/hibiscusslip/host/ownership.py
@@ -15,31 +15,41 @@
 SILENCE_S = 1.4
 RENEW_S = 10.0
 FRESH_READ_S = 0.9
-MOST_STAGGER_S = 0.5
+RETURN_S = 0.5  # in which a living owner beats again after an outage
+WEAK_WAIT_S = 0.7
+SPREAD_S = 0.15  # between claims of hosts of one strength
 AMPLE_LINK_MBPS = 40.0
+YIELD_SHARE = 0.5
 
 
 @dataclasses.dataclass(slots=True)
 class Ownership:
     """Hold what one host knows of the ownership.
 
-    `stagger` keeps hosts from claiming all at once, the strongest first.
+    `strength` is this host's, `strongest` the most that is known of any;
+    `share` from 0 to 1 tells hosts of one strength apart. `reading_since` is
+    when the topic could be read again after a gap.
     """
 
     name: str
     incarnation: str
-    stagger: float
+    strength: float = 1.0
+    share: float = 0.0
+    strongest: float = 0.0
     end: int = 0
     epoch: int = 0
     owner: notices.OwnerNotice | None = None
     heard: float | None = None
     read: float | None = None
+    reading_since: float = 0.0
     held: int = 0
     confirmed: float = 0.0
 
     def read_to(self, end: int, now: float) -> None:
         """Take note that the topic was read to its end."""
         self.end = max(self.end, end)
+        if self.read is None or now > self.read + FRESH_READ_S:
+            self.reading_since = now
         self.read = now
         if self.heard is None:
             self.heard = now
@@ -60,21 +70,36 @@
             return False
         if now > self.read + FRESH_READ_S:
             return False
-        patience = SILENCE_S
+        since = max(self.heard, self.reading_since)
+        if not self._is_vacant():
+            silent_by = self.heard + SILENCE_S
+            since = max(silent_by, self.reading_since + RETURN_S)
+        return now >= since + self.stagger
+
+    def _is_vacant(self) -> bool:
+        """Tell whether surely nobody owns the cell."""
         owner = self.owner
-        if owner is None and self.end == 0:
-            patience = 0.0
-        elif owner is not None and owner.kind == notices.RELEASE:
-            patience = 0.0
-        elif owner is not None and self._was_me(owner):
-            patience = 0.0  # the owner was this host's last incarnation
-        return now >= self.heard + patience + self.stagger
+        if owner is None:
+            return self.end == 0
+        return owner.kind == notices.RELEASE or self._was_me(owner)
 
     def _was_me(self, owner: notices.OwnerNotice) -> bool:
         return (
             owner.host == self.name and owner.incarnation != self.incarnation
         )
 
+    @property
+    def stagger(self) -> float:
+        """Return how long this host lets stronger ones claim first, in s."""
+        return stagger(self.strength, self.strongest, self.share)
+
+    def should_yield(self, others: float) -> bool:
+        """Tell whether a much stronger host should own instead.
+
+        `others` is the most strength of a host that could.
+        """
+        return bool(self.held) and self.strength < YIELD_SHARE * others
+
     def won(self, epoch: int, sent: float) -> None:
         """Take note that this host's claim was written."""
         self.held = epoch
@@ -103,11 +128,11 @@
     return cores * min(link_mbps / AMPLE_LINK_MBPS, 1.0)
 
 
-def stagger(strong: float, share: float) -> float:
+def stagger(strong: float, strongest: float, share: float) -> float:
     """Return how long a host waits before it claims, in seconds.
 
-    `strong` is its strength, `share` from 0 to 1 tells hosts of one
-    strength apart.
+    `strong` is its strength, `strongest` that of the strongest host, `share`
+    from 0 to 1 tells hosts of one strength apart.
     """
-    weak = 1.0 / (1.0 + max(strong, 0.0))
-    return MOST_STAGGER_S * (0.9 * weak + 0.1 * share)
+    weakness = 1.0 - min(strong / strongest, 1.0) if strongest > 0 else 0.0
+    return WEAK_WAIT_S * weakness + SPREAD_S * share
--- a/tests/host/fakes.py
+++ b/tests/host/fakes.py
@@ -89,7 +89,7 @@
         store=fake_store,
         log=FakeLog(),
         metrics=exposition.Metrics(),
-        ownership=ownership.Ownership(name, 'i1', 0.1),
+        ownership=ownership.Ownership(name, 'i1'),
     )
     ctx.store_answers(context.steady())
     return ctx
--- a/tests/host/test_ownership.py
+++ b/tests/host/test_ownership.py
@@ -9,7 +9,7 @@
 
 
 def fresh(now=0.0, end=10):
-    own = ownership.Ownership('me', 'i1', 0.1)
+    own = ownership.Ownership('me', 'i1', share=0.1 / ownership.SPREAD_S)
     own.read_to(end, now)
     return own
 
@@ -21,7 +21,7 @@
 
 
 def test_host_that_hasnt_read_the_topic_claims_nothing():
-    own = ownership.Ownership('me', 'i1', 0.1)
+    own = ownership.Ownership('me', 'i1')
     assert not own.may_claim(100.0)
 
 
@@ -39,6 +39,8 @@
     own = fresh()
     own.take(notice(), 1.0)
     early = 1.0 + ownership.SILENCE_S
+    for tenth in range(1, 24, 6):
+        own.read_to(11, tenth / 10)
     own.read_to(11, early)
     assert not own.may_claim(early)
     own.read_to(11, early + own.stagger)
@@ -93,10 +95,52 @@
 
 
 def test_strong_hosts_claim_first():
-    weak = ownership.stagger(0.5, 0.0)
-    strong = ownership.stagger(2.1, 1.0)
+    weak = ownership.stagger(0.5, 2.1, 0.0)
+    strong = ownership.stagger(2.1, 2.1, 1.0)
     assert strong < weak
-    assert ownership.stagger(0.0, 1.0) <= ownership.MOST_STAGGER_S
+    most = ownership.WEAK_WAIT_S + ownership.SPREAD_S
+    assert ownership.stagger(0.0, 2.1, 1.0) <= most
+
+
+def test_hosts_of_one_strength_are_told_apart_only():
+    assert ownership.stagger(0.5, 0.5, 1.0) == ownership.SPREAD_S
+    assert ownership.stagger(0.5, 0.0, 1.0) == ownership.SPREAD_S
+
+
+def test_weak_host_doesnt_claim_first_after_an_outage_of_the_store():
+    """The owner was cut off meanwhile; all hosts read again at one time.
+
+    The strong one reads again 0.4 s later than the weak one.
+    """
+    claims = {}
+    for name, strong, back in (('weak', 0.13, 10.0), ('strong', 2.1, 10.4)):
+        own = ownership.Ownership(name, 'i1', strong, 1.0, strongest=2.1)
+        own.read_to(10, 0.0)
+        own.take(notice(), 0.5)
+        now = back
+        while not own.may_claim(now):
+            own.read_to(11, now)
+            now += 0.05
+        claims[name] = now
+    assert claims['strong'] < claims['weak']
+
+
+def test_living_owner_may_beat_first_after_an_outage_of_the_store():
+    own = fresh()
+    own.take(notice(), 1.0)
+    own.read_to(11, 7.0)
+    assert not own.may_claim(7.0 + ownership.RETURN_S)
+    own.take(notice(), 7.4)
+    own.read_to(12, 7.9)
+    assert not own.may_claim(8.0)
+
+
+def test_much_weaker_owner_yields():
+    own = ownership.Ownership('me', 'i1', 0.5)
+    assert not own.should_yield(2.1)  # it owns nothing
+    own.won(3, 0.0)
+    assert own.should_yield(2.1)
+    assert not own.should_yield(0.9)
 
 
 def test_thin_link_counts_like_a_weak_processor():
@@ -104,4 +148,6 @@
     thin = ownership.strength(2.1, 5.0)
     assert ample == 1.0
     assert thin < 0.3
-    assert ownership.stagger(ample, 1.0) < ownership.stagger(thin, 0.0)
+    assert ownership.stagger(ample, ample, 1.0) < ownership.stagger(
+        thin, ample, 0.0
+    )
