Release alone only when surely alone; notice at once that the store is back

The owner's heartbeat of 33.79 fails, another host is already served and writes the owner's release at 34.7. The owner's loop then writes one more heartbeat, which hides the release: nobody claims until 36.25. All hosts note the store's return 0.6 s late, as their first read waits for a record.

Change: an owner has its release written after two heartbeats in which others were served and it wasn't; none follows a release, and readers pass over one that does; the first read after a failure waits for nothing.

--- a/hibiscusslip/host/neighbours.py
+++ b/hibiscusslip/host/neighbours.py
@@ -50,8 +50,7 @@
         sent to one that is cut off would leave the caller in doubt.
         """
         outcome = inbox.Outcome.REFUSED
-        serving = await self._served(self._relays()[:MOST_PROBED])
-        for name in serving[:MOST_RELAYS]:
+        for name in (await self.served())[:MOST_RELAYS]:
             told = await self._write_at(name, items)
             self._ctx.log.note(
                 'inbox_relayed',
@@ -65,8 +64,9 @@
                 outcome = told
         return outcome
 
-    async def _served(self, names: list[str]) -> list[str]:
-        """Return the hosts that say that the store serves them."""
+    async def served(self) -> list[str]:
+        """Return a few hosts that say that the store serves them."""
+        names = self._relays()[:MOST_PROBED]
         query = messages.StoreQuery()
         return _served(await self._ask_all(names, query, PROBE_TIMEOUT_S))
 
@@ -89,10 +89,10 @@
             return inbox.Outcome.ACCEPTED
         return inbox.Outcome.IN_DOUBT
 
-    async def release(self, notice: bytes) -> bool:
-        """Have another host write a release; tell whether one did."""
+    async def release(self, notice: bytes, hosts: list[str]) -> bool:
+        """Have one of some hosts write a release; tell whether one did."""
         message = messages.OwnerRelease(notice)
-        for name in self._relays()[:MOST_RELAYS]:
+        for name in hosts[:MOST_RELAYS]:
             try:
                 reply = await self._call(name, message, RELAY_TIMEOUT_S)
             except peer_exceptions.PeerError:
--- a/hibiscusslip/host/owner.py
+++ b/hibiscusslip/host/owner.py
@@ -35,6 +35,7 @@
 ROLL_CALL_S = 2.0
 MOST_MISSED = 4
 MOST_EARLY_CANCELS = 10_000
+TIMES_ALONE = 2
 
 
 class InboxFeed(tailing.Tail):
@@ -116,8 +117,12 @@
     """Reach the hosts that may own the cell next."""
 
     @abc.abstractmethod
-    async def release(self, notice: bytes) -> bool:
-        """Have another host write a release; tell whether one did."""
+    async def release(self, notice: bytes, hosts: list[str]) -> bool:
+        """Have one of some hosts write a release; tell whether one did."""
+
+    @abc.abstractmethod
+    async def served(self) -> list[str]:
+        """Return a few hosts that say that the store serves them."""
 
     @abc.abstractmethod
     async def roll_call(self) -> RollCall:
@@ -147,6 +152,7 @@
         self._tasks = curio.TaskGroup(wait=any)
         self._orphans: list[str] = []
         self._early_cancels: dict[str, bool] = {}
+        self._alone = 0
 
     async def run(self) -> None:
         """Own until the ownership is lost or the task is cancelled."""
@@ -331,29 +337,35 @@
                 await curio.spawn(watcher.start, start, daemon=True)
 
     async def _beat(self) -> None:
-        while True:
+        while self.ctx.ownership.held == self.epoch:
             sent = context.steady()
             try:
                 await self._notify(notices.BEAT)
                 self.ctx.ownership.confirm(sent)
                 self.ctx.store_answers(context.steady())
+                self._alone = 0
             except exceptions.PlatformError as exc:
                 self.ctx.store_fails(str(exc))
                 self.ctx.log.note('beat_failed', error=str(exc)[:120])
-                await self._release_elsewhere()
+                await self._release_if_alone()
             left = sent + ownership.BEAT_S - context.steady()
             await curio.sleep(max(left, 0.05))
 
-    async def _release_elsewhere(self) -> None:
+    async def _release_if_alone(self) -> None:
         """Have another host end this ownership if the store serves it.
 
         Nothing can be started without the store, so an owner that alone is
-        turned away is best followed at once.
+        turned away is best followed soon. Others may be served a moment
+        earlier when the store is back, so that is seen twice before.
         """
         if self.ctx.store_ok(context.steady()):
             return
+        served = await self._successors.served()
+        self._alone = self._alone + 1 if served else 0
+        if self._alone < TIMES_ALONE:
+            return
         notice = notices.encode(self._notice(notices.RELEASE))
-        if await self._successors.release(notice):
+        if await self._successors.release(notice, served):
             self.ctx.log.note('owner_released', epoch=self.epoch)
             self.ctx.ownership.lose()
 
--- a/hibiscusslip/host/ownership.py
+++ b/hibiscusslip/host/ownership.py
@@ -58,12 +58,20 @@
         """Take a notice in the order of the topic."""
         if notice.epoch < self.epoch:
             return  # of an owner that another one has followed
+        if notice.kind == notices.BEAT and self._is_released(notice.epoch):
+            return  # written at the same time as the release
         self.epoch = notice.epoch
         self.owner = notice
         self.heard = now
         if self.held and notice.epoch > self.held:
             self.held = 0
 
+    def _is_released(self, epoch: int) -> bool:
+        owner = self.owner
+        if owner is None or owner.epoch != epoch:
+            return False
+        return owner.kind == notices.RELEASE
+
     def may_claim(self, now: float) -> bool:
         """Tell whether this host should try to become the owner."""
         if self.held or self.read is None or self.heard is None:
--- a/hibiscusslip/host/tailing.py
+++ b/hibiscusslip/host/tailing.py
@@ -26,6 +26,7 @@
         self.part = 0
         self.offset: int | None = None
         self._pause = LEAST_PAUSE_S
+        self._failing = False
 
     @abc.abstractmethod
     async def load(self) -> int:
@@ -43,7 +44,10 @@
         """Follow the topic until cancelled."""
         while True:
             try:
-                await self.read_once(self.wait)
+                # The first answer after a failure tells that the store is
+                # back, so it must not wait for a record.
+                await self.read_once(0.0 if self._failing else self.wait)
+                self._failing = False
                 self._pause = LEAST_PAUSE_S
                 if self.pause:
                     await curio.sleep(self.pause)
@@ -53,6 +57,7 @@
                 )
                 self.offset = None
             except exceptions.PlatformError as exc:
+                self._failing = True
                 self.ctx.store_fails(str(exc))
                 self.ctx.metrics.count('tail_failures', topic=self.topic)
                 self.ctx.log.note(
--- a/tests/host/test_neighbours.py
+++ b/tests/host/test_neighbours.py
@@ -86,7 +86,7 @@
     for name in ('h2', 'h3'):
         ctx.hosts[name] = notices.HostRecord(name, 'i', 'z1', '10.0.0.1', 1)
     calls = neighbours.Neighbours(ctx, AnsweringLinks(willing))
-    return curio.run(calls.release, b'notice')
+    return curio.run(calls.release, b'notice', ['h2', 'h3'])
 
 
 def test_a_release_is_written_by_the_second_host_if_the_first_refuses():
--- a/tests/host/test_ownership.py
+++ b/tests/host/test_ownership.py
@@ -60,6 +60,15 @@
     assert own.may_claim(1.11)
 
 
+def test_heartbeat_written_beside_a_release_doesnt_hide_it():
+    own = fresh()
+    own.take(notice(notices.RELEASE), 1.0)
+    own.read_to(11, 1.0)
+    own.take(notice(notices.BEAT), 1.05)
+    own.read_to(12, 1.05)
+    assert own.may_claim(1.11)
+
+
 def test_own_last_incarnation_is_followed_at_once():
     own = fresh()
     own.take(notice(host='me', incarnation='i0'), 1.0)
--- /dev/null
+++ b/tests/host/test_tailing.py
@@ -0,0 +1,48 @@
+"""Check when a host notices that the store is back."""
+
+import curio
+
+from hibiscusslip.host import tailing
+from hibiscusslip.platform import exceptions
+from hibiscusslip.platform import store
+from tests.host import fakes
+
+
+class Store:
+    """Fail the first reads; keep for how long the others would wait."""
+
+    def __init__(self, failures):
+        self._failures = failures
+        self.waits = []
+
+    async def read(self, topic, start, wait, timeout, part):
+        if self._failures:
+            self._failures -= 1
+            raise exceptions.StoreUnavailable('503')
+        self.waits.append(wait)
+        await curio.sleep(0.01)
+        return store.Batch(start, [], 0, start)
+
+
+class Tail(tailing.Tail):
+    topic = 't'
+    wait = 0.6
+
+    async def load(self):
+        return 0
+
+    async def take(self, offset, record):
+        pass
+
+
+def test_first_read_after_a_failure_waits_for_no_record():
+    store = Store(failures=2)
+    ctx = fakes.make_context(store)
+
+    async def main():
+        async with curio.ignore_after(0.5):
+            await Tail(ctx).run()
+
+    curio.run(main)
+    assert store.waits[0] == 0.0
+    assert set(store.waits[1:]) == {0.6}
