Send callers of a cut-off zone elsewhere at once

Change: a host that is unready closes the connections of those it refuses; once the platform found it unready three times, and no other host answers it, it says Retry-After 0. While the store is away for all it stays 1 s, as tries are few. A host tells that it is unready after 0.75 s without the store instead of 1.1 s.

--- a/hibiscusslip/host/context.py
+++ b/hibiscusslip/host/context.py
@@ -19,7 +19,9 @@
 class Context:
     """Hold a host's settings, connections and beliefs.
 
-    `store_answered` is when the store last answered, on the steady clock.
+    `store_answered` is when the store last answered, on the steady clock;
+    `cut_off` tells that no host answered when it was last asked for, and
+    `found_unready` how often in a row the platform found this host unready.
     """
 
     cfg: settings.HostSettings
@@ -34,6 +36,8 @@
     )
     store_answered: float = 0.0
     store_failures: int = 0
+    cut_off: bool = False
+    found_unready: int = 0
     stopping: bool = False
 
     def store_answers(self, now: float) -> None:
@@ -49,6 +53,14 @@
         if self.store_failures == FAILURES_TO_AWAY:
             self.log.note('store_lost', reason=reason[:120])
 
+    def neighbours_answer(self, some: bool) -> None:
+        """Take note of whether any of the other hosts answered."""
+        if some and self.cut_off:
+            self.log.note('hosts_regained')
+        elif not some and not self.cut_off:
+            self.log.note('hosts_lost')
+        self.cut_off = not some
+
     def store_ok(self, now: float) -> bool:
         """Tell whether the store serves this host as far as is known."""
         return (
--- a/hibiscusslip/host/front.py
+++ b/hibiscusslip/host/front.py
@@ -7,6 +7,7 @@
 from hibiscusslip.dispatch import records
 from hibiscusslip.host import context
 from hibiscusslip.host import inbox
+from hibiscusslip.host import refusing
 from hibiscusslip.host import topics
 from hibiscusslip.http import messages
 from hibiscusslip.http import server
@@ -14,7 +15,7 @@
 from hibiscusslip.platform import exceptions
 
 ANSWER_RESERVE_S = 0.05
-RETRY_AFTER_S = 1
+READY_PATIENCE_S = 0.75  # shorter than for refusing: unready costs little
 IDENT = re.compile(r'[0-9a-f]{16}\Z')
 
 
@@ -48,7 +49,7 @@
         started = context.steady()
         config = self._ctx.config
         if config is None:
-            return callers.unavailable('no configuration yet', RETRY_AFTER_S)
+            return self._unavailable('no configuration yet')
         queue = config.find(callers.host_of(req), req.path)
         if queue is None:
             return callers.no_queue()
@@ -111,16 +112,14 @@
             queue=queue.name,
             bytes=len(req.body),
         )
-        return _written(outcome)
+        return self._written(outcome)
 
     async def _show(self, ident: str) -> messages.Response:
         try:
             found = await self._cell.state_of(ident)
         except OwnerUnknown as exc:
             self._note('state_unknown', ident, error=str(exc)[:120])
-            return callers.unavailable(
-                "the owner can't be asked", RETRY_AFTER_S
-            )
+            return self._unavailable("the owner can't be asked")
         if found is None:
             self._note('job_not_found', ident)
             return callers.gone()
@@ -130,21 +129,26 @@
         key = f'{topics.CANCEL_PREFIX}{ident}'
         outcome = await self._inbox.write([(key, b'1')], deadline)
         self._note(f'cancel_{outcome.value}', ident)
-        return _written(outcome)
+        return self._written(outcome)
+
+    def _written(self, outcome: inbox.Outcome) -> messages.Response:
+        """Return what a caller is told of a record that it handed in."""
+        if outcome is inbox.Outcome.ACCEPTED:
+            return callers.accepted()
+        if outcome is inbox.Outcome.REFUSED:
+            return self._unavailable('the store is away')
+        return callers.in_doubt()
+
+    def _unavailable(self, reason: str) -> messages.Response:
+        """Tell that nothing was done, and when and where to try again."""
+        ctx = self._ctx
+        told = refusing.advise(ctx.cut_off, ctx.found_unready)
+        return callers.unavailable(reason, told.retry_after, told.elsewhere)
 
     def _note(self, event: str, ident: str, **fields: object) -> None:
         self._ctx.log.note(event, job=ident, **fields)
 
 
-def _written(outcome: inbox.Outcome) -> messages.Response:
-    """Return what a caller is told of a record that it handed in."""
-    if outcome is inbox.Outcome.ACCEPTED:
-        return callers.accepted()
-    if outcome is inbox.Outcome.REFUSED:
-        return callers.unavailable('the store is away', RETRY_AFTER_S)
-    return callers.in_doubt()
-
-
 class Ready(server.Handler):
     """Tell the platform whether this host should get connections."""
 
@@ -154,11 +158,14 @@
     async def handle(self, req: messages.Request) -> messages.Response:
         """Return 200 while callers are served well here."""
         ctx = self._ctx
+        now = context.steady()
         ok = (
             not ctx.stopping
             and ctx.config is not None
-            and ctx.store_ok(context.steady())
+            and ctx.store_ok(now)
+            and now < ctx.store_answered + READY_PATIENCE_S
         )
+        ctx.found_unready = 0 if ok else ctx.found_unready + 1
         return callers.readiness(ok)
 
 
--- a/hibiscusslip/host/neighbours.py
+++ b/hibiscusslip/host/neighbours.py
@@ -68,7 +68,11 @@
         """Return a few hosts that say that the store serves them."""
         names = self._relays()[:MOST_PROBED]
         query = messages.StoreQuery()
-        return _served(await self._ask_all(names, query, PROBE_TIMEOUT_S))
+        replies = await self._ask_all(names, query, PROBE_TIMEOUT_S)
+        if names:
+            some = any(reply is not None for reply in replies.values())
+            self._ctx.neighbours_answer(some)
+        return _served(replies)
 
     async def _write_at(
         self, name: str, items: list[tuple[str, bytes]]
--- a/hibiscusslip/platform/callers.py
+++ b/hibiscusslip/platform/callers.py
@@ -46,9 +46,19 @@
     return _json(200, {'Pending': pending})
 
 
-def unavailable(reason: str, retry_after: int) -> messages.Response:
-    """Tell that nothing was done and when to come back, in seconds."""
-    return _problem(503, reason, retry_after)
+def unavailable(
+    reason: str, retry_after: int, elsewhere: bool = False
+) -> messages.Response:
+    """Tell that nothing was done and when to come back, in seconds.
+
+    `elsewhere` ends the connection, so that the next try may reach another
+    host.
+    """
+    response = _problem(503, reason, retry_after)
+    if not elsewhere:
+        return response
+    headers = {**response.headers, 'connection': 'close'}
+    return messages.Response(503, headers, response.body)
 
 
 def no_queue() -> messages.Response:
--- /dev/null
+++ b/tests/host/test_refusing.py
@@ -0,0 +1,91 @@
+"""Check what a refused caller is told, over the seconds of a cut zone."""
+
+import curio
+
+from hibiscusslip.dispatch import model
+from hibiscusslip.host import context
+from hibiscusslip.host import front
+from hibiscusslip.host import inbox
+from hibiscusslip.host import neighbours
+from hibiscusslip.host import notices
+from hibiscusslip.host import refusing
+from hibiscusslip.http import messages
+from hibiscusslip.peer import exceptions
+from tests.dispatch import support
+from tests.host import fakes
+
+JOB = '00000000000000a1'
+BODY = b'{"Spec":"x","Steps":[{"Count":1,"Cpu":500}]}'
+
+
+def test_caller_of_a_cut_off_zone_is_sent_elsewhere_once_that_helps():
+    told = [refusing.advise(True, times) for times in range(5)]
+    assert [advice.retry_after for advice in told] == [1, 1, 1, 0, 0]
+    assert not told[0].elsewhere
+    assert all(advice.elsewhere for advice in told[1:])
+
+
+def test_caller_doesnt_spend_its_tries_while_the_store_is_away_for_all():
+    told = [refusing.advise(False, times) for times in range(9)]
+    assert {advice.retry_after for advice in told} == {1}
+
+
+class Links:
+    """Lose all calls, or refuse them."""
+
+    def __init__(self, exc):
+        self._exc = exc
+
+    def set_address(self, host, address, port):
+        pass
+
+    def forget(self, host):
+        pass
+
+    async def call(self, host, body, timeout):
+        raise self._exc
+
+
+class NoOwner(front.Cell):
+    async def state_of(self, ident):
+        raise front.OwnerUnknown('no owner')
+
+
+def request(method, path, body=b''):
+    headers = {'host': 'a.example', 'x-deadline-ms': '3000'}
+    return messages.Request(method, path, {}, headers, body, '10.0.0.9:1')
+
+
+def refused(exc, found_unready):
+    """Return the answer to a job while the store is away."""
+    ctx = fakes.make_context(fakes.FakeStore())
+    ctx.config = model.Configuration(1, {'q': support.queue('q')}, {})
+    ctx.hosts['h2'] = notices.HostRecord('h2', 'i', 'z2', '10.0.0.1', 1)
+    for _ in range(context.FAILURES_TO_AWAY):
+        ctx.store_fails('test')
+    ready = front.Ready(ctx)
+    box = inbox.Inbox(ctx, neighbours.Neighbours(ctx, Links(exc)))
+    handler = front.Front(ctx, NoOwner(), box)
+
+    async def main():
+        task = await curio.spawn(box.run, daemon=True)
+        for _ in range(found_unready):
+            await ready.handle(request('GET', '/v1/ready'))
+        response = await handler.handle(request('POST', f'/q/{JOB}', BODY))
+        await task.cancel()
+        return response
+
+    return curio.run(main)
+
+
+def test_host_that_reaches_nobody_sends_its_callers_elsewhere_at_once():
+    response = refused(exceptions.PeerUnsettled('no answer'), 3)
+    assert response.status == 503
+    assert response.headers['retry-after'] == '0'
+    assert response.headers['connection'] == 'close'
+
+
+def test_host_whose_neighbours_have_no_store_either_says_when_to_come_back():
+    response = refused(exceptions.PeerRefused('refused', 'no store'), 3)
+    assert response.status == 503
+    assert response.headers['retry-after'] == '1'
