Read partitions side by side without ending the host when one breaks off

Its reads stand in one group; the one that fails cancels the others, and asking an earlier one for its result raises a cancellation, which no handler takes: the host ends with code 0, is started, claims as its own successor, and ends again, four times.

Change: a failed read is returned, not raised, within the group. A host that ends without being told to exits with 3 and says asked=false.

--- a/hibiscusslip/host/__main__.py
+++ b/hibiscusslip/host/__main__.py
@@ -19,6 +19,7 @@
 
 SECRET_VARIABLE = 'HIBISCUSSLIP_PEER_SECRET'
 EXIT_SETTINGS = 2
+EXIT_LOOP_ENDED = 3
 
 
 def main() -> int:
@@ -33,7 +34,7 @@
     logs.configure('WARNING', True, cfg.name)
     ctx = make_context(cfg)
     curio.run(host.Host(ctx, secret, path).run)
-    return 0
+    return 0 if ctx.stopping else EXIT_LOOP_ENDED
 
 
 def make_context(cfg: settings.HostSettings) -> context.Context:
--- a/hibiscusslip/host/host.py
+++ b/hibiscusslip/host/host.py
@@ -122,7 +122,7 @@
                 self._await_stop,
             ):
                 await group.spawn(guarding.guard, self._ctx, loop)
-        self._ctx.log.note('host_stopped')
+        self._ctx.log.note('host_stopped', asked=self._ctx.stopping)
         self._ctx.log.flush()
 
     async def _flush(self) -> None:
--- a/hibiscusslip/host/recovery.py
+++ b/hibiscusslip/host/recovery.py
@@ -85,13 +85,33 @@
 async def _newest(
     ctx: context.Context, topic: str, parts: int
 ) -> list[store.Newest]:
-    """Return the newest records of each partition, read side by side."""
+    """Return the newest records of each partition, read side by side.
+
+    Raises PlatformError if one of them can't be read.
+    """
     async with curio.TaskGroup() as group:
         reads = [
-            await group.spawn(ctx.store.newest, topic, READ_TIMEOUT_S, part)
+            await group.spawn(_try_newest, ctx, topic, part)
             for part in range(parts)
         ]
-    return [read.result for read in reads]
+    found = []
+    for read in reads:
+        if isinstance(read.result, exceptions.PlatformError):
+            raise read.result
+        found.append(read.result)
+    return found
+
+
+async def _try_newest(
+    ctx: context.Context, topic: str, part: int
+) -> store.Newest | exceptions.PlatformError:
+    """Return what was read, or the error: raised, it would cancel the
+    other reads of the group, and their cancellation end the host.
+    """
+    try:
+        return await ctx.store.newest(topic, READ_TIMEOUT_S, part)
+    except exceptions.PlatformError as exc:
+        return exc
 
 
 def _submit_all(
