A fault soak of real hosts, and its first finding: ends of an endpoint's new life

The soak (make soak, docs/operators/soak.md): hosts and a stand-in of the platform as processes, loopback proxies, four to nine seeded faults a trial, judged from the endpoints' ledger and the callers' answers.

Cause: ends are acknowledged up to the number that was handled when a record was encoded. An endpoint that restarts while that record is on its way numbers its ends anew; the old number acknowledged ends of the new life that the owner had never seen, so it took the run for lost. Any crash under a slow store can do it.

Change: the number goes with the life it belongs to. A test fails without it. Ruled out: the stand-in; it forgets ends only up to the cursor it is given.

--- a/Makefile
+++ b/Makefile
@@ -1,12 +1,15 @@
 PY := .venv/bin/python
 SEED ?= 1
+TRIALS ?= 1
+MINUTES ?= 0
+PLANT ?=
 # The tests wait more than they work, so they run side by side. The fuzz runs
 # apart: hypothesis draws constants from all loaded modules, so that what a
 # seed finds depends on which tests a process ran before.
 TEST_PROCESSES ?= 4
 
 .PHONY: setup test format format-check lint types demo bench bench-http policy
-.PHONY: integration replay slopes fuzz bytecode memory capacity
+.PHONY: integration replay slopes fuzz bytecode memory capacity soak
 
 setup: .venv/.ready
 
@@ -38,7 +41,7 @@
 
 lint: setup
 	.venv/bin/ruff check -q .
-	.venv/bin/flake8 hibiscusslip tests
+	.venv/bin/flake8 hibiscusslip tests soak
 
 types: setup
 	.venv/bin/mypy
@@ -70,6 +73,11 @@
 capacity: bytecode
 	$(PY) -m hibiscusslip.bench.slopes --write
 
+# Real hosts against a stand-in of the platform under seeded faults.
+soak: setup
+	$(PY) -m soak --seed $(SEED) --trials $(TRIALS) --minutes $(MINUTES) \
+		--plant "$(PLANT)"
+
 fuzz: setup
 	HIBISCUSSLIP_FUZZ_SEED=$(SEED) $(PY) -m pytest tests/fuzz
 
--- a/hibiscusslip/dispatch/engine.py
+++ b/hibiscusslip/dispatch/engine.py
@@ -307,15 +307,27 @@
         _pacing.pace(self, now)
         _planning.plan(self, now)
 
+    def handled(self) -> dict[str, state.Handled]:
+        """Return up to which of its ends each endpoint's were handled."""
+        return {
+            endpoint.name: state.Handled(endpoint.born, endpoint.handled)
+            for endpoint in self.endpoints.values()
+        }
+
     def committed(
-        self, written: dict[str, model.JobState], seen: dict[str, int]
+        self,
+        written: dict[str, model.JobState],
+        seen: dict[str, state.Handled],
     ) -> None:
-        """Take note that records of jobs, and ends, are on the store."""
+        """Take note that records of jobs, and ends, are on the store.
+
+        An endpoint that has restarted meanwhile numbers its ends anew.
+        """
         for ident, outcome in written.items():
             job = self.jobs.get(ident)
             if job is not None:
                 job.shown = outcome
-        for name, number in seen.items():
+        for name, up_to in seen.items():
             endpoint = self.endpoints.get(name)
-            if endpoint is not None:
-                endpoint.seen = max(endpoint.seen, number)
+            if endpoint is not None and endpoint.born == up_to.born:
+                endpoint.seen = max(endpoint.seen, up_to.number)
--- a/hibiscusslip/dispatch/state.py
+++ b/hibiscusslip/dispatch/state.py
@@ -136,6 +136,14 @@
     over_since: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Handled:
+    """Hold the number of the last end that was handled of one life."""
+
+    born: float
+    number: int
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class Endpoint:
     """Hold what is known of one endpoint and what is booked on it.
--- a/hibiscusslip/host/writer.py
+++ b/hibiscusslip/host/writer.py
@@ -99,7 +99,7 @@
     async def _write(self) -> None:
         engine = self._engine
         starts, engine.starts = engine.starts, []
-        seen = {e.name: e.handled for e in engine.endpoints.values()}
+        seen = engine.handled()
         written, batch = self._encode()
         drops, self._drops = self._drops, []
         batch += drops
--- /dev/null
+++ b/soak/cell.py
@@ -0,0 +1,178 @@
+"""Start and harm the processes of one trial; end only those."""
+
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import typing
+
+import curio
+
+from hibiscusslip.http import client
+from hibiscusslip.http import exceptions
+from soak import hosted
+from soak import layout
+from soak import proxy
+from tests.platform import cell as samples
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+SECRET = '0123456789abcdef0123456789abcdef'
+CONTROL_TIMEOUT_S = 5.0
+READY_TIMEOUT_S = 20.0
+GRACE_S = 6.0
+
+
+class Host:
+    """Hold one host's settings, its way to the store and its process."""
+
+    def __init__(self, name: str, ip: str, folder: pathlib.Path) -> None:
+        self.name = name
+        self.ip = ip
+        self.settings = folder / f'{name}.settings'
+        self.shift = folder / f'{name}.shift'
+        self.log = folder / f'{name}.log'
+        self.process: subprocess.Popen[bytes] | None = None
+        self.lives = 0
+        self.store: proxy.Proxy | None = None
+
+    def start(self, planted: str) -> None:
+        """Start the process, if it doesn't run."""
+        if self.process is not None and self.process.poll() is None:
+            return
+        self.lives += 1
+        env = {
+            'PATH': os.environ.get('PATH', ''),
+            'PYTHONPATH': str(ROOT),
+            'HIBISCUSSLIP_NODE_FILE': str(self.settings),
+            'HIBISCUSSLIP_PEER_SECRET': SECRET,
+            hosted.SHIFT_VARIABLE: str(self.shift),
+            hosted.PLANT_VARIABLE: planted,
+        }
+        with self.log.open('ab') as log:
+            self.process = subprocess.Popen(
+                [sys.executable, '-m', 'soak.hosted'],
+                cwd=ROOT,
+                env=env,
+                stdout=log,
+                stderr=log,
+            )
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to the process, if it runs."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+    async def ended(self, timeout: float) -> bool:
+        """Wait for the end of the process; tell whether it came."""
+        process = self.process
+        if process is None:
+            return True
+        async with curio.ignore_after(timeout):
+            while process.poll() is None:
+                await curio.sleep(0.02)
+        return process.poll() is not None
+
+
+class Cell:
+    """Hold a platform, hosts and the proxies between them."""
+
+    def __init__(self, seed: int, folder: pathlib.Path, planted: str) -> None:
+        self.planted = planted
+        self.ledger = folder / 'ledger'
+        self._seed = seed
+        self._folder = folder
+        self._platform: subprocess.Popen[bytes] | None = None
+        self._control: client.Pool | None = None
+        self.endpoints: dict[str, proxy.Proxy] = {}
+        pid = os.getpid()
+        self.hosts = {}
+        for number in range(layout.HOSTS):
+            name = f'h{number}'
+            ip = f'127.{128 + pid // 250 % 100}.{pid % 250}.{2 + number}'
+            self.hosts[name] = Host(name, ip, folder)
+
+    async def start(self) -> None:
+        """Start all processes and wait until hosts are ready."""
+        ports = self._start_platform()
+        self._control = client.Pool('127.0.0.1', ports['control'])
+        addresses = {}
+        for number in range(layout.ENDPOINTS):
+            name = f'e{number}'
+            self.endpoints[name] = proxy.Proxy(ports[name])
+            await self.endpoints[name].listen()
+            addresses[name] = f'127.0.0.1:{self.endpoints[name].port}'
+        await self.control('config', version=1, queues=['q1'])
+        await self.control('register', addresses=addresses)
+        for host in self.hosts.values():
+            host.store = proxy.Proxy(ports['store'])
+            await host.store.listen()
+            self._write_settings(host)
+            host.start(self.planted)
+        async with curio.timeout_after(READY_TIMEOUT_S):
+            for host in self.hosts.values():
+                while await self._ready(host) != 200:
+                    await curio.sleep(0.1)
+
+    def _start_platform(self) -> dict[str, int]:
+        self._platform = subprocess.Popen(
+            [
+                sys.executable,
+                '-m',
+                'soak.platform',
+                str(self._seed),
+                str(self.ledger),
+            ],
+            cwd=ROOT,
+            stdout=subprocess.PIPE,
+            stderr=(self._folder / 'platform.log').open('ab'),
+        )
+        assert self._platform.stdout is not None
+        ports: dict[str, int] = json.loads(self._platform.stdout.readline())
+        return ports
+
+    def _write_settings(self, host: Host) -> None:
+        assert host.store is not None
+        host.shift.write_text('0')
+        text = samples.NODE_FILE.format(
+            name=host.name,
+            ip=host.ip,
+            store=f'127.0.0.1:{host.store.port}',
+        )
+        host.settings.write_text(text)
+
+    async def _ready(self, host: Host) -> int:
+        pool = client.Pool(host.ip, 18141, max_connections=1)
+        try:
+            response = await pool.call('GET', '/v1/ready', timeout=1.0)
+            return response.status
+        except exceptions.HttpError:
+            return 0
+        finally:
+            await pool.close()
+
+    async def control(self, op: str, **fields: typing.Any) -> typing.Any:
+        """Have the platform do something; return what it tells."""
+        assert self._control is not None
+        response = await self._control.call(
+            'POST',
+            '/',
+            body=json.dumps({'op': op, **fields}).encode(),
+            timeout=CONTROL_TIMEOUT_S,
+        )
+        return json.loads(response.content)
+
+    async def close(self) -> None:
+        """End all processes."""
+        for host in self.hosts.values():
+            host.send(signal.SIGCONT)
+            host.send(signal.SIGKILL)
+        if self._platform is not None:
+            self._platform.kill()
+            self._platform.wait()
+        for host in self.hosts.values():
+            with contextlib.suppress(subprocess.TimeoutExpired):
+                if host.process is not None:
+                    host.process.wait(GRACE_S)
--- a/tests/dispatch/support.py
+++ b/tests/dispatch/support.py
@@ -75,8 +75,7 @@
         starts, engine.starts = engine.starts, []
         written = {i: engine.jobs[i].state for i in engine.dirty}
         engine.dirty = set()
-        seen = {e.name: e.handled for e in engine.endpoints.values()}
-        engine.committed(written, seen)
+        engine.committed(written, engine.handled())
         return starts
 
     def stops(self):
--- a/tests/dispatch/test_doubt.py
+++ b/tests/dispatch/test_doubt.py
@@ -85,6 +85,22 @@
     assert [s.run for s in bench.plan()] == [2]
 
 
+def test_record_of_a_life_before_acknowledges_no_end_of_the_next():
+    """A record is on its way to the store while the endpoint restarts.
+
+    Its ends are numbered anew: to acknowledge up to the old number would
+    have it forget ends that were never seen.
+    """
+    bench = support.Bench()
+    start = placed(bench)
+    bench.confirm([start])
+    bench.end(start, 'failed')
+    on_its_way = bench.engine.handled()
+    bench.look('e1', born=2.0)
+    bench.engine.committed({}, on_its_way)
+    assert bench.engine.endpoints['e1'].seen == 0
+
+
 def test_order_on_its_way_to_a_restarted_endpoint_is_waited_for():
     bench = support.Bench()
     start = placed(bench)  # never answered: it may come 12 s later
