Place the tasks of a job in one zone as far as it has room

Change: zones with room for the whole step go first, of those the one where the job ran, then one that differs from job to job; tasks that last are spread as before.

--- a/hibiscusslip/dispatch/_planning.py
+++ b/hibiscusslip/dispatch/_planning.py
@@ -175,6 +175,7 @@
     task.endpoint = endpoint.name
     task.started = 0.0
     step.job.begun = True
+    step.job.zone = endpoint.entry.zone
     if step.job.service in current.spare:
         current.spare[step.job.service] -= step.spec.booked.cpu
     booking = state.Booking(
--- a/hibiscusslip/dispatch/placement.py
+++ b/hibiscusslip/dispatch/placement.py
@@ -1,7 +1,15 @@
-"""Choose endpoints for the tasks of one step."""
+"""Choose endpoints for the tasks of one step.
+
+The pattern it answers: a zone is cut off for seconds while small jobs of many
+tasks come and go. A job waits for the last of its tasks, so one with a task in
+each zone waits whichever zone is cut. Tasks of a job go to one zone as far as
+it has room; which one differs from job to job. Tasks that last are spread, as
+each counts for itself.
+"""
 
 import dataclasses
 import heapq
+import zlib
 
 from hibiscusslip.dispatch import _doubting
 from hibiscusslip.dispatch import model
@@ -153,17 +161,59 @@
         """Tell whether one more task may be placed here."""
         return self.left > 0 and super().fits(demand)
 
+    def most(self, demand: model.Demand) -> int:
+        """Return how many tasks may be placed here."""
+        most = self.left
+        if demand.cpu:
+            most = min(most, self.cpu // demand.cpu)
+        if demand.memory:
+            most = min(most, self.memory // demand.memory)
+        if demand.accelerators:
+            most = min(most, self.accelerators // demand.accelerators)
+        return most
+
+
+def _zone_order(
+    step: state.StepState, slots: list[_Slot], needed: int
+) -> dict[str, int]:
+    """Return the place of each zone for a step, the first one 0.
+
+    Zones with room for all its tasks go first, of those the one where the
+    job has run; then the ones with the most room.
+    """
+    demand = step.spec.booked
+    room: dict[str, int] = {}
+    for slot in slots:
+        zone = slot.room.entry.zone
+        room[zone] = room.get(zone, 0) + slot.most(demand)
+    job = step.job
+
+    def place(zone: str) -> tuple[bool, bool, int]:
+        if room[zone] < needed:
+            return True, zone != job.zone, -room[zone]
+        return False, zone != job.zone, _luck(job.ident, zone)
+
+    return {zone: rank for rank, zone in enumerate(sorted(room, key=place))}
+
+
+def _luck(ident: str, zone: str) -> int:
+    """Return a number that is always the same for a job and a zone."""
+    return zlib.crc32(f'{ident}/{zone}'.encode())
+
 
 def _one_by_one(
     step: state.StepState, tasks: list[state.Task], rooms: list[Room]
 ) -> list[Choice]:
     demand = step.spec.booked
-    slots = [_Slot(step, room) for room in rooms if room.fits(demand)]
-    heap = [
-        (_cost(step, slot, demand), slot.room.number, slot)
-        for slot in slots
-        if slot.left > 0
-    ]
+    found = [_Slot(step, room) for room in rooms if room.fits(demand)]
+    slots = [slot for slot in found if slot.left > 0]
+    zones = {} if step.spec.lasts else _zone_order(step, slots, len(tasks))
+
+    def cost(slot: _Slot) -> tuple[float, ...]:
+        zone = zones.get(slot.room.entry.zone, 0)
+        return _cost(step, slot, demand, zone)
+
+    heap = [(cost(slot), slot.room.number, slot) for slot in slots]
     heapq.heapify(heap)
     choices: list[Choice] = []
     while heap and len(choices) < len(tasks):
@@ -171,7 +221,7 @@
         slot.take(demand)
         choices.append(Choice(tasks[len(choices)], slot.room))
         if slot.fits(demand):
-            heapq.heappush(heap, (_cost(step, slot, demand), number, slot))
+            heapq.heappush(heap, (cost(slot), number, slot))
     return choices
 
 
@@ -196,15 +246,16 @@
 
 
 def _cost(
-    step: state.StepState, slot: _Slot, demand: model.Demand
+    step: state.StepState, slot: _Slot, demand: model.Demand, zone: int
 ) -> tuple[float, ...]:
     room = slot.room
     far = bool(step.spec.rack) and step.spec.rack != room.entry.rack
     if step.spec.fills:
-        return (far, room.slow, _serving(room.endpoint), -slot.cpu)
+        return (far, room.slow, zone, _serving(room.endpoint), -slot.cpu)
     noise = _filling(room.endpoint) if step.spec.tail_target else 0
     return (
         far or room.slow,
+        zone,
         noise,
         slot.accelerators - demand.accelerators,
         slot.cpu - demand.cpu,
--- a/hibiscusslip/dispatch/state.py
+++ b/hibiscusslip/dispatch/state.py
@@ -92,7 +92,10 @@
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Job:
-    """Hold one accepted job; `shown` is the state that is on the store."""
+    """Hold one accepted job; `shown` is the state that is on the store.
+
+    `zone` is where its last task was started.
+    """
 
     ident: str
     queue: str
@@ -106,6 +109,7 @@
     )
     final_at: float = 0.0
     begun: bool = False
+    zone: str = ''
 
     def steps(self) -> list[StepState]:
         """Return the steps of all occurrences that are due."""
--- a/soak/hosted.py
+++ b/soak/hosted.py
@@ -14,8 +14,8 @@
 from hibiscusslip.dispatch import _planning
 from hibiscusslip.dispatch import state
 from hibiscusslip.host import __main__ as starter
-from hibiscusslip.host import owner
-from hibiscusslip.host import recovery
+from hibiscusslip.host import front
+from hibiscusslip.host import host
 from hibiscusslip.host import watching
 
 SHIFT_VARIABLE = 'SOAK_CLOCK_SHIFT_FILE'
@@ -52,13 +52,16 @@
 
 
 def stale_gone() -> None:
-    """Say that a job doesn't exist without reading to the end."""
+    """Say that a job doesn't exist if the owner can't be asked."""
+    ask = host.Host.state_of
 
     async def stale(self: typing.Any, ident: str):
-        job = self.engine.jobs.get(ident)
-        return recovery.shown_state(job) if job else None
+        try:
+            return await ask(self, ident)
+        except front.OwnerUnknown:
+            return None
 
-    owner.Owner.state_of = stale  # type: ignore
+    host.Host.state_of = stale  # type: ignore
 
 
 def run_number_forgotten() -> None:
