Place the tasks of a job on few endpoints

Cause: best fit takes the fullest endpoints first, each of which has room for one or two more tasks, so a job of ten tasks stands on most of ten endpoints.

Change: endpoints that take the most of a step's tasks go first, among equal ones the fullest; not for tasks that last, fill or need accelerators. A test fails without it.

--- a/hibiscusslip/dispatch/placement.py
+++ b/hibiscusslip/dispatch/placement.py
@@ -1,10 +1,13 @@
 """Choose endpoints for the tasks of one step.
 
-The pattern it answers: a zone is cut off for seconds while small jobs of many
-tasks come and go. A job waits for the last of its tasks, so one with a task in
-each zone waits whichever zone is cut. Tasks of a job go to one zone as far as
-it has room; which one differs from job to job. Tasks that last are spread, as
-each counts for itself.
+The pattern it answers: a zone is cut off for seconds, or a few endpoints turn
+slow or fail what they run, while small jobs of many tasks come and go. A job
+waits for the last of its tasks, so one with a task in each zone waits
+whichever zone is cut, and one with tasks on ten endpoints waits if any of them
+is bad. Tasks of a job go to one zone as far as it has room, which differs from
+job to job, and there to few endpoints. Tasks that last are placed one by one,
+as each counts for itself, and those that need accelerators by best fit, as
+larger ones need whole endpoints.
 """
 
 import dataclasses
@@ -208,6 +211,8 @@
     found = [_Slot(step, room) for room in rooms if room.fits(demand)]
     slots = [slot for slot in found if slot.left > 0]
     zones = {} if step.spec.lasts else _zone_order(step, slots, len(tasks))
+    if _is_compact(step):
+        return _on_few(step, tasks, slots, zones)
 
     def cost(slot: _Slot) -> tuple[float, ...]:
         zone = zones.get(slot.room.entry.zone, 0)
@@ -225,6 +230,37 @@
     return choices
 
 
+def _is_compact(step: state.StepState) -> bool:
+    """Tell whether the tasks of a step go to as few endpoints as possible."""
+    spec = step.spec
+    return not (spec.lasts or spec.fills or spec.booked.accelerators)
+
+
+def _on_few(
+    step: state.StepState,
+    tasks: list[state.Task],
+    slots: list[_Slot],
+    zones: dict[str, int],
+) -> list[Choice]:
+    """Fill the endpoints that take the most of the tasks, one by one."""
+    demand = step.spec.booked
+    needed = len(tasks)
+
+    def cost(slot: _Slot) -> tuple[float, ...]:
+        room = slot.room
+        far = bool(step.spec.rack) and step.spec.rack != room.entry.rack
+        takes = min(slot.most(demand), needed)
+        zone = zones[room.entry.zone]
+        return far or room.slow, zone, -takes, slot.cpu, room.number
+
+    choices: list[Choice] = []
+    for slot in sorted(slots, key=cost):
+        while len(choices) < needed and slot.fits(demand):
+            slot.take(demand)
+            choices.append(Choice(tasks[len(choices)], slot.room))
+    return choices
+
+
 def _all_or_none(
     step: state.StepState, tasks: list[state.Task], rooms: list[Room]
 ) -> list[Choice]:
--- a/tests/dispatch/test_zones.py
+++ b/tests/dispatch/test_zones.py
@@ -1,4 +1,4 @@
-"""Check how many jobs a zone that is cut off harms.
+"""Check how many jobs a zone that is cut off, or a bad endpoint, harms.
 
 The pattern: three zones of endpoints, three quarters full; jobs of ten small
 tasks come, and tasks end here and there; then a zone is cut off.
@@ -42,6 +42,29 @@
     assert harmed / JOBS <= 1 / len(ZONES) + 0.15
 
 
+def endpoints_of_jobs(rng):
+    """Return on how many endpoints each of many jobs was placed."""
+    bench = support.Bench()
+    cell(bench)
+    running = []
+    counts = []
+    for number in range(JOBS):
+        bench.submit(f'j{number}', support.step(4, cpu=6000, memory=1))
+        starts = bench.plan()
+        bench.confirm(starts)
+        counts.append(len({start.endpoint for start in starts}))
+        running += starts
+        while len(running) > ROOM * 3 // 4 - 4:
+            bench.end(running.pop(rng.randrange(len(running))))
+    return counts
+
+
+def test_bad_endpoint_harms_few_jobs():
+    """Jobs of four tasks are on two endpoints at most, on average."""
+    counts = endpoints_of_jobs(random.Random(1))
+    assert sum(counts) / len(counts) <= 2.0
+
+
 def test_job_that_fits_into_no_zone_uses_several():
     bench = support.Bench()
     cell(bench)
