--- a/hibiscusslip/bench/dispatching.py
+++ b/hibiscusslip/bench/dispatching.py
@@ -312,9 +312,8 @@
                 if _luck(f'{ask.step.name}/{name}') < kind.eligible
             }
             valid = kind.advice.valid if kind.advice else 0.0
-            self._engine.advised(
-                ask, tickets, valid + ask.cost, sent, self._now
-            )
+            until = sent + valid + ask.cost
+            self._engine.advised(ask, tickets, until, self._now)
 
     def _finish(self) -> None:
         while self._ends and self._ends[0][0] <= self._now:
--- a/hibiscusslip/dispatch/engine.py
+++ b/hibiscusslip/dispatch/engine.py
@@ -275,11 +275,10 @@
         self,
         ask: commands.Ask,
         tickets: dict[str, str] | None,
-        valid: float,
-        asked_at: float,
+        until: float,
         now: float,
     ) -> None:
-        """Take the answer of the advice service, None for none."""
+        """Take the tickets that hold `until` then; None for no answer."""
         step = ask.step
         step.asking = False
         asking.answered(self, ask.cost)
@@ -288,14 +287,7 @@
             return
         step.asked.update(ask.endpoints)
         step.tickets = tickets
-        step.tickets_until = asked_at + valid
-        self.note(
-            'advised',
-            step=step.name,
-            asked=len(ask.endpoints),
-            eligible=len(tickets),
-            took_ms=int((now - asked_at) * 1000),
-        )
+        step.tickets_until = until
 
     # Time.
 
--- a/hibiscusslip/host/owner.py
+++ b/hibiscusslip/host/owner.py
@@ -320,10 +320,17 @@
         now = context.steady()
         self.ctx.metrics.time('advice', now - asked_at)
         if told is None:
-            self.engine.advised(ask, None, 0.0, asked_at, now)
+            self.engine.advised(ask, None, 0.0, now)
         else:
             tickets, valid, since = told
-            self.engine.advised(ask, tickets, valid, since, now)
+            self.engine.advised(ask, tickets, since + valid, now)
+            self.ctx.log.note(
+                'advised',
+                step=ask.step.name,
+                asked=len(ask.endpoints),
+                eligible=len(tickets),
+                took_ms=int((now - asked_at) * 1000),
+            )
         await self.changed.set()
 
     async def _release(self, starts: list[commands.Start]) -> None:
--- a/tests/dispatch/test_waiting.py
+++ b/tests/dispatch/test_waiting.py
@@ -98,7 +98,7 @@
     (ask,) = bench.engine.asks
     bench.engine.asks = []
     given = {name: f't-{name}' for name in names}
-    bench.engine.advised(ask, given, valid, bench.now, bench.now)
+    bench.engine.advised(ask, given, bench.now + valid, bench.now)
     return ask
 
 
@@ -202,7 +202,7 @@
     (ask,) = bench.engine.asks
     bench.engine.asks = []
     tickets = dict.fromkeys(ask.endpoints, 't')
-    bench.engine.advised(ask, tickets, 2.0, bench.now, bench.now)
+    bench.engine.advised(ask, tickets, bench.now + 2.0, bench.now)
     assert len(bench.plan()) == full
     free = {f'free{number}' for number in range(20)}
     for name in free:
