Ask a silent endpoint for an answer at once

Cause: a look at a busy endpoint waits up to 0.6 s at the endpoint for an end, also once it is silent, so a try on a healed link, or one that began just before it healed, ends up to 0.85 s later.

Change: a silent endpoint is asked without a wait, so a try ends after 0.25 s. A test fails without it.

--- a/hibiscusslip/host/watching.py
+++ b/hibiscusslip/host/watching.py
@@ -75,7 +75,9 @@
 
     async def _look(self, endpoint: state.Endpoint, sent: float) -> None:
         busy = bool(endpoint.bookings)
-        wait = HOLD_WAIT_S if busy and endpoint.looked else 0.0
+        # One that was silent answers at once, so that its return is noticed.
+        awaited = busy and endpoint.looked and endpoint.answering
+        wait = HOLD_WAIT_S if awaited else 0.0
         handled = endpoint.handled
         look = await self._orders.hold(
             self._deadline(endpoint, sent),
--- /dev/null
+++ b/tests/host/test_watching.py
@@ -0,0 +1,50 @@
+"""Check how an endpoint is looked at once it doesn't answer."""
+
+import curio
+
+from hibiscusslip.dispatch import engine as engines
+from hibiscusslip.dispatch import model
+from hibiscusslip.host import context
+from hibiscusslip.host import signals
+from hibiscusslip.host import watching
+from hibiscusslip.platform import exceptions
+from tests.dispatch import support
+from tests.host import fakes
+
+
+class Orders:
+    """Answer the first look; keep how long each of them waits."""
+
+    def __init__(self):
+        self.waits = []
+
+    async def hold(self, deadline, fence, seen, wait, timeout):
+        self.waits.append(wait)
+        if len(self.waits) == 1:
+            running = model.RunningRun('j.0.0.0', 1, '', 50, 0.0)
+            return model.Look(1.0, 5.0, (running,), ())
+        await curio.sleep(0.01)
+        raise exceptions.OrderUnsettled('no answer')
+
+    async def close(self):
+        pass
+
+
+def test_silent_endpoint_is_asked_for_an_answer_at_once():
+    """A zone that heals is noticed by the next look, not a wait later."""
+    ctx = fakes.make_context(fakes.FakeStore())
+    engine = engines.Engine(5.9)
+    engine.list_endpoint(support.entry('e1'), context.steady())
+    wake = signals.Wake()
+    watcher = watching.Watcher(ctx, engine, 'e1', 'h:1', 1, wake, wake)
+    orders = Orders()
+    watcher._orders = orders
+
+    async def main():
+        async with curio.ignore_after(0.5):
+            await watcher.run()
+
+    curio.run(main)
+    failures = watching.FAILURES_TO_SILENCE
+    assert set(orders.waits[1 : 1 + failures]) == {watching.HOLD_WAIT_S}
+    assert set(orders.waits[1 + failures :]) == {0.0}
