Write whole log lines only

A flush wrote what the pipe took, often half a line; the reader of several hosts' output joins what it reads at one time, so lines were torn by those of other hosts and could not be parsed.

Change: writes of up to 4,096 bytes that end with a line, which a pipe takes as a whole or not at all. A test with a full pipe fails without it.

--- a/hibiscusslip/observe/events.py
+++ b/hibiscusslip/observe/events.py
@@ -7,6 +7,7 @@
 import msgspec
 
 MAX_BUFFER_BYTES = 512 * 1024
+WHOLE_WRITE_BYTES = 4096  # a pipe takes so much as a whole or not at all
 WINDOW_S = 1.0
 LINES_PER_WINDOW = 1000
 ROUTINE_LINES_PER_WINDOW = 500
@@ -47,17 +48,27 @@
         self._add(event, fields)
 
     def flush(self) -> None:
-        """Write as much as the reader takes at once."""
-        if not self._buffer:
-            return
-        try:
-            written = os.write(self._descriptor, self._buffer)
-        except (BlockingIOError, InterruptedError):
-            return
-        except OSError:
-            self._buffer.clear()  # nobody reads any more
-            return
-        del self._buffer[:written]
+        """Write as many whole lines as the reader takes at once.
+
+        Readers that gather the output of several processes join what they
+        read, so a line in two parts would be torn by those of others.
+        """
+        while self._buffer:
+            try:
+                written = os.write(self._descriptor, self._next_lines())
+            except (BlockingIOError, InterruptedError):
+                return
+            except OSError:
+                self._buffer.clear()  # nobody reads any more
+                return
+            del self._buffer[:written]
+
+    def _next_lines(self) -> bytearray:
+        """Return the first lines that a pipe takes as a whole."""
+        end = self._buffer.rfind(b'\n', 0, WHOLE_WRITE_BYTES)
+        if end < 0:
+            end = self._buffer.index(b'\n')  # one long line
+        return self._buffer[: end + 1]
 
     def _roll(self, now: float) -> None:
         self._window = now
--- a/tests/observe/test_events.py
+++ b/tests/observe/test_events.py
@@ -70,3 +70,19 @@
     for number in range(exposition.MAX_SERIES + 100):
         metrics.count('x', label=str(number))
     assert metrics.render().count(b'\n') <= exposition.MAX_SERIES + 2
+
+
+def test_only_whole_lines_are_written_when_the_reader_lags():
+    """Readers of several processes join what they read at one time."""
+    reading, writing = os.pipe()
+    log = events.open_log('h', writing)
+    for number in range(2000):
+        log.note('run_lost', task=f'{number:0100}')
+    log.flush()
+    first = os.read(reading, 1_000_000)
+    assert 0 < len(first) < 2000 * 100
+    assert first.endswith(b'\n')
+    log.flush()
+    assert os.read(reading, 1_000_000).startswith(b'{"at"')
+    os.close(reading)
+    os.close(writing)
