Divide the owner's module: heartbeats and roll calls, feeds

Holder keeps the ownership (heartbeats, roll call, release), cell_feeds follows inbox and endpoints.

--- /dev/null
+++ b/hibiscusslip/host/cell_feeds.py
@@ -0,0 +1,80 @@
+"""Feed an owner with accepted jobs and with endpoints' reports."""
+
+import typing
+
+from hibiscusslip.host import context
+from hibiscusslip.host import recovery
+from hibiscusslip.host import tailing
+from hibiscusslip.host import topics
+from hibiscusslip.platform import documents
+from hibiscusslip.platform import store
+
+if typing.TYPE_CHECKING:
+    from hibiscusslip.host import owner as owners
+
+
+class InboxFeed(tailing.Tail):
+    """Follow accepted jobs and cancels."""
+
+    topic = topics.INBOX
+    wait = 1.0
+
+    def __init__(self, owner: 'owners.Owner', part: int, offset: int) -> None:
+        super().__init__(owner.ctx)
+        self._owner = owner
+        self.part = part
+        self.offset = offset
+
+    async def load(self) -> int:
+        """Read all again, after the history was dropped."""
+        newest = await self.ctx.store.newest(
+            self.topic, recovery.READ_TIMEOUT_S, self.part
+        )
+        for key, value in newest.values.items():
+            self._owner.take_inbox(key, value)
+        return newest.end
+
+    async def take(self, offset: int, record: bytes) -> None:
+        """Take one record."""
+        key, value = store.split_keyed(record)
+        self._owner.take_inbox(key, value)
+        await self._owner.changed.set()
+
+
+class EndpointFeed(tailing.Tail):
+    """Follow what endpoints say of themselves."""
+
+    topic = store.WORKERS_TOPIC
+    wait = 0.0
+    pause = 0.25
+
+    def __init__(self, owner: 'owners.Owner', offset: int) -> None:
+        super().__init__(owner.ctx)
+        self._owner = owner
+        self.offset = offset
+
+    async def load(self) -> int:
+        """Read the newest report of each endpoint."""
+        newest = await self.ctx.store.newest(
+            self.topic, recovery.READ_TIMEOUT_S
+        )
+        for name in list(self._owner.engine.endpoints):
+            if not newest.values.get(name):
+                self._owner.engine.unlist_endpoint(name, context.steady())
+        for name, value in newest.values.items():
+            await self._take(name, value)
+        return newest.end
+
+    async def take(self, offset: int, record: bytes) -> None:
+        """Take one report, or its removal."""
+        await self._take(*store.split_keyed(record))
+
+    async def _take(self, name: str, value: bytes) -> None:
+        now = context.steady()
+        engine = self._owner.engine
+        entry = documents.read_entry(name, value) if value else None
+        if entry is None:
+            engine.unlist_endpoint(name, now)
+            return
+        engine.list_endpoint(entry, now)
+        await self._owner.watch(name)
--- a/hibiscusslip/host/neighbours.py
+++ b/hibiscusslip/host/neighbours.py
@@ -7,9 +7,9 @@
 from hibiscusslip.dispatch import model
 from hibiscusslip.host import context
 from hibiscusslip.host import front
+from hibiscusslip.host import holding
 from hibiscusslip.host import inbox
 from hibiscusslip.host import notices
-from hibiscusslip.host import owner
 from hibiscusslip.peer import exceptions as peer_exceptions
 from hibiscusslip.peer import links
 from hibiscusslip.peer import messages
@@ -22,7 +22,7 @@
 ROLL_CALL_TIMEOUT_S = 0.3
 
 
-class Neighbours(inbox.Relay, owner.Successors):
+class Neighbours(inbox.Relay, holding.Successors):
     """Call the other hosts of the cell."""
 
     def __init__(self, ctx: context.Context, peers: links.PeerLinks) -> None:
@@ -105,12 +105,12 @@
                 return True
         return False
 
-    async def roll_call(self) -> owner.RollCall:
+    async def roll_call(self) -> holding.RollCall:
         """Ask all other hosts whether the store serves them."""
         names = [n for n in self._ctx.hosts if n != self._ctx.cfg.name]
         query = messages.StoreQuery()
         replies = await self._ask_all(names, query, ROLL_CALL_TIMEOUT_S)
-        return owner.RollCall(
+        return holding.RollCall(
             silent=[name for name, reply in replies.items() if reply is None],
             served=_served(replies),
         )
--- a/hibiscusslip/host/owner.py
+++ b/hibiscusslip/host/owner.py
@@ -1,6 +1,5 @@
 """Own the cell: take jobs, place them and see them through."""
 
-import abc
 import dataclasses
 
 import curio
@@ -10,124 +9,28 @@
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import summary
 from hibiscusslip.host import advising
+from hibiscusslip.host import cell_feeds
 from hibiscusslip.host import context
 from hibiscusslip.host import guarding
+from hibiscusslip.host import holding
 from hibiscusslip.host import notices
-from hibiscusslip.host import ownership
 from hibiscusslip.host import recovery
 from hibiscusslip.host import signals
-from hibiscusslip.host import tailing
 from hibiscusslip.host import topics
 from hibiscusslip.host import watching
 from hibiscusslip.host import writer
-from hibiscusslip.platform import documents
 from hibiscusslip.platform import exceptions
 from hibiscusslip.platform import store
 
 LEASE_S = 5.9
 PLAN_IDLE_S = 0.1
 PLAN_GAP_S = 0.01
-BEAT_TIMEOUT_S = 1.2
+DROP_TIMEOUT_S = 1.2
 RECOVERY_PAUSE_S = 0.1
 FORGET_PERIOD_S = 5.0
 LOAD_PERIOD_S = 1.0
 STOP_FLUSH_S = 0.5
-ROLL_CALL_S = 2.0
-MOST_MISSED = 4
 MOST_EARLY_CANCELS = 10_000
-TIMES_ALONE = 2
-ALONE_BEAT_S = 0.2  # until it is known whether the owner alone is turned away
-
-
-class InboxFeed(tailing.Tail):
-    """Follow accepted jobs and cancels."""
-
-    topic = topics.INBOX
-    wait = 1.0
-
-    def __init__(self, owner: 'Owner', part: int, offset: int) -> None:
-        super().__init__(owner.ctx)
-        self._owner = owner
-        self.part = part
-        self.offset = offset
-
-    async def load(self) -> int:
-        """Read all again, after the history was dropped."""
-        newest = await self.ctx.store.newest(
-            self.topic, recovery.READ_TIMEOUT_S, self.part
-        )
-        for key, value in newest.values.items():
-            self._owner.take_inbox(key, value)
-        return newest.end
-
-    async def take(self, offset: int, record: bytes) -> None:
-        """Take one record."""
-        key, value = store.split_keyed(record)
-        self._owner.take_inbox(key, value)
-        await self._owner.changed.set()
-
-
-class EndpointFeed(tailing.Tail):
-    """Follow what endpoints say of themselves."""
-
-    topic = store.WORKERS_TOPIC
-    wait = 0.0
-    pause = 0.25
-
-    def __init__(self, owner: 'Owner', offset: int) -> None:
-        super().__init__(owner.ctx)
-        self._owner = owner
-        self.offset = offset
-
-    async def load(self) -> int:
-        """Read the newest report of each endpoint."""
-        newest = await self.ctx.store.newest(
-            self.topic, recovery.READ_TIMEOUT_S
-        )
-        for name in list(self._owner.engine.endpoints):
-            if not newest.values.get(name):
-                self._owner.engine.unlist_endpoint(name, context.steady())
-        for name, value in newest.values.items():
-            await self._take(name, value)
-        return newest.end
-
-    async def take(self, offset: int, record: bytes) -> None:
-        """Take one report, or its removal."""
-        await self._take(*store.split_keyed(record))
-
-    async def _take(self, name: str, value: bytes) -> None:
-        now = context.steady()
-        engine = self._owner.engine
-        entry = documents.read_entry(name, value) if value else None
-        if entry is None:
-            engine.unlist_endpoint(name, now)
-            return
-        engine.list_endpoint(entry, now)
-        await self._owner.watch(name)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class RollCall:
-    """Hold which hosts gave no answer, and which the store serves."""
-
-    silent: list[str]
-    served: list[str]
-
-
-class Successors(abc.ABC):
-    """Reach the hosts that may own the cell next."""
-
-    @abc.abstractmethod
-    async def release(self, notice: bytes, hosts: list[str]) -> bool:
-        """Have one of some hosts write a release; tell whether one did."""
-
-    @abc.abstractmethod
-    async def served(self) -> list[str]:
-        """Return a few hosts that say that the store serves them."""
-
-    @abc.abstractmethod
-    async def roll_call(self) -> RollCall:
-        """Ask all other hosts whether the store serves them."""
 
 
 class Owner:
@@ -137,7 +40,7 @@
         self,
         ctx: context.Context,
         advisers: advising.Advisers,
-        successors: Successors,
+        successors: holding.Successors,
         epoch: int,
     ) -> None:
         self.ctx = ctx
@@ -146,14 +49,19 @@
         self.changed = signals.Wake()
         self.ready = False
         self._advisers = advisers
-        self._successors = successors
         self._writer = writer.Writer(ctx, self.engine, epoch, self._release)
         self._watchers: dict[str, watching.Watcher] = {}
-        self._inboxes: list[InboxFeed] = []
+        self._holder = holding.Holder(
+            ctx,
+            successors,
+            epoch,
+            lambda: self.engine.pending(),
+            self.hand_over,
+        )
+        self._inboxes: list[cell_feeds.InboxFeed] = []
         self._tasks = curio.TaskGroup(wait=any)
         self._orphans: list[str] = []
         self._early_cancels: dict[str, bool] = {}
-        self._alone = 0
 
     async def run(self) -> None:
         """Own until the ownership is lost or the task is cancelled."""
@@ -165,7 +73,7 @@
 
     async def _run(self) -> None:
         started = context.steady()
-        await self._tasks.spawn(guarding.guard, self.ctx, self._beat)
+        await self._tasks.spawn(guarding.guard, self.ctx, self._holder.beat)
         recovered = await self._recover()
         self._writer.found(recovered.parts)
         self.ready = True
@@ -176,10 +84,10 @@
             ms=int((context.steady() - started) * 1000),
         )
         self._inboxes = [
-            InboxFeed(self, part, offset)
+            cell_feeds.InboxFeed(self, part, offset)
             for part, offset in enumerate(recovered.inbox)
         ]
-        endpoints = EndpointFeed(self, recovered.endpoints)
+        endpoints = cell_feeds.EndpointFeed(self, recovered.endpoints)
         self._orphans = recovered.orphans
         for loop in (
             self._writer.run,
@@ -188,7 +96,7 @@
             self._plan,
             self._forget,
             self._tell_load,
-            self._call_roll,
+            self._holder.call_roll,
         ):
             await self._tasks.spawn(guarding.guard, self.ctx, loop)
         for name in list(self.engine.endpoints):
@@ -344,105 +252,6 @@
             else:
                 await curio.spawn(watcher.start, start, daemon=True)
 
-    async def _beat(self) -> None:
-        while self.ctx.ownership.held == self.epoch:
-            sent = context.steady()
-            beat = await curio.spawn(self._beat_once, sent, daemon=True)
-            async with curio.ignore_after(ownership.BEAT_S):
-                await beat.wait()  # the next doesn't wait for a late answer
-            gap = ALONE_BEAT_S if self._alone else ownership.BEAT_S
-            left = sent + gap - context.steady()
-            await curio.sleep(max(left, 0.05))
-
-    async def _beat_once(self, sent: float) -> None:
-        try:
-            await self._notify(notices.BEAT)
-        except exceptions.PlatformError as exc:
-            self.ctx.store_fails(str(exc))
-            self.ctx.log.note('beat_failed', error=str(exc)[:120])
-            await self._release_if_alone()
-            return
-        self.ctx.ownership.confirm(sent)
-        self.ctx.store_answers(context.steady())
-        self._alone = 0
-
-    async def _release_if_alone(self) -> None:
-        """Have another host end this ownership if the store serves it.
-
-        Nothing can be started without the store, so an owner that alone is
-        turned away is best followed soon. Others may be served a moment
-        earlier when the store is back, so that is seen twice before.
-        """
-        if self.ctx.store_ok(context.steady()):
-            return
-        served = await self._successors.served()
-        self._alone = self._alone + 1 if served else 0
-        held = self.ctx.ownership.held == self.epoch
-        if self._alone < TIMES_ALONE or not held:
-            return
-        notice = notices.encode(self._notice(notices.RELEASE))
-        if await self._successors.release(notice, served):
-            self.ctx.log.note('owner_released', epoch=self.epoch)
-            self.ctx.ownership.lose()
-
-    async def _call_roll(self) -> None:
-        """Drop hosts that are silent for long; make way for a stronger one."""
-        missed: dict[str, int] = {}
-        while True:
-            await curio.sleep(ROLL_CALL_S)
-            called = await self._successors.roll_call()
-            missed = {name: missed.get(name, 0) + 1 for name in called.silent}
-            dead = [n for n, times in missed.items() if times >= MOST_MISSED]
-            if not self.ctx.store_ok(context.steady()):
-                continue
-            if dead:
-                await self._drop_hosts(dead)
-            await self._yield_to_stronger(called.served)
-
-    async def _yield_to_stronger(self, served: list[str]) -> None:
-        """Hand over if a much stronger host is reached by the store.
-
-        A weak host may have claimed while all strong ones were away; under
-        full load it falls behind and tickets end before its starts are sent.
-        """
-        hosts = self.ctx.hosts
-        strengths = [hosts[n].strength for n in served if n in hosts]
-        strongest = max(strengths, default=0.0)
-        if self.ctx.ownership.should_yield(strongest):
-            self.ctx.log.note(
-                'owner_yields',
-                epoch=self.epoch,
-                strength=round(self.ctx.ownership.strength, 2),
-                strongest=round(strongest, 2),
-            )
-            await self.hand_over()
-
-    async def _drop_hosts(self, names: list[str]) -> None:
-        records = [store.keyed(name) for name in names]
-        try:
-            await self.ctx.store.append(topics.HOSTS, records, BEAT_TIMEOUT_S)
-        except exceptions.PlatformError as exc:
-            self.ctx.log.note('dropping_failed', error=str(exc)[:120])
-            return
-        self.ctx.log.note('hosts_dropped', hosts=names)
-
-    async def _notify(self, kind: str) -> None:
-        record = notices.encode(self._notice(kind))
-        await self.ctx.store.append(topics.OWNER, [record], BEAT_TIMEOUT_S)
-
-    def _notice(self, kind: str) -> notices.OwnerNotice:
-        cfg = self.ctx.cfg
-        pending = self.engine.pending()
-        return notices.OwnerNotice(
-            kind,
-            self.epoch,
-            cfg.name,
-            self.ctx.incarnation,
-            cfg.front.ip,
-            cfg.ports[0],
-            {name: notices.QueueLoad(n) for name, n in pending.items()},
-        )
-
     async def _tell_load(self) -> None:
         while True:
             await curio.sleep(LOAD_PERIOD_S)
@@ -468,7 +277,7 @@
         try:
             for part in range(len(self._inboxes)):
                 await self.ctx.store.append(
-                    topics.INBOX, names, BEAT_TIMEOUT_S, part=part
+                    topics.INBOX, names, DROP_TIMEOUT_S, part=part
                 )
             await self._writer.forget(idents)
         except exceptions.PlatformError as exc:
@@ -492,7 +301,7 @@
             await watcher.wake.set()
         await self._writer.flush(STOP_FLUSH_S)
         try:
-            await self._notify(notices.RELEASE)
+            await self._holder.notify(notices.RELEASE)
         except exceptions.PlatformError as exc:
             self.ctx.log.note('release_failed', error=str(exc)[:120])
         self.ctx.ownership.lose()
