Tell a doubt before half of the caller's time is over while the store is away

Change: once the store is known to be away, a doubt is told at 0.45 of the caller's patience and the record isn't tried again. A store that is slow, but answers other calls, is still waited for. A test fails without it.

--- a/hibiscusslip/host/inbox.py
+++ b/hibiscusslip/host/inbox.py
@@ -28,6 +28,8 @@
 RETRY_PAUSE_S = 0.03
 UNSENT_PATIENCE_S = 0.25
 IDLE_S = 5.0
+POLL_S = 0.1
+AWAY_SHARE = 0.45  # of the caller's patience, while the store is away
 LEAST_TIME_S = 0.04  # less than a write to the store takes
 MOST_WAITING = 500
 MOST_GROUP_BYTES = 512 * 1024
@@ -91,12 +93,28 @@
         entry = _Entry(items, refuse_at, deadline, curio.Event(), relayed)
         self._waiting.append(entry)
         await self._wake.set()
-        async with curio.ignore_after(max(deadline - now, 0.0)):
-            await entry.done.wait()
+        await self._await_end(entry, now)
         if entry in self._waiting:
             self._waiting.remove(entry)  # it must not be written any more
         return entry.outcome
 
+    async def _await_end(self, entry: _Entry, began: float) -> None:
+        """Wait until an entry is settled, or waiting on helps nobody.
+
+        An answer that a slow store gives late is worth waiting for. Once the
+        store is away it won't come in time, as a rule: the caller is told of
+        the doubt well before it gives up itself.
+        """
+        doubt_until = began + AWAY_SHARE * (entry.deadline - began)
+        now = began
+        while not entry.done.is_set() and now < entry.deadline:
+            if now >= doubt_until and not self._ctx.store_ok(now):
+                entry.deadline = now
+                return
+            async with curio.ignore_after(min(POLL_S, entry.deadline - now)):
+                await entry.done.wait()
+            now = context.steady()
+
     async def run(self) -> None:
         """Write until cancelled."""
         while True:
--- a/tests/host/test_inbox.py
+++ b/tests/host/test_inbox.py
@@ -257,3 +257,24 @@
     parts = [topics.inbox_part(name, 12) for name in names]
     assert set(parts) == set(range(12))
     assert max(parts.count(part) for part in range(12)) <= 9
+
+
+def test_doubt_is_told_long_before_the_deadline_once_the_store_is_away(
+    monkeypatch,
+):
+    """A store that falls silent; a small share of a long patience."""
+    assert inbox.AWAY_SHARE < 0.5
+    monkeypatch.setattr(inbox, 'AWAY_SHARE', 0.005)
+
+    async def scenario(running):
+        running.store.script = [never] * 100
+        began = context.steady()
+        writing = await curio.spawn(running.write, ITEMS, 60.0)
+        await curio.sleep(0.2)
+        running.away()
+        assert await writing.join() is inbox.Outcome.IN_DOUBT
+        assert context.steady() - began < 60.0 / 2
+        await curio.sleep(0.2)
+        assert running.box._waiting == []
+
+    run(scenario)
