--- a/Makefile
+++ b/Makefile
@@ -41,7 +41,7 @@
 
 lint: setup
 	.venv/bin/ruff check -q .
-	.venv/bin/flake8 hibiscusslip tests soak
+	.venv/bin/flake8 hibiscusslip tests
 
 types: setup
 	.venv/bin/mypy
@@ -75,7 +75,7 @@
 
 # Real hosts against a stand-in of the platform under seeded faults.
 soak: setup
-	$(PY) -m soak --seed $(SEED) --trials $(TRIALS) --minutes $(MINUTES) \
+	$(PY) -m tests.platform.soak --seed $(SEED) --trials $(TRIALS) --minutes $(MINUTES) \
 		--plant "$(PLANT)"
 
 fuzz: setup
--- a/soak/__main__.py
+++ b/tests/platform/soak/__main__.py
@@ -10,12 +10,12 @@
 import curio
 import cyclopts
 
-from soak import callers
-from soak import cell as cells
-from soak import faults
-from soak import hosted
-from soak import layout
-from soak import oracle
+from tests.platform.soak import callers
+from tests.platform.soak import cell as cells
+from tests.platform.soak import faults
+from tests.platform.soak import hosted
+from tests.platform.soak import layout
+from tests.platform.soak import oracle
 
 OUT = pathlib.Path(__file__).resolve().parent / 'out'
 PROBE_GAP_S = 0.4
--- a/soak/callers.py
+++ b/tests/platform/soak/callers.py
@@ -9,8 +9,8 @@
 
 from hibiscusslip.http import client
 from hibiscusslip.http import exceptions
-from soak import cell as cells
 from tests.platform import cell as samples
+from tests.platform.soak import cell as cells
 
 PATIENCE_S = 3.0
 NOT_RUN = (429, 503)
--- a/soak/cell.py
+++ b/tests/platform/soak/cell.py
@@ -13,12 +13,12 @@
 
 from hibiscusslip.http import client
 from hibiscusslip.http import exceptions
-from soak import hosted
-from soak import layout
-from soak import proxy
 from tests.platform import cell as samples
+from tests.platform.soak import hosted
+from tests.platform.soak import layout
+from tests.platform.soak import proxy
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent
+ROOT = pathlib.Path(__file__).resolve().parents[3]
 SECRET = '0123456789abcdef0123456789abcdef'
 CONTROL_TIMEOUT_S = 5.0
 READY_TIMEOUT_S = 20.0
@@ -53,7 +53,7 @@
         }
         with self.log.open('ab') as log:
             self.process = subprocess.Popen(
-                [sys.executable, '-m', 'soak.hosted'],
+                [sys.executable, '-m', 'tests.platform.soak.hosted'],
                 cwd=ROOT,
                 env=env,
                 stdout=log,
@@ -121,7 +121,7 @@
             [
                 sys.executable,
                 '-m',
-                'soak.platform',
+                'tests.platform.soak.platform',
                 str(self._seed),
                 str(self.ledger),
             ],
--- a/soak/faults.py
+++ b/tests/platform/soak/faults.py
@@ -8,9 +8,9 @@
 
 import curio
 
-from soak import cell as cells
-from soak import layout
-from soak import proxy
+from tests.platform.soak import cell as cells
+from tests.platform.soak import layout
+from tests.platform.soak import proxy
 
 MOST_FAULTS = 9
 RESTART_S = (0.1, 1.5)
--- a/soak/oracle.py
+++ b/tests/platform/soak/oracle.py
@@ -5,9 +5,9 @@
 import pathlib
 import typing
 
-from soak import callers
-from soak import faults
-from soak import layout
+from tests.platform.soak import callers
+from tests.platform.soak import faults
+from tests.platform.soak import layout
 
 DONE = 'done'
 FAILED = 'failed'
--- a/soak/platform.py
+++ b/tests/platform/soak/platform.py
@@ -2,7 +2,7 @@
 
 It prints its ports as one JSON line, takes control calls over HTTP, and
 appends to the ledger what its endpoints were told and did. What is judged is
-in `soak.oracle`.
+in `tests.platform.soak.oracle`.
 """
 
 import json
@@ -17,9 +17,9 @@
 
 from hibiscusslip.http import messages
 from hibiscusslip.http import server
-from soak import layout
 from tests.platform import cell
 from tests.platform import standin
+from tests.platform.soak import layout
 
 LATE_S = (0.5, 4.0)
 FAILING_SHARE = 0.04
