--- a/hibiscusslip/bench/capacity/memory_slopes.py
+++ b/hibiscusslip/bench/capacity/memory_slopes.py
@@ -76,6 +76,7 @@
 
 class _Shard(runner_base.ShardAccess):
     worker_lease = 1e6
+    settle = 1.0
     supervisor = supervision.Supervisor()
 
     def may_act(self, now: float) -> bool:
--- a/hibiscusslip/endpoint/base.py
+++ b/hibiscusslip/endpoint/base.py
@@ -1,7 +1,8 @@
 """Define what the system needs of an endpoint.
 
-An endpoint checks nothing: it starts whatever it is told, twice if told
-twice. All protection is on this side of the interface.
+An endpoint checks nothing but whether an order is void: it starts whatever
+else it is told, twice if told twice. All other protection is on this side of
+the interface.
 """
 
 import abc
@@ -17,6 +18,8 @@
 
     `tag` travels with the task and comes back in `running` and `events`, so
     that a new owner can adopt what it finds; `trace` is a W3C traceparent.
+    After `void_at` on its own clock the endpoint must not start the task; 0
+    is for no such time.
     """
 
     task: str
@@ -27,6 +30,7 @@
     payload: bytes
     checkpoint: bytes = b''
     trace: str = ''
+    void_at: float = 0.0
 
 
 class RunState(enum.StrEnum):
@@ -64,11 +68,23 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RunListing:
-    """Hold all runs that an endpoint has or has ended lately."""
+    """Hold all runs that an endpoint has or has ended lately.
+
+    `clock` is the endpoint's own, in seconds, as of the answer.
+    """
 
     boot: str
     next_event: int
     runs: list[Run]
+    clock: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Renewal:
+    """Hold the tasks that run no longer, and the endpoint's clock."""
+
+    gone: list[str]
+    clock: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -100,8 +116,8 @@
         """Start the ordered tasks."""
 
     @abc.abstractmethod
-    async def renew(self, tasks: list[str], lease: float) -> list[str]:
-        """Renew the leases and return the tasks that run no longer."""
+    async def renew(self, tasks: list[str], lease: float) -> Renewal:
+        """Renew the leases; tell which tasks run no longer."""
 
     @abc.abstractmethod
     async def runs(self) -> RunListing:
--- a/hibiscusslip/endpoint/http_endpoint.py
+++ b/hibiscusslip/endpoint/http_endpoint.py
@@ -62,18 +62,18 @@
             for res in reply.results
         ]
 
-    async def renew(self, tasks: list[str], lease: float) -> list[str]:
-        """Renew the leases and return the tasks that run no longer."""
+    async def renew(self, tasks: list[str], lease: float) -> base.Renewal:
+        """Renew the leases; tell which tasks run no longer."""
         body = wire.RenewRequest(tasks, lease)
         reply = await self._post(wire.RENEW_PATH, body, wire.RenewReply)
-        return reply.gone
+        return base.Renewal(reply.gone, reply.clock)
 
     async def runs(self) -> base.RunListing:
         """Return what runs or has ended lately."""
         body = await self._call('GET', wire.RUNS_PATH)
         reply = wire.decode(body, wire.RunsReply)
         runs = [entry.run() for entry in reply.runs]
-        return base.RunListing(reply.boot, reply.next_event, runs)
+        return base.RunListing(reply.boot, reply.next_event, runs, reply.clock)
 
     async def events(self, after: int, wait: float) -> base.EventBatch:
         """Return runs ended since event `after`, waiting up to `wait` s."""
--- a/hibiscusslip/endpoint/wire.py
+++ b/hibiscusslip/endpoint/wire.py
@@ -64,6 +64,7 @@
     payload: bytes
     checkpoint: bytes = b''
     trace: str = ''
+    void_at: Seconds = 0.0
 
     def order(self) -> base.StartOrder:
         """Return the order as a data class."""
@@ -76,6 +77,7 @@
             self.payload,
             self.checkpoint,
             self.trace,
+            self.void_at,
         )
 
 
@@ -106,10 +108,11 @@
     lease: Seconds
 
 
-class RenewReply(msgspec.Struct, frozen=True):
-    """Name the tasks that run no longer."""
+class RenewReply(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Name the tasks that run no longer; tell the endpoint's clock."""
 
     gone: list[str]
+    clock: Seconds = 0.0
 
 
 class RunEntry(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -138,12 +141,13 @@
         )
 
 
-class RunsReply(msgspec.Struct, frozen=True):
-    """Hold runs or ended runs."""
+class RunsReply(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Hold runs or ended runs, with a listing the endpoint's clock."""
 
     boot: str
     next_event: int
     runs: list[RunEntry]
+    clock: Seconds = 0.0
 
 
 class CheckpointRequest(msgspec.Struct, frozen=True):
@@ -206,6 +210,7 @@
         start.payload,
         start.checkpoint,
         start.trace,
+        start.void_at,
     )
 
 
--- a/hibiscusslip/node/endpoint_driver.py
+++ b/hibiscusslip/node/endpoint_driver.py
@@ -19,6 +19,21 @@
 RETRY_SECONDS = 0.5
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndpointClock:
+    """Hold what an endpoint's clock read when its answer was here."""
+
+    reading: float
+    at: float
+
+    def void_at(self, now: float, valid: float) -> float:
+        """Return when an order sent now is void, on the endpoint's clock.
+
+        The clock went on while the answer came, so this is no later.
+        """
+        return self.reading + (now - self.at) + valid
+
+
 class EndpointDriver:
     """Run the loops that start, renew and watch on one endpoint."""
 
@@ -35,6 +50,7 @@
         self._orders: collections.deque[base.StartOrder] = collections.deque()
         self._wake = curio.Event()
         self._next_event: int | None = None
+        self._clock: EndpointClock | None = None
         self._tasks = curio.TaskGroup()
         self._in_flight = 0
 
@@ -91,7 +107,7 @@
             engine.start_failed(self.name, names, False, clock.now())
             return
         try:
-            results = await self._start(batch)
+            results = await self._start(self._bounded(batch))
         except (exceptions.NotSent, exceptions.CallRefused):
             engine.start_failed(self.name, names, False, clock.now())
         except exceptions.EndpointError:
@@ -102,6 +118,17 @@
                 await self._stop_late(results)
         await self._shard.changed()
 
+    def _bounded(self, batch: list[base.StartOrder]) -> list[base.StartOrder]:
+        """Bound until when the endpoint may carry the orders out.
+
+        One that stood still carries out late what it was sent, when the lease
+        of that start is counted as over.
+        """
+        if self._clock is None:
+            return batch
+        void_at = self._clock.void_at(clock.now(), self._shard.settle)
+        return [dataclasses.replace(order, void_at=void_at) for order in batch]
+
     async def _start(
         self, batch: list[base.StartOrder]
     ) -> list[base.StartResult]:
@@ -134,10 +161,12 @@
                 continue
             names = self._shard.engine.renewing(self.name, clock.now())
             try:
-                missing = await self._client.renew(names, lease)
+                renewal = await self._client.renew(names, lease)
             except exceptions.EndpointError:
                 continue
-            self._shard.engine.renewed(self.name, missing, clock.now())
+            now = clock.now()
+            self._clock = EndpointClock(renewal.clock, now)
+            self._shard.engine.renewed(self.name, renewal.gone, now)
             await self._shard.changed()
 
     async def _events_loop(self) -> None:
@@ -193,6 +222,7 @@
         except exceptions.EndpointError:
             engine.listing_failed(self.name, clock.now())
             return
+        self._clock = EndpointClock(listing.clock, clock.now())
         if self._next_event is None or listing.boot != self._boot(engine):
             self._next_event = listing.next_event
         engine.endpoint_listed(self.name, listing, asked_at, clock.now())
--- a/hibiscusslip/node/node.py
+++ b/hibiscusslip/node/node.py
@@ -140,6 +140,7 @@
             self.writer,
             self.parts.connect,
             cfg.engine.worker_lease,
+            cfg.engine.settle,
             self.remote,
             self.supervisor,
             self.tracer,
--- a/hibiscusslip/node/runner_base.py
+++ b/hibiscusslip/node/runner_base.py
@@ -8,10 +8,14 @@
 
 
 class ShardAccess(abc.ABC):
-    """Give access to a shard's engine and lease."""
+    """Give access to a shard's engine and lease.
+
+    `settle` is how long an order may take to its endpoint, in seconds.
+    """
 
     engine: jobs_engine.ShardEngine
     worker_lease: float
+    settle: float
     tracer: traces.Tracer
     supervisor: supervision.Supervisor
 
--- a/hibiscusslip/node/shard_runner.py
+++ b/hibiscusslip/node/shard_runner.py
@@ -57,12 +57,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Context:
-    """Hold what all shards of a host share; the lease is in seconds."""
+    """Hold what all shards of a host share; times are in seconds."""
 
     ownership: owner.Ownership
     writer: appender.Appender
     connect: EndpointFactory
     worker_lease: float
+    settle: float
     remote: RemoteWork
     supervisor: supervision.Supervisor
     tracer: traces.Tracer
@@ -82,6 +83,7 @@
         self.epoch = epoch
         self.engine = engine
         self.worker_lease = context.worker_lease
+        self.settle = context.settle
         self.supervisor = context.supervisor
         self.tracer = context.tracer
         self._context = context
--- a/hibiscusslip/standin/memory_endpoint.py
+++ b/hibiscusslip/standin/memory_endpoint.py
@@ -79,17 +79,17 @@
         self._leave()
         return results
 
-    async def renew(self, tasks: list[str], lease: float) -> list[str]:
-        """Renew the leases and return the tasks that run no longer."""
+    async def renew(self, tasks: list[str], lease: float) -> base.Renewal:
+        """Renew the leases; tell which tasks run no longer."""
         now = await self._enter()
         gone = self.worker.renew(now, tasks, lease)
         self._leave()
-        return gone
+        return base.Renewal(gone, now)
 
     async def runs(self) -> base.RunListing:
         """Return what runs or has ended lately."""
-        await self._enter()
-        listing = self.worker.listing()
+        now = await self._enter()
+        listing = self.worker.listing(now)
         self._leave()
         return listing
 
--- a/hibiscusslip/standin/worker_front.py
+++ b/hibiscusslip/standin/worker_front.py
@@ -69,12 +69,14 @@
 
     async def _renew(self, req: messages.Request) -> messages.Response:
         body = _front.decode(req, wire.RenewRequest)
-        gone = await self._endpoint.renew(body.tasks, body.lease)
-        return _front.reply(wire.RenewReply(gone))
+        renewal = await self._endpoint.renew(body.tasks, body.lease)
+        return _front.reply(wire.RenewReply(renewal.gone, renewal.clock))
 
     async def _runs(self, req: messages.Request) -> messages.Response:
         found = await self._endpoint.runs()
-        return _runs_reply(found.boot, found.next_event, found.runs)
+        return _runs_reply(
+            found.boot, found.next_event, found.runs, found.clock
+        )
 
     async def _events(self, req: messages.Request) -> messages.Response:
         after = int(_front.number(req, 'after', 0))
@@ -149,10 +151,10 @@
 
 
 def _runs_reply(
-    boot: str, next_event: int, runs: list[base.Run]
+    boot: str, next_event: int, runs: list[base.Run], clock: float = 0.0
 ) -> messages.Response:
     entries = [wire.run_entry(run) for run in runs]
-    return _front.reply(wire.RunsReply(boot, next_event, entries))
+    return _front.reply(wire.RunsReply(boot, next_event, entries, clock))
 
 
 def _plain(body: bytes) -> messages.Response:
--- a/hibiscusslip/standin/workers.py
+++ b/hibiscusslip/standin/workers.py
@@ -92,6 +92,8 @@
         """Start a task, whatever else runs."""
         if self.faults.refuse_starts:
             return base.StartResult(order.task, False, 'starts are refused')
+        if order.void_at and now > order.void_at:
+            return base.StartResult(order.task, False, 'the order is void')
         fail_after = self.faults.fail_after if self.faults.fail_all else None
         run = _run.TaskRun(now, order, fail_after)
         self._running.setdefault(order.task, []).append(run)
@@ -124,11 +126,11 @@
         self._ended.append(run)
         self.next_event += 1
 
-    def listing(self) -> base.RunListing:
+    def listing(self, now: float = 0.0) -> base.RunListing:
         """Return all runs, with no answers inline."""
         active = [run for found in self._running.values() for run in found]
         runs = [run.view(False) for run in (*self._ended, *active)]
-        return base.RunListing(self.boot, self.next_event, runs)
+        return base.RunListing(self.boot, self.next_event, runs, now)
 
     def events(self, after: int) -> base.EventBatch:
         """Return runs ended since event `after`, as far as they are kept."""
--- /dev/null
+++ b/tests/node/test_endpoint_driver.py
@@ -0,0 +1,54 @@
+"""Check that an endpoint which stood still starts nothing too late."""
+
+import curio
+
+from hibiscusslip.node import endpoint_driver
+from hibiscusslip.standin import faults
+from hibiscusslip.standin import memory_endpoint
+from hibiscusslip.standin import workers
+from tests import test_endpoint_http as samples
+
+
+class Engine:
+    """Keep nothing of what a driver tells."""
+
+    endpoints = {}
+
+    def __getattr__(self, name):
+        return lambda *args: None
+
+
+class Shard:
+    engine = Engine()
+    worker_lease = 1.0
+    settle = 0.1
+    tracer = None
+    supervisor = None
+
+    def may_act(self, now):
+        return True
+
+    async def changed(self):
+        pass
+
+
+def test_order_sent_to_a_frozen_endpoint_is_void_when_it_goes_on():
+    """The lease of that start is counted as over by then."""
+
+    async def scenario():
+        fleet = workers.Fleet()
+        pump = memory_endpoint.FleetPump(fleet)
+        worker = samples.add_worker(fleet)
+        endpoint = memory_endpoint.MemoryEndpoint(worker, pump)
+        driver = endpoint_driver.EndpointDriver(worker.info, endpoint, Shard())
+        await driver._list_runs()
+        await endpoint.set_faults(faults.WorkerFaults(frozen=True))
+        sending = await curio.spawn(driver._send, [samples.order()])
+        await curio.sleep(Shard.settle * 3)
+        await endpoint.set_faults(faults.WorkerFaults(frozen=False))
+        await sending.join()
+        assert worker.listing().runs == []
+        await driver._send([samples.order()])
+        assert len(worker.listing().runs) == 1
+
+    curio.run(scenario)
--- a/tests/test_endpoint_http.py
+++ b/tests/test_endpoint_http.py
@@ -1,6 +1,7 @@
 """Check the endpoints' protocol against unguarded stand-in workers."""
 
 import contextlib
+import dataclasses
 
 import curio
 import pytest
@@ -157,7 +158,8 @@
             after = await called.runs()
             assert after.boot != before.boot
             assert after.runs == []
-            assert await called.renew(['j/0'], 60.0) == ['j/0']
+            renewal = await called.renew(['j/0'], 60.0)
+            assert renewal.gone == ['j/0']
 
     serving.run(work)
 
@@ -238,6 +240,15 @@
     assert count(fleet).overlaps == 0
 
 
+def test_order_that_is_carried_out_late_is_void():
+    """An endpoint stands still beyond the time of an order it was sent."""
+    worker = add_worker(workers.Fleet())
+    late = dataclasses.replace(order('j/0'), void_at=5.0)
+    assert not worker.start(5.1, late).started
+    assert worker.listing(5.1).runs == []
+    assert worker.start(4.9, late).started
+
+
 def test_checkpoint_lets_another_run_go_on():
     fleet = workers.Fleet()
     worker = add_worker(fleet)
