Remember which endpoints are eligible over all answers of the advice service

While a zone is cut its endpoints are unlisted; an answer about the others then replaced the tickets, and the eligible ones that came back were never asked about again. Once no other eligible one was left, the step waited for ever.

Change: eligible endpoints are kept beside the newest tickets. A test of that sequence fails without it.

--- a/hibiscusslip/dispatch/asking.py
+++ b/hibiscusslip/dispatch/asking.py
@@ -110,8 +110,8 @@
         label = step.spec.label
         if label and label not in endpoint.entry.labels:
             continue
-        known = step.tickets is not None and endpoint.name in step.asked
-        if known and endpoint.name not in (step.tickets or {}):
+        known = endpoint.name in step.asked
+        if known and endpoint.name not in step.eligible:
             continue
         found.append(endpoint)
     if len(found) > MOST_ASKED:
@@ -124,7 +124,7 @@
 ) -> tuple[bool, bool, bool, int]:
     """Return the place of an endpoint among those to ask about."""
     free = endpoint.free()
-    eligible = step.tickets is not None and endpoint.name in step.tickets
+    eligible = endpoint.name in step.eligible
     fits = step.spec.booked.fits(free)
     return not eligible, not endpoint.usable(now), not fits, -free.cpu
 
--- a/hibiscusslip/dispatch/engine.py
+++ b/hibiscusslip/dispatch/engine.py
@@ -286,6 +286,7 @@
             step.ask_again = now + asking.PAUSE_S
             return
         step.asked.update(ask.endpoints)
+        step.eligible.update(tickets)
         step.tickets = tickets
         step.tickets_until = until
 
--- a/hibiscusslip/dispatch/state.py
+++ b/hibiscusslip/dispatch/state.py
@@ -45,8 +45,9 @@
 class StepState:
     """Hold one step of one occurrence of a job.
 
-    `tickets` are what the advice service gave for endpoints that may run
-    it, None before it was asked; `asked` are the endpoints it was asked of.
+    `tickets` are what the advice service gave last for endpoints that may
+    run it, None before it was asked; `asked` are all endpoints it was asked
+    of, `eligible` those of them that may run it.
     """
 
     job: 'Job'
@@ -57,6 +58,7 @@
     tickets: dict[str, str] | None = None
     tickets_until: float = 0.0
     asked: set[str] = dataclasses.field(default_factory=set)
+    eligible: set[str] = dataclasses.field(default_factory=set)
     asking: bool = False
     ask_again: float = 0.0
     failures: int = 0
--- a/tests/dispatch/test_waiting.py
+++ b/tests/dispatch/test_waiting.py
@@ -1,5 +1,7 @@
 """Check in which order work waits and what is kept for whom."""
 
+import dataclasses
+
 from hibiscusslip.dispatch import asking
 from hibiscusslip.dispatch import estimates
 from hibiscusslip.dispatch import model
@@ -113,6 +115,25 @@
     assert (start.endpoint, start.ticket) == ('e2', 't-e2')
 
 
+def test_eligible_endpoint_that_was_away_is_asked_about_again():
+    """A zone is cut off; its endpoints are unlisted for some seconds."""
+    bench = support.Bench(support.queue(advice=ADVICE))
+    away = bench.endpoint('e1', cpu=500).entry
+    bench.submit('j', support.step())
+    bench.plan()
+    tickets(bench, ['e1'])
+    bench.engine.unlist_endpoint('e1', bench.now)
+    bench.endpoint('e2')
+    bench.now += 2.5
+    bench.plan()
+    assert tickets(bench, []).endpoints == ('e2',)
+    bench.engine.list_endpoint(dataclasses.replace(away, seq=9), bench.now)
+    bench.look('e1')
+    bench.now += 2.0
+    bench.plan()
+    assert tickets(bench, ['e1']).endpoints == ('e1',)
+
+
 def test_only_eligible_endpoints_are_asked_about_again():
     bench = support.Bench(support.queue(advice=ADVICE))
     bench.endpoint('e1', cpu=500)
