Tell the former queue loads until a new owner has read its own

A claim, and the heartbeats until the owner has recovered, told no loads, and every host answers from the newest notice.

Change: both carry the loads that the former owner told. A test fails without it.

--- a/hibiscusslip/host/holding.py
+++ b/hibiscusslip/host/holding.py
@@ -48,8 +48,8 @@
 class Holder:
     """Hold one epoch of the ownership until it is released or lost.
 
-    `pending` tells how many jobs of each queue haven't begun, `hand_over`
-    ends the ownership in good order.
+    `pending` tells how many jobs of each queue haven't begun, None until the
+    owner has read them; `hand_over` ends the ownership in good order.
     """
 
     def __init__(
@@ -57,7 +57,7 @@
         ctx: context.Context,
         successors: Successors,
         epoch: int,
-        pending: collections.abc.Callable[[], dict[str, int]],
+        pending: collections.abc.Callable[[], dict[str, int] | None],
         hand_over: collections.abc.Callable[
             [], collections.abc.Awaitable[None]
         ],
@@ -159,7 +159,6 @@
 
     def _notice(self, kind: str) -> notices.OwnerNotice:
         cfg = self._ctx.cfg
-        pending = self._pending()
         return notices.OwnerNotice(
             kind,
             self._epoch,
@@ -167,5 +166,12 @@
             self._ctx.incarnation,
             cfg.front.ip,
             cfg.ports[0],
-            {name: notices.QueueLoad(n) for name, n in pending.items()},
+            self._loads(),
         )
+
+    def _loads(self) -> dict[str, notices.QueueLoad]:
+        """Return the queues' loads; until they are read the former ones."""
+        pending = self._pending()
+        if pending is None:
+            return self._ctx.ownership.known_loads()
+        return {name: notices.QueueLoad(n) for name, n in pending.items()}
--- a/hibiscusslip/host/host.py
+++ b/hibiscusslip/host/host.py
@@ -221,6 +221,7 @@
             ctx.incarnation,
             ctx.cfg.front.ip,
             ctx.cfg.ports[0],
+            ctx.ownership.known_loads(),
         )
         try:
             await ctx.store.append(
--- a/hibiscusslip/host/owner.py
+++ b/hibiscusslip/host/owner.py
@@ -55,7 +55,7 @@
             ctx,
             successors,
             epoch,
-            lambda: self.engine.pending(),
+            lambda: self.engine.pending() if self.ready else None,
             self.hand_over,
         )
         self._inboxes: list[cell_feeds.InboxFeed] = []
--- a/hibiscusslip/host/ownership.py
+++ b/hibiscusslip/host/ownership.py
@@ -108,6 +108,10 @@
         """
         return bool(self.held) and self.strength < YIELD_SHARE * others
 
+    def known_loads(self) -> dict[str, notices.QueueLoad]:
+        """Return what the newest notice tells of the queues."""
+        return self.owner.loads if self.owner is not None else {}
+
     def won(self, epoch: int, sent: float) -> None:
         """Take note that this host's claim was written."""
         self.held = epoch
--- a/tests/host/test_holding.py
+++ b/tests/host/test_holding.py
@@ -4,6 +4,7 @@
 
 from hibiscusslip.host import context
 from hibiscusslip.host import holding
+from hibiscusslip.host import notices
 from hibiscusslip.platform import exceptions
 from tests.host import fakes
 
@@ -80,3 +81,16 @@
     successors = Successors(['h2'], ['h2'])
     _, store = beat(successors, [turned_away] * 3, 3.0)
     assert store.records == []
+
+
+def test_owner_that_has_read_nothing_yet_tells_the_former_loads():
+    """Else all queues look empty to callers for a moment."""
+    store = fakes.FakeStore()
+    ctx = fakes.make_context(store)
+    loads = {'q': notices.QueueLoad(4)}
+    former = notices.OwnerNotice('beat', 1, 'h2', 'x', '10.0.0.1', 1, loads)
+    ctx.ownership.take(former, context.steady())
+    mine = holding.Holder(ctx, Successors(), 2, lambda: None, hand_over)
+    curio.run(mine.notify, notices.BEAT)
+    ((_, record),) = store.records
+    assert notices.decode_owner(record).loads == loads
