Say things once: refusals between hosts, far racks, answers, links of tests

Found on reading the whole change again; behaviour as before. - The strongest host was sought after each record of a load, over all hosts known so far: once a load now. - Three refusals of a record written out alike, the distance to a step's data computed twice, a confirmed start reported as an answer by its caller: one piece each. A confirmed start ends the doubt in the engine itself. - Five stand-ins for links in tests share one; two unused names of the soak go.

--- a/hibiscusslip/dispatch/engine.py
+++ b/hibiscusslip/dispatch/engine.py
@@ -202,9 +202,9 @@
         now: float,
     ) -> None:
         """Take what an endpoint lists in answer to a call sent at `sent`."""
+        self.answered(name, now)
         endpoint = self.endpoints.get(name)
         if endpoint is not None:
-            _doubting.answered(endpoint, now)
             _looking.take(self, endpoint, look, sent, now)
 
     def answered(self, name: str, now: float) -> None:
@@ -246,6 +246,7 @@
 
     def started(self, start: commands.Start, now: float) -> None:
         """Take note that an endpoint confirmed a start."""
+        self.answered(start.endpoint, now)
         booking = self._booking(start)
         if booking is not None:
             booking.answered = now
--- a/hibiscusslip/dispatch/placement.py
+++ b/hibiscusslip/dispatch/placement.py
@@ -248,10 +248,9 @@
 
     def cost(slot: _Slot) -> tuple[float, ...]:
         room = slot.room
-        far = bool(step.spec.rack) and step.spec.rack != room.entry.rack
         takes = min(slot.most(demand), needed)
-        zone = zones[room.entry.zone]
-        return far or room.slow, zone, -takes, slot.cpu, room.number
+        bad = _is_far(step, room) or room.slow
+        return bad, zones[room.entry.zone], -takes, slot.cpu, room.number
 
     choices: list[Choice] = []
     for slot in sorted(slots, key=cost):
@@ -285,7 +284,7 @@
     step: state.StepState, slot: _Slot, demand: model.Demand, zone: int
 ) -> tuple[float, ...]:
     room = slot.room
-    far = bool(step.spec.rack) and step.spec.rack != room.entry.rack
+    far = _is_far(step, room)
     if step.spec.fills:
         return (far, room.slow, zone, _serving(room.endpoint), -slot.cpu)
     noise = _filling(room.endpoint) if step.spec.tail_target else 0
@@ -298,6 +297,11 @@
     )
 
 
+def _is_far(step: state.StepState, room: Room) -> bool:
+    """Tell whether a room isn't in the rack of the step's data."""
+    return bool(step.spec.rack) and step.spec.rack != room.entry.rack
+
+
 def _serving(endpoint: state.Endpoint) -> int:
     return sum(
         booking.task is not None and bool(booking.task.step.spec.tail_target)
--- a/hibiscusslip/host/answering.py
+++ b/hibiscusslip/host/answering.py
@@ -82,8 +82,7 @@
         """Return a refusal if the store doesn't serve this host."""
         if self._ctx.store_ok(context.steady()):
             return None
-        refused = inbox.Outcome.REFUSED.value
-        return messages.Refusal(refused, 'no store here', RETRY_AFTER_S)
+        return _refusal(inbox.Outcome.REFUSED, 'no store here')
 
     async def _write_release(
         self, message: messages.OwnerRelease
@@ -97,9 +96,7 @@
             )
         except exceptions.PlatformError as exc:
             self._ctx.log.note('release_failed', error=str(exc)[:120])
-            return messages.Refusal(
-                inbox.Outcome.REFUSED.value, 'the store failed', RETRY_AFTER_S
-            )
+            return _refusal(inbox.Outcome.REFUSED, 'the store failed')
         return messages.Done()
 
     async def _write_for_other(
@@ -118,6 +115,9 @@
         )
         if outcome is inbox.Outcome.ACCEPTED:
             return messages.Done()
-        return messages.Refusal(
-            outcome.value, 'the store is away here', RETRY_AFTER_S
-        )
+        return _refusal(outcome, 'the store is away here')
+
+
+def _refusal(outcome: inbox.Outcome, detail: str) -> messages.Refusal:
+    """Return what another host is told of a record that wasn't written."""
+    return messages.Refusal(outcome.value, detail, RETRY_AFTER_S)
--- a/hibiscusslip/host/feeds.py
+++ b/hibiscusslip/host/feeds.py
@@ -60,12 +60,14 @@
         newest = await self.ctx.store.newest(self.topic, LOAD_TIMEOUT_S)
         for name, value in newest.values.items():
             self._take_value(name, value)
+        self._find_strongest()
         return newest.end
 
     async def take(self, offset: int, record: bytes) -> None:
         """Take a host's record."""
         name, value = store.split_keyed(record)
         self._take_value(name, value)
+        self._find_strongest()
 
     def _take_value(self, name: str, value: bytes) -> None:
         host = notices.decode_host(value) if value else None
@@ -73,6 +75,8 @@
             self.ctx.hosts.pop(name, None)
         else:
             self.ctx.hosts[name] = host
+
+    def _find_strongest(self) -> None:
         strengths = [known.strength for known in self.ctx.hosts.values()]
         self.ctx.ownership.strongest = max(strengths, default=0.0)
 
--- a/hibiscusslip/host/watching.py
+++ b/hibiscusslip/host/watching.py
@@ -180,7 +180,6 @@
         now = context.steady()
         self._ctx.metrics.time('start_order', now - sent)
         self._ctx.metrics.count('starts')
-        self._engine.answered(self.name, now)
         self._engine.started(start, now)
         self._ctx.log.note(
             'run_ordered',
--- a/tests/host/fakes.py
+++ b/tests/host/fakes.py
@@ -48,6 +48,16 @@
         return [store.split_keyed(record)[0] for _, record in self.records]
 
 
+class FakeLinks:
+    """Stand in for the links to other hosts; a subclass answers calls."""
+
+    def set_address(self, host, address, port):
+        pass
+
+    def forget(self, host):
+        pass
+
+
 class FakeRelay(inbox.Relay):
     """Answer with what the script holds, else refuse."""
 
--- a/tests/host/test_advising.py
+++ b/tests/host/test_advising.py
@@ -12,7 +12,7 @@
 from tests.host import fakes
 
 
-class Links:
+class Links(fakes.FakeLinks):
     """Answer for hosts of one zone only; `asked` keeps who was asked."""
 
     def __init__(self, ctx, answering):
@@ -20,9 +20,6 @@
         self._answering = answering
         self.asked = []
 
-    def set_address(self, host, address, port):
-        pass
-
     async def call(self, host, body, timeout):
         self.asked.append(host)
         if self._ctx.hosts[host].zone != self._answering:
--- a/tests/host/test_neighbours.py
+++ b/tests/host/test_neighbours.py
@@ -10,15 +10,12 @@
 from tests.host import fakes
 
 
-class DroppingLinks:
+class DroppingLinks(fakes.FakeLinks):
     """Refuse the first call, by which time all hosts are off the list."""
 
     def __init__(self, ctx):
         self._ctx = ctx
 
-    def set_address(self, host, address, port):
-        pass
-
     async def call(self, host, body, timeout):
         self._ctx.hosts.clear()
         raise exceptions.PeerRefused('refused', 'no store here')
@@ -33,18 +30,12 @@
     assert outcome is inbox.Outcome.REFUSED
 
 
-class CutLinks:
+class CutLinks(fakes.FakeLinks):
     """Lose whatever is sent; `sent` keeps it."""
 
     def __init__(self):
         self.sent = []
 
-    def set_address(self, host, address, port):
-        pass
-
-    def forget(self, host):
-        pass
-
     async def call(self, host, body, timeout):
         self.sent.append(body)
         raise exceptions.PeerUnsettled('no answer')
@@ -62,18 +53,12 @@
     assert all(isinstance(m, messages.StoreQuery) for m in cut.sent)
 
 
-class AnsweringLinks:
+class AnsweringLinks(fakes.FakeLinks):
     """Answer a release with `Done` from one host; others refuse."""
 
     def __init__(self, willing):
         self._willing = willing
 
-    def set_address(self, host, address, port):
-        pass
-
-    def forget(self, host):
-        pass
-
     async def call(self, host, body, timeout):
         assert isinstance(body, messages.OwnerRelease)
         if host != self._willing:
--- a/tests/host/test_refusing.py
+++ b/tests/host/test_refusing.py
@@ -30,18 +30,12 @@
     assert {advice.retry_after for advice in told} == {1}
 
 
-class Links:
+class Links(fakes.FakeLinks):
     """Lose all calls, or refuse them."""
 
     def __init__(self, exc):
         self._exc = exc
 
-    def set_address(self, host, address, port):
-        pass
-
-    def forget(self, host):
-        pass
-
     async def call(self, host, body, timeout):
         raise self._exc
 
--- a/tests/platform/soak/layout.py
+++ b/tests/platform/soak/layout.py
@@ -8,5 +8,4 @@
 FAULTS_S = 18.0
 CALM_S = 45.0  # by then all accepted work has to have ended
 LONGEST_TRIAL_S = 300.0
-IN_FORCE_S = 2.0
 VISIBLE_S = 3.0
--- a/tests/platform/soak/platform.py
+++ b/tests/platform/soak/platform.py
@@ -60,7 +60,6 @@
         self._rng = rng
         self._takes: dict[tuple[str, int], float] = {}
         self._highest: dict[str, int] = {}
-        self.life = 0
 
     async def handle(self, req: messages.Request) -> messages.Response:
         """Carry an order out, late or not at all in some modes."""
@@ -132,7 +131,6 @@
         self.fence = 0
         self.lease = 0.0
         self._highest = {}
-        self.life += 1
         self.began = time.monotonic()
         self.born = int(time.time() * 1000)
 
