Observability: tell how far a read has come, and how old the configuration is

Change: a call that gets no complete response tells how many bytes had arrived, how many were announced and when the first one came; tail_failed has these as fields, tail_bytes counts them by topic. config_taken has the size; config_age is the time since the configuration was known to be the newest. Each 404 is counted in answers, and logged with version and age as queue_not_found, a routine event (500 lines a second at most).

--- a/hibiscusslip/host/context.py
+++ b/hibiscusslip/host/context.py
@@ -20,10 +20,12 @@
     """The settings, connections and observed state of one host.
 
     `store_answered_at` is when the store last answered, on the monotonic
-    clock. `isolated` is set while no peer replies, and `unready_probes`
-    counts the readiness probes that have failed in a row. A host that is
-    `leaving` fails its readiness probes, so that it gets no new connections,
-    and claims no ownership; one that is `stopping` releases the ownership.
+    clock, and `config_confirmed_at` when it last had no newer configuration
+    than `config`. `isolated` is set while no peer replies, and
+    `unready_probes` counts the readiness probes that have failed in a row. A
+    host that is `leaving` fails its readiness probes, so that it gets no new
+    connections, and claims no ownership; one that is `stopping` releases the
+    ownership.
     """
 
     cfg: settings.HostSettings
@@ -33,6 +35,7 @@
     metrics: prometheus.Metrics
     ownership: ownership.Ownership
     config: model.Configuration | None = None
+    config_confirmed_at: float = 0.0
     hosts: dict[str, notices.HostRecord] = dataclasses.field(
         default_factory=dict
     )
--- a/hibiscusslip/host/feeds.py
+++ b/hibiscusslip/host/feeds.py
@@ -29,6 +29,10 @@
         if key == store.CONFIG_KEY:
             self._apply_value(value)
 
+    async def handle_caught_up(self, end: int) -> None:
+        """Record that no newer configuration is known to the store."""
+        self.ctx.config_confirmed_at = context.monotonic()
+
     def _apply_value(self, value: bytes) -> None:
         if not value:
             return
@@ -46,6 +50,7 @@
             version=config.version,
             before=known.version if known else None,
             queues=len(config.queues),
+            bytes=len(value),
         )
 
 
--- a/hibiscusslip/host/front.py
+++ b/hibiscusslip/host/front.py
@@ -18,6 +18,7 @@
 # Below context.MAX_STORE_ANSWER_AGE_S, as being unready costs less than
 # refusing requests.
 READY_MAX_STORE_ANSWER_AGE_S = 0.75
+MAX_LOGGED_PATH_CHARS = 80
 JOB_ID = re.compile(r'[0-9a-f]{16}\Z')
 
 
@@ -52,16 +53,35 @@
     async def handle(self, req: messages.Request) -> messages.Response:
         """Return the response to one request."""
         started = context.monotonic()
+        response = await self._respond(req, started)
+        self._record_metrics(req.method, response.status, started)
+        return response
+
+    async def _respond(
+        self, req: messages.Request, started: float
+    ) -> messages.Response:
         config = self._ctx.config
         if config is None:
             return self._unavailable('no configuration yet')
         queue = config.find_queue(callers.requested_host(req), req.path)
         if queue is None:
-            return callers.queue_not_found()
+            return self._refuse_unknown_queue(req, config, started)
         job_id = req.path[len(queue.prefix) :]
-        response = await self._route(req, queue, job_id, started)
-        self._record_metrics(req.method, response.status, started)
-        return response
+        return await self._route(req, queue, job_id, started)
+
+    def _refuse_unknown_queue(
+        self,
+        req: messages.Request,
+        config: model.Configuration,
+        now: float,
+    ) -> messages.Response:
+        self._ctx.log.note(
+            'queue_not_found',
+            path=req.path[:MAX_LOGGED_PATH_CHARS],
+            version=config.version,
+            config_age=round(now - self._ctx.config_confirmed_at, 3),
+        )
+        return callers.queue_not_found()
 
     def _record_metrics(
         self, method: str, status: int, started: float
@@ -193,6 +213,7 @@
         """Set the gauges that are computed on request; ages are in s."""
         ctx = self._ctx
         ctx.metrics.gauge('store_answer_age', now - ctx.store_answered_at)
+        ctx.metrics.gauge('config_age', now - ctx.config_confirmed_at)
         last_notice_at = ctx.ownership.last_notice_at
         if last_notice_at is not None:
             ctx.metrics.gauge('owner_heard_age', now - last_notice_at)
--- a/hibiscusslip/host/tailing.py
+++ b/hibiscusslip/host/tailing.py
@@ -5,6 +5,7 @@
 import curio
 
 from hibiscusslip.host import context
+from hibiscusslip.http import messages
 from hibiscusslip.platform import exceptions
 from hibiscusslip.platform import store
 
@@ -64,10 +65,7 @@
             except exceptions.PlatformError as exc:
                 self._failing = True
                 self.ctx.record_store_failure(str(exc))
-                self.ctx.metrics.count('tail_failures', topic=self.topic)
-                self.ctx.log.note(
-                    'tail_failed', topic=self.topic, error=str(exc)[:120]
-                )
+                self._report_failure(exc)
                 await curio.sleep(self._retry_pause)
                 self._retry_pause = min(
                     self._retry_pause * 2, MAX_RETRY_PAUSE_S
@@ -82,10 +80,31 @@
             self.topic, self.offset, wait, self.timeout, self.part
         )
         self.ctx.record_store_success(context.monotonic())
+        self._count_bytes(sum(len(record) for record in batch.records))
         if batch.start < self.offset:
             return  # a concurrent read_once() was faster
         await self._apply_batch(batch)
 
+    def _report_failure(self, exc: exceptions.PlatformError) -> None:
+        """Log a failed read and how much of its response had arrived."""
+        transfer = messages.NO_TRANSFER
+        if isinstance(exc, exceptions.StoreOutcomeUnknown):
+            transfer = exc.transfer
+        self._count_bytes(transfer.received)
+        self.ctx.metrics.count('tail_failures', topic=self.topic)
+        self.ctx.log.note(
+            'tail_failed',
+            topic=self.topic,
+            error=str(exc)[:120],
+            received=transfer.received,
+            expected=transfer.expected,
+            first_byte_after=transfer.first_byte_after,
+        )
+
+    def _count_bytes(self, size: int) -> None:
+        """Count bytes of records received, also those of failed reads."""
+        self.ctx.metrics.count('tail_bytes', size, topic=self.topic)
+
     async def _apply_batch(self, batch: store.Batch) -> None:
         for number, record in enumerate(batch.records):
             offset = batch.start + number
--- a/hibiscusslip/http/_exchange.py
+++ b/hibiscusslip/http/_exchange.py
@@ -16,19 +16,58 @@
 
 
 class Progress:
-    """Record whether any byte of a request has been written."""
+    """Record how far the exchange of a request and its response has come."""
 
-    __slots__ = ('written',)
+    __slots__ = (
+        '_expected',
+        '_first_byte_after',
+        '_received',
+        '_started_at',
+        'written',
+    )
 
     def __init__(self) -> None:
         self.written = False
+        self._started_at = time.monotonic()
+        self._first_byte_after: float | None = None
+        self._received = 0
+        self._expected: int | None = None
+
+    @property
+    def transfer(self) -> messages.Transfer:
+        """Return how much of the response has arrived."""
+        return messages.Transfer(
+            self._received, self._expected, self._first_byte_after
+        )
+
+    def describe(self) -> str:
+        """Return what has arrived of a response that isn't complete."""
+        if self._first_byte_after is None:
+            return 'no response'
+        return f'only {self._received} bytes of {self._expected}'
+
+    def record_bytes(self) -> None:
+        """Record that bytes of the response have arrived."""
+        if self._first_byte_after is None:
+            self._first_byte_after = time.monotonic() - self._started_at
+
+    def record_head(self, head: h11.Response) -> None:
+        """Record the length of the body that the head announces."""
+        for name, value in head.headers:
+            if name == b'content-length':
+                self._expected = int(value)
+
+    def record_body(self, size: int) -> None:
+        """Record that `size` bytes of the body have arrived in all."""
+        self._received = size
 
     def error_for(self, reason: str) -> exceptions.HttpError:
         """Return CallUnsettled if a byte was written, otherwise NotSent."""
         if self.written:
             return exceptions.CallUnsettled(
                 f'{reason}: the request may have been handled; query its'
-                ' outcome before sending it again'
+                ' outcome before sending it again',
+                self.transfer,
             )
         return exceptions.NotSent(f'{reason}: nothing was sent; try again')
 
@@ -120,9 +159,11 @@
             elif type(event) is h11.Data:
                 size += len(event.data)
                 self._check_size(size)
+                progress.record_body(size)
                 chunks.append(bytes(event.data))
             elif type(event) is h11.Response:
                 head = event
+                progress.record_head(head)
             elif type(event) is h11.ConnectionClosed:
                 raise progress.error_for('the connection was closed')
             event = conn.next_event()
@@ -136,6 +177,7 @@
         data = await self._sock.recv(READ_BYTES)
         if not data and self._conn.their_state is h11.SEND_RESPONSE:
             raise progress.error_for('the connection was closed')
+        progress.record_bytes()
         self._conn.receive_data(data)
 
     def _check_size(self, size: int) -> None:
--- a/hibiscusslip/http/client.py
+++ b/hibiscusslip/http/client.py
@@ -60,7 +60,7 @@
                     return await self._perform(head, body, progress)
         except curio.TaskTimeout as exc:
             raise progress.error_for(
-                f'no response within {timeout:g} s'
+                f'{progress.describe()} within {timeout:g} s'
             ) from exc
 
     async def close(self) -> None:
--- a/hibiscusslip/http/exceptions.py
+++ b/hibiscusslip/http/exceptions.py
@@ -1,5 +1,7 @@
 """Define the errors of HTTP exchanges."""
 
+from hibiscusslip.http import messages
+
 
 class HttpError(Exception):
     """Base class for failures of an HTTP exchange."""
@@ -12,9 +14,16 @@
 class CallUnsettled(HttpError):
     """Raise when no complete response arrived after bytes were written.
 
-    The request may have been handled: its outcome is unknown.
+    The request may have been handled: its outcome is unknown. `transfer` is
+    how much of the response had arrived.
     """
 
+    def __init__(
+        self, reason: str, transfer: messages.Transfer = messages.NO_TRANSFER
+    ) -> None:
+        super().__init__(reason)
+        self.transfer = transfer
+
 
 class MalformedResponse(CallUnsettled):
     """Raise when the response is invalid HTTP or exceeds a limit."""
--- a/hibiscusslip/http/messages.py
+++ b/hibiscusslip/http/messages.py
@@ -42,6 +42,22 @@
         return self.body
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Transfer:
+    """Represent how much of a response has arrived.
+
+    `received` are the bytes of its body, `expected` is the length that its
+    head announced. `first_byte_after` is in seconds after the call began.
+    """
+
+    received: int = 0
+    expected: int | None = None
+    first_byte_after: float | None = None
+
+
+NO_TRANSFER = Transfer()
+
+
 def problem_response(status: int, title: str, detail: str) -> Response:
     """Return a problem-details response (RFC 9457).
 
--- a/hibiscusslip/observe/events.py
+++ b/hibiscusslip/observe/events.py
@@ -12,7 +12,14 @@
 MAX_LINES_PER_WINDOW = 1000
 MAX_ROUTINE_LINES_PER_WINDOW = 500
 ROUTINE_EVENTS = frozenset(
-    {'run_ordered', 'run_ended', 'advised', 'job_taken', 'job_accepted'}
+    {
+        'run_ordered',
+        'run_ended',
+        'advised',
+        'job_taken',
+        'job_accepted',
+        'queue_not_found',
+    }
 )
 
 
--- a/hibiscusslip/platform/exceptions.py
+++ b/hibiscusslip/platform/exceptions.py
@@ -1,5 +1,7 @@
 """Exceptions of the platform's clients."""
 
+from hibiscusslip.http import messages
+
 
 class PlatformError(Exception):
     """Base class of all failures of the platform's services."""
@@ -49,9 +51,16 @@
 class StoreOutcomeUnknown(PlatformError):
     """Raise when a call to the store may have taken effect.
 
-    No response arrived, or an invalid one.
+    No response arrived, only a part of one, or an invalid one. `transfer` is
+    how much of it had arrived.
     """
 
+    def __init__(
+        self, reason: str, transfer: messages.Transfer = messages.NO_TRANSFER
+    ) -> None:
+        super().__init__(reason)
+        self.transfer = transfer
+
 
 class StoreConflict(PlatformError):
     """Raise when the partition doesn't end where an append requires it.
--- a/hibiscusslip/platform/store.py
+++ b/hibiscusslip/platform/store.py
@@ -219,9 +219,11 @@
         except http_exceptions.NotSent as exc:
             self._count('not_sent')
             raise exceptions.StoreUnavailable(str(exc)) from exc
-        except http_exceptions.HttpError as exc:
+        except http_exceptions.CallUnsettled as exc:
             self._count('unsettled')
-            raise exceptions.StoreOutcomeUnknown(str(exc)) from exc
+            raise exceptions.StoreOutcomeUnknown(
+                str(exc), exc.transfer
+            ) from exc
         self._count(str(response.status))
         return response
 
--- a/tests/host/test_tailing.py
+++ b/tests/host/test_tailing.py
@@ -3,6 +3,7 @@
 import curio
 
 from hibiscusslip.host import tailing
+from hibiscusslip.http import messages
 from hibiscusslip.platform import exceptions
 from hibiscusslip.platform import store
 from tests.host import fakes
@@ -46,3 +47,23 @@
     curio.run(main)
     assert store.waits[0] == 0.0
     assert set(store.waits[1:]) == {0.6}
+
+
+def test_failed_read_logs_how_much_of_the_response_had_arrived():
+    class IncompleteReads:
+        async def read(self, topic, start, wait, timeout, part):
+            transfer = messages.Transfer(300, 1000, 0.25)
+            raise exceptions.StoreOutcomeUnknown('late', transfer)
+
+    ctx = fakes.make_context(IncompleteReads())
+
+    async def main():
+        async with curio.ignore_after(0.02):
+            await EmptyTail(ctx).run()
+
+    curio.run(main)
+    (line,) = ctx.log.named('tail_failed')
+    assert line['received'] == 300
+    assert line['expected'] == 1000
+    assert line['first_byte_after'] == 0.25
+    assert 'tail_bytes{topic="t"} 300' in ctx.metrics.render().decode()
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -102,6 +102,32 @@
     serving.run(scenario)
 
 
+def test_timed_out_call_tells_how_much_of_the_response_had_arrived():
+    async def scenario():
+        answer = b'HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nabc'
+        port = await raw_server(answer, close_after_response=False)
+        pool = client.Pool('127.0.0.1', port)
+        with pytest.raises(exceptions.CallUnsettled) as caught:
+            await pool.call('GET', '/', timeout=0.3)
+        transfer = caught.value.transfer
+        assert (transfer.received, transfer.expected) == (3, 5)
+        assert transfer.first_byte_after < 0.3
+        assert 'only 3 bytes of 5 within 0.3 s' in str(caught.value)
+
+    serving.run(scenario)
+
+
+def test_timed_out_call_without_a_response_has_received_nothing():
+    async def scenario():
+        port = await raw_server(b'', close_after_response=False)
+        pool = client.Pool('127.0.0.1', port)
+        with pytest.raises(exceptions.CallUnsettled) as caught:
+            await pool.call('GET', '/', timeout=0.3)
+        assert caught.value.transfer == messages.NO_TRANSFER
+
+    serving.run(scenario)
+
+
 def test_abandoned_request_resets_its_connection():
     async def scenario():
         sock = curio.socket.socket()
