Reproduce: a large configuration never comes into force on a slow link

Change: the soak's proxy can have the rate of a link, which its connections share, and a test cell can put a host behind one.

--- a/tests/platform/cell.py
+++ b/tests/platform/cell.py
@@ -13,6 +13,7 @@
 from hibiscusslip.http import server
 from hibiscusslip.platform import settings
 from tests.platform import standin
+from tests.platform.soak import proxy
 
 SECRET = b'0123456789abcdef'
 SERVICE = 'planner'
@@ -38,6 +39,17 @@
 """
 
 
+def large_config_document(version, routes):
+    """Return a configuration with `routes` more routes than the small one."""
+    document = msgspec.json.decode(config_document(version))
+    (route,) = document['Routes']
+    document['Routes'] += [
+        {**route, 'Name': f'r-{number:07}', 'PathPrefix': f'/{number:07}/'}
+        for number in range(routes)
+    ]
+    return msgspec.json.encode(document)
+
+
 def config_document(version=1, service=SERVICE, **route):
     fields = {
         'Name': 'r-small',
@@ -98,11 +110,17 @@
         self.store.put('keyed.servers', name, endpoint.entry(address, SERVICE))
         self.endpoints[name] = endpoint
 
-    async def add_host(self, name):
+    async def add_host(self, name, link_mbps=None):
+        """Start a host, on a link of that rate to the store."""
         ip = _unique_address(next(_address_numbers) % 250)
-        text = SETTINGS_FILE.format(
-            name=name, ip=ip, store=self._store_address
-        )
+        store_address = self._store_address
+        if link_mbps is not None:
+            port = int(store_address.rpartition(':')[2])
+            link = proxy.Proxy(port, link_mbps)
+            await link.listen()
+            store_address = f'127.0.0.1:{link.port}'
+        text = SETTINGS_FILE.format(name=name, ip=ip, store=store_address)
+        text += f'Limits.LinkMbps={link_mbps or 1000}\n'
         ctx = host_main.make_context(settings.parse(text))
         task = await curio.spawn(host.Host(ctx, SECRET, '').run, daemon=True)
         self.hosts[name] = task
--- a/tests/platform/soak/proxy.py
+++ b/tests/platform/soak/proxy.py
@@ -3,6 +3,7 @@
 import contextlib
 import socket
 import struct
+import time
 import typing
 
 import curio
@@ -14,20 +15,41 @@
 SLOW = 'slow'
 ONE_WAY = 'one_way'
 SLOW_DELAY_S = 0.2
+LINK_CHUNK_BYTES = 8192
+BITS_PER_BYTE = 8
 _LINGER = struct.pack('ii', 1, 0)
 
 
+class _Direction:
+    """One direction of a link; all connections share its rate."""
+
+    def __init__(self, mbps: float) -> None:
+        self._bytes_per_s = mbps * 1e6 / BITS_PER_BYTE
+        self._free_at = 0.0
+
+    async def carry(self, size: int) -> None:
+        """Return when the link has carried `size` bytes."""
+        now = time.monotonic()
+        self._free_at = max(self._free_at, now) + size / self._bytes_per_s
+        await curio.sleep(self._free_at - now)
+
+
 class Proxy:
     """Forward connections to one port; the mode is the injected fault.
 
+    With `link_mbps` all connections share a link of that rate, in each
+    direction.
+
     PASS forwards all data, SLOW delays it, SILENT forwards none, ONE_WAY
     forwards requests but no responses, and RESET resets connections. A
     connection that is open during SILENT or ONE_WAY stays broken afterwards;
     only new ones work.
     """
 
-    def __init__(self, port: int) -> None:
+    def __init__(self, port: int, link_mbps: float | None = None) -> None:
         self._port = port
+        self._up = _Direction(link_mbps) if link_mbps else None
+        self._down = _Direction(link_mbps) if link_mbps else None
         self._mode = PASS
         self._open: set[_Connection] = set()
         self.port = 0
@@ -56,7 +78,7 @@
             await curio.spawn(self._forward, client, daemon=True)
 
     async def _forward(self, client: typing.Any) -> None:
-        conn = _Connection(client, self._mode)
+        conn = _Connection(client, self._mode, self._up, self._down)
         self._open.add(conn)
         if self._mode == RESET:
             await conn.reset()
@@ -67,7 +89,15 @@
 
 
 class _Connection:
-    def __init__(self, client: typing.Any, mode: str) -> None:
+    def __init__(
+        self,
+        client: typing.Any,
+        mode: str,
+        up: _Direction | None,
+        down: _Direction | None,
+    ) -> None:
+        self._up = up
+        self._down = down
         self._sockets = [client]
         self._reset_requested = curio.Event()
         self.mode = mode
@@ -90,8 +120,12 @@
     async def _copy(
         self, source: typing.Any, target: typing.Any, is_response: bool
     ) -> None:
+        direction = self._down if is_response else self._up
+        size = CHUNK_BYTES if direction is None else LINK_CHUNK_BYTES
         with contextlib.suppress(OSError):
-            while data := await source.recv(CHUNK_BYTES):
+            while data := await source.recv(size):
+                if direction is not None:
+                    await direction.carry(len(data))
                 if self.mode == SLOW:
                     await curio.sleep(SLOW_DELAY_S)
                 if self.mode == SILENT or (
