HTTP client: bound the silence of a server, not the transfer of its response

Cause: a read of the store had 1.2 s for its whole response beyond the long poll. The configuration, 0.78 MB, takes a host's link 1.6 to 1.9 s. Each retry began anew and was given up again, and all the while 39 hosts took their links and the store's reads for bytes that they threw away. Change: the timeout of a call ends at the response's first byte. From then on each part has to follow within that timeout, and the body at the slowest rate that the server side of hibiscusslip.http has for requests (min_bytes_per_s). A silent store is noticed as soon as before. A long poll's wait is an argument of its own, so that it extends only the first byte. This holds for all clients of the package: store, endpoints, advice, the former log, the command line. Why it works: the time that a read has now grows with what it reads.

--- a/hibiscusslip/http/_exchange.py
+++ b/hibiscusslip/http/_exchange.py
@@ -40,17 +40,28 @@
             self._received, self._expected, self._first_byte_after
         )
 
-    def describe(self) -> str:
-        """Return what has arrived of a response that isn't complete."""
+    def describe_silence(self, max_silence: float, max_wait: float) -> str:
+        """Return what has arrived, and for how long (s) nothing more has."""
         if self._first_byte_after is None:
-            return 'no response'
-        return f'only {self._received} bytes of {self._expected}'
+            return f'no response within {max_wait:g} s'
+        return (
+            f'only {self._received} bytes of {self._expected}, then none for'
+            f' {max_silence:g} s'
+        )
 
     def record_bytes(self) -> None:
         """Record that bytes of the response have arrived."""
         if self._first_byte_after is None:
             self._first_byte_after = time.monotonic() - self._started_at
 
+    def is_too_slow(self, now: float, grace: float, bytes_per_s: int) -> bool:
+        """Return whether the body arrives at less than `bytes_per_s`.
+
+        `grace` are the seconds in which any rate is accepted.
+        """
+        began = self._started_at + (self._first_byte_after or 0.0)
+        return now > began + grace + self._received / bytes_per_s
+
     def record_head(self, head: h11.Response) -> None:
         """Record the length of the body that the head announces."""
         for name, value in head.headers:
@@ -99,13 +110,10 @@
         _sockets.reset_on_close(self._sock)
         await self._sock.close()
 
-    async def exchange(
+    async def send(
         self, head: h11.Request, body: bytes, progress: Progress
-    ) -> messages.Response:
-        """Send a request and return the complete response.
-
-        Raises NotSent, CallUnsettled or MalformedResponse.
-        """
+    ) -> None:
+        """Send a request; raises NotSent if nothing was written."""
         out = self._conn.send(head)
         if body:
             out += self._conn.send(h11.Data(data=body))
@@ -117,7 +125,30 @@
             # for example to refuse the body.
             if not progress.written:
                 raise progress.error_for(str(exc)) from exc
-        return await self._read_response(progress)
+
+    async def await_response(self, progress: Progress) -> None:
+        """Wait for the first bytes of the response; raises CallUnsettled."""
+        try:
+            await self._read(progress)
+        except OSError as exc:
+            raise progress.error_for(str(exc)) from exc
+
+    async def read_response(
+        self, progress: Progress, max_silence: float
+    ) -> messages.Response:
+        """Return the complete response, whose first bytes have arrived.
+
+        Raises CallUnsettled or MalformedResponse, and TaskTimeout when no
+        byte has arrived for `max_silence` seconds.
+        """
+        try:
+            return await self._read_events(progress, max_silence)
+        except OSError as exc:
+            raise progress.error_for(str(exc)) from exc
+        except h11.RemoteProtocolError as exc:
+            raise exceptions.MalformedResponse(
+                f'invalid response: {exc}; check which service listens there'
+            ) from exc
 
     def prepare_reuse(self) -> bool:
         """Prepare for the next request; return False if that can't be."""
@@ -137,25 +168,17 @@
         if sent < len(out):
             await self._sock.sendall(memoryview(out)[sent:])
 
-    async def _read_response(self, progress: Progress) -> messages.Response:
-        try:
-            return await self._read_events(progress)
-        except OSError as exc:
-            raise progress.error_for(str(exc)) from exc
-        except h11.RemoteProtocolError as exc:
-            raise exceptions.MalformedResponse(
-                f'invalid response: {exc}; check which service listens there'
-            ) from exc
-
-    async def _read_events(self, progress: Progress) -> messages.Response:
+    async def _read_events(
+        self, progress: Progress, max_silence: float
+    ) -> messages.Response:
         conn = self._conn
         head: typing.Any = None
         chunks: list[bytes] = []
         size = 0
-        event: typing.Any = h11.NEED_DATA
+        event = conn.next_event()
         while type(event) is not h11.EndOfMessage:
             if event is h11.NEED_DATA:
-                await self._read(progress)
+                await self._read_more(progress, max_silence)
             elif type(event) is h11.Data:
                 size += len(event.data)
                 self._check_size(size)
@@ -173,6 +196,15 @@
             b''.join(chunks),
         )
 
+    async def _read_more(self, progress: Progress, max_silence: float) -> None:
+        async with curio.timeout_after(max_silence):
+            await self._read(progress)
+        min_rate = self._limits.min_bytes_per_s
+        if progress.is_too_slow(time.monotonic(), max_silence, min_rate):
+            raise progress.error_for(
+                f'the response arrives at under {min_rate} bytes/s'
+            )
+
     async def _read(self, progress: Progress) -> None:
         data = await self._sock.recv(READ_BYTES)
         if not data and self._conn.their_state is h11.SEND_RESPONSE:
--- a/hibiscusslip/http/client.py
+++ b/hibiscusslip/http/client.py
@@ -44,23 +44,28 @@
         body: bytes = b'',
         headers: dict[str, str] | None = None,
         timeout: float,
+        wait: float = 0.0,
     ) -> messages.Response:
         """Send a request and return its complete response.
 
-        `timeout` in seconds includes the wait for a connection. Raises
-        NotSent when no byte of the request was written, CallUnsettled when
-        it may have been handled, MalformedResponse when the response is
-        invalid or too large.
+        `timeout` in seconds bounds silence, not the transfer of a large
+        response: its first byte has to arrive within `timeout`, which
+        includes the wait for a connection, plus the `wait` for which the
+        server may hold the request open. Each further part has to follow
+        within `timeout`, and the body at `min_bytes_per_s` on average.
+        Raises NotSent when no byte of the request was written,
+        CallUnsettled when it may have been handled, MalformedResponse when
+        the response is invalid or too large.
         """
         head = self._build_head(method, path, body, headers)
         progress = _exchange.Progress()
         try:
-            async with curio.timeout_after(timeout):
-                async with self._slots:
-                    return await self._perform(head, body, progress)
+            async with curio.timeout_after(timeout + wait):
+                conn = await self._start(head, body, progress)
+            return await self._finish(conn, progress, timeout)
         except curio.TaskTimeout as exc:
             raise progress.error_for(
-                f'{progress.describe()} within {timeout:g} s'
+                progress.describe_silence(timeout, timeout + wait)
             ) from exc
 
     async def close(self) -> None:
@@ -86,20 +91,46 @@
                 f'invalid request: {exc}; correct the path or the headers'
             ) from exc
 
-    async def _perform(
+    async def _start(
         self, head: h11.Request, body: bytes, progress: _exchange.Progress
+    ) -> _exchange.ClientConnection:
+        """Send a request; return its connection once the response begins.
+
+        The connection holds a slot, which _finish() releases.
+        """
+        await self._slots.acquire()
+        try:
+            conn = await self._acquire()
+            try:
+                await conn.send(head, body, progress)
+                await conn.await_response(progress)
+            except BaseException:
+                await conn.abort()
+                raise
+        except BaseException:
+            await self._slots.release()
+            raise
+        return conn
+
+    async def _finish(
+        self,
+        conn: _exchange.ClientConnection,
+        progress: _exchange.Progress,
+        max_silence: float,
     ) -> messages.Response:
-        conn = await self._acquire()
+        """Return the complete response and free its connection."""
         try:
-            response = await conn.exchange(head, body, progress)
+            response = await conn.read_response(progress, max_silence)
+            if conn.prepare_reuse() and not self._closed:
+                self._idle.append(conn)
+            else:
+                await conn.close()
+            return response
         except BaseException:
             await conn.abort()
             raise
-        if conn.prepare_reuse() and not self._closed:
-            self._idle.append(conn)
-        else:
-            await conn.close()
-        return response
+        finally:
+            await self._slots.release()
 
     async def _acquire(self) -> _exchange.ClientConnection:
         if self._closed:
--- a/hibiscusslip/http/limits.py
+++ b/hibiscusslip/http/limits.py
@@ -8,7 +8,8 @@
     """Store the limits of a server or a client; times are in seconds.
 
     A request has to arrive within `read_timeout` plus the time that its
-    body needs at `min_bytes_per_s`. The peer has to accept each chunk of a
+    body needs at `min_bytes_per_s`, which is the slowest rate for the body
+    of a response as well. The peer has to accept each chunk of a
     response within `write_timeout`. A connection without a request is
     closed after `idle_timeout`. While draining, idle connections stay open
     for `drain_idle_timeout`, so that requests in transit are still served.
--- a/hibiscusslip/platform/endpoint_client.py
+++ b/hibiscusslip/platform/endpoint_client.py
@@ -125,7 +125,7 @@
             body['DeadlineMs'] = int(deadline * settings.MS_PER_S)
         if wait > 0:
             body['WaitMs'] = int(wait * settings.MS_PER_S)
-        response = await self._call('/v1/hold', body, timeout + wait)
+        response = await self._call('/v1/hold', body, timeout, wait)
         return documents.read_endpoint_report(response.content)
 
     async def close(self) -> None:
@@ -133,7 +133,11 @@
         await self._pool.close()
 
     async def _call(
-        self, path: str, body: dict[str, typing.Any], timeout: float
+        self,
+        path: str,
+        body: dict[str, typing.Any],
+        timeout: float,
+        wait: float = 0.0,
     ) -> messages.Response:
         try:
             response = await self._pool.call(
@@ -142,6 +146,7 @@
                 body=msgspec.json.encode(body),
                 headers=self._headers,
                 timeout=timeout,
+                wait=wait,
             )
         except http_exceptions.NotSent as exc:
             raise exceptions.RequestNotSent(str(exc)) from exc
--- a/hibiscusslip/platform/http_log.py
+++ b/hibiscusslip/platform/http_log.py
@@ -70,7 +70,8 @@
             response = await self._reads.call(
                 'GET',
                 wire.stream_path(stream) + query,
-                timeout=self._timeout + wait,
+                timeout=self._timeout,
+                wait=wait,
             )
         except http_exceptions.HttpError as exc:
             raise exceptions.LogUnavailable(str(exc)) from exc
--- a/hibiscusslip/platform/store.py
+++ b/hibiscusslip/platform/store.py
@@ -97,7 +97,8 @@
     """Call the store over a pool of connections.
 
     `calls` counts the calls by result: the HTTP status, or 'not_sent' or
-    'unsettled' if there was no response. `timeout` is in seconds.
+    'unsettled' if there was no response. `timeout` in seconds is the longest
+    silence that is accepted: a large response takes as long as it needs.
     """
 
     def __init__(self, address: settings.Address) -> None:
@@ -144,9 +145,8 @@
     ) -> Batch:
         """Read the records from the offset `start` on.
 
-        If there is none yet, wait up to `wait` seconds for one; `timeout` is
-        in addition to that. Raises HistoryTrimmed, StoreUnavailable,
-        StoreOutcomeUnknown.
+        If there is none yet, wait up to `wait` seconds for one. Raises
+        HistoryTrimmed, StoreUnavailable, StoreOutcomeUnknown.
         """
         query = urllib.parse.urlencode(
             {
@@ -158,7 +158,7 @@
             }
         )
         path = f'/v1/log-read?{query}'
-        response = await self._call('GET', path, b'', {}, timeout + wait)
+        response = await self._call('GET', path, b'', {}, timeout, wait)
         if response.status == 200:
             return _to_batch(start, response.content)
         if response.status == 404:
@@ -211,10 +211,16 @@
         body: bytes,
         headers: dict[str, str],
         timeout: float,
+        wait: float = 0.0,
     ) -> messages.Response:
         try:
             response = await self._pool.call(
-                method, path, body=body, headers=headers, timeout=timeout
+                method,
+                path,
+                body=body,
+                headers=headers,
+                timeout=timeout,
+                wait=wait,
             )
         except http_exceptions.NotSent as exc:
             self._count('not_sent')
