tests: start and recover on a slow link

Cause: two more places had the fault that mends, a fixed time for a response whose size grows: the first read of the configuration (1.5 s for a list of newest records, so a host on a slow link never became ready with 5,600 routes), and a new owner's read of the inbox (2.5 s a page, twelve partitions beside each other on one link, so it never got ready with 2 MB of accepted jobs). Change: a test for each, in the grown sites' figures.

--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -47,12 +47,14 @@
     '' is no fault. 'refuse' responds with 503, 'silent' never responds, and
     'lost' handles the request but drops the connection instead of
     responding. Hosts whose IP address is in `refused_peers` get a 503, as do
-    requests for a topic and partition in `unavailable`.
+    requests for a topic and partition in `unavailable`. Lists of newest
+    records have `page_items` records a page.
     """
 
     def __init__(self):
         self.topics = {}
         self.newest = {}
+        self.page_items = 2
         self.mode = ''
         self.refused_peers = set()
         self.unavailable = set()
@@ -61,10 +63,10 @@
     def partition(self, topic, part=0):
         return self.topics.setdefault((topic, part), Partition())
 
-    def put(self, topic, key, value):
+    def put(self, topic, key, value, part=0):
         """Write a keyed record, as the operator and the endpoints do."""
         record = store.encode_keyed(key, value)
-        self._store_records(topic, 0, [record])
+        self._store_records(topic, part, [record])
 
     def values(self, topic, part=0):
         latest = self.newest.get((topic, part), {})
@@ -163,10 +165,10 @@
                 'Value': base64.b64encode(latest[key][1]).decode(),
                 'Offset': latest[key][0],
             }
-            for key in keys[:2]
+            for key in keys[: self.page_items]
         ]
         end = self.partition(req.query['Topic'], part).end
-        more = len(keys) > 2
+        more = len(keys) > self.page_items
         return json_response(
             200, {'items': items, 'MorePages': more, 'End': end}
         )
--- a/tests/platform/test_slow_links.py
+++ b/tests/platform/test_slow_links.py
@@ -6,16 +6,32 @@
 """
 
 import curio
+import msgspec
 
+from hibiscusslip.dispatch import records
+from hibiscusslip.host import topics
 from tests.faults import serving
 from tests.platform import cell
 
 LINK_MBPS = 5.0
 CONFIG_IN_FORCE_S = 3.0
 ROUTES = 4 * 1400
+RECOVERY_S = 15.0
+PARTITIONS = 12
+PAGE_ITEMS = 500
 OLD_POLL_S = 1.7  # the long poll for the next version lasts 2 s
 
 
+def put_waiting_jobs(store, per_partition):
+    """Write accepted jobs to all partitions of the inbox."""
+    body = msgspec.json.encode({'Spec': 'x' * 4000, 'Steps': [{'Cpu': 1}]})
+    submission = records.Submission('r-small', cell.SERVICE, 0.0, body)
+    value = records.encode_submission(submission)
+    for number in range(PARTITIONS * per_partition):
+        part = number % PARTITIONS
+        store.put(topics.INBOX, f'{number:016x}', value, part)
+
+
 async def apply_in_time(running, version):
     """Write a version; return whether it is in force in time."""
     ctx = running.contexts['slow']
@@ -42,3 +58,33 @@
                 )
 
     serving.run(scenario)
+
+
+def test_host_starts_with_a_large_configuration_on_a_slow_link():
+    async def scenario():
+        async with cell.running(hosts=0, endpoints=0) as running:
+            document = cell.large_config_document(2, ROUTES)
+            running.store.put('keyed.op', 'config', document)
+            await running.add_host('slow', LINK_MBPS)
+            ctx = running.contexts['slow']
+            await running.wait_until(
+                lambda: ctx.config is not None, timeout=RECOVERY_S
+            )
+
+    serving.run(scenario)
+
+
+def test_owner_on_a_slow_link_recovers_a_large_inbox():
+    async def scenario():
+        async with cell.running(hosts=0, endpoints=0) as running:
+            running.store.page_items = PAGE_ITEMS
+            put_waiting_jobs(running.store, per_partition=40)
+            await running.add_host('slow', LINK_MBPS)
+            ctx = running.contexts['slow']
+            recovered = 'hibiscusslip_successions 1'
+            await running.wait_until(
+                lambda: recovered in ctx.metrics.render().decode(),
+                timeout=RECOVERY_S,
+            )
+
+    serving.run(scenario)
