store: give a large append the time that the link needs for it

Cause: an append had a fixed time, 1.2 s of the owner's records, for a batch of up to 1 MB. A link of 5 Mbit/s needs 1.6 s for it, so an owner there timed out, tried the other partition, timed out there, and so on without end: no start could be recorded. Change: the store client knows the rate of the host's link and adds the time that half of it needs for the records. A small append's time is as before. Evidence: test_large_append_is_answered_on_a_slow_link failed before ('no response within 1.2 s') and passes. A constant that nothing read is gone.

--- a/hibiscusslip/host/__main__.py
+++ b/hibiscusslip/host/__main__.py
@@ -46,7 +46,7 @@
     return context.Context(
         cfg=cfg,
         incarnation=incarnation,
-        store=store.Store(cfg.store),
+        store=store.Store(cfg.store, cfg.link_mbps),
         log=events.open_log(cfg.name),
         metrics=prometheus.Metrics(),
         ownership=ownership.Ownership(
--- a/hibiscusslip/platform/store.py
+++ b/hibiscusslip/platform/store.py
@@ -25,8 +25,11 @@
 CONFIG_KEY = 'config'
 KEYED_PREFIX = 'keyed.'
 CONNECTIONS = 40
+DEFAULT_LINK_MBPS = 1000.0
 MAX_READ_KB = 1024
-WAIT_SLACK_S = 0.8
+BITS_PER_BYTE = 8
+BITS_PER_MBIT = 1e6
+UPLOAD_LINK_SHARE = 0.5  # of a host's link; the rest carries other traffic
 
 _LENGTH = struct.Struct('>I')
 _BOUNDS = struct.Struct('>QQ')
@@ -98,11 +101,18 @@
 
     `calls` counts the calls by result: the HTTP status, or 'not_sent' or
     'unsettled' if there was no response. `timeout` in seconds is the longest
-    silence that is accepted: a large response takes as long as it needs.
+    silence that is accepted: a large response takes as long as it needs, and
+    the time that the host's link of `link_mbps` needs for the records of an
+    append is added.
     """
 
-    def __init__(self, address: settings.Address) -> None:
+    def __init__(
+        self, address: settings.Address, link_mbps: float = DEFAULT_LINK_MBPS
+    ) -> None:
         self._pool = client.Pool(address.ip, address.port, _HTTP, CONNECTIONS)
+        self._upload_bytes_per_s = (
+            link_mbps * BITS_PER_MBIT / BITS_PER_BYTE * UPLOAD_LINK_SHARE
+        )
         self.calls: dict[str, int] = {}
 
     async def append(
@@ -130,7 +140,10 @@
             query['Producer'], query['epoch'], query['Seq'] = producer
         body = b''.join(_LENGTH.pack(len(r)) + r for r in records)
         path = f'/v1/log-append?{urllib.parse.urlencode(query)}'
-        response = await self._call('POST', path, body, _RAW, timeout)
+        upload_time = len(body) / self._upload_bytes_per_s
+        response = await self._call(
+            'POST', path, body, _RAW, timeout, upload_time
+        )
         if response.status == 200:
             return _decode(response, _Appended).offset
         raise self._to_exception(response)
--- a/tests/platform/test_slow_links.py
+++ b/tests/platform/test_slow_links.py
@@ -88,3 +88,14 @@
             )
 
     serving.run(scenario)
+
+
+def test_large_append_is_answered_on_a_slow_link():
+    async def scenario():
+        async with cell.running(hosts=0, endpoints=0) as running:
+            await running.add_host('slow', LINK_MBPS)
+            batch = [b'x' * 200_000] * 5
+            store = running.contexts['slow'].store
+            assert await store.append('t', batch, 1.2) == 0
+
+    serving.run(scenario)
