store: try a page again, not the whole list

Cause: a list of newest records is read in pages, and one page without an answer threw away all before it. The more records, the less likely is a run of answers without a gap: while a store loses a part of its answers, a new owner of a large cell would start over and over. Change: a page after the first is tried four times, 0.1 s apart. The first has one try as before, so an unavailable store is noticed as soon. Evidence: test_failed_page_doesnt_restart_the_list failed before ('the store answered 503') and passes.

--- a/hibiscusslip/http/client.py
+++ b/hibiscusslip/http/client.py
@@ -51,9 +51,9 @@
         `timeout` in seconds bounds silence, not the transfer of a large
         response: its first byte has to arrive within `timeout`, which
         includes the wait for a connection, plus `wait`, which is for a server
-        that may hold the request open, or for a large body to send. Each further part has to follow
-        within `timeout`, and the body at `min_bytes_per_s` on average.
-        Raises NotSent when no byte of the request was written,
+        that may hold the request open, or for a large body to send. Each
+        further part has to follow within `timeout`, and the body at
+        `min_bytes_per_s` on average. Raises NotSent when no byte of the request was written,
         CallUnsettled when it may have been handled, MalformedResponse when
         the response is invalid or too large.
         """
--- a/hibiscusslip/platform/store.py
+++ b/hibiscusslip/platform/store.py
@@ -11,6 +11,7 @@
 import typing
 import urllib.parse
 
+import curio
 import msgspec
 
 from hibiscusslip.http import client
@@ -27,6 +28,8 @@
 CONNECTIONS = 40
 DEFAULT_LINK_MBPS = 1000.0
 MAX_READ_KB = 1024
+MAX_PAGE_ATTEMPTS = 4
+PAGE_RETRY_PAUSE_S = 0.1
 BITS_PER_BYTE = 8
 BITS_PER_MBIT = 1e6
 UPLOAD_LINK_SHARE = 0.5  # of a host's link; the rest carries other traffic
@@ -183,14 +186,17 @@
     ) -> NewestValues:
         """Read the newest value of each key of a keyed topic.
 
-        Raises StoreUnavailable, StoreOutcomeUnknown.
+        A page after the first is tried MAX_PAGE_ATTEMPTS times, as a new
+        start would read all pages before it again. Raises StoreUnavailable,
+        StoreOutcomeUnknown.
         """
         values: dict[str, bytes] = {}
         offsets: dict[str, int] = {}
         end: int | None = None
         after = ''
         while True:
-            page = await self._fetch_page(topic, part, after, timeout)
+            attempts = MAX_PAGE_ATTEMPTS if after else 1
+            page = await self._try_page(topic, part, after, timeout, attempts)
             end = page.end if end is None else min(end, page.end)
             for item in page.items:
                 offsets[item.key] = item.offset
@@ -199,6 +205,19 @@
                 return NewestValues(values, offsets, end)
             after = page.items[-1].key
 
+    async def _try_page(
+        self, topic: str, part: int, after: str, timeout: float, attempts: int
+    ) -> _Page:
+        for _ in range(attempts - 1):
+            try:
+                return await self._fetch_page(topic, part, after, timeout)
+            except (
+                exceptions.StoreUnavailable,
+                exceptions.StoreOutcomeUnknown,
+            ):
+                await curio.sleep(PAGE_RETRY_PAUSE_S)
+        return await self._fetch_page(topic, part, after, timeout)
+
     async def _fetch_page(
         self, topic: str, part: int, after: str, timeout: float
     ) -> _Page:
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -112,9 +112,10 @@
         documents.read_endpoint_report(body)
 
 
-def with_store(scenario):
+def with_store(scenario, handler=None):
+    handler = handler or standin.Store()
+
     async def main():
-        handler = standin.Store()
         http_server = server.Server(handler)
         port = await http_server.listen('127.0.0.1', 0)
         task = await curio.spawn(http_server.serve, daemon=True)
@@ -209,6 +210,31 @@
     with_store(scenario)
 
 
+def test_failed_page_doesnt_restart_the_list():
+    """The second call of each page is the first that succeeds."""
+
+    class FailingPages(standin.Store):
+        def __init__(self):
+            super().__init__()
+            self.pages = []
+
+        def _newest(self, req, part):
+            page = req.query.get('DependsOn', '')
+            self.pages.append(page)
+            if page and self.pages.count(page) < 2:
+                return standin.json_response(503)
+            return super()._newest(req, part)
+
+    async def scenario(handler, client):
+        for number in range(8):
+            handler.put('keyed.t', f'k{number}', b'v')
+        newest = await client.newest('keyed.t', 1)
+        assert len(newest.values) == 8
+        assert handler.pages.count('') == 1
+
+    with_store(scenario, FailingPages())
+
+
 def test_refused_connection_means_that_nothing_was_written():
     async def scenario():
         client = store.Store(settings.Address('127.0.0.1', 9))
