recovery: keep the partitions that were read when another one fails

Change: a reader keeps what it has read over the attempts of one ownership. That is safe as the fence is set before the first read: only this owner can write progress, and inboxes are tailed from the end of what was read. Evidence: test_partition_that_was_read_isnt_read_again_when_another_fails; without the change the reads are 0, 1, 0, 1.

--- a/hibiscusslip/host/owner.py
+++ b/hibiscusslip/host/owner.py
@@ -109,11 +109,14 @@
             await curio.sleep(PLAN_IDLE_S)
 
     async def _recover(self) -> recovery.Recovered:
+        # Only this owner writes progress once its fence is set, so what has
+        # been read stays valid for the next attempt.
+        reader = recovery.PartitionReader(self.ctx)
         while True:
             try:
                 await self._writer.fence()
                 self.engine.config = self.ctx.config
-                return await recovery.recover(self.ctx, self.engine)
+                return await recovery.recover(self.ctx, self.engine, reader)
             except exceptions.ProducerFenced:
                 self.ctx.ownership.lose()
                 raise
--- a/hibiscusslip/host/recovery.py
+++ b/hibiscusslip/host/recovery.py
@@ -36,11 +36,57 @@
     used_parts: list[int]
 
 
-async def recover(ctx: context.Context, engine: engines.Engine) -> Recovered:
+class PartitionReader:
+    """Read the newest records of partitions, each of them once.
+
+    Partitions that were read are retained when another one fails, so that
+    the next attempt reads only what is missing. Records that are written
+    after a partition was read are found by tailing it from its end.
+    """
+
+    def __init__(self, ctx: context.Context) -> None:
+        self._ctx = ctx
+        self._read: dict[tuple[str, int], store.NewestValues] = {}
+
+    async def read(self, topic: str, parts: int) -> list[store.NewestValues]:
+        """Return the newest records of each partition, read concurrently.
+
+        Raises PlatformError if one of them can't be read.
+        """
+        missing = [p for p in range(parts) if (topic, p) not in self._read]
+        async with curio.TaskGroup() as group:
+            tasks = {
+                part: await group.spawn(self._try_read, topic, part)
+                for part in missing
+            }
+        errors = [task.result for task in tasks.values() if task.result]
+        if errors:
+            raise errors[0]
+        return [self._read[topic, part] for part in range(parts)]
+
+    async def _try_read(
+        self, topic: str, part: int
+    ) -> exceptions.PlatformError | None:
+        """Read a partition; return the error if that fails.
+
+        A raised error would cancel the other reads of the task group, and
+        their cancellation would end the host.
+        """
+        try:
+            newest = await self._ctx.store.newest(topic, READ_TIMEOUT_S, part)
+        except exceptions.PlatformError as exc:
+            return exc
+        self._read[topic, part] = newest
+        return None
+
+
+async def recover(
+    ctx: context.Context, engine: engines.Engine, reader: PartitionReader
+) -> Recovered:
     """Read all records into a new engine; raises PlatformError."""
-    parts = await _read_newest(ctx, topics.JOBS, topics.JOBS_PARTS)
+    parts = await reader.read(topics.JOBS, topics.JOBS_PARTS)
     progress = _merge_progress(ctx, parts)
-    inboxes = await _read_newest(ctx, topics.INBOX, ctx.cfg.partitions)
+    inboxes = await reader.read(topics.INBOX, ctx.cfg.partitions)
     listed = await ctx.store.newest(store.ENDPOINTS_TOPIC, READ_TIMEOUT_S)
     now = context.monotonic()
     for name, value in listed.values.items():
@@ -84,40 +130,6 @@
     return merged
 
 
-async def _read_newest(
-    ctx: context.Context, topic: str, parts: int
-) -> list[store.NewestValues]:
-    """Return the newest records of each partition, read concurrently.
-
-    Raises PlatformError if one of them can't be read.
-    """
-    async with curio.TaskGroup() as group:
-        reads = [
-            await group.spawn(_read_newest_or_error, ctx, topic, part)
-            for part in range(parts)
-        ]
-    results = []
-    for read in reads:
-        if isinstance(read.result, exceptions.PlatformError):
-            raise read.result
-        results.append(read.result)
-    return results
-
-
-async def _read_newest_or_error(
-    ctx: context.Context, topic: str, part: int
-) -> store.NewestValues | exceptions.PlatformError:
-    """Return the newest records of a partition, or the error.
-
-    A raised error would cancel the other reads of the task group, and their
-    cancellation would end the host.
-    """
-    try:
-        return await ctx.store.newest(topic, READ_TIMEOUT_S, part)
-    except exceptions.PlatformError as exc:
-        return exc
-
-
 def _submit_all(
     ctx: context.Context,
     engine: engines.Engine,
--- a/hibiscusslip/http/client.py
+++ b/hibiscusslip/http/client.py
@@ -53,9 +53,9 @@
         includes the wait for a connection, plus `wait`, which is for a server
         that may hold the request open, or for a large body to send. Each
         further part has to follow within `timeout`, and the body at
-        `min_bytes_per_s` on average. Raises NotSent when no byte of the request was written,
-        CallUnsettled when it may have been handled, MalformedResponse when
-        the response is invalid or too large.
+        `min_bytes_per_s` on average. Raises NotSent when no byte of the
+        request was written, CallUnsettled when it may have been handled,
+        MalformedResponse when the response is invalid or too large.
         """
         head = self._build_head(method, path, body, headers)
         progress = _exchange.Progress()
--- a/tests/host/test_recovery.py
+++ b/tests/host/test_recovery.py
@@ -29,4 +29,31 @@
     ctx = fakes.make_context(Store(failing_part))
     engine = engines.Engine(5.9)
     with pytest.raises(exceptions.StoreOutcomeUnknown):
-        curio.run(recovery.recover, ctx, engine)
+        reader = recovery.PartitionReader(ctx)
+        curio.run(recovery.recover, ctx, engine, reader)
+
+
+def test_partition_that_was_read_isnt_read_again_when_another_fails():
+    class RecordingStore(Store):
+        def __init__(self):
+            super().__init__(failing_part=1)
+            self.reads = []
+
+        async def newest(self, topic, timeout, part=0):
+            self.reads.append(part)
+            return await super().newest(topic, timeout, part)
+
+    fake_store = RecordingStore()
+    ctx = fakes.make_context(fake_store)
+    reader = recovery.PartitionReader(ctx)
+
+    async def attempt():
+        with pytest.raises(exceptions.StoreOutcomeUnknown):
+            await recovery.recover(ctx, engines.Engine(5.9), reader)
+
+    async def attempt_twice():
+        await attempt()
+        await attempt()
+
+    curio.run(attempt_twice)
+    assert sorted(fake_store.reads) == [0, 1, 1]
