owner: delete the records of ended jobs in groups

Cause: all jobs that ended since the last round, or that a former owner left, were deleted in one append a partition; after a failure of any partition all of them, and those of the next round, were sent again. Change: 1,000 jobs at a time; a group that fails is tried again in the next round, those before it aren't. Evidence: test_deletion_of_many_jobs_goes_on_where_it_failed.

--- a/hibiscusslip/host/owner.py
+++ b/hibiscusslip/host/owner.py
@@ -28,6 +28,7 @@
 DELETE_TIMEOUT_S = 1.2
 RECOVERY_RETRY_PAUSE_S = 0.1
 DELETE_PERIOD_S = 5.0
+MAX_DELETED_JOBS = 1000  # in one append; two keys of a job have up to 100 B
 LOAD_PERIOD_S = 1.0
 STOP_FLUSH_S = 0.5
 MAX_EARLY_CANCELS = 10_000
@@ -62,7 +63,7 @@
         )
         self._inboxes: list[cell_feeds.InboxFeed] = []
         self._tasks = curio.TaskGroup(wait=any)
-        self._orphans: list[str] = []
+        self._undeleted: list[str] = []
         self._early_cancels: dict[str, bool] = {}
 
     async def run(self) -> None:
@@ -92,7 +93,7 @@
             for part, offset in enumerate(recovered.inbox_offsets)
         ]
         endpoints = cell_feeds.EndpointFeed(self, recovered.endpoints_offset)
-        self._orphans = recovered.orphans
+        self._undeleted = recovered.orphans
         for loop in (
             self._writer.run,
             *(feed.run for feed in self._inboxes),
@@ -273,27 +274,32 @@
             await curio.sleep(DELETE_PERIOD_S)
             kept = self.ctx.cfg.bounds.status_kept
             before = context.monotonic() - kept * 1.5
-            old = self.engine.forget_ended_before(before)
-            old += self._orphans
-            self._orphans = []
-            if old:
-                await self._delete_records(old)
+            self._undeleted += self.engine.forget_ended_before(before)
+            await self._delete_undeleted()
+
+    async def _delete_undeleted(self) -> None:
+        """Delete records in groups until one fails, which is tried later."""
+        while self._undeleted:
+            group = self._undeleted[:MAX_DELETED_JOBS]
+            try:
+                await self._delete_records(group)
+            except exceptions.PlatformError as exc:
+                self.ctx.log.note('forgetting_failed', error=str(exc)[:120])
+                return
+            del self._undeleted[: len(group)]
 
     async def _delete_records(self, job_ids: list[str]) -> None:
+        """Delete the records of jobs; raises PlatformError."""
         names = [store.encode_keyed(job_id) for job_id in job_ids]
         names += [
             store.encode_keyed(f'{topics.CANCEL_PREFIX}{job_id}')
             for job_id in job_ids
         ]
-        try:
-            for part in range(len(self._inboxes)):
-                await self.ctx.store.append(
-                    topics.INBOX, names, DELETE_TIMEOUT_S, part=part
-                )
-            await self._writer.delete_jobs(job_ids)
-        except exceptions.PlatformError as exc:
-            self.ctx.log.note('forgetting_failed', error=str(exc)[:120])
-            self._orphans = job_ids
+        for part in range(len(self._inboxes)):
+            await self.ctx.store.append(
+                topics.INBOX, names, DELETE_TIMEOUT_S, part=part
+            )
+        await self._writer.delete_jobs(job_ids)
 
     def successor_can_recover(self, now: float) -> bool:
         """Return True if a new owner could read all that it needs.
--- a/tests/host/test_owner.py
+++ b/tests/host/test_owner.py
@@ -1,5 +1,7 @@
 """Check that records may be read out of order and handovers are safe."""
 
+import curio
+
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import records
 from hibiscusslip.host import context
@@ -62,3 +64,36 @@
     for number in range(5):
         local_owner.apply_inbox_record(f'{topics.CANCEL_PREFIX}{number}', b'1')
     assert list(local_owner._early_cancels) == ['2', '3', '4']
+
+
+class FailOnce(fakes.FakeStore):
+    """Fail one append; record how many records each append has."""
+
+    def __init__(self, failing):
+        super().__init__()
+        self.failing = failing
+        self.sizes = []
+
+    async def append(self, topic, records, timeout, **options):
+        self.sizes.append(len(records))
+        if len(self.sizes) == self.failing:
+            raise exceptions.StoreUnavailable('503')
+        return await super().append(topic, records, timeout, **options)
+
+
+def test_deletion_of_many_jobs_goes_on_where_it_failed(monkeypatch):
+    monkeypatch.setattr(owner, 'MAX_DELETED_JOBS', 10)
+    fake_store = FailOnce(failing=2)
+    ctx = fakes.make_context(fake_store)
+    local_owner = owner.Owner(ctx, None, None, 1)
+    local_owner._inboxes = [FakeFeed(False)]
+    local_owner._undeleted = [f'{number:016x}' for number in range(25)]
+
+    async def delete_twice():
+        await local_owner._delete_undeleted()
+        assert len(local_owner._undeleted) == 15
+        await local_owner._delete_undeleted()
+
+    curio.run(delete_twice)
+    assert not local_owner._undeleted
+    assert fake_store.sizes == [20, 20, 20, 10]
