Configuration feed: skip missed versions, read the newest

Cause: a host that had been without the store read every version written meanwhile, in order, though only the newest counts. On a slow link six large versions take 10 s, more than ContactMs and ConfigApplyMs together (7 s). Change: a feed may have a longest lag, after which it reads the newest records instead of the history: 3 s for the configuration, more than a long poll takes. Evidence: test_newest_of_many_missed_versions_is_in_force_in_time failed before and passes.

--- a/hibiscusslip/host/feeds.py
+++ b/hibiscusslip/host/feeds.py
@@ -16,6 +16,7 @@
 
     topic = store.CONFIG_TOPIC
     wait = 2.0
+    max_lag = 3.0  # only the newest of several missed versions counts
 
     async def load_snapshot(self) -> int:
         """Read and apply the newest configuration."""
--- a/hibiscusslip/host/tailing.py
+++ b/hibiscusslip/host/tailing.py
@@ -1,6 +1,7 @@
 """Tail topics of the store through outages and truncated history."""
 
 import abc
+import math
 
 import curio
 
@@ -21,6 +22,7 @@
     wait = 0.5  # how long the store may delay a read for a record, in s
     read_pause = 0.0  # between two reads, in s
     timeout = CALL_TIMEOUT_S  # of a read, beyond `wait`, in s
+    max_lag = math.inf  # after which a snapshot replaces the history, in s
 
     def __init__(self, ctx: context.Context) -> None:
         self.ctx = ctx
@@ -28,6 +30,7 @@
         self.offset: int | None = None
         self._retry_pause = MIN_RETRY_PAUSE_S
         self._failing = False
+        self._caught_up_at = 0.0
 
     @property
     def failing(self) -> bool:
@@ -73,9 +76,12 @@
 
     async def read_once(self, wait: float) -> None:
         """Read and apply the next records; raises PlatformError."""
+        if context.monotonic() > self._caught_up_at + self.max_lag:
+            self.offset = None
         if self.offset is None:
             self.offset = await self.load_snapshot()
-            self.ctx.record_store_success(context.monotonic())
+            self._caught_up_at = context.monotonic()
+            self.ctx.record_store_success(self._caught_up_at)
         batch = await self.ctx.store.read(
             self.topic, self.offset, wait, self.timeout, self.part
         )
@@ -112,4 +118,5 @@
                 self.offset = offset + 1
                 await self.apply(offset, record)
         if self.offset is not None and self.offset >= batch.end:
+            self._caught_up_at = context.monotonic()
             await self.handle_caught_up(batch.end)
--- a/tests/platform/test_slow_links.py
+++ b/tests/platform/test_slow_links.py
@@ -16,7 +16,11 @@
 LINK_MBPS = 5.0
 CONFIG_IN_FORCE_S = 3.0
 ROUTES = 4 * 1400
+CONTACT_S = 4.0
 RECOVERY_S = 15.0
+MISSED_VERSIONS = 6
+VERSION_GAP_S = 0.5
+LONGEST_POLL_S = 2.5  # after which no read is left from before an outage
 PARTITIONS = 12
 PAGE_ITEMS = 500
 OLD_POLL_S = 1.7  # the long poll for the next version lasts 2 s
@@ -99,3 +103,24 @@
             assert await store.append('t', batch, 1.2) == 0
 
     serving.run(scenario)
+
+
+def test_newest_of_many_missed_versions_is_in_force_in_time():
+    async def scenario():
+        async with cell.running(hosts=0, endpoints=0) as running:
+            await running.add_host('slow', LINK_MBPS)
+            ctx = running.contexts['slow']
+            await running.wait_until(lambda: ctx.config is not None)
+            running.store.mode = 'refuse'
+            await curio.sleep(LONGEST_POLL_S)
+            for version in range(2, 2 + MISSED_VERSIONS):
+                await curio.sleep(VERSION_GAP_S)
+                document = cell.large_config_document(version, ROUTES)
+                running.store.put('keyed.op', 'config', document)
+            running.store.mode = ''
+            await running.wait_until(
+                lambda: ctx.config.version == version,
+                timeout=CONTACT_S + CONFIG_IN_FORCE_S,
+            )
+
+    serving.run(scenario)
