front: don't deny a queue by an outdated configuration

Cause: a host answered from whatever configuration it had, however long ago that was known to be the newest, and the readiness probe asks only whether the store answers any call. Change: a host knows when the store last had no newer version. Once that is longer ago than the time within which a configuration has to be in force (ConfigApplyMs of the settings, Bounds.config_apply), an unknown queue is answered with 503 and when to try again, elsewhere if there is hope. The long poll lasts at most 0.75 of that time, so that idle hosts stay certain, and after a change one read doesn't wait, as others may have come meanwhile. Known queues are served as before: a host that is cut off goes on with them.

--- a/hibiscusslip/host/context.py
+++ b/hibiscusslip/host/context.py
@@ -67,6 +67,11 @@
             self.log.note('hosts_lost')
         self.isolated = not any_replied
 
+    def config_is_current(self, now: float) -> bool:
+        """Return True if no newer configuration has to be in force yet."""
+        age = now - self.config_confirmed_at
+        return age <= self.cfg.bounds.config_apply
+
     def store_available(self, now: float) -> bool:
         """Return True if the store is believed to serve this host."""
         return (
--- a/hibiscusslip/host/feeds.py
+++ b/hibiscusslip/host/feeds.py
@@ -9,15 +9,23 @@
 from hibiscusslip.platform import store
 
 LOAD_TIMEOUT_S = 1.5
+CONFIG_MAX_WAIT_S = 2.0
+CONFIG_WAIT_SHARE = 0.75  # of the time until a configuration is in force
 
 
 class ConfigFeed(tailing.Tail):
     """Tail the operator's configuration; older versions are ignored."""
 
     topic = store.CONFIG_TOPIC
-    wait = 2.0
+    confirms_records = True
     max_lag = 3.0  # only the newest of several missed versions counts
 
+    def __init__(self, ctx: context.Context) -> None:
+        super().__init__(ctx)
+        self.wait = min(
+            CONFIG_MAX_WAIT_S, ctx.cfg.bounds.config_apply * CONFIG_WAIT_SHARE
+        )
+
     async def load_snapshot(self) -> int:
         """Read and apply the newest configuration."""
         newest = await self.ctx.store.newest(self.topic, LOAD_TIMEOUT_S)
@@ -30,9 +38,10 @@
         if key == store.CONFIG_KEY:
             self._apply_value(value)
 
-    async def handle_caught_up(self, end: int) -> None:
-        """Record that no newer configuration is known to the store."""
-        self.ctx.config_confirmed_at = context.monotonic()
+    async def handle_caught_up(self, batch: store.Batch) -> None:
+        """Record that the store has no newer configuration now."""
+        if not batch.records:
+            self.ctx.config_confirmed_at = context.monotonic()
 
     def _apply_value(self, value: bytes) -> None:
         if not value:
@@ -117,6 +126,6 @@
                 'owner_known', epoch=notice.epoch, owner=notice.host
             )
 
-    async def handle_caught_up(self, end: int) -> None:
+    async def handle_caught_up(self, batch: store.Batch) -> None:
         """Record that the topic was read to its end."""
-        self.ctx.ownership.record_read(end, context.monotonic())
+        self.ctx.ownership.record_read(batch.end, context.monotonic())
--- a/hibiscusslip/host/front.py
+++ b/hibiscusslip/host/front.py
@@ -75,12 +75,15 @@
         config: model.Configuration,
         now: float,
     ) -> messages.Response:
+        """Return a 404, or a 503 if a newer version may have the queue."""
         self._ctx.log.note(
             'queue_not_found',
             path=req.path[:MAX_LOGGED_PATH_CHARS],
             version=config.version,
             config_age=round(now - self._ctx.config_confirmed_at, 3),
         )
+        if not self._ctx.config_is_current(now):
+            return self._unavailable('the configuration may be out of date')
         return callers.queue_not_found()
 
     def _record_metrics(
--- a/hibiscusslip/host/tailing.py
+++ b/hibiscusslip/host/tailing.py
@@ -22,6 +22,9 @@
     wait = 0.5  # how long the store may delay a read for a record, in s
     read_pause = 0.0  # between two reads, in s
     timeout = CALL_TIMEOUT_S  # of a read, beyond `wait`, in s
+    # Whether records are followed by a read that doesn't wait, which shows
+    # that no others were written while they arrived.
+    confirms_records = False
     max_lag = math.inf  # after which a snapshot replaces the history, in s
 
     def __init__(self, ctx: context.Context) -> None:
@@ -31,6 +34,7 @@
         self._retry_pause = MIN_RETRY_PAUSE_S
         self._failing = False
         self._caught_up_at = 0.0
+        self._confirmed = False
 
     @property
     def failing(self) -> bool:
@@ -45,17 +49,15 @@
     async def apply(self, offset: int, record: bytes) -> None:
         """Apply one record."""
 
-    async def handle_caught_up(self, end: int) -> None:  # noqa: B027
-        """Handle that all records before `end` have been applied."""
+    async def handle_caught_up(self, batch: store.Batch) -> None:  # noqa: B027
+        """Handle that all records before the end of `batch` are applied."""
         return None
 
     async def run(self) -> None:
         """Tail the topic until cancelled."""
         while True:
             try:
-                # The first answer after a failure shows that the store is
-                # back, so it must not wait for a record.
-                await self.read_once(0.0 if self._failing else self.wait)
+                await self.read_once(self._next_wait())
                 self._failing = False
                 self._retry_pause = MIN_RETRY_PAUSE_S
                 if self.read_pause:
@@ -74,6 +76,13 @@
                     self._retry_pause * 2, MAX_RETRY_PAUSE_S
                 )
 
+    def _next_wait(self) -> float:
+        if self._failing:
+            return 0.0  # the first answer shows that the store is back
+        if self.confirms_records and not self._confirmed:
+            return 0.0
+        return self.wait
+
     async def read_once(self, wait: float) -> None:
         """Read and apply the next records; raises PlatformError."""
         if context.monotonic() > self._caught_up_at + self.max_lag:
@@ -119,4 +128,5 @@
                 await self.apply(offset, record)
         if self.offset is not None and self.offset >= batch.end:
             self._caught_up_at = context.monotonic()
-            await self.handle_caught_up(batch.end)
+            self._confirmed = not batch.records
+            await self.handle_caught_up(batch)
--- a/hibiscusslip/platform/settings.py
+++ b/hibiscusslip/platform/settings.py
@@ -26,7 +26,8 @@
 
     All are times in seconds, except `far_factor`, which is a ratio.
     `max_lease` is the longest lease that an endpoint grants, `status_kept`
-    how long the state of an ended job has to be retained.
+    how long the state of an ended job has to be retained, `config_apply`
+    the time until a configuration is in force everywhere.
     """
 
     max_lease: float = 6.0
@@ -40,6 +41,7 @@
     interference: float = 4.0
     notice: float = 4.5
     upkeep: float = 2.0
+    config_apply: float = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -81,6 +83,7 @@
     'interference': ('InterferenceMs', MS_PER_S),
     'notice': ('NoticeMs', MS_PER_S),
     'upkeep': ('MaintenanceS', 1.0),
+    'config_apply': ('ConfigApplyMs', MS_PER_S),
 }
 
 
