scheduler: release a gang's reservation of an endpoint that is lost

Cause: the reservation kept the endpoint of before. When it was released, that one was put into the index under the name of the one that had returned, with the free capacity of before. Change: the loss of an endpoint releases the reservation that includes it, and the gang reserves anew. Evidence: test_endpoint_that_returns_smaller_is_not_overcommitted failed before ({'e1': 2000, 'e0': -1000}) and passes.

--- a/hibiscusslip/scheduler/_gang_reservation.py
+++ b/hibiscusslip/scheduler/_gang_reservation.py
@@ -81,6 +81,14 @@
             if endpoint.open:
                 self._ledger.handle_freed(endpoint)
 
+    def handle_lost(self, endpoint: _endpoints.Endpoint) -> None:
+        """Release the plan if it includes an endpoint that is removed.
+
+        It may return under its name with another capacity.
+        """
+        if self.plan is not None and endpoint in self.plan.endpoints:
+            self.release()
+
     def update(self, now: float) -> None:
         """Release the plan of a gang that is gone; replan one that is late."""
         plan = self.plan
--- a/hibiscusslip/scheduler/_shard.py
+++ b/hibiscusslip/scheduler/_shard.py
@@ -121,6 +121,7 @@
         lost = self._ledger.inventory.endpoints.get(endpoint)
         if lost is None:
             return []
+        self._reserver.handle_lost(lost)
         tasks = list(lost.tasks)
         for task in tasks:
             self._release_task(task)
--- a/tests/scheduler/test_gang_reservation.py
+++ b/tests/scheduler/test_gang_reservation.py
@@ -10,11 +10,13 @@
 from hibiscusslip.jobs import sheet_jobs
 from hibiscusslip.model import places
 from hibiscusslip.model import resources
+from hibiscusslip.model import work
 import hibiscusslip.scheduler as scheduler
 from hibiscusslip.scheduler import base
 from hibiscusslip.scheduler import limits
 import hibiscusslip.sheet as sheet
-from hibiscusslip.sheet import samples
+from hibiscusslip.sheet import samples as sheet_samples
+from tests.scheduler import samples
 
 SHARD = places.Shard('a', 0)
 END_S = 8
@@ -22,7 +24,7 @@
 
 def build_with_sample_jobs():
     """Return a scheduler of two endpoints, and the jobs of a sample sheet."""
-    content = sheet.parse(samples.read('peachtree'))
+    content = sheet.parse(sheet_samples.read('peachtree'))
     policy = configuration.to_policy(content, 1)
     sched = scheduler.build(SHARD, policy, limits.Limits(), random.Random(1))
     sizes = {'p0': (64_000, 0), 'g0': (128_000, 8)}
@@ -52,3 +54,29 @@
         len(decide_starts(sched, jobs, float(now))) for now in range(1, END_S)
     ]
     assert all(counts), counts
+
+
+def test_endpoint_that_returns_smaller_is_not_overcommitted():
+    """The reservation of a gang had kept the endpoint of before."""
+    sched = samples.build(shares={'a': (1.0, 1.0)})
+    samples.add_endpoints(sched, 2, per_rack=1)
+    spread = samples.job('s', spread=True, tasks=2, run_time=100.0)
+    sched.submit(spread, 0.0)
+    assert len(sched.decide(0.0)) == 2
+    whole = samples.amount(8000)
+    gang = samples.job('g', form=work.Form.GANG, demand=whole)
+    sched.submit(gang, 1.0)
+    assert sched.decide(1.0) == []
+    (reserved,) = sched._reserver.plan.endpoints
+    sched.endpoint_lost(reserved.name, 2.0)
+    half = samples.amount(4000, 8192, 0, 8, 64)
+    sched.set_endpoint(samples.endpoint(reserved.name, capacity=half), 3.0)
+    sched.cancel('g', 4.0)
+    need = samples.amount(2500)
+    sched.submit(samples.job('b', tasks=4, demand=need), 5.0)
+    sched.decide(5.0)
+    free = {
+        name: endpoint.free[0]
+        for name, endpoint in sched._ledger.inventory.endpoints.items()
+    }
+    assert min(free.values()) >= 0, free
