tests: ask for a late answer before the inbox gives up, not after

Cause: the test was wrong. Its answer came after 1.3 s; a silent store is given up after 0.45 of 2.8 s, that is 1.26 s, as documented. It passed as the inbox looks each 0.1 s: 60 ms of drift let it look in between. Change: the answer comes 0.1 s before the inbox gives up, by the inbox's own constant. As strict for the rest: the test of a store that answers other calls now wants an answer of 2.2 s to be awaited, it was 1.3 s.

--- a/tests/host/test_inbox.py
+++ b/tests/host/test_inbox.py
@@ -217,18 +217,25 @@
     run(scenario)
 
 
-async def late_answer(store, topic, records):
-    """Answer after 1.3 s, as an overloaded store does."""
-    timeout = store.timeout
-    await curio.sleep(min(timeout, 1.3))
-    if timeout < 1.3:
-        raise exceptions.StoreOutcomeUnknown('no answer')
+def answer_after(delay):
+    """Return an action that answers late, as an overloaded store does."""
 
+    async def late_answer(store, topic, records):
+        timeout = store.timeout
+        await curio.sleep(min(timeout, delay))
+        if timeout < delay:
+            raise exceptions.StoreOutcomeUnknown('no answer')
+
+    return late_answer
+
+
+def test_late_answer_of_a_silent_store_is_awaited_until_giving_up():
+    timeout = 2.8
+    give_up_after = inbox.UNAVAILABLE_WAIT_SHARE * timeout
 
-def test_late_answer_of_the_store_is_awaited():
     async def scenario(running):
-        running.store.script = [late_answer] * 9
-        outcome = await running.write(timeout=2.8)
+        running.store.script = [answer_after(give_up_after - 0.1)] * 9
+        outcome = await running.write(timeout=timeout)
         assert outcome is inbox.Outcome.ACCEPTED
 
     run(scenario)
@@ -268,7 +275,7 @@
                 running.ctx.record_store_success(context.monotonic())
                 await curio.sleep(0.2)
 
-        running.store.script = [late_answer]
+        running.store.script = [answer_after(2.2)]
         other_calls = await curio.spawn(answer_other_calls, daemon=True)
         outcome = await running.write(timeout=2.8)
         assert outcome is inbox.Outcome.ACCEPTED
