--- a/tests/platform/test_slow_links.py
+++ b/tests/platform/test_slow_links.py
@@ -26,16 +26,22 @@
 OLD_POLL_S = 1.7  # the long poll for the next version lasts 2 s
 
 
-def put_waiting_jobs(store, per_partition):
-    """Write accepted jobs to all partitions of the inbox."""
+def put_waiting_jobs(store, per_partition, partitions=PARTITIONS):
+    """Write accepted jobs to the first partitions of the inbox."""
     body = msgspec.json.encode({'Spec': 'x' * 4000, 'Steps': [{'Cpu': 1}]})
     submission = records.Submission('r-small', cell.SERVICE, 0.0, body)
     value = records.encode_submission(submission)
-    for number in range(PARTITIONS * per_partition):
-        part = number % PARTITIONS
+    for number in range(partitions * per_partition):
+        part = number % partitions
         store.put(topics.INBOX, f'{number:016x}', value, part)
 
 
+def waiting(ctx):
+    """Return how many jobs the owner says are waiting."""
+    load = ctx.ownership.known_loads().get('r-small')
+    return load.pending if load else 0
+
+
 async def apply_in_time(running, version):
     """Write a version; return whether it is in force in time."""
     ctx = running.contexts['slow']
@@ -94,6 +100,22 @@
     serving.run(scenario)
 
 
+def test_owner_on_a_slow_link_reads_a_backlog_of_one_partition():
+    async def scenario():
+        async with cell.running(hosts=0, endpoints=0) as running:
+            await running.add_host('slow', LINK_MBPS)
+            ctx = running.contexts['slow']
+            await running.wait_until(lambda: running.owner() == 'slow')
+            await curio.sleep(OLD_POLL_S)
+            put_waiting_jobs(running.store, per_partition=400, partitions=1)
+            await running.wait_until(
+                lambda: waiting(ctx) == 400,
+                timeout=RECOVERY_S,
+            )
+
+    serving.run(scenario)
+
+
 def test_large_append_is_answered_on_a_slow_link():
     async def scenario():
         async with cell.running(hosts=0, endpoints=0) as running:
