--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,10 +2,7 @@
 
 import pathlib
 
-import pytest
-
 KNOWN_RED_PATH = pathlib.Path(__file__).parents[1] / 'KNOWN-RED.txt'
-deselected_ids = pytest.StashKey[list]()
 
 
 def pytest_addoption(parser):
@@ -17,22 +14,25 @@
     )
 
 
+def _passed_over_ids(config):
+    """Return the listed tests, none without the option."""
+    if not config.getoption('--pass-over-known-red'):
+        return set()
+    if not KNOWN_RED_PATH.exists():
+        return set()
+    lines = KNOWN_RED_PATH.read_text().splitlines()
+    return {line.strip() for line in lines if '::' in line}
+
+
 def pytest_collection_modifyitems(config, items):
     """Deselect exactly the listed tests."""
-    config.stash[deselected_ids] = []
-    if not (
-        config.getoption('--pass-over-known-red') and KNOWN_RED_PATH.exists()
-    ):
-        return
-    lines = KNOWN_RED_PATH.read_text().splitlines()
-    listed = {line.strip() for line in lines if '::' in line}
+    listed = _passed_over_ids(config)
     deselected = [item for item in items if item.nodeid in listed]
-    config.stash[deselected_ids] = [item.nodeid for item in deselected]
     config.hook.pytest_deselected(items=deselected)
     items[:] = [item for item in items if item.nodeid not in listed]
 
 
 def pytest_terminal_summary(terminalreporter, config):
-    """Print the deselected tests."""
-    for name in config.stash.get(deselected_ids, []):
+    """Print the listed tests; worker processes may have collected them."""
+    for name in sorted(_passed_over_ids(config)):
         terminalreporter.write_line(f'KNOWN RED, not run: {name}')
