http: allow for the link and for a late loop in a call's time

Cause: the time of a call began when the call was made. It passed while the request waited for the link behind others, and while the event loop was held after the connection had opened: 160 starts on 5 Mbit/s all ended in doubt, healthy endpoints counted as silent. The kernel's TCP_USER_TIMEOUT of 2 s gave up a large append that needed longer on its link. Change: the clients of a host share an estimate of what its link has yet to send; each call allows for it, and so does the kernel's limit. Silence counts from the moment the request is written. Nothing is placed while the link is 0.5 s behind. Three new tests of tests/test_http_client.py fail on: a held loop, the kernel's limit, the waiting requests.

--- a/hibiscusslip/host/__main__.py
+++ b/hibiscusslip/host/__main__.py
@@ -10,6 +10,7 @@
 from hibiscusslip.host import context
 from hibiscusslip.host import host
 from hibiscusslip.host import ownership
+from hibiscusslip.http import uplink as uplinks
 from hibiscusslip.observe import events
 from hibiscusslip.observe import logs
 from hibiscusslip.observe import prometheus
@@ -43,10 +44,12 @@
     tie_break = zlib.crc32(cfg.name.encode()) / 2**32
     cores = cfg.cpu_share * cfg.cores
     host_strength = ownership.strength(cores, cfg.link_mbps)
+    uplink = uplinks.Uplink(cfg.link_mbps)
     return context.Context(
         cfg=cfg,
         incarnation=incarnation,
-        store=store.Store(cfg.store, cfg.link_mbps),
+        store=store.Store(cfg.store, uplink),
+        uplink=uplink,
         log=events.open_log(cfg.name),
         metrics=prometheus.Metrics(),
         ownership=ownership.Ownership(
--- a/hibiscusslip/host/context.py
+++ b/hibiscusslip/host/context.py
@@ -6,6 +6,7 @@
 from hibiscusslip.dispatch import model
 from hibiscusslip.host import notices
 from hibiscusslip.host import ownership
+from hibiscusslip.http import uplink as uplinks
 from hibiscusslip.observe import events
 from hibiscusslip.observe import prometheus
 from hibiscusslip.platform import settings
@@ -19,6 +20,7 @@
 class Context:
     """The settings, connections and observed state of one host.
 
+    `uplink` is the host's link, for which all calls that it makes wait.
     `store_answered_at` is when the store last answered, on the monotonic
     clock, and `config_confirmed_at` when it last had no newer configuration
     than `config`. `isolated` is set while no peer replies, and
@@ -31,6 +33,7 @@
     cfg: settings.HostSettings
     incarnation: str
     store: store.Store
+    uplink: uplinks.Uplink
     log: events.EventLog
     metrics: prometheus.Metrics
     ownership: ownership.Ownership
--- a/hibiscusslip/host/endpoint_session.py
+++ b/hibiscusslip/host/endpoint_session.py
@@ -50,7 +50,9 @@
         self._epoch = epoch
         self._plan_wakeup = plan_wakeup
         self._write_wakeup = write_wakeup
-        self._client = endpoint_client.EndpointClient(name, address)
+        self._client = endpoint_client.EndpointClient(
+            name, address, ctx.uplink
+        )
 
     async def run(self) -> None:
         """Poll until the engine has removed the endpoint."""
@@ -157,7 +159,8 @@
         """Send a start request until it is answered or has expired."""
         indeterminate = False
         now = context.monotonic()
-        if now > start.decided_at + MAX_START_AGE_S:
+        sent_at = now + self._ctx.uplink.backlog(now)
+        if sent_at > start.decided_at + MAX_START_AGE_S:
             self._engine.revert_start(start, 'too old to send', now)
             await self._plan_wakeup.set()
             return
--- a/hibiscusslip/host/owner.py
+++ b/hibiscusslip/host/owner.py
@@ -25,6 +25,7 @@
 LEASE_S = 5.9
 PLAN_IDLE_S = 0.1
 PLAN_GAP_S = 0.01
+MAX_UPLINK_BACKLOG_S = 0.5  # with which starts are still decided
 DELETE_TIMEOUT_S = 1.2
 RECOVERY_RETRY_PAUSE_S = 0.1
 DELETE_PERIOD_S = 5.0
@@ -210,12 +211,17 @@
             now = context.monotonic()
             self.engine.config = self.ctx.config
             self.engine.adviser_count = max(len(self.ctx.hosts), 1)
-            if not self.ctx.stopping:
+            if self._may_plan(now):
                 self.engine.plan(now, context.wall_time())
             await self._dispatch_commands()
             self.ctx.metrics.time('plan', context.monotonic() - now)
             await curio.sleep(PLAN_GAP_S)
 
+    def _may_plan(self, now: float) -> bool:
+        """Return True unless starts would be sent late, or not at all."""
+        backlog = self.ctx.uplink.backlog(now)
+        return not self.ctx.stopping and backlog < MAX_UPLINK_BACKLOG_S
+
     async def _dispatch_commands(self) -> None:
         engine = self.engine
         if engine.dirty or engine.starts:
--- a/hibiscusslip/http/_exchange.py
+++ b/hibiscusslip/http/_exchange.py
@@ -12,6 +12,7 @@
 from hibiscusslip.http import messages
 
 READ_BYTES = 64 * 1024
+MIN_UPLOAD_TIME_S = 0.1  # a shorter one is within the limits of connections
 END_OF_MESSAGE = h11.EndOfMessage()
 
 
@@ -86,7 +87,7 @@
 class ClientConnection:
     """Represent one connection to a server."""
 
-    __slots__ = ('_conn', '_limits', '_sock', 'idle_since')
+    __slots__ = ('_conn', '_limits', '_sock', '_upload_time', 'idle_since')
 
     def __init__(self, sock: typing.Any, bounds: limits.Limits) -> None:
         self._sock = sock
@@ -94,6 +95,7 @@
         self._conn = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=bounds.max_header_bytes
         )
+        self._upload_time = 0.0
         self.idle_since = 0.0
 
     def is_usable(self, now: float) -> bool:
@@ -110,6 +112,18 @@
         _sockets.reset_on_close(self._sock)
         await self._sock.close()
 
+    def allow_upload_time(self, upload_time: float) -> None:
+        """Let what is sent stay unacknowledged for `upload_time` s longer.
+
+        On a slow link the server reads a large request at the link's rate.
+        """
+        if upload_time < MIN_UPLOAD_TIME_S:
+            upload_time = 0.0
+        if upload_time != self._upload_time:
+            self._upload_time = upload_time
+            limit = self._limits.tcp_user_timeout + upload_time
+            _sockets.set_user_timeout(self._sock, limit)
+
     async def send(
         self, head: h11.Request, body: bytes, progress: Progress
     ) -> None:
--- a/hibiscusslip/http/_sockets.py
+++ b/hibiscusslip/http/_sockets.py
@@ -11,12 +11,20 @@
 
 
 def set_options(sock: typing.Any, user_timeout_s: float) -> None:
-    """Set TCP_NODELAY and TCP_USER_TIMEOUT.
+    """Set TCP_NODELAY, so that small writes are sent at once, and a timeout.
 
-    Small writes are sent at once, and the kernel closes a connection whose
-    data stays unacknowledged for `user_timeout_s` seconds.
+    See `set_user_timeout` for the timeout.
     """
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    set_user_timeout(sock, user_timeout_s)
+
+
+def set_user_timeout(sock: typing.Any, user_timeout_s: float) -> None:
+    """Set TCP_USER_TIMEOUT.
+
+    The kernel closes a connection whose data stays unacknowledged for
+    `user_timeout_s` seconds.
+    """
     timeout_ms = int(user_timeout_s * MS_PER_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
 
--- a/hibiscusslip/http/client.py
+++ b/hibiscusslip/http/client.py
@@ -10,15 +10,18 @@
 from hibiscusslip.http import exceptions
 from hibiscusslip.http import limits
 from hibiscusslip.http import messages
+from hibiscusslip.http import uplink as uplinks
 
 CACHED_HEADS = 1024
+HEAD_BYTES = 300  # of a usual request, with what the network adds
 
 
 class Pool:
     """Call one server over at most `max_connections` connections.
 
     Requests are never retried. A call that finds all connections in use
-    waits for one within its timeout.
+    waits for one within its timeout. With an `uplink`, calls allow for the
+    time that their requests wait for the host's link.
     """
 
     def __init__(
@@ -27,10 +30,12 @@
         port: int,
         bounds: limits.Limits = limits.DEFAULT,
         max_connections: int = 4,
+        uplink: uplinks.Uplink | None = None,
     ) -> None:
         self._address = address
         self._port = port
         self._limits = bounds
+        self._uplink = uplink
         self._host = f'{address}:{port}'.encode('ascii')
         self._slots = curio.Semaphore(max_connections)
         self._idle: list[_exchange.ClientConnection] = []
@@ -49,23 +54,27 @@
         """Send a request and return its complete response.
 
         `timeout` in seconds bounds silence, not the transfer of a large
-        response: its first byte has to arrive within `timeout`, which
-        includes the wait for a connection, plus `wait`, which is for a server
-        that may hold the request open, or for a large body to send. Each
-        further part has to follow within `timeout`, and the body at
-        `min_bytes_per_s` on average. Raises NotSent when no byte of the
-        request was written, CallUnsettled when it may have been handled,
-        MalformedResponse when the response is invalid or too large.
+        request or response. The request has to be written within `timeout`,
+        which includes the wait for a connection. From then on the first byte
+        of the response has to arrive within `timeout` plus `wait`, for which
+        the server may hold the request open: while this process was late to
+        write, the server wasn't silent. Each further part has to follow within
+        `timeout`, and the body at `min_bytes_per_s` on average. Raises NotSent
+        when no byte of the request was written, CallUnsettled when it may have
+        been handled, MalformedResponse when the response is invalid or too
+        large.
         """
         head = self._build_head(method, path, body, headers)
         progress = _exchange.Progress()
+        upload_time = self._add_to_uplink(len(body))
+        max_wait = timeout + wait + upload_time
         try:
-            async with curio.timeout_after(timeout + wait):
-                conn = await self._start(head, body, progress)
-            return await self._finish(conn, progress, timeout)
+            async with curio.timeout_after(timeout + upload_time):
+                conn = await self._send(head, body, progress, upload_time)
+            return await self._receive(conn, progress, timeout, max_wait)
         except curio.TaskTimeout as exc:
             raise progress.error_for(
-                progress.describe_silence(timeout, timeout + wait)
+                progress.describe_silence(timeout, max_wait)
             ) from exc
 
     async def close(self) -> None:
@@ -91,19 +100,29 @@
                 f'invalid request: {exc}; correct the path or the headers'
             ) from exc
 
-    async def _start(
-        self, head: h11.Request, body: bytes, progress: _exchange.Progress
+    def _add_to_uplink(self, size: int) -> float:
+        """Return the time that the link may need for a request, in seconds."""
+        if self._uplink is None:
+            return 0.0
+        return self._uplink.add(size + HEAD_BYTES, time.monotonic())
+
+    async def _send(
+        self,
+        head: h11.Request,
+        body: bytes,
+        progress: _exchange.Progress,
+        upload_time: float,
     ) -> _exchange.ClientConnection:
-        """Send a request; return its connection once the response begins.
+        """Send a request; return its connection.
 
-        The connection holds a slot, which _finish() releases.
+        The connection holds a slot, which _receive() releases.
         """
         await self._slots.acquire()
         try:
             conn = await self._acquire()
             try:
+                conn.allow_upload_time(upload_time)
                 await conn.send(head, body, progress)
-                await conn.await_response(progress)
             except BaseException:
                 await conn.abort()
                 raise
@@ -112,14 +131,17 @@
             raise
         return conn
 
-    async def _finish(
+    async def _receive(
         self,
         conn: _exchange.ClientConnection,
         progress: _exchange.Progress,
         max_silence: float,
+        max_wait: float,
     ) -> messages.Response:
         """Return the complete response and free its connection."""
         try:
+            async with curio.timeout_after(max_wait):
+                await conn.await_response(progress)
             response = await conn.read_response(progress, max_silence)
             if conn.prepare_reuse() and not self._closed:
                 self._idle.append(conn)
--- a/hibiscusslip/platform/endpoint_client.py
+++ b/hibiscusslip/platform/endpoint_client.py
@@ -10,6 +10,7 @@
 from hibiscusslip.http import exceptions as http_exceptions
 from hibiscusslip.http import limits
 from hibiscusslip.http import messages
+from hibiscusslip.http import uplink as uplinks
 from hibiscusslip.platform import documents
 from hibiscusslip.platform import exceptions
 from hibiscusslip.platform import settings
@@ -51,12 +52,15 @@
     """Call one incarnation of an endpoint.
 
     Each call names the incarnation that it is meant for; another one refuses
-    it with the reason 'instance'. `timeout` is in seconds.
+    it with the reason 'instance'. `timeout` is in seconds and begins once
+    `uplink` has sent what the host gave it before the call.
     """
 
-    def __init__(self, name: str, address: str) -> None:
+    def __init__(
+        self, name: str, address: str, uplink: uplinks.Uplink
+    ) -> None:
         ip, _, port = address.rpartition(':')
-        self._pool = client.Pool(ip, int(port), _HTTP, CONNECTIONS)
+        self._pool = client.Pool(ip, int(port), _HTTP, CONNECTIONS, uplink)
         self._headers = {
             'content-type': 'application/json',
             'x-expect-instance': name,
--- a/hibiscusslip/platform/store.py
+++ b/hibiscusslip/platform/store.py
@@ -18,6 +18,7 @@
 from hibiscusslip.http import exceptions as http_exceptions
 from hibiscusslip.http import limits
 from hibiscusslip.http import messages
+from hibiscusslip.http import uplink as uplinks
 from hibiscusslip.platform import exceptions
 from hibiscusslip.platform import settings
 
@@ -26,13 +27,9 @@
 CONFIG_KEY = 'config'
 KEYED_PREFIX = 'keyed.'
 CONNECTIONS = 40
-DEFAULT_LINK_MBPS = 1000.0
 MAX_READ_KB = 1024
 MAX_PAGE_ATTEMPTS = 4
 PAGE_RETRY_PAUSE_S = 0.1
-BITS_PER_BYTE = 8
-BITS_PER_MBIT = 1e6
-UPLOAD_LINK_SHARE = 0.5  # of a host's link; the rest carries other traffic
 
 _LENGTH = struct.Struct('>I')
 _BOUNDS = struct.Struct('>QQ')
@@ -105,16 +102,14 @@
     `calls` counts the calls by result: the HTTP status, or 'not_sent' or
     'unsettled' if there was no response. `timeout` in seconds is the longest
     silence that is accepted: a large response takes as long as it needs, and
-    the time that the host's link of `link_mbps` needs for the records of an
-    append is added.
+    the time that `uplink` may need for the records of an append is added.
     """
 
     def __init__(
-        self, address: settings.Address, link_mbps: float = DEFAULT_LINK_MBPS
+        self, address: settings.Address, uplink: uplinks.Uplink
     ) -> None:
-        self._pool = client.Pool(address.ip, address.port, _HTTP, CONNECTIONS)
-        self._upload_bytes_per_s = (
-            link_mbps * BITS_PER_MBIT / BITS_PER_BYTE * UPLOAD_LINK_SHARE
+        self._pool = client.Pool(
+            address.ip, address.port, _HTTP, CONNECTIONS, uplink
         )
         self.calls: dict[str, int] = {}
 
@@ -143,10 +138,7 @@
             query['Producer'], query['epoch'], query['Seq'] = producer
         body = b''.join(_LENGTH.pack(len(r)) + r for r in records)
         path = f'/v1/log-append?{urllib.parse.urlencode(query)}'
-        upload_time = len(body) / self._upload_bytes_per_s
-        response = await self._call(
-            'POST', path, body, _RAW, timeout, upload_time
-        )
+        response = await self._call('POST', path, body, _RAW, timeout)
         if response.status == 200:
             return _decode(response, _Appended).offset
         raise self._to_exception(response)
--- a/tests/host/fakes.py
+++ b/tests/host/fakes.py
@@ -3,6 +3,7 @@
 from hibiscusslip.host import context
 from hibiscusslip.host import inbox
 from hibiscusslip.host import ownership
+from hibiscusslip.http import uplink
 from hibiscusslip.observe import prometheus
 from hibiscusslip.platform import settings
 from hibiscusslip.platform import store
@@ -97,6 +98,7 @@
         cfg=host_settings(name),
         incarnation='i1',
         store=fake_store,
+        uplink=uplink.Uplink(100.0),
         log=FakeLog(),
         metrics=prometheus.Metrics(),
         ownership=ownership.Ownership(name, 'i1'),
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -1,5 +1,8 @@
 """Test that the client distinguishes unsent from unsettled requests."""
 
+import functools
+import time
+
 import curio
 import pytest
 
@@ -7,6 +10,7 @@
 from hibiscusslip.http import exceptions
 from hibiscusslip.http import limits
 from hibiscusslip.http import messages
+from hibiscusslip.http import uplink
 from tests.faults import process
 from tests.faults import serving
 
@@ -244,3 +248,74 @@
                 assert response.body == b'/quick'
 
     serving.run(scenario)
+
+
+def test_late_loop_isnt_taken_for_a_silent_server():
+    """The connection opens while the loop is held, beyond the timeout."""
+
+    async def scenario():
+        async with serving.run_server(serving.Echo()) as (_, port):
+            pool = client.Pool('127.0.0.1', port)
+            call = await curio.spawn(
+                functools.partial(pool.call, 'GET', '/1', timeout=0.15)
+            )
+            await curio.sleep(0)
+            time.sleep(0.4)
+            response = await call.join()
+            assert response.status == 200
+
+    serving.run(scenario)
+
+
+def test_silence_of_a_server_is_bounded_by_the_timeout():
+    async def scenario():
+        port = await raw_server(b'', close_after_response=False)
+        pool = client.Pool('127.0.0.1', port)
+        started = time.monotonic()
+        with pytest.raises(exceptions.CallUnsettled):
+            await pool.call('GET', '/', timeout=0.3, wait=0.2)
+        assert 0.5 <= time.monotonic() - started < 1.0
+
+    serving.run(scenario)
+
+
+def test_large_request_on_a_slow_link_isnt_given_up_by_the_kernel():
+    """The server reads nothing for longer than the kernel's usual limit."""
+
+    async def scenario():
+        sock = curio.socket.socket()
+        sock.bind(('127.0.0.1', 0))
+        sock.listen(1)
+        size = 8 * 2**20
+
+        async def serve():
+            conn, _ = await sock.accept()
+            await curio.sleep(2.5)
+            received = 0
+            while received < size:
+                received += len(await conn.recv(65536))
+            await conn.sendall(b'HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n')
+            await curio.sleep(1.0)
+
+        await curio.spawn(serve, daemon=True)
+        bounds = limits.Limits(tcp_user_timeout=0.5)
+        pool = client.Pool(
+            '127.0.0.1',
+            sock.getsockname()[1],
+            bounds,
+            uplink=uplink.Uplink(20.0),
+        )
+        response = await pool.call('POST', '/', body=b'x' * size, timeout=1.0)
+        assert response.status == 200
+
+    serving.run(scenario)
+
+
+def test_calls_allow_for_the_requests_that_wait_for_the_link():
+    """The second request is sent once the link has sent the first."""
+    link = uplink.Uplink(8.0)
+    assert link.add(500_000, 10.0) == pytest.approx(1.0)
+    assert link.add(500_000, 10.0) == pytest.approx(2.0)
+    assert link.backlog(10.4) == pytest.approx(0.6)
+    assert link.backlog(12.0) == 0.0
+    assert link.add(500_000, 12.0) == pytest.approx(1.0)
