dispatch: size a call for advice to the step

Cause: each call named up to 100 endpoints, whatever the step needed, and each endpoint takes time (8 ms for the widest gangs). Tickets of a call were dropped at the next one, so no call could ask about more endpoints. A gang that waited for a lost member asked anew each 1.1 s for nothing. Change: a call names the endpoints that should have capacity for the waiting tasks nine times of ten: by free capacity, by the share of eligible endpoints learned for the queue, of one zone if it suffices, and at least as many as cost a quarter of the call's fixed part. Tickets are kept until each expires; more endpoints are asked about when those with a ticket are full.

--- /dev/null
+++ b/hibiscusslip/bench/dispatch_loads.py
@@ -0,0 +1,186 @@
+"""Define the loads that `dispatching` replays.
+
+The figures are those of the users' grown deployments, with each step as a
+job.
+"""
+
+import dataclasses
+
+from hibiscusslip.dispatch import model
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Kind:
+    """Describe one kind of work.
+
+    `tasks` is the mean number of tasks of a job, `cpu` a task's demand in
+    cores and `run` its mean run time in seconds. A job is on time if it
+    completes within `stretch` times the mean time for advice and run, plus
+    a quarter of a second. Advice admits an `eligible` fraction of the
+    endpoints. `failure_rate` is the fraction of the runs that fail.
+    """
+
+    name: str
+    service: str
+    arrivals_per_s: float
+    tasks: int
+    cpu: float
+    run: float
+    priority: int
+    stretch: float
+    accelerators: int = 0
+    gang: bool = False
+    checkpoints: bool = False
+    advice: model.Advice | None = None
+    eligible: float = 1.0
+    failure_rate: float = 0.005
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pool:
+    """Describe the identical endpoints of a service."""
+
+    service: str
+    count: int
+    cores: int
+    accelerators: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Burst:
+    """Multiply the arrivals of a kind between two times.
+
+    `begin` and `end` are in seconds from the start of the replay.
+    """
+
+    kind: str
+    factor: float
+    begin: float
+    end: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Load:
+    """Describe the kinds of work of a deployment and its endpoints."""
+
+    kinds: tuple[Kind, ...]
+    pools: tuple[Pool, ...]
+
+    def scaled(self, factor: int) -> 'Load':
+        """Return the load with more arrivals and as many more endpoints."""
+        return Load(
+            tuple(
+                dataclasses.replace(
+                    k, arrivals_per_s=k.arrivals_per_s * factor
+                )
+                for k in self.kinds
+            ),
+            tuple(
+                dataclasses.replace(p, count=p.count * factor)
+                for p in self.pools
+            ),
+        )
+
+
+_PLANNING_KINDS = (
+    Kind(
+        'timetable',
+        'planner',
+        29.0,
+        10,
+        11,
+        0.7,
+        0,
+        1.5,
+        advice=model.Advice(0.022, 0.0003, 2.0),
+        eligible=0.7,
+    ),
+    Kind(
+        'reflow',
+        'planner',
+        2.3,
+        22,
+        18,
+        4.5,
+        2,
+        4.0,
+        checkpoints=True,
+        advice=model.Advice(0.21, 0.003, 2.0),
+        eligible=0.45,
+    ),
+    Kind(
+        'layout',
+        'print',
+        2.2,
+        3,
+        62,
+        5.6,
+        1,
+        2.2,
+        accelerators=3,
+        gang=True,
+        advice=model.Advice(0.72, 0.01, 2.0),
+        eligible=0.3,
+    ),
+    Kind(
+        'art',
+        'print',
+        2.5,
+        13,
+        11,
+        3.8,
+        2,
+        4.0,
+        accelerators=1,
+        advice=model.Advice(0.2, 0.003, 2.0),
+        eligible=0.45,
+    ),
+)
+_RECHECK_KINDS = (
+    Kind(
+        'scan',
+        'watch',
+        60.5,
+        3,
+        9.9,
+        0.54,
+        0,
+        1.5,
+        advice=model.Advice(0.0065, 0.000093, 2.0),
+        eligible=0.7,
+    ),
+    Kind(
+        'recheck',
+        'watch',
+        2.5,
+        20,
+        18,
+        4.2,
+        1,
+        2.2,
+        gang=True,
+        advice=model.Advice(0.559, 0.00806, 2.0),
+        eligible=0.3,
+    ),
+    Kind(
+        'digest',
+        'watch',
+        5.2,
+        25,
+        6.9,
+        2.9,
+        2,
+        4.0,
+        checkpoints=True,
+        advice=model.Advice(0.156, 0.00234, 2.0),
+        eligible=0.45,
+        failure_rate=0.05,
+    ),
+)
+LOADS = {
+    'planning': Load(
+        _PLANNING_KINDS,
+        (Pool('planner', 126, 64), Pool('print', 50, 128, 8)),
+    ),
+    'recheck': Load(_RECHECK_KINDS, (Pool('watch', 176, 64),)),
+}
--- a/hibiscusslip/dispatch/_planning.py
+++ b/hibiscusslip/dispatch/_planning.py
@@ -50,9 +50,13 @@
     _compute_spare(current)
     for rank, step in _rank_steps(engine, now):
         pool = current.services.get(step.job.service, [])
+        if not pool:
+            continue
         if step.ready:
-            _plan_step(current, step, pool, rank)
-        advice_planning.request_advice_if_needed(engine, step, pool, now)
+            _plan_step(current, step, rank)
+        advice_planning.request_advice_if_needed(
+            engine, step, pool, candidates[step.job.service], now
+        )
 
 
 def _compute_spare(current: _Pass) -> None:
@@ -114,30 +118,33 @@
 def _plan_step(
     current: _Pass,
     step: state.StepState,
-    pool: list[state.Endpoint],
     rank: ordering.Rank,
 ) -> None:
     now = current.now
     needs_advice = current.engine.queue_of(step.job).advice is not None
-    if not pool or (needs_advice and step.tickets is None):
+    if needs_advice and step.tickets is None:
         return
     tasks = [task for task in step.waiting() if task.not_before <= now]
     if not tasks or (step.spec.gang and len(tasks) < len(step.tasks)):
         return
     candidates = current.candidates[step.job.service]
-    tickets = step.tickets if needs_advice else None
-    if candidates.may_fit_anywhere(
-        step.spec.allocated_demand
-    ) and _is_admissible(current, step):
+    if candidates.may_fit_anywhere(step.spec.allocated_demand):
+        admitting = (
+            advice_planning.endpoints_admitting(step, now)
+            if needs_advice
+            else None
+        )
         _place_tasks(
-            current, step, tasks, candidates.eligible_for(step, tickets)
+            current, step, tasks, candidates.eligible_for(step, admitting)
         )
     if rank.expired or not step.has_waiting():
         return
     if _reservations.is_large(step, candidates.max_endpoint_cpu):
         endpoints = [
             candidate.endpoint
-            for candidate in candidates.eligible_for(step, tickets)
+            for candidate in candidates.eligible_for(
+                step, step.eligible if needs_advice else None
+            )
         ]
         can_be_on_time = not rank.late
         _reservations.reserve(
@@ -170,13 +177,6 @@
         _start(current, step, choice, run)
 
 
-def _is_admissible(current: _Pass, step: state.StepState) -> bool:
-    """Return True if the step needs no tickets, or its tickets are valid."""
-    if current.engine.queue_of(step.job).advice is None:
-        return True
-    return advice_planning.has_valid_tickets(step, current.now)
-
-
 def _start(
     current: _Pass,
     step: state.StepState,
@@ -203,7 +203,7 @@
     choice.candidate.allocate(step.spec.allocated_demand)
     endpoint.leased_until = max(endpoint.leased_until, deadline)
     checkpoint = step.checkpoint if step.spec.gang else task.checkpoint
-    tickets = step.tickets or {}
+    ticket = (step.tickets or {}).get(endpoint.name)
     current.engine.dirty.add(step.job.job_id)
     current.engine.starts.append(
         commands.Start(
@@ -214,7 +214,7 @@
             step.job.spec.payload,
             deadline,
             checkpoint,
-            tickets.get(endpoint.name, ''),
+            ticket.text if ticket is not None else '',
             now,
         )
     )
--- a/hibiscusslip/dispatch/_reports.py
+++ b/hibiscusslip/dispatch/_reports.py
@@ -396,7 +396,7 @@
         reason=reason,
     )
     if reason == 'ticket':
-        step.tickets_until = 0.0
+        step.tickets = {}
     elif reason == 'room':
         endpoint.full_until = now + FULL_BACKOFF_S
     elif reason == 'unhealthy':
--- a/hibiscusslip/dispatch/engine.py
+++ b/hibiscusslip/dispatch/engine.py
@@ -10,6 +10,7 @@
 from hibiscusslip.dispatch import _reports
 from hibiscusslip.dispatch import _suspicion
 from hibiscusslip.dispatch import advice_planning
+from hibiscusslip.dispatch import advice_sizing
 from hibiscusslip.dispatch import commands
 from hibiscusslip.dispatch import estimates
 from hibiscusslip.dispatch import model
@@ -37,6 +38,7 @@
     `adviser_count` is the number of hosts that call the advice service,
     `long_calls` the number of pending long calls, `short_calls_cost` the
     expected duration of all pending short calls, in seconds.
+    `eligible_shares` are what was learned of the advice, by queue.
     """
 
     def __init__(self, lease: float, note: Note = _ignore) -> None:
@@ -56,6 +58,7 @@
         self.adviser_count = 1
         self.short_calls_cost = 0.0
         self.long_calls = 0
+        self.eligible_shares: dict[str, advice_sizing.EligibleShare] = {}
         self.headroom: dict[str, _headroom.Headroom] = {}
 
     # Jobs.
@@ -310,16 +313,8 @@
 
         `tickets` is None if the call failed.
         """
-        step = request.step
-        step.advice_pending = False
         advice_planning.finish_call(self, request.cost)
-        if tickets is None:
-            step.next_advice_at = now + advice_planning.RETRY_DELAY_S
-            return
-        step.asked_about.update(request.endpoints)
-        step.eligible.update(tickets)
-        step.tickets = tickets
-        step.tickets_until = until
+        advice_planning.handle_reply(self, request, tickets, until, now)
 
     # Time.
 
--- a/hibiscusslip/dispatch/placement.py
+++ b/hibiscusslip/dispatch/placement.py
@@ -11,6 +11,7 @@
 larger ones need whole endpoints.
 """
 
+import collections.abc
 import dataclasses
 import heapq
 import zlib
@@ -98,6 +99,10 @@
             default=0,
         )
 
+    def find(self, name: str) -> Candidate | None:
+        """Return the candidate of an endpoint, None if it isn't usable."""
+        return self._by_name.get(name)
+
     def may_fit_anywhere(self, demand: model.Demand) -> bool:
         """Return False if no candidate has enough free capacity.
 
@@ -107,9 +112,14 @@
         return demand.fits(self._largest)
 
     def eligible_for(
-        self, step: state.StepState, tickets: dict[str, str] | None
+        self,
+        step: state.StepState,
+        tickets: collections.abc.Iterable[str] | None,
     ) -> list[Candidate]:
-        """Return the candidates that a step's label and tickets allow."""
+        """Return the candidates that a step's label and tickets allow.
+
+        `tickets` are the endpoints with a ticket, None if none is required.
+        """
         candidates = self.all
         if tickets is not None:
             by_name = self._by_name
@@ -156,6 +166,46 @@
     return _place_by_cost(step, tasks, candidates)
 
 
+def max_tasks(step: state.StepState, candidate: Candidate) -> int:
+    """Return how many tasks of a step fit on a candidate now."""
+    return count_fitting(step.spec.demand, candidate, _max_spread(step))
+
+
+def max_tasks_when_empty(step: state.StepState, candidate: Candidate) -> int:
+    """Return how many tasks of a step would fit if nothing else ran there."""
+    capacity = candidate.entry.capacity
+    return count_fitting(step.spec.demand, capacity, _max_spread(step))
+
+
+def _max_spread(step: state.StepState) -> int:
+    """Return how many tasks of a step one endpoint may run."""
+    count = len(step.tasks)
+    return min(step.spec.spread or count, count)
+
+
+def count_fitting(
+    demand: model.Demand,
+    capacity: _RemainingCapacity | model.Demand,
+    limit: int,
+) -> int:
+    """Return how often a demand fits in a capacity, at most `limit`."""
+    count = limit
+    if demand.cpu:
+        count = min(count, capacity.cpu // demand.cpu)
+    if demand.memory:
+        count = min(count, capacity.memory // demand.memory)
+    if demand.accelerators:
+        count = min(count, capacity.accelerators // demand.accelerators)
+    return max(count, 0)
+
+
+def order_zones(
+    job: state.Job, zones: collections.abc.Iterable[str]
+) -> list[str]:
+    """Return zones in the order in which a job's tasks should use them."""
+    return sorted(zones, key=lambda zone: _zone_key(job, zone))
+
+
 class _Option(_RemainingCapacity):
     """A candidate's capacity for the tasks of one step.
 
@@ -187,16 +237,7 @@
 
     def max_tasks(self, demand: model.Demand) -> int:
         """Return how many tasks of the step may be placed here."""
-        max_tasks = self.tasks_left
-        if demand.cpu:
-            max_tasks = min(max_tasks, self.cpu // demand.cpu)
-        if demand.memory:
-            max_tasks = min(max_tasks, self.memory // demand.memory)
-        if demand.accelerators:
-            max_tasks = min(
-                max_tasks, self.accelerators // demand.accelerators
-            )
-        return max_tasks
+        return count_fitting(demand, self, self.tasks_left)
 
 
 def _rank_zones(
@@ -219,13 +260,18 @@
     def sort_key(zone: str) -> tuple[bool, bool, int]:
         if capacity[zone] < needed:
             return True, zone != job.zone, -capacity[zone]
-        return False, zone != job.zone, _stable_hash(job.job_id, zone)
+        return False, *_zone_key(job, zone)
 
     return {
         zone: rank for rank, zone in enumerate(sorted(capacity, key=sort_key))
     }
 
 
+def _zone_key(job: state.Job, zone: str) -> tuple[bool, int]:
+    """Return the sort key: the zone of the last run, then one by the job."""
+    return zone != job.zone, _stable_hash(job.job_id, zone)
+
+
 def _stable_hash(job_id: str, zone: str) -> int:
     """Return a number that depends on nothing but the job and the zone."""
     return zlib.crc32(f'{job_id}/{zone}'.encode())
--- a/hibiscusslip/dispatch/state.py
+++ b/hibiscusslip/dispatch/state.py
@@ -46,14 +46,23 @@
     stalls: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ticket:
+    """An endpoint's admission ticket for a step, valid until a time."""
+
+    text: str
+    until: float
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class StepState:
     """Track one step of one occurrence of a job.
 
-    `tickets` maps endpoints to the tickets of the last reply of the advice
-    service, None before the first. `asked_about` are all endpoints that it was
+    `tickets` maps endpoints to their newest tickets, None before the first
+    reply of the advice service. `asked_about` are all endpoints that it was
     asked about, `eligible` those that may run the step. While
-    `advice_pending`, and before `next_advice_at`, it isn't asked again.
+    `advice_pending`, and before `next_advice_at`, it isn't asked again, and
+    before `next_widening_at` not about more endpoints.
     """
 
     job: 'Job'
@@ -61,12 +70,12 @@
     number: int
     spec: model.Step
     tasks: list[Task] = dataclasses.field(default_factory=list)
-    tickets: dict[str, str] | None = None
-    tickets_until: float = 0.0
+    tickets: dict[str, Ticket] | None = None
     asked_about: set[str] = dataclasses.field(default_factory=set)
     eligible: set[str] = dataclasses.field(default_factory=set)
     advice_pending: bool = False
     next_advice_at: float = 0.0
+    next_widening_at: float = 0.0
     failures: int = 0
     failed_run: int = 0
     checkpoint: str = ''
@@ -89,6 +98,11 @@
         steps = self.job.occurrences[self.occurrence]
         return all(steps[number].complete for number in self.spec.after)
 
+    def endpoints_with_ticket(self, now: float) -> list[str]:
+        """Return the endpoints whose tickets are valid at a time."""
+        tickets = self.tickets or {}
+        return [name for name, ticket in tickets.items() if now < ticket.until]
+
     def has_waiting(self) -> bool:
         """Return True if a task waits to be started."""
         return any(t.status is Status.WAITING for t in self.tasks)
