host: tell successors until when leases of silent endpoints last

A new owner knew nothing of what the former one had granted and waited for 10 s of renewals without the store and the longest lease, 10 s there; three releases within 7 s began that wait anew each time. Change: an owner's notices name the silent endpoints that have runs and the rest of their leases; a release names all that have runs. Naming one is a promise: its leases are extended, and runs started there, only after a later notice without it was read back from the log, which a claimant has read then too. Notices are numbered, as one may be written late. A successor waits as long as it was told, and for endpoints of which it was told nothing as before. Ruled out: shorter renewals without the store alone (14 s, each time anew).

--- a/hibiscusslip/dispatch/_reports.py
+++ b/hibiscusslip/dispatch/_reports.py
@@ -34,6 +34,7 @@
     first = not endpoint.polled
     endpoint.polled = True
     endpoint.born = report.born
+    endpoint.silent = False
     if not endpoint.responsive:
         endpoint.responsive = True
         engine.note('endpoint_answers', endpoint=endpoint.name)
--- a/hibiscusslip/dispatch/engine.py
+++ b/hibiscusslip/dispatch/engine.py
@@ -39,6 +39,7 @@
     `long_calls` the number of pending long calls, `short_calls_cost` the
     expected duration of all pending short calls, in seconds.
     `eligible_shares` are what was learned of the advice, by queue.
+    `withheld_names` are the endpoints whose leases may not be extended.
     """
 
     def __init__(self, lease: float, note: Note = _ignore) -> None:
@@ -58,6 +59,7 @@
         self.adviser_count = 1
         self.short_calls_cost = 0.0
         self.long_calls = 0
+        self.withheld_names: set[str] = set()
         self.eligible_shares: dict[str, advice_sizing.EligibleShare] = {}
         self.headroom: dict[str, _headroom.Headroom] = {}
 
@@ -199,6 +201,7 @@
         endpoint = self.endpoints.get(entry.name)
         if endpoint is None:
             endpoint = self.endpoints[entry.name] = state.Endpoint(entry.name)
+            endpoint.withheld = entry.name in self.withheld_names
             self.note('endpoint_found', endpoint=entry.name)
         known = endpoint.entry
         if known is not None and known.born == entry.born:
@@ -258,6 +261,7 @@
         endpoint = self.endpoints.get(name)
         if endpoint is None:
             return
+        endpoint.silent = True
         if endpoint.responsive:
             endpoint.responsive = False
             self.note('endpoint_silent', endpoint=name)
--- a/hibiscusslip/dispatch/state.py
+++ b/hibiscusslip/dispatch/state.py
@@ -188,7 +188,9 @@
     granted. `handled_cursor` is the number of the last ended run that was
     handled, `acknowledged_cursor` that of the last whose record is written.
     `last_response_at` is when it last answered a call, `suspected_at` when a
-    call first went unanswered after that, 0 for none.
+    call first went unanswered after that, 0 for none. It is `silent` once
+    several calls went unanswered. While `withheld` no lease may be granted
+    there.
     """
 
     name: str
@@ -214,23 +216,27 @@
     draining_since: float = 0.0
     last_response_at: float = 0.0
     suspected_at: float = 0.0
+    silent: bool = False
+    withheld: bool = False
 
     def clock_now(self, now: float) -> float:
         """Return the expected time on the endpoint's clock."""
         return self.clock + (now - self.clock_read_at)
 
     def leases_expired(self, now: float) -> bool:
-        """Return True if all leases granted to it have provably expired.
+        """Return True if all leases granted to it have provably expired."""
+        return now >= self.leases_end()
+
+    def leases_end(self) -> float:
+        """Return when all leases granted to it have provably expired.
 
         Assumes that its clock runs at MIN_CLOCK_RATE at least.
         """
         if not self.polled:
-            return now >= self.inherited_leases_until
-        earliest = self.clock + (now - self.clock_read_at) * MIN_CLOCK_RATE
-        return (
-            earliest > self.leased_until + LAPSE_SLACK_S
-            and now >= self.inherited_leases_until
-        )
+            return self.inherited_leases_until
+        left = self.leased_until + LAPSE_SLACK_S - self.clock
+        end = self.clock_read_at + left / MIN_CLOCK_RATE
+        return max(end, self.inherited_leases_until)
 
     def usable(self, now: float) -> bool:
         """Return True if new runs may be started on this endpoint."""
@@ -239,6 +245,7 @@
             and not self.entry.draining
             and self.polled
             and self.responsive
+            and not self.withheld
             and now >= self.quarantined_until
             and now >= self.full_until
         )
--- a/hibiscusslip/host/endpoint_session.py
+++ b/hibiscusslip/host/endpoint_session.py
@@ -15,6 +15,7 @@
 FAILURES_UNTIL_UNRESPONSIVE = 2
 IDLE_POLL_S = 3.0
 UNRESPONSIVE_POLL_PAUSE_S = 0.25
+WITHHELD_POLL_S = 0.25
 COMMIT_WAIT_S = 0.6
 COMMIT_WAIT_WITHOUT_STORE_S = 0.12
 CALL_TIMEOUT_S = 0.15
@@ -29,7 +30,8 @@
     """Poll one endpoint while the engine knows it, and send it commands.
 
     A poll also extends the lease of the endpoint's runs. `plan_wakeup` wakes
-    the planning loop, `write_wakeup` the writer.
+    the planning loop, `write_wakeup` the writer, `notice_wakeup` the task that
+    writes the owner's notices.
     """
 
     def __init__(
@@ -41,6 +43,7 @@
         epoch: int,
         plan_wakeup: wakeup_event.WakeupEvent,
         write_wakeup: wakeup_event.WakeupEvent,
+        notice_wakeup: wakeup_event.WakeupEvent,
     ) -> None:
         self.name = name
         self.address = address
@@ -50,6 +53,7 @@
         self._epoch = epoch
         self._plan_wakeup = plan_wakeup
         self._write_wakeup = write_wakeup
+        self._notice_wakeup = notice_wakeup
         self._client = endpoint_client.EndpointClient(
             name, address, ctx.uplink
         )
@@ -82,8 +86,13 @@
     async def _poll(self, endpoint: state.Endpoint, sent: float) -> None:
         busy = bool(endpoint.allocations)
         # An unresponsive endpoint isn't long-polled, so that its return is
-        # noticed at once.
-        long_poll = busy and endpoint.polled and endpoint.responsive
+        # noticed at once, and then its leases are extended.
+        long_poll = (
+            busy
+            and endpoint.polled
+            and endpoint.responsive
+            and not endpoint.withheld
+        )
         wait = LONG_POLL_WAIT_S if long_poll else 0.0
         cursor_before = endpoint.handled_cursor
         report = await self._client.poll(
@@ -96,7 +105,10 @@
         now = context.monotonic()
         self._ctx.metrics.count('looks')
         first_poll = not endpoint.polled
+        returned = not endpoint.responsive
         self._engine.handle_report(self.name, report, sent, now)
+        if returned and endpoint.withheld:
+            await self._notice_wakeup.set()
         if (
             endpoint.handled_cursor != cursor_before
             or first_poll
@@ -117,6 +129,8 @@
             return None
         if not endpoint.responsive:
             return None  # else its lease would never provably expire
+        if endpoint.withheld:
+            return None  # successors were told that it isn't extended
         if not self._ctx.ownership.may_renew(now):
             return None
         lease = self._engine.lease
@@ -131,6 +145,8 @@
     ) -> None:
         if endpoint.acknowledged_cursor < endpoint.handled_cursor:
             await self._await_commit(endpoint)
+        elif endpoint.withheld:
+            await self.wakeup.wait(WITHHELD_POLL_S)
         elif not endpoint.allocations:
             await self.wakeup.wait(IDLE_POLL_S)
         elif took < MIN_POLL_GAP_S:
--- a/hibiscusslip/host/host.py
+++ b/hibiscusslip/host/host.py
@@ -227,6 +227,7 @@
             ctx.cfg.front.ip,
             ctx.cfg.ports[0],
             ctx.ownership.known_loads(),
+            lapses=ctx.ownership.remaining_leases(now),
         )
         try:
             await ctx.store.append(
--- a/hibiscusslip/host/notices.py
+++ b/hibiscusslip/host/notices.py
@@ -29,7 +29,9 @@
 class OwnerNotice(msgspec.Struct, array_like=True):
     """A claim, a heartbeat or a release of the ownership.
 
-    A claim's epoch is its offset + 1, so epochs are unique.
+    A claim's epoch is its offset + 1, so epochs are unique. `number` orders
+    the notices of an epoch, which may be written out of order. `lapses` maps
+    silent endpoints to the rest of their leases in milliseconds.
     """
 
     kind: str
@@ -39,6 +41,8 @@
     address: str
     port: int
     loads: dict[str, QueueLoad] = {}
+    number: int = 0
+    lapses: dict[str, int] = {}
 
 
 def encode(record: msgspec.Struct) -> bytes:
--- a/hibiscusslip/host/owner.py
+++ b/hibiscusslip/host/owner.py
@@ -13,6 +13,7 @@
 from hibiscusslip.host import context
 from hibiscusslip.host import crash_logging
 from hibiscusslip.host import endpoint_session
+from hibiscusslip.host import lease_handover
 from hibiscusslip.host import notices
 from hibiscusslip.host import ownership_keeper
 from hibiscusslip.host import recovery
@@ -55,10 +56,12 @@
             ctx, self.engine, epoch, self._send_starts
         )
         self._sessions: dict[str, endpoint_session.EndpointSession] = {}
+        self._handover = lease_handover.LeaseHandover(ctx.ownership, epoch)
         self._keeper = ownership_keeper.OwnershipKeeper(
             ctx,
             successors,
             epoch,
+            self._handover,
             lambda: self.engine.count_pending() if self.ready else None,
             self.release_ownership,
         )
@@ -82,6 +85,7 @@
         )
         recovered = await self._recover()
         self._writer.mark_used(recovered.used_parts)
+        self._handover.set_engine(self.engine)
         self.ready = True
         self.ctx.metrics.count('successions')
         self.ctx.log.note(
@@ -190,6 +194,7 @@
             self.epoch,
             self.plan_wakeup,
             self._writer.wakeup,
+            self._keeper.notice_wakeup,
         )
         self._sessions[name] = session
         await self._tasks.spawn(self._run_session, session)
@@ -209,6 +214,7 @@
         while True:
             await self.plan_wakeup.wait(PLAN_IDLE_S)
             now = context.monotonic()
+            await self._lift_promises()
             self.engine.config = self.ctx.config
             self.engine.adviser_count = max(len(self.ctx.hosts), 1)
             if self._may_plan(now):
@@ -217,6 +223,13 @@
             self.ctx.metrics.time('plan', context.monotonic() - now)
             await curio.sleep(PLAN_GAP_S)
 
+    async def _lift_promises(self) -> None:
+        """Have leases extended at once that were withheld until now."""
+        for name in self._handover.lift_promises():
+            session = self._sessions.get(name)
+            if session is not None:
+                await session.wakeup.set()
+
     def _may_plan(self, now: float) -> bool:
         """Return True unless starts would be sent late, or not at all."""
         backlog = self.ctx.uplink.backlog(now)
@@ -327,7 +340,7 @@
             await session.wakeup.set()
         await self._writer.flush(STOP_FLUSH_S)
         try:
-            await self._keeper.write_notice(notices.RELEASE)
+            await self._keeper.write_notice(notices.RELEASE, releases=True)
         except exceptions.PlatformError as exc:
             self.ctx.log.note('release_failed', error=str(exc)[:120])
         self.ctx.ownership.lose()
--- a/hibiscusslip/host/ownership.py
+++ b/hibiscusslip/host/ownership.py
@@ -21,6 +21,7 @@
 MAX_TIE_BREAK_DELAY_S = 0.15  # between claims of equally strong hosts
 SUFFICIENT_LINK_MBPS = 40.0
 YIELD_RATIO = 0.5
+MS_PER_S = 1000
 
 
 @dataclasses.dataclass(slots=True)
@@ -32,8 +33,10 @@
     `end_offset` is the offset up to which the topic was read. `held_epoch` is
     the epoch in which this host is the owner, 0 while it isn't.
     `readable_since` is when the topic could be read again after a gap,
-    `confirmed_at` when the owner's last successful write was sent. Times are
-    on the monotonic clock.
+    `confirmed_at` when the owner's last successful write was sent.
+    `leases_end` is, for the silent endpoints in the newest notice, when their
+    leases have ended, and `notice_number` that notice's number. Times are on
+    the monotonic clock.
     """
 
     name: str
@@ -49,6 +52,8 @@
     readable_since: float = 0.0
     held_epoch: int = 0
     confirmed_at: float = 0.0
+    leases_end: dict[str, float] = dataclasses.field(default_factory=dict)
+    notice_number: int = 0
 
     def record_read(self, end: int, now: float) -> None:
         """Record that the topic was read to its end."""
@@ -70,6 +75,12 @@
             notice.epoch
         ):
             return  # written concurrently with the release
+        if notice.epoch > self.epoch or notice.number >= self.notice_number:
+            self.notice_number = notice.number
+            self.leases_end = {
+                name: now + left / MS_PER_S
+                for name, left in notice.lapses.items()
+            }
         self.epoch = notice.epoch
         self.owner = notice
         self.last_notice_at = now
@@ -131,8 +142,16 @@
         """Return the queue loads in the newest notice."""
         return self.owner.loads if self.owner is not None else {}
 
+    def remaining_leases(self, now: float) -> dict[str, int]:
+        """Return the rest of the leases of silent endpoints, in ms."""
+        return {
+            name: int(max(end - now, 0.0) * MS_PER_S) + 1
+            for name, end in self.leases_end.items()
+        }
+
     def record_claim(self, epoch: int, sent: float) -> None:
         """Record that this host's claim, sent at `sent`, was written."""
+        self.notice_number = 0
         self.held_epoch = epoch
         self.epoch = epoch
         self.confirmed_at = sent
--- a/hibiscusslip/host/ownership_keeper.py
+++ b/hibiscusslip/host/ownership_keeper.py
@@ -7,9 +7,11 @@
 import curio
 
 from hibiscusslip.host import context
+from hibiscusslip.host import lease_handover
 from hibiscusslip.host import notices
 from hibiscusslip.host import ownership
 from hibiscusslip.host import topics
+from hibiscusslip.host import wakeup_event
 from hibiscusslip.platform import exceptions
 from hibiscusslip.platform import store
 
@@ -51,7 +53,7 @@
 
     `pending` returns how many jobs of each queue haven't begun, or None until
     the owner has recovered them; `release_ownership` ends the ownership
-    gracefully.
+    gracefully. `notice_wakeup` has the next heartbeat written at once.
     """
 
     def __init__(
@@ -59,6 +61,7 @@
         ctx: context.Context,
         successors: Successors,
         epoch: int,
+        handover: lease_handover.LeaseHandover,
         pending: collections.abc.Callable[[], dict[str, int] | None],
         release_ownership: collections.abc.Callable[
             [], collections.abc.Awaitable[None]
@@ -67,9 +70,11 @@
         self._ctx = ctx
         self._successors = successors
         self._epoch = epoch
+        self._handover = handover
         self._pending = pending
         self._release_ownership = release_ownership
         self._lone_failures = 0
+        self.notice_wakeup = wakeup_event.WakeupEvent()
 
     async def run_heartbeats(self) -> None:
         """Write heartbeats until the ownership ends."""
@@ -86,7 +91,8 @@
                 else ownership.HEARTBEAT_INTERVAL_S
             )
             left = sent + gap - context.monotonic()
-            await curio.sleep(max(left, MIN_HEARTBEAT_GAP_S))
+            await curio.sleep(MIN_HEARTBEAT_GAP_S)
+            await self.notice_wakeup.wait(max(left - MIN_HEARTBEAT_GAP_S, 0))
 
     async def _send_heartbeat(self, sent: float) -> None:
         try:
@@ -167,13 +173,21 @@
             return
         self._ctx.log.note('hosts_dropped', hosts=names)
 
-    async def write_notice(self, kind: str) -> None:
-        """Write a heartbeat or a release; raises PlatformError."""
-        record = notices.encode(self._notice(kind))
+    async def write_notice(self, kind: str, releases: bool = False) -> None:
+        """Write a heartbeat or a release; raises PlatformError.
+
+        With `releases` no lease may be granted after this one is composed.
+        """
+        record = notices.encode(self._notice(kind, releases))
         await self._ctx.store.append(topics.OWNER, [record], APPEND_TIMEOUT_S)
 
-    def _notice(self, kind: str) -> notices.OwnerNotice:
+    def _notice(
+        self, kind: str, releases: bool = False
+    ) -> notices.OwnerNotice:
         cfg = self._ctx.cfg
+        number, lapses = self._handover.next_notice(
+            context.monotonic(), releases
+        )
         return notices.OwnerNotice(
             kind,
             self._epoch,
@@ -182,6 +196,8 @@
             cfg.front.ip,
             cfg.ports[0],
             self._loads(),
+            number,
+            lapses,
         )
 
     def _loads(self) -> dict[str, notices.QueueLoad]:
--- a/hibiscusslip/host/recovery.py
+++ b/hibiscusslip/host/recovery.py
@@ -206,16 +206,23 @@
     if endpoint is None:
         endpoint = state.Endpoint(task.endpoint)
         engine.endpoints[task.endpoint] = endpoint
-    longest_lease = ctx.cfg.bounds.max_lease / state.MIN_CLOCK_RATE
-    endpoint.inherited_leases_until = (
-        now + ownership.RENEWAL_LIMIT_S + longest_lease + LEASE_SLACK_S
-    )
+    told_end = ctx.ownership.leases_end.get(task.endpoint)
+    if told_end is not None:
+        endpoint.inherited_leases_until = told_end + LEASE_SLACK_S
+    else:
+        endpoint.inherited_leases_until = _longest_inherited_lease(ctx, now)
     allocation = state.Allocation(
         task, task.run, task.step.spec.allocated_demand, now, recovered=True
     )
     endpoint.allocate(task.name, allocation)
 
 
+def _longest_inherited_lease(ctx: context.Context, now: float) -> float:
+    """Return when leases end that a former owner may extend without store."""
+    longest_lease = ctx.cfg.bounds.max_lease / state.MIN_CLOCK_RATE
+    return now + ownership.RENEWAL_LIMIT_S + longest_lease + LEASE_SLACK_S
+
+
 def _cancel_all(
     engine: engines.Engine, inbox: store.NewestValues, now: float
 ) -> None:
--- a/tests/host/test_endpoint_session.py
+++ b/tests/host/test_endpoint_session.py
@@ -37,7 +37,7 @@
     engine.register_endpoint(support.entry('e1'), context.monotonic())
     wakeup = wakeup_event.WakeupEvent()
     session = endpoint_session.EndpointSession(
-        ctx, engine, 'e1', 'h:1', 1, wakeup, wakeup
+        ctx, engine, 'e1', 'h:1', 1, wakeup, wakeup, wakeup
     )
     client = EndpointClient()
     session._client = client
--- a/tests/host/test_ownership_keeper.py
+++ b/tests/host/test_ownership_keeper.py
@@ -3,6 +3,7 @@
 import curio
 
 from hibiscusslip.host import context
+from hibiscusslip.host import lease_handover
 from hibiscusslip.host import notices
 from hibiscusslip.host import ownership_keeper
 from hibiscusslip.platform import exceptions
@@ -44,7 +45,12 @@
 
     async def main():
         keeper = ownership_keeper.OwnershipKeeper(
-            ctx, successors, 1, dict, release_ownership
+            ctx,
+            successors,
+            1,
+            lease_handover.LeaseHandover(ctx.ownership, 1),
+            dict,
+            release_ownership,
         )
         async with curio.ignore_after(seconds):
             await keeper.run_heartbeats()
@@ -93,7 +99,12 @@
     former = notices.OwnerNotice('beat', 1, 'h2', 'x', '10.0.0.1', 1, loads)
     ctx.ownership.apply_notice(former, context.monotonic())
     keeper = ownership_keeper.OwnershipKeeper(
-        ctx, Successors(), 2, lambda: None, release_ownership
+        ctx,
+        Successors(),
+        2,
+        lease_handover.LeaseHandover(ctx.ownership, 2),
+        lambda: None,
+        release_ownership,
     )
     curio.run(keeper.write_notice, notices.HEARTBEAT)
     ((_, record),) = store.records
