host: repeat calls to the store whose answers seem lost

Cause: with half of the store's answers lost, one lost answer held the writer, a heartbeat or a caller for a whole time-out (1.2 s, 2.6 s), one after the other; half of the jobs waited over 7.9 s for their first start. Change: appends of records (one producer, one sequence number), of the inbox (keyed) and of heartbeats, and reads, are repeated after four times what answers took lately, with growing pauses, from a budget of 20 a second for each host; the first answer counts. While answers are lost, the store is read without long waits. Claims are never repeated: a repeat of one that was written is refused.

A call isn't made while the least busy host has 1 s of calls queued, and hosts that are avoided don't count as advisers.

--- a/hibiscusslip/host/advice_routing.py
+++ b/hibiscusslip/host/advice_routing.py
@@ -22,6 +22,7 @@
 AVOID_ZONE_S = 0.6
 MAX_ATTEMPTS = 2
 REMOTE_COST_S = 0.02
+MAX_QUEUED_S = 1.0  # at the host with the least load; a ticket lasts 2 s
 
 
 class AdviceRouter:
@@ -38,6 +39,7 @@
         peers: base.Peers,
     ) -> None:
         self._ctx = ctx
+        self._name = ctx.cfg.name
         self._service = service
         self._peers = peers
         self._loads: dict[str, float] = {}
@@ -49,11 +51,14 @@
         """Return tickets, their validity in s and its start, or None.
 
         The start is on the monotonic clock. None means that all attempts
-        failed.
+        failed, or that all hosts that answer are busy for long.
         """
         for _ in range(MAX_ATTEMPTS):
             name = self._choose(context.monotonic(), request.cost)
             load = self._loads.get(name, 0.0)
+            if load > MAX_QUEUED_S:
+                self._ctx.metrics.count('advice_deferred')
+                return None
             self._loads[name] = load + request.cost
             try:
                 return await self._request_from(name, request, load)
@@ -72,6 +77,14 @@
                 self._loads[name] -= request.cost
         return None
 
+    def count_advisers(self, now: float) -> int:
+        """Return how many hosts may be called now; this one is always."""
+        others = [name for name in self._ctx.hosts if name != self._name]
+        return 1 + sum(self._is_usable(name, now) for name in others)
+
+    def _is_usable(self, name: str, now: float) -> bool:
+        return self._avoided_until.get(name, 0.0) <= now
+
     def _avoid_failed(self, name: str, exc: Exception, now: float) -> None:
         """Avoid a host for a while, and its zone if it didn't answer."""
         host = self._ctx.hosts.get(name)
@@ -88,19 +101,19 @@
 
     def _choose(self, now: float, cost: float) -> str:
         names = self._candidates(cost)
-        usable = [n for n in names if self._avoided_until.get(n, 0.0) <= now]
-        return min(usable or [self._ctx.cfg.name], key=self._load)
+        usable = [name for name in names if self._is_usable(name, now)]
+        return min(usable or [self._name], key=self._load)
 
     def _candidates(self, cost: float) -> list[str]:
         """Return the candidates; some hosts are reserved for short calls."""
-        me = self._ctx.cfg.name
+        me = self._name
         names = [me, *sorted(n for n in self._ctx.hosts if n != me)]
         if advice_planning.is_long_call(cost):
             return names[advice_planning.hosts_for_short_calls(len(names)) :]
         return names
 
     def _load(self, name: str) -> float:
-        remote = 0.0 if name == self._ctx.cfg.name else REMOTE_COST_S
+        remote = 0.0 if name == self._name else REMOTE_COST_S
         return self._loads.get(name, 0.0) + remote
 
     async def _request_from(
@@ -110,7 +123,7 @@
             1.0 + TIMEOUT_SLACK_SHARE
         ) + TIMEOUT_SLACK_S
         names = list(request.endpoints)
-        if name == self._ctx.cfg.name:
+        if name == self._name:
             eligible = await self.request_locally(
                 request.step.name, names, timeout
             )
--- a/hibiscusslip/host/context.py
+++ b/hibiscusslip/host/context.py
@@ -6,6 +6,7 @@
 from hibiscusslip.dispatch import model
 from hibiscusslip.host import notices
 from hibiscusslip.host import ownership
+from hibiscusslip.host import repeat_policy
 from hibiscusslip.http import uplink as uplinks
 from hibiscusslip.observe import events
 from hibiscusslip.observe import prometheus
@@ -20,7 +21,8 @@
 class Context:
     """The settings, connections and observed state of one host.
 
-    `uplink` is the host's link, for which all calls that it makes wait.
+    `uplink` is the host's link, for which all calls that it makes wait, and
+    `repeats` decides when a call to the store is repeated.
     `store_answered_at` is when the store last answered, on the monotonic
     clock, and `config_confirmed_at` when it last had no newer configuration
     than `config`. `isolated` is set while no peer replies, and
@@ -42,6 +44,9 @@
     hosts: dict[str, notices.HostRecord] = dataclasses.field(
         default_factory=dict
     )
+    repeats: repeat_policy.RepeatPolicy = dataclasses.field(
+        default_factory=repeat_policy.RepeatPolicy
+    )
     store_answered_at: float = 0.0
     store_failures: int = 0
     isolated: bool = False
--- a/hibiscusslip/host/inbox.py
+++ b/hibiscusslip/host/inbox.py
@@ -17,6 +17,7 @@
 
 from hibiscusslip.host import context
 from hibiscusslip.host import crash_logging
+from hibiscusslip.host import repeating
 from hibiscusslip.host import topics
 from hibiscusslip.host import wakeup_event
 from hibiscusslip.platform import exceptions
@@ -208,10 +209,16 @@
         started = context.monotonic()
         left = max(entry.deadline for entry in group) - started
         timeout = min(max(left, RELAY_AFTER_S), APPEND_TIMEOUT_S)
-        try:
-            await self._ctx.store.append(
+
+        async def append(timeout: float) -> int:
+            return await self._ctx.store.append(
                 topics.INBOX, records, timeout, part=self._part
             )
+
+        try:
+            await repeating.call(
+                self._ctx.repeats, context.monotonic, append, timeout
+            )
         except exceptions.StoreUnavailable as exc:
             self._ctx.record_store_failure(str(exc))
             self._log_failure('inbox_refused', group, exc)
--- a/hibiscusslip/host/owner.py
+++ b/hibiscusslip/host/owner.py
@@ -216,7 +216,7 @@
             now = context.monotonic()
             await self._lift_promises()
             self.engine.config = self.ctx.config
-            self.engine.adviser_count = max(len(self.ctx.hosts), 1)
+            self.engine.adviser_count = self._advice_router.count_advisers(now)
             if self._may_plan(now):
                 self.engine.plan(now, context.wall_time())
             await self._dispatch_commands()
--- a/hibiscusslip/host/ownership_keeper.py
+++ b/hibiscusslip/host/ownership_keeper.py
@@ -10,6 +10,7 @@
 from hibiscusslip.host import lease_handover
 from hibiscusslip.host import notices
 from hibiscusslip.host import ownership
+from hibiscusslip.host import repeating
 from hibiscusslip.host import topics
 from hibiscusslip.host import wakeup_event
 from hibiscusslip.platform import exceptions
@@ -179,7 +180,15 @@
         With `releases` no lease may be granted after this one is composed.
         """
         record = notices.encode(self._notice(kind, releases))
-        await self._ctx.store.append(topics.OWNER, [record], APPEND_TIMEOUT_S)
+
+        async def append(timeout: float) -> int:
+            return await self._ctx.store.append(
+                topics.OWNER, [record], timeout
+            )
+
+        await repeating.call(
+            self._ctx.repeats, context.monotonic, append, APPEND_TIMEOUT_S
+        )
 
     def _notice(
         self, kind: str, releases: bool = False
--- a/hibiscusslip/host/tailing.py
+++ b/hibiscusslip/host/tailing.py
@@ -6,6 +6,7 @@
 import curio
 
 from hibiscusslip.host import context
+from hibiscusslip.host import repeating
 from hibiscusslip.http import messages
 from hibiscusslip.platform import exceptions
 from hibiscusslip.platform import store
@@ -13,6 +14,7 @@
 CALL_TIMEOUT_S = 1.2
 MIN_RETRY_PAUSE_S = 0.05
 MAX_RETRY_PAUSE_S = 0.4
+LOSSY_WAIT_S = 0.15  # a lost answer is noticed only after the wait
 
 
 class Tail(abc.ABC):
@@ -81,6 +83,8 @@
             return 0.0  # the first answer shows that the store is back
         if self.confirms_records and not self._confirmed:
             return 0.0
+        if self.ctx.repeats.is_lossy(context.monotonic()):
+            return min(self.wait, LOSSY_WAIT_S)
         return self.wait
 
     async def read_once(self, wait: float) -> None:
@@ -91,15 +95,26 @@
             self.offset = await self.load_snapshot()
             self._caught_up_at = context.monotonic()
             self.ctx.record_store_success(self._caught_up_at)
-        batch = await self.ctx.store.read(
-            self.topic, self.offset, wait, self.timeout, self.part
-        )
+        batch = await self._read(self.offset, wait)
         self.ctx.record_store_success(context.monotonic())
         self._count_bytes(sum(len(record) for record in batch.records))
         if batch.start < self.offset:
             return  # a concurrent read_once() was faster
         await self._apply_batch(batch)
 
+    async def _read(self, offset: int, wait: float) -> store.Batch:
+        """Read from an offset on; raises PlatformError."""
+
+        async def read(timeout: float) -> store.Batch:
+            return await self.ctx.store.read(
+                self.topic, offset, wait, timeout, self.part
+            )
+
+        batch: store.Batch = await repeating.call(
+            self.ctx.repeats, context.monotonic, read, self.timeout, wait
+        )
+        return batch
+
     def _report_failure(self, exc: exceptions.PlatformError) -> None:
         """Log a failed read and how much of its response had arrived."""
         transfer = messages.NO_TRANSFER
--- a/hibiscusslip/host/writer.py
+++ b/hibiscusslip/host/writer.py
@@ -10,6 +10,7 @@
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import records
 from hibiscusslip.host import context
+from hibiscusslip.host import repeating
 from hibiscusslip.host import topics
 from hibiscusslip.host import wakeup_event
 from hibiscusslip.platform import exceptions
@@ -193,13 +194,20 @@
     async def _send_once(
         self, partition: _Partition, batch: list[bytes]
     ) -> None:
-        try:
-            await self._ctx.store.append(
+        producer = (topics.PRODUCER, self._epoch, partition.sequence)
+
+        async def append(timeout: float) -> int:
+            return await self._ctx.store.append(
                 topics.JOBS,
                 batch,
-                APPEND_TIMEOUT_S,
+                timeout,
                 part=partition.part,
-                producer=(topics.PRODUCER, self._epoch, partition.sequence),
+                producer=producer,
+            )
+
+        try:
+            await repeating.call(
+                self._ctx.repeats, context.monotonic, append, APPEND_TIMEOUT_S
             )
         except exceptions.StoreOutcomeUnknown:
             if batch:
