host: commands of an ended epoch aren't sent; leases follow MaxHoldMs

Cause: starts, stops and paces are sent by tasks of their own, which outlive the owner that gave them. Starts were checked only against any epoch, stops and paces against none: after a loss and a new claim by the same host, an old command went out again. The usual lease was 5.9 s also where endpoints grant less. Change: each command is sent only while the epoch that gave it is held.

--- a/hibiscusslip/bench/dispatching.py
+++ b/hibiscusslip/bench/dispatching.py
@@ -23,7 +23,7 @@
 from hibiscusslip.dispatch import estimates
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import records
-from hibiscusslip.host import owner
+from hibiscusslip.host import lease_timing
 
 STEP_S = 0.05
 WALL_TIME_S = 1_000_000.0
@@ -100,7 +100,7 @@
         ] = {}
         self._report = Report({k: JobCounts() for k in self._kinds}, [])
         self._engine = engines.Engine(
-            owner.LEASE_S, lambda event, **fields: None
+            lease_timing.USUAL_LEASE_S, lambda event, **fields: None
         )
         self._engine.config = _make_configuration(load.kinds)
         self._engine.adviser_count = ADVISER_COUNT
--- a/hibiscusslip/host/endpoint_session.py
+++ b/hibiscusslip/host/endpoint_session.py
@@ -190,7 +190,7 @@
             start.ticket,
         )
         give_up_at = start.decided_at + MAX_START_AGE_S + START_RETRY_MARGIN_S
-        while now < give_up_at and self._ctx.ownership.held_epoch:
+        while now < give_up_at and self._holds_ownership():
             try:
                 await self._client.start(request, CALL_TIMEOUT_S)
                 await self._handle_started(start, now)
@@ -214,6 +214,14 @@
         reason = 'in doubt' if indeterminate else 'unreached'
         await self._handle_start_failure(start, reason, indeterminate)
 
+    def _holds_ownership(self) -> bool:
+        """Return True if this host still owns the cell in the same epoch.
+
+        Commands outlive the owner that gave them; the host may even own the
+        cell again by the time that they are sent.
+        """
+        return self._ctx.ownership.held_epoch == self._epoch
+
     async def _handle_started(
         self, start: commands.Start, sent: float
     ) -> None:
@@ -258,6 +266,8 @@
             reason=stop.reason,
         )
         for _ in range(STOP_ATTEMPTS):
+            if not self._holds_ownership():
+                return
             try:
                 await self._client.stop(
                     stop.task, stop.run, self._epoch, CALL_TIMEOUT_S
@@ -278,6 +288,8 @@
             endpoint=self.name,
             percent=pace.percent,
         )
+        if not self._holds_ownership():
+            return
         try:
             await self._client.pace(
                 pace.task,
--- a/hibiscusslip/host/owner.py
+++ b/hibiscusslip/host/owner.py
@@ -14,6 +14,7 @@
 from hibiscusslip.host import crash_logging
 from hibiscusslip.host import endpoint_session
 from hibiscusslip.host import lease_handover
+from hibiscusslip.host import lease_timing
 from hibiscusslip.host import notices
 from hibiscusslip.host import ownership_keeper
 from hibiscusslip.host import recovery
@@ -23,7 +24,6 @@
 from hibiscusslip.platform import exceptions
 from hibiscusslip.platform import store
 
-LEASE_S = 5.9
 PLAN_IDLE_S = 0.1
 PLAN_GAP_S = 0.01
 MAX_UPLINK_BACKLOG_S = 0.5  # with which starts are still decided
@@ -48,7 +48,7 @@
     ) -> None:
         self.ctx = ctx
         self.epoch = epoch
-        self.engine = engines.Engine(LEASE_S, ctx.log.note)
+        self.engine = self._new_engine()
         self.plan_wakeup = wakeup_event.WakeupEvent()
         self.ready = False
         self._advice_router = advice_router
@@ -70,6 +70,10 @@
         self._undeleted: list[str] = []
         self._early_cancels: dict[str, bool] = {}
 
+    def _new_engine(self) -> engines.Engine:
+        lease = lease_timing.usual_lease(self.ctx.cfg.bounds.max_lease)
+        return engines.Engine(lease, self.ctx.log.note)
+
     async def run(self) -> None:
         """Run the cell until the ownership ends or the task is cancelled."""
         try:
@@ -129,7 +133,7 @@
             except exceptions.PlatformError as exc:
                 self.ctx.log.note('recovery_retried', error=str(exc)[:120])
                 await curio.sleep(RECOVERY_RETRY_PAUSE_S)
-                self.engine = engines.Engine(LEASE_S, self.ctx.log.note)
+                self.engine = self._new_engine()
                 self._writer = writer.Writer(
                     self.ctx, self.engine, self.epoch, self._send_starts
                 )
--- a/hibiscusslip/host/ownership.py
+++ b/hibiscusslip/host/ownership.py
@@ -4,17 +4,17 @@
 read to, so of two concurrent claims one fails. The owner's heartbeats go to
 the same topic; hosts that can read the topic claim once no heartbeat has come
 for `HEARTBEAT_TIMEOUT_S`. An owner that can't reach the store extends leases
-only until `RENEWAL_LIMIT_S` after its last record. It starts nothing, as each
+only until RENEWAL_LIMIT_S after its last record. It starts nothing, as each
 start needs a record first.
 """
 
 import dataclasses
 
+from hibiscusslip.host import lease_timing
 from hibiscusslip.host import notices
 
 HEARTBEAT_INTERVAL_S = 0.4
 HEARTBEAT_TIMEOUT_S = 1.0
-RENEWAL_LIMIT_S = 10.0
 MAX_READ_AGE_S = 0.9
 OWNER_RETURN_S = 0.5  # for a live owner's first heartbeat after an outage
 MAX_WEAKNESS_DELAY_S = 0.7
@@ -167,7 +167,8 @@
     def may_renew(self, now: float) -> bool:
         """Return True if this owner may still extend leases."""
         return (
-            bool(self.held_epoch) and now < self.confirmed_at + RENEWAL_LIMIT_S
+            bool(self.held_epoch)
+            and now < self.confirmed_at + lease_timing.RENEWAL_LIMIT_S
         )
 
 
--- a/hibiscusslip/host/recovery.py
+++ b/hibiscusslip/host/recovery.py
@@ -9,7 +9,7 @@
 from hibiscusslip.dispatch import records
 from hibiscusslip.dispatch import state
 from hibiscusslip.host import context
-from hibiscusslip.host import ownership
+from hibiscusslip.host import lease_timing
 from hibiscusslip.host import topics
 from hibiscusslip.platform import documents
 from hibiscusslip.platform import exceptions
@@ -17,7 +17,6 @@
 
 READ_TIMEOUT_S = 2.5
 MAX_JOB_AGE_S = 60.0
-LEASE_SLACK_S = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -208,21 +207,16 @@
         engine.endpoints[task.endpoint] = endpoint
     told_end = ctx.ownership.leases_end.get(task.endpoint)
     if told_end is not None:
-        endpoint.inherited_leases_until = told_end + LEASE_SLACK_S
+        endpoint.inherited_leases_until = told_end + lease_timing.SLACK_S
     else:
-        endpoint.inherited_leases_until = _longest_inherited_lease(ctx, now)
+        longest = lease_timing.longest_inherited(ctx.cfg.bounds.max_lease)
+        endpoint.inherited_leases_until = now + longest
     allocation = state.Allocation(
         task, task.run, task.step.spec.allocated_demand, now, recovered=True
     )
     endpoint.allocate(task.name, allocation)
 
 
-def _longest_inherited_lease(ctx: context.Context, now: float) -> float:
-    """Return when leases end that a former owner may extend without store."""
-    longest_lease = ctx.cfg.bounds.max_lease / state.MIN_CLOCK_RATE
-    return now + ownership.RENEWAL_LIMIT_S + longest_lease + LEASE_SLACK_S
-
-
 def _cancel_all(
     engine: engines.Engine, inbox: store.NewestValues, now: float
 ) -> None:
--- a/tests/host/test_endpoint_session.py
+++ b/tests/host/test_endpoint_session.py
@@ -2,6 +2,7 @@
 
 import curio
 
+from hibiscusslip.dispatch import commands
 from hibiscusslip.dispatch import engine as engines
 from hibiscusslip.dispatch import model
 from hibiscusslip.host import context
@@ -52,3 +53,57 @@
         endpoint_session.LONG_POLL_WAIT_S
     }
     assert set(client.waits[1 + failures :]) == {0.0}
+
+
+class CommandClient:
+    """Record the commands that are sent."""
+
+    def __init__(self):
+        self.sent = []
+
+    async def start(self, request, timeout):
+        self.sent.append('start')
+
+    async def stop(self, task, run, fence, timeout):
+        self.sent.append('stop')
+
+    async def pace(self, task, run, percent, fence, timeout):
+        self.sent.append('pace')
+
+
+def send_commands(held_epoch):
+    """Send a start, a stop and a pace of epoch 1; return what was sent."""
+    ctx = fakes.make_context(fakes.FakeStore())
+    now = context.monotonic()
+    ctx.ownership.record_claim(held_epoch, now)
+    bench = support.Bench()
+    bench.now = now
+    bench.endpoint('e1')
+    bench.submit('j', support.step())
+    (start,) = bench.plan()
+    wakeup = wakeup_event.WakeupEvent()
+    session = endpoint_session.EndpointSession(
+        ctx, bench.engine, 'e1', 'h:1', 1, wakeup, wakeup, wakeup
+    )
+    session._client = CommandClient()
+
+    async def main():
+        await session.send_start(start)
+        await session.send_stop(commands.Stop('e1', start.task.name, 1, 'x'))
+        await session.send_pace(commands.Pace('e1', start.task.name, 1, 50))
+
+    curio.run(main)
+    return session._client.sent
+
+
+def test_owner_sends_its_commands():
+    assert send_commands(held_epoch=1) == ['start', 'stop', 'pace']
+
+
+def test_command_of_an_epoch_that_ended_isnt_sent_by_the_next_owner():
+    """The same host has claimed the cell again while they were queued."""
+    assert send_commands(held_epoch=9) == []
+
+
+def test_command_isnt_sent_after_the_ownership_was_lost():
+    assert send_commands(held_epoch=0) == []
--- a/tests/host/test_lease_handover.py
+++ b/tests/host/test_lease_handover.py
@@ -8,6 +8,7 @@
 from hibiscusslip.host import context
 from hibiscusslip.host import endpoint_session
 from hibiscusslip.host import lease_handover
+from hibiscusslip.host import lease_timing
 from hibiscusslip.host import notices
 from hibiscusslip.host import ownership
 from hibiscusslip.host import recovery
@@ -161,7 +162,7 @@
     recovery._restore_allocations(ctx, engine, job, now)
     endpoint = engine.endpoints['gone']
     assert not endpoint.leases_expired(now + 1.9)
-    assert endpoint.leases_expired(now + 2.0 + recovery.LEASE_SLACK_S)
+    assert endpoint.leases_expired(now + 2.0 + lease_timing.SLACK_S)
 
 
 def test_run_on_an_endpoint_of_which_nothing_was_told_is_awaited_in_full():
@@ -170,7 +171,7 @@
     engine = engines.Engine(LEASE_S)
     job = placed_job(engine, now)
     recovery._restore_allocations(ctx, engine, job, now)
-    longest = ownership.RENEWAL_LIMIT_S + ctx.cfg.bounds.max_lease
+    longest = lease_timing.RENEWAL_LIMIT_S + ctx.cfg.bounds.max_lease
     assert not engine.endpoints['gone'].leases_expired(now + longest)
 
 
--- a/tests/host/test_ownership.py
+++ b/tests/host/test_ownership.py
@@ -1,5 +1,6 @@
 """Check when a host may claim the ownership and act as the owner."""
 
+from hibiscusslip.host import lease_timing
 from hibiscusslip.host import notices
 from hibiscusslip.host import ownership
 
@@ -99,8 +100,8 @@
     own = current_ownership()
     own.record_claim(11, 1.0)
     own.record_write(4.0)
-    assert own.may_renew(4.0 + ownership.RENEWAL_LIMIT_S - 0.01)
-    assert not own.may_renew(4.0 + ownership.RENEWAL_LIMIT_S)
+    assert own.may_renew(4.0 + lease_timing.RENEWAL_LIMIT_S - 0.01)
+    assert not own.may_renew(4.0 + lease_timing.RENEWAL_LIMIT_S)
     own.lose()
     assert not own.may_renew(4.1)
 
