inbox: don't leave callers in doubt while other hosts are sought

Cause: with the store away, a record counted as perhaps sent as soon as another host to write it was looked for. Change: a record is in doubt once it is sent to a host that said the store serves it; one whose caller was refused meanwhile is not sent any more. Tests: two of tests/host/test_inbox.py fail before. test_no_write_is_relayed_ to_partitioned_hosts goes through the inbox now, which decides whether to send.

--- a/hibiscusslip/host/inbox.py
+++ b/hibiscusslip/host/inbox.py
@@ -53,15 +53,22 @@
     """Interface for writing records through another host."""
 
     @abc.abstractmethod
-    async def write(self, items: list[tuple[str, bytes]]) -> Outcome:
-        """Return the outcome of writing the records there."""
+    async def find_hosts_with_store(self) -> list[str]:
+        """Return a few hosts that report that the store serves them."""
+
+    @abc.abstractmethod
+    async def write(
+        self, items: list[tuple[str, bytes]], hosts: list[str]
+    ) -> Outcome:
+        """Return the outcome of writing the records at one of `hosts`."""
 
 
 @dataclasses.dataclass(slots=True, eq=False)
 class _Entry:
     """Records to write together, for one caller.
 
-    From `refuse_at` on, a refusal of the store isn't retried any more.
+    From `refuse_at` on, a refusal of the store isn't retried any more. Once
+    the caller has been `answered`, the records mustn't be sent any more.
     """
 
     items: list[tuple[str, bytes]]
@@ -70,6 +77,7 @@
     done: curio.Event
     relayed: bool
     indeterminate: bool = False
+    answered: bool = False
     outcome: Outcome = Outcome.REFUSED
 
 
@@ -106,8 +114,9 @@
         self._waiting.append(entry)
         await self._wakeup.set()
         await self._await_outcome(entry, now)
+        entry.answered = True
         if entry in self._waiting:
-            self._waiting.remove(entry)  # it must not be written after this
+            self._waiting.remove(entry)
         return entry.outcome
 
     async def _await_outcome(self, entry: _Entry, started: float) -> None:
@@ -233,14 +242,21 @@
         return Outcome.ACCEPTED
 
     async def _relay_group(self, group: list[_Entry]) -> Outcome:
-        unrelayed = [entry for entry in group if not entry.relayed]
-        if not unrelayed:
+        if all(entry.relayed for entry in group):
+            return Outcome.REFUSED
+        hosts = await self._relay.find_hosts_with_store()
+        unrelayed = [
+            entry
+            for entry in group
+            if not entry.relayed and not entry.answered
+        ]
+        if not hosts or not unrelayed:
             return Outcome.REFUSED
         for entry in unrelayed:
             # Unknown until the attempt has ended.
             entry.outcome = Outcome.INDETERMINATE
         items = [item for entry in unrelayed for item in entry.items]
-        outcome = await self._relay.write(items)
+        outcome = await self._relay.write(items, hosts)
         self._ctx.metrics.count('inbox_relayed', outcome=outcome.value)
         if outcome is Outcome.ACCEPTED and len(unrelayed) < len(group):
             await self._finish_or_retry(unrelayed, outcome, False)
--- a/hibiscusslip/host/peer_client.py
+++ b/hibiscusslip/host/peer_client.py
@@ -47,14 +47,16 @@
             )
         return model.JobState(reply.state) if reply.known else None
 
-    async def write(self, items: list[tuple[str, bytes]]) -> inbox.Outcome:
+    async def write(
+        self, items: list[tuple[str, bytes]], hosts: list[str]
+    ) -> inbox.Outcome:
         """Ask up to two other hosts to write; stop at the first success.
 
-        Only hosts that have just reported that the store serves them are
-        asked: the outcome at a partitioned host would be indeterminate.
+        `hosts` have just reported that the store serves them: the outcome at
+        a partitioned host would be indeterminate.
         """
         outcome = inbox.Outcome.REFUSED
-        for name in (await self.find_hosts_with_store())[:MAX_RELAYS]:
+        for name in hosts[:MAX_RELAYS]:
             relay_outcome = await self._relay_to(name, items)
             self._ctx.log.note(
                 'inbox_relayed',
--- a/tests/host/fakes.py
+++ b/tests/host/fakes.py
@@ -1,5 +1,7 @@
 """In-memory fakes of the store, the log and other hosts."""
 
+import curio
+
 from hibiscusslip.host import context
 from hibiscusslip.host import inbox
 from hibiscusslip.host import ownership
@@ -65,8 +67,14 @@
     def __init__(self):
         self.script = []
         self.items = []
+        self.hosts = ['h2']
+        self.seek_s = 0.0
+
+    async def find_hosts_with_store(self):
+        await curio.sleep(self.seek_s)
+        return self.hosts
 
-    async def write(self, items):
+    async def write(self, items, hosts):
         self.items.append(items)
         if not self.script:
             return inbox.Outcome.REFUSED
--- a/tests/host/test_inbox.py
+++ b/tests/host/test_inbox.py
@@ -316,3 +316,32 @@
         assert running.job_inbox._waiting == []
 
     run(scenario)
+
+
+def test_caller_isnt_left_in_doubt_while_other_hosts_are_sought():
+    """Nothing was sent: seen 213 times while the store was away for all."""
+
+    async def scenario(running):
+        running.fail_store()
+        running.relay.seek_s = 1.0
+        outcome = await running.write(timeout=0.6)
+        assert outcome is inbox.Outcome.REFUSED
+        await curio.sleep(1.0)
+        assert running.relay.items == []
+        assert running.store.records == []
+
+    run(scenario)
+
+
+def test_refusal_stays_true_when_the_store_returns_meanwhile():
+    async def scenario(running):
+        running.fail_store()
+        running.relay.seek_s = 0.5
+        running.relay.hosts = []
+        outcome = await running.write(timeout=0.2)
+        assert outcome is inbox.Outcome.REFUSED
+        running.ctx.record_store_success(context.monotonic())
+        await curio.sleep(1.0)
+        assert running.store.records == []
+
+    run(scenario)
--- a/tests/host/test_peer_client.py
+++ b/tests/host/test_peer_client.py
@@ -2,6 +2,7 @@
 
 import curio
 
+from hibiscusslip.host import context
 from hibiscusslip.host import inbox
 from hibiscusslip.host import notices
 from hibiscusslip.host import peer_client
@@ -26,7 +27,7 @@
     for name in ('h2', 'h3'):
         ctx.hosts[name] = notices.HostRecord(name, 'i', 'z1', '10.0.0.1', 1)
     client = peer_client.PeerClient(ctx, HostDroppingLinks(ctx))
-    outcome = curio.run(client.write, [('job1', b'v')])
+    outcome = curio.run(client.write, [('job1', b'v')], ['h2', 'h3'])
     assert outcome is inbox.Outcome.REFUSED
 
 
@@ -48,8 +49,17 @@
         ctx.hosts[name] = notices.HostRecord(name, 'i', 'z1', '10.0.0.1', 1)
     links = PartitionedLinks()
     client = peer_client.PeerClient(ctx, links)
-    outcome = curio.run(client.write, [('job1', b'v')])
-    assert outcome is inbox.Outcome.REFUSED
+    job_inbox = inbox.Inbox(ctx, client)
+    for _ in range(context.FAILURES_UNTIL_UNAVAILABLE):
+        ctx.record_store_failure('test')
+
+    async def main():
+        await curio.spawn(job_inbox.run, daemon=True)
+        deadline = context.monotonic() + 1.0
+        return await job_inbox.write([('job1', b'v')], deadline)
+
+    assert curio.run(main) is inbox.Outcome.REFUSED
+    assert links.sent
     assert all(isinstance(m, messages.StoreQuery) for m in links.sent)
 
 
