host: repeat no read whose answer arrives, no request that awaits the link

Early answers to long polls, measured from the end of the wait, taught that answers take no time, so that a slow store would have got more repeats. Change: no repeat once the first byte has arrived, nor before the link has sent the request; only answers after the wait are learned from. Result: three tests of tests/host/test_repeating.py.

--- a/hibiscusslip/host/inbox.py
+++ b/hibiscusslip/host/inbox.py
@@ -219,15 +219,13 @@
         left = max(entry.deadline for entry in group) - started
         timeout = min(max(left, RELAY_AFTER_S), APPEND_TIMEOUT_S)
 
-        async def append(timeout: float) -> int:
+        async def append(timeout: float, began: repeating.Began) -> int:
             return await self._ctx.store.append(
                 topics.INBOX, records, timeout, part=self._part
             )
 
         try:
-            await repeating.call(
-                self._ctx.repeats, context.monotonic, append, timeout
-            )
+            await repeating.call(self._ctx, append, timeout)
         except exceptions.StoreUnavailable as exc:
             self._ctx.record_store_failure(str(exc))
             self._log_failure('inbox_refused', group, exc)
--- a/hibiscusslip/host/ownership_keeper.py
+++ b/hibiscusslip/host/ownership_keeper.py
@@ -181,14 +181,12 @@
         """
         record = notices.encode(self._notice(kind, releases))
 
-        async def append(timeout: float) -> int:
+        async def append(timeout: float, began: repeating.Began) -> int:
             return await self._ctx.store.append(
                 topics.OWNER, [record], timeout
             )
 
-        await repeating.call(
-            self._ctx.repeats, context.monotonic, append, APPEND_TIMEOUT_S
-        )
+        await repeating.call(self._ctx, append, APPEND_TIMEOUT_S)
 
     def _notice(
         self, kind: str, releases: bool = False
--- a/hibiscusslip/host/tailing.py
+++ b/hibiscusslip/host/tailing.py
@@ -105,13 +105,13 @@
     async def _read(self, offset: int, wait: float) -> store.Batch:
         """Read from an offset on; raises PlatformError."""
 
-        async def read(timeout: float) -> store.Batch:
+        async def read(timeout: float, began: repeating.Began) -> store.Batch:
             return await self.ctx.store.read(
-                self.topic, offset, wait, timeout, self.part
+                self.topic, offset, wait, timeout, self.part, began
             )
 
         batch: store.Batch = await repeating.call(
-            self.ctx.repeats, context.monotonic, read, self.timeout, wait
+            self.ctx, read, self.timeout, wait
         )
         return batch
 
--- a/hibiscusslip/host/writer.py
+++ b/hibiscusslip/host/writer.py
@@ -196,7 +196,7 @@
     ) -> None:
         producer = (topics.PRODUCER, self._epoch, partition.sequence)
 
-        async def append(timeout: float) -> int:
+        async def append(timeout: float, began: repeating.Began) -> int:
             return await self._ctx.store.append(
                 topics.JOBS,
                 batch,
@@ -206,9 +206,7 @@
             )
 
         try:
-            await repeating.call(
-                self._ctx.repeats, context.monotonic, append, APPEND_TIMEOUT_S
-            )
+            await repeating.call(self._ctx, append, APPEND_TIMEOUT_S)
         except exceptions.StoreOutcomeUnknown:
             if batch:
                 partition.unanswered = batch
--- a/hibiscusslip/http/client.py
+++ b/hibiscusslip/http/client.py
@@ -1,5 +1,6 @@
 """Call an HTTP server over pooled connections."""
 
+import collections.abc
 import functools
 import time
 
@@ -50,6 +51,7 @@
         headers: dict[str, str] | None = None,
         timeout: float,
         wait: float = 0.0,
+        began: collections.abc.Callable[[], None] | None = None,
     ) -> messages.Response:
         """Send a request and return its complete response.
 
@@ -59,7 +61,8 @@
         of the response has to arrive within `timeout` plus `wait`, for which
         the server may hold the request open: while this process was late to
         write, the server wasn't silent. Each further part has to follow within
-        `timeout`, and the body at `min_bytes_per_s` on average. Raises NotSent
+        `timeout`, and the body at `min_bytes_per_s` on average. `began` is
+        called once the first byte has arrived. Raises NotSent
         when no byte of the request was written, CallUnsettled when it may have
         been handled, MalformedResponse when the response is invalid or too
         large.
@@ -71,7 +74,9 @@
         try:
             async with curio.timeout_after(timeout + upload_time):
                 conn = await self._send(head, body, progress, upload_time)
-            return await self._receive(conn, progress, timeout, max_wait)
+            return await self._receive(
+                conn, progress, timeout, max_wait, began
+            )
         except curio.TaskTimeout as exc:
             raise progress.error_for(
                 progress.describe_silence(timeout, max_wait)
@@ -137,11 +142,14 @@
         progress: _exchange.Progress,
         max_silence: float,
         max_wait: float,
+        began: collections.abc.Callable[[], None] | None,
     ) -> messages.Response:
         """Return the complete response and free its connection."""
         try:
             async with curio.timeout_after(max_wait):
                 await conn.await_response(progress)
+            if began is not None:
+                began()
             response = await conn.read_response(progress, max_silence)
             if conn.prepare_reuse() and not self._closed:
                 self._idle.append(conn)
--- a/hibiscusslip/platform/store.py
+++ b/hibiscusslip/platform/store.py
@@ -6,6 +6,7 @@
 
 import base64
 import binascii
+import collections.abc
 import dataclasses
 import struct
 import typing
@@ -150,11 +151,13 @@
         wait: float,
         timeout: float,
         part: int = 0,
+        began: collections.abc.Callable[[], None] | None = None,
     ) -> Batch:
         """Read the records from the offset `start` on.
 
-        If there is none yet, wait up to `wait` seconds for one. Raises
-        HistoryTrimmed, StoreUnavailable, StoreOutcomeUnknown.
+        If there is none yet, wait up to `wait` seconds for one. `began` is
+        called when the answer begins to arrive. Raises HistoryTrimmed,
+        StoreUnavailable, StoreOutcomeUnknown.
         """
         query = urllib.parse.urlencode(
             {
@@ -166,7 +169,7 @@
             }
         )
         path = f'/v1/log-read?{query}'
-        response = await self._call('GET', path, b'', {}, timeout, wait)
+        response = await self._call('GET', path, b'', {}, timeout, wait, began)
         if response.status == 200:
             return _to_batch(start, response.content)
         if response.status == 404:
@@ -236,6 +239,7 @@
         headers: dict[str, str],
         timeout: float,
         wait: float = 0.0,
+        began: collections.abc.Callable[[], None] | None = None,
     ) -> messages.Response:
         try:
             response = await self._pool.call(
@@ -245,6 +249,7 @@
                 headers=headers,
                 timeout=timeout,
                 wait=wait,
+                began=began,
             )
         except http_exceptions.NotSent as exc:
             self._count('not_sent')
--- a/tests/host/test_front.py
+++ b/tests/host/test_front.py
@@ -58,7 +58,7 @@
             values = {'config': cell.config_document(7)}
             return store.NewestValues(values, {'config': 0}, 1)
 
-        async def read(self, topic, start, wait, timeout, part):
+        async def read(self, topic, start, wait, timeout, part, began):
             self.waits.append(wait)
             records = [config] if len(self.waits) == 3 else []
             return store.Batch(start, records, 0, start + len(records))
--- a/tests/host/test_repeating.py
+++ b/tests/host/test_repeating.py
@@ -17,11 +17,9 @@
 LOST_S = 60.0
 
 
-def call(attempt, timeout=1.2, policy=None, wait=0.0):
-    policy = policy or repeat_policy.RepeatPolicy()
-    return curio.run(
-        repeating.call, policy, context.monotonic, attempt, timeout, wait
-    )
+def call(attempt, timeout=1.2, wait=0.0, ctx=None):
+    ctx = ctx or fakes.make_context(fakes.FakeStore())
+    return curio.run(repeating.call, ctx, attempt, timeout, wait)
 
 
 def scripted(*actions):
@@ -32,7 +30,7 @@
     script = list(actions)
     started = []
 
-    async def attempt(timeout):
+    async def attempt(timeout, began):
         started.append(context.monotonic())
         action = script.pop(0) if script else ANSWER_S
         if isinstance(action, Exception):
@@ -73,6 +71,38 @@
     assert len(started) == 1
 
 
+def test_early_answer_to_a_long_poll_says_nothing_of_the_usual_time():
+    """Else a slow store would get repeats while its polls end early."""
+    ctx = fakes.make_context(fakes.FakeStore())
+    ctx.repeats.record_answer(0.2)
+    attempt, _ = scripted(ANSWER_S)
+    call(attempt, wait=0.5, ctx=ctx)
+    assert ctx.repeats.delay(0) == repeat_policy.MAX_DELAY_S
+
+
+def test_request_that_waits_for_the_link_isnt_repeated():
+    ctx = fakes.make_context(fakes.FakeStore())
+    ctx.uplink.add(2_500_000, context.monotonic())  # 0.2 s on 100 Mbit/s
+    attempt, started = scripted(0.25)
+    call(attempt, ctx=ctx)
+    assert len(started) == 1
+
+
+def test_long_answer_that_arrives_isnt_requested_again():
+    """On a slow link a large configuration takes seconds."""
+    started = []
+
+    async def attempt(timeout, began):
+        started.append(context.monotonic())
+        await curio.sleep(ANSWER_S)
+        began()
+        await curio.sleep(1.5)
+        return 'large'
+
+    assert call(attempt, timeout=0.5) == 'large'
+    assert len(started) == 1
+
+
 def test_outcome_is_unknown_if_one_attempt_may_have_taken_effect():
     attempt, _ = scripted(LOST_S, *[exceptions.StoreUnavailable('503')] * 9)
     with pytest.raises(exceptions.StoreOutcomeUnknown):
--- a/tests/host/test_tailing.py
+++ b/tests/host/test_tailing.py
@@ -16,7 +16,7 @@
         self.failures_left = failures
         self.waits = []
 
-    async def read(self, topic, start, wait, timeout, part):
+    async def read(self, topic, start, wait, timeout, part, began):
         if self.failures_left:
             self.failures_left -= 1
             raise exceptions.StoreUnavailable('503')
@@ -51,7 +51,7 @@
 
 def test_failed_read_logs_how_much_of_the_response_had_arrived():
     class IncompleteReads:
-        async def read(self, topic, start, wait, timeout, part):
+        async def read(self, topic, start, wait, timeout, part, began):
             transfer = messages.Transfer(300, 1000, 0.25)
             raise exceptions.StoreOutcomeUnknown('late', transfer)
 
