--- a/tests/fuzz/test_decoders.py
+++ b/tests/fuzz/test_decoders.py
@@ -25,6 +25,7 @@
 from hibiscusslip.platform import settings
 from hibiscusslip.platform import store
 from tests.platform import cell
+from tests.platform import samples
 
 EXAMPLES = int(os.environ.get('HIBISCUSSLIP_FUZZ_EXAMPLES', '400'))
 ODD = strategies.sampled_from(
@@ -50,33 +51,6 @@
         {'a': 1},
     ]
 )
-JOB = {
-    'Spec': 'x',
-    'Steps': [
-        {'Count': 2, 'Cpu': 5, 'MemMb': 7, 'EstimateMs': 9},
-        {'Count': 1, 'DependsOn': [0], 'Requires': 'a', 'TargetMs': 3},
-    ],
-    'Times': 3,
-    'StartMs': 5.0,
-    'IntervalMs': 100.0,
-}
-ENTRY = {
-    'Service': 's',
-    'Addr': '10.0.0.1:80',
-    'Zone': 'z',
-    'Labels': ['a', 'r1'],
-    'Capacity': {'Cpu': 5, 'MemMb': 6, 'Gpu': 0},
-    'State': 'ready',
-    'Seq': 4,
-    'born': 7,
-    'ClockMs': 8.0,
-}
-REPORT = {
-    'ClockMs': 5,
-    'Running': [['j.0.0.0', 2, '', 41, 3.5]],
-    'Ended': [[58, 'j.0.0.1', 1, 'done', '']],
-    'born': 9,
-}
 NOTICE = notices.OwnerNotice(
     'beat', 1, 'h', 'i', '10.0.0.1', 1, {}, 1, {'e1': 5}
 )
@@ -157,9 +131,13 @@
 
 
 JSON_DECODERS = {
-    'job': (JOB, read_job, (exceptions.JobInvalid,)),
-    'entry': (ENTRY, read_entry, ()),
-    'report': (REPORT, read_report, (exceptions.RequestOutcomeUnknown,)),
+    'job': (samples.JOB, read_job, (exceptions.JobInvalid,)),
+    'entry': (samples.ENTRY, read_entry, ()),
+    'report': (
+        samples.REPORT,
+        read_report,
+        (exceptions.RequestOutcomeUnknown,),
+    ),
     'configuration': (
         msgspec.json.decode(cell.config_document()),
         documents.read_configuration,
