--- a/Makefile
+++ b/Makefile
@@ -7,9 +7,17 @@
 # run separately: hypothesis draws constants from all loaded modules, so the
 # result of a seed depends on which tests the process ran before.
 TEST_PROCESSES ?= 4
+# The users' bench and the folder of its site files, for `make regression`.
+FLEETBENCH ?=
+SITES_DIR ?=
+REGRESSION_SITES := grown/estendal-sched-grown grown/ptp-hq-grown \
+	further/kauribond-sched further-grown/kauribond-sched-grown \
+	large/ptp-hq-large
+REGRESSION_DAYS ?= 4
+REGRESSION_JOBS ?= 3
 
 .PHONY: setup test format format-check lint types demo bench bench-http policy
-.PHONY: integration replay slopes fuzz bytecode memory capacity soak
+.PHONY: integration replay slopes fuzz bytecode memory capacity soak regression
 
 setup: .venv/.ready
 
@@ -79,6 +87,18 @@
 	$(PY) -m tests.platform.soak --seed $(SEED) --trials $(TRIALS) --minutes $(MINUTES) \
 		--plant "$(PLANT)"
 
+# Play a quick score and a short hunt on each of the users' present sites.
+regression: setup
+	@test -x "$(FLEETBENCH)" -a -d "$(SITES_DIR)" || \
+	  { echo "set FLEETBENCH to the bench and SITES_DIR to its sites"; exit 2; }
+	for site in $(REGRESSION_SITES); do \
+	  "$(FLEETBENCH)" score "$(SITES_DIR)/$$site.toml" --quick \
+	    --jobs $(REGRESSION_JOBS) --why "make regression" || exit 1; \
+	  "$(FLEETBENCH)" hunt "$(SITES_DIR)/$$site.toml" \
+	    --days $(REGRESSION_DAYS) --jobs $(REGRESSION_JOBS) \
+	    --why "make regression" || exit 1; \
+	done
+
 fuzz: setup
 	HIBISCUSSLIP_FUZZ_SEED=$(SEED) $(PY) -m pytest tests/fuzz
 
--- a/hibiscusslip/host/owner.py
+++ b/hibiscusslip/host/owner.py
@@ -30,6 +30,7 @@
 DELETE_TIMEOUT_S = 1.2
 RECOVERY_RETRY_PAUSE_S = 0.1
 DELETE_PERIOD_S = 5.0
+SESSION_RESTART_PAUSE_S = 0.5
 MAX_DELETED_JOBS = 1000  # in one append; two keys of a job have up to 100 B
 LOAD_PERIOD_S = 1.0
 STOP_FLUSH_S = 0.5
@@ -206,11 +207,16 @@
     async def _run_session(
         self, session: endpoint_session.EndpointSession
     ) -> None:
-        try:
-            await crash_logging.run_loop(self.ctx, session.run)
-        finally:
-            if self._sessions.get(session.name) is session:
-                del self._sessions[session.name]
+        """Run a session; after an unexpected error run it again."""
+        while session.name in self.engine.endpoints:
+            try:
+                await crash_logging.run_loop(self.ctx, session.run)
+            except exceptions.ProducerFenced:
+                raise
+            except Exception:
+                await curio.sleep(SESSION_RESTART_PAUSE_S)
+        if self._sessions.get(session.name) is session:
+            del self._sessions[session.name]
         while True:  # a return would end the task group
             await curio.sleep(3600)
 
@@ -259,7 +265,11 @@
 
     async def _request_advice(self, request: commands.AdviceRequest) -> None:
         asked_at = context.monotonic()
-        advice = await self._advice_router.request_advice(request)
+        try:
+            advice = await self._advice_router.request_advice(request)
+        except Exception as exc:
+            crash_logging.log_crash(self.ctx, 'request_advice', exc)
+            advice = None  # the step asks again
         now = context.monotonic()
         self.ctx.metrics.time('advice', now - asked_at)
         if advice is None:
--- a/hibiscusslip/host/tailing.py
+++ b/hibiscusslip/host/tailing.py
@@ -115,6 +115,22 @@
         )
         return batch
 
+    async def _apply_safely(self, offset: int, record: bytes) -> None:
+        """Apply one record, or leave it out if it has an unexpected form."""
+        try:
+            await self.apply(offset, record)
+        except exceptions.PlatformError:
+            raise
+        except Exception as exc:
+            self.ctx.metrics.count('records_left_out', topic=self.topic)
+            self.ctx.log.note(
+                'record_left_out',
+                topic=self.topic,
+                part=self.part,
+                offset=offset,
+                error=repr(exc)[:200],
+            )
+
     def _report_failure(self, exc: exceptions.PlatformError) -> None:
         """Log a failed read and how much of its response had arrived."""
         transfer = messages.NO_TRANSFER
@@ -140,7 +156,7 @@
             offset = batch.start + number
             if self.offset is not None and offset >= self.offset:
                 self.offset = offset + 1
-                await self.apply(offset, record)
+                await self._apply_safely(offset, record)
         if self.offset is not None and self.offset >= batch.end:
             self._caught_up_at = context.monotonic()
             self._confirmed = not batch.records
--- a/hibiscusslip/platform/callers.py
+++ b/hibiscusslip/platform/callers.py
@@ -1,5 +1,7 @@
 """Parse callers' HTTP requests and build the responses to them."""
 
+import math
+
 import msgspec
 
 from hibiscusslip.dispatch import model
@@ -9,6 +11,7 @@
 
 METRICS_PATH = '/metrics'
 DEFAULT_TIMEOUT_S = 3.0
+MAX_TIMEOUT_S = 60.0
 _JSON = {'content-type': 'application/json'}
 
 
@@ -27,7 +30,9 @@
         wait_ms = float(req.headers['x-deadline-ms'])
     except (KeyError, ValueError):
         return DEFAULT_TIMEOUT_S
-    return wait_ms / settings.MS_PER_S
+    if not math.isfinite(wait_ms):
+        return DEFAULT_TIMEOUT_S
+    return min(wait_ms / settings.MS_PER_S, MAX_TIMEOUT_S)
 
 
 def read_job(req: messages.Request) -> model.JobSpec:
--- a/hibiscusslip/platform/documents.py
+++ b/hibiscusslip/platform/documents.py
@@ -11,6 +11,9 @@
 MAX_SPEC_CHARS = 4000
 MAX_STEPS = 100
 MAX_TASKS = 10000
+MAX_OCCURRENCES = 10000
+MAX_PORT = 65535
+MAX_COUNT = 2**63 - 1
 
 
 class _Document(msgspec.Struct, rename='pascal'):
@@ -22,9 +25,13 @@
     mem_mb: int = 0
     gpu: int = 0
 
+    def amounts(self) -> tuple[int, int, int]:
+        """Return the CPU, the memory and the accelerators."""
+        return self.cpu, self.mem_mb, self.gpu
+
     def demand(self) -> model.Demand:
         """Return the resources as a Demand."""
-        return model.Demand(self.cpu, self.mem_mb, self.gpu)
+        return model.Demand(*self.amounts())
 
 
 class _Step(_Resources):
@@ -135,6 +142,15 @@
             f'a step has at least one task, a job at most {MAX_TASKS}; mend'
             ' the counts'
         )
+    if any(_is_negative(step) for step in job.steps):
+        raise exceptions.JobInvalid(
+            "a step's amounts and times aren't negative; mend the body"
+        )
+    if job.times > MAX_OCCURRENCES or (job.times > 1 and job.interval_ms <= 0):
+        raise exceptions.JobInvalid(
+            f'a job has at most {MAX_OCCURRENCES} occurrences, at an interval'
+            ' above 0; mend the body'
+        )
     for number, step in enumerate(job.steps):
         if any(not 0 <= needed < number for needed in step.depends_on):
             raise exceptions.JobInvalid(
@@ -143,6 +159,19 @@
             )
 
 
+def _is_negative(step: _Step) -> bool:
+    amounts = (
+        step.cpu,
+        step.mem_mb,
+        step.gpu,
+        step.estimate_ms,
+        step.anti_affinity,
+        step.target_ms,
+        step.may_miss,
+    )
+    return min(amounts) < 0
+
+
 def _to_step(step: _Step) -> model.Step:
     return model.Step(
         count=step.count,
@@ -217,7 +246,9 @@
         entry = msgspec.json.decode(value, type=_Entry)
     except msgspec.MsgspecError:
         return None
-    if entry.state not in ('ready', 'draining') or ':' not in entry.addr:
+    if entry.state not in ('ready', 'draining'):
+        return None
+    if not _is_address(entry.addr) or min(entry.capacity.amounts()) < 0:
         return None
     return model.EndpointEntry(
         name=name,
@@ -233,6 +264,14 @@
     )
 
 
+def _is_address(text: str) -> bool:
+    """Return True for an IP address, a colon and a port."""
+    ip, _, port = text.rpartition(':')
+    if not ip.isascii() or not port.isascii() or not port.isdigit():
+        return False
+    return bool(ip) and 0 < int(port[:6]) <= MAX_PORT
+
+
 def _to_seconds(clock_ms: float | None) -> float | None:
     return None if clock_ms is None else clock_ms / settings.MS_PER_S
 
@@ -258,7 +297,13 @@
             running=tuple(_to_running_run(row) for row in report.running),
             ended=tuple(_to_ended_run(row) for row in report.ended),
         )
-    except (msgspec.MsgspecError, ValueError, TypeError, IndexError) as exc:
+    except (
+        msgspec.MsgspecError,
+        ValueError,
+        TypeError,
+        IndexError,
+        OverflowError,
+    ) as exc:
         raise exceptions.RequestOutcomeUnknown(
             f'the endpoint sent an invalid report: {exc}; poll it again'
         ) from exc
@@ -267,12 +312,35 @@
 def _to_running_run(row: tuple[typing.Any, ...]) -> model.RunningRun:
     usage = float(row[4]) if len(row) > 4 and row[4] is not None else 0.0
     return model.RunningRun(
-        str(row[0]), int(row[1]), row[2] or '', int(row[3] or 0), usage
+        _to_text(row[0]),
+        _to_count(row[1]),
+        _to_text(row[2]),
+        _to_count(row[3] or 0),
+        usage,
     )
 
 
 def _to_ended_run(row: tuple[typing.Any, ...]) -> model.EndedRun:
     how = model.RunOutcome(row[3])
     return model.EndedRun(
-        int(row[0]), str(row[1]), int(row[2]), how, row[4] or ''
+        _to_count(row[0]),
+        _to_text(row[1]),
+        _to_count(row[2]),
+        how,
+        _to_text(row[4]),
     )
+
+
+def _to_count(value: typing.Any) -> int:
+    """Return a number that records can hold; raises ValueError."""
+    count = int(value)
+    if not 0 <= count <= MAX_COUNT:
+        raise ValueError(f'{value!r} is no count')
+    return count
+
+
+def _to_text(value: typing.Any) -> str:
+    """Return a text, '' for none; raises TypeError for anything else."""
+    if value is not None and not isinstance(value, str):
+        raise TypeError(f'expected a text, not {value!r}')
+    return value or ''
--- a/hibiscusslip/platform/settings.py
+++ b/hibiscusslip/platform/settings.py
@@ -1,6 +1,7 @@
 """Read the settings file that the platform provides to each process."""
 
 import dataclasses
+import math
 import pathlib
 
 from hibiscusslip.platform import exceptions
@@ -145,10 +146,17 @@
     for name, (key, scale) in _BOUND_KEYS.items():
         text = fields.get(f'Bounds.{key}', '')
         if text:
-            bounds[name] = float(text) / scale
+            bounds[name] = _to_bound(text) / scale
     return Bounds(**bounds)
 
 
+def _to_bound(text: str) -> float:
+    value = float(text)
+    if not math.isfinite(value):
+        raise ValueError(f'{text} is no bound')
+    return value
+
+
 def _address(text: str) -> Address:
     ip, _, port = text.rpartition(':')
     return Address(ip, int(port))
--- a/tests/host/test_tailing.py
+++ b/tests/host/test_tailing.py
@@ -67,3 +67,31 @@
     assert line['expected'] == 1000
     assert line['first_byte_after'] == 0.25
     assert 'tail_bytes{topic="t"} 300' in ctx.metrics.render().decode()
+
+
+def test_record_of_an_unexpected_form_is_left_out_and_blocks_no_other():
+    class FailingOnce(tailing.Tail):
+        topic = 't'
+
+        def __init__(self, ctx):
+            super().__init__(ctx)
+            self.applied = []
+
+        async def load_snapshot(self):
+            return 0
+
+        async def apply(self, offset, record):
+            if record == b'odd':
+                raise ValueError('unexpected')
+            self.applied.append(record)
+
+    class Records:
+        async def read(self, topic, start, wait, timeout, part, began):
+            return store.Batch(0, [b'a', b'odd', b'b'], 0, 3)
+
+    ctx = fakes.make_context(Records())
+    feed = FailingOnce(ctx)
+    curio.run(feed.read_once, 0.0)
+    assert feed.applied == [b'a', b'b']
+    (event,) = ctx.log.named('record_left_out')
+    assert event['offset'] == 1
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -318,3 +318,15 @@
             await client.start(start_request(), 0.1)
 
     with_endpoint(scenario)
+
+
+@pytest.mark.parametrize(
+    'address', ['10.0.0.1:x', ':80', '10.0.0.1:99999', '10.0.0.1:', 'x']
+)
+def test_entry_with_an_address_that_cant_be_called_names_no_endpoint(address):
+    """It ended the owner, and each host that succeeded it."""
+    endpoint = standin.Endpoint('e', 0.1)
+    value = endpoint.entry('10.0.0.1:80', 's')
+    assert documents.read_endpoint_entry('e', value) is not None
+    odd = value.replace(b'10.0.0.1:80', address.encode())
+    assert documents.read_endpoint_entry('e', odd) is None
