dispatch: log what an endpoint ran when it restarted or was replaced

The logs couldn't tell an endpoint that crashes from one that leaves, nor which of its runs may have been the cause: run_lost had only a reason. It has now whether the start was confirmed and for how long the run was seen at work; the restart or replacement of an endpoint is one event, with the runs and jobs it had and whether it had announced that it leaves. No decision changes.

--- /dev/null
+++ b/hibiscusslip/dispatch/_lost_runs.py
@@ -0,0 +1,191 @@
+"""Give up runs that can't be active any more, and queue their tasks again.
+
+A run is abandoned, and its task started again, only when it is certain that
+the run isn't active and won't start: no task may run twice.
+"""
+
+import typing
+
+from hibiscusslip.dispatch import commands
+from hibiscusslip.dispatch import model
+from hibiscusslip.dispatch import state
+
+if typing.TYPE_CHECKING:
+    from hibiscusslip.dispatch import engine as engines
+
+LATE_START_S = 12.5  # an unanswered start request may take effect 12 s later
+QUARANTINE_S = 3.0
+FULL_BACKOFF_S = 0.5
+
+
+def requeue(engine: 'engines.Engine', task: state.Task, now: float) -> None:
+    """Reset a task to waiting and activate its step if its job isn't final."""
+    task.status = state.Status.WAITING
+    task.endpoint = ''
+    task.started_at = 0.0
+    step = task.step
+    if step.job.state.final:
+        return
+    step.waiting_since = now
+    engine.active_steps[step.name] = step
+
+
+def abandon_run(
+    engine: 'engines.Engine',
+    endpoint: state.Endpoint,
+    name: str,
+    run: int,
+    reason: str,
+    now: float,
+) -> None:
+    """Release a run that is known not to be active, and requeue its task."""
+    allocation = endpoint.release(name, run)
+    task = allocation.task if allocation else None
+    engine.note(
+        'run_lost',
+        task=name,
+        run=run,
+        endpoint=endpoint.name,
+        reason=reason,
+        confirmed=bool(allocation and allocation.confirmed_at),
+        seen_ms=int(allocation.proven_age * 1000) if allocation else 0,
+    )
+    if task is not None and task.run == run and task.status.placed:
+        engine.dirty.add(task.step.job.job_id)
+        requeue(engine, task, now)
+        if task.step.spec.gang:
+            _stop_gang(engine, task.step, run, now)
+
+
+def _stop_gang(
+    engine: 'engines.Engine', step: state.StepState, run: int, now: float
+) -> None:
+    """Stop the other members of a gang, which can't run without this one."""
+    for member in step.tasks:
+        if member.status.placed and member.run == run:
+            engine.stop(member, 'a member of its gang is missing', now)
+
+
+def handle_restart(
+    engine: 'engines.Engine', endpoint: state.Endpoint, now: float
+) -> None:
+    """Abandon all runs of an endpoint, which lost them by a restart."""
+    _note_loss(engine, endpoint, 'endpoint_restarted', now)
+    endpoint.handled_cursor = 0
+    endpoint.acknowledged_cursor = 0
+    endpoint.leased_until = 0.0
+    for name, run in list(endpoint.allocations):
+        allocation = endpoint.allocations[(name, run)]
+        unconfirmed = not allocation.confirmed_at and not allocation.recovered
+        abandon_run(engine, endpoint, name, run, 'restarted', now)
+        if unconfirmed and allocation.task is not None:
+            # The start request may still reach the new incarnation.
+            allocation.task.not_before = allocation.decided_at + LATE_START_S
+
+
+def handle_replacement(
+    engine: 'engines.Engine', endpoint: state.Endpoint, now: float
+) -> None:
+    """Abandon the runs of an endpoint whose address another one has."""
+    if endpoint.entry is not None or endpoint.allocations:
+        _note_loss(engine, endpoint, 'endpoint_replaced', now)
+    endpoint.entry = None
+    endpoint.responsive = False
+    for name, run in list(endpoint.allocations):
+        abandon_run(engine, endpoint, name, run, 'replaced', now)
+
+
+def _note_loss(
+    engine: 'engines.Engine', endpoint: state.Endpoint, event: str, now: float
+) -> None:
+    """Log that an incarnation of an endpoint has ended, and what it ran."""
+    jobs = {name.partition('.')[0] for name, _ in endpoint.allocations}
+    engine.note(
+        event,
+        endpoint=endpoint.name,
+        draining=bool(endpoint.draining_since),
+        answered_ms_ago=int((now - endpoint.last_response_at) * 1000),
+        runs=len(endpoint.allocations),
+        jobs=len(jobs),
+    )
+
+
+def abandon_missing(
+    engine: 'engines.Engine',
+    endpoint: state.Endpoint,
+    report: model.EndpointReport,
+    listed: set[tuple[str, int]],
+    sent: float,
+    now: float,
+) -> None:
+    """Abandon runs that would be in the report if they were active.
+
+    These are runs restored from records, runs whose start was confirmed
+    before the poll was sent, and runs whose start request has expired.
+    """
+    for key, allocation in list(endpoint.allocations.items()):
+        if key in listed:
+            continue
+        confirmed = (
+            bool(allocation.confirmed_at) and allocation.confirmed_at < sent
+        )
+        expired = (
+            bool(allocation.deadline) and report.clock > allocation.deadline
+        )
+        if allocation.recovered or confirmed or expired:
+            abandon_run(engine, endpoint, key[0], key[1], 'not listed', now)
+
+
+def abandon_expired(engine: 'engines.Engine', now: float) -> None:
+    """Abandon the runs of unresponsive endpoints whose leases have expired.
+
+    An unresponsive endpoint without an entry and runs is removed.
+    """
+    for endpoint in list(engine.endpoints.values()):
+        if endpoint.responsive:
+            continue
+        if endpoint.allocations and endpoint.leases_expired(now):
+            for name, run in list(endpoint.allocations):
+                abandon_run(engine, endpoint, name, run, 'lease lapsed', now)
+        if endpoint.entry is None and not endpoint.allocations:
+            del engine.endpoints[endpoint.name]
+
+
+def revert_start(
+    engine: 'engines.Engine',
+    endpoint: state.Endpoint,
+    start: commands.Start,
+    reason: str,
+    now: float,
+) -> None:
+    """Revert a start that is known to have had no effect.
+
+    If an endpoint refused it because of its 'ticket', the step's tickets are
+    renewed. If it lacks capacity ('room'), is 'unhealthy' or is another
+    'instance' than was addressed, it gets no work for a while.
+    """
+    task = start.task
+    step = task.step
+    engine.note(
+        'start_refused',
+        task=task.name,
+        run=start.run,
+        endpoint=endpoint.name,
+        reason=reason,
+    )
+    if reason == 'ticket':
+        step.tickets = {}
+    elif reason == 'room':
+        endpoint.full_until = now + FULL_BACKOFF_S
+    elif reason == 'unhealthy':
+        endpoint.consecutive_failures += 1
+        endpoint.quarantined_until = now + QUARANTINE_S
+    elif reason == 'instance':
+        endpoint.quarantined_until = now + QUARANTINE_S
+    allocation = endpoint.release(task.name, start.run)
+    if allocation is None or task.run != start.run or not task.status.placed:
+        return
+    engine.dirty.add(step.job.job_id)
+    requeue(engine, task, now)
+    if step.spec.gang:
+        _stop_gang(engine, step, start.run, now)
--- a/hibiscusslip/dispatch/_pacing.py
+++ b/hibiscusslip/dispatch/_pacing.py
@@ -44,7 +44,7 @@
         allocation
         for allocation in endpoint.allocations.values()
         if allocation.task is not None
-        and allocation.listed
+        and allocation.listed_at
         and predicate(allocation.task.step.spec)
     ]
 
--- a/hibiscusslip/dispatch/_reports.py
+++ b/hibiscusslip/dispatch/_reports.py
@@ -1,11 +1,8 @@
-"""Reconcile the reports of endpoints with the allocations on them.
-
-A run is abandoned, and its task started again, only when it is certain that
-the run isn't active and won't start: no task may run twice.
-"""
+"""Reconcile the reports of endpoints with the allocations on them."""
 
 import typing
 
+from hibiscusslip.dispatch import _lost_runs
 from hibiscusslip.dispatch import commands
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import progress
@@ -14,10 +11,8 @@
 if typing.TYPE_CHECKING:
     from hibiscusslip.dispatch import engine as engines
 
-LATE_START_S = 12.5  # an unanswered start request may take effect 12 s later
 FAILURES_TO_QUARANTINE = 3
 QUARANTINE_S = 3.0
-FULL_BACKOFF_S = 0.5
 STOP_RETRY_S = 0.4
 
 
@@ -30,7 +25,7 @@
 ) -> None:
     """Apply the report of a poll that was sent at `sent`."""
     if endpoint.polled and report.born != endpoint.born:
-        _handle_restart(engine, endpoint, now)
+        _lost_runs.handle_restart(engine, endpoint, now)
     first = not endpoint.polled
     endpoint.polled = True
     endpoint.born = report.born
@@ -42,28 +37,11 @@
     endpoint.clock_read_at = now
     _handle_ended_runs(engine, endpoint, report, now)
     listed = _handle_running(engine, endpoint, report, now)
-    _abandon_missing(engine, endpoint, report, listed, sent, now)
+    _lost_runs.abandon_missing(engine, endpoint, report, listed, sent, now)
     if first:
         endpoint.inherited_leases_until = 0.0
 
 
-def _handle_restart(
-    engine: 'engines.Engine', endpoint: state.Endpoint, now: float
-) -> None:
-    """Abandon all runs of an endpoint, which lost them by a restart."""
-    engine.note('endpoint_restarted', endpoint=endpoint.name)
-    endpoint.handled_cursor = 0
-    endpoint.acknowledged_cursor = 0
-    endpoint.leased_until = 0.0
-    for name, run in list(endpoint.allocations):
-        allocation = endpoint.allocations[(name, run)]
-        unconfirmed = not allocation.confirmed_at and not allocation.recovered
-        abandon_run(engine, endpoint, name, run, 'restarted', now)
-        if unconfirmed and allocation.task is not None:
-            # The start request may still reach the new incarnation.
-            allocation.task.not_before = allocation.decided_at + LATE_START_S
-
-
 def _handle_ended_runs(
     engine: 'engines.Engine',
     endpoint: state.Endpoint,
@@ -121,7 +99,7 @@
             task.status = state.Status.FAILED
             engine.finish(task.step.job, model.JobState.FAILED, now)
             return
-    _requeue(engine, task, now)
+    _lost_runs.requeue(engine, task, now)
 
 
 def _save_checkpoint(task: state.Task, checkpoint: str) -> None:
@@ -208,39 +186,6 @@
         engine.note('endpoint_distrusted', endpoint=endpoint.name)
 
 
-def _requeue(engine: 'engines.Engine', task: state.Task, now: float) -> None:
-    """Reset a task to waiting and activate its step if its job isn't final."""
-    task.status = state.Status.WAITING
-    task.endpoint = ''
-    task.started_at = 0.0
-    step = task.step
-    if step.job.state.final:
-        return
-    step.waiting_since = now
-    engine.active_steps[step.name] = step
-
-
-def abandon_run(
-    engine: 'engines.Engine',
-    endpoint: state.Endpoint,
-    name: str,
-    run: int,
-    reason: str,
-    now: float,
-) -> None:
-    """Release a run that is known not to be active, and requeue its task."""
-    allocation = endpoint.release(name, run)
-    task = allocation.task if allocation else None
-    engine.note(
-        'run_lost', task=name, run=run, endpoint=endpoint.name, reason=reason
-    )
-    if task is not None and task.run == run and task.status.placed:
-        engine.dirty.add(task.step.job.job_id)
-        _requeue(engine, task, now)
-        if task.step.spec.gang:
-            _stop_gang(engine, task.step, run, now)
-
-
 def _handle_running(
     engine: 'engines.Engine',
     endpoint: state.Endpoint,
@@ -254,7 +199,7 @@
         allocation = endpoint.allocations.get(key)
         if allocation is None:
             allocation = _adopt(engine, endpoint, row, now)
-        allocation.listed = True
+        allocation.listed_at = now
         allocation.usage = row.usage
         progress.watch_progress(engine, endpoint, allocation, row, now)
         task = allocation.task
@@ -331,93 +276,3 @@
     engine.stops.append(
         commands.Stop(endpoint.name, row.task, row.run, 'not expected here')
     )
-
-
-def _abandon_missing(
-    engine: 'engines.Engine',
-    endpoint: state.Endpoint,
-    report: model.EndpointReport,
-    listed: set[tuple[str, int]],
-    sent: float,
-    now: float,
-) -> None:
-    """Abandon runs that would be in the report if they were active.
-
-    These are runs restored from records, runs whose start was confirmed
-    before the poll was sent, and runs whose start request has expired.
-    """
-    for key, allocation in list(endpoint.allocations.items()):
-        if key in listed:
-            continue
-        confirmed = (
-            bool(allocation.confirmed_at) and allocation.confirmed_at < sent
-        )
-        expired = (
-            bool(allocation.deadline) and report.clock > allocation.deadline
-        )
-        if allocation.recovered or confirmed or expired:
-            abandon_run(engine, endpoint, key[0], key[1], 'not listed', now)
-
-
-def abandon_expired(engine: 'engines.Engine', now: float) -> None:
-    """Abandon the runs of unresponsive endpoints whose leases have expired.
-
-    An unresponsive endpoint without an entry and runs is removed.
-    """
-    for endpoint in list(engine.endpoints.values()):
-        if endpoint.responsive:
-            continue
-        if endpoint.allocations and endpoint.leases_expired(now):
-            for name, run in list(endpoint.allocations):
-                abandon_run(engine, endpoint, name, run, 'lease lapsed', now)
-        if endpoint.entry is None and not endpoint.allocations:
-            del engine.endpoints[endpoint.name]
-
-
-def revert_start(
-    engine: 'engines.Engine',
-    endpoint: state.Endpoint,
-    start: commands.Start,
-    reason: str,
-    now: float,
-) -> None:
-    """Revert a start that is known to have had no effect.
-
-    If an endpoint refused it because of its 'ticket', the step's tickets are
-    renewed. If it lacks capacity ('room'), is 'unhealthy' or is another
-    'instance' than was addressed, it gets no work for a while.
-    """
-    task = start.task
-    step = task.step
-    engine.note(
-        'start_refused',
-        task=task.name,
-        run=start.run,
-        endpoint=endpoint.name,
-        reason=reason,
-    )
-    if reason == 'ticket':
-        step.tickets = {}
-    elif reason == 'room':
-        endpoint.full_until = now + FULL_BACKOFF_S
-    elif reason == 'unhealthy':
-        endpoint.consecutive_failures += 1
-        endpoint.quarantined_until = now + QUARANTINE_S
-    elif reason == 'instance':
-        endpoint.quarantined_until = now + QUARANTINE_S
-    allocation = endpoint.release(task.name, start.run)
-    if allocation is None or task.run != start.run or not task.status.placed:
-        return
-    engine.dirty.add(step.job.job_id)
-    _requeue(engine, task, now)
-    if step.spec.gang:
-        _stop_gang(engine, step, start.run, now)
-
-
-def _stop_gang(
-    engine: 'engines.Engine', step: state.StepState, run: int, now: float
-) -> None:
-    """Stop the other members of a gang, which can't run without this one."""
-    for member in step.tasks:
-        if member.status.placed and member.run == run:
-            engine.stop(member, 'a member of its gang is missing', now)
--- a/hibiscusslip/dispatch/engine.py
+++ b/hibiscusslip/dispatch/engine.py
@@ -5,6 +5,7 @@
 
 from hibiscusslip.dispatch import _draining
 from hibiscusslip.dispatch import _headroom
+from hibiscusslip.dispatch import _lost_runs
 from hibiscusslip.dispatch import _pacing
 from hibiscusslip.dispatch import _planning
 from hibiscusslip.dispatch import _reports
@@ -269,12 +270,8 @@
     def handle_replacement(self, name: str, now: float) -> None:
         """Abandon the runs of an endpoint whose address another one has."""
         endpoint = self.endpoints.get(name)
-        if endpoint is None:
-            return
-        endpoint.entry = None
-        endpoint.responsive = False
-        for task, run in list(endpoint.allocations):
-            _reports.abandon_run(self, endpoint, task, run, 'replaced', now)
+        if endpoint is not None:
+            _lost_runs.handle_replacement(self, endpoint, now)
 
     # Starts.
 
@@ -296,7 +293,7 @@
         endpoint = self.endpoints.get(start.endpoint)
         if endpoint is None:
             return
-        _reports.revert_start(self, endpoint, start, reason, now)
+        _lost_runs.revert_start(self, endpoint, start, reason, now)
 
     def _allocation_of(self, start: commands.Start) -> state.Allocation | None:
         endpoint = self.endpoints.get(start.endpoint)
@@ -325,7 +322,7 @@
     def plan(self, now: float, wall_time: float) -> None:
         """Run one scheduling pass, which adds commands."""
         self.create_due_occurrences(now, wall_time)
-        _reports.abandon_expired(self, now)
+        _lost_runs.abandon_expired(self, now)
         _draining.move_runs(self, now)
         _pacing.pace(self, now)
         _planning.plan(self, now)
--- a/hibiscusslip/dispatch/state.py
+++ b/hibiscusslip/dispatch/state.py
@@ -146,8 +146,8 @@
 
     `deadline` is when the start request expires, on the endpoint's clock.
     `confirmed_at` is when the endpoint confirmed the start, 0 before.
-    `listed` is set once a report has contained the run, `recovered` if the
-    allocation was restored from a record. `progressed_at` is when `percent`
+    `listed_at` is when a report contained the run last, 0 for never;
+    `recovered` is set if the allocation was restored from a record. `progressed_at` is when `percent`
     changed last. `pace_percent` is the share of its speed that the run may
     use; `cooldown_since` is the start of the delay before it is raised.
     """
@@ -158,7 +158,7 @@
     decided_at: float
     deadline: float = 0.0
     confirmed_at: float = 0.0
-    listed: bool = False
+    listed_at: float = 0.0
     recovered: bool = False
     stop_requested_at: float = 0.0
     percent: int = 100
@@ -167,6 +167,12 @@
     pace_percent: int = 100
     cooldown_since: float = 0.0
 
+    @property
+    def proven_age(self) -> float:
+        """Return for how long the run was seen to be active, in seconds."""
+        began = self.confirmed_at or self.decided_at
+        return max(self.listed_at - began, 0.0)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HandledCursor:
