--- a/hibiscusslip/host/recovery.py
+++ b/hibiscusslip/host/recovery.py
@@ -94,7 +94,7 @@
             engine.register_endpoint(entry, now)
     for inbox in inboxes:
         _submit_all(ctx, engine, inbox, now)
-    _restore_all(ctx, engine, progress, now)
+    restore_all(ctx, engine, progress, now)
     for inbox in inboxes:
         _cancel_all(engine, inbox, now)
     ctx.log.note(
@@ -161,12 +161,13 @@
     engine.submit(job_id, submission, spec, now - age, wall_time)
 
 
-def _restore_all(
+def restore_all(
     ctx: context.Context,
     engine: engines.Engine,
     progress: dict[str, bytes],
     now: float,
 ) -> None:
+    """Apply the progress records of the jobs that the engine has."""
     for job_id, value in progress.items():
         job = engine.jobs.get(job_id)
         if job is None:
--- /dev/null
+++ b/tests/dispatch/crashing_cell.py
@@ -0,0 +1,257 @@
+"""Simulate an owner and endpoints that some tasks crash, in virtual time."""
+
+import dataclasses
+
+from hibiscusslip.dispatch import engine as engines
+from hibiscusslip.dispatch import model
+from hibiscusslip.dispatch import records
+from hibiscusslip.dispatch import state
+from hibiscusslip.host import recovery
+from tests.dispatch import support
+from tests.host import fakes
+
+TICK_S = 0.05
+LEASE_S = 5.9
+UNRESPONSIVE_AFTER_S = 0.85
+
+
+@dataclasses.dataclass(eq=False)
+class Machine:
+    """A machine and the present incarnation of its endpoint."""
+
+    number: int
+    zone: str
+    name: str = ''
+    born: float = 0.0
+    seq: int = 0
+    running: dict = dataclasses.field(default_factory=dict)
+    ended: list = dataclasses.field(default_factory=list)
+    ends: int = 0
+    capacity: int = 8000
+    crashed_at: float | None = None
+    back_at: float = 0.0
+
+    @property
+    def address(self):
+        return f'10.0.0.{self.number}:1'
+
+
+class Cell:
+    """An engine and machines; `deadly` are the tasks that crash these.
+
+    A machine is down for `down_s` and returns at its address, with a new id
+    or, without `new_ids`, under the one that it had. Without `answers` the
+    answers to start requests are lost. `owner_lives_s` is how often the
+    owner is lost, None for never. A task works for `run_s`.
+    """
+
+    def __init__(
+        self,
+        machines=6,
+        zones=3,
+        deadly=(),
+        down_s=3.2,
+        new_ids=True,
+        answers=True,
+        owner_lives_s=None,
+        run_s=0.6,
+    ):
+        self.deadly = set(deadly)
+        self.down_s = down_s
+        self.new_ids = new_ids
+        self.answers = answers
+        self.owner_lives_s = owner_lives_s
+        self.run_s = run_s
+        self.now = 100.0
+        self.crashes = 0
+        self.starts = []
+        self.specs = {}
+        self.progress = {}
+        self.config = support.config(support.queue())
+        self.machines = [
+            Machine(number, f'z{number % zones}') for number in range(machines)
+        ]
+        self.ctx = fakes.make_context(fakes.FakeStore())
+        self.engine = engines.Engine(LEASE_S, self.ctx.log.note)
+        self.engine.config = self.config
+        self.owned_at = self.now
+        for machine in self.machines:
+            self._boot(machine)
+
+    def submit(self, job_id, *steps, **fields):
+        spec = model.JobSpec('payload', tuple(steps), **fields)
+        self.specs[job_id] = spec
+        return self._submit_to_engine(job_id)
+
+    def run(self, seconds):
+        """Let time pass."""
+        for _ in range(round(seconds / TICK_S)):
+            self._tick()
+
+    def state(self, job_id):
+        return self.engine.jobs[job_id].state
+
+    def runs_of(self, task):
+        return [run for name, run in self.starts if name == task]
+
+    def crash(self, machine):
+        machine.crashed_at = self.now
+        machine.back_at = self.now + self.down_s
+        machine.running = {}
+        machine.ended = []
+        self.crashes += 1
+
+    def leave(self, machine):
+        """End a machine's endpoint, which has announced it, as planned."""
+        self.engine.register_endpoint(
+            self._entry(machine, draining=True), self.now
+        )
+        self.crash(machine)
+        self.crashes -= 1
+
+    def _submit_to_engine(self, job_id):
+        submission = records.Submission(
+            'small', support.SERVICE, support.WALL_TIME, b''
+        )
+        return self.engine.submit(
+            job_id, submission, self.specs[job_id], self.now, support.WALL_TIME
+        )
+
+    def _boot(self, machine):
+        previous = machine.name
+        machine.born += 1.0
+        machine.seq = 0
+        machine.ends = 0
+        machine.crashed_at = None
+        if self.new_ids or not previous:
+            machine.name = f'i{machine.number}-{int(machine.born)}'
+        known = self.engine.endpoints.get(previous)
+        if known is not None and known.entry is not None:
+            if previous != machine.name:  # a poll meets another incarnation
+                self.engine.handle_replacement(previous, self.now)
+        self.engine.register_endpoint(self._entry(machine), self.now)
+        self._report(machine)
+
+    def _entry(self, machine, **fields):
+        machine.seq += 1
+        return support.entry(
+            machine.name,
+            cpu=machine.capacity,
+            address=machine.address,
+            zone=machine.zone,
+            born=machine.born,
+            seq=machine.seq,
+            **fields,
+        )
+
+    def _tick(self):
+        self.now += TICK_S
+        self._lose_owner_if_due()
+        for machine in self.machines:
+            if machine.crashed_at is None:
+                self._work(machine)
+                self._report(machine)
+            elif self.now >= machine.back_at:
+                self._boot(machine)
+            else:
+                self._stay_silent(machine)
+        self.engine.plan(self.now, support.WALL_TIME)
+        self._write_records()
+        for stop in self._take('stops'):
+            self._stop(stop)
+        for start in self._take('starts'):
+            self._start(start)
+
+    def _take(self, name):
+        commands = getattr(self.engine, name)
+        setattr(self.engine, name, [])
+        return commands
+
+    def _write_records(self):
+        engine = self.engine
+        cursors = engine.handled_cursors()
+        written = {}
+        for job_id in engine.dirty:
+            job = engine.jobs[job_id]
+            written[job_id] = job.state
+            self.progress[job_id] = records.encode_job(job)
+        engine.dirty = set()
+        engine.confirm_records(written, cursors)
+
+    def _lose_owner_if_due(self):
+        if self.owner_lives_s is None:
+            return
+        if self.now < self.owned_at + self.owner_lives_s:
+            return
+        self.owned_at = self.now
+        self.engine = engines.Engine(LEASE_S, self.ctx.log.note)
+        self.engine.config = self.config
+        for machine in self.machines:
+            if machine.crashed_at is None:
+                self.engine.register_endpoint(self._entry(machine), self.now)
+        for job_id in self.specs:
+            self._submit_to_engine(job_id)
+        recovery.restore_all(self.ctx, self.engine, self.progress, self.now)
+
+    def _work(self, machine):
+        for (task, run), ends_at in list(machine.running.items()):
+            if self.now >= ends_at:
+                del machine.running[task, run]
+                self._end(machine, task, run, model.RunOutcome.DONE)
+
+    def _end(self, machine, task, run, how):
+        machine.ends += 1
+        machine.ended.append(model.EndedRun(machine.ends, task, run, how, ''))
+
+    def _report(self, machine):
+        running = tuple(
+            model.RunningRun(task, run, '', 50 + round(self.now * 20) % 40, 0)
+            for task, run in machine.running
+        )
+        report = model.EndpointReport(
+            machine.born, self.now, running, tuple(machine.ended)
+        )
+        name = machine.name
+        self.engine.handle_report(name, report, self.now, self.now)
+        endpoint = self.engine.endpoints.get(name)
+        if endpoint is not None and endpoint.allocations:
+            endpoint.leased_until = self.now + LEASE_S
+        machine.ended = []
+
+    def _stay_silent(self, machine):
+        self.engine.handle_no_response(
+            machine.name, machine.crashed_at, self.now
+        )
+        if self.now >= machine.crashed_at + UNRESPONSIVE_AFTER_S:
+            self.engine.mark_unresponsive(machine.name)
+
+    def _stop(self, stop):
+        for machine in self.machines:
+            key = (stop.task, stop.run)
+            if machine.name == stop.endpoint and key in machine.running:
+                del machine.running[key]
+                self._end(machine, *key, model.RunOutcome.STOPPED)
+
+    def _start(self, start):
+        (machine,) = (m for m in self.machines if m.name == start.endpoint)
+        if machine.crashed_at is not None:
+            return
+        name = start.task.name
+        self.starts.append((name, start.run))
+        spec = start.task.step.spec
+        run_s = float('inf') if spec.long_running else self.run_s
+        machine.running[name, start.run] = self.now + run_s
+        if self.answers:
+            self.engine.confirm_start(start, self.now)
+        if name in self.deadly:
+            self.crash(machine)
+
+
+def waiting_or_active(job):
+    """Return the names of a job's tasks that aren't done."""
+    return [
+        task.name
+        for step in job.steps()
+        for task in step.tasks
+        if task.status is not state.Status.DONE
+    ]
