dispatch: give up tasks that crash the endpoints which start them

Cause: a run that was lost with its endpoint left no trace. Only ends 'failed' count as attempts, and of a crash nothing is told but a new incarnation.

Change: a crash is held against the runs that had just started. Their tasks start apart from then on: where no other job has just started a run, and no other job starts one beside them until they are seen to work. A task is given up after three crashes, in two of which no other job can have been the cause, and the endpoint had confirmed a start (without that, three). Crashes, the runs given up on silent endpoints, and the incarnation and address of endpoints with runs are in the job's record, so a new owner counts on, and polls endpoints that the platform lists no more. A run on trial is held beyond its lease until its endpoint shows what happened. Endpoints that announced that they leave, and those lost with a large part of their zone, are held against no task.

--- a/hibiscusslip/dispatch/_lost_runs.py
+++ b/hibiscusslip/dispatch/_lost_runs.py
@@ -7,6 +7,7 @@
 import typing
 
 from hibiscusslip.dispatch import commands
+from hibiscusslip.dispatch import crashes
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import state
 
@@ -67,10 +68,14 @@
 
 
 def handle_restart(
-    engine: 'engines.Engine', endpoint: state.Endpoint, now: float
+    engine: 'engines.Engine',
+    endpoint: state.Endpoint,
+    report: model.EndpointReport,
+    now: float,
 ) -> None:
     """Abandon all runs of an endpoint, which lost them by a restart."""
     _note_loss(engine, endpoint, 'endpoint_restarted', now)
+    convicted = _blame_runs(engine, endpoint, report, now)
     endpoint.handled_cursor = 0
     endpoint.acknowledged_cursor = 0
     endpoint.leased_until = 0.0
@@ -81,6 +86,27 @@
         if unconfirmed and allocation.task is not None:
             # The start request may still reach the new incarnation.
             allocation.task.not_before = allocation.decided_at + LATE_START_S
+    crashes.give_up(engine, convicted, now)
+
+
+def _blame_runs(
+    engine: 'engines.Engine',
+    endpoint: state.Endpoint,
+    report: model.EndpointReport | None,
+    now: float,
+) -> list[state.Task]:
+    """Hold a crash against runs; return the tasks to be given up.
+
+    Runs that the new incarnation lists in its report weren't in the crash.
+    """
+    listed = report.listed_runs() if report is not None else set()
+    runs = [
+        allocation
+        for key, allocation in endpoint.allocations.items()
+        if key not in listed
+    ]
+    runs += crashes.take_lapsed(endpoint)
+    return crashes.handle_crash(engine, endpoint, runs, now) if runs else []
 
 
 def handle_replacement(
@@ -89,10 +115,12 @@
     """Abandon the runs of an endpoint whose address another one has."""
     if endpoint.entry is not None or endpoint.allocations:
         _note_loss(engine, endpoint, 'endpoint_replaced', now)
+    convicted = _blame_runs(engine, endpoint, None, now)
     endpoint.entry = None
     endpoint.responsive = False
     for name, run in list(endpoint.allocations):
         abandon_run(engine, endpoint, name, run, 'replaced', now)
+    crashes.give_up(engine, convicted, now)
 
 
 def _note_loss(
@@ -139,16 +167,22 @@
 def abandon_expired(engine: 'engines.Engine', now: float) -> None:
     """Abandon the runs of unresponsive endpoints whose leases have expired.
 
-    An unresponsive endpoint without an entry and runs is removed.
+    An unresponsive endpoint without an entry and runs is removed, once it
+    doesn't matter any more whether it has crashed.
     """
     for endpoint in list(engine.endpoints.values()):
         if endpoint.responsive:
             continue
-        if endpoint.allocations and endpoint.leases_expired(now):
+        held = crashes.TRIAL_HOLD_S if endpoint.trials else 0.0
+        if endpoint.allocations and endpoint.leases_expired(now - held):
+            crashes.note_lapse(endpoint, now)
             for name, run in list(endpoint.allocations):
                 abandon_run(engine, endpoint, name, run, 'lease lapsed', now)
+        if now >= endpoint.lapsed_at + crashes.LAPSED_MEMORY_S:
+            crashes.take_lapsed(endpoint)
         if endpoint.entry is None and not endpoint.allocations:
-            del engine.endpoints[endpoint.name]
+            if not endpoint.lapsed:
+                del engine.endpoints[endpoint.name]
 
 
 def revert_start(
--- a/hibiscusslip/dispatch/_planning.py
+++ b/hibiscusslip/dispatch/_planning.py
@@ -8,6 +8,7 @@
 from hibiscusslip.dispatch import _suspicion
 from hibiscusslip.dispatch import advice_planning
 from hibiscusslip.dispatch import commands
+from hibiscusslip.dispatch import crashes
 from hibiscusslip.dispatch import ordering
 from hibiscusslip.dispatch import placement
 from hibiscusslip.dispatch import state
@@ -124,7 +125,11 @@
     needs_advice = current.engine.queue_of(step.job).advice is not None
     if needs_advice and step.tickets is None:
         return
-    tasks = [task for task in step.waiting() if task.not_before <= now]
+    tasks = [
+        task
+        for task in step.waiting()
+        if task.not_before <= now and crashes.may_start(task)
+    ]
     if not tasks or (step.spec.gang and len(tasks) < len(step.tasks)):
         return
     candidates = current.candidates[step.job.service]
@@ -171,8 +176,37 @@
         if current.reserved.admits(candidate.endpoint, run_time, current.now)
     ]
     startable = _limit_to_spare(current, step, tasks)
+    on_trial = [task for task in startable if task.on_trial]
+    if step.spec.gang and on_trial:
+        on_trial = startable
+    if on_trial:
+        _place_on_trial(current, step, on_trial, unreserved)
+    others = [task for task in startable if task not in on_trial]
+    _start_all(current, step, placement.choose(step, others, unreserved))
+
+
+def _place_on_trial(
+    current: _Pass,
+    step: state.StepState,
+    tasks: list[state.Task],
+    candidates: list[placement.Candidate],
+) -> None:
+    """Start tasks that may crash their endpoints, on idle ones if possible."""
+    calm = crashes.calm_candidates(step, candidates, current.now)
+    idle = [c for c in calm if not c.endpoint.allocations]
+    for options in (idle, calm):
+        waiting = [t for t in tasks if t.status is state.Status.WAITING]
+        choices = placement.choose(step, waiting, options)
+        _start_all(current, step, choices)
+        for choice in choices:
+            current.candidates[step.job.service].note_trial(choice.endpoint)
+
+
+def _start_all(
+    current: _Pass, step: state.StepState, choices: list[placement.Choice]
+) -> None:
     newest = max(task.run for task in step.tasks)
-    for choice in placement.choose(step, startable, unreserved):
+    for choice in choices:
         run = 1 + (newest if step.spec.gang else choice.task.run)
         _start(current, step, choice, run)
 
@@ -191,6 +225,8 @@
     task.status = state.Status.STARTING
     task.run = run
     task.endpoint = endpoint.name
+    task.address = endpoint.address
+    task.born = endpoint.born
     task.started_at = 0.0
     step.job.has_started = True
     step.job.zone = endpoint.entry.zone
@@ -200,6 +236,8 @@
         task, run, step.spec.allocated_demand, now, deadline=deadline
     )
     endpoint.allocate(task.name, allocation)
+    endpoint.last_start_at = now
+    endpoint.last_start_job = step.job.job_id
     choice.candidate.allocate(step.spec.allocated_demand)
     endpoint.leased_until = max(endpoint.leased_until, deadline)
     checkpoint = step.checkpoint if step.spec.gang else task.checkpoint
--- a/hibiscusslip/dispatch/_reports.py
+++ b/hibiscusslip/dispatch/_reports.py
@@ -4,6 +4,7 @@
 
 from hibiscusslip.dispatch import _lost_runs
 from hibiscusslip.dispatch import commands
+from hibiscusslip.dispatch import crashes
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import progress
 from hibiscusslip.dispatch import state
@@ -24,8 +25,9 @@
     now: float,
 ) -> None:
     """Apply the report of a poll that was sent at `sent`."""
-    if endpoint.polled and report.born != endpoint.born:
-        _lost_runs.handle_restart(engine, endpoint, now)
+    if endpoint.born and report.born != endpoint.born:
+        _lost_runs.handle_restart(engine, endpoint, report, now)
+    crashes.take_lapsed(endpoint)
     first = not endpoint.polled
     endpoint.polled = True
     endpoint.born = report.born
@@ -201,6 +203,7 @@
             allocation = _adopt(engine, endpoint, row, now)
         allocation.listed_at = now
         allocation.usage = row.usage
+        crashes.acquit_if_proven(endpoint, allocation)
         progress.watch_progress(engine, endpoint, allocation, row, now)
         task = allocation.task
         if task is not None and row.checkpoint:
@@ -251,6 +254,8 @@
         task.status = state.Status.RUNNING
         task.run = row.run
         task.endpoint = endpoint.name
+        task.address = endpoint.address
+        task.born = endpoint.born
         task.started_at = now
         task.step.job.has_started = True
         engine.dirty.add(task.step.job.job_id)
--- a/hibiscusslip/dispatch/engine.py
+++ b/hibiscusslip/dispatch/engine.py
@@ -13,6 +13,7 @@
 from hibiscusslip.dispatch import advice_planning
 from hibiscusslip.dispatch import advice_sizing
 from hibiscusslip.dispatch import commands
+from hibiscusslip.dispatch import crashes
 from hibiscusslip.dispatch import estimates
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import records
@@ -40,7 +41,8 @@
     `long_calls` the number of pending long calls, `short_calls_cost` the
     expected duration of all pending short calls, in seconds.
     `eligible_shares` are what was learned of the advice, by queue.
-    `withheld_names` are the endpoints whose leases may not be extended.
+    `withheld_names` are the endpoints whose leases may not be extended,
+    `recent_losses` those that crashed lately.
     """
 
     def __init__(self, lease: float, note: Note = _ignore) -> None:
@@ -61,6 +63,7 @@
         self.short_calls_cost = 0.0
         self.long_calls = 0
         self.withheld_names: set[str] = set()
+        self.recent_losses: list[crashes.Loss] = []
         self.eligible_shares: dict[str, advice_sizing.EligibleShare] = {}
         self.headroom: dict[str, _headroom.Headroom] = {}
 
@@ -209,6 +212,8 @@
             if known.seq > entry.seq:
                 return  # an older entry that was read late
         endpoint.entry = entry
+        endpoint.address = entry.address
+        endpoint.zone = entry.zone
         if entry.draining and not endpoint.draining_since:
             endpoint.draining_since = now
             self.note('endpoint_draining', endpoint=entry.name)
@@ -285,6 +290,8 @@
             if task.run == start.run and task.status is state.Status.STARTING:
                 task.status = state.Status.RUNNING
                 task.started_at = now
+            if task.on_trial:
+                self.dirty.add(task.step.job.job_id)
 
     def revert_start(
         self, start: commands.Start, reason: str, now: float
--- a/hibiscusslip/dispatch/model.py
+++ b/hibiscusslip/dispatch/model.py
@@ -259,6 +259,12 @@
     running: tuple[RunningRun, ...]
     ended: tuple[EndedRun, ...]
 
+    def listed_runs(self) -> set[tuple[str, int]]:
+        """Return the tasks and numbers of all runs in the report."""
+        listed = {(row.task, row.run) for row in self.running}
+        listed.update((row.task, row.run) for row in self.ended)
+        return listed
+
 
 class JobState(enum.StrEnum):
     """List the states of a job."""
--- a/hibiscusslip/dispatch/placement.py
+++ b/hibiscusslip/dispatch/placement.py
@@ -84,6 +84,7 @@
             for number, endpoint in enumerate(pool)
             if endpoint.usable(now) and suspicions.allows(endpoint)
         ]
+        self._has_trials = any(c.endpoint.trials for c in self.all)
         self._by_name = {
             candidate.endpoint.name: candidate for candidate in self.all
         }
@@ -103,6 +104,10 @@
         """Return the candidate of an endpoint, None if it isn't usable."""
         return self._by_name.get(name)
 
+    def note_trial(self, endpoint: state.Endpoint) -> None:
+        """Note that a run was started on trial on an endpoint."""
+        self._has_trials = self._has_trials or bool(endpoint.trials)
+
     def may_fit_anywhere(self, demand: model.Demand) -> bool:
         """Return False if no candidate has enough free capacity.
 
@@ -119,11 +124,19 @@
         """Return the candidates that a step's label and tickets allow.
 
         `tickets` are the endpoints with a ticket, None if none is required.
+        Endpoints with another job's run on trial are left out.
         """
         candidates = self.all
         if tickets is not None:
             by_name = self._by_name
             candidates = [by_name[name] for name in tickets if name in by_name]
+        if self._has_trials:
+            job_id = step.job.job_id
+            candidates = [
+                candidate
+                for candidate in candidates
+                if not candidate.endpoint.on_trial_for_other(job_id)
+            ]
         label = step.spec.label
         if not label:
             return candidates
--- a/hibiscusslip/dispatch/records.py
+++ b/hibiscusslip/dispatch/records.py
@@ -43,6 +43,37 @@
     checkpoint: str
 
 
+class EndpointRow(msgspec.Struct, array_like=True):
+    """Where an endpoint with runs of the job is, and which incarnation."""
+
+    name: str
+    address: str
+    born: float
+
+
+class CrashRow(msgspec.Struct, array_like=True):
+    """The endpoints that crashed soon after they started a task."""
+
+    occurrence: int
+    step: int
+    index: int
+    total: int
+    sole: int
+    confirmed: int
+
+
+class LossRow(msgspec.Struct, array_like=True):
+    """A run on a silent endpoint, which may have crashed under it."""
+
+    occurrence: int
+    step: int
+    index: int
+    run: int
+    endpoint: str
+    address: str
+    born: float
+
+
 class JobRow(msgspec.Struct, array_like=True):
     """The record of a job's progress.
 
@@ -56,6 +87,9 @@
     occurrences: list[int] = []
     epoch: int = 0
     number: int = 0
+    endpoints: list[EndpointRow] = []
+    crashes: list[CrashRow] = []
+    losses: list[LossRow] = []
 
 
 class Unreadable(ValueError):
@@ -77,15 +111,34 @@
 
     For a final job it contains no tasks and steps.
     """
-    tasks = []
-    steps = []
+    tasks: list[TaskRow] = []
+    steps: list[StepRow] = []
+    crashes: list[CrashRow] = []
+    losses: list[LossRow] = []
+    endpoints: dict[str, EndpointRow] = {}
     if not job.state.final:
         for step in job.steps():
             tasks.extend(_task_rows(step))
             if step.failures or step.checkpoint:
                 steps.append(_step_row(step))
-    numbers = list(job.occurrences)
-    row = JobRow(job.state.value, tasks, steps, numbers, epoch, number)
+            crashes.extend(_crash_rows(step))
+            losses.extend(_loss_rows(step))
+            for task in step.tasks:
+                if task.status.placed:
+                    endpoints[task.endpoint] = EndpointRow(
+                        task.endpoint, task.address, task.born
+                    )
+    row = JobRow(
+        job.state.value,
+        tasks,
+        steps,
+        list(job.occurrences),
+        epoch,
+        number,
+        list(endpoints.values()),
+        crashes,
+        losses,
+    )
     return msgspec.msgpack.encode(row)
 
 
@@ -116,6 +169,37 @@
     )
 
 
+def _crash_rows(step: state.StepState) -> list[CrashRow]:
+    return [
+        CrashRow(
+            step.occurrence,
+            step.number,
+            task.index,
+            task.crashes.total,
+            task.crashes.sole,
+            task.crashes.confirmed,
+        )
+        for task in step.tasks
+        if task.crashes.total
+    ]
+
+
+def _loss_rows(step: state.StepState) -> list[LossRow]:
+    return [
+        LossRow(
+            step.occurrence,
+            step.number,
+            task.index,
+            loss.run,
+            loss.endpoint,
+            loss.address,
+            loss.born,
+        )
+        for task in step.tasks
+        for loss in task.unexplained
+    ]
+
+
 def decode_job(data: bytes) -> JobRow:
     """Decode the record of a job's progress; raises Unreadable."""
     return _decode(data, JobRow)
@@ -145,19 +229,40 @@
         step.failures = step_row.failures
         step.failed_run = step_row.failed_run
         step.checkpoint = step_row.checkpoint
+    endpoints = {endpoint.name: endpoint for endpoint in row.endpoints}
     for task_row in row.tasks:
         step = job.occurrences[task_row.occurrence][task_row.step]
-        _restore_task(step, task_row)
+        _restore_task(step, task_row, endpoints.get(task_row.endpoint))
         job.has_started = True
+    for crash_row in row.crashes:
+        step = job.occurrences[crash_row.occurrence][crash_row.step]
+        step.tasks[crash_row.index].crashes = state.Crashes(
+            crash_row.total, crash_row.sole, crash_row.confirmed
+        )
+    for loss_row in row.losses:
+        step = job.occurrences[loss_row.occurrence][loss_row.step]
+        step.tasks[loss_row.index].unexplained.append(
+            state.UnexplainedLoss(
+                loss_row.run,
+                loss_row.endpoint,
+                loss_row.address,
+                loss_row.born,
+            )
+        )
 
 
-def _restore_task(step: state.StepState, row: TaskRow) -> None:
+def _restore_task(
+    step: state.StepState, row: TaskRow, endpoint: EndpointRow | None
+) -> None:
     task = step.tasks[row.index]
     task.status = state.Status(row.status)
     task.run = row.run
     task.failures = row.failures
     task.endpoint = row.endpoint
     task.checkpoint = row.checkpoint
+    if endpoint is not None:
+        task.address = endpoint.address
+        task.born = endpoint.born
     if task.status is state.Status.DONE:
         step.done_count += 1
 
--- a/hibiscusslip/dispatch/state.py
+++ b/hibiscusslip/dispatch/state.py
@@ -7,6 +7,10 @@
 
 MIN_CLOCK_RATE = 0.98  # an endpoint's clock may run 2% slow
 LAPSE_SLACK_S = 0.25
+# For so long after its start a run may be the cause of a crash.
+PROBATION_S = 0.5
+LONG_PROBATION_S = 8.0
+CRASHES_TO_LONG_PROBATION = 2
 
 
 class Status(enum.IntEnum):
@@ -24,13 +28,45 @@
         return self is Status.STARTING or self is Status.RUNNING
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Crashes:
+    """Count the endpoints that crashed soon after they started a task.
+
+    `sole` are those where no other job can have been the cause, `confirmed`
+    those of them that had confirmed the start.
+    """
+
+    total: int = 0
+    sole: int = 0
+    confirmed: int = 0
+
+    @property
+    def probation(self) -> float:
+        """Return for how long a run of the task is on probation, in s."""
+        if self.total < CRASHES_TO_LONG_PROBATION:
+            return PROBATION_S
+        return LONG_PROBATION_S
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UnexplainedLoss:
+    """A run that was given up on a silent endpoint, which may have crashed."""
+
+    run: int
+    endpoint: str
+    address: str
+    born: float
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class Task:
     """Track one task.
 
     `run` is the number of its last run, 0 before the first. `not_before` is
     the earliest time of its next start. `stalls` counts the runs that were
-    stopped because they made no progress.
+    stopped because they made no progress. While the task is placed,
+    `address` and `born` are those of its endpoint's incarnation.
+    `unexplained` are its runs on endpoints that may have crashed under it.
     """
 
     name: str
@@ -44,6 +80,17 @@
     not_before: float = 0.0
     started_at: float = 0.0
     stalls: int = 0
+    crashes: Crashes = Crashes()
+    unexplained: list[UnexplainedLoss] = dataclasses.field(
+        default_factory=list
+    )
+    address: str = ''
+    born: float = 0.0
+
+    @property
+    def on_trial(self) -> bool:
+        """Return True if an endpoint has crashed under it, or may have."""
+        return bool(self.crashes.total or self.unexplained)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -147,9 +194,10 @@
     `deadline` is when the start request expires, on the endpoint's clock.
     `confirmed_at` is when the endpoint confirmed the start, 0 before.
     `listed_at` is when a report contained the run last, 0 for never;
-    `recovered` is set if the allocation was restored from a record. `progressed_at` is when `percent`
-    changed last. `pace_percent` is the share of its speed that the run may
-    use; `cooldown_since` is the start of the delay before it is raised.
+    `recovered` is set if the allocation was restored from a record.
+    `progressed_at` is when `percent` changed last. `pace_percent` is the
+    share of its speed that the run may use; `cooldown_since` is the start of
+    the delay before it is raised.
     """
 
     task: Task | None
@@ -173,6 +221,19 @@
         began = self.confirmed_at or self.decided_at
         return max(self.listed_at - began, 0.0)
 
+    @property
+    def was_confirmed(self) -> bool:
+        """Return True if the endpoint confirmed the start to any owner."""
+        if not self.recovered:
+            return bool(self.confirmed_at)
+        return self.task is not None and self.task.status is Status.RUNNING
+
+    @property
+    def on_probation(self) -> bool:
+        """Return True if the run may be the cause of a crash."""
+        crashes = self.task.crashes if self.task else Crashes()
+        return self.proven_age < crashes.probation
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HandledCursor:
@@ -196,10 +257,14 @@
     `last_response_at` is when it last answered a call, `suspected_at` when a
     call first went unanswered after that, 0 for none. It is `silent` once
     several calls went unanswered. While `withheld` no lease may be granted
-    there.
+    there. `lapsed` are the runs that were given up while it was silent,
+    `trials` the runs beside which no other job may start any. The last start
+    there was decided at `last_start_at`, for the job `last_start_job`.
     """
 
     name: str
+    address: str = ''
+    zone: str = ''
     entry: model.EndpointEntry | None = None
     allocations: dict[tuple[str, int], Allocation] = dataclasses.field(
         default_factory=dict
@@ -224,6 +289,13 @@
     suspected_at: float = 0.0
     silent: bool = False
     withheld: bool = False
+    lapsed: list[Allocation] = dataclasses.field(default_factory=list)
+    lapsed_at: float = 0.0
+    trials: dict[tuple[str, int], str] = dataclasses.field(
+        default_factory=dict
+    )
+    last_start_at: float = 0.0
+    last_start_job: str = ''
 
     def clock_now(self, now: float) -> float:
         """Return the expected time on the endpoint's clock."""
@@ -265,10 +337,22 @@
         """Add an allocation for a run of the task."""
         self.allocations[(task, allocation.run)] = allocation
         self.used = self.used + allocation.demand
+        if allocation.task is not None and allocation.task.on_trial:
+            job_id = allocation.task.step.job.job_id
+            self.trials[(task, allocation.run)] = job_id
 
     def release(self, task: str, run: int) -> Allocation | None:
         """Remove and return a run's allocation, None if there is none."""
         allocation = self.allocations.pop((task, run), None)
+        self.end_trial(task, run)
         if allocation is not None:
             self.used = self.used - allocation.demand
         return allocation
+
+    def end_trial(self, task: str, run: int) -> None:
+        """Allow other jobs to start beside a run, if none else is on trial."""
+        self.trials.pop((task, run), None)
+
+    def on_trial_for_other(self, job_id: str) -> bool:
+        """Return True if a run of another job is on trial here."""
+        return any(other != job_id for other in self.trials.values())
--- a/hibiscusslip/host/owner.py
+++ b/hibiscusslip/host/owner.py
@@ -185,9 +185,9 @@
     async def open_session(self, name: str) -> None:
         """Open a session with an endpoint, unless one is open already."""
         endpoint = self.engine.endpoints.get(name)
-        if endpoint is None or endpoint.entry is None:
+        if endpoint is None or not endpoint.address:
             return
-        address = endpoint.entry.address
+        address = endpoint.address
         known = self._sessions.get(name)
         if known is not None and known.address == address:
             return
--- a/hibiscusslip/host/recovery.py
+++ b/hibiscusslip/host/recovery.py
@@ -4,6 +4,7 @@
 
 import curio
 
+from hibiscusslip.dispatch import crashes
 from hibiscusslip.dispatch import engine as engines
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import records
@@ -197,15 +198,30 @@
         for task in step.tasks:
             if task.status.placed:
                 _allocate(ctx, engine, task, now)
+            for loss in task.unexplained:
+                endpoint = _find_or_add(
+                    engine, loss.endpoint, loss.address, loss.born
+                )
+                crashes.restore_lapsed(endpoint, task, loss.run, now)
+
+
+def _find_or_add(
+    engine: engines.Engine, name: str, address: str, born: float
+) -> state.Endpoint:
+    """Return an endpoint of a record, listed by the platform or not."""
+    endpoint = engine.endpoints.get(name)
+    if endpoint is None:
+        endpoint = state.Endpoint(name)
+        engine.endpoints[name] = endpoint
+    endpoint.address = endpoint.address or address
+    endpoint.born = max(endpoint.born, born)
+    return endpoint
 
 
 def _allocate(
     ctx: context.Context, engine: engines.Engine, task: state.Task, now: float
 ) -> None:
-    endpoint = engine.endpoints.get(task.endpoint)
-    if endpoint is None:
-        endpoint = state.Endpoint(task.endpoint)
-        engine.endpoints[task.endpoint] = endpoint
+    endpoint = _find_or_add(engine, task.endpoint, task.address, task.born)
     told_end = ctx.ownership.leases_end.get(task.endpoint)
     if told_end is not None:
         endpoint.inherited_leases_until = told_end + lease_timing.SLACK_S
--- a/tests/dispatch/crashing_cell.py
+++ b/tests/dispatch/crashing_cell.py
@@ -5,7 +5,6 @@
 from hibiscusslip.dispatch import engine as engines
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import records
-from hibiscusslip.dispatch import state
 from hibiscusslip.host import recovery
 from tests.dispatch import support
 from tests.host import fakes
@@ -94,6 +93,14 @@
     def runs_of(self, task):
         return [run for name, run in self.starts if name == task]
 
+    def active_tasks(self, job_id):
+        """Return how many tasks of a job are at work on machines."""
+        return sum(
+            task.startswith(f'{job_id}.')
+            for machine in self.machines
+            for task, _ in machine.running
+        )
+
     def crash(self, machine):
         machine.crashed_at = self.now
         machine.back_at = self.now + self.down_s
@@ -101,6 +108,13 @@
         machine.ended = []
         self.crashes += 1
 
+    def crash_zone(self, zone):
+        """Crash all machines of a zone, unless one of them is down."""
+        machines = [m for m in self.machines if m.zone == zone]
+        if all(machine.crashed_at is None for machine in machines):
+            for machine in machines:
+                self.crash(machine)
+
     def leave(self, machine):
         """End a machine's endpoint, which has announced it, as planned."""
         self.engine.register_endpoint(
@@ -126,7 +140,7 @@
         if self.new_ids or not previous:
             machine.name = f'i{machine.number}-{int(machine.born)}'
         known = self.engine.endpoints.get(previous)
-        if known is not None and known.entry is not None:
+        if known is not None and known.address:
             if previous != machine.name:  # a poll meets another incarnation
                 self.engine.handle_replacement(previous, self.now)
         self.engine.register_endpoint(self._entry(machine), self.now)
@@ -195,8 +209,27 @@
 
     def _work(self, machine):
         for (task, run), ends_at in list(machine.running.items()):
-            if self.now >= ends_at:
-                del machine.running[task, run]
+            if self.now >= ends_at and self._is_complete(task, run):
+                for member in self._together_with(task):
+                    self._complete(member, run)
+
+    def _together_with(self, task):
+        """Return the names of the tasks that end together with a task."""
+        job_id, occurrence, number, _ = task.split('.')
+        job = self.engine.jobs[job_id]
+        step = job.occurrences[int(occurrence)][int(number)]
+        if not step.spec.gang:
+            return [task]
+        return [member.name for member in step.tasks]
+
+    def _is_complete(self, task, run):
+        """Return False for a member of a gang while others are missing."""
+        active = {key for m in self.machines for key in m.running}
+        return all((name, run) in active for name in self._together_with(task))
+
+    def _complete(self, task, run):
+        for machine in self.machines:
+            if machine.running.pop((task, run), None) is not None:
                 self._end(machine, task, run, model.RunOutcome.DONE)
 
     def _end(self, machine, task, run, how):
@@ -219,9 +252,7 @@
         machine.ended = []
 
     def _stay_silent(self, machine):
-        self.engine.handle_no_response(
-            machine.name, machine.crashed_at, self.now
-        )
+        self.engine.handle_no_response(machine.name, self.now, self.now)
         if self.now >= machine.crashed_at + UNRESPONSIVE_AFTER_S:
             self.engine.mark_unresponsive(machine.name)
 
@@ -245,13 +276,3 @@
             self.engine.confirm_start(start, self.now)
         if name in self.deadly:
             self.crash(machine)
-
-
-def waiting_or_active(job):
-    """Return the names of a job's tasks that aren't done."""
-    return [
-        task.name
-        for step in job.steps()
-        for task in step.tasks
-        if task.status is not state.Status.DONE
-    ]
