host: start nothing beyond a capacity that has shrunk

A worker's capacity may shrink while it runs (LIMIT). Two of them were wrong, their tests failed before:

- while the store serves the records of jobs but not the list of endpoints, an owner went on by capacities of any age.
It decides no start once it has read the list longer ago than shrunk capacity is tolerated, less the time that a start takes.

The others hold: runs that are being stopped count until their end is listed, also under a new owner; preemption and gangs go by the present capacity.

--- a/hibiscusslip/dispatch/engine.py
+++ b/hibiscusslip/dispatch/engine.py
@@ -293,6 +293,19 @@
             if task.on_trial:
                 self.dirty.add(task.step.job.job_id)
 
+    def still_fits(self, start: commands.Start) -> bool:
+        """Return False if the endpoint has shrunk since the decision."""
+        endpoint = self.endpoints.get(start.endpoint)
+        if endpoint is None or endpoint.entry is None:
+            return True
+        used = start.task.step.spec.allocated_demand
+        free = endpoint.free_capacity()
+        return not (
+            (used.cpu and free.cpu < 0)
+            or (used.memory and free.memory < 0)
+            or (used.accelerators and free.accelerators < 0)
+        )
+
     def revert_start(
         self, start: commands.Start, reason: str, now: float
     ) -> None:
@@ -326,13 +339,16 @@
 
     # Time.
 
-    def plan(self, now: float, wall_time: float) -> None:
+    def plan(
+        self, now: float, wall_time: float, may_start: bool = True
+    ) -> None:
         """Run one scheduling pass, which adds commands."""
         self.create_due_occurrences(now, wall_time)
         _lost_runs.abandon_expired(self, now)
         _draining.move_runs(self, now)
         _pacing.pace(self, now)
-        _planning.plan(self, now)
+        if may_start:
+            _planning.plan(self, now)
 
     def handled_cursors(self) -> dict[str, state.HandledCursor]:
         """Return the cursor of each endpoint's handled ended runs.
--- a/hibiscusslip/host/cell_feeds.py
+++ b/hibiscusslip/host/cell_feeds.py
@@ -67,6 +67,10 @@
             await self._apply_entry(name, value)
         return newest.end
 
+    async def handle_caught_up(self, batch: store.Batch) -> None:
+        """Record that all entries are known."""
+        self._owner.endpoints_read_at = context.monotonic()
+
     async def apply(self, offset: int, record: bytes) -> None:
         """Apply one entry, or its removal."""
         await self._apply_entry(*store.decode_keyed(record))
--- a/hibiscusslip/host/owner.py
+++ b/hibiscusslip/host/owner.py
@@ -68,6 +68,7 @@
         )
         self._inboxes: list[cell_feeds.InboxFeed] = []
         self._tasks = curio.TaskGroup(wait=any)
+        self.endpoints_read_at = 0.0
         self._undeleted: list[str] = []
         self._early_cancels: dict[str, bool] = {}
 
@@ -102,6 +103,7 @@
             cell_feeds.InboxFeed(self, part, offset)
             for part, offset in enumerate(recovered.inbox_offsets)
         ]
+        self.endpoints_read_at = recovered.endpoints_read_at
         endpoints = cell_feeds.EndpointFeed(self, recovered.endpoints_offset)
         self._undeleted = recovered.orphans
         for loop in (
@@ -228,7 +230,9 @@
             self.engine.config = self.ctx.config
             self.engine.adviser_count = self._advice_router.count_advisers(now)
             if self._may_plan(now):
-                self.engine.plan(now, context.wall_time())
+                self.engine.plan(
+                    now, context.wall_time(), self._knows_capacities(now)
+                )
             await self._dispatch_commands()
             self.ctx.metrics.time('plan', context.monotonic() - now)
             await curio.sleep(PLAN_GAP_S)
@@ -245,6 +249,15 @@
         backlog = self.ctx.uplink.backlog(now)
         return not self.ctx.stopping and backlog < MAX_UPLINK_BACKLOG_S
 
+    def _knows_capacities(self, now: float) -> bool:
+        """Return True if a start can't exceed a capacity that has shrunk.
+
+        Entries tell the capacities, but the store may serve the records of
+        jobs only. A start takes effect some time after it is decided.
+        """
+        max_age = self.ctx.cfg.bounds.contact - endpoint_session.MAX_START_S
+        return now <= self.endpoints_read_at + max_age
+
     async def _dispatch_commands(self) -> None:
         engine = self.engine
         if engine.dirty or engine.starts:
@@ -293,6 +306,9 @@
             if session is None:
                 now = context.monotonic()
                 self.engine.revert_start(start, 'endpoint gone', now)
+            elif not self.engine.still_fits(start):
+                now = context.monotonic()
+                self.engine.revert_start(start, 'room', now)
             else:
                 await curio.spawn(session.send_start, start, daemon=True)
 
--- a/hibiscusslip/host/recovery.py
+++ b/hibiscusslip/host/recovery.py
@@ -25,13 +25,15 @@
     """What the owner needs to continue from the recovered records.
 
     `inbox_offsets`, one for each partition of the inbox, and
-    `endpoints_offset` are where reading continues. `orphans` are jobs with
+    `endpoints_offset` are where reading continues; the endpoints were read at
+    `endpoints_read_at`. `orphans` are jobs with
     progress but no submission, `used_parts` the partitions that hold
     progress.
     """
 
     inbox_offsets: list[int]
     endpoints_offset: int
+    endpoints_read_at: float
     orphans: list[str]
     used_parts: list[int]
 
@@ -87,6 +89,7 @@
     parts = await reader.read(topics.JOBS, topics.JOBS_PARTS)
     progress = _merge_progress(ctx, parts)
     inboxes = await reader.read(topics.INBOX, ctx.cfg.partitions)
+    endpoints_read_at = context.monotonic()
     listed = await ctx.store.newest(store.ENDPOINTS_TOPIC, READ_TIMEOUT_S)
     now = context.monotonic()
     for name, value in listed.values.items():
@@ -107,6 +110,7 @@
     return Recovered(
         [inbox.end for inbox in inboxes],
         listed.end,
+        endpoints_read_at,
         [job_id for job_id in progress if job_id not in engine.jobs],
         [part for part, newest in enumerate(parts) if newest.values],
     )
--- a/hibiscusslip/platform/settings.py
+++ b/hibiscusslip/platform/settings.py
@@ -28,7 +28,8 @@
     All are times in seconds, except `far_factor`, which is a ratio.
     `max_lease` is the longest lease that an endpoint grants, `status_kept`
     how long the state of an ended job has to be retained, `config_apply`
-    the time until a configuration is in force everywhere.
+    the time until a configuration is in force everywhere, `contact` for how
+    long an endpoint's former capacity still counts after it has shrunk.
     """
 
     max_lease: float = 6.0
@@ -43,6 +44,7 @@
     notice: float = 4.5
     upkeep: float = 2.0
     config_apply: float = 2.0
+    contact: float = 3.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -85,6 +87,7 @@
     'notice': ('NoticeMs', MS_PER_S),
     'upkeep': ('MaintenanceS', 1.0),
     'config_apply': ('ConfigApplyMs', MS_PER_S),
+    'contact': ('ContactMs', MS_PER_S),
 }
 
 
--- a/tests/host/test_owner.py
+++ b/tests/host/test_owner.py
@@ -4,11 +4,14 @@
 
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import records
+from hibiscusslip.dispatch import state
 from hibiscusslip.host import context
+from hibiscusslip.host import endpoint_session
 from hibiscusslip.host import owner
 from hibiscusslip.host import topics
 from hibiscusslip.host import writer
 from hibiscusslip.platform import exceptions
+from tests.dispatch import support
 from tests.host import fakes
 
 BODY = b'{"Spec":"x","Steps":[{"Count":1,"Cpu":500}]}'
@@ -97,3 +100,29 @@
     curio.run(delete_twice)
     assert not local_owner._undeleted
     assert fake_store.sizes == [20, 20, 20, 10]
+
+
+def test_start_is_decided_by_a_list_of_endpoints_that_is_too_old():
+    """The store may serve the jobs' records, but not the endpoints' list."""
+    ctx = fakes.make_context(fakes.FakeStore())
+    local_owner = owner.Owner(ctx, None, None, 1)
+    now = context.monotonic()
+    local_owner.endpoints_read_at = now
+    in_time = ctx.cfg.bounds.contact - endpoint_session.MAX_START_S
+    assert local_owner._knows_capacities(now + in_time - 0.01)
+    assert not local_owner._knows_capacities(now + in_time + 0.01)
+
+
+def test_start_to_an_endpoint_that_shrank_meanwhile_is_sent():
+    ctx = fakes.make_context(fakes.FakeStore())
+    local_owner = owner.Owner(ctx, None, None, 1)
+    bench = support.Bench()
+    local_owner.engine = bench.engine
+    bench.endpoint('e1', cpu=2000)
+    job = bench.submit('j', support.step(2))
+    starts = bench.plan()
+    local_owner._sessions['e1'] = None
+    bench.engine.register_endpoint(support.entry('e1', cpu=0), bench.now)
+    curio.run(local_owner._send_starts, starts)
+    tasks = job.occurrences[0][0].tasks
+    assert [task.status for task in tasks] == [state.Status.WAITING] * 2
