host: count crashes and given-up tasks; test both over sockets

Metric engine_events counts the endpoints that crashed, the runs suspected and the tasks given up.

The age of the list of endpoints beyond which nothing is started is one heartbeat longer, as the rule has it.

--- a/hibiscusslip/dispatch/_planning.py
+++ b/hibiscusslip/dispatch/_planning.py
@@ -7,6 +7,7 @@
 from hibiscusslip.dispatch import _reservations
 from hibiscusslip.dispatch import _suspicion
 from hibiscusslip.dispatch import advice_planning
+from hibiscusslip.dispatch import candidate_pool
 from hibiscusslip.dispatch import commands
 from hibiscusslip.dispatch import crashes
 from hibiscusslip.dispatch import ordering
@@ -30,7 +31,7 @@
 
     engine: 'engines.Engine'
     services: dict[str, list[state.Endpoint]]
-    candidates: dict[str, placement.Candidates]
+    candidates: dict[str, candidate_pool.Candidates]
     now: float
     spare: dict[str, float] = dataclasses.field(default_factory=dict)
     urgent: dict[str, int] = dataclasses.field(default_factory=dict)
@@ -44,7 +45,7 @@
     services = engine.pools()
     suspicions = _suspicion.Suspicions(engine.endpoints.values(), now)
     candidates = {
-        name: placement.Candidates(pool, suspicions, now)
+        name: candidate_pool.Candidates(pool, suspicions, now)
         for name, pool in services.items()
     }
     current = _Pass(engine, services, candidates, now)
@@ -166,7 +167,7 @@
     current: _Pass,
     step: state.StepState,
     tasks: list[state.Task],
-    candidates: list[placement.Candidate],
+    candidates: list[candidate_pool.Candidate],
 ) -> None:
     """Start as many of a step's tasks as fit."""
     run_time = current.engine.estimates.run_time(step)
@@ -189,7 +190,7 @@
     current: _Pass,
     step: state.StepState,
     tasks: list[state.Task],
-    candidates: list[placement.Candidate],
+    candidates: list[candidate_pool.Candidate],
 ) -> None:
     """Start tasks that may crash their endpoints, on idle ones if possible."""
     calm = crashes.calm_candidates(step, candidates, current.now)
--- a/hibiscusslip/dispatch/advice_planning.py
+++ b/hibiscusslip/dispatch/advice_planning.py
@@ -10,8 +10,8 @@
 import typing
 
 from hibiscusslip.dispatch import advice_sizing
+from hibiscusslip.dispatch import candidate_pool
 from hibiscusslip.dispatch import commands
-from hibiscusslip.dispatch import placement
 from hibiscusslip.dispatch import state
 
 if typing.TYPE_CHECKING:
@@ -36,7 +36,7 @@
     engine: 'engines.Engine',
     step: state.StepState,
     pool: list[state.Endpoint],
-    candidates: placement.Candidates,
+    candidates: candidate_pool.Candidates,
     now: float,
 ) -> None:
     """Request tickets if a step will need them soon."""
@@ -130,7 +130,7 @@
 
 def _needs_tickets(
     step: state.StepState,
-    candidates: placement.Candidates,
+    candidates: candidate_pool.Candidates,
     cost: float,
     now: float,
 ) -> bool:
@@ -149,7 +149,9 @@
 
 
 def _is_worth_widening(
-    step: state.StepState, candidates: placement.Candidates, names: list[str]
+    step: state.StepState,
+    candidates: candidate_pool.Candidates,
+    names: list[str],
 ) -> bool:
     """Return True if only endpoints without a ticket have free capacity."""
     if not candidates.may_fit_anywhere(step.spec.allocated_demand):
--- a/hibiscusslip/dispatch/advice_sizing.py
+++ b/hibiscusslip/dispatch/advice_sizing.py
@@ -12,6 +12,7 @@
 import math
 import typing
 
+from hibiscusslip.dispatch import candidate_pool
 from hibiscusslip.dispatch import placement
 from hibiscusslip.dispatch import state
 
@@ -85,7 +86,7 @@
 def select(
     step: state.StepState,
     pool: list[state.Endpoint],
-    candidates: placement.Candidates,
+    candidates: candidate_pool.Candidates,
     share: float,
     min_count: int,
 ) -> tuple[str, ...]:
@@ -135,7 +136,8 @@
 
 
 def free_tasks(
-    step: state.StepState, candidates: typing.Iterable[placement.Candidate]
+    step: state.StepState,
+    candidates: typing.Iterable[candidate_pool.Candidate],
 ) -> int:
     """Return how many tasks of a step the candidates have capacity for."""
     return sum(placement.max_tasks(step, item) for item in candidates)
@@ -144,7 +146,7 @@
 def _make_prospect(
     step: state.StepState,
     endpoint: state.Endpoint,
-    candidates: placement.Candidates,
+    candidates: candidate_pool.Candidates,
     share: float,
 ) -> _Prospect | None:
     """Return None for an endpoint that can't run the step's tasks."""
--- a/hibiscusslip/dispatch/crashes.py
+++ b/hibiscusslip/dispatch/crashes.py
@@ -19,8 +19,8 @@
 from hibiscusslip.dispatch import state
 
 if typing.TYPE_CHECKING:
+    from hibiscusslip.dispatch import candidate_pool
     from hibiscusslip.dispatch import engine as engines
-    from hibiscusslip.dispatch import placement
 
 MIN_CRASHES = 3
 MIN_SOLE_CRASHES = 2
@@ -270,9 +270,9 @@
 
 def calm_candidates(
     step: state.StepState,
-    candidates: 'list[placement.Candidate]',
+    candidates: 'list[candidate_pool.Candidate]',
     now: float,
-) -> 'list[placement.Candidate]':
+) -> 'list[candidate_pool.Candidate]':
     """Return where a task on trial may start.
 
     There no other job has just started a run. If all endpoints have started
--- a/hibiscusslip/host/owner.py
+++ b/hibiscusslip/host/owner.py
@@ -1,6 +1,7 @@
 """Own the cell: accept jobs, place their tasks and track the runs."""
 
 import dataclasses
+import typing
 
 import curio
 
@@ -35,6 +36,14 @@
 LOAD_PERIOD_S = 1.0
 STOP_FLUSH_S = 0.5
 MAX_EARLY_CANCELS = 10_000
+COUNTED_EVENTS = frozenset(
+    (
+        'endpoint_restarted',
+        'endpoint_replaced',
+        'crash_suspected',
+        'task_given_up',
+    )
+)
 
 
 class Owner:
@@ -74,7 +83,13 @@
 
     def _new_engine(self) -> engines.Engine:
         lease = lease_timing.usual_lease(self.ctx.cfg.bounds.max_lease)
-        return engines.Engine(lease, self.ctx.log.note)
+        return engines.Engine(lease, self._note)
+
+    def _note(self, event: str, **fields: typing.Any) -> None:
+        """Log an event of the engine, and count the rare ones."""
+        self.ctx.log.note(event, **fields)
+        if event in COUNTED_EVENTS:
+            self.ctx.metrics.count('engine_events', event=event)
 
     async def run(self) -> None:
         """Run the cell until the ownership ends or the task is cancelled."""
@@ -250,12 +265,14 @@
         return not self.ctx.stopping and backlog < MAX_UPLINK_BACKLOG_S
 
     def _knows_capacities(self, now: float) -> bool:
-        """Return True if a start can't exceed a capacity that has shrunk.
+        """Return False if endpoints may have shrunk too long ago, unseen.
 
         Entries tell the capacities, but the store may serve the records of
         jobs only. A start takes effect some time after it is decided.
         """
-        max_age = self.ctx.cfg.bounds.contact - endpoint_session.MAX_START_S
+        cfg = self.ctx.cfg
+        tolerated = cfg.bounds.contact + cfg.heartbeat
+        max_age = tolerated - endpoint_session.MAX_START_S
         return now <= self.endpoints_read_at + max_age
 
     async def _dispatch_commands(self) -> None:
--- a/hibiscusslip/platform/settings.py
+++ b/hibiscusslip/platform/settings.py
@@ -53,7 +53,8 @@
 
     The host listens on `front` for callers and on `ready` for readiness
     probes; `ports` are the first and the last port of its own range.
-    `partitions` is the number of partitions of a topic. `cpu_share` is the
+    `partitions` is the number of partitions of a topic, `heartbeat` how often
+    an endpoint writes its entry, in seconds. `cpu_share` is the
     share of a processor core that the host may use, and `cores` is how many
     times as fast that core runs.
     """
@@ -72,6 +73,7 @@
     cores: float
     link_mbps: float
     bounds: Bounds
+    heartbeat: float = 1.5
 
 
 _BOUND_KEYS = {
@@ -135,6 +137,7 @@
         cores=float(fields.get('Limits.Cores', '1')),
         link_mbps=float(fields.get('Limits.LinkMbps', '1000')),
         bounds=_bounds(fields),
+        heartbeat=float(fields.get('HeartbeatMs', '1500')) / MS_PER_S,
     )
 
 
--- a/tests/platform/cell.py
+++ b/tests/platform/cell.py
@@ -95,6 +95,7 @@
     def __init__(self):
         self.store = standin.Store()
         self.endpoints = {}
+        self.endpoint_addresses = {}
         self.hosts = {}
         self.contexts = {}
         self.addresses = {}
@@ -119,6 +120,17 @@
         address = f'127.0.0.1:{port}'
         self.store.put('keyed.servers', name, endpoint.entry(address, SERVICE))
         self.endpoints[name] = endpoint
+        self.endpoint_addresses[name] = address
+
+    async def reboot_endpoint(self, name, down_s):
+        """Keep a crashed endpoint down, then start it under another id."""
+        await curio.sleep(down_s)
+        endpoint, address = self.endpoints[name], self.endpoint_addresses[name]
+        self.store.put('keyed.servers', endpoint.name, b'')
+        endpoint.reboot(f'{endpoint.name}x')
+        self.store.put(
+            'keyed.servers', endpoint.name, endpoint.entry(address, SERVICE)
+        )
 
     async def add_host(self, name, link_mbps=None):
         """Start a host, on a link of that rate to the store."""
