host: check the age of the list of endpoints when starts are sent

The margin for the time of a start isn't needed where the age is checked again once the start's record is written.

--- a/hibiscusslip/host/endpoint_session.py
+++ b/hibiscusslip/host/endpoint_session.py
@@ -22,8 +22,6 @@
 RETRY_PAUSE_S = 0.03
 START_RETRY_MARGIN_S = 0.2
 MAX_START_AGE_S = 1.0
-# From the decision until the start request is sent for the last time.
-MAX_START_S = MAX_START_AGE_S + START_RETRY_MARGIN_S
 STOP_ATTEMPTS = 3
 MIN_POLL_GAP_S = 0.02
 
@@ -191,7 +189,7 @@
             start.checkpoint,
             start.ticket,
         )
-        give_up_at = start.decided_at + MAX_START_S
+        give_up_at = start.decided_at + MAX_START_AGE_S + START_RETRY_MARGIN_S
         while now < give_up_at and self._holds_ownership():
             try:
                 await self._client.start(request, CALL_TIMEOUT_S)
--- a/hibiscusslip/host/owner.py
+++ b/hibiscusslip/host/owner.py
@@ -35,6 +35,7 @@
 MAX_DELETED_JOBS = 1000  # in one append; two keys of a job have up to 100 B
 LOAD_PERIOD_S = 1.0
 STOP_FLUSH_S = 0.5
+START_MARGIN_S = 0.3  # from the decision or the record to the last repeat
 MAX_EARLY_CANCELS = 10_000
 COUNTED_EVENTS = frozenset(
     (
@@ -268,11 +269,11 @@
         """Return False if endpoints may have shrunk too long ago, unseen.
 
         Entries tell the capacities, but the store may serve the records of
-        jobs only. A start takes effect some time after it is decided.
+        jobs only.
         """
         cfg = self.ctx.cfg
         tolerated = cfg.bounds.contact + cfg.heartbeat
-        max_age = tolerated - endpoint_session.MAX_START_S
+        max_age = tolerated - START_MARGIN_S
         return now <= self.endpoints_read_at + max_age
 
     async def _dispatch_commands(self) -> None:
@@ -318,13 +319,14 @@
 
     async def _send_starts(self, starts: list[commands.Start]) -> None:
         """Send the start requests whose records are committed."""
+        now = context.monotonic()
         for start in starts:
             session = self._sessions.get(start.endpoint)
             if session is None:
-                now = context.monotonic()
                 self.engine.revert_start(start, 'endpoint gone', now)
+            elif not self._knows_capacities(now):
+                self.engine.revert_start(start, 'capacity unknown', now)
             elif not self.engine.still_fits(start):
-                now = context.monotonic()
                 self.engine.revert_start(start, 'room', now)
             else:
                 await curio.spawn(session.send_start, start, daemon=True)
--- a/tests/host/test_owner.py
+++ b/tests/host/test_owner.py
@@ -6,7 +6,6 @@
 from hibiscusslip.dispatch import records
 from hibiscusslip.dispatch import state
 from hibiscusslip.host import context
-from hibiscusslip.host import endpoint_session
 from hibiscusslip.host import owner
 from hibiscusslip.host import topics
 from hibiscusslip.host import writer
@@ -109,11 +108,25 @@
     now = context.monotonic()
     local_owner.endpoints_read_at = now
     tolerated = ctx.cfg.bounds.contact + ctx.cfg.heartbeat
-    in_time = tolerated - endpoint_session.MAX_START_S
+    in_time = tolerated - owner.START_MARGIN_S
     assert local_owner._knows_capacities(now + in_time - 0.01)
     assert not local_owner._knows_capacities(now + in_time + 0.01)
 
 
+def test_start_whose_record_took_too_long_is_sent_by_an_old_list():
+    ctx = fakes.make_context(fakes.FakeStore())
+    local_owner = owner.Owner(ctx, None, None, 1)
+    bench = support.Bench()
+    local_owner.engine = bench.engine
+    bench.endpoint('e1')
+    job = bench.submit('j', support.step())
+    local_owner._sessions['e1'] = None
+    local_owner.endpoints_read_at = context.monotonic() - 10.0
+    curio.run(local_owner._send_starts, bench.plan())
+    (task,) = job.occurrences[0][0].tasks
+    assert task.status is state.Status.WAITING
+
+
 def test_start_to_an_endpoint_that_shrank_meanwhile_is_sent():
     ctx = fakes.make_context(fakes.FakeStore())
     local_owner = owner.Owner(ctx, None, None, 1)
@@ -123,6 +136,7 @@
     job = bench.submit('j', support.step(2))
     starts = bench.plan()
     local_owner._sessions['e1'] = None
+    local_owner.endpoints_read_at = context.monotonic()
     bench.engine.register_endpoint(support.entry('e1', cpu=0), bench.now)
     curio.run(local_owner._send_starts, starts)
     tasks = job.occurrences[0][0].tasks
