One job's records and occurrences don't stop the whole cell

- A job of many tasks that checkpoint has a record of progress larger than the store accepts (10,000 tasks: 0.4 MB, of 262,144 bytes).
The append of the whole batch was refused and repeated without end, by each new owner too.
Such a job is given up, the others are written.
- A periodic job whose occurrences are all due created all of their tasks at once, up to 10,000 occurrences of 10,000 tasks, in every owner.
None is created now while 5,000 tasks of the job are open.

--- a/hibiscusslip/dispatch/engine.py
+++ b/hibiscusslip/dispatch/engine.py
@@ -19,6 +19,9 @@
 from hibiscusslip.dispatch import records
 from hibiscusslip.dispatch import state
 
+# Of a periodic job whose occurrences are due faster than they are completed.
+MAX_OPEN_TASKS = 5_000
+
 Note = collections.abc.Callable[..., None]
 
 
@@ -26,6 +29,10 @@
     return None
 
 
+def _count_open_tasks(job: state.Job) -> int:
+    return sum(len(step.tasks) - step.done_count for step in job.steps())
+
+
 class Engine:
     """Track an owner's jobs and endpoints, and decide what runs where.
 
@@ -118,6 +125,8 @@
                 number = len(job.occurrences)
                 if wall_time < spec.first_due + number * spec.interval:
                     break
+                if _count_open_tasks(job) >= MAX_OPEN_TASKS:
+                    break
                 self.create_occurrence(job, number, now)
                 self.dirty.add(job.job_id)
             if len(job.occurrences) >= spec.times:
--- a/hibiscusslip/host/writer.py
+++ b/hibiscusslip/host/writer.py
@@ -9,6 +9,7 @@
 from hibiscusslip.dispatch import engine as engines
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import records
+from hibiscusslip.dispatch import state
 from hibiscusslip.host import context
 from hibiscusslip.host import repeating
 from hibiscusslip.host import topics
@@ -20,6 +21,7 @@
 RETRY_PAUSE_S = 0.04
 MAX_RETRY_PAUSE_S = 0.3
 MAX_APPEND_BYTES = 1_000_000  # the store accepts at most twice that
+MAX_RECORD_BYTES = 262_144  # the store accepts no larger record
 IDLE_S = 1.0
 FAILURE_MEMORY_S = 1.5
 
@@ -136,12 +138,23 @@
             job = engine.jobs.get(job_id)
             if job is None:
                 continue
-            written[job_id] = job.state
             self._number += 1
-            value = records.encode_job(job, self._epoch, self._number)
-            batch.append(store.encode_keyed(job_id, value))
+            record = self._encode_job(job)
+            if len(record) > MAX_RECORD_BYTES:
+                # Otherwise no other job's record would be written either.
+                self._ctx.log.note(
+                    'record_too_large', job=job_id, size=len(record)
+                )
+                engine.finish(job, model.JobState.FAILED, context.monotonic())
+                record = self._encode_job(job)
+            written[job_id] = job.state
+            batch.append(record)
         return written, batch
 
+    def _encode_job(self, job: state.Job) -> bytes:
+        value = records.encode_job(job, self._epoch, self._number)
+        return store.encode_keyed(job.job_id, value)
+
     async def _append(self, batch: list[bytes]) -> None:
         """Append a batch; on a failure, retry at the other partition."""
         pause = RETRY_PAUSE_S
--- a/tests/dispatch/test_engine.py
+++ b/tests/dispatch/test_engine.py
@@ -285,3 +285,16 @@
     (task,) = job.occurrences[0][0].tasks
     assert task.status is state.Status.WAITING
     assert not task.status.placed
+
+
+def test_occurrences_that_are_all_due_at_once_fill_the_memory():
+    bench = support.Bench()
+    bench.endpoint('e1', cpu=100_000, memory=100_000)
+    job = bench.submit(
+        'j', support.step(1000), times=10_000, first_due=0.0, interval=0.001
+    )
+    for start in bench.plan():
+        bench.end(start)
+    bench.plan()
+    tasks = sum(len(step.tasks) for step in job.steps())
+    assert tasks <= 10_000  # as many as a job may have at once
--- a/tests/host/test_writer.py
+++ b/tests/host/test_writer.py
@@ -3,8 +3,10 @@
 import curio
 
 from hibiscusslip.dispatch import engine as engines
+from hibiscusslip.dispatch import model
 from hibiscusslip.host import writer
 from hibiscusslip.platform import exceptions
+from tests.dispatch import support
 from tests.host import fakes
 
 
@@ -115,3 +117,32 @@
         (0, []),
         (1, []),
     ]
+
+
+def test_job_whose_record_is_too_large_stops_all_other_jobs():
+    fake_store = fakes.FakeStore()
+    ctx = fakes.make_context(fake_store)
+    ctx.ownership.record_claim(1, 0.0)
+    bench = support.Bench()
+    endpoint = bench.endpoint('e1', cpu=10**9, memory=10**9)
+    step = support.step(10_000, checkpoints=True)
+    large = bench.submit('large', step)
+    bench.submit('small', support.step())
+    bench.engine.plan(bench.now, support.WALL_TIME)
+    for task in large.occurrences[0][0].tasks:
+        task.checkpoint = '0123456789abcdef'
+    assert endpoint.allocations
+
+    async def write_all():
+        owner_writer = writer.Writer(
+            ctx, bench.engine, 1, lambda starts: curio.sleep(0)
+        )
+        writer_task = await curio.spawn(owner_writer.run, daemon=True)
+        await owner_writer.flush(2.0)
+        await writer_task.cancel()
+
+    curio.run(write_all)
+    sizes = [len(record) for _, record in fake_store.records]
+    assert max(sizes) <= 262_144  # the largest record of the store
+    assert large.durable_state is model.JobState.FAILED
+    assert 'small' in fake_store.keys()
