--- a/hibiscusslip/dispatch/_lost_runs.py
+++ b/hibiscusslip/dispatch/_lost_runs.py
@@ -173,11 +173,8 @@
     for endpoint in list(engine.endpoints.values()):
         if endpoint.responsive:
             continue
-        held = crashes.TRIAL_HOLD_S if endpoint.trials else 0.0
-        if endpoint.allocations and endpoint.leases_expired(now - held):
-            crashes.note_lapse(endpoint, now)
-            for name, run in list(endpoint.allocations):
-                abandon_run(engine, endpoint, name, run, 'lease lapsed', now)
+        if endpoint.allocations and endpoint.leases_expired(now):
+            _abandon_lapsed(engine, endpoint, now)
         if now >= endpoint.lapsed_at + crashes.LAPSED_MEMORY_S:
             crashes.take_lapsed(endpoint)
         if endpoint.entry is None and not endpoint.allocations:
@@ -185,6 +182,18 @@
                 del engine.endpoints[endpoint.name]
 
 
+def _abandon_lapsed(
+    engine: 'engines.Engine', endpoint: state.Endpoint, now: float
+) -> None:
+    """Abandon the runs of an endpoint; those on trial are held for longer."""
+    holds_trials = not endpoint.leases_expired(now - crashes.TRIAL_HOLD_S)
+    for key, allocation in list(endpoint.allocations.items()):
+        if holds_trials and key in endpoint.trials:
+            continue
+        crashes.note_lapse(endpoint, allocation, now)
+        abandon_run(engine, endpoint, *key, 'lease lapsed', now)
+
+
 def revert_start(
     engine: 'engines.Engine',
     endpoint: state.Endpoint,
--- a/hibiscusslip/dispatch/crashes.py
+++ b/hibiscusslip/dispatch/crashes.py
@@ -214,17 +214,18 @@
         engine.finish(job, model.JobState.FAILED, now)
 
 
-def note_lapse(endpoint: state.Endpoint, now: float) -> None:
-    """Remember the runs of a silent endpoint, which are given up now."""
+def note_lapse(
+    endpoint: state.Endpoint, run: state.Allocation, now: float
+) -> None:
+    """Remember a run on a silent endpoint, which is given up now."""
     endpoint.lapsed_at = now
-    for run in endpoint.allocations.values():
-        endpoint.lapsed.append(run)
-        if run.task is not None and run.on_probation:
-            run.task.unexplained.append(
-                state.UnexplainedLoss(
-                    run.run, endpoint.name, endpoint.address, endpoint.born
-                )
+    endpoint.lapsed.append(run)
+    if run.task is not None and run.on_probation:
+        run.task.unexplained.append(
+            state.UnexplainedLoss(
+                run.run, endpoint.name, endpoint.address, endpoint.born
             )
+        )
 
 
 def take_lapsed(endpoint: state.Endpoint) -> list[state.Allocation]:
--- a/tests/dispatch/test_crashing_tasks.py
+++ b/tests/dispatch/test_crashing_tasks.py
@@ -2,7 +2,9 @@
 
 import pytest
 
+from hibiscusslip.dispatch import crashes
 from hibiscusslip.dispatch import model
+from hibiscusslip.dispatch import state
 from tests.dispatch import crashing_cell
 from tests.dispatch import support
 
@@ -184,3 +186,22 @@
             cell.crash(faulty)
     cell.run(30)
     check_completed(cell, names)
+
+
+def test_neighbour_of_a_task_on_trial_waits_beyond_its_lease():
+    bench = support.Bench()
+    endpoint = bench.endpoint('e1')
+    bench.submit('k', support.step())
+    bench.confirm(bench.plan())
+    (suspect,) = bench.submit('j', support.step()).occurrences[0][0].tasks
+    suspect.crashes = state.Crashes(total=1)
+    bench.now += 1.0
+    bench.confirm(bench.plan())
+    assert len(endpoint.allocations) == 2
+    bench.engine.mark_unresponsive('e1')
+    bench.now += 10.0
+    bench.plan()
+    assert [task for task, _ in endpoint.allocations] == ['j.0.0.0']
+    bench.now += crashes.TRIAL_HOLD_S
+    bench.plan()
+    assert not endpoint.allocations
