dispatch: record that a run on trial was seen to work

After a loss of the owner the age of runs isn't known, so a crash was held against the task with most crashes on the endpoint, which had worked there for 27 s. The run of a task on trial that was seen to work is in the job's record now.

--- a/hibiscusslip/dispatch/_reports.py
+++ b/hibiscusslip/dispatch/_reports.py
@@ -203,7 +203,7 @@
             allocation = _adopt(engine, endpoint, row, now)
         allocation.listed_at = now
         allocation.usage = row.usage
-        crashes.acquit_if_proven(endpoint, allocation)
+        crashes.acquit_if_proven(engine, endpoint, allocation)
         progress.watch_progress(engine, endpoint, allocation, row, now)
         task = allocation.task
         if task is not None and row.checkpoint:
--- a/hibiscusslip/dispatch/crashes.py
+++ b/hibiscusslip/dispatch/crashes.py
@@ -258,12 +258,17 @@
 
 
 def acquit_if_proven(
-    endpoint: state.Endpoint, allocation: state.Allocation
+    engine: 'engines.Engine',
+    endpoint: state.Endpoint,
+    allocation: state.Allocation,
 ) -> None:
     """End the trial of a run that has been at work for long enough."""
     task = allocation.task
     if task is None or not task.on_trial or allocation.on_probation:
         return
+    if task.proven_run != allocation.run:
+        task.proven_run = allocation.run
+        engine.dirty.add(_job_of(allocation))
     endpoint.end_trial(task.name, allocation.run)
     if allocation.proven_age >= state.LONG_PROBATION_S:
         task.crashes = state.Crashes()
--- a/hibiscusslip/dispatch/records.py
+++ b/hibiscusslip/dispatch/records.py
@@ -52,7 +52,7 @@
 
 
 class CrashRow(msgspec.Struct, array_like=True):
-    """The endpoints that crashed soon after they started a task."""
+    """What is known of a task on which endpoints may have crashed."""
 
     occurrence: int
     step: int
@@ -60,6 +60,7 @@
     total: int
     sole: int
     confirmed: int
+    proven_run: int
 
 
 class LossRow(msgspec.Struct, array_like=True):
@@ -178,9 +179,10 @@
             task.crashes.total,
             task.crashes.sole,
             task.crashes.confirmed,
+            task.proven_run,
         )
         for task in step.tasks
-        if task.crashes.total
+        if task.on_trial
     ]
 
 
@@ -236,9 +238,11 @@
         job.has_started = True
     for crash_row in row.crashes:
         step = job.occurrences[crash_row.occurrence][crash_row.step]
-        step.tasks[crash_row.index].crashes = state.Crashes(
+        task = step.tasks[crash_row.index]
+        task.crashes = state.Crashes(
             crash_row.total, crash_row.sole, crash_row.confirmed
         )
+        task.proven_run = crash_row.proven_run
     for loss_row in row.losses:
         step = job.occurrences[loss_row.occurrence][loss_row.step]
         step.tasks[loss_row.index].unexplained.append(
--- a/hibiscusslip/dispatch/state.py
+++ b/hibiscusslip/dispatch/state.py
@@ -67,6 +67,7 @@
     stopped because they made no progress. While the task is placed,
     `address` and `born` are those of its endpoint's incarnation.
     `unexplained` are its runs on endpoints that may have crashed under it.
+    `proven_run` is the last run on trial that was seen to work.
     """
 
     name: str
@@ -84,6 +85,7 @@
     unexplained: list[UnexplainedLoss] = dataclasses.field(
         default_factory=list
     )
+    proven_run: int = 0
     address: str = ''
     born: float = 0.0
 
@@ -228,11 +230,23 @@
             return bool(self.confirmed_at)
         return self.task is not None and self.task.status is Status.RUNNING
 
+    @property
+    def starts_trial(self) -> bool:
+        """Return True if no other job may start a run beside this one."""
+        return (
+            self.task is not None
+            and self.task.on_trial
+            and self.task.proven_run != self.run
+        )
+
     @property
     def on_probation(self) -> bool:
         """Return True if the run may be the cause of a crash."""
-        crashes = self.task.crashes if self.task else Crashes()
-        return self.proven_age < crashes.probation
+        if self.task is None:
+            return self.proven_age < PROBATION_S
+        if self.task.proven_run == self.run:
+            return False
+        return self.proven_age < self.task.crashes.probation
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -337,7 +351,8 @@
         """Add an allocation for a run of the task."""
         self.allocations[(task, allocation.run)] = allocation
         self.used = self.used + allocation.demand
-        if allocation.task is not None and allocation.task.on_trial:
+        if allocation.starts_trial:
+            assert allocation.task is not None
             job_id = allocation.task.step.job.job_id
             self.trials[(task, allocation.run)] = job_id
 
--- a/tests/dispatch/crashing_cell.py
+++ b/tests/dispatch/crashing_cell.py
@@ -12,6 +12,7 @@
 TICK_S = 0.05
 LEASE_S = 5.9
 UNRESPONSIVE_AFTER_S = 0.85
+NOTICE_S = 2.0
 
 
 @dataclasses.dataclass(eq=False)
@@ -29,6 +30,7 @@
     capacity: int = 8000
     crashed_at: float | None = None
     back_at: float = 0.0
+    leaves_at: float | None = None
 
     @property
     def address(self):
@@ -64,6 +66,7 @@
         self.now = 100.0
         self.crashes = 0
         self.starts = []
+        self.over_capacity = []
         self.specs = {}
         self.progress = {}
         self.config = support.config(support.queue())
@@ -102,11 +105,14 @@
         )
 
     def crash(self, machine):
+        self.crashes += 1
+        self._go_down(machine)
+
+    def _go_down(self, machine):
         machine.crashed_at = self.now
         machine.back_at = self.now + self.down_s
         machine.running = {}
         machine.ended = []
-        self.crashes += 1
 
     def crash_zone(self, zone):
         """Crash all machines of a zone, unless one of them is down."""
@@ -115,13 +121,16 @@
             for machine in machines:
                 self.crash(machine)
 
+    def resize(self, machine, capacity):
+        """Change a machine's capacity, and what its endpoint says of it."""
+        machine.capacity = capacity
+        if machine.crashed_at is None:
+            self.engine.register_endpoint(self._entry(machine), self.now)
+
     def leave(self, machine):
-        """End a machine's endpoint, which has announced it, as planned."""
-        self.engine.register_endpoint(
-            self._entry(machine, draining=True), self.now
-        )
-        self.crash(machine)
-        self.crashes -= 1
+        """Announce that a machine's endpoint leaves, which it does later."""
+        machine.leaves_at = self.now + NOTICE_S
+        self.engine.register_endpoint(self._entry(machine), self.now)
 
     def _submit_to_engine(self, job_id):
         submission = records.Submission(
@@ -137,6 +146,7 @@
         machine.seq = 0
         machine.ends = 0
         machine.crashed_at = None
+        machine.leaves_at = None
         if self.new_ids or not previous:
             machine.name = f'i{machine.number}-{int(machine.born)}'
         known = self.engine.endpoints.get(previous)
@@ -146,7 +156,7 @@
         self.engine.register_endpoint(self._entry(machine), self.now)
         self._report(machine)
 
-    def _entry(self, machine, **fields):
+    def _entry(self, machine):
         machine.seq += 1
         return support.entry(
             machine.name,
@@ -155,13 +165,16 @@
             zone=machine.zone,
             born=machine.born,
             seq=machine.seq,
-            **fields,
+            draining=machine.leaves_at is not None,
         )
 
     def _tick(self):
         self.now += TICK_S
         self._lose_owner_if_due()
         for machine in self.machines:
+            if machine.leaves_at is not None and self.now >= machine.leaves_at:
+                machine.leaves_at = None
+                self._go_down(machine)
             if machine.crashed_at is None:
                 self._work(machine)
                 self._report(machine)
@@ -272,7 +285,17 @@
         spec = start.task.step.spec
         run_s = float('inf') if spec.long_running else self.run_s
         machine.running[name, start.run] = self.now + run_s
+        self._check_capacity(machine, start)
         if self.answers:
             self.engine.confirm_start(start, self.now)
         if name in self.deadly:
             self.crash(machine)
+
+    def _check_capacity(self, machine, start):
+        """Record a start that brings a machine over its capacity."""
+        used = 0
+        for task, _ in machine.running:
+            job_id, _, number, _ = task.split('.')
+            used += self.specs[job_id].steps[int(number)].demand.cpu
+        if used > machine.capacity:
+            self.over_capacity.append((self.now, machine.name, start.task))
