--- a/tests/jobs/test_engine_lifecycle.py
+++ b/tests/jobs/test_engine_lifecycle.py
@@ -397,3 +397,19 @@
     bench.engine.handle_renewal(endpoint, [request.task], bench.now)
     bench.end_run(endpoint, request)
     assert listed_endpoints(bench.tick(bench.cfg.event_wait + 0.1)) == []
+
+
+def test_task_that_crashes_its_endpoints_is_started_without_end():
+    bench = support.Bench().opened()
+    bench.engine.submit(support.spec(), bench.now)
+    started = 0
+    for life in range(2, 62):
+        requests = bench.starts(1)
+        for endpoint, request in requests:
+            started += 1
+            bench.confirm_start(endpoint, request)
+            bench.list_all(names=[endpoint], boot=f'b{life}')
+        if not requests:
+            bench.list_all(boot=f'b{life}')
+    assert started <= 5  # two more than the crashes that prove it
+    assert job_of(bench).outcome == Outcome.FAILED
