--- a/hibiscusslip/dispatch/_lost_runs.py
+++ b/hibiscusslip/dispatch/_lost_runs.py
@@ -74,7 +74,7 @@
     now: float,
 ) -> None:
     """Abandon all runs of an endpoint, which lost them by a restart."""
-    _note_loss(engine, endpoint, 'endpoint_restarted', now)
+    engine.note('endpoint_restarted', **_loss_fields(endpoint, now))
     convicted = _blame_runs(engine, endpoint, report, now)
     endpoint.handled_cursor = 0
     endpoint.acknowledged_cursor = 0
@@ -114,7 +114,7 @@
 ) -> None:
     """Abandon the runs of an endpoint whose address another one has."""
     if endpoint.entry is not None or endpoint.allocations:
-        _note_loss(engine, endpoint, 'endpoint_replaced', now)
+        engine.note('endpoint_replaced', **_loss_fields(endpoint, now))
     convicted = _blame_runs(engine, endpoint, None, now)
     endpoint.entry = None
     endpoint.responsive = False
@@ -123,19 +123,16 @@
     crashes.give_up(engine, convicted, now)
 
 
-def _note_loss(
-    engine: 'engines.Engine', endpoint: state.Endpoint, event: str, now: float
-) -> None:
-    """Log that an incarnation of an endpoint has ended, and what it ran."""
+def _loss_fields(endpoint: state.Endpoint, now: float) -> dict[str, object]:
+    """Return what is logged of an incarnation of an endpoint that ended."""
     jobs = {name.partition('.')[0] for name, _ in endpoint.allocations}
-    engine.note(
-        event,
-        endpoint=endpoint.name,
-        draining=bool(endpoint.draining_since),
-        answered_ms_ago=int((now - endpoint.last_response_at) * 1000),
-        runs=len(endpoint.allocations),
-        jobs=len(jobs),
-    )
+    return {
+        'endpoint': endpoint.name,
+        'draining': bool(endpoint.draining_since),
+        'answered_ms_ago': int((now - endpoint.last_response_at) * 1000),
+        'runs': len(endpoint.allocations),
+        'jobs': len(jobs),
+    }
 
 
 def abandon_missing(
