host: acknowledge no end to an endpoint that may have restarted

Change: AckCursor is sent only while nothing since the endpoint's last report says that it may have restarted: a call without a response, or a start's confirmation by an earlier clock. Else 0, which forgets nothing; the ends are listed again and are known by their numbers. The three new tests fail without the change (the cursors sent are 57, 57, 57; the other two have no `cursor_to_send` to ask).

Left: an endpoint that restarts between two polls while no call is under way, whose start's confirmation is lost and whose run ends before the next poll.

--- a/hibiscusslip/dispatch/_reports.py
+++ b/hibiscusslip/dispatch/_reports.py
@@ -32,6 +32,7 @@
     endpoint.polled = True
     endpoint.born = report.born
     endpoint.silent = False
+    endpoint.may_have_restarted = False
     if not endpoint.responsive:
         endpoint.responsive = True
         engine.note('endpoint_answers', endpoint=endpoint.name)
--- a/hibiscusslip/dispatch/_suspicion.py
+++ b/hibiscusslip/dispatch/_suspicion.py
@@ -23,14 +23,22 @@
 
     An endpoint that has responded since the call was sent isn't suspected.
     """
+    endpoint.may_have_restarted = True
     if endpoint.suspected_at or endpoint.last_response_at >= sent:
         return False
     endpoint.suspected_at = now
     return True
 
 
-def handle_response(endpoint: state.Endpoint, now: float) -> None:
-    """Record a response, which clears the suspicion."""
+def handle_response(
+    endpoint: state.Endpoint, clock: float | None, now: float
+) -> None:
+    """Record a response, which clears the suspicion.
+
+    `clock` is the time on the endpoint's clock in it, None if it wasn't told.
+    """
+    if clock is not None and clock < endpoint.clock:
+        endpoint.may_have_restarted = True
     endpoint.last_response_at = max(endpoint.last_response_at, now)
     endpoint.suspected_at = 0.0
 
--- a/hibiscusslip/dispatch/engine.py
+++ b/hibiscusslip/dispatch/engine.py
@@ -253,11 +253,13 @@
         if endpoint is not None:
             _reports.apply(self, endpoint, report, sent, now)
 
-    def handle_response(self, name: str, now: float) -> None:
-        """Record that an endpoint answered a call."""
+    def handle_response(
+        self, name: str, now: float, clock: float | None = None
+    ) -> None:
+        """Record an answer, with the time on the endpoint's clock if known."""
         endpoint = self.endpoints.get(name)
         if endpoint is not None:
-            _suspicion.handle_response(endpoint, now)
+            _suspicion.handle_response(endpoint, clock, now)
 
     def handle_no_response(self, name: str, sent: float, now: float) -> None:
         """Record that an endpoint left a call sent at `sent` unanswered."""
@@ -289,9 +291,11 @@
 
     # Starts.
 
-    def confirm_start(self, start: commands.Start, now: float) -> None:
+    def confirm_start(
+        self, start: commands.Start, now: float, clock: float | None = None
+    ) -> None:
         """Record that an endpoint confirmed a start."""
-        self.handle_response(start.endpoint, now)
+        self.handle_response(start.endpoint, now, clock)
         allocation = self._allocation_of(start)
         if allocation is not None:
             allocation.confirmed_at = now
@@ -320,9 +324,8 @@
     ) -> None:
         """Revert a start that is known to have had no effect."""
         endpoint = self.endpoints.get(start.endpoint)
-        if endpoint is None:
-            return
-        _lost_runs.revert_start(self, endpoint, start, reason, now)
+        if endpoint is not None:
+            _lost_runs.revert_start(self, endpoint, start, reason, now)
 
     def _allocation_of(self, start: commands.Start) -> state.Allocation | None:
         endpoint = self.endpoints.get(start.endpoint)
--- a/hibiscusslip/dispatch/state.py
+++ b/hibiscusslip/dispatch/state.py
@@ -268,6 +268,8 @@
     host's clock, the latest end of a lease that a former owner may have
     granted. `handled_cursor` is the number of the last ended run that was
     handled, `acknowledged_cursor` that of the last whose record is written.
+    It `may_have_restarted` since its last report if a call went unanswered or
+    its clock went back.
     `last_response_at` is when it last answered a call, `suspected_at` when a
     call first went unanswered after that, 0 for none. It is `silent` once
     several calls went unanswered. While `withheld` no lease may be granted
@@ -293,6 +295,7 @@
     inherited_leases_until: float = 0.0
     handled_cursor: int = 0
     acknowledged_cursor: int = 0
+    may_have_restarted: bool = False
     quarantined_until: float = 0.0
     consecutive_failures: int = 0
     full_until: float = 0.0
@@ -315,6 +318,13 @@
         """Return the expected time on the endpoint's clock."""
         return self.clock + (now - self.clock_read_at)
 
+    def cursor_to_send(self) -> int:
+        """Return the number up to which it may forget its ended runs.
+
+        A new incarnation numbers its ended runs anew.
+        """
+        return 0 if self.may_have_restarted else self.acknowledged_cursor
+
     def leases_expired(self, now: float) -> bool:
         """Return True if all leases granted to it have provably expired."""
         return now >= self.leases_end()
--- a/hibiscusslip/host/endpoint_session.py
+++ b/hibiscusslip/host/endpoint_session.py
@@ -98,7 +98,7 @@
         report = await self._client.poll(
             self._lease_deadline(endpoint, sent),
             self._epoch,
-            endpoint.acknowledged_cursor,
+            endpoint.cursor_to_send(),
             wait,
             POLL_TIMEOUT_S,
         )
@@ -192,8 +192,8 @@
         give_up_at = start.decided_at + MAX_START_AGE_S + START_RETRY_MARGIN_S
         while now < give_up_at and self._holds_ownership():
             try:
-                await self._client.start(request, CALL_TIMEOUT_S)
-                await self._handle_started(start, now)
+                clock = await self._client.start(request, CALL_TIMEOUT_S)
+                await self._handle_started(start, now, clock)
                 return
             except exceptions.RequestRefused as exc:
                 self._engine.handle_response(self.name, context.monotonic())
@@ -223,12 +223,12 @@
         return self._ctx.ownership.held_epoch == self._epoch
 
     async def _handle_started(
-        self, start: commands.Start, sent: float
+        self, start: commands.Start, sent: float, clock: float | None
     ) -> None:
         now = context.monotonic()
         self._ctx.metrics.time('start_order', now - sent)
         self._ctx.metrics.count('starts')
-        self._engine.confirm_start(start, now)
+        self._engine.confirm_start(start, now, clock)
         self._ctx.log.note(
             'run_ordered',
             task=start.task.name,
--- a/tests/dispatch/test_unknown_outcomes.py
+++ b/tests/dispatch/test_unknown_outcomes.py
@@ -105,6 +105,38 @@
     assert bench.engine.endpoints['e1'].acknowledged_cursor == 0
 
 
+def end_run_on_e1(bench):
+    """Have a run end on e1 and its record written; return the endpoint."""
+    start = start_on_e1(bench)
+    bench.confirm([start])
+    bench.end(start)
+    bench.commit()
+    endpoint = bench.engine.endpoints['e1']
+    assert endpoint.cursor_to_send() == 1
+    return endpoint
+
+
+def test_poll_after_an_unanswered_one_acknowledges_no_end():
+    """The endpoint may have restarted and run something meanwhile."""
+    bench = support.Bench()
+    endpoint = end_run_on_e1(bench)
+    bench.now += 0.8
+    bench.engine.handle_no_response('e1', bench.now - 0.8, bench.now)
+    assert endpoint.cursor_to_send() == 0
+    bench.report('e1')
+    assert endpoint.cursor_to_send() == 1
+
+
+def test_poll_after_a_start_on_a_younger_clock_acknowledges_no_end():
+    """Only the start's confirmation shows that the endpoint restarted."""
+    bench = support.Bench()
+    endpoint = end_run_on_e1(bench)
+    bench.submit('k', support.step())
+    (start,) = bench.plan()
+    bench.engine.confirm_start(start, bench.now, clock=0.1)
+    assert endpoint.cursor_to_send() == 0
+
+
 def test_task_waits_for_an_unconfirmed_start_to_a_restarted_endpoint():
     bench = support.Bench()
     start = start_on_e1(bench)  # unconfirmed: it may take effect 12 s later
--- a/tests/host/test_endpoint_session.py
+++ b/tests/host/test_endpoint_session.py
@@ -14,13 +14,15 @@
 
 
 class EndpointClient:
-    """Answer the first poll; record the wait time of each."""
+    """Answer the first poll; record the wait time and the cursor of each."""
 
     def __init__(self):
         self.waits = []
+        self.cursors = []
 
     async def poll(self, deadline, fence, seen, wait, timeout):
         self.waits.append(wait)
+        self.cursors.append(seen)
         if len(self.waits) == 1:
             running = model.RunningRun('j.0.0.0', 1, '', 50, 0.0)
             return model.EndpointReport(1.0, 5.0, (running,), ())
@@ -31,11 +33,13 @@
         pass
 
 
-def test_unresponsive_endpoint_isnt_long_polled():
-    """The next poll notices that a zone has recovered, without a wait."""
+def poll_for(seconds, acknowledged=0):
+    """Poll an endpoint that answers once; return its client."""
     ctx = fakes.make_context(fakes.FakeStore())
     engine = engines.Engine(5.9)
     engine.register_endpoint(support.entry('e1'), context.monotonic())
+    engine.endpoints['e1'].handled_cursor = acknowledged
+    engine.endpoints['e1'].acknowledged_cursor = acknowledged
     wakeup = wakeup_event.WakeupEvent()
     session = endpoint_session.EndpointSession(
         ctx, engine, 'e1', 'h:1', 1, wakeup, wakeup, wakeup
@@ -44,10 +48,16 @@
     session._client = client
 
     async def main():
-        async with curio.ignore_after(0.5):
+        async with curio.ignore_after(seconds):
             await session.run()
 
     curio.run(main)
+    return client
+
+
+def test_unresponsive_endpoint_isnt_long_polled():
+    """The next poll notices that a zone has recovered, without a wait."""
+    client = poll_for(0.5)
     failures = endpoint_session.FAILURES_UNTIL_UNRESPONSIVE
     assert set(client.waits[1 : 1 + failures]) == {
         endpoint_session.LONG_POLL_WAIT_S
@@ -55,6 +65,12 @@
     assert set(client.waits[1 + failures :]) == {0.0}
 
 
+def test_poll_after_an_unanswered_one_acknowledges_no_end():
+    """An endpoint that has restarted numbers its ended runs anew."""
+    client = poll_for(0.1, acknowledged=57)
+    assert client.cursors[:3] == [57, 57, 0]
+
+
 class CommandClient:
     """Record the commands that are sent."""
 
