dispatch: keep the runs that a restarted endpoint lists

Cause: all runs were given up at a restart, and those that the report listed were adopted again after it; an end finds no run to adopt. The runs that the report lists are now kept. The test failed before: 0 attempts counted for 1.

--- a/hibiscusslip/dispatch/_lost_runs.py
+++ b/hibiscusslip/dispatch/_lost_runs.py
@@ -73,16 +73,21 @@
     report: model.EndpointReport,
     now: float,
 ) -> None:
-    """Abandon all runs of an endpoint, which lost them by a restart."""
+    """Abandon the runs of an endpoint that it lost by a restart.
+
+    Those that the new incarnation lists were started there.
+    """
     engine.note('endpoint_restarted', **_loss_fields(endpoint, now))
-    convicted = _blame_runs(engine, endpoint, report, now)
+    listed = report.listed_runs()
+    convicted = _blame_runs(engine, endpoint, listed, now)
     endpoint.handled_cursor = 0
     endpoint.acknowledged_cursor = 0
     endpoint.leased_until = 0.0
-    for name, run in list(endpoint.allocations):
-        allocation = endpoint.allocations[(name, run)]
+    for key, allocation in list(endpoint.allocations.items()):
+        if key in listed:
+            continue
         unconfirmed = not allocation.confirmed_at and not allocation.recovered
-        abandon_run(engine, endpoint, name, run, 'restarted', now)
+        abandon_run(engine, endpoint, *key, 'restarted', now)
         if unconfirmed and allocation.task is not None:
             # The start request may still reach the new incarnation.
             allocation.task.not_before = allocation.decided_at + LATE_START_S
@@ -92,14 +97,13 @@
 def _blame_runs(
     engine: 'engines.Engine',
     endpoint: state.Endpoint,
-    report: model.EndpointReport | None,
+    listed: set[tuple[str, int]],
     now: float,
 ) -> list[state.Task]:
     """Hold a crash against runs; return the tasks to be given up.
 
-    Runs that the new incarnation lists in its report weren't in the crash.
+    Runs that the new incarnation has `listed` weren't in the crash.
     """
-    listed = report.listed_runs() if report is not None else set()
     runs = [
         allocation
         for key, allocation in endpoint.allocations.items()
@@ -115,7 +119,7 @@
     """Abandon the runs of an endpoint whose address another one has."""
     if endpoint.entry is not None or endpoint.allocations:
         engine.note('endpoint_replaced', **_loss_fields(endpoint, now))
-    convicted = _blame_runs(engine, endpoint, None, now)
+    convicted = _blame_runs(engine, endpoint, set(), now)
     endpoint.entry = None
     endpoint.responsive = False
     for name, run in list(endpoint.allocations):
--- a/tests/dispatch/test_unknown_outcomes.py
+++ b/tests/dispatch/test_unknown_outcomes.py
@@ -89,6 +89,18 @@
     assert [s.run for s in bench.plan()] == [2]
 
 
+def test_failed_run_of_a_new_incarnation_counts_as_an_attempt():
+    """The report that shows the restart lists the end of a run since it."""
+    bench = support.Bench(support.queue(max_attempts=1))
+    start = start_on_e1(bench)
+    bench.confirm([start])
+    failed = model.RunOutcome.FAILED
+    end = model.EndedRun(1, start.task.name, start.run, failed, '')
+    bench.report('e1', ended=[end], born=2.0)
+    assert start.task.failures == 1
+    assert bench.plan() == []
+
+
 def test_cursor_of_a_former_incarnation_acknowledges_nothing():
     """The endpoint restarts while a record is being written to the store.
 
