jobs: give up a task that crashes the endpoints which start it

Cause: a run lost with its endpoint counts as no attempt, and nothing else counted it. Change: a restart of an endpoint is held against the runs there that had just started, if all are of one job; after three the task is FAILED. Those that were in a crash start again after a growing delay of their own, so that suspects part. A run seen at work for 1 s isn't suspected, and 10 s disprove earlier crashes. Endpoints that leave hold nothing against their tasks. The count goes with a planned transfer of the shard.

--- a/hibiscusslip/jobs/_adoption.py
+++ b/hibiscusslip/jobs/_adoption.py
@@ -3,6 +3,7 @@
 from hibiscusslip import codec
 from hibiscusslip.endpoint import base as endpoint_base
 from hibiscusslip.jobs import _completion
+from hibiscusslip.jobs import _crashes
 from hibiscusslip.jobs import _starting
 from hibiscusslip.jobs import _state
 from hibiscusslip.jobs import commands
@@ -60,11 +61,31 @@
             view.contact_regained_at = now
         view.contact = Contact.LISTED
         st.scheduler.set_endpoint(view.info, now)
+    if restarted:
+        _crashes.handle_restart(st, view, listing)
     for run in listing.runs:
         _handle_run(st, view, run, now)
     _resolve_missing(st, view, listing, requested_at, restarted, now)
 
 
+def handle_renewal(
+    st: _state.ShardState, name: str, missing: list[str], now: float
+) -> None:
+    """Handle renewed leases; those of `missing` could not be renewed."""
+    view = st.endpoints.get(name)
+    if view is None:
+        return
+    view.last_contact_at = now
+    for task_id in view.tasks.difference(missing):
+        match = st.find(task_id)
+        if match is not None and match[1].phase == Phase.RUNNING:
+            match[1].seen_at = now
+    if missing and not view.missing_check_at:
+        # Most of them have just ended and their event is under way.
+        view.missing = frozenset(missing)
+        view.missing_check_at = now + st.cfg.event_wait
+
+
 def _handle_run(
     st: _state.ShardState,
     view: _state.EndpointView,
@@ -84,6 +105,7 @@
         elif task.phase in (Phase.UNCONFIRMED, Phase.STARTING):
             _reallocate(st, view, job, task, run, now)
             _starting.mark_running(st, job, task, now)
+        task.seen_at = now
         return
     if task.phase == Phase.QUEUED and not st.open:
         _adopt(st, view, job, task, run, now)
@@ -150,6 +172,7 @@
     task.boot = view.boot
     task.attempt = run.attempt
     task.phase = Phase.RUNNING
+    task.running_since = task.seen_at = now
     task.started = True
     task.outcome = work.Outcome.RUNNING
     job.outcome = work.Outcome.RUNNING
--- a/hibiscusslip/jobs/_completion.py
+++ b/hibiscusslip/jobs/_completion.py
@@ -1,6 +1,7 @@
 """Apply the end of runs to tasks, and the end of tasks to jobs."""
 
 from hibiscusslip.endpoint import base as endpoint_base
+from hibiscusslip.jobs import _crashes
 from hibiscusslip.jobs import _state
 from hibiscusslip.jobs import commands
 from hibiscusslip.jobs import model
@@ -114,8 +115,13 @@
         finish_offloaded_task(st, job, task, RemoteState.LOST, reason, now)
         return
     _release_resources(st, job, task, RunOutcome.ENDPOINT_LOST, now)
+    if _crashes.is_convicted(task):
+        detail = 'crashed each endpoint that started it'
+        close_task(st, job, task, work.Outcome.FAILED, detail, now)
+        return
     if job.spec.repeatable and not job.cancelled:
-        requeue(st, job, task, st.cfg.retry_delay, now)
+        delay = _crashes.restart_delay(st, job, task)
+        requeue(st, job, task, delay, now)
         return
     if job.spec.repeatable:
         close_task(st, job, task, work.Outcome.FAILED, 'cancelled', now)
--- a/hibiscusslip/jobs/_starting.py
+++ b/hibiscusslip/jobs/_starting.py
@@ -149,6 +149,7 @@
         task.phase = Phase.STARTING
         task.attempt += 1
         task.boot = view.boot
+        task.running_since = task.seen_at = now
         view.tasks.add(start.task)
         request = _make_start_request(st, job, task)
         requests.setdefault(start.endpoint, []).append(request)
@@ -201,7 +202,10 @@
     st: _state.ShardState, job: model.Job, task: model.Task, now: float
 ) -> None:
     """Mark a task as running; stop it if its job was cancelled meanwhile."""
+    if task.phase == Phase.STARTING:
+        task.running_since = now
     task.phase = Phase.RUNNING
+    task.seen_at = now
     task.started = True
     task.outcome = work.Outcome.RUNNING
     job.outcome = work.Outcome.RUNNING
--- a/hibiscusslip/jobs/engine.py
+++ b/hibiscusslip/jobs/engine.py
@@ -330,14 +330,7 @@
         self, endpoint: str, missing: list[str], now: float
     ) -> None:
         """Handle renewed leases; those of `missing` could not be renewed."""
-        view = self._st.endpoints.get(endpoint)
-        if view is None:
-            return
-        view.last_contact_at = now
-        if missing and not view.missing_check_at:
-            # Most of them have just ended and their event is under way.
-            view.missing = frozenset(missing)
-            view.missing_check_at = now + self._st.cfg.event_wait
+        _adoption.handle_renewal(self._st, endpoint, missing, now)
 
     def save_checkpoint(self, task: str, data: bytes) -> None:
         """Store a task's checkpoint for its next run."""
--- a/hibiscusslip/jobs/handover.py
+++ b/hibiscusslip/jobs/handover.py
@@ -20,6 +20,7 @@
     checkpoint: bytes = b''
     unstarted: bool = False
     place: str = ''
+    crashes: int = 0
 
 
 class PackedJob(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -66,6 +67,7 @@
         task.checkpoint,
         task.phase in waiting,
         task.place if task.phase == model.Phase.REMOTE else '',
+        task.crashes,
     )
 
 
@@ -106,6 +108,7 @@
     task = model.Task(packed.index, attempt=packed.attempt)
     task.checkpoint = packed.checkpoint
     task.unstarted = packed.unstarted
+    task.crashes = packed.crashes
     if packed.place:
         task.place = packed.place
         task.phase = model.Phase.REMOTE
--- a/hibiscusslip/jobs/model.py
+++ b/hibiscusslip/jobs/model.py
@@ -41,7 +41,9 @@
     `unstarted` is set if an earlier owner knew that the task had no run.
     `place` is the foreign shard of a remote task, `absent_at` are the foreign
     shards that reported that they don't have the task. `tried` counts the
-    failed starts, and the failures of a service, for the backoff.
+    failed starts, the crashes of its endpoints and the failures of a service,
+    for the backoff; `crashes` are those that only its job can have caused.
+    Its latest run was seen at work from `running_since` until `seen_at`.
     """
 
     index: int
@@ -60,6 +62,9 @@
     place: str = ''
     absent_at: frozenset[str] = frozenset()
     tried: int = 0
+    crashes: int = 0
+    running_since: float = 0.0
+    seen_at: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/jobs/test_engine_lifecycle.py
+++ b/tests/jobs/test_engine_lifecycle.py
@@ -10,6 +10,7 @@
 from hibiscusslip.endpoint import base as endpoint_base
 from hibiscusslip.jobs import commands
 from hibiscusslip.jobs import exceptions
+from hibiscusslip.jobs import handover
 from hibiscusslip.model import places
 from hibiscusslip.model import work
 from hibiscusslip.records import zone
@@ -413,3 +414,48 @@
             bench.list_all(boot=f'b{life}')
     assert started <= 5  # two more than the crashes that prove it
     assert job_of(bench).outcome == Outcome.FAILED
+
+
+LONGEST_BACKOFF_S = 15.0
+
+
+def crash_under(bench, endpoint, life, seconds):
+    """Start what waits, and restart an endpoint `seconds` later."""
+    bench.now += LONGEST_BACKOFF_S
+    bench.engine.handle_renewal(endpoint, [], bench.now)
+    for name, request in bench.starts():
+        bench.confirm_start(name, request)
+    bench.now += seconds
+    tasks = list(bench.engine.endpoints[endpoint].tasks)
+    bench.engine.handle_renewal(endpoint, [], bench.now)
+    bench.list_all(names=[endpoint], boot=f'b{life}')
+    return tasks
+
+
+def test_task_is_not_given_up_for_crashes_long_after_its_starts():
+    bench = support.Bench(endpoints=('e1',)).opened()
+    bench.engine.submit(support.spec(), bench.now)
+    for life in range(2, 8):
+        assert crash_under(bench, 'e1', life, seconds=5.0)
+    assert job_of(bench).outcome != Outcome.FAILED
+
+
+def test_task_is_not_given_up_for_the_crashes_of_a_neighbour():
+    bench = support.Bench(endpoints=('e1',)).opened()
+    bench.engine.submit(support.spec(), bench.now)
+    for life in range(2, 8):
+        if life < 5:
+            bench.engine.submit(support.spec(f'z1.0.rj{life}'), bench.now)
+        assert len(crash_under(bench, 'e1', life, seconds=0.0)) > 1
+    assert job_of(bench).outcome != Outcome.FAILED
+
+
+def test_handed_over_task_keeps_the_crashes_of_its_endpoints():
+    bench = support.Bench(endpoints=('e1',)).opened()
+    bench.engine.submit(support.spec(), bench.now)
+    for life in (2, 3):
+        crash_under(bench, 'e1', life, seconds=0.0)
+    job = handover.unpack(handover.pack(job_of(bench)), bench.now)
+    successor = support.Bench(2, ('e1',), [job]).opened()
+    crash_under(successor, 'e1', 4, seconds=0.0)
+    assert job_of(successor).outcome == Outcome.FAILED
