tests: give the endpoints of the slow link a process of their own

The check, the link and the sizes stay; endpoints and link run in another process.

Ruled out by reading: a late loop of the host itself isn't taken for silence. curio reschedules the readers of ready sockets before it delivers time-outs, and test_late_loop_isnt_taken_for_a_silent_server holds the loop to show it.

--- a/tests/platform/cell.py
+++ b/tests/platform/cell.py
@@ -111,12 +111,9 @@
         for number in range(hosts):
             await self.add_host(f'h{number}')
 
-    async def add_endpoint(self, name, run_s=0.1, link=None):
-        """Start an endpoint; hosts reach it over `link`, if there is one."""
+    async def add_endpoint(self, name, run_s=0.1):
         endpoint = standin.Endpoint(name, run_s)
         port = await self._serve(endpoint, '127.0.0.1')
-        if link is not None:
-            port = await _listen_on(link, port)
         address = f'127.0.0.1:{port}'
         self.store.put('keyed.servers', name, endpoint.entry(address, SERVICE))
         self.endpoints[name] = endpoint
--- a/tests/platform/test_slow_links.py
+++ b/tests/platform/test_slow_links.py
@@ -12,7 +12,7 @@
 from hibiscusslip.host import topics
 from tests.faults import serving
 from tests.platform import cell
-from tests.platform.soak import proxy
+from tests.platform import endpoint_process
 
 LINK_MBPS = 5.0
 CONFIG_IN_FORCE_S = 3.0
@@ -162,9 +162,8 @@
 
     async def scenario():
         async with cell.running(hosts=0, endpoints=0) as running:
-            link = proxy.Link(LINK_MBPS)
-            for number in range(ENDPOINTS):
-                await running.add_endpoint(f'e{number}', 0.5, link)
+            for name, entry in entries.items():
+                running.store.put('keyed.servers', name, entry)
             await running.add_host('slow', LINK_MBPS)
             await running.wait_until(lambda: running.owner() == 'slow')
             await curio.sleep(ENDPOINTS_KNOWN_S)
@@ -176,4 +175,5 @@
             metrics = running.contexts['slow'].metrics.render().decode()
             assert 'reason="in doubt"' not in metrics
 
-    serving.run(scenario)
+    with endpoint_process.running(ENDPOINTS, 0.5, LINK_MBPS) as entries:
+        serving.run(scenario)
