soak: tasks that crash endpoints; plants for two faults of the incident

About one job in a hundred now has one, drawn by the job's id, so that the seeds keep their faults. The oracle counts its starts by the users' rule (BUDGET: three more after three crashes), lets such a job fail and nothing else, and wants it to end in time.

--- a/tests/platform/soak/__main__.py
+++ b/tests/platform/soak/__main__.py
@@ -105,6 +105,7 @@
             'jobs': len(jobs),
             'accepted': sum(job.accepted_at is not None for job in jobs),
             'refused': sum(job.refused for job in jobs),
+            'deadly': sum(job.deadly for job in jobs),
             'starts': checker.starts,
             'faults': [done.fault.kind for done in self._injector.done],
         }
--- a/tests/platform/soak/callers.py
+++ b/tests/platform/soak/callers.py
@@ -11,12 +11,14 @@
 from hibiscusslip.http import exceptions
 from tests.platform import cell as samples
 from tests.platform.soak import cell as cells
+from tests.platform.soak import layout
 
 CALLER_TIMEOUT_S = 3.0
 REFUSED_STATUSES = (429, 503)
 NO_RESPONSE = 0
 NOT_REACHED = -1
 CANCELLED_SHARE = 0.1
+DEADLY_SHARE = 0.01
 SUBMIT_INTERVAL_S = 0.12
 
 
@@ -44,6 +46,7 @@
     job_id: str
     counts: list[int]
     cpus: list[int]
+    deadly: bool = False
     submissions: list[CallResult] = dataclasses.field(default_factory=list)
     queries: list[CallResult] = dataclasses.field(default_factory=list)
     cancellations: list[CallResult] = dataclasses.field(default_factory=list)
@@ -84,6 +87,8 @@
         counts = [rng.randint(1, 4) for _ in range(rng.choice((1, 1, 2)))]
         cpus = [rng.choice((500, 1000, 2000)) for _ in counts]
         job = Job(f'{rng.getrandbits(64):016x}', counts, cpus)
+        # Drawn apart, so that the seeds play the same faults as ever.
+        job.deadly = random.Random(job.job_id).random() < DEADLY_SHARE
         self.jobs[job.job_id] = job
         await self._submit(job)
         if job.accepted_at is None:
@@ -107,8 +112,9 @@
             }
             for number, count in enumerate(job.counts)
         ]
-        duration = rng.choice((0.05, 0.3, 0.8, 2.0))
-        body = json.dumps({'Spec': str(duration), 'Steps': steps}).encode()
+        duration = str(rng.choice((0.05, 0.3, 0.8, 2.0)))
+        spec = layout.DEADLY_SPEC if job.deadly else duration
+        body = json.dumps({'Spec': spec, 'Steps': steps}).encode()
         for _ in range(4):
             result = await self._call('POST', job, body)
             job.submissions.append(result)
--- a/tests/platform/soak/hosted.py
+++ b/tests/platform/soak/hosted.py
@@ -12,6 +12,7 @@
 import typing
 
 from hibiscusslip.dispatch import _planning
+from hibiscusslip.dispatch import crashes
 from hibiscusslip.dispatch import state
 from hibiscusslip.host import __main__ as host_main
 from hibiscusslip.host import endpoint_session
@@ -76,11 +77,25 @@
     _planning._start = first
 
 
+def send_stale_cursor() -> None:
+    """Acknowledge ended runs to endpoints that may have restarted."""
+    state.Endpoint.cursor_to_send = (  # type: ignore
+        lambda self: self.acknowledged_cursor
+    )
+
+
+def never_give_up() -> None:
+    """Start a task again however many endpoints crashed under it."""
+    crashes._is_convicted = lambda task: False
+
+
 BUGS: dict[str, typing.Callable[[], None]] = {
     'lease': no_lease_check,
     'early-note': acknowledge_before_commit,
     'stale-gone': report_unknown_as_missing,
     'run-number': reset_run_number,
+    'stale-cursor': send_stale_cursor,
+    'endless-crashes': never_give_up,
 }
 
 if __name__ == '__main__':
--- a/tests/platform/soak/oracle.py
+++ b/tests/platform/soak/oracle.py
@@ -11,6 +11,7 @@
 
 DONE = 'done'
 FAILED = 'failed'
+CRASHED = 'crashed'
 FINAL = ('completed', 'failed', 'cancelled')
 EXCUSE_MARGIN_S = 3.0  # a fault this close may explain a missing response
 
@@ -31,6 +32,7 @@
         self._done: dict[str, list[tuple[float, int]]]
         self._done = collections.defaultdict(list)
         self._failed: collections.Counter[str] = collections.Counter()
+        self._crashes: collections.Counter[str] = collections.Counter()
         self._acked = {
             (row[2], row[3]) for row in self._rows if row[1] == 'ack'
         }
@@ -53,6 +55,7 @@
                 if how == DONE:
                     self._done[task].append((at, run))
                 self._failed[task] += how == FAILED
+                self._crashes[task] += how == CRASHED and self._is_deadly(task)
             elif event == 'ack':
                 task, run, how = fields
                 acked_failures[task] += how == FAILED
@@ -78,6 +81,8 @@
                 self._add_violation(at, 'TWICE after done', task, run, ended)
         if acked_failures[task] >= layout.MAX_ATTEMPTS:
             self._add_violation(at, 'BUDGET', task, run)
+        if self._crashes[task] >= layout.MAX_CRASHING_STARTS:
+            self._add_violation(at, 'BUDGET crashes', task, run)
         if step and not self._step_done(job, step - 1, at):
             self._add_violation(at, 'ORDER', task, run)
 
@@ -133,8 +138,12 @@
                         result.at, 'LOST: cancelled', job.job_id
                     )
 
+    def _is_deadly(self, task: str) -> bool:
+        job, step, index = self._parse_task(task)
+        return job is not None and job.deadly and (step, index) == (0, 0)
+
     def _may_fail(self, job: callers.Job) -> bool:
-        return any(
+        return job.deadly or any(
             times >= layout.MAX_ATTEMPTS and task.startswith(job.job_id)
             for task, times in self._failed.items()
         )
--- a/tests/platform/soak/platform.py
+++ b/tests/platform/soak/platform.py
@@ -5,6 +5,7 @@
 them. `tests.platform.soak.oracle` checks the ledger.
 """
 
+import collections.abc
 import json
 import random
 import sys
@@ -23,6 +24,7 @@
 
 LATE_START_DELAY_S = (0.5, 4.0)
 FAILING_SHARE = 0.04
+DEADLY_TASK = '.0.0.0'
 SLOW_DELAY_S = 0.3
 
 
@@ -52,13 +54,22 @@
     """Run tasks for as long as their payload says, and record them.
 
     In mode 'late' a start request is handled seconds later and gets no
-    response.
+    response. A deadly task crashes it; it responds to nothing for a while and
+    then calls `on_reboot`.
     """
 
-    def __init__(self, name: str, ledger: Ledger, rng: random.Random) -> None:
+    def __init__(
+        self,
+        name: str,
+        ledger: Ledger,
+        rng: random.Random,
+        on_reboot: collections.abc.Callable[[str], None],
+    ) -> None:
         super().__init__(name)
         self._ledger = ledger
         self._rng = rng
+        self._on_reboot = on_reboot
+        self._down = False
         self._durations: dict[tuple[str, int], float] = {}
         self._highest_runs: dict[str, int] = {}
 
@@ -67,11 +78,21 @@
         late = self.mode == 'late' and req.path.endswith('run-start')
         if late:
             await curio.sleep(self._rng.uniform(*LATE_START_DELAY_S))
-        response = await super().handle(req)
-        if late:
+        was_down = self._down
+        if not was_down:
+            response = await super().handle(req)
+        if self._down and not was_down:
+            await curio.spawn(self._reboot, daemon=True)
+        if late or self._down:
             await curio.sleep(3600)
         return response
 
+    async def _reboot(self) -> None:
+        await curio.sleep(layout.CRASH_DOWN_S)
+        self._down = False
+        self.crash()
+        self._on_reboot(self.name)
+
     def _start(self, body: dict[str, typing.Any]) -> messages.Response:
         key = (body['Task'], body['Run'])
         if key not in self.running and key[1] <= self._highest_runs.get(
@@ -79,12 +100,17 @@
         ):
             return self._refuse('old')
         was_running = key in self.running
-        self.run_s = self._durations[key] = float(body['Spec'])
+        deadly = body['Spec'] == layout.DEADLY_SPEC
+        self.run_s = 0.3 if deadly else float(body['Spec'])
+        self._durations[key] = self.run_s
         response = super()._start(body)
         self._shorten_lease()
         if key in self.running and not was_running:
             now = time.monotonic()
             self._ledger.add(now, 'start', self.name, *key)
+            if deadly and key[0].endswith(DEADLY_TASK):
+                self._down = True
+                self._end_all('crashed')
         return response
 
     async def _hold(self, body: dict[str, typing.Any]) -> messages.Response:
@@ -126,11 +152,14 @@
             )
         super()._end(key, how)
 
+    def _end_all(self, how: str) -> None:
+        for key in list(self.running):
+            self._end(key, how)
+
     def crash(self) -> None:
         """Restart as a new incarnation with the same name and no state."""
         self._advance()
-        for key in list(self.running):
-            self._end(key, 'crashed')
+        self._end_all('crashed')
         self.ended = []
         self.last_number = 0
         self.fence = 0
@@ -153,7 +182,10 @@
         self.store = Store()
         rng = random.Random(seed)
         names = [f'e{number}' for number in range(layout.ENDPOINTS)]
-        self.endpoints = {n: Endpoint(n, self.ledger, rng) for n in names}
+        self.endpoints = {
+            name: Endpoint(name, self.ledger, rng, self._list_ready)
+            for name in names
+        }
         self._addresses: dict[str, str] = {}
         self._sequence = 1
 
@@ -216,6 +248,9 @@
             for task, _ in endpoint.running
         ]
 
+    def _list_ready(self, name: str) -> None:
+        self._write_entry(name, 'ready')
+
     def _write_entry(self, name: str, state: str) -> None:
         self._sequence += 1
         entry = self.endpoints[name].entry(
