--- a/hibiscusslip/dispatch/engine.py
+++ b/hibiscusslip/dispatch/engine.py
@@ -6,6 +6,7 @@
 from hibiscusslip.dispatch import _draining
 from hibiscusslip.dispatch import _headroom
 from hibiscusslip.dispatch import _lost_runs
+from hibiscusslip.dispatch import _occurrences
 from hibiscusslip.dispatch import _pacing
 from hibiscusslip.dispatch import _planning
 from hibiscusslip.dispatch import _reports
@@ -19,9 +20,6 @@
 from hibiscusslip.dispatch import records
 from hibiscusslip.dispatch import state
 
-# Of a periodic job whose occurrences are due faster than they are completed.
-MAX_OPEN_TASKS = 5_000
-
 Note = collections.abc.Callable[..., None]
 
 
@@ -29,10 +27,6 @@
     return None
 
 
-def _count_open_tasks(job: state.Job) -> int:
-    return sum(len(step.tasks) - step.done_count for step in job.steps())
-
-
 class Engine:
     """Track an owner's jobs and endpoints, and decide what runs where.
 
@@ -106,30 +100,18 @@
         self, job: state.Job, number: int, now: float
     ) -> None:
         """Create the steps and tasks of one occurrence."""
-        steps = []
-        for place, spec in enumerate(job.spec.steps):
-            step = state.StepState(job, number, place, spec)
-            step.waiting_since = now
-            for index in range(spec.count):
-                name = model.task_name(job.job_id, number, place, index)
-                step.tasks.append(state.Task(name, step, index))
-            steps.append(step)
+        for step in _occurrences.create(job, number, now):
             self.active_steps[step.name] = step
-        job.occurrences[number] = steps
 
     def create_due_occurrences(self, now: float, wall_time: float) -> None:
         """Create the occurrences that are due."""
         for job in list(self.periodic_jobs.values()):
-            spec = job.spec
-            while len(job.occurrences) < spec.times:
-                number = len(job.occurrences)
-                if wall_time < spec.first_due + number * spec.interval:
-                    break
-                if _count_open_tasks(job) >= MAX_OPEN_TASKS:
-                    break
+            number = _occurrences.next_due(job, wall_time)
+            while number is not None:
                 self.create_occurrence(job, number, now)
                 self.dirty.add(job.job_id)
-            if len(job.occurrences) >= spec.times:
+                number = _occurrences.next_due(job, wall_time)
+            if len(job.occurrences) >= job.spec.times:
                 self.periodic_jobs.pop(job.job_id, None)
 
     def cancel(self, job_id: str, now: float) -> bool:
