dispatch: expect the longest lease where another clock or owner granted it

The owner, which noticed the restart, counted from its next poll on. - At its first poll a new owner forgot how long the leases of the former one may last; its own, shorter lease doesn't shorten them.

Both tests fail before: the run is given up after 5.4 s with leases of 10 s.

Change: after a restart, and at the first poll, leases are expected to last for the longest that endpoints grant, or for as long as the former owner told.

--- a/hibiscusslip/dispatch/_reports.py
+++ b/hibiscusslip/dispatch/_reports.py
@@ -27,8 +27,14 @@
     """Apply the report of a poll that was sent at `sent`."""
     if endpoint.born and report.born != endpoint.born:
         _lost_runs.handle_restart(engine, endpoint, report, now)
+        endpoint.inherited_leases_until = _longest_lease_end(engine, now)
+    elif not endpoint.polled:
+        endpoint.inherited_leases_until = min(
+            endpoint.inherited_leases_until, _longest_lease_end(engine, now)
+        )
+    if not report.running:
+        endpoint.inherited_leases_until = 0.0
     crashes.take_lapsed(endpoint)
-    first = not endpoint.polled
     endpoint.polled = True
     endpoint.born = report.born
     endpoint.silent = False
@@ -41,8 +47,16 @@
     _handle_ended_runs(engine, endpoint, report, now)
     listed = _handle_running(engine, endpoint, report, now)
     _lost_runs.abandon_missing(engine, endpoint, report, listed, sent, now)
-    if first:
-        endpoint.inherited_leases_until = 0.0
+
+
+def _longest_lease_end(engine: 'engines.Engine', now: float) -> float:
+    """Return by when leases that are held now have expired.
+
+    The endpoint may have got them from a former owner, or by starts that told
+    their end on the clock of a former incarnation.
+    """
+    longest = engine.max_lease + state.LAPSE_SLACK_S
+    return now + longest / state.MIN_CLOCK_RATE
 
 
 def _handle_ended_runs(
--- a/hibiscusslip/dispatch/engine.py
+++ b/hibiscusslip/dispatch/engine.py
@@ -36,18 +36,24 @@
     of its job is written. In all methods `now` is the host's monotonic clock
     and `wall_time` a Unix time.
 
-    `lease` is the length of a lease in seconds. `active_steps` are the steps
-    with unfinished tasks, `periodic_jobs` the jobs with occurrences to come.
-    `adviser_count` is the number of hosts that call the advice service,
-    `long_calls` the number of pending long calls, `short_calls_cost` the
-    expected duration of all pending short calls, in seconds.
-    `eligible_shares` are what was learned of the advice, by queue.
-    `withheld_names` are the endpoints whose leases may not be extended,
-    `recent_losses` those that crashed lately.
+    `lease` is the length of a lease in seconds, `max_lease` that of the
+    longest that endpoints grant. `active_steps` are the steps with unfinished
+    tasks, `periodic_jobs` the jobs with occurrences to come. `adviser_count`
+    is the number of hosts that call the advice service, `long_calls` the
+    number of pending long calls, `short_calls_cost` the expected duration of
+    all pending short calls, in seconds. `eligible_shares` are what was learned
+    of the advice, by queue. `withheld_names` are the endpoints whose leases
+    may not be extended, `recent_losses` those that crashed lately.
     """
 
-    def __init__(self, lease: float, note: Note = _ignore) -> None:
+    def __init__(
+        self,
+        lease: float,
+        note: Note = _ignore,
+        max_lease: float | None = None,
+    ) -> None:
         self.lease = lease
+        self.max_lease = lease if max_lease is None else max_lease
         self.note = note
         self.jobs: dict[str, state.Job] = {}
         self.endpoints: dict[str, state.Endpoint] = {}
--- a/hibiscusslip/dispatch/state.py
+++ b/hibiscusslip/dispatch/state.py
@@ -265,17 +265,17 @@
     False until its first report. `clock` is the endpoint's clock as of
     `clock_read_at`. `leased_until` is the latest end of a lease or start
     request sent to it, on its clock; `inherited_leases_until` is, on the
-    host's clock, the latest end of a lease that a former owner may have
-    granted. `handled_cursor` is the number of the last ended run that was
-    handled, `acknowledged_cursor` that of the last whose record is written.
-    It `may_have_restarted` since its last report if a call went unanswered or
-    its clock went back.
-    `last_response_at` is when it last answered a call, `suspected_at` when a
-    call first went unanswered after that, 0 for none. It is `silent` once
-    several calls went unanswered. While `withheld` no lease may be granted
-    there. `lapsed` are the runs that were given up while it was silent,
-    `trials` the runs beside which no other job may start any. The last start
-    there was decided at `last_start_at`, for the job `last_start_job`.
+    host's clock, the latest end of a lease that a former owner, or this one to
+    a former incarnation, may have granted. `handled_cursor` is the number of
+    the last ended run that was handled, `acknowledged_cursor` that of the last
+    whose record is written. It `may_have_restarted` since its last report if a
+    call went unanswered or its clock went back. `last_response_at` is when it
+    last answered a call, `suspected_at` when a call first went unanswered
+    after that, 0 for none. It is `silent` once several calls went unanswered.
+    While `withheld` no lease may be granted there. `lapsed` are the runs that
+    were given up while it was silent, `trials` the runs beside which no other
+    job may start any. The last start there was decided at `last_start_at`, for
+    the job `last_start_job`.
     """
 
     name: str
--- a/hibiscusslip/host/owner.py
+++ b/hibiscusslip/host/owner.py
@@ -83,8 +83,9 @@
         self._early_cancels: dict[str, bool] = {}
 
     def _new_engine(self) -> engines.Engine:
-        lease = lease_timing.usual_lease(self.ctx.cfg.bounds.max_lease)
-        return engines.Engine(lease, self._note)
+        max_lease = self.ctx.cfg.bounds.max_lease
+        lease = lease_timing.usual_lease(max_lease)
+        return engines.Engine(lease, self._note, max_lease)
 
     def _note(self, event: str, **fields: typing.Any) -> None:
         """Log an event of the engine, and count the rare ones."""
--- a/tests/dispatch/support.py
+++ b/tests/dispatch/support.py
@@ -44,9 +44,9 @@
     Records count as written after each scheduling pass.
     """
 
-    def __init__(self, *queues, lease=5.0):
+    def __init__(self, *queues, lease=5.0, max_lease=None):
         self.notes = []
-        self.engine = engines.Engine(lease, self.note)
+        self.engine = engines.Engine(lease, self.note, max_lease)
         self.engine.config = config(*(queues or (queue(),)))
         self.now = 100.0
         self.ended_numbers = {}
--- a/tests/dispatch/test_unknown_outcomes.py
+++ b/tests/dispatch/test_unknown_outcomes.py
@@ -89,6 +89,39 @@
     assert [s.run for s in bench.plan()] == [2]
 
 
+def test_run_of_a_new_incarnation_may_hold_the_longest_lease():
+    """Its start told the end of its lease by the former, later clock."""
+    bench = support.Bench(lease=5.0, max_lease=10.0)
+    start = start_on_e1(bench)
+    bench.confirm([start])
+    bench.report('e1', running=[bench.running_run(start)], born=2.0)
+    bench.engine.mark_unresponsive('e1')
+    bench.now += 9.9
+    bench.plan()
+    assert not bench.events('run_lost')
+    bench.now += 1.0
+    bench.plan()
+    assert bench.events('run_lost')
+
+
+def test_lease_of_a_former_owner_outlasts_the_first_poll():
+    """A shorter lease of the new owner doesn't shorten it."""
+    bench = support.Bench(lease=5.0, max_lease=10.0)
+    start = start_on_e1(bench)
+    endpoint = bench.engine.endpoints['e1']
+    endpoint.allocations[(start.task.name, 1)].recovered = True
+    endpoint.polled = False
+    endpoint.inherited_leases_until = bench.now + 20.0
+    bench.report('e1', running=[bench.running_run(start)])
+    bench.engine.mark_unresponsive('e1')
+    bench.now += 9.9
+    bench.plan()
+    assert not bench.events('run_lost')
+    bench.now += 1.0
+    bench.plan()
+    assert bench.events('run_lost')
+
+
 def test_failed_run_of_a_new_incarnation_counts_as_an_attempt():
     """The report that shows the restart lists the end of a run since it."""
     bench = support.Bench(support.queue(max_attempts=1))
