records: leave completed occurrences out of a record that is too large

Now such a record names the occurrences whose tasks are all done by their first and last numbers only. A record that fits is written as before, so that hosts of the former release read it.

Both new tests fail before: the writer fails the job; `encode_job` has no compact form.

A task that is restored from a range counts as started, else the next record would leave it out and the owner after next start it again; the round trip over two records in the test fails without that.

--- a/hibiscusslip/dispatch/records.py
+++ b/hibiscusslip/dispatch/records.py
@@ -80,6 +80,8 @@
 
     Of several records of a job the newest is the one with the highest
     `epoch`, then `number`. An owner numbers the records that it writes.
+    `completed` are the first and last numbers of occurrences whose tasks are
+    all done, and which have no other rows.
     """
 
     state: str
@@ -91,6 +93,19 @@
     endpoints: list[EndpointRow] = []
     crashes: list[CrashRow] = []
     losses: list[LossRow] = []
+    completed: list[tuple[int, int]] = []
+
+    def occurrence_numbers(self) -> list[int]:
+        """Return the numbers of all occurrences, completed ones too."""
+        return [*self.occurrences, *self.completed_numbers()]
+
+    def completed_numbers(self) -> list[int]:
+        """Return the numbers of the occurrences that have no rows."""
+        return [
+            number
+            for first, last in self.completed
+            for number in range(first, last + 1)
+        ]
 
 
 class Unreadable(ValueError):
@@ -107,11 +122,17 @@
     return _decode(data, Submission)
 
 
-def encode_job(job: state.Job, epoch: int = 0, number: int = 0) -> bytes:
+def encode_job(
+    job: state.Job, epoch: int = 0, number: int = 0, *, compact: bool = False
+) -> bytes:
     """Return the record of a job's progress.
 
-    For a final job it contains no tasks and steps.
+    For a final job it contains no tasks and steps. If it is `compact`, the
+    occurrences that are complete have no rows; releases before this one would
+    take these for new.
     """
+    completed = _completed_numbers(job) if compact else []
+    left_out = set(completed)
     tasks: list[TaskRow] = []
     steps: list[StepRow] = []
     crashes: list[CrashRow] = []
@@ -119,6 +140,8 @@
     endpoints: dict[str, EndpointRow] = {}
     if not job.state.final:
         for step in job.steps():
+            if step.occurrence in left_out:
+                continue
             tasks.extend(_task_rows(step))
             if step.failures or step.checkpoint:
                 steps.append(_step_row(step))
@@ -133,16 +156,36 @@
         job.state.value,
         tasks,
         steps,
-        list(job.occurrences),
+        [n for n in job.occurrences if n not in left_out],
         epoch,
         number,
         list(endpoints.values()),
         crashes,
         losses,
+        _ranges(completed),
     )
     return msgspec.msgpack.encode(row)
 
 
+def _completed_numbers(job: state.Job) -> list[int]:
+    return [
+        number
+        for number, steps in job.occurrences.items()
+        if all(step.complete for step in steps)
+    ]
+
+
+def _ranges(numbers: list[int]) -> list[tuple[int, int]]:
+    """Return the first and last number of each range without gaps."""
+    ranges: list[tuple[int, int]] = []
+    for number in sorted(numbers):
+        if ranges and ranges[-1][1] == number - 1:
+            ranges[-1] = (ranges[-1][0], number)
+        else:
+            ranges.append((number, number))
+    return ranges
+
+
 def _task_rows(step: state.StepState) -> list[TaskRow]:
     return [
         TaskRow(
@@ -226,6 +269,10 @@
     """
     job.state = model.JobState(row.state)
     job.durable_state = job.state
+    for number in row.completed_numbers():
+        for step in job.occurrences[number]:
+            _mark_complete(step)
+        job.has_started = True
     for step_row in row.steps:
         step = job.occurrences[step_row.occurrence][step_row.step]
         step.failures = step_row.failures
@@ -255,6 +302,13 @@
         )
 
 
+def _mark_complete(step: state.StepState) -> None:
+    for task in step.tasks:
+        task.status = state.Status.DONE
+        task.run = 1  # only tasks that were started get a row
+    step.done_count = len(step.tasks)
+
+
 def _restore_task(
     step: state.StepState, row: TaskRow, endpoint: EndpointRow | None
 ) -> None:
--- a/hibiscusslip/host/recovery.py
+++ b/hibiscusslip/host/recovery.py
@@ -179,7 +179,7 @@
             continue
         try:
             row = records.decode_job(value)
-            for number in row.occurrences:
+            for number in row.occurrence_numbers():
                 if number not in job.occurrences:
                     engine.create_occurrence(job, number, now)
             records.restore(job, row)
--- a/hibiscusslip/host/writer.py
+++ b/hibiscusslip/host/writer.py
@@ -140,6 +140,8 @@
                 continue
             self._number += 1
             record = self._encode_job(job)
+            if len(record) > MAX_RECORD_BYTES:
+                record = self._encode_job(job, compact=True)
             if len(record) > MAX_RECORD_BYTES:
                 # Otherwise no other job's record would be written either.
                 self._ctx.log.note(
@@ -151,8 +153,10 @@
             batch.append(record)
         return written, batch
 
-    def _encode_job(self, job: state.Job) -> bytes:
-        value = records.encode_job(job, self._epoch, self._number)
+    def _encode_job(self, job: state.Job, *, compact: bool = False) -> bytes:
+        value = records.encode_job(
+            job, self._epoch, self._number, compact=compact
+        )
         return store.encode_keyed(job.job_id, value)
 
     async def _append(self, batch: list[bytes]) -> None:
--- a/tests/dispatch/test_records.py
+++ b/tests/dispatch/test_records.py
@@ -70,6 +70,42 @@
     assert len(records.encode_job(job)) < 40
 
 
+def test_compact_record_of_a_periodic_job_outgrows_no_limit():
+    bench = support.Bench()
+    bench.endpoint('e1', cpu=10**6, memory=10**6)
+    steps = [support.step(), support.step(after=(0,))]
+    job = bench.submit('j', *steps, times=3000, first_due=support.WALL_TIME)
+    for _ in range(4):
+        for start in bench.plan():
+            bench.end(start)
+    open_tasks = [s for s in job.steps() if not s.complete]
+    assert len(job.occurrences) > 1000 and open_tasks
+    row = records.decode_job(records.encode_job(job, compact=True))
+    assert row.completed and len(row.tasks) < 2 * len(open_tasks)
+    copy = restored_periodic(job, row)
+    second = records.decode_job(records.encode_job(copy))
+    assert states_of(copy) == states_of(job)
+    assert states_of(restored_periodic(job, second)) == states_of(job)
+
+
+def restored_periodic(job, row):
+    """Return a periodic job as a new owner restores it from a record."""
+    bench = support.Bench()
+    spec = job.spec
+    copy = bench.submit(
+        'j', *spec.steps, times=spec.times, first_due=spec.first_due
+    )
+    for number in row.occurrence_numbers():
+        if number not in copy.occurrences:
+            bench.engine.create_occurrence(copy, number, bench.now)
+    records.restore(copy, row)
+    return copy
+
+
+def states_of(job):
+    return {task.name: task.status for s in job.steps() for task in s.tasks}
+
+
 @pytest.mark.parametrize('data', [b'', b'\xc1', b'\x93\x01', b'{}'])
 def test_unreadable_records_raise(data):
     with pytest.raises(records.Unreadable):
--- a/tests/host/test_writer.py
+++ b/tests/host/test_writer.py
@@ -4,6 +4,7 @@
 
 from hibiscusslip.dispatch import engine as engines
 from hibiscusslip.dispatch import model
+from hibiscusslip.dispatch import state
 from hibiscusslip.host import writer
 from hibiscusslip.platform import exceptions
 from tests.dispatch import support
@@ -119,6 +120,20 @@
     ]
 
 
+def write_all(ctx, engine):
+    """Write the records of all jobs that have changed."""
+
+    async def scenario():
+        owner_writer = writer.Writer(
+            ctx, engine, 1, lambda starts: curio.sleep(0)
+        )
+        writer_task = await curio.spawn(owner_writer.run, daemon=True)
+        await owner_writer.flush(2.0)
+        await writer_task.cancel()
+
+    curio.run(scenario)
+
+
 def test_job_whose_record_is_too_large_stops_all_other_jobs():
     fake_store = fakes.FakeStore()
     ctx = fakes.make_context(fake_store)
@@ -132,17 +147,30 @@
     for task in large.occurrences[0][0].tasks:
         task.checkpoint = '0123456789abcdef'
     assert endpoint.allocations
-
-    async def write_all():
-        owner_writer = writer.Writer(
-            ctx, bench.engine, 1, lambda starts: curio.sleep(0)
-        )
-        writer_task = await curio.spawn(owner_writer.run, daemon=True)
-        await owner_writer.flush(2.0)
-        await writer_task.cancel()
-
-    curio.run(write_all)
+    write_all(ctx, bench.engine)
     sizes = [len(record) for _, record in fake_store.records]
     assert max(sizes) <= 262_144  # the largest record of the store
     assert large.durable_state is model.JobState.FAILED
     assert 'small' in fake_store.keys()
+
+
+def test_periodic_job_isnt_given_up_for_its_completed_occurrences():
+    fake_store = fakes.FakeStore()
+    ctx = fakes.make_context(fake_store)
+    ctx.ownership.record_claim(1, 0.0)
+    bench = support.Bench()
+    due = support.WALL_TIME
+    job = bench.submit('j', support.step(5000), times=3, first_due=due)
+    (step,) = job.occurrences[0]
+    for task in step.tasks:
+        task.run, task.status = 1, state.Status.DONE
+        task.checkpoint = 'x' * 80
+    step.done_count = len(step.tasks)
+    bench.engine.plan(bench.now, due)
+    write_all(ctx, bench.engine)
+    assert len(job.occurrences) > 1
+    assert not job.state.final
+    assert fake_store.keys() == ['j']
+    assert not job.state.final
+    assert fake_store.keys() == ['j']
+    assert max(len(record) for _, record in fake_store.records) <= 262_144
