tests: restarts that no poll sees, in random cells; stalls of the soak's rig

- The cells in virtual time forget ends by the cursor that the owner sends, as the platform does, restart idle machines unseen under a lost poll, and check that no task starts beside itself or after its acknowledged end.
- The soak's stand-in records when it didn't run.

--- a/tests/dispatch/test_crashing_tasks.py
+++ b/tests/dispatch/test_crashing_tasks.py
@@ -205,3 +205,16 @@
     bench.now += crashes.TRIAL_HOLD_S
     bench.plan()
     assert not endpoint.allocations
+
+
+def test_task_done_on_an_unseen_incarnation_is_started_again():
+    """The poll after the lost one must not acknowledge by old numbers."""
+    cell = crashing_cell.Cell(machines=1, zones=1, run_s=0.3)
+    cell.submit('before', support.step(3))
+    cell.run(1.0)
+    cell.restart_unseen(cell.machines[0])
+    cell.submit('j', support.step(1))
+    cell.run(4.0)
+    assert cell.state('j') is model.JobState.COMPLETED
+    assert cell.runs_of('j.0.0.0') == [1]
+    assert not cell.twice
--- a/tests/dispatch/test_random_crashes.py
+++ b/tests/dispatch/test_random_crashes.py
@@ -85,6 +85,10 @@
             self.cell.leave(machine)
         elif draw < 0.14:
             self.cell.resize(machine, rng.choice([2000, 5000, 8000]))
+        elif draw < 0.30 and not machine.running:
+            # Else a run may be lost three times by chance, and given up.
+            if machine.crashed_at is None:
+                self.cell.restart_unseen(machine)
 
     def unfinished(self):
         """Return the jobs that could be done and haven't been."""
@@ -107,6 +111,7 @@
     cell = scenario.cell
     assert not scenario.unfinished()
     assert not cell.over_capacity
+    assert not cell.twice
     for job_id, task in scenario.deadly.items():
         assert cell.state(job_id) is model.JobState.FAILED
         assert len(cell.runs_of(task)) <= MAX_STARTS
--- a/tests/platform/soak/oracle.py
+++ b/tests/platform/soak/oracle.py
@@ -37,6 +37,7 @@
             (row[2], row[3]) for row in self._rows if row[1] == 'ack'
         }
         self.starts = 0
+        self.longest_stall_s = 0.0
 
     def check_runs(self) -> None:
         """Check the ledger: capacity, duplicate runs, step order, attempts."""
@@ -59,6 +60,8 @@
             elif event == 'ack':
                 task, run, how = fields
                 acked_failures[task] += how == FAILED
+            elif event == 'stall':
+                self.longest_stall_s = max(self.longest_stall_s, *fields)
 
     def _check_start(
         self,
--- a/tests/platform/soak/platform.py
+++ b/tests/platform/soak/platform.py
@@ -26,6 +26,8 @@
 FAILING_SHARE = 0.04
 DEADLY_TASK = '.0.0.0'
 SLOW_DELAY_S = 0.3
+WATCH_INTERVAL_S = 0.1
+MIN_STALL_S = 0.5
 
 
 class Ledger:
@@ -259,9 +261,21 @@
         self.store.put('keyed.servers', name, entry)
 
 
+async def record_stalls(ledger: Ledger) -> None:
+    """Record when this process didn't run: it then answered nobody."""
+    while True:
+        began = time.monotonic()
+        await curio.sleep(WATCH_INTERVAL_S)
+        now = time.monotonic()
+        stalled = now - began - WATCH_INTERVAL_S
+        if stalled >= MIN_STALL_S:
+            ledger.add(now, 'stall', round(stalled, 3))
+
+
 async def serve(seed: int, path: str) -> None:
     """Serve until killed."""
     control = Control(seed, path)
+    await curio.spawn(record_stalls, control.ledger, daemon=True)
     handlers = {'control': control, 'store': control.store}
     handlers |= control.endpoints
     ports = {}
