--- a/tests/platform/soak/platform.py
+++ b/tests/platform/soak/platform.py
@@ -72,18 +72,22 @@
         self._rng = rng
         self._on_reboot = on_reboot
         self._down = False
+        self._crashing = False
         self._durations: dict[tuple[str, int], float] = {}
         self._highest_runs: dict[str, int] = {}
 
     async def handle(self, req: messages.Request) -> messages.Response:
-        """Handle a request; in mode 'late' delay a start and never respond."""
+        """Handle a request, unless the endpoint is down.
+
+        In mode 'late' delay a start and never respond.
+        """
         late = self.mode == 'late' and req.path.endswith('run-start')
         if late:
             await curio.sleep(self._rng.uniform(*LATE_START_DELAY_S))
-        was_down = self._down
-        if not was_down:
+        if not self._down:
             response = await super().handle(req)
-        if self._down and not was_down:
+        if self._crashing:
+            self._crashing = False
             await curio.spawn(self._reboot, daemon=True)
         if late or self._down:
             await curio.sleep(3600)
@@ -111,7 +115,7 @@
             now = time.monotonic()
             self._ledger.add(now, 'start', self.name, *key)
             if deadly and key[0].endswith(DEADLY_TASK):
-                self._down = True
+                self._down = self._crashing = True
                 self._end_all('crashed')
         return response
 
