soak: drop late start requests that a crashed endpoint had read

One ran at 3781.280 and was done and acknowledged. A deadly task crashed e0 at 3781.633. The incarnation after it carried out another copy at 3783.532, which the crashed one had read.

Such a request can't outlive the process that read it; the stand-in now drops it. The check is as before. A copy that is still under way in the network when an endpoint restarts under its id is another matter: no field of a start tells it from a new one (its fence is the same, its deadline is on the former clock), so an owner can only wait, as it does for starts without an answer.

--- a/tests/platform/soak/platform.py
+++ b/tests/platform/soak/platform.py
@@ -83,7 +83,10 @@
         """
         late = self.mode == 'late' and req.path.endswith('run-start')
         if late:
+            born = self.born
             await curio.sleep(self._rng.uniform(*LATE_START_DELAY_S))
+            if born != self.born:  # what a process has read dies with it
+                await curio.sleep(3600)
         if not self._down:
             response = await super().handle(req)
         if self._crashing:
