--- a/hibiscusslip/dispatch/engine.py
+++ b/hibiscusslip/dispatch/engine.py
@@ -17,6 +17,7 @@
 from hibiscusslip.dispatch import crashes
 from hibiscusslip.dispatch import estimates
 from hibiscusslip.dispatch import model
+from hibiscusslip.dispatch import policy as policies
 from hibiscusslip.dispatch import records
 from hibiscusslip.dispatch import state
 
@@ -36,12 +37,13 @@
     of its job is written. In all methods `now` is the host's monotonic clock
     and `wall_time` a Unix time.
 
-    `lease` is the length of a lease in seconds, `max_lease` that of the
-    longest that endpoints grant. `active_steps` are the steps with unfinished
-    tasks, `periodic_jobs` the jobs with occurrences to come. `adviser_count`
-    is the number of hosts that call the advice service, `long_calls` the
-    number of pending long calls, `short_calls_cost` the expected duration of
-    all pending short calls, in seconds. `eligible_shares` are what was learned
+    `policy` says which optional decisions are made. `lease` is the length of
+    a lease in seconds, `max_lease` that of the longest that endpoints grant.
+    `active_steps` are the steps with unfinished tasks, `periodic_jobs` the
+    jobs with occurrences to come. `adviser_count` is the number of hosts that
+    call the advice service, `long_calls` the number of pending long calls,
+    `short_calls_cost` the expected duration of all pending short calls, in
+    seconds. `eligible_shares` are what was learned
     of the advice, by queue. `withheld_names` are the endpoints whose leases
     may not be extended, `recent_losses` those that crashed lately.
     """
@@ -51,8 +53,10 @@
         lease: float,
         note: Note = _ignore,
         max_lease: float | None = None,
+        policy: policies.Policy = policies.Policy(),
     ) -> None:
         self.lease = lease
+        self.policy = policy
         self.max_lease = lease if max_lease is None else max_lease
         self.note = note
         self.jobs: dict[str, state.Job] = {}
@@ -92,7 +96,12 @@
         if known is not None:
             return known
         job = state.Job(
-            job_id, submission.queue, submission.service, spec, now
+            job_id,
+            submission.queue,
+            submission.service,
+            spec,
+            now,
+            organisation=submission.organisation,
         )
         self.jobs[job_id] = job
         if spec.times:
--- a/hibiscusslip/dispatch/estimates.py
+++ b/hibiscusslip/dispatch/estimates.py
@@ -24,6 +24,20 @@
     useful_until: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Expectation:
+    """The expected run time of a task on an endpoint of ordinary speed.
+
+    `median` and `high`, a high quantile, are in seconds. They derive from
+    `runs` finished runs of the group that `source` names.
+    """
+
+    median: float
+    high: float
+    runs: int
+    source: str
+
+
 class Estimates:
     """Estimate run times by each queue's ratio of actual to declared ones."""
 
@@ -41,6 +55,11 @@
         """Return the expected run time of a step's tasks, in seconds."""
         return step.spec.estimate * self._ratios.get(step.job.queue, 1.0)
 
+    def expect(self, step: state.StepState) -> Expectation:
+        """Return the expected run time of a step's tasks."""
+        run_time = self.run_time(step)
+        return Expectation(run_time, run_time, 0, 'declared')
+
     def critical_path(self, job: state.Job, start: int = 0) -> float:
         """Return the length of the critical path from a step on, in seconds.
 
--- a/hibiscusslip/dispatch/model.py
+++ b/hibiscusslip/dispatch/model.py
@@ -127,7 +127,7 @@
     """Configure a queue; priority 0 is the most urgent.
 
     A job is on time if it completes within `stretch` times its critical path
-    plus `target_latency`.
+    plus `target_latency`. The callers of a `public` queue need no key.
     """
 
     name: str
@@ -139,6 +139,23 @@
     max_attempts: int = 1
     stretch: float = 1.0
     advice: Advice | None = None
+    public: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Organisation:
+    """Configure an organisation, whose callers share one limit.
+
+    It is entitled to `weight` jobs a second, and to a share of the capacity
+    in proportion to its weight when there isn't enough for all. `limit` is
+    what it may have running over all services; an amount of 0 is no limit.
+    `key_digests` are the SHA-256 digests of its callers' keys.
+    """
+
+    name: str
+    weight: float = 1.0
+    limit: Demand = Demand()
+    key_digests: frozenset[bytes] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -157,12 +174,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Configuration:
-    """Represent one version of the operator's configuration."""
+    """Represent one version of the operator's configuration.
+
+    `organisations` is None if the deployment has none: then callers need no
+    keys, and nothing limits what they have running.
+    """
 
     version: int
     queues: dict[str, Queue]
     services: dict[str, Service]
     max_body_bytes: int = 262144
+    organisations: dict[str, Organisation] | None = None
 
     def find_queue(self, host: str, path: str) -> Queue | None:
         """Return the queue whose prefix is the longest match for `path`.
--- /dev/null
+++ b/hibiscusslip/dispatch/policy.py
@@ -0,0 +1,17 @@
+"""Choose which optional decisions a deployment's engine makes."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Policy:
+    """Switch optional decisions on; by default all of them are off.
+
+    With `learned_run_times` expected run times come from finished runs, with
+    `endpoint_speeds` placement considers how fast an endpoint is, and with
+    `copies` a second run of a straggler is started if its step allows that.
+    """
+
+    learned_run_times: bool = False
+    endpoint_speeds: bool = False
+    copies: bool = False
--- a/hibiscusslip/dispatch/records.py
+++ b/hibiscusslip/dispatch/records.py
@@ -12,12 +12,14 @@
     """The record of an accepted job, which is written once.
 
     `accepted` is a Unix time by the clock of the host that accepted it.
+    `organisation` is the one that submitted the job, '' for none.
     """
 
     queue: str
     service: str
     accepted: float
     body: bytes
+    organisation: str = ''
 
 
 class TaskRow(msgspec.Struct, array_like=True):
--- a/hibiscusslip/dispatch/state.py
+++ b/hibiscusslip/dispatch/state.py
@@ -167,7 +167,9 @@
 
     `durable_state` is the state that has been written to the store; callers
     are told of no other final state. `zone` is the zone in which a task of
-    the job was started last.
+    the job was started last. `organisation` is the one that submitted it, ''
+    for none; `within_entitlement` is False if it had submitted more jobs than
+    it is entitled to.
     """
 
     job_id: str
@@ -183,6 +185,8 @@
     final_at: float = 0.0
     has_started: bool = False
     zone: str = ''
+    organisation: str = ''
+    within_entitlement: bool = True
 
     def steps(self) -> list[StepState]:
         """Return the steps of all occurrences that are due."""
--- a/hibiscusslip/host/__main__.py
+++ b/hibiscusslip/host/__main__.py
@@ -7,8 +7,10 @@
 
 import curio
 
+from hibiscusslip.dispatch import policy as policies
 from hibiscusslip.host import context
 from hibiscusslip.host import host
+from hibiscusslip.host import options
 from hibiscusslip.host import ownership
 from hibiscusslip.http import uplink as uplinks
 from hibiscusslip.observe import events
@@ -29,16 +31,19 @@
     secret = os.environ.get(SECRET_VARIABLE, '').encode()
     try:
         cfg = settings.load(path)
-    except exceptions.SettingsInvalid as exc:
+        policy = options.read_policy(os.environ)
+    except (exceptions.SettingsInvalid, options.OptionInvalid) as exc:
         print(exc, file=sys.stderr)
         return EXIT_SETTINGS
     logs.configure('WARNING', True, cfg.name)
-    ctx = make_context(cfg)
+    ctx = make_context(cfg, policy)
     curio.run(host.Host(ctx, secret, path).run)
     return 0 if ctx.stopping else EXIT_LOOP_ENDED
 
 
-def make_context(cfg: settings.HostSettings) -> context.Context:
+def make_context(
+    cfg: settings.HostSettings, policy: policies.Policy = policies.Policy()
+) -> context.Context:
     """Return the context that the parts of a host share."""
     incarnation = secrets.token_hex(4)
     tie_break = zlib.crc32(cfg.name.encode()) / 2**32
@@ -55,6 +60,7 @@
         ownership=ownership.Ownership(
             cfg.name, incarnation, host_strength, tie_break
         ),
+        policy=policy,
     )
 
 
--- a/hibiscusslip/host/context.py
+++ b/hibiscusslip/host/context.py
@@ -4,6 +4,7 @@
 import time
 
 from hibiscusslip.dispatch import model
+from hibiscusslip.dispatch import policy as policies
 from hibiscusslip.host import notices
 from hibiscusslip.host import ownership
 from hibiscusslip.host import repeat_policy
@@ -29,7 +30,7 @@
     `unready_probes` counts the readiness probes that have failed in a row. A
     host that is `leaving` fails its readiness probes, so that it gets no new
     connections, and claims no ownership; one that is `stopping` releases the
-    ownership.
+    ownership. `policy` says which optional decisions its owner makes.
     """
 
     cfg: settings.HostSettings
@@ -53,6 +54,7 @@
     unready_probes: int = 0
     leaving: bool = False
     stopping: bool = False
+    policy: policies.Policy = policies.Policy()
 
     def record_store_success(self, now: float) -> None:
         """Record that the store has answered."""
--- a/hibiscusslip/host/owner.py
+++ b/hibiscusslip/host/owner.py
@@ -85,7 +85,7 @@
     def _new_engine(self) -> engines.Engine:
         max_lease = self.ctx.cfg.bounds.max_lease
         lease = lease_timing.usual_lease(max_lease)
-        return engines.Engine(lease, self._note, max_lease)
+        return engines.Engine(lease, self._note, max_lease, self.ctx.policy)
 
     def _note(self, event: str, **fields: typing.Any) -> None:
         """Log an event of the engine, and count the rare ones."""
