Admit callers by the keys of their organisations

The operator's configuration may list organisations with API keys, and mark queues as public. Nothing read either of them, so each caller could use each queue.

The organisation is stored with the accepted job. Without the field Tenants nothing changes.

--- a/hibiscusslip/host/front.py
+++ b/hibiscusslip/host/front.py
@@ -1,10 +1,12 @@
 """Serve callers: accept jobs, return their state, cancel them."""
 
 import abc
+import dataclasses
 import re
 
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import records
+from hibiscusslip.host import access
 from hibiscusslip.host import context
 from hibiscusslip.host import inbox
 from hibiscusslip.host import retry_hints
@@ -37,6 +39,30 @@
     """Raise when the owner can't be queried; retry in a moment."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Call:
+    """A request for a queue that its caller may use.
+
+    `organisation` is the caller's, '' for none.
+    """
+
+    req: messages.Request
+    queue: model.Queue
+    organisation: str
+    started: float
+
+    @property
+    def job_id(self) -> str:
+        """Return the rest of the path, '' for the queue itself."""
+        return self.req.path[len(self.queue.prefix) :]
+
+    @property
+    def deadline(self) -> float:
+        """Return when the caller has to be answered."""
+        timeout = callers.request_timeout(self.req)
+        return self.started + timeout - RESPONSE_RESERVE_S
+
+
 class FrontHandler(server.Handler):
     """Handle callers' requests for jobs and queues."""
 
@@ -49,6 +75,7 @@
         self._ctx = ctx
         self._job_states = job_states
         self._inbox = job_inbox
+        self._gate = access.Gate()
 
     async def handle(self, req: messages.Request) -> messages.Response:
         """Return the response to one request."""
@@ -66,8 +93,16 @@
         queue = config.find_queue(callers.requested_host(req), req.path)
         if queue is None:
             return self._refuse_unknown_queue(req, config, started)
-        job_id = req.path[len(queue.prefix) :]
-        return await self._route(req, queue, job_id, started)
+        decision = self._gate.decide(
+            config,
+            queue,
+            callers.key_digest(req),
+            self._ctx.config_is_current(started),
+        )
+        if decision.verdict is not access.Verdict.ADMITTED:
+            return self._refuse_caller(req, queue, config, decision, started)
+        call = _Call(req, queue, decision.organisation, started)
+        return await self._route(call)
 
     def _refuse_unknown_queue(
         self,
@@ -86,6 +121,28 @@
             return self._unavailable('the configuration may be out of date')
         return callers.queue_not_found()
 
+    def _refuse_caller(
+        self,
+        req: messages.Request,
+        queue: model.Queue,
+        config: model.Configuration,
+        decision: access.Decision,
+        now: float,
+    ) -> messages.Response:
+        """Return a 401, or a 503 if a newer version may have the key."""
+        self._log(
+            'caller_refused',
+            req.path[len(queue.prefix) :][:MAX_LOGGED_PATH_CHARS],
+            queue=queue.name,
+            key_sent=callers.key_digest(req) is not None,
+            verdict=decision.verdict.value,
+            version=config.version,
+            config_age=round(now - self._ctx.config_confirmed_at, 3),
+        )
+        if decision.verdict is access.Verdict.UNDECIDED:
+            return self._unavailable('the configuration may be out of date')
+        return callers.key_refused()
+
     def _record_metrics(
         self, method: str, status: int, started: float
     ) -> None:
@@ -94,24 +151,18 @@
             f'answer_{method.lower()}', context.monotonic() - started
         )
 
-    async def _route(
-        self,
-        req: messages.Request,
-        queue: model.Queue,
-        job_id: str,
-        started: float,
-    ) -> messages.Response:
-        if req.method == 'GET' and not job_id:
-            return callers.queue_size(self._pending_jobs(queue.name))
-        if not JOB_ID.match(job_id):
+    async def _route(self, call: _Call) -> messages.Response:
+        method = call.req.method
+        if method == 'GET' and not call.job_id:
+            return callers.queue_size(self._pending_jobs(call.queue.name))
+        if not JOB_ID.match(call.job_id):
             return callers.bad_request("a job's name has 16 hex digits")
-        deadline = started + callers.request_timeout(req) - RESPONSE_RESERVE_S
-        if req.method == 'POST':
-            return await self._submit(req, queue, job_id, deadline)
-        if req.method == 'GET':
-            return await self._query_state(job_id)
-        if req.method == 'DELETE':
-            return await self._cancel(job_id, deadline)
+        if method == 'POST':
+            return await self._submit(call)
+        if method == 'GET':
+            return await self._query_state(call)
+        if method == 'DELETE':
+            return await self._cancel(call)
         return callers.method_not_allowed()
 
     def _pending_jobs(self, queue: str) -> int:
@@ -119,32 +170,35 @@
         load = owner.loads.get(queue) if owner else None
         return load.pending if load else 0
 
-    async def _submit(
-        self,
-        req: messages.Request,
-        queue: model.Queue,
-        job_id: str,
-        deadline: float,
-    ) -> messages.Response:
+    async def _submit(self, call: _Call) -> messages.Response:
+        body = call.req.body
         try:
-            callers.read_job(req)
+            callers.read_job(call.req)
         except exceptions.JobInvalid as exc:
-            self._log('job_invalid', job_id, error=str(exc)[:200])
+            self._log('job_invalid', call.job_id, error=str(exc)[:200])
             return callers.bad_request(str(exc))
         submission = records.Submission(
-            queue.name, queue.service, context.wall_time(), req.body
+            call.queue.name,
+            call.queue.service,
+            context.wall_time(),
+            body,
+            call.organisation,
         )
         value = records.encode_submission(submission)
-        outcome = await self._inbox.write([(job_id, value)], deadline)
+        outcome = await self._inbox.write(
+            [(call.job_id, value)], call.deadline
+        )
         self._log(
             f'job_{outcome.value}',
-            job_id,
-            queue=queue.name,
-            bytes=len(req.body),
+            call.job_id,
+            queue=call.queue.name,
+            organisation=call.organisation,
+            bytes=len(body),
         )
         return self._respond_to_write(outcome)
 
-    async def _query_state(self, job_id: str) -> messages.Response:
+    async def _query_state(self, call: _Call) -> messages.Response:
+        job_id = call.job_id
         try:
             job_state = await self._job_states.query_job_state(job_id)
         except OwnerUnavailable as exc:
@@ -155,10 +209,10 @@
             return callers.job_not_found()
         return callers.job_state(job_state.value)
 
-    async def _cancel(self, job_id: str, deadline: float) -> messages.Response:
-        key = f'{topics.CANCEL_PREFIX}{job_id}'
-        outcome = await self._inbox.write([(key, b'1')], deadline)
-        self._log(f'cancel_{outcome.value}', job_id)
+    async def _cancel(self, call: _Call) -> messages.Response:
+        key = f'{topics.CANCEL_PREFIX}{call.job_id}'
+        outcome = await self._inbox.write([(key, b'1')], call.deadline)
+        self._log(f'cancel_{outcome.value}', call.job_id)
         return self._respond_to_write(outcome)
 
     def _respond_to_write(self, outcome: inbox.Outcome) -> messages.Response:
--- a/hibiscusslip/platform/callers.py
+++ b/hibiscusslip/platform/callers.py
@@ -20,6 +20,16 @@
     return req.headers.get('host', '').partition(':')[0]
 
 
+def key_digest(req: messages.Request) -> bytes | None:
+    """Return the digest of the caller's key, None if it sends none."""
+    header = req.headers.get('authorization', '')
+    scheme, _, key = header.partition(' ')
+    key = key.strip()
+    if scheme.lower() != 'bearer' or not key:
+        return None
+    return documents.key_digest(key)
+
+
 def request_timeout(req: messages.Request) -> float:
     """Return how long the caller waits for the response, in seconds.
 
@@ -75,6 +85,15 @@
     return _problem(404, 'no such queue; check host and path')
 
 
+def key_refused() -> messages.Response:
+    """Return a 401: the queue needs a key that the configuration has."""
+    response = _problem(
+        401, "the queue needs a valid key; send 'Authorization: Bearer KEY'"
+    )
+    headers = {**response.headers, 'www-authenticate': 'Bearer'}
+    return messages.Response(401, headers, response.body)
+
+
 def job_not_found() -> messages.Response:
     """Return a 410: the job doesn't exist."""
     return _problem(410, 'no such job')
--- a/hibiscusslip/platform/documents.py
+++ b/hibiscusslip/platform/documents.py
@@ -1,5 +1,6 @@
 """Decode the platform's JSON documents into this package's data types."""
 
+import hashlib
 import typing
 
 import msgspec
@@ -76,6 +77,14 @@
     max_attempts: int = 1
     stretch: float = 1.0
     advice: _Advice | None = None
+    public: bool = False
+
+
+class _Organisation(_Document):
+    name: str
+    api_keys: list[str] = []
+    weight: float = 1.0
+    at_most: _Resources | None = None
 
 
 class _Service(_Document):
@@ -94,6 +103,9 @@
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    organisations: list[_Organisation] | None = msgspec.field(
+        name='Tenants', default=None
+    )
 
 
 class _Entry(_Document):
@@ -212,9 +224,38 @@
             for service in config.services
         },
         max_body_bytes=config.limits.max_body_bytes,
+        organisations=_to_organisations(config.organisations),
+    )
+
+
+def _to_organisations(
+    documents: list[_Organisation] | None,
+) -> dict[str, model.Organisation] | None:
+    """Return the organisations, None if the deployment has none."""
+    if documents is None:
+        return None
+    return {
+        document.name: _to_organisation(document) for document in documents
+    }
+
+
+def _to_organisation(document: _Organisation) -> model.Organisation:
+    limit = document.at_most or _Resources()
+    return model.Organisation(
+        name=document.name,
+        weight=document.weight,
+        limit=limit.demand(),
+        key_digests=frozenset(
+            key_digest(key) for key in document.api_keys if key
+        ),
     )
 
 
+def key_digest(key: str) -> bytes:
+    """Return the SHA-256 digest of an API key."""
+    return hashlib.sha256(key.encode()).digest()
+
+
 def _to_queue(route: _Route) -> model.Queue:
     advice = None
     if route.advice is not None:
@@ -233,6 +274,7 @@
         max_attempts=route.max_attempts,
         stretch=route.stretch,
         advice=advice,
+        public=route.public,
     )
 
 
--- a/tests/platform/cell.py
+++ b/tests/platform/cell.py
@@ -50,6 +50,16 @@
     return msgspec.json.encode(document)
 
 
+def organisations_document(version=1, keys=None, **route):
+    """Return a configuration with an organisation for each of `keys`."""
+    document = msgspec.json.decode(config_document(version, **route))
+    document['Tenants'] = [
+        {'Name': name, 'ApiKeys': api_keys}
+        for name, api_keys in (keys or {}).items()
+    ]
+    return msgspec.json.encode(document)
+
+
 def config_document(version=1, service=SERVICE, **route):
     fields = {
         'Name': 'r-small',
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -86,6 +86,35 @@
     assert documents.read_configuration(b'{"Version":1}') is None
 
 
+def test_organisations_are_decoded_without_their_keys():
+    """A missing amount or weight, or an unlimited one, is no error."""
+    config = documents.read_configuration(
+        b'{"Version":1,"Routes":[],"Services":[],"Tenants":['
+        b'{"Name":"a","ApiKeys":["k1","k2",""],"Priority":1,"Weight":13,'
+        b'"AtMost":{"Cpu":3000,"Gpu":0}},'
+        b'{"Name":"b"}]}'
+    )
+    first, second = config.organisations.values()
+    assert first == model.Organisation(
+        'a',
+        13.0,
+        model.Demand(3000, 0, 0),
+        frozenset((documents.key_digest('k1'), documents.key_digest('k2'))),
+    )
+    assert second == model.Organisation('b')
+    assert 'k1' not in repr(config)
+
+
+def test_missing_list_of_organisations_differs_from_an_empty_one():
+    without = documents.read_configuration(cell.config_document())
+    empty = documents.read_configuration(cell.organisations_document())
+    assert without.organisations is None
+    assert empty.organisations == {}
+    assert not empty.queues['r-small'].public
+    public = documents.read_configuration(cell.config_document(Public=True))
+    assert public.queues['r-small'].public
+
+
 def test_endpoint_entry_is_decoded():
     endpoint = standin.Endpoint('e')
     entry = documents.read_endpoint_entry(
