Hide the jobs of an organisation from all others

A caller with any valid key could read the state of each job and cancel it.

The owner now decides, as it knows the job: queries of a job's state and records of cancellations carry the caller's organisation. Another organisation's job is answered with 410, and a cancellation that doesn't match is ignored, by a new owner as well. Each organisation has its own key in the inbox, so that none replaces another's cancellation before the owner has read it.

--- a/hibiscusslip/commands/_timeline.py
+++ b/hibiscusslip/commands/_timeline.py
@@ -15,12 +15,14 @@
 DECIDING_EVENTS = (
     'job_refused',
     'job_invalid',
+    'caller_refused',
     'job_in_doubt',
     'job_ended',
     'run_lost',
     'run_stands_still',
     'start_in_doubt',
     'start_refused',
+    'cancel_ignored',
     'cancel_taken',
 )
 # Changes of the state of hosts, shards and endpoints that may explain what
--- a/hibiscusslip/host/access.py
+++ b/hibiscusslip/host/access.py
@@ -1,4 +1,4 @@
-"""Decide who may call a queue; no I/O.
+"""Decide who may call a queue and who may access a job; no I/O.
 
 The host that receives a call decides by the key, with the configuration that
 it has. What the caller may do with a job is decided by the owner, which
@@ -98,3 +98,22 @@
             self._index = KeyIndex(config.organisations or {})
             self._config = config
         return None if digest is None else self._index.find(digest)
+
+
+def may_access(
+    config: model.Configuration | None,
+    queue: str,
+    job_organisation: str,
+    organisation: str,
+) -> bool:
+    """Return True if callers of `organisation` may see and cancel a job.
+
+    The job of `job_organisation` was submitted to `queue`. '' stands for no
+    organisation.
+    """
+    if job_organisation in ('', organisation):
+        return True
+    if config is None:
+        return False
+    known = config.queues.get(queue)
+    return config.organisations is None or bool(known and known.public)
--- a/hibiscusslip/host/front.py
+++ b/hibiscusslip/host/front.py
@@ -28,10 +28,14 @@
     """Interface to job states at the cell's owner, local or remote."""
 
     @abc.abstractmethod
-    async def query_job_state(self, job_id: str) -> model.JobState | None:
+    async def query_job_state(
+        self, job_id: str, organisation: str
+    ) -> model.JobState | None:
         """Return a job's state, or None if it provably doesn't exist.
 
-        Raises OwnerUnavailable if the owner can't be queried now.
+        It doesn't exist either for callers that may not access it;
+        `organisation` is the caller's, '' for none. Raises OwnerUnavailable
+        if the owner can't be queried now.
         """
 
 
@@ -200,7 +204,9 @@
     async def _query_state(self, call: _Call) -> messages.Response:
         job_id = call.job_id
         try:
-            job_state = await self._job_states.query_job_state(job_id)
+            job_state = await self._job_states.query_job_state(
+                job_id, call.organisation
+            )
         except OwnerUnavailable as exc:
             self._log('state_unknown', job_id, error=str(exc)[:120])
             return self._unavailable("the owner can't be asked")
@@ -210,11 +216,37 @@
         return callers.job_state(job_state.value)
 
     async def _cancel(self, call: _Call) -> messages.Response:
-        key = f'{topics.CANCEL_PREFIX}{call.job_id}'
-        outcome = await self._inbox.write([(key, b'1')], call.deadline)
-        self._log(f'cancel_{outcome.value}', call.job_id)
+        key = topics.cancel_key(call.job_id, call.organisation)
+        value = topics.encode_cancel(call.organisation)
+        outcome = await self._inbox.write([(key, value)], call.deadline)
+        self._log(
+            f'cancel_{outcome.value}',
+            call.job_id,
+            organisation=call.organisation,
+        )
+        if outcome is inbox.Outcome.ACCEPTED and await self._hidden(call):
+            return callers.job_not_found()
         return self._respond_to_write(outcome)
 
+    async def _hidden(self, call: _Call) -> bool:
+        """Return True if the job provably doesn't exist for the caller.
+
+        The owner ignores the cancellation then; it is written all the same,
+        as a job whose acceptance is in doubt may still appear. Without an
+        organisation callers have access to all jobs that they can name.
+        """
+        if not call.organisation or call.queue.public:
+            return False
+        try:
+            job_state = await self._job_states.query_job_state(
+                call.job_id, call.organisation
+            )
+        except OwnerUnavailable:
+            return False
+        if job_state is None:
+            self._log('job_not_found', call.job_id)
+        return job_state is None
+
     def _respond_to_write(self, outcome: inbox.Outcome) -> messages.Response:
         """Return the response to a caller whose record was to be written."""
         if outcome is inbox.Outcome.ACCEPTED:
--- a/hibiscusslip/host/host.py
+++ b/hibiscusslip/host/host.py
@@ -264,20 +264,25 @@
             self._owner = None
             ctx.log.note('owner_lost', epoch=epoch)
 
-    async def query_job_state(self, job_id: str) -> model.JobState | None:
+    async def query_job_state(
+        self, job_id: str, organisation: str
+    ) -> model.JobState | None:
         """Return a job's state from the local or a remote owner."""
         local_owner = self._owner
         if local_owner is not None and local_owner.ready:
-            return await self._query_local_owner(local_owner, job_id)
+            return await _query_local_owner(local_owner, job_id, organisation)
         notice = self._ctx.ownership.owner
         if notice is None or notice.host == self._ctx.cfg.name:
             raise front.OwnerUnavailable('no owner is known; try again')
-        return await self._peer_client.query_job_state(notice, job_id)
+        return await self._peer_client.query_job_state(
+            notice, job_id, organisation
+        )
 
-    async def _query_local_owner(
-        self, local_owner: owner.Owner, job_id: str
-    ) -> model.JobState | None:
-        try:
-            return await local_owner.query_job_state(job_id)
-        except exceptions.PlatformError as exc:
-            raise front.OwnerUnavailable(str(exc)) from exc
+
+async def _query_local_owner(
+    local_owner: owner.Owner, job_id: str, organisation: str
+) -> model.JobState | None:
+    try:
+        return await local_owner.query_job_state(job_id, organisation)
+    except exceptions.PlatformError as exc:
+        raise front.OwnerUnavailable(str(exc)) from exc
--- a/hibiscusslip/host/owner.py
+++ b/hibiscusslip/host/owner.py
@@ -9,7 +9,9 @@
 from hibiscusslip.dispatch import engine as engines
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import summary
+from hibiscusslip.host import access
 from hibiscusslip.host import advice_routing
+from hibiscusslip.host import cancellations
 from hibiscusslip.host import cell_feeds
 from hibiscusslip.host import context
 from hibiscusslip.host import crash_logging
@@ -36,7 +38,6 @@
 LOAD_PERIOD_S = 1.0
 STOP_FLUSH_S = 0.5
 START_MARGIN_S = 0.3  # from the decision or the record to the last repeat
-MAX_EARLY_CANCELS = 10_000
 COUNTED_EVENTS = frozenset(
     (
         'endpoint_restarted',
@@ -80,7 +81,7 @@
         self._tasks = curio.TaskGroup(wait=any)
         self.endpoints_read_at = 0.0
         self._undeleted: list[str] = []
-        self._early_cancels: dict[str, bool] = {}
+        self._cancellations = cancellations.Cancellations(ctx)
 
     def _new_engine(self) -> engines.Engine:
         max_lease = self.ctx.cfg.bounds.max_lease
@@ -146,7 +147,9 @@
             try:
                 await self._writer.fence()
                 self.engine.config = self.ctx.config
-                return await recovery.recover(self.ctx, self.engine, reader)
+                return await recovery.recover(
+                    self.ctx, self.engine, reader, self._cancellations
+                )
             except exceptions.ProducerFenced:
                 self.ctx.ownership.lose()
                 raise
@@ -164,10 +167,8 @@
         if not value or not key:
             return
         if key.startswith(topics.CANCEL_PREFIX):
-            job_id = key[len(topics.CANCEL_PREFIX) :]
-            known = self.engine.cancel(job_id, now)
-            if not known:
-                self._defer_cancel(job_id)
+            known = self._cancellations.apply(self.engine, key, value, now)
+            job_id = topics.cancelled_job(key)
             self.ctx.log.note('cancel_taken', job=job_id, known=known)
             return
         if key in self.engine.jobs:
@@ -175,23 +176,15 @@
         wall_time = context.wall_time()
         recovery.submit(self.ctx, self.engine, key, value, now, wall_time)
         self.ctx.log.note('job_taken', job=key)
-        if self._early_cancels.pop(key, False):
-            self.engine.cancel(key, now)
-
-    def _defer_cancel(self, job_id: str) -> None:
-        """Store a cancellation until its job is read.
-
-        The two may be in different partitions, each of which is read on its
-        own.
-        """
-        self._early_cancels[job_id] = True
-        if len(self._early_cancels) > MAX_EARLY_CANCELS:
-            del self._early_cancels[next(iter(self._early_cancels))]
+        self._cancellations.apply_deferred(self.engine, key, now)
 
-    async def query_job_state(self, job_id: str) -> model.JobState | None:
+    async def query_job_state(
+        self, job_id: str, organisation: str
+    ) -> model.JobState | None:
         """Return a job's state, or None if it provably doesn't exist.
 
-        Raises PlatformError if the inbox can't be read to its end.
+        To callers that may not access it a job doesn't exist. Raises
+        PlatformError if the inbox can't be read to its end.
         """
         job = self.engine.jobs.get(job_id)
         for feed in self._inboxes:
@@ -199,7 +192,11 @@
                 break
             await feed.read_once(0.0)
             job = self.engine.jobs.get(job_id)
-        return recovery.visible_state(job) if job else None
+        if job is None or not access.may_access(
+            self.engine.config, job.queue, job.organisation, organisation
+        ):
+            return None
+        return recovery.visible_state(job)
 
     async def open_session(self, name: str) -> None:
         """Open a session with an endpoint, unless one is open already."""
@@ -360,14 +357,14 @@
     async def _delete_records(self, job_ids: list[str]) -> None:
         """Delete the records of jobs; raises PlatformError."""
         names = [store.encode_keyed(job_id) for job_id in job_ids]
-        names += [
-            store.encode_keyed(f'{topics.CANCEL_PREFIX}{job_id}')
-            for job_id in job_ids
-        ]
+        for job_id in job_ids:
+            keys = self._cancellations.cancel_keys(job_id)
+            names += [store.encode_keyed(key) for key in keys]
         for part in range(len(self._inboxes)):
             await self.ctx.store.append(
                 topics.INBOX, names, DELETE_TIMEOUT_S, part=part
             )
+        self._cancellations.forget(job_ids)
         await self._writer.delete_jobs(job_ids)
 
     def successor_can_recover(self, now: float) -> bool:
--- a/hibiscusslip/host/peer_client.py
+++ b/hibiscusslip/host/peer_client.py
@@ -30,11 +30,11 @@
         self._links = peers
 
     async def query_job_state(
-        self, owner: notices.OwnerNotice, job_id: str
+        self, owner: notices.OwnerNotice, job_id: str, organisation: str
     ) -> model.JobState | None:
         """Return a job's state from the owner; raises OwnerUnavailable."""
         self._links.set_address(owner.host, owner.address, owner.port)
-        query = messages.CellJobQuery(job_id)
+        query = messages.CellJobQuery(job_id, organisation)
         try:
             reply = await self._call_address(
                 owner.host, query, JOB_STATE_TIMEOUT_S
--- a/hibiscusslip/host/peer_handler.py
+++ b/hibiscusslip/host/peer_handler.py
@@ -60,7 +60,9 @@
                 'not_owner', 'ask the owner', RETRY_AFTER_S
             )
         try:
-            job_state = await local_owner.query_job_state(query.job)
+            job_state = await local_owner.query_job_state(
+                query.job, query.organisation
+            )
         except exceptions.PlatformError as exc:
             return messages.Refusal('unknown', str(exc), RETRY_AFTER_S)
         if job_state is None:
--- a/hibiscusslip/host/recovery.py
+++ b/hibiscusslip/host/recovery.py
@@ -9,6 +9,7 @@
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import records
 from hibiscusslip.dispatch import state
+from hibiscusslip.host import cancellations
 from hibiscusslip.host import context
 from hibiscusslip.host import lease_timing
 from hibiscusslip.host import topics
@@ -83,7 +84,10 @@
 
 
 async def recover(
-    ctx: context.Context, engine: engines.Engine, reader: PartitionReader
+    ctx: context.Context,
+    engine: engines.Engine,
+    reader: PartitionReader,
+    cancels: cancellations.Cancellations,
 ) -> Recovered:
     """Read all records into a new engine; raises PlatformError."""
     parts = await reader.read(topics.JOBS, topics.JOBS_PARTS)
@@ -100,7 +104,7 @@
         _submit_all(ctx, engine, inbox, now)
     restore_all(ctx, engine, progress, now)
     for inbox in inboxes:
-        _cancel_all(engine, inbox, now)
+        _cancel_all(engine, inbox, cancels, now)
     ctx.log.note(
         'state_recovered',
         jobs=len(engine.jobs),
@@ -239,11 +243,14 @@
 
 
 def _cancel_all(
-    engine: engines.Engine, inbox: store.NewestValues, now: float
+    engine: engines.Engine,
+    inbox: store.NewestValues,
+    cancels: cancellations.Cancellations,
+    now: float,
 ) -> None:
     for key, value in inbox.values.items():
         if value and key.startswith(topics.CANCEL_PREFIX):
-            engine.cancel(key[len(topics.CANCEL_PREFIX) :], now)
+            cancels.apply(engine, key, value, now)
 
 
 def visible_state(job: state.Job) -> model.JobState:
--- /dev/null
+++ b/tests/host/test_job_access.py
@@ -0,0 +1,214 @@
+"""Check that an organisation's jobs are hidden from all others."""
+
+import curio
+import pytest
+
+from hibiscusslip.dispatch import engine as engines
+from hibiscusslip.dispatch import model
+from hibiscusslip.dispatch import records
+from hibiscusslip.host import access
+from hibiscusslip.host import cancellations
+from hibiscusslip.host import front
+from hibiscusslip.host import owner
+from hibiscusslip.host import recovery
+from hibiscusslip.host import topics
+from hibiscusslip.platform import documents
+from hibiscusslip.platform import store
+from tests.host import fakes
+from tests.host import test_access
+from tests.platform import cell
+
+JOB_ID = test_access.JOB_ID
+CANCELLED = model.JobState.CANCELLED
+QUEUED = model.JobState.QUEUED
+
+
+def submission(organisation='o1'):
+    return records.encode_submission(
+        records.Submission(
+            'r-small', cell.SERVICE, 1.0, test_access.BODY, organisation
+        )
+    )
+
+
+def cancellation(organisation, job_id=JOB_ID):
+    return (
+        topics.cancel_key(job_id, organisation),
+        topics.encode_cancel(organisation),
+    )
+
+
+def make_owner(config=None):
+    ctx = fakes.make_context(fakes.FakeStore())
+    local_owner = owner.Owner(ctx, None, None, 1)
+    local_owner.engine.config = config or test_access.read()
+    return local_owner
+
+
+def state_after(*inbox, config=None):
+    """Return the state of a job after an owner has read these records."""
+    local_owner = make_owner(config)
+    for key, value in inbox:
+        local_owner.apply_inbox_record(key, value)
+    return local_owner.engine.jobs[JOB_ID].state
+
+
+@pytest.mark.parametrize('organisation', ['', 'o2'])
+def test_job_is_cancelled_by_another_organisation(organisation):
+    foreign = cancellation(organisation)
+    job = (JOB_ID, submission())
+    assert state_after(job, foreign) is QUEUED
+    assert state_after(foreign, job) is QUEUED
+    assert state_after(foreign, cancellation('o1'), job) is CANCELLED
+    assert state_after(job, cancellation('o1'), foreign) is CANCELLED
+
+
+def test_ignored_cancellation_is_logged_with_its_cause():
+    local_owner = make_owner()
+    local_owner.apply_inbox_record(JOB_ID, submission())
+    local_owner.apply_inbox_record(*cancellation('o2'))
+    (line,) = local_owner.ctx.log.named('cancel_ignored')
+    assert line == {
+        'job': JOB_ID,
+        'organisation': 'o2',
+        'job_organisation': 'o1',
+    }
+
+
+def test_job_without_an_organisation_cannot_be_cancelled():
+    """Records of releases before organisations have neither."""
+    old = records.encode_submission(
+        records.Submission('r-small', cell.SERVICE, 1.0, test_access.BODY)
+    )
+    assert state_after((JOB_ID, old), cancellation('o2')) is CANCELLED
+    plain = (f'{topics.CANCEL_PREFIX}{JOB_ID}', b'1')
+    assert cancellation('') == plain
+    assert state_after((JOB_ID, old), plain) is CANCELLED
+
+
+def test_job_of_a_public_queue_is_open_to_all_its_callers():
+    job = (JOB_ID, submission())
+    public = test_access.read(Public=True)
+    assert state_after(job, cancellation('o2'), config=public) is CANCELLED
+
+
+def test_job_stays_closed_once_its_queue_is_no_longer_configured():
+    elsewhere = test_access.read(Name='r-other', Public=True)
+    assert not access.may_access(elsewhere, 'r-small', 'o1', 'o2')
+    assert access.may_access(elsewhere, 'r-small', 'o1', 'o1')
+    assert not access.may_access(None, 'r-small', 'o1', '')
+
+
+def test_jobs_are_open_once_a_deployment_has_no_organisations():
+    """Its callers have no keys any more by which they would be known."""
+    config = documents.read_configuration(cell.config_document())
+    assert access.may_access(config, 'r-small', 'o1', '')
+
+
+class InboxStore:
+    """Return these records as the newest of the first inbox partition."""
+
+    def __init__(self, inbox):
+        self._inbox = inbox
+
+    async def newest(self, topic, timeout, part=0):
+        values = self._inbox if (topic, part) == (topics.INBOX, 0) else {}
+        offsets = {key: number for number, key in enumerate(values)}
+        return store.NewestValues(values, offsets, len(values))
+
+
+@pytest.mark.parametrize(
+    ('organisations', 'expected'),
+    [(('o2',), QUEUED), (('o1', 'o2'), CANCELLED), (('',), QUEUED)],
+)
+def test_new_owner_applies_a_cancellation_of_another_organisation(
+    organisations, expected
+):
+    """A foreign one must not replace that of the job's organisation either."""
+    inbox = {JOB_ID: submission()}
+    inbox.update(cancellation(organisation) for organisation in organisations)
+    ctx = fakes.make_context(InboxStore(inbox))
+    engine = engines.Engine(5.9)
+    engine.config = test_access.read()
+    reader = recovery.PartitionReader(ctx)
+    cancels = cancellations.Cancellations(ctx)
+    curio.run(recovery.recover, ctx, engine, reader, cancels)
+    assert engine.jobs[JOB_ID].state is expected
+    assert set(inbox) == {JOB_ID, *cancels.cancel_keys(JOB_ID)} - (
+        set() if '' in organisations else {topics.cancel_key(JOB_ID, '')}
+    )
+
+
+class EmptyFeed:
+    """An inbox partition without further records."""
+
+    failing = False
+
+    async def read_once(self, wait):
+        pass
+
+
+def test_state_of_a_job_is_told_to_another_organisation():
+    local_owner = make_owner()
+    local_owner.apply_inbox_record(JOB_ID, submission())
+
+    def query(organisation, job_id=JOB_ID):
+        return curio.run(local_owner.query_job_state, job_id, organisation)
+
+    assert query('o1') is QUEUED
+    assert query('o2') is None
+    assert query('') is None
+
+
+def test_cancellations_outlive_the_deletion_of_their_job():
+    local_owner = make_owner()
+    local_owner._inboxes = [EmptyFeed()]
+    local_owner.apply_inbox_record(JOB_ID, submission())
+    keys = {JOB_ID}
+    for organisation in ('', 'o1', 'o2'):
+        key, value = cancellation(organisation)
+        local_owner.apply_inbox_record(key, value)
+        keys.add(key)
+    local_owner._undeleted = [JOB_ID]
+    curio.run(local_owner._delete_undeleted)
+    assert set(local_owner.ctx.store.keys()) == keys
+    assert not local_owner._cancellations._keys
+
+
+class JobStates(front.JobStateSource):
+    """Know one job of organisation o1, unless the owner is unavailable."""
+
+    def __init__(self, available=True):
+        self._available = available
+
+    async def query_job_state(self, job_id, organisation):
+        if not self._available:
+            raise front.OwnerUnavailable('no owner')
+        known = (job_id, organisation) == (JOB_ID, 'o1')
+        return QUEUED if known else None
+
+
+def make_front(available=True, **route):
+    caller = test_access.Front(test_access.read(**route))
+    caller.handler._job_states = JobStates(available)
+    return caller
+
+
+def test_job_of_another_organisation_is_told_apart_from_a_missing_one():
+    caller = make_front()
+    for method in ('GET', 'DELETE'):
+        own = caller.call(method, authorization='Bearer first-key')
+        assert own.status == 200
+        foreign = caller.call(method, authorization='Bearer other-key')
+        missing = caller.call(method, 'f' * 16, 'Bearer first-key')
+        assert foreign.status == missing.status == 410
+        assert foreign.body == missing.body
+
+
+def test_cancellation_is_refused_while_the_owner_cannot_be_queried():
+    """The owner checks the record itself once it reads it."""
+    caller = make_front(available=False)
+    response = caller.call('DELETE', authorization='Bearer other-key')
+    assert response.status == 200
+    ((_, record),) = caller.store.records
+    assert store.decode_keyed(record) == cancellation('o2')
--- a/tests/host/test_recovery.py
+++ b/tests/host/test_recovery.py
@@ -4,6 +4,7 @@
 import pytest
 
 from hibiscusslip.dispatch import engine as engines
+from hibiscusslip.host import cancellations
 from hibiscusslip.host import recovery
 from hibiscusslip.platform import exceptions
 from hibiscusslip.platform import store
@@ -30,7 +31,8 @@
     engine = engines.Engine(5.9)
     with pytest.raises(exceptions.StoreOutcomeUnknown):
         reader = recovery.PartitionReader(ctx)
-        curio.run(recovery.recover, ctx, engine, reader)
+        cancels = cancellations.Cancellations(ctx)
+        curio.run(recovery.recover, ctx, engine, reader, cancels)
 
 
 def test_partition_that_was_read_isnt_read_again_when_another_fails():
@@ -49,7 +51,9 @@
 
     async def attempt():
         with pytest.raises(exceptions.StoreOutcomeUnknown):
-            await recovery.recover(ctx, engines.Engine(5.9), reader)
+            cancels = cancellations.Cancellations(ctx)
+            engine = engines.Engine(5.9)
+            await recovery.recover(ctx, engine, reader, cancels)
 
     async def attempt_twice():
         await attempt()
--- a/tests/platform/soak/hosted.py
+++ b/tests/platform/soak/hosted.py
@@ -56,9 +56,9 @@
     """Report that a job doesn't exist when the owner can't be queried."""
     query_state = host.Host.query_job_state
 
-    async def stale(self: typing.Any, job_id: str):
+    async def stale(self: typing.Any, job_id: str, organisation: str):
         try:
-            return await query_state(self, job_id)
+            return await query_state(self, job_id, organisation)
         except front.OwnerUnavailable:
             return None
 
