Limit what an organisation has running

Cause: an organisation that sends many times its usual load may occupy all endpoints, whatever limit the operator has configured for it. Change: endpoints report their allocations to a ledger of runs by organisation. A scheduling pass starts no more tasks of a step than the limit leaves, of a gang all or none, and makes no reservations for the others. Held-back steps are noted once in each wait, and few of them request tickets.

--- a/hibiscusslip/dispatch/_planning.py
+++ b/hibiscusslip/dispatch/_planning.py
@@ -50,15 +50,18 @@
     }
     current = _Pass(engine, services, candidates, now)
     _compute_spare(current)
-    for rank, step in _rank_steps(engine, now):
+    ranked = _rank_steps(engine, now)
+    engine.limiter.begin_pass(engine.config, (step for _, step in ranked))
+    for rank, step in ranked:
         pool = current.services.get(step.job.service, [])
         if not pool:
             continue
         if step.ready:
             _plan_step(current, step, rank)
-        advice_planning.request_advice_if_needed(
-            engine, step, pool, candidates[step.job.service], now
-        )
+        if engine.limiter.may_request_advice(step):
+            advice_planning.request_advice_if_needed(
+                engine, step, pool, candidates[step.job.service], now
+            )
 
 
 def _compute_spare(current: _Pass) -> None:
@@ -124,14 +127,8 @@
 ) -> None:
     now = current.now
     needs_advice = current.engine.queue_of(step.job).advice is not None
-    if needs_advice and step.tickets is None:
-        return
-    tasks = [
-        task
-        for task in step.waiting()
-        if task.not_before <= now and crashes.may_start(task)
-    ]
-    if not tasks or (step.spec.gang and len(tasks) < len(step.tasks)):
+    tasks = _startable(current, step)
+    if not tasks or (needs_advice and step.tickets is None):
         return
     candidates = current.candidates[step.job.service]
     if candidates.may_fit_anywhere(step.spec.allocated_demand):
@@ -143,7 +140,8 @@
         _place_tasks(
             current, step, tasks, candidates.eligible_for(step, admitting)
         )
-    if rank.expired or not step.has_waiting():
+    needed = current.engine.limiter.count_startable(step, len(step.waiting()))
+    if rank.expired or not needed:
         return
     if _reservations.is_large(step, candidates.max_endpoint_cpu):
         endpoints = [
@@ -157,12 +155,29 @@
             current.engine,
             current.reserved,
             step,
+            needed,
             endpoints,
             can_be_on_time,
             now,
         )
 
 
+def _startable(current: _Pass, step: state.StepState) -> list[state.Task]:
+    """Return the tasks that may start if there is capacity for them."""
+    tasks = [
+        task
+        for task in step.waiting()
+        if task.not_before <= current.now and crashes.may_start(task)
+    ]
+    if not tasks or (step.spec.gang and len(tasks) < len(step.tasks)):
+        return []
+    limiter = current.engine.limiter
+    max_tasks = limiter.count_startable(step, len(tasks))
+    if max_tasks < len(tasks):
+        limiter.hold_back(step)
+    return tasks[:max_tasks]
+
+
 def _place_tasks(
     current: _Pass,
     step: state.StepState,
--- a/hibiscusslip/dispatch/_reservations.py
+++ b/hibiscusslip/dispatch/_reservations.py
@@ -65,16 +65,17 @@
     engine: 'engines.Engine',
     reservations: Reservations,
     step: state.StepState,
+    needed: int,
     endpoints: list[state.Endpoint],
     can_be_on_time: bool,
     now: float,
 ) -> None:
     """Reserve the endpoints that will have capacity for a step soonest.
 
-    Only a step that can still be on time preempts others. A gang that
-    doesn't fit even when all of these endpoints are free reserves none.
+    `needed` is the number of its tasks that wait for capacity. Only a step
+    that can still be on time preempts others. A gang that doesn't fit even
+    when all of these endpoints are free reserves none.
     """
-    needed = len(step.waiting())
     options = [
         option
         for endpoint in endpoints
--- a/hibiscusslip/dispatch/engine.py
+++ b/hibiscusslip/dispatch/engine.py
@@ -4,7 +4,9 @@
 import typing
 
 from hibiscusslip.dispatch import _draining
+from hibiscusslip.dispatch import _durability
 from hibiscusslip.dispatch import _headroom
+from hibiscusslip.dispatch import _limiter
 from hibiscusslip.dispatch import _lost_runs
 from hibiscusslip.dispatch import _occurrences
 from hibiscusslip.dispatch import _pacing
@@ -20,6 +22,7 @@
 from hibiscusslip.dispatch import policy as policies
 from hibiscusslip.dispatch import records
 from hibiscusslip.dispatch import state
+from hibiscusslip.dispatch import usage
 
 Note = collections.abc.Callable[..., None]
 
@@ -45,7 +48,9 @@
     `short_calls_cost` the expected duration of all pending short calls, in
     seconds. `eligible_shares` are what was learned
     of the advice, by queue. `withheld_names` are the endpoints whose leases
-    may not be extended, `recent_losses` those that crashed lately.
+    may not be extended, `recent_losses` those that crashed lately. `ledger`
+    has what each organisation has running; its limit may be exceeded by the
+    share `limit_overage` as far as `limits.count_startable` says.
     """
 
     def __init__(
@@ -54,6 +59,7 @@
         note: Note = _ignore,
         max_lease: float | None = None,
         policy: policies.Policy = policies.Policy(),
+        limit_overage: float = 0.0,
     ) -> None:
         self.lease = lease
         self.policy = policy
@@ -77,6 +83,8 @@
         self.recent_losses: list[crashes.Loss] = []
         self.eligible_shares: dict[str, advice_sizing.EligibleShare] = {}
         self.headroom: dict[str, _headroom.Headroom] = {}
+        self.ledger = usage.Ledger()
+        self.limiter = _limiter.Limiter(self.ledger, note, limit_overage)
 
     # Jobs.
 
@@ -168,18 +176,10 @@
     def forget_ended_before(self, before: float) -> list[str]:
         """Remove jobs that ended before a time and return their IDs.
 
-        A job whose final state isn't written yet stays.
+        A job stays whose final state isn't written yet, or whose runs still
+        count towards the limit of its organisation.
         """
-        old = [
-            job.job_id
-            for job in self.jobs.values()
-            if job.state.final
-            and job.durable_state.final
-            and job.final_at < before
-        ]
-        for job_id in old:
-            del self.jobs[job_id]
-        return old
+        return _durability.forget_ended_before(self.jobs, self.ledger, before)
 
     def queue_of(self, job: state.Job) -> model.Queue:
         """Return a job's queue, or DEFAULT_QUEUE if it isn't configured."""
@@ -204,13 +204,19 @@
                 pools.setdefault(endpoint.entry.service, []).append(endpoint)
         return pools
 
+    def add_endpoint(self, name: str) -> state.Endpoint:
+        """Add an endpoint without an entry and return it."""
+        endpoint = state.Endpoint(name, observe=self.ledger.follow)
+        self.endpoints[name] = endpoint
+        return endpoint
+
     def register_endpoint(
         self, entry: model.EndpointEntry, now: float
     ) -> None:
         """Apply an endpoint's entry in the platform's list."""
         endpoint = self.endpoints.get(entry.name)
         if endpoint is None:
-            endpoint = self.endpoints[entry.name] = state.Endpoint(entry.name)
+            endpoint = self.add_endpoint(entry.name)
             endpoint.withheld = entry.name in self.withheld_names
             self.note('endpoint_found', endpoint=entry.name)
         known = endpoint.entry
@@ -381,17 +387,7 @@
 
         `written` maps the jobs to the states in their records; `cursors` is
         the result of `handled_cursors`.
-
-        The cursor of a former incarnation is ignored: a restarted endpoint
-        numbers its ended runs anew.
         """
-        for job_id, outcome in written.items():
-            job = self.jobs.get(job_id)
-            if job is not None:
-                job.durable_state = outcome
-        for name, cursor in cursors.items():
-            endpoint = self.endpoints.get(name)
-            if endpoint is not None and endpoint.born == cursor.born:
-                endpoint.acknowledged_cursor = max(
-                    endpoint.acknowledged_cursor, cursor.number
-                )
+        _durability.confirm_records(
+            self.jobs, self.endpoints, written, cursors
+        )
--- a/hibiscusslip/dispatch/state.py
+++ b/hibiscusslip/dispatch/state.py
@@ -1,5 +1,6 @@
 """The state of jobs, their tasks and the endpoints that run them."""
 
+import collections.abc
 import dataclasses
 import enum
 
@@ -261,6 +262,9 @@
     number: int
 
 
+Observe = collections.abc.Callable[['Endpoint', str, Allocation, bool], None]
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class Endpoint:
     """Track one endpoint and the resources allocated on it.
@@ -279,7 +283,8 @@
     While `withheld` no lease may be granted there. `lapsed` are the runs that
     were given up while it was silent, `trials` the runs beside which no other
     job may start any. The last start there was decided at `last_start_at`, for
-    the job `last_start_job`.
+    the job `last_start_job`. `observe` is called with each allocation and
+    its task's name when it is added (True) or released (False).
     """
 
     name: str
@@ -317,6 +322,7 @@
     )
     last_start_at: float = 0.0
     last_start_job: str = ''
+    observe: Observe = lambda *args: None
 
     def clock_now(self, now: float) -> float:
         """Return the expected time on the endpoint's clock."""
@@ -365,6 +371,7 @@
         """Add an allocation for a run of the task."""
         self.allocations[(task, allocation.run)] = allocation
         self.used = self.used + allocation.demand
+        self.observe(self, task, allocation, True)
         if allocation.starts_trial:
             assert allocation.task is not None
             job_id = allocation.task.step.job.job_id
@@ -376,6 +383,7 @@
         self.end_trial(task, run)
         if allocation is not None:
             self.used = self.used - allocation.demand
+            self.observe(self, task, allocation, False)
         return allocation
 
     def end_trial(self, task: str, run: int) -> None:
--- a/hibiscusslip/host/recovery.py
+++ b/hibiscusslip/host/recovery.py
@@ -215,8 +215,7 @@
     """Return an endpoint of a record, listed by the platform or not."""
     endpoint = engine.endpoints.get(name)
     if endpoint is None:
-        endpoint = state.Endpoint(name)
-        engine.endpoints[name] = endpoint
+        endpoint = engine.add_endpoint(name)
     endpoint.address = endpoint.address or address
     endpoint.born = max(endpoint.born, born)
     return endpoint
