Count runs of final jobs after a loss of the owner

Cause: the record of a final job drops its tasks, so a new owner didn't count runs that continue until their stop or their lease ends. Nor did it count runs that no task names, or starts that may take effect late. Change: records of jobs with an organisation keep the tasks that are still placed, and a last field has the runs beside those; both shrink as runs end. Unconfirmed starts of lost runs count until they can't take effect. QuotaOverage is read and passed to the engine.

--- a/hibiscusslip/commands/_timeline.py
+++ b/hibiscusslip/commands/_timeline.py
@@ -22,6 +22,7 @@
     'start_in_doubt',
     'start_refused',
     'cancel_taken',
+    'held_by_limit',
 )
 # Changes of the state of hosts, shards and endpoints that may explain what
 # happens to a job meanwhile.
--- a/hibiscusslip/dispatch/_limiter.py
+++ b/hibiscusslip/dispatch/_limiter.py
@@ -27,7 +27,7 @@
         overage: float,
     ) -> None:
         self._ledger = ledger
-        self._note = note
+        self.note = note
         self._overage = overage
         self._config: model.Configuration | None = None
         self._limits: dict[str, model.Demand] = {}
@@ -68,7 +68,7 @@
         self._noted.add(step.name)
         organisation = step.job.organisation
         limit = self._limits.get(organisation)
-        self._note(
+        self.note(
             'held_by_limit',
             job=step.job.job_id,
             step=step.name,
--- a/hibiscusslip/dispatch/_lost_runs.py
+++ b/hibiscusslip/dispatch/_lost_runs.py
@@ -51,6 +51,8 @@
         confirmed=bool(allocation and allocation.confirmed_at),
         seen_ms=int(allocation.proven_age * 1000) if allocation else 0,
     )
+    if task is not None and task.step.job.organisation:
+        engine.dirty.add(task.step.job.job_id)  # the record has each run
     if task is not None and task.run == run and task.status.placed:
         engine.dirty.add(task.step.job.job_id)
         requeue(engine, task, now)
@@ -86,14 +88,23 @@
     for key, allocation in list(endpoint.allocations.items()):
         if key in listed:
             continue
-        unconfirmed = not allocation.confirmed_at and not allocation.recovered
         abandon_run(engine, endpoint, *key, 'restarted', now)
-        if unconfirmed and allocation.task is not None:
+        if _may_start_late(allocation) and allocation.task is not None:
             # The start request may still reach the new incarnation.
-            allocation.task.not_before = allocation.decided_at + LATE_START_S
+            until = allocation.decided_at + LATE_START_S
+            allocation.task.not_before = until
+            engine.ledger.hold(endpoint, key[0], allocation, until)
     crashes.give_up(engine, convicted, now)
 
 
+def _may_start_late(allocation: state.Allocation) -> bool:
+    """Return True if an incarnation to come may carry out the start.
+
+    It refuses the start of a former owner, by its epoch.
+    """
+    return not allocation.confirmed_at and not allocation.recovered
+
+
 def _blame_runs(
     engine: 'engines.Engine',
     endpoint: state.Endpoint,
@@ -171,6 +182,7 @@
     An unresponsive endpoint without an entry and runs is removed, once it
     doesn't matter any more whether it has crashed.
     """
+    engine.dirty.update(engine.ledger.end_holds(now))
     for endpoint in list(engine.endpoints.values()):
         if endpoint.responsive:
             continue
@@ -193,6 +205,10 @@
             continue
         crashes.note_lapse(endpoint, allocation, now)
         abandon_run(engine, endpoint, *key, 'lease lapsed', now)
+        if _may_start_late(allocation):
+            until = allocation.decided_at + LATE_START_S
+            if now < until:
+                engine.ledger.hold(endpoint, key[0], allocation, until)
 
 
 def revert_start(
@@ -227,6 +243,8 @@
     elif reason == 'instance':
         endpoint.quarantined_until = now + QUARANTINE_S
     allocation = endpoint.release(task.name, start.run)
+    if step.job.organisation:
+        engine.dirty.add(step.job.job_id)  # the record has each run
     if allocation is None or task.run != start.run or not task.status.placed:
         return
     engine.dirty.add(step.job.job_id)
--- a/hibiscusslip/dispatch/_reports.py
+++ b/hibiscusslip/dispatch/_reports.py
@@ -263,6 +263,8 @@
     demand = task.step.spec.allocated_demand if task else model.Demand()
     allocation = state.Allocation(task, row.run, demand, now, confirmed_at=now)
     endpoint.allocate(row.task, allocation)
+    if task is not None and task.step.job.organisation:
+        engine.dirty.add(task.step.job.job_id)  # the record has each run
     if task is None or task.step.job.state.final or row.run < task.run:
         return allocation
     if task.status is state.Status.WAITING:
--- a/hibiscusslip/dispatch/records.py
+++ b/hibiscusslip/dispatch/records.py
@@ -1,11 +1,13 @@
 """Encode jobs as records, and restore them from records."""
 
+import collections.abc
 import typing
 
 import msgspec
 
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import state
+from hibiscusslip.dispatch import usage
 
 
 class Submission(msgspec.Struct, array_like=True):
@@ -77,13 +79,29 @@
     born: float
 
 
+class RunRow(msgspec.Struct, array_like=True):
+    """A run beside the one that the row of its task names, if any.
+
+    It may still be active, and so counts for the limit of its organisation.
+    """
+
+    occurrence: int
+    step: int
+    index: int
+    run: int
+    endpoint: str
+    address: str
+    born: float
+
+
 class JobRow(msgspec.Struct, array_like=True):
     """The record of a job's progress.
 
     Of several records of a job the newest is the one with the highest
     `epoch`, then `number`. An owner numbers the records that it writes.
     `completed` are the first and last numbers of occurrences whose tasks are
-    all done, and which have no other rows.
+    all done, and which have no other rows. `runs` are only those of jobs that
+    have an organisation.
     """
 
     state: str
@@ -96,6 +114,7 @@
     crashes: list[CrashRow] = []
     losses: list[LossRow] = []
     completed: list[tuple[int, int]] = []
+    runs: list[RunRow] = []
 
     def occurrence_numbers(self) -> list[int]:
         """Return the numbers of all occurrences, completed ones too."""
@@ -125,13 +144,19 @@
 
 
 def encode_job(
-    job: state.Job, epoch: int = 0, number: int = 0, *, compact: bool = False
+    job: state.Job,
+    epoch: int = 0,
+    number: int = 0,
+    *,
+    compact: bool = False,
+    counted: collections.abc.Iterable[usage.CountedRun] = (),
 ) -> bytes:
     """Return the record of a job's progress.
 
-    For a final job it contains no tasks and steps. If it is `compact`, the
-    occurrences that are complete have no rows; releases before this one would
-    take these for new.
+    For a final job it contains no steps, and only those tasks whose runs are
+    `counted` for the limit of its organisation. If it is `compact`, it
+    contains no tasks of a final job, and for others the occurrences that are
+    complete have no rows; releases before this one would take these for new.
     """
     completed = _completed_numbers(job) if compact else []
     left_out = set(completed)
@@ -140,7 +165,12 @@
     crashes: list[CrashRow] = []
     losses: list[LossRow] = []
     endpoints: dict[str, EndpointRow] = {}
-    if not job.state.final:
+    runs = [] if compact and job.state.final else list(counted)
+    if job.state.final:
+        current = [run.task for run in runs if run.is_current]
+        tasks = [_task_row(task) for task in current]
+        endpoints = _endpoint_rows(current)
+    else:
         for step in job.steps():
             if step.occurrence in left_out:
                 continue
@@ -149,11 +179,8 @@
                 steps.append(_step_row(step))
             crashes.extend(_crash_rows(step))
             losses.extend(_loss_rows(step))
-            for task in step.tasks:
-                if task.status.placed:
-                    endpoints[task.endpoint] = EndpointRow(
-                        task.endpoint, task.address, task.born
-                    )
+            placed = [task for task in step.tasks if task.status.placed]
+            endpoints.update(_endpoint_rows(placed))
     row = JobRow(
         job.state.value,
         tasks,
@@ -165,6 +192,7 @@
         crashes,
         losses,
         _ranges(completed),
+        [_run_row(run) for run in runs if not run.is_current],
     )
     return msgspec.msgpack.encode(row)
 
@@ -189,20 +217,41 @@
 
 
 def _task_rows(step: state.StepState) -> list[TaskRow]:
-    return [
-        TaskRow(
-            step.occurrence,
-            step.number,
-            task.index,
-            int(task.status),
-            task.run,
-            task.failures,
-            task.endpoint,
-            task.checkpoint,
-        )
-        for task in step.tasks
-        if task.run
-    ]
+    return [_task_row(task) for task in step.tasks if task.run]
+
+
+def _task_row(task: state.Task) -> TaskRow:
+    return TaskRow(
+        task.step.occurrence,
+        task.step.number,
+        task.index,
+        int(task.status),
+        task.run,
+        task.failures,
+        task.endpoint,
+        task.checkpoint,
+    )
+
+
+def _endpoint_rows(
+    placed: collections.abc.Iterable[state.Task],
+) -> dict[str, EndpointRow]:
+    return {
+        task.endpoint: EndpointRow(task.endpoint, task.address, task.born)
+        for task in placed
+    }
+
+
+def _run_row(run: usage.CountedRun) -> RunRow:
+    return RunRow(
+        run.task.step.occurrence,
+        run.task.step.number,
+        run.task.index,
+        run.run,
+        run.endpoint,
+        run.address,
+        run.born,
+    )
 
 
 def _step_row(step: state.StepState) -> StepRow:
--- /dev/null
+++ b/hibiscusslip/host/engine_events.py
@@ -0,0 +1,22 @@
+"""Log the events of the engine, and count the rare ones."""
+
+import typing
+
+from hibiscusslip.host import context
+
+COUNTED_EVENTS = frozenset(
+    (
+        'endpoint_restarted',
+        'endpoint_replaced',
+        'crash_suspected',
+        'task_given_up',
+        'held_by_limit',
+    )
+)
+
+
+def note(ctx: context.Context, event: str, **fields: typing.Any) -> None:
+    """Log an event, and count it if it is one of COUNTED_EVENTS."""
+    ctx.log.note(event, **fields)
+    if event in COUNTED_EVENTS:
+        ctx.metrics.count('engine_events', event=event)
--- a/hibiscusslip/host/owner.py
+++ b/hibiscusslip/host/owner.py
@@ -1,7 +1,7 @@
 """Own the cell: accept jobs, place their tasks and track the runs."""
 
 import dataclasses
-import typing
+import functools
 
 import curio
 
@@ -14,6 +14,7 @@
 from hibiscusslip.host import context
 from hibiscusslip.host import crash_logging
 from hibiscusslip.host import endpoint_session
+from hibiscusslip.host import engine_events
 from hibiscusslip.host import lease_handover
 from hibiscusslip.host import lease_timing
 from hibiscusslip.host import notices
@@ -37,14 +38,6 @@
 STOP_FLUSH_S = 0.5
 START_MARGIN_S = 0.3  # from the decision or the record to the last repeat
 MAX_EARLY_CANCELS = 10_000
-COUNTED_EVENTS = frozenset(
-    (
-        'endpoint_restarted',
-        'endpoint_replaced',
-        'crash_suspected',
-        'task_given_up',
-    )
-)
 
 
 class Owner:
@@ -83,15 +76,14 @@
         self._early_cancels: dict[str, bool] = {}
 
     def _new_engine(self) -> engines.Engine:
-        max_lease = self.ctx.cfg.bounds.max_lease
-        lease = lease_timing.usual_lease(max_lease)
-        return engines.Engine(lease, self._note, max_lease, self.ctx.policy)
-
-    def _note(self, event: str, **fields: typing.Any) -> None:
-        """Log an event of the engine, and count the rare ones."""
-        self.ctx.log.note(event, **fields)
-        if event in COUNTED_EVENTS:
-            self.ctx.metrics.count('engine_events', event=event)
+        bounds = self.ctx.cfg.bounds
+        return engines.Engine(
+            lease_timing.usual_lease(bounds.max_lease),
+            functools.partial(engine_events.note, self.ctx),
+            bounds.max_lease,
+            self.ctx.policy,
+            bounds.limit_overage,
+        )
 
     async def run(self) -> None:
         """Run the cell until the ownership ends or the task is cancelled."""
--- a/hibiscusslip/host/recovery.py
+++ b/hibiscusslip/host/recovery.py
@@ -187,6 +187,7 @@
             ctx.log.note('progress_unreadable', job=job_id, error=repr(exc))
             continue
         _restore_allocations(ctx, engine, job, now)
+        _restore_other_runs(ctx, engine, job, row.runs, now)
 
 
 def _restore_allocations(
@@ -209,6 +210,25 @@
                 crashes.restore_lapsed(endpoint, task, loss.run, now)
 
 
+def _restore_other_runs(
+    ctx: context.Context,
+    engine: engines.Engine,
+    job: state.Job,
+    rows: list[records.RunRow],
+    now: float,
+) -> None:
+    """Allocate for runs beside those that the tasks of a job name.
+
+    Leases that the former owner told of needn't include them.
+    """
+    longest = lease_timing.longest_inherited(ctx.cfg.bounds.max_lease)
+    for row in rows:
+        task = job.occurrences[row.occurrence][row.step].tasks[row.index]
+        endpoint = _find_or_add(engine, row.endpoint, row.address, row.born)
+        endpoint.inherited_leases_until = now + longest
+        _add_allocation(endpoint, task, row.run, now)
+
+
 def _find_or_add(
     engine: engines.Engine, name: str, address: str, born: float
 ) -> state.Endpoint:
@@ -231,9 +251,14 @@
     else:
         longest = lease_timing.longest_inherited(ctx.cfg.bounds.max_lease)
         endpoint.inherited_leases_until = now + longest
-    allocation = state.Allocation(
-        task, task.run, task.step.spec.allocated_demand, now, recovered=True
-    )
+    _add_allocation(endpoint, task, task.run, now)
+
+
+def _add_allocation(
+    endpoint: state.Endpoint, task: state.Task, run: int, now: float
+) -> None:
+    demand = task.step.spec.allocated_demand
+    allocation = state.Allocation(task, run, demand, now, recovered=True)
     endpoint.allocate(task.name, allocation)
 
 
--- a/hibiscusslip/host/writer.py
+++ b/hibiscusslip/host/writer.py
@@ -139,23 +139,32 @@
             if job is None:
                 continue
             self._number += 1
-            record = self._encode_job(job)
-            if len(record) > MAX_RECORD_BYTES:
-                record = self._encode_job(job, compact=True)
+            record = self._encode_small(job)
             if len(record) > MAX_RECORD_BYTES:
                 # Otherwise no other job's record would be written either.
                 self._ctx.log.note(
                     'record_too_large', job=job_id, size=len(record)
                 )
                 engine.finish(job, model.JobState.FAILED, context.monotonic())
-                record = self._encode_job(job)
+                record = self._encode_small(job)
             written[job_id] = job.state
             batch.append(record)
         return written, batch
 
+    def _encode_small(self, job: state.Job) -> bytes:
+        """Return the record of a job, a compact one if it is too large."""
+        record = self._encode_job(job)
+        if len(record) > MAX_RECORD_BYTES:
+            record = self._encode_job(job, compact=True)
+        return record
+
     def _encode_job(self, job: state.Job, *, compact: bool = False) -> bytes:
         value = records.encode_job(
-            job, self._epoch, self._number, compact=compact
+            job,
+            self._epoch,
+            self._number,
+            compact=compact,
+            counted=self._engine.ledger.runs_of(job.job_id),
         )
         return store.encode_keyed(job.job_id, value)
 
--- a/hibiscusslip/platform/settings.py
+++ b/hibiscusslip/platform/settings.py
@@ -25,7 +25,8 @@
 class Bounds:
     """Represent the bounds that the deployment sets.
 
-    All are times in seconds, except `far_factor`, which is a ratio.
+    All are times in seconds, except `far_factor`, which is a ratio, and
+    `limit_overage`, the share by which an organisation may exceed its limit.
     `max_lease` is the longest lease that an endpoint grants, `status_kept`
     how long the state of an ended job has to be retained, `config_apply`
     the time until a configuration is in force everywhere, `contact` for how
@@ -45,6 +46,7 @@
     upkeep: float = 2.0
     config_apply: float = 2.0
     contact: float = 3.0
+    limit_overage: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -90,6 +92,7 @@
     'upkeep': ('MaintenanceS', 1.0),
     'config_apply': ('ConfigApplyMs', MS_PER_S),
     'contact': ('ContactMs', MS_PER_S),
+    'limit_overage': ('QuotaOverage', 1.0),
 }
 
 
