--- a/hibiscusslip/commands/_timeline.py
+++ b/hibiscusslip/commands/_timeline.py
@@ -24,6 +24,7 @@
     'start_refused',
     'cancel_ignored',
     'cancel_taken',
+    'held_by_limit',
 )
 # Changes of the state of hosts, shards and endpoints that may explain what
 # happens to a job meanwhile.
