Preempt patient runs for a burst of urgent work

During a burst of the urgent queue on a pool that long, patient tasks fill, urgent jobs waited until those tasks were done: headroom follows the average use, and preemption served only large steps. With the new option HIBISCUSSLIP_URGENT_PREEMPTION=on runs that checkpoint and whose step keeps 3 s of slack are stopped for what urgent, on-time steps miss, each task once.

--- a/hibiscusslip/bench/dispatching.py
+++ b/hibiscusslip/bench/dispatching.py
@@ -13,6 +13,7 @@
 import itertools
 import random
 import time
+import typing
 import zlib
 
 import cyclopts
@@ -22,6 +23,7 @@
 from hibiscusslip.dispatch import engine as engines
 from hibiscusslip.dispatch import estimates
 from hibiscusslip.dispatch import model
+from hibiscusslip.dispatch import policy as policies
 from hibiscusslip.dispatch import records
 from hibiscusslip.host import lease_timing
 
@@ -32,6 +34,10 @@
 STOPPED = model.RunOutcome.STOPPED
 
 
+def _ignore(event: str, **fields: typing.Any) -> None:
+    return None
+
+
 @dataclasses.dataclass(slots=True)
 class JobCounts:
     """Count the jobs of a kind by how they completed.
@@ -77,6 +83,8 @@
         seed: int,
         load: dispatch_loads.Load,
         bursts: tuple[dispatch_loads.Burst, ...] = (),
+        policy: policies.Policy = policies.Policy(),
+        note: engines.Note = _ignore,
     ) -> None:
         self._seed = seed
         self._arrivals_rng = random.Random(seed)
@@ -100,7 +108,7 @@
         ] = {}
         self._report = Report({k: JobCounts() for k in self._kinds}, [])
         self._engine = engines.Engine(
-            lease_timing.USUAL_LEASE_S, lambda event, **fields: None
+            lease_timing.USUAL_LEASE_S, note, policy=policy
         )
         self._engine.config = _make_configuration(load.kinds)
         self._engine.adviser_count = ADVISER_COUNT
--- a/hibiscusslip/dispatch/_planning.py
+++ b/hibiscusslip/dispatch/_planning.py
@@ -4,6 +4,7 @@
 import typing
 
 from hibiscusslip.dispatch import _headroom
+from hibiscusslip.dispatch import _preempting
 from hibiscusslip.dispatch import _reservations
 from hibiscusslip.dispatch import _suspicion
 from hibiscusslip.dispatch import advice_planning
@@ -38,6 +39,9 @@
     reserved: _reservations.Reservations = dataclasses.field(
         default_factory=_reservations.Reservations
     )
+    preempting: _preempting.Preempting = dataclasses.field(
+        default_factory=_preempting.Preempting
+    )
 
 
 def plan(engine: 'engines.Engine', now: float) -> None:
@@ -59,6 +63,8 @@
         advice_planning.request_advice_if_needed(
             engine, step, pool, candidates[step.job.service], now
         )
+    if engine.policy.urgent_preemption:
+        current.preempting.preempt(engine, services, candidates, now)
 
 
 def _compute_spare(current: _Pass) -> None:
@@ -96,6 +102,19 @@
     return tasks[:max_tasks]
 
 
+def _is_urgent(current: _Pass, step: state.StepState) -> bool:
+    """Return True if a step may have runs of other queues preempted.
+
+    Gangs and tasks with accelerators need whole endpoints; reservations
+    preempt for them.
+    """
+    urgent = current.urgent.get(step.job.service)
+    spec = step.spec
+    if urgent is None or spec.gang or spec.demand.accelerators:
+        return False
+    return current.engine.queue_of(step.job).priority <= urgent
+
+
 def _rank_steps(
     engine: 'engines.Engine', now: float
 ) -> list[tuple[ordering.Rank, state.StepState]]:
@@ -145,6 +164,9 @@
         )
     if rank.expired or not step.has_waiting():
         return
+    if _is_urgent(current, step) and not rank.late:
+        waiting = sum(t.status is state.Status.WAITING for t in tasks)
+        current.preempting.add(step, waiting, rank.priority)
     if _reservations.is_large(step, candidates.max_endpoint_cpu):
         endpoints = [
             candidate.endpoint
--- /dev/null
+++ b/hibiscusslip/dispatch/_preempting.py
@@ -0,0 +1,84 @@
+"""Preempt patient work for the urgent steps of a scheduling pass."""
+
+import typing
+
+from hibiscusslip.dispatch import candidate_pool
+from hibiscusslip.dispatch import preemption
+from hibiscusslip.dispatch import state
+
+if typing.TYPE_CHECKING:
+    from hibiscusslip.dispatch import engine as engines
+
+
+class Preempting:
+    """Collect the urgent demand that a pass couldn't place, by service."""
+
+    def __init__(self) -> None:
+        self._waiting: dict[str, int] = {}
+        self._priority: dict[str, int] = {}
+
+    def add(self, step: state.StepState, tasks: int, priority: int) -> None:
+        """Add tasks of a step that can be on time and found no capacity."""
+        service = step.job.service
+        demand = tasks * step.spec.allocated_demand.cpu
+        self._waiting[service] = self._waiting.get(service, 0) + demand
+        known = self._priority.get(service, priority)
+        self._priority[service] = max(known, priority)
+
+    def preempt(
+        self,
+        engine: 'engines.Engine',
+        pools: dict[str, list[state.Endpoint]],
+        candidates: dict[str, candidate_pool.Candidates],
+        now: float,
+    ) -> None:
+        """Stop runs of less urgent queues for what was added."""
+        for service, waiting in self._waiting.items():
+            if now < engine.next_preemption_at.get(service, 0.0):
+                continue
+            engine.next_preemption_at[service] = now + preemption.PERIOD_S
+            free = sum(c.cpu for c in candidates[service].all)
+            shortage = preemption.Shortage(
+                waiting, self._priority[service], free
+            )
+            _preempt_in_pool(engine, shortage, pools[service], now)
+
+
+def _preempt_in_pool(
+    engine: 'engines.Engine',
+    shortage: preemption.Shortage,
+    pool: list[state.Endpoint],
+    now: float,
+) -> None:
+    allocations = [a for e in pool for a in e.allocations.values()]
+    missing = preemption.missing_cpu(shortage, allocations)
+    if missing <= 0:
+        return
+    runs = [
+        _describe(engine, allocation, now)
+        for allocation in allocations
+        if preemption.may_stop(allocation)
+    ]
+    for task in preemption.choose(shortage, missing, runs):
+        task.preempted = True
+        engine.note(
+            'run_preempted',
+            task=task.name,
+            run=task.run,
+            endpoint=task.endpoint,
+            missing_cpu=missing,
+            urgent_waiting_cpu=shortage.waiting,
+        )
+        engine.stop(task, 'makes way for urgent work', now)
+
+
+def _describe(
+    engine: 'engines.Engine', allocation: state.Allocation, now: float
+) -> preemption.Run:
+    assert allocation.task is not None
+    step = allocation.task.step
+    queue = engine.queue_of(step.job)
+    objective = engine.estimates.objective(step.job, queue)
+    remaining = engine.estimates.critical_path(step.job, step.number)
+    slack = objective.on_time_until - now - remaining
+    return preemption.Run(allocation, slack, queue.priority)
--- a/hibiscusslip/dispatch/engine.py
+++ b/hibiscusslip/dispatch/engine.py
@@ -77,6 +77,7 @@
         self.recent_losses: list[crashes.Loss] = []
         self.eligible_shares: dict[str, advice_sizing.EligibleShare] = {}
         self.headroom: dict[str, _headroom.Headroom] = {}
+        self.next_preemption_at: dict[str, float] = {}
 
     # Jobs.
 
--- a/hibiscusslip/dispatch/policy.py
+++ b/hibiscusslip/dispatch/policy.py
@@ -8,10 +8,12 @@
     """Switch optional decisions on; by default all of them are off.
 
     With `learned_run_times` expected run times come from finished runs, with
-    `endpoint_speeds` placement considers how fast an endpoint is, and with
-    `copies` a second run of a straggler is started if its step allows that.
+    `endpoint_speeds` placement considers how fast an endpoint is, with
+    `copies` a second run of a straggler is started if its step allows that,
+    and with `urgent_preemption` patient runs are stopped for urgent work.
     """
 
     learned_run_times: bool = False
     endpoint_speeds: bool = False
     copies: bool = False
+    urgent_preemption: bool = False
--- a/hibiscusslip/dispatch/state.py
+++ b/hibiscusslip/dispatch/state.py
@@ -67,7 +67,8 @@
     stopped because they made no progress. While the task is placed,
     `address` and `born` are those of its endpoint's incarnation.
     `unexplained` are its runs on endpoints that may have crashed under it.
-    `proven_run` is the last run on trial that was seen to work.
+    `proven_run` is the last run on trial that was seen to work. `preempted` is
+    set once a run was stopped in favour of urgent work.
     """
 
     name: str
@@ -88,6 +89,7 @@
     proven_run: int = 0
     address: str = ''
     born: float = 0.0
+    preempted: bool = False
 
     @property
     def on_trial(self) -> bool:
--- a/hibiscusslip/host/options.py
+++ b/hibiscusslip/host/options.py
@@ -7,6 +7,7 @@
 RUN_TIMES_VARIABLE = 'HIBISCUSSLIP_RUN_TIMES'
 SPEEDS_VARIABLE = 'HIBISCUSSLIP_ENDPOINT_SPEEDS'
 COPIES_VARIABLE = 'HIBISCUSSLIP_COPIES'
+PREEMPTION_VARIABLE = 'HIBISCUSSLIP_URGENT_PREEMPTION'
 
 
 class OptionInvalid(ValueError):
@@ -21,6 +22,7 @@
         ),
         endpoint_speeds=_is_on(environ, SPEEDS_VARIABLE, 'off', 'on'),
         copies=_is_on(environ, COPIES_VARIABLE, 'off', 'on'),
+        urgent_preemption=_is_on(environ, PREEMPTION_VARIABLE, 'off', 'on'),
     )
 
 
