--- a/hibiscusslip/dispatch/_headroom.py
+++ b/hibiscusslip/dispatch/_headroom.py
@@ -18,10 +18,14 @@
 
 @dataclasses.dataclass(slots=True)
 class Headroom:
-    """The moving average of the CPU that a service's urgent queues use."""
+    """The moving average of the CPU that a service's urgent queues use.
+
+    Before `next_preemption_at` nothing is preempted for these queues.
+    """
 
     use: float = 0.0
     updated_at: float = 0.0
+    next_preemption_at: float = 0.0
 
     def is_stale(self, now: float) -> bool:
         """Return True if the use is due for an update."""
