--- a/hibiscusslip/bench/dispatch_loads.py
+++ b/hibiscusslip/bench/dispatch_loads.py
@@ -17,7 +17,9 @@
     cores and `run` its mean run time in seconds. A job is on time if it
     completes within `stretch` times the mean time for advice and run, plus
     a quarter of a second. Advice admits an `eligible` fraction of the
-    endpoints. `failure_rate` is the fraction of the runs that fail.
+    endpoints. `failure_rate` is the fraction of the runs that fail,
+    `tail_rate` of those that take `tail_factor` times as long. Jobs declare
+    the mean run time times a factor within `declared`.
     """
 
     name: str
@@ -34,16 +36,38 @@
     advice: model.Advice | None = None
     eligible: float = 1.0
     failure_rate: float = 0.005
+    tail_rate: float = 0.0
+    tail_factor: float = 1.0
+    declared: tuple[float, float] = (0.6, 1.6)
+
+    def duration(self, chance: float, tail_chance: float) -> float:
+        """Return the run time of a task at speed 1, by two chances."""
+        factor = self.tail_factor if tail_chance < self.tail_rate else 1.0
+        return self.run * (0.7 + 0.6 * chance) * factor
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Pool:
-    """Describe the identical endpoints of a service."""
+    """Describe the endpoints of a service.
+
+    They have the `sizes`, relative to `cores`, and the `speeds` in turn.
+    """
 
     service: str
     count: int
     cores: int
     accelerators: int = 0
+    sizes: tuple[float, ...] = (1.0,)
+    speeds: tuple[float, ...] = (1.0,)
+
+    def capacity(self, number: int) -> model.Demand:
+        """Return the capacity of one of its endpoints."""
+        cpu = int(self.cores * self.sizes[number % len(self.sizes)] * 1000)
+        return model.Demand(cpu, 512_000, self.accelerators)
+
+    def speed(self, number: int) -> float:
+        """Return the speed of one of its endpoints."""
+        return self.speeds[number // len(self.sizes) % len(self.speeds)]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -177,7 +201,34 @@
         failure_rate=0.05,
     ),
 )
+# Endpoints of several speeds and sizes, stragglers and wrong declarations.
+_UNEVEN_KINDS = (
+    Kind('lookup', 'mixed', 32.0, 4, 3, 0.6, 0, 1.5),
+    Kind('merge', 'mixed', 2.0, 6, 8, 2.5, 1, 2.2, gang=True),
+    Kind('solve', 'mixed', 2.0, 1, 40, 3.0, 1, 2.2),
+    Kind('sweep', 'mixed', 4.0, 12, 4, 4.0, 2, 4.0, checkpoints=True),
+)
 LOADS = {
+    'uneven': Load(
+        tuple(
+            dataclasses.replace(
+                kind,
+                tail_rate=0.0 if kind.gang else 0.03,
+                tail_factor=7.0,
+                declared=(0.5, 2.0),
+            )
+            for kind in _UNEVEN_KINDS
+        ),
+        (
+            Pool(
+                'mixed',
+                60,
+                64,
+                sizes=(0.25, 0.25, 0.5, 1.0),
+                speeds=(0.55, 0.8, 1.0, 1.2),
+            ),
+        ),
+    ),
     'planning': Load(
         _PLANNING_KINDS,
         (Pool('planner', 126, 64), Pool('print', 50, 128, 8)),
--- a/hibiscusslip/bench/dispatching.py
+++ b/hibiscusslip/bench/dispatching.py
@@ -13,15 +13,18 @@
 import itertools
 import random
 import time
+import typing
 import zlib
 
 import cyclopts
 
 from hibiscusslip.bench import dispatch_loads
+from hibiscusslip.bench import dispatch_report
 from hibiscusslip.dispatch import commands
 from hibiscusslip.dispatch import engine as engines
 from hibiscusslip.dispatch import estimates
 from hibiscusslip.dispatch import model
+from hibiscusslip.dispatch import policy as policies
 from hibiscusslip.dispatch import records
 from hibiscusslip.host import lease_timing
 
@@ -32,31 +35,6 @@
 STOPPED = model.RunOutcome.STOPPED
 
 
-@dataclasses.dataclass(slots=True)
-class JobCounts:
-    """Count the jobs of a kind by how they completed.
-
-    `total_time` is the time that the completed ones took, in seconds.
-    """
-
-    submitted: int = 0
-    on_time: int = 0
-    late: int = 0
-    completed: int = 0
-    total_time: float = 0.0
-
-
-@dataclasses.dataclass(slots=True)
-class Report:
-    """Represent the results of a replay.
-
-    `pass_times` are the processor times of the scheduling passes in seconds.
-    """
-
-    kinds: dict[str, JobCounts]
-    pass_times: list[float]
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Run:
     """Represent a run by its start and its duration, in seconds."""
@@ -77,6 +55,7 @@
         seed: int,
         load: dispatch_loads.Load,
         bursts: tuple[dispatch_loads.Burst, ...] = (),
+        policy: policies.Policy = policies.Policy(),
     ) -> None:
         self._seed = seed
         self._arrivals_rng = random.Random(seed)
@@ -98,17 +77,21 @@
         self._open_jobs: dict[
             str, tuple[dispatch_loads.Kind, float, float]
         ] = {}
-        self._report = Report({k: JobCounts() for k in self._kinds}, [])
+        self._started_jobs: set[str] = set()
+        self._report = dispatch_report.Report(
+            {k: dispatch_report.JobCounts() for k in self._kinds}, []
+        )
+        self._speeds: dict[str, float] = {}
         self._engine = engines.Engine(
-            lease_timing.USUAL_LEASE_S, lambda event, **fields: None
+            lease_timing.USUAL_LEASE_S, _ignore, policy=policy
         )
         self._engine.config = _make_configuration(load.kinds)
         self._engine.adviser_count = ADVISER_COUNT
         for pool in load.pools:
             for number in range(pool.count):
-                self._add_endpoint(pool, f'{pool.service}-{number}')
+                self._add_endpoint(pool, number)
 
-    def run(self, seconds: float) -> Report:
+    def run(self, seconds: float) -> dispatch_report.Report:
         """Replay arrivals for a time and return the results.
 
         Jobs that are still open then get another 60 s to complete.
@@ -131,15 +114,16 @@
         self._execute_commands()
         self._count_completed()
 
-    def _add_endpoint(self, pool: dispatch_loads.Pool, name: str) -> None:
-        capacity = model.Demand(pool.cores * 1000, 512_000, pool.accelerators)
+    def _add_endpoint(self, pool: dispatch_loads.Pool, number: int) -> None:
+        name = f'{pool.service}-{number}'
+        self._speeds[name] = pool.speed(number)
         entry = model.EndpointEntry(
             name=name,
             service=pool.service,
             address=f'{name}:1',
             zone='z',
             labels=(),
-            capacity=capacity,
+            capacity=pool.capacity(number),
             draining=False,
             seq=1,
             born=1.0,
@@ -177,7 +161,7 @@
 
     def _submit(self, kind: dispatch_loads.Kind) -> None:
         job_id = f'{kind.name}-{next(self._job_numbers)}'
-        declared = kind.run * self._arrivals_rng.uniform(0.6, 1.6)
+        declared = kind.run * self._arrivals_rng.uniform(*kind.declared)
         step = model.Step(
             max(int(kind.tasks * self._arrivals_rng.uniform(0.5, 1.5)), 1),
             model.Demand(int(kind.cpu * 1000), 1000, kind.accelerators),
@@ -219,13 +203,26 @@
         """Start a run, which resumes from the checkpoint of a stopped run."""
         self._engine.confirm_start(start, self._now)
         kind = self._kinds[start.task.step.job.queue]
-        full_duration = kind.run * (0.7 + 0.6 * self._chance(start, 'time'))
+        full_duration = kind.duration(
+            self._chance(start, 'time'), self._chance(start, 'tail')
+        )
         duration = full_duration * self._remaining.pop(start.task.name, 1.0)
+        duration /= self._speeds[start.endpoint]
+        self._count_start(start.task.step.job.job_id)
         run = _Run(self._now, duration)
         self._running[start.endpoint][start.task.name, start.run] = run
         row = (self._now + duration, next(self._sequence), start)
         heapq.heappush(self._run_ends, row)
 
+    def _count_start(self, job_id: str) -> None:
+        """Count the wait of a job, up to its first start."""
+        if job_id in self._open_jobs and job_id not in self._started_jobs:
+            self._started_jobs.add(job_id)
+            kind, sent, _ = self._open_jobs[job_id]
+            counts = self._report.kinds[kind.name]
+            counts.started += 1
+            counts.total_wait += self._now - sent
+
     def _stop(self, stop: commands.Stop) -> None:
         """Schedule the end of a run; its progress is kept as a checkpoint."""
         run = (stop.task, stop.run)
@@ -304,6 +301,10 @@
                 del self._open_jobs[job_id]
 
 
+def _ignore(event: str, **fields: typing.Any) -> None:
+    return None
+
+
 def _uniform_hash(text: str) -> float:
     """Return a number in [0, 1) that depends only on the text."""
     return zlib.crc32(text.encode()) / 2**32
@@ -330,25 +331,6 @@
     return model.Configuration(1, queues, services)
 
 
-def print_report(report: Report) -> None:
-    """Print the results by kind and the processor time of a pass."""
-    print(
-        f'{"kind":<12}{"submitted":>10}{"on time":>9}{"late":>7}{"mean s":>8}'
-    )
-    for name, counts in report.kinds.items():
-        total = max(counts.submitted, 1)
-        print(
-            f'{name:<12}{counts.submitted:>10}{counts.on_time / total:>9.3f}'
-            f'{counts.late / total:>7.3f}'
-            f'{counts.total_time / max(counts.completed, 1):>8.2f}'
-        )
-    times = sorted(report.pass_times)
-    print(
-        f'{len(times)} passes: mean {sum(times) / len(times) * 1e3:.2f} ms,'
-        f' p99 {times[len(times) * 99 // 100] * 1e3:.2f} ms'
-    )
-
-
 app = cyclopts.App(name='dispatching', help=__doc__)
 
 
@@ -360,22 +342,30 @@
     factor: float = 2.5,
     scale: int = 1,
     deployment: str = 'planning',
+    learned: bool = False,
+    speeds: bool = False,
 ) -> None:
     """Replay the arrivals of a grown deployment.
 
     Parameters
     ----------
     deployment
-        Name of its load: 'planning' or 'recheck'.
+        Name of its load: 'planning', 'recheck' or 'uneven'.
     burst
         Kind whose arrivals are multiplied by `factor` from 5 s to 9 s; none
         if empty.
     scale
         Factor for the number of endpoints and the rate of arrivals.
+    learned
+        Expect run times as learned from finished runs.
+    speeds
+        Consider the speeds of endpoints.
     """
     load = dispatch_loads.LOADS[deployment].scaled(scale)
     bursts = (dispatch_loads.Burst(burst, factor, 5.0, 9.0),) if burst else ()
-    print_report(Replay(seed, load, bursts).run(seconds))
+    policy = policies.Policy(learned_run_times=learned, endpoint_speeds=speeds)
+    replay = Replay(seed, load, bursts, policy)
+    dispatch_report.print_report(replay.run(seconds))
 
 
 if __name__ == '__main__':
--- a/hibiscusslip/dispatch/_draining.py
+++ b/hibiscusslip/dispatch/_draining.py
@@ -23,13 +23,16 @@
         if endpoint.entry is None or not endpoint.entry.draining:
             continue
         for allocation in list(endpoint.allocations.values()):
-            if _should_move(engine, allocation, now):
+            if _should_move(engine, endpoint, allocation, now):
                 assert allocation.task is not None
                 engine.stop(allocation.task, 'its endpoint leaves', now)
 
 
 def _should_move(
-    engine: 'engines.Engine', allocation: state.Allocation, now: float
+    engine: 'engines.Engine',
+    endpoint: state.Endpoint,
+    allocation: state.Allocation,
+    now: float,
 ) -> bool:
     task = allocation.task
     if task is None or allocation.stop_requested_at:
@@ -41,5 +44,5 @@
         return True
     if not spec.resumable:
         return False
-    remaining = task.started_at + engine.estimates.run_time(task.step) - now
-    return remaining > MIN_NOTICE_S
+    end = engine.estimates.expected_end(task, endpoint, task.started_at, now)
+    return end - now > MIN_NOTICE_S
--- a/hibiscusslip/dispatch/_pacing.py
+++ b/hibiscusslip/dispatch/_pacing.py
@@ -86,6 +86,7 @@
     if percent == HALF_PERCENT:
         allocation.cooldown_since = now  # full speed takes another cooldown
     allocation.pace_percent = percent
+    allocation.measurable = False
     engine.paces.append(
         commands.Pace(
             endpoint.name, allocation.task.name, allocation.run, percent
--- a/hibiscusslip/dispatch/_planning.py
+++ b/hibiscusslip/dispatch/_planning.py
@@ -10,8 +10,10 @@
 from hibiscusslip.dispatch import candidate_pool
 from hibiscusslip.dispatch import commands
 from hibiscusslip.dispatch import crashes
+from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import ordering
 from hibiscusslip.dispatch import placement
+from hibiscusslip.dispatch import preferences
 from hibiscusslip.dispatch import state
 
 if typing.TYPE_CHECKING:
@@ -26,7 +28,8 @@
 
     `urgent` maps a service to the priority of its urgent queues, `spare` to
     the CPU that other queues may use, in thousandths of a core. `reserved`
-    are the endpoints reserved for large steps.
+    are the endpoints reserved for large steps, `largest` are the largest
+    demands of each service if endpoints' speeds are considered.
     """
 
     engine: 'engines.Engine'
@@ -38,6 +41,7 @@
     reserved: _reservations.Reservations = dataclasses.field(
         default_factory=_reservations.Reservations
     )
+    largest: dict[str, model.Demand] = dataclasses.field(default_factory=dict)
 
 
 def plan(engine: 'engines.Engine', now: float) -> None:
@@ -50,6 +54,8 @@
     }
     current = _Pass(engine, services, candidates, now)
     _compute_spare(current)
+    if engine.estimates.learns:
+        _update_learned(current)
     for rank, step in _rank_steps(engine, now):
         pool = current.services.get(step.job.service, [])
         if not pool:
@@ -61,6 +67,26 @@
         )
 
 
+def _update_learned(current: _Pass) -> None:
+    """Log what was learned, and compute what placement needs of it."""
+    engine = current.engine
+    engine.estimates.speeds.refresh(current.now)
+    for shift in engine.estimates.run_times.take_shifts():
+        engine.note(
+            'run_times_shifted',
+            group=shift.group,
+            before=round(shift.before, 2),
+            after=round(shift.after, 2),
+            runs=shift.runs,
+        )
+    if not engine.policy.endpoint_speeds:
+        return
+    for pool in current.candidates.values():
+        for candidate in pool.all:
+            candidate.speed = engine.estimates.speed_factor(candidate.endpoint)
+    current.largest = preferences.largest_demands(engine.active_steps.values())
+
+
 def _compute_spare(current: _Pass) -> None:
     """Compute for each service the CPU that non-urgent queues may use."""
     engine = current.engine
@@ -141,7 +167,11 @@
             else None
         )
         _place_tasks(
-            current, step, tasks, candidates.eligible_for(step, admitting)
+            current,
+            step,
+            tasks,
+            candidates.eligible_for(step, admitting),
+            rank,
         )
     if rank.expired or not step.has_waiting():
         return
@@ -168,14 +198,18 @@
     step: state.StepState,
     tasks: list[state.Task],
     candidates: list[candidate_pool.Candidate],
+    rank: ordering.Rank,
 ) -> None:
     """Start as many of a step's tasks as fit."""
     run_time = current.engine.estimates.run_time(step)
     unreserved = [
         candidate
         for candidate in candidates
-        if current.reserved.admits(candidate.endpoint, run_time, current.now)
+        if current.reserved.admits(
+            candidate.endpoint, run_time / candidate.speed, current.now
+        )
     ]
+    preference = _prefer(current, step, rank)
     startable = _limit_to_spare(current, step, tasks)
     on_trial = [task for task in startable if task.on_trial]
     if step.spec.gang and on_trial:
@@ -183,7 +217,24 @@
     if on_trial:
         _place_on_trial(current, step, on_trial, unreserved)
     others = [task for task in startable if task not in on_trial]
-    _start_all(current, step, placement.choose(step, others, unreserved))
+    choices = placement.choose(step, others, unreserved, preference)
+    _start_all(current, step, choices)
+
+
+def _prefer(
+    current: _Pass, step: state.StepState, rank: ordering.Rank
+) -> preferences.Preference:
+    """Return which endpoints suit a step, by its slack and their speeds."""
+    estimates = current.engine.estimates
+    if not estimates.policy.endpoint_speeds:
+        return preferences.NONE
+    return preferences.for_step(
+        step,
+        rank.slack,
+        estimates.run_time(step),
+        estimates.critical_path(step.job, step.number),
+        current.largest.get(step.job.service, model.Demand()),
+    )
 
 
 def _place_on_trial(
@@ -242,6 +293,7 @@
     choice.candidate.allocate(step.spec.allocated_demand)
     endpoint.leased_until = max(endpoint.leased_until, deadline)
     checkpoint = step.checkpoint if step.spec.gang else task.checkpoint
+    allocation.measurable = not checkpoint
     ticket = (step.tickets or {}).get(endpoint.name)
     current.engine.dirty.add(step.job.job_id)
     current.engine.starts.append(
--- a/hibiscusslip/dispatch/_reports.py
+++ b/hibiscusslip/dispatch/_reports.py
@@ -7,6 +7,7 @@
 from hibiscusslip.dispatch import crashes
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import progress
+from hibiscusslip.dispatch import run_learning
 from hibiscusslip.dispatch import state
 
 if typing.TYPE_CHECKING:
@@ -35,6 +36,8 @@
     if not report.running:
         endpoint.inherited_leases_until = 0.0
     crashes.take_lapsed(endpoint)
+    if endpoint.may_have_restarted or endpoint.silent:
+        _mark_unmeasurable(endpoint)
     endpoint.polled = True
     endpoint.born = report.born
     endpoint.silent = False
@@ -49,6 +52,12 @@
     _lost_runs.abandon_missing(engine, endpoint, report, listed, sent, now)
 
 
+def _mark_unmeasurable(endpoint: state.Endpoint) -> None:
+    """Note that the ends of runs may be reported late after lost calls."""
+    for allocation in endpoint.allocations.values():
+        allocation.measurable = False
+
+
 def _longest_lease_end(engine: 'engines.Engine', now: float) -> float:
     """Return by when leases that are held now have expired.
 
@@ -105,12 +114,16 @@
     if end.checkpoint:
         _save_checkpoint(task, end.checkpoint)
     if end.how is model.RunOutcome.DONE and not task.step.spec.long_running:
-        _complete_task(engine, endpoint, task, end.run, now)
+        _complete_task(engine, endpoint, task, end.run, allocation, now)
         return
     if end.how is model.RunOutcome.FAILED:
         _record_endpoint_failure(engine, endpoint, task, now)
     if task.run != end.run or not task.status.placed:
         return
+    if end.how is model.RunOutcome.STOPPED:
+        run_learning.learn_stopped(
+            engine.estimates, endpoint, task, allocation, now
+        )
     if end.how is model.RunOutcome.FAILED and not task.step.spec.long_running:
         if _record_failure(engine, task, end.run):
             task.status = state.Status.FAILED
@@ -130,6 +143,7 @@
     endpoint: state.Endpoint,
     task: state.Task,
     run: int,
+    allocation: state.Allocation | None,
     now: float,
 ) -> None:
     """Mark a task as done; for a gang, one done member completes them all."""
@@ -137,11 +151,14 @@
     endpoint.consecutive_failures = 0
     if task.status is state.Status.DONE:
         return
-    if task.started_at and not task.checkpoint and task.run == run:
-        actual = now - task.started_at
-        expected = engine.estimates.run_time(step)
-        progress.update_slowness(endpoint, expected, actual, now)
-        engine.estimates.learn(step.job.queue, step.spec.estimate, actual)
+    if task.started_at and task.run == run:
+        if run_learning.is_measured(engine.estimates, task, allocation):
+            actual = now - task.started_at
+            expected = engine.estimates.run_time_on(step, endpoint)
+            progress.update_slowness(endpoint, expected, actual, now)
+            run_learning.learn_done(
+                engine.estimates, endpoint, task, allocation, now
+            )
     members = step.tasks if step.spec.gang else [task]
     for member in members:
         if member.status is state.Status.DONE:
@@ -261,7 +278,9 @@
     """
     task = find_task(engine, row.task)
     demand = task.step.spec.allocated_demand if task else model.Demand()
-    allocation = state.Allocation(task, row.run, demand, now, confirmed_at=now)
+    allocation = state.Allocation(
+        task, row.run, demand, now, confirmed_at=now, measurable=False
+    )
     endpoint.allocate(row.task, allocation)
     if task is None or task.step.job.state.final or row.run < task.run:
         return allocation
--- a/hibiscusslip/dispatch/_reservations.py
+++ b/hibiscusslip/dispatch/_reservations.py
@@ -135,7 +135,11 @@
     if demand.fits(free):
         return now
     ends = [
-        (_expected_end(engine, allocation, now), number, allocation.demand)
+        (
+            _expected_end(engine, endpoint, allocation, now),
+            number,
+            allocation.demand,
+        )
         for number, allocation in enumerate(endpoint.allocations.values())
     ]
     for end, _, released in sorted(ends, key=lambda row: row[:2]):
@@ -146,15 +150,20 @@
 
 
 def _expected_end(
-    engine: 'engines.Engine', allocation: state.Allocation, now: float
+    engine: 'engines.Engine',
+    endpoint: state.Endpoint,
+    allocation: state.Allocation,
+    now: float,
 ) -> float:
     task = allocation.task
     if allocation.stop_requested_at:
         return now + MIN_REMAINING_S
     if task is None or task.step.spec.long_running:
         return NEVER
-    run_time = engine.estimates.run_time(task.step)
-    return max((task.started_at or now) + run_time, now + MIN_REMAINING_S)
+    end = engine.estimates.expected_end(
+        task, endpoint, task.started_at or now, now
+    )
+    return max(end, now + MIN_REMAINING_S)
 
 
 def _preempt(
--- a/hibiscusslip/dispatch/candidate_pool.py
+++ b/hibiscusslip/dispatch/candidate_pool.py
@@ -37,10 +37,11 @@
     """A usable endpoint and its free capacity during one scheduling pass.
 
     The amounts are copied from the endpoint, because one pass reads each of
-    them for hundreds of steps. `number` is the endpoint's place in its pool.
+    them for hundreds of steps. `number` is the endpoint's place in its pool,
+    `speed` its speed relative to the pool's typical one.
     """
 
-    __slots__ = ('endpoint', 'entry', 'number', 'slow')
+    __slots__ = ('endpoint', 'entry', 'number', 'slow', 'speed')
 
     def __init__(self, endpoint: state.Endpoint, number: int, now: float):
         free = endpoint.free_capacity()
@@ -50,6 +51,7 @@
         self.entry = endpoint.entry
         self.number = number
         self.slow = progress.is_slow(endpoint, now)
+        self.speed = 1.0
 
 
 class Candidates:
--- a/hibiscusslip/dispatch/engine.py
+++ b/hibiscusslip/dispatch/engine.py
@@ -62,7 +62,7 @@
         self.jobs: dict[str, state.Job] = {}
         self.endpoints: dict[str, state.Endpoint] = {}
         self.config: model.Configuration | None = None
-        self.estimates = estimates.Estimates()
+        self.estimates = estimates.Estimates(policy)
         self.dirty: set[str] = set()
         self.starts: list[commands.Start] = []
         self.stops: list[commands.Stop] = []
--- a/hibiscusslip/dispatch/estimates.py
+++ b/hibiscusslip/dispatch/estimates.py
@@ -1,15 +1,22 @@
-"""Learn run times and derive from them by when a job should complete."""
+"""Estimate run times and derive from them by when a job should complete."""
 
 import dataclasses
 
+from hibiscusslip.dispatch import estimate_errors
 from hibiscusslip.dispatch import model
+from hibiscusslip.dispatch import policy as policies
+from hibiscusslip.dispatch import run_times
+from hibiscusslip.dispatch import speeds
 from hibiscusslip.dispatch import state
 
 LEARNING_RATE = 0.1
 MIN_RATIO = 0.2
 MAX_RATIO = 5.0
 LATE_FACTOR = 3.0  # a job that takes longer than 3x its objective is worthless
-MIN_DECLARED_S = 0.05
+MIN_DECLARED_S = run_times.MIN_DECLARED_S
+# A run past its high quantile is expected to go on for half as long again.
+OVERDUE_SHARE = 0.5
+MAX_CACHED = 10_000
 DEFAULT_QUEUE = model.Queue('', '', '', '')
 
 
@@ -39,10 +46,28 @@
 
 
 class Estimates:
-    """Estimate run times by each queue's ratio of actual to declared ones."""
+    """Estimate run times, by default by each queue's mean ratio.
 
-    def __init__(self) -> None:
+    The ratio is that of actual to declared run times. `policy` says whether
+    distributions of run times and the speeds of endpoints are used instead;
+    both are learned if one of them is used. `run_times`, `speeds` and
+    `errors` are what is learned.
+    """
+
+    def __init__(self, policy: policies.Policy = policies.Policy()) -> None:
+        self.policy = policy
+        self.run_times = run_times.RunTimes()
+        self.speeds = speeds.Speeds()
+        self.errors = estimate_errors.Errors()
         self._ratios: dict[str, float] = {}
+        self._expected: dict[run_times.Work, Expectation] = {}
+        self._paths: dict[str, list[float]] = {}
+        self._version = 0
+
+    @property
+    def learns(self) -> bool:
+        """Return True if run times and speeds are learned."""
+        return self.policy.learned_run_times or self.policy.endpoint_speeds
 
     def learn(self, queue: str, declared: float, actual: float) -> None:
         """Update a queue's ratio with a run that is done."""
@@ -53,27 +78,65 @@
 
     def run_time(self, step: state.StepState) -> float:
         """Return the expected run time of a step's tasks, in seconds."""
-        return step.spec.estimate * self._ratios.get(step.job.queue, 1.0)
+        return self._run_time(step.job, step.spec)
+
+    def run_time_on(
+        self, step: state.StepState, endpoint: state.Endpoint
+    ) -> float:
+        """Return the expected run time on an endpoint, in seconds."""
+        return self.run_time(step) / self.speed_factor(endpoint)
 
     def expect(self, step: state.StepState) -> Expectation:
         """Return the expected run time of a step's tasks."""
-        run_time = self.run_time(step)
-        return Expectation(run_time, run_time, 0, 'declared')
+        if not self.policy.learned_run_times:
+            run_time = self.run_time(step)
+            return Expectation(run_time, run_time, 0, 'declared')
+        return self.expect_learned(step)
+
+    def expect_learned(self, step: state.StepState) -> Expectation:
+        """Return the expected run time by what is learned."""
+        return self._learned(step.job, step.spec)
+
+    def expected_end(
+        self,
+        task: state.Task,
+        endpoint: state.Endpoint,
+        started_at: float,
+        now: float,
+    ) -> float:
+        """Return when a run should end, on the host's clock.
+
+        Of a run that has taken longer than expected, what is learned tells
+        how much longer it may take.
+        """
+        speed = self.speed_factor(endpoint)
+        if not self.policy.learned_run_times:
+            return started_at + self.run_time(task.step) / speed
+        expected = self.expect_learned(task.step)
+        for run_time in (expected.median, expected.high):
+            if started_at + run_time / speed > now:
+                return started_at + run_time / speed
+        return now + OVERDUE_SHARE * (now - started_at)
+
+    def speed_of(self, endpoint: state.Endpoint) -> speeds.Speed:
+        """Return what is known of an endpoint's speed."""
+        entry = endpoint.entry
+        if entry is None:
+            return speeds.UNKNOWN
+        return self.speeds.speed(endpoint.name, entry.service, entry.kind)
+
+    def speed_factor(self, endpoint: state.Endpoint) -> float:
+        """Return an endpoint's speed, 1 unless speeds are considered."""
+        if not self.policy.endpoint_speeds:
+            return 1.0
+        return self.speed_of(endpoint).factor
 
     def critical_path(self, job: state.Job, start: int = 0) -> float:
         """Return the length of the critical path from a step on, in seconds.
 
         For step 0 it is the critical path of the whole job.
         """
-        ratio = self._ratios.get(job.queue, 1.0)
-        steps = job.spec.steps
-        lengths = [step.estimate * ratio for step in steps]
-        for number in range(len(steps) - 1, -1, -1):
-            for dependency in steps[number].after:
-                own = steps[dependency].estimate * ratio
-                lengths[dependency] = max(
-                    lengths[dependency], own + lengths[number]
-                )
+        lengths = self._path_lengths(job)
         return max(lengths) if start == 0 else lengths[start]
 
     def objective(self, job: state.Job, queue: model.Queue) -> Objective:
@@ -85,3 +148,54 @@
             job.submitted_at + allowed,
             job.submitted_at + LATE_FACTOR * allowed,
         )
+
+    def _run_time(self, job: state.Job, spec: model.Step) -> float:
+        if not self.policy.learned_run_times:
+            return spec.estimate * self._ratios.get(job.queue, 1.0)
+        return self._learned(job, spec).median
+
+    def _path_lengths(self, job: state.Job) -> list[float]:
+        """Return the length of the critical path from each step on."""
+        if not self.policy.learned_run_times:
+            return self._compute_path_lengths(job)
+        self._drop_outdated()
+        lengths = self._paths.get(job.job_id)
+        if lengths is None:
+            lengths = self._compute_path_lengths(job)
+            self._paths[job.job_id] = lengths
+        return lengths
+
+    def _compute_path_lengths(self, job: state.Job) -> list[float]:
+        steps = job.spec.steps
+        lengths = [self._run_time(job, step) for step in steps]
+        own = lengths.copy()
+        for number in range(len(steps) - 1, -1, -1):
+            for dependency in steps[number].after:
+                lengths[dependency] = max(
+                    lengths[dependency], own[dependency] + lengths[number]
+                )
+        return lengths
+
+    def _learned(self, job: state.Job, spec: model.Step) -> Expectation:
+        self._drop_outdated()
+        work = run_times.Work(
+            job.queue, spec.image, job.organisation, spec.estimate
+        )
+        expected = self._expected.get(work)
+        if expected is None:
+            ratios = self.run_times.expect(work)
+            expected = self._expected[work] = Expectation(
+                work.base * ratios.median,
+                work.base * ratios.high,
+                ratios.runs,
+                ratios.source,
+            )
+        return expected
+
+    def _drop_outdated(self) -> None:
+        """Empty the caches if more was learned, or if they are full."""
+        size = max(len(self._expected), len(self._paths))
+        if self._version != self.run_times.version or size >= MAX_CACHED:
+            self._version = self.run_times.version
+            self._expected.clear()
+            self._paths.clear()
--- a/hibiscusslip/dispatch/model.py
+++ b/hibiscusslip/dispatch/model.py
@@ -218,6 +218,11 @@
     born: float
     clock: float | None
 
+    @property
+    def kind(self) -> str:
+        """Return the machine kind, the first label; '' if there is none."""
+        return self.labels[0] if self.labels else ''
+
     @property
     def rack(self) -> str:
         """Return the rack, which is the last label; '' if there is none."""
--- a/hibiscusslip/dispatch/placement.py
+++ b/hibiscusslip/dispatch/placement.py
@@ -18,6 +18,7 @@
 
 from hibiscusslip.dispatch import candidate_pool
 from hibiscusslip.dispatch import model
+from hibiscusslip.dispatch import preferences
 from hibiscusslip.dispatch import state
 
 
@@ -43,16 +44,18 @@
     step: state.StepState,
     tasks: list[state.Task],
     candidates: list[candidate_pool.Candidate],
+    preference: preferences.Preference = preferences.NONE,
 ) -> list[Choice]:
     """Choose candidates for tasks, as many as fit.
 
-    A gang is placed as a whole or not at all.
+    A gang is placed as a whole or not at all, and on candidates of equal
+    speed if that takes no more zones.
     """
     if step.spec.same_rack:
-        return _place_in_one_rack(step, tasks, candidates)
+        return _place_in_one_rack(step, tasks, candidates, preference)
     if step.spec.gang:
-        return _place_all_or_none(step, tasks, candidates)
-    return _place_by_cost(step, tasks, candidates)
+        return _place_gang(step, tasks, candidates, preference)
+    return _place_by_cost(step, tasks, candidates, preference)
 
 
 def max_tasks(
@@ -164,6 +167,7 @@
     step: state.StepState,
     tasks: list[state.Task],
     candidates: list[candidate_pool.Candidate],
+    preference: preferences.Preference,
 ) -> list[Choice]:
     """Place each task on the candidate of the lowest cost, as many as fit."""
     demand = step.spec.allocated_demand
@@ -179,11 +183,11 @@
         else _rank_zones(step, options, len(tasks))
     )
     if _should_pack(step):
-        return _pack(step, tasks, options, zones)
+        return _pack(step, tasks, options, zones, preference)
 
     def cost(option: _Option) -> tuple[float, ...]:
         zone = zones.get(option.candidate.entry.zone, 0)
-        return _cost(step, option, demand, zone)
+        return _cost(step, option, demand, zone, preference)
 
     heap = [
         (cost(option), option.candidate.number, option) for option in options
@@ -212,6 +216,7 @@
     tasks: list[state.Task],
     options: list[_Option],
     zones: dict[str, int],
+    preference: preferences.Preference,
 ) -> list[Choice]:
     """Fill one endpoint after the other, those that fit most tasks first."""
     demand = step.spec.allocated_demand
@@ -222,9 +227,11 @@
         fitting = min(option.max_tasks(demand), needed)
         avoid = _is_far_from_data(step, candidate) or candidate.slow
         return (
-            avoid,
+            avoid or preference.is_too_slow(candidate),
             zones[candidate.entry.zone],
             -fitting,
+            preference.uses_up_room(option, demand, fitting),
+            preference.speed_rank(candidate),
             option.cpu,
             candidate.number,
         )
@@ -241,8 +248,9 @@
     step: state.StepState,
     tasks: list[state.Task],
     candidates: list[candidate_pool.Candidate],
+    preference: preferences.Preference,
 ) -> list[Choice]:
-    choices = _place_by_cost(step, tasks, candidates)
+    choices = _place_by_cost(step, tasks, candidates, preference)
     return choices if len(choices) == len(tasks) else []
 
 
@@ -250,20 +258,55 @@
     step: state.StepState,
     tasks: list[state.Task],
     candidates: list[candidate_pool.Candidate],
+    preference: preferences.Preference,
 ) -> list[Choice]:
     """Place all tasks in one rack, or across racks if none fits them all."""
     racks: dict[str, list[candidate_pool.Candidate]] = {}
     for candidate in candidates:
         racks.setdefault(candidate.entry.rack, []).append(candidate)
     for members in sorted(racks.values(), key=len):
-        choices = _place_all_or_none(step, tasks, members)
+        choices = _place_gang(step, tasks, members, preference)
         if choices:
             return choices
-    return _place_all_or_none(step, tasks, candidates)
+    return _place_gang(step, tasks, candidates, preference)
+
+
+def _place_gang(
+    step: state.StepState,
+    tasks: list[state.Task],
+    candidates: list[candidate_pool.Candidate],
+    preference: preferences.Preference,
+) -> list[Choice]:
+    """Place all tasks or none, on candidates of equal speed if possible.
+
+    The slowest member determines when a gang completes.
+    """
+    mixed = _place_all_or_none(step, tasks, candidates, preference)
+    if not mixed or _has_equal_speeds(mixed):
+        return mixed
+    zone_count = _count_zones(mixed)
+    for members in preference.group_by_speed(candidates):
+        choices = _place_all_or_none(step, tasks, members, preference)
+        if choices and _count_zones(choices) <= zone_count:
+            return choices
+    return mixed
+
+
+def _has_equal_speeds(choices: list[Choice]) -> bool:
+    bands = {preferences.speed_band(choice.candidate) for choice in choices}
+    return len(bands) == 1
+
+
+def _count_zones(choices: list[Choice]) -> int:
+    return len({choice.candidate.entry.zone for choice in choices})
 
 
 def _cost(
-    step: state.StepState, option: _Option, demand: model.Demand, zone: int
+    step: state.StepState,
+    option: _Option,
+    demand: model.Demand,
+    zone: int,
+    preference: preferences.Preference,
 ) -> tuple[float, ...]:
     """Return the cost of placing a task on an option; the lowest is chosen.
 
@@ -285,9 +328,11 @@
         else 0
     )
     return (
-        far or candidate.slow,
+        far or candidate.slow or preference.is_too_slow(candidate),
         zone,
         best_effort,
+        preference.uses_up_room(option, demand, 1),
+        preference.speed_rank(candidate),
         option.accelerators - demand.accelerators,
         option.cpu - demand.cpu,
     )
--- a/hibiscusslip/dispatch/progress.py
+++ b/hibiscusslip/dispatch/progress.py
@@ -8,6 +8,7 @@
 import typing
 
 from hibiscusslip.dispatch import model
+from hibiscusslip.dispatch import run_learning
 from hibiscusslip.dispatch import state
 
 if typing.TYPE_CHECKING:
@@ -73,9 +74,14 @@
         allocation.percent = row.percent
         allocation.progressed_at = now
     elapsed = now - task.started_at if task.started_at else 0.0
-    expected = engine.estimates.run_time(task.step)
+    expected = engine.estimates.run_time_on(task.step, endpoint)
+    is_measured = run_learning.is_measured(engine.estimates, task, allocation)
+    if is_measured:
+        run_learning.learn_if_overdue(
+            engine.estimates, endpoint, task, allocation, now
+        )
     if elapsed > MIN_ELAPSED_S and row.percent >= MIN_PERCENT:
-        if not task.checkpoint:
+        if is_measured:
             projected = elapsed * FULL_PERCENT / row.percent
             if projected > SLOW_RATIO * expected:
                 update_slowness(endpoint, expected, projected, now)
@@ -85,6 +91,7 @@
     ) * STALL_BACKOFF**task.stalls
     if stalled_s > stall_limit_s and not allocation.stop_requested_at:
         task.stalls += 1
+        allocation.measurable = False
         engine.note(
             'run_stands_still',
             task=task.name,
--- a/hibiscusslip/dispatch/state.py
+++ b/hibiscusslip/dispatch/state.py
@@ -203,7 +203,10 @@
     `recovered` is set if the allocation was restored from a record.
     `progressed_at` is when `percent` changed last. `pace_percent` is the
     share of its speed that the run may use; `cooldown_since` is the start of
-    the delay before it is raised.
+    the delay before it is raised. The duration of a run that is `measurable`
+    tells the length of its work: it began anew, under this owner, and was
+    neither throttled nor stalled. It is `overdue` once it was learned that
+    it takes longer than expected.
     """
 
     task: Task | None
@@ -220,6 +223,8 @@
     progressed_at: float = 0.0
     pace_percent: int = 100
     cooldown_since: float = 0.0
+    measurable: bool = True
+    overdue: bool = False
 
     @property
     def proven_age(self) -> float:
