Exchange configurations among hosts that the store fails

A host that alone got no answers from the store went on admitting keys that had been withdrawn, and refused new ones, until the store was back.

Where the deployment has organisations, a host whose configuration is unconfirmed for a third of the time until it has to be in force asks three peers for the newest version, in other zones too, and fetches it from one of them. Ages add up from host to host, so that hosts which all lack the store don't confirm one another. The store is read twice in that time there, as a read that it leaves unanswered is noticed late otherwise.

--- a/hibiscusslip/host/context.py
+++ b/hibiscusslip/host/context.py
@@ -77,6 +77,23 @@
             self.log.note('hosts_lost')
         self.isolated = not any_replied
 
+    def take_config(
+        self, config: model.Configuration, source: str, size: int
+    ) -> None:
+        """Put a configuration into force; `size` is in bytes."""
+        known = self.config
+        self.config = config
+        self.metrics.gauge('config_version', config.version)
+        self.log.note(
+            'config_taken',
+            version=config.version,
+            before=known.version if known else None,
+            queues=len(config.queues),
+            organisations=len(config.organisations or ()),
+            source=source,
+            bytes=size,
+        )
+
     def config_is_current(self, now: float) -> bool:
         """Return True if no newer configuration has to be in force yet."""
         age = now - self.config_confirmed_at
--- a/hibiscusslip/host/feeds.py
+++ b/hibiscusslip/host/feeds.py
@@ -1,5 +1,6 @@
 """Tail the store's topics of the configuration, hosts and owner."""
 
+from hibiscusslip.dispatch import model
 from hibiscusslip.host import context
 from hibiscusslip.host import notices
 from hibiscusslip.host import tailing
@@ -11,10 +12,16 @@
 LOAD_TIMEOUT_S = 1.5
 CONFIG_MAX_WAIT_S = 2.0
 CONFIG_WAIT_SHARE = 0.75  # of the time until a configuration is in force
+# Lower where peers have to be asked in time if the store doesn't answer.
+ORGANISATIONS_WAIT_SHARE = 0.5
 
 
 class ConfigFeed(tailing.Tail):
-    """Tail the operator's configuration; older versions are ignored."""
+    """Tail the operator's configuration; older versions are ignored.
+
+    `confirmed_at` is when the store last had no newer configuration, on the
+    monotonic clock.
+    """
 
     topic = store.CONFIG_TOPIC
     confirms_records = True
@@ -22,9 +29,12 @@
 
     def __init__(self, ctx: context.Context) -> None:
         super().__init__(ctx)
-        self.wait = min(
-            CONFIG_MAX_WAIT_S, ctx.cfg.bounds.config_apply * CONFIG_WAIT_SHARE
-        )
+        self.confirmed_at = 0.0
+        self._read_version: int | None = None
+        share = CONFIG_WAIT_SHARE
+        if ctx.cfg.has_organisations:
+            share = ORGANISATIONS_WAIT_SHARE
+        self.wait = min(CONFIG_MAX_WAIT_S, ctx.cfg.bounds.config_apply * share)
 
     async def load_snapshot(self) -> int:
         """Read and apply the newest configuration."""
@@ -41,7 +51,8 @@
     async def handle_caught_up(self, batch: store.Batch) -> None:
         """Record that the store has no newer configuration now."""
         if not batch.records:
-            self.ctx.config_confirmed_at = context.monotonic()
+            self.confirmed_at = context.monotonic()
+            self.ctx.config_confirmed_at = self.confirmed_at
 
     def _apply_value(self, value: bytes) -> None:
         if not value:
@@ -50,17 +61,22 @@
         if config is None:
             self.ctx.log.note('config_unreadable', size=len(value))
             return
+        if self._is_newer(config):
+            self._read_version = config.version
+            self.ctx.take_config(config, 'store', len(value))
+
+    def _is_newer(self, config: model.Configuration) -> bool:
+        """Return True for a version that was never read from the store.
+
+        One that came from a peer is replaced, as a peer of another build may
+        have left fields out.
+        """
         known = self.ctx.config
-        if known is not None and known.version >= config.version:
-            return
-        self.ctx.config = config
-        self.ctx.metrics.gauge('config_version', config.version)
-        self.ctx.log.note(
-            'config_taken',
-            version=config.version,
-            before=known.version if known else None,
-            queues=len(config.queues),
-            bytes=len(value),
+        if known is None or known.version < config.version:
+            return True
+        return (
+            known.version == config.version
+            and self._read_version != config.version
         )
 
 
--- a/hibiscusslip/host/host.py
+++ b/hibiscusslip/host/host.py
@@ -8,6 +8,7 @@
 
 from hibiscusslip.dispatch import model
 from hibiscusslip.host import advice_routing
+from hibiscusslip.host import config_exchange
 from hibiscusslip.host import context
 from hibiscusslip.host import crash_logging
 from hibiscusslip.host import feeds
@@ -89,8 +90,16 @@
         self._advice_router = advice_routing.AdviceRouter(ctx, service, peers)
         self._inbox = inbox.Inbox(ctx, self._peer_client)
         self._owner: owner.Owner | None = None
+        self._config_feed = feeds.ConfigFeed(ctx)
+        self._configs = config_exchange.ConfigExchange(
+            ctx, self._config_feed, self._peer_client
+        )
         message_handler = peer_handler.PeerHandler(
-            ctx, self._inbox, self._advice_router, lambda: self._owner
+            ctx,
+            self._inbox,
+            self._advice_router,
+            self._configs,
+            lambda: self._owner,
         )
         self._peers = peer_server.PeerServer(
             me, info, keys, _PEER_LIMITS, message_handler
@@ -114,7 +123,8 @@
                 self._metrics.serve,
                 self._front.serve,
                 self._peers.serve,
-                feeds.ConfigFeed(self._ctx).run,
+                self._config_feed.run,
+                *self._optional_loops(),
                 feeds.HostFeed(self._ctx).run,
                 feeds.OwnerFeed(self._ctx).run,
                 self._inbox.run,
@@ -128,6 +138,10 @@
         self._ctx.log.note('host_stopped', asked=self._ctx.stopping)
         self._ctx.log.flush()
 
+    def _optional_loops(self) -> list[crash_logging.Loop]:
+        """Return the loops of what the deployment asks for."""
+        return [self._configs.run] if self._ctx.cfg.has_organisations else []
+
     async def _flush(self) -> None:
         while True:
             await curio.sleep(LOG_FLUSH_PERIOD_S)
--- a/hibiscusslip/host/peer_client.py
+++ b/hibiscusslip/host/peer_client.py
@@ -74,7 +74,7 @@
         """Return a few hosts that report that the store serves them."""
         names = self._relay_candidates()[:MAX_PROBED_HOSTS]
         query = messages.StoreQuery()
-        replies = await self._call_all(names, query, PROBE_TIMEOUT_S)
+        replies = await self.call_all(names, query, PROBE_TIMEOUT_S)
         if names:
             any_replied = any(reply is not None for reply in replies.values())
             self._ctx.record_peer_replies(any_replied)
@@ -117,7 +117,7 @@
         """Ask all other hosts whether the store serves them."""
         names = [n for n in self._ctx.hosts if n != self._ctx.cfg.name]
         query = messages.StoreQuery()
-        replies = await self._call_all(names, query, LIVENESS_TIMEOUT_S)
+        replies = await self.call_all(names, query, LIVENESS_TIMEOUT_S)
         return ownership_keeper.LivenessCheck(
             unresponsive=[
                 name for name, reply in replies.items() if reply is None
@@ -125,7 +125,7 @@
             with_store=_hosts_with_store(replies),
         )
 
-    async def _call_all(
+    async def call_all(
         self, names: list[str], message: messages.PeerMessage, timeout: float
     ) -> dict[str, messages.PeerMessage | None]:
         """Return the reply of each host, None for those without one."""
--- a/hibiscusslip/host/peer_handler.py
+++ b/hibiscusslip/host/peer_handler.py
@@ -3,6 +3,7 @@
 import collections.abc
 
 from hibiscusslip.host import advice_routing
+from hibiscusslip.host import config_exchange
 from hibiscusslip.host import context
 from hibiscusslip.host import inbox
 from hibiscusslip.host import owner
@@ -28,11 +29,13 @@
         ctx: context.Context,
         job_inbox: inbox.Inbox,
         advice_router: advice_routing.AdviceRouter,
+        configs: config_exchange.ConfigExchange,
         get_owner: GetOwner,
     ) -> None:
         self._ctx = ctx
         self._inbox = job_inbox
         self._advice_router = advice_router
+        self._configs = configs
         self._get_owner = get_owner
 
     async def handle(
@@ -41,6 +44,8 @@
         """Return the reply to another host's message; must not raise."""
         if isinstance(body, messages.CellJobQuery):
             return await self._reply_job_state(body)
+        if isinstance(body, messages.CellConfigQuery):
+            return self._configs.reply(body, context.monotonic())
         if isinstance(body, messages.StoreQuery):
             return self._refuse_without_store() or messages.Done()
         if isinstance(body, messages.InboxWrite):
--- a/hibiscusslip/peer/messages.py
+++ b/hibiscusslip/peer/messages.py
@@ -359,6 +359,28 @@
     state: str
 
 
+class CellConfigQuery(_Message, frozen=True, tag='cell_config_query'):
+    """Ask a host whether a version of the configuration is the newest.
+
+    `version` is 0 for none. With `fetch` the reply carries a newer one.
+    """
+
+    version: int
+    fetch: bool
+
+
+class CellConfigReply(_Message, frozen=True, tag='cell_config_reply'):
+    """Return the version of the configuration that a host has.
+
+    `age` is how many seconds ago it was known to be the newest. `document`
+    is the configuration if the query asked for it and it is newer.
+    """
+
+    version: int
+    age: float
+    document: bytes = b''
+
+
 class AdviceQuery(_Message, frozen=True, tag='advice_query'):
     """Ask a host to call the advice service for the owner."""
 
@@ -448,6 +470,8 @@
     SelectJobs,
     CellJobQuery,
     CellJobReply,
+    CellConfigQuery,
+    CellConfigReply,
     AdviceQuery,
     AdviceReply,
     StoreQuery,
--- a/hibiscusslip/platform/settings.py
+++ b/hibiscusslip/platform/settings.py
@@ -8,6 +8,7 @@
 
 FILE_VARIABLE = 'HIBISCUSSLIP_NODE_FILE'
 MS_PER_S = 1000.0
+ORGANISATIONS_CONTRACT = 'tenants'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -56,7 +57,8 @@
     `partitions` is the number of partitions of a topic, `heartbeat` how often
     an endpoint writes its entry, in seconds. `cpu_share` is the
     share of a processor core that the host may use, and `cores` is how many
-    times as fast that core runs.
+    times as fast that core runs. `contracts` are the names of what the
+    deployment asks for beyond the basic service.
     """
 
     name: str
@@ -74,6 +76,12 @@
     link_mbps: float
     bounds: Bounds
     heartbeat: float = 1.5
+    contracts: frozenset[str] = frozenset()
+
+    @property
+    def has_organisations(self) -> bool:
+        """Return True if the deployment's callers belong to organisations."""
+        return ORGANISATIONS_CONTRACT in self.contracts
 
 
 _BOUND_KEYS = {
@@ -138,9 +146,15 @@
         link_mbps=float(fields.get('Limits.LinkMbps', '1000')),
         bounds=_bounds(fields),
         heartbeat=float(fields.get('HeartbeatMs', '1500')) / MS_PER_S,
+        contracts=_contracts(fields),
     )
 
 
+def _contracts(fields: dict[str, str]) -> frozenset[str]:
+    names = fields.get('Contracts', '').split(',')
+    return frozenset(name.strip() for name in names if name.strip())
+
+
 def _zones(fields: dict[str, str]) -> tuple[str, ...]:
     prefix = 'Zones.'
     names = [key[len(prefix) :] for key in fields if key.startswith(prefix)]
--- a/tests/platform/cell.py
+++ b/tests/platform/cell.py
@@ -110,10 +110,14 @@
         self.contexts = {}
         self.addresses = {}
         self._store_address = ''
+        self._extra_settings = ''
         self._tasks = []
 
-    async def start(self, hosts=1, endpoints=1, run_s=0.1):
-        self.store.put('keyed.op', 'config', config_document())
+    async def start(
+        self, hosts=1, endpoints=1, run_s=0.1, config=None, extra_settings=''
+    ):
+        self._extra_settings = extra_settings
+        self.store.put('keyed.op', 'config', config or config_document())
         port = await self._serve(self.store, '127.0.0.1')
         self._store_address = f'127.0.0.1:{port}'
         for number in range(endpoints):
@@ -149,6 +153,7 @@
             store_address = f'127.0.0.1:{port}'
         text = SETTINGS_FILE.format(name=name, ip=ip, store=store_address)
         text += f'Limits.LinkMbps={link_mbps or 1000}\n'
+        text += self._extra_settings
         ctx = host_main.make_context(settings.parse(text))
         task = await curio.spawn(host.Host(ctx, SECRET, '').run, daemon=True)
         self.hosts[name] = task
@@ -171,14 +176,14 @@
             while not condition():
                 await curio.sleep(0.02)
 
-    async def call(self, name, method, path, body=b''):
+    async def call(self, name, method, path, body=b'', **headers):
         pool = client.Pool(self.addresses[name], 18149, max_connections=1)
         try:
             return await pool.call(
                 method,
                 path,
                 body=body,
-                headers={'host': HOST, 'x-deadline-ms': '3000'},
+                headers={'host': HOST, 'x-deadline-ms': '3000', **headers},
                 timeout=4.0,
             )
         finally:
