--- a/hibiscusslip/dispatch/_lost_runs.py
+++ b/hibiscusslip/dispatch/_lost_runs.py
@@ -89,11 +89,10 @@
         if key in listed:
             continue
         abandon_run(engine, endpoint, *key, 'restarted', now)
+        _count_late_start(engine, endpoint, key[0], allocation, now)
         if _may_start_late(allocation) and allocation.task is not None:
             # The start request may still reach the new incarnation.
-            until = allocation.decided_at + LATE_START_S
-            allocation.task.not_before = until
-            engine.ledger.hold(endpoint, key[0], allocation, until)
+            allocation.task.not_before = allocation.decided_at + LATE_START_S
     crashes.give_up(engine, convicted, now)
 
 
@@ -105,6 +104,23 @@
     return not allocation.confirmed_at and not allocation.recovered
 
 
+def _count_late_start(
+    engine: 'engines.Engine',
+    endpoint: state.Endpoint,
+    name: str,
+    allocation: state.Allocation,
+    now: float,
+) -> None:
+    """Count an abandoned run for its limit while it may still start.
+
+    A start that has expired may still take effect if the endpoint restarts
+    and its clock begins anew.
+    """
+    until = allocation.decided_at + LATE_START_S
+    if now < until and _may_start_late(allocation):
+        engine.ledger.hold(endpoint, name, allocation, until)
+
+
 def _blame_runs(
     engine: 'engines.Engine',
     endpoint: state.Endpoint,
@@ -174,6 +190,7 @@
         )
         if allocation.recovered or confirmed or expired:
             abandon_run(engine, endpoint, key[0], key[1], 'not listed', now)
+            _count_late_start(engine, endpoint, key[0], allocation, now)
 
 
 def abandon_expired(engine: 'engines.Engine', now: float) -> None:
@@ -205,10 +222,7 @@
             continue
         crashes.note_lapse(endpoint, allocation, now)
         abandon_run(engine, endpoint, *key, 'lease lapsed', now)
-        if _may_start_late(allocation):
-            until = allocation.decided_at + LATE_START_S
-            if now < until:
-                engine.ledger.hold(endpoint, key[0], allocation, until)
+        _count_late_start(engine, endpoint, key[0], allocation, now)
 
 
 def revert_start(
--- a/hibiscusslip/dispatch/usage.py
+++ b/hibiscusslip/dispatch/usage.py
@@ -66,6 +66,10 @@
         """Return the runs of a job that count."""
         return self._runs_by_job.get(job_id, {}).values()
 
+    def held_runs(self) -> list[CountedRun]:
+        """Return the released runs that may still start."""
+        return [run for _, run in self._held_until.values()]
+
     def follow(
         self,
         endpoint: state.Endpoint,
--- a/tests/dispatch/crashing_cell.py
+++ b/tests/dispatch/crashing_cell.py
@@ -214,7 +214,9 @@
         for job_id in engine.dirty:
             job = engine.jobs[job_id]
             written[job_id] = job.state
-            self.progress[job_id] = records.encode_job(job)
+            self.progress[job_id] = records.encode_job(
+                job, counted=engine.ledger.runs_of(job_id)
+            )
         engine.dirty = set()
         engine.confirm_records(written, cursors)
 
