--- a/tests/dispatch/test_limits.py
+++ b/tests/dispatch/test_limits.py
@@ -90,6 +90,7 @@
     bench.endpoint('e1')
     bench.submit('j1', support.step(3, fills=True))
     assert len(bench.started()) == 2
+    assert bench.started() == []
 
 
 def test_lowered_limit_stops_nothing_and_starts_nothing():
@@ -154,6 +155,25 @@
     assert bench.stops() == []
 
 
+def test_step_preempts_for_no_more_tasks_than_may_start():
+    bench = Bench(
+        support.queue('small', priority=0, target_latency=30.0),
+        support.queue('large', priority=1, target_latency=30.0),
+    )
+    bench.set_limit(cpu=15000)
+    bench.endpoint('e1')
+    bench.endpoint('e2')
+    step = support.step(2, cpu=3000, checkpoints=True, spread=1, estimate=9.0)
+    bench.submit('j1', step, queue='large')
+    starts = bench.plan()
+    bench.confirm(starts)
+    for start in starts:
+        bench.report(start.endpoint, [bench.running_run(start)])
+    bench.submit('j2', support.step(2, cpu=8000))
+    assert bench.started() == []
+    assert len(bench.stops()) == 1
+
+
 def test_hold_is_noted_once_in_each_wait():
     bench = Bench()
     bench.set_limit(cpu=1000)
