Compute weighted dominant shares in one module

The dispatch engine will compare organisations by the same share as the former scheduler compares teams. dominant_share and weighted_share move to hibiscusslip/model/fair_share.py; _accounts.py and _reclaim.py use them. tests/scheduler pass.

--- a/hibiscusslip/scheduler/_accounts.py
+++ b/hibiscusslip/scheduler/_accounts.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 
+from hibiscusslip.model import fair_share
 from hibiscusslip.scheduler import _fit_counts
 from hibiscusslip.scheduler import _vector
 from hibiscusslip.scheduler import base
@@ -72,7 +73,9 @@
         self.reserved = _vector.clamp_negative(
             _vector.sub(retained, self.held)
         )
-        self.dominant_share = _vector.dominant(self.held, self.capacity)
+        self.dominant_share = fair_share.dominant_share(
+            self.held, self.capacity
+        )
         guarantee = max(self.share.guarantee, MIN_GUARANTEE)
         self.guarantee_ratio = self.dominant_share / guarantee
 
@@ -186,7 +189,9 @@
         self._team_shares[kind, team] = self._weighted_share(team, part)
 
     def _weighted_share(self, team: str, part: _vector.Vector) -> float:
-        return _vector.dominant(part, self.capacity) / self.weight(team)
+        return fair_share.weighted_share(
+            part, self.capacity, self.weight(team)
+        )
 
     def team_share(self, kind: str, team: str) -> float:
         """Return the weighted dominant share of a team within a kind."""
--- a/hibiscusslip/scheduler/_reclaim.py
+++ b/hibiscusslip/scheduler/_reclaim.py
@@ -3,6 +3,7 @@
 import dataclasses
 import random
 
+from hibiscusslip.model import fair_share
 from hibiscusslip.model import work
 from hibiscusslip.scheduler import _endpoints
 from hibiscusslip.scheduler import _jobs
@@ -161,7 +162,7 @@
         self, job: _jobs.Job, task: str, need: _vector.Vector, now: float
     ) -> Victim:
         elapsed = now - job.started_at.get(work.index_of(task), now)
-        size = _vector.dominant(need, self._ledger.accounts.capacity)
+        size = fair_share.dominant_share(need, self._ledger.accounts.capacity)
         if elapsed <= CHECKPOINT_COST_S:
             return Victim(
                 job, task, need, base.ReclaimMethod.STOP, elapsed * size
--- a/hibiscusslip/scheduler/_vector.py
+++ b/hibiscusslip/scheduler/_vector.py
@@ -104,26 +104,6 @@
     )
 
 
-def dominant(need: Vector, capacity: Vector) -> float:
-    """Return the dominant share, the largest fraction of a capacity."""
-    share = 0.0
-    if need[0] > 0:
-        share = need[0] / capacity[0] if capacity[0] > 0 else 1.0
-    if need[1] > 0:
-        part = need[1] / capacity[1] if capacity[1] > 0 else 1.0
-        share = part if part > share else share
-    if need[2] > 0:
-        part = need[2] / capacity[2] if capacity[2] > 0 else 1.0
-        share = part if part > share else share
-    if need[3] > 0:
-        part = need[3] / capacity[3] if capacity[3] > 0 else 1.0
-        share = part if part > share else share
-    if need[4] > 0:
-        part = need[4] / capacity[4] if capacity[4] > 0 else 1.0
-        share = part if part > share else share
-    return share
-
-
 def exceeded_dimensions(need: Vector, available: Vector) -> list[str]:
     """Return the names of the dimensions in which `need` doesn't fit."""
     rows = zip(DIMENSIONS, need, available, strict=True)
