Order steps by entitlement and fair share of organisations

When there isn't capacity for all, every organisation suffered for the load of the two that sent too much. The owner now classifies each job by a token bucket of its organisation, and ranks steps beyond an entitlement after all others. Within one priority, organisations that hold more than their weighted share yield to those that hold less; the sums are kept on each allocation and release. Steps beyond an entitlement leave headroom and calls of the advice service to others and preempt nothing within. A new owner reads the jobs in order of acceptance, so it classifies them alike.

--- a/hibiscusslip/dispatch/_headroom.py
+++ b/hibiscusslip/dispatch/_headroom.py
@@ -65,15 +65,18 @@
 ) -> int:
     """Return the CPU allocated to the urgent queues.
 
-    These are the queues whose priority number is at most `priority`. The CPU
-    is in thousandths of a core.
+    These are the queues whose priority number is at most `priority`; jobs
+    beyond an entitlement don't count. The CPU is in thousandths of a core.
     """
     use = 0
     for endpoint in endpoints:
         for allocation in endpoint.allocations.values():
             if allocation.task is None:
                 continue
-            queue = queues.get(allocation.task.step.job.queue)
-            if queue is not None and queue.priority <= priority:
+            job = allocation.task.step.job
+            queue = queues.get(job.queue)
+            if queue is None or not job.within_entitlement:
+                continue
+            if queue.priority <= priority:
                 use += allocation.demand.cpu
     return use
--- a/hibiscusslip/dispatch/_lost_runs.py
+++ b/hibiscusslip/dispatch/_lost_runs.py
@@ -31,6 +31,19 @@
     engine.active_steps[step.name] = step
 
 
+def still_fits(endpoint: state.Endpoint, start: commands.Start) -> bool:
+    """Return False if an endpoint has shrunk since a start was decided."""
+    if endpoint.entry is None:
+        return True
+    used = start.task.step.spec.allocated_demand
+    free = endpoint.free_capacity()
+    return not (
+        (used.cpu and free.cpu < 0)
+        or (used.memory and free.memory < 0)
+        or (used.accelerators and free.accelerators < 0)
+    )
+
+
 def abandon_run(
     engine: 'engines.Engine',
     endpoint: state.Endpoint,
--- a/hibiscusslip/dispatch/_planning.py
+++ b/hibiscusslip/dispatch/_planning.py
@@ -10,6 +10,7 @@
 from hibiscusslip.dispatch import candidate_pool
 from hibiscusslip.dispatch import commands
 from hibiscusslip.dispatch import crashes
+from hibiscusslip.dispatch import holdings
 from hibiscusslip.dispatch import ordering
 from hibiscusslip.dispatch import placement
 from hibiscusslip.dispatch import state
@@ -26,7 +27,8 @@
 
     `urgent` maps a service to the priority of its urgent queues, `spare` to
     the CPU that other queues may use, in thousandths of a core. `reserved`
-    are the endpoints reserved for large steps.
+    are the endpoints reserved for large steps. `contended` maps a service to
+    the lowest level of a share with a ready step within its entitlement.
     """
 
     engine: 'engines.Engine'
@@ -38,6 +40,9 @@
     reserved: _reservations.Reservations = dataclasses.field(
         default_factory=_reservations.Reservations
     )
+    contended: dict[str, holdings.Level] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 def plan(engine: 'engines.Engine', now: float) -> None:
@@ -50,12 +55,17 @@
     }
     current = _Pass(engine, services, candidates, now)
     _compute_spare(current)
+    for service in services:
+        entries = (c.entry for c in candidates[service].all)
+        engine.shares.update(engine.config, service, entries, now)
     for rank, step in _rank_steps(engine, now):
         pool = current.services.get(step.job.service, [])
         if not pool:
             continue
         if step.ready:
             _plan_step(current, step, rank)
+        if rank.beyond and not _limit_to_spare(current, step, step.waiting()):
+            continue  # tickets would expire before there is capacity
         advice_planning.request_advice_if_needed(
             engine, step, pool, candidates[step.job.service], now
         )
@@ -88,7 +98,8 @@
     urgent = current.urgent.get(service)
     if urgent is None or not cpu or step.spec.demand.accelerators:
         return tasks
-    if current.engine.queue_of(step.job).priority <= urgent:
+    is_urgent = current.engine.queue_of(step.job).priority <= urgent
+    if is_urgent and step.job.within_entitlement:
         return tasks
     max_tasks = max(int(current.spare[service] // cpu), 0)
     if step.spec.gang and max_tasks < len(tasks):
@@ -104,6 +115,8 @@
         if step.job.state.final or not step.has_waiting():
             continue
         job = step.job
+        if job.holding is not None:
+            job.holding.wanted_at = now
         queue = engine.queue_of(job)
         rank = ordering.rank(
             step,
@@ -134,17 +147,21 @@
     if not tasks or (step.spec.gang and len(tasks) < len(step.tasks)):
         return
     candidates = current.candidates[step.job.service]
-    if candidates.may_fit_anywhere(step.spec.allocated_demand):
+    startable = _limit_to_spare(current, step, tasks)
+    if startable and candidates.may_fit_anywhere(step.spec.allocated_demand):
         admitting = (
             advice_planning.endpoints_admitting(step, now)
             if needs_advice
             else None
         )
         _place_tasks(
-            current, step, tasks, candidates.eligible_for(step, admitting)
+            current, step, startable, candidates.eligible_for(step, admitting)
         )
+    _note_yielding(current, step, rank)
     if rank.expired or not step.has_waiting():
         return
+    if rank.beyond and step.job.service in current.contended:
+        return
     if _reservations.is_large(step, candidates.max_endpoint_cpu):
         endpoints = [
             candidate.endpoint
@@ -163,20 +180,37 @@
         )
 
 
+def _note_yielding(
+    current: _Pass, step: state.StepState, rank: ordering.Rank
+) -> None:
+    """Log that a step waits for others because of its organisation."""
+    if rank.expired:
+        return
+    service = step.job.service
+    lowest = current.contended.get(service)
+    if not rank.beyond and (lowest is None or rank.level < lowest):
+        current.contended[service] = rank.level
+    if lowest is None or not step.has_waiting():
+        return
+    if rank.beyond or rank.level > lowest:
+        fields = current.engine.shares.describe_wait(step)
+        if fields:
+            current.engine.note('step_yields', **fields)
+
+
 def _place_tasks(
     current: _Pass,
     step: state.StepState,
-    tasks: list[state.Task],
+    startable: list[state.Task],
     candidates: list[candidate_pool.Candidate],
 ) -> None:
-    """Start as many of a step's tasks as fit."""
+    """Start as many of a step's startable tasks as fit."""
     run_time = current.engine.estimates.run_time(step)
     unreserved = [
         candidate
         for candidate in candidates
         if current.reserved.admits(candidate.endpoint, run_time, current.now)
     ]
-    startable = _limit_to_spare(current, step, tasks)
     on_trial = [task for task in startable if task.on_trial]
     if step.spec.gang and on_trial:
         on_trial = startable
--- a/hibiscusslip/dispatch/_reservations.py
+++ b/hibiscusslip/dispatch/_reservations.py
@@ -189,7 +189,10 @@
 def _victims(
     engine: 'engines.Engine', step: state.StepState, endpoint: state.Endpoint
 ) -> list[state.Allocation]:
-    """Return the runs of less urgent queues that lose no work if stopped."""
+    """Return the runs of less urgent queues that lose no work if stopped.
+
+    A step beyond an entitlement stops none that is within one.
+    """
     priority = engine.queue_of(step.job).priority
     victims = []
     for allocation in endpoint.allocations.values():
@@ -200,6 +203,8 @@
             continue
         if task.status is not state.Status.RUNNING:
             continue
+        if task.step.job.within_entitlement > step.job.within_entitlement:
+            continue
         if engine.queue_of(task.step.job).priority > priority:
             victims.append(allocation)
     victims.sort(key=lambda allocation: -allocation.demand.accelerators)
--- a/hibiscusslip/dispatch/advice_planning.py
+++ b/hibiscusslip/dispatch/advice_planning.py
@@ -4,7 +4,9 @@
 expire. While a step waits, its tickets are renewed before they expire, and
 more endpoints are asked about if those with tickets are full and others
 aren't. The first tickets are requested while the steps that it depends on
-still run, as a call can take longer than a task.
+still run, as a call can take longer than a task. Steps beyond an entitlement
+leave part of the calls to others, and ask for nothing while others wait for
+a call.
 """
 
 import typing
@@ -25,6 +27,8 @@
 LONG_CALL_S = 0.1
 MAX_SHORT_LOAD_PER_HOST_S = 0.2  # pending short calls, in seconds of cost
 MAX_SHORT_CALL_HOSTS = 2  # these make no long calls
+BEYOND_SHARE = 0.5  # of the calls, for steps beyond an entitlement
+DEFERRED_S = 0.1  # for which a step that waits for a call keeps these back
 
 
 def endpoints_admitting(step: state.StepState, now: float) -> list[str]:
@@ -50,7 +54,9 @@
     if not _is_ready_by_reply(engine, step, longest, now):
         return
     renewal = advice.cost(min(len(step.eligible), max_endpoints))
-    if not _has_call_capacity(engine, advice.cost(1)):
+    if not _has_call_capacity(engine, step, advice.cost(1), now):
+        if step.tickets is None:
+            _defer_others(engine, step, now)
         return
     if not _needs_tickets(step, candidates, renewal, now):
         return
@@ -64,8 +70,9 @@
     cost = advice.cost(len(names))
     if not names or not _is_ready_by_reply(engine, step, cost, now):
         return
-    if not _has_call_capacity(engine, cost):
+    if not _has_call_capacity(engine, step, cost, now):
         step.next_advice_at = now + FULL_RETRY_DELAY_S
+        _defer_others(engine, step, now)
         return
     step.advice_pending = True
     if is_long_call(cost):
@@ -187,17 +194,36 @@
     return min(MAX_SHORT_CALL_HOSTS, hosts // 2)
 
 
-def _has_call_capacity(engine: 'engines.Engine', cost: float) -> bool:
+def _has_call_capacity(
+    engine: 'engines.Engine', step: state.StepState, cost: float, now: float
+) -> bool:
     """Return True if the hosts can make a call without much queueing."""
+    share = 1.0
+    if not step.job.within_entitlement:
+        full_until = engine.shares.advice_full_until.get(step.job.queue, now)
+        if now < max(engine.shares.advice_wanted_until, full_until):
+            return False
+        share = BEYOND_SHARE
     if is_long_call(cost):
         hosts = engine.adviser_count - hosts_for_short_calls(
             engine.adviser_count
         )
-        return engine.long_calls < hosts
-    return (
-        engine.short_calls_cost + cost
-        <= MAX_SHORT_LOAD_PER_HOST_S * engine.adviser_count
-    )
+        return engine.long_calls < hosts * share
+    load = engine.short_calls_cost + cost
+    return load <= MAX_SHORT_LOAD_PER_HOST_S * engine.adviser_count * share
+
+
+def _defer_others(
+    engine: 'engines.Engine', step: state.StepState, now: float
+) -> None:
+    """Keep back steps beyond an entitlement while another waits for a call.
+
+    One of them keeps back only those of its queue, which take as long.
+    """
+    if step.job.within_entitlement:
+        engine.shares.advice_wanted_until = now + DEFERRED_S
+    else:
+        engine.shares.advice_full_until[step.job.queue] = now + DEFERRED_S
 
 
 def _is_ready_by_reply(
--- a/hibiscusslip/dispatch/engine.py
+++ b/hibiscusslip/dispatch/engine.py
@@ -19,6 +19,7 @@
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import policy as policies
 from hibiscusslip.dispatch import records
+from hibiscusslip.dispatch import shares
 from hibiscusslip.dispatch import state
 
 Note = collections.abc.Callable[..., None]
@@ -43,9 +44,9 @@
     jobs with occurrences to come. `adviser_count` is the number of hosts that
     call the advice service, `long_calls` the number of pending long calls,
     `short_calls_cost` the expected duration of all pending short calls, in
-    seconds. `eligible_shares` are what was learned
-    of the advice, by queue. `withheld_names` are the endpoints whose leases
-    may not be extended, `recent_losses` those that crashed lately.
+    seconds. `eligible_shares` are what was learned of the advice, by queue.
+    `withheld_names` are the endpoints whose leases may not be extended,
+    `recent_losses` those that crashed lately.
     """
 
     def __init__(
@@ -76,6 +77,7 @@
         self.withheld_names: set[str] = set()
         self.recent_losses: list[crashes.Loss] = []
         self.eligible_shares: dict[str, advice_sizing.EligibleShare] = {}
+        self.shares = shares.Shares()
         self.headroom: dict[str, _headroom.Headroom] = {}
 
     # Jobs.
@@ -103,6 +105,7 @@
             now,
             organisation=submission.organisation,
         )
+        self.shares.classify(job, self.config, submission.accepted, wall_time)
         self.jobs[job_id] = job
         if spec.times:
             self.periodic_jobs[job_id] = job
@@ -306,15 +309,7 @@
     def still_fits(self, start: commands.Start) -> bool:
         """Return False if the endpoint has shrunk since the decision."""
         endpoint = self.endpoints.get(start.endpoint)
-        if endpoint is None or endpoint.entry is None:
-            return True
-        used = start.task.step.spec.allocated_demand
-        free = endpoint.free_capacity()
-        return not (
-            (used.cpu and free.cpu < 0)
-            or (used.memory and free.memory < 0)
-            or (used.accelerators and free.accelerators < 0)
-        )
+        return endpoint is None or _lost_runs.still_fits(endpoint, start)
 
     def revert_start(
         self, start: commands.Start, reason: str, now: float
--- a/hibiscusslip/dispatch/state.py
+++ b/hibiscusslip/dispatch/state.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 
+from hibiscusslip.dispatch import holdings
 from hibiscusslip.dispatch import model
 
 MIN_CLOCK_RATE = 0.98  # an endpoint's clock may run 2% slow
@@ -169,7 +170,7 @@
     are told of no other final state. `zone` is the zone in which a task of
     the job was started last. `organisation` is the one that submitted it, ''
     for none; `within_entitlement` is False if it had submitted more jobs than
-    it is entitled to.
+    it is entitled to, and `holding` sums up what its runs hold in the pool.
     """
 
     job_id: str
@@ -187,6 +188,7 @@
     zone: str = ''
     organisation: str = ''
     within_entitlement: bool = True
+    holding: holdings.Holding | None = None
 
     def steps(self) -> list[StepState]:
         """Return the steps of all occurrences that are due."""
@@ -221,6 +223,11 @@
     pace_percent: int = 100
     cooldown_since: float = 0.0
 
+    @property
+    def holding(self) -> holdings.Holding | None:
+        """Return where the run of an organisation's job is summed up."""
+        return self.task.step.job.holding if self.task is not None else None
+
     @property
     def proven_age(self) -> float:
         """Return for how long the run was seen to be active, in seconds."""
@@ -365,6 +372,8 @@
         """Add an allocation for a run of the task."""
         self.allocations[(task, allocation.run)] = allocation
         self.used = self.used + allocation.demand
+        if allocation.holding is not None:
+            allocation.holding.add(allocation.demand)
         if allocation.starts_trial:
             assert allocation.task is not None
             job_id = allocation.task.step.job.job_id
@@ -376,6 +385,8 @@
         self.end_trial(task, run)
         if allocation is not None:
             self.used = self.used - allocation.demand
+            if allocation.holding is not None:
+                allocation.holding.subtract(allocation.demand)
         return allocation
 
     def end_trial(self, task: str, run: int) -> None:
--- a/hibiscusslip/host/recovery.py
+++ b/hibiscusslip/host/recovery.py
@@ -96,8 +96,7 @@
         entry = documents.read_endpoint_entry(name, value)
         if entry is not None:
             engine.register_endpoint(entry, now)
-    for inbox in inboxes:
-        _submit_all(ctx, engine, inbox, now)
+    _submit_all(ctx, engine, inboxes, now)
     restore_all(ctx, engine, progress, now)
     for inbox in inboxes:
         _cancel_all(engine, inbox, now)
@@ -137,14 +136,34 @@
 def _submit_all(
     ctx: context.Context,
     engine: engines.Engine,
-    inbox: store.NewestValues,
+    inboxes: list[store.NewestValues],
     now: float,
 ) -> None:
+    """Submit all jobs, with organisations in the order of acceptance.
+
+    The former owner read all partitions at the same time; one after the
+    other, most jobs of all but the first would be beyond the entitlement.
+    """
     wall_time = context.wall_time()
-    for key in sorted(inbox.values, key=lambda name: inbox.offsets[name]):
-        value = inbox.values[key]
-        if value and not key.startswith(topics.CANCEL_PREFIX):
-            submit(ctx, engine, key, value, now, wall_time)
+    rows = [
+        (key, inbox.values[key])
+        for inbox in inboxes
+        for key in sorted(inbox.values, key=inbox.offsets.__getitem__)
+        if inbox.values[key] and not key.startswith(topics.CANCEL_PREFIX)
+    ]
+    config = engine.config
+    if config is not None and config.organisations is not None:
+        rows.sort(key=lambda row: _accepted(row[1]))
+    for key, value in rows:
+        submit(ctx, engine, key, value, now, wall_time)
+
+
+def _accepted(value: bytes) -> float:
+    """Return when the job of an inbox record was accepted, 0 if unknown."""
+    try:
+        return records.decode_submission(value).accepted
+    except records.Unreadable:
+        return 0.0
 
 
 def submit(
--- a/tests/host/test_recovery.py
+++ b/tests/host/test_recovery.py
@@ -4,9 +4,13 @@
 import pytest
 
 from hibiscusslip.dispatch import engine as engines
+from hibiscusslip.dispatch import model
+from hibiscusslip.dispatch import records
 from hibiscusslip.host import recovery
+from hibiscusslip.host import topics
 from hibiscusslip.platform import exceptions
 from hibiscusslip.platform import store
+from tests.dispatch import support
 from tests.host import fakes
 
 
@@ -57,3 +61,40 @@
 
     curio.run(attempt_twice)
     assert sorted(fake_store.reads) == [0, 1, 1]
+
+
+def test_new_owner_classifies_jobs_as_the_former_one_did():
+    """It reads partition by partition, the former read all side by side."""
+    body = b'{"Spec":"x","Steps":[{"Count":1,"Cpu":500}]}'
+    queue = support.queue('q')
+    organisations = {'a': model.Organisation('a', 2.0)}
+    config = model.Configuration(1, {'q': queue}, {}, 0, organisations)
+    accepted = {f'{n:016x}': 1000.0 + n * 0.4 for n in range(40)}
+    values = {
+        job_id: records.encode_submission(
+            records.Submission('q', support.SERVICE, time, body, 'a')
+        )
+        for job_id, time in accepted.items()
+    }
+
+    class InboxStore:
+        async def newest(self, topic, timeout, part=0):
+            keys = list(values)[part::12] if topic == topics.INBOX else []
+            offsets = {key: offset for offset, key in enumerate(keys)}
+            found = {key: values[key] for key in keys}
+            return store.NewestValues(found, offsets, len(keys))
+
+    ctx = fakes.make_context(InboxStore())
+    former, new = engines.Engine(5.9), engines.Engine(5.9)
+    former.config = new.config = config
+    for job_id, value in values.items():
+        recovery.submit(
+            ctx, former, job_id, value, 0.0, accepted[job_id] + 0.1
+        )
+    curio.run(recovery.recover, ctx, new, recovery.PartitionReader(ctx))
+    classified = {i: job.within_entitlement for i, job in new.jobs.items()}
+    assert len(classified) == 40
+    assert set(classified.values()) == {True, False}
+    assert classified == {
+        i: job.within_entitlement for i, job in former.jobs.items()
+    }
