--- a/hibiscusslip/dispatch/_planning.py
+++ b/hibiscusslip/dispatch/_planning.py
@@ -11,6 +11,7 @@
 from hibiscusslip.dispatch import candidate_pool
 from hibiscusslip.dispatch import commands
 from hibiscusslip.dispatch import crashes
+from hibiscusslip.dispatch import holdings
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import ordering
 from hibiscusslip.dispatch import placement
@@ -30,7 +31,9 @@
     `urgent` maps a service to the priority of its urgent queues, `spare` to
     the CPU that other queues may use, in thousandths of a core. `reserved`
     are the endpoints reserved for large steps, `largest` are the largest
-    demands of each service if endpoints' speeds are considered.
+    demands of each service if endpoints' speeds are considered. `contended`
+    maps a service to the lowest level of a share with a ready step within its
+    entitlement.
     """
 
     engine: 'engines.Engine'
@@ -46,6 +49,9 @@
         default_factory=_preempting.Preempting
     )
     largest: dict[str, model.Demand] = dataclasses.field(default_factory=dict)
+    contended: dict[str, holdings.Level] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 def plan(engine: 'engines.Engine', now: float) -> None:
@@ -58,6 +64,9 @@
     }
     current = _Pass(engine, services, candidates, now)
     _compute_spare(current)
+    for service in services:
+        entries = (c.entry for c in candidates[service].all)
+        engine.shares.update(engine.config, service, entries, now)
     if engine.estimates.learns:
         _update_learned(current)
     ranked = _rank_steps(engine, now)
@@ -68,6 +77,8 @@
             continue
         if step.ready:
             _plan_step(current, step, rank)
+        if rank.beyond and not _limit_to_spare(current, step, step.waiting()):
+            continue  # tickets would expire before there is capacity
         if engine.limiter.may_request_advice(step):
             advice_planning.request_advice_if_needed(
                 engine, step, pool, candidates[step.job.service], now
@@ -123,7 +134,8 @@
     urgent = current.urgent.get(service)
     if urgent is None or not cpu or step.spec.demand.accelerators:
         return tasks
-    if current.engine.queue_of(step.job).priority <= urgent:
+    is_urgent = current.engine.queue_of(step.job).priority <= urgent
+    if is_urgent and step.job.within_entitlement:
         return tasks
     max_tasks = max(int(current.spare[service] // cpu), 0)
     if step.spec.gang and max_tasks < len(tasks):
@@ -152,6 +164,8 @@
         if step.job.state.final or not step.has_waiting():
             continue
         job = step.job
+        if job.holding is not None:
+            job.holding.wanted_at = now
         queue = engine.queue_of(job)
         rank = ordering.rank(
             step,
@@ -176,7 +190,8 @@
     if not tasks or (needs_advice and step.tickets is None):
         return
     candidates = current.candidates[step.job.service]
-    if candidates.may_fit_anywhere(step.spec.allocated_demand):
+    startable = _limit_to_spare(current, step, tasks)
+    if startable and candidates.may_fit_anywhere(step.spec.allocated_demand):
         admitting = (
             advice_planning.endpoints_admitting(step, now)
             if needs_advice
@@ -185,14 +200,17 @@
         _place_tasks(
             current,
             step,
-            tasks,
+            startable,
             candidates.eligible_for(step, admitting),
             rank,
         )
     needed = current.engine.limiter.count_startable(step, len(step.waiting()))
+    _note_yielding(current, step, rank)
     if rank.expired or not needed:
         return
-    if _is_urgent(current, step) and not rank.late:
+    if rank.beyond and step.job.service in current.contended:
+        return
+    if _is_urgent(current, step) and not (rank.late or rank.beyond):
         waiting = sum(t.status is state.Status.WAITING for t in tasks)
         current.preempting.add(step, waiting, rank.priority)
     if _reservations.is_large(step, candidates.max_endpoint_cpu):
@@ -230,14 +248,32 @@
     return tasks[:max_tasks]
 
 
+def _note_yielding(
+    current: _Pass, step: state.StepState, rank: ordering.Rank
+) -> None:
+    """Log that a step waits for others because of its organisation."""
+    if rank.expired:
+        return
+    service = step.job.service
+    lowest = current.contended.get(service)
+    if not rank.beyond and (lowest is None or rank.level < lowest):
+        current.contended[service] = rank.level
+    if lowest is None or not step.has_waiting():
+        return
+    if rank.beyond or rank.level > lowest:
+        fields = current.engine.shares.describe_wait(step)
+        if fields:
+            current.engine.note('step_yields', **fields)
+
+
 def _place_tasks(
     current: _Pass,
     step: state.StepState,
-    tasks: list[state.Task],
+    startable: list[state.Task],
     candidates: list[candidate_pool.Candidate],
     rank: ordering.Rank,
 ) -> None:
-    """Start as many of a step's tasks as fit."""
+    """Start as many of a step's startable tasks as fit."""
     run_time = current.engine.estimates.run_time(step)
     unreserved = [
         candidate
@@ -247,7 +283,6 @@
         )
     ]
     preference = _prefer(current, step, rank)
-    startable = _limit_to_spare(current, step, tasks)
     on_trial = [task for task in startable if task.on_trial]
     if step.spec.gang and on_trial:
         on_trial = startable
