Let a late answer confirm a configuration only as of its due time

An answer without records may be on its way for a second, and counted as of its arrival: a version published meanwhile could be denied for that much longer. It now counts as of the end of the wait that it was asked for.

--- a/hibiscusslip/host/feeds.py
+++ b/hibiscusslip/host/feeds.py
@@ -51,8 +51,11 @@
     async def handle_caught_up(self, batch: store.Batch) -> None:
         """Record that the store has no newer configuration now."""
         if not batch.records:
-            self.confirmed_at = context.monotonic()
-            self.ctx.config_confirmed_at = self.confirmed_at
+            now = context.monotonic()
+            self.confirmed_at = min(now, self.answer_due_at)
+            self.ctx.config_confirmed_at = max(
+                self.ctx.config_confirmed_at, self.confirmed_at
+            )
 
     def _apply_value(self, value: bytes) -> None:
         if not value:
--- a/hibiscusslip/host/tailing.py
+++ b/hibiscusslip/host/tailing.py
@@ -37,6 +37,9 @@
         self._failing = False
         self._caught_up_at = 0.0
         self._confirmed = False
+        # The latest time that an answer without records speaks for: it may
+        # have been on its way for long.
+        self.answer_due_at = 0.0
 
     @property
     def failing(self) -> bool:
@@ -95,6 +98,7 @@
             self.offset = await self.load_snapshot()
             self._caught_up_at = context.monotonic()
             self.ctx.record_store_success(self._caught_up_at)
+        self.answer_due_at = context.monotonic() + wait
         batch = await self._read(self.offset, wait)
         self.ctx.record_store_success(context.monotonic())
         self._count_bytes(sum(len(record) for record in batch.records))
--- a/tests/host/test_config_exchange.py
+++ b/tests/host/test_config_exchange.py
@@ -15,6 +15,7 @@
 from hibiscusslip.peer import messages
 from hibiscusslip.platform import documents
 from hibiscusslip.platform import settings
+from hibiscusslip.platform import store
 from tests.host import fakes
 from tests.host import test_access
 from tests.platform import cell
@@ -142,6 +143,29 @@
     assert ctx.config is taken
 
 
+def test_late_answer_confirms_a_configuration_that_was_replaced_meanwhile():
+    """The store may have sent it long before it arrives."""
+
+    class LateStore:
+        async def newest(self, topic, timeout, part=0):
+            return store.NewestValues({}, {}, 0)
+
+        async def read(self, topic, start, wait, timeout, part, began):
+            await curio.sleep(wait + 0.2)
+            return store.Batch(start, [], 0, start)
+
+    ctx = fakes.make_context(LateStore())
+    feed = feeds.ConfigFeed(ctx)
+
+    async def read_once():
+        asked_at = context.monotonic()
+        await feed.read_once(0.1)
+        return asked_at
+
+    asked_at = curio.run(read_once)
+    assert asked_at <= ctx.config_confirmed_at < asked_at + 0.2
+
+
 def test_host_replies_where_the_deployment_has_no_organisations():
     peers = Peers()
     peers.add('h1', test_access.read(), age=9.0)
