why: name the limit that a step waited for

Cause: a wait for the limit of an organisation isn't visible in a job's timeline. Change: each held_by_limit event is shown with the time until the step's next start, in text and as 'waits' in JSON.

--- a/hibiscusslip/commands/_timeline.py
+++ b/hibiscusslip/commands/_timeline.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from hibiscusslip.commands import _output
+from hibiscusslip.commands import _waits
 from hibiscusslip.commands import exceptions
 
 MAX_LINE_CHARS = 64 * 1024
@@ -59,7 +60,8 @@
 
     `around` has the context events of the same period, `deciding` is the
     index of the event that decided the outcome, or -1, and `bad_lines` is the
-    number of lines that couldn't be parsed.
+    number of lines that couldn't be parsed. `waits` are those whose cause an
+    event names.
     """
 
     job: str
@@ -67,6 +69,7 @@
     around: list[Event]
     deciding: int
     bad_lines: int
+    waits: list[_waits.Wait] = dataclasses.field(default_factory=list)
 
 
 def read_timeline(job: str, paths: list[pathlib.Path]) -> Timeline:
@@ -88,7 +91,9 @@
                 context.append(event)
     events.sort(key=lambda event: event.at)
     around = _select_context(events, context)
-    return Timeline(job, events, around, _find_deciding(events), bad_lines)
+    deciding = _find_deciding(events)
+    waits = _waits.find([event.fields for event in events])
+    return Timeline(job, events, around, deciding, bad_lines, waits)
 
 
 def _read_lines(path: pathlib.Path) -> typing.Iterator[str]:
@@ -148,6 +153,7 @@
         'around': [event.fields for event in timeline.around],
         'deciding': timeline.deciding,
         'bad_lines': timeline.bad_lines,
+        'waits': [dataclasses.asdict(wait) for wait in timeline.waits],
     }
     _output.show(document, as_json, _format_timeline(timeline))
     if not timeline.events:
@@ -177,6 +183,7 @@
             f'{marker}{event.at - start:9.3f} s  {indent}{event.host}'
             f'  {event.name}  {_format_fields(event)}'
         )
+    lines.extend(wait.describe() for wait in timeline.waits)
     lines.append(
         f'{timeline.bad_lines} unreadable lines; * marks the deciding event'
     )
--- a/tests/commands/test_why.py
+++ b/tests/commands/test_why.py
@@ -108,6 +108,33 @@
     assert (document['deciding'], document['bad_lines']) == (1, 0)
 
 
+def test_limit_is_named_as_the_cause_of_a_wait(tmp_path, capsys):
+    path = write_log(
+        tmp_path,
+        'h1',
+        make_line(
+            1.0,
+            'held_by_limit',
+            job=JOB,
+            step=f'{JOB}.0.1',
+            organisation='acme',
+            usage={'cpu': 4000},
+            limit={'cpu': 4000},
+        ),
+        make_line(2.0, 'run_ordered', task=f'{JOB}.0.0.0', run=1),
+        make_line(3.5, 'run_ordered', task=f'{JOB}.0.1.0', run=1),
+        make_line(4.0, 'job_ended', job=JOB, outcome='completed'),
+    )
+    assert ctl.app(['why', JOB, str(path)], exit_on_error=False) == 0
+    (line,) = (
+        line
+        for line in capsys.readouterr().out.splitlines()
+        if line.startswith('step ')
+    )
+    assert 'waited for the limit of its organisation, 2.500 s' in line
+    assert 'organisation=acme usage=cpu:4000 limit=cpu:4000' in line
+
+
 def test_unknown_job_and_missing_file_are_reported(tmp_path, capsys):
     path = write_log(tmp_path, 'h1', make_line(1.0, 'job_taken', job='other'))
     assert ctl.app(['why', JOB, str(path)], exit_on_error=False) == 4
