Request tickets for few of the steps at a limit; test the bound

Cause: a step whose tasks had all started took one of the places of the steps that may request tickets at a limit. Change: it takes none; queues without advice aren't asked about, and a limit is compared without lists.

--- a/hibiscusslip/dispatch/_limiter.py
+++ b/hibiscusslip/dispatch/_limiter.py
@@ -76,12 +76,16 @@
             usage=_fields(self._ledger.usage_of(organisation).demand),
             limit=None if limit is None else _fields(limit),
             demand=_fields(step.spec.demand),
+            tasks=len(step.waiting()),
         )
 
     def may_request_advice(self, step: state.StepState) -> bool:
         """Return False if a step is too far back to need tickets soon."""
         organisation = step.job.organisation
-        if not organisation or self.count_startable(step, len(step.waiting())):
+        if not organisation:
+            return True
+        wanted = len(step.waiting())
+        if not wanted or self.count_startable(step, wanted):
             return True
         self._advised[organisation] = self._advised.get(organisation, 0) + 1
         return self._advised[organisation] <= ADVISED_STEPS
--- a/hibiscusslip/dispatch/_planning.py
+++ b/hibiscusslip/dispatch/_planning.py
@@ -58,6 +58,8 @@
             continue
         if step.ready:
             _plan_step(current, step, rank)
+        if engine.queue_of(step.job).advice is None:
+            continue
         if engine.limiter.may_request_advice(step):
             advice_planning.request_advice_if_needed(
                 engine, step, pool, candidates[step.job.service], now
--- a/hibiscusslip/dispatch/limits.py
+++ b/hibiscusslip/dispatch/limits.py
@@ -42,10 +42,14 @@
     tasks don't need that resource.
     """
     count = wanted
-    for need, in_use, most in _limited(demand, used, limit):
-        if in_use > most:
+    for need, in_use, most in (
+        (demand.cpu, used.cpu, limit.cpu),
+        (demand.memory, used.memory, limit.memory),
+        (demand.accelerators, used.accelerators, limit.accelerators),
+    ):
+        if most and in_use > most:
             return 0
-        if need:
+        if most and need:
             count = min(count, (most - in_use) // need)
     return count
 
@@ -55,18 +59,10 @@
 ) -> bool:
     """Return True if a gang exceeds the limit by no more than tolerated."""
     return all(
-        need * size <= most * (1 + overage) + need
-        for need, _, most in _limited(demand, model.Demand(), limit)
-    )
-
-
-def _limited(
-    demand: model.Demand, used: model.Demand, limit: model.Demand
-) -> list[tuple[int, int, int]]:
-    """Return demand, use and limit of each resource that is limited."""
-    rows = (
-        (demand.cpu, used.cpu, limit.cpu),
-        (demand.memory, used.memory, limit.memory),
-        (demand.accelerators, used.accelerators, limit.accelerators),
+        not most or need * size <= most * (1 + overage) + need
+        for need, most in (
+            (demand.cpu, limit.cpu),
+            (demand.memory, limit.memory),
+            (demand.accelerators, limit.accelerators),
+        )
     )
-    return [row for row in rows if row[2]]
--- a/tests/dispatch/test_limits.py
+++ b/tests/dispatch/test_limits.py
@@ -174,6 +174,24 @@
     assert len(bench.stops()) == 1
 
 
+def test_few_held_back_steps_request_tickets():
+    # A backlog of one organisation would occupy the advice service.
+    advice = model.Advice(0.01, 0.001, 2.0)
+    bench = Bench(support.queue('small', advice=advice))
+    bench.set_limit(cpu=1000)
+    bench.endpoint('e1')
+    for number in range(10):
+        bench.submit(f'j{number}', support.step())
+    bench.plan()
+    (first, *_) = bench.engine.advice_requests
+    bench.engine.advice_requests = []
+    for step in bench.engine.active_steps.values():
+        step.advice_pending = False
+    bench.engine.handle_advice(first, {'e1': 't'}, bench.now + 2.0, bench.now)
+    assert len(bench.plan()) == 1
+    assert len(bench.engine.advice_requests) == 4
+
+
 def test_hold_is_noted_once_in_each_wait():
     bench = Bench()
     bench.set_limit(cpu=1000)
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -27,9 +27,15 @@
     assert str(cfg.advice) == '10.9.9.9:7'
     assert cfg.cloud is None
     assert cfg.bounds.max_lease == 6.0
+    assert cfg.bounds.limit_overage == 0.0
     assert cfg.ports == (17380, 17395)
 
 
+def test_share_above_the_limits_is_read():
+    cfg = settings.parse(SETTINGS_FILE + 'Bounds.QuotaOverage=0.1\n')
+    assert cfg.bounds.limit_overage == 0.1
+
+
 @pytest.mark.parametrize(
     'text',
     ['', 'Node=x', SETTINGS_FILE.replace('17380,17395', 'a,b'), '\x00' * 10],
