--- a/hibiscusslip/dispatch/_planning.py
+++ b/hibiscusslip/dispatch/_planning.py
@@ -77,6 +77,8 @@
             continue
         if step.ready:
             _plan_step(current, step, rank)
+        if engine.queue_of(step.job).advice is None:
+            continue
         if rank.beyond and not _limit_to_spare(current, step, step.waiting()):
             continue  # tickets would expire before there is capacity
         if engine.limiter.may_request_advice(step):
