--- a/hibiscusslip/dispatch/_planning.py
+++ b/hibiscusslip/dispatch/_planning.py
@@ -292,6 +292,7 @@
     endpoint.last_start_job = step.job.job_id
     choice.candidate.allocate(step.spec.allocated_demand)
     endpoint.leased_until = max(endpoint.leased_until, deadline)
+    estimates = current.engine.estimates
     checkpoint = step.checkpoint if step.spec.gang else task.checkpoint
     allocation.measurable = not checkpoint
     ticket = (step.tickets or {}).get(endpoint.name)
@@ -307,5 +308,7 @@
             checkpoint,
             ticket.text if ticket is not None else '',
             now,
+            estimates.expect(step) if estimates.learns else None,
+            choice.candidate.speed,
         )
     )
--- a/hibiscusslip/dispatch/commands.py
+++ b/hibiscusslip/dispatch/commands.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from hibiscusslip.dispatch import estimates
 from hibiscusslip.dispatch import state
 
 
@@ -10,6 +11,8 @@
     """Start a run, once the job's record is written.
 
     `deadline` is on the endpoint's clock, `decided_at` on the host's.
+    `expected` is the expected run time on an endpoint of ordinary speed if
+    run times are learned, and `speed` that of the endpoint.
     """
 
     endpoint: str
@@ -21,6 +24,8 @@
     checkpoint: str
     ticket: str
     decided_at: float
+    expected: estimates.Expectation | None = None
+    speed: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hibiscusslip/dispatch/estimates.py
+++ b/hibiscusslip/dispatch/estimates.py
@@ -60,7 +60,7 @@
         self.speeds = speeds.Speeds()
         self.errors = estimate_errors.Errors()
         self._ratios: dict[str, float] = {}
-        self._expected: dict[run_times.Work, Expectation] = {}
+        self._expected: dict[tuple[str, str, str, float], Expectation] = {}
         self._paths: dict[str, list[float]] = {}
         self._version = 0
 
@@ -178,13 +178,12 @@
 
     def _learned(self, job: state.Job, spec: model.Step) -> Expectation:
         self._drop_outdated()
-        work = run_times.Work(
-            job.queue, spec.image, job.organisation, spec.estimate
-        )
-        expected = self._expected.get(work)
+        key = (job.queue, spec.image, job.organisation, spec.estimate)
+        expected = self._expected.get(key)
         if expected is None:
+            work = run_times.Work(*key)
             ratios = self.run_times.expect(work)
-            expected = self._expected[work] = Expectation(
+            expected = self._expected[key] = Expectation(
                 work.base * ratios.median,
                 work.base * ratios.high,
                 ratios.runs,
@@ -194,8 +193,11 @@
 
     def _drop_outdated(self) -> None:
         """Empty the caches if more was learned, or if they are full."""
-        size = max(len(self._expected), len(self._paths))
-        if self._version != self.run_times.version or size >= MAX_CACHED:
+        if (
+            self._version != self.run_times.version
+            or len(self._expected) >= MAX_CACHED
+            or len(self._paths) >= MAX_CACHED
+        ):
             self._version = self.run_times.version
             self._expected.clear()
             self._paths.clear()
--- a/hibiscusslip/dispatch/preferences.py
+++ b/hibiscusslip/dispatch/preferences.py
@@ -15,6 +15,7 @@
 
 BANDS_PER_OCTAVE = 4  # speeds that differ by less than 19% count as equal
 PATIENT_SHARE = 1.5  # of its critical path, which a patient step has as slack
+MARGIN = 1.25  # as a job waits for the slowest of its tasks
 SMALL_SHARE = 0.5  # of the largest demand, which a small task doesn't exceed
 
 
@@ -38,9 +39,9 @@
 
         False if it would do so on an endpoint of ordinary speed as well.
         """
-        if self.run_time > self.time_left:
+        if MARGIN * self.run_time > self.time_left:
             return False
-        return self.run_time / candidate.speed > self.time_left
+        return MARGIN * self.run_time / candidate.speed > self.time_left
 
     def speed_rank(self, candidate: candidate_pool.Candidate) -> int:
         """Return the rank of a candidate's speed; the lowest is the best."""
--- a/hibiscusslip/dispatch/run_learning.py
+++ b/hibiscusslip/dispatch/run_learning.py
@@ -11,7 +11,7 @@
 from hibiscusslip.dispatch import state
 
 MIN_RUNS_FOR_SPEED = 8  # that the expected run time must derive from
-# Of a lower bound, which may be followed by the duration or another bound.
+# Of a run that is learned of twice, when it is overdue and when it ends.
 HALF_WEIGHT = 0.5
 
 
@@ -52,7 +52,8 @@
         _learn_speed(estimates, endpoint, step, actual / expected.median, now)
     if speed.plausible:
         estimates.learn(queue, declared, length)
-        _learn_length(estimates, task, length, now, allocation, False)
+        weight = _weight(allocation)
+        _learn_length(estimates, task, length, now, weight, False)
 
 
 def learn_stopped(
@@ -65,7 +66,8 @@
     """Learn from a run that was stopped before its end."""
     if estimates.learns and allocation is not None:
         if is_measured(estimates, task, allocation):
-            _learn_bound(estimates, endpoint, task, allocation, now)
+            weight = _weight(allocation)
+            _learn_bound(estimates, endpoint, task, now, weight)
 
 
 def learn_if_overdue(
@@ -81,21 +83,26 @@
     speed = estimates.speed_of(endpoint)
     high = estimates.expect_learned(task.step).high
     if (now - task.started_at) * speed.factor > high:
-        _learn_bound(estimates, endpoint, task, allocation, now)
+        _learn_bound(estimates, endpoint, task, now, HALF_WEIGHT)
         allocation.overdue = True
 
 
+def _weight(allocation: state.Allocation) -> float:
+    """Return the weight of a run's end: the rest, if it was overdue."""
+    return 1.0 - HALF_WEIGHT if allocation.overdue else 1.0
+
+
 def _learn_bound(
     estimates: run_estimates.Estimates,
     endpoint: state.Endpoint,
     task: state.Task,
-    allocation: state.Allocation,
     now: float,
+    weight: float,
 ) -> None:
     speed = estimates.speed_of(endpoint)
     if task.started_at and speed.plausible:
         length = (now - task.started_at) * speed.factor
-        _learn_length(estimates, task, length, now, allocation, True)
+        _learn_length(estimates, task, length, now, weight, True)
 
 
 def _learn_length(
@@ -103,7 +110,7 @@
     task: state.Task,
     length: float,
     now: float,
-    allocation: state.Allocation,
+    weight: float,
     at_least: bool,
 ) -> None:
     step = task.step
@@ -113,7 +120,6 @@
         step.job.organisation,
         step.spec.estimate,
     )
-    weight = HALF_WEIGHT if at_least or allocation.overdue else 1.0
     estimates.run_times.learn(
         work, length, step.job.job_id, now, weight, at_least
     )
--- a/hibiscusslip/host/endpoint_session.py
+++ b/hibiscusslip/host/endpoint_session.py
@@ -6,6 +6,7 @@
 from hibiscusslip.dispatch import engine as engines
 from hibiscusslip.dispatch import state
 from hibiscusslip.host import context
+from hibiscusslip.host import estimate_reports
 from hibiscusslip.host import wakeup_event
 from hibiscusslip.platform import endpoint_client
 from hibiscusslip.platform import exceptions
@@ -235,6 +236,7 @@
             run=start.run,
             endpoint=self.name,
             decided_ms_ago=int((now - start.decided_at) * 1000),
+            **estimate_reports.expectation_fields(start),
         )
         await self.wakeup.set()
 
--- a/hibiscusslip/host/owner.py
+++ b/hibiscusslip/host/owner.py
@@ -14,6 +14,7 @@
 from hibiscusslip.host import context
 from hibiscusslip.host import crash_logging
 from hibiscusslip.host import endpoint_session
+from hibiscusslip.host import estimate_reports
 from hibiscusslip.host import lease_handover
 from hibiscusslip.host import lease_timing
 from hibiscusslip.host import notices
@@ -337,6 +338,7 @@
             await curio.sleep(LOAD_PERIOD_S)
             for load in summary.summarise(self.engine, context.monotonic()):
                 self.ctx.log.note('cell_load', **dataclasses.asdict(load))
+            estimate_reports.publish(self.ctx, self.engine.estimates)
 
     async def _delete_old_jobs(self) -> None:
         while True:
