Reject jobs that the owner predicts would be of no use

Under overload all jobs were accepted, and most of them failed seconds later. The owner now predicts for each queue how long a new job would wait, within and beyond the entitlement, and which part of each organisation's jobs is beyond. A host answers 429 to a new job that would be of no use, with a Retry-After derived from the job's ID. It asks the owner's memory first, as another host may have accepted the job, and rejects no ID that it has passed on.

--- a/hibiscusslip/commands/_timeline.py
+++ b/hibiscusslip/commands/_timeline.py
@@ -14,6 +14,7 @@
 # Events that decide the outcome of a job, the most conclusive first.
 DECIDING_EVENTS = (
     'job_refused',
+    'job_rejected',
     'job_invalid',
     'job_in_doubt',
     'job_ended',
--- a/hibiscusslip/dispatch/_planning.py
+++ b/hibiscusslip/dispatch/_planning.py
@@ -58,7 +58,8 @@
     for service in services:
         entries = (c.entry for c in candidates[service].all)
         engine.shares.update(engine.config, service, entries, now)
-    for rank, step in _rank_steps(engine, now):
+    ranked = _rank_steps(engine, now)
+    for rank, step in ranked:
         pool = current.services.get(step.job.service, [])
         if not pool:
             continue
@@ -69,6 +70,20 @@
         advice_planning.request_advice_if_needed(
             engine, step, pool, candidates[step.job.service], now
         )
+    _update_forecast(engine, ranked, services, now)
+
+
+def _update_forecast(
+    engine: 'engines.Engine',
+    ranked: list[tuple[ordering.Rank, state.StepState]],
+    services: dict[str, list[state.Endpoint]],
+    now: float,
+) -> None:
+    """Predict the waits of new jobs from the steps that still wait."""
+    forecast = engine.shares.forecast
+    if forecast.is_due(engine.config, now):
+        assert engine.config is not None
+        forecast.update(engine.config, ranked, services, engine.estimates, now)
 
 
 def _compute_spare(current: _Pass) -> None:
--- /dev/null
+++ b/hibiscusslip/dispatch/admission.py
@@ -0,0 +1,196 @@
+"""Predict how long new jobs would wait, and decide which to reject; no I/O.
+
+A new job waits for the work that is ordered ahead of it: core-seconds and
+accelerator-seconds of waiting steps, divided by the capacity that this work
+gets. Work that arrives later but goes first takes part of that capacity. A
+job that would be of no use by the time it completes is rejected at once, so
+that its caller knows, and that the others don't queue behind it.
+"""
+
+import collections.abc
+import dataclasses
+import math
+import zlib
+
+from hibiscusslip.dispatch import estimates
+from hibiscusslip.dispatch import model
+from hibiscusslip.dispatch import ordering
+from hibiscusslip.dispatch import state
+
+MIN_CAPACITY_SHARE = 0.05  # of a pool, for work that others go ahead of
+MAX_WAIT_S = 600.0
+MAX_RETRY_SPREAD_S = 30
+PERCENT = 100
+
+Work = tuple[float, float]  # core-seconds, accelerator-seconds
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Prediction:
+    """How long a new job of a queue would wait to start, in seconds."""
+
+    within: float = 0.0
+    beyond: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rejection:
+    """Why a job is rejected, and when its caller may send it again.
+
+    `wait` is how long it would wait, `useful_wait` how long it could and
+    still be of use, both in seconds. `retry_after` is in whole seconds.
+    """
+
+    within: bool
+    wait: float
+    useful_wait: float
+    retry_after: int
+
+
+@dataclasses.dataclass(slots=True)
+class _Backlog:
+    """Waiting work of a service by whether it is beyond, then priority."""
+
+    work: dict[tuple[bool, int], Work] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def add(self, key: tuple[bool, int], work: Work) -> None:
+        """Add work."""
+        known = self.work.get(key, (0.0, 0.0))
+        self.work[key] = (known[0] + work[0], known[1] + work[1])
+
+    def ahead_of(self, key: tuple[bool, int]) -> Work:
+        """Return the work that goes before a new job, or beside it."""
+        return _sum(work for other, work in self.work.items() if other <= key)
+
+
+def predict(
+    ranked: collections.abc.Iterable[tuple[ordering.Rank, state.StepState]],
+    queues: collections.abc.Iterable[model.Queue],
+    capacities: dict[str, Work],
+    arrivals: dict[tuple[str, bool], Work],
+    estimator: estimates.Estimates,
+) -> dict[str, Prediction]:
+    """Return the predictions for all queues, by name.
+
+    `ranked` are the waiting steps, `capacities` the cores and accelerators of
+    each service. `arrivals` is the work that arrives per second, by queue and
+    whether it is beyond an entitlement.
+    """
+    queues = list(queues)
+    backlogs: dict[str, _Backlog] = {}
+    for rank, step in ranked:
+        if rank.expired or step.spec.long_running:
+            continue
+        backlog = backlogs.setdefault(step.job.service, _Backlog())
+        backlog.add((rank.beyond, rank.priority), _waiting(step, estimator))
+    return {
+        queue.name: _predict_queue(
+            queue,
+            queues,
+            backlogs.get(queue.service, _Backlog()),
+            capacities.get(queue.service, (0.0, 0.0)),
+            arrivals,
+        )
+        for queue in queues
+    }
+
+
+def _predict_queue(
+    queue: model.Queue,
+    queues: list[model.Queue],
+    backlog: _Backlog,
+    capacity: Work,
+    arrivals: dict[tuple[str, bool], Work],
+) -> Prediction:
+    own = _sum(arrivals.get((queue.name, b), (0, 0)) for b in (False, True))
+
+    def wait(beyond: bool) -> float:
+        key = (beyond, queue.priority)
+        first = _sum(
+            work
+            for other in queues
+            for ahead in (False, True)
+            if other.service == queue.service
+            and (ahead, other.priority) < key
+            and (work := arrivals.get((other.name, ahead)))
+        )
+        return _wait(backlog.ahead_of(key), capacity, first, own)
+
+    return Prediction(wait(False), wait(True))
+
+
+def _wait(ahead: Work, capacity: Work, first: Work, own: Work) -> float:
+    """Return for how long work ahead takes up the capacity, in seconds.
+
+    `first` is the work per second that goes ahead of it. Accelerators count
+    for queues whose `own` jobs use them.
+    """
+    longest = 0.0
+    for resource, amount in enumerate(ahead):
+        if not amount or (resource and not own[resource]):
+            continue
+        whole = capacity[resource]
+        left = max(whole - first[resource], whole * MIN_CAPACITY_SHARE)
+        if left:  # nothing is predicted while no endpoint is listed
+            longest = max(longest, amount / left)
+    return min(longest, MAX_WAIT_S)
+
+
+def work_of(step: model.Step, count: int, run_time: float) -> Work:
+    """Return the work of `count` tasks that run for `run_time` seconds."""
+    demand = step.allocated_demand
+    seconds = count * run_time
+    return demand.cpu / 1000 * seconds, demand.accelerators * seconds
+
+
+def _waiting(step: state.StepState, estimator: estimates.Estimates) -> Work:
+    run_time = estimator.expect(step).median
+    return work_of(step.spec, len(step.waiting()), run_time)
+
+
+def _sum(works: collections.abc.Iterable[Work]) -> Work:
+    cores = accelerators = 0.0
+    for work in works:
+        cores += work[0]
+        accelerators += work[1]
+    return cores, accelerators
+
+
+def useful_wait(spec: model.JobSpec, queue: model.Queue) -> float:
+    """Return for how long a new job can wait and still be of use, in s.
+
+    Infinite for jobs without a deadline: those with a long-running task, and
+    periodic ones, whose occurrences are due later.
+    """
+    if spec.long_running or spec.times:
+        return math.inf
+    job = state.Job('', queue.name, queue.service, spec, 0.0)
+    estimator = estimates.Estimates()
+    useful_until = estimator.objective(job, queue).useful_until
+    return useful_until - estimator.critical_path(job)
+
+
+def decide(
+    job_id: str,
+    spec: model.JobSpec,
+    queue: model.Queue,
+    prediction: Prediction,
+    beyond_percent: int,
+) -> Rejection | None:
+    """Return why a new job is rejected, or None if it is accepted.
+
+    `beyond_percent` of the jobs of its organisation are beyond the
+    entitlement; which of them is derived from the ID, so that a job gets the
+    same answer from all hosts while the load is the same.
+    """
+    number = zlib.crc32(job_id.encode())
+    within = number % PERCENT >= beyond_percent
+    wait = prediction.within if within else prediction.beyond
+    useful = useful_wait(spec, queue)
+    if wait <= useful:
+        return None
+    spread = min(math.ceil(wait), MAX_RETRY_SPREAD_S)
+    retry_after = 1 + number // PERCENT % spread
+    return Rejection(within, wait, useful, retry_after)
--- /dev/null
+++ b/hibiscusslip/dispatch/forecast.py
@@ -0,0 +1,91 @@
+"""Keep the predicted waits that the owner tells the hosts."""
+
+from hibiscusslip.dispatch import admission
+from hibiscusslip.dispatch import arrivals
+from hibiscusslip.dispatch import estimates
+from hibiscusslip.dispatch import model
+from hibiscusslip.dispatch import ordering
+from hibiscusslip.dispatch import state
+
+UPDATE_PERIOD_S = 0.4  # as often as the owner's heartbeats
+NO_WAIT = admission.Prediction()
+
+
+class Forecast:
+    """What new jobs have to expect.
+
+    `predictions` are by queue. `beyond_percents` are the organisations that
+    send beyond their entitlement, with the part of their jobs that is.
+    """
+
+    def __init__(self) -> None:
+        self.predictions: dict[str, admission.Prediction] = {}
+        self.beyond_percents: dict[str, int] = {}
+        self._arrivals = arrivals.Arrivals()
+        self._updated_at = float('-inf')
+
+    def count(self, job: state.Job, config: model.Configuration) -> None:
+        """Count a new job that was classified."""
+        now = job.submitted_at
+        beyond = not job.within_entitlement
+        works = (
+            admission.work_of(step, step.count, step.estimate)
+            for step in job.spec.steps
+            if not step.long_running
+        )
+        for work in works:
+            self._arrivals.add_work(job.queue, beyond, work, now)
+        if not job.organisation:
+            return
+        percent = self.beyond_percents.get(job.organisation, 0)
+        queue = config.queues.get(job.queue)
+        sent = 1.0
+        if percent and queue is not None:
+            predicted = self.predictions.get(job.queue, NO_WAIT)
+            useful = admission.useful_wait(job.spec, queue)
+            if predicted.beyond > useful:
+                sent = admission.PERCENT / (admission.PERCENT - percent)
+        self._arrivals.add_job(job.organisation, sent, now)
+
+    def is_due(self, config: model.Configuration | None, now: float) -> bool:
+        """Return True if the predictions should be updated."""
+        if config is None or config.organisations is None:
+            self.predictions = {}
+            self.beyond_percents = {}
+            return False
+        return now >= self._updated_at + UPDATE_PERIOD_S
+
+    def update(
+        self,
+        config: model.Configuration,
+        ranked: list[tuple[ordering.Rank, state.StepState]],
+        pools: dict[str, list[state.Endpoint]],
+        estimator: estimates.Estimates,
+        now: float,
+    ) -> None:
+        """Update the predictions from the steps that wait after a pass.
+
+        Counts all listed endpoints: a new owner has polled few of them yet.
+        """
+        self._updated_at = now
+        self.predictions = admission.predict(
+            ranked,
+            config.queues.values(),
+            {service: _capacity(pool) for service, pool in pools.items()},
+            self._arrivals.work(now),
+            estimator,
+        )
+        organisations = config.organisations or {}
+        weights = {name: item.weight for name, item in organisations.items()}
+        self.beyond_percents = self._arrivals.beyond_percents(weights, now)
+
+
+def _capacity(pool: list[state.Endpoint]) -> admission.Work:
+    entries = [
+        endpoint.entry
+        for endpoint in pool
+        if endpoint.entry is not None and not endpoint.entry.draining
+    ]
+    cpu = sum(entry.capacity.cpu for entry in entries)
+    accelerators = sum(entry.capacity.accelerators for entry in entries)
+    return cpu / 1000, accelerators
--- a/hibiscusslip/dispatch/shares.py
+++ b/hibiscusslip/dispatch/shares.py
@@ -12,6 +12,7 @@
 import collections.abc
 
 from hibiscusslip.dispatch import entitlement
+from hibiscusslip.dispatch import forecast
 from hibiscusslip.dispatch import holdings
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import state
@@ -36,6 +37,7 @@
     def __init__(self) -> None:
         self.advice_wanted_until = float('-inf')
         self.advice_full_until: dict[str, float] = {}
+        self.forecast = forecast.Forecast()
         self.fair_shares: dict[str, float] = {}
         self._entitlements = entitlement.Entitlements()
         self._holdings: dict[str, dict[str, holdings.Holding]] = {}
@@ -56,16 +58,21 @@
         """
         if config is None or config.organisations is None:
             return
+        if job.organisation:
+            self._classify(job, config, min(accepted, wall_time))
+        self.forecast.count(job, config)
+
+    def _classify(
+        self, job: state.Job, config: model.Configuration, accepted: float
+    ) -> None:
         name = job.organisation
-        if not name:
-            return
         held_by_name = self._holdings.setdefault(job.service, {})
         holding = held_by_name.setdefault(name, holdings.Holding(name))
         holding.wanted_at = max(holding.wanted_at, job.submitted_at)
         job.holding = holding
         weight = entitlement.weight_of(config, name)
         job.within_entitlement = self._entitlements.admit(
-            name, weight, min(accepted, wall_time)
+            name, weight, accepted
         )
 
     def update(
--- a/hibiscusslip/host/front.py
+++ b/hibiscusslip/host/front.py
@@ -5,6 +5,7 @@
 
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import records
+from hibiscusslip.host import admission_control
 from hibiscusslip.host import context
 from hibiscusslip.host import inbox
 from hibiscusslip.host import retry_hints
@@ -22,7 +23,7 @@
 JOB_ID = re.compile(r'[0-9a-f]{16}\Z')
 
 
-class JobStateSource(abc.ABC):
+class JobStateSource(admission_control.KnownJobs):
     """Interface to job states at the cell's owner, local or remote."""
 
     @abc.abstractmethod
@@ -32,6 +33,10 @@
         Raises OwnerUnavailable if the owner can't be queried now.
         """
 
+    async def may_know_job(self, job_id: str) -> bool:
+        """Return True, as it isn't known what the owner has read."""
+        return True
+
 
 class OwnerUnavailable(Exception):
     """Raise when the owner can't be queried; retry in a moment."""
@@ -49,6 +54,7 @@
         self._ctx = ctx
         self._job_states = job_states
         self._inbox = job_inbox
+        self._admission = admission_control.AdmissionControl(ctx, job_states)
 
     async def handle(self, req: messages.Request) -> messages.Response:
         """Return the response to one request."""
@@ -127,13 +133,20 @@
         deadline: float,
     ) -> messages.Response:
         try:
-            callers.read_job(req)
+            spec = callers.read_job(req)
         except exceptions.JobInvalid as exc:
             self._log('job_invalid', job_id, error=str(exc)[:200])
             return callers.bad_request(str(exc))
         submission = records.Submission(
             queue.name, queue.service, context.wall_time(), req.body
         )
+        rejection = await self._admission.check(
+            job_id, submission, queue, spec
+        )
+        if rejection is not None:
+            return callers.rejected(
+                admission_control.describe(rejection), rejection.retry_after
+            )
         value = records.encode_submission(submission)
         outcome = await self._inbox.write([(job_id, value)], deadline)
         self._log(
--- a/hibiscusslip/host/host.py
+++ b/hibiscusslip/host/host.py
@@ -274,6 +274,16 @@
             raise front.OwnerUnavailable('no owner is known; try again')
         return await self._peer_client.query_job_state(notice, job_id)
 
+    async def may_know_job(self, job_id: str) -> bool:
+        """Return False if the owner says that it hasn't read the job."""
+        local_owner = self._owner
+        if local_owner is not None and local_owner.ready:
+            return job_id in local_owner.engine.jobs
+        notice = self._ctx.ownership.owner
+        if notice is None or notice.host == self._ctx.cfg.name:
+            return True
+        return await self._peer_client.may_know_job(notice, job_id)
+
     async def _query_local_owner(
         self, local_owner: owner.Owner, job_id: str
     ) -> model.JobState | None:
--- a/hibiscusslip/host/notices.py
+++ b/hibiscusslip/host/notices.py
@@ -21,9 +21,16 @@
 
 
 class QueueLoad(msgspec.Struct, array_like=True):
-    """The number of jobs of a queue that haven't begun."""
+    """The number of jobs of a queue that haven't begun, and predicted waits.
+
+    A new job would wait for `within_wait` if it is within the entitlement of
+    its organisation, else for `beyond_wait`, both in tenths of a second. They
+    are 0 without organisations.
+    """
 
     pending: int
+    within_wait: int = 0
+    beyond_wait: int = 0
 
 
 class OwnerNotice(msgspec.Struct, array_like=True):
@@ -31,7 +38,9 @@
 
     A claim's epoch is its offset + 1, so epochs are unique. `number` orders
     the notices of an epoch, which may be written out of order. `lapses` maps
-    silent endpoints to the rest of their leases in milliseconds.
+    silent endpoints to the rest of their leases in milliseconds, `beyond`
+    organisations to the part of their jobs that is beyond their entitlement,
+    in percent.
     """
 
     kind: str
@@ -43,6 +52,7 @@
     loads: dict[str, QueueLoad] = {}
     number: int = 0
     lapses: dict[str, int] = {}
+    beyond: dict[str, int] = {}
 
 
 def encode(record: msgspec.Struct) -> bytes:
--- a/hibiscusslip/host/owner.py
+++ b/hibiscusslip/host/owner.py
@@ -75,6 +75,7 @@
             self._handover,
             lambda: self.engine.count_pending() if self.ready else None,
             self.release_ownership,
+            lambda: self.engine.shares.forecast if self.ready else None,
         )
         self._inboxes: list[cell_feeds.InboxFeed] = []
         self._tasks = curio.TaskGroup(wait=any)
--- a/hibiscusslip/host/ownership.py
+++ b/hibiscusslip/host/ownership.py
@@ -34,6 +34,7 @@
     the epoch in which this host is the owner, 0 while it isn't.
     `readable_since` is when the topic could be read again after a gap,
     `confirmed_at` when the owner's last successful write was sent.
+    `former_notice` is the one before the newest of the same owner.
     `leases_end` is, for the silent endpoints in the newest notice, when their
     leases have ended, and `notice_number` that notice's number. Times are on
     the monotonic clock.
@@ -54,6 +55,7 @@
     confirmed_at: float = 0.0
     leases_end: dict[str, float] = dataclasses.field(default_factory=dict)
     notice_number: int = 0
+    former_notice: notices.OwnerNotice | None = None
 
     def record_read(self, end: int, now: float) -> None:
         """Record that the topic was read to its end."""
@@ -81,6 +83,10 @@
                 name: now + left / MS_PER_S
                 for name, left in notice.lapses.items()
             }
+        if notice.epoch != self.epoch:
+            self.former_notice = None
+        elif self.owner is not None and self.owner.number != notice.number:
+            self.former_notice = self.owner  # the same one may come twice
         self.epoch = notice.epoch
         self.owner = notice
         self.last_notice_at = now
--- a/hibiscusslip/host/ownership_keeper.py
+++ b/hibiscusslip/host/ownership_keeper.py
@@ -6,8 +6,10 @@
 
 import curio
 
+from hibiscusslip.dispatch import forecast as forecasts
 from hibiscusslip.host import context
 from hibiscusslip.host import lease_handover
+from hibiscusslip.host import load_report
 from hibiscusslip.host import notices
 from hibiscusslip.host import ownership
 from hibiscusslip.host import repeating
@@ -54,7 +56,8 @@
 
     `pending` returns how many jobs of each queue haven't begun, or None until
     the owner has recovered them; `release_ownership` ends the ownership
-    gracefully. `notice_wakeup` has the next heartbeat written at once.
+    gracefully. `get_forecast` returns what the heartbeats tell of new jobs'
+    waits, or None. `notice_wakeup` has the next heartbeat written at once.
     """
 
     def __init__(
@@ -67,6 +70,9 @@
         release_ownership: collections.abc.Callable[
             [], collections.abc.Awaitable[None]
         ],
+        get_forecast: collections.abc.Callable[
+            [], forecasts.Forecast | None
+        ] = lambda: None,
     ) -> None:
         self._ctx = ctx
         self._successors = successors
@@ -74,6 +80,7 @@
         self._handover = handover
         self._pending = pending
         self._release_ownership = release_ownership
+        self._get_forecast = get_forecast
         self._lone_failures = 0
         self.notice_wakeup = wakeup_event.WakeupEvent()
 
@@ -205,11 +212,23 @@
             self._loads(),
             number,
             lapses,
+            self._beyond_percents(),
         )
 
+    def _beyond_percents(self) -> dict[str, int]:
+        forecast = self._get_forecast()
+        return forecast.beyond_percents if forecast is not None else {}
+
     def _loads(self) -> dict[str, notices.QueueLoad]:
-        """Return the queue loads, the former owner's until jobs are read."""
+        """Return the queue loads, the former owner's until jobs are read.
+
+        Its predictions aren't repeated, as they would be out of date.
+        """
         pending = self._pending()
         if pending is None:
-            return self._ctx.ownership.known_loads()
-        return {name: notices.QueueLoad(n) for name, n in pending.items()}
+            known = self._ctx.ownership.known_loads()
+            return {
+                name: notices.QueueLoad(load.pending)
+                for name, load in known.items()
+            }
+        return load_report.make_loads(pending, self._get_forecast())
--- a/hibiscusslip/host/peer_client.py
+++ b/hibiscusslip/host/peer_client.py
@@ -47,6 +47,20 @@
             )
         return model.JobState(reply.state) if reply.known else None
 
+    async def may_know_job(
+        self, owner: notices.OwnerNotice, job_id: str
+    ) -> bool:
+        """Return False if the owner replies that it hasn't read the job."""
+        self._links.set_address(owner.host, owner.address, owner.port)
+        query = messages.CellJobQuery(job_id, from_memory=True)
+        try:
+            reply = await self._call_address(
+                owner.host, query, JOB_STATE_TIMEOUT_S
+            )
+        except peer_exceptions.PeerError:
+            return True
+        return not isinstance(reply, messages.CellJobReply) or reply.known
+
     async def write(
         self, items: list[tuple[str, bytes]], hosts: list[str]
     ) -> inbox.Outcome:
--- a/hibiscusslip/host/peer_handler.py
+++ b/hibiscusslip/host/peer_handler.py
@@ -59,6 +59,9 @@
             return messages.Refusal(
                 'not_owner', 'ask the owner', RETRY_AFTER_S
             )
+        if query.from_memory:
+            known = query.job in local_owner.engine.jobs
+            return messages.CellJobReply(known, '')
         try:
             job_state = await local_owner.query_job_state(query.job)
         except exceptions.PlatformError as exc:
--- a/hibiscusslip/peer/messages.py
+++ b/hibiscusslip/peer/messages.py
@@ -343,9 +343,13 @@
 
 
 class CellJobQuery(_Message, frozen=True, tag='cell_job_query'):
-    """Ask the owner of the cell for the state of a job."""
+    """Ask the owner of the cell for the state of a job.
+
+    With `from_memory` it replies only whether it has read the job so far.
+    """
 
     job: str
+    from_memory: bool = False
 
 
 class CellJobReply(_Message, frozen=True, tag='cell_job_reply'):
--- a/hibiscusslip/platform/callers.py
+++ b/hibiscusslip/platform/callers.py
@@ -70,6 +70,11 @@
     return messages.Response(503, headers, response.body)
 
 
+def rejected(reason: str, retry_after: int) -> messages.Response:
+    """Return a 429: the job has not run and never runs, as load is high."""
+    return _problem(429, reason, retry_after)
+
+
 def queue_not_found() -> messages.Response:
     """Return a 404: no queue matches the host and the path."""
     return _problem(404, 'no such queue; check host and path')
