--- a/hibiscusslip/commands/_timeline.py
+++ b/hibiscusslip/commands/_timeline.py
@@ -15,6 +15,7 @@
 # Events that decide the outcome of a job, the most conclusive first.
 DECIDING_EVENTS = (
     'job_refused',
+    'job_rejected',
     'job_invalid',
     'caller_refused',
     'job_in_doubt',
--- a/hibiscusslip/dispatch/_planning.py
+++ b/hibiscusslip/dispatch/_planning.py
@@ -87,6 +87,7 @@
             )
     if engine.policy.urgent_preemption:
         current.preempting.preempt(engine, services, candidates, now)
+    _update_forecast(engine, ranked, services, now)
 
 
 def _update_learned(current: _Pass) -> None:
@@ -109,6 +110,19 @@
     current.largest = preferences.largest_demands(engine.active_steps.values())
 
 
+def _update_forecast(
+    engine: 'engines.Engine',
+    ranked: list[tuple[ordering.Rank, state.StepState]],
+    services: dict[str, list[state.Endpoint]],
+    now: float,
+) -> None:
+    """Predict the waits of new jobs from the steps that still wait."""
+    forecast = engine.shares.forecast
+    if forecast.is_due(engine.config, now):
+        assert engine.config is not None
+        forecast.update(engine.config, ranked, services, engine.estimates, now)
+
+
 def _compute_spare(current: _Pass) -> None:
     """Compute for each service the CPU that non-urgent queues may use."""
     engine = current.engine
--- a/hibiscusslip/host/front.py
+++ b/hibiscusslip/host/front.py
@@ -7,6 +7,7 @@
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import records
 from hibiscusslip.host import access
+from hibiscusslip.host import admission_control
 from hibiscusslip.host import context
 from hibiscusslip.host import inbox
 from hibiscusslip.host import retry_hints
@@ -24,7 +25,7 @@
 JOB_ID = re.compile(r'[0-9a-f]{16}\Z')
 
 
-class JobStateSource(abc.ABC):
+class JobStateSource(admission_control.KnownJobs):
     """Interface to job states at the cell's owner, local or remote."""
 
     @abc.abstractmethod
@@ -38,6 +39,10 @@
         if the owner can't be queried now.
         """
 
+    async def may_know_job(self, job_id: str) -> bool:
+        """Return True, as it isn't known what the owner has read."""
+        return True
+
 
 class OwnerUnavailable(Exception):
     """Raise when the owner can't be queried; retry in a moment."""
@@ -80,6 +85,7 @@
         self._job_states = job_states
         self._inbox = job_inbox
         self._gate = access.Gate()
+        self._admission = admission_control.AdmissionControl(ctx, job_states)
 
     async def handle(self, req: messages.Request) -> messages.Response:
         """Return the response to one request."""
@@ -177,7 +183,7 @@
     async def _submit(self, call: _Call) -> messages.Response:
         body = call.req.body
         try:
-            callers.read_job(call.req)
+            spec = callers.read_job(call.req)
         except exceptions.JobInvalid as exc:
             self._log('job_invalid', call.job_id, error=str(exc)[:200])
             return callers.bad_request(str(exc))
@@ -188,6 +194,13 @@
             body,
             call.organisation,
         )
+        rejection = await self._admission.check(
+            call.job_id, submission, call.queue, spec
+        )
+        if rejection is not None:
+            return callers.rejected(
+                admission_control.describe(rejection), rejection.retry_after
+            )
         value = records.encode_submission(submission)
         outcome = await self._inbox.write(
             [(call.job_id, value)], call.deadline
--- a/hibiscusslip/peer/messages.py
+++ b/hibiscusslip/peer/messages.py
@@ -345,11 +345,13 @@
 class CellJobQuery(_Message, frozen=True, tag='cell_job_query'):
     """Ask the owner of the cell for the state of a job.
 
-    `organisation` is the caller's, '' for none.
+    `organisation` is the caller's, '' for none. With `from_memory` the owner
+    replies only whether it has read the job so far.
     """
 
     job: str
     organisation: str = ''
+    from_memory: bool = False
 
 
 class CellJobReply(_Message, frozen=True, tag='cell_job_reply'):
