Answer a cancellation by the caller's deadline

Asking the owner whether the job exists for the caller may take longer: the owner reads all partitions of the inbox first. The query goes on then, and the cancellation is answered as stored.

--- a/hibiscusslip/host/front.py
+++ b/hibiscusslip/host/front.py
@@ -4,6 +4,8 @@
 import dataclasses
 import re
 
+import curio
+
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import records
 from hibiscusslip.host import access
@@ -237,6 +239,15 @@
         """
         if not call.organisation or call.queue.public:
             return False
+        # Not cancelled at the deadline: the owner may be reading the inbox.
+        query = await curio.spawn(self._query_hidden, call, daemon=True)
+        async with curio.ignore_after(
+            max(call.deadline - context.monotonic(), 0.0)
+        ):
+            await query.wait()
+        return bool(query.terminated and query.result)
+
+    async def _query_hidden(self, call: _Call) -> bool:
         try:
             job_state = await self._job_states.query_job_state(
                 call.job_id, call.organisation
--- a/tests/host/test_access.py
+++ b/tests/host/test_access.py
@@ -10,6 +10,7 @@
 from hibiscusslip.host import inbox
 from hibiscusslip.http import messages
 from hibiscusslip.platform import documents
+from hibiscusslip.platform import settings
 from hibiscusslip.platform import store
 from tests.host import fakes
 from tests.platform import cell
@@ -86,8 +87,18 @@
         self.inbox = inbox.Inbox(self.ctx, fakes.FakeRelay())
         self.handler = front.FrontHandler(self.ctx, None, self.inbox)
 
-    def call(self, method, job_id=JOB_ID, authorization=None, body=BODY):
-        headers = {'host': cell.HOST}
+    def call(
+        self,
+        method,
+        job_id=JOB_ID,
+        authorization=None,
+        body=BODY,
+        timeout_s=3.0,
+    ):
+        headers = {
+            'host': cell.HOST,
+            'x-deadline-ms': str(timeout_s * settings.MS_PER_S),
+        }
         if authorization is not None:
             headers['authorization'] = authorization
         path = cell.PREFIX + job_id
--- a/tests/host/test_job_access.py
+++ b/tests/host/test_job_access.py
@@ -178,10 +178,12 @@
 class JobStates(front.JobStateSource):
     """Know one job of organisation o1, unless the owner is unavailable."""
 
-    def __init__(self, available=True):
+    def __init__(self, available=True, answer_s=0.0):
         self._available = available
+        self._answer_s = answer_s
 
     async def query_job_state(self, job_id, organisation):
+        await curio.sleep(self._answer_s)
         if not self._available:
             raise front.OwnerUnavailable('no owner')
         known = (job_id, organisation) == (JOB_ID, 'o1')
@@ -212,3 +214,13 @@
     assert response.status == 200
     ((_, record),) = caller.store.records
     assert store.decode_keyed(record) == cancellation('o2')
+
+
+def test_cancellation_waits_for_an_owner_until_its_caller_has_given_up():
+    """The owner may read all partitions of the inbox from a slow store."""
+    caller = make_front()
+    caller.handler._job_states = JobStates(answer_s=30.0)
+    response = caller.call(
+        'DELETE', authorization='Bearer other-key', timeout_s=0.4
+    )
+    assert response.status == 200
