--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -39,6 +39,20 @@
         settings.parse(text)
 
 
+@pytest.mark.parametrize(
+    ('text', 'contracts'),
+    [
+        ('', set()),
+        ('Contracts=\n', set()),
+        ('Contracts=quota, tenants,\n', {'quota', 'tenants'}),
+    ],
+)
+def test_contracts_are_read(text, contracts):
+    cfg = settings.parse(SETTINGS_FILE + text)
+    assert cfg.contracts == contracts
+    assert cfg.has_organisations == ('tenants' in contracts)
+
+
 def test_missing_settings_file_raises(tmp_path):
     with pytest.raises(exceptions.SettingsInvalid):
         settings.load(str(tmp_path / 'none'))
