--- a/hibiscusslip/observe/events.py
+++ b/hibiscusslip/observe/events.py
@@ -19,6 +19,7 @@
         'job_taken',
         'job_accepted',
         'queue_not_found',
+        'caller_refused',
     }
 )
 
