--- a/hibiscusslip/host/front.py
+++ b/hibiscusslip/host/front.py
@@ -136,9 +136,11 @@
         now: float,
     ) -> messages.Response:
         """Return a 401, or a 503 if a newer version may have the key."""
+        job_id = req.path[len(queue.prefix) :]
         self._log(
             'caller_refused',
-            req.path[len(queue.prefix) :][:MAX_LOGGED_PATH_CHARS],
+            # Anything else may be a key that the caller put in the path.
+            job_id if JOB_ID.match(job_id) else '',
             queue=queue.name,
             key_sent=callers.key_digest(req) is not None,
             verdict=decision.verdict.value,
--- a/tests/host/test_access.py
+++ b/tests/host/test_access.py
@@ -165,6 +165,7 @@
         for method in ('POST', 'GET', 'PUT'):
             caller.call(method, '', header)
         caller.call('POST', JOB_ID, header)
+        caller.call('POST', header)
     assert caller.ctx.log.named('job_accepted')
     assert caller.ctx.log.named('caller_refused')
     assert '-key' not in repr(caller.ctx.log.events)
