Keep the longest leases of runs that no task names

Cause: a new owner set the end of an endpoint's inherited leases anew with each job, so another job's told lease replaced the longest one that a delayed start needs. Change: the runs that no task names are restored after all jobs. Result: the new test fails without the change and passes with it.

--- a/hibiscusslip/host/recovery.py
+++ b/hibiscusslip/host/recovery.py
@@ -173,6 +173,7 @@
     now: float,
 ) -> None:
     """Apply the progress records of the jobs that the engine has."""
+    other_runs: list[tuple[state.Job, list[records.RunRow]]] = []
     for job_id, value in progress.items():
         job = engine.jobs.get(job_id)
         if job is None:
@@ -187,7 +188,9 @@
             ctx.log.note('progress_unreadable', job=job_id, error=repr(exc))
             continue
         _restore_allocations(ctx, engine, job, now)
-        _restore_other_runs(ctx, engine, job, row.runs, now)
+        other_runs.append((job, row.runs))
+    for job, rows in other_runs:
+        _restore_other_runs(ctx, engine, job, rows, now)
 
 
 def _restore_allocations(
@@ -219,7 +222,8 @@
 ) -> None:
     """Allocate for runs beside those that the tasks of a job name.
 
-    Leases that the former owner told of needn't include them.
+    The leases that the former owner told of needn't include theirs, so this
+    is called once the endpoints have the leases of all other runs.
     """
     longest = lease_timing.longest_inherited(ctx.cfg.bounds.max_lease)
     for row in rows:
--- a/tests/dispatch/test_limits_unknown_outcomes.py
+++ b/tests/dispatch/test_limits_unknown_outcomes.py
@@ -115,6 +115,25 @@
     check(cell)
 
 
+def test_delayed_start_counts_for_longer_than_the_leases_told_to_successors():
+    cell = make_cell(STARTS_DELAYED, machines=1, new_ids=False)
+    cell.submit('j1', support.step())
+    cell.run(0.1)
+    (machine,) = cell.machines
+    cell.restart_unseen(machine)
+    cell.run(1.0)
+    cell.rng.draw = ALL_ARRIVES
+    cell.submit('j2', support.step())
+    cell.run(0.5)
+    cell.ctx.ownership.leases_end[machine.name] = cell.now + 1.0
+    cell.cut(machine, 30.0)
+    cell.lose_owner()
+    cell.run(13.0)
+    assert usage(cell).cpu == 2000
+    cell.run(16.0)  # a run on trial is held for 10 s longer
+    assert usage(cell).cpu == 0
+
+
 def test_start_that_expired_without_an_answer_counts_no_longer_than_needed():
     cell = make_cell(REQUESTS_LOST)
     cell.submit('j1', support.step(2))
