--- a/tests/dispatch/crashing_cell.py
+++ b/tests/dispatch/crashing_cell.py
@@ -49,6 +49,8 @@
     starts of tasks that were at work, or done and acknowledged as such.
     """
 
+    limit_overage = 0.0
+
     def __init__(
         self,
         machines=6,
@@ -79,8 +81,8 @@
             Machine(number, f'z{number % zones}') for number in range(machines)
         ]
         self.ctx = fakes.make_context(fakes.FakeStore())
-        self.engine = engines.Engine(LEASE_S, self.ctx.log.note)
-        self.engine.config = self.config
+        self.organisations = {}
+        self.engine = self._new_engine()
         self.owned_at = self.now
         for machine in self.machines:
             self._boot(machine)
@@ -147,7 +149,11 @@
 
     def _submit_to_engine(self, job_id):
         submission = records.Submission(
-            'small', support.SERVICE, support.WALL_TIME, b''
+            'small',
+            support.SERVICE,
+            support.WALL_TIME,
+            b'',
+            self.organisations.get(job_id, ''),
         )
         return self.engine.submit(
             job_id, submission, self.specs[job_id], self.now, support.WALL_TIME
@@ -226,8 +232,17 @@
         if self.now < self.owned_at + self.owner_lives_s:
             return
         self.owned_at = self.now
-        self.engine = engines.Engine(LEASE_S, self.ctx.log.note)
-        self.engine.config = self.config
+        self.lose_owner()
+
+    def _new_engine(self):
+        engine = engines.Engine(
+            LEASE_S, self.ctx.log.note, limit_overage=self.limit_overage
+        )
+        engine.config = self.config
+        return engine
+
+    def lose_owner(self):
+        self.engine = self._new_engine()
         for machine in self.machines:
             if machine.crashed_at is None:
                 self.engine.register_endpoint(self._entry(machine), self.now)
--- a/tests/dispatch/limited_cell.py
+++ b/tests/dispatch/limited_cell.py
@@ -1,12 +1,8 @@
 """Simulate organisations with limits, and lost messages, in virtual time."""
 
-from hibiscusslip.dispatch import engine as engines
 from hibiscusslip.dispatch import limits
 from hibiscusslip.dispatch import model
-from hibiscusslip.dispatch import policy as policies
-from hibiscusslip.dispatch import records
 from hibiscusslip.dispatch import usage
-from hibiscusslip.host import recovery
 from tests.dispatch import crashing_cell
 from tests.dispatch import support
 
@@ -24,6 +20,8 @@
     that the owner doesn't count.
     """
 
+    limit_overage = OVERAGE
+
     def __init__(self, rng, limit, **fields):
         self.rng = rng
         self.epoch = 1
@@ -34,17 +32,12 @@
         self.fences = {}
         self.carried_out = set()
         self.delayed = []
-        self.organisations = {}
         self.cancelled = set()
         self.limits = []
         self.exceeded = []
         self.uncounted = []
-        self.limit = limit
         super().__init__(**fields)
-        self.engine = self._new_engine()
         self.set_limit(limit)
-        for machine in self.machines:
-            self._boot(machine)
 
     def set_limit(self, limit):
         """Set the limit of each organisation."""
@@ -74,38 +67,10 @@
     def lose_owner(self):
         self.epoch += 1
         self.lose_next = ''
-        self.engine = self._new_engine()
-        for machine in self.machines:
-            if machine.crashed_at is None:
-                self.engine.register_endpoint(self._entry(machine), self.now)
-        for job_id in self.specs:
-            self._submit_to_engine(job_id)
-        recovery.restore_all(self.ctx, self.engine, self.progress, self.now)
+        super().lose_owner()
         for job_id in self.cancelled:
             self.engine.cancel(job_id, self.now)
 
-    def _new_engine(self):
-        engine = engines.Engine(
-            crashing_cell.LEASE_S,
-            self.ctx.log.note,
-            policy=policies.Policy(),
-            limit_overage=OVERAGE,
-        )
-        engine.config = self.config
-        return engine
-
-    def _submit_to_engine(self, job_id):
-        submission = records.Submission(
-            'small',
-            support.SERVICE,
-            support.WALL_TIME,
-            b'',
-            self.organisations[job_id],
-        )
-        return self.engine.submit(
-            job_id, submission, self.specs[job_id], self.now, support.WALL_TIME
-        )
-
     def _tick(self):
         self.now += crashing_cell.TICK_S
         for machine in self.machines:
