--- a/hibiscusslip/host/engine_events.py
+++ b/hibiscusslip/host/engine_events.py
@@ -11,6 +11,7 @@
         'crash_suspected',
         'task_given_up',
         'held_by_limit',
+        'run_preempted',
     )
 )
 
