--- a/hibiscusslip/dispatch/records.py
+++ b/hibiscusslip/dispatch/records.py
@@ -175,12 +175,10 @@
             if step.occurrence in left_out:
                 continue
             tasks.extend(_task_rows(step))
-            if step.failures or step.checkpoint:
-                steps.append(_step_row(step))
+            steps.extend(_step_rows(step))
             crashes.extend(_crash_rows(step))
             losses.extend(_loss_rows(step))
-            placed = [task for task in step.tasks if task.status.placed]
-            endpoints.update(_endpoint_rows(placed))
+            endpoints.update(_endpoint_rows(step.tasks))
     row = JobRow(
         job.state.value,
         tasks,
@@ -234,11 +232,12 @@
 
 
 def _endpoint_rows(
-    placed: collections.abc.Iterable[state.Task],
+    tasks: collections.abc.Iterable[state.Task],
 ) -> dict[str, EndpointRow]:
     return {
         task.endpoint: EndpointRow(task.endpoint, task.address, task.born)
-        for task in placed
+        for task in tasks
+        if task.status.placed
     }
 
 
@@ -254,14 +253,17 @@
     )
 
 
-def _step_row(step: state.StepState) -> StepRow:
-    return StepRow(
+def _step_rows(step: state.StepState) -> list[StepRow]:
+    if not step.failures and not step.checkpoint:
+        return []
+    row = StepRow(
         step.occurrence,
         step.number,
         step.failures,
         step.failed_run,
         step.checkpoint,
     )
+    return [row]
 
 
 def _crash_rows(step: state.StepState) -> list[CrashRow]:
