--- a/hibiscusslip/dispatch/estimate_errors.py
+++ b/hibiscusslip/dispatch/estimate_errors.py
@@ -7,8 +7,7 @@
 
 WINDOW_RUNS = 500.0
 MAX_QUEUES = 500
-MEDIAN = 0.5
-HIGH_QUANTILE = 0.9
+QUANTILES = (0.5, 0.9)
 MIN_S = 0.001
 
 
@@ -41,11 +40,7 @@
     def summarise(self) -> list[Error]:
         """Return the errors of each queue."""
         return [
-            Error(
-                *key,
-                2.0 ** ratios.quantile(MEDIAN),
-                2.0 ** ratios.quantile(HIGH_QUANTILE),
-            )
+            Error(*key, *(2.0**ratio for ratio in ratios.quantiles(QUANTILES)))
             for key, ratios in self._ratios.items()
         ]
 
--- a/hibiscusslip/dispatch/log_histogram.py
+++ b/hibiscusslip/dispatch/log_histogram.py
@@ -5,6 +5,8 @@
 """
 
 import array
+import bisect
+import itertools
 
 BINS_PER_OCTAVE = 5
 MIN_OCTAVES = -16.0
@@ -59,16 +61,18 @@
         factor = weight / max(self.weight, weight)
         self._multiply(factor)
 
-    def quantile(self, share: float) -> float:
-        """Return the octaves below which a share of the weight lies."""
-        wanted = share * self._total
-        seen = 0.0
-        for number, count in enumerate(self._counts):
-            if count and seen + count >= wanted:
-                inside = (wanted - seen) / count - 0.5
-                return MIN_OCTAVES + (number + inside) / BINS_PER_OCTAVE
-            seen += count
-        return 0.0
+    def quantiles(self, shares: tuple[float, ...]) -> list[float]:
+        """Return the octaves below which each share of the weight lies."""
+        sums = list(itertools.accumulate(self._counts))
+        return [self._find(share * sums[-1], sums) for share in shares]
+
+    def _find(self, wanted: float, sums: list[float]) -> float:
+        """Return the octaves below which a weight lies; 0 if there is none."""
+        if wanted <= 0.0:
+            return 0.0
+        number = bisect.bisect_left(sums, wanted)
+        inside = 0.5 - (sums[number] - wanted) / self._counts[number]
+        return MIN_OCTAVES + (number + inside) / BINS_PER_OCTAVE
 
     def _age(self, weight: float) -> float:
         """Let older values lose weight; return the amount to add."""
--- a/hibiscusslip/dispatch/placement.py
+++ b/hibiscusslip/dispatch/placement.py
@@ -230,8 +230,7 @@
             avoid or preference.is_too_slow(candidate),
             zones[candidate.entry.zone],
             -fitting,
-            preference.uses_up_room(option, demand, fitting),
-            preference.speed_rank(candidate),
+            *preference.rank(candidate, option, demand, fitting),
             option.cpu,
             candidate.number,
         )
@@ -331,8 +330,7 @@
         far or candidate.slow or preference.is_too_slow(candidate),
         zone,
         best_effort,
-        preference.uses_up_room(option, demand, 1),
-        preference.speed_rank(candidate),
+        *preference.rank(candidate, option, demand, 1),
         option.accelerators - demand.accelerators,
         option.cpu - demand.cpu,
     )
--- a/hibiscusslip/dispatch/preferences.py
+++ b/hibiscusslip/dispatch/preferences.py
@@ -15,7 +15,7 @@
 
 BANDS_PER_OCTAVE = 4  # speeds that differ by less than 19% count as equal
 PATIENT_SHARE = 1.5  # of its critical path, which a patient step has as slack
-MARGIN = 1.25  # as a job waits for the slowest of its tasks
+MARGIN = 1.5  # as a job waits for the slowest of its tasks
 SMALL_SHARE = 0.5  # of the largest demand, which a small task doesn't exceed
 
 
@@ -50,6 +50,22 @@
         band = speed_band(candidate)
         return band if self.patient else -band
 
+    def rank(
+        self,
+        candidate: candidate_pool.Candidate,
+        left: candidate_pool.RemainingCapacity,
+        demand: model.Demand,
+        count: int,
+    ) -> tuple[int, int]:
+        """Return the rank of a candidate for `count` tasks.
+
+        To leave room for large tasks matters less than the speed to a step
+        that can't wait.
+        """
+        room = int(self.uses_up_room(left, demand, count))
+        speed = self.speed_rank(candidate)
+        return (room, speed) if self.patient else (speed, room)
+
     def uses_up_room(
         self,
         left: candidate_pool.RemainingCapacity,
--- a/hibiscusslip/dispatch/run_times.py
+++ b/hibiscusslip/dispatch/run_times.py
@@ -20,16 +20,14 @@
 PRIOR_RUNS = 6.0  # that the broader group counts as
 PRIOR_HIGH_RUNS = 20.0  # for the high quantile, which few runs tell
 PRIOR_HIGH_OCTAVES = 1.0  # by which the high quantile of declared times is up
-LOW_QUANTILE = 0.05
-MEDIAN = 0.5
-HIGH_QUANTILE = 0.95
+QUANTILES = (0.05, 0.5, 0.95)  # low, median and high
 DECLARED_BINS_PER_OCTAVE = 3
 JOBS_TO_CHANGE = 4  # in a row outside the known range
 MIN_RUNS_TO_CHANGE = 16.0
 WEIGHT_AFTER_CHANGE = 2.0
 SHIFT_OCTAVES = 0.5
 MIN_SHIFT_RUNS = 16.0
-REFRESH_SHARE = 1 / 16  # of a group's weight in new runs
+REFRESH_SHARE = 1 / 8  # of a group's weight in new runs
 REFRESH_RUNS = 32
 FREQUENT_REFRESH_RUNS = 256
 
@@ -148,9 +146,7 @@
 
     def _refresh(self) -> None:
         self.stale_runs = 0.0
-        self.low = self.histogram.quantile(LOW_QUANTILE)
-        self.median = self.histogram.quantile(MEDIAN)
-        self.high = self.histogram.quantile(HIGH_QUANTILE)
+        self.low, self.median, self.high = self.histogram.quantiles(QUANTILES)
 
 
 class RunTimes:
--- a/hibiscusslip/dispatch/speeds.py
+++ b/hibiscusslip/dispatch/speeds.py
@@ -18,7 +18,7 @@
 PRIOR_RUNS = 5.0  # that the machine kind counts as
 KIND_PRIOR_RUNS = 20.0  # that the pool counts as
 HALF_LIFE_S = 60.0  # of the confidence in an endpoint without new runs
-REFRESH_PERIOD_S = 1.0
+REFRESH_PERIOD_S = 2.0
 MAX_OCTAVES = 1.5  # within which a speed is plausible
 CLAMP_OCTAVES = 3.0
 SHORT_QUANTILE = 0.25
@@ -185,11 +185,12 @@
     confidence = weight / (weight + PRIOR_RUNS)
     own = record.typical - pool
     octaves = kind + confidence * (own - kind)
-    speed = _make_speed(octaves, confidence)
-    return dataclasses.replace(speed, plausible=octaves <= MAX_OCTAVES)
+    return _make_speed(octaves, confidence, octaves <= MAX_OCTAVES)
 
 
-def _make_speed(octaves: float, confidence: float) -> Speed:
+def _make_speed(
+    octaves: float, confidence: float, plausible: bool = True
+) -> Speed:
     """Return the speed of an endpoint whose runs take longer by `octaves`."""
     clamped = min(max(octaves, -MAX_OCTAVES), MAX_OCTAVES)
-    return Speed(2.0**-clamped, confidence)
+    return Speed(2.0**-clamped, confidence, plausible)
--- a/tests/dispatch/test_learned_placement.py
+++ b/tests/dispatch/test_learned_placement.py
@@ -76,6 +76,7 @@
     zones = {'e0': 'a', 'e1': 'a', 'e2': 'b', 'e3': 'c', 'e4': 'd'}
     bench = make_bench(
         {'e0': 0.55, 'e1': 1.0, 'e2': 1.0, 'e3': 1.0, 'e4': 1.0},
+        stretch=9.0,
         zones=zones,
         sizes={name: 4000 for name in zones},
     )
