Replay the load of organisations that send too much

make replay had no organisations. hibiscusslip/bench/organisations.py adds them: the arrivals of the others are the same with and without the surplus.

--- a/Makefile
+++ b/Makefile
@@ -74,6 +74,9 @@
 	  echo "burst: $${kind:-none}"; \
 	  $(PY) -m hibiscusslip.bench.dispatching --burst "$$kind"; \
 	done
+	$(PY) -m hibiscusslip.bench.organisations
+	$(PY) -m hibiscusslip.bench.organisations --count 260 --scale 14 \
+		--surging 20 --seconds 8
 
 slopes: bytecode
 	$(PY) -m hibiscusslip.bench.slopes
--- a/hibiscusslip/bench/dispatch_loads.py
+++ b/hibiscusslip/bench/dispatch_loads.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import random
 
 from hibiscusslip.dispatch import model
 
@@ -82,6 +83,19 @@
         )
 
 
+def make_spec(kind: Kind, rng: random.Random) -> model.JobSpec:
+    """Return a job of a kind with a declared run time that is off."""
+    declared = kind.run * rng.uniform(0.6, 1.6)
+    step = model.Step(
+        max(int(kind.tasks * rng.uniform(0.5, 1.5)), 1),
+        model.Demand(int(kind.cpu * 1000), 1000, kind.accelerators),
+        estimate=declared,
+        checkpoints=kind.checkpoints,
+        gang=kind.gang,
+    )
+    return model.JobSpec('', (step,))
+
+
 _PLANNING_KINDS = (
     Kind(
         'timetable',
--- a/hibiscusslip/bench/dispatching.py
+++ b/hibiscusslip/bench/dispatching.py
@@ -23,6 +23,7 @@
 from hibiscusslip.dispatch import estimates
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import records
+from hibiscusslip.dispatch import state
 from hibiscusslip.host import lease_timing
 
 STEP_S = 0.05
@@ -45,16 +46,30 @@
     completed: int = 0
     total_time: float = 0.0
 
+    def add(self, elapsed: float, allowed: float) -> None:
+        """Count a job that completed after `elapsed` seconds."""
+        self.completed += 1
+        self.total_time += elapsed
+        self.on_time += elapsed <= allowed
+        self.late += allowed < elapsed <= estimates.LATE_FACTOR * allowed
+
 
 @dataclasses.dataclass(slots=True)
 class Report:
     """Represent the results of a replay.
 
-    `pass_times` are the processor times of the scheduling passes in seconds.
+    `pass_times` are the processor times of the scheduling passes in seconds,
+    `starts` counts the tasks that were started.
     """
 
     kinds: dict[str, JobCounts]
     pass_times: list[float]
+    starts: int = 0
+
+    @property
+    def decisions_per_s(self) -> float:
+        """Return the starts per second of processor time."""
+        return self.starts / max(sum(self.pass_times), 1e-9)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -95,9 +110,7 @@
         self._running: dict[str, dict[tuple[str, int], _Run]]
         self._running = collections.defaultdict(dict)
         self._remaining: dict[str, float] = {}
-        self._open_jobs: dict[
-            str, tuple[dispatch_loads.Kind, float, float]
-        ] = {}
+        self._open_jobs: dict[str, tuple[float, float]] = {}
         self._report = Report({k: JobCounts() for k in self._kinds}, [])
         self._engine = engines.Engine(
             lease_timing.USUAL_LEASE_S, lambda event, **fields: None
@@ -177,23 +190,25 @@
 
     def _submit(self, kind: dispatch_loads.Kind) -> None:
         job_id = f'{kind.name}-{next(self._job_numbers)}'
-        declared = kind.run * self._arrivals_rng.uniform(0.6, 1.6)
-        step = model.Step(
-            max(int(kind.tasks * self._arrivals_rng.uniform(0.5, 1.5)), 1),
-            model.Demand(int(kind.cpu * 1000), 1000, kind.accelerators),
-            estimate=declared,
-            checkpoints=kind.checkpoints,
-            gang=kind.gang,
-        )
-        spec = model.JobSpec('', (step,))
+        spec = dispatch_loads.make_spec(kind, self._arrivals_rng)
+        self._report.kinds[kind.name].submitted += 1
+        self._accept(job_id, kind, spec)
+
+    def _accept(
+        self,
+        job_id: str,
+        kind: dispatch_loads.Kind,
+        spec: model.JobSpec,
+        organisation: str = '',
+    ) -> None:
+        wall_time = WALL_TIME_S + self._now
         submission = records.Submission(
-            kind.name, kind.service, WALL_TIME_S, b''
+            kind.name, kind.service, wall_time, b'', organisation
         )
-        self._engine.submit(job_id, submission, spec, self._now, WALL_TIME_S)
+        self._engine.submit(job_id, submission, spec, self._now, wall_time)
         advice = kind.advice.cost(30) if kind.advice else 0.0
         allowed = kind.stretch * (kind.run + advice) + 0.25
-        self._open_jobs[job_id] = (kind, self._now, allowed)
-        self._report.kinds[kind.name].submitted += 1
+        self._open_jobs[job_id] = (self._now, allowed)
 
     def _execute_commands(self) -> None:
         engine = self._engine
@@ -211,6 +226,7 @@
             )
             heapq.heappush(self._advice_replies, row)
         starts, engine.starts = engine.starts, []
+        self._report.starts += len(starts)
         for start in starts:
             self._start(start)
         engine.dirty = set()
@@ -289,20 +305,18 @@
         )
 
     def _count_completed(self) -> None:
-        for job_id, (kind, sent, allowed) in list(self._open_jobs.items()):
+        for job_id, (sent, allowed) in list(self._open_jobs.items()):
             job = self._engine.jobs[job_id]
             elapsed = self._now - sent
-            counts = self._report.kinds[kind.name]
             if job.state is model.JobState.COMPLETED:
-                counts.completed += 1
-                counts.total_time += elapsed
-                counts.on_time += elapsed <= allowed
-                counts.late += (
-                    allowed < elapsed <= estimates.LATE_FACTOR * allowed
-                )
+                for counts in self._counts_of(job):
+                    counts.add(elapsed, allowed)
             if job.state.final:
                 del self._open_jobs[job_id]
 
+    def _counts_of(self, job: state.Job) -> list[JobCounts]:
+        return [self._report.kinds[job.queue]]
+
 
 def _uniform_hash(text: str) -> float:
     """Return a number in [0, 1) that depends only on the text."""
@@ -345,7 +359,8 @@
     times = sorted(report.pass_times)
     print(
         f'{len(times)} passes: mean {sum(times) / len(times) * 1e3:.2f} ms,'
-        f' p99 {times[len(times) * 99 // 100] * 1e3:.2f} ms'
+        f' p99 {times[len(times) * 99 // 100] * 1e3:.2f} ms;'
+        f' {report.decisions_per_s:.0f} decisions/s'
     )
 
 
--- /dev/null
+++ b/hibiscusslip/bench/organisations.py
@@ -0,0 +1,232 @@
+"""Replay the load of organisations of which some send many times as much.
+
+The arrivals of the other organisations, and how long their runs take, are
+the same with and without the surplus. Prints what share of the jobs of each
+group of organisations was on time, the decisions per second of processor
+time, and the memory that the engine keeps for an organisation.
+"""
+
+import dataclasses
+import random
+import tracemalloc
+
+import cyclopts
+
+from hibiscusslip.bench import dispatch_loads
+from hibiscusslip.bench import dispatching
+from hibiscusslip.dispatch import admission
+from hibiscusslip.dispatch import model
+from hibiscusslip.dispatch import shares
+from hibiscusslip.dispatch import state
+
+ENTITLED_RATIO = 2.0  # of an organisation's usual rate
+UNEVENNESS = 0.7  # exponent of the organisations' usual rates, by rank
+SURPLUS_PREFIX = 'surplus'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Surge:
+    """Multiply the jobs of organisations between two times.
+
+    `names` are the organisations; `begin` and `end` are in seconds from the
+    start of the replay.
+    """
+
+    names: tuple[str, ...]
+    factor: float
+    begin: float
+    end: float
+
+
+class OrganisationReplay(dispatching.Replay):
+    """Replay the arrivals of `count` organisations on one dispatch engine.
+
+    Without `enabled` the configuration has no organisations, and the jobs
+    are the same. `counts` are those of the jobs within the entitlement of
+    their organisation, `rejected` how many jobs of each hosts would reject.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        load: dispatch_loads.Load,
+        count: int,
+        bursts: tuple[dispatch_loads.Burst, ...] = (),
+        surges: tuple[Surge, ...] = (),
+        enabled: bool = True,
+    ) -> None:
+        super().__init__(seed, load, bursts)
+        self._surges = surges
+        self._owner_rng = random.Random(seed + 1)
+        self._surplus_rng = random.Random(seed + 2)
+        self.rates = usual_rates(load, count)
+        self.counts = {name: dispatching.JobCounts() for name in self.rates}
+        self.rejected = dict.fromkeys(self.rates, 0)
+        config = self._engine.config
+        assert config is not None
+        if enabled:
+            organisations = {
+                name: model.Organisation(name, rate * ENTITLED_RATIO)
+                for name, rate in self.rates.items()
+            }
+            self._engine.config = dataclasses.replace(
+                config, organisations=organisations
+            )
+
+    def _submit_arrivals(self, begin: float) -> None:
+        super()._submit_arrivals(begin)
+        elapsed = self._now - begin
+        for surge in self._surges:
+            if surge.begin <= elapsed < surge.end:
+                self._submit_surplus(surge)
+
+    def _submit_surplus(self, surge: Surge) -> None:
+        """Submit what a surge adds to the usual jobs."""
+        rng = self._surplus_rng
+        total = sum(kind.arrivals_per_s for kind in self._kinds.values())
+        for name in surge.names:
+            usual = self.rates[name] / total
+            for kind in self._kinds.values():
+                rate = kind.arrivals_per_s * usual * (surge.factor - 1.0)
+                expected = rate * dispatching.STEP_S
+                count = int(expected) + (rng.random() < expected % 1)
+                for _ in range(count):
+                    job_id = f'{SURPLUS_PREFIX}-{rng.getrandbits(40):x}'
+                    spec = dispatch_loads.make_spec(kind, rng)
+                    self._accept(job_id, kind, spec, name)
+
+    def _accept(
+        self,
+        job_id: str,
+        kind: dispatch_loads.Kind,
+        spec: model.JobSpec,
+        organisation: str = '',
+    ) -> None:
+        if not organisation:
+            names = list(self.rates)
+            weights = list(self.rates.values())
+            organisation = self._owner_rng.choices(names, weights)[0]
+        if self._rejects(job_id, kind, spec, organisation):
+            self.rejected[organisation] += 1
+            return
+        super()._accept(job_id, kind, spec, organisation)
+        if self._engine.jobs[job_id].within_entitlement:
+            self.counts[organisation].submitted += 1
+
+    def _rejects(
+        self,
+        job_id: str,
+        kind: dispatch_loads.Kind,
+        spec: model.JobSpec,
+        organisation: str,
+    ) -> bool:
+        """Return True if a host would reject a job."""
+        config = self._engine.config
+        forecast = self._engine.shares.forecast
+        prediction = forecast.predictions.get(kind.name)
+        if config is None or prediction is None:
+            return False
+        percent = forecast.beyond_percents.get(organisation, 0)
+        queue = config.queues[kind.name]
+        rejection = admission.decide(job_id, spec, queue, prediction, percent)
+        return rejection is not None
+
+    def _counts_of(self, job: state.Job) -> list[dispatching.JobCounts]:
+        counts: list[dispatching.JobCounts] = []
+        if job.within_entitlement:
+            counts.append(self.counts[job.organisation])
+        if not job.job_id.startswith(SURPLUS_PREFIX):
+            counts += super()._counts_of(job)
+        return counts
+
+    def on_time(self, names: tuple[str, ...]) -> float:
+        """Return the share of the jobs of organisations that was on time.
+
+        Jobs beyond an entitlement aren't considered.
+        """
+        counts = [self.counts[name] for name in names]
+        submitted = sum(item.submitted for item in counts)
+        return sum(item.on_time for item in counts) / max(submitted, 1)
+
+
+def usual_rates(load: dispatch_loads.Load, count: int) -> dict[str, float]:
+    """Return the usual jobs a second of `count` organisations, by name."""
+    total = sum(kind.arrivals_per_s for kind in load.kinds)
+    parts = [(rank + 1) ** -UNEVENNESS for rank in range(count)]
+    return {
+        f'o{rank}': total * part / sum(parts)
+        for rank, part in enumerate(parts)
+    }
+
+
+def bytes_per_organisation(count: int, services: tuple[str, ...]) -> float:
+    """Return the memory that an engine keeps for one organisation."""
+    organisations = {
+        f'o{number}': model.Organisation(f'o{number}')
+        for number in range(count)
+    }
+    config = model.Configuration(1, {}, {}, organisations=organisations)
+    spec = model.JobSpec('', (model.Step(1, model.Demand(1000)),))
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    kept = shares.Shares()
+    for name in organisations:
+        for service in services:
+            job = state.Job('j', 'q', service, spec, 0.0, organisation=name)
+            kept.classify(job, config, 1.0, 1.0)
+    used = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    return used / count
+
+
+app = cyclopts.App(name='organisations', help=__doc__)
+
+
+@app.default
+def main(
+    seed: int = 1,
+    seconds: float = 15.0,
+    count: int = 20,
+    surging: int = 2,
+    factor: float = 5.0,
+    burst: str = 'timetable',
+    burst_factor: float = 1.5,
+    scale: int = 1,
+    deployment: str = 'planning',
+    enabled: bool = True,
+) -> None:
+    """Replay the arrivals of organisations on a grown deployment.
+
+    Parameters
+    ----------
+    count
+        Number of organisations; 260 with a scale of 14 is the largest load.
+    surging
+        Number of organisations that send `factor` times their usual load
+        from 3 s to 12 s: the second largest and those after it.
+    burst
+        Kind whose arrivals are multiplied by `burst_factor` from 5 s to 9 s.
+    scale
+        Factor for the number of endpoints and the rate of arrivals.
+    enabled
+        Whether the configuration has the organisations.
+    """
+    load = dispatch_loads.LOADS[deployment].scaled(scale)
+    bursts = (dispatch_loads.Burst(burst, burst_factor, 5.0, 9.0),)
+    names = tuple(f'o{rank}' for rank in range(1, 1 + surging))
+    surges = (Surge(names, factor, 3.0, 12.0),) if names else ()
+    replay = OrganisationReplay(seed, load, count, bursts, surges, enabled)
+    dispatching.print_report(replay.run(seconds))
+    others = tuple(name for name in replay.rates if name not in names)
+    print(f'on time: surging {replay.on_time(names):.3f}')
+    print(f'on time: others {replay.on_time(others):.3f}')
+    rejected = sum(replay.rejected[name] for name in others)
+    total = sum(replay.rejected.values())
+    print(f'rejected: surging {total - rejected}, others {rejected}')
+    services = tuple(pool.service for pool in load.pools)
+    size = bytes_per_organisation(count, services)
+    print(f'{size:.0f} bytes per organisation')
+
+
+if __name__ == '__main__':
+    app()
--- a/hibiscusslip/dispatch/_planning.py
+++ b/hibiscusslip/dispatch/_planning.py
@@ -63,10 +63,11 @@
         pool = current.services.get(step.job.service, [])
         if not pool:
             continue
+        if rank.beyond and _lacks_spare(current, step):
+            _note_yielding(current, step, rank)
+            continue  # tickets would expire before there is capacity
         if step.ready:
             _plan_step(current, step, rank)
-        if rank.beyond and not _limit_to_spare(current, step, step.waiting()):
-            continue  # tickets would expire before there is capacity
         advice_planning.request_advice_if_needed(
             engine, step, pool, candidates[step.job.service], now
         )
@@ -122,6 +123,14 @@
     return tasks[:max_tasks]
 
 
+def _lacks_spare(current: _Pass, step: state.StepState) -> bool:
+    """Return True if no task of a step beyond an entitlement may start."""
+    spare = current.spare.get(step.job.service)
+    if spare is None or step.spec.demand.accelerators:
+        return False
+    return spare < step.spec.allocated_demand.cpu
+
+
 def _rank_steps(
     engine: 'engines.Engine', now: float
 ) -> list[tuple[ordering.Rank, state.StepState]]:
