--- a/hibiscusslip/dispatch/_headroom.py
+++ b/hibiscusslip/dispatch/_headroom.py
@@ -46,7 +46,8 @@
 ) -> int | None:
     """Return the most urgent priority of a service.
 
-    Returns None if all its queues have the same priority.
+    Returns None if all its queues have the same priority, unless there are
+    organisations: jobs beyond an entitlement leave headroom then, too.
     """
     if config is None:
         return None
@@ -55,7 +56,9 @@
         for queue in config.queues.values()
         if queue.service == service
     }
-    return min(priorities) if len(priorities) > 1 else None
+    if config.organisations is None and len(priorities) < 2:
+        return None
+    return min(priorities, default=None)
 
 
 def urgent_use(
--- a/hibiscusslip/dispatch/forecast.py
+++ b/hibiscusslip/dispatch/forecast.py
@@ -8,6 +8,7 @@
 from hibiscusslip.dispatch import state
 
 UPDATE_PERIOD_S = 0.4  # as often as the owner's heartbeats
+MAX_AGE_S = 1.0  # an owner that can't plan tells nothing
 NO_WAIT = admission.Prediction()
 
 
@@ -55,6 +56,10 @@
             return False
         return now >= self._updated_at + UPDATE_PERIOD_S
 
+    def is_current(self, now: float) -> bool:
+        """Return True if the predictions are recent enough to be told."""
+        return now < self._updated_at + MAX_AGE_S
+
     def update(
         self,
         config: model.Configuration,
--- a/hibiscusslip/host/ownership_keeper.py
+++ b/hibiscusslip/host/ownership_keeper.py
@@ -215,8 +215,14 @@
             self._beyond_percents(),
         )
 
-    def _beyond_percents(self) -> dict[str, int]:
+    def _current_forecast(self) -> forecasts.Forecast | None:
         forecast = self._get_forecast()
+        if forecast is None or not forecast.is_current(context.monotonic()):
+            return None
+        return forecast
+
+    def _beyond_percents(self) -> dict[str, int]:
+        forecast = self._current_forecast()
         return forecast.beyond_percents if forecast is not None else {}
 
     def _loads(self) -> dict[str, notices.QueueLoad]:
@@ -231,4 +237,4 @@
                 name: notices.QueueLoad(load.pending)
                 for name, load in known.items()
             }
-        return load_report.make_loads(pending, self._get_forecast())
+        return load_report.make_loads(pending, self._current_forecast())
