--- a/hibiscusslip/bench/dispatch_report.py
+++ b/hibiscusslip/bench/dispatch_report.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from hibiscusslip.dispatch import estimates
+
 
 @dataclasses.dataclass(slots=True)
 class JobCounts:
@@ -19,16 +21,35 @@
     started: int = 0
     total_wait: float = 0.0
 
+    def add_start(self, wait: float) -> None:
+        """Count the first start of a job, which waited for it."""
+        self.started += 1
+        self.total_wait += wait
+
+    def add(self, elapsed: float, allowed: float) -> None:
+        """Count a job that completed after `elapsed` seconds."""
+        self.completed += 1
+        self.total_time += elapsed
+        self.on_time += elapsed <= allowed
+        self.late += allowed < elapsed <= estimates.LATE_FACTOR * allowed
+
 
 @dataclasses.dataclass(slots=True)
 class Report:
     """Represent the results of a replay.
 
-    `pass_times` are the processor times of the scheduling passes in seconds.
+    `pass_times` are the processor times of the scheduling passes in seconds,
+    `starts` counts the tasks that were started.
     """
 
     kinds: dict[str, JobCounts]
     pass_times: list[float]
+    starts: int = 0
+
+    @property
+    def decisions_per_s(self) -> float:
+        """Return the starts per second of processor time."""
+        return self.starts / max(sum(self.pass_times), 1e-9)
 
 
 def print_report(report: Report) -> None:
@@ -48,5 +69,6 @@
     times = sorted(report.pass_times)
     print(
         f'{len(times)} passes: mean {sum(times) / len(times) * 1e3:.2f} ms,'
-        f' p99 {times[len(times) * 99 // 100] * 1e3:.2f} ms'
+        f' p99 {times[len(times) * 99 // 100] * 1e3:.2f} ms;'
+        f' {report.decisions_per_s:.0f} decisions/s'
     )
--- a/hibiscusslip/bench/dispatching.py
+++ b/hibiscusslip/bench/dispatching.py
@@ -22,10 +22,10 @@
 from hibiscusslip.bench import dispatch_report
 from hibiscusslip.dispatch import commands
 from hibiscusslip.dispatch import engine as engines
-from hibiscusslip.dispatch import estimates
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import policy as policies
 from hibiscusslip.dispatch import records
+from hibiscusslip.dispatch import state
 from hibiscusslip.host import lease_timing
 
 STEP_S = 0.05
@@ -79,9 +79,7 @@
         self._running: dict[str, dict[tuple[str, int], _Run]]
         self._running = collections.defaultdict(dict)
         self._remaining: dict[str, float] = {}
-        self._open_jobs: dict[
-            str, tuple[dispatch_loads.Kind, float, float]
-        ] = {}
+        self._open_jobs: dict[str, tuple[float, float]] = {}
         self._started_jobs: set[str] = set()
         self._report = dispatch_report.Report(
             {k: dispatch_report.JobCounts() for k in self._kinds}, []
@@ -166,23 +164,25 @@
 
     def _submit(self, kind: dispatch_loads.Kind) -> None:
         job_id = f'{kind.name}-{next(self._job_numbers)}'
-        declared = kind.run * self._arrivals_rng.uniform(*kind.declared)
-        step = model.Step(
-            max(int(kind.tasks * self._arrivals_rng.uniform(0.5, 1.5)), 1),
-            model.Demand(int(kind.cpu * 1000), 1000, kind.accelerators),
-            estimate=declared,
-            checkpoints=kind.checkpoints,
-            gang=kind.gang,
-        )
-        spec = model.JobSpec('', (step,))
+        spec = dispatch_loads.make_spec(kind, self._arrivals_rng)
+        self._report.kinds[kind.name].submitted += 1
+        self._accept(job_id, kind, spec)
+
+    def _accept(
+        self,
+        job_id: str,
+        kind: dispatch_loads.Kind,
+        spec: model.JobSpec,
+        organisation: str = '',
+    ) -> None:
+        wall_time = WALL_TIME_S + self._now
         submission = records.Submission(
-            kind.name, kind.service, WALL_TIME_S, b''
+            kind.name, kind.service, wall_time, b'', organisation
         )
-        self._engine.submit(job_id, submission, spec, self._now, WALL_TIME_S)
+        self._engine.submit(job_id, submission, spec, self._now, wall_time)
         advice = kind.advice.cost(30) if kind.advice else 0.0
         allowed = kind.stretch * (kind.run + advice) + 0.25
-        self._open_jobs[job_id] = (kind, self._now, allowed)
-        self._report.kinds[kind.name].submitted += 1
+        self._open_jobs[job_id] = (self._now, allowed)
 
     def _execute_commands(self) -> None:
         engine = self._engine
@@ -200,6 +200,7 @@
             )
             heapq.heappush(self._advice_replies, row)
         starts, engine.starts = engine.starts, []
+        self._report.starts += len(starts)
         for start in starts:
             self._start(start)
         engine.dirty = set()
@@ -213,20 +214,21 @@
         )
         duration = full_duration * self._remaining.pop(start.task.name, 1.0)
         duration /= self._speeds[start.endpoint]
-        self._count_start(start.task.step.job.job_id)
+        self._count_start(start.task.step.job)
         run = _Run(self._now, duration)
         self._running[start.endpoint][start.task.name, start.run] = run
         row = (self._now + duration, next(self._sequence), start)
         heapq.heappush(self._run_ends, row)
 
-    def _count_start(self, job_id: str) -> None:
+    def _count_start(self, job: state.Job) -> None:
         """Count the wait of a job, up to its first start."""
-        if job_id in self._open_jobs and job_id not in self._started_jobs:
-            self._started_jobs.add(job_id)
-            kind, sent, _ = self._open_jobs[job_id]
-            counts = self._report.kinds[kind.name]
-            counts.started += 1
-            counts.total_wait += self._now - sent
+        known = self._open_jobs.get(job.job_id)
+        if known is None or job.job_id in self._started_jobs:
+            return
+        self._started_jobs.add(job.job_id)
+        sent, _ = known
+        for counts in self._counts_of(job):
+            counts.add_start(self._now - sent)
 
     def _stop(self, stop: commands.Stop) -> None:
         """Schedule the end of a run; its progress is kept as a checkpoint."""
@@ -291,20 +293,18 @@
         )
 
     def _count_completed(self) -> None:
-        for job_id, (kind, sent, allowed) in list(self._open_jobs.items()):
+        for job_id, (sent, allowed) in list(self._open_jobs.items()):
             job = self._engine.jobs[job_id]
             elapsed = self._now - sent
-            counts = self._report.kinds[kind.name]
             if job.state is model.JobState.COMPLETED:
-                counts.completed += 1
-                counts.total_time += elapsed
-                counts.on_time += elapsed <= allowed
-                counts.late += (
-                    allowed < elapsed <= estimates.LATE_FACTOR * allowed
-                )
+                for counts in self._counts_of(job):
+                    counts.add(elapsed, allowed)
             if job.state.final:
                 del self._open_jobs[job_id]
 
+    def _counts_of(self, job: state.Job) -> list[dispatch_report.JobCounts]:
+        return [self._report.kinds[job.queue]]
+
 
 def _uniform_hash(text: str) -> float:
     """Return a number in [0, 1) that depends only on the text."""
--- a/hibiscusslip/dispatch/_planning.py
+++ b/hibiscusslip/dispatch/_planning.py
@@ -75,12 +75,13 @@
         pool = current.services.get(step.job.service, [])
         if not pool:
             continue
+        if rank.beyond and _lacks_spare(current, step):
+            _note_yielding(current, step, rank)
+            continue  # tickets would expire before there is capacity
         if step.ready:
             _plan_step(current, step, rank)
         if engine.queue_of(step.job).advice is None:
             continue
-        if rank.beyond and not _limit_to_spare(current, step, step.waiting()):
-            continue  # tickets would expire before there is capacity
         if engine.limiter.may_request_advice(step):
             advice_planning.request_advice_if_needed(
                 engine, step, pool, candidates[step.job.service], now
@@ -172,6 +173,14 @@
     return current.engine.queue_of(step.job).priority <= urgent
 
 
+def _lacks_spare(current: _Pass, step: state.StepState) -> bool:
+    """Return True if no task of a step beyond an entitlement may start."""
+    spare = current.spare.get(step.job.service)
+    if spare is None or step.spec.demand.accelerators:
+        return False
+    return spare < step.spec.allocated_demand.cpu
+
+
 def _rank_steps(
     engine: 'engines.Engine', now: float
 ) -> list[tuple[ordering.Rank, state.StepState]]:
