Refuse a configuration that is nested too deeply

Cause: the JSON decoder raises RecursionError for deeply nested values, also in fields that hosts ignore, and read_configuration passed it on, so it reached the feed that reads the operator's configuration. Change: such a document is invalid like any other that can't be decoded.

--- a/hibiscusslip/platform/documents.py
+++ b/hibiscusslip/platform/documents.py
@@ -209,7 +209,7 @@
     """Return the configuration in a record, or None if it is invalid."""
     try:
         config = msgspec.json.decode(value, type=_Config)
-    except msgspec.MsgspecError:
+    except (msgspec.MsgspecError, RecursionError):
         return None
     return model.Configuration(
         version=config.version,
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -106,6 +106,11 @@
     assert documents.read_configuration(b'{"Version":1}') is None
 
 
+def test_deeply_nested_configuration_is_invalid():
+    """A host's feed must not end with a RecursionError."""
+    assert documents.read_configuration(b'{"X":' + b'[' * 100_000) is None
+
+
 def test_organisations_are_decoded_without_their_keys():
     """A missing amount or weight, or an unlimited one, is no error."""
     config = documents.read_configuration(
