--- a/hibiscusslip/platform/documents.py
+++ b/hibiscusslip/platform/documents.py
@@ -98,7 +98,9 @@
     max_body_bytes: int = 262144
 
 
-class _Config(_Document):
+class ConfigDocument(_Document):
+    """Represent the operator's configuration."""
+
     version: int
     routes: list[_Route]
     services: list[_Service]
@@ -208,20 +210,14 @@
 def read_configuration(value: bytes) -> model.Configuration | None:
     """Return the configuration in a record, or None if it is invalid."""
     try:
-        config = msgspec.json.decode(value, type=_Config)
+        config = msgspec.json.decode(value, type=ConfigDocument)
     except (msgspec.MsgspecError, RecursionError):
         return None
     return model.Configuration(
         version=config.version,
-        queues={route.name: _to_queue(route) for route in config.routes},
+        queues={route.name: to_queue(route) for route in config.routes},
         services={
-            service.name: model.Service(
-                service.name,
-                service.health_path,
-                service.rejects_overload,
-                service.standby,
-            )
-            for service in config.services
+            service.name: to_service(service) for service in config.services
         },
         max_body_bytes=config.limits.max_body_bytes,
         organisations=_to_organisations(config.organisations),
@@ -234,12 +230,21 @@
     """Return the organisations, None if the deployment has none."""
     if documents is None:
         return None
-    return {
-        document.name: _to_organisation(document) for document in documents
-    }
+    return {document.name: to_organisation(document) for document in documents}
+
+
+def to_service(document: _Service) -> model.Service:
+    """Return the service that an entry configures."""
+    return model.Service(
+        document.name,
+        document.health_path,
+        document.rejects_overload,
+        document.standby,
+    )
 
 
-def _to_organisation(document: _Organisation) -> model.Organisation:
+def to_organisation(document: _Organisation) -> model.Organisation:
+    """Return the organisation that an entry configures."""
     limit = document.at_most or _Resources()
     return model.Organisation(
         name=document.name,
@@ -256,7 +261,8 @@
     return hashlib.sha256(key.encode()).digest()
 
 
-def _to_queue(route: _Route) -> model.Queue:
+def to_queue(route: _Route) -> model.Queue:
+    """Return the queue that an entry configures."""
     advice = None
     if route.advice is not None:
         advice = model.Advice(
--- /dev/null
+++ b/tests/config_check/__init__.py
@@ -0,0 +1,1 @@
+"""Test the check of the platform's configuration."""
