Add hibiscusslip-ctl config check

Cause: operators had no way to check the platform's configuration document before publishing it. Result: exit code 0 if clean, 1 for errors, 2 for wrong usage.

--- a/hibiscusslip/commands/ctl.py
+++ b/hibiscusslip/commands/ctl.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from hibiscusslip.commands import _client
+from hibiscusslip.commands import _configurations
 from hibiscusslip.commands import _drains
 from hibiscusslip.commands import _options
 from hibiscusslip.commands import _output
@@ -28,6 +29,10 @@
     help_epilogue=exceptions.EXIT_HELP,
     result_action='return_value',
 )
+config = cyclopts.App(
+    name='config', help="Check the platform's configuration document."
+)
+app.command(config)
 
 Options = _options.OperatorOptions
 DEFAULTS = Options()
@@ -268,6 +273,30 @@
     )
 
 
+@config.command(name='check')
+def check_config(
+    file: pathlib.Path,
+    *,
+    in_force: pathlib.Path | None = None,
+    strict: Flag = False,
+    json: Flag = False,
+) -> int:
+    """Report what is wrong with a configuration; contacts no host.
+
+    Parameters
+    ----------
+    file
+        The configuration document, as JSON.
+    in_force
+        The document in force, to show what would change.
+    strict
+        Exit with code 1 for warnings, too.
+    json
+        Print one JSON document.
+    """
+    return _configurations.check(file, in_force, strict, json)
+
+
 async def _show_status(client: _client.Client, as_json: bool) -> int:
     call = _client.Call('GET', '/v1/status')
     fleet = await _client.fetch(client, call, views.FleetStatus)
