Read time-outs of queues whose other fields have odd names

Cause: the check read time-outs from the queue's members by name, which raised a DecodeError for a name of an ignored field that isn't UTF-8. Hosts accept such a document. Change: the time-out is decoded like the fields that hosts read; null is none. Result: any document that hosts accept can be checked.

--- a/hibiscusslip/platform/placed_configuration.py
+++ b/hibiscusslip/platform/placed_configuration.py
@@ -11,8 +11,6 @@
 from hibiscusslip.platform import documents
 from hibiscusslip.platform import settings
 
-# A field of the platform's other programs, which hosts don't read.
-TIMEOUT_FIELD = 'TimeoutMs'
 DRAFT_FIELDS = {
     'version': 'Version',
     'queues': 'Routes',
@@ -26,7 +24,7 @@
     'prefix': 'PathPrefix',
     'service': 'Service',
     'target_latency': 'TargetLatencyMs',
-    'timeout': TIMEOUT_FIELD,
+    'timeout': 'TimeoutMs',
     'priority': 'Priority',
     'max_attempts': 'MaxAttempts',
     'stretch': 'Stretch',
@@ -55,10 +53,17 @@
 Members = dict[str, msgspec.Raw]
 
 
-class _RawRoutes(typing.TypedDict):
-    """Represent the queues of a configuration without decoding them."""
+class _TimeoutRoute(msgspec.Struct, rename='pascal'):
+    """Represent the field of a queue that hosts don't read.
 
-    Routes: list[Members]
+    The names of its other fields may be any bytes, as they may for hosts.
+    """
+
+    timeout_ms: msgspec.Raw = msgspec.Raw(b'null')
+
+
+class _Timeouts(msgspec.Struct, rename='pascal'):
+    routes: list[_TimeoutRoute]
 
 
 def read(value: bytes) -> config_check.Draft | list[config_check.Finding]:
@@ -67,7 +72,7 @@
     if configuration is None:
         return list(_find_refusals(value, documents.ConfigDocument, ''))
     document = msgspec.json.decode(value, type=documents.ConfigDocument)
-    raw_routes = msgspec.json.decode(value, type=_RawRoutes)['Routes']
+    timeouts = msgspec.json.decode(value, type=_Timeouts).routes
     return config_check.Draft(
         config_check.Place('', DRAFT_FIELDS),
         configuration,
@@ -75,7 +80,7 @@
             config_check.QueueEntry(
                 _place('queues', number, QUEUE_FIELDS),
                 documents.to_queue(route),
-                _read_timeout(raw_routes[number]),
+                _read_timeout(timeouts[number].timeout_ms),
             )
             for number, route in enumerate(document.routes)
         ),
@@ -96,16 +101,13 @@
     return config_check.Place(f'{DRAFT_FIELDS[section]}[{number}]', fields)
 
 
-def _read_timeout(members: Members) -> float | None:
+def _read_timeout(raw: msgspec.Raw) -> float | None:
     """Return a time-out in seconds, NaN if it isn't a number."""
-    raw = members.get(TIMEOUT_FIELD)
-    if raw is None:
-        return None
     try:
-        timeout_ms = msgspec.json.decode(raw, type=float)
-    except msgspec.MsgspecError:
+        timeout_ms = msgspec.json.decode(raw, type=float | None)
+    except (msgspec.MsgspecError, RecursionError):
         return math.nan
-    return timeout_ms / settings.MS_PER_S
+    return None if timeout_ms is None else timeout_ms / settings.MS_PER_S
 
 
 def _read_organisations(
--- a/tests/config_check/test_check.py
+++ b/tests/config_check/test_check.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from hibiscusslip.platform import documents
 from hibiscusslip.platform import placed_configuration
 from tests.config_check import drafts
 
@@ -137,3 +138,17 @@
         ('error', 'Tenants[0].ApiKeys[1]'),
         ('error', 'Tenants[1]'),
     ]
+
+
+def test_name_of_an_ignored_field_may_be_any_bytes():
+    """Hosts accept it; the check raised a DecodeError."""
+    value = json.dumps(drafts.document()).encode()
+    odd = value.replace(b'{"Name"', b'{"\xff": 1, "Name"')
+    assert documents.read_configuration(odd) is not None
+    (queue_entry,) = placed_configuration.read(odd).queues
+    assert queue_entry.timeout == 3.0
+
+
+def test_timeout_of_null_is_none():
+    content = drafts.document({'TimeoutMs': None})
+    assert drafts.read(content).queues[0].timeout is None
