Test the check of configurations with generated documents

Cause: a check that raises, or lets pass what hosts refuse, misleads the operator; one that prints keys reveals them.

--- a/tests/fuzz/test_decoders.py
+++ b/tests/fuzz/test_decoders.py
@@ -15,6 +15,7 @@
 import msgspec
 import pytest
 
+from hibiscusslip import config_check
 from hibiscusslip.dispatch import records
 from hibiscusslip.host import notices
 from hibiscusslip.http import messages
@@ -22,6 +23,7 @@
 from hibiscusslip.platform import documents
 from hibiscusslip.platform import endpoint_client
 from hibiscusslip.platform import exceptions
+from hibiscusslip.platform import placed_configuration
 from hibiscusslip.platform import settings
 from hibiscusslip.platform import store
 from tests.platform import cell
@@ -55,6 +57,9 @@
     'beat', 1, 'h', 'i', '10.0.0.1', 1, {}, 1, {'e1': 5}
 )
 HOST = notices.HostRecord('h', 'i', 'z', '10.0.0.1', 1, 1.0)
+ORGANISATIONS = cell.organisations_document(
+    keys={'o': ['key-of-o'], 'p': ['key-of-p']}, Advice={'DecisionMs': 5}
+)
 JOB_ROW = records.JobRow(
     'running',
     [records.TaskRow(0, 0, 0, 2, 1, 0, 'e1', '')],
@@ -130,6 +135,18 @@
         msgspec.msgpack.decode(encoded, type=records.TaskRow)
 
 
+def check_configuration(body):
+    """A configuration that hosts refuse must have an error."""
+    draft = placed_configuration.read(body)
+    if isinstance(draft, config_check.Draft):
+        base = placed_configuration.read(ORGANISATIONS)
+        found = config_check.check(draft) + config_check.compare(base, draft)
+        assert 'key-of-o' not in str(found)
+    else:
+        assert draft
+        assert documents.read_configuration(body) is None
+
+
 JSON_DECODERS = {
     'job': (samples.JOB, read_job, (exceptions.JobInvalid,)),
     'entry': (samples.ENTRY, read_entry, ()),
@@ -143,6 +160,11 @@
         documents.read_configuration,
         (),
     ),
+    'checked_configuration': (
+        msgspec.json.decode(ORGANISATIONS),
+        check_configuration,
+        (),
+    ),
 }
 MSGPACK_DECODERS = {
     'notice': (to_msgpack(NOTICE), notices.decode_owner, ()),
