Ask for advice for steps beyond an entitlement once calls end

A replay with 260 organisations never ended: a step beyond an entitlement that found no call kept back its queue for 0.1 s, and being kept back counted as another such find, so that the queue was kept back for good on an idle service. A test fails without the change, and the replay tests check that every accepted job ends.

--- a/hibiscusslip/dispatch/advice_planning.py
+++ b/hibiscusslip/dispatch/advice_planning.py
@@ -55,7 +55,7 @@
         return
     renewal = advice.cost(min(len(step.eligible), max_endpoints))
     if not _has_call_capacity(engine, step, advice.cost(1), now):
-        if step.tickets is None:
+        if step.tickets is None and step.job.within_entitlement:
             _defer_others(engine, step, now)
         return
     if not _needs_tickets(step, candidates, renewal, now):
--- a/tests/dispatch/test_organisation_replay.py
+++ b/tests/dispatch/test_organisation_replay.py
@@ -27,6 +27,7 @@
         seed, test_replay.LOAD, count, (BURST,), surges
     )
     run.run(8.0)
+    assert run.all_ended, 'a job beyond its entitlement has starved'
     return run
 
 
