Refuse jobs, entries and reports that are nested too deeply

Cause: the JSON decoder raises RecursionError for a document like {"X":[[[... of 100,000 levels, which read_job, read_endpoint_entry and read_endpoint_report didn't catch. Callers got no answer to such a job, and a report of that form ended the session's task. Seen by the generated documents of config check. The test fails without the change, for each of the three.

--- a/hibiscusslip/platform/documents.py
+++ b/hibiscusslip/platform/documents.py
@@ -126,7 +126,7 @@
     """Return the job in the body of a request; raises JobInvalid."""
     try:
         job = msgspec.json.decode(body, type=_Job)
-    except msgspec.MsgspecError as exc:
+    except (msgspec.MsgspecError, RecursionError) as exc:
         raise exceptions.JobInvalid(
             f"the job can't be read: {exc}; mend the body"
         ) from exc
@@ -292,7 +292,7 @@
     """
     try:
         entry = msgspec.json.decode(value, type=_Entry)
-    except msgspec.MsgspecError:
+    except (msgspec.MsgspecError, RecursionError):
         return None
     if entry.state not in ('ready', 'draining'):
         return None
@@ -347,6 +347,7 @@
         )
     except (
         msgspec.MsgspecError,
+        RecursionError,
         ValueError,
         TypeError,
         IndexError,
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -111,6 +111,16 @@
     assert documents.read_configuration(b'{"X":' + b'[' * 100_000) is None
 
 
+def test_deeply_nested_documents_of_others_are_refused():
+    """A caller's or an endpoint's body must not end a host's task."""
+    nested = b'{"X":' + b'[' * 100_000
+    with pytest.raises(exceptions.JobInvalid):
+        documents.read_job(nested)
+    assert documents.read_endpoint_entry('e1', nested) is None
+    with pytest.raises(exceptions.RequestOutcomeUnknown):
+        documents.read_endpoint_report(nested)
+
+
 def test_organisations_are_decoded_without_their_keys():
     """A missing amount or weight, or an unlimited one, is no error."""
     config = documents.read_configuration(
