--- a/hibiscusslip/dispatch/_planning.py
+++ b/hibiscusslip/dispatch/_planning.py
@@ -86,7 +86,9 @@
             advice_planning.request_advice_if_needed(
                 engine, step, pool, candidates[step.job.service], now
             )
-    if engine.policy.urgent_preemption:
+    config = engine.config
+    has_organisations = config is not None and config.organisations is not None
+    if engine.policy.preempts(has_organisations):
         current.preempting.preempt(engine, services, candidates, now)
     _update_forecast(engine, ranked, services, now)
 
--- a/hibiscusslip/host/options.py
+++ b/hibiscusslip/host/options.py
@@ -22,10 +22,25 @@
         ),
         endpoint_speeds=_is_on(environ, SPEEDS_VARIABLE, 'off', 'on'),
         copies=_is_on(environ, COPIES_VARIABLE, 'off', 'on'),
-        urgent_preemption=_is_on(environ, PREEMPTION_VARIABLE, 'off', 'on'),
+        urgent_preemption=_read_preemption(environ),
     )
 
 
+def _read_preemption(
+    environ: collections.abc.Mapping[str, str],
+) -> policy.Preemption:
+    value = environ.get(PREEMPTION_VARIABLE)
+    if not value:
+        return policy.Preemption.ORGANISATIONS
+    try:
+        return policy.Preemption(value)
+    except ValueError as exc:
+        known = ', '.join(policy.Preemption)
+        raise OptionInvalid(
+            f"{PREEMPTION_VARIABLE} is '{value}'; set it to one of {known}"
+        ) from exc
+
+
 def _is_on(
     environ: collections.abc.Mapping[str, str], name: str, off: str, on: str
 ) -> bool:
--- a/tests/dispatch/test_preemption.py
+++ b/tests/dispatch/test_preemption.py
@@ -4,6 +4,8 @@
 usual rate from 3 s to 7 s, which exceeds the pool by half.
 """
 
+import dataclasses
+
 import pytest
 
 from hibiscusslip.bench import dispatch_loads
@@ -15,7 +17,7 @@
 BURST = (dispatch_loads.Burst('timetable', 2.5, 3.0, 7.0),)
 SEEDS = (1, 2, 3)
 AIM = 0.86  # of the urgent jobs are on time on days with faults
-ON = policy.Policy(urgent_preemption=True)
+ON = policy.Policy(urgent_preemption=policy.Preemption.ON)
 
 
 def replay(seed, policies):
@@ -31,9 +33,7 @@
 @pytest.fixture(scope='module')
 def replays():
     return {
-        on: [
-            replay(seed, policy.Policy(urgent_preemption=on)) for seed in SEEDS
-        ]
+        on: [replay(seed, ON if on else policy.Policy()) for seed in SEEDS]
         for on in (False, True)
     }
 
@@ -102,3 +102,23 @@
     bench = fill()
     bench.now += 62.0
     assert not submit_urgent(bench, 'first', 2)
+
+
+@pytest.mark.parametrize(
+    ('option', 'organisations', 'expected'),
+    [
+        (policy.Preemption.OFF, {}, False),
+        (policy.Preemption.ORGANISATIONS, None, False),
+        (policy.Preemption.ORGANISATIONS, {}, True),
+        (policy.Preemption.ON, None, True),
+    ],
+)
+def test_option_decides_whether_runs_are_preempted(
+    option, organisations, expected
+):
+    bench = fill()
+    bench.engine.policy = policy.Policy(urgent_preemption=option)
+    bench.engine.config = dataclasses.replace(
+        bench.engine.config, organisations=organisations
+    )
+    assert bool(submit_urgent(bench, 'first', 2)) is expected
