--- a/hibiscusslip/dispatch/_planning.py
+++ b/hibiscusslip/dispatch/_planning.py
@@ -25,8 +25,9 @@
 class _Pass:
     """The state of one scheduling pass.
 
-    `urgent` maps a service to the priority of its urgent queues, `spare` to
-    the CPU that other queues may use, in thousandths of a core. `reserved`
+    `urgent` maps a service to the priority of its urgent queues, `headroom` to
+    the CPU to keep free for them and `spare` to that which other queues may
+    use, both in thousandths of a core. `reserved`
     are the endpoints reserved for large steps. `contended` maps a service to
     the lowest level of a share with a ready step within its entitlement.
     """
@@ -36,6 +37,7 @@
     candidates: dict[str, candidate_pool.Candidates]
     now: float
     spare: dict[str, float] = dataclasses.field(default_factory=dict)
+    headroom: dict[str, float] = dataclasses.field(default_factory=dict)
     urgent: dict[str, int] = dataclasses.field(default_factory=dict)
     reserved: _reservations.Reservations = dataclasses.field(
         default_factory=_reservations.Reservations
@@ -102,7 +104,9 @@
         size = sum(candidate.entry.capacity.cpu for candidate in candidates)
         free = sum(candidate.cpu for candidate in candidates)
         current.urgent[service] = priority
-        current.spare[service] = free - headroom.target(size)
+        target = headroom.target(size)
+        current.headroom[service] = target
+        current.spare[service] = free - target
 
 
 def _limit_to_spare(
@@ -117,7 +121,7 @@
     is_urgent = current.engine.queue_of(step.job).priority <= urgent
     if is_urgent and step.job.within_entitlement:
         return tasks
-    max_tasks = max(int(current.spare[service] // cpu), 0)
+    max_tasks = max(int(_spare_for(current, step) // cpu), 0)
     if step.spec.gang and max_tasks < len(tasks):
         return []
     return tasks[:max_tasks]
@@ -125,10 +129,24 @@
 
 def _lacks_spare(current: _Pass, step: state.StepState) -> bool:
     """Return True if no task of a step beyond an entitlement may start."""
-    spare = current.spare.get(step.job.service)
-    if spare is None or step.spec.demand.accelerators:
+    if step.job.service not in current.spare:
         return False
-    return spare < step.spec.allocated_demand.cpu
+    if step.spec.demand.accelerators:
+        return False
+    return _spare_for(current, step) < step.spec.allocated_demand.cpu
+
+
+def _spare_for(current: _Pass, step: state.StepState) -> float:
+    """Return the CPU that a step may use, in thousandths of a core.
+
+    Steps beyond an entitlement leave twice the headroom: what they leave is
+    in pieces, many of which are too small for a task.
+    """
+    service = step.job.service
+    spare = current.spare[service]
+    if step.job.within_entitlement:
+        return spare
+    return spare - current.headroom[service]
 
 
 def _rank_steps(
