--- a/Makefile
+++ b/Makefile
@@ -74,6 +74,11 @@
 	  echo "burst: $${kind:-none}"; \
 	  $(PY) -m hibiscusslip.bench.dispatching --burst "$$kind"; \
 	done
+	for options in "" --learned --speeds "--learned --speeds"; do \
+	  echo "uneven endpoints: $${options:-declared times}"; \
+	  $(PY) -m hibiscusslip.bench.dispatching --deployment uneven \
+	    --burst sweep $$options; \
+	done
 
 slopes: bytecode
 	$(PY) -m hibiscusslip.bench.slopes
--- a/hibiscusslip/dispatch/run_times.py
+++ b/hibiscusslip/dispatch/run_times.py
@@ -14,7 +14,7 @@
 
 MIN_DECLARED_S = 0.05
 MAX_DECLARED_S = 86_400.0
-MAX_GROUPS = 2000
+MAX_GROUPS = 1500
 MAX_GROUP_AGE_S = 3600.0  # without a run
 WINDOW_RUNS = 64.0
 PRIOR_RUNS = 6.0  # that the broader group counts as
