--- a/hibiscusslip/dispatch/progress.py
+++ b/hibiscusslip/dispatch/progress.py
@@ -73,8 +73,23 @@
     if row.percent != allocation.percent or not allocation.progressed_at:
         allocation.percent = row.percent
         allocation.progressed_at = now
-    elapsed = now - task.started_at if task.started_at else 0.0
     expected = engine.estimates.run_time_on(task.step, endpoint)
+    _learn_from_progress(engine, endpoint, allocation, row, expected, now)
+    _stop_if_stalled(engine, endpoint, allocation, row, expected, now)
+
+
+def _learn_from_progress(
+    engine: 'engines.Engine',
+    endpoint: state.Endpoint,
+    allocation: state.Allocation,
+    row: model.RunningRun,
+    expected: float,
+    now: float,
+) -> None:
+    """Learn from a run that takes longer than the `expected` seconds."""
+    task = allocation.task
+    assert task is not None
+    elapsed = now - task.started_at if task.started_at else 0.0
     is_measured = run_learning.is_measured(engine.estimates, task, allocation)
     if is_measured:
         run_learning.learn_if_overdue(
@@ -85,6 +100,18 @@
             projected = elapsed * FULL_PERCENT / row.percent
             if projected > SLOW_RATIO * expected:
                 update_slowness(endpoint, expected, projected, now)
+
+
+def _stop_if_stalled(
+    engine: 'engines.Engine',
+    endpoint: state.Endpoint,
+    allocation: state.Allocation,
+    row: model.RunningRun,
+    expected: float,
+    now: float,
+) -> None:
+    task = allocation.task
+    assert task is not None
     stalled_s = now - allocation.progressed_at
     stall_limit_s = (
         MIN_STALL_S + STALL_SHARE * expected
