--- a/hibiscusslip/host/access.py
+++ b/hibiscusslip/host/access.py
@@ -62,8 +62,8 @@
         return found
 
 
-class Gate:
-    """Decide about callers; retains the index of the newest configuration."""
+class Authenticator:
+    """Decide about callers; keeps the index of the configuration in force."""
 
     def __init__(self) -> None:
         self._config: model.Configuration | None = None
--- a/hibiscusslip/host/front.py
+++ b/hibiscusslip/host/front.py
@@ -86,7 +86,7 @@
         self._ctx = ctx
         self._job_states = job_states
         self._inbox = job_inbox
-        self._gate = access.Gate()
+        self._authenticator = access.Authenticator()
         self._admission = admission_control.AdmissionControl(ctx, job_states)
 
     async def handle(self, req: messages.Request) -> messages.Response:
@@ -105,7 +105,7 @@
         queue = config.find_queue(callers.requested_host(req), req.path)
         if queue is None:
             return self._refuse_unknown_queue(req, config, started)
-        decision = self._gate.decide(
+        decision = self._authenticator.decide(
             config,
             queue,
             callers.key_digest(req),
--- a/tests/host/test_access.py
+++ b/tests/host/test_access.py
@@ -26,11 +26,11 @@
     )
 
 
-def decide(config, key, current=True, gate=None):
+def decide(config, key, current=True, authenticator=None):
     (queue,) = config.queues.values()
     digest = documents.key_digest(key) if key else None
-    gate = gate or access.Gate()
-    return gate.decide(config, queue, digest, current)
+    authenticator = authenticator or access.Authenticator()
+    return authenticator.decide(config, queue, digest, current)
 
 
 @pytest.mark.parametrize('key', ['first-key', 'second-key'])
@@ -67,13 +67,22 @@
 
 def test_withdrawn_key_is_refused_from_the_next_configuration_on():
     """The index of keys must not outlive its configuration."""
-    gate = access.Gate()
+    authenticator = access.Authenticator()
     before, after = read(), read({'o1': ['second-key']}, 2)
     admitted = access.Verdict.ADMITTED
-    assert decide(before, 'first-key', gate=gate).verdict is admitted
+    assert (
+        decide(before, 'first-key', authenticator=authenticator).verdict
+        is admitted
+    )
     refused = access.Verdict.REFUSED
-    assert decide(after, 'first-key', gate=gate).verdict is refused
-    assert decide(after, 'second-key', gate=gate).verdict is admitted
+    assert (
+        decide(after, 'first-key', authenticator=authenticator).verdict
+        is refused
+    )
+    assert (
+        decide(after, 'second-key', authenticator=authenticator).verdict
+        is admitted
+    )
 
 
 class Front:
--- a/tests/platform/soak/hosted.py
+++ b/tests/platform/soak/hosted.py
@@ -92,14 +92,14 @@
 
 def keep_keys() -> None:
     """Go on with the keys of the first configuration with organisations."""
-    find = access.Gate._find_organisation
+    find = access.Authenticator._find_organisation
 
     def find_in_first(
         self: typing.Any, config: typing.Any, digest: typing.Any
     ):
         return find(self, self._config or config, digest)
 
-    access.Gate._find_organisation = find_in_first  # type: ignore
+    access.Authenticator._find_organisation = find_in_first  # type: ignore
 
 
 BUGS: dict[str, typing.Callable[[], None]] = {
