--- a/hibiscusslip/host/cancellations.py
+++ b/hibiscusslip/host/cancellations.py
@@ -5,11 +5,13 @@
 from hibiscusslip.host import context
 from hibiscusslip.host import topics
 
-MAX_EARLY_JOBS = 10_000
+MAX_DEFERRED_JOBS = 10_000
 
 
 class Cancellations:
-    """Cancel jobs for callers that may; defer what is read before its job.
+    """Cancel jobs for callers that may access them.
+
+    A cancellation that is read before its job is deferred.
 
     A job and its cancellation may be in different partitions, each of which
     is read on its own.
@@ -17,7 +19,7 @@
 
     def __init__(self, ctx: context.Context) -> None:
         self._ctx = ctx
-        self._early: dict[str, set[str]] = {}
+        self._deferred: dict[str, set[str]] = {}
         self._keys: dict[str, set[str]] = {}
 
     def apply(
@@ -37,7 +39,7 @@
         self, engine: engines.Engine, job_id: str, now: float
     ) -> None:
         """Apply the cancellations that were read before their job."""
-        for organisation in self._early.pop(job_id, ()):
+        for organisation in self._deferred.pop(job_id, ()):
             self._cancel(engine, job_id, organisation, now)
 
     def cancel_keys(self, job_id: str) -> set[str]:
@@ -72,8 +74,8 @@
         )
 
     def _defer(self, job_id: str, organisation: str) -> None:
-        self._early.setdefault(job_id, set()).add(organisation)
-        if len(self._early) > MAX_EARLY_JOBS:
-            oldest = next(iter(self._early))
-            del self._early[oldest]
+        self._deferred.setdefault(job_id, set()).add(organisation)
+        if len(self._deferred) > MAX_DEFERRED_JOBS:
+            oldest = next(iter(self._deferred))
+            del self._deferred[oldest]
             self._keys.pop(oldest, None)
--- a/tests/host/test_owner.py
+++ b/tests/host/test_owner.py
@@ -61,12 +61,12 @@
 
 
 def test_deferred_cancellations_are_bounded(monkeypatch):
-    monkeypatch.setattr(cancellations, 'MAX_EARLY_JOBS', 3)
+    monkeypatch.setattr(cancellations, 'MAX_DEFERRED_JOBS', 3)
     ctx = fakes.make_context(fakes.FakeStore())
     local_owner = owner.Owner(ctx, None, None, 1)
     for number in range(5):
         local_owner.apply_inbox_record(f'{topics.CANCEL_PREFIX}{number}', b'1')
-    assert list(local_owner._cancellations._early) == ['2', '3', '4']
+    assert list(local_owner._cancellations._deferred) == ['2', '3', '4']
     assert list(local_owner._cancellations._keys) == ['2', '3', '4']
 
 
