--- a/hibiscusslip/config_check/_limit_changes.py
+++ b/hibiscusslip/config_check/_limit_changes.py
@@ -5,10 +5,8 @@
 from hibiscusslip.config_check import _model
 from hibiscusslip.dispatch import model
 
-ACCEPT = 'nothing to do if it is intended'
 # Hex digits of a key's SHA-256 digest that are shown, in place of the key.
 SHOWN_DIGITS = 8
-RESOURCES = ('cpu', 'memory', 'accelerators')
 
 Findings = collections.abc.Iterator[_model.Finding]
 
@@ -37,7 +35,7 @@
                 f' {_model.quote(entry.organisation.name)} is new, with access'
                 ' at once'
                 f'{_keys(", added keys", entry.organisation.key_digests)}',
-                ACCEPT,
+                _model.ACCEPT,
             )
         else:
             yield from _compare_organisation(former, entry)
@@ -83,7 +81,7 @@
             entry.place.of('weight'),
             f'{_model.show_change(old, new)}, in force at once for the shares'
             ' and for new jobs',
-            ACCEPT,
+            _model.ACCEPT,
         )
 
 
@@ -103,14 +101,16 @@
     added = digests - former.key_digests
     if added:
         yield _model.change(
-            place, f'{_keys("added keys", added)}; usable at once', ACCEPT
+            place,
+            f'{_keys("added keys", added)}; usable at once',
+            _model.ACCEPT,
         )
 
 
 def _compare_limits(
     former: model.Organisation, entry: _model.OrganisationEntry
 ) -> Findings:
-    for resource in RESOURCES:
+    for resource in _model.RESOURCES:
         old = getattr(former.limit, resource)
         new = getattr(entry.organisation.limit, resource)
         if old == new:
@@ -126,7 +126,7 @@
         yield _model.change(
             entry.place.of(resource),
             effect.format(_show_limit(old), _show_limit(new)),
-            ACCEPT,
+            _model.ACCEPT,
         )
 
 
--- a/hibiscusslip/config_check/_model.py
+++ b/hibiscusslip/config_check/_model.py
@@ -9,6 +9,9 @@
 MAX_QUOTED_CHARS = 60
 # The largest integer that hosts can send to each other.
 MAX_COUNT = 2**63 - 1
+RESOURCES = ('cpu', 'memory', 'accelerators')
+# Remedy of a difference that is correct if it is intended.
+ACCEPT = 'nothing to do if it is intended'
 
 
 class Severity(enum.StrEnum):
--- a/hibiscusslip/config_check/_queue_changes.py
+++ b/hibiscusslip/config_check/_queue_changes.py
@@ -5,7 +5,6 @@
 from hibiscusslip.config_check import _model
 from hibiscusslip.dispatch import model
 
-ACCEPT = 'nothing to do if it is intended'
 # Attributes of a queue that are numbers, with the factor that converts them
 # to the document's unit.
 NUMBERS = {
@@ -33,7 +32,7 @@
         yield _model.change(
             draft.place.of('max_body_bytes'),
             f'{shown}, in force at once for new calls',
-            ACCEPT,
+            _model.ACCEPT,
         )
     for name in sorted(old.services.keys() - new.services.keys()):
         yield _model.warning(
@@ -89,7 +88,7 @@
             entry.place.path,
             f'{_address(queue)} leads to the queue'
             f' {_model.quote(queue.name)}{taken}, at once',
-            ACCEPT,
+            _model.ACCEPT,
         )
 
 
@@ -104,7 +103,7 @@
             place.of('service'),
             f'from {_model.quote(former.service)} to'
             f' {_model.quote(queue.service)}, {AT_ONCE}',
-            ACCEPT,
+            _model.ACCEPT,
         )
     if queue.public != former.public:
         effect = (
@@ -112,10 +111,12 @@
             if queue.public
             else 'callers without a key get 401'
         )
-        yield _model.warning(place.of('public'), f'{effect}, at once', ACCEPT)
+        yield _model.warning(
+            place.of('public'), f'{effect}, at once', _model.ACCEPT
+        )
     if queue.advice != former.advice:
         yield _model.change(
-            place.of('advice'), f'the advice changes, {AT_ONCE}', ACCEPT
+            place.of('advice'), f'the advice changes, {AT_ONCE}', _model.ACCEPT
         )
     for attribute, scale in NUMBERS.items():
         old, new = getattr(former, attribute), getattr(queue, attribute)
@@ -123,5 +124,5 @@
             yield _model.change(
                 place.of(attribute),
                 f'{_model.show_change(old, new, scale)}, {AT_ONCE}',
-                ACCEPT,
+                _model.ACCEPT,
             )
--- a/hibiscusslip/config_check/_ranges.py
+++ b/hibiscusslip/config_check/_ranges.py
@@ -6,7 +6,6 @@
 from hibiscusslip.config_check import _model
 
 MS_PER_S = 1000.0
-RESOURCES = ('cpu', 'memory', 'accelerators')
 
 Findings = collections.abc.Iterator[_model.Finding]
 
@@ -80,7 +79,7 @@
 
 
 def _check_limit(entry: _model.OrganisationEntry) -> Findings:
-    for resource in RESOURCES:
+    for resource in _model.RESOURCES:
         amount = getattr(entry.organisation.limit, resource)
         yield from _check_number(entry.place.of(resource), amount, 0)
 
