Clarify names and comments of learned run times and speeds

Constants such as HALF_WEIGHT, MARGIN and CLAMP_OCTAVES didn't say what they apply to. They are named after their use; unclear docstrings are reworded.

--- a/hibiscusslip/dispatch/preferences.py
+++ b/hibiscusslip/dispatch/preferences.py
@@ -14,9 +14,9 @@
 from hibiscusslip.dispatch import state
 
 BANDS_PER_OCTAVE = 4  # speeds that differ by less than 19% count as equal
-PATIENT_SHARE = 1.5  # of its critical path, which a patient step has as slack
-MARGIN = 1.5  # as a job waits for the slowest of its tasks
-SMALL_SHARE = 0.5  # of the largest demand, which a small task doesn't exceed
+PATIENT_SLACK_RATIO = 1.5  # of slack to critical path, from which one can wait
+RUN_TIME_MARGIN = 1.5  # a job waits for the slowest of its tasks
+SMALL_SHARE = 0.5  # of the largest demand, up to which a task is small
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -24,7 +24,8 @@
     """Rank candidates for the tasks of one step.
 
     `run_time` is the expected one on an endpoint of ordinary speed, in
-    seconds. A task that takes longer than `time_left` makes its job late.
+    seconds. A task that takes longer than `time_left` makes its job late. A
+    `patient` step can wait, and so prefers slow endpoints.
     `room` is the demand of large tasks, if the step's own are small.
     """
 
@@ -39,9 +40,10 @@
 
         False if it would do so on an endpoint of ordinary speed as well.
         """
-        if MARGIN * self.run_time > self.time_left:
+        if RUN_TIME_MARGIN * self.run_time > self.time_left:
             return False
-        return MARGIN * self.run_time / candidate.speed > self.time_left
+        longest = RUN_TIME_MARGIN * self.run_time / candidate.speed
+        return longest > self.time_left
 
     def speed_rank(self, candidate: candidate_pool.Candidate) -> int:
         """Return the rank of a candidate's speed; the lowest is the best."""
@@ -121,7 +123,7 @@
     return Preference(
         run_time,
         slack + run_time,
-        slack >= PATIENT_SHARE * remaining,
+        slack >= PATIENT_SLACK_RATIO * remaining,
         True,
         largest if is_small else None,
     )
--- a/hibiscusslip/dispatch/run_learning.py
+++ b/hibiscusslip/dispatch/run_learning.py
@@ -3,7 +3,7 @@
 The duration of a run is divided into the length of its work and the speed of
 its endpoint. Only runs that tell the length are used; see
 `state.Allocation`. A run that was stopped, or goes on beyond what was
-expected, tells that its work takes at least so long.
+expected, gives a lower bound for the length of its work.
 """
 
 from hibiscusslip.dispatch import estimates as run_estimates
@@ -11,8 +11,9 @@
 from hibiscusslip.dispatch import state
 
 MIN_RUNS_FOR_SPEED = 8  # that the expected run time must derive from
-# Of a run that is learned of twice, when it is overdue and when it ends.
-HALF_WEIGHT = 0.5
+# Weight of an overdue run's lower bound. The rest is left for its end, so that
+# the run counts once in total.
+OVERDUE_WEIGHT = 0.5
 
 
 def is_measured(
@@ -83,13 +84,13 @@
     speed = estimates.speed_of(endpoint)
     high = estimates.expect_learned(task.step).high
     if (now - task.started_at) * speed.factor > high:
-        _learn_bound(estimates, endpoint, task, now, HALF_WEIGHT)
+        _learn_bound(estimates, endpoint, task, now, OVERDUE_WEIGHT)
         allocation.overdue = True
 
 
 def _weight(allocation: state.Allocation) -> float:
-    """Return the weight of a run's end: the rest, if it was overdue."""
-    return 1.0 - HALF_WEIGHT if allocation.overdue else 1.0
+    """Return the weight of a run's end, less if it was overdue before."""
+    return 1.0 - OVERDUE_WEIGHT if allocation.overdue else 1.0
 
 
 def _learn_bound(
--- a/hibiscusslip/dispatch/run_times.py
+++ b/hibiscusslip/dispatch/run_times.py
@@ -19,7 +19,7 @@
 WINDOW_RUNS = 64.0
 PRIOR_RUNS = 6.0  # that the broader group counts as
 PRIOR_HIGH_RUNS = 20.0  # for the high quantile, which few runs tell
-PRIOR_HIGH_OCTAVES = 1.0  # by which the high quantile of declared times is up
+PRIOR_HIGH_OCTAVES = 1.0  # from the declared time to its high quantile
 QUANTILES = (0.05, 0.5, 0.95)  # low, median and high
 DECLARED_BINS_PER_OCTAVE = 3
 JOBS_TO_CHANGE = 4  # in a row outside the known range
@@ -172,10 +172,11 @@
         weight: float = 1.0,
         at_least: bool = False,
     ) -> None:
-        """Learn that a run of a job took `actual` seconds, or at least so.
+        """Learn that a run of a job took `actual` seconds.
 
-        The time is that on an endpoint of ordinary speed. A run that is
-        told twice, first by a lower bound, has less `weight` each time.
+        The time is that on an endpoint of ordinary speed. With `at_least` it
+        is a lower bound. The weights of a run that is learned from twice, by
+        a lower bound and by its end, add up to 1.
         """
         if not 0.0 < actual < math.inf:
             return
--- a/hibiscusslip/dispatch/speeds.py
+++ b/hibiscusslip/dispatch/speeds.py
@@ -20,9 +20,9 @@
 HALF_LIFE_S = 60.0  # of the confidence in an endpoint without new runs
 REFRESH_PERIOD_S = 2.0
 MAX_OCTAVES = 1.5  # within which a speed is plausible
-CLAMP_OCTAVES = 3.0
+MAX_RATIO_OCTAVES = 3.0  # to which the ratio of a single run is limited
 SHORT_QUANTILE = 0.25
-MIN_RUNS_TO_DOUBT = 6
+MIN_RUNS_TO_EXCLUDE = 6  # for an endpoint to count as not plausible
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -46,13 +46,14 @@
     """The latest runs of an endpoint.
 
     `ratios` are in octaves, above 0 for runs longer than expected; `typical`
-    and `short` are their median and a low quantile.
+    and `short` are their median and a low quantile. `next_index` is that of
+    the ratio to replace once there are MAX_RUNS.
     """
 
     __slots__ = (
         'kind',
         'learned_at',
-        'place',
+        'next_index',
         'ratios',
         'service',
         'short',
@@ -66,7 +67,7 @@
         self.service = service
         self.kind = kind
         self.ratios = array.array('f')
-        self.place = 0
+        self.next_index = 0
         self.learned_at = 0.0
         self.step = ''
         self.step_runs = 0
@@ -82,8 +83,8 @@
         if len(self.ratios) < MAX_RUNS:
             self.ratios.append(ratio)
         else:
-            self.ratios[self.place] = ratio
-            self.place = (self.place + 1) % MAX_RUNS
+            self.ratios[self.next_index] = ratio
+            self.next_index = (self.next_index + 1) % MAX_RUNS
         self.learned_at = now
         ordered = sorted(self.ratios)
         self.typical = statistics.median(ordered)
@@ -127,8 +128,8 @@
             if len(self._records) > MAX_ENDPOINTS:
                 self._records.popitem(last=False)
         self._records.move_to_end(endpoint)
-        octaves = math.log2(max(ratio, 2.0**-CLAMP_OCTAVES))
-        record.add(min(octaves, CLAMP_OCTAVES), step, now)
+        octaves = math.log2(max(ratio, 2.0**-MAX_RATIO_OCTAVES))
+        record.add(min(octaves, MAX_RATIO_OCTAVES), step, now)
 
     def refresh(self, now: float) -> None:
         """Compare the endpoints of each pool again, if that is due."""
@@ -179,7 +180,7 @@
     record: _Record, weight: float, kind: float, pool: float, short: float
 ) -> Speed:
     """Return an endpoint's speed; `kind` are the octaves of its kind."""
-    if len(record.ratios) >= MIN_RUNS_TO_DOUBT and weight >= 1.0:
+    if len(record.ratios) >= MIN_RUNS_TO_EXCLUDE and weight >= 1.0:
         if record.short < short - MAX_OCTAVES:
             return Speed(1.0, 0.0, False)
     confidence = weight / (weight + PRIOR_RUNS)
