Clarify names and comments of admission and shares

Entitlements.admit didn't admit a job but takes a token for it, and 'first' was the work that overtakes. Docstrings are reworded in plain terms.

--- a/hibiscusslip/dispatch/admission.py
+++ b/hibiscusslip/dispatch/admission.py
@@ -4,7 +4,7 @@
 accelerator-seconds of waiting steps, divided by the capacity that this work
 gets. Work that arrives later but goes first takes part of that capacity. A
 job that would be of no use by the time it completes is rejected at once, so
-that its caller knows, and that the others don't queue behind it.
+that its caller can react and no other job waits behind it.
 """
 
 import collections.abc
@@ -104,11 +104,14 @@
     capacity: Work,
     arrivals: dict[tuple[str, bool], Work],
 ) -> Prediction:
-    own = _sum(arrivals.get((queue.name, b), (0, 0)) for b in (False, True))
+    own = _sum(
+        arrivals.get((queue.name, beyond), (0.0, 0.0))
+        for beyond in (False, True)
+    )
 
     def wait(beyond: bool) -> float:
         key = (beyond, queue.priority)
-        first = _sum(
+        overtaking = _sum(
             work
             for other in queues
             for ahead in (False, True)
@@ -116,23 +119,23 @@
             and (ahead, other.priority) < key
             and (work := arrivals.get((other.name, ahead)))
         )
-        return _wait(backlog.ahead_of(key), capacity, first, own)
+        return _wait(backlog.ahead_of(key), capacity, overtaking, own)
 
     return Prediction(wait(False), wait(True))
 
 
-def _wait(ahead: Work, capacity: Work, first: Work, own: Work) -> float:
+def _wait(ahead: Work, capacity: Work, overtaking: Work, own: Work) -> float:
     """Return for how long work ahead takes up the capacity, in seconds.
 
-    `first` is the work per second that goes ahead of it. Accelerators count
-    for queues whose `own` jobs use them.
+    `overtaking` is the work per second that arrives later and goes first.
+    Accelerators count only for queues whose `own` jobs use them.
     """
     longest = 0.0
     for resource, amount in enumerate(ahead):
         if not amount or (resource and not own[resource]):
             continue
         whole = capacity[resource]
-        left = max(whole - first[resource], whole * MIN_CAPACITY_SHARE)
+        left = max(whole - overtaking[resource], whole * MIN_CAPACITY_SHARE)
         if left:  # nothing is predicted while no endpoint is listed
             longest = max(longest, amount / left)
     return min(longest, MAX_WAIT_S)
--- a/hibiscusslip/dispatch/arrivals.py
+++ b/hibiscusslip/dispatch/arrivals.py
@@ -14,8 +14,7 @@
 WINDOW_S = 5.0
 DEVIATIONS = 2.0  # above its rate, which random arrivals rarely exceed
 MAX_BEYOND_PERCENT = 95
-# In a heartbeat, of which a cell's hosts read 2.5 a second each.
-MAX_REPORTED = 64
+MAX_REPORTED = 64  # organisations, as they are named in each heartbeat
 
 
 @dataclasses.dataclass(slots=True)
@@ -68,8 +67,8 @@
     ) -> dict[str, int]:
         """Return which part of an organisation's jobs is beyond its rate.
 
-        In percent, of those that send more than they are entitled to; of too
-        many, those with the highest.
+        Returns percentages for the organisations that send more than they are
+        entitled to, at most MAX_REPORTED of them, the highest ones.
         """
         found = {}
         for name, average in self._jobs.items():
--- a/hibiscusslip/dispatch/entitlement.py
+++ b/hibiscusslip/dispatch/entitlement.py
@@ -44,8 +44,8 @@
     def __init__(self) -> None:
         self._buckets: dict[str, _Bucket] = {}
 
-    def admit(self, organisation: str, weight: float, accepted: float) -> bool:
-        """Return True if a job is within its organisation's entitlement.
+    def take(self, organisation: str, weight: float, accepted: float) -> bool:
+        """Count a job; return True if it is within the entitlement.
 
         `weight` is in jobs a second, `accepted` a Unix time.
         """
--- a/hibiscusslip/dispatch/forecast.py
+++ b/hibiscusslip/dispatch/forecast.py
@@ -40,7 +40,7 @@
             return
         percent = self.beyond_percents.get(job.organisation, 0)
         queue = config.queues.get(job.queue)
-        sent = 1.0
+        sent = 1.0  # jobs for each accepted one; hosts reject the others
         if percent and queue is not None:
             predicted = self.predictions.get(job.queue, NO_WAIT)
             useful = admission.useful_wait(job.spec, queue)
--- a/hibiscusslip/dispatch/shares.py
+++ b/hibiscusslip/dispatch/shares.py
@@ -20,7 +20,7 @@
 
 UPDATE_PERIOD_S = 0.1
 MAX_NOTED_STEPS = 10_000
-WANTED_S = 1.0  # for which an organisation counts after it waited
+WANTED_S = 1.0  # for which an organisation counts after its steps waited
 # Shares over the fair share at which the level is entered, and left again.
 ENTER_ABOVE, LEAVE_ABOVE = 1.1, 1.0
 ENTER_BELOW, LEAVE_BELOW = 0.5, 0.75
@@ -71,7 +71,7 @@
         holding.wanted_at = max(holding.wanted_at, job.submitted_at)
         job.holding = holding
         weight = entitlement.weight_of(config, name)
-        job.within_entitlement = self._entitlements.admit(
+        job.within_entitlement = self._entitlements.take(
             name, weight, accepted
         )
 
--- a/tests/dispatch/test_shares.py
+++ b/tests/dispatch/test_shares.py
@@ -46,7 +46,7 @@
 
 def admit_all(weight, times):
     buckets = entitlement.Entitlements()
-    return [buckets.admit('a', weight, time) for time in times]
+    return [buckets.take('a', weight, time) for time in times]
 
 
 def test_one_second_of_jobs_is_within_the_entitlement_at_once():
