--- a/hibiscusslip/commands/_waits.py
+++ b/hibiscusslip/commands/_waits.py
@@ -8,7 +8,6 @@
 CAUSES = {'held_by_limit': 'the limit of its organisation'}
 START_EVENTS = frozenset({'run_ordered', 'run_adopted'})
 
-
 Fields = collections.abc.Mapping[str, typing.Any]  # of one log line
 
 
@@ -39,7 +38,7 @@
 
 
 def find(lines: collections.abc.Sequence[Fields]) -> list[Wait]:
-    """Return the waits that log lines of one job, ordered by time, name."""
+    """Return the waits in the log lines of one job, which are in order."""
     return [
         Wait(
             str(line.get('step', '')),
--- a/hibiscusslip/dispatch/preemption.py
+++ b/hibiscusslip/dispatch/preemption.py
@@ -1,12 +1,11 @@
 """Choose runs to stop when urgent work finds no free capacity.
 
-Answers a burst of the urgent queue on a pool that long, patient tasks fill:
-urgent tasks have a second to start, while the patient ones have many seconds
-of slack and resume from a checkpoint. Headroom follows the average use of the
-urgent queues, so it lags behind such a burst.
+Patient runs are those of less urgent queues whose steps have slack left and
+resume from a checkpoint. Headroom follows the average use of the urgent
+queues, so it lags behind a burst; stopping patient runs covers the difference.
 
-Only what is missing is freed, and a task is stopped once at most, so that it
-can't be stopped and restarted over and over during a long burst.
+Only the missing CPU is freed, and each task is preempted once at most, so
+that a long burst doesn't stop and restart it repeatedly.
 """
 
 import collections.abc
--- a/hibiscusslip/host/config_exchange.py
+++ b/hibiscusslip/host/config_exchange.py
@@ -1,9 +1,10 @@
 """Learn of new configurations from peers while the store doesn't answer.
 
-A host that the store fails alone would go on admitting keys that were
-withdrawn, and refuse new ones. It asks a few peers whether its configuration
-is the newest and fetches a newer one from one of them. Ages add up from host
-to host, so that hosts which all lack the store don't confirm one another.
+A host that can't read the store while others can would go on admitting keys
+that were withdrawn, and refuse new ones. So it asks a few peers whether its
+configuration is the newest, and fetches a newer one from one of them. A reply
+counts as a confirmation of the age that it names, so hosts that all lack the
+store don't confirm one another.
 """
 
 import dataclasses
@@ -26,7 +27,7 @@
 FETCH_TIMEOUT_S = 0.6
 MAX_DOCUMENT_BYTES = 256 * 1024  # a link of 5 Mbit/s carries it in 0.4 s
 MAX_PLAIN_BYTES = 8 * 1024 * 1024  # after decompression
-COMPRESSION_LEVEL = 1  # the fastest: nothing else runs meanwhile
+COMPRESSION_LEVEL = 1  # the fastest, as it blocks the event loop
 CHECK_PERIOD_S = 0.1
 # Shares of the time until a configuration has to be in force.
 UNCONFIRMED_SHARE = 1 / 3
--- a/hibiscusslip/host/estimate_reports.py
+++ b/hibiscusslip/host/estimate_reports.py
@@ -1,4 +1,4 @@
-"""Tell operators how well run times are expected, and what of each run."""
+"""Report expected run times to operators, and how accurate they are."""
 
 import typing
 
--- a/hibiscusslip/host/tailing.py
+++ b/hibiscusslip/host/tailing.py
@@ -37,8 +37,8 @@
         self._failing = False
         self._caught_up_at = 0.0
         self._confirmed = False
-        # The latest time that an answer without records speaks for: it may
-        # have been on its way for long.
+        # When the store had to answer the present read. An answer without
+        # records tells nothing about later times, as it may arrive late.
         self.answer_due_at = 0.0
 
     @property
