Name the ratios of run times for what they are

Error and Errors read like exceptions, and they hold ratios of actual to expected run times. Module, classes and attribute say so now; the metric keeps its name.

--- a/hibiscusslip/dispatch/estimates.py
+++ b/hibiscusslip/dispatch/estimates.py
@@ -2,9 +2,9 @@
 
 import dataclasses
 
-from hibiscusslip.dispatch import estimate_errors
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import policy as policies
+from hibiscusslip.dispatch import run_time_ratios
 from hibiscusslip.dispatch import run_times
 from hibiscusslip.dispatch import speeds
 from hibiscusslip.dispatch import state
@@ -50,15 +50,15 @@
 
     The ratio is that of actual to declared run times. `policy` says whether
     distributions of run times and the speeds of endpoints are used instead;
-    both are learned if one of them is used. `run_times`, `speeds` and
-    `errors` are what is learned.
+    both are learned if one of them is used, in `run_times` and `speeds`.
+    `run_time_ratios` measures how accurate the estimates are.
     """
 
     def __init__(self, policy: policies.Policy = policies.Policy()) -> None:
         self.policy = policy
         self.run_times = run_times.RunTimes()
         self.speeds = speeds.Speeds()
-        self.errors = estimate_errors.Errors()
+        self.run_time_ratios = run_time_ratios.RunTimeRatios()
         self._ratios: dict[str, float] = {}
         self._expected: dict[tuple[str, str, str, float], Expectation] = {}
         self._paths: dict[str, list[float]] = {}
--- a/hibiscusslip/dispatch/run_learning.py
+++ b/hibiscusslip/dispatch/run_learning.py
@@ -48,7 +48,7 @@
     speed = estimates.speed_of(endpoint)
     length = actual * speed.factor
     expected = estimates.expect_learned(step)
-    estimates.errors.add(queue, length, expected.median, declared)
+    estimates.run_time_ratios.add(queue, length, expected.median, declared)
     if not step.spec.gang and expected.runs >= MIN_RUNS_FOR_SPEED:
         _learn_speed(estimates, endpoint, step, actual / expected.median, now)
     if speed.plausible:
--- a/hibiscusslip/dispatch/estimate_errors.py
+++ b/hibiscusslip/dispatch/run_time_ratios.py
@@ -1,4 +1,4 @@
-"""Measure by queue how far run times are from what was expected."""
+"""Measure by queue the ratio of actual to expected run times."""
 
 import dataclasses
 import math
@@ -8,12 +8,12 @@
 WINDOW_RUNS = 500.0
 MAX_QUEUES = 500
 QUANTILES = (0.5, 0.9)
-MIN_S = 0.001
+MIN_RUN_TIME_S = 0.001
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Error:
-    """The ratio of actual to expected run times of a queue.
+class QueueRatio:
+    """Quantiles of the ratio of actual to expected run times of a queue.
 
     `estimate` is 'learned' or 'declared'.
     """
@@ -24,7 +24,7 @@
     p90: float
 
 
-class Errors:
+class RunTimeRatios:
     """Compare actual run times with the learned and the declared ones."""
 
     def __init__(self) -> None:
@@ -37,10 +37,12 @@
         self._add((queue, 'learned'), actual, learned)
         self._add((queue, 'declared'), actual, declared)
 
-    def summarise(self) -> list[Error]:
-        """Return the errors of each queue."""
+    def summarise(self) -> list[QueueRatio]:
+        """Return the quantiles of each queue, by kind of estimate."""
         return [
-            Error(*key, *(2.0**ratio for ratio in ratios.quantiles(QUANTILES)))
+            QueueRatio(
+                *key, *(2.0**ratio for ratio in ratios.quantiles(QUANTILES))
+            )
             for key, ratios in self._ratios.items()
         ]
 
@@ -53,4 +55,8 @@
                 return
             ratios = log_histogram.LogHistogram(WINDOW_RUNS)
             self._ratios[key] = ratios
-        ratios.add(math.log2(max(actual, MIN_S) / max(expected, MIN_S)))
+        ratios.add(
+            math.log2(
+                max(actual, MIN_RUN_TIME_S) / max(expected, MIN_RUN_TIME_S)
+            )
+        )
--- a/hibiscusslip/host/estimate_reports.py
+++ b/hibiscusslip/host/estimate_reports.py
@@ -10,16 +10,16 @@
 
 
 def publish(ctx: context.Context, estimates: run_estimates.Estimates) -> None:
-    """Set the metrics of the errors of each queue's expected run times."""
+    """Set the metrics of the accuracy of each queue's expected run times."""
     if not estimates.learns:
         return
-    for error in estimates.errors.summarise():
-        for quantile, ratio in (('0.5', error.median), ('0.9', error.p90)):
+    for item in estimates.run_time_ratios.summarise():
+        for quantile, ratio in (('0.5', item.median), ('0.9', item.p90)):
             ctx.metrics.gauge(
                 'run_time_ratio',
                 round(ratio, 3),
-                queue=error.queue,
-                estimate=error.estimate,
+                queue=item.queue,
+                estimate=item.estimate,
                 quantile=quantile,
             )
 
--- a/tests/dispatch/test_learning_from_runs.py
+++ b/tests/dispatch/test_learning_from_runs.py
@@ -188,7 +188,8 @@
 def test_errors_of_learned_and_declared_times_are_measured_side_by_side():
     cell = Cell({'a': 1.0})
     cell.run(200, length=3.0)
-    errors = {e.estimate: e for e in cell.estimates.errors.summarise()}
+    ratios = cell.estimates.run_time_ratios.summarise()
+    errors = {item.estimate: item for item in ratios}
     assert 2.5 < errors['declared'].median < 3.5
     assert 0.8 < errors['learned'].median < 1.2
     assert errors['learned'].p90 < 2.0
