--- a/hibiscusslip/dispatch/run_times.py
+++ b/hibiscusslip/dispatch/run_times.py
@@ -19,7 +19,7 @@
 WINDOW_RUNS = 64.0
 PRIOR_RUNS = 2.0  # that the broader group counts as
 PRIOR_HIGH_RUNS = 10.0  # for the high quantile, which few runs tell
-PRIOR_HIGH_OCTAVES = 1.0  # by which the high quantile of declared times is up
+PRIOR_HIGH_OCTAVES = 1.0  # from the declared time to its high quantile
 QUANTILES = (0.05, 0.5, 0.95)  # low, median and high
 DECLARED_BINS_PER_OCTAVE = 3
 SAME_JOB_WEIGHT = 0.2  # of a job's further runs, which are like the first
@@ -178,11 +178,12 @@
         weight: float = 1.0,
         at_least: bool = False,
     ) -> None:
-        """Learn that a run of a job took `actual` seconds, or at least so.
+        """Learn that a run of a job took `actual` seconds.
 
-        The time is that on an endpoint of ordinary speed. A run that is
-        told twice, first by a lower bound, has less `weight` each time.
-        `job` names what has runs that are alike.
+        The time is that on an endpoint of ordinary speed. With `at_least` it
+        is a lower bound. The weights of a run that is learned from twice, by
+        a lower bound and by its end, add up to 1. Further runs of the same
+        `job` have less weight, as they are alike.
         """
         if not 0.0 < actual < math.inf:
             return
