Track a second run of a task

Cause: a task had one current run; a report or record of any other run was taken for a leftover, so no copy of a straggler could be started.

Change: Task.second is the run beside the current one. The run that ends is made the current one first, so that ends, losses and refused starts of either run take the existing paths; if a run has to be replaced, the other takes its place. Job records have a new last field with the second runs, from which a new owner allocates for both.

Result: nothing starts a second run yet, and everything else is as before. tests/dispatch, tests/host: passed. No test of the two runs yet.

--- a/hibiscusslip/dispatch/_lost_runs.py
+++ b/hibiscusslip/dispatch/_lost_runs.py
@@ -10,6 +10,7 @@
 from hibiscusslip.dispatch import crashes
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import state
+from hibiscusslip.dispatch import task_runs
 
 if typing.TYPE_CHECKING:
     from hibiscusslip.dispatch import engine as engines
@@ -20,7 +21,13 @@
 
 
 def requeue(engine: 'engines.Engine', task: state.Task, now: float) -> None:
-    """Reset a task to waiting and activate its step if its job isn't final."""
+    """Reset a task to waiting and activate its step if its job isn't final.
+
+    If the task has a second run, that becomes the current one instead.
+    """
+    note_copy_end(engine, task)
+    if task_runs.replace_current(task):
+        return
     task.status = state.Status.WAITING
     task.endpoint = ''
     task.started_at = 0.0
@@ -31,6 +38,17 @@
     engine.active_steps[step.name] = step
 
 
+def note_copy_end(engine: 'engines.Engine', task: state.Task) -> None:
+    """Log that a copy has ended in vain, or takes the original's place.
+
+    The current run has just ended without being done.
+    """
+    if task.copy_run and task.run == task.copy_run:
+        engine.note('copy_lost', task=task.name, run=task.run, reason='ended')
+    elif task.second is not None:
+        engine.note('copy_promoted', task=task.name, run=task.second.run)
+
+
 def abandon_run(
     engine: 'engines.Engine',
     endpoint: state.Endpoint,
@@ -51,6 +69,8 @@
         confirmed=bool(allocation and allocation.confirmed_at),
         seen_ms=int(allocation.proven_age * 1000) if allocation else 0,
     )
+    if task is not None and task_runs.make_current(task, run):
+        engine.dirty.add(task.step.job.job_id)
     if task is not None and task.run == run and task.status.placed:
         engine.dirty.add(task.step.job.job_id)
         requeue(engine, task, now)
@@ -227,6 +247,8 @@
     elif reason == 'instance':
         endpoint.quarantined_until = now + QUARANTINE_S
     allocation = endpoint.release(task.name, start.run)
+    if allocation is not None and task_runs.make_current(task, start.run):
+        engine.dirty.add(step.job.job_id)
     if allocation is None or task.run != start.run or not task.status.placed:
         return
     engine.dirty.add(step.job.job_id)
--- a/hibiscusslip/dispatch/_reports.py
+++ b/hibiscusslip/dispatch/_reports.py
@@ -8,6 +8,7 @@
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import progress
 from hibiscusslip.dispatch import state
+from hibiscusslip.dispatch import task_runs
 
 if typing.TYPE_CHECKING:
     from hibiscusslip.dispatch import engine as engines
@@ -93,6 +94,7 @@
     allocation: state.Allocation | None,
     now: float,
 ) -> None:
+    task_runs.make_current(task, end.run)
     engine.note(
         'run_ended',
         task=task.name,
@@ -113,6 +115,7 @@
         return
     if end.how is model.RunOutcome.FAILED and not task.step.spec.long_running:
         if _record_failure(engine, task, end.run):
+            _lost_runs.note_copy_end(engine, task)
             task.status = state.Status.FAILED
             engine.finish(task.step.job, model.JobState.FAILED, now)
             return
@@ -142,6 +145,7 @@
         expected = engine.estimates.run_time(step)
         progress.update_slowness(endpoint, expected, actual, now)
         engine.estimates.learn(step.job.queue, step.spec.estimate, actual)
+    _note_copy_done(engine, task, run)
     members = step.tasks if step.spec.gang else [task]
     for member in members:
         if member.status is state.Status.DONE:
@@ -152,11 +156,25 @@
             engine.stop(task, 'another run is done', now)
         member.status = state.Status.DONE
         step.done_count += 1
+    if task.second is not None:
+        engine.stop(task, 'another run is done', now, task.second.run)
     if step.complete:
         engine.active_steps.pop(step.name, None)
         _finish_if_complete(engine, step.job, now)
 
 
+def _note_copy_done(
+    engine: 'engines.Engine', task: state.Task, run: int
+) -> None:
+    """Log whether a copy was done first, or the run that it copies."""
+    if task.copy_run and run == task.copy_run:
+        engine.note('copy_won', task=task.name, run=run)
+    elif task_runs.find_second(task, task.copy_run) is not None:
+        engine.note(
+            'copy_lost', task=task.name, run=task.copy_run, reason='later'
+        )
+
+
 def _finish_if_complete(
     engine: 'engines.Engine', job: state.Job, now: float
 ) -> None:
@@ -230,9 +248,8 @@
             or not _is_expected(task, endpoint, row.run)
         ):
             _stop_unexpected(engine, endpoint, row, allocation, now)
-        elif task.status is state.Status.STARTING:
-            task.status = state.Status.RUNNING
-            task.started_at = task.started_at or now
+        else:
+            task_runs.confirm(task, row.run, now)
     return listed
 
 
@@ -240,12 +257,7 @@
     """Return True if this run of a task should be active on the endpoint."""
     if task.status is state.Status.DONE and task.step.spec.gang:
         return True  # the members of a gang complete together
-    return (
-        task.status.placed
-        and task.run == run
-        and task.endpoint == endpoint.name
-        and not task.step.job.state.final
-    )
+    return task_runs.is_expected(task, endpoint.name, run)
 
 
 def _adopt(
--- a/hibiscusslip/dispatch/_reservations.py
+++ b/hibiscusslip/dispatch/_reservations.py
@@ -13,6 +13,7 @@
 
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import state
+from hibiscusslip.dispatch import task_runs
 
 if typing.TYPE_CHECKING:
     from hibiscusslip.dispatch import engine as engines
@@ -154,7 +155,8 @@
     if task is None or task.step.spec.long_running:
         return NEVER
     run_time = engine.estimates.run_time(task.step)
-    return max((task.started_at or now) + run_time, now + MIN_REMAINING_S)
+    started_at = task_runs.started_at(task, allocation.run)
+    return max((started_at or now) + run_time, now + MIN_REMAINING_S)
 
 
 def _preempt(
@@ -182,7 +184,8 @@
         return option.free_at
     for allocation in victims:
         assert allocation.task is not None
-        engine.stop(allocation.task, f'makes way for {step.name}', now)
+        reason = f'makes way for {step.name}'
+        engine.stop(allocation.task, reason, now, allocation.run)
     return now + MIN_REMAINING_S
 
 
@@ -198,7 +201,7 @@
             continue
         if not task.step.spec.resumable:
             continue
-        if task.status is not state.Status.RUNNING:
+        if not task_runs.is_running(task, allocation.run):
             continue
         if engine.queue_of(task.step.job).priority > priority:
             victims.append(allocation)
--- a/hibiscusslip/dispatch/engine.py
+++ b/hibiscusslip/dispatch/engine.py
@@ -20,6 +20,7 @@
 from hibiscusslip.dispatch import policy as policies
 from hibiscusslip.dispatch import records
 from hibiscusslip.dispatch import state
+from hibiscusslip.dispatch import task_runs
 
 Note = collections.abc.Callable[..., None]
 
@@ -149,21 +150,22 @@
         for step in job.steps():
             self.active_steps.pop(step.name, None)
             for task in step.tasks:
-                if task.status.placed:
-                    self.stop(task, outcome.value, now)
+                for run in task_runs.to_stop(task):
+                    self.stop(task, outcome.value, now, run)
         self.note('job_ended', job=job.job_id, outcome=outcome.value)
 
-    def stop(self, task: state.Task, reason: str, now: float) -> None:
-        """Add a command to stop a task's run."""
-        endpoint = self.endpoints.get(task.endpoint)
+    def stop(
+        self, task: state.Task, reason: str, now: float, run: int = 0
+    ) -> None:
+        """Stop a task's second run if it is `run`, else its current one."""
+        name, number = task_runs.place_of(task, run)
+        endpoint = self.endpoints.get(name)
         if endpoint is None:
             return
-        allocation = endpoint.allocations.get((task.name, task.run))
+        allocation = endpoint.allocations.get((task.name, number))
         if allocation is not None and not allocation.stop_requested_at:
             allocation.stop_requested_at = now
-        self.stops.append(
-            commands.Stop(task.endpoint, task.name, task.run, reason)
-        )
+        self.stops.append(commands.Stop(name, task.name, number, reason))
 
     def forget_ended_before(self, before: float) -> list[str]:
         """Remove jobs that ended before a time and return their IDs.
@@ -296,12 +298,9 @@
         allocation = self._allocation_of(start)
         if allocation is not None:
             allocation.confirmed_at = now
-            task = start.task
-            if task.run == start.run and task.status is state.Status.STARTING:
-                task.status = state.Status.RUNNING
-                task.started_at = now
-            if task.on_trial:
-                self.dirty.add(task.step.job.job_id)
+            task_runs.confirm(start.task, start.run, now)
+            if start.task.on_trial:
+                self.dirty.add(start.task.step.job.job_id)
 
     def still_fits(self, start: commands.Start) -> bool:
         """Return False if the endpoint has shrunk since the decision."""
--- a/hibiscusslip/dispatch/placement.py
+++ b/hibiscusslip/dispatch/placement.py
@@ -36,7 +36,11 @@
 
 def count_placed(step: state.StepState, endpoint: str) -> int:
     """Return how many tasks of a step are placed on an endpoint."""
-    return sum(t.status.placed and t.endpoint == endpoint for t in step.tasks)
+    return sum(
+        (task.status.placed and task.endpoint == endpoint)
+        or (task.second is not None and task.second.endpoint == endpoint)
+        for task in step.tasks
+    )
 
 
 def choose(
--- a/hibiscusslip/dispatch/progress.py
+++ b/hibiscusslip/dispatch/progress.py
@@ -9,6 +9,7 @@
 
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import state
+from hibiscusslip.dispatch import task_runs
 
 if typing.TYPE_CHECKING:
     from hibiscusslip.dispatch import engine as engines
@@ -72,7 +73,8 @@
     if row.percent != allocation.percent or not allocation.progressed_at:
         allocation.percent = row.percent
         allocation.progressed_at = now
-    elapsed = now - task.started_at if task.started_at else 0.0
+    started_at = task_runs.started_at(task, row.run)
+    elapsed = now - started_at if started_at else 0.0
     expected = engine.estimates.run_time(task.step)
     if elapsed > MIN_ELAPSED_S and row.percent >= MIN_PERCENT:
         if not task.checkpoint:
@@ -94,4 +96,4 @@
             seconds=round(stalled_s, 2),
         )
         endpoint.quarantined_until = now + QUARANTINE_S
-        engine.stop(task, 'stands still', now)
+        engine.stop(task, 'stands still', now, row.run)
--- a/hibiscusslip/dispatch/records.py
+++ b/hibiscusslip/dispatch/records.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from hibiscusslip.dispatch import copy_records
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import state
 
@@ -96,6 +97,7 @@
     crashes: list[CrashRow] = []
     losses: list[LossRow] = []
     completed: list[tuple[int, int]] = []
+    copies: list[copy_records.CopyRow] = []
 
     def occurrence_numbers(self) -> list[int]:
         """Return the numbers of all occurrences, completed ones too."""
@@ -139,6 +141,7 @@
     steps: list[StepRow] = []
     crashes: list[CrashRow] = []
     losses: list[LossRow] = []
+    copies: list[copy_records.CopyRow] = []
     endpoints: dict[str, EndpointRow] = {}
     if not job.state.final:
         for step in job.steps():
@@ -149,6 +152,7 @@
                 steps.append(_step_row(step))
             crashes.extend(_crash_rows(step))
             losses.extend(_loss_rows(step))
+            copies.extend(copy_records.encode(step))
             for task in step.tasks:
                 if task.status.placed:
                     endpoints[task.endpoint] = EndpointRow(
@@ -165,6 +169,7 @@
         crashes,
         losses,
         _ranges(completed),
+        copies,
     )
     return msgspec.msgpack.encode(row)
 
@@ -292,6 +297,8 @@
             crash_row.total, crash_row.sole, crash_row.confirmed
         )
         task.proven_run = crash_row.proven_run
+    for copy_row in row.copies:
+        copy_records.restore(job, copy_row)
     for loss_row in row.losses:
         step = job.occurrences[loss_row.occurrence][loss_row.step]
         step.tasks[loss_row.index].unexplained.append(
--- a/hibiscusslip/dispatch/state.py
+++ b/hibiscusslip/dispatch/state.py
@@ -4,6 +4,7 @@
 import enum
 
 from hibiscusslip.dispatch import model
+from hibiscusslip.dispatch import second_runs
 
 MIN_CLOCK_RATE = 0.98  # an endpoint's clock may run 2% slow
 LAPSE_SLACK_S = 0.25
@@ -67,7 +68,9 @@
     stopped because they made no progress. While the task is placed,
     `address` and `born` are those of its endpoint's incarnation.
     `unexplained` are its runs on endpoints that may have crashed under it.
-    `proven_run` is the last run on trial that was seen to work.
+    `proven_run` is the last run on trial that was seen to work. `second` is
+    the run beside the current one, `copy_run` the number of the run that was
+    started as a copy, 0 for none.
     """
 
     name: str
@@ -88,6 +91,8 @@
     proven_run: int = 0
     address: str = ''
     born: float = 0.0
+    second: second_runs.SecondRun | None = None
+    copy_run: int = 0
 
     @property
     def on_trial(self) -> bool:
@@ -232,7 +237,12 @@
         """Return True if the endpoint confirmed the start to any owner."""
         if not self.recovered:
             return bool(self.confirmed_at)
-        return self.task is not None and self.task.status is Status.RUNNING
+        if self.task is None:
+            return False
+        second = self.task.second
+        if second is not None and second.run == self.run:
+            return second.confirmed
+        return self.task.status is Status.RUNNING
 
     @property
     def starts_trial(self) -> bool:
--- a/hibiscusslip/host/endpoint_session.py
+++ b/hibiscusslip/host/endpoint_session.py
@@ -5,6 +5,7 @@
 from hibiscusslip.dispatch import commands
 from hibiscusslip.dispatch import engine as engines
 from hibiscusslip.dispatch import state
+from hibiscusslip.dispatch import task_runs
 from hibiscusslip.host import context
 from hibiscusslip.host import wakeup_event
 from hibiscusslip.platform import endpoint_client
@@ -180,6 +181,10 @@
             self._engine.revert_start(start, 'too old to send', now)
             await self._plan_wakeup.set()
             return
+        if task_runs.is_needless(start.task, start.run):
+            self._engine.revert_start(start, 'not needed', now)
+            await self._write_wakeup.set()
+            return
         request = endpoint_client.StartRequest(
             start.task.name,
             start.run,
--- a/hibiscusslip/host/recovery.py
+++ b/hibiscusslip/host/recovery.py
@@ -201,7 +201,16 @@
             engine.active_steps.pop(step.name, None)
         for task in step.tasks:
             if task.status.placed:
-                _allocate(ctx, engine, task, now)
+                endpoint = _find_or_add(
+                    engine, task.endpoint, task.address, task.born
+                )
+                _allocate(ctx, endpoint, task, task.run, now)
+            if task.second is not None:
+                second = task.second
+                endpoint = _find_or_add(
+                    engine, second.endpoint, second.address, second.born
+                )
+                _allocate(ctx, endpoint, task, second.run, now)
             for loss in task.unexplained:
                 endpoint = _find_or_add(
                     engine, loss.endpoint, loss.address, loss.born
@@ -223,17 +232,20 @@
 
 
 def _allocate(
-    ctx: context.Context, engine: engines.Engine, task: state.Task, now: float
+    ctx: context.Context,
+    endpoint: state.Endpoint,
+    task: state.Task,
+    run: int,
+    now: float,
 ) -> None:
-    endpoint = _find_or_add(engine, task.endpoint, task.address, task.born)
-    told_end = ctx.ownership.leases_end.get(task.endpoint)
+    told_end = ctx.ownership.leases_end.get(endpoint.name)
     if told_end is not None:
         endpoint.inherited_leases_until = told_end + lease_timing.SLACK_S
     else:
         longest = lease_timing.longest_inherited(ctx.cfg.bounds.max_lease)
         endpoint.inherited_leases_until = now + longest
     allocation = state.Allocation(
-        task, task.run, task.step.spec.allocated_demand, now, recovered=True
+        task, run, task.step.spec.allocated_demand, now, recovered=True
     )
     endpoint.allocate(task.name, allocation)
 
