Copy straggling runs of steps that allow it

Cause: a task on an endpoint that is slow, hangs or can't be reached held up its job until the run was given up, although its step allows several runs.

Change: with Policy.copies, a scheduling pass ends by looking for runs that are overdue or whose endpoint is suspected while slack is short, and starts one copy of each on another endpoint, in another zone if possible, on capacity that no waiting step needs. copies.py decides, _copy_planning.py collects the inputs, copy_started logs them.

--- a/hibiscusslip/dispatch/_planning.py
+++ b/hibiscusslip/dispatch/_planning.py
@@ -3,6 +3,7 @@
 import dataclasses
 import typing
 
+from hibiscusslip.dispatch import _copy_planning
 from hibiscusslip.dispatch import _headroom
 from hibiscusslip.dispatch import _reservations
 from hibiscusslip.dispatch import _suspicion
@@ -12,7 +13,9 @@
 from hibiscusslip.dispatch import crashes
 from hibiscusslip.dispatch import ordering
 from hibiscusslip.dispatch import placement
+from hibiscusslip.dispatch import second_runs
 from hibiscusslip.dispatch import state
+from hibiscusslip.dispatch import task_runs
 
 if typing.TYPE_CHECKING:
     from hibiscusslip.dispatch import engine as engines
@@ -59,6 +62,8 @@
         advice_planning.request_advice_if_needed(
             engine, step, pool, candidates[step.job.service], now
         )
+    if engine.policy.copies:
+        _plan_copies(current)
 
 
 def _compute_spare(current: _Pass) -> None:
@@ -208,7 +213,9 @@
 ) -> None:
     newest = max(task.run for task in step.tasks)
     for choice in choices:
-        run = 1 + (newest if step.spec.gang else choice.task.run)
+        run = task_runs.next_run(choice.task)
+        if step.spec.gang:
+            run = 1 + newest
         _start(current, step, choice, run)
 
 
@@ -218,11 +225,9 @@
     choice: placement.Choice,
     run: int,
 ) -> None:
-    now = current.now
     task = choice.task
     endpoint = choice.endpoint
     assert endpoint.entry is not None
-    deadline = endpoint.clock_now(now) + START_VALID_S
     task.status = state.Status.STARTING
     task.run = run
     task.endpoint = endpoint.name
@@ -231,6 +236,104 @@
     task.started_at = 0.0
     step.job.has_started = True
     step.job.zone = endpoint.entry.zone
+    _send_start(current, step, choice, run)
+
+
+def _plan_copies(current: _Pass) -> None:
+    """Start copies of stragglers on capacity that nothing else needs."""
+    engine = current.engine
+    steps = list(engine.active_steps.values())
+    finder = _copy_planning.Finder(
+        engine.endpoints, engine.estimates, engine.queue_of, current.now
+    )
+    budgets: dict[str, _copy_planning.Budget] = {}
+    for straggler in finder.find(steps):
+        task = straggler.task
+        service = task.step.job.service
+        if service not in current.services:
+            continue
+        if service not in budgets:
+            budgets[service] = _copy_planning.Budget(
+                current.services[service], current.candidates[service], steps
+            )
+        demand = task.step.spec.allocated_demand
+        if not budgets[service].admits(demand):
+            continue
+        if _limit_to_spare(current, task.step, [task]):
+            if _try_copy(current, straggler):
+                budgets[service].spend(demand)
+
+
+def _try_copy(current: _Pass, straggler: _copy_planning.Straggler) -> bool:
+    """Start a copy if an endpoint admits it; else request tickets."""
+    engine = current.engine
+    now = current.now
+    step = straggler.task.step
+    needs_advice = engine.queue_of(step.job).advice is not None
+    candidates = current.candidates[step.job.service]
+    admitting = (
+        advice_planning.endpoints_admitting(step, now)
+        if needs_advice
+        else None
+    )
+    run_time = engine.estimates.run_time(step)
+    choice = _copy_planning.choose(
+        straggler,
+        [
+            candidate
+            for candidate in candidates.eligible_for(step, admitting)
+            if current.reserved.admits(candidate.endpoint, run_time, now)
+        ],
+    )
+    if choice is None:
+        advice_planning.request_advice_if_needed(
+            engine,
+            step,
+            current.services[step.job.service],
+            candidates,
+            now,
+            copied_from=straggler.endpoint.name,
+        )
+        return False
+    _start_copy(current, straggler, choice)
+    return True
+
+
+def _start_copy(
+    current: _Pass,
+    straggler: _copy_planning.Straggler,
+    choice: placement.Choice,
+) -> None:
+    """Start a second run of a task."""
+    task = choice.task
+    endpoint = choice.endpoint
+    run = task_runs.next_run(task)
+    task.copy_run = run
+    task.second = second_runs.SecondRun(
+        run, endpoint.name, endpoint.address, endpoint.born
+    )
+    _send_start(current, task.step, choice, run)
+    current.engine.note(
+        'copy_started',
+        run=run,
+        endpoint=endpoint.name,
+        zone=endpoint.zone,
+        **straggler.log_fields(),
+    )
+
+
+def _send_start(
+    current: _Pass,
+    step: state.StepState,
+    choice: placement.Choice,
+    run: int,
+) -> None:
+    """Allocate for a run and add the command that starts it."""
+    now = current.now
+    task = choice.task
+    endpoint = choice.endpoint
+    assert endpoint.entry is not None
+    deadline = endpoint.clock_now(now) + START_VALID_S
     if step.job.service in current.spare:
         current.spare[step.job.service] -= step.spec.allocated_demand.cpu
     allocation = state.Allocation(
--- a/hibiscusslip/dispatch/advice_planning.py
+++ b/hibiscusslip/dispatch/advice_planning.py
@@ -38,13 +38,22 @@
     pool: list[state.Endpoint],
     candidates: candidate_pool.Candidates,
     now: float,
+    copied_from: str = '',
 ) -> None:
-    """Request tickets if a step will need them soon."""
+    """Request tickets if a step will need them soon.
+
+    `copied_from` is the endpoint of a run of which a copy is needed, which
+    mustn't be there; '' if the step waits for a start.
+    """
     advice = engine.queue_of(step.job).advice
     if advice is None or step.advice_pending or now < step.next_advice_at:
         return
-    if not step.has_waiting() or _awaits_lost_member(engine, step):
+    if not (step.has_waiting() or copied_from):
+        return
+    if _awaits_lost_member(engine, step):
         return
+    if copied_from:
+        pool = [item for item in pool if item.name != copied_from]
     max_endpoints = min(len(pool), advice_sizing.MAX_ENDPOINTS_PER_CALL)
     longest = advice.cost(max_endpoints)
     if not _is_ready_by_reply(engine, step, longest, now):
@@ -52,7 +61,7 @@
     renewal = advice.cost(min(len(step.eligible), max_endpoints))
     if not _has_call_capacity(engine, advice.cost(1)):
         return
-    if not _needs_tickets(step, candidates, renewal, now):
+    if not _needs_tickets(step, candidates, renewal, now, copied_from):
         return
     names = advice_sizing.select(
         step,
@@ -133,13 +142,17 @@
     candidates: candidate_pool.Candidates,
     cost: float,
     now: float,
+    unsuitable: str = '',
 ) -> bool:
     """Return True if a call is due; a renewal takes `cost` seconds.
 
     It is due when no ticket would be valid at its end without it, or when the
-    endpoints with a ticket are full and others have free capacity.
+    endpoints with a ticket are full and others have free capacity. A ticket
+    of the `unsuitable` endpoint doesn't count.
     """
-    names = step.endpoints_with_ticket(now + cost + START_MARGIN_S + LEAD_S)
+    valid_until = now + cost + START_MARGIN_S + LEAD_S
+    names = step.endpoints_with_ticket(valid_until)
+    names = [name for name in names if name != unsuitable]
     if not names:
         return True
     if now < step.next_widening_at:
@@ -156,7 +169,7 @@
     """Return True if only endpoints without a ticket have free capacity."""
     if not candidates.may_fit_anywhere(step.spec.allocated_demand):
         return False
-    waiting = len(step.waiting())
+    waiting = max(len(step.waiting()), 1)  # or a copy
     with_ticket = candidates.eligible_for(step, names)
     missing = waiting - advice_sizing.free_tasks(step, with_ticket)
     if missing <= 0:
--- a/hibiscusslip/dispatch/advice_sizing.py
+++ b/hibiscusslip/dispatch/advice_sizing.py
@@ -104,7 +104,7 @@
         if (prospect := _make_prospect(step, endpoint, candidates, share))
     ]
     prospects.sort(key=lambda prospect: prospect.sort_key)
-    tasks = CROWDING * sum(1 for _ in step.waiting())
+    tasks = CROWDING * max(len(step.waiting()), 1)  # or a copy
     if step.spec.same_rack or step.spec.long_running:
         tasks = math.inf
     chosen = _choose_in_one_zone(step, prospects, tasks)
--- a/hibiscusslip/host/owner.py
+++ b/hibiscusslip/host/owner.py
@@ -6,6 +6,7 @@
 import curio
 
 from hibiscusslip.dispatch import commands
+from hibiscusslip.dispatch import copies
 from hibiscusslip.dispatch import engine as engines
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import summary
@@ -43,6 +44,7 @@
         'endpoint_replaced',
         'crash_suspected',
         'task_given_up',
+        *copies.EVENTS,
     )
 )
 
