Don't send a copy whose task is done meanwhile

Cause: a start request is sent after its record is written, and repeated while it is unanswered. The run that it copies may be done, and its end acknowledged, in that time.

Change: the session checks before each attempt whether the copy is still of use, and reverts it if no attempt may have had an effect.

--- a/hibiscusslip/host/endpoint_session.py
+++ b/hibiscusslip/host/endpoint_session.py
@@ -181,21 +181,11 @@
             self._engine.revert_start(start, 'too old to send', now)
             await self._plan_wakeup.set()
             return
-        if task_runs.is_needless(start.task, start.run):
-            self._engine.revert_start(start, 'not needed', now)
-            await self._write_wakeup.set()
-            return
-        request = endpoint_client.StartRequest(
-            start.task.name,
-            start.run,
-            start.payload,
-            start.deadline,
-            self._epoch,
-            start.checkpoint,
-            start.ticket,
-        )
+        request = self._start_request(start)
         give_up_at = start.decided_at + MAX_START_AGE_S + START_RETRY_MARGIN_S
         while now < give_up_at and self._holds_ownership():
+            if task_runs.is_needless(start.task, start.run):
+                break
             try:
                 clock = await self._client.start(request, CALL_TIMEOUT_S)
                 await self._handle_started(start, now, clock)
@@ -219,6 +209,19 @@
         reason = 'in doubt' if indeterminate else 'unreached'
         await self._handle_start_failure(start, reason, indeterminate)
 
+    def _start_request(
+        self, start: commands.Start
+    ) -> endpoint_client.StartRequest:
+        return endpoint_client.StartRequest(
+            start.task.name,
+            start.run,
+            start.payload,
+            start.deadline,
+            self._epoch,
+            start.checkpoint,
+            start.ticket,
+        )
+
     def _holds_ownership(self) -> bool:
         """Return True if this host still owns the cell in the same epoch.
 
--- a/tests/host/test_endpoint_session.py
+++ b/tests/host/test_endpoint_session.py
@@ -5,6 +5,7 @@
 from hibiscusslip.dispatch import commands
 from hibiscusslip.dispatch import engine as engines
 from hibiscusslip.dispatch import model
+from hibiscusslip.dispatch import state
 from hibiscusslip.host import context
 from hibiscusslip.host import endpoint_session
 from hibiscusslip.host import wakeup_event
@@ -123,3 +124,25 @@
 
 def test_command_isnt_sent_after_the_ownership_was_lost():
     assert send_commands(held_epoch=0) == []
+
+
+def test_copy_is_sent_after_its_task_was_done():
+    """The end is acknowledged by then, and no run may start after that."""
+    ctx = fakes.make_context(fakes.FakeStore())
+    now = context.monotonic()
+    ctx.ownership.record_claim(1, now)
+    bench = support.Bench()
+    bench.now = now
+    endpoint = bench.endpoint('e1')
+    bench.submit('j', support.step(speculative=True))
+    (start,) = bench.plan()
+    start.task.copy_run = start.run
+    start.task.status = state.Status.DONE
+    wakeup = wakeup_event.WakeupEvent()
+    session = endpoint_session.EndpointSession(
+        ctx, bench.engine, 'e1', 'h:1', 1, wakeup, wakeup, wakeup
+    )
+    session._client = CommandClient()
+    curio.run(session.send_start, start)
+    assert session._client.sent == []
+    assert not endpoint.allocations
