--- a/hibiscusslip/dispatch/_copy_planning.py
+++ b/hibiscusslip/dispatch/_copy_planning.py
@@ -23,7 +23,6 @@
 
     task: state.Task
     endpoint: state.Endpoint
-    reason: copies.Reason
     run: copies.Observation
     expected: estimates.Expectation
     rank: ordering.Rank
@@ -37,7 +36,7 @@
             'task': self.task.name,
             'copied_run': self.task.run,
             'copied_from': self.endpoint.name,
-            'reason': self.reason.value,
+            'reason': str(copies.reason_to_copy(run, self.expected)),
             'elapsed_ms': int(run.elapsed * MS_PER_S),
             'remaining_ms': (
                 int(remaining * MS_PER_S) if remaining < float('inf') else None
@@ -87,45 +86,69 @@
 
     def _find_in_step(self, step: state.StepState) -> list[Straggler]:
         expected = self.run_times.expect(step)
-        max_attempts = self.queue_of(step.job).max_attempts
+        suspects = self._suspects(step, expected)
+        if not suspects:
+            return []
+        rank = self._rank(step)
+        if not copies.is_urgent(rank, expected):
+            return []
         found = []
-        for task in step.tasks:
-            if not self._may_copy(task, max_attempts):
-                continue
-            straggler = self._examine(task, expected)
-            if straggler is not None:
-                found.append(straggler)
+        for task, endpoint in suspects:
+            run = self._examine(task, endpoint, expected)
+            if run is not None:
+                found.append(Straggler(task, endpoint, run, expected, rank))
         return found
 
-    def _may_copy(self, task: state.Task, max_attempts: int) -> bool:
-        """Return False if a second run isn't allowed or wasn't of use."""
-        return (
-            task.status.placed
-            and not task.copy_run
-            and not task.on_trial
-            and self.now >= task.not_before
-            and copies.may_fail(task.failures, max_attempts)
-        )
+    def _suspects(
+        self, step: state.StepState, expected: estimates.Expectation
+    ) -> list[tuple[state.Task, state.Endpoint]]:
+        """Return the tasks to examine; a cheap check leaves out the most."""
+        started_before = self.now - copies.min_elapsed(expected)
+        suspects = []
+        for task in step.tasks:
+            if not task.status.placed or task.copy_run:
+                continue
+            endpoint = self.endpoints.get(task.endpoint)
+            if endpoint is None:
+                continue
+            if task.started_at <= started_before or endpoint.suspected_at:
+                suspects.append((task, endpoint))
+        return suspects
 
     def _examine(
-        self, task: state.Task, expected: estimates.Expectation
-    ) -> Straggler | None:
-        endpoint = self.endpoints.get(task.endpoint)
-        if endpoint is None:
-            return None
+        self,
+        task: state.Task,
+        endpoint: state.Endpoint,
+        expected: estimates.Expectation,
+    ) -> copies.Observation | None:
+        """Return what is known of a run if there is a reason to copy it."""
         allocation = endpoint.allocations.get((task.name, task.run))
         if allocation is None or allocation.stop_requested_at:
             return None
-        if allocation.on_probation:
-            return None  # it may crash the endpoint of its copy as well
         run = self._observe(endpoint, allocation)
-        reason = copies.reason_to_copy(run, expected)
-        if reason is None:
+        if copies.reason_to_copy(run, expected) is None:
             return None
-        rank = self._rank(task.step)
-        if not copies.is_urgent(rank, expected):
+        if not self._may_copy(task, allocation):
             return None
-        return Straggler(task, endpoint, reason, run, expected, rank)
+        run = self._observe_peers(endpoint, allocation, run)
+        if copies.reason_to_copy(run, expected) is None:
+            return None
+        return run
+
+    def _may_copy(
+        self, task: state.Task, allocation: state.Allocation
+    ) -> bool:
+        """Return False if a second run could do harm.
+
+        A run on probation may crash the endpoint of its copy as well.
+        """
+        max_attempts = self.queue_of(task.step.job).max_attempts
+        return (
+            not task.on_trial
+            and not allocation.on_probation
+            and self.now >= task.not_before
+            and copies.may_fail(task.failures, max_attempts)
+        )
 
     def _observe(
         self, endpoint: state.Endpoint, allocation: state.Allocation
@@ -136,24 +159,37 @@
             self._remaining(allocation),
             self.now - suspected_at if suspected_at else 0.0,
             copies.speed_of(endpoint),
-            any(
-                self._is_on_time(other, copies.speed_of(endpoint))
-                for other in endpoint.allocations.values()
-                if other is not allocation
-            ),
         )
 
+    def _observe_peers(
+        self,
+        endpoint: state.Endpoint,
+        allocation: state.Allocation,
+        run: copies.Observation,
+    ) -> copies.Observation:
+        """Add whether other runs on the endpoint are on time."""
+        on_time = any(
+            self._is_on_time(other, run.speed)
+            for other in endpoint.allocations.values()
+            if other is not allocation
+        )
+        return dataclasses.replace(run, peers_on_time=on_time)
+
     def _elapsed(self, allocation: state.Allocation) -> float:
         assert allocation.task is not None
         return self.now - (allocation.task.started_at or allocation.decided_at)
 
     def _remaining(self, allocation: state.Allocation) -> float:
-        """Return how long a run still takes if it progresses as before."""
+        """Return how long a run still takes if it progresses as before.
+
+        Percentages are cut off, so the next one may be nearly reached.
+        """
         age = self.now - allocation.progressed_at
-        if age > FRESH_PROGRESS_S or allocation.percent <= 0:
+        if age > FRESH_PROGRESS_S:
             return float('inf')
-        left = FULL_PERCENT - allocation.percent
-        return self._elapsed(allocation) * left / allocation.percent
+        percent = min(allocation.percent + 1, FULL_PERCENT)
+        left = FULL_PERCENT - percent
+        return self._elapsed(allocation) * left / percent
 
     def _is_on_time(self, allocation: state.Allocation, speed: float) -> bool:
         """Return True if a run progresses as expected."""
--- a/hibiscusslip/dispatch/copies.py
+++ b/hibiscusslip/dispatch/copies.py
@@ -18,9 +18,10 @@
 EVENTS = ('copy_started', 'copy_promoted', 'copy_won', 'copy_lost')
 MIN_SUSPICION_S = 0.5  # a single unanswered call is no reason
 MIN_ELAPSED_S = 0.5  # below, the delays of starts and reports dominate
+MIN_PROJECTED_SHARE = 0.5  # of the median, before a run's end is projected
 DECLARED_FACTOR = 2.0  # by which declared run times may be too low
 START_OVERHEAD_S = 0.2  # from the decision until the copy is at work
-MAX_COPIES_SHARE = 0.05  # of the runs of a pool
+MAX_COPIES_SHARE = 0.1  # of the runs of a pool
 MIN_COPIES = 2  # at a time, in a small pool
 
 
@@ -35,10 +36,10 @@
 class Observation:
     """What is known of a run.
 
-    It started `elapsed` seconds ago. By its progress it needs `remaining`
-    more seconds, infinite if it doesn't progress. Its endpoint is suspected
-    for `suspected_for` seconds and has a `speed` of 1 if it is ordinary.
-    `peers_on_time` is True if other runs there progress as expected.
+    It started `elapsed` seconds ago. By its progress it needs at least
+    `remaining` more seconds, infinite if it doesn't progress. Its endpoint is
+    suspected for `suspected_for` seconds and has a `speed` of 1 if it is
+    ordinary. `peers_on_time` is True if other runs there progress as expected.
     """
 
     elapsed: float
@@ -67,7 +68,7 @@
     """Return why a copy should be done before the run, None if it won't."""
     if run.suspected_for >= MIN_SUSPICION_S:
         return Reason.SUSPECTED
-    if run.elapsed <= overdue_after(expected, run.speed):
+    if not _is_overdue(run, expected):
         return None
     if run.remaining <= expected.median + START_OVERHEAD_S:
         return None
@@ -76,6 +77,21 @@
     return Reason.OVERDUE
 
 
+def min_elapsed(expected: estimates.Expectation) -> float:
+    """Return for how long a run is left alone unless it is suspected."""
+    return max(MIN_ELAPSED_S, MIN_PROJECTED_SHARE * expected.median)
+
+
+def _is_overdue(run: Observation, expected: estimates.Expectation) -> bool:
+    """Return True if a run takes longer than expected, or will by then."""
+    limit = overdue_after(expected, run.speed)
+    if run.remaining == float('inf'):
+        return run.elapsed > limit
+    if run.elapsed < min_elapsed(expected):
+        return False
+    return run.elapsed + run.remaining > limit
+
+
 def is_urgent(rank: ordering.Rank, expected: estimates.Expectation) -> bool:
     """Return True if the copy has to start now to be of use.
 
--- a/tests/dispatch/test_copies.py
+++ b/tests/dispatch/test_copies.py
@@ -27,7 +27,7 @@
     return bench
 
 
-def running(start, percent=20):
+def running(start, percent=60):
     return model.RunningRun(start.task.name, start.run, '', percent, 0.0)
 
 
@@ -352,12 +352,17 @@
 @pytest.mark.parametrize(
     'run, reason',
     [
-        (copies.Observation(1.4, 9.0), None),
-        (copies.Observation(1.6, 9.0), 'overdue'),
-        (copies.Observation(1.6, 9.0, speed=0.5), None),
-        (copies.Observation(3.1, 9.0, speed=0.5), 'overdue'),
+        (copies.Observation(1.4, float('inf')), None),
+        (copies.Observation(1.6, float('inf')), 'overdue'),
+        (copies.Observation(1.6, float('inf'), speed=0.5), None),
+        (copies.Observation(3.1, float('inf'), speed=0.5), 'overdue'),
+        (copies.Observation(0.4, 9.0), None),
+        (copies.Observation(0.6, 9.0), 'overdue'),
+        (copies.Observation(0.6, 0.8), None),
+        (copies.Observation(1.6, 1.3, speed=0.5), None),
+        (copies.Observation(1.6, 1.5, speed=0.5), 'overdue'),
         (copies.Observation(1.6, 1.1), None),
-        (copies.Observation(1.6, 9.0, peers_on_time=True), None),
+        (copies.Observation(0.6, 9.0, peers_on_time=True), None),
         (
             copies.Observation(1.6, float('inf'), peers_on_time=True),
             'overdue',
@@ -372,7 +377,8 @@
 
 def test_declared_run_times_are_relied_on():
     declared = estimates.Expectation(1.0, 1.0, 0, 'declared')
-    run = copies.Observation(1.6, 9.0)
+    run = copies.Observation(0.6, 1.3)
+    assert copies.reason_to_copy(run, EXPECTED) == 'overdue'
     assert copies.reason_to_copy(run, declared) is None
 
 
