soak: play copies if they are enabled

Cause: the soak takes any second run of a task for a violation, so it couldn't be played with HIBISCUSSLIP_COPIES=on.

Without it trials are as before.

--- a/tests/platform/soak/__main__.py
+++ b/tests/platform/soak/__main__.py
@@ -107,6 +107,7 @@
             'refused': sum(job.refused for job in jobs),
             'deadly': sum(job.deadly for job in jobs),
             'starts': checker.starts,
+            'copies': checker.copies,
             'platform_stall_s': checker.longest_stall_s,
             'faults': [done.fault.kind for done in self._injector.done],
         }
--- a/tests/platform/soak/callers.py
+++ b/tests/platform/soak/callers.py
@@ -19,6 +19,7 @@
 NOT_REACHED = -1
 CANCELLED_SHARE = 0.1
 DEADLY_SHARE = 0.01
+SPECULATIVE_SHARE = 0.5
 SUBMIT_INTERVAL_S = 0.12
 
 
@@ -47,6 +48,7 @@
     counts: list[int]
     cpus: list[int]
     deadly: bool = False
+    speculative: bool = False
     submissions: list[CallResult] = dataclasses.field(default_factory=list)
     queries: list[CallResult] = dataclasses.field(default_factory=list)
     cancellations: list[CallResult] = dataclasses.field(default_factory=list)
@@ -89,6 +91,9 @@
         job = Job(f'{rng.getrandbits(64):016x}', counts, cpus)
         # Drawn apart, so that the seeds play the same faults as ever.
         job.deadly = random.Random(job.job_id).random() < DEADLY_SHARE
+        if layout.COPIES:
+            draw = random.Random(f'copies {job.job_id}').random()
+            job.speculative = draw < SPECULATIVE_SHARE
         self.jobs[job.job_id] = job
         await self._submit(job)
         if job.accepted_at is None:
@@ -108,6 +113,7 @@
                 'Cpu': job.cpus[number],
                 'MemMb': 10,
                 'EstimateMs': rng.choice((100, 400, 1500)),
+                **({'Speculative': True} if job.speculative else {}),
                 **({'DependsOn': [number - 1]} if number else {}),
             }
             for number, count in enumerate(job.counts)
--- a/tests/platform/soak/cell.py
+++ b/tests/platform/soak/cell.py
@@ -11,6 +11,7 @@
 
 import curio
 
+from hibiscusslip.host import options
 from hibiscusslip.http import client
 from hibiscusslip.http import exceptions
 from tests.platform import cell as samples
@@ -53,6 +54,7 @@
             'HIBISCUSSLIP_PEER_SECRET': SECRET,
             hosted.SHIFT_VARIABLE: str(self.clock_shift),
             hosted.BUG_VARIABLE: bug,
+            options.COPIES_VARIABLE: 'on' if layout.COPIES else 'off',
         }
         with self.log.open('ab') as log:
             self.process = subprocess.Popen(
--- a/tests/platform/soak/layout.py
+++ b/tests/platform/soak/layout.py
@@ -1,5 +1,12 @@
 """Sizes and time limits of a trial."""
 
+import os
+
+from hibiscusslip.host import options
+
+# With it half of the jobs allow copies, and hosts start some.
+COPIES = os.environ.get(options.COPIES_VARIABLE) == 'on'
+
 HOSTS = 4
 ENDPOINTS = 4
 CAPACITY_CPU = 8000  # of one endpoint, thousandths of a core
