--- a/tests/dispatch/test_copies.py
+++ b/tests/dispatch/test_copies.py
@@ -1,5 +1,6 @@
 """Check that stragglers get a copy, and what becomes of the two runs."""
 
+import msgspec
 import pytest
 
 from hibiscusslip.dispatch import copies
@@ -267,6 +268,33 @@
     assert start.run == copy.run + 1
 
 
+def test_record_of_the_former_version_is_unreadable():
+    bench = make_bench()
+    original, copy = copied(bench)
+    data = records.encode_job(bench.engine.jobs['j'])
+    *fields, rows = msgspec.msgpack.decode(data)
+    assert [row[3:6] for row in rows] == [[2, 2, copy.endpoint]]
+    former = records.decode_job(msgspec.msgpack.encode(fields))
+    assert former.copies == []
+    assert former.tasks[0].run == original.run
+
+
+def test_pool_has_copies_without_bound():
+    bench = make_bench()
+    bench.endpoint('e3', cpu=9000, zone='z3')
+    bench.endpoint('e4', cpu=9000, zone='z4')
+    bench.submit('j', support.step(6, speculative=True))
+    starts = bench.plan()
+    bench.confirm(starts)
+    bench.now += 0.6
+    for name in {start.endpoint for start in starts}:
+        runs = [running(s) for s in starts if s.endpoint == name]
+        bench.report(name, running=runs)
+    bench.now += 1.6
+    assert len(bench.plan()) == copies.MIN_COPIES
+    assert bench.plan() == []
+
+
 def test_cancel_leaves_a_run_of_two():
     bench = make_bench()
     original, copy = copied(bench)
