Count gangs among the steps that allow no copies in random cells

Cause: a gang with the flag was allowed two runs of a member there, although gangs never have copies.

--- a/tests/dispatch/copying_cell.py
+++ b/tests/dispatch/copying_cell.py
@@ -77,12 +77,13 @@
             for task, _ in machine.running:
                 counts[task] = counts.get(task, 0) + 1
         for task, count in counts.items():
-            copied = self._spec_of(task).speculative
+            copied = self._allows_copies(task)
             self.runs_at_once[copied] = max(self.runs_at_once[copied], count)
 
-    def _spec_of(self, task):
+    def _allows_copies(self, task):
         job_id, _, number, _ = task.split('.')
-        return self.specs[job_id].steps[int(number)]
+        step = self.specs[job_id].steps[int(number)]
+        return step.speculative and not step.gang
 
     def _chance(self, *of):
         return random.Random(f'{self.seed} {of}').random()
@@ -170,5 +171,5 @@
             for machine in self.machines
             for other, other_run in machine.running
         )
-        if others > self._spec_of(name).speculative:
+        if others > self._allows_copies(name):
             self.twice.append((self.now, name, run))
