--- a/hibiscusslip/bench/dispatching.py
+++ b/hibiscusslip/bench/dispatching.py
@@ -13,16 +13,19 @@
 import itertools
 import random
 import time
+import typing
 import zlib
 
 import cyclopts
 
 from hibiscusslip.bench import dispatch_loads
+from hibiscusslip.bench import dispatch_report
 from hibiscusslip.dispatch import commands
 from hibiscusslip.dispatch import engine as engines
-from hibiscusslip.dispatch import estimates
 from hibiscusslip.dispatch import model
+from hibiscusslip.dispatch import policy as policies
 from hibiscusslip.dispatch import records
+from hibiscusslip.dispatch import state
 from hibiscusslip.host import lease_timing
 
 STEP_S = 0.05
@@ -32,29 +35,8 @@
 STOPPED = model.RunOutcome.STOPPED
 
 
-@dataclasses.dataclass(slots=True)
-class JobCounts:
-    """Count the jobs of a kind by how they completed.
-
-    `total_time` is the time that the completed ones took, in seconds.
-    """
-
-    submitted: int = 0
-    on_time: int = 0
-    late: int = 0
-    completed: int = 0
-    total_time: float = 0.0
-
-
-@dataclasses.dataclass(slots=True)
-class Report:
-    """Represent the results of a replay.
-
-    `pass_times` are the processor times of the scheduling passes in seconds.
-    """
-
-    kinds: dict[str, JobCounts]
-    pass_times: list[float]
+def _ignore(event: str, **fields: typing.Any) -> None:
+    return None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -77,6 +59,8 @@
         seed: int,
         load: dispatch_loads.Load,
         bursts: tuple[dispatch_loads.Burst, ...] = (),
+        policy: policies.Policy = policies.Policy(),
+        note: engines.Note = _ignore,
     ) -> None:
         self._seed = seed
         self._arrivals_rng = random.Random(seed)
@@ -95,20 +79,22 @@
         self._running: dict[str, dict[tuple[str, int], _Run]]
         self._running = collections.defaultdict(dict)
         self._remaining: dict[str, float] = {}
-        self._open_jobs: dict[
-            str, tuple[dispatch_loads.Kind, float, float]
-        ] = {}
-        self._report = Report({k: JobCounts() for k in self._kinds}, [])
+        self._open_jobs: dict[str, tuple[float, float]] = {}
+        self._started_jobs: set[str] = set()
+        self._report = dispatch_report.Report(
+            {k: dispatch_report.JobCounts() for k in self._kinds}, []
+        )
+        self._speeds: dict[str, float] = {}
         self._engine = engines.Engine(
-            lease_timing.USUAL_LEASE_S, lambda event, **fields: None
+            lease_timing.USUAL_LEASE_S, note, policy=policy
         )
         self._engine.config = _make_configuration(load.kinds)
         self._engine.adviser_count = ADVISER_COUNT
         for pool in load.pools:
             for number in range(pool.count):
-                self._add_endpoint(pool, f'{pool.service}-{number}')
+                self._add_endpoint(pool, number)
 
-    def run(self, seconds: float) -> Report:
+    def run(self, seconds: float) -> dispatch_report.Report:
         """Replay arrivals for a time and return the results.
 
         Jobs that are still open then get another 60 s to complete.
@@ -131,15 +117,16 @@
         self._execute_commands()
         self._count_completed()
 
-    def _add_endpoint(self, pool: dispatch_loads.Pool, name: str) -> None:
-        capacity = model.Demand(pool.cores * 1000, 512_000, pool.accelerators)
+    def _add_endpoint(self, pool: dispatch_loads.Pool, number: int) -> None:
+        name = f'{pool.service}-{number}'
+        self._speeds[name] = pool.speed(number)
         entry = model.EndpointEntry(
             name=name,
             service=pool.service,
             address=f'{name}:1',
             zone='z',
             labels=(),
-            capacity=capacity,
+            capacity=pool.capacity(number),
             draining=False,
             seq=1,
             born=1.0,
@@ -177,23 +164,25 @@
 
     def _submit(self, kind: dispatch_loads.Kind) -> None:
         job_id = f'{kind.name}-{next(self._job_numbers)}'
-        declared = kind.run * self._arrivals_rng.uniform(0.6, 1.6)
-        step = model.Step(
-            max(int(kind.tasks * self._arrivals_rng.uniform(0.5, 1.5)), 1),
-            model.Demand(int(kind.cpu * 1000), 1000, kind.accelerators),
-            estimate=declared,
-            checkpoints=kind.checkpoints,
-            gang=kind.gang,
-        )
-        spec = model.JobSpec('', (step,))
+        spec = dispatch_loads.make_spec(kind, self._arrivals_rng)
+        self._report.kinds[kind.name].submitted += 1
+        self._accept(job_id, kind, spec)
+
+    def _accept(
+        self,
+        job_id: str,
+        kind: dispatch_loads.Kind,
+        spec: model.JobSpec,
+        organisation: str = '',
+    ) -> None:
+        wall_time = WALL_TIME_S + self._now
         submission = records.Submission(
-            kind.name, kind.service, WALL_TIME_S, b''
+            kind.name, kind.service, wall_time, b'', organisation
         )
-        self._engine.submit(job_id, submission, spec, self._now, WALL_TIME_S)
+        self._engine.submit(job_id, submission, spec, self._now, wall_time)
         advice = kind.advice.cost(30) if kind.advice else 0.0
         allowed = kind.stretch * (kind.run + advice) + 0.25
-        self._open_jobs[job_id] = (kind, self._now, allowed)
-        self._report.kinds[kind.name].submitted += 1
+        self._open_jobs[job_id] = (self._now, allowed)
 
     def _execute_commands(self) -> None:
         engine = self._engine
@@ -211,6 +200,7 @@
             )
             heapq.heappush(self._advice_replies, row)
         starts, engine.starts = engine.starts, []
+        self._report.starts += len(starts)
         for start in starts:
             self._start(start)
         engine.dirty = set()
@@ -219,13 +209,27 @@
         """Start a run, which resumes from the checkpoint of a stopped run."""
         self._engine.confirm_start(start, self._now)
         kind = self._kinds[start.task.step.job.queue]
-        full_duration = kind.run * (0.7 + 0.6 * self._chance(start, 'time'))
+        full_duration = kind.duration(
+            self._chance(start, 'time'), self._chance(start, 'tail')
+        )
         duration = full_duration * self._remaining.pop(start.task.name, 1.0)
+        duration /= self._speeds[start.endpoint]
+        self._count_start(start.task.step.job)
         run = _Run(self._now, duration)
         self._running[start.endpoint][start.task.name, start.run] = run
         row = (self._now + duration, next(self._sequence), start)
         heapq.heappush(self._run_ends, row)
 
+    def _count_start(self, job: state.Job) -> None:
+        """Count the wait of a job, up to its first start."""
+        known = self._open_jobs.get(job.job_id)
+        if known is None or job.job_id in self._started_jobs:
+            return
+        self._started_jobs.add(job.job_id)
+        sent, _ = known
+        for counts in self._counts_of(job):
+            counts.add_start(self._now - sent)
+
     def _stop(self, stop: commands.Stop) -> None:
         """Schedule the end of a run; its progress is kept as a checkpoint."""
         run = (stop.task, stop.run)
@@ -289,20 +293,18 @@
         )
 
     def _count_completed(self) -> None:
-        for job_id, (kind, sent, allowed) in list(self._open_jobs.items()):
+        for job_id, (sent, allowed) in list(self._open_jobs.items()):
             job = self._engine.jobs[job_id]
             elapsed = self._now - sent
-            counts = self._report.kinds[kind.name]
             if job.state is model.JobState.COMPLETED:
-                counts.completed += 1
-                counts.total_time += elapsed
-                counts.on_time += elapsed <= allowed
-                counts.late += (
-                    allowed < elapsed <= estimates.LATE_FACTOR * allowed
-                )
+                for counts in self._counts_of(job):
+                    counts.add(elapsed, allowed)
             if job.state.final:
                 del self._open_jobs[job_id]
 
+    def _counts_of(self, job: state.Job) -> list[dispatch_report.JobCounts]:
+        return [self._report.kinds[job.queue]]
+
 
 def _uniform_hash(text: str) -> float:
     """Return a number in [0, 1) that depends only on the text."""
@@ -330,25 +332,6 @@
     return model.Configuration(1, queues, services)
 
 
-def print_report(report: Report) -> None:
-    """Print the results by kind and the processor time of a pass."""
-    print(
-        f'{"kind":<12}{"submitted":>10}{"on time":>9}{"late":>7}{"mean s":>8}'
-    )
-    for name, counts in report.kinds.items():
-        total = max(counts.submitted, 1)
-        print(
-            f'{name:<12}{counts.submitted:>10}{counts.on_time / total:>9.3f}'
-            f'{counts.late / total:>7.3f}'
-            f'{counts.total_time / max(counts.completed, 1):>8.2f}'
-        )
-    times = sorted(report.pass_times)
-    print(
-        f'{len(times)} passes: mean {sum(times) / len(times) * 1e3:.2f} ms,'
-        f' p99 {times[len(times) * 99 // 100] * 1e3:.2f} ms'
-    )
-
-
 app = cyclopts.App(name='dispatching', help=__doc__)
 
 
@@ -360,22 +343,30 @@
     factor: float = 2.5,
     scale: int = 1,
     deployment: str = 'planning',
+    learned: bool = False,
+    speeds: bool = False,
 ) -> None:
     """Replay the arrivals of a grown deployment.
 
     Parameters
     ----------
     deployment
-        Name of its load: 'planning' or 'recheck'.
+        Name of its load: 'planning', 'recheck' or 'uneven'.
     burst
         Kind whose arrivals are multiplied by `factor` from 5 s to 9 s; none
         if empty.
     scale
         Factor for the number of endpoints and the rate of arrivals.
+    learned
+        Expect run times as learned from finished runs.
+    speeds
+        Consider the speeds of endpoints.
     """
     load = dispatch_loads.LOADS[deployment].scaled(scale)
     bursts = (dispatch_loads.Burst(burst, factor, 5.0, 9.0),) if burst else ()
-    print_report(Replay(seed, load, bursts).run(seconds))
+    policy = policies.Policy(learned_run_times=learned, endpoint_speeds=speeds)
+    replay = Replay(seed, load, bursts, policy)
+    dispatch_report.print_report(replay.run(seconds))
 
 
 if __name__ == '__main__':
--- a/hibiscusslip/commands/_timeline.py
+++ b/hibiscusslip/commands/_timeline.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from hibiscusslip.commands import _output
+from hibiscusslip.commands import _waits
 from hibiscusslip.commands import exceptions
 
 MAX_LINE_CHARS = 64 * 1024
@@ -14,14 +15,18 @@
 # Events that decide the outcome of a job, the most conclusive first.
 DECIDING_EVENTS = (
     'job_refused',
+    'job_rejected',
     'job_invalid',
+    'caller_refused',
     'job_in_doubt',
     'job_ended',
     'run_lost',
     'run_stands_still',
     'start_in_doubt',
     'start_refused',
+    'cancel_ignored',
     'cancel_taken',
+    'held_by_limit',
 )
 # Changes of the state of hosts, shards and endpoints that may explain what
 # happens to a job meanwhile.
@@ -58,7 +63,8 @@
 
     `around` has the context events of the same period, `deciding` is the
     index of the event that decided the outcome, or -1, and `bad_lines` is the
-    number of lines that couldn't be parsed.
+    number of lines that couldn't be parsed. `waits` are those whose cause an
+    event names.
     """
 
     job: str
@@ -66,6 +72,7 @@
     around: list[Event]
     deciding: int
     bad_lines: int
+    waits: list[_waits.Wait] = dataclasses.field(default_factory=list)
 
 
 def read_timeline(job: str, paths: list[pathlib.Path]) -> Timeline:
@@ -87,7 +94,9 @@
                 context.append(event)
     events.sort(key=lambda event: event.at)
     around = _select_context(events, context)
-    return Timeline(job, events, around, _find_deciding(events), bad_lines)
+    deciding = _find_deciding(events)
+    waits = _waits.find([event.fields for event in events])
+    return Timeline(job, events, around, deciding, bad_lines, waits)
 
 
 def _read_lines(path: pathlib.Path) -> typing.Iterator[str]:
@@ -147,6 +156,7 @@
         'around': [event.fields for event in timeline.around],
         'deciding': timeline.deciding,
         'bad_lines': timeline.bad_lines,
+        'waits': [dataclasses.asdict(wait) for wait in timeline.waits],
     }
     _output.show(document, as_json, _format_timeline(timeline))
     if not timeline.events:
@@ -176,6 +186,7 @@
             f'{marker}{event.at - start:9.3f} s  {indent}{event.host}'
             f'  {event.name}  {_format_fields(event)}'
         )
+    lines.extend(wait.describe() for wait in timeline.waits)
     lines.append(
         f'{timeline.bad_lines} unreadable lines; * marks the deciding event'
     )
--- a/hibiscusslip/dispatch/_copy_planning.py
+++ b/hibiscusslip/dispatch/_copy_planning.py
@@ -42,7 +42,7 @@
                 int(remaining * MS_PER_S) if remaining < float('inf') else None
             ),
             'suspected_ms': int(run.suspected_for * MS_PER_S),
-            'speed': run.speed,
+            'speed': round(run.speed, 2),
             'median_ms': int(self.expected.median * MS_PER_S),
             'high_ms': int(self.expected.high * MS_PER_S),
             'runs': self.expected.runs,
@@ -158,7 +158,7 @@
             self._elapsed(allocation),
             self._remaining(allocation),
             self.now - suspected_at if suspected_at else 0.0,
-            copies.speed_of(endpoint),
+            self.run_times.speed_factor(endpoint),
         )
 
     def _observe_peers(
--- a/hibiscusslip/dispatch/_headroom.py
+++ b/hibiscusslip/dispatch/_headroom.py
@@ -18,10 +18,14 @@
 
 @dataclasses.dataclass(slots=True)
 class Headroom:
-    """The moving average of the CPU that a service's urgent queues use."""
+    """The moving average of the CPU that a service's urgent queues use.
+
+    Before `next_preemption_at` nothing is preempted for these queues.
+    """
 
     use: float = 0.0
     updated_at: float = 0.0
+    next_preemption_at: float = 0.0
 
     def is_stale(self, now: float) -> bool:
         """Return True if the use is due for an update."""
@@ -46,7 +50,8 @@
 ) -> int | None:
     """Return the most urgent priority of a service.
 
-    Returns None if all its queues have the same priority.
+    Returns None if all its queues have the same priority, unless there are
+    organisations: jobs beyond an entitlement leave headroom then, too.
     """
     if config is None:
         return None
@@ -55,7 +60,9 @@
         for queue in config.queues.values()
         if queue.service == service
     }
-    return min(priorities) if len(priorities) > 1 else None
+    if config.organisations is None and len(priorities) < 2:
+        return None
+    return min(priorities, default=None)
 
 
 def urgent_use(
@@ -65,15 +72,18 @@
 ) -> int:
     """Return the CPU allocated to the urgent queues.
 
-    These are the queues whose priority number is at most `priority`. The CPU
-    is in thousandths of a core.
+    These are the queues whose priority number is at most `priority`; jobs
+    beyond an entitlement don't count. The CPU is in thousandths of a core.
     """
     use = 0
     for endpoint in endpoints:
         for allocation in endpoint.allocations.values():
             if allocation.task is None:
                 continue
-            queue = queues.get(allocation.task.step.job.queue)
-            if queue is not None and queue.priority <= priority:
+            job = allocation.task.step.job
+            queue = queues.get(job.queue)
+            if queue is None or not job.within_entitlement:
+                continue
+            if queue.priority <= priority:
                 use += allocation.demand.cpu
     return use
--- /dev/null
+++ b/hibiscusslip/dispatch/_learned_planning.py
@@ -0,0 +1,61 @@
+"""Prepare what a scheduling pass uses of what is learned from runs."""
+
+import typing
+
+from hibiscusslip.dispatch import _scheduling_pass
+from hibiscusslip.dispatch import model
+from hibiscusslip.dispatch import ordering
+from hibiscusslip.dispatch import preferences
+from hibiscusslip.dispatch import state
+
+if typing.TYPE_CHECKING:
+    from hibiscusslip.dispatch import engine as engines
+
+
+def update_learned(current: _scheduling_pass.Pass) -> None:
+    """Log what was learned, and compute what placement needs of it."""
+    engine = current.engine
+    engine.estimates.speeds.refresh(current.now)
+    for shift in engine.estimates.run_times.take_shifts():
+        engine.note(
+            'run_times_shifted',
+            group=shift.group,
+            before=round(shift.before, 2),
+            after=round(shift.after, 2),
+            runs=shift.runs,
+        )
+    if not engine.policy.endpoint_speeds:
+        return
+    for pool in current.candidates.values():
+        for candidate in pool.all:
+            candidate.speed = engine.estimates.speed_factor(candidate.endpoint)
+    current.largest = preferences.largest_demands(engine.active_steps.values())
+
+
+def update_forecast(
+    engine: 'engines.Engine',
+    ranked: list[tuple[ordering.Rank, state.StepState]],
+    services: dict[str, list[state.Endpoint]],
+    now: float,
+) -> None:
+    """Predict the waits of new jobs from the steps that still wait."""
+    forecast = engine.shares.forecast
+    if forecast.is_due(engine.config, now):
+        assert engine.config is not None
+        forecast.update(engine.config, ranked, services, engine.estimates, now)
+
+
+def prefer(
+    current: _scheduling_pass.Pass, step: state.StepState, rank: ordering.Rank
+) -> preferences.Preference:
+    """Return which endpoints suit a step, by its slack and their speeds."""
+    estimates = current.engine.estimates
+    if not estimates.policy.endpoint_speeds:
+        return preferences.NONE
+    return preferences.for_step(
+        step,
+        rank.slack,
+        estimates.run_time(step),
+        estimates.critical_path(step.job, step.number),
+        current.largest.get(step.job.service, model.Demand()),
+    )
--- a/hibiscusslip/dispatch/_lost_runs.py
+++ b/hibiscusslip/dispatch/_lost_runs.py
@@ -49,6 +49,19 @@
         engine.note('copy_promoted', task=task.name, run=task.second.run)
 
 
+def still_fits(endpoint: state.Endpoint, start: commands.Start) -> bool:
+    """Return False if an endpoint has shrunk since a start was decided."""
+    if endpoint.entry is None:
+        return True
+    used = start.task.step.spec.allocated_demand
+    free = endpoint.free_capacity()
+    return not (
+        (used.cpu and free.cpu < 0)
+        or (used.memory and free.memory < 0)
+        or (used.accelerators and free.accelerators < 0)
+    )
+
+
 def abandon_run(
     engine: 'engines.Engine',
     endpoint: state.Endpoint,
@@ -69,8 +82,10 @@
         confirmed=bool(allocation and allocation.confirmed_at),
         seen_ms=int(allocation.proven_age * 1000) if allocation else 0,
     )
-    if task is not None and task_runs.make_current(task, run):
-        engine.dirty.add(task.step.job.job_id)
+    if task is not None:
+        was_second = task_runs.make_current(task, run)
+        if was_second or task.step.job.organisation:
+            engine.dirty.add(task.step.job.job_id)  # the record has each run
     if task is not None and task.run == run and task.status.placed:
         engine.dirty.add(task.step.job.job_id)
         requeue(engine, task, now)
@@ -106,14 +121,39 @@
     for key, allocation in list(endpoint.allocations.items()):
         if key in listed:
             continue
-        unconfirmed = not allocation.confirmed_at and not allocation.recovered
         abandon_run(engine, endpoint, *key, 'restarted', now)
-        if unconfirmed and allocation.task is not None:
+        _count_late_start(engine, endpoint, key[0], allocation, now)
+        if _may_start_late(allocation) and allocation.task is not None:
             # The start request may still reach the new incarnation.
             allocation.task.not_before = allocation.decided_at + LATE_START_S
     crashes.give_up(engine, convicted, now)
 
 
+def _may_start_late(allocation: state.Allocation) -> bool:
+    """Return True if an incarnation to come may carry out the start.
+
+    It refuses the start of a former owner, by its epoch.
+    """
+    return not allocation.confirmed_at and not allocation.recovered
+
+
+def _count_late_start(
+    engine: 'engines.Engine',
+    endpoint: state.Endpoint,
+    name: str,
+    allocation: state.Allocation,
+    now: float,
+) -> None:
+    """Count an abandoned run for its limit while it may still start.
+
+    A start that has expired may still take effect if the endpoint restarts
+    and its clock begins anew.
+    """
+    until = allocation.decided_at + LATE_START_S
+    if now < until and _may_start_late(allocation):
+        engine.ledger.hold(endpoint, name, allocation, until)
+
+
 def _blame_runs(
     engine: 'engines.Engine',
     endpoint: state.Endpoint,
@@ -183,6 +223,7 @@
         )
         if allocation.recovered or confirmed or expired:
             abandon_run(engine, endpoint, key[0], key[1], 'not listed', now)
+            _count_late_start(engine, endpoint, key[0], allocation, now)
 
 
 def abandon_expired(engine: 'engines.Engine', now: float) -> None:
@@ -191,6 +232,7 @@
     An unresponsive endpoint without an entry and runs is removed, once it
     doesn't matter any more whether it has crashed.
     """
+    engine.dirty.update(engine.ledger.end_holds(now))
     for endpoint in list(engine.endpoints.values()):
         if endpoint.responsive:
             continue
@@ -213,6 +255,7 @@
             continue
         crashes.note_lapse(endpoint, allocation, now)
         abandon_run(engine, endpoint, *key, 'lease lapsed', now)
+        _count_late_start(engine, endpoint, key[0], allocation, now)
 
 
 def revert_start(
@@ -247,8 +290,11 @@
     elif reason == 'instance':
         endpoint.quarantined_until = now + QUARANTINE_S
     allocation = endpoint.release(task.name, start.run)
-    if allocation is not None and task_runs.make_current(task, start.run):
-        engine.dirty.add(step.job.job_id)
+    was_second = allocation is not None and task_runs.make_current(
+        task, start.run
+    )
+    if was_second or step.job.organisation:
+        engine.dirty.add(step.job.job_id)  # the record has each run
     if allocation is None or task.run != start.run or not task.status.placed:
         return
     engine.dirty.add(step.job.job_id)
--- a/hibiscusslip/dispatch/_planning.py
+++ b/hibiscusslip/dispatch/_planning.py
@@ -1,47 +1,24 @@
 """Decide which waiting tasks to start on which endpoints."""
 
-import dataclasses
 import typing
 
-from hibiscusslip.dispatch import _copy_planning
-from hibiscusslip.dispatch import _headroom
+from hibiscusslip.dispatch import _copy_starts
+from hibiscusslip.dispatch import _learned_planning
 from hibiscusslip.dispatch import _reservations
+from hibiscusslip.dispatch import _scheduling_pass
+from hibiscusslip.dispatch import _starts
 from hibiscusslip.dispatch import _suspicion
 from hibiscusslip.dispatch import advice_planning
 from hibiscusslip.dispatch import candidate_pool
-from hibiscusslip.dispatch import commands
 from hibiscusslip.dispatch import crashes
 from hibiscusslip.dispatch import ordering
 from hibiscusslip.dispatch import placement
-from hibiscusslip.dispatch import second_runs
 from hibiscusslip.dispatch import state
 from hibiscusslip.dispatch import task_runs
 
 if typing.TYPE_CHECKING:
     from hibiscusslip.dispatch import engine as engines
 
-START_VALID_S = 2.0
-
-
-@dataclasses.dataclass(slots=True, eq=False)
-class _Pass:
-    """The state of one scheduling pass.
-
-    `urgent` maps a service to the priority of its urgent queues, `spare` to
-    the CPU that other queues may use, in thousandths of a core. `reserved`
-    are the endpoints reserved for large steps.
-    """
-
-    engine: 'engines.Engine'
-    services: dict[str, list[state.Endpoint]]
-    candidates: dict[str, candidate_pool.Candidates]
-    now: float
-    spare: dict[str, float] = dataclasses.field(default_factory=dict)
-    urgent: dict[str, int] = dataclasses.field(default_factory=dict)
-    reserved: _reservations.Reservations = dataclasses.field(
-        default_factory=_reservations.Reservations
-    )
-
 
 def plan(engine: 'engines.Engine', now: float) -> None:
     """Start the tasks that fit, in order of their steps' ranks."""
@@ -51,54 +28,50 @@
         name: candidate_pool.Candidates(pool, suspicions, now)
         for name, pool in services.items()
     }
-    current = _Pass(engine, services, candidates, now)
-    _compute_spare(current)
-    for rank, step in _rank_steps(engine, now):
+    current = _scheduling_pass.Pass(engine, services, candidates, now)
+    _scheduling_pass.compute_spare(current)
+    for service in services:
+        entries = (c.entry for c in candidates[service].all)
+        engine.shares.update(engine.config, service, entries, now)
+    if engine.estimates.learns:
+        _learned_planning.update_learned(current)
+    ranked = _rank_steps(engine, now)
+    engine.limiter.begin_pass(engine.config, (step for _, step in ranked))
+    for rank, step in ranked:
         pool = current.services.get(step.job.service, [])
         if not pool:
             continue
+        if rank.beyond and _scheduling_pass.lacks_spare(current, step):
+            _note_yielding(current, step, rank)
+            continue  # tickets would expire before there is capacity
         if step.ready:
             _plan_step(current, step, rank)
-        advice_planning.request_advice_if_needed(
-            engine, step, pool, candidates[step.job.service], now
-        )
+        if engine.queue_of(step.job).advice is None:
+            continue
+        if engine.limiter.may_request_advice(step):
+            advice_planning.request_advice_if_needed(
+                engine, step, pool, candidates[step.job.service], now
+            )
+    config = engine.config
+    has_organisations = config is not None and config.organisations is not None
+    if engine.policy.preempts(has_organisations):
+        current.preempting.preempt(engine, services, candidates, now)
     if engine.policy.copies:
-        _plan_copies(current)
+        _copy_starts.plan_copies(current)
+    _learned_planning.update_forecast(engine, ranked, services, now)
 
 
-def _compute_spare(current: _Pass) -> None:
-    """Compute for each service the CPU that non-urgent queues may use."""
-    engine = current.engine
-    for service, pool in current.services.items():
-        priority = _headroom.urgent_priority(engine.config, service)
-        if priority is None or engine.config is None:
-            continue
-        headroom = engine.headroom.setdefault(service, _headroom.Headroom())
-        if headroom.is_stale(current.now):
-            use = _headroom.urgent_use(pool, engine.config.queues, priority)
-            headroom.update(use, current.now)
-        candidates = current.candidates[service].all
-        size = sum(candidate.entry.capacity.cpu for candidate in candidates)
-        free = sum(candidate.cpu for candidate in candidates)
-        current.urgent[service] = priority
-        current.spare[service] = free - headroom.target(size)
+def _is_urgent(current: _scheduling_pass.Pass, step: state.StepState) -> bool:
+    """Return True if a step may have runs of other queues preempted.
 
-
-def _limit_to_spare(
-    current: _Pass, step: state.StepState, tasks: list[state.Task]
-) -> list[state.Task]:
-    """Return the tasks that may start without use of the headroom."""
-    service = step.job.service
-    cpu = step.spec.allocated_demand.cpu
-    urgent = current.urgent.get(service)
-    if urgent is None or not cpu or step.spec.demand.accelerators:
-        return tasks
-    if current.engine.queue_of(step.job).priority <= urgent:
-        return tasks
-    max_tasks = max(int(current.spare[service] // cpu), 0)
-    if step.spec.gang and max_tasks < len(tasks):
-        return []
-    return tasks[:max_tasks]
+    Gangs and tasks with accelerators need whole endpoints; reservations
+    preempt for them.
+    """
+    urgent = current.urgent.get(step.job.service)
+    spec = step.spec
+    if urgent is None or spec.gang or spec.demand.accelerators:
+        return False
+    return current.engine.queue_of(step.job).priority <= urgent
 
 
 def _rank_steps(
@@ -109,6 +82,8 @@
         if step.job.state.final or not step.has_waiting():
             continue
         job = step.job
+        if job.holding is not None:
+            job.holding.wanted_at = now
         queue = engine.queue_of(job)
         rank = ordering.rank(
             step,
@@ -123,33 +98,39 @@
 
 
 def _plan_step(
-    current: _Pass,
+    current: _scheduling_pass.Pass,
     step: state.StepState,
     rank: ordering.Rank,
 ) -> None:
     now = current.now
     needs_advice = current.engine.queue_of(step.job).advice is not None
-    if needs_advice and step.tickets is None:
-        return
-    tasks = [
-        task
-        for task in step.waiting()
-        if task.not_before <= now and crashes.may_start(task)
-    ]
-    if not tasks or (step.spec.gang and len(tasks) < len(step.tasks)):
+    tasks = _startable(current, step)
+    if not tasks or (needs_advice and step.tickets is None):
         return
     candidates = current.candidates[step.job.service]
-    if candidates.may_fit_anywhere(step.spec.allocated_demand):
+    startable = _scheduling_pass.limit_to_spare(current, step, tasks)
+    if startable and candidates.may_fit_anywhere(step.spec.allocated_demand):
         admitting = (
             advice_planning.endpoints_admitting(step, now)
             if needs_advice
             else None
         )
         _place_tasks(
-            current, step, tasks, candidates.eligible_for(step, admitting)
+            current,
+            step,
+            startable,
+            candidates.eligible_for(step, admitting),
+            rank,
         )
-    if rank.expired or not step.has_waiting():
+    needed = current.engine.limiter.count_startable(step, len(step.waiting()))
+    _note_yielding(current, step, rank)
+    if rank.expired or not needed:
         return
+    if rank.beyond and step.job.service in current.contended:
+        return
+    if _is_urgent(current, step) and not (rank.late or rank.beyond):
+        waiting = sum(t.status is state.Status.WAITING for t in tasks)
+        current.preempting.add(step, waiting, rank.priority)
     if _reservations.is_large(step, candidates.max_endpoint_cpu):
         endpoints = [
             candidate.endpoint
@@ -162,37 +143,78 @@
             current.engine,
             current.reserved,
             step,
+            needed,
             endpoints,
             can_be_on_time,
             now,
         )
 
 
+def _startable(
+    current: _scheduling_pass.Pass, step: state.StepState
+) -> list[state.Task]:
+    """Return the tasks that may start if there is capacity for them."""
+    tasks = [
+        task
+        for task in step.waiting()
+        if task.not_before <= current.now and crashes.may_start(task)
+    ]
+    if not tasks or (step.spec.gang and len(tasks) < len(step.tasks)):
+        return []
+    limiter = current.engine.limiter
+    max_tasks = limiter.count_startable(step, len(tasks))
+    if max_tasks < len(tasks):
+        limiter.hold_back(step)
+    return tasks[:max_tasks]
+
+
+def _note_yielding(
+    current: _scheduling_pass.Pass, step: state.StepState, rank: ordering.Rank
+) -> None:
+    """Log that a step waits for others because of its organisation."""
+    if rank.expired:
+        return
+    service = step.job.service
+    lowest = current.contended.get(service)
+    if not rank.beyond and (lowest is None or rank.level < lowest):
+        current.contended[service] = rank.level
+    if lowest is None or not step.has_waiting():
+        return
+    if rank.beyond or rank.level > lowest:
+        fields = current.engine.shares.describe_wait(step)
+        if fields:
+            current.engine.note('step_yields', **fields)
+
+
 def _place_tasks(
-    current: _Pass,
+    current: _scheduling_pass.Pass,
     step: state.StepState,
-    tasks: list[state.Task],
+    startable: list[state.Task],
     candidates: list[candidate_pool.Candidate],
+    rank: ordering.Rank,
 ) -> None:
-    """Start as many of a step's tasks as fit."""
+    """Start as many of a step's startable tasks as fit."""
     run_time = current.engine.estimates.run_time(step)
     unreserved = [
         candidate
         for candidate in candidates
-        if current.reserved.admits(candidate.endpoint, run_time, current.now)
+        if current.reserved.admits(
+            candidate.endpoint, run_time / candidate.speed, current.now
+        )
     ]
-    startable = _limit_to_spare(current, step, tasks)
+    preference = _learned_planning.prefer(current, step, rank)
     on_trial = [task for task in startable if task.on_trial]
     if step.spec.gang and on_trial:
         on_trial = startable
     if on_trial:
         _place_on_trial(current, step, on_trial, unreserved)
     others = [task for task in startable if task not in on_trial]
-    _start_all(current, step, placement.choose(step, others, unreserved))
+    choices = placement.choose(step, others, unreserved, preference)
+    _start_all(current, step, choices)
 
 
 def _place_on_trial(
-    current: _Pass,
+    current: _scheduling_pass.Pass,
     step: state.StepState,
     tasks: list[state.Task],
     candidates: list[candidate_pool.Candidate],
@@ -209,7 +231,9 @@
 
 
 def _start_all(
-    current: _Pass, step: state.StepState, choices: list[placement.Choice]
+    current: _scheduling_pass.Pass,
+    step: state.StepState,
+    choices: list[placement.Choice],
 ) -> None:
     newest = max(task.run for task in step.tasks)
     for choice in choices:
@@ -220,7 +244,7 @@
 
 
 def _start(
-    current: _Pass,
+    current: _scheduling_pass.Pass,
     step: state.StepState,
     choice: placement.Choice,
     run: int,
@@ -236,127 +260,4 @@
     task.started_at = 0.0
     step.job.has_started = True
     step.job.zone = endpoint.entry.zone
-    _send_start(current, step, choice, run)
-
-
-def _plan_copies(current: _Pass) -> None:
-    """Start copies of stragglers on capacity that nothing else needs."""
-    engine = current.engine
-    steps = list(engine.active_steps.values())
-    finder = _copy_planning.Finder(
-        engine.endpoints, engine.estimates, engine.queue_of, current.now
-    )
-    budgets: dict[str, _copy_planning.Budget] = {}
-    for straggler in finder.find(steps):
-        task = straggler.task
-        service = task.step.job.service
-        if service not in current.services:
-            continue
-        if service not in budgets:
-            budgets[service] = _copy_planning.Budget(
-                current.services[service], current.candidates[service], steps
-            )
-        demand = task.step.spec.allocated_demand
-        if not budgets[service].admits(demand):
-            continue
-        if _limit_to_spare(current, task.step, [task]):
-            if _try_copy(current, straggler):
-                budgets[service].spend(demand)
-
-
-def _try_copy(current: _Pass, straggler: _copy_planning.Straggler) -> bool:
-    """Start a copy if an endpoint admits it; else request tickets."""
-    engine = current.engine
-    now = current.now
-    step = straggler.task.step
-    needs_advice = engine.queue_of(step.job).advice is not None
-    candidates = current.candidates[step.job.service]
-    admitting = (
-        advice_planning.endpoints_admitting(step, now)
-        if needs_advice
-        else None
-    )
-    run_time = engine.estimates.run_time(step)
-    choice = _copy_planning.choose(
-        straggler,
-        [
-            candidate
-            for candidate in candidates.eligible_for(step, admitting)
-            if current.reserved.admits(candidate.endpoint, run_time, now)
-        ],
-    )
-    if choice is None:
-        advice_planning.request_advice_if_needed(
-            engine,
-            step,
-            current.services[step.job.service],
-            candidates,
-            now,
-            copied_from=straggler.endpoint.name,
-        )
-        return False
-    _start_copy(current, straggler, choice)
-    return True
-
-
-def _start_copy(
-    current: _Pass,
-    straggler: _copy_planning.Straggler,
-    choice: placement.Choice,
-) -> None:
-    """Start a second run of a task."""
-    task = choice.task
-    endpoint = choice.endpoint
-    run = task_runs.next_run(task)
-    task.copy_run = run
-    task.second = second_runs.SecondRun(
-        run, endpoint.name, endpoint.address, endpoint.born
-    )
-    _send_start(current, task.step, choice, run)
-    current.engine.note(
-        'copy_started',
-        run=run,
-        endpoint=endpoint.name,
-        zone=endpoint.zone,
-        **straggler.log_fields(),
-    )
-
-
-def _send_start(
-    current: _Pass,
-    step: state.StepState,
-    choice: placement.Choice,
-    run: int,
-) -> None:
-    """Allocate for a run and add the command that starts it."""
-    now = current.now
-    task = choice.task
-    endpoint = choice.endpoint
-    assert endpoint.entry is not None
-    deadline = endpoint.clock_now(now) + START_VALID_S
-    if step.job.service in current.spare:
-        current.spare[step.job.service] -= step.spec.allocated_demand.cpu
-    allocation = state.Allocation(
-        task, run, step.spec.allocated_demand, now, deadline=deadline
-    )
-    endpoint.allocate(task.name, allocation)
-    endpoint.last_start_at = now
-    endpoint.last_start_job = step.job.job_id
-    choice.candidate.allocate(step.spec.allocated_demand)
-    endpoint.leased_until = max(endpoint.leased_until, deadline)
-    checkpoint = step.checkpoint if step.spec.gang else task.checkpoint
-    ticket = (step.tickets or {}).get(endpoint.name)
-    current.engine.dirty.add(step.job.job_id)
-    current.engine.starts.append(
-        commands.Start(
-            endpoint.name,
-            endpoint.entry.address,
-            task,
-            run,
-            step.job.spec.payload,
-            deadline,
-            checkpoint,
-            ticket.text if ticket is not None else '',
-            now,
-        )
-    )
+    _starts.send_start(current, step, choice, run)
--- a/hibiscusslip/dispatch/_reservations.py
+++ b/hibiscusslip/dispatch/_reservations.py
@@ -66,16 +66,17 @@
     engine: 'engines.Engine',
     reservations: Reservations,
     step: state.StepState,
+    needed: int,
     endpoints: list[state.Endpoint],
     can_be_on_time: bool,
     now: float,
 ) -> None:
     """Reserve the endpoints that will have capacity for a step soonest.
 
-    Only a step that can still be on time preempts others. A gang that
-    doesn't fit even when all of these endpoints are free reserves none.
+    `needed` is the number of its tasks that wait for capacity. Only a step
+    that can still be on time preempts others. A gang that doesn't fit even
+    when all of these endpoints are free reserves none.
     """
-    needed = len(step.waiting())
     options = [
         option
         for endpoint in endpoints
@@ -136,7 +137,11 @@
     if demand.fits(free):
         return now
     ends = [
-        (_expected_end(engine, allocation, now), number, allocation.demand)
+        (
+            _expected_end(engine, endpoint, allocation, now),
+            number,
+            allocation.demand,
+        )
         for number, allocation in enumerate(endpoint.allocations.values())
     ]
     for end, _, released in sorted(ends, key=lambda row: row[:2]):
@@ -147,16 +152,19 @@
 
 
 def _expected_end(
-    engine: 'engines.Engine', allocation: state.Allocation, now: float
+    engine: 'engines.Engine',
+    endpoint: state.Endpoint,
+    allocation: state.Allocation,
+    now: float,
 ) -> float:
     task = allocation.task
     if allocation.stop_requested_at:
         return now + MIN_REMAINING_S
     if task is None or task.step.spec.long_running:
         return NEVER
-    run_time = engine.estimates.run_time(task.step)
-    started_at = task_runs.started_at(task, allocation.run)
-    return max((started_at or now) + run_time, now + MIN_REMAINING_S)
+    started_at = task_runs.started_at(task, allocation.run) or now
+    end = engine.estimates.expected_end(task, endpoint, started_at, now)
+    return max(end, now + MIN_REMAINING_S)
 
 
 def _preempt(
@@ -192,7 +200,10 @@
 def _victims(
     engine: 'engines.Engine', step: state.StepState, endpoint: state.Endpoint
 ) -> list[state.Allocation]:
-    """Return the runs of less urgent queues that lose no work if stopped."""
+    """Return the runs of less urgent queues that lose no work if stopped.
+
+    A step beyond an entitlement stops none that is within one.
+    """
     priority = engine.queue_of(step.job).priority
     victims = []
     for allocation in endpoint.allocations.values():
@@ -203,6 +214,8 @@
             continue
         if not task_runs.is_running(task, allocation.run):
             continue
+        if task.step.job.within_entitlement > step.job.within_entitlement:
+            continue
         if engine.queue_of(task.step.job).priority > priority:
             victims.append(allocation)
     victims.sort(key=lambda allocation: -allocation.demand.accelerators)
--- /dev/null
+++ b/hibiscusslip/dispatch/_scheduling_pass.py
@@ -0,0 +1,89 @@
+"""The state of a scheduling pass, and the capacity it may use."""
+
+import dataclasses
+import typing
+
+from hibiscusslip.dispatch import _headroom
+from hibiscusslip.dispatch import _preempting
+from hibiscusslip.dispatch import _reservations
+from hibiscusslip.dispatch import candidate_pool
+from hibiscusslip.dispatch import holdings
+from hibiscusslip.dispatch import model
+from hibiscusslip.dispatch import state
+
+if typing.TYPE_CHECKING:
+    from hibiscusslip.dispatch import engine as engines
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Pass:
+    """The state of one scheduling pass.
+
+    `urgent` maps a service to the priority of its urgent queues, `spare` to
+    the CPU that other queues may use, in thousandths of a core. `reserved`
+    are the endpoints reserved for large steps, `largest` are the largest
+    demands of each service if endpoints' speeds are considered. `contended`
+    maps a service to the lowest level of a share with a ready step within its
+    entitlement.
+    """
+
+    engine: 'engines.Engine'
+    services: dict[str, list[state.Endpoint]]
+    candidates: dict[str, candidate_pool.Candidates]
+    now: float
+    spare: dict[str, float] = dataclasses.field(default_factory=dict)
+    urgent: dict[str, int] = dataclasses.field(default_factory=dict)
+    reserved: _reservations.Reservations = dataclasses.field(
+        default_factory=_reservations.Reservations
+    )
+    preempting: _preempting.Preempting = dataclasses.field(
+        default_factory=_preempting.Preempting
+    )
+    largest: dict[str, model.Demand] = dataclasses.field(default_factory=dict)
+    contended: dict[str, holdings.Level] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+def compute_spare(current: Pass) -> None:
+    """Compute for each service the CPU that non-urgent queues may use."""
+    engine = current.engine
+    for service, pool in current.services.items():
+        priority = _headroom.urgent_priority(engine.config, service)
+        if priority is None or engine.config is None:
+            continue
+        headroom = engine.headroom.setdefault(service, _headroom.Headroom())
+        if headroom.is_stale(current.now):
+            use = _headroom.urgent_use(pool, engine.config.queues, priority)
+            headroom.update(use, current.now)
+        candidates = current.candidates[service].all
+        size = sum(candidate.entry.capacity.cpu for candidate in candidates)
+        free = sum(candidate.cpu for candidate in candidates)
+        current.urgent[service] = priority
+        current.spare[service] = free - headroom.target(size)
+
+
+def limit_to_spare(
+    current: Pass, step: state.StepState, tasks: list[state.Task]
+) -> list[state.Task]:
+    """Return the tasks that may start without use of the headroom."""
+    service = step.job.service
+    cpu = step.spec.allocated_demand.cpu
+    urgent = current.urgent.get(service)
+    if urgent is None or not cpu or step.spec.demand.accelerators:
+        return tasks
+    is_urgent = current.engine.queue_of(step.job).priority <= urgent
+    if is_urgent and step.job.within_entitlement:
+        return tasks
+    max_tasks = max(int(current.spare[service] // cpu), 0)
+    if step.spec.gang and max_tasks < len(tasks):
+        return []
+    return tasks[:max_tasks]
+
+
+def lacks_spare(current: Pass, step: state.StepState) -> bool:
+    """Return True if no task of a step beyond an entitlement may start."""
+    spare = current.spare.get(step.job.service)
+    if spare is None or step.spec.demand.accelerators:
+        return False
+    return spare < step.spec.allocated_demand.cpu
--- a/hibiscusslip/dispatch/copies.py
+++ b/hibiscusslip/dispatch/copies.py
@@ -13,7 +13,6 @@
 
 from hibiscusslip.dispatch import estimates
 from hibiscusslip.dispatch import ordering
-from hibiscusslip.dispatch import state
 
 EVENTS = ('copy_started', 'copy_promoted', 'copy_won', 'copy_lost')
 MIN_SUSPICION_S = 0.5  # a single unanswered call is no reason
@@ -49,16 +48,11 @@
     peers_on_time: bool = False
 
 
-def speed_of(endpoint: state.Endpoint) -> float:
-    """Return the speed of an endpoint; 1 is ordinary, 0.5 half as fast."""
-    return 1.0
-
-
 def overdue_after(expected: estimates.Expectation, speed: float) -> float:
     """Return after how many seconds a run takes longer than expected."""
     high = expected.high
     if not expected.runs:
-        high = DECLARED_FACTOR * expected.median
+        high = max(high, DECLARED_FACTOR * expected.median)
     return max(high / speed, MIN_ELAPSED_S)
 
 
--- a/hibiscusslip/dispatch/records.py
+++ b/hibiscusslip/dispatch/records.py
@@ -1,12 +1,15 @@
 """Encode jobs as records, and restore them from records."""
 
+import collections.abc
 import typing
 
 import msgspec
 
 from hibiscusslip.dispatch import copy_records
 from hibiscusslip.dispatch import model
+from hibiscusslip.dispatch import run_records
 from hibiscusslip.dispatch import state
+from hibiscusslip.dispatch import usage
 
 
 class Submission(msgspec.Struct, array_like=True):
@@ -84,7 +87,8 @@
     Of several records of a job the newest is the one with the highest
     `epoch`, then `number`. An owner numbers the records that it writes.
     `completed` are the first and last numbers of occurrences whose tasks are
-    all done, and which have no other rows.
+    all done, and which have no other rows. `runs` are only those of jobs that
+    have an organisation.
     """
 
     state: str
@@ -97,6 +101,7 @@
     crashes: list[CrashRow] = []
     losses: list[LossRow] = []
     completed: list[tuple[int, int]] = []
+    runs: list[run_records.RunRow] = []
     copies: list[copy_records.CopyRow] = []
 
     def occurrence_numbers(self) -> list[int]:
@@ -127,13 +132,19 @@
 
 
 def encode_job(
-    job: state.Job, epoch: int = 0, number: int = 0, *, compact: bool = False
+    job: state.Job,
+    epoch: int = 0,
+    number: int = 0,
+    *,
+    compact: bool = False,
+    counted: collections.abc.Iterable[usage.CountedRun] = (),
 ) -> bytes:
     """Return the record of a job's progress.
 
-    For a final job it contains no tasks and steps. If it is `compact`, the
-    occurrences that are complete have no rows; releases before this one would
-    take these for new.
+    For a final job it contains no steps, and only those tasks whose runs are
+    `counted` for the limit of its organisation. If it is `compact`, it
+    contains no tasks of a final job, and for others the occurrences that are
+    complete have no rows; releases before this one would take these for new.
     """
     completed = _completed_numbers(job) if compact else []
     left_out = set(completed)
@@ -143,21 +154,21 @@
     losses: list[LossRow] = []
     copies: list[copy_records.CopyRow] = []
     endpoints: dict[str, EndpointRow] = {}
-    if not job.state.final:
+    runs = [] if compact and job.state.final else list(counted)
+    if job.state.final:
+        current = [run.task for run in runs if run.is_current]
+        tasks = [_task_row(task) for task in current]
+        endpoints = _endpoint_rows(current)
+    else:
         for step in job.steps():
             if step.occurrence in left_out:
                 continue
             tasks.extend(_task_rows(step))
-            if step.failures or step.checkpoint:
-                steps.append(_step_row(step))
+            steps.extend(_step_rows(step))
             crashes.extend(_crash_rows(step))
             losses.extend(_loss_rows(step))
             copies.extend(copy_records.encode(step))
-            for task in step.tasks:
-                if task.status.placed:
-                    endpoints[task.endpoint] = EndpointRow(
-                        task.endpoint, task.address, task.born
-                    )
+            endpoints.update(_endpoint_rows(step.tasks))
     row = JobRow(
         job.state.value,
         tasks,
@@ -169,6 +180,7 @@
         crashes,
         losses,
         _ranges(completed),
+        run_records.encode(runs, copies),
         copies,
     )
     return msgspec.msgpack.encode(row)
@@ -194,30 +206,43 @@
 
 
 def _task_rows(step: state.StepState) -> list[TaskRow]:
-    return [
-        TaskRow(
-            step.occurrence,
-            step.number,
-            task.index,
-            int(task.status),
-            task.run,
-            task.failures,
-            task.endpoint,
-            task.checkpoint,
-        )
-        for task in step.tasks
-        if task.run
-    ]
+    return [_task_row(task) for task in step.tasks if task.run]
+
+
+def _task_row(task: state.Task) -> TaskRow:
+    return TaskRow(
+        task.step.occurrence,
+        task.step.number,
+        task.index,
+        int(task.status),
+        task.run,
+        task.failures,
+        task.endpoint,
+        task.checkpoint,
+    )
+
+
+def _endpoint_rows(
+    tasks: collections.abc.Iterable[state.Task],
+) -> dict[str, EndpointRow]:
+    return {
+        task.endpoint: EndpointRow(task.endpoint, task.address, task.born)
+        for task in tasks
+        if task.status.placed
+    }
 
 
-def _step_row(step: state.StepState) -> StepRow:
-    return StepRow(
+def _step_rows(step: state.StepState) -> list[StepRow]:
+    if not step.failures and not step.checkpoint:
+        return []
+    row = StepRow(
         step.occurrence,
         step.number,
         step.failures,
         step.failed_run,
         step.checkpoint,
     )
+    return [row]
 
 
 def _crash_rows(step: state.StepState) -> list[CrashRow]:
--- a/hibiscusslip/host/peer_client.py
+++ b/hibiscusslip/host/peer_client.py
@@ -30,11 +30,11 @@
         self._links = peers
 
     async def query_job_state(
-        self, owner: notices.OwnerNotice, job_id: str
+        self, owner: notices.OwnerNotice, job_id: str, organisation: str
     ) -> model.JobState | None:
         """Return a job's state from the owner; raises OwnerUnavailable."""
         self._links.set_address(owner.host, owner.address, owner.port)
-        query = messages.CellJobQuery(job_id)
+        query = messages.CellJobQuery(job_id, organisation)
         try:
             reply = await self._call_address(
                 owner.host, query, JOB_STATE_TIMEOUT_S
@@ -47,6 +47,20 @@
             )
         return model.JobState(reply.state) if reply.known else None
 
+    async def may_know_job(
+        self, owner: notices.OwnerNotice, job_id: str
+    ) -> bool:
+        """Return False if the owner replies that it hasn't read the job."""
+        self._links.set_address(owner.host, owner.address, owner.port)
+        query = messages.CellJobQuery(job_id, from_memory=True)
+        try:
+            reply = await self._call_address(
+                owner.host, query, JOB_STATE_TIMEOUT_S
+            )
+        except peer_exceptions.PeerError:
+            return True
+        return not isinstance(reply, messages.CellJobReply) or reply.known
+
     async def write(
         self, items: list[tuple[str, bytes]], hosts: list[str]
     ) -> inbox.Outcome:
@@ -74,7 +88,7 @@
         """Return a few hosts that report that the store serves them."""
         names = self._relay_candidates()[:MAX_PROBED_HOSTS]
         query = messages.StoreQuery()
-        replies = await self._call_all(names, query, PROBE_TIMEOUT_S)
+        replies = await self.call_all(names, query, PROBE_TIMEOUT_S)
         if names:
             any_replied = any(reply is not None for reply in replies.values())
             self._ctx.record_peer_replies(any_replied)
@@ -117,7 +131,7 @@
         """Ask all other hosts whether the store serves them."""
         names = [n for n in self._ctx.hosts if n != self._ctx.cfg.name]
         query = messages.StoreQuery()
-        replies = await self._call_all(names, query, LIVENESS_TIMEOUT_S)
+        replies = await self.call_all(names, query, LIVENESS_TIMEOUT_S)
         return ownership_keeper.LivenessCheck(
             unresponsive=[
                 name for name, reply in replies.items() if reply is None
@@ -125,7 +139,7 @@
             with_store=_hosts_with_store(replies),
         )
 
-    async def _call_all(
+    async def call_all(
         self, names: list[str], message: messages.PeerMessage, timeout: float
     ) -> dict[str, messages.PeerMessage | None]:
         """Return the reply of each host, None for those without one."""
--- a/hibiscusslip/host/recovery.py
+++ b/hibiscusslip/host/recovery.py
@@ -8,7 +8,9 @@
 from hibiscusslip.dispatch import engine as engines
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import records
+from hibiscusslip.dispatch import run_records
 from hibiscusslip.dispatch import state
+from hibiscusslip.host import cancellations
 from hibiscusslip.host import context
 from hibiscusslip.host import lease_timing
 from hibiscusslip.host import topics
@@ -83,7 +85,10 @@
 
 
 async def recover(
-    ctx: context.Context, engine: engines.Engine, reader: PartitionReader
+    ctx: context.Context,
+    engine: engines.Engine,
+    reader: PartitionReader,
+    cancels: cancellations.Cancellations,
 ) -> Recovered:
     """Read all records into a new engine; raises PlatformError."""
     parts = await reader.read(topics.JOBS, topics.JOBS_PARTS)
@@ -96,11 +101,10 @@
         entry = documents.read_endpoint_entry(name, value)
         if entry is not None:
             engine.register_endpoint(entry, now)
-    for inbox in inboxes:
-        _submit_all(ctx, engine, inbox, now)
+    _submit_all(ctx, engine, inboxes, now)
     restore_all(ctx, engine, progress, now)
     for inbox in inboxes:
-        _cancel_all(engine, inbox, now)
+        _cancel_all(engine, inbox, cancels, now)
     ctx.log.note(
         'state_recovered',
         jobs=len(engine.jobs),
@@ -137,14 +141,34 @@
 def _submit_all(
     ctx: context.Context,
     engine: engines.Engine,
-    inbox: store.NewestValues,
+    inboxes: list[store.NewestValues],
     now: float,
 ) -> None:
+    """Submit all jobs, with organisations in the order of acceptance.
+
+    The former owner read all partitions at the same time; one after the
+    other, most jobs of all but the first would be beyond the entitlement.
+    """
     wall_time = context.wall_time()
-    for key in sorted(inbox.values, key=lambda name: inbox.offsets[name]):
-        value = inbox.values[key]
-        if value and not key.startswith(topics.CANCEL_PREFIX):
-            submit(ctx, engine, key, value, now, wall_time)
+    rows = [
+        (key, inbox.values[key])
+        for inbox in inboxes
+        for key in sorted(inbox.values, key=inbox.offsets.__getitem__)
+        if inbox.values[key] and not key.startswith(topics.CANCEL_PREFIX)
+    ]
+    config = engine.config
+    if config is not None and config.organisations is not None:
+        rows.sort(key=lambda row: _accepted(row[1]))
+    for key, value in rows:
+        submit(ctx, engine, key, value, now, wall_time)
+
+
+def _accepted(value: bytes) -> float:
+    """Return when the job of an inbox record was accepted, 0 if unknown."""
+    try:
+        return records.decode_submission(value).accepted
+    except records.Unreadable:
+        return 0.0
 
 
 def submit(
@@ -173,6 +197,7 @@
     now: float,
 ) -> None:
     """Apply the progress records of the jobs that the engine has."""
+    other_runs: list[tuple[state.Job, list[run_records.RunRow]]] = []
     for job_id, value in progress.items():
         job = engine.jobs.get(job_id)
         if job is None:
@@ -187,6 +212,9 @@
             ctx.log.note('progress_unreadable', job=job_id, error=repr(exc))
             continue
         _restore_allocations(ctx, engine, job, now)
+        other_runs.append((job, row.runs))
+    for job, rows in other_runs:
+        _restore_other_runs(ctx, engine, job, rows, now)
 
 
 def _restore_allocations(
@@ -218,14 +246,33 @@
                 crashes.restore_lapsed(endpoint, task, loss.run, now)
 
 
+def _restore_other_runs(
+    ctx: context.Context,
+    engine: engines.Engine,
+    job: state.Job,
+    rows: list[run_records.RunRow],
+    now: float,
+) -> None:
+    """Allocate for runs beside those that the tasks of a job name.
+
+    The leases that the former owner told of needn't include theirs, so this
+    is called once the endpoints have the leases of all other runs.
+    """
+    longest = lease_timing.longest_inherited(ctx.cfg.bounds.max_lease)
+    for row in rows:
+        task = job.occurrences[row.occurrence][row.step].tasks[row.index]
+        endpoint = _find_or_add(engine, row.endpoint, row.address, row.born)
+        endpoint.inherited_leases_until = now + longest
+        _add_allocation(endpoint, task, row.run, now)
+
+
 def _find_or_add(
     engine: engines.Engine, name: str, address: str, born: float
 ) -> state.Endpoint:
     """Return an endpoint of a record, listed by the platform or not."""
     endpoint = engine.endpoints.get(name)
     if endpoint is None:
-        endpoint = state.Endpoint(name)
-        engine.endpoints[name] = endpoint
+        endpoint = engine.add_endpoint(name)
     endpoint.address = endpoint.address or address
     endpoint.born = max(endpoint.born, born)
     return endpoint
@@ -244,18 +291,26 @@
     else:
         longest = lease_timing.longest_inherited(ctx.cfg.bounds.max_lease)
         endpoint.inherited_leases_until = now + longest
-    allocation = state.Allocation(
-        task, run, task.step.spec.allocated_demand, now, recovered=True
-    )
+    _add_allocation(endpoint, task, run, now)
+
+
+def _add_allocation(
+    endpoint: state.Endpoint, task: state.Task, run: int, now: float
+) -> None:
+    demand = task.step.spec.allocated_demand
+    allocation = state.Allocation(task, run, demand, now, recovered=True)
     endpoint.allocate(task.name, allocation)
 
 
 def _cancel_all(
-    engine: engines.Engine, inbox: store.NewestValues, now: float
+    engine: engines.Engine,
+    inbox: store.NewestValues,
+    cancels: cancellations.Cancellations,
+    now: float,
 ) -> None:
     for key, value in inbox.values.items():
         if value and key.startswith(topics.CANCEL_PREFIX):
-            engine.cancel(key[len(topics.CANCEL_PREFIX) :], now)
+            cancels.apply(engine, key, value, now)
 
 
 def visible_state(job: state.Job) -> model.JobState:
--- a/hibiscusslip/platform/documents.py
+++ b/hibiscusslip/platform/documents.py
@@ -1,5 +1,6 @@
 """Decode the platform's JSON documents into this package's data types."""
 
+import hashlib
 import typing
 
 import msgspec
@@ -76,6 +77,14 @@
     max_attempts: int = 1
     stretch: float = 1.0
     advice: _Advice | None = None
+    public: bool = False
+
+
+class _Organisation(_Document):
+    name: str
+    api_keys: list[str] = []
+    weight: float = 1.0
+    at_most: _Resources | None = None
 
 
 class _Service(_Document):
@@ -89,11 +98,16 @@
     max_body_bytes: int = 262144
 
 
-class _Config(_Document):
+class ConfigDocument(_Document):
+    """Represent the operator's configuration."""
+
     version: int
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    organisations: list[_Organisation] | None = msgspec.field(
+        name='Tenants', default=None
+    )
 
 
 class _Entry(_Document):
@@ -112,7 +126,7 @@
     """Return the job in the body of a request; raises JobInvalid."""
     try:
         job = msgspec.json.decode(body, type=_Job)
-    except msgspec.MsgspecError as exc:
+    except (msgspec.MsgspecError, RecursionError) as exc:
         raise exceptions.JobInvalid(
             f"the job can't be read: {exc}; mend the body"
         ) from exc
@@ -196,26 +210,59 @@
 def read_configuration(value: bytes) -> model.Configuration | None:
     """Return the configuration in a record, or None if it is invalid."""
     try:
-        config = msgspec.json.decode(value, type=_Config)
-    except msgspec.MsgspecError:
+        config = msgspec.json.decode(value, type=ConfigDocument)
+    except (msgspec.MsgspecError, RecursionError):
         return None
     return model.Configuration(
         version=config.version,
-        queues={route.name: _to_queue(route) for route in config.routes},
+        queues={route.name: to_queue(route) for route in config.routes},
         services={
-            service.name: model.Service(
-                service.name,
-                service.health_path,
-                service.rejects_overload,
-                service.standby,
-            )
-            for service in config.services
+            service.name: to_service(service) for service in config.services
         },
         max_body_bytes=config.limits.max_body_bytes,
+        organisations=_to_organisations(config.organisations),
     )
 
 
-def _to_queue(route: _Route) -> model.Queue:
+def _to_organisations(
+    documents: list[_Organisation] | None,
+) -> dict[str, model.Organisation] | None:
+    """Return the organisations, None if the deployment has none."""
+    if documents is None:
+        return None
+    return {document.name: to_organisation(document) for document in documents}
+
+
+def to_service(document: _Service) -> model.Service:
+    """Return the service that an entry configures."""
+    return model.Service(
+        document.name,
+        document.health_path,
+        document.rejects_overload,
+        document.standby,
+    )
+
+
+def to_organisation(document: _Organisation) -> model.Organisation:
+    """Return the organisation that an entry configures."""
+    limit = document.at_most or _Resources()
+    return model.Organisation(
+        name=document.name,
+        weight=document.weight,
+        limit=limit.demand(),
+        key_digests=frozenset(
+            key_digest(key) for key in document.api_keys if key
+        ),
+    )
+
+
+def key_digest(key: str) -> bytes:
+    """Return the SHA-256 digest of an API key."""
+    return hashlib.sha256(key.encode()).digest()
+
+
+def to_queue(route: _Route) -> model.Queue:
+    """Return the queue that an entry configures."""
     advice = None
     if route.advice is not None:
         advice = model.Advice(
@@ -233,6 +280,7 @@
         max_attempts=route.max_attempts,
         stretch=route.stretch,
         advice=advice,
+        public=route.public,
     )
 
 
@@ -244,7 +292,7 @@
     """
     try:
         entry = msgspec.json.decode(value, type=_Entry)
-    except msgspec.MsgspecError:
+    except (msgspec.MsgspecError, RecursionError):
         return None
     if entry.state not in ('ready', 'draining'):
         return None
@@ -299,6 +347,7 @@
         )
     except (
         msgspec.MsgspecError,
+        RecursionError,
         ValueError,
         TypeError,
         IndexError,
--- a/hibiscusslip/platform/settings.py
+++ b/hibiscusslip/platform/settings.py
@@ -8,6 +8,7 @@
 
 FILE_VARIABLE = 'HIBISCUSSLIP_NODE_FILE'
 MS_PER_S = 1000.0
+ORGANISATIONS_CONTRACT = 'tenants'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -25,7 +26,8 @@
 class Bounds:
     """Represent the bounds that the deployment sets.
 
-    All are times in seconds, except `far_factor`, which is a ratio.
+    All are times in seconds, except `far_factor`, which is a ratio, and
+    `limit_overage`, the share by which an organisation may exceed its limit.
     `max_lease` is the longest lease that an endpoint grants, `status_kept`
     how long the state of an ended job has to be retained, `config_apply`
     the time until a configuration is in force everywhere, `contact` for how
@@ -45,6 +47,7 @@
     upkeep: float = 2.0
     config_apply: float = 2.0
     contact: float = 3.0
+    limit_overage: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -56,7 +59,8 @@
     `partitions` is the number of partitions of a topic, `heartbeat` how often
     an endpoint writes its entry, in seconds. `cpu_share` is the
     share of a processor core that the host may use, and `cores` is how many
-    times as fast that core runs.
+    times as fast that core runs. `contracts` are the names of what the
+    deployment asks for beyond the basic service.
     """
 
     name: str
@@ -74,6 +78,12 @@
     link_mbps: float
     bounds: Bounds
     heartbeat: float = 1.5
+    contracts: frozenset[str] = frozenset()
+
+    @property
+    def has_organisations(self) -> bool:
+        """Return True if the deployment's callers belong to organisations."""
+        return ORGANISATIONS_CONTRACT in self.contracts
 
 
 _BOUND_KEYS = {
@@ -90,6 +100,7 @@
     'upkeep': ('MaintenanceS', 1.0),
     'config_apply': ('ConfigApplyMs', MS_PER_S),
     'contact': ('ContactMs', MS_PER_S),
+    'limit_overage': ('QuotaOverage', 1.0),
 }
 
 
@@ -138,9 +149,15 @@
         link_mbps=float(fields.get('Limits.LinkMbps', '1000')),
         bounds=_bounds(fields),
         heartbeat=float(fields.get('HeartbeatMs', '1500')) / MS_PER_S,
+        contracts=_contracts(fields),
     )
 
 
+def _contracts(fields: dict[str, str]) -> frozenset[str]:
+    names = fields.get('Contracts', '').split(',')
+    return frozenset(name.strip() for name in names if name.strip())
+
+
 def _zones(fields: dict[str, str]) -> tuple[str, ...]:
     prefix = 'Zones.'
     names = [key[len(prefix) :] for key in fields if key.startswith(prefix)]
--- a/tests/dispatch/crashing_cell.py
+++ b/tests/dispatch/crashing_cell.py
@@ -50,6 +50,8 @@
     starts of tasks that were at work, or done and acknowledged as such.
     """
 
+    limit_overage = 0.0
+
     def __init__(
         self,
         machines=6,
@@ -84,13 +86,19 @@
             Machine(number, f'z{number % zones}') for number in range(machines)
         ]
         self.ctx = fakes.make_context(fakes.FakeStore())
+        self.organisations = {}
         self.engine = self._make_engine()
         self.owned_at = self.now
         for machine in self.machines:
             self._boot(machine)
 
     def _make_engine(self):
-        engine = engines.Engine(LEASE_S, self.ctx.log.note, policy=self.policy)
+        engine = engines.Engine(
+            LEASE_S,
+            self.ctx.log.note,
+            policy=self.policy,
+            limit_overage=self.limit_overage,
+        )
         engine.config = self.config
         return engine
 
@@ -156,7 +164,11 @@
 
     def _submit_to_engine(self, job_id):
         submission = records.Submission(
-            'small', support.SERVICE, support.WALL_TIME, b''
+            'small',
+            support.SERVICE,
+            support.WALL_TIME,
+            b'',
+            self.organisations.get(job_id, ''),
         )
         return self.engine.submit(
             job_id, submission, self.specs[job_id], self.now, support.WALL_TIME
@@ -223,7 +235,9 @@
         for job_id in engine.dirty:
             job = engine.jobs[job_id]
             written[job_id] = job.state
-            self.progress[job_id] = records.encode_job(job)
+            self.progress[job_id] = records.encode_job(
+                job, counted=engine.ledger.runs_of(job_id)
+            )
         engine.dirty = set()
         engine.confirm_records(written, cursors)
 
@@ -233,6 +247,9 @@
         if self.now < self.owned_at + self.owner_lives_s:
             return
         self.owned_at = self.now
+        self.lose_owner()
+
+    def lose_owner(self):
         self.engine = self._make_engine()
         for machine in self.machines:
             if machine.crashed_at is None:
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -27,9 +27,15 @@
     assert str(cfg.advice) == '10.9.9.9:7'
     assert cfg.cloud is None
     assert cfg.bounds.max_lease == 6.0
+    assert cfg.bounds.limit_overage == 0.0
     assert cfg.ports == (17380, 17395)
 
 
+def test_share_above_the_limits_is_read():
+    cfg = settings.parse(SETTINGS_FILE + 'Bounds.QuotaOverage=0.1\n')
+    assert cfg.bounds.limit_overage == 0.1
+
+
 @pytest.mark.parametrize(
     'text',
     ['', 'Node=x', SETTINGS_FILE.replace('17380,17395', 'a,b'), '\x00' * 10],
@@ -39,6 +45,20 @@
         settings.parse(text)
 
 
+@pytest.mark.parametrize(
+    ('text', 'contracts'),
+    [
+        ('', set()),
+        ('Contracts=\n', set()),
+        ('Contracts=quota, tenants,\n', {'quota', 'tenants'}),
+    ],
+)
+def test_contracts_are_read(text, contracts):
+    cfg = settings.parse(SETTINGS_FILE + text)
+    assert cfg.contracts == contracts
+    assert cfg.has_organisations == ('tenants' in contracts)
+
+
 def test_missing_settings_file_raises(tmp_path):
     with pytest.raises(exceptions.SettingsInvalid):
         settings.load(str(tmp_path / 'none'))
@@ -86,6 +106,50 @@
     assert documents.read_configuration(b'{"Version":1}') is None
 
 
+def test_deeply_nested_configuration_is_invalid():
+    """A host's feed must not end with a RecursionError."""
+    assert documents.read_configuration(b'{"X":' + b'[' * 100_000) is None
+
+
+def test_deeply_nested_documents_of_others_are_refused():
+    """A caller's or an endpoint's body must not end a host's task."""
+    nested = b'{"X":' + b'[' * 100_000
+    with pytest.raises(exceptions.JobInvalid):
+        documents.read_job(nested)
+    assert documents.read_endpoint_entry('e1', nested) is None
+    with pytest.raises(exceptions.RequestOutcomeUnknown):
+        documents.read_endpoint_report(nested)
+
+
+def test_organisations_are_decoded_without_their_keys():
+    """A missing amount or weight, or an unlimited one, is no error."""
+    config = documents.read_configuration(
+        b'{"Version":1,"Routes":[],"Services":[],"Tenants":['
+        b'{"Name":"a","ApiKeys":["k1","k2",""],"Priority":1,"Weight":13,'
+        b'"AtMost":{"Cpu":3000,"Gpu":0}},'
+        b'{"Name":"b"}]}'
+    )
+    first, second = config.organisations.values()
+    assert first == model.Organisation(
+        'a',
+        13.0,
+        model.Demand(3000, 0, 0),
+        frozenset((documents.key_digest('k1'), documents.key_digest('k2'))),
+    )
+    assert second == model.Organisation('b')
+    assert 'k1' not in repr(config)
+
+
+def test_missing_list_of_organisations_differs_from_an_empty_one():
+    without = documents.read_configuration(cell.config_document())
+    empty = documents.read_configuration(cell.organisations_document())
+    assert without.organisations is None
+    assert empty.organisations == {}
+    assert not empty.queues['r-small'].public
+    public = documents.read_configuration(cell.config_document(Public=True))
+    assert public.queues['r-small'].public
+
+
 def test_endpoint_entry_is_decoded():
     endpoint = standin.Endpoint('e')
     entry = documents.read_endpoint_entry(
