--- a/hibiscusslip/dispatch/_reservations.py
+++ b/hibiscusslip/dispatch/_reservations.py
@@ -13,6 +13,7 @@
 
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import state
+from hibiscusslip.dispatch import task_runs
 
 if typing.TYPE_CHECKING:
     from hibiscusslip.dispatch import engine as engines
@@ -161,9 +162,8 @@
         return now + MIN_REMAINING_S
     if task is None or task.step.spec.long_running:
         return NEVER
-    end = engine.estimates.expected_end(
-        task, endpoint, task.started_at or now, now
-    )
+    started_at = task_runs.started_at(task, allocation.run) or now
+    end = engine.estimates.expected_end(task, endpoint, started_at, now)
     return max(end, now + MIN_REMAINING_S)
 
 
@@ -192,7 +192,8 @@
         return option.free_at
     for allocation in victims:
         assert allocation.task is not None
-        engine.stop(allocation.task, f'makes way for {step.name}', now)
+        reason = f'makes way for {step.name}'
+        engine.stop(allocation.task, reason, now, allocation.run)
     return now + MIN_REMAINING_S
 
 
@@ -211,7 +212,7 @@
             continue
         if not task.step.spec.resumable:
             continue
-        if task.status is not state.Status.RUNNING:
+        if not task_runs.is_running(task, allocation.run):
             continue
         if task.step.job.within_entitlement > step.job.within_entitlement:
             continue
--- a/hibiscusslip/dispatch/preemption.py
+++ b/hibiscusslip/dispatch/preemption.py
@@ -56,12 +56,16 @@
 
 
 def may_stop(allocation: state.Allocation) -> bool:
-    """Return True if a run can be stopped without loss, for the first time."""
+    """Return True if a run can be stopped without loss, for the first time.
+
+    A task with a second run is late already, and would go on with that one.
+    """
     task = allocation.task
     return (
         task is not None
         and not allocation.stop_requested_at
         and not task.preempted
+        and task.second is None
         and task.step.spec.resumable
         and task.status is state.Status.RUNNING
         and task.run == allocation.run
--- a/hibiscusslip/dispatch/progress.py
+++ b/hibiscusslip/dispatch/progress.py
@@ -10,6 +10,7 @@
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import run_learning
 from hibiscusslip.dispatch import state
+from hibiscusslip.dispatch import task_runs
 
 if typing.TYPE_CHECKING:
     from hibiscusslip.dispatch import engine as engines
@@ -89,7 +90,8 @@
     """Learn from a run that takes longer than the `expected` seconds."""
     task = allocation.task
     assert task is not None
-    elapsed = now - task.started_at if task.started_at else 0.0
+    started_at = task_runs.started_at(task, row.run)
+    elapsed = now - started_at if started_at else 0.0
     is_measured = run_learning.is_measured(engine.estimates, task, allocation)
     if is_measured:
         run_learning.learn_if_overdue(
@@ -128,4 +130,4 @@
             seconds=round(stalled_s, 2),
         )
         endpoint.quarantined_until = now + QUARANTINE_S
-        engine.stop(task, 'stands still', now)
+        engine.stop(task, 'stands still', now, row.run)
--- a/hibiscusslip/dispatch/records.py
+++ b/hibiscusslip/dispatch/records.py
@@ -5,7 +5,9 @@
 
 import msgspec
 
+from hibiscusslip.dispatch import copy_records
 from hibiscusslip.dispatch import model
+from hibiscusslip.dispatch import run_records
 from hibiscusslip.dispatch import state
 from hibiscusslip.dispatch import usage
 
@@ -79,21 +81,6 @@
     born: float
 
 
-class RunRow(msgspec.Struct, array_like=True):
-    """A run beside the one that the row of its task names, if any.
-
-    It may still be active, and so counts for the limit of its organisation.
-    """
-
-    occurrence: int
-    step: int
-    index: int
-    run: int
-    endpoint: str
-    address: str
-    born: float
-
-
 class JobRow(msgspec.Struct, array_like=True):
     """The record of a job's progress.
 
@@ -114,7 +101,8 @@
     crashes: list[CrashRow] = []
     losses: list[LossRow] = []
     completed: list[tuple[int, int]] = []
-    runs: list[RunRow] = []
+    runs: list[run_records.RunRow] = []
+    copies: list[copy_records.CopyRow] = []
 
     def occurrence_numbers(self) -> list[int]:
         """Return the numbers of all occurrences, completed ones too."""
@@ -164,6 +152,7 @@
     steps: list[StepRow] = []
     crashes: list[CrashRow] = []
     losses: list[LossRow] = []
+    copies: list[copy_records.CopyRow] = []
     endpoints: dict[str, EndpointRow] = {}
     runs = [] if compact and job.state.final else list(counted)
     if job.state.final:
@@ -178,6 +167,7 @@
             steps.extend(_step_rows(step))
             crashes.extend(_crash_rows(step))
             losses.extend(_loss_rows(step))
+            copies.extend(copy_records.encode(step))
             endpoints.update(_endpoint_rows(step.tasks))
     row = JobRow(
         job.state.value,
@@ -190,7 +180,8 @@
         crashes,
         losses,
         _ranges(completed),
-        [_run_row(run) for run in runs if not run.is_current],
+        run_records.encode(runs, copies),
+        copies,
     )
     return msgspec.msgpack.encode(row)
 
@@ -241,18 +232,6 @@
     }
 
 
-def _run_row(run: usage.CountedRun) -> RunRow:
-    return RunRow(
-        run.task.step.occurrence,
-        run.task.step.number,
-        run.task.index,
-        run.run,
-        run.endpoint,
-        run.address,
-        run.born,
-    )
-
-
 def _step_rows(step: state.StepState) -> list[StepRow]:
     if not step.failures and not step.checkpoint:
         return []
@@ -343,6 +322,8 @@
             crash_row.total, crash_row.sole, crash_row.confirmed
         )
         task.proven_run = crash_row.proven_run
+    for copy_row in row.copies:
+        copy_records.restore(job, copy_row)
     for loss_row in row.losses:
         step = job.occurrences[loss_row.occurrence][loss_row.step]
         step.tasks[loss_row.index].unexplained.append(
--- a/hibiscusslip/dispatch/run_learning.py
+++ b/hibiscusslip/dispatch/run_learning.py
@@ -9,6 +9,7 @@
 from hibiscusslip.dispatch import estimates as run_estimates
 from hibiscusslip.dispatch import run_times
 from hibiscusslip.dispatch import state
+from hibiscusslip.dispatch import task_runs
 
 MIN_RUNS_FOR_SPEED = 8  # that the expected run time must derive from
 # Weight of an overdue run's lower bound. The rest is left for its end, so that
@@ -66,9 +67,10 @@
 ) -> None:
     """Learn from a run that was stopped before its end."""
     if estimates.learns and allocation is not None:
-        if is_measured(estimates, task, allocation):
+        if task.started_at and is_measured(estimates, task, allocation):
+            elapsed = now - task.started_at
             weight = _weight(allocation)
-            _learn_bound(estimates, endpoint, task, now, weight)
+            _learn_bound(estimates, endpoint, task, elapsed, now, weight)
 
 
 def learn_if_overdue(
@@ -79,12 +81,14 @@
     now: float,
 ) -> None:
     """Learn once from a run that goes on for longer than expected."""
-    if not estimates.learns or allocation.overdue or not task.started_at:
+    started_at = task_runs.started_at(task, allocation.run)
+    if not estimates.learns or allocation.overdue or not started_at:
         return
+    elapsed = now - started_at
     speed = estimates.speed_of(endpoint)
     high = estimates.expect_learned(task.step).high
-    if (now - task.started_at) * speed.factor > high:
-        _learn_bound(estimates, endpoint, task, now, OVERDUE_WEIGHT)
+    if elapsed * speed.factor > high:
+        _learn_bound(estimates, endpoint, task, elapsed, now, OVERDUE_WEIGHT)
         allocation.overdue = True
 
 
@@ -97,12 +101,13 @@
     estimates: run_estimates.Estimates,
     endpoint: state.Endpoint,
     task: state.Task,
+    elapsed: float,
     now: float,
     weight: float,
 ) -> None:
     speed = estimates.speed_of(endpoint)
-    if task.started_at and speed.plausible:
-        length = (now - task.started_at) * speed.factor
+    if speed.plausible:
+        length = elapsed * speed.factor
         _learn_length(estimates, task, length, now, weight, True)
 
 
--- a/hibiscusslip/host/endpoint_session.py
+++ b/hibiscusslip/host/endpoint_session.py
@@ -5,6 +5,7 @@
 from hibiscusslip.dispatch import commands
 from hibiscusslip.dispatch import engine as engines
 from hibiscusslip.dispatch import state
+from hibiscusslip.dispatch import task_runs
 from hibiscusslip.host import context
 from hibiscusslip.host import estimate_reports
 from hibiscusslip.host import wakeup_event
@@ -181,17 +182,11 @@
             self._engine.revert_start(start, 'too old to send', now)
             await self._plan_wakeup.set()
             return
-        request = endpoint_client.StartRequest(
-            start.task.name,
-            start.run,
-            start.payload,
-            start.deadline,
-            self._epoch,
-            start.checkpoint,
-            start.ticket,
-        )
+        request = self._start_request(start)
         give_up_at = start.decided_at + MAX_START_AGE_S + START_RETRY_MARGIN_S
         while now < give_up_at and self._holds_ownership():
+            if task_runs.is_needless(start.task, start.run):
+                break
             try:
                 clock = await self._client.start(request, CALL_TIMEOUT_S)
                 await self._handle_started(start, now, clock)
@@ -215,6 +210,19 @@
         reason = 'in doubt' if indeterminate else 'unreached'
         await self._handle_start_failure(start, reason, indeterminate)
 
+    def _start_request(
+        self, start: commands.Start
+    ) -> endpoint_client.StartRequest:
+        return endpoint_client.StartRequest(
+            start.task.name,
+            start.run,
+            start.payload,
+            start.deadline,
+            self._epoch,
+            start.checkpoint,
+            start.ticket,
+        )
+
     def _holds_ownership(self) -> bool:
         """Return True if this host still owns the cell in the same epoch.
 
--- a/hibiscusslip/host/engine_events.py
+++ b/hibiscusslip/host/engine_events.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from hibiscusslip.dispatch import copies
 from hibiscusslip.host import context
 
 COUNTED_EVENTS = frozenset(
@@ -12,6 +13,7 @@
         'task_given_up',
         'held_by_limit',
         'run_preempted',
+        *copies.EVENTS,
     )
 )
 
--- a/hibiscusslip/host/recovery.py
+++ b/hibiscusslip/host/recovery.py
@@ -8,6 +8,7 @@
 from hibiscusslip.dispatch import engine as engines
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import records
+from hibiscusslip.dispatch import run_records
 from hibiscusslip.dispatch import state
 from hibiscusslip.host import cancellations
 from hibiscusslip.host import context
@@ -196,7 +197,7 @@
     now: float,
 ) -> None:
     """Apply the progress records of the jobs that the engine has."""
-    other_runs: list[tuple[state.Job, list[records.RunRow]]] = []
+    other_runs: list[tuple[state.Job, list[run_records.RunRow]]] = []
     for job_id, value in progress.items():
         job = engine.jobs.get(job_id)
         if job is None:
@@ -228,7 +229,16 @@
             engine.active_steps.pop(step.name, None)
         for task in step.tasks:
             if task.status.placed:
-                _allocate(ctx, engine, task, now)
+                endpoint = _find_or_add(
+                    engine, task.endpoint, task.address, task.born
+                )
+                _allocate(ctx, endpoint, task, task.run, now)
+            if task.second is not None:
+                second = task.second
+                endpoint = _find_or_add(
+                    engine, second.endpoint, second.address, second.born
+                )
+                _allocate(ctx, endpoint, task, second.run, now)
             for loss in task.unexplained:
                 endpoint = _find_or_add(
                     engine, loss.endpoint, loss.address, loss.born
@@ -240,7 +250,7 @@
     ctx: context.Context,
     engine: engines.Engine,
     job: state.Job,
-    rows: list[records.RunRow],
+    rows: list[run_records.RunRow],
     now: float,
 ) -> None:
     """Allocate for runs beside those that the tasks of a job name.
@@ -269,16 +279,19 @@
 
 
 def _allocate(
-    ctx: context.Context, engine: engines.Engine, task: state.Task, now: float
+    ctx: context.Context,
+    endpoint: state.Endpoint,
+    task: state.Task,
+    run: int,
+    now: float,
 ) -> None:
-    endpoint = _find_or_add(engine, task.endpoint, task.address, task.born)
-    told_end = ctx.ownership.leases_end.get(task.endpoint)
+    told_end = ctx.ownership.leases_end.get(endpoint.name)
     if told_end is not None:
         endpoint.inherited_leases_until = told_end + lease_timing.SLACK_S
     else:
         longest = lease_timing.longest_inherited(ctx.cfg.bounds.max_lease)
         endpoint.inherited_leases_until = now + longest
-    _add_allocation(endpoint, task, task.run, now)
+    _add_allocation(endpoint, task, run, now)
 
 
 def _add_allocation(
--- a/tests/host/test_estimate_reports.py
+++ b/tests/host/test_estimate_reports.py
@@ -19,7 +19,7 @@
 def test_errors_are_published_by_queue_and_estimate():
     model = estimates.Estimates(LEARNED)
     for _ in range(50):
-        model.errors.add('q', actual=4.0, learned=4.0, declared=1.0)
+        model.run_time_ratios.add('q', actual=4.0, learned=4.0, declared=1.0)
     text = render(model)
     rows = [line for line in text.splitlines() if 'run_time_ratio{' in line]
     assert len(rows) == 4
@@ -36,7 +36,7 @@
 
 def test_nothing_is_published_unless_run_times_are_learned():
     model = estimates.Estimates()
-    model.errors.add('q', actual=4.0, learned=4.0, declared=1.0)
+    model.run_time_ratios.add('q', actual=4.0, learned=4.0, declared=1.0)
     assert 'run_time_ratio' not in render(model)
 
 
--- a/tests/platform/soak/cell.py
+++ b/tests/platform/soak/cell.py
@@ -11,6 +11,7 @@
 
 import curio
 
+from hibiscusslip.host import options
 from hibiscusslip.http import client
 from hibiscusslip.http import exceptions
 from hibiscusslip.platform import settings as platform_settings
@@ -54,6 +55,7 @@
             'HIBISCUSSLIP_PEER_SECRET': SECRET,
             hosted.SHIFT_VARIABLE: str(self.clock_shift),
             hosted.BUG_VARIABLE: bug,
+            options.COPIES_VARIABLE: 'on' if layout.COPIES else 'off',
         }
         with self.log.open('ab') as log:
             self.process = subprocess.Popen(
