--- a/Makefile
+++ b/Makefile
@@ -77,6 +77,11 @@
 	$(PY) -m hibiscusslip.bench.organisations
 	$(PY) -m hibiscusslip.bench.organisations --count 260 --scale 14 \
 		--surging 0 --seconds 2
+	for options in "" --learned --speeds "--learned --speeds"; do \
+	  echo "uneven endpoints: $${options:-declared times}"; \
+	  $(PY) -m hibiscusslip.bench.dispatching --deployment uneven \
+	    --burst sweep $$options; \
+	done
 
 slopes: bytecode
 	$(PY) -m hibiscusslip.bench.slopes
