Keep a cancelled job cancelled if one of its runs fails

Cause: the end of a run that failed before its stop arrived was counted as an attempt, and the last attempt set the job to failed although it had ended as cancelled. Callers who had cancelled a job saw it as failed. The test fails without the change.

--- a/hibiscusslip/dispatch/_reports.py
+++ b/hibiscusslip/dispatch/_reports.py
@@ -126,7 +126,10 @@
         run_learning.learn_stopped(
             engine.estimates, endpoint, task, allocation, now
         )
-    if end.how is model.RunOutcome.FAILED and not task.step.spec.long_running:
+    counts = (
+        end.how is model.RunOutcome.FAILED and not task.step.job.state.final
+    )
+    if counts and not task.step.spec.long_running:
         if _record_failure(engine, task, end.run):
             _lost_runs.note_copy_end(engine, task)
             task.status = state.Status.FAILED
--- a/tests/dispatch/test_engine.py
+++ b/tests/dispatch/test_engine.py
@@ -298,3 +298,15 @@
     bench.plan()
     tasks = sum(len(step.tasks) for step in job.steps())
     assert tasks <= 10_000  # as many as a job may have at once
+
+
+def test_failed_run_turns_a_cancelled_job_into_a_failed_one():
+    """A run may fail before the request to stop it arrives."""
+    bench = support.Bench(support.queue(max_attempts=1))
+    bench.endpoint('e1')
+    job = bench.submit('j1', support.step())
+    (start,) = bench.plan()
+    bench.confirm([start])
+    bench.engine.cancel('j1', bench.now)
+    bench.end(start, 'failed')
+    assert job.state is model.JobState.CANCELLED
