Name functions of planning and limits for what they do

_note_yielding also recorded which share levels contend; it is two functions now. hold_back only logs, follow records an allocation. why names other organisations as the cause of a wait.

--- a/hibiscusslip/commands/_waits.py
+++ b/hibiscusslip/commands/_waits.py
@@ -5,7 +5,10 @@
 import typing
 
 # Events that name the cause of a wait, and how the cause is shown.
-CAUSES = {'held_by_limit': 'the limit of its organisation'}
+CAUSES = {
+    'held_by_limit': 'the limit of its organisation',
+    'step_yields': 'other organisations, which go first',
+}
 START_EVENTS = frozenset({'run_ordered', 'run_adopted'})
 
 Fields = collections.abc.Mapping[str, typing.Any]  # of one log line
--- a/hibiscusslip/dispatch/_limiter.py
+++ b/hibiscusslip/dispatch/_limiter.py
@@ -61,7 +61,7 @@
             self._overage,
         )
 
-    def hold_back(self, step: state.StepState) -> None:
+    def note_held_back(self, step: state.StepState) -> None:
         """Note that a step waits for the limit, once in each wait."""
         if step.name in self._noted:
             return
--- a/hibiscusslip/dispatch/_lost_runs.py
+++ b/hibiscusslip/dispatch/_lost_runs.py
@@ -85,7 +85,9 @@
     if task is not None:
         was_second = task_runs.make_current(task, run)
         if was_second or task.step.job.organisation:
-            engine.dirty.add(task.step.job.job_id)  # the record has each run
+            engine.dirty.add(
+                task.step.job.job_id
+            )  # its record lists every run that counts
     if task is not None and task.run == run and task.status.placed:
         engine.dirty.add(task.step.job.job_id)
         requeue(engine, task, now)
@@ -130,9 +132,9 @@
 
 
 def _may_start_late(allocation: state.Allocation) -> bool:
-    """Return True if an incarnation to come may carry out the start.
+    """Return True if a later incarnation may carry out the start.
 
-    It refuses the start of a former owner, by its epoch.
+    Starts of a former owner are refused by their epoch.
     """
     return not allocation.confirmed_at and not allocation.recovered
 
@@ -294,7 +296,9 @@
         task, start.run
     )
     if was_second or step.job.organisation:
-        engine.dirty.add(step.job.job_id)  # the record has each run
+        engine.dirty.add(
+            step.job.job_id
+        )  # its record lists every run that counts
     if allocation is None or task.run != start.run or not task.status.placed:
         return
     engine.dirty.add(step.job.job_id)
--- a/hibiscusslip/dispatch/_planning.py
+++ b/hibiscusslip/dispatch/_planning.py
@@ -42,7 +42,7 @@
         if not pool:
             continue
         if rank.beyond and _scheduling_pass.lacks_spare(current, step):
-            _note_yielding(current, step, rank)
+            _log_yielding(current, step, rank)
             continue  # tickets would expire before there is capacity
         if step.ready:
             _plan_step(current, step, rank)
@@ -123,7 +123,8 @@
             rank,
         )
     needed = current.engine.limiter.count_startable(step, len(step.waiting()))
-    _note_yielding(current, step, rank)
+    _log_yielding(current, step, rank)
+    _record_contention(current, step, rank)
     if rank.expired or not needed:
         return
     if rank.beyond and step.job.service in current.contended:
@@ -164,21 +165,27 @@
     limiter = current.engine.limiter
     max_tasks = limiter.count_startable(step, len(tasks))
     if max_tasks < len(tasks):
-        limiter.hold_back(step)
+        limiter.note_held_back(step)
     return tasks[:max_tasks]
 
 
-def _note_yielding(
+def _record_contention(
     current: _scheduling_pass.Pass, step: state.StepState, rank: ordering.Rank
 ) -> None:
-    """Log that a step waits for others because of its organisation."""
-    if rank.expired:
+    """Record the lowest share level of a step within its entitlement."""
+    if rank.expired or rank.beyond:
         return
     service = step.job.service
-    lowest = current.contended.get(service)
-    if not rank.beyond and (lowest is None or rank.level < lowest):
-        current.contended[service] = rank.level
-    if lowest is None or not step.has_waiting():
+    lowest = current.contended.get(service, rank.level)
+    current.contended[service] = min(lowest, rank.level)
+
+
+def _log_yielding(
+    current: _scheduling_pass.Pass, step: state.StepState, rank: ordering.Rank
+) -> None:
+    """Log that a step waits for steps of other organisations."""
+    lowest = current.contended.get(step.job.service)
+    if rank.expired or lowest is None or not step.has_waiting():
         return
     if rank.beyond or rank.level > lowest:
         fields = current.engine.shares.describe_wait(step)
--- a/hibiscusslip/dispatch/_reports.py
+++ b/hibiscusslip/dispatch/_reports.py
@@ -54,7 +54,7 @@
 
 
 def _mark_unmeasurable(endpoint: state.Endpoint) -> None:
-    """Note that the ends of runs may be reported late after lost calls."""
+    """Exclude runs from learning, as lost calls may have delayed reports."""
     for allocation in endpoint.allocations.values():
         allocation.measurable = False
 
@@ -298,7 +298,9 @@
     )
     endpoint.allocate(row.task, allocation)
     if task is not None and task.step.job.organisation:
-        engine.dirty.add(task.step.job.job_id)  # the record has each run
+        engine.dirty.add(
+            task.step.job.job_id
+        )  # its record lists every run that counts
     if task is None or task.step.job.state.final or row.run < task.run:
         return allocation
     if task.status is state.Status.WAITING:
--- a/hibiscusslip/dispatch/engine.py
+++ b/hibiscusslip/dispatch/engine.py
@@ -211,7 +211,7 @@
 
     def add_endpoint(self, name: str) -> state.Endpoint:
         """Add an endpoint without an entry and return it."""
-        endpoint = state.Endpoint(name, observe=self.ledger.follow)
+        endpoint = state.Endpoint(name, observe=self.ledger.record_allocation)
         self.endpoints[name] = endpoint
         return endpoint
 
--- a/hibiscusslip/dispatch/usage.py
+++ b/hibiscusslip/dispatch/usage.py
@@ -70,7 +70,7 @@
         """Return the released runs that may still start."""
         return [run for _, run in self._held_until.values()]
 
-    def follow(
+    def record_allocation(
         self,
         endpoint: state.Endpoint,
         name: str,
@@ -108,7 +108,7 @@
 
         If it starts, it is allocated again and counts as usual.
         """
-        self.follow(endpoint, name, allocation, True)
+        self.record_allocation(endpoint, name, allocation, True)
         key = (endpoint.name, name, allocation.run)
         task = allocation.task
         run = task and self._runs_by_job.get(task.step.job.job_id, {}).get(key)
--- a/tests/commands/test_why.py
+++ b/tests/commands/test_why.py
@@ -135,6 +135,18 @@
     assert 'organisation=acme usage=cpu:4000 limit=cpu:4000' in line
 
 
+def test_share_is_named_as_the_cause_of_a_wait(tmp_path, capsys):
+    path = write_log(
+        tmp_path,
+        'h1',
+        make_line(1.0, 'step_yields', step=f'{JOB}.0.0', reason='share'),
+        make_line(1.5, 'run_ordered', task=f'{JOB}.0.0.0', run=1),
+    )
+    assert ctl.app(['why', JOB, str(path)], exit_on_error=False) == 0
+    text = capsys.readouterr().out
+    assert 'waited for other organisations, which go first, 0.500 s' in text
+
+
 def test_unknown_job_and_missing_file_are_reported(tmp_path, capsys):
     path = write_log(tmp_path, 'h1', make_line(1.0, 'job_taken', job='other'))
     assert ctl.app(['why', JOB, str(path)], exit_on_error=False) == 4
