--- a/hibiscusslip/dispatch/_planning.py
+++ b/hibiscusslip/dispatch/_planning.py
@@ -133,22 +133,32 @@
         waiting = sum(t.status is state.Status.WAITING for t in tasks)
         current.preempting.add(step, waiting, rank.priority)
     if _reservations.is_large(step, candidates.max_endpoint_cpu):
-        endpoints = [
-            candidate.endpoint
-            for candidate in candidates.eligible_for(
-                step, step.eligible if needs_advice else None
-            )
-        ]
-        can_be_on_time = not rank.late
-        _reservations.reserve(
-            current.engine,
-            current.reserved,
-            step,
-            needed,
-            endpoints,
-            can_be_on_time,
-            now,
-        )
+        eligible = step.eligible if needs_advice else None
+        _reserve(current, step, needed, eligible, not rank.late)
+
+
+def _reserve(
+    current: _scheduling_pass.Pass,
+    step: state.StepState,
+    needed: int,
+    eligible: set[str] | None,
+    can_be_on_time: bool,
+) -> None:
+    """Reserve endpoints for `needed` tasks; `eligible` None means any."""
+    candidates = current.candidates[step.job.service]
+    endpoints = [
+        candidate.endpoint
+        for candidate in candidates.eligible_for(step, eligible)
+    ]
+    _reservations.reserve(
+        current.engine,
+        current.reserved,
+        step,
+        needed,
+        endpoints,
+        can_be_on_time,
+        current.now,
+    )
 
 
 def _startable(
--- a/hibiscusslip/dispatch/advice_planning.py
+++ b/hibiscusslip/dispatch/advice_planning.py
@@ -83,6 +83,15 @@
         step.next_advice_at = now + FULL_RETRY_DELAY_S
         _defer_others(engine, step, now)
         return
+    _request(engine, step, names, cost)
+
+
+def _request(
+    engine: 'engines.Engine',
+    step: state.StepState,
+    names: tuple[str, ...],
+    cost: float,
+) -> None:
     step.advice_pending = True
     if is_long_call(cost):
         engine.long_calls += 1
--- a/hibiscusslip/dispatch/records.py
+++ b/hibiscusslip/dispatch/records.py
@@ -142,50 +142,46 @@
     """Return the record of a job's progress.
 
     For a final job it contains no steps, and only those tasks whose runs are
-    `counted` for the limit of its organisation. If it is `compact`, it
-    contains no tasks of a final job, and for others the occurrences that are
-    complete have no rows; releases before this one would take these for new.
+    `counted` for the limit of its organisation; none if it is `compact`. A
+    compact record of another job has no rows of complete occurrences, which
+    releases before this one would take for new.
     """
     completed = _completed_numbers(job) if compact else []
     left_out = set(completed)
-    tasks: list[TaskRow] = []
-    steps: list[StepRow] = []
-    crashes: list[CrashRow] = []
-    losses: list[LossRow] = []
-    copies: list[copy_records.CopyRow] = []
-    endpoints: dict[str, EndpointRow] = {}
     runs = [] if compact and job.state.final else list(counted)
-    if job.state.final:
-        current = [run.task for run in runs if run.is_current]
-        tasks = [_task_row(task) for task in current]
-        endpoints = _endpoint_rows(current)
-    else:
-        for step in job.steps():
-            if step.occurrence in left_out:
-                continue
-            tasks.extend(_task_rows(step))
-            steps.extend(_step_rows(step))
-            crashes.extend(_crash_rows(step))
-            losses.extend(_loss_rows(step))
-            copies.extend(copy_records.encode(step))
-            endpoints.update(_endpoint_rows(step.tasks))
     row = JobRow(
         job.state.value,
-        tasks,
-        steps,
+        [],
+        [],
         [n for n in job.occurrences if n not in left_out],
         epoch,
         number,
-        list(endpoints.values()),
-        crashes,
-        losses,
-        _ranges(completed),
-        run_records.encode(runs, copies),
-        copies,
+        completed=_ranges(completed),
     )
+    if job.state.final:
+        current = [run.task for run in runs if run.is_current]
+        row.tasks = [_task_row(task) for task in current]
+        row.endpoints = list(_endpoint_rows(current).values())
+    else:
+        steps = [s for s in job.steps() if s.occurrence not in left_out]
+        _add_steps(row, steps)
+    row.runs = run_records.encode(runs, row.copies)
     return msgspec.msgpack.encode(row)
 
 
+def _add_steps(row: JobRow, steps: list[state.StepState]) -> None:
+    """Add the rows of steps to a record."""
+    endpoints: dict[str, EndpointRow] = {}
+    for step in steps:
+        row.tasks.extend(_task_rows(step))
+        row.steps.extend(_step_rows(step))
+        row.crashes.extend(_crash_rows(step))
+        row.losses.extend(_loss_rows(step))
+        row.copies.extend(copy_records.encode(step))
+        endpoints.update(_endpoint_rows(step.tasks))
+    row.endpoints = list(endpoints.values())
+
+
 def _completed_numbers(job: state.Job) -> list[int]:
     return [
         number
