--- a/tests/commands/test_config_check.py
+++ b/tests/commands/test_config_check.py
@@ -6,7 +6,7 @@
 
 from hibiscusslip.commands import _output
 from hibiscusslip.commands import ctl
-from tests.config_check import drafts
+from tests.platform.config_check import drafts
 
 KEY = drafts.KEY
 
--- a/tests/fuzz/test_decoders.py
+++ b/tests/fuzz/test_decoders.py
@@ -58,7 +58,7 @@
 )
 HOST = notices.HostRecord('h', 'i', 'z', '10.0.0.1', 1, 1.0)
 ORGANISATIONS = cell.organisations_document(
-    keys={'o': ['key-of-o'], 'p': ['key-of-p']}, Advice={'DecisionMs': 5}
+    keys={'o': ['key-of-o'], 'p': ['key-of-p']}, Advice=cell.ADVICE
 )
 JOB_ROW = records.JobRow(
     'running',
--- a/tests/host/test_access.py
+++ b/tests/host/test_access.py
@@ -153,7 +153,7 @@
 
 
 def test_unknown_queue_is_answered_before_the_key_is_checked():
-    caller = Front(read(PathPrefix='/elsewhere/'))
+    caller = Front(read(prefix='/elsewhere/'))
     assert caller.call('POST').status == 404
 
 
--- a/tests/platform/cell.py
+++ b/tests/platform/cell.py
@@ -50,6 +50,9 @@
     return msgspec.json.encode(document)
 
 
+ADVICE = {'DecisionMs': 5}
+
+
 def organisations_document(version=1, keys=None, **route):
     """Return a configuration with an organisation for each of `keys`."""
     document = msgspec.json.decode(config_document(version, **route))
@@ -60,11 +63,11 @@
     return msgspec.json.encode(document)
 
 
-def config_document(version=1, service=SERVICE, **route):
+def config_document(version=1, service=SERVICE, prefix=PREFIX, **route):
     fields = {
         'Name': 'r-small',
         'Host': HOST,
-        'PathPrefix': PREFIX,
+        'PathPrefix': prefix,
         'Kind': 'unsafe',
         'TimeoutMs': 3000,
         'TargetLatencyMs': 1000,
--- a/tests/config_check/test_changes.py
+++ b/tests/platform/config_check/test_changes.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tests.config_check import drafts
+from tests.platform.config_check import drafts
 
 
 def digest(key):
--- a/tests/config_check/test_check.py
+++ b/tests/platform/config_check/test_check.py
@@ -6,7 +6,7 @@
 
 from hibiscusslip.platform import documents
 from hibiscusslip.platform import placed_configuration
-from tests.config_check import drafts
+from tests.platform.config_check import drafts
 
 
 def queue(**fields):
--- a/tests/config_check/test_properties.py
+++ b/tests/platform/config_check/test_properties.py
@@ -7,7 +7,7 @@
 from hibiscusslip import config_check
 from hibiscusslip.platform import documents
 from hibiscusslip.platform import placed_configuration
-from tests.config_check import drafts
+from tests.platform.config_check import drafts
 
 few_examples = hypothesis.settings(
     max_examples=100, deadline=None, derandomize=True, database=None
