Judge an organisation's rate of jobs over the deployment's window

Cause: the token bucket held the jobs of one second, at least one. An organisation entitled to a job a second that sent two within a second had the second one ordered after all jobs within an entitlement, for as long as it waited. The deployment's settings judge rates over `QuotaWindowS`, 5 s there.

Change: the bucket holds the jobs of that window; without the setting it stays one second.

The new tests fail with a bucket of one second: of 200 jobs at half the entitled rate, more than 20 are beyond.

--- a/hibiscusslip/bench/organisations.py
+++ b/hibiscusslip/bench/organisations.py
@@ -16,6 +16,7 @@
 from hibiscusslip.bench import dispatch_report
 from hibiscusslip.bench import dispatching
 from hibiscusslip.dispatch import admission
+from hibiscusslip.dispatch import entitlement
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import shares
 from hibiscusslip.dispatch import state
@@ -43,8 +44,10 @@
     """Replay the arrivals of `count` organisations on one dispatch engine.
 
     Without `enabled` the configuration has no organisations, and the jobs
-    are the same. `counts` are those of the jobs within the entitlement of
-    their organisation, `rejected` how many jobs of each hosts would reject.
+    are the same. The rates of organisations are judged over
+    `entitlement_window` seconds. `counts` are those of the jobs within the
+    entitlement of their organisation, `rejected` how many jobs of each hosts
+    would reject.
     """
 
     def __init__(
@@ -56,8 +59,10 @@
         surges: tuple[Surge, ...] = (),
         enabled: bool = True,
         adviser_count: int = dispatching.ADVISER_COUNT,
+        entitlement_window: float = entitlement.DEFAULT_WINDOW_S,
     ) -> None:
         super().__init__(seed, load, bursts)
+        self._engine.shares = shares.Shares(entitlement_window)
         self._engine.adviser_count = adviser_count
         self._surges = surges
         self._owner_rng = random.Random(seed + 1)
--- a/hibiscusslip/dispatch/engine.py
+++ b/hibiscusslip/dispatch/engine.py
@@ -17,6 +17,7 @@
 from hibiscusslip.dispatch import advice_sizing
 from hibiscusslip.dispatch import commands
 from hibiscusslip.dispatch import crashes
+from hibiscusslip.dispatch import entitlement
 from hibiscusslip.dispatch import estimates
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import policy as policies
@@ -52,7 +53,8 @@
     `withheld_names` are the endpoints whose leases may not be extended,
     `recent_losses` those that crashed lately. `ledger` has what each
     organisation has running; its limit may be exceeded by the share
-    `limit_overage` as far as `limits.count_startable` says.
+    `limit_overage` as far as `limits.count_startable` says. Its rate of jobs
+    is judged over `entitlement_window` seconds.
     """
 
     def __init__(
@@ -62,6 +64,7 @@
         max_lease: float | None = None,
         policy: policies.Policy = policies.Policy(),
         limit_overage: float = 0.0,
+        entitlement_window: float = entitlement.DEFAULT_WINDOW_S,
     ) -> None:
         self.lease = lease
         self.policy = policy
@@ -84,7 +87,7 @@
         self.withheld_names: set[str] = set()
         self.recent_losses: list[crashes.Loss] = []
         self.eligible_shares: dict[str, advice_sizing.EligibleShare] = {}
-        self.shares = shares.Shares()
+        self.shares = shares.Shares(entitlement_window)
         self.headroom: dict[str, _headroom.Headroom] = {}
         self.ledger = usage.Ledger()
         self.limiter = _limiter.Limiter(self.ledger, note, limit_overage)
--- a/hibiscusslip/dispatch/entitlement.py
+++ b/hibiscusslip/dispatch/entitlement.py
@@ -1,16 +1,18 @@
 """Decide which jobs of an organisation are within its entitlement.
 
-An organisation is entitled to `weight` jobs a second. A token bucket for each
-holds the jobs of one second, at least one, and runs on the times at which the
-hosts accepted the jobs. So a new owner, which reads the same submissions in
-order of acceptance, gets the same result, whenever it reads them.
+An organisation is entitled to `weight` jobs a second, on average over a window
+that the deployment sets. A token bucket for each holds the jobs of one window,
+at least one: callers don't come evenly spaced, and a small organisation often
+sends two jobs within a second. The bucket runs on the times at which the hosts
+accepted the jobs. So a new owner, which reads the same submissions in order of
+acceptance, gets the same result, whenever it reads them.
 """
 
 import dataclasses
 
 from hibiscusslip.dispatch import model
 
-BURST_S = 1.0
+DEFAULT_WINDOW_S = 1.0
 MIN_BURST_JOBS = 1.0
 ROUNDING_JOBS = 1e-9
 
@@ -22,13 +24,13 @@
     tokens: float
     updated_at: float
 
-    def take(self, rate: float, accepted: float) -> bool:
+    def take(self, rate: float, burst: float, accepted: float) -> bool:
         """Take a token for a job; return False if there is none.
 
-        A job that was accepted before an earlier one adds no tokens, as
-        those of that time are added already.
+        The bucket gets `rate` tokens a second and holds `burst`. A job that
+        was accepted before an earlier one adds no tokens, as those of that
+        time are added already.
         """
-        burst = max(rate * BURST_S, MIN_BURST_JOBS)
         elapsed = max(accepted - self.updated_at, 0.0)
         self.updated_at += elapsed
         self.tokens = min(self.tokens + rate * elapsed, burst)
@@ -39,9 +41,10 @@
 
 
 class Entitlements:
-    """The token buckets of all organisations."""
+    """The token buckets of all organisations; `window` is in seconds."""
 
-    def __init__(self) -> None:
+    def __init__(self, window: float = DEFAULT_WINDOW_S) -> None:
+        self._window = window
         self._buckets: dict[str, _Bucket] = {}
 
     def take(self, organisation: str, weight: float, accepted: float) -> bool:
@@ -49,12 +52,12 @@
 
         `weight` is in jobs a second, `accepted` a Unix time.
         """
+        burst = max(weight * self._window, MIN_BURST_JOBS)
         bucket = self._buckets.get(organisation)
         if bucket is None:
-            burst = max(weight * BURST_S, MIN_BURST_JOBS)
             bucket = _Bucket(burst, accepted)
             self._buckets[organisation] = bucket
-        return bucket.take(weight, accepted)
+        return bucket.take(weight, burst, accepted)
 
 
 def weight_of(config: model.Configuration | None, organisation: str) -> float:
--- a/hibiscusslip/dispatch/shares.py
+++ b/hibiscusslip/dispatch/shares.py
@@ -31,15 +31,16 @@
 
     `fair_shares` maps services to the weighted dominant share that is fair.
     Until `advice_wanted_until` no step beyond an entitlement asks for advice,
-    and until the times in `advice_full_until` none of these queues.
+    and until the times in `advice_full_until` none of these queues. An
+    organisation's rate of jobs is judged over `window` seconds.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, window: float = entitlement.DEFAULT_WINDOW_S) -> None:
         self.advice_wanted_until = float('-inf')
         self.advice_full_until: dict[str, float] = {}
         self.forecast = forecast.Forecast()
         self.fair_shares: dict[str, float] = {}
-        self._entitlements = entitlement.Entitlements()
+        self._entitlements = entitlement.Entitlements(window)
         self._holdings: dict[str, dict[str, holdings.Holding]] = {}
         self._updated_at: dict[str, float] = {}
         self._noted: dict[str, float] = {}
--- a/hibiscusslip/host/owner.py
+++ b/hibiscusslip/host/owner.py
@@ -86,6 +86,7 @@
             bounds.max_lease,
             self.ctx.policy,
             bounds.limit_overage,
+            bounds.entitlement_window,
         )
 
     async def run(self) -> None:
--- a/hibiscusslip/platform/settings.py
+++ b/hibiscusslip/platform/settings.py
@@ -31,7 +31,9 @@
     `max_lease` is the longest lease that an endpoint grants, `status_kept`
     how long the state of an ended job has to be retained, `config_apply`
     the time until a configuration is in force everywhere, `contact` for how
-    long an endpoint's former capacity still counts after it has shrunk.
+    long an endpoint's former capacity still counts after it has shrunk,
+    `entitlement_window` the time over which an organisation's rate of jobs is
+    judged.
     """
 
     max_lease: float = 6.0
@@ -48,6 +50,7 @@
     config_apply: float = 2.0
     contact: float = 3.0
     limit_overage: float = 0.0
+    entitlement_window: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -101,6 +104,7 @@
     'config_apply': ('ConfigApplyMs', MS_PER_S),
     'contact': ('ContactMs', MS_PER_S),
     'limit_overage': ('QuotaOverage', 1.0),
+    'entitlement_window': ('QuotaWindowS', 1.0),
 }
 
 
--- a/tests/dispatch/test_organisation_replay.py
+++ b/tests/dispatch/test_organisation_replay.py
@@ -20,11 +20,16 @@
 BURST = dispatch_loads.Burst('timetable', 1.5, 3.0, 6.0)
 
 
-def replay(seed, count, surging, factor):
+def replay(seed, count, surging, factor, window):
     names = tuple(f'o{rank}' for rank in range(1, 1 + surging))
     surges = (organisations.Surge(names, factor, 2.0, 7.0),) if names else ()
     run = organisations.OrganisationReplay(
-        seed, test_replay.LOAD, count, (BURST,), surges
+        seed,
+        test_replay.LOAD,
+        count,
+        (BURST,),
+        surges,
+        entitlement_window=window,
     )
     run.run(8.0)
     assert run.all_ended, 'a job beyond its entitlement has starved'
@@ -46,12 +51,15 @@
     return (served - loaded_served) / total
 
 
+@pytest.mark.parametrize('window', [1.0, 5.0])
 @pytest.mark.parametrize(
     ('count', 'surging', 'factor'), [(20, 2, 6.0), (260, 20, 4.0)]
 )
-def test_surplus_of_some_organisations_harms_no_other(count, surging, factor):
-    usual = [replay(seed, count, 0, 1.0) for seed in SEEDS]
-    loaded = [replay(seed, count, surging, factor) for seed in SEEDS]
+def test_surplus_of_some_organisations_harms_no_other(
+    count, surging, factor, window
+):
+    usual = [replay(seed, count, 0, 1.0, window) for seed in SEEDS]
+    loaded = [replay(seed, count, surging, factor, window) for seed in SEEDS]
     names = list(usual[0].rates)
     others = [names[0], *names[1 + surging :]]
     small = others[len(others) // 2 :]
--- a/tests/dispatch/test_shares.py
+++ b/tests/dispatch/test_shares.py
@@ -44,8 +44,8 @@
         return [start.task.step.job.job_id for start in self.plan()]
 
 
-def admit_all(weight, times):
-    buckets = entitlement.Entitlements()
+def admit_all(weight, times, window=1.0):
+    buckets = entitlement.Entitlements(window)
     return [buckets.take('a', weight, time) for time in times]
 
 
@@ -55,6 +55,22 @@
     assert admit_all(0.2, [10.0, 14.9, 15.0]) == [True, False, True]
 
 
+def test_unevenly_spaced_jobs_at_the_rate_are_within_the_entitlement():
+    """Guards against a second job within a second that waits for ever."""
+    rng = random.Random(3)
+    times, time = [], 0.0
+    for _ in range(200):
+        time += rng.expovariate(0.5)
+        times.append(time)
+    assert admit_all(1.0, times, 1.0).count(False) > 20
+    assert admit_all(1.0, times, 5.0).count(False) <= 2
+
+
+def test_surplus_beyond_the_window_is_beyond_the_entitlement():
+    times = [index / 30 for index in range(300)]
+    assert sum(admit_all(5.0, times, 5.0)) <= 5.0 * (10.0 + 5.0)
+
+
 def test_jobs_accepted_a_little_out_of_order_get_as_many_tokens():
     """Partitions are read side by side, hosts' clocks differ a little."""
     rng = random.Random(1)
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -36,6 +36,14 @@
     assert cfg.bounds.limit_overage == 0.1
 
 
+def test_window_of_the_entitlement_comes_from_the_settings():
+    """Guards against judging rates over another span than the deployment."""
+    cfg = settings.parse(SETTINGS_FILE)
+    assert cfg.bounds.entitlement_window == 1.0
+    cfg = settings.parse(SETTINGS_FILE + 'Bounds.QuotaWindowS=5\n')
+    assert cfg.bounds.entitlement_window == 5.0
+
+
 @pytest.mark.parametrize(
     'text',
     ['', 'Node=x', SETTINGS_FILE.replace('17380,17395', 'a,b'), '\x00' * 10],
