Open the stand-in link's connections without a thread

The burst of starts on a slow link failed because the stand-in stood still, not because of the host or its timeouts. The proxy behind which the endpoints are opened each connection by curio.open_connection(), which resolves the address in a worker thread. A burst of 160 starts opens up to 160 connections, so curio starts dozens of threads, and the event loop blocks in threading.Thread.start() until each of them runs. On a busy machine (load 12 to 16 on 7 processors) that took 0.4 to 1.3 s, of which the process ran for 10 to 66 ms. Meanwhile the link carried nothing and no endpoint answered.

Seen with timestamps in both processes and a watchdog thread that reads the stack and the state of the endpoints' main thread. In three failed runs of ten:

- a request reached the proxy up to 1.2 to 2.3 s after the host had sent it (median 0.8 to 1.1 s); the main thread was in futex_do_wait below Thread.start();
- the endpoints' process used 0.2 to 0.4 s of processor time in 2.5 s;
- the host's loop was at most 0.1 to 0.8 s late.

With a socket that is connected to the numeric address, no request of 12 runs took longer than 0.2 s to reach the proxy, and the loop was late by 0.3 s at most.

`pytest tests/platform/test_slow_links.py -k burst`, 20 runs of each tree, alternating, one of each at a time, beside other work (load 15 to 20 on 7 processors): 4 of 20 failed before, 0 of 20 after. The check is unchanged. A new test fails if the proxy starts a thread. `pytest tests/host tests/dispatch tests/platform -n 2`: all passed.

--- a/tests/platform/soak/proxy.py
+++ b/tests/platform/soak/proxy.py
@@ -37,6 +37,21 @@
         await curio.sleep(max(self._free_at - now, 0.0))
 
 
+async def _connect(port: int) -> typing.Any:
+    """Return a connection to a port on loopback; raises OSError.
+
+    curio.open_connection() resolves the address in a worker thread. On a busy
+    machine the event loop stood still for 0.4 to 1.3 s until a new one ran.
+    """
+    sock = curio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        await sock.connect(('127.0.0.1', port))
+    except BaseException:
+        await sock.close()
+        raise
+    return sock
+
+
 class Link:
     """A link whose connections share its rate, in each direction."""
 
@@ -109,7 +124,7 @@
 
     async def run(self, port: int) -> None:
         try:
-            server = await curio.open_connection('127.0.0.1', port)
+            server = await _connect(port)
         except OSError:
             self._abort()
             await self._close()
--- a/tests/platform/test_slow_links.py
+++ b/tests/platform/test_slow_links.py
@@ -5,14 +5,18 @@
 routes that one change adds.
 """
 
+import threading
+
 import curio
 import msgspec
 
 from hibiscusslip.dispatch import records
 from hibiscusslip.host import topics
+from hibiscusslip.http import client
 from tests.faults import serving
 from tests.platform import cell
 from tests.platform import endpoint_process
+from tests.platform.soak import proxy
 
 LINK_MBPS = 5.0
 CONFIG_IN_FORCE_S = 3.0
@@ -154,6 +158,23 @@
     serving.run(scenario)
 
 
+def test_link_opens_connections_without_worker_threads():
+    """While its event loop starts a thread, a link carries nothing."""
+
+    async def scenario():
+        async with serving.run_server(serving.Echo()) as (_, port):
+            forwarder = proxy.Proxy(port, proxy.Link(LINK_MBPS))
+            await forwarder.listen()
+            threads = threading.active_count()
+            pool = client.Pool('127.0.0.1', forwarder.port)
+            response = await pool.call('GET', '/x', timeout=4.0)
+            await pool.close()
+            assert response.content == b'/x'
+            assert threading.active_count() == threads
+
+    serving.run(scenario)
+
+
 def test_burst_of_starts_on_a_slow_link_leaves_none_in_doubt():
     """All endpoints are healthy; the link needs 1 s for the requests."""
     step = {'Count': BURST_TASKS, 'Cpu': 1000, 'MemMb': 1, 'EstimateMs': 500}
