Rate a pool once per demand when choosing endpoints to ask about

Each step that needs advice rated and sorted all endpoints of its pool, in Python, and the check whether to widen its tickets counted the free tasks of all of them again.

Endpoints are now grouped by how many tasks of a demand fit on them, once per demand and pass; an allocation moves its endpoint to another group. A step reads as many endpoints in order as it needs, and skips zones whose mean capacity is too low. `count_fitting` moves to the new module `pool_rating`.

The decisions are the same: a test compares the selection with a simple implementation on random pools.

--- a/hibiscusslip/dispatch/_copy_starts.py
+++ b/hibiscusslip/dispatch/_copy_starts.py
@@ -65,7 +65,6 @@
         advice_planning.request_advice_if_needed(
             engine,
             step,
-            current.services[step.job.service],
             candidates,
             now,
             copied_from=straggler.endpoint.name,
--- a/hibiscusslip/dispatch/_planning.py
+++ b/hibiscusslip/dispatch/_planning.py
@@ -38,8 +38,7 @@
     ranked = _rank_steps(engine, now)
     engine.limiter.begin_pass(engine.config, (step for _, step in ranked))
     for rank, step in ranked:
-        pool = current.services.get(step.job.service, [])
-        if not pool:
+        if step.job.service not in services:
             continue
         if rank.beyond and _scheduling_pass.lacks_spare(current, step):
             _log_yielding(current, step, rank)
@@ -50,7 +49,7 @@
             continue
         if engine.limiter.may_request_advice(step):
             advice_planning.request_advice_if_needed(
-                engine, step, pool, candidates[step.job.service], now
+                engine, step, candidates[step.job.service], now
             )
     config = engine.config
     has_organisations = config is not None and config.organisations is not None
--- a/hibiscusslip/dispatch/advice_planning.py
+++ b/hibiscusslip/dispatch/advice_planning.py
@@ -39,7 +39,6 @@
 def request_advice_if_needed(
     engine: 'engines.Engine',
     step: state.StepState,
-    pool: list[state.Endpoint],
     candidates: candidate_pool.Candidates,
     now: float,
     copied_from: str = '',
@@ -56,9 +55,10 @@
         return
     if _awaits_lost_member(engine, step):
         return
-    if copied_from:
-        pool = [item for item in pool if item.name != copied_from]
-    max_endpoints = min(len(pool), advice_sizing.MAX_ENDPOINTS_PER_CALL)
+    max_endpoints = min(
+        candidates.count_others(copied_from),
+        advice_sizing.MAX_ENDPOINTS_PER_CALL,
+    )
     longest = advice.cost(max_endpoints)
     if not _is_ready_by_reply(engine, step, longest, now):
         return
@@ -71,10 +71,10 @@
         return
     names = advice_sizing.select(
         step,
-        pool,
         candidates,
         _eligible_share(engine, step).share,
         advice_sizing.min_count(advice.decision, advice.per_endpoint),
+        copied_from,
     )
     cost = advice.cost(len(names))
     if not names or not _is_ready_by_reply(engine, step, cost, now):
@@ -190,12 +190,7 @@
     missing = waiting - advice_sizing.free_tasks(step, with_ticket)
     if missing <= 0:
         return False
-    others = (
-        candidate
-        for candidate in candidates.eligible_for(step, None)
-        if candidate.endpoint.name not in step.asked_about
-    )
-    return advice_sizing.free_tasks(step, others) >= missing
+    return advice_sizing.unasked_free_tasks(step, candidates) >= missing
 
 
 def is_long_call(cost: float) -> bool:
--- a/hibiscusslip/dispatch/advice_sizing.py
+++ b/hibiscusslip/dispatch/advice_sizing.py
@@ -8,20 +8,20 @@
 were asked about before, and learned by queue for the others.
 """
 
-import dataclasses
+import collections.abc
+import itertools
 import math
 import typing
 
 from hibiscusslip.dispatch import candidate_pool
 from hibiscusslip.dispatch import placement
+from hibiscusslip.dispatch import prospects as prospect_lists
 from hibiscusslip.dispatch import state
 
 MAX_ENDPOINTS_PER_CALL = 100
-FULL_WEIGHT = 0.1  # of capacity that is allocated to others now
 CROWDING = 2.0  # capacity wanted per task, as others are placed meanwhile
 DEVIATIONS = 1.3  # below the mean, where one time in ten is
 FIXED_COST_SHARE = 0.25  # of a call's fixed part, for which more are named
-ELIGIBLE = 1.0  # the chance of an endpoint that the advice has admitted
 INITIAL_SHARE = 0.5
 INITIAL_WEIGHT = 20.0  # in endpoints
 MAX_WEIGHT = 400.0
@@ -48,22 +48,6 @@
             self._asked = MAX_WEIGHT
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Prospect:
-    """An endpoint's chance of being eligible and its capacity, in tasks."""
-
-    name: str
-    zone: str
-    chance: float
-    tasks: float
-    far: bool
-
-    @property
-    def sort_key(self) -> tuple[bool, float, float]:
-        """Return the key by which the best prospects come first."""
-        return self.far, -self.chance * self.tasks, -self.chance
-
-
 class _Expectation:
     """The capacity that the named endpoints should have, in tasks."""
 
@@ -71,7 +55,7 @@
         self._mean = 0.0
         self._variance = 0.0
 
-    def add(self, prospect: _Prospect) -> None:
+    def add(self, prospect: prospect_lists.Prospect) -> None:
         """Add one endpoint."""
         chance = prospect.chance
         self._mean += chance * prospect.tasks
@@ -79,48 +63,44 @@
 
     def covers(self, tasks: float) -> bool:
         """Return True if there is capacity for `tasks` with confidence."""
+        if self._mean < tasks:
+            return False
         deviation = DEVIATIONS * math.sqrt(self._variance)
         return self._mean - deviation >= tasks
 
 
 def select(
     step: state.StepState,
-    pool: list[state.Endpoint],
     candidates: candidate_pool.Candidates,
     share: float,
     min_count: int,
+    excluded: str = '',
 ) -> tuple[str, ...]:
     """Return the names of the endpoints to ask about for a step.
 
     `share` is the share of eligible endpoints to expect of those that weren't
     asked about, `min_count` how many to name although fewer would do, unless
-    enough are known to be eligible.
+    enough are known to be eligible. The `excluded` endpoint isn't named.
     Endpoints that the step's tasks depend on in other ways than by capacity,
     as for long-running tasks or for one rack, are all named.
     """
-    prospects = [
-        prospect
-        for endpoint in pool
-        if (prospect := _make_prospect(step, endpoint, candidates, share))
-    ]
-    prospects.sort(key=lambda prospect: prospect.sort_key)
+    prospects = prospect_lists.Prospects(step, candidates, share, excluded)
     tasks = CROWDING * max(len(step.waiting()), 1)  # or a copy
     if step.spec.same_rack or step.spec.long_running:
         tasks = math.inf
     chosen = _choose_in_one_zone(step, prospects, tasks)
     if chosen is None:
-        chosen = _choose_first(prospects, tasks)
+        first = itertools.islice(prospects.best(), MAX_ENDPOINTS_PER_CALL)
+        chosen, _ = _choose_first(first, tasks)
     chosen = chosen[:MAX_ENDPOINTS_PER_CALL]
     if len(chosen) < min_count:
-        names = {prospect.name for prospect in chosen}
-        others = [
-            prospect
-            for prospect in prospects
-            if prospect.name not in names
-            and (not step.eligible or prospect.chance == ELIGIBLE)
-        ]
-        chosen = chosen + others[: min_count - len(chosen)]
-    return tuple(prospect.name for prospect in chosen)
+        best = prospects.best
+        if step.eligible:
+            best = prospects.best_eligible
+        known = set(chosen)
+        others = (item for item in best() if item not in known)
+        chosen += itertools.islice(others, min_count - len(chosen))
+    return tuple(prospects.name_of(prospect) for prospect in chosen)
 
 
 def min_count(fixed_s: float, per_endpoint_s: float) -> int:
@@ -143,57 +123,56 @@
     return sum(placement.max_tasks(step, item) for item in candidates)
 
 
-def _make_prospect(
-    step: state.StepState,
-    endpoint: state.Endpoint,
-    candidates: candidate_pool.Candidates,
-    share: float,
-) -> _Prospect | None:
-    """Return None for an endpoint that can't run the step's tasks."""
-    entry = endpoint.entry
-    if entry is None or entry.draining:
-        return None
-    label = step.spec.label
-    if label and label not in entry.labels:
-        return None
-    chance = share
-    if endpoint.name in step.eligible:
-        chance = ELIGIBLE
-    elif endpoint.name in step.asked_about:
-        return None
-    candidate = candidates.find(endpoint.name)
-    tasks = 0.0
-    if candidate is not None:
-        free = placement.max_tasks(step, candidate)
-        total = placement.max_tasks_when_empty(step, candidate)
-        tasks = free + FULL_WEIGHT * (total - free)
-    far = bool(step.spec.rack) and step.spec.rack != entry.rack
-    return _Prospect(endpoint.name, entry.zone, chance, tasks, far)
+def unasked_free_tasks(
+    step: state.StepState, candidates: candidate_pool.Candidates
+) -> int:
+    """Return how many tasks fit on endpoints that weren't asked about."""
+    if candidates.has_trials:
+        others = (
+            candidate
+            for candidate in candidates.eligible_for(step, None)
+            if candidate.endpoint.name not in step.asked_about
+        )
+        return free_tasks(step, others)
+    rating = candidates.rate(step.spec.demand, step.spec.label)
+    limit = placement.max_spread(step)
+    tasks = rating.free_tasks(limit)
+    for name in step.asked_about:
+        number = candidates.number_of(name)
+        fit = None if number is None else rating.fit(number)
+        if fit is not None:
+            tasks -= min(fit.free, limit)
+    return tasks
 
 
 def _choose_in_one_zone(
-    step: state.StepState, prospects: list[_Prospect], tasks: float
-) -> list[_Prospect] | None:
+    step: state.StepState, prospects: prospect_lists.Prospects, tasks: float
+) -> list[prospect_lists.Prospect] | None:
     """Return endpoints of one zone if they should suffice, else None."""
-    zones: dict[str, list[_Prospect]] = {}
-    for prospect in prospects:
-        if not prospect.far:
-            zones.setdefault(prospect.zone, []).append(prospect)
-    for zone in placement.order_zones(step.job, zones):
-        chosen = _choose_first(zones[zone], tasks)
-        expectation = _Expectation()
-        for prospect in chosen:
-            expectation.add(prospect)
-        if expectation.covers(tasks):
+    zones = {
+        name: zone
+        for name, zone in prospects.by_zone().items()
+        if prospects.may_suffice(zone, tasks)
+    }
+    for name in placement.order_zones(step.job, zones):
+        chosen, suffices = _choose_first(prospects.best_of(zones[name]), tasks)
+        if suffices:
             return chosen
     return None
 
 
-def _choose_first(prospects: list[_Prospect], tasks: float) -> list[_Prospect]:
-    """Return the first prospects that should suffice, or all."""
+def _choose_first(
+    prospects: collections.abc.Iterable[prospect_lists.Prospect], tasks: float
+) -> tuple[list[prospect_lists.Prospect], bool]:
+    """Return the first prospects that should suffice, or all.
+
+    Also returns whether they should suffice.
+    """
     expectation = _Expectation()
-    for count, prospect in enumerate(prospects):
-        if expectation.covers(tasks):
-            return prospects[:count]
+    chosen = []
+    for prospect in prospects:
+        chosen.append(prospect)
         expectation.add(prospect)
-    return prospects
+        if expectation.covers(tasks):
+            return chosen, True
+    return chosen, False
--- a/hibiscusslip/dispatch/candidate_pool.py
+++ b/hibiscusslip/dispatch/candidate_pool.py
@@ -4,6 +4,7 @@
 
 from hibiscusslip.dispatch import _suspicion
 from hibiscusslip.dispatch import model
+from hibiscusslip.dispatch import pool_rating
 from hibiscusslip.dispatch import progress
 from hibiscusslip.dispatch import state
 
@@ -38,12 +39,19 @@
 
     The amounts are copied from the endpoint, because one pass reads each of
     them for hundreds of steps. `number` is the endpoint's place in its pool,
-    `speed` its speed relative to the pool's typical one.
+    `speed` its speed relative to the pool's typical one. It is added to
+    `changed` with each allocation.
     """
 
-    __slots__ = ('endpoint', 'entry', 'number', 'slow', 'speed')
+    __slots__ = ('changed', 'endpoint', 'entry', 'number', 'slow', 'speed')
 
-    def __init__(self, endpoint: state.Endpoint, number: int, now: float):
+    def __init__(
+        self,
+        endpoint: state.Endpoint,
+        number: int,
+        now: float,
+        changed: list['Candidate'],
+    ) -> None:
         free = endpoint.free_capacity()
         super().__init__(free.cpu, free.memory, free.accelerators)
         assert endpoint.entry is not None
@@ -52,13 +60,19 @@
         self.number = number
         self.slow = progress.is_slow(endpoint, now)
         self.speed = 1.0
+        self.changed = changed
+
+    def allocate(self, demand: model.Demand) -> None:
+        """Subtract the demand of one task."""
+        super().allocate(demand)
+        self.changed.append(self)
 
 
 class Candidates:
     """The usable endpoints of a service during one scheduling pass.
 
     `max_endpoint_cpu` is the CPU of the largest endpoint of the pool, usable
-    or not, allocated or not.
+    or not, allocated or not. With `has_trials` a run may be on trial.
     """
 
     def __init__(
@@ -67,12 +81,18 @@
         suspicions: _suspicion.Suspicions,
         now: float,
     ) -> None:
+        self.pool = pool
+        self._numbers = {
+            endpoint.name: number for number, endpoint in enumerate(pool)
+        }
+        self._changed: list[Candidate] = []
+        self._ratings: dict[tuple[model.Demand, str], pool_rating.Rating] = {}
         self.all = [
-            Candidate(endpoint, number, now)
+            Candidate(endpoint, number, now, self._changed)
             for number, endpoint in enumerate(pool)
             if endpoint.usable(now) and suspicions.allows(endpoint)
         ]
-        self._has_trials = any(c.endpoint.trials for c in self.all)
+        self.has_trials = any(c.endpoint.trials for c in self.all)
         self._by_name = {
             candidate.endpoint.name: candidate for candidate in self.all
         }
@@ -92,9 +112,32 @@
         """Return the candidate of an endpoint, None if it isn't usable."""
         return self._by_name.get(name)
 
+    def number_of(self, name: str) -> int | None:
+        """Return the place of an endpoint in the pool, None if not there."""
+        return self._numbers.get(name)
+
+    def count_others(self, excluded: str) -> int:
+        """Return how many endpoints the pool has beside one, '' for none."""
+        return len(self.pool) - (excluded in self._numbers)
+
+    def rate(self, demand: model.Demand, label: str) -> pool_rating.Rating:
+        """Return how many tasks fit on each endpoint with a label now.
+
+        A rating is kept for the rest of the pass. Allocations change it.
+        """
+        for candidate in self._changed:
+            for known in self._ratings.values():
+                known.update(candidate)
+        self._changed.clear()
+        rating = self._ratings.get((demand, label))
+        if rating is None:
+            rating = pool_rating.Rating(demand, label, self.pool, self.find)
+            self._ratings[demand, label] = rating
+        return rating
+
     def note_trial(self, endpoint: state.Endpoint) -> None:
         """Note that a run was started on trial on an endpoint."""
-        self._has_trials = self._has_trials or bool(endpoint.trials)
+        self.has_trials = self.has_trials or bool(endpoint.trials)
 
     def may_fit_anywhere(self, demand: model.Demand) -> bool:
         """Return False if no candidate has enough free capacity.
@@ -118,7 +161,7 @@
         if tickets is not None:
             by_name = self._by_name
             candidates = [by_name[name] for name in tickets if name in by_name]
-        if self._has_trials:
+        if self.has_trials:
             job_id = step.job.job_id
             candidates = [
                 candidate
@@ -133,19 +176,3 @@
             for candidate in candidates
             if label in candidate.entry.labels
         ]
-
-
-def count_fitting(
-    demand: model.Demand,
-    capacity: RemainingCapacity | model.Demand,
-    limit: int,
-) -> int:
-    """Return how often a demand fits in a capacity, at most `limit`."""
-    count = limit
-    if demand.cpu:
-        count = min(count, capacity.cpu // demand.cpu)
-    if demand.memory:
-        count = min(count, capacity.memory // demand.memory)
-    if demand.accelerators:
-        count = min(count, capacity.accelerators // demand.accelerators)
-    return max(count, 0)
--- a/hibiscusslip/dispatch/placement.py
+++ b/hibiscusslip/dispatch/placement.py
@@ -18,6 +18,7 @@
 
 from hibiscusslip.dispatch import candidate_pool
 from hibiscusslip.dispatch import model
+from hibiscusslip.dispatch import pool_rating
 from hibiscusslip.dispatch import preferences
 from hibiscusslip.dispatch import state
 
@@ -66,22 +67,12 @@
     step: state.StepState, candidate: candidate_pool.Candidate
 ) -> int:
     """Return how many tasks of a step fit on a candidate now."""
-    return candidate_pool.count_fitting(
-        step.spec.demand, candidate, _max_spread(step)
+    return pool_rating.count_fitting(
+        step.spec.demand, candidate, max_spread(step)
     )
 
 
-def max_tasks_when_empty(
-    step: state.StepState, candidate: candidate_pool.Candidate
-) -> int:
-    """Return how many tasks of a step would fit if nothing else ran there."""
-    capacity = candidate.entry.capacity
-    return candidate_pool.count_fitting(
-        step.spec.demand, capacity, _max_spread(step)
-    )
-
-
-def _max_spread(step: state.StepState) -> int:
+def max_spread(step: state.StepState) -> int:
     """Return how many tasks of a step one endpoint may run."""
     count = len(step.tasks)
     return min(step.spec.spread or count, count)
@@ -127,7 +118,7 @@
 
     def max_tasks(self, demand: model.Demand) -> int:
         """Return how many tasks of the step may be placed here."""
-        return candidate_pool.count_fitting(demand, self, self.tasks_left)
+        return pool_rating.count_fitting(demand, self, self.tasks_left)
 
 
 def _rank_zones(
