host: poll less often beyond 350 endpoints

An owner polled each endpoint with runs every 0.6 s, and each idle one every 3.0 s, so its polls grew with their number: 3,000 busy endpoints caused 5,000 polls per second.

`poll_timing.derive` now stretches both intervals once there are more than 350 endpoints of the kind, so that the number of polls per second stays the same. Long polls are held for at most 1.5 s, a third of the lease of 5.9 s less 0.45 s for the time-out of the poll and a late owner. Idle endpoints are polled every 9 s at least. A suspected endpoint is polled with 0.6 s again, and the wait for a commit ends in time for the next renewal. Deployments of up to 350 endpoints are polled as before.

The longer interval leaves less of a lease when an endpoint can't be reached: at least 4.1 s instead of 5.0 s with 1,000 busy endpoints or more.

--- a/hibiscusslip/host/endpoint_session.py
+++ b/hibiscusslip/host/endpoint_session.py
@@ -1,5 +1,7 @@
 """Poll endpoints, renew the leases of their runs and send commands."""
 
+import collections.abc
+
 import curio
 
 from hibiscusslip.dispatch import commands
@@ -8,14 +10,13 @@
 from hibiscusslip.dispatch import task_runs
 from hibiscusslip.host import context
 from hibiscusslip.host import estimate_reports
+from hibiscusslip.host import poll_timing
 from hibiscusslip.host import wakeup_event
 from hibiscusslip.platform import endpoint_client
 from hibiscusslip.platform import exceptions
 
-LONG_POLL_WAIT_S = 0.6
 POLL_TIMEOUT_S = 0.25
 FAILURES_UNTIL_UNRESPONSIVE = 2
-IDLE_POLL_S = 3.0
 UNRESPONSIVE_POLL_PAUSE_S = 0.25
 WITHHELD_POLL_S = 0.25
 COMMIT_WAIT_S = 0.6
@@ -33,7 +34,7 @@
 
     A poll also extends the lease of the endpoint's runs. `plan_wakeup` wakes
     the planning loop, `write_wakeup` the writer, `notice_wakeup` the task that
-    writes the owner's notices.
+    writes the owner's notices. `get_timing` returns how long polls may wait.
     """
 
     def __init__(
@@ -46,6 +47,9 @@
         plan_wakeup: wakeup_event.WakeupEvent,
         write_wakeup: wakeup_event.WakeupEvent,
         notice_wakeup: wakeup_event.WakeupEvent,
+        get_timing: collections.abc.Callable[
+            [], poll_timing.PollTiming
+        ] = poll_timing.PollTiming,
     ) -> None:
         self.name = name
         self.address = address
@@ -56,6 +60,7 @@
         self._plan_wakeup = plan_wakeup
         self._write_wakeup = write_wakeup
         self._notice_wakeup = notice_wakeup
+        self._get_timing = get_timing
         self._client = endpoint_client.EndpointClient(
             name, address, ctx.uplink
         )
@@ -86,22 +91,12 @@
         await curio.sleep(UNRESPONSIVE_POLL_PAUSE_S)
 
     async def _poll(self, endpoint: state.Endpoint, sent: float) -> None:
-        busy = bool(endpoint.allocations)
-        # An unresponsive endpoint isn't long-polled, so that its return is
-        # noticed at once, and then its leases are extended.
-        long_poll = (
-            busy
-            and endpoint.polled
-            and endpoint.responsive
-            and not endpoint.withheld
-        )
-        wait = LONG_POLL_WAIT_S if long_poll else 0.0
         cursor_before = endpoint.handled_cursor
         report = await self._client.poll(
             self._lease_deadline(endpoint, sent),
             self._epoch,
             endpoint.cursor_to_send(),
-            wait,
+            self._max_wait(endpoint),
             POLL_TIMEOUT_S,
         )
         now = context.monotonic()
@@ -118,7 +113,23 @@
         ):
             await self._write_wakeup.set()
             await self._plan_wakeup.set()
-        await self._wait_for_next_poll(endpoint, busy, now - sent)
+        await self._wait_for_next_poll(endpoint, sent, now)
+
+    def _max_wait(self, endpoint: state.Endpoint) -> float:
+        """Return for how long the endpoint may delay its reply."""
+        # An unresponsive endpoint isn't long-polled, so that its return is
+        # noticed at once, and then its leases are extended.
+        long_poll = (
+            endpoint.allocations
+            and endpoint.polled
+            and endpoint.responsive
+            and not endpoint.withheld
+        )
+        if not long_poll:
+            return 0.0
+        if endpoint.suspected_at:  # a second failure should be noticed soon
+            return poll_timing.LONG_POLL_S
+        return self._get_timing().long_poll
 
     def _lease_deadline(
         self, endpoint: state.Endpoint, now: float
@@ -143,24 +154,27 @@
         return deadline
 
     async def _wait_for_next_poll(
-        self, endpoint: state.Endpoint, busy: bool, took: float
+        self, endpoint: state.Endpoint, sent: float, now: float
     ) -> None:
+        """Wait after a poll that was sent at `sent`."""
         if endpoint.acknowledged_cursor < endpoint.handled_cursor:
-            await self._await_commit(endpoint)
+            await self._await_commit(endpoint, sent, now)
         elif endpoint.withheld:
             await self.wakeup.wait(WITHHELD_POLL_S)
         elif not endpoint.allocations:
-            await self.wakeup.wait(IDLE_POLL_S)
-        elif took < MIN_POLL_GAP_S:
+            await self.wakeup.wait(self._get_timing().idle_poll)
+        elif now - sent < MIN_POLL_GAP_S:
             await curio.sleep(MIN_POLL_GAP_S)
 
-    async def _await_commit(self, endpoint: state.Endpoint) -> None:
-        now = context.monotonic()
+    async def _await_commit(
+        self, endpoint: state.Endpoint, sent: float, now: float
+    ) -> None:
         max_wait = COMMIT_WAIT_S
         if not self._ctx.store_available(now):
             # No commit is near, but other completions may be reported.
             max_wait = COMMIT_WAIT_WITHOUT_STORE_S
-        give_up_at = now + max_wait
+        renew_at = sent + poll_timing.renewal_interval(self._engine.lease)
+        give_up_at = min(now + max_wait, renew_at)
         while endpoint.acknowledged_cursor < endpoint.handled_cursor:
             if context.monotonic() >= give_up_at:
                 return
--- a/hibiscusslip/host/owner.py
+++ b/hibiscusslip/host/owner.py
@@ -22,6 +22,7 @@
 from hibiscusslip.host import lease_timing
 from hibiscusslip.host import notices
 from hibiscusslip.host import ownership_keeper
+from hibiscusslip.host import poll_timing
 from hibiscusslip.host import recovery
 from hibiscusslip.host import topics
 from hibiscusslip.host import wakeup_event
@@ -76,6 +77,7 @@
         self._tasks = curio.TaskGroup(wait=any)
         self.endpoints_read_at = 0.0
         self._undeleted: list[str] = []
+        self._poll_timing = poll_timing.PollTiming()
         self._cancellations = cancellations.Cancellations(ctx)
 
     def _new_engine(self) -> engines.Engine:
@@ -210,6 +212,7 @@
             self.plan_wakeup,
             self._writer.wakeup,
             self._keeper.notice_wakeup,
+            lambda: self._poll_timing,
         )
         self._sessions[name] = session
         await self._tasks.spawn(self._run_session, session)
@@ -329,6 +332,14 @@
             for load in summary.summarise(self.engine, context.monotonic()):
                 self.ctx.log.note('cell_load', **dataclasses.asdict(load))
             estimate_reports.publish(self.ctx, self.engine.estimates)
+            self._update_poll_timing()
+
+    def _update_poll_timing(self) -> None:
+        endpoints = self.engine.endpoints.values()
+        busy = sum(bool(endpoint.allocations) for endpoint in endpoints)
+        idle = len(endpoints) - busy
+        self._poll_timing = poll_timing.derive(busy, idle, self.engine.lease)
+        self.ctx.metrics.gauge('long_poll', self._poll_timing.long_poll)
 
     async def _delete_old_jobs(self) -> None:
         while True:
--- a/tests/host/test_endpoint_session.py
+++ b/tests/host/test_endpoint_session.py
@@ -8,6 +8,7 @@
 from hibiscusslip.dispatch import state
 from hibiscusslip.host import context
 from hibiscusslip.host import endpoint_session
+from hibiscusslip.host import poll_timing
 from hibiscusslip.host import wakeup_event
 from hibiscusslip.platform import exceptions
 from tests.dispatch import support
@@ -34,7 +35,7 @@
         pass
 
 
-def poll_for(seconds, acknowledged=0):
+def poll_for(seconds, acknowledged=0, get_timing=poll_timing.PollTiming):
     """Poll an endpoint that answers once; return its client."""
     ctx = fakes.make_context(fakes.FakeStore())
     engine = engines.Engine(5.9)
@@ -43,7 +44,7 @@
     engine.endpoints['e1'].acknowledged_cursor = acknowledged
     wakeup = wakeup_event.WakeupEvent()
     session = endpoint_session.EndpointSession(
-        ctx, engine, 'e1', 'h:1', 1, wakeup, wakeup, wakeup
+        ctx, engine, 'e1', 'h:1', 1, wakeup, wakeup, wakeup, get_timing
     )
     client = EndpointClient()
     session._client = client
@@ -60,9 +61,7 @@
     """The next poll notices that a zone has recovered, without a wait."""
     client = poll_for(0.5)
     failures = endpoint_session.FAILURES_UNTIL_UNRESPONSIVE
-    assert set(client.waits[1 : 1 + failures]) == {
-        endpoint_session.LONG_POLL_WAIT_S
-    }
+    assert set(client.waits[1 : 1 + failures]) == {poll_timing.LONG_POLL_S}
     assert set(client.waits[1 + failures :]) == {0.0}
 
 
@@ -146,3 +145,10 @@
     curio.run(session.send_start, start)
     assert session._client.sent == []
     assert not endpoint.allocations
+
+
+def test_second_failure_is_noticed_soon_by_an_owner_of_many_endpoints():
+    """Else a silent endpoint is found after two of the longer waits."""
+    timing = poll_timing.PollTiming(long_poll=1.5)
+    client = poll_for(0.5, get_timing=lambda: timing)
+    assert client.waits[1:3] == [1.5, poll_timing.LONG_POLL_S]
