soak: check limits of organisations on uneven endpoints

The soak ran without limits and weights, on four equal endpoints and with declared run times only, so a fault in the limits of organisations could pass it.

- The three organisations have limits and weights.
The second configuration raises one limit and lowers two.
- The endpoints have 4, 8 or 12 cores and speeds from 0.7 to 1.4.
- In half of the trials, drawn from the seed, hosts learn run times and speeds.
- QUOTA compares what an organisation has running at the endpoints with its limit times 1.1 plus one task, at each start.
While two configurations may be in force, the higher limit counts.
- The planted fault limit-per-step compares each step with the limit by itself.

`make soak SEED=30 PLANT=limit-per-step` found 154 violations, all QUOTA, with up to 3.43 times a limit in use. `make soak SEED=30` found none; the highest use was 1.0, and of 584 starts 16 came when the lowered limits alone counted.

--- a/tests/platform/soak/__main__.py
+++ b/tests/platform/soak/__main__.py
@@ -1,6 +1,7 @@
 """Run soak trials by seed; exit with 1 if one violates a guarantee."""
 
 import json
+import math
 import pathlib
 import random
 import shutil
@@ -17,6 +18,7 @@
 from tests.platform.soak import hosted
 from tests.platform.soak import layout
 from tests.platform.soak import oracle
+from tests.platform.soak import quotas
 
 OUTPUT_DIR = pathlib.Path(__file__).resolve().parent / 'out'
 PROBE_INTERVAL_S = 0.4
@@ -37,6 +39,7 @@
         self._injector = faults.FaultInjector(self._cell, rng)
         self._probes: list[callers.CallResult] = []
         self._key_probes = access.KeyProbes()
+        self._published_at = math.inf
         self._folder = folder
 
     async def run(self) -> list[str]:
@@ -64,8 +67,9 @@
         await self._wait_for_completion()
 
     async def _probe(self) -> None:
-        """Add a queue, change keys, then query all hosts periodically."""
+        """Add a queue, change keys and limits, then query all hosts."""
         await curio.sleep(layout.FAULT_PHASE_S / 3)
+        self._published_at = time.monotonic()
         await self._cell.publish(2, ['q1', 'q2'], layout.NEW_KEY)
         probes = self._key_probes
         probes.changed_at = time.monotonic()
@@ -113,14 +117,21 @@
         checker.broken += access.check_keys(
             self._key_probes, self._callers.jobs, self._injector.done
         )
+        quota_checker = quotas.QuotaChecker(
+            self._callers.jobs, self._published_at, self._lowered_at()
+        )
+        quota_checker.check_runs(checker.rows)
+        checker.broken += quota_checker.broken
         jobs = self._callers.jobs.values()
         figures = {
+            'learning': self._cell.learning,
             'jobs': len(jobs),
             'accepted': sum(job.accepted_at is not None for job in jobs),
             'refused': sum(job.refused for job in jobs),
             'deadly': sum(job.deadly for job in jobs),
             'starts': checker.starts,
             'copies': checker.copies,
+            'peak_limit_use': round(quota_checker.peak_use, 2),
             'key_probes': len(self._key_probes.withdrawn),
             'platform_stall_s': checker.longest_stall_s,
             'faults': [done.fault.kind for done in self._injector.done],
@@ -128,6 +139,19 @@
         (self._folder / 'figures').write_text(json.dumps(figures))
         return checker.broken
 
+    def _lowered_at(self) -> float:
+        """Return when no start counts by the first configuration any more.
+
+        Faults may keep the owner from reading the second one, and a start
+        may be carried out long after its decision.
+        """
+        settled_at = max(
+            self._published_at,
+            self._key_probes.changed_at,
+            *(item.ended for item in self._injector.done),
+        )
+        return settled_at + layout.CONFIG_APPLY_S + layout.START_VALID_S
+
 
 def run_trial(seed: int, bug: str) -> list[str]:
     """Run one trial and return its violations.
--- a/tests/platform/soak/callers.py
+++ b/tests/platform/soak/callers.py
@@ -4,6 +4,7 @@
 import json
 import random
 import time
+import typing
 
 import curio
 
@@ -53,12 +54,16 @@
     queries: list[CallResult] = dataclasses.field(default_factory=list)
     cancellations: list[CallResult] = dataclasses.field(default_factory=list)
 
+    @property
+    def organisation(self) -> str:
+        """Return the name of the organisation that submits the job."""
+        # Drawn apart, so that the seeds play the same faults as ever.
+        return random.Random(f'key {self.job_id}').choice(list(layout.KEYS))
+
     @property
     def key(self) -> str:
         """Return the key of the organisation that submits the job."""
-        # Drawn apart, so that the seeds play the same faults as ever.
-        keys = list(layout.KEYS.values())
-        return random.Random(f'key {self.job_id}').choice(keys)
+        return layout.KEYS[self.organisation]
 
     @property
     def accepted_at(self) -> float | None:
@@ -114,11 +119,11 @@
 
     async def _submit(self, job: Job) -> None:
         rng = self._rng
-        steps = [
+        steps: list[dict[str, typing.Any]] = [
             {
                 'Count': count,
                 'Cpu': job.cpus[number],
-                'MemMb': 10,
+                'MemMb': layout.TASK_MEM_MB,
                 'EstimateMs': rng.choice((100, 400, 1500)),
                 **({'Speculative': True} if job.speculative else {}),
                 **({'DependsOn': [number - 1]} if number else {}),
@@ -126,6 +131,9 @@
             for number, count in enumerate(job.counts)
         ]
         duration = str(rng.choice((0.05, 0.3, 0.8, 2.0)))
+        if self._cell.learning:
+            for step in steps:
+                step['Image'] = duration
         spec = layout.DEADLY_SPEC if job.deadly else duration
         body = json.dumps({'Spec': spec, 'Steps': steps}).encode()
         for _ in range(4):
--- a/tests/platform/soak/cell.py
+++ b/tests/platform/soak/cell.py
@@ -33,9 +33,12 @@
     `incarnation` counts how often the process was started.
     """
 
-    def __init__(self, name: str, ip: str, folder: pathlib.Path) -> None:
+    def __init__(
+        self, name: str, ip: str, folder: pathlib.Path, learning: bool
+    ) -> None:
         self.name = name
         self.ip = ip
+        self._learning = learning
         self.settings = folder / f'{name}.settings'
         self.clock_shift = folder / f'{name}.shift'
         self.log = folder / f'{name}.log'
@@ -56,6 +59,10 @@
             hosted.SHIFT_VARIABLE: str(self.clock_shift),
             hosted.BUG_VARIABLE: bug,
             options.COPIES_VARIABLE: 'on' if layout.COPIES else 'off',
+            options.RUN_TIMES_VARIABLE: (
+                'learned' if self._learning else 'declared'
+            ),
+            options.SPEEDS_VARIABLE: 'on' if self._learning else 'off',
         }
         with self.log.open('ab') as log:
             self.process = subprocess.Popen(
@@ -90,6 +97,7 @@
 
     def __init__(self, seed: int, folder: pathlib.Path, bug: str) -> None:
         self.bug = bug
+        self.learning = layout.is_learning(seed)
         self.ledger = folder / 'ledger'
         self._seed = seed
         self._folder = folder
@@ -101,7 +109,7 @@
         for number in range(layout.HOSTS):
             name = f'h{number}'
             ip = f'127.{128 + pid // 250 % 100}.{pid % 250}.{2 + number}'
-            self.hosts[name] = Host(name, ip, folder)
+            self.hosts[name] = Host(name, ip, folder, self.learning)
 
     async def start(self) -> None:
         """Start all processes and wait until all hosts are ready."""
@@ -152,6 +160,7 @@
         )
         text += f'Contracts={platform_settings.ORGANISATIONS_CONTRACT}\n'
         text += f'Bounds.ConfigApplyMs={layout.CONFIG_APPLY_S * 1000}\n'
+        text += f'Bounds.QuotaOverage={layout.QUOTA_OVERAGE}\n'
         host.settings.write_text(text)
 
     async def _query_readiness(self, host: Host) -> int:
--- a/tests/platform/soak/endpoint.py
+++ b/tests/platform/soak/endpoint.py
@@ -8,6 +8,7 @@
 import zlib
 
 import curio
+import msgspec
 
 from hibiscusslip.http import messages
 from tests.platform import standin
@@ -31,7 +32,7 @@
 
 
 class Endpoint(standin.Endpoint):
-    """Run tasks for as long as their payload says, and record them.
+    """Run tasks for as long as their payload says at speed 1; record them.
 
     In mode 'late' a start request is handled seconds later and gets no
     response. A deadly task crashes it; it responds to nothing for a while and
@@ -40,20 +41,29 @@
 
     def __init__(
         self,
-        name: str,
+        number: int,
         ledger: Ledger,
         rng: random.Random,
         on_reboot: collections.abc.Callable[[str], None],
     ) -> None:
-        super().__init__(name)
+        super().__init__(f'e{number}')
         self._ledger = ledger
         self._rng = rng
         self._on_reboot = on_reboot
+        self._cpu = layout.ENDPOINT_CPU[number]
+        self._speed = layout.ENDPOINT_SPEEDS[number]
         self._down = False
         self._crashing = False
         self._durations: dict[tuple[str, int], float] = {}
         self._highest_runs: dict[str, int] = {}
 
+    def entry(self, *args: typing.Any) -> bytes:
+        """Return the endpoint's entry, with its capacity and machine kind."""
+        entry = msgspec.json.decode(super().entry(*args))
+        entry['Capacity']['Cpu'] = self._cpu
+        entry['Labels'][0] = f'speed-{self._speed}'
+        return msgspec.json.encode(entry)
+
     async def handle(self, req: messages.Request) -> messages.Response:
         """Handle a request, unless the endpoint is down.
 
@@ -88,7 +98,8 @@
             return self._refuse('old')
         was_running = key in self.running
         deadly = body['Spec'] == layout.DEADLY_SPEC
-        self.run_s = 0.3 if deadly else float(body['Spec'])
+        duration = 0.3 if deadly else float(body['Spec'])
+        self.run_s = duration / self._speed
         self._durations[key] = self.run_s
         response = super()._start(body)
         self._shorten_lease()
--- a/tests/platform/soak/hosted.py
+++ b/tests/platform/soak/hosted.py
@@ -13,7 +13,9 @@
 
 from hibiscusslip.dispatch import _planning
 from hibiscusslip.dispatch import crashes
+from hibiscusslip.dispatch import limits
 from hibiscusslip.dispatch import state
+from hibiscusslip.dispatch import usage
 from hibiscusslip.host import __main__ as host_main
 from hibiscusslip.host import access
 from hibiscusslip.host import endpoint_session
@@ -102,6 +104,15 @@
     access.Authenticator._find_organisation = find_in_first  # type: ignore
 
 
+def limit_each_step() -> None:
+    """Compare each step with the limit by itself."""
+    count = limits.count_startable
+
+    limits.count_startable = lambda spec, wanted, used, *others: count(
+        spec, wanted, usage.Usage(), *others
+    )
+
+
 BUGS: dict[str, typing.Callable[[], None]] = {
     'lease': no_lease_check,
     'early-note': acknowledge_before_commit,
@@ -110,6 +121,7 @@
     'stale-cursor': send_stale_cursor,
     'endless-crashes': never_give_up,
     'kept-keys': keep_keys,
+    'limit-per-step': limit_each_step,
 }
 
 if __name__ == '__main__':
--- a/tests/platform/soak/layout.py
+++ b/tests/platform/soak/layout.py
@@ -1,6 +1,7 @@
 """Sizes and time limits of a trial."""
 
 import os
+import random
 
 from hibiscusslip.host import options
 
@@ -8,8 +9,10 @@
 COPIES = os.environ.get(options.COPIES_VARIABLE) == 'on'
 
 HOSTS = 4
-ENDPOINTS = 4
-CAPACITY_CPU = 8000  # of one endpoint, thousandths of a core
+ENDPOINT_CPU = (12000, 8000, 8000, 4000)  # thousandths of a core
+ENDPOINT_SPEEDS = (1.0, 0.7, 1.4, 1.0)
+ENDPOINTS = len(ENDPOINT_CPU)
+TASK_MEM_MB = 10
 MAX_ATTEMPTS = 2
 MAX_CRASHING_STARTS = 5  # the sixth is the third after three crashes
 DEADLY_SPEC = 'deadly'  # of jobs whose first task crashes its endpoints
@@ -21,6 +24,23 @@
 MAX_VISIBILITY_DELAY_S = 3.0
 CONFIG_APPLY_S = 2.0  # from publishing until all hosts know a new key
 REVOKE_S = 5.0  # until no host admits a withdrawn one
+START_VALID_S = 12.5  # a start is carried out so long after its decision
 KEYS = {'o1': 'soak-key-1', 'o2': 'soak-key-2', 'o3': 'soak-key-3'}
 WITHDRAWN_KEY = 'soak-key-old'  # of o1, in the first configuration only
 NEW_KEY = 'soak-key-new'  # of o1, in the second one only
+
+# CPU and memory that each organisation may have running, by version of the
+# configuration; 0 is no limit. About 8000 and 70 are in demand.
+LIMITS = {
+    1: {'o1': (5000, 0), 'o2': (9000, 0), 'o3': (0, 80)},
+    2: {'o1': (7000, 0), 'o2': (6000, 0), 'o3': (0, 60)},
+}
+QUOTA_OVERAGE = 0.1
+WEIGHTS = {'o1': 1, 'o2': 2, 'o3': 4}
+LEARNING_SHARE = 0.5
+
+
+def is_learning(seed: int) -> bool:
+    """Return whether the hosts of a trial learn run times and speeds."""
+    # Drawn apart, so that the seeds play the same faults as ever.
+    return random.Random(f'learning {seed}').random() < LEARNING_SHARE
--- a/tests/platform/soak/oracle.py
+++ b/tests/platform/soak/oracle.py
@@ -19,7 +19,8 @@
 class Checker:
     """Collect the violations of one trial in `broken`.
 
-    `ledger` is the file in which the platform recorded the runs.
+    `ledger` is the file in which the platform recorded the runs. `rows` are
+    its events, sorted by time.
     """
 
     def __init__(
@@ -28,13 +29,13 @@
         self.broken: list[str] = []
         self._jobs = jobs
         rows = [json.loads(line) for line in ledger.read_text().splitlines()]
-        self._rows = sorted(rows, key=lambda row: row[0])
+        self.rows = sorted(rows, key=lambda row: row[0])
         self._done: dict[str, list[tuple[float, int]]]
         self._done = collections.defaultdict(list)
         self._failed: collections.Counter[str] = collections.Counter()
         self._crashes: collections.Counter[str] = collections.Counter()
         self._acked = {
-            (row[2], row[3]) for row in self._rows if row[1] == 'ack'
+            (row[2], row[3]) for row in self.rows if row[1] == 'ack'
         }
         self.starts = 0
         self.copies = 0
@@ -44,7 +45,7 @@
         """Check the ledger: capacity, duplicate runs, step order, attempts."""
         running: dict[str, dict[str, int]] = collections.defaultdict(dict)
         acked_failures: collections.Counter[str] = collections.Counter()
-        for at, event, *fields in self._rows:
+        for at, event, *fields in self.rows:
             if event == 'start':
                 endpoint, task, run = fields
                 self.starts += 1
@@ -99,7 +100,7 @@
             if endpoint in runs:
                 job, step, _ = self._parse_task(task)
                 used += job.cpus[step] if job else 0
-        if used > layout.CAPACITY_CPU:
+        if used > layout.ENDPOINT_CPU[int(endpoint[1:])]:
             self._add_violation(at, 'LIMIT', endpoint, used)
 
     def _parse_task(self, task: str) -> tuple[callers.Job | None, int, int]:
--- a/tests/platform/soak/platform.py
+++ b/tests/platform/soak/platform.py
@@ -42,10 +42,11 @@
         self.ledger = endpoint.Ledger(path)
         self.store = Store()
         rng = random.Random(seed)
-        names = [f'e{number}' for number in range(layout.ENDPOINTS)]
         self.endpoints = {
-            name: endpoint.Endpoint(name, self.ledger, rng, self._list_ready)
-            for name in names
+            f'e{number}': endpoint.Endpoint(
+                number, self.ledger, rng, self._list_ready
+            )
+            for number in range(layout.ENDPOINTS)
         }
         self._addresses: dict[str, str] = {}
         self._sequence = 1
@@ -65,7 +66,10 @@
     def do_config(
         self, version: int, queues: list[str], keys: dict[str, list[str]]
     ) -> None:
-        """Write a configuration with these queues and keys."""
+        """Write a configuration with these queues and keys.
+
+        Its version selects the limits of the organisations.
+        """
         document = msgspec.json.decode(
             cell.organisations_document(version, keys)
         )
@@ -74,6 +78,10 @@
             {**route, 'Name': name, 'PathPrefix': f'/{name}/'}
             for name in queues
         ]
+        for entry in document['Tenants']:
+            cpu, memory = layout.LIMITS[version][entry['Name']]
+            entry['AtMost'] = {'Cpu': cpu, 'MemMb': memory}
+            entry['Weight'] = layout.WEIGHTS[entry['Name']]
         self.store.put('keyed.op', 'config', msgspec.json.encode(document))
 
     def do_store(
