Learn run times and speeds where the configuration has organisations

Learned run times and speeds were off unless an operator switched them on in the environment of all hosts. Where organisations compete, the run time decides who waits, what is preempted and which jobs get a 429, and declared times are off by a factor of two. So both are on by default under a configuration with organisations; other deployments decide as before. `HIBISCUSSLIP_RUN_TIMES` and `HIBISCUSSLIP_ENDPOINT_SPEEDS` take `organisations` as a value, like `HIBISCUSSLIP_URGENT_PREEMPTION`. The policy follows the configuration in force at each scheduling pass.

--- a/hibiscusslip/dispatch/_planning.py
+++ b/hibiscusslip/dispatch/_planning.py
@@ -51,9 +51,7 @@
             advice_planning.request_advice_if_needed(
                 engine, step, candidates[step.job.service], now
             )
-    config = engine.config
-    has_organisations = config is not None and config.organisations is not None
-    if engine.policy.preempts(has_organisations):
+    if engine.policy.urgent_preemption.covers(engine.config):
         current.preempting.preempt(engine, services, candidates, now)
     if engine.policy.copies:
         _copy_starts.plan_copies(current)
--- a/hibiscusslip/dispatch/engine.py
+++ b/hibiscusslip/dispatch/engine.py
@@ -92,6 +92,14 @@
         self.ledger = usage.Ledger()
         self.limiter = _limiter.Limiter(self.ledger, note, limit_overage)
 
+    def configure(
+        self, config: model.Configuration | None, policy: policies.Policy
+    ) -> None:
+        """Use a version of the configuration and a policy from now on."""
+        self.config = config
+        self.policy = policy
+        self.estimates.policy = policy
+
     # Jobs.
 
     def submit(
--- a/hibiscusslip/dispatch/policy.py
+++ b/hibiscusslip/dispatch/policy.py
@@ -3,9 +3,11 @@
 import dataclasses
 import enum
 
+from hibiscusslip.dispatch import model
 
-class Preemption(enum.StrEnum):
-    """List when patient runs are stopped for urgent work.
+
+class Scope(enum.StrEnum):
+    """List where an optional decision is made.
 
     ORGANISATIONS means: if the configuration has organisations.
     """
@@ -14,6 +16,12 @@
     ORGANISATIONS = 'organisations'
     ON = 'on'
 
+    def covers(self, config: model.Configuration | None) -> bool:
+        """Return True if the decision is made under a configuration."""
+        if self is Scope.ORGANISATIONS:
+            return config is not None and config.organisations is not None
+        return self is Scope.ON
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Policy:
@@ -29,10 +37,27 @@
     learned_run_times: bool = False
     endpoint_speeds: bool = False
     copies: bool = False
-    urgent_preemption: Preemption = Preemption.ORGANISATIONS
+    urgent_preemption: Scope = Scope.ORGANISATIONS
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Options:
+    """Say where an engine makes which optional decisions.
+
+    Where organisations compete, a wrong run time makes others wait and has
+    jobs rejected that would be of use, so run times and speeds are learned.
+    """
 
-    def preempts(self, has_organisations: bool) -> bool:
-        """Return True if patient runs are stopped for urgent work."""
-        if self.urgent_preemption is Preemption.ORGANISATIONS:
-            return has_organisations
-        return self.urgent_preemption is Preemption.ON
+    run_times: Scope = Scope.ORGANISATIONS
+    endpoint_speeds: Scope = Scope.ORGANISATIONS
+    copies: Scope = Scope.OFF
+    urgent_preemption: Scope = Scope.ORGANISATIONS
+
+    def policy_under(self, config: model.Configuration | None) -> Policy:
+        """Return the policy under a configuration."""
+        return Policy(
+            self.run_times.covers(config),
+            self.endpoint_speeds.covers(config),
+            self.copies.covers(config),
+            self.urgent_preemption,
+        )
--- a/hibiscusslip/host/__main__.py
+++ b/hibiscusslip/host/__main__.py
@@ -7,7 +7,7 @@
 
 import curio
 
-from hibiscusslip.dispatch import policy as policies
+from hibiscusslip.dispatch import policy
 from hibiscusslip.host import context
 from hibiscusslip.host import host
 from hibiscusslip.host import options
@@ -31,18 +31,18 @@
     secret = os.environ.get(SECRET_VARIABLE, '').encode()
     try:
         cfg = settings.load(path)
-        policy = options.read_policy(os.environ)
+        chosen = options.read_options(os.environ)
     except (exceptions.SettingsInvalid, options.OptionInvalid) as exc:
         print(exc, file=sys.stderr)
         return EXIT_SETTINGS
     logs.configure('WARNING', True, cfg.name)
-    ctx = make_context(cfg, policy)
+    ctx = make_context(cfg, chosen)
     curio.run(host.Host(ctx, secret, path).run)
     return 0 if ctx.stopping else EXIT_LOOP_ENDED
 
 
 def make_context(
-    cfg: settings.HostSettings, policy: policies.Policy = policies.Policy()
+    cfg: settings.HostSettings, chosen: policy.Options = policy.Options()
 ) -> context.Context:
     """Return the context that the parts of a host share."""
     incarnation = secrets.token_hex(4)
@@ -60,7 +60,7 @@
         ownership=ownership.Ownership(
             cfg.name, incarnation, host_strength, tie_break
         ),
-        policy=policy,
+        options=chosen,
     )
 
 
--- a/hibiscusslip/host/context.py
+++ b/hibiscusslip/host/context.py
@@ -30,7 +30,7 @@
     `unready_probes` counts the readiness probes that have failed in a row. A
     host that is `leaving` fails its readiness probes, so that it gets no new
     connections, and claims no ownership; one that is `stopping` releases the
-    ownership. `policy` says which optional decisions its owner makes.
+    ownership. `options` say which optional decisions its owner makes.
     """
 
     cfg: settings.HostSettings
@@ -54,7 +54,7 @@
     unready_probes: int = 0
     leaving: bool = False
     stopping: bool = False
-    policy: policies.Policy = policies.Policy()
+    options: policies.Options = policies.Options()
 
     def record_store_success(self, now: float) -> None:
         """Record that the store has answered."""
--- a/hibiscusslip/host/options.py
+++ b/hibiscusslip/host/options.py
@@ -9,42 +9,42 @@
 COPIES_VARIABLE = 'HIBISCUSSLIP_COPIES'
 PREEMPTION_VARIABLE = 'HIBISCUSSLIP_URGENT_PREEMPTION'
 
+_Scopes = dict[str, policy.Scope]
+_SCOPES: _Scopes = {scope.value: scope for scope in policy.Scope}
+_RUN_TIMES: _Scopes = {
+    'declared': policy.Scope.OFF,
+    'organisations': policy.Scope.ORGANISATIONS,
+    'learned': policy.Scope.ON,
+}
+_COPIES: _Scopes = {'off': policy.Scope.OFF, 'on': policy.Scope.ON}
+
 
 class OptionInvalid(ValueError):
     """Raise for an unknown value; the message lists the known ones."""
 
 
-def read_policy(environ: collections.abc.Mapping[str, str]) -> policy.Policy:
-    """Return the optional decisions that are on; raises OptionInvalid."""
-    return policy.Policy(
-        learned_run_times=_is_on(
-            environ, RUN_TIMES_VARIABLE, 'declared', 'learned'
+def read_options(environ: collections.abc.Mapping[str, str]) -> policy.Options:
+    """Return which optional decisions are made; raises OptionInvalid."""
+    default = policy.Options()
+
+    def read(name: str, scopes: _Scopes, usual: policy.Scope) -> policy.Scope:
+        value = environ.get(name)
+        if not value:
+            return usual
+        if value not in scopes:
+            known = ', '.join(scopes)
+            raise OptionInvalid(
+                f"{name} is '{value}'; set it to one of {known}"
+            )
+        return scopes[value]
+
+    return policy.Options(
+        run_times=read(RUN_TIMES_VARIABLE, _RUN_TIMES, default.run_times),
+        endpoint_speeds=read(
+            SPEEDS_VARIABLE, _SCOPES, default.endpoint_speeds
+        ),
+        copies=read(COPIES_VARIABLE, _COPIES, default.copies),
+        urgent_preemption=read(
+            PREEMPTION_VARIABLE, _SCOPES, default.urgent_preemption
         ),
-        endpoint_speeds=_is_on(environ, SPEEDS_VARIABLE, 'off', 'on'),
-        copies=_is_on(environ, COPIES_VARIABLE, 'off', 'on'),
-        urgent_preemption=_read_preemption(environ),
     )
-
-
-def _read_preemption(
-    environ: collections.abc.Mapping[str, str],
-) -> policy.Preemption:
-    value = environ.get(PREEMPTION_VARIABLE)
-    if not value:
-        return policy.Preemption.ORGANISATIONS
-    try:
-        return policy.Preemption(value)
-    except ValueError as exc:
-        known = ', '.join(policy.Preemption)
-        raise OptionInvalid(
-            f"{PREEMPTION_VARIABLE} is '{value}'; set it to one of {known}"
-        ) from exc
-
-
-def _is_on(
-    environ: collections.abc.Mapping[str, str], name: str, off: str, on: str
-) -> bool:
-    value = environ.get(name) or off
-    if value not in (off, on):
-        raise OptionInvalid(f"{name} is '{value}'; set it to {off} or {on}")
-    return value == on
--- a/hibiscusslip/host/owner.py
+++ b/hibiscusslip/host/owner.py
@@ -86,7 +86,7 @@
             lease_timing.usual_lease(bounds.max_lease),
             functools.partial(engine_events.note, self.ctx),
             bounds.max_lease,
-            self.ctx.policy,
+            self.ctx.options.policy_under(self.ctx.config),
             bounds.limit_overage,
             bounds.entitlement_window,
         )
@@ -143,7 +143,7 @@
         while True:
             try:
                 await self._writer.fence()
-                self.engine.config = self.ctx.config
+                self._configure()
                 return await recovery.recover(
                     self.ctx, self.engine, reader, self._cancellations
                 )
@@ -239,7 +239,7 @@
             await self.plan_wakeup.wait(PLAN_IDLE_S)
             now = context.monotonic()
             await self._lift_promises()
-            self.engine.config = self.ctx.config
+            self._configure()
             self.engine.adviser_count = self._advice_router.count_advisers(now)
             if self._may_plan(now):
                 self.engine.plan(
@@ -249,6 +249,10 @@
             self.ctx.metrics.time('plan', context.monotonic() - now)
             await curio.sleep(PLAN_GAP_S)
 
+    def _configure(self) -> None:
+        config = self.ctx.config
+        self.engine.configure(config, self.ctx.options.policy_under(config))
+
     async def _lift_promises(self) -> None:
         """Have leases extended at once that were withheld until now."""
         for name in self._handover.lift_promises():
--- a/tests/dispatch/test_preemption.py
+++ b/tests/dispatch/test_preemption.py
@@ -17,7 +17,7 @@
 BURST = (dispatch_loads.Burst('timetable', 2.5, 3.0, 7.0),)
 SEEDS = (1, 2, 3)
 MIN_ON_TIME = 0.86  # of the urgent jobs
-ON = policy.Policy(urgent_preemption=policy.Preemption.ON)
+ON = policy.Policy(urgent_preemption=policy.Scope.ON)
 
 
 def replay(seed, policies):
@@ -107,10 +107,10 @@
 @pytest.mark.parametrize(
     ('option', 'organisations', 'expected'),
     [
-        (policy.Preemption.OFF, {}, False),
-        (policy.Preemption.ORGANISATIONS, None, False),
-        (policy.Preemption.ORGANISATIONS, {}, True),
-        (policy.Preemption.ON, None, True),
+        (policy.Scope.OFF, {}, False),
+        (policy.Scope.ORGANISATIONS, None, False),
+        (policy.Scope.ORGANISATIONS, {}, True),
+        (policy.Scope.ON, None, True),
     ],
 )
 def test_option_decides_whether_runs_are_preempted(
--- a/tests/host/test_options.py
+++ b/tests/host/test_options.py
@@ -1,24 +1,53 @@
-"""Check that optional decisions are read strictly, and are off by default."""
+"""Check that optional decisions are read strictly, and where they are made."""
+
+import dataclasses
 
 import pytest
 
+from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import policy
 from hibiscusslip.host import options
 
+WITHOUT = model.Configuration(1, {}, {})
+WITH = dataclasses.replace(WITHOUT, organisations={})
+
+
+def policy_under(config, **environ):
+    return options.read_options(environ).policy_under(config)
+
+
+@pytest.mark.parametrize('config', [None, WITHOUT])
+def test_without_organisations_all_options_are_off_by_default(config):
+    """Guards against other decisions in deployments that asked for none."""
+    assert policy_under(config) == policy.Policy()
+    empty = {options.RUN_TIMES_VARIABLE: ''}
+    assert policy_under(config, **empty) == policy.Policy()
+
 
-def test_all_options_are_off_by_default():
-    assert options.read_policy({}) == policy.Policy()
-    empty = dict.fromkeys((options.RUN_TIMES_VARIABLE,), '')
-    assert options.read_policy(empty) == policy.Policy()
+def test_organisations_have_run_times_and_speeds_learned():
+    expected = policy.Policy(learned_run_times=True, endpoint_speeds=True)
+    assert policy_under(WITH) == expected
+    off = {
+        options.RUN_TIMES_VARIABLE: 'declared',
+        options.SPEEDS_VARIABLE: 'off',
+    }
+    assert policy_under(WITH, **off) == policy.Policy()
 
 
 def test_options_are_switched_on_one_by_one():
-    learned = options.read_policy({options.RUN_TIMES_VARIABLE: 'learned'})
-    assert learned == policy.Policy(learned_run_times=True)
-    speeds = options.read_policy({options.SPEEDS_VARIABLE: 'on'})
-    assert speeds == policy.Policy(endpoint_speeds=True)
+    learned = {options.RUN_TIMES_VARIABLE: 'learned'}
+    assert policy_under(WITHOUT, **learned) == policy.Policy(
+        learned_run_times=True
+    )
+    speeds = {options.SPEEDS_VARIABLE: 'on'}
+    assert policy_under(WITHOUT, **speeds) == policy.Policy(
+        endpoint_speeds=True
+    )
+    copies = {options.COPIES_VARIABLE: 'on'}
+    assert policy_under(WITHOUT, **copies) == policy.Policy(copies=True)
 
 
 def test_unknown_value_is_an_error_that_names_the_known_ones():
-    with pytest.raises(options.OptionInvalid, match='declared or learned'):
-        options.read_policy({options.RUN_TIMES_VARIABLE: 'on'})
+    known = 'declared, organisations, learned'
+    with pytest.raises(options.OptionInvalid, match=known):
+        options.read_options({options.RUN_TIMES_VARIABLE: 'on'})
