Tell a new owner until when a start may take effect

A start without an answer may take effect up to 12.5 s after its decision. If its endpoint restarts meanwhile, the new incarnation knows no fence and has a new clock, so the owner doesn't start the task again before (`not_before`). That time was in the owner's memory only: an owner that took over meanwhile started the task at once, and it could run twice.

A job's record has a new last field `delays` with a row for each such task. It tells how much of the time was left when the record was written, as hosts share no clock; the new owner counts that from its recovery, so its tasks wait longer by the age of the record, never less. encode_job() takes the time as `now`; the writer passes it.

A run that was still placed when the owner was lost needs no row: the endpoint has heard the new owner's fence by the poll that shows its restart.

A record grows by 1 byte, and by 7 for a row (21, 22 and 29 bytes without tasks). Two tests of records read fields by their position from the end and now use their names.

The new test restores the record of a task on a restarted endpoint; without the change the new owner starts the task 12.2 s too early.

--- a/hibiscusslip/dispatch/records.py
+++ b/hibiscusslip/dispatch/records.py
@@ -1,11 +1,13 @@
 """Encode jobs as records, and restore them from records."""
 
 import collections.abc
+import math
 import typing
 
 import msgspec
 
 from hibiscusslip.dispatch import copy_records
+from hibiscusslip.dispatch import delay_records
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import run_records
 from hibiscusslip.dispatch import state
@@ -103,6 +105,7 @@
     completed: list[tuple[int, int]] = []
     runs: list[run_records.RunRow] = []
     copies: list[copy_records.CopyRow] = []
+    delays: list[delay_records.DelayRow] = []
 
     def occurrence_numbers(self) -> list[int]:
         """Return the numbers of all occurrences, completed ones too."""
@@ -138,9 +141,11 @@
     *,
     compact: bool = False,
     counted: collections.abc.Iterable[usage.CountedRun] = (),
+    now: float = math.inf,
 ) -> bytes:
     """Return the record of a job's progress.
 
+    Delayed starts are left out without `now`, the time of the owner.
     For a final job it contains no steps, and only those tasks whose runs are
     `counted` for the limit of its organisation; none if it is `compact`. A
     compact record of another job has no rows of complete occurrences, which
@@ -164,12 +169,12 @@
         row.endpoints = list(_endpoint_rows(current).values())
     else:
         steps = [s for s in job.steps() if s.occurrence not in left_out]
-        _add_steps(row, steps)
+        _add_steps(row, steps, now)
     row.runs = run_records.encode(runs, row.copies)
     return msgspec.msgpack.encode(row)
 
 
-def _add_steps(row: JobRow, steps: list[state.StepState]) -> None:
+def _add_steps(row: JobRow, steps: list[state.StepState], now: float) -> None:
     """Add the rows of steps to a record."""
     endpoints: dict[str, EndpointRow] = {}
     for step in steps:
@@ -178,6 +183,7 @@
         row.crashes.extend(_crash_rows(step))
         row.losses.extend(_loss_rows(step))
         row.copies.extend(copy_records.encode(step))
+        row.delays.extend(delay_records.encode(step, now))
         endpoints.update(_endpoint_rows(step.tasks))
     row.endpoints = list(endpoints.values())
 
--- a/hibiscusslip/host/recovery.py
+++ b/hibiscusslip/host/recovery.py
@@ -5,6 +5,7 @@
 import curio
 
 from hibiscusslip.dispatch import crashes
+from hibiscusslip.dispatch import delay_records
 from hibiscusslip.dispatch import engine as engines
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import records
@@ -208,6 +209,7 @@
                 if number not in job.occurrences:
                     engine.create_occurrence(job, number, now)
             records.restore(job, row)
+            delay_records.restore(job, row.delays, now)
         except (records.Unreadable, KeyError, IndexError, ValueError) as exc:
             ctx.log.note('progress_unreadable', job=job_id, error=repr(exc))
             continue
--- a/hibiscusslip/host/writer.py
+++ b/hibiscusslip/host/writer.py
@@ -165,6 +165,7 @@
             self._number,
             compact=compact,
             counted=self._engine.ledger.runs_of(job.job_id),
+            now=context.monotonic(),
         )
         return store.encode_keyed(job.job_id, value)
 
--- a/tests/dispatch/crashing_cell.py
+++ b/tests/dispatch/crashing_cell.py
@@ -236,7 +236,7 @@
             job = engine.jobs[job_id]
             written[job_id] = job.state
             self.progress[job_id] = records.encode_job(
-                job, counted=engine.ledger.runs_of(job_id)
+                job, counted=engine.ledger.runs_of(job_id), now=self.now
             )
         engine.dirty = set()
         engine.confirm_records(written, cursors)
--- a/tests/dispatch/test_copies.py
+++ b/tests/dispatch/test_copies.py
@@ -270,7 +270,9 @@
     bench = make_bench()
     original, copy = copied(bench)
     data = records.encode_job(bench.engine.jobs['j'])
-    *fields, rows = msgspec.msgpack.decode(data)
+    number = records.JobRow.__struct_fields__.index('copies')
+    fields = msgspec.msgpack.decode(data)
+    fields, rows = fields[:number], fields[number]
     assert [row[3:6] for row in rows] == [[2, 2, copy.endpoint]]
     former = records.decode_job(msgspec.msgpack.encode(fields))
     assert former.copies == []
--- a/tests/dispatch/test_copies_of_organisations.py
+++ b/tests/dispatch/test_copies_of_organisations.py
@@ -1,6 +1,5 @@
 """Check copies against limits, recovery, preemption and learned run times."""
 
-import msgspec
 import pytest
 
 from hibiscusslip.dispatch import model
@@ -145,9 +144,11 @@
 def test_record_names_a_second_run_twice():
     bench = make_bench()
     _, copy = copied(bench)
-    *_, runs, copies = msgspec.msgpack.decode(encode(bench))
-    assert runs == []
-    assert [row[3:6] for row in copies] == [[2, copy.run, copy.endpoint]]
+    row = records.decode_job(encode(bench))
+    assert row.runs == []
+    (second,) = row.copies
+    assert (second.copy_run, second.run) == (2, copy.run)
+    assert second.endpoint == copy.endpoint
 
 
 def test_second_run_of_a_cancelled_job_doesnt_count_until_its_end():
--- a/tests/dispatch/test_unknown_outcomes.py
+++ b/tests/dispatch/test_unknown_outcomes.py
@@ -5,8 +5,11 @@
 """
 
 from hibiscusslip.dispatch import model
+from hibiscusslip.dispatch import records
 from hibiscusslip.dispatch import state
+from hibiscusslip.host import recovery
 from tests.dispatch import support
+from tests.host import fakes
 
 
 def start_on_e1(bench):
@@ -193,6 +196,29 @@
     assert [s.task for s in bench.plan()] == [start.task]
 
 
+def test_new_owner_waits_for_an_unconfirmed_start_of_the_former_one():
+    """A restarted endpoint knows no fence, so it may carry out the start."""
+    bench = support.Bench()
+    start = start_on_e1(bench)
+    bench.now += 0.2
+    bench.report('e1', born=2.0)
+    job = start.task.step.job
+    record = records.encode_job(job, now=bench.now)
+    other = support.Bench()
+    other.now = 7.0  # hosts share no clock
+    other.submit('j', support.step())
+    ctx = fakes.make_context(fakes.FakeStore())
+    recovery.restore_all(ctx, other.engine, {'j': record}, other.now)
+    other.endpoint('e2')
+    other.now += 12.2
+    other.report('e2')
+    assert other.plan() == []
+    other.now += 0.2
+    other.report('e2')
+    assert [s.run for s in other.plan()] == [start.run + 1]
+    assert records.decode_job(records.encode_job(job, now=200.0)).delays == []
+
+
 def test_run_of_a_waiting_task_is_adopted_and_not_started_again():
     bench = support.Bench()
     endpoint = bench.endpoint('e1')
--- a/tests/host/test_writer.py
+++ b/tests/host/test_writer.py
@@ -4,9 +4,12 @@
 
 from hibiscusslip.dispatch import engine as engines
 from hibiscusslip.dispatch import model
+from hibiscusslip.dispatch import records
 from hibiscusslip.dispatch import state
+from hibiscusslip.host import context
 from hibiscusslip.host import writer
 from hibiscusslip.platform import exceptions
+from hibiscusslip.platform import store
 from tests.dispatch import support
 from tests.host import fakes
 
@@ -174,3 +177,18 @@
     assert not job.state.final
     assert fake_store.keys() == ['j']
     assert max(len(record) for _, record in fake_store.records) <= 262_144
+
+
+def test_record_tells_for_how_long_a_task_mustnt_be_started():
+    """A new owner would start it while a former start may take effect."""
+    fake_store = fakes.FakeStore()
+    ctx = fakes.make_context(fake_store)
+    ctx.ownership.record_claim(1, 0.0)
+    bench = support.Bench()
+    job = bench.submit('j', support.step())
+    job.occurrences[0][0].tasks[0].not_before = context.monotonic() + 60.0
+    bench.engine.dirty.add('j')
+    write_all(ctx, bench.engine)
+    ((_, record),) = fake_store.records
+    (row,) = records.decode_job(store.decode_keyed(record)[1]).delays
+    assert 0 < row.left_ms <= 60_000
