Predict waits by the learned ends of running tasks

The forecast behind a 429 counted the work that waits by learned run times already, but took all capacity to be free at once, and counted work that arrives later and goes first by its declared time. With learned run times, running tasks now hold their capacity until they should end, services for good, and arriving work counts by learned run times. A run whose end is known from fewer than 8 runs holds nothing, as before. With declared run times nothing changes (test_policy_off).

--- a/hibiscusslip/bench/organisations.py
+++ b/hibiscusslip/bench/organisations.py
@@ -17,6 +17,7 @@
 from hibiscusslip.bench import dispatching
 from hibiscusslip.dispatch import admission
 from hibiscusslip.dispatch import model
+from hibiscusslip.dispatch import policy as policies
 from hibiscusslip.dispatch import shares
 from hibiscusslip.dispatch import state
 
@@ -56,8 +57,9 @@
         surges: tuple[Surge, ...] = (),
         enabled: bool = True,
         adviser_count: int = dispatching.ADVISER_COUNT,
+        policy: policies.Policy = policies.Policy(),
     ) -> None:
-        super().__init__(seed, load, bursts)
+        super().__init__(seed, load, bursts, policy)
         self._engine.adviser_count = adviser_count
         self._surges = surges
         self._owner_rng = random.Random(seed + 1)
--- a/hibiscusslip/dispatch/admission.py
+++ b/hibiscusslip/dispatch/admission.py
@@ -2,7 +2,8 @@
 
 A new job waits for the work that is ordered ahead of it: core-seconds and
 accelerator-seconds of waiting steps, divided by the capacity that this work
-gets. Work that arrives later but goes first takes part of that capacity. A
+gets. Work that arrives later but goes first takes part of that capacity, and
+with learned run times so do running tasks until they should end. A
 job that would be of no use by the time it completes is rejected at once, so
 that its caller can react and no other job waits behind it.
 """
@@ -14,6 +15,7 @@
 
 from hibiscusslip.dispatch import estimates
 from hibiscusslip.dispatch import model
+from hibiscusslip.dispatch import occupancy
 from hibiscusslip.dispatch import ordering
 from hibiscusslip.dispatch import state
 
@@ -23,6 +25,7 @@
 PERCENT = 100
 
 Work = tuple[float, float]  # core-seconds, accelerator-seconds
+FindReleases = collections.abc.Callable[[str], list[occupancy.Release]]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -71,12 +74,14 @@
     capacities: dict[str, Work],
     arrivals: dict[tuple[str, bool], Work],
     estimator: estimates.Estimates,
+    find_releases: FindReleases = lambda service: [],
 ) -> dict[str, Prediction]:
     """Return the predictions for all queues, by name.
 
     `ranked` are the waiting steps, `capacities` the cores and accelerators of
     each service. `arrivals` is the work that arrives per second, by queue and
-    whether it is beyond an entitlement.
+    whether it is beyond an entitlement. `find_releases` returns what running
+    tasks of a service hold and when they release it, the soonest first.
     """
     queues = list(queues)
     backlogs: dict[str, _Backlog] = {}
@@ -85,6 +90,7 @@
             continue
         backlog = backlogs.setdefault(step.job.service, _Backlog())
         backlog.add((rank.beyond, rank.priority), _waiting(step, estimator))
+    releases = {service: find_releases(service) for service in backlogs}
     return {
         queue.name: _predict_queue(
             queue,
@@ -92,6 +98,7 @@
             backlogs.get(queue.service, _Backlog()),
             capacities.get(queue.service, (0.0, 0.0)),
             arrivals,
+            releases.get(queue.service, []),
         )
         for queue in queues
     }
@@ -103,6 +110,7 @@
     backlog: _Backlog,
     capacity: Work,
     arrivals: dict[tuple[str, bool], Work],
+    releases: list[occupancy.Release],
 ) -> Prediction:
     own = _sum(
         arrivals.get((queue.name, beyond), (0.0, 0.0))
@@ -119,12 +127,19 @@
             and (ahead, other.priority) < key
             and (work := arrivals.get((other.name, ahead)))
         )
-        return _wait(backlog.ahead_of(key), capacity, overtaking, own)
+        held = [r for r in releases if r.blocks(beyond, queue.priority)]
+        return _wait(backlog.ahead_of(key), capacity, overtaking, own, held)
 
     return Prediction(wait(False), wait(True))
 
 
-def _wait(ahead: Work, capacity: Work, overtaking: Work, own: Work) -> float:
+def _wait(
+    ahead: Work,
+    capacity: Work,
+    overtaking: Work,
+    own: Work,
+    held: list[occupancy.Release],
+) -> float:
     """Return for how long work ahead takes up the capacity, in seconds.
 
     `overtaking` is the work per second that arrives later and goes first.
@@ -134,13 +149,42 @@
     for resource, amount in enumerate(ahead):
         if not amount or (resource and not own[resource]):
             continue
-        whole = capacity[resource]
-        left = max(whole - overtaking[resource], whole * MIN_CAPACITY_SHARE)
-        if left:  # nothing is predicted while no endpoint is listed
-            longest = max(longest, amount / left)
+        if capacity[resource]:  # none while no endpoint is listed
+            amounts = [
+                (release.after, release.amounts[resource]) for release in held
+            ]
+            wait = _time_to_do(
+                amount, capacity[resource], overtaking[resource], amounts
+            )
+            longest = max(longest, wait)
     return min(longest, MAX_WAIT_S)
 
 
+def _time_to_do(
+    amount: float,
+    capacity: float,
+    overtaking: float,
+    held: list[tuple[float, float]],
+) -> float:
+    """Return how long an amount of work takes with what is released.
+
+    `held` has the times of releases, in ascending order, and how much of the
+    `capacity` each releases.
+    """
+    left = max(capacity - sum(part for _, part in held), 0.0)
+    now = 0.0
+    for after, part in [*held, (math.inf, 0.0)]:
+        rate = max(left - overtaking, left * MIN_CAPACITY_SHARE)
+        if rate and now + amount / rate <= after:
+            return now + amount / rate
+        amount -= rate * (after - now)
+        left = min(left + part, capacity)
+        now = after
+        if now >= MAX_WAIT_S:
+            break
+    return MAX_WAIT_S
+
+
 def work_of(step: model.Step, count: int, run_time: float) -> Work:
     """Return the work of `count` tasks that run for `run_time` seconds."""
     demand = step.allocated_demand
--- a/hibiscusslip/dispatch/estimates.py
+++ b/hibiscusslip/dispatch/estimates.py
@@ -16,6 +16,9 @@
 MIN_DECLARED_S = run_times.MIN_DECLARED_S
 # A run past its high quantile is expected to go on for half as long again.
 OVERDUE_SHARE = 0.5
+# With fewer runs an end is mostly that by the declared time, which may be
+# wrong by a factor of two.
+MIN_RUNS_TO_RELY = 8
 MAX_CACHED = 10_000
 DEFAULT_QUEUE = model.Queue('', '', '', '')
 
@@ -97,6 +100,22 @@
         """Return the expected run time by what is learned."""
         return self._learned(step.job, step.spec)
 
+    def knows(self, step: state.StepState) -> bool:
+        """Return True if the end of a step's runs can be relied on."""
+        return (
+            self.policy.learned_run_times
+            and self.expect_learned(step).runs >= MIN_RUNS_TO_RELY
+        )
+
+    def work_time(self, job: state.Job, spec: model.Step) -> float:
+        """Return the run time to count for a new job's step, in seconds.
+
+        It is the declared one unless run times are learned.
+        """
+        if not self.policy.learned_run_times:
+            return spec.estimate
+        return self._learned(job, spec).median
+
     def expected_end(
         self,
         task: state.Task,
--- a/hibiscusslip/dispatch/forecast.py
+++ b/hibiscusslip/dispatch/forecast.py
@@ -4,6 +4,7 @@
 from hibiscusslip.dispatch import arrivals
 from hibiscusslip.dispatch import estimates
 from hibiscusslip.dispatch import model
+from hibiscusslip.dispatch import occupancy
 from hibiscusslip.dispatch import ordering
 from hibiscusslip.dispatch import state
 
@@ -24,13 +25,16 @@
         self.beyond_percents: dict[str, int] = {}
         self._arrivals = arrivals.Arrivals()
         self._updated_at = float('-inf')
+        self._estimator = estimates.Estimates()
 
     def count(self, job: state.Job, config: model.Configuration) -> None:
         """Count a new job that was classified."""
         now = job.submitted_at
         beyond = not job.within_entitlement
         works = (
-            admission.work_of(step, step.count, step.estimate)
+            admission.work_of(
+                step, step.count, self._estimator.work_time(job, step)
+            )
             for step in job.spec.steps
             if not step.long_running
         )
@@ -73,12 +77,23 @@
         Counts all listed endpoints: a new owner has polled few of them yet.
         """
         self._updated_at = now
+        self._estimator = estimator
+
+        def find_releases(service: str) -> list[occupancy.Release]:
+            pool = pools.get(service, [])
+            return occupancy.find_releases(pool, priority_of, estimator, now)
+
+        def priority_of(job: state.Job) -> int:
+            queue = config.queues.get(job.queue)
+            return queue.priority if queue is not None else 0
+
         self.predictions = admission.predict(
             ranked,
             config.queues.values(),
             {service: _capacity(pool) for service, pool in pools.items()},
             self._arrivals.work(now),
             estimator,
+            find_releases,
         )
         organisations = config.organisations or {}
         weights = {name: item.weight for name, item in organisations.items()}
--- a/hibiscusslip/dispatch/preemption.py
+++ b/hibiscusslip/dispatch/preemption.py
@@ -24,9 +24,6 @@
 MIN_SLACK_S = 3.0  # that a preempted task has left, to wait and to resume
 STOP_S = 0.3  # from the decision to stop a run until its CPU is free
 RESTORE_S = 0.6  # to resume from a checkpoint; the platform's default
-# Below, an expected end is too uncertain to leave a run to it: the declared
-# time may be too short by a factor of two.
-MIN_RUNS_TO_RELY = 8
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -124,7 +121,7 @@
     saved_at = max(started_at, allocation.checkpointed_at)
     end = estimator.expected_end(task, endpoint, started_at, now)
     ends_in = end - now
-    if estimator.expect_learned(task.step).runs < MIN_RUNS_TO_RELY:
+    if not estimator.knows(task.step):
         ends_in = max(ends_in, 2 * STOP_S)
     return Outlook(ends_in, now - saved_at + RESTORE_S)
 
