--- a/hibiscusslip/bench/organisations.py
+++ b/hibiscusslip/bench/organisations.py
@@ -18,6 +18,7 @@
 from hibiscusslip.dispatch import admission
 from hibiscusslip.dispatch import entitlement
 from hibiscusslip.dispatch import model
+from hibiscusslip.dispatch import policy as policies
 from hibiscusslip.dispatch import shares
 from hibiscusslip.dispatch import state
 
@@ -59,9 +60,10 @@
         surges: tuple[Surge, ...] = (),
         enabled: bool = True,
         adviser_count: int = dispatching.ADVISER_COUNT,
+        policy: policies.Policy = policies.Policy(),
         entitlement_window: float = entitlement.DEFAULT_WINDOW_S,
     ) -> None:
-        super().__init__(seed, load, bursts)
+        super().__init__(seed, load, bursts, policy)
         self._engine.shares = shares.Shares(entitlement_window)
         self._engine.adviser_count = adviser_count
         self._surges = surges
