Keep the candidates and ratings of a pool between passes

After the selection, the largest cost of a pass was to create a candidate for each endpoint, with its free capacity, and to rate the pool for each demand, although few endpoints change from one pass to the next.

A candidate now copies its endpoint's amounts only if the endpoint has replaced them (both are immutable), and is marked as outdated in the ratings of the last 16 demands. Whether an endpoint is usable, suspected or slow depends on the time, and is checked in each pass as before. If the list of endpoints differs from that of the last pass, all is built anew. Nothing of this is durable: a new owner starts with none.

The test of the selection compares kept candidates with new ones while endpoints change, and fails without the comparison of the list or of the entries.

--- a/hibiscusslip/dispatch/_planning.py
+++ b/hibiscusslip/dispatch/_planning.py
@@ -25,9 +25,12 @@
     services = engine.pools()
     suspicions = _suspicion.Suspicions(engine.endpoints.values(), now)
     candidates = {
-        name: candidate_pool.Candidates(pool, suspicions, now)
-        for name, pool in services.items()
+        name: engine.candidates.get(name) or candidate_pool.Candidates()
+        for name in services
     }
+    engine.candidates = candidates
+    for name, pool in services.items():
+        candidates[name].update(pool, suspicions, now)
     current = _scheduling_pass.Pass(engine, services, candidates, now)
     _scheduling_pass.compute_spare(current)
     for service in services:
--- a/hibiscusslip/dispatch/candidate_pool.py
+++ b/hibiscusslip/dispatch/candidate_pool.py
@@ -8,6 +8,8 @@
 from hibiscusslip.dispatch import progress
 from hibiscusslip.dispatch import state
 
+MAX_RATINGS = 16  # of a pool; up to 240 KB each at 2,500 endpoints
+
 
 class RemainingCapacity:
     """The capacity that is left while tasks are placed."""
@@ -35,79 +37,148 @@
 
 
 class Candidate(RemainingCapacity):
-    """A usable endpoint and its free capacity during one scheduling pass.
+    """An endpoint and its free capacity during one scheduling pass.
 
     The amounts are copied from the endpoint, because one pass reads each of
     them for hundreds of steps. `number` is the endpoint's place in its pool,
     `speed` its speed relative to the pool's typical one. It is added to
-    `changed` with each allocation.
+    `changed` with each change of what fits on it.
     """
 
-    __slots__ = ('changed', 'endpoint', 'entry', 'number', 'slow', 'speed')
+    __slots__ = (
+        'changed',
+        'copied_from',
+        'endpoint',
+        'entry',
+        'number',
+        'slow',
+        'speed',
+        'usable',
+    )
 
     def __init__(
         self,
         endpoint: state.Endpoint,
         number: int,
-        now: float,
         changed: list['Candidate'],
     ) -> None:
-        free = endpoint.free_capacity()
-        super().__init__(free.cpu, free.memory, free.accelerators)
         assert endpoint.entry is not None
+        super().__init__(0, 0, 0)
         self.endpoint = endpoint
         self.entry = endpoint.entry
         self.number = number
-        self.slow = progress.is_slow(endpoint, now)
+        self.usable = False
+        self.slow = False
         self.speed = 1.0
         self.changed = changed
+        self.copied_from: model.Demand | None = None
 
     def allocate(self, demand: model.Demand) -> None:
         """Subtract the demand of one task."""
         super().allocate(demand)
+        self.copied_from = None
+        self.changed.append(self)
+
+    def update(self) -> None:
+        """Copy the amounts of the endpoint if they have changed.
+
+        They are immutable, and the endpoint replaces them with each change.
+        """
+        endpoint = self.endpoint
+        if self.copied_from is endpoint.used and self.entry is endpoint.entry:
+            return
+        assert endpoint.entry is not None
+        free = endpoint.free_capacity()
+        self.cpu = free.cpu
+        self.memory = free.memory
+        self.accelerators = free.accelerators
+        self.entry = endpoint.entry
+        self.copied_from = endpoint.used
         self.changed.append(self)
 
 
 class Candidates:
     """The usable endpoints of a service during one scheduling pass.
 
-    `max_endpoint_cpu` is the CPU of the largest endpoint of the pool, usable
-    or not, allocated or not. With `has_trials` a run may be on trial.
+    They are kept between passes. `max_endpoint_cpu` is the CPU of the largest
+    endpoint of the pool, usable or not, allocated or not. With `has_trials` a
+    run may be on trial.
     """
 
-    def __init__(
+    def __init__(self) -> None:
+        self.pool: list[state.Endpoint] = []
+        self.all: list[Candidate] = []
+        self.has_trials = False
+        self.max_endpoint_cpu = 0
+        self._listed: list[Candidate] = []
+        self._numbers: dict[str, int] = {}
+        self._by_name: dict[str, Candidate] = {}
+        self._largest = model.Demand()
+        self._changed: list[Candidate] = []
+        self._ratings: dict[tuple[model.Demand, str], pool_rating.Rating] = {}
+
+    def update(
         self,
         pool: list[state.Endpoint],
         suspicions: _suspicion.Suspicions,
         now: float,
     ) -> None:
-        self.pool = pool
-        self._numbers = {
-            endpoint.name: number for number, endpoint in enumerate(pool)
-        }
-        self._changed: list[Candidate] = []
-        self._ratings: dict[tuple[model.Demand, str], pool_rating.Rating] = {}
-        self.all = [
-            Candidate(endpoint, number, now, self._changed)
-            for number, endpoint in enumerate(pool)
-            if endpoint.usable(now) and suspicions.allows(endpoint)
-        ]
-        self.has_trials = any(c.endpoint.trials for c in self.all)
-        self._by_name = {
-            candidate.endpoint.name: candidate for candidate in self.all
-        }
+        """Begin a pass with the listed endpoints of the service.
+
+        Everything is built anew if these aren't those of the last pass.
+        """
+        if pool != self.pool:
+            self._build(pool)
+        if self._update_listed(suspicions, now):
+            self.all = [item for item in self._listed if item.usable]
+            self._by_name = {item.endpoint.name: item for item in self.all}
+        self.has_trials = any([item.endpoint.trials for item in self.all])
         self._largest = model.Demand(
-            max((candidate.cpu for candidate in self.all), default=-1),
-            max((candidate.memory for candidate in self.all), default=-1),
-            max(
-                (candidate.accelerators for candidate in self.all), default=-1
-            ),
+            max([item.cpu for item in self.all], default=-1),
+            max([item.memory for item in self.all], default=-1),
+            max([item.accelerators for item in self.all], default=-1),
         )
         self.max_endpoint_cpu = max(
-            (e.entry.capacity.cpu for e in pool if e.entry is not None),
-            default=0,
+            [item.entry.capacity.cpu for item in self._listed], default=0
         )
 
+    def _build(self, pool: list[state.Endpoint]) -> None:
+        self.pool = pool
+        self.all = []
+        self._by_name = {}
+        self._changed = []
+        self._ratings = {}
+        self._listed = [
+            Candidate(endpoint, number, self._changed)
+            for number, endpoint in enumerate(pool)
+        ]
+        self._numbers = {
+            endpoint.name: number for number, endpoint in enumerate(pool)
+        }
+
+    def _update_listed(
+        self, suspicions: _suspicion.Suspicions, now: float
+    ) -> bool:
+        """Update all candidates; return True if others are usable."""
+        others_usable = False
+        for candidate in self._listed:
+            endpoint = candidate.endpoint
+            candidate.update()
+            usable = endpoint.usable(now) and suspicions.allows(endpoint)
+            if usable is not candidate.usable:
+                candidate.usable = usable
+                self._changed.append(candidate)
+                others_usable = True
+            candidate.slow = progress.is_slow(endpoint, now)
+        self._outdate_ratings()
+        return others_usable
+
+    def _outdate_ratings(self) -> None:
+        """Note in all ratings which candidates have changed."""
+        for rating in self._ratings.values():
+            rating.outdated.update(self._changed)
+        self._changed.clear()
+
     def find(self, name: str) -> Candidate | None:
         """Return the candidate of an endpoint, None if it isn't usable."""
         return self._by_name.get(name)
@@ -123,16 +194,17 @@
     def rate(self, demand: model.Demand, label: str) -> pool_rating.Rating:
         """Return how many tasks fit on each endpoint with a label now.
 
-        A rating is kept for the rest of the pass. Allocations change it.
+        The ratings of the last demands are kept, and updated for candidates
+        that have changed.
         """
-        for candidate in self._changed:
-            for known in self._ratings.values():
-                known.update(candidate)
-        self._changed.clear()
-        rating = self._ratings.get((demand, label))
+        self._outdate_ratings()
+        rating = self._ratings.pop((demand, label), None)
         if rating is None:
-            rating = pool_rating.Rating(demand, label, self.pool, self.find)
-            self._ratings[demand, label] = rating
+            rating = pool_rating.Rating(demand, label, self._listed)
+        self._ratings[demand, label] = rating
+        if len(self._ratings) > MAX_RATINGS:
+            del self._ratings[next(iter(self._ratings))]
+        rating.update()
         return rating
 
     def note_trial(self, endpoint: state.Endpoint) -> None:
--- a/hibiscusslip/dispatch/engine.py
+++ b/hibiscusslip/dispatch/engine.py
@@ -15,6 +15,7 @@
 from hibiscusslip.dispatch import _suspicion
 from hibiscusslip.dispatch import advice_planning
 from hibiscusslip.dispatch import advice_sizing
+from hibiscusslip.dispatch import candidate_pool
 from hibiscusslip.dispatch import commands
 from hibiscusslip.dispatch import crashes
 from hibiscusslip.dispatch import estimates
@@ -69,6 +70,7 @@
         self.note = note
         self.jobs: dict[str, state.Job] = {}
         self.endpoints: dict[str, state.Endpoint] = {}
+        self.candidates: dict[str, candidate_pool.Candidates] = {}
         self.config: model.Configuration | None = None
         self.estimates = estimates.Estimates(policy)
         self.dirty: set[str] = set()
--- a/hibiscusslip/dispatch/pool_rating.py
+++ b/hibiscusslip/dispatch/pool_rating.py
@@ -2,20 +2,19 @@
 
 A pool of thousands of endpoints has few combinations of free capacity and
 size, and the steps of a pass have few demands. So endpoints are grouped by
-how many tasks fit, once for each demand, and the steps use these groups.
+how many tasks fit, for each demand, and the steps use these groups.
 """
 
 import bisect
-import collections.abc
 import typing
 
 from hibiscusslip.dispatch import model
-from hibiscusslip.dispatch import state
 
 if typing.TYPE_CHECKING:
     from hibiscusslip.dispatch import candidate_pool
 
 UNLIMITED = 2**62  # tasks that fit if they have no demand
+REBUILD_SHARE = 0.25  # of the pool; above, it is faster to rate all again
 
 
 class Fit(typing.NamedTuple):
@@ -32,26 +31,33 @@
     Endpoints that are draining or lack the label are left out; on those that
     aren't usable now nothing fits. An endpoint is identified by its place in
     the pool. The places in each of the `groups` are in ascending order.
+    The `outdated` candidates have changed since the last update.
     """
 
     def __init__(
         self,
         demand: model.Demand,
         label: str,
-        pool: list[state.Endpoint],
-        find: collections.abc.Callable[
-            [str], 'candidate_pool.Candidate | None'
-        ],
+        listed: list['candidate_pool.Candidate'],
     ) -> None:
+        self.groups: dict[Fit, list[int]] = {}
+        self.outdated: set[candidate_pool.Candidate] = set()
         self._demand = demand
         self._label = label
-        self._fits = [
-            self._fit(endpoint, find(endpoint.name)) for endpoint in pool
-        ]
-        self.groups: dict[Fit, list[int]] = {}
-        for number, fit in enumerate(self._fits):
+        self._listed = listed
+        self._fits: list[Fit | None] = []
+        self._build()
+
+    def _build(self) -> None:
+        self._fits = []
+        self.groups = {}
+        shared: dict[Fit | None, Fit | None] = {}  # saves memory
+        for candidate in self._listed:
+            fit = self._fit(candidate)
+            fit = shared.setdefault(fit, fit)
+            self._fits.append(fit)
             if fit is not None:
-                self.groups.setdefault(fit, []).append(number)
+                self.groups.setdefault(fit, []).append(candidate.number)
 
     def fit(self, number: int) -> Fit | None:
         """Return how many tasks fit on an endpoint, None if it is left out."""
@@ -64,11 +70,19 @@
             for fit, numbers in self.groups.items()
         )
 
-    def update(self, candidate: 'candidate_pool.Candidate') -> None:
-        """Move a candidate whose free capacity has changed."""
+    def update(self) -> None:
+        """Rate the `outdated` endpoints again, or all if these are many."""
+        if len(self.outdated) > REBUILD_SHARE * len(self._listed):
+            self._build()
+        else:
+            for candidate in self.outdated:
+                self._move(candidate)
+        self.outdated.clear()
+
+    def _move(self, candidate: 'candidate_pool.Candidate') -> None:
         number = candidate.number
         old = self._fits[number]
-        new = self._fit(candidate.endpoint, candidate)
+        new = self._fit(candidate)
         if new == old:
             return
         self._fits[number] = new
@@ -79,17 +93,13 @@
         if new is not None:
             bisect.insort(self.groups.setdefault(new, []), number)
 
-    def _fit(
-        self,
-        endpoint: state.Endpoint,
-        candidate: 'candidate_pool.Candidate | None',
-    ) -> Fit | None:
-        entry = endpoint.entry
-        if entry is None or entry.draining:
+    def _fit(self, candidate: 'candidate_pool.Candidate') -> Fit | None:
+        entry = candidate.entry
+        if entry.draining:
             return None
         if self._label and self._label not in entry.labels:
             return None
-        if candidate is None:
+        if not candidate.usable:
             return Fit(entry.zone, 0, 0)
         return Fit(
             entry.zone, self._count(candidate), self._count(entry.capacity)
--- a/hibiscusslip/dispatch/progress.py
+++ b/hibiscusslip/dispatch/progress.py
@@ -39,6 +39,8 @@
 
 def is_slow(endpoint: state.Endpoint, now: float) -> bool:
     """Return True if tasks should go to other endpoints if possible."""
+    if endpoint.slowness <= SLOW_RATIO:
+        return False  # as it fades; spares most endpoints the computation
     return slowness(endpoint, now) > SLOW_RATIO
 
 
--- a/tests/dispatch/test_advice_selection.py
+++ b/tests/dispatch/test_advice_selection.py
@@ -1,7 +1,7 @@
 """Compare the selection of endpoints with a simple one on random pools.
 
 Guards against a selection that differs because ratings are shared between
-steps, merged by groups, or not updated after an allocation.
+steps and passes, merged by groups, or not updated after a change.
 """
 
 import math
@@ -18,6 +18,7 @@
 from tests.dispatch import support
 
 NOW = 100.0
+EXCLUDED = ('', 'e7')
 
 
 def random_endpoint(rng, name):
@@ -113,28 +114,65 @@
     return tuple(name for _, name, *_ in chosen)
 
 
+def change(rng, pool):
+    """Change some endpoints, and seldom which ones are listed."""
+    for endpoint in rng.sample(pool, rng.choice((1, 5, len(pool) // 2))):
+        other = random_endpoint(rng, endpoint.name)
+        field = rng.choice(('entry', 'used', 'responsive', 'suspected_at'))
+        setattr(endpoint, field, getattr(other, field))
+        endpoint.suspected_at = rng.choice((0.0, 0.0, 0.0, NOW - 1.0))
+        endpoint.slowness = rng.choice((1.0, 1.9, 5.0))
+        endpoint.trials = rng.choice(({}, {}, {}, {('t', 1): 'other'}))
+    listed = list(pool)
+    if rng.random() < 0.2:
+        listed.remove(rng.choice(pool))
+    return listed
+
+
+def update(candidates, pool, now):
+    candidates.update(pool, _suspicion.Suspicions(pool, now), now)
+    return candidates
+
+
+def describe(candidates):
+    free = [
+        (c.endpoint, c.entry, c.number, c.cpu, c.memory, c.slow)
+        for c in candidates.all
+    ]
+    return free, candidates.has_trials, candidates.max_endpoint_cpu
+
+
+def check_step(step, kept, new, options):
+    """Compare kept candidates with new ones and a simple selection."""
+    names = advice_sizing.select(step, kept, *options)
+    assert names == simple_select(step, new, *options)
+    others = [
+        candidate
+        for candidate in new.eligible_for(step, None)
+        if candidate.endpoint.name not in step.asked_about
+    ]
+    free = advice_sizing.free_tasks(step, others)
+    assert advice_sizing.unasked_free_tasks(step, kept) == free
+
+
 @pytest.mark.parametrize('seed', range(12))
 def test_selection_equals_that_of_a_simple_implementation(seed):
     rng = random.Random(seed)
     names = [f'e{number}' for number in range(rng.choice((40, 150, 400)))]
     pool = [random_endpoint(rng, name) for name in names]
-    candidates = candidate_pool.Candidates(
-        pool, _suspicion.Suspicions(pool, NOW), NOW
-    )
-    for _ in range(60):
-        step = random_step(rng, names)
-        share = rng.choice((0.3, 0.55, 1.0))
-        excluded = rng.choice(('', 'e7'))
-        options = share, rng.choice((1, 8, 30)), excluded
-        assert advice_sizing.select(
-            step, candidates, *options
-        ) == simple_select(step, candidates, *options)
-        others = [
-            candidate
-            for candidate in candidates.eligible_for(step, None)
-            if candidate.endpoint.name not in step.asked_about
-        ]
-        free = advice_sizing.free_tasks(step, others)
-        assert advice_sizing.unasked_free_tasks(step, candidates) == free
-        for candidate in rng.sample(candidates.all, 3):
-            candidate.allocate(step.spec.demand)
+    kept = candidate_pool.Candidates()
+    for number in range(12):
+        now = NOW + number
+        listed = change(rng, pool)
+        update(kept, listed, now)
+        new = update(candidate_pool.Candidates(), listed, now)
+        assert describe(kept) == describe(new)
+        for _ in range(5):
+            step = random_step(rng, names)
+            count = rng.choice((1, 8, 30))
+            options = rng.choice((0.3, 0.55, 1.0)), count, rng.choice(EXCLUDED)
+            check_step(step, kept, new, options)
+            for endpoint in rng.sample(listed, 3):
+                if candidate := new.find(endpoint.name):
+                    candidate.allocate(step.spec.demand)
+                    kept.find(endpoint.name).allocate(step.spec.demand)
