Ask for advice about endpoints whose speed suits the step first

With endpoint speeds on, placement preferred fast endpoints for steps with little slack and slow ones for patient steps, but the advice service was asked about endpoints by capacity only. So the preference had an effect only among the endpoints that happened to be asked about.

Among endpoints of equal capacity, the selection now orders by the rank of the speed as placement does. The band of a candidate's speed is computed when the speed is set, not with each comparison. Without `endpoint_speeds`, and for copies, the selection stays by capacity. An endpoint that isn't usable counts as of ordinary speed. The selection's random test covers the order by speed.

--- a/hibiscusslip/dispatch/_learned_planning.py
+++ b/hibiscusslip/dispatch/_learned_planning.py
@@ -28,7 +28,9 @@
         return
     for pool in current.candidates.values():
         for candidate in pool.all:
-            candidate.speed = engine.estimates.speed_factor(candidate.endpoint)
+            candidate.set_speed(
+                engine.estimates.speed_factor(candidate.endpoint)
+            )
     current.largest = preferences.largest_demands(engine.active_steps.values())
 
 
--- a/hibiscusslip/dispatch/_planning.py
+++ b/hibiscusslip/dispatch/_planning.py
@@ -52,7 +52,11 @@
             continue
         if engine.limiter.may_request_advice(step):
             advice_planning.request_advice_if_needed(
-                engine, step, candidates[step.job.service], now
+                engine,
+                step,
+                candidates[step.job.service],
+                now,
+                preference=_learned_planning.prefer(current, step, rank),
             )
     config = engine.config
     has_organisations = config is not None and config.organisations is not None
--- a/hibiscusslip/dispatch/advice_planning.py
+++ b/hibiscusslip/dispatch/advice_planning.py
@@ -14,6 +14,7 @@
 from hibiscusslip.dispatch import advice_sizing
 from hibiscusslip.dispatch import candidate_pool
 from hibiscusslip.dispatch import commands
+from hibiscusslip.dispatch import preferences
 from hibiscusslip.dispatch import state
 
 if typing.TYPE_CHECKING:
@@ -42,11 +43,13 @@
     candidates: candidate_pool.Candidates,
     now: float,
     copied_from: str = '',
+    preference: preferences.Preference = preferences.NONE,
 ) -> None:
     """Request tickets if a step will need them soon.
 
     `copied_from` is the endpoint of a run of which a copy is needed, which
-    mustn't be there; '' if the step waits for a start.
+    mustn't be there; '' if the step waits for a start. Of endpoints with equal
+    capacity, the call names those of the preferred speed.
     """
     advice = engine.queue_of(step.job).advice
     if advice is None or step.advice_pending or now < step.next_advice_at:
@@ -75,6 +78,7 @@
         _eligible_share(engine, step).share,
         advice_sizing.min_count(advice.decision, advice.per_endpoint),
         copied_from,
+        preference,
     )
     cost = advice.cost(len(names))
     if not names or not _is_ready_by_reply(engine, step, cost, now):
--- a/hibiscusslip/dispatch/advice_sizing.py
+++ b/hibiscusslip/dispatch/advice_sizing.py
@@ -15,6 +15,7 @@
 
 from hibiscusslip.dispatch import candidate_pool
 from hibiscusslip.dispatch import placement
+from hibiscusslip.dispatch import preferences
 from hibiscusslip.dispatch import prospects as prospect_lists
 from hibiscusslip.dispatch import state
 
@@ -75,16 +76,20 @@
     share: float,
     min_count: int,
     excluded: str = '',
+    preference: preferences.Preference = preferences.NONE,
 ) -> tuple[str, ...]:
     """Return the names of the endpoints to ask about for a step.
 
     `share` is the share of eligible endpoints to expect of those that weren't
     asked about, `min_count` how many to name although fewer would do, unless
     enough are known to be eligible. The `excluded` endpoint isn't named.
+    Among endpoints of equal capacity, those of the preferred speed go first.
     Endpoints that the step's tasks depend on in other ways than by capacity,
     as for long-running tasks or for one rack, are all named.
     """
-    prospects = prospect_lists.Prospects(step, candidates, share, excluded)
+    prospects = prospect_lists.Prospects(
+        step, candidates, share, excluded, preference
+    )
     tasks = CROWDING * max(len(step.waiting()), 1)  # or a copy
     if step.spec.same_rack or step.spec.long_running:
         tasks = math.inf
--- a/hibiscusslip/dispatch/candidate_pool.py
+++ b/hibiscusslip/dispatch/candidate_pool.py
@@ -1,6 +1,7 @@
 """The endpoints that may get work during a scheduling pass."""
 
 import collections.abc
+import math
 
 from hibiscusslip.dispatch import _suspicion
 from hibiscusslip.dispatch import model
@@ -8,6 +9,8 @@
 from hibiscusslip.dispatch import progress
 from hibiscusslip.dispatch import state
 
+# Speeds that differ by less than 19% count as equal.
+SPEED_BANDS_PER_OCTAVE = 4
 MAX_RATINGS = 16  # of a pool; up to 240 KB each at 2,500 endpoints
 
 
@@ -41,8 +44,9 @@
 
     The amounts are copied from the endpoint, because one pass reads each of
     them for hundreds of steps. `number` is the endpoint's place in its pool,
-    `speed` its speed relative to the pool's typical one. It is added to
-    `changed` with each change of what fits on it.
+    `speed` its speed relative to the pool's typical one; candidates of equal
+    speed have the `speed_band` in common. A candidate is added to `changed`
+    with each change of what fits on it.
     """
 
     __slots__ = (
@@ -53,6 +57,7 @@
         'number',
         'slow',
         'speed',
+        'speed_band',
         'usable',
     )
 
@@ -70,6 +75,7 @@
         self.usable = False
         self.slow = False
         self.speed = 1.0
+        self.speed_band = 0
         self.changed = changed
         self.copied_from: model.Demand | None = None
 
@@ -79,6 +85,12 @@
         self.copied_from = None
         self.changed.append(self)
 
+    def set_speed(self, speed: float) -> None:
+        """Set the speed, relative to the pool's typical one."""
+        if speed != self.speed:
+            self.speed = speed
+            self.speed_band = round(math.log2(speed) * SPEED_BANDS_PER_OCTAVE)
+
     def update(self) -> None:
         """Copy the amounts of the endpoint if they have changed.
 
@@ -179,6 +191,10 @@
             rating.outdated.update(self._changed)
         self._changed.clear()
 
+    def listed(self, number: int) -> Candidate:
+        """Return the endpoint at a place in the pool, usable or not."""
+        return self._listed[number]
+
     def find(self, name: str) -> Candidate | None:
         """Return the candidate of an endpoint, None if it isn't usable."""
         return self._by_name.get(name)
--- a/hibiscusslip/dispatch/placement.py
+++ b/hibiscusslip/dispatch/placement.py
@@ -287,7 +287,7 @@
 
 
 def _has_equal_speeds(choices: list[Choice]) -> bool:
-    bands = {preferences.speed_band(choice.candidate) for choice in choices}
+    bands = {choice.candidate.speed_band for choice in choices}
     return len(bands) == 1
 
 
--- a/hibiscusslip/dispatch/preferences.py
+++ b/hibiscusslip/dispatch/preferences.py
@@ -13,7 +13,6 @@
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import state
 
-BANDS_PER_OCTAVE = 4  # speeds that differ by less than 19% count as equal
 # The ratio of slack to critical path from which a step is patient: even a
 # straggler on a slow endpoint then ends while its job is of some use.
 PATIENT_SLACK_RATIO = 2.5
@@ -51,7 +50,7 @@
         """Return the rank of a candidate's speed; the lowest is the best."""
         if not self.considers_speed:
             return 0
-        band = speed_band(candidate)
+        band = candidate.speed_band
         return band if self.patient else -band
 
     def rank(
@@ -131,11 +130,6 @@
     )
 
 
-def speed_band(candidate: candidate_pool.Candidate) -> int:
-    """Return a number that candidates of equal speed have in common."""
-    return round(math.log2(candidate.speed) * BANDS_PER_OCTAVE)
-
-
 def largest_demands(
     steps: collections.abc.Iterable[state.StepState],
 ) -> dict[str, model.Demand]:
--- a/hibiscusslip/dispatch/prospects.py
+++ b/hibiscusslip/dispatch/prospects.py
@@ -7,6 +7,7 @@
 from hibiscusslip.dispatch import candidate_pool
 from hibiscusslip.dispatch import placement
 from hibiscusslip.dispatch import pool_rating
+from hibiscusslip.dispatch import preferences
 from hibiscusslip.dispatch import state
 
 FULL_WEIGHT = 0.1  # of capacity that is allocated to others now
@@ -24,6 +25,7 @@
     far: bool
     negated_expected: float
     negated_chance: float
+    speed_rank: int
     number: int
     tasks: float
 
@@ -56,11 +58,13 @@
         candidates: candidate_pool.Candidates,
         share: float,
         excluded: str,
+        preference: preferences.Preference,
     ) -> None:
         self._step = step
         self._candidates = candidates
         self._share = share
         self._excluded = excluded
+        self._preference = preference
         self._rating = candidates.rate(step.spec.demand, step.spec.label)
         self._spread = placement.max_spread(step)
         self._groups = [
@@ -151,29 +155,66 @@
             fit = self._rating.fit(number)
             if fit is not None:
                 tasks = self._tasks(fit)
-                far = self._is_far(number)
                 yield Prospect(
-                    far, -ELIGIBLE * tasks, -ELIGIBLE, number, tasks
+                    self._is_far(number),
+                    -ELIGIBLE * tasks,
+                    -ELIGIBLE,
+                    self._speed_rank(number),
+                    number,
+                    tasks,
                 )
 
+    def _speed_rank(self, number: int) -> int:
+        """Return the rank of a speed; only those of usable ones are known."""
+        candidate = self._candidates.listed(number)
+        if not candidate.usable:
+            return 0
+        return self._preference.speed_rank(candidate)
+
     def _unasked(
         self, groups: list[Group]
     ) -> collections.abc.Iterator[Prospect]:
         """Yield the prospects in groups that weren't asked about.
 
-        Groups of one rank are merged, as their order is that of the pool.
+        Groups of equal capacity are merged, as their order is that of the
+        pool. The preferred speeds come first.
         """
         ranks: dict[tuple[bool, float], list[Group]] = {}
         for group in groups:
             expected = self._share * group.tasks
             ranks.setdefault((group.far, -expected), []).append(group)
         for (far, negated_expected), members in sorted(ranks.items()):
-            for number, tasks in heapq.merge(*map(_numbered, members)):
+            merged = heapq.merge(*map(_numbered, members))
+            for speed_rank, number, tasks in self._rank_by_speed(merged):
                 if self._is_unasked(number):
                     yield Prospect(
-                        far, negated_expected, -self._share, number, tasks
+                        far,
+                        negated_expected,
+                        -self._share,
+                        speed_rank,
+                        number,
+                        tasks,
                     )
 
+    def _rank_by_speed(
+        self, members: collections.abc.Iterable[tuple[int, float]]
+    ) -> collections.abc.Iterator[tuple[int, int, float]]:
+        """Yield endpoints of equal capacity with the ranks of their speeds.
+
+        The order of those of one rank stays the same.
+        """
+        if not self._preference.considers_speed:
+            for number, tasks in members:
+                yield 0, number, tasks
+            return
+        ranks: dict[int, list[tuple[int, float]]] = {}
+        for member in members:
+            rank = self._speed_rank(member[0])
+            ranks.setdefault(rank, []).append(member)
+        for rank in sorted(ranks):
+            for number, tasks in ranks[rank]:
+                yield rank, number, tasks
+
     def _is_unasked(self, number: int) -> bool:
         name = self._candidates.pool[number].name
         return (
--- a/tests/dispatch/test_advice_selection.py
+++ b/tests/dispatch/test_advice_selection.py
@@ -14,11 +14,17 @@
 from hibiscusslip.dispatch import candidate_pool
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import placement
+from hibiscusslip.dispatch import preferences
 from hibiscusslip.dispatch import state
 from tests.dispatch import support
 
 NOW = 100.0
 EXCLUDED = ('', 'e7')
+PREFERENCES = (
+    preferences.NONE,
+    preferences.Preference(considers_speed=True),
+    preferences.Preference(considers_speed=True, patient=True),
+)
 
 
 def random_endpoint(rng, name):
@@ -57,7 +63,7 @@
     return step
 
 
-def rate(step, candidates, share, excluded):
+def rate(step, candidates, share, excluded, preference):
     """Return the key, name, zone, chance and tasks of each prospect."""
     for number, endpoint in enumerate(candidates.pool):
         entry, name = endpoint.entry, endpoint.name
@@ -78,7 +84,8 @@
         chance = 1.0 if known else share
         tasks = free + 0.1 * (total - free)
         far = bool(step.spec.rack) and step.spec.rack != entry.rack
-        key = (far, -chance * tasks, -chance, number)
+        rank = preference.speed_rank(candidate) if candidate else 0
+        key = (far, -chance * tasks, -chance, rank, number)
         yield key, name, entry.zone, chance, tasks
 
 
@@ -93,8 +100,8 @@
     return prospects, False
 
 
-def simple_select(step, candidates, share, min_count, excluded):
-    prospects = sorted(rate(step, candidates, share, excluded))
+def simple_select(step, candidates, share, min_count, excluded, preference):
+    prospects = sorted(rate(step, candidates, share, excluded, preference))
     needed = 2.0 * len(step.tasks)
     if step.spec.same_rack or step.spec.long_running:
         needed = math.inf
@@ -167,10 +174,18 @@
         update(kept, listed, now)
         new = update(candidate_pool.Candidates(), listed, now)
         assert describe(kept) == describe(new)
+        for first, second in zip(kept.all, new.all, strict=True):
+            first.set_speed(rng.choice((0.5, 1.0, 1.05, 2.0)))
+            second.set_speed(first.speed)
         for _ in range(5):
             step = random_step(rng, names)
             count = rng.choice((1, 8, 30))
-            options = rng.choice((0.3, 0.55, 1.0)), count, rng.choice(EXCLUDED)
+            options = (
+                rng.choice((0.3, 0.55, 1.0)),
+                count,
+                rng.choice(EXCLUDED),
+                rng.choice(PREFERENCES),
+            )
             check_step(step, kept, new, options)
             for endpoint in rng.sample(listed, 3):
                 if candidate := new.find(endpoint.name):
--- a/tests/dispatch/test_learned_placement.py
+++ b/tests/dispatch/test_learned_placement.py
@@ -9,9 +9,11 @@
 SPEEDS = policies.Policy(endpoint_speeds=True)
 
 
-def make_bench(speeds, stretch=2.0, policy=SPEEDS, sizes=None, zones=None):
+def make_bench(
+    speeds, stretch=2.0, policy=SPEEDS, sizes=None, zones=None, advice=None
+):
     """Return a cell that knows its endpoints' speeds well."""
-    queue = support.queue(stretch=stretch, target_latency=0.25)
+    queue = support.queue(stretch=stretch, target_latency=0.25, advice=advice)
     bench = support.Bench(queue, policy=policy)
     for name, speed in speeds.items():
         cpu = (sizes or {}).get(name, 8000)
@@ -104,6 +106,33 @@
     assert endpoints(bench.plan()) != other
 
 
+def asked_about(bench):
+    """Return the endpoints that the advice service is asked about first."""
+    bench.engine.adviser_count = 8
+    bench.submit('j', support.step(4, cpu=4000, estimate=2.0))
+    bench.plan()
+    (request,) = bench.engine.advice_requests
+    return request.endpoints
+
+
+def test_advice_is_asked_first_about_the_speed_that_suits_the_step():
+    """Otherwise only few of the endpoints that may be used suit it."""
+    speeds = {f'e{n}': (1.0, 0.5, 1.5)[n % 3] for n in range(60)}
+    advice = model.Advice(0.02, 0.01, 2.0)
+    urgent = asked_about(make_bench(speeds, 1.2, advice=advice))
+    assert {speeds[name] for name in urgent} == {1.5}
+    patient = asked_about(make_bench(speeds, 9.0, advice=advice))
+    assert {speeds[name] for name in patient} == {0.5}
+
+
+def test_advice_is_asked_by_capacity_only_without_speeds():
+    speeds = {f'e{n}': (1.0, 0.5, 1.5)[n % 3] for n in range(60)}
+    advice = model.Advice(0.02, 0.01, 2.0)
+    off = policies.Policy()
+    names = asked_about(make_bench(speeds, 1.2, off, advice=advice))
+    assert names == tuple(speeds)[: len(names)]
+
+
 def test_equal_endpoints_are_chosen_as_without_speeds():
     speeds = {f'e{number}': 1.0 for number in range(4)}
     chosen = []
