Keep the first of two organisations' jobs with one ID

A submission with the ID of another organisation's job was ignored by the running owner, but had the same key in the inbox. If both came through one partition it replaced that job's record in the list of newest records, and the next owner had the second job instead of the accepted one. Through two partitions, the order of acceptance by two hosts' clocks decided.

The key of an organisation's submission now has a digest of its name, as that of its cancellations has; without an organisation it stays the ID. An owner that reads a second organisation's submission logs `submission_ignored` and writes a record of the job's progress that names its organisation (new last fields `contested` and `organisation`), by which later owners choose. Without such a record the earliest time of acceptance decides. All records of an ID are deleted with the job that was kept, so that the other doesn't become a new job later. The new module host/submissions.py has this and what recovery.submit() did.

A key grows by 17 bytes in deployments with organisations, a record of progress by 2 (22 to 24 without tasks). Store calls: one record for each contested job. Hosts of the former build would take the new keys for IDs, so all hosts have to be changed before a configuration has `Tenants`, as before.

On the former commit a new owner that reads the records of o1 (accepted first) and o2 has the job of o2; the new tests fail if both have one key. test_access.py now expects the new key.

--- a/hibiscusslip/dispatch/_job_state.py
+++ b/hibiscusslip/dispatch/_job_state.py
@@ -176,6 +176,7 @@
     the job was started last. `organisation` is the one that submitted it, ''
     for none; `within_entitlement` is False if it had submitted more jobs than
     it is entitled to, and `holding` sums up what its runs hold in the pool.
+    It is `contested` if another organisation has submitted a job of this ID.
     """
 
     job_id: str
@@ -194,6 +195,7 @@
     organisation: str = ''
     within_entitlement: bool = True
     holding: holdings.Holding | None = None
+    contested: bool = False
 
     def steps(self) -> list[StepState]:
         """Return the steps of all occurrences that are due."""
--- a/hibiscusslip/dispatch/records.py
+++ b/hibiscusslip/dispatch/records.py
@@ -90,7 +90,7 @@
     `epoch`, then `number`. An owner numbers the records that it writes.
     `completed` are the first and last numbers of occurrences whose tasks are
     all done, and which have no other rows. `runs` are only those of jobs that
-    have an organisation.
+    have an organisation. A `contested` job is that of `organisation`.
     """
 
     state: str
@@ -106,6 +106,8 @@
     runs: list[run_records.RunRow] = []
     copies: list[copy_records.CopyRow] = []
     delays: list[delay_records.DelayRow] = []
+    contested: bool = False
+    organisation: str = ''
 
     def occurrence_numbers(self) -> list[int]:
         """Return the numbers of all occurrences, completed ones too."""
@@ -162,6 +164,8 @@
         epoch,
         number,
         completed=_ranges(completed),
+        contested=job.contested,
+        organisation=job.organisation if job.contested else '',
     )
     if job.state.final:
         current = [run.task for run in runs if run.is_current]
@@ -303,6 +307,7 @@
     """
     job.state = model.JobState(row.state)
     job.durable_state = job.state
+    job.contested = job.contested or row.contested
     for number in row.completed_numbers():
         for step in job.occurrences[number]:
             _mark_complete(step)
--- a/hibiscusslip/host/front.py
+++ b/hibiscusslip/host/front.py
@@ -205,10 +205,9 @@
             return callers.rejected(
                 admission_control.describe(rejection), rejection.retry_after
             )
+        key = topics.submission_key(call.job_id, call.organisation)
         value = records.encode_submission(submission)
-        outcome = await self._inbox.write(
-            [(call.job_id, value)], call.deadline
-        )
+        outcome = await self._inbox.write([(key, value)], call.deadline)
         self._log(
             f'job_{outcome.value}',
             call.job_id,
--- a/hibiscusslip/host/owner.py
+++ b/hibiscusslip/host/owner.py
@@ -23,6 +23,7 @@
 from hibiscusslip.host import notices
 from hibiscusslip.host import ownership_keeper
 from hibiscusslip.host import recovery
+from hibiscusslip.host import submissions
 from hibiscusslip.host import topics
 from hibiscusslip.host import wakeup_event
 from hibiscusslip.host import writer
@@ -76,6 +77,7 @@
         self._tasks = curio.TaskGroup(wait=any)
         self.endpoints_read_at = 0.0
         self._undeleted: list[str] = []
+        self._submissions = submissions.Submissions(ctx)
         self._cancellations = cancellations.Cancellations(ctx)
 
     def _new_engine(self) -> engines.Engine:
@@ -142,7 +144,11 @@
                 await self._writer.fence()
                 self.engine.config = self.ctx.config
                 return await recovery.recover(
-                    self.ctx, self.engine, reader, self._cancellations
+                    self.ctx,
+                    self.engine,
+                    reader,
+                    self._submissions,
+                    self._cancellations,
                 )
             except exceptions.ProducerFenced:
                 self.ctx.ownership.lose()
@@ -165,12 +171,11 @@
             job_id = topics.cancelled_job(key)
             self.ctx.log.note('cancel_taken', job=job_id, known=known)
             return
-        if key in self.engine.jobs:
-            return
+        job_id = topics.submitted_job(key)
         wall_time = context.wall_time()
-        recovery.submit(self.ctx, self.engine, key, value, now, wall_time)
-        self.ctx.log.note('job_taken', job=key)
-        self._cancellations.apply_deferred(self.engine, key, now)
+        if self._submissions.apply(self.engine, key, value, now, wall_time):
+            self.ctx.log.note('job_taken', job=job_id)
+            self._cancellations.apply_deferred(self.engine, job_id, now)
 
     async def query_job_state(
         self, job_id: str, organisation: str
@@ -351,14 +356,16 @@
 
     async def _delete_records(self, job_ids: list[str]) -> None:
         """Delete the records of jobs; raises PlatformError."""
-        names = [store.encode_keyed(job_id) for job_id in job_ids]
+        names = []
         for job_id in job_ids:
-            keys = self._cancellations.cancel_keys(job_id)
+            keys = self._submissions.keys(job_id)
+            keys |= self._cancellations.cancel_keys(job_id)
             names += [store.encode_keyed(key) for key in keys]
         for part in range(len(self._inboxes)):
             await self.ctx.store.append(
                 topics.INBOX, names, DELETE_TIMEOUT_S, part=part
             )
+        self._submissions.forget(job_ids)
         self._cancellations.forget(job_ids)
         await self._writer.delete_jobs(job_ids)
 
--- a/hibiscusslip/host/recovery.py
+++ b/hibiscusslip/host/recovery.py
@@ -1,5 +1,8 @@
 """Rebuild the owner's state from the store after a failover or restart."""
 
+import collections
+import collections.abc
+import contextlib
 import dataclasses
 
 import curio
@@ -14,13 +17,13 @@
 from hibiscusslip.host import cancellations
 from hibiscusslip.host import context
 from hibiscusslip.host import lease_timing
+from hibiscusslip.host import submissions
 from hibiscusslip.host import topics
 from hibiscusslip.platform import documents
 from hibiscusslip.platform import exceptions
 from hibiscusslip.platform import store
 
 READ_TIMEOUT_S = 2.5
-MAX_JOB_AGE_S = 60.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -89,6 +92,7 @@
     ctx: context.Context,
     engine: engines.Engine,
     reader: PartitionReader,
+    submits: submissions.Submissions,
     cancels: cancellations.Cancellations,
 ) -> Recovered:
     """Read all records into a new engine; raises PlatformError."""
@@ -102,7 +106,7 @@
         entry = documents.read_endpoint_entry(name, value)
         if entry is not None:
             engine.register_endpoint(entry, now)
-    _submit_all(ctx, engine, inboxes, now)
+    _submit_all(submits, engine, inboxes, progress, now)
     restore_all(ctx, engine, progress, now)
     for inbox in inboxes:
         _cancel_all(engine, inbox, cancels, now)
@@ -140,9 +144,10 @@
 
 
 def _submit_all(
-    ctx: context.Context,
+    submits: submissions.Submissions,
     engine: engines.Engine,
     inboxes: list[store.NewestValues],
+    progress: dict[str, bytes],
     now: float,
 ) -> None:
     """Submit all jobs, with organisations in the order of acceptance.
@@ -157,11 +162,35 @@
         for key in sorted(inbox.values, key=inbox.offsets.__getitem__)
         if inbox.values[key] and not key.startswith(topics.CANCEL_PREFIX)
     ]
+    rivals = _rival_keys({key for key, _ in rows}, progress)
     config = engine.config
-    if config is not None and config.organisations is not None:
-        rows.sort(key=lambda row: _accepted(row[1]))
+    if rivals or (config is not None and config.organisations is not None):
+        rows.sort(
+            key=lambda row: (rivals.get(row[0], False), _accepted(row[1]))
+        )
     for key, value in rows:
-        submit(ctx, engine, key, value, now, wall_time)
+        submits.apply(engine, key, value, now, wall_time)
+
+
+def _rival_keys(
+    keys: collections.abc.Set[str], progress: dict[str, bytes]
+) -> dict[str, bool]:
+    """Return the keys by which several organisations submitted one ID.
+
+    The value is True if a former owner has ignored that submission.
+    """
+    counts = collections.Counter(map(topics.submitted_job, keys))
+    rivals = {}
+    for key in keys:
+        job_id = topics.submitted_job(key)
+        if counts[job_id] == 1:
+            continue
+        rivals[key] = False
+        with contextlib.suppress(KeyError, records.Unreadable):
+            row = records.decode_job(progress[job_id])
+            first = topics.submission_key(job_id, row.organisation)
+            rivals[key] = row.contested and key != first
+    return rivals
 
 
 def _accepted(value: bytes) -> float:
@@ -172,25 +201,6 @@
         return 0.0
 
 
-def submit(
-    ctx: context.Context,
-    engine: engines.Engine,
-    job_id: str,
-    value: bytes,
-    now: float,
-    wall_time: float,
-) -> None:
-    """Submit the job of an inbox record to the engine."""
-    try:
-        submission = records.decode_submission(value)
-        spec = documents.read_job(submission.body)
-    except (records.Unreadable, exceptions.JobInvalid) as exc:
-        ctx.log.note('submission_unreadable', job=job_id, error=str(exc)[:200])
-        return
-    age = min(max(wall_time - submission.accepted, 0.0), MAX_JOB_AGE_S)
-    engine.submit(job_id, submission, spec, now - age, wall_time)
-
-
 def restore_all(
     ctx: context.Context,
     engine: engines.Engine,
--- a/hibiscusslip/host/topics.py
+++ b/hibiscusslip/host/topics.py
@@ -7,7 +7,7 @@
 OWNER = 'owner'  # claims, heartbeats and releases of the ownership
 JOBS = 'keyed.jobs'  # job -> its progress, written by the owner only
 JOBS_PARTS = 2  # the owner writes to one that the store serves
-INBOX = 'keyed.inbox'  # job -> its submission, cancel_key() -> cancellation
+INBOX = 'keyed.inbox'  # submission_key() or cancel_key() -> record
 # The inbox uses all partitions that the store offers, and the hosts are spread
 # over them: a partition handles one append at a time, 0.2 s each when the
 # store is slow, and refuses an append that would wait for 2 s.
@@ -22,13 +22,31 @@
     return zlib.crc32(host.encode()) % parts
 
 
+def submission_key(job_id: str, organisation: str) -> str:
+    """Return the key of the submission of a job by an organisation.
+
+    Each organisation has its own, so that none replaces the job of another
+    for the next owner.
+    """
+    return _key_of(job_id, organisation)
+
+
+def submitted_job(key: str) -> str:
+    """Return the job in the key of a submission."""
+    return key.partition('/')[0]
+
+
 def cancel_key(job_id: str, organisation: str) -> str:
     """Return the key of the cancellation of a job by an organisation.
 
     Each organisation has its own, so that none replaces the cancellation of
     another before the owner has read it.
     """
-    key = f'{CANCEL_PREFIX}{job_id}'
+    return _key_of(f'{CANCEL_PREFIX}{job_id}', organisation)
+
+
+def _key_of(key: str, organisation: str) -> str:
+    """Return the key of an organisation's own record; '' has a plain one."""
     if not organisation:
         return key
     return f'{key}/{hashlib.sha256(organisation.encode()).hexdigest()[:16]}'
--- a/tests/host/test_access.py
+++ b/tests/host/test_access.py
@@ -8,6 +8,7 @@
 from hibiscusslip.host import context
 from hibiscusslip.host import front
 from hibiscusslip.host import inbox
+from hibiscusslip.host import topics
 from hibiscusslip.http import messages
 from hibiscusslip.platform import documents
 from hibiscusslip.platform import settings
@@ -163,7 +164,8 @@
     assert caller.call('POST', authorization=header).status == 200
     ((_, record),) = caller.store.records
     key, value = store.decode_keyed(record)
-    assert key == JOB_ID
+    assert key == topics.submission_key(JOB_ID, 'o2') != JOB_ID
+    assert topics.submitted_job(key) == JOB_ID
     assert records.decode_submission(value).organisation == 'o2'
 
 
--- a/tests/host/test_job_access.py
+++ b/tests/host/test_job_access.py
@@ -11,6 +11,7 @@
 from hibiscusslip.host import front
 from hibiscusslip.host import owner
 from hibiscusslip.host import recovery
+from hibiscusslip.host import submissions
 from hibiscusslip.host import topics
 from hibiscusslip.platform import documents
 from hibiscusslip.platform import store
@@ -131,8 +132,9 @@
     engine = engines.Engine(5.9)
     engine.config = test_access.read()
     reader = recovery.PartitionReader(ctx)
+    submits = submissions.Submissions(ctx)
     cancels = cancellations.Cancellations(ctx)
-    curio.run(recovery.recover, ctx, engine, reader, cancels)
+    curio.run(recovery.recover, ctx, engine, reader, submits, cancels)
     assert engine.jobs[JOB_ID].state is expected
     assert set(inbox) == {JOB_ID, *cancels.cancel_keys(JOB_ID)} - (
         set() if '' in organisations else {topics.cancel_key(JOB_ID, '')}
--- a/tests/host/test_recovery.py
+++ b/tests/host/test_recovery.py
@@ -8,6 +8,7 @@
 from hibiscusslip.dispatch import records
 from hibiscusslip.host import cancellations
 from hibiscusslip.host import recovery
+from hibiscusslip.host import submissions
 from hibiscusslip.host import topics
 from hibiscusslip.platform import exceptions
 from hibiscusslip.platform import store
@@ -35,8 +36,9 @@
     engine = engines.Engine(5.9)
     with pytest.raises(exceptions.StoreOutcomeUnknown):
         reader = recovery.PartitionReader(ctx)
+        submits = submissions.Submissions(ctx)
         cancels = cancellations.Cancellations(ctx)
-        curio.run(recovery.recover, ctx, engine, reader, cancels)
+        curio.run(recovery.recover, ctx, engine, reader, submits, cancels)
 
 
 def test_partition_that_was_read_isnt_read_again_when_another_fails():
@@ -55,9 +57,10 @@
 
     async def attempt():
         with pytest.raises(exceptions.StoreOutcomeUnknown):
+            submits = submissions.Submissions(ctx)
             cancels = cancellations.Cancellations(ctx)
             engine = engines.Engine(5.9)
-            await recovery.recover(ctx, engine, reader, cancels)
+            await recovery.recover(ctx, engine, reader, submits, cancels)
 
     async def attempt_twice():
         await attempt()
@@ -92,12 +95,13 @@
     former, new = engines.Engine(5.9), engines.Engine(5.9)
     former.config = new.config = config
     for job_id, value in values.items():
-        recovery.submit(
-            ctx, former, job_id, value, 0.0, accepted[job_id] + 0.1
+        submissions.Submissions(ctx).apply(
+            former, job_id, value, 0.0, accepted[job_id] + 0.1
         )
     reader = recovery.PartitionReader(ctx)
+    submits = submissions.Submissions(ctx)
     cancels = cancellations.Cancellations(ctx)
-    curio.run(recovery.recover, ctx, new, reader, cancels)
+    curio.run(recovery.recover, ctx, new, reader, submits, cancels)
     classified = {i: job.within_entitlement for i, job in new.jobs.items()}
     assert len(classified) == 40
     assert set(classified.values()) == {True, False}
--- /dev/null
+++ b/tests/host/test_submissions.py
@@ -0,0 +1,82 @@
+"""Check that no organisation replaces a job of another with the same ID."""
+
+import curio
+import msgspec
+import pytest
+
+from hibiscusslip.dispatch import engine as engines
+from hibiscusslip.dispatch import records
+from hibiscusslip.host import cancellations
+from hibiscusslip.host import recovery
+from hibiscusslip.host import submissions
+from hibiscusslip.host import topics
+from hibiscusslip.platform import store
+from tests.host import fakes
+from tests.host import test_access
+from tests.host import test_job_access
+from tests.platform import cell
+
+JOB_ID = test_access.JOB_ID
+
+
+def submission(organisation, accepted):
+    value = records.Submission(
+        'r-small', cell.SERVICE, accepted, test_access.BODY, organisation
+    )
+    return (
+        topics.submission_key(JOB_ID, organisation),
+        records.encode_submission(value),
+    )
+
+
+class KeyedStore:
+    """Keep the newest value of each key, as the store does."""
+
+    def __init__(self, **rows):
+        self._rows = rows
+
+    async def newest(self, topic, timeout, part=0):
+        rows = self._rows.get(topic.partition('.')[2], ()) if not part else ()
+        offsets = {key: number for number, (key, _) in enumerate(rows)}
+        return store.NewestValues(dict(rows), offsets, len(rows))
+
+
+def recovered(inbox, jobs=(), config=True):
+    """Return the organisation whose job a new owner has."""
+    ctx = fakes.make_context(KeyedStore(inbox=inbox, jobs=jobs))
+    engine = engines.Engine(5.9)
+    engine.config = test_access.read() if config else None
+    submits = submissions.Submissions(ctx)
+    reader = recovery.PartitionReader(ctx)
+    cancels = cancellations.Cancellations(ctx)
+    curio.run(recovery.recover, ctx, engine, reader, submits, cancels)
+    assert submits.keys(JOB_ID) == {key for key, _ in inbox}
+    assert engine.jobs[JOB_ID].contested
+    return engine.jobs[JOB_ID].organisation
+
+
+@pytest.mark.parametrize('other', ['', 'o2'])
+def test_new_owner_keeps_the_job_that_was_accepted_first(other):
+    inbox = [submission(other, 2.0), submission('o1', 1.0)]
+    assert recovered(inbox) == recovered(inbox, config=False) == 'o1'
+    before = msgspec.msgpack.encode(records.JobRow('running', [], []))
+    assert recovered(inbox, [(JOB_ID, before)]) == 'o1'
+    of_a_former_release = (JOB_ID, submission('o1', 1.0)[1])
+    assert recovered([submission('o2', 2.0), of_a_former_release]) == 'o1'
+
+
+def test_job_of_the_former_owner_is_kept_and_all_records_are_deleted():
+    """The clock of the host that took the other job may be behind."""
+    inbox = [submission('o1', 1.0), submission('o2', 0.5)]
+    local_owner = test_job_access.make_owner()
+    for key, value in inbox:
+        local_owner.apply_inbox_record(key, value)
+    (line,) = local_owner.ctx.log.named('submission_ignored')
+    assert (line['organisation'], line['job_organisation']) == ('o2', 'o1')
+    assert local_owner.engine.dirty == {JOB_ID}
+    record = records.encode_job(local_owner.engine.jobs[JOB_ID])
+    assert recovered(inbox, [(JOB_ID, record)]) == 'o1'
+    local_owner._inboxes = [test_job_access.EmptyFeed()]
+    local_owner._undeleted = [JOB_ID]
+    curio.run(local_owner._delete_undeleted)
+    assert {key for key, _ in inbox} <= set(local_owner.ctx.store.keys())
