docs: show why a 429 can't promise more than it does

The design note said that reads of all partitions or a record for each rejection would close this.

Reads don't: an append without an answer may take effect up to 12 s later, after any read. Nor is it bound to hosts without heartbeats: one that decided by earlier heartbeats and whose write takes longer than two of them (0.8 s) has the same effect.

Only the owner could void the record, and it can't tell whether the 200 was delivered; to lose an accepted job is worse. Asking the owner before each 200 would stop acceptance during a failover. No behaviour changes.

--- a/hibiscusslip/host/admission_control.py
+++ b/hibiscusslip/host/admission_control.py
@@ -5,7 +5,7 @@
 the others: the job may have been accepted by another host whose answer was
 lost. If the owner can't be asked, the job is accepted. Two heartbeats in a row
 must agree, so that a job which another host is just writing was rejected there
-too.
+too, unless that host has no heartbeats or writes for longer than both.
 """
 
 import abc
