--- a/hibiscusslip/host/owner.py
+++ b/hibiscusslip/host/owner.py
@@ -23,22 +23,20 @@
 from hibiscusslip.host import notices
 from hibiscusslip.host import ownership_keeper
 from hibiscusslip.host import poll_timing
+from hibiscusslip.host import record_deletion
 from hibiscusslip.host import recovery
 from hibiscusslip.host import submissions
 from hibiscusslip.host import topics
 from hibiscusslip.host import wakeup_event
 from hibiscusslip.host import writer
 from hibiscusslip.platform import exceptions
-from hibiscusslip.platform import store
 
 PLAN_IDLE_S = 0.1
 PLAN_GAP_S = 0.01
 MAX_UPLINK_BACKLOG_S = 0.5  # with which starts are still decided
-DELETE_TIMEOUT_S = 1.2
 RECOVERY_RETRY_PAUSE_S = 0.1
 DELETE_PERIOD_S = 5.0
 SESSION_RESTART_PAUSE_S = 0.5
-MAX_DELETED_JOBS = 1000  # in one append; two keys of a job have up to 100 B
 LOAD_PERIOD_S = 1.0
 STOP_FLUSH_S = 0.5
 START_MARGIN_S = 0.3  # from the decision or the record to the last repeat
@@ -77,10 +75,12 @@
         self._inboxes: list[cell_feeds.InboxFeed] = []
         self._tasks = curio.TaskGroup(wait=any)
         self.endpoints_read_at = 0.0
-        self._undeleted: list[str] = []
         self._poll_timing = poll_timing.PollTiming()
         self._submissions = submissions.Submissions(ctx)
         self._cancellations = cancellations.Cancellations(ctx)
+        self._deletion = record_deletion.RecordDeletion(
+            ctx, self._submissions, self._cancellations
+        )
 
     def _new_engine(self) -> engines.Engine:
         bounds = self.ctx.cfg.bounds
@@ -122,7 +122,7 @@
         ]
         self.endpoints_read_at = recovered.endpoints_read_at
         endpoints = cell_feeds.EndpointFeed(self, recovered.endpoints_offset)
-        self._undeleted = recovered.orphans
+        self._deletion.add(recovered.orphans)
         for loop in (
             self._writer.run,
             *(feed.run for feed in self._inboxes),
@@ -356,34 +356,8 @@
             await curio.sleep(DELETE_PERIOD_S)
             kept = self.ctx.cfg.bounds.status_kept
             before = context.monotonic() - kept * 1.5
-            self._undeleted += self.engine.forget_ended_before(before)
-            await self._delete_undeleted()
-
-    async def _delete_undeleted(self) -> None:
-        """Delete records in groups until one fails, which is tried later."""
-        while self._undeleted:
-            group = self._undeleted[:MAX_DELETED_JOBS]
-            try:
-                await self._delete_records(group)
-            except exceptions.PlatformError as exc:
-                self.ctx.log.note('forgetting_failed', error=str(exc)[:120])
-                return
-            del self._undeleted[: len(group)]
-
-    async def _delete_records(self, job_ids: list[str]) -> None:
-        """Delete the records of jobs; raises PlatformError."""
-        names = []
-        for job_id in job_ids:
-            keys = self._submissions.keys(job_id)
-            keys |= self._cancellations.cancel_keys(job_id)
-            names += [store.encode_keyed(key) for key in keys]
-        for part in range(len(self._inboxes)):
-            await self.ctx.store.append(
-                topics.INBOX, names, DELETE_TIMEOUT_S, part=part
-            )
-        self._submissions.forget(job_ids)
-        self._cancellations.forget(job_ids)
-        await self._writer.delete_jobs(job_ids)
+            self._deletion.add(self.engine.forget_ended_before(before))
+            await self._deletion.delete(self._writer, len(self._inboxes))
 
     def successor_can_recover(self, now: float) -> bool:
         """Return True if a new owner could read all that it needs.
--- /dev/null
+++ b/hibiscusslip/host/record_deletion.py
@@ -0,0 +1,62 @@
+"""Delete the records of jobs that ended long ago."""
+
+from hibiscusslip.host import cancellations
+from hibiscusslip.host import context
+from hibiscusslip.host import submissions
+from hibiscusslip.host import topics
+from hibiscusslip.host import writer
+from hibiscusslip.platform import exceptions
+from hibiscusslip.platform import store
+
+TIMEOUT_S = 1.2
+MAX_JOBS = 1000  # in one append; two keys of a job have up to 100 B
+
+
+class RecordDeletion:
+    """Delete all records of jobs: submissions, cancellations, progress."""
+
+    def __init__(
+        self,
+        ctx: context.Context,
+        submits: submissions.Submissions,
+        cancels: cancellations.Cancellations,
+    ) -> None:
+        self._ctx = ctx
+        self._submissions = submits
+        self._cancellations = cancels
+        self._undeleted: list[str] = []
+
+    def add(self, job_ids: list[str]) -> None:
+        """Have the records of jobs deleted by the next `delete`."""
+        self._undeleted += job_ids
+
+    async def delete(self, progress: writer.Writer, partitions: int) -> None:
+        """Delete records in groups until one fails, which is tried later.
+
+        `partitions` is the number of those of the inbox.
+        """
+        while self._undeleted:
+            group = self._undeleted[:MAX_JOBS]
+            try:
+                await self._delete_group(group, progress, partitions)
+            except exceptions.PlatformError as exc:
+                self._ctx.log.note('forgetting_failed', error=str(exc)[:120])
+                return
+            del self._undeleted[: len(group)]
+
+    async def _delete_group(
+        self, job_ids: list[str], progress: writer.Writer, partitions: int
+    ) -> None:
+        """Delete the records of jobs; raises PlatformError."""
+        names = []
+        for job_id in job_ids:
+            keys = self._submissions.keys(job_id)
+            keys |= self._cancellations.cancel_keys(job_id)
+            names += [store.encode_keyed(key) for key in keys]
+        for part in range(partitions):
+            await self._ctx.store.append(
+                topics.INBOX, names, TIMEOUT_S, part=part
+            )
+        self._submissions.forget(job_ids)
+        self._cancellations.forget(job_ids)
+        await progress.delete_jobs(job_ids)
--- a/tests/host/test_job_access.py
+++ b/tests/host/test_job_access.py
@@ -171,8 +171,8 @@
         key, value = cancellation(organisation)
         local_owner.apply_inbox_record(key, value)
         keys.add(key)
-    local_owner._undeleted = [JOB_ID]
-    curio.run(local_owner._delete_undeleted)
+    local_owner._deletion.add([JOB_ID])
+    curio.run(local_owner._deletion.delete, local_owner._writer, 1)
     assert set(local_owner.ctx.store.keys()) == keys
     assert not local_owner._cancellations._keys
 
--- a/tests/host/test_owner.py
+++ b/tests/host/test_owner.py
@@ -8,6 +8,7 @@
 from hibiscusslip.host import cancellations
 from hibiscusslip.host import context
 from hibiscusslip.host import owner
+from hibiscusslip.host import record_deletion
 from hibiscusslip.host import topics
 from hibiscusslip.host import writer
 from hibiscusslip.platform import exceptions
@@ -86,20 +87,20 @@
 
 
 def test_deletion_of_many_jobs_goes_on_where_it_failed(monkeypatch):
-    monkeypatch.setattr(owner, 'MAX_DELETED_JOBS', 10)
+    monkeypatch.setattr(record_deletion, 'MAX_JOBS', 10)
     fake_store = FailOnce(failing=2)
     ctx = fakes.make_context(fake_store)
     local_owner = owner.Owner(ctx, None, None, 1)
-    local_owner._inboxes = [FakeFeed(False)]
-    local_owner._undeleted = [f'{number:016x}' for number in range(25)]
+    deletion = local_owner._deletion
+    deletion.add([f'{number:016x}' for number in range(25)])
 
     async def delete_twice():
-        await local_owner._delete_undeleted()
-        assert len(local_owner._undeleted) == 15
-        await local_owner._delete_undeleted()
+        await deletion.delete(local_owner._writer, 1)
+        assert len(deletion._undeleted) == 15
+        await deletion.delete(local_owner._writer, 1)
 
     curio.run(delete_twice)
-    assert not local_owner._undeleted
+    assert not deletion._undeleted
     assert fake_store.sizes == [20, 20, 20, 10]
 
 
--- a/tests/host/test_submissions.py
+++ b/tests/host/test_submissions.py
@@ -77,6 +77,6 @@
     record = records.encode_job(local_owner.engine.jobs[JOB_ID])
     assert recovered(inbox, [(JOB_ID, record)]) == 'o1'
     local_owner._inboxes = [test_job_access.EmptyFeed()]
-    local_owner._undeleted = [JOB_ID]
-    curio.run(local_owner._delete_undeleted)
+    local_owner._deletion.add([JOB_ID])
+    curio.run(local_owner._deletion.delete, local_owner._writer, 1)
     assert {key for key, _ in inbox} <= set(local_owner.ctx.store.keys())
