Allow for waves in the objectives of wide steps

A step that needs more than its organisation may have running, or than it gets of a busy pool, runs in several waves, but its objective and its remaining path counted its run time once. After the first waves it was late, and soon counted as useless, so that it went after all less urgent work. Where the configuration has organisations, the critical path now counts the waves: as many tasks at a time as the limit and a quarter of the pool admit. Waves that are done don't count as remaining. Gangs run at a time, as before, and without organisations nothing changes (test_policy_off).

--- a/hibiscusslip/dispatch/engine.py
+++ b/hibiscusslip/dispatch/engine.py
@@ -356,6 +356,9 @@
         _lost_runs.abandon_expired(self, now)
         _draining.move_runs(self, now)
         _pacing.pace(self, now)
+        self.estimates.parallelism.update(
+            self.config, self.endpoints.values(), now
+        )
         if may_start:
             _planning.plan(self, now)
 
--- a/hibiscusslip/dispatch/estimates.py
+++ b/hibiscusslip/dispatch/estimates.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from hibiscusslip.dispatch import model
+from hibiscusslip.dispatch import parallelism
 from hibiscusslip.dispatch import policy as policies
 from hibiscusslip.dispatch import run_time_ratios
 from hibiscusslip.dispatch import run_times
@@ -65,7 +66,8 @@
         self._ratios: dict[str, float] = {}
         self._expected: dict[tuple[str, str, str, float], Expectation] = {}
         self._paths: dict[str, list[float]] = {}
-        self._version = 0
+        self.parallelism = parallelism.Parallelism()
+        self._version = (0, 0)
 
     @property
     def learns(self) -> bool:
@@ -153,15 +155,17 @@
     def critical_path(self, job: state.Job, start: int = 0) -> float:
         """Return the length of the critical path from a step on, in seconds.
 
-        For step 0 it is the critical path of the whole job.
+        For step 0 it is the critical path of the whole job. Waves of the step
+        that are done don't count.
         """
         lengths = self._path_lengths(job)
-        return max(lengths) if start == 0 else lengths[start]
+        left = lengths[start] - self._time_done(job, start)
+        return max(left, *lengths[1:]) if start == 0 and lengths[1:] else left
 
     def objective(self, job: state.Job, queue: model.Queue) -> Objective:
         """Return the deadlines of a job."""
         allowed = (
-            queue.stretch * self.critical_path(job) + queue.target_latency
+            queue.stretch * max(self._path_lengths(job)) + queue.target_latency
         )
         return Objective(
             job.submitted_at + allowed,
@@ -186,7 +190,11 @@
 
     def _compute_path_lengths(self, job: state.Job) -> list[float]:
         steps = job.spec.steps
-        lengths = [self._run_time(job, step) for step in steps]
+        lengths = [
+            self._run_time(job, step)
+            * self.parallelism.waves(job, step, step.count)
+            for step in steps
+        ]
         own = lengths.copy()
         for number in range(len(steps) - 1, -1, -1):
             for dependency in steps[number].after:
@@ -195,6 +203,19 @@
                 )
         return lengths
 
+    def _time_done(self, job: state.Job, number: int) -> float:
+        """Return the length of a step's waves that are done, in seconds.
+
+        Of a periodic job it is that of the newest occurrence.
+        """
+        spec = job.spec.steps[number]
+        waves = self.parallelism.waves(job, spec, spec.count)
+        if waves == 1 or not job.occurrences:
+            return 0.0
+        step = job.occurrences[max(job.occurrences)][number]
+        left = self.parallelism.waves(job, spec, spec.count - step.done_count)
+        return self._run_time(job, spec) * (waves - left)
+
     def _learned(self, job: state.Job, spec: model.Step) -> Expectation:
         self._drop_outdated()
         key = (job.queue, spec.image, job.organisation, spec.estimate)
@@ -211,12 +232,13 @@
         return expected
 
     def _drop_outdated(self) -> None:
-        """Empty the caches if more was learned, or if they are full."""
+        """Empty the caches if they are outdated or full."""
+        version = (self.run_times.version, self.parallelism.version)
         if (
-            self._version != self.run_times.version
+            self._version != version
             or len(self._expected) >= MAX_CACHED
             or len(self._paths) >= MAX_CACHED
         ):
-            self._version = self.run_times.version
+            self._version = version
             self._expected.clear()
             self._paths.clear()
