--- a/hibiscusslip/host/endpoint_session.py
+++ b/hibiscusslip/host/endpoint_session.py
@@ -162,7 +162,7 @@
         elif endpoint.withheld:
             await self.wakeup.wait(WITHHELD_POLL_S)
         elif not endpoint.allocations:
-            await self.wakeup.wait(self._get_timing().idle_poll)
+            await self.wakeup.wait(self._get_timing().idle_pause(self.name))
         elif now - sent < MIN_POLL_GAP_S:
             await curio.sleep(MIN_POLL_GAP_S)
 
--- a/tests/host/test_poll_timing.py
+++ b/tests/host/test_poll_timing.py
@@ -34,3 +34,14 @@
     most = poll_timing.derive(3000, 3000, 5.9)
     assert 3000 / most.long_poll < 2000
     assert most.idle_poll == poll_timing.MAX_IDLE_POLL_S
+
+
+def test_idle_endpoints_of_a_large_cell_arent_polled_all_at_once():
+    """A new owner begins with all of them at the same time."""
+    names = [f'e{number}' for number in range(3000)]
+    usual = poll_timing.PollTiming()
+    assert {usual.idle_pause(name) for name in names} == {3.0}
+    most = poll_timing.derive(0, len(names), 5.9)
+    pauses = [most.idle_pause(name) for name in names]
+    assert 6.7 < min(pauses) < 6.8
+    assert 8.9 < max(pauses) <= poll_timing.MAX_IDLE_POLL_S
