Examine only endpoints with best-effort runs when pacing

Each pass examined all allocations of all endpoints for best-effort runs, also where there are none. At 2,500 endpoints with 11,000 runs this took most of a pass in which nothing waits.

An endpoint now counts its allocations of best-effort tasks where it also sums up what is allocated, and pacing skips endpoints without any.

--- a/hibiscusslip/dispatch/_endpoint_state.py
+++ b/hibiscusslip/dispatch/_endpoint_state.py
@@ -43,6 +43,7 @@
     job may start any. The last start there was decided at `last_start_at`, for
     the job `last_start_job`. `observe` is called with each allocation and
     its task's name when it is added (True) or released (False).
+    `best_effort_count` is the number of allocations of best-effort tasks.
     """
 
     name: str
@@ -83,6 +84,7 @@
     last_start_at: float = 0.0
     last_start_job: str = ''
     observe: Observe = lambda *args: None
+    best_effort_count: int = 0
 
     def clock_now(self, now: float) -> float:
         """Return the expected time on the endpoint's clock."""
@@ -131,6 +133,7 @@
         """Add an allocation for a run of the task."""
         self.allocations[(task, allocation.run)] = allocation
         self.used = self.used + allocation.demand
+        self.best_effort_count += allocation.best_effort
         self.observe(self, task, allocation, True)
         if allocation.holding is not None:
             allocation.holding.add(allocation.demand)
@@ -145,6 +148,7 @@
         self.end_trial(task, run)
         if allocation is not None:
             self.used = self.used - allocation.demand
+            self.best_effort_count -= allocation.best_effort
             self.observe(self, task, allocation, False)
             if allocation.holding is not None:
                 allocation.holding.subtract(allocation.demand)
--- a/hibiscusslip/dispatch/_job_state.py
+++ b/hibiscusslip/dispatch/_job_state.py
@@ -238,6 +238,11 @@
         """Return where the run of an organisation's job is summed up."""
         return self.task.step.job.holding if self.task is not None else None
 
+    @property
+    def best_effort(self) -> bool:
+        """Return True if the run uses only CPU that others leave idle."""
+        return self.task is not None and self.task.step.spec.fills
+
     @property
     def proven_age(self) -> float:
         """Return for how long the run was seen to be active, in seconds."""
--- a/hibiscusslip/dispatch/_pacing.py
+++ b/hibiscusslip/dispatch/_pacing.py
@@ -25,6 +25,8 @@
 def pace(engine: 'engines.Engine', now: float) -> None:
     """Add commands for the best-effort runs whose pace has to change."""
     for endpoint in engine.endpoints.values():
+        if not endpoint.best_effort_count:
+            continue
         best_effort = _listed_allocations(endpoint, lambda spec: spec.fills)
         if not best_effort:
             continue
--- a/tests/dispatch/test_pacing_draining.py
+++ b/tests/dispatch/test_pacing_draining.py
@@ -46,6 +46,19 @@
     assert mixed.report_tail(140) == []
 
 
+def test_run_is_paused_although_another_best_effort_run_has_ended():
+    """Fails if the end of one run hides the others of its endpoint."""
+    mixed = MixedEndpoint()
+    mixed.bench.submit('g', support.step(fills=True, estimate=60.0))
+    (other,) = mixed.bench.plan()
+    endpoint = mixed.bench.engine.endpoints['e1']
+    assert endpoint.best_effort_count == 2
+    endpoint.release(other.task.name, other.run)
+    endpoint.release(other.task.name, other.run)
+    assert endpoint.best_effort_count == 1
+    assert mixed.report_tail(95) == [('f.0.0.0', 0)]
+
+
 def test_paused_run_resumes_in_two_steps_after_cooldowns():
     mixed = MixedEndpoint()
     mixed.report_tail(95)
