Tell the expected run time of waiting steps in `why`

`hibiscusslip-ctl why JOB` told the expected run time of started steps only, so an operator of a waiting job couldn't see what its order derives from. The owner logs `step_expected` when a step begins to wait, if run times or speeds are learned, at most 200 in a pass; `why` prints the newest expectation of each step with its source and the number of runs.

--- a/hibiscusslip/commands/_timeline.py
+++ b/hibiscusslip/commands/_timeline.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from hibiscusslip.commands import _expectations
 from hibiscusslip.commands import _output
 from hibiscusslip.commands import _waits
 from hibiscusslip.commands import exceptions
@@ -64,7 +65,7 @@
     `around` has the context events of the same period, `deciding` is the
     index of the event that decided the outcome, or -1, and `bad_lines` is the
     number of lines that couldn't be parsed. `waits` are those whose cause an
-    event names.
+    event names, `expectations` the expected run times of its steps.
     """
 
     job: str
@@ -73,6 +74,9 @@
     deciding: int
     bad_lines: int
     waits: list[_waits.Wait] = dataclasses.field(default_factory=list)
+    expectations: list[_expectations.Expectation] = dataclasses.field(
+        default_factory=list
+    )
 
 
 def read_timeline(job: str, paths: list[pathlib.Path]) -> Timeline:
@@ -95,8 +99,16 @@
     events.sort(key=lambda event: event.at)
     around = _select_context(events, context)
     deciding = _find_deciding(events)
-    waits = _waits.find([event.fields for event in events])
-    return Timeline(job, events, around, deciding, bad_lines, waits)
+    lines = [event.fields for event in events]
+    return Timeline(
+        job,
+        events,
+        around,
+        deciding,
+        bad_lines,
+        _waits.find(lines),
+        _expectations.find(lines),
+    )
 
 
 def _read_lines(path: pathlib.Path) -> typing.Iterator[str]:
@@ -157,6 +169,9 @@
         'deciding': timeline.deciding,
         'bad_lines': timeline.bad_lines,
         'waits': [dataclasses.asdict(wait) for wait in timeline.waits],
+        'expectations': [
+            dataclasses.asdict(item) for item in timeline.expectations
+        ],
     }
     _output.show(document, as_json, _format_timeline(timeline))
     if not timeline.events:
@@ -187,6 +202,7 @@
             f'  {event.name}  {_format_fields(event)}'
         )
     lines.extend(wait.describe() for wait in timeline.waits)
+    lines.extend(item.describe() for item in timeline.expectations)
     lines.append(
         f'{timeline.bad_lines} unreadable lines; * marks the deciding event'
     )
--- a/hibiscusslip/dispatch/_learned_planning.py
+++ b/hibiscusslip/dispatch/_learned_planning.py
@@ -12,6 +12,11 @@
     from hibiscusslip.dispatch import engine as engines
 
 
+MS_PER_S = 1000
+# A new owner has thousands of steps to log, which mustn't delay its passes.
+MAX_ANNOUNCED = 200
+
+
 def update_learned(current: _scheduling_pass.Pass) -> None:
     """Log what was learned, and compute what placement needs of it."""
     engine = current.engine
@@ -24,6 +29,7 @@
             after=round(shift.after, 2),
             runs=shift.runs,
         )
+    _announce_steps(engine)
     if not engine.policy.endpoint_speeds:
         return
     for pool in current.candidates.values():
@@ -34,6 +40,25 @@
     current.largest = preferences.largest_demands(engine.active_steps.values())
 
 
+def _announce_steps(engine: 'engines.Engine') -> None:
+    """Log the expected run times of new steps that wait."""
+    unannounced = engine.estimates.unannounced
+    steps = unannounced[:MAX_ANNOUNCED]
+    del unannounced[:MAX_ANNOUNCED]
+    for step in steps:
+        if step.job.state.final or not step.has_waiting():
+            continue
+        expected = engine.estimates.expect(step)
+        engine.note(
+            'step_expected',
+            step=step.name,
+            expected_ms=int(expected.median * MS_PER_S),
+            high_ms=int(expected.high * MS_PER_S),
+            source=expected.source,
+            source_runs=expected.runs,
+        )
+
+
 def update_forecast(
     engine: 'engines.Engine',
     ranked: list[tuple[ordering.Rank, state.StepState]],
--- a/hibiscusslip/dispatch/engine.py
+++ b/hibiscusslip/dispatch/engine.py
@@ -142,6 +142,8 @@
         """Create the steps and tasks of one occurrence."""
         for step in _occurrences.create(job, number, now):
             self.active_steps[step.name] = step
+            if self.estimates.learns:
+                self.estimates.unannounced.append(step)
 
     def create_due_occurrences(self, now: float, wall_time: float) -> None:
         """Create the occurrences that are due."""
@@ -204,14 +206,6 @@
         queue = self.config.queues.get(job.queue) if self.config else None
         return queue or estimates.DEFAULT_QUEUE
 
-    def count_pending(self) -> dict[str, int]:
-        """Return the number of jobs without a started task, by queue."""
-        counts: dict[str, int] = {}
-        for job in self.jobs.values():
-            if not job.has_started and not job.state.final:
-                counts[job.queue] = counts.get(job.queue, 0) + 1
-        return counts
-
     # Endpoints.
 
     def pools(self) -> dict[str, list[state.Endpoint]]:
--- a/hibiscusslip/dispatch/estimates.py
+++ b/hibiscusslip/dispatch/estimates.py
@@ -55,7 +55,8 @@
     The ratio is that of actual to declared run times. `policy` says whether
     distributions of run times and the speeds of endpoints are used instead;
     both are learned if one of them is used, in `run_times` and `speeds`.
-    `run_time_ratios` measures how accurate the estimates are.
+    `run_time_ratios` measures how accurate the estimates are. `unannounced`
+    are new steps whose expected run time hasn't been logged.
     """
 
     def __init__(self, policy: policies.Policy = policies.Policy()) -> None:
@@ -66,6 +67,7 @@
         self._ratios: dict[str, float] = {}
         self._expected: dict[tuple[str, str, str, float], Expectation] = {}
         self._paths: dict[str, list[float]] = {}
+        self.unannounced: list[state.StepState] = []
         self.parallelism = parallelism.Parallelism()
         self._version = (0, 0)
 
--- a/hibiscusslip/dispatch/summary.py
+++ b/hibiscusslip/dispatch/summary.py
@@ -35,6 +35,15 @@
     ]
 
 
+def count_pending(engine: engines.Engine) -> dict[str, int]:
+    """Return the number of jobs without a started task, by queue."""
+    counts: dict[str, int] = {}
+    for job in engine.jobs.values():
+        if not job.has_started and not job.state.final:
+            counts[job.queue] = counts.get(job.queue, 0) + 1
+    return counts
+
+
 def _count_waiting(engine: engines.Engine) -> dict[str, dict[str, int]]:
     waiting: dict[str, dict[str, int]] = {}
     for step in engine.active_steps.values():
--- a/hibiscusslip/host/owner.py
+++ b/hibiscusslip/host/owner.py
@@ -68,7 +68,7 @@
             successors,
             epoch,
             self._handover,
-            lambda: self.engine.count_pending() if self.ready else None,
+            lambda: summary.count_pending(self.engine) if self.ready else None,
             self.release_ownership,
             lambda: self.engine.shares.forecast if self.ready else None,
         )
--- a/tests/commands/test_why.py
+++ b/tests/commands/test_why.py
@@ -147,6 +147,46 @@
     assert 'waited for other organisations, which go first, 0.500 s' in text
 
 
+def test_expected_time_is_told_of_waiting_and_started_steps(tmp_path, capsys):
+    """Before, it was told only of steps that had started."""
+    expected = {'source': 'image', 'source_runs': 23}
+    path = write_log(
+        tmp_path,
+        'h1',
+        make_line(
+            1.0,
+            'step_expected',
+            step=f'{JOB}.0.0',
+            expected_ms=3000,
+            source='declared',
+            source_runs=0,
+        ),
+        make_line(
+            1.0,
+            'step_expected',
+            step=f'{JOB}.0.1',
+            expected_ms=4000,
+            **expected,
+        ),
+        make_line(
+            2.0,
+            'run_ordered',
+            task=f'{JOB}.0.0.0',
+            run=1,
+            expected_ms=2500,
+            **expected,
+        ),
+    )
+    assert ctl.app(['why', JOB, str(path)], exit_on_error=False) == 0
+    lines = capsys.readouterr().out.splitlines()
+    assert [line for line in lines if line.startswith('step ')] == [
+        f'step {JOB}.0.0, started, is expected to run for 2.500 s, by 23 runs'
+        ' of the same image',
+        f'step {JOB}.0.1, waiting, is expected to run for 4.000 s, by 23 runs'
+        ' of the same image',
+    ]
+
+
 def test_unknown_job_and_missing_file_are_reported(tmp_path, capsys):
     path = write_log(tmp_path, 'h1', make_line(1.0, 'job_taken', job='other'))
     assert ctl.app(['why', JOB, str(path)], exit_on_error=False) == 4
--- a/tests/dispatch/test_engine.py
+++ b/tests/dispatch/test_engine.py
@@ -4,6 +4,7 @@
 
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import state
+from hibiscusslip.dispatch import summary
 from tests.dispatch import support
 
 
@@ -264,7 +265,7 @@
     bench.submit('a', support.step())
     bench.submit('b', support.step())
     bench.plan()
-    assert bench.engine.count_pending() == {'small': 1}
+    assert summary.count_pending(bench.engine) == {'small': 1}
 
 
 def test_ended_jobs_are_removed_after_the_retention_time():
--- a/tests/dispatch/test_learning_from_runs.py
+++ b/tests/dispatch/test_learning_from_runs.py
@@ -211,3 +211,23 @@
     cell.submit()
     (start,) = cell.bench.plan()
     assert start.expected is None
+
+
+def test_expected_run_time_is_logged_when_a_step_begins_to_wait():
+    """An operator of a waiting job can't learn it from a start."""
+    for policy, count in (
+        (policies.Policy(), 0),
+        (policies.Policy(learned_run_times=True), 1),
+    ):
+        bench = support.Bench(policy=policy)
+        bench.submit('j', support.step(estimate=3.0))
+        for _ in range(2):
+            bench.plan()
+        events = bench.events('step_expected')
+        assert len(events) == count
+        for fields in events:
+            assert fields['step'] == 'j.0.0'
+            assert (fields['expected_ms'], fields['source']) == (
+                3000,
+                'declared',
+            )
