Require the time when a job's record is encoded; wording of expectations

A caller that forgot the time would have dropped the delays of starts that may still take effect, which a new owner needs. A step that waits for another one was called waiting, and one run 'runs'.

--- a/hibiscusslip/commands/_expectations.py
+++ b/hibiscusslip/commands/_expectations.py
@@ -25,12 +25,13 @@
 
     def describe(self) -> str:
         """Return one line of text about the expectation."""
+        noun = 'run' if self.runs == 1 else 'runs'
         basis = (
             'the declared time'
             if self.source == DECLARED
-            else f'{self.runs} runs of the same {self.source}'
+            else f'{self.runs} {noun} of the same {self.source}'
         )
-        status = 'started' if self.started else 'waiting'
+        status = 'started' if self.started else 'not started'
         return (
             f'step {self.step}, {status}, is expected to run for'
             f' {self.seconds:.3f} s, by {basis}'
--- a/hibiscusslip/dispatch/records.py
+++ b/hibiscusslip/dispatch/records.py
@@ -1,7 +1,6 @@
 """Encode jobs as records, and restore them from records."""
 
 import collections.abc
-import math
 import typing
 
 import msgspec
@@ -143,11 +142,12 @@
     *,
     compact: bool = False,
     counted: collections.abc.Iterable[usage.CountedRun] = (),
-    now: float = math.inf,
+    now: float,
 ) -> bytes:
     """Return the record of a job's progress.
 
-    Delayed starts are left out without `now`, the time of the owner.
+    `now` is the owner's monotonic time, from which the rest of each delay is
+    counted.
     For a final job it contains no steps, and only those tasks whose runs are
     `counted` for the limit of its organisation; none if it is `compact`. A
     compact record of another job has no rows of complete occurrences, which
--- a/tests/commands/test_why.py
+++ b/tests/commands/test_why.py
@@ -182,8 +182,8 @@
     assert [line for line in lines if line.startswith('step ')] == [
         f'step {JOB}.0.0, started, is expected to run for 2.500 s, by 23 runs'
         ' of the same image',
-        f'step {JOB}.0.1, waiting, is expected to run for 4.000 s, by 23 runs'
-        ' of the same image',
+        f'step {JOB}.0.1, not started, is expected to run for 4.000 s, by 23'
+        ' runs of the same image',
     ]
 
 
--- a/tests/dispatch/test_copies.py
+++ b/tests/dispatch/test_copies.py
@@ -219,7 +219,7 @@
     other.now = bench.now
     other.submit('j', *job.spec.steps)
     ctx = fakes.make_context(fakes.FakeStore())
-    progress = {'j': records.encode_job(job)}
+    progress = {'j': records.encode_job(job, now=bench.now)}
     recovery.restore_all(ctx, other.engine, progress, other.now)
     return other
 
@@ -269,7 +269,7 @@
 def test_record_of_the_former_version_is_unreadable():
     bench = make_bench()
     original, copy = copied(bench)
-    data = records.encode_job(bench.engine.jobs['j'])
+    data = records.encode_job(bench.engine.jobs['j'], now=bench.now)
     number = records.JobRow.__struct_fields__.index('copies')
     fields = msgspec.msgpack.decode(data)
     fields, rows = fields[:number], fields[number]
--- a/tests/dispatch/test_copies_of_organisations.py
+++ b/tests/dispatch/test_copies_of_organisations.py
@@ -64,7 +64,9 @@
 def encode(bench):
     engine = bench.engine
     return records.encode_job(
-        engine.jobs['j'], counted=engine.ledger.runs_of('j')
+        engine.jobs['j'],
+        counted=engine.ledger.runs_of('j'),
+        now=bench.now,
     )
 
 
--- a/tests/dispatch/test_records.py
+++ b/tests/dispatch/test_records.py
@@ -13,7 +13,9 @@
     other = support.Bench()
     steps = bench.engine.jobs[job_id].spec.steps
     job = other.submit(job_id, *steps)
-    row = records.decode_job(records.encode_job(bench.engine.jobs[job_id]))
+    row = records.decode_job(
+        records.encode_job(bench.engine.jobs[job_id], now=0.0)
+    )
     records.restore(job, row)
     return job
 
@@ -67,7 +69,7 @@
     for start in bench.plan():
         bench.end(start)
     assert job.state is model.JobState.COMPLETED
-    assert len(records.encode_job(job)) < 40
+    assert len(records.encode_job(job, now=0.0)) < 40
 
 
 def test_compact_record_of_a_periodic_job_outgrows_no_limit():
@@ -80,10 +82,10 @@
             bench.end(start)
     open_tasks = [s for s in job.steps() if not s.complete]
     assert len(job.occurrences) > 1000 and open_tasks
-    row = records.decode_job(records.encode_job(job, compact=True))
+    row = records.decode_job(records.encode_job(job, compact=True, now=0.0))
     assert row.completed and len(row.tasks) < 2 * len(open_tasks)
     copy = restored_periodic(job, row)
-    second = records.decode_job(records.encode_job(copy))
+    second = records.decode_job(records.encode_job(copy, now=0.0))
     assert states_of(copy) == states_of(job)
     assert states_of(restored_periodic(job, second)) == states_of(job)
 
