Keep the owner's job when its key is that of a former release

The next owner told the submissions of one ID apart by their keys. A plain key of a former release never has the organisation's digest, so the times of acceptance decided, and a job could be replaced by another organisation's. Compare the organisations instead.

--- a/hibiscusslip/host/recovery.py
+++ b/hibiscusslip/host/recovery.py
@@ -1,7 +1,6 @@
 """Rebuild the owner's state from the store after a failover or restart."""
 
 import collections
-import collections.abc
 import contextlib
 import dataclasses
 
@@ -162,35 +161,43 @@
         for key in sorted(inbox.values, key=inbox.offsets.__getitem__)
         if inbox.values[key] and not key.startswith(topics.CANCEL_PREFIX)
     ]
-    rivals = _rival_keys({key for key, _ in rows}, progress)
+    contested = _contested_rows(rows, progress)
     config = engine.config
-    if rivals or (config is not None and config.organisations is not None):
+    if contested or (config is not None and config.organisations is not None):
         rows.sort(
-            key=lambda row: (rivals.get(row[0], False), _accepted(row[1]))
+            key=lambda row: (contested.get(row, False), _accepted(row[1]))
         )
     for key, value in rows:
         submits.apply(engine, key, value, now, wall_time)
 
 
-def _rival_keys(
-    keys: collections.abc.Set[str], progress: dict[str, bytes]
-) -> dict[str, bool]:
-    """Return the keys by which several organisations submitted one ID.
+def _contested_rows(
+    rows: list[tuple[str, bytes]], progress: dict[str, bytes]
+) -> dict[tuple[str, bytes], bool]:
+    """Return the submissions of IDs that several organisations submitted.
 
-    The value is True if a former owner has ignored that submission.
+    The value is True if a former owner has ignored that submission. Keys don't
+    tell: in former releases all organisations used the same one.
     """
-    counts = collections.Counter(map(topics.submitted_job, keys))
-    rivals = {}
-    for key in keys:
+    counts = collections.Counter(topics.submitted_job(key) for key, _ in rows)
+    submitters: dict[str, dict[tuple[str, bytes], str]] = {}
+    for key, value in rows:
         job_id = topics.submitted_job(key)
-        if counts[job_id] == 1:
+        if counts[job_id] > 1:
+            with contextlib.suppress(records.Unreadable):
+                organisation = records.decode_submission(value).organisation
+                submitters.setdefault(job_id, {})[key, value] = organisation
+    contested = {}
+    for job_id, organisations in submitters.items():
+        if len(set(organisations.values())) == 1:
             continue
-        rivals[key] = False
+        contested.update(dict.fromkeys(organisations, False))
         with contextlib.suppress(KeyError, records.Unreadable):
-            row = records.decode_job(progress[job_id])
-            first = topics.submission_key(job_id, row.organisation)
-            rivals[key] = row.contested and key != first
-    return rivals
+            job = records.decode_job(progress[job_id])
+            if job.contested:
+                for row, organisation in organisations.items():
+                    contested[row] = organisation != job.organisation
+    return contested
 
 
 def _accepted(value: bytes) -> float:
--- a/tests/host/test_submissions.py
+++ b/tests/host/test_submissions.py
@@ -36,21 +36,25 @@
         self._rows = rows
 
     async def newest(self, topic, timeout, part=0):
-        rows = self._rows.get(topic.partition('.')[2], ()) if not part else ()
+        name = topic.partition('.')[2] + (str(part) if part else '')
+        rows = self._rows.get(name, ())
         offsets = {key: number for number, (key, _) in enumerate(rows)}
         return store.NewestValues(dict(rows), offsets, len(rows))
 
 
-def recovered(inbox, jobs=(), config=True):
-    """Return the organisation whose job a new owner has."""
-    ctx = fakes.make_context(KeyedStore(inbox=inbox, jobs=jobs))
+def recovered(inbox, jobs=(), config=True, others=()):
+    """Return the organisation whose job a new owner has.
+
+    The second partition of the inbox has the records `others`.
+    """
+    ctx = fakes.make_context(KeyedStore(inbox=inbox, jobs=jobs, inbox1=others))
     engine = engines.Engine(5.9)
     engine.config = test_access.read() if config else None
     submits = submissions.Submissions(ctx)
     reader = recovery.PartitionReader(ctx)
     cancels = cancellations.Cancellations(ctx)
     curio.run(recovery.recover, ctx, engine, reader, submits, cancels)
-    assert submits.keys(JOB_ID) == {key for key, _ in inbox}
+    assert submits.keys(JOB_ID) == {key for key, _ in (*inbox, *others)}
     assert engine.jobs[JOB_ID].contested
     return engine.jobs[JOB_ID].organisation
 
@@ -80,3 +84,17 @@
     local_owner._deletion.add([JOB_ID])
     curio.run(local_owner._deletion.delete, local_owner._writer, 1)
     assert {key for key, _ in inbox} <= set(local_owner.ctx.store.keys())
+
+
+@pytest.mark.parametrize('other_key', [JOB_ID, submission('o2', 0.5)[0]])
+def test_job_with_the_key_of_a_former_release_is_replaced(other_key):
+    """The owner keeps the job of o1, so the next owner has to keep it too."""
+    first = (JOB_ID, submission('o1', 1.0)[1])
+    other = (other_key, submission('o2', 0.5)[1])
+    local_owner = test_job_access.make_owner()
+    local_owner.apply_inbox_record(*first)
+    local_owner.apply_inbox_record(*other)
+    record = records.encode_job(local_owner.engine.jobs[JOB_ID])
+    jobs = [(JOB_ID, record)]
+    assert recovered([first], jobs, others=[other]) == 'o1'
+    assert recovered([other], jobs, others=[first]) == 'o1'
