Keep the records of a job that is submitted again

A retried deletion of an ended job's records also deleted those of a job that was submitted with the same ID meanwhile. Such a job is now withdrawn from the deletion, also between two appends. Its progress replaces that of the ended job, and it names its organisation while another's record may be left.

--- a/hibiscusslip/host/owner.py
+++ b/hibiscusslip/host/owner.py
@@ -178,6 +178,9 @@
         wall_time = context.wall_time()
         if self._submissions.apply(self.engine, key, value, now, wall_time):
             self.ctx.log.note('job_taken', job=job_id)
+            if self._deletion.withdraw(job_id):
+                # Else the next owner would restore the ended job's progress.
+                self.engine.dirty.add(job_id)
             self._cancellations.apply_deferred(self.engine, job_id, now)
 
     async def query_job_state(
--- a/hibiscusslip/host/record_deletion.py
+++ b/hibiscusslip/host/record_deletion.py
@@ -1,5 +1,7 @@
 """Delete the records of jobs that ended long ago."""
 
+import itertools
+
 from hibiscusslip.host import cancellations
 from hibiscusslip.host import context
 from hibiscusslip.host import submissions
@@ -24,11 +26,21 @@
         self._ctx = ctx
         self._submissions = submits
         self._cancellations = cancels
-        self._undeleted: list[str] = []
+        self._undeleted: dict[str, None] = {}
 
     def add(self, job_ids: list[str]) -> None:
         """Have the records of jobs deleted by the next `delete`."""
-        self._undeleted += job_ids
+        self._undeleted.update(dict.fromkeys(job_ids))
+
+    def withdraw(self, job_id: str) -> bool:
+        """Keep the records of a job that was submitted again.
+
+        Return False if they weren't to be deleted.
+        """
+        if job_id not in self._undeleted:
+            return False
+        del self._undeleted[job_id]
+        return True
 
     async def delete(self, progress: writer.Writer, partitions: int) -> None:
         """Delete records in groups until one fails, which is tried later.
@@ -36,27 +48,39 @@
         `partitions` is the number of those of the inbox.
         """
         while self._undeleted:
-            group = self._undeleted[:MAX_JOBS]
+            group = list(itertools.islice(self._undeleted, MAX_JOBS))
             try:
                 await self._delete_group(group, progress, partitions)
             except exceptions.PlatformError as exc:
                 self._ctx.log.note('forgetting_failed', error=str(exc)[:120])
                 return
-            del self._undeleted[: len(group)]
 
     async def _delete_group(
         self, job_ids: list[str], progress: writer.Writer, partitions: int
     ) -> None:
-        """Delete the records of jobs; raises PlatformError."""
+        """Delete the records of jobs; raises PlatformError.
+
+        Each append takes time, in which jobs may be withdrawn.
+        """
+        for part in range(partitions):
+            names = self._names(job_ids)
+            if names:
+                await self._ctx.store.append(
+                    topics.INBOX, names, TIMEOUT_S, part=part
+                )
+        deleted = [job_id for job_id in job_ids if job_id in self._undeleted]
+        for job_id in deleted:
+            del self._undeleted[job_id]
+        self._submissions.forget(deleted)
+        self._cancellations.forget(deleted)
+        await progress.delete_jobs(deleted)
+
+    def _names(self, job_ids: list[str]) -> list[bytes]:
+        """Return what deletes the inbox records of jobs not withdrawn."""
         names = []
         for job_id in job_ids:
-            keys = self._submissions.keys(job_id)
-            keys |= self._cancellations.cancel_keys(job_id)
-            names += [store.encode_keyed(key) for key in keys]
-        for part in range(partitions):
-            await self._ctx.store.append(
-                topics.INBOX, names, TIMEOUT_S, part=part
-            )
-        self._submissions.forget(job_ids)
-        self._cancellations.forget(job_ids)
-        await progress.delete_jobs(job_ids)
+            if job_id in self._undeleted:
+                keys = self._submissions.keys(job_id)
+                keys |= self._cancellations.cancel_keys(job_id)
+                names += [store.encode_keyed(key) for key in keys]
+        return names
--- a/hibiscusslip/host/submissions.py
+++ b/hibiscusslip/host/submissions.py
@@ -74,6 +74,9 @@
             organisation=organisation,
             job_organisation=job.organisation,
         )
+        self._mark_contested(engine, job)
+
+    def _mark_contested(self, engine: engines.Engine, job: state.Job) -> None:
         if not job.contested:
             job.contested = True
             engine.dirty.add(job.job_id)
@@ -96,6 +99,9 @@
             )
             return False
         age = min(max(wall_time - submission.accepted, 0.0), MAX_JOB_AGE_S)
-        engine.submit(job_id, submission, spec, now - age, wall_time)
+        job = engine.submit(job_id, submission, spec, now - age, wall_time)
         self._remember(job_id, key)
+        if self.keys(job_id) != {key}:
+            # An ended job's record by another organisation isn't deleted yet.
+            self._mark_contested(engine, job)
         return True
--- a/hibiscusslip/host/writer.py
+++ b/hibiscusslip/host/writer.py
@@ -70,7 +70,7 @@
             _Partition(part) for part in range(topics.JOBS_PARTS)
         ]
         self._number = 0
-        self._deletions: list[bytes] = []
+        self._ended_jobs: list[str] = []
         self.wakeup = wakeup_event.WakeupEvent()
         self.writing_since = 0.0
 
@@ -95,7 +95,9 @@
         """Write until cancelled; raises ProducerFenced."""
         while True:
             await self.wakeup.wait(IDLE_S)
-            while self._engine.dirty or self._engine.starts or self._deletions:
+            while (
+                self._engine.dirty or self._engine.starts or self._ended_jobs
+            ):
                 await self._write()
 
     async def flush(self, timeout: float) -> None:
@@ -107,9 +109,7 @@
 
     async def delete_jobs(self, job_ids: list[str]) -> None:
         """Delete the records of jobs with the next batch."""
-        self._deletions.extend(
-            store.encode_keyed(job_id) for job_id in job_ids
-        )
+        self._ended_jobs += job_ids
         await self.wakeup.set()
 
     async def _write(self) -> None:
@@ -117,8 +117,8 @@
         engine = self._engine
         starts, engine.starts = engine.starts, []
         cursors = engine.handled_cursors()
+        deletions = self._encode_deletions()
         written, batch = self._encode()
-        deletions, self._deletions = self._deletions, []
         batch += deletions
         if batch:
             self.writing_since = context.monotonic()
@@ -129,6 +129,20 @@
         await self._send_starts(starts)
         await self._delete_in_other_partition(deletions)
 
+    def _encode_deletions(self) -> list[bytes]:
+        """Return what deletes the records of ended jobs.
+
+        The record of a job that was submitted again is written anew instead.
+        """
+        job_ids, self._ended_jobs = self._ended_jobs, []
+        again = {job_id for job_id in job_ids if job_id in self._engine.jobs}
+        self._engine.dirty |= again
+        return [
+            store.encode_keyed(job_id)
+            for job_id in job_ids
+            if job_id not in again
+        ]
+
     def _encode(self) -> tuple[dict[str, model.JobState], list[bytes]]:
         engine = self._engine
         job_ids, engine.dirty = engine.dirty, set()
--- /dev/null
+++ b/tests/host/test_record_deletion.py
@@ -0,0 +1,98 @@
+"""Check that only the records of ended jobs are deleted."""
+
+import curio
+import pytest
+
+from hibiscusslip.dispatch import records
+from hibiscusslip.host import topics
+from hibiscusslip.platform import exceptions
+from tests.host import test_job_access
+from tests.host import test_submissions
+
+JOB_ID = test_submissions.JOB_ID
+KEY, VALUE = test_submissions.submission('o1', 1.0)
+OTHER_KEY, OTHER_VALUE = test_submissions.submission('o2', 2.0)
+PARTITIONS = 2
+
+
+async def delete(local_owner):
+    """Delete the records of jobs as the owner does every few seconds."""
+    await local_owner._deletion.delete(local_owner._writer, PARTITIONS)
+    await local_owner._writer._write()
+
+
+def ended_job_owner():
+    """Return an owner with a job whose records are still to be deleted."""
+    local_owner = test_job_access.make_owner()
+    local_owner.ctx.ownership.record_claim(1, 0.0)
+    local_owner.apply_inbox_record(KEY, VALUE)
+    del local_owner.engine.jobs[JOB_ID]
+    local_owner._deletion.add([JOB_ID])
+    return local_owner
+
+
+def deleted_keys(local_owner, topic):
+    return [
+        key
+        for (name, _), key in zip(
+            local_owner.ctx.store.records,
+            local_owner.ctx.store.keys(),
+            strict=True,
+        )
+        if name == topic
+    ]
+
+
+async def refuse(*_):
+    raise exceptions.StoreUnavailable('503')
+
+
+@pytest.mark.parametrize('appends', [0, 1])
+def test_retried_deletion_deletes_a_job_that_was_submitted_again(appends):
+    """The first try is refused after some of its appends."""
+    local_owner = ended_job_owner()
+    local_owner.ctx.store.script = [None] * appends + [refuse]
+    curio.run(delete, local_owner)
+    local_owner.apply_inbox_record(KEY, VALUE)
+    local_owner.ctx.store.records.clear()
+    curio.run(delete, local_owner)
+    assert deleted_keys(local_owner, topics.INBOX) == []
+    # The new record replaces the progress of the ended job.
+    ((_, record),) = local_owner.ctx.store.records
+    job = local_owner.engine.jobs[JOB_ID]
+    assert test_submissions.progress(record).state == job.state.value
+
+
+def test_job_submitted_during_a_deletion_loses_its_other_records():
+    local_owner = ended_job_owner()
+
+    async def submit_again(*_):
+        local_owner.apply_inbox_record(KEY, VALUE)
+
+    local_owner.ctx.store.script = [submit_again]
+    curio.run(delete, local_owner)
+    assert deleted_keys(local_owner, topics.INBOX).count(KEY) == 1
+    (record,) = (
+        r for t, r in local_owner.ctx.store.records if t != topics.INBOX
+    )
+    assert test_submissions.progress(record).number
+
+
+def test_job_submitted_before_its_progress_is_deleted_loses_the_new_one():
+    """The writer may delete the records of ended jobs much later."""
+    local_owner = ended_job_owner()
+    deletion = local_owner._deletion
+    curio.run(deletion.delete, local_owner._writer, PARTITIONS)
+    local_owner.ctx.store.records.clear()
+    local_owner.apply_inbox_record(KEY, VALUE)
+    curio.run(local_owner._writer._write)
+    ((_, record),) = local_owner.ctx.store.records
+    assert test_submissions.progress(record).number
+
+
+def test_job_is_replaced_by_an_ended_one_whose_record_is_left():
+    local_owner = ended_job_owner()
+    local_owner.apply_inbox_record(OTHER_KEY, OTHER_VALUE)
+    record = records.encode_job(local_owner.engine.jobs[JOB_ID])
+    inbox = [(KEY, VALUE), (OTHER_KEY, OTHER_VALUE)]
+    assert test_submissions.recovered(inbox, [(JOB_ID, record)]) == 'o2'
--- a/tests/host/test_submissions.py
+++ b/tests/host/test_submissions.py
@@ -29,6 +29,11 @@
     )
 
 
+def progress(record):
+    """Return the progress in a record of the store; fails if it deletes."""
+    return records.decode_job(store.decode_keyed(record)[1])
+
+
 class KeyedStore:
     """Keep the newest value of each key, as the store does."""
 
