Split deletions by the size of an append

A group of deletions was bounded by its number of jobs only, so that one with many records could exceed what the store accepts and be retried for ever. The deletions in the other partition of the progress weren't split either.

--- a/hibiscusslip/host/record_deletion.py
+++ b/hibiscusslip/host/record_deletion.py
@@ -11,7 +11,7 @@
 from hibiscusslip.platform import store
 
 TIMEOUT_S = 1.2
-MAX_JOBS = 1000  # in one append; two keys of a job have up to 100 B
+MAX_JOBS = 1000  # that are tried again together if an append fails
 
 
 class RecordDeletion:
@@ -63,11 +63,7 @@
         Each append takes time, in which jobs may be withdrawn.
         """
         for part in range(partitions):
-            names = self._names(job_ids)
-            if names:
-                await self._ctx.store.append(
-                    topics.INBOX, names, TIMEOUT_S, part=part
-                )
+            await self._delete_inbox_records(job_ids, part)
         deleted = [job_id for job_id in job_ids if job_id in self._undeleted]
         for job_id in deleted:
             del self._undeleted[job_id]
@@ -75,12 +71,28 @@
         self._cancellations.forget(deleted)
         await progress.delete_jobs(deleted)
 
-    def _names(self, job_ids: list[str]) -> list[bytes]:
-        """Return what deletes the inbox records of jobs not withdrawn."""
-        names = []
-        for job_id in job_ids:
-            if job_id in self._undeleted:
-                keys = self._submissions.keys(job_id)
-                keys |= self._cancellations.cancel_keys(job_id)
-                names += [store.encode_keyed(key) for key in keys]
-        return names
+    async def _delete_inbox_records(
+        self, job_ids: list[str], part: int
+    ) -> None:
+        """Delete inbox records of all jobs that aren't withdrawn."""
+        jobs_by_name = {
+            store.encode_keyed(key): job_id
+            for job_id in job_ids
+            for key in self._keys(job_id)
+        }
+        groups = writer.split_batch(
+            list(jobs_by_name), writer.MAX_APPEND_BYTES
+        )
+        for group in groups:
+            names = [
+                name for name in group if jobs_by_name[name] in self._undeleted
+            ]
+            if names:
+                await self._ctx.store.append(
+                    topics.INBOX, names, TIMEOUT_S, part=part
+                )
+
+    def _keys(self, job_id: str) -> set[str]:
+        """Return the keys of all inbox records of a job."""
+        submitted = self._submissions.keys(job_id)
+        return submitted | self._cancellations.cancel_keys(job_id)
--- a/hibiscusslip/host/writer.py
+++ b/hibiscusslip/host/writer.py
@@ -263,7 +263,8 @@
         if not deletions or not partition.used:
             return
         try:
-            await self._send(partition, deletions)
+            for group in split_batch(deletions, MAX_APPEND_BYTES):
+                await self._send(partition, group)
         except exceptions.OutOfOrderSequence as exc:
             partition.sequence = exc.expected
         except (
--- a/tests/host/test_record_deletion.py
+++ b/tests/host/test_record_deletion.py
@@ -5,6 +5,7 @@
 
 from hibiscusslip.dispatch import records
 from hibiscusslip.host import topics
+from hibiscusslip.host import writer
 from hibiscusslip.platform import exceptions
 from tests.host import test_job_access
 from tests.host import test_submissions
@@ -96,3 +97,24 @@
     record = records.encode_job(local_owner.engine.jobs[JOB_ID])
     inbox = [(KEY, VALUE), (OTHER_KEY, OTHER_VALUE)]
     assert test_submissions.recovered(inbox, [(JOB_ID, record)]) == 'o2'
+
+
+def test_deletion_of_a_job_with_many_records_exceeds_an_append(monkeypatch):
+    """The store would refuse the append each time that it is retried."""
+    monkeypatch.setattr(writer, 'MAX_APPEND_BYTES', 200)
+    local_owner = ended_job_owner()
+    sizes = []
+
+    async def record_size(store, topic, batch):
+        sizes.append(sum(map(len, batch)))
+
+    cancels = [
+        test_job_access.cancellation(f'o{number}') for number in range(20)
+    ]
+    for key, value in cancels:
+        local_owner.apply_inbox_record(key, value)
+    local_owner.ctx.store.script = [record_size] * 100
+    curio.run(delete, local_owner)
+    keys = deleted_keys(local_owner, topics.INBOX)
+    assert {KEY, *(key for key, _ in cancels)} <= set(keys)
+    assert max(sizes) <= 200
--- a/tests/host/test_writer.py
+++ b/tests/host/test_writer.py
@@ -7,6 +7,7 @@
 from hibiscusslip.dispatch import records
 from hibiscusslip.dispatch import state
 from hibiscusslip.host import context
+from hibiscusslip.host import topics
 from hibiscusslip.host import writer
 from hibiscusslip.platform import exceptions
 from hibiscusslip.platform import store
@@ -31,13 +32,14 @@
         owner_writer = writer.Writer(
             ctx, engine, 1, lambda starts: curio.sleep(0)
         )
+        owner_writer.mark_used([1])
         names = [f'{number:0200}' for number in range(8000)]
         await owner_writer.delete_jobs(names)
         store.script = [record_size] * 10
         writer_task = await curio.spawn(owner_writer.run, daemon=True)
         await curio.sleep(0.2)
         await writer_task.cancel()
-        assert store.keys() == names
+        assert store.keys() == names * topics.JOBS_PARTS
 
     async def record_size(store, topic, records):
         sizes.append(sum(map(len, records)))
