--- a/hibiscusslip/host/submissions.py
+++ b/hibiscusslip/host/submissions.py
@@ -32,10 +32,10 @@
     ) -> bool:
         """Apply a record of the inbox; return False unless it adds a job."""
         job_id = topics.submitted_job(key)
+        self._remember(job_id, key)  # also if it is unreadable, to delete it
         known = engine.jobs.get(job_id)
         if known is None:
             return self._submit(engine, key, value, now, wall_time)
-        self._remember(job_id, key)
         if key != topics.submission_key(job_id, known.organisation):
             self._ignore(engine, known, value)
         return False
@@ -100,8 +100,8 @@
             return False
         age = min(max(wall_time - submission.accepted, 0.0), MAX_JOB_AGE_S)
         job = engine.submit(job_id, submission, spec, now - age, wall_time)
-        self._remember(job_id, key)
         if self.keys(job_id) != {key}:
-            # An ended job's record by another organisation isn't deleted yet.
+            # Another organisation's record of an ended job isn't deleted yet,
+            # or a record is unreadable.
             self._mark_contested(engine, job)
         return True
--- a/tests/host/test_record_deletion.py
+++ b/tests/host/test_record_deletion.py
@@ -118,3 +118,15 @@
     keys = deleted_keys(local_owner, topics.INBOX)
     assert {KEY, *(key for key, _ in cancels)} <= set(keys)
     assert max(sizes) <= 200
+
+
+def test_unreadable_submission_of_an_ended_job_is_left():
+    local_owner = test_job_access.make_owner()
+    local_owner.ctx.ownership.record_claim(1, 0.0)
+    local_owner.apply_inbox_record(OTHER_KEY, b'unreadable')
+    local_owner.apply_inbox_record(KEY, VALUE)
+    del local_owner.engine.jobs[JOB_ID]
+    local_owner._deletion.add([JOB_ID])
+    curio.run(delete, local_owner)
+    keys = deleted_keys(local_owner, topics.INBOX)
+    assert {KEY, OTHER_KEY} <= set(keys)
