--- a/tests/platform/test_slow_links.py
+++ b/tests/platform/test_slow_links.py
@@ -165,12 +165,12 @@
         async with serving.run_server(serving.Echo()) as (_, port):
             forwarder = proxy.Proxy(port, proxy.Link(LINK_MBPS))
             await forwarder.listen()
-            threads = threading.active_count()
+            threads = set(threading.enumerate())
             pool = client.Pool('127.0.0.1', forwarder.port)
             response = await pool.call('GET', '/x', timeout=4.0)
             await pool.close()
             assert response.content == b'/x'
-            assert threading.active_count() == threads
+            assert not set(threading.enumerate()) - threads
 
     serving.run(scenario)
 
