host: name reasons, units and tasks; group the session's wake-up events

The lease comment named 350 endpoints where poll_timing.USUAL_ENDPOINTS is 600. Sessions no longer have a default poll timing, which only tests used.

--- a/hibiscusslip/host/endpoint_session.py
+++ b/hibiscusslip/host/endpoint_session.py
@@ -1,6 +1,7 @@
 """Poll endpoints, renew the leases of their runs and send commands."""
 
 import collections.abc
+import dataclasses
 
 import curio
 
@@ -29,12 +30,20 @@
 MIN_POLL_GAP_S = 0.02
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wakeups:
+    """Wake the planning loop, the writer or the task that writes notices."""
+
+    plan: wakeup_event.WakeupEvent
+    write: wakeup_event.WakeupEvent
+    notice: wakeup_event.WakeupEvent
+
+
 class EndpointSession:
     """Poll one endpoint while the engine knows it, and send it commands.
 
-    A poll also extends the lease of the endpoint's runs. `plan_wakeup` wakes
-    the planning loop, `write_wakeup` the writer, `notice_wakeup` the task that
-    writes the owner's notices. `get_timing` returns how long polls may wait.
+    A poll also extends the lease of the endpoint's runs. `get_timing` returns
+    how long polls may wait.
     """
 
     def __init__(
@@ -44,12 +53,8 @@
         name: str,
         address: str,
         epoch: int,
-        plan_wakeup: wakeup_event.WakeupEvent,
-        write_wakeup: wakeup_event.WakeupEvent,
-        notice_wakeup: wakeup_event.WakeupEvent,
-        get_timing: collections.abc.Callable[
-            [], poll_timing.PollTiming
-        ] = poll_timing.PollTiming,
+        wakeups: Wakeups,
+        get_timing: collections.abc.Callable[[], poll_timing.PollTiming],
     ) -> None:
         self.name = name
         self.address = address
@@ -57,9 +62,7 @@
         self._ctx = ctx
         self._engine = engine
         self._epoch = epoch
-        self._plan_wakeup = plan_wakeup
-        self._write_wakeup = write_wakeup
-        self._notice_wakeup = notice_wakeup
+        self._wakeups = wakeups
         self._get_timing = get_timing
         self._client = endpoint_client.EndpointClient(
             name, address, ctx.uplink
@@ -87,7 +90,7 @@
         if failures < FAILURES_UNTIL_UNRESPONSIVE:
             return
         self._engine.mark_unresponsive(self.name)
-        await self._plan_wakeup.set()
+        await self._wakeups.plan.set()
         await curio.sleep(UNRESPONSIVE_POLL_PAUSE_S)
 
     async def _poll(self, endpoint: state.Endpoint, sent: float) -> None:
@@ -105,14 +108,14 @@
         returned = not endpoint.responsive
         self._engine.handle_report(self.name, report, sent, now)
         if returned and endpoint.withheld:
-            await self._notice_wakeup.set()
+            await self._wakeups.notice.set()
         if (
             endpoint.handled_cursor != cursor_before
             or first_poll
             or self._engine.stops
         ):
-            await self._write_wakeup.set()
-            await self._plan_wakeup.set()
+            await self._wakeups.write.set()
+            await self._wakeups.plan.set()
         await self._wait_for_next_poll(endpoint, sent, now)
 
     def _max_wait(self, endpoint: state.Endpoint) -> float:
@@ -184,7 +187,7 @@
         self._ctx.log.note('hold_refused', endpoint=self.name, reason=reason)
         if reason == 'instance':
             self._engine.handle_replacement(self.name, context.monotonic())
-            await self._plan_wakeup.set()
+            await self._wakeups.plan.set()
         await curio.sleep(UNRESPONSIVE_POLL_PAUSE_S)
 
     async def send_start(self, start: commands.Start) -> None:
@@ -194,7 +197,7 @@
         sent_at = now + self._ctx.uplink.backlog(now)
         if sent_at > start.decided_at + MAX_START_AGE_S:
             self._engine.revert_start(start, 'too old to send', now)
-            await self._plan_wakeup.set()
+            await self._wakeups.plan.set()
             return
         request = self._start_request(start)
         give_up_at = start.decided_at + MAX_START_AGE_S + START_RETRY_MARGIN_S
@@ -277,8 +280,8 @@
             await self.wakeup.set()
             return
         self._engine.revert_start(start, reason, context.monotonic())
-        await self._write_wakeup.set()
-        await self._plan_wakeup.set()
+        await self._wakeups.write.set()
+        await self._wakeups.plan.set()
 
     async def send_stop(self, stop: commands.Stop) -> None:
         """Send a stop a few times; later reports repeat it if necessary."""
--- a/hibiscusslip/host/lease_timing.py
+++ b/hibiscusslip/host/lease_timing.py
@@ -6,8 +6,9 @@
 
 from hibiscusslip.dispatch import state
 
-# Survives a failover and, with up to 350 busy endpoints, a partition of five
-# seconds; with more, leases are renewed less often, see poll_timing.
+# Survives a failover and, with up to poll_timing.USUAL_ENDPOINTS busy
+# endpoints, a partition of five seconds; with more, leases are renewed less
+# often.
 USUAL_LEASE_S = 5.9
 RENEWAL_LIMIT_S = 10.0  # of an owner without the store, from its last record
 SLACK_S = 0.5
--- a/hibiscusslip/host/owner.py
+++ b/hibiscusslip/host/owner.py
@@ -129,7 +129,7 @@
             endpoints.run,
             self._plan,
             self._delete_old_jobs,
-            self._log_load,
+            self._report_load_and_set_timing,
             self._keeper.run_liveness_checks,
         ):
             await self._tasks.spawn(crash_logging.run_loop, self.ctx, loop)
@@ -218,9 +218,11 @@
             name,
             address,
             self.epoch,
-            self.plan_wakeup,
-            self._writer.wakeup,
-            self._keeper.notice_wakeup,
+            endpoint_session.Wakeups(
+                self.plan_wakeup,
+                self._writer.wakeup,
+                self._keeper.notice_wakeup,
+            ),
             lambda: self._poll_timing,
         )
         self._sessions[name] = session
@@ -246,7 +248,7 @@
         while True:
             await self.plan_wakeup.wait(PLAN_IDLE_S)
             now = context.monotonic()
-            await self._lift_promises()
+            await self._resume_withheld_leases()
             self._configure()
             self.engine.adviser_count = self._advice_router.count_advisers(now)
             if self._may_plan(now):
@@ -261,7 +263,7 @@
         config = self.ctx.config
         self.engine.configure(config, self.ctx.options.policy_under(config))
 
-    async def _lift_promises(self) -> None:
+    async def _resume_withheld_leases(self) -> None:
         """Have leases extended at once that were withheld until now."""
         for name in self._handover.lift_promises():
             session = self._sessions.get(name)
@@ -339,7 +341,8 @@
             else:
                 await curio.spawn(session.send_start, start, daemon=True)
 
-    async def _log_load(self) -> None:
+    async def _report_load_and_set_timing(self) -> None:
+        """Log the load, publish metrics and set the timing of polls."""
         while True:
             await curio.sleep(LOAD_PERIOD_S)
             for load in summary.summarise(self.engine, context.monotonic()):
--- a/hibiscusslip/host/poll_timing.py
+++ b/hibiscusslip/host/poll_timing.py
@@ -43,7 +43,8 @@
     """Return the timing for so many endpoints with and without runs.
 
     Beyond USUAL_ENDPOINTS the number of polls per second stays the same,
-    until each lease would be renewed fewer than RENEWALS_PER_LEASE times.
+    until each lease, which lasts `lease` seconds, would be renewed fewer than
+    RENEWALS_PER_LEASE times.
     """
     longest = min(renewal_interval(lease) - RENEWAL_MARGIN_S, MAX_LONG_POLL_S)
     return PollTiming(
--- a/hibiscusslip/host/recovery.py
+++ b/hibiscusslip/host/recovery.py
@@ -27,13 +27,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Recovered:
-    """What the owner needs to continue from the recovered records.
+    """Hold what the owner needs to continue from the recovered records.
 
     `inbox_offsets`, one for each partition of the inbox, and
     `endpoints_offset` are where reading continues; the endpoints were read at
-    `endpoints_read_at`. `orphans` are jobs with
-    progress but no submission, `used_parts` the partitions that hold
-    progress.
+    `endpoints_read_at`. `orphans` are jobs with progress but no submission,
+    `used_parts` the partitions that hold progress.
     """
 
     inbox_offsets: list[int]
--- a/hibiscusslip/host/submissions.py
+++ b/hibiscusslip/host/submissions.py
@@ -8,11 +8,13 @@
 from hibiscusslip.platform import documents
 from hibiscusslip.platform import exceptions
 
+# The wrong clock of the host that accepted a job must not make its deadlines
+# earlier than by this.
 MAX_JOB_AGE_S = 60.0
 
 
 class Submissions:
-    """Submit the first job of each ID; ignore those of other organisations.
+    """Submit the first job of each ID; ignore other organisations' later ones.
 
     Each organisation has its own record of an ID in the inbox, so that none
     replaces another's.
@@ -30,7 +32,11 @@
         now: float,
         wall_time: float,
     ) -> bool:
-        """Apply a record of the inbox; return False unless it adds a job."""
+        """Apply a record of the inbox; return False unless it adds a job.
+
+        `now` is a reading of the monotonic clock, `wall_time` is the time
+        since the epoch, both in seconds.
+        """
         job_id = topics.submitted_job(key)
         self._remember(job_id, key)  # also if it is unreadable, to delete it
         known = engine.jobs.get(job_id)
@@ -57,7 +63,7 @@
     def _ignore(
         self, engine: engines.Engine, job: state.Job, value: bytes
     ) -> None:
-        """Log a foreign submission, and have the job's record name its owner.
+        """Log another organisation's submission; name the job's in its record.
 
         The clocks of hosts differ, so the times of acceptance may not tell the
         next owner which one was first.
--- a/tests/host/test_endpoint_session.py
+++ b/tests/host/test_endpoint_session.py
@@ -35,6 +35,11 @@
         pass
 
 
+def make_wakeups():
+    wakeup = wakeup_event.WakeupEvent()
+    return endpoint_session.Wakeups(wakeup, wakeup, wakeup)
+
+
 def poll_for(seconds, acknowledged=0, get_timing=poll_timing.PollTiming):
     """Poll an endpoint that answers once; return its client."""
     ctx = fakes.make_context(fakes.FakeStore())
@@ -42,9 +47,8 @@
     engine.register_endpoint(support.entry('e1'), context.monotonic())
     engine.endpoints['e1'].handled_cursor = acknowledged
     engine.endpoints['e1'].acknowledged_cursor = acknowledged
-    wakeup = wakeup_event.WakeupEvent()
     session = endpoint_session.EndpointSession(
-        ctx, engine, 'e1', 'h:1', 1, wakeup, wakeup, wakeup, get_timing
+        ctx, engine, 'e1', 'h:1', 1, make_wakeups(), get_timing
     )
     client = EndpointClient()
     session._client = client
@@ -97,9 +101,14 @@
     bench.endpoint('e1')
     bench.submit('j', support.step())
     (start,) = bench.plan()
-    wakeup = wakeup_event.WakeupEvent()
     session = endpoint_session.EndpointSession(
-        ctx, bench.engine, 'e1', 'h:1', 1, wakeup, wakeup, wakeup
+        ctx,
+        bench.engine,
+        'e1',
+        'h:1',
+        1,
+        make_wakeups(),
+        poll_timing.PollTiming,
     )
     session._client = CommandClient()
 
@@ -137,9 +146,14 @@
     (start,) = bench.plan()
     start.task.copy_run = start.run
     start.task.status = state.Status.DONE
-    wakeup = wakeup_event.WakeupEvent()
     session = endpoint_session.EndpointSession(
-        ctx, bench.engine, 'e1', 'h:1', 1, wakeup, wakeup, wakeup
+        ctx,
+        bench.engine,
+        'e1',
+        'h:1',
+        1,
+        make_wakeups(),
+        poll_timing.PollTiming,
     )
     session._client = CommandClient()
     curio.run(session.send_start, start)
--- a/tests/host/test_lease_handover.py
+++ b/tests/host/test_lease_handover.py
@@ -11,6 +11,7 @@
 from hibiscusslip.host import lease_timing
 from hibiscusslip.host import notices
 from hibiscusslip.host import ownership
+from hibiscusslip.host import poll_timing
 from hibiscusslip.host import recovery
 from hibiscusslip.host import wakeup_event
 from tests.dispatch import support
@@ -185,8 +186,9 @@
     endpoint.polled = endpoint.responsive = True
     endpoint.allocate('j.0.0.0', state.Allocation(None, 1, model.Demand(), 0))
     wakeup = wakeup_event.WakeupEvent()
+    wakeups = endpoint_session.Wakeups(wakeup, wakeup, wakeup)
     session = endpoint_session.EndpointSession(
-        ctx, engine, 'e1', 'h:1', 1, wakeup, wakeup, wakeup
+        ctx, engine, 'e1', 'h:1', 1, wakeups, poll_timing.PollTiming
     )
     assert session._lease_deadline(endpoint, now) is not None
     endpoint.withheld = True
