Bound the idle connections to endpoints by the host's descriptors

A burst of starts opens up to 24 connections to an endpoint, and all of them stayed open for the next one.

Pools now share a budget of half of the descriptors. Once it is exceeded, a pool keeps one idle connection.

--- a/hibiscusslip/host/__main__.py
+++ b/hibiscusslip/host/__main__.py
@@ -12,6 +12,7 @@
 from hibiscusslip.host import host
 from hibiscusslip.host import options
 from hibiscusslip.host import ownership
+from hibiscusslip.http import connection_budget
 from hibiscusslip.http import uplink as uplinks
 from hibiscusslip.observe import events
 from hibiscusslip.observe import logs
@@ -23,6 +24,9 @@
 SECRET_VARIABLE = 'HIBISCUSSLIP_PEER_SECRET'
 EXIT_SETTINGS = 2
 EXIT_LOOP_ENDED = 3
+# Of the descriptors; the rest is for callers, peers and the store, and for
+# the connections that calls in progress need.
+KEPT_CONNECTIONS_SHARE = 0.5
 
 
 def main() -> int:
@@ -61,6 +65,9 @@
             cfg.name, incarnation, host_strength, tie_break
         ),
         options=chosen,
+        endpoint_connections=connection_budget.ConnectionBudget(
+            int(cfg.max_descriptors * KEPT_CONNECTIONS_SHARE)
+        ),
     )
 
 
--- a/hibiscusslip/host/context.py
+++ b/hibiscusslip/host/context.py
@@ -8,6 +8,7 @@
 from hibiscusslip.host import notices
 from hibiscusslip.host import ownership
 from hibiscusslip.host import repeat_policy
+from hibiscusslip.http import connection_budget
 from hibiscusslip.http import uplink as uplinks
 from hibiscusslip.observe import events
 from hibiscusslip.observe import prometheus
@@ -31,6 +32,7 @@
     host that is `leaving` fails its readiness probes, so that it gets no new
     connections, and claims no ownership; one that is `stopping` releases the
     ownership. `options` say which optional decisions its owner makes.
+    `endpoint_connections` bounds the idle connections to endpoints.
     """
 
     cfg: settings.HostSettings
@@ -55,6 +57,11 @@
     leaving: bool = False
     stopping: bool = False
     options: policies.Options = policies.Options()
+    endpoint_connections: connection_budget.ConnectionBudget = (
+        dataclasses.field(
+            default_factory=lambda: connection_budget.ConnectionBudget(512)
+        )
+    )
 
     def record_store_success(self, now: float) -> None:
         """Record that the store has answered."""
--- a/hibiscusslip/host/endpoint_session.py
+++ b/hibiscusslip/host/endpoint_session.py
@@ -65,7 +65,7 @@
         self._wakeups = wakeups
         self._get_timing = get_timing
         self._client = endpoint_client.EndpointClient(
-            name, address, ctx.uplink
+            name, address, ctx.uplink, ctx.endpoint_connections
         )
 
     async def run(self) -> None:
--- a/hibiscusslip/http/_exchange.py
+++ b/hibiscusslip/http/_exchange.py
@@ -7,6 +7,7 @@
 import h11
 
 from hibiscusslip.http import _sockets
+from hibiscusslip.http import connection_budget
 from hibiscusslip.http import exceptions
 from hibiscusslip.http import limits
 from hibiscusslip.http import messages
@@ -87,10 +88,25 @@
 class ClientConnection:
     """Represent one connection to a server."""
 
-    __slots__ = ('_conn', '_limits', '_sock', '_upload_time', 'idle_since')
+    __slots__ = (
+        '_budget',
+        '_conn',
+        '_limits',
+        '_sock',
+        '_upload_time',
+        'idle_since',
+    )
 
-    def __init__(self, sock: typing.Any, bounds: limits.Limits) -> None:
+    def __init__(
+        self,
+        sock: typing.Any,
+        bounds: limits.Limits,
+        budget: connection_budget.ConnectionBudget | None = None,
+    ) -> None:
         self._sock = sock
+        self._budget = budget
+        if budget is not None:
+            budget.open += 1
         self._limits = bounds
         self._conn = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=bounds.max_header_bytes
@@ -105,13 +121,20 @@
 
     async def close(self) -> None:
         """Close the connection."""
+        self._leave_budget()
         await self._sock.close()
 
     async def abort(self) -> None:
         """Reset the connection; unsent bytes of a request are discarded."""
+        self._leave_budget()
         _sockets.reset_on_close(self._sock)
         await self._sock.close()
 
+    def _leave_budget(self) -> None:
+        if self._budget is not None:
+            self._budget.open -= 1
+            self._budget = None
+
     def allow_upload_time(self, upload_time: float) -> None:
         """Let what is sent stay unacknowledged for `upload_time` s longer.
 
@@ -235,10 +258,14 @@
 
 
 async def connect(
-    address: str, port: int, bounds: limits.Limits
+    address: str,
+    port: int,
+    bounds: limits.Limits,
+    budget: connection_budget.ConnectionBudget | None = None,
 ) -> ClientConnection:
     """Open a connection; raises NotSent."""
-    return ClientConnection(await open_socket(address, port, bounds), bounds)
+    sock = await open_socket(address, port, bounds)
+    return ClientConnection(sock, bounds, budget)
 
 
 async def open_socket(
--- a/hibiscusslip/http/client.py
+++ b/hibiscusslip/http/client.py
@@ -8,6 +8,7 @@
 import h11
 
 from hibiscusslip.http import _exchange
+from hibiscusslip.http import connection_budget
 from hibiscusslip.http import exceptions
 from hibiscusslip.http import limits
 from hibiscusslip.http import messages
@@ -22,7 +23,8 @@
 
     Requests are never retried. A call that finds all connections in use
     waits for one within its timeout. With an `uplink`, calls allow for the
-    time that their requests wait for the host's link.
+    time that their requests wait for the host's link. Once the `budget` of
+    the host is exceeded, at most one idle connection is kept.
     """
 
     def __init__(
@@ -32,11 +34,13 @@
         bounds: limits.Limits = limits.DEFAULT,
         max_connections: int = 4,
         uplink: uplinks.Uplink | None = None,
+        budget: connection_budget.ConnectionBudget | None = None,
     ) -> None:
         self._address = address
         self._port = port
         self._limits = bounds
         self._uplink = uplink
+        self._budget = budget
         self._host = f'{address}:{port}'.encode('ascii')
         self._slots = curio.Semaphore(max_connections)
         self._idle: list[_exchange.ClientConnection] = []
@@ -151,7 +155,7 @@
             if began is not None:
                 began()
             response = await conn.read_response(progress, max_silence)
-            if conn.prepare_reuse() and not self._closed:
+            if conn.prepare_reuse() and self._may_keep():
                 self._idle.append(conn)
             else:
                 await conn.close()
@@ -162,6 +166,13 @@
         finally:
             await self._slots.release()
 
+    def _may_keep(self) -> bool:
+        """Return True if one more idle connection may be kept."""
+        if self._closed:
+            return False
+        exceeded = self._budget is not None and self._budget.exceeded
+        return not (self._idle and exceeded)
+
     async def _acquire(self) -> _exchange.ClientConnection:
         if self._closed:
             raise exceptions.NotSent('the pool is closed; create a new one')
@@ -171,7 +182,9 @@
             if conn.is_usable(now):
                 return conn
             await conn.close()
-        return await _exchange.connect(self._address, self._port, self._limits)
+        return await _exchange.connect(
+            self._address, self._port, self._limits, self._budget
+        )
 
 
 @functools.lru_cache(CACHED_HEADS)
--- a/hibiscusslip/platform/endpoint_client.py
+++ b/hibiscusslip/platform/endpoint_client.py
@@ -7,6 +7,7 @@
 
 from hibiscusslip.dispatch import model
 from hibiscusslip.http import client
+from hibiscusslip.http import connection_budget
 from hibiscusslip.http import exceptions as http_exceptions
 from hibiscusslip.http import limits
 from hibiscusslip.http import messages
@@ -53,14 +54,21 @@
 
     Each call names the incarnation that it is meant for; another one refuses
     it with the reason 'instance'. `timeout` is in seconds and begins once
-    `uplink` has sent what the host gave it before the call.
+    `uplink` has sent what the host gave it before the call. `budget` bounds
+    the idle connections to all endpoints.
     """
 
     def __init__(
-        self, name: str, address: str, uplink: uplinks.Uplink
+        self,
+        name: str,
+        address: str,
+        uplink: uplinks.Uplink,
+        budget: connection_budget.ConnectionBudget | None = None,
     ) -> None:
         ip, _, port = address.rpartition(':')
-        self._pool = client.Pool(ip, int(port), _HTTP, CONNECTIONS, uplink)
+        self._pool = client.Pool(
+            ip, int(port), _HTTP, CONNECTIONS, uplink, budget
+        )
         self._headers = {
             'content-type': 'application/json',
             'x-expect-instance': name,
--- a/hibiscusslip/platform/settings.py
+++ b/hibiscusslip/platform/settings.py
@@ -62,7 +62,8 @@
     `partitions` is the number of partitions of a topic, `heartbeat` how often
     an endpoint writes its entry, in seconds. `cpu_share` is the
     share of a processor core that the host may use, and `cores` is how many
-    times as fast that core runs. `contracts` are the names of what the
+    times as fast that core runs. The host may have `max_descriptors` files
+    and sockets open. `contracts` are the names of what the
     deployment asks for beyond the basic service.
     """
 
@@ -81,6 +82,7 @@
     link_mbps: float
     bounds: Bounds
     heartbeat: float = 1.5
+    max_descriptors: int = 1024
     contracts: frozenset[str] = frozenset()
 
     @property
@@ -153,6 +155,7 @@
         link_mbps=float(fields.get('Limits.LinkMbps', '1000')),
         bounds=_bounds(fields),
         heartbeat=float(fields.get('HeartbeatMs', '1500')) / MS_PER_S,
+        max_descriptors=int(fields.get('Limits.MaxFds', '1024')),
         contracts=_contracts(fields),
     )
 
--- a/tests/host/test_record_deletion.py
+++ b/tests/host/test_record_deletion.py
@@ -94,7 +94,7 @@
 def test_job_is_replaced_by_an_ended_one_whose_record_is_left():
     local_owner = ended_job_owner()
     local_owner.apply_inbox_record(OTHER_KEY, OTHER_VALUE)
-    record = records.encode_job(local_owner.engine.jobs[JOB_ID])
+    record = records.encode_job(local_owner.engine.jobs[JOB_ID], now=0.0)
     inbox = [(KEY, VALUE), (OTHER_KEY, OTHER_VALUE)]
     assert test_submissions.recovered(inbox, [(JOB_ID, record)]) == 'o2'
 
--- a/tests/host/test_submissions.py
+++ b/tests/host/test_submissions.py
@@ -83,7 +83,7 @@
     (line,) = local_owner.ctx.log.named('submission_ignored')
     assert (line['organisation'], line['job_organisation']) == ('o2', 'o1')
     assert local_owner.engine.dirty == {JOB_ID}
-    record = records.encode_job(local_owner.engine.jobs[JOB_ID])
+    record = records.encode_job(local_owner.engine.jobs[JOB_ID], now=0.0)
     assert recovered(inbox, [(JOB_ID, record)]) == 'o1'
     local_owner._inboxes = [test_job_access.EmptyFeed()]
     local_owner._deletion.add([JOB_ID])
@@ -99,7 +99,7 @@
     local_owner = test_job_access.make_owner()
     local_owner.apply_inbox_record(*first)
     local_owner.apply_inbox_record(*other)
-    record = records.encode_job(local_owner.engine.jobs[JOB_ID])
+    record = records.encode_job(local_owner.engine.jobs[JOB_ID], now=0.0)
     jobs = [(JOB_ID, record)]
     assert recovered([first], jobs, others=[other]) == 'o1'
     assert recovered([other], jobs, others=[first]) == 'o1'
