Forget the speeds of candidates when speeds are switched off

Candidates are kept between passes, and their speed is only set while `endpoint_speeds` is on. When the organisations were removed from the configuration, placement went on by the last known speeds.

--- a/hibiscusslip/dispatch/engine.py
+++ b/hibiscusslip/dispatch/engine.py
@@ -98,6 +98,8 @@
         self, config: model.Configuration | None, policy: policies.Policy
     ) -> None:
         """Use a version of the configuration and a policy from now on."""
+        if policy.endpoint_speeds is not self.policy.endpoint_speeds:
+            self.candidates = {}  # they keep the speeds that were set
         self.config = config
         self.policy = policy
         self.estimates.policy = policy
--- a/tests/dispatch/test_learned_placement.py
+++ b/tests/dispatch/test_learned_placement.py
@@ -163,3 +163,14 @@
     for cpu, expected in ((5000, False), (7000, True), (9000, False)):
         left = candidate_pool.RemainingCapacity(cpu, 1000, 0)
         assert preference.uses_up_room(left, task, 1) is expected, cpu
+
+
+def test_speeds_count_no_more_once_they_are_off():
+    """Guards against candidates that keep their speeds between passes."""
+    bench = make_bench(UNEVEN)
+    bench.plan()
+    bench.engine.configure(bench.engine.config, policies.Policy())
+    bench.plan()
+    candidates = bench.engine.candidates[support.SERVICE]
+    assert {candidate.speed for candidate in candidates.all} == {1.0}
+    assert {candidate.speed_band for candidate in candidates.all} == {0}
