Sample a pool for the forecast independently of its order

Every third endpoint was looked at, say, and these may all be of one size, so the capacity in use was far off. The sample is now chosen by a hash of the names, and weighted by the capacity that it stands for.

--- a/hibiscusslip/dispatch/occupancy.py
+++ b/hibiscusslip/dispatch/occupancy.py
@@ -6,7 +6,9 @@
 
 import collections.abc
 import dataclasses
+import heapq
 import math
+import zlib
 
 from hibiscusslip.dispatch import estimates
 from hibiscusslip.dispatch import state
@@ -49,13 +51,15 @@
     """
     if not estimator.policy.learned_run_times:
         return []
-    stride = math.ceil(len(pool) / MAX_SAMPLED_ENDPOINTS) or 1
-    sampled = pool[::stride]
-    weight = len(pool) / max(len(sampled), 1)
+    counted = [
+        endpoint
+        for endpoint in pool
+        if endpoint.entry is not None and not endpoint.entry.draining
+    ]
+    sampled = _sample(counted)
+    cpu_weight, accelerators_weight = _weights(counted, sampled)
     held: dict[tuple[float, int, bool], tuple[float, float]] = {}
     for endpoint in sampled:
-        if endpoint.entry is None or endpoint.entry.draining:
-            continue
         for allocation in endpoint.allocations.values():
             after = _seconds_left(estimator, endpoint, allocation, now)
             if after <= 0.0:
@@ -66,8 +70,8 @@
             cores, accelerators = held.get(key, (0.0, 0.0))
             demand = allocation.demand
             held[key] = (
-                cores + weight * demand.cpu / MILLICORES,
-                accelerators + weight * demand.accelerators,
+                cores + cpu_weight * demand.cpu / MILLICORES,
+                accelerators + accelerators_weight * demand.accelerators,
             )
     return [
         Release(after, amounts, priority, resumable)
@@ -75,6 +79,45 @@
     ]
 
 
+def _sample(pool: list[state.Endpoint]) -> list[state.Endpoint]:
+    """Return the endpoints to look at, the same while the pool is.
+
+    They are chosen by a hash: endpoints of one size may recur at regular
+    intervals in the order of the pool.
+    """
+    if len(pool) <= MAX_SAMPLED_ENDPOINTS:
+        return pool
+    return heapq.nsmallest(
+        MAX_SAMPLED_ENDPOINTS, pool, key=lambda e: zlib.crc32(e.name.encode())
+    )
+
+
+def _weights(
+    pool: list[state.Endpoint], sampled: list[state.Endpoint]
+) -> tuple[float, float]:
+    """Return what a sampled core and a sampled accelerator count for.
+
+    Endpoints of different sizes are in the sample by chance, so it stands for
+    the capacity of the pool rather than for the number of its endpoints.
+    """
+    if sampled is pool:
+        return 1.0, 1.0
+    cpu, accelerators = _capacity(pool)
+    sampled_cpu, sampled_accelerators = _capacity(sampled)
+    return (
+        cpu / max(sampled_cpu, 1),
+        accelerators / max(sampled_accelerators, 1),
+    )
+
+
+def _capacity(endpoints: list[state.Endpoint]) -> tuple[int, int]:
+    capacities = [e.entry.capacity for e in endpoints if e.entry is not None]
+    return (
+        sum(capacity.cpu for capacity in capacities),
+        sum(capacity.accelerators for capacity in capacities),
+    )
+
+
 def _seconds_left(
     estimator: estimates.Estimates,
     endpoint: state.Endpoint,
--- a/tests/dispatch/test_learned_forecast.py
+++ b/tests/dispatch/test_learned_forecast.py
@@ -117,6 +117,27 @@
     assert releases == [occupancy.Release(math.inf, (count, 0.0), 0, False)]
 
 
+def test_sample_of_a_mixed_pool_doesnt_depend_on_its_order():
+    """Guards against a sample with only the large endpoints, every third."""
+    bench = support.Bench(support.queue(), policy=LEARNED)
+    count = occupancy.MAX_SAMPLED_ENDPOINTS
+    pool = [
+        bench.endpoint(f'e{n}', cpu=1000 if n % 3 else 8000)
+        for n in range(3 * count)
+    ]
+    bench.submit('services', support.step(count, cpu=8000, long_running=True))
+    bench.plan()
+    held = [
+        occupancy.find_releases(
+            order, lambda job: 0, bench.engine.estimates, bench.now
+        )
+        for order in (pool, pool[::-1])
+    ]
+    assert held[0] == held[1]
+    ((release,), _) = held
+    assert release.amounts[0] == pytest.approx(8 * count, rel=0.1)
+
+
 def test_run_whose_end_is_hardly_known_holds_nothing():
     """A new owner knows declared times only, and rejects nobody for them."""
     bench = support.Bench(support.queue(), policy=LEARNED)
