Count resumable runs in the forecast unless they are preempted

Predicted waits left out all resumable runs of less urgent queues, also where urgent preemption is off and new jobs wait for them.

`Policy.urgent_preemption` is now a bool, resolved under the configuration as the other three are.

--- a/hibiscusslip/bench/organisations.py
+++ b/hibiscusslip/bench/organisations.py
@@ -25,6 +25,7 @@
 ENTITLED_RATIO = 2.0  # of an organisation's usual rate
 UNEVENNESS = 0.7  # exponent of the organisations' usual rates, by rank
 SURPLUS_PREFIX = 'surplus'
+PREEMPTING = policies.Policy(urgent_preemption=True)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -60,7 +61,7 @@
         surges: tuple[Surge, ...] = (),
         enabled: bool = True,
         adviser_count: int = dispatching.ADVISER_COUNT,
-        policy: policies.Policy = policies.Policy(),
+        policy: policies.Policy = PREEMPTING,
         entitlement_window: float = entitlement.DEFAULT_WINDOW_S,
     ) -> None:
         super().__init__(seed, load, bursts, policy)
@@ -235,7 +236,14 @@
     surges = (Surge(names, factor, 3.0, 12.0),) if names else ()
     advisers = dispatching.ADVISER_COUNT * scale
     replay = OrganisationReplay(
-        seed, load, count, bursts, surges, enabled, advisers
+        seed,
+        load,
+        count,
+        bursts,
+        surges,
+        enabled,
+        advisers,
+        policies.Policy(urgent_preemption=enabled),
     )
     dispatch_report.print_report(replay.run(seconds))
     others = tuple(name for name in replay.rates if name not in names)
--- a/hibiscusslip/dispatch/_planning.py
+++ b/hibiscusslip/dispatch/_planning.py
@@ -58,7 +58,7 @@
                 now,
                 preference=_learned_planning.prefer(current, step, rank),
             )
-    if engine.policy.urgent_preemption.covers(engine.config):
+    if engine.policy.urgent_preemption:
         current.preempting.preempt(engine, services, candidates, now)
     if engine.policy.copies:
         _copy_starts.plan_copies(current)
--- a/hibiscusslip/dispatch/occupancy.py
+++ b/hibiscusslip/dispatch/occupancy.py
@@ -26,7 +26,7 @@
     """Capacity that runs hold for so many seconds, infinite for services.
 
     They belong to queues of this `priority`. `resumable` ones may be stopped
-    for more urgent work.
+    for more urgent work, so there are none without urgent preemption.
     """
 
     after: float
@@ -58,6 +58,7 @@
     ]
     sampled = _sample(counted)
     cpu_weight, accelerators_weight = _weights(counted, sampled)
+    preempts = estimator.policy.urgent_preemption
     held: dict[tuple[float, int, bool], tuple[float, float]] = {}
     for endpoint in sampled:
         for allocation in endpoint.allocations.values():
@@ -66,7 +67,8 @@
                 continue
             assert allocation.task is not None
             step = allocation.task.step
-            key = (after, priority_of(step.job), step.spec.resumable)
+            resumable = preempts and step.spec.resumable
+            key = (after, priority_of(step.job), resumable)
             cores, accelerators = held.get(key, (0.0, 0.0))
             demand = allocation.demand
             held[key] = (
--- a/hibiscusslip/dispatch/policy.py
+++ b/hibiscusslip/dispatch/policy.py
@@ -30,14 +30,13 @@
     With `learned_run_times` expected run times come from finished runs, with
     `endpoint_speeds` placement considers how fast an endpoint is, with
     `copies` a second run of a straggler is started if its step allows that,
-    and with `urgent_preemption` patient runs are stopped for urgent work, by
-    default only where organisations compete.
+    and with `urgent_preemption` patient runs are stopped for urgent work.
     """
 
     learned_run_times: bool = False
     endpoint_speeds: bool = False
     copies: bool = False
-    urgent_preemption: Scope = Scope.ORGANISATIONS
+    urgent_preemption: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -56,8 +55,8 @@
     def policy_under(self, config: model.Configuration | None) -> Policy:
         """Return the policy under a configuration."""
         return Policy(
-            self.run_times.covers(config),
-            self.endpoint_speeds.covers(config),
-            self.copies.covers(config),
-            self.urgent_preemption,
+            learned_run_times=self.run_times.covers(config),
+            endpoint_speeds=self.endpoint_speeds.covers(config),
+            copies=self.copies.covers(config),
+            urgent_preemption=self.urgent_preemption.covers(config),
         )
--- a/tests/dispatch/test_learned_forecast.py
+++ b/tests/dispatch/test_learned_forecast.py
@@ -16,6 +16,7 @@
 from hibiscusslip.dispatch import estimates
 from hibiscusslip.dispatch import occupancy
 from hibiscusslip.dispatch import policy as policies
+from hibiscusslip.dispatch import run_times
 from tests.dispatch import support
 
 TAIL = {'tail_rate': 0.03, 'tail_factor': 7.0}
@@ -31,7 +32,7 @@
     (dispatch_loads.Pool('m', 12, 32),),
 )
 BURST = (dispatch_loads.Burst('solve', 8.0, 40.0, 50.0),)
-LEARNED = policies.Policy(learned_run_times=True)
+LEARNED = policies.Policy(learned_run_times=True, urgent_preemption=True)
 
 
 class Replay(organisations.OrganisationReplay):
@@ -138,6 +139,26 @@
     assert release.amounts[0] == pytest.approx(8 * count, rel=0.1)
 
 
+@pytest.mark.parametrize('preempts', [False, True])
+def test_new_job_waits_for_runs_that_arent_preempted_for_it(preempts):
+    """Guards against too short predictions where preemption is off."""
+    policy = policies.Policy(
+        learned_run_times=True, urgent_preemption=preempts
+    )
+    bench = support.Bench(support.queue('patient'), policy=policy)
+    work = run_times.Work('patient', '', '', 5.0)
+    for number in range(60):
+        bench.engine.estimates.run_times.learn(work, 9.0, str(number), 0.0)
+    endpoint = bench.endpoint('e1')
+    step = support.step(estimate=5.0, checkpoints=True)
+    bench.submit('j', step, queue='patient')
+    bench.confirm(bench.plan())
+    (release,) = occupancy.find_releases(
+        [endpoint], lambda job: 2, bench.engine.estimates, bench.now
+    )
+    assert release.blocks(beyond=False, priority=0) is not preempts
+
+
 def test_run_whose_end_is_hardly_known_holds_nothing():
     """A new owner knows declared times only, and rejects nobody for them."""
     bench = support.Bench(support.queue(), policy=LEARNED)
--- a/tests/dispatch/test_learned_preemption.py
+++ b/tests/dispatch/test_learned_preemption.py
@@ -22,9 +22,7 @@
 BURST = (dispatch_loads.Burst('timetable', 1.9, 8.0, 11.0),)
 RESTORE_S = 0.6
 POLL_STEPS = 6
-LEARNED = policies.Policy(
-    learned_run_times=True, urgent_preemption=policies.Scope.ON
-)
+LEARNED = policies.Policy(learned_run_times=True, urgent_preemption=True)
 
 
 class Replay(dispatching.Replay):
--- a/tests/dispatch/test_limits.py
+++ b/tests/dispatch/test_limits.py
@@ -6,16 +6,21 @@
 
 from hibiscusslip.dispatch import limits
 from hibiscusslip.dispatch import model
+from hibiscusslip.dispatch import policy as policies
 from hibiscusslip.dispatch import records
 from hibiscusslip.dispatch import usage
 from tests.dispatch import support
 
 ORGANISATION = 'acme'
+PREEMPTING = policies.Policy(urgent_preemption=True)
 
 
 class Bench(support.Bench):
     """An engine whose jobs belong to an organisation."""
 
+    def __init__(self, *queues):
+        super().__init__(*queues, policy=PREEMPTING)
+
     def set_limit(self, **limit):
         # Both jobs of a test are within the entitlement.
         item = model.Organisation(
--- a/tests/dispatch/test_policy_off.py
+++ b/tests/dispatch/test_policy_off.py
@@ -91,7 +91,7 @@
         1,
         test_replay.LOAD,
         BURST,
-        policies.Policy(urgent_preemption=policies.Scope.ON),
+        policies.Policy(urgent_preemption=True),
         lambda event, **fields: events.append(event),
     )
     assert record(recorder) == PREEMPTING_DIGEST
--- a/tests/dispatch/test_preemption.py
+++ b/tests/dispatch/test_preemption.py
@@ -17,7 +17,7 @@
 BURST = (dispatch_loads.Burst('timetable', 2.5, 3.0, 7.0),)
 SEEDS = (1, 2, 3)
 MIN_ON_TIME = 0.86  # of the urgent jobs
-ON = policy.Policy(urgent_preemption=policy.Scope.ON)
+ON = policy.Policy(urgent_preemption=True)
 
 
 def replay(seed, policies):
@@ -117,8 +117,9 @@
     option, organisations, expected
 ):
     bench = fill()
-    bench.engine.policy = policy.Policy(urgent_preemption=option)
-    bench.engine.config = dataclasses.replace(
+    config = dataclasses.replace(
         bench.engine.config, organisations=organisations
     )
+    options = policy.Options(urgent_preemption=option)
+    bench.engine.configure(config, options.policy_under(config))
     assert bool(submit_urgent(bench, 'first', 2)) is expected
--- a/tests/dispatch/test_shares.py
+++ b/tests/dispatch/test_shares.py
@@ -7,19 +7,21 @@
 from hibiscusslip.dispatch import entitlement
 from hibiscusslip.dispatch import holdings
 from hibiscusslip.dispatch import model
+from hibiscusslip.dispatch import policy as policies
 from hibiscusslip.dispatch import records
 from tests.dispatch import support
 
 LOW = support.queue('low', priority=2, target_latency=60.0)
 LONG_ADVICE = model.Advice(decision=0.6, per_endpoint=0.01, valid=2.0)
 SMALL = support.queue('small', target_latency=60.0)
+PREEMPTING = policies.Policy(urgent_preemption=True)
 
 
 class Bench(support.Bench):
     """A bench with organisations `a` and `b`, or as many as are given."""
 
     def __init__(self, weights=None, queues=(SMALL, LOW)):
-        super().__init__(*queues)
+        super().__init__(*queues, policy=PREEMPTING)
         if weights is None:
             weights = {'a': 1.0, 'b': 1.0}
         organisations = {
--- a/tests/host/test_options.py
+++ b/tests/host/test_options.py
@@ -25,11 +25,14 @@
 
 
 def test_organisations_have_run_times_and_speeds_learned():
-    expected = policy.Policy(learned_run_times=True, endpoint_speeds=True)
+    expected = policy.Policy(
+        learned_run_times=True, endpoint_speeds=True, urgent_preemption=True
+    )
     assert policy_under(WITH) == expected
     off = {
         options.RUN_TIMES_VARIABLE: 'declared',
         options.SPEEDS_VARIABLE: 'off',
+        options.PREEMPTION_VARIABLE: 'off',
     }
     assert policy_under(WITH, **off) == policy.Policy()
 
@@ -45,6 +48,10 @@
     )
     copies = {options.COPIES_VARIABLE: 'on'}
     assert policy_under(WITHOUT, **copies) == policy.Policy(copies=True)
+    preemption = {options.PREEMPTION_VARIABLE: 'on'}
+    assert policy_under(WITHOUT, **preemption) == policy.Policy(
+        urgent_preemption=True
+    )
 
 
 def test_unknown_value_is_an_error_that_names_the_known_ones():
