--- a/hibiscusslip/dispatch/admission.py
+++ b/hibiscusslip/dispatch/admission.py
@@ -81,7 +81,8 @@
     `ranked` are the waiting steps, `capacities` the cores and accelerators of
     each service. `arrivals` is the work that arrives per second, by queue and
     whether it is beyond an entitlement. `find_releases` returns what running
-    tasks of a service hold and when they release it, the soonest first.
+    tasks of a service hold and when they release it, the soonest first; they
+    count only beside waiting ones. A wait is 0 unless work is ahead.
     """
     queues = list(queues)
     backlogs: dict[str, _Backlog] = {}
@@ -142,6 +143,7 @@
 ) -> float:
     """Return for how long work ahead takes up the capacity, in seconds.
 
+    It is 0 unless work is ahead: `held` counts only beside waiting tasks.
     `overtaking` is the work per second that arrives later and goes first.
     Accelerators count only for queues whose `own` jobs use them.
     """
