--- a/hibiscusslip/dispatch/candidate_pool.py
+++ b/hibiscusslip/dispatch/candidate_pool.py
@@ -11,7 +11,7 @@
 
 # Speeds that differ by less than 19% count as equal.
 SPEED_BANDS_PER_OCTAVE = 4
-MAX_RATINGS = 16  # of a pool; up to 240 KB each at 2,500 endpoints
+MAX_RATINGS = 16  # Of a pool; the least recently used one is dropped.
 
 
 class RemainingCapacity:
--- a/hibiscusslip/dispatch/occupancy.py
+++ b/hibiscusslip/dispatch/occupancy.py
@@ -15,8 +15,7 @@
 from hibiscusslip.dispatch import task_runs
 
 PERIOD_S = 0.5  # to which ends are rounded up, so that few have to be added
-# Of a larger pool a part is looked at: all 10,000 runs of 2,500 endpoints take
-# 133 ms each time, those of 100 endpoints 6 ms (`bench.learning`).
+# Bounds the cost of a forecast, which the owner computes between two passes.
 MAX_SAMPLED_ENDPOINTS = 100
 MILLICORES = 1000
 
