--- a/hibiscusslip/dispatch/_learned_planning.py
+++ b/hibiscusslip/dispatch/_learned_planning.py
@@ -14,7 +14,7 @@
 
 MS_PER_S = 1000
 # A new owner has thousands of steps to log, which mustn't delay its passes.
-MAX_ANNOUNCED = 200
+MAX_LOGGED_STEPS = 200
 
 
 def update_learned(current: _scheduling_pass.Pass) -> None:
@@ -29,7 +29,7 @@
             after=round(shift.after, 2),
             runs=shift.runs,
         )
-    _announce_steps(engine)
+    _log_expected(engine)
     if not engine.policy.endpoint_speeds:
         return
     for pool in current.candidates.values():
@@ -40,11 +40,11 @@
     current.largest = preferences.largest_demands(engine.active_steps.values())
 
 
-def _announce_steps(engine: 'engines.Engine') -> None:
+def _log_expected(engine: 'engines.Engine') -> None:
     """Log the expected run times of new steps that wait."""
-    unannounced = engine.estimates.unannounced
-    steps = unannounced[:MAX_ANNOUNCED]
-    del unannounced[:MAX_ANNOUNCED]
+    unlogged_steps = engine.estimates.unlogged_steps
+    steps = unlogged_steps[:MAX_LOGGED_STEPS]
+    del unlogged_steps[:MAX_LOGGED_STEPS]
     for step in steps:
         if step.job.state.final or not step.has_waiting():
             continue
--- a/hibiscusslip/dispatch/_preempting.py
+++ b/hibiscusslip/dispatch/_preempting.py
@@ -73,7 +73,7 @@
             endpoint=task.endpoint,
             missing_cpu=missing,
             urgent_waiting_cpu=shortage.waiting,
-            **_outlook_fields(run.outlook),
+            **_stop_estimate_fields(run.stop_estimate),
         )
         engine.stop(task, 'makes way for urgent work', now)
 
@@ -89,15 +89,19 @@
     remaining = engine.estimates.critical_path(step.job, step.number)
     slack = objective.on_time_until - now - remaining
     endpoint = engine.endpoints[task.endpoint]
-    outlook = preemption.foresee(engine.estimates, endpoint, allocation, now)
-    return preemption.Run(allocation, slack, queue.priority, outlook)
+    stop_estimate = preemption.estimate_stop(
+        engine.estimates, endpoint, allocation, now
+    )
+    return preemption.Run(allocation, slack, queue.priority, stop_estimate)
 
 
-def _outlook_fields(outlook: preemption.Outlook) -> dict[str, int]:
-    """Return what is logged of a run's outlook, if run times are learned."""
-    if outlook is preemption.UNKNOWN:
+def _stop_estimate_fields(
+    stop_estimate: preemption.StopEstimate,
+) -> dict[str, int]:
+    """Return what is logged of an estimate, if run times are learned."""
+    if stop_estimate is preemption.UNKNOWN:
         return {}
     return {
-        'ends_in_ms': int(outlook.ends_in * MS_PER_S),
-        'loss_ms': int(outlook.loss * MS_PER_S),
+        'ends_in_ms': int(stop_estimate.ends_in * MS_PER_S),
+        'loss_ms': int(stop_estimate.loss * MS_PER_S),
     }
--- a/hibiscusslip/dispatch/_reservations.py
+++ b/hibiscusslip/dispatch/_reservations.py
@@ -184,11 +184,11 @@
         demand = demand + step.spec.allocated_demand
     free = endpoint.free_capacity()
     victims = []
-    for allocation, outlook in _victims(engine, step, endpoint, now):
+    for allocation, stop_estimate in _victims(engine, step, endpoint, now):
         if demand.fits(free):
             break
         free = free + allocation.demand
-        if not outlook.is_ending:
+        if not stop_estimate.is_ending:
             victims.append(allocation)
     if not demand.fits(free):
         return option.free_at
@@ -204,7 +204,7 @@
     step: state.StepState,
     endpoint: state.Endpoint,
     now: float,
-) -> list[tuple[state.Allocation, preemption.Outlook]]:
+) -> list[tuple[state.Allocation, preemption.StopEstimate]]:
     """Return the runs of less urgent queues that may be stopped.
 
     Those that are about to end come first, then those with the most
@@ -224,10 +224,10 @@
         if task.step.job.within_entitlement > step.job.within_entitlement:
             continue
         if engine.queue_of(task.step.job).priority > priority:
-            outlook = preemption.foresee(
+            stop_estimate = preemption.estimate_stop(
                 engine.estimates, endpoint, allocation, now
             )
-            victims.append((allocation, outlook))
+            victims.append((allocation, stop_estimate))
     victims.sort(
         key=lambda victim: (
             not victim[1].is_ending,
--- a/hibiscusslip/dispatch/engine.py
+++ b/hibiscusslip/dispatch/engine.py
@@ -145,7 +145,7 @@
         for step in _occurrences.create(job, number, now):
             self.active_steps[step.name] = step
             if self.estimates.learns:
-                self.estimates.unannounced.append(step)
+                self.estimates.unlogged_steps.append(step)
 
     def create_due_occurrences(self, now: float, wall_time: float) -> None:
         """Create the occurrences that are due."""
--- a/hibiscusslip/dispatch/estimates.py
+++ b/hibiscusslip/dispatch/estimates.py
@@ -55,7 +55,7 @@
     The ratio is that of actual to declared run times. `policy` says whether
     distributions of run times and the speeds of endpoints are used instead;
     both are learned if one of them is used, in `run_times` and `speeds`.
-    `run_time_ratios` measures how accurate the estimates are. `unannounced`
+    `run_time_ratios` measures how accurate the estimates are. `unlogged_steps`
     are new steps whose expected run time hasn't been logged.
     """
 
@@ -67,7 +67,7 @@
         self._ratios: dict[str, float] = {}
         self._expected: dict[tuple[str, str, str, float], Expectation] = {}
         self._paths: dict[str, list[float]] = {}
-        self.unannounced: list[state.StepState] = []
+        self.unlogged_steps: list[state.StepState] = []
         self.parallelism = parallelism.Parallelism()
         self._version = (0, 0)
 
--- a/hibiscusslip/dispatch/preemption.py
+++ b/hibiscusslip/dispatch/preemption.py
@@ -41,8 +41,8 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Outlook:
-    """When a run ends unless it is stopped, and what a stop loses.
+class StopEstimate:
+    """Tell when a run ends unless it is stopped, and what a stop loses.
 
     Both are in seconds: `ends_in` from now, and `loss` of the run's time,
     which are the work since the last checkpoint and the time to restore it.
@@ -62,7 +62,7 @@
         return self.loss / max(self.ends_in - STOP_S, STOP_S)
 
 
-UNKNOWN = Outlook()
+UNKNOWN = StopEstimate()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -75,7 +75,7 @@
     allocation: state.Allocation
     slack: float
     priority: int
-    outlook: Outlook = UNKNOWN
+    stop_estimate: StopEstimate = UNKNOWN
 
 
 def missing_cpu(
@@ -107,13 +107,13 @@
     )
 
 
-def foresee(
+def estimate_stop(
     estimator: estimates.Estimates,
     endpoint: state.Endpoint,
     allocation: state.Allocation,
     now: float,
-) -> Outlook:
-    """Return the outlook of a run; UNKNOWN unless run times are learned."""
+) -> StopEstimate:
+    """Estimate the stop of a run; UNKNOWN unless run times are learned."""
     task = allocation.task
     if task is None or not estimator.policy.learned_run_times:
         return UNKNOWN
@@ -123,7 +123,7 @@
     ends_in = end - now
     if not estimator.knows(task.step):
         ends_in = max(ends_in, 2 * STOP_S)
-    return Outlook(ends_in, now - saved_at + RESTORE_S)
+    return StopEstimate(ends_in, now - saved_at + RESTORE_S)
 
 
 def choose(
@@ -139,10 +139,14 @@
         if run.priority > shortage.priority and run.slack >= MIN_SLACK_S
     ]
     missing -= sum(
-        run.allocation.demand.cpu for run in patient if run.outlook.is_ending
+        run.allocation.demand.cpu
+        for run in patient
+        if run.stop_estimate.is_ending
+    )
+    patient = [run for run in patient if not run.stop_estimate.is_ending]
+    patient.sort(
+        key=lambda run: (-run.priority, run.stop_estimate.cost, -run.slack)
     )
-    patient = [run for run in patient if not run.outlook.is_ending]
-    patient.sort(key=lambda run: (-run.priority, run.outlook.cost, -run.slack))
     chosen = []
     for run in patient:
         if missing <= 0:
--- a/tests/dispatch/test_learned_preemption.py
+++ b/tests/dispatch/test_learned_preemption.py
@@ -73,7 +73,7 @@
     with pytest.MonkeyPatch.context() as patch:
         if not chooses:
             unknown = preemption.UNKNOWN
-            patch.setattr(preemption, 'foresee', lambda *args: unknown)
+            patch.setattr(preemption, 'estimate_stop', lambda *args: unknown)
         for seed in test_preemption.SEEDS:
             run = Replay(interval, seed, test_replay.LOAD, BURST, LEARNED)
             reports.append((run.run(12.0), None))
