--- a/hibiscusslip/dispatch/admission.py
+++ b/hibiscusslip/dispatch/admission.py
@@ -30,7 +30,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Prediction:
-    """How long a new job of a queue would wait to start, in seconds."""
+    """Tell how long a new job of a queue would wait to start, in seconds."""
 
     within: float = 0.0
     beyond: float = 0.0
--- a/hibiscusslip/dispatch/advice_planning.py
+++ b/hibiscusslip/dispatch/advice_planning.py
@@ -76,7 +76,7 @@
         step,
         candidates,
         _eligible_share(engine, step).share,
-        advice_sizing.min_count(advice.decision, advice.per_endpoint),
+        advice_sizing.min_endpoints(advice.decision, advice.per_endpoint),
         copied_from,
         preference,
     )
--- a/hibiscusslip/dispatch/advice_sizing.py
+++ b/hibiscusslip/dispatch/advice_sizing.py
@@ -20,7 +20,7 @@
 from hibiscusslip.dispatch import state
 
 MAX_ENDPOINTS_PER_CALL = 100
-CROWDING = 2.0  # capacity wanted per task, as others are placed meanwhile
+CAPACITY_PER_TASK = 2.0  # wanted, as others are placed meanwhile
 DEVIATIONS = 1.3  # below the mean, where one time in ten is
 FIXED_COST_SHARE = 0.25  # of a call's fixed part, for which more are named
 INITIAL_SHARE = 0.5
@@ -90,25 +90,25 @@
     prospects = prospect_lists.Prospects(
         step, candidates, share, excluded, preference
     )
-    tasks = CROWDING * max(len(step.waiting()), 1)  # or a copy
+    tasks = CAPACITY_PER_TASK * max(len(step.waiting()), 1)  # or a copy
     if step.spec.same_rack or step.spec.long_running:
         tasks = math.inf
     chosen = _choose_in_one_zone(step, prospects, tasks)
     if chosen is None:
-        first = itertools.islice(prospects.best(), MAX_ENDPOINTS_PER_CALL)
+        first = itertools.islice(prospects.in_order(), MAX_ENDPOINTS_PER_CALL)
         chosen, _ = _choose_first(first, tasks)
     chosen = chosen[:MAX_ENDPOINTS_PER_CALL]
     if len(chosen) < min_count:
-        best = prospects.best
+        in_order = prospects.in_order
         if step.eligible:
-            best = prospects.best_eligible
+            in_order = prospects.eligible_in_order
         known = set(chosen)
-        others = (item for item in best() if item not in known)
+        others = (item for item in in_order() if item not in known)
         chosen += itertools.islice(others, min_count - len(chosen))
     return tuple(prospects.name_of(prospect) for prospect in chosen)
 
 
-def min_count(fixed_s: float, per_endpoint_s: float) -> int:
+def min_endpoints(fixed_s: float, per_endpoint_s: float) -> int:
     """Return how many endpoints to name at least.
 
     They cost little beside the fixed part of a call, and placement is better
@@ -160,7 +160,9 @@
         if prospects.may_suffice(zone, tasks)
     }
     for name in placement.order_zones(step.job, zones):
-        chosen, suffices = _choose_first(prospects.best_of(zones[name]), tasks)
+        chosen, suffices = _choose_first(
+            prospects.in_order_of(zones[name]), tasks
+        )
         if suffices:
             return chosen
     return None
--- a/hibiscusslip/dispatch/candidate_pool.py
+++ b/hibiscusslip/dispatch/candidate_pool.py
@@ -1,4 +1,4 @@
-"""The endpoints that may get work during a scheduling pass."""
+"""List the endpoints that may get work during a scheduling pass."""
 
 import collections.abc
 import math
@@ -110,7 +110,7 @@
 
 
 class Candidates:
-    """The usable endpoints of a service during one scheduling pass.
+    """List the usable endpoints of a service during one scheduling pass.
 
     They are kept between passes. `max_endpoint_cpu` is the CPU of the largest
     endpoint of the pool, usable or not, allocated or not. With `has_trials` a
--- a/hibiscusslip/dispatch/forecast.py
+++ b/hibiscusslip/dispatch/forecast.py
@@ -14,7 +14,7 @@
 
 
 class Forecast:
-    """What new jobs have to expect.
+    """Predict what new jobs have to expect.
 
     `predictions` are by queue. `beyond_percents` are the organisations that
     send beyond their entitlement, with the part of their jobs that is.
--- a/hibiscusslip/dispatch/occupancy.py
+++ b/hibiscusslip/dispatch/occupancy.py
@@ -22,10 +22,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Release:
-    """Capacity that runs hold for so many seconds, infinite for services.
+    """Describe capacity that runs hold until they end.
 
-    They belong to queues of this `priority`. `resumable` ones may be stopped
-    for more urgent work, so there are none without urgent preemption.
+    They end `after` so many seconds, infinite for services, and belong to
+    queues of this `priority`. `resumable` ones may be stopped for more urgent
+    work, so there are none without urgent preemption.
     """
 
     after: float
--- a/hibiscusslip/dispatch/prospects.py
+++ b/hibiscusslip/dispatch/prospects.py
@@ -36,7 +36,7 @@
 
 
 class Group(typing.NamedTuple):
-    """Endpoints with the same capacity, in tasks, by their place."""
+    """Group endpoints of one capacity, in tasks, by their place."""
 
     far: bool
     zone: str
@@ -48,8 +48,8 @@
     """The prospects of a step, the best first.
 
     Those that the advice service wasn't asked about have the same chance, so
-    they come in groups of equal capacity. Only the few `known` to be eligible
-    are rated one by one.
+    they come in groups of equal capacity. Only the few that are known to be
+    eligible are rated one by one.
     """
 
     def __init__(
@@ -72,17 +72,17 @@
             for fit, numbers in self._rating.groups.items()
             for group in self._split_by_rack(fit, numbers)
         ]
-        self._known = sorted(self._rate_known())
+        self._eligible = sorted(self._rate_eligible())
 
-    def best(self) -> collections.abc.Iterator[Prospect]:
+    def in_order(self) -> collections.abc.Iterator[Prospect]:
         """Yield all prospects."""
-        return heapq.merge(self._unasked(self._groups), self._known)
+        return heapq.merge(self._unasked(self._groups), self._eligible)
 
-    def best_eligible(self) -> collections.abc.Iterator[Prospect]:
+    def eligible_in_order(self) -> collections.abc.Iterator[Prospect]:
         """Yield the prospects that are certainly eligible."""
         if self._share == ELIGIBLE:
-            return self.best()
-        return iter(self._known)
+            return self.in_order()
+        return iter(self._eligible)
 
     def by_zone(self) -> dict[str, 'ZoneProspects']:
         """Return the prospects of each zone that aren't far."""
@@ -91,26 +91,26 @@
             if not group.far:
                 zone = zones.setdefault(group.zone, ZoneProspects([], []))
                 zone.groups.append(group)
-        for prospect in self._known:
+        for prospect in self._eligible:
             if not prospect.far:
-                zones[self._zone_of(prospect)].known.append(prospect)
+                zones[self._zone_of(prospect)].eligible.append(prospect)
         return zones
 
-    def best_of(
+    def in_order_of(
         self, zone: 'ZoneProspects'
     ) -> collections.abc.Iterator[Prospect]:
         """Yield the prospects of one zone."""
-        return heapq.merge(self._unasked(zone.groups), zone.known)
+        return heapq.merge(self._unasked(zone.groups), zone.eligible)
 
     def may_suffice(self, zone: 'ZoneProspects', tasks: float) -> bool:
-        """Return False if a zone's mean capacity is below `tasks`.
+        """Return False if the zone's expected capacity is below `tasks`.
 
         A cheap check, which counts endpoints that were asked about as well.
         """
         mean = sum(
             self._share * group.tasks * len(group.numbers)
             for group in zone.groups
-        ) + sum(prospect.tasks for prospect in zone.known)
+        ) + sum(prospect.tasks for prospect in zone.eligible)
         return mean * (1.0 + ROUNDING) >= tasks
 
     def name_of(self, prospect: Prospect) -> str:
@@ -147,7 +147,7 @@
         total = min(fit.total, self._spread)
         return free + FULL_WEIGHT * (total - free)
 
-    def _rate_known(self) -> collections.abc.Iterator[Prospect]:
+    def _rate_eligible(self) -> collections.abc.Iterator[Prospect]:
         for name in self._step.eligible:
             number = self._candidates.number_of(name)
             if number is None or name == self._excluded:
@@ -228,7 +228,7 @@
     """The prospects of one zone."""
 
     groups: list[Group]
-    known: list[Prospect]
+    eligible: list[Prospect]
 
 
 def _numbered(group: Group) -> collections.abc.Iterator[tuple[int, float]]:
