--- a/hibiscusslip/dispatch/_planning.py
+++ b/hibiscusslip/dispatch/_planning.py
@@ -22,6 +22,25 @@
 
 def plan(engine: 'engines.Engine', now: float) -> None:
     """Start the tasks that fit, in order of their steps' ranks."""
+    current = _begin_pass(engine, now)
+    if engine.estimates.learns:
+        _learned_planning.update_learned(current)
+    ranked = _rank_steps(engine, now)
+    engine.limiter.begin_pass(engine.config, (step for _, step in ranked))
+    for rank, step in ranked:
+        if step.job.service in current.services:
+            _plan_ranked(current, step, rank)
+    if engine.policy.urgent_preemption:
+        current.preempting.preempt(
+            engine, current.services, current.candidates, now
+        )
+    if engine.policy.copies:
+        _copy_starts.plan_copies(current)
+    _learned_planning.update_forecast(engine, ranked, current.services, now)
+
+
+def _begin_pass(engine: 'engines.Engine', now: float) -> _scheduling_pass.Pass:
+    """Update the candidates of all services and what may be used of them."""
     services = engine.pools()
     suspicions = _suspicion.Suspicions(engine.endpoints.values(), now)
     candidates = {
@@ -36,33 +55,31 @@
     for service in services:
         entries = (c.entry for c in candidates[service].all)
         engine.shares.update(engine.config, service, entries, now)
-    if engine.estimates.learns:
-        _learned_planning.update_learned(current)
-    ranked = _rank_steps(engine, now)
-    engine.limiter.begin_pass(engine.config, (step for _, step in ranked))
-    for rank, step in ranked:
-        if step.job.service not in services:
-            continue
-        if rank.beyond and _scheduling_pass.lacks_spare(current, step):
-            _log_yielding(current, step, rank)
-            continue  # tickets would expire before there is capacity
-        if step.ready:
-            _plan_step(current, step, rank)
-        if engine.queue_of(step.job).advice is None:
-            continue
-        if engine.limiter.may_request_advice(step):
-            advice_planning.request_advice_if_needed(
-                engine,
-                step,
-                candidates[step.job.service],
-                now,
-                preference=_learned_planning.prefer(current, step, rank),
-            )
-    if engine.policy.urgent_preemption:
-        current.preempting.preempt(engine, services, candidates, now)
-    if engine.policy.copies:
-        _copy_starts.plan_copies(current)
-    _learned_planning.update_forecast(engine, ranked, services, now)
+    return current
+
+
+def _plan_ranked(
+    current: _scheduling_pass.Pass,
+    step: state.StepState,
+    rank: ordering.Rank,
+) -> None:
+    """Start tasks of a step if it is ready, and request advice for it."""
+    engine = current.engine
+    if rank.beyond and _scheduling_pass.lacks_spare(current, step):
+        _log_yielding(current, step, rank)
+        return  # tickets would expire before there is capacity
+    if step.ready:
+        _plan_step(current, step, rank)
+    if engine.queue_of(step.job).advice is None:
+        return
+    if engine.limiter.may_request_advice(step):
+        advice_planning.request_advice_if_needed(
+            engine,
+            step,
+            current.candidates[step.job.service],
+            current.now,
+            preference=_learned_planning.prefer(current, step, rank),
+        )
 
 
 def _is_urgent(current: _scheduling_pass.Pass, step: state.StepState) -> bool:
--- a/hibiscusslip/dispatch/advice_planning.py
+++ b/hibiscusslip/dispatch/advice_planning.py
@@ -14,6 +14,7 @@
 from hibiscusslip.dispatch import advice_sizing
 from hibiscusslip.dispatch import candidate_pool
 from hibiscusslip.dispatch import commands
+from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import preferences
 from hibiscusslip.dispatch import state
 
@@ -52,25 +53,9 @@
     capacity, the call names those of the preferred speed.
     """
     advice = engine.queue_of(step.job).advice
-    if advice is None or step.advice_pending or now < step.next_advice_at:
+    if advice is None or not _may_request(engine, step, now, copied_from):
         return
-    if not (step.has_waiting() or copied_from):
-        return
-    if _awaits_lost_member(engine, step):
-        return
-    max_endpoints = min(
-        candidates.count_others(copied_from),
-        advice_sizing.MAX_ENDPOINTS_PER_CALL,
-    )
-    longest = advice.cost(max_endpoints)
-    if not _is_ready_by_reply(engine, step, longest, now):
-        return
-    renewal = advice.cost(min(len(step.eligible), max_endpoints))
-    if not _has_call_capacity(engine, step, advice.cost(1), now):
-        if step.tickets is None and step.job.within_entitlement:
-            _defer_others(engine, step, now)
-        return
-    if not _needs_tickets(step, candidates, renewal, now, copied_from):
+    if not _is_call_due(engine, advice, step, candidates, now, copied_from):
         return
     names = advice_sizing.select(
         step,
@@ -90,6 +75,47 @@
     _request(engine, step, names, cost)
 
 
+def _may_request(
+    engine: 'engines.Engine',
+    step: state.StepState,
+    now: float,
+    copied_from: str,
+) -> bool:
+    """Return True if a start could follow and no call is pending."""
+    if step.advice_pending or now < step.next_advice_at:
+        return False
+    if not (step.has_waiting() or copied_from):
+        return False
+    return not _awaits_lost_member(engine, step)
+
+
+def _is_call_due(
+    engine: 'engines.Engine',
+    advice: model.Advice,
+    step: state.StepState,
+    candidates: candidate_pool.Candidates,
+    now: float,
+    copied_from: str,
+) -> bool:
+    """Return True if a step needs tickets and the shortest call is possible.
+
+    If it isn't possible, the first call of a step has others deferred.
+    """
+    max_endpoints = min(
+        candidates.count_others(copied_from),
+        advice_sizing.MAX_ENDPOINTS_PER_CALL,
+    )
+    longest = advice.cost(max_endpoints)
+    if not _is_ready_by_reply(engine, step, longest, now):
+        return False
+    if not _has_call_capacity(engine, step, advice.cost(1), now):
+        if step.tickets is None and step.job.within_entitlement:
+            _defer_others(engine, step, now)
+        return False
+    renewal = advice.cost(min(len(step.eligible), max_endpoints))
+    return _needs_tickets(step, candidates, renewal, now, copied_from)
+
+
 def _request(
     engine: 'engines.Engine',
     step: state.StepState,
