--- a/hibiscusslip/dispatch/candidate_pool.py
+++ b/hibiscusslip/dispatch/candidate_pool.py
@@ -1,4 +1,4 @@
-"""The endpoints that may get work during a scheduling pass."""
+"""List the endpoints that may get work during a scheduling pass."""
 
 import collections.abc
 import math
@@ -11,7 +11,7 @@
 
 # Speeds that differ by less than 19% count as equal.
 SPEED_BANDS_PER_OCTAVE = 4
-MAX_RATINGS = 16  # of a pool; up to 240 KB each at 2,500 endpoints
+MAX_RATINGS = 16  # Of a pool; the least recently used one is dropped.
 
 
 class RemainingCapacity:
@@ -110,7 +110,7 @@
 
 
 class Candidates:
-    """The usable endpoints of a service during one scheduling pass.
+    """List the usable endpoints of a service during one scheduling pass.
 
     They are kept between passes. `max_endpoint_cpu` is the CPU of the largest
     endpoint of the pool, usable or not, allocated or not. With `has_trials` a
--- a/hibiscusslip/dispatch/engine.py
+++ b/hibiscusslip/dispatch/engine.py
@@ -98,6 +98,8 @@
         self, config: model.Configuration | None, policy: policies.Policy
     ) -> None:
         """Use a version of the configuration and a policy from now on."""
+        if policy.endpoint_speeds is not self.policy.endpoint_speeds:
+            self.candidates = {}  # they keep the speeds that were set
         self.config = config
         self.policy = policy
         self.estimates.policy = policy
@@ -143,7 +145,7 @@
         for step in _occurrences.create(job, number, now):
             self.active_steps[step.name] = step
             if self.estimates.learns:
-                self.estimates.unannounced.append(step)
+                self.estimates.unlogged_steps.append(step)
 
     def create_due_occurrences(self, now: float, wall_time: float) -> None:
         """Create the occurrences that are due."""
--- a/tests/dispatch/test_learned_preemption.py
+++ b/tests/dispatch/test_learned_preemption.py
@@ -22,9 +22,7 @@
 BURST = (dispatch_loads.Burst('timetable', 1.9, 8.0, 11.0),)
 RESTORE_S = 0.6
 POLL_STEPS = 6
-LEARNED = policies.Policy(
-    learned_run_times=True, urgent_preemption=policies.Scope.ON
-)
+LEARNED = policies.Policy(learned_run_times=True, urgent_preemption=True)
 
 
 class Replay(dispatching.Replay):
@@ -75,7 +73,7 @@
     with pytest.MonkeyPatch.context() as patch:
         if not chooses:
             unknown = preemption.UNKNOWN
-            patch.setattr(preemption, 'foresee', lambda *args: unknown)
+            patch.setattr(preemption, 'estimate_stop', lambda *args: unknown)
         for seed in test_preemption.SEEDS:
             run = Replay(interval, seed, test_replay.LOAD, BURST, LEARNED)
             reports.append((run.run(12.0), None))
