node: wait for a successor of the shards when a host stops

Cause: Node.drain gave up as soon as no other host of the zone was alive. The test stops a-host1 about 0.1 s after the restarted a-host0 listens, so its first heartbeat may not have arrived. The host then dropped all shards at once, without a transfer. The next owner has to wait for the end of the former process (its restart, or the lease) and for the settle time. On a busy machine that takes longer than the 5 s for which the accepting host retries. A late heartbeat of the successor during the drain (longer than suspect_after) had the same effect.

Change: SuccessorWait keeps the drain waiting while a listed host of the zone doesn't respond, until half of the grace has passed since a host that accepts shards was last seen. Meanwhile this host serves on. Without such a host, or if all others are draining or leaving, it stops at once as before. A dead host that stays listed now delays a stop by up to half of drain_grace.

--- a/hibiscusslip/node/node.py
+++ b/hibiscusslip/node/node.py
@@ -18,6 +18,7 @@
 from hibiscusslip.node import clock
 from hibiscusslip.node import config
 from hibiscusslip.node import config_feed
+from hibiscusslip.node import draining
 from hibiscusslip.node import fleet
 from hibiscusslip.node import history
 from hibiscusslip.node import home
@@ -254,24 +255,28 @@
     async def drain(self, grace: float) -> bool:
         """Transfer all shards; return False if some are left after `grace` s.
 
-        Does not wait if no other host of the zone can own shards.
+        Returns earlier if no other host of the zone can own shards; see
+        draining.SuccessorWait.
         """
-        self.ownership.drain(clock.now())
-        deadline = clock.now() + grace
+        started_at = clock.now()
+        self.ownership.drain(started_at)
+        successor_wait = draining.SuccessorWait(grace, started_at)
         while self.fleet.runners or self.fleet.pending:
-            if clock.now() >= deadline or not self._has_successor():
+            now = clock.now()
+            if now >= started_at + grace:
+                return False
+            if not successor_wait.expects_successor(self._zone_peers(), now):
+                logger.warning('no host of the zone can take the shards over')
                 return False
             await curio.sleep(DRAIN_POLL_SECONDS)
         return True
 
-    def _has_successor(self) -> bool:
-        """Return whether another host of the zone can own shards."""
-        return any(
-            member.zone == self.cfg.zone
-            and member.alive
-            and not member.draining
-            for member in self.membership.get_peers()
-        )
+    def _zone_peers(self) -> list[members_.Member]:
+        """Return the other hosts of this host's zone."""
+        zone = self.cfg.zone
+        return [
+            peer for peer in self.membership.get_peers() if peer.zone == zone
+        ]
 
     async def drain_endpoint(self, endpoint: str) -> None:
         """Drain an endpoint, under this and all later owners of its shard.
