node: send a request elsewhere if its home stopped before sending it

Callers saw the outcome unknown for a request that was still queued when its shard was dropped without a transfer.

Cause: Home.submit raised OwnerChanged for every job of a stopped runner. The acceptor then asked for the same job until it gave up, although only the stopped host had ever known it.

Change: Home raises NotOwner if nothing of the job was sent to an endpoint or recorded (model.is_unsent) and no transfer has sent the shard's state to another host (state_sent). A request without a key then goes to another home, one with a key is submitted again and is not_run if there is no owner. After a transfer has begun the answer stays OwnerChanged, as the successor may know the job.

--- a/hibiscusslip/jobs/model.py
+++ b/hibiscusslip/jobs/model.py
@@ -120,6 +120,27 @@
     return Job(spec, now, tasks)
 
 
+def is_unsent(job: Job) -> bool:
+    """Return whether nothing of a job was sent to an endpoint or recorded.
+
+    Only the memory of this host then has the job, unless its shard's state
+    was sent to another host.
+    """
+    known_elsewhere = (
+        job.spec.durable
+        or job.recorded
+        or job.partial
+        or job.guest_of is not None
+        or job.intents
+        or job.places
+    )
+    waiting = (Phase.QUEUED, Phase.INTENT)
+    return not known_elsewhere and all(
+        task.phase in waiting and task.attempt == 0
+        for task in job.tasks.values()
+    )
+
+
 def fingerprint(spec: work.JobSpec) -> str:
     """Return a digest of the requested work, independent of the job id."""
     digest = hashlib.blake2b(digest_size=12)
--- a/hibiscusslip/node/home.py
+++ b/hibiscusslip/node/home.py
@@ -2,6 +2,7 @@
 
 from hibiscusslip.jobs import exceptions
 from hibiscusslip.jobs import index as jobs_index
+from hibiscusslip.jobs import model
 from hibiscusslip.jobs import view
 from hibiscusslip.model import places
 from hibiscusslip.model import work
@@ -103,6 +104,8 @@
         try:
             return await self._view(runner, spec.job_id, wait)
         except (NotOwner, UnknownJob) as exc:
+            if _was_dropped_unsent(runner, spec.job_id):
+                raise NotOwner(shard) from exc
             raise OwnerChanged(spec.job_id) from exc
 
     def _restore_from_index(
@@ -156,3 +159,14 @@
         if job is None:
             raise UnknownJob(job_id)
         return view.view_of(job, runner.is_reportable(job))
+
+
+def _was_dropped_unsent(runner: shard_runner.ShardRunner, job_id: str) -> bool:
+    """Return whether a job ended with its runner before any of it was sent.
+
+    No other host knows such a job, so that another home may accept it.
+    """
+    job = runner.engine.jobs.get(job_id)
+    if job is None or not runner.stopped or runner.state_sent:
+        return False
+    return model.is_unsent(job)
--- a/hibiscusslip/node/shard_runner.py
+++ b/hibiscusslip/node/shard_runner.py
@@ -73,7 +73,8 @@
     """Run one shard while this host holds its lease.
 
     `frozen` is true during a transfer of the shard; its loop then decides
-    nothing. `stopped` is true once the runner has stopped for good.
+    nothing. `state_sent` is true once its state may be on another host.
+    `stopped` is true once the runner has stopped for good.
     """
 
     def __init__(
@@ -98,6 +99,7 @@
         self._wake = curio.Event()
         self.stopped = False
         self.frozen = False
+        self.state_sent = False
 
     def may_act(self, now: float) -> bool:
         """Return whether this host may act for the shard at `now`."""
--- a/hibiscusslip/node/shard_transfer.py
+++ b/hibiscusslip/node/shard_transfer.py
@@ -88,6 +88,7 @@
         self, runner: shard_runner.ShardRunner, plan: actions.TransferPlan
     ) -> bool:
         """Send all jobs of a shard in parts; each must be confirmed."""
+        runner.state_sent = True
         jobs = [handover.pack(job) for job in runner.engine.jobs.values()]
         groups = snapshots.group_by_size(jobs, MAX_PART_BYTES)
         parts = [codec.encode_list(group) for group in groups]
