node: retry a job that may have run for as long as its caller waits

Callers saw two wrong answers. A request with wait=10 got a 504 with the outcome unknown 5 to 6 s after its home was lost, while the next owner took over (a failover takes lease + settle, 7 s with the defaults).

Cause: CallerService waits in intervals of at most 5 s, each of them one call of Acceptor.submit. That call derived its retries from the interval instead of the caller's wait, and forgot that an earlier interval had seen the job accepted.

Change: the service passes the remaining wait as `retry_for`, which counts only for a job that may have run, and `was_accepted`. A request without any effect is answered as early as before. The time until this host closes still bounds both.

--- a/hibiscusslip/node/acceptor.py
+++ b/hibiscusslip/node/acceptor.py
@@ -65,21 +65,30 @@
         self._rng = rng
         self.retries = 0
 
-    async def submit(self, spec: work.JobSpec, wait: float) -> view.JobView:
+    async def submit(
+        self,
+        spec: work.JobSpec,
+        wait: float,
+        retry_for: float = 0.0,
+        was_accepted: bool = False,
+    ) -> view.JobView:
         """Submit a job and wait up to `wait` seconds for its final outcome.
 
         `spec.job_id` is empty for a request without a key; such a job gets
         another home when one refuses it or can't be reached. Failed attempts
-        are retried for RETRY_WINDOW_SECONDS, or for `wait` if that is longer.
+        are retried for RETRY_WINDOW_SECONDS, or for `wait` if that is longer;
+        those of a job that may have run for `retry_for` if that is longer
+        still. `was_accepted` is true if a home has accepted the job before.
         Raises RequestFailed.
         """
         refused_by: frozenset[places.Shard] = frozenset()
         unreached: frozenset[places.Shard] = frozenset()
         wait_deadline = clock.now() + wait
         retry_deadline = clock.now() + max(wait, RETRY_WINDOW_SECONDS)
+        settle_deadline = max(retry_deadline, clock.now() + retry_for)
         if spec.job_id:
             return await self._submit_until_final(
-                spec, wait, retry_deadline, True
+                spec, wait, retry_deadline, settle_deadline, True, was_accepted
             )
         while True:
             placed = await self._assign_home_until(
@@ -88,7 +97,7 @@
             remaining = max(wait_deadline - clock.now(), 0.0)
             try:
                 return await self._submit_until_final(
-                    placed, remaining, retry_deadline, False
+                    placed, remaining, retry_deadline, settle_deadline, False
                 )
             except RequestFailed as exc:
                 if exc.may_have_run or clock.now() >= retry_deadline:
@@ -147,17 +156,20 @@
         spec: work.JobSpec,
         wait: float,
         retry_deadline: float,
+        settle_deadline: float,
         keyed: bool,
+        may_have_run: bool = False,
     ) -> view.JobView:
         """Submit a job to its home, then poll it until it is final.
 
         Returns the latest view after `wait` seconds. A request with a key is
-        retried until `retry_deadline`. One without a key is retried here only
-        if it may have had an effect; otherwise another home can accept it.
+        retried until `retry_deadline`, and until `settle_deadline` if it may
+        have had an effect. One without a key is retried here only in the
+        latter case; otherwise another home can accept it.
         """
         shard = identity.home_of(spec.job_id)
         wait_deadline = clock.now() + wait
-        accepted = may_have_run = False
+        accepted = False
         pause = RETRY_PAUSE_SECONDS
         while True:
             remaining = min(
@@ -183,7 +195,8 @@
             if failure.kind == FailureKind.UNSETTLED:
                 may_have_run = True
             may_have_effect = accepted or may_have_run
-            if clock.now() >= retry_deadline or not (may_have_effect or keyed):
+            deadline = settle_deadline if may_have_effect else retry_deadline
+            if clock.now() >= deadline or not (may_have_effect or keyed):
                 raise RequestFailed(failure, may_have_effect, spec.job_id)
             self.retries += 1
             await curio.sleep(pause)
--- a/hibiscusslip/node/caller_service.py
+++ b/hibiscusslip/node/caller_service.py
@@ -79,17 +79,29 @@
         self, spec: work.JobSpec, wait: float
     ) -> service.JobState:
         deadline = clock.now() + wait
-        job_acceptor = self._node.acceptor
-        state = await _await_state(
-            job_acceptor.submit(spec, self._next_wait(deadline))
-        )
+        state = await self._submit_once(spec, deadline, False)
         while not state.outcome.final and self._next_wait(deadline) > 0:
             resubmitted = work.with_id(spec, state.job_id)
-            state = await _await_state(
-                job_acceptor.submit(resubmitted, self._next_wait(deadline))
-            )
+            state = await self._submit_once(resubmitted, deadline, True)
         return state
 
+    async def _submit_once(
+        self, spec: work.JobSpec, deadline: float, was_accepted: bool
+    ) -> service.JobState:
+        """Submit a job and wait for its final state for one interval.
+
+        A job that may have run is retried until `deadline`, as a failover
+        may take longer than one interval.
+        """
+        return await _await_state(
+            self._node.acceptor.submit(
+                spec,
+                self._next_wait(deadline),
+                self._remaining(deadline),
+                was_accepted,
+            )
+        )
+
     async def submit_all(
         self, specs: list[work.JobSpec], wait: float
     ) -> list[service.JobState]:
@@ -139,9 +151,13 @@
 
     def _next_wait(self, deadline: float) -> float:
         """Return the time to wait in the next call, in seconds."""
+        return min(self._remaining(deadline), MAX_STATUS_WAIT_SECONDS)
+
+    def _remaining(self, deadline: float) -> float:
+        """Return the seconds until a deadline, or until this host closes."""
         if self._close_deadline is not None:
             deadline = min(deadline, self._close_deadline)
-        return min(max(deadline - clock.now(), 0.0), MAX_STATUS_WAIT_SECONDS)
+        return max(deadline - clock.now(), 0.0)
 
 
 async def _await_state(
