jobs: move acceptance and endpoint contact out of the engine module

Change: _acceptance accepts or rejects requests, _contact handles reported ends, renewals and due listings of endpoints. Both are functions on ShardState like the engine's other parts; ShardEngine keeps its interface and delegates.

--- a/hibiscusslip/jobs/engine.py
+++ b/hibiscusslip/jobs/engine.py
@@ -9,8 +9,10 @@
 import itertools
 
 from hibiscusslip.endpoint import base as endpoint_base
+from hibiscusslip.jobs import _acceptance
 from hibiscusslip.jobs import _adoption
 from hibiscusslip.jobs import _completion
+from hibiscusslip.jobs import _contact
 from hibiscusslip.jobs import _lifecycle
 from hibiscusslip.jobs import _offloaded
 from hibiscusslip.jobs import _opening
@@ -19,7 +21,6 @@
 from hibiscusslip.jobs import _state
 from hibiscusslip.jobs import budget
 from hibiscusslip.jobs import commands
-from hibiscusslip.jobs import exceptions
 from hibiscusslip.jobs import model
 from hibiscusslip.model import places
 from hibiscusslip.model import work
@@ -33,9 +34,6 @@
 
 RETRY_SHARE = 0.1  # retries per first attempt
 RETRY_RESERVE = 20.0  # retries that are possible at once
-NOT_READY_RETRY_AFTER_S = 1.0
-FULL_RETRY_AFTER_S = 5.0
-LOG_DOWN_RETRY_AFTER_S = 5.0
 
 
 def record_ids(prefix: str) -> collections.abc.Iterator[str]:
@@ -133,83 +131,7 @@
         Raise jobs.exceptions.JobError if the shard rejects the request; it
         has no effect then.
         """
-        st = self._st
-        known = self._find_known(spec.job_id)
-        if known is not None and not known.partial:
-            if not model.same_request(known, spec):
-                raise exceptions.KeyReused(spec.job_id)
-            return known
-        if not st.open:
-            raise exceptions.ShardNotReady(NOT_READY_RETRY_AFTER_S)
-        if known is not None:
-            return self._complete_job(known, spec, now)
-        if len(st.jobs) >= st.cfg.max_jobs:
-            raise exceptions.TooManyJobs(FULL_RETRY_AFTER_S)
-        needs_log = spec.durable or not spec.repeatable
-        if needs_log and not st.log_up:
-            raise exceptions.LogNeeded(LOG_DOWN_RETRY_AFTER_S)
-        return self._accept(spec, now)
-
-    def _find_known(self, job_id: str) -> model.Job | None:
-        """Return a known job, None if there is none.
-
-        Drop one that was not run, so that it can be requested again, unless
-        it was cancelled or its outcome is not reported yet.
-        """
-        job = self._st.jobs.get(job_id)
-        if job is None or job.outcome != work.Outcome.NOT_RUN:
-            return job
-        if job.cancelled or job_id in self._st.delayed_reports:
-            return job
-        del self._st.jobs[job_id]
-        return None
-
-    def _accept(self, spec: work.JobSpec, now: float) -> model.Job:
-        """Queue a new job; a durable one once its record is confirmed."""
-        st = self._st
-        job = model.new_job(spec, now)
-        job.note('accepted', now)
-        if spec.durable:
-            st.jobs[spec.job_id] = job
-            self._write_acceptance(job)
-            return job
-        admission = st.scheduler.submit(spec, now)
-        if isinstance(admission, scheduler_base.Refused):
-            raise exceptions.NotAdmitted(
-                admission.reason.value,
-                admission.detail,
-                admission.retry_after,
-                str(admission.nearest or ''),
-            )
-        st.retry_budget.deposit()
-        st.jobs[spec.job_id] = job
-        return job
-
-    def _complete_job(
-        self, job: model.Job, spec: work.JobSpec, now: float
-    ) -> model.Job:
-        """Complete a partially known job with its specification.
-
-        Queue the tasks that were not found; one with a start intent may have
-        run, so that its outcome is unknown.
-        """
-        st = self._st
-        job.spec = spec
-        job.partial = False
-        missing = [i for i in range(spec.tasks) if i not in job.tasks]
-        for index in missing:
-            task = model.Task(index)
-            job.tasks[index] = task
-            if index in job.intents:
-                _opening.mark_unknown(st, job, task, now)
-            else:
-                _completion.requeue(st, job, task, 0.0, now)
-        return job
-
-    def _write_acceptance(self, job: model.Job) -> None:
-        """Write the acceptance of a job."""
-        st = self._st
-        st.write(_opening.make_acceptance_record(st, job))
+        return _acceptance.submit(self._st, spec, now)
 
     def cancel(self, job_id: str, now: float) -> model.Job | None:
         """Cancel the tasks of a job that have not ended.
@@ -282,10 +204,7 @@
 
     def handle_listing_failure(self, name: str, now: float) -> None:
         """Handle a listing that got no reply; schedule another one."""
-        view = self._st.endpoints.get(name)
-        if view is not None:
-            view.list_in_flight = False
-            view.next_list_at = now + 1.0
+        _contact.handle_listing_failure(self._st, name, now)
 
     def handle_ended_runs(
         self,
@@ -298,16 +217,7 @@
 
         `boot` is the incarnation of the endpoint; a new one lost its runs.
         """
-        view = self._st.endpoints.get(endpoint)
-        if view is None or view.contact != Contact.LISTED:
-            return
-        view.last_contact_at = now
-        if boot != view.boot:
-            view.next_list_at = now
-            _adoption.lose_contact(self._st, view, now)
-            return
-        for run in runs:
-            _completion.handle_run_ended(self._st, endpoint, run, now)
+        _contact.handle_ended_runs(self._st, endpoint, boot, runs, now)
 
     def handle_fetched_answer(
         self, task: str, attempt: int, answer: bytes | None, now: float
@@ -320,11 +230,7 @@
 
         Call it just before the request is sent: leases count from `now`.
         """
-        view = self._st.endpoints.get(endpoint)
-        if view is None or view.contact != Contact.LISTED:
-            return []
-        view.renewal_sent_at = now
-        return list(view.tasks)
+        return _contact.begin_renewal(self._st, endpoint, now)
 
     def handle_renewal(
         self, endpoint: str, missing: list[str], now: float
@@ -431,7 +337,7 @@
         """Handle elapsed timeouts, then make scheduling decisions."""
         st = self._st
         for view in list(st.endpoints.values()):
-            self._check_endpoint(view, now)
+            _contact.check_endpoint(st, view, now)
         _opening.try_open(st, now)
         _lifecycle.report_overdue_outcomes(st, now)
         _lifecycle.retry_unwritten(st)
@@ -444,25 +350,3 @@
         st = self._st
         if st.open:
             _starting.apply_decisions(st, st.scheduler.decide(now), now)
-
-    def _check_endpoint(self, view: _state.EndpointView, now: float) -> None:
-        """Detect lost contact to an endpoint; list its runs when due."""
-        st = self._st
-        unresponsive = now - view.last_contact_at > st.cfg.contact_lost_after
-        if view.contact == Contact.LISTED and unresponsive:
-            _adoption.lose_contact(st, view, now)
-        if view.contact == Contact.LOST:
-            _adoption.expire_runs(st, view, now)
-        if view.missing_check_at and now >= view.missing_check_at:
-            view.missing_check_at = 0.0
-            if view.missing & view.tasks:
-                view.next_list_at = now
-        gone = view.info.state == places.EndpointState.GONE
-        if gone and view.contact == Contact.LOST and not view.tasks:
-            del st.endpoints[view.info.name]
-            return
-        list_due = view.contact != Contact.LISTED or view.next_list_at > 0
-        if list_due and not view.list_in_flight and now >= view.next_list_at:
-            view.list_in_flight = True
-            view.next_list_at = 0.0
-            st.pending.append(commands.ListRuns(view.info.name))
