node: move shard events, periodic loops and metrics out of node.py

Change: ShardEvents applies changes of ownership to the runners, PeriodicLoops polls the host list and other shards and starts shards and sheet jobs, MetricsReport sends metrics. The statements, intervals and the order of the loops are the same. Result: no change of behaviour, except that the log line of a crashed loop names the new class (PeriodicLoops.poll_host_list instead of Node._poll_host_list). tests/node, jobs, ownership, operator, caller, observe, test_bench_capacity.py and test_lean.py pass unchanged.

--- a/hibiscusslip/bench/capacity/host_model.py
+++ b/hibiscusslip/bench/capacity/host_model.py
@@ -8,8 +8,8 @@
 from hibiscusslip.node import config_feed
 from hibiscusslip.node import endpoint_driver
 from hibiscusslip.node import membership_driver
-from hibiscusslip.node import node
 from hibiscusslip.node import ownership_driver
+from hibiscusslip.node import periodic_loops
 from hibiscusslip.node import shard_runner
 from hibiscusslip.node import zone_feed
 
@@ -52,7 +52,8 @@
 
     def _process(self) -> costs.CostLine:
         loops = (
-            1 / membership_driver.TICK_SECONDS + 1 / node.READY_POLL_SECONDS
+            1 / membership_driver.TICK_SECONDS
+            + 1 / periodic_loops.READY_POLL_SECONDS
         )
         loops += 1 / ownership_driver.TICK_SECONDS
         return costs.CostLine(
--- a/hibiscusslip/node/node.py
+++ b/hibiscusslip/node/node.py
@@ -25,10 +25,13 @@
 from hibiscusslip.node import home_client
 from hibiscusslip.node import local_peers
 from hibiscusslip.node import membership_driver
+from hibiscusslip.node import metrics_report
 from hibiscusslip.node import offload_handler
 from hibiscusslip.node import ownership_driver
 from hibiscusslip.node import peer_handler
+from hibiscusslip.node import periodic_loops
 from hibiscusslip.node import remote_starts
+from hibiscusslip.node import shard_events
 from hibiscusslip.node import shard_runner
 from hibiscusslip.node import shard_transfer
 from hibiscusslip.node import sheet_reconciler
@@ -36,20 +39,15 @@
 from hibiscusslip.node import zone_feed
 from hibiscusslip.observe import metrics
 from hibiscusslip.observe import traces
-from hibiscusslip.ownership import actions
 from hibiscusslip.ownership import owner
 from hibiscusslip.peer import base as peer_base
 from hibiscusslip.peer import messages
 from hibiscusslip.platform import base as platform_base
-from hibiscusslip.platform import exceptions as platform_exceptions
 from hibiscusslip.records import zone as zone_records
 from hibiscusslip.routing import choice
 from hibiscusslip.routing import directory
 
 MAX_LOAD_AGE_SECONDS = 10.0
-READY_POLL_SECONDS = 0.1
-SHEET_INTERVAL_SECONDS = 0.5
-METRICS_INTERVAL_SECONDS = 10.0
 DRAIN_POLL_SECONDS = 0.2
 
 
@@ -70,7 +68,7 @@
     metrics_sender: metrics.Metrics = metrics.NoMetrics()
 
 
-class Node(zone_feed.RecordHandler, ownership_driver.ShardEventHandler):
+class Node(zone_feed.RecordHandler):
     """Run one entry host: own shards, accept requests and follow the log."""
 
     def __init__(
@@ -91,6 +89,7 @@
         self._build_log()
         peers = local_peers.LocalPeers(cfg.me, dependencies.peers)
         self._build_shards(peers)
+        self._build_ownership_driver()
         self._build_request_path()
         self._build_membership()
         self.handler = self._make_handler()
@@ -117,17 +116,6 @@
         self.feed = zone_feed.ZoneFeed(
             log, cfg.zone, self.ownership, self.index, self
         )
-        self.ownership_driver = ownership_driver.OwnershipDriver(
-            self.ownership,
-            log,
-            self._stream,
-            self.dependencies.peers,
-            self,
-            self.index,
-            self.writer,
-            self.ids,
-            cfg.me,
-        )
 
     def _build_shards(self, peers: peer_base.Peers) -> None:
         """Build the runners of owned shards and their transfers."""
@@ -162,6 +150,20 @@
         )
         self.fleet.set_transfer_source(self.transfers.pop_received_jobs)
 
+    def _build_ownership_driver(self) -> None:
+        """Build what carries out the decisions on ownership."""
+        self.ownership_driver = ownership_driver.OwnershipDriver(
+            self.ownership,
+            self.dependencies.log,
+            self._stream,
+            self.dependencies.peers,
+            shard_events.ShardEvents(self.history, self.fleet, self.transfers),
+            self.index,
+            self.writer,
+            self.ids,
+            self.cfg.me,
+        )
+
     def _build_request_path(self) -> None:
         """Build what serves requests, of callers and of other hosts."""
         self.home = home.Home(self.fleet.runners, self.index, self.tracer)
@@ -223,11 +225,7 @@
             self.ownership_driver.run,
             self.config.run,
             self.membership.run,
-            self._poll_host_list,
-            self._start_ready_shards,
-            self._reconcile_sheet,
-            self._poll_remote_tasks,
-            self._report_metrics,
+            *self._periodic_loops(),
         )
         for loop in loops:
             await self._tasks.spawn(self.supervisor.guard, loop)
@@ -240,6 +238,31 @@
         )
         await self.writer.add(joined.record_id, codec.encode(joined))
 
+    def _periodic_loops(self) -> tuple[supervision.Loop, ...]:
+        dependencies = self.dependencies
+        periodic = periodic_loops.PeriodicLoops(
+            dependencies.host_list,
+            self.cfg.host_list_interval,
+            self.membership,
+            self.fleet,
+            self.sheet_reconciler,
+            self.remote,
+        )
+        report = metrics_report.MetricsReport(
+            dependencies.metrics_sender,
+            self.tracer,
+            self.fleet,
+            self.writer,
+            self.acceptor,
+        )
+        return (
+            periodic.poll_host_list,
+            periodic.start_ready_shards,
+            periodic.reconcile_sheet,
+            periodic.poll_remote_tasks,
+            report.run,
+        )
+
     async def stop(self) -> None:
         """Stop all loops at once."""
         await self._tasks.cancel_remaining()
@@ -291,49 +314,6 @@
         await self.writer.add(record.record_id, codec.encode(record))
         await self.fleet.refresh_endpoints()
 
-    async def _poll_host_list(self) -> None:
-        while True:
-            try:
-                listing = await self.dependencies.host_list.fetch()
-            except platform_exceptions.PlatformError as exc:
-                logger.debug('the host list was not fetched: {}', exc)
-            else:
-                self.membership.handle_host_list(listing)
-                await self.fleet.set_endpoints(listing.endpoints)
-            await curio.sleep(self.cfg.host_list_interval)
-
-    async def _start_ready_shards(self) -> None:
-        while True:
-            await self.fleet.start_ready()
-            await curio.sleep(READY_POLL_SECONDS)
-
-    async def _reconcile_sheet(self) -> None:
-        while True:
-            for runner in list(self.fleet.runners.values()):
-                await self.sheet_reconciler.reconcile(runner)
-            await curio.sleep(SHEET_INTERVAL_SECONDS)
-
-    async def _poll_remote_tasks(self) -> None:
-        while True:
-            for runner in list(self.fleet.runners.values()):
-                await self.remote.poll(runner)
-            await curio.sleep(remote_starts.POLL_INTERVAL_SECONDS)
-
-    async def _report_metrics(self) -> None:
-        metrics_sender = self.dependencies.metrics_sender
-        reporter = metrics.CounterReporter(metrics_sender)
-        while True:
-            await curio.sleep(METRICS_INTERVAL_SECONDS)
-            runners = list(self.fleet.runners.values())
-            reporter.report('jobs', [r.engine.counters for r in runners])
-            metrics_sender.gauge('shards', len(runners))
-            metrics_sender.gauge('log.appends', self.writer.appends)
-            metrics_sender.gauge('log.records', self.writer.records)
-            metrics_sender.gauge('acceptor.retries', self.acceptor.retries)
-            metrics_sender.gauge('config.version', self.fleet.policy_version)
-            metrics_sender.flush()
-            self.tracer.flush()
-
     async def _apply_config(self, record: configuration.ConfigRecord) -> None:
         self.history.note(
             f'put configuration {record.version} into force',
@@ -365,47 +345,6 @@
         self.writer.mark_log_writable()
         await self.ownership_driver.tick()
 
-    async def on_shard_acquired(self, action: actions.ShardAcquired) -> None:
-        """Start acting for a shard as soon as its lease allows it."""
-        why = 'it was free, or its owner fell silent'
-        if action.by_transfer:
-            why = 'its owner handed it over'
-        self.history.note(f'took shard {action.shard} over', why)
-        await self.fleet.add_acquired_shard(action.shard, action.epoch)
-
-    async def on_shard_lost(self, action: actions.ShardLost) -> None:
-        """Stop acting for a shard."""
-        self.history.note(
-            f'let shard {action.shard} go', 'the log names a newer owner'
-        )
-        await self.fleet.remove_shard(action.shard)
-
-    async def on_lease_resumed(self, action: actions.LeaseResumed) -> None:
-        """Rebuild a shard as after a failover: others may have acted on it."""
-        self.history.note(
-            f'went on with shard {action.shard}',
-            'its lease had lapsed, and all hosts of the zone agreed',
-        )
-        await self.fleet.add_acquired_shard(action.shard, action.epoch)
-
-    async def on_transfer_suggested(
-        self, action: actions.SuggestTransfer
-    ) -> None:
-        """Transfer a shard to the suggested successor."""
-        await curio.spawn(
-            self.transfers.transfer_shard,
-            action.shard,
-            action.successor,
-            daemon=True,
-        )
-
-    async def on_transfer_failed(self, action: actions.TransferFailed) -> None:
-        """Resume acting for a shard whose transfer had no effect."""
-        runner = self.fleet.runners.get(action.shard)
-        if runner is not None:
-            runner.frozen = False
-            await runner.wake()
-
     def _find_owner(self, shard: places.Shard) -> str | None:
         """Return the host that owns a shard, None if no owner is known."""
         if shard.zone == self.cfg.zone:
