node: drop the state of a cancelled transfer when a shard is claimed

A job that isn't repeatable ran twice.

Cause: a host keeps the state that it receives for a transfer under the next epoch of the shard. A claim has the same next epoch. If the transfer was cancelled after the state had arrived (the log refused it, or a renewal was in flight for 2 s), the owner went on, and was lost later, the claiming host restored the jobs as they were at the transfer. These took precedence over the start intents and outcomes on the log. Endpoints that still knew the runs reported them as ended, those that had restarted did not. Found by reading.

Change: ShardEvents passes on whether the shard came by a transfer, and Fleet drops the received jobs otherwise.

--- a/hibiscusslip/node/fleet.py
+++ b/hibiscusslip/node/fleet.py
@@ -64,9 +64,17 @@
         """Set the function that returns the jobs of a transferred shard."""
         self._pop_received_jobs = pop_received_jobs
 
-    async def add_acquired_shard(self, number: int, epoch: int) -> None:
-        """Add a shard acquired at an epoch; it starts in `start_ready`."""
+    async def add_acquired_shard(
+        self, number: int, epoch: int, by_transfer: bool = False
+    ) -> None:
+        """Add a shard acquired at an epoch; it starts in `start_ready`.
+
+        Without `by_transfer`, jobs received for the epoch are dropped: they
+        are of a cancelled transfer, and may have run since.
+        """
         await self.remove_shard(number)
+        if not by_transfer:
+            self._pop_received_jobs(number, epoch)
         self.pending[number] = epoch
 
     async def remove_shard(self, number: int) -> None:
--- a/hibiscusslip/node/shard_events.py
+++ b/hibiscusslip/node/shard_events.py
@@ -28,7 +28,9 @@
         if action.by_transfer:
             why = 'its owner handed it over'
         self._history.note(f'took shard {action.shard} over', why)
-        await self._fleet.add_acquired_shard(action.shard, action.epoch)
+        await self._fleet.add_acquired_shard(
+            action.shard, action.epoch, action.by_transfer
+        )
 
     async def on_shard_lost(self, action: actions.ShardLost) -> None:
         """Stop acting for a shard."""
