--- a/hibiscusslip/bench/dispatching.py
+++ b/hibiscusslip/bench/dispatching.py
@@ -107,6 +107,17 @@
             self._step()
         return self._report
 
+    @property
+    def engine(self) -> engines.Engine:
+        """Return the dispatch engine."""
+        return self._engine
+
+    def advance(self) -> float:
+        """Replay one step; return the processor time of its pass in s."""
+        self._submit_arrivals(self._now)
+        self._step()
+        return self._report.pass_times[-1]
+
     def _step(self) -> None:
         self._now += STEP_S
         self._deliver_advice()
--- a/hibiscusslip/bench/organisations.py
+++ b/hibiscusslip/bench/organisations.py
@@ -15,6 +15,7 @@
 from hibiscusslip.bench import dispatch_loads
 from hibiscusslip.bench import dispatch_report
 from hibiscusslip.bench import dispatching
+from hibiscusslip.bench import queue_costs
 from hibiscusslip.dispatch import admission
 from hibiscusslip.dispatch import entitlement
 from hibiscusslip.dispatch import model
@@ -197,6 +198,24 @@
     return used / count
 
 
+def print_queue_costs(
+    seed: int,
+    load: dispatch_loads.Load,
+    count: int,
+    queues: tuple[int, ...],
+    steps: int,
+) -> None:
+    """Print what each number of queues costs under the same load."""
+    spread = queue_costs.spread_over_queues(load)
+    for number in queues:
+        replay = OrganisationReplay(seed, spread, count)
+        config = replay.engine.config
+        assert config is not None
+        replay.engine.config = queue_costs.add_idle_queues(config, number)
+        costs = queue_costs.measure(replay, steps)
+        queue_costs.print_costs(number, costs)
+
+
 app = cyclopts.App(name='organisations', help=__doc__)
 
 
@@ -212,6 +231,8 @@
     scale: int = 1,
     deployment: str = 'planning',
     enabled: bool = True,
+    queues: tuple[int, ...] = (),
+    steps: int = 200,
 ) -> None:
     """Replay the arrivals of organisations on a grown deployment.
 
@@ -229,8 +250,16 @@
         service, and the rate of arrivals.
     enabled
         Whether the configuration has the organisations.
+    queues
+        Print instead what a pass and a heartbeat cost if the configuration
+        has so many queues, of which the same 10 of each kind have jobs.
+    steps
+        Number of steps of 0.05 s to replay with `queues`.
     """
     load = dispatch_loads.LOADS[deployment].scaled(scale)
+    if queues:
+        print_queue_costs(seed, load, count, queues, steps)
+        return
     bursts = (dispatch_loads.Burst(burst, burst_factor, 5.0, 9.0),)
     names = tuple(f'o{rank}' for rank in range(1, 1 + surging))
     surges = (Surge(names, factor, 3.0, 12.0),) if names else ()
