dispatch: index the queues of a configuration once per version

Each request walked all queues to find its own, and each scheduling pass walked them for each service to find the most urgent priority.

Configuration.index holds what follows from its queues alone, computed when it is first needed: the queues of a host by prefix, the priorities of a service and the positions of queues. The index isn't a field, as all fields are encoded for other hosts. Decisions stay the same; test_many_queues.py compares them with the plain iteration.

--- a/hibiscusslip/dispatch/_headroom.py
+++ b/hibiscusslip/dispatch/_headroom.py
@@ -55,11 +55,7 @@
     """
     if config is None:
         return None
-    priorities = {
-        queue.priority
-        for queue in config.queues.values()
-        if queue.service == service
-    }
+    priorities = config.index.priorities.get(service, ())
     if config.organisations is None and len(priorities) < 2:
         return None
     return min(priorities, default=None)
--- a/hibiscusslip/dispatch/model.py
+++ b/hibiscusslip/dispatch/model.py
@@ -6,6 +6,8 @@
 import dataclasses
 import enum
 
+from hibiscusslip.dispatch import queue_index
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Demand:
@@ -172,8 +174,18 @@
     standby: bool = False
 
 
+class _Indexed:
+    """Hold the index of a configuration outside of its fields.
+
+    Hosts exchange configurations, and all fields are encoded.
+    """
+
+    __slots__ = ('_index',)
+    _index: queue_index.QueueIndex
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
-class Configuration:
+class Configuration(_Indexed):
     """Represent one version of the operator's configuration.
 
     `organisations` is None if the deployment has none: then callers need no
@@ -186,17 +198,22 @@
     max_body_bytes: int = 262144
     organisations: dict[str, Organisation] | None = None
 
+    @property
+    def index(self) -> queue_index.QueueIndex:
+        """Return the index of the queues, built when it is first needed."""
+        try:
+            return self._index
+        except AttributeError:
+            index = queue_index.QueueIndex(self.queues)
+            object.__setattr__(self, '_index', index)
+            return index
+
     def find_queue(self, host: str, path: str) -> Queue | None:
         """Return the queue whose prefix is the longest match for `path`.
 
         Returns None if no queue of `host` matches.
         """
-        best = None
-        for queue in self.queues.values():
-            if queue.host == host and path.startswith(queue.prefix):
-                if best is None or len(queue.prefix) > len(best.prefix):
-                    best = queue
-        return best
+        return self.index.find(host, path)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
