owner: open the sessions of a large cell in steps

The new owner opens its sessions by hibiscusslip/host/first_polls.py, and derives the timing of polls before the first one instead of a second later. An entry of an endpoint that is read meanwhile doesn't open its session early.

--- a/hibiscusslip/host/owner.py
+++ b/hibiscusslip/host/owner.py
@@ -18,6 +18,7 @@
 from hibiscusslip.host import endpoint_session
 from hibiscusslip.host import engine_events
 from hibiscusslip.host import estimate_reports
+from hibiscusslip.host import first_polls
 from hibiscusslip.host import lease_handover
 from hibiscusslip.host import lease_timing
 from hibiscusslip.host import notices
@@ -76,6 +77,7 @@
         self._tasks = curio.TaskGroup(wait=any)
         self.endpoints_read_at = 0.0
         self._poll_timing = poll_timing.PollTiming()
+        self._first_polls = first_polls.FirstPolls(ctx, epoch)
         self._submissions = submissions.Submissions(ctx)
         self._cancellations = cancellations.Cancellations(ctx)
         self._deletion = record_deletion.RecordDeletion(
@@ -133,8 +135,8 @@
             self._keeper.run_liveness_checks,
         ):
             await self._tasks.spawn(crash_logging.run_loop, self.ctx, loop)
-        for name in list(self.engine.endpoints):
-            await self.open_session(name)
+        self._update_poll_timing()
+        await self._first_polls.run(self.engine, self.open_session)
         while self.ctx.ownership.held_epoch == self.epoch:
             await curio.sleep(PLAN_IDLE_S)
 
@@ -208,6 +210,8 @@
         endpoint = self.engine.endpoints.get(name)
         if endpoint is None or not endpoint.address:
             return
+        if self._first_polls.holds_back(name):
+            return
         address = endpoint.address
         known = self._sessions.get(name)
         if known is not None and known.address == address:
