host: excuse late polls, extend time-outs by the calls in progress

With 3,000 endpoints and 3,080 waiting tasks, 200 to 1,000 calls per second timed out while the host or the processes behind the endpoints were late. Each closed its connection and doubted an endpoint, and the next poll opened another connection.

Beyond 600 endpoints, a poll that took 0.25 s longer to fail than its time-outs allow isn't counted, three times in a row at most (metric looks_late), and unresponsive endpoints beyond 600 are polled less often, every 1.25 s instead of every 0.25 s at most. A late event loop alone times no call out: curio handles the input before the time-outs of a cycle.

--- a/hibiscusslip/host/__main__.py
+++ b/hibiscusslip/host/__main__.py
@@ -8,6 +8,7 @@
 import curio
 
 from hibiscusslip.dispatch import policy
+from hibiscusslip.host import call_load
 from hibiscusslip.host import context
 from hibiscusslip.host import host
 from hibiscusslip.host import options
@@ -68,6 +69,7 @@
         endpoint_connections=connection_budget.ConnectionBudget(
             int(cfg.max_descriptors * KEPT_CONNECTIONS_SHARE)
         ),
+        endpoint_calls=call_load.CallLoad(cores * call_load.CALLS_PER_CORE_S),
     )
 
 
--- a/hibiscusslip/host/context.py
+++ b/hibiscusslip/host/context.py
@@ -5,6 +5,7 @@
 
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import policy as policies
+from hibiscusslip.host import call_load
 from hibiscusslip.host import notices
 from hibiscusslip.host import ownership
 from hibiscusslip.host import repeat_policy
@@ -32,7 +33,8 @@
     host that is `leaving` fails its readiness probes, so that it gets no new
     connections, and claims no ownership; one that is `stopping` releases the
     ownership. `options` say which optional decisions its owner makes.
-    `endpoint_connections` bounds the idle connections to endpoints.
+    `endpoint_connections` bounds the idle connections to endpoints, and
+    `endpoint_calls` counts the calls to them.
     """
 
     cfg: settings.HostSettings
@@ -62,6 +64,9 @@
             default_factory=lambda: connection_budget.ConnectionBudget(512)
         )
     )
+    endpoint_calls: call_load.CallLoad = dataclasses.field(
+        default_factory=call_load.CallLoad
+    )
 
     def record_store_success(self, now: float) -> None:
         """Record that the store has answered."""
--- a/hibiscusslip/host/endpoint_session.py
+++ b/hibiscusslip/host/endpoint_session.py
@@ -1,6 +1,7 @@
 """Poll endpoints, renew the leases of their runs and send commands."""
 
 import collections.abc
+import contextlib
 import dataclasses
 
 import curio
@@ -18,7 +19,8 @@
 
 POLL_TIMEOUT_S = 0.25
 FAILURES_UNTIL_UNRESPONSIVE = 2
-UNRESPONSIVE_POLL_PAUSE_S = 0.25
+REFUSED_POLL_PAUSE_S = 0.25
+MAX_LATE_POLLS = 3  # in a row that aren't counted against an endpoint
 WITHHELD_POLL_S = 0.25
 COMMIT_WAIT_S = 0.6
 COMMIT_WAIT_WITHOUT_STORE_S = 0.12
@@ -64,6 +66,7 @@
         self._epoch = epoch
         self._wakeups = wakeups
         self._get_timing = get_timing
+        self._longest_poll = 0.0  # that the last poll takes unless late, in s
         self._client = endpoint_client.EndpointClient(
             name, address, ctx.uplink, ctx.endpoint_connections
         )
@@ -71,19 +74,32 @@
     async def run(self) -> None:
         """Poll until the engine has removed the endpoint."""
         failures = 0
+        late_polls = 0
         while self.name in self._engine.endpoints:
             endpoint = self._engine.endpoints[self.name]
             sent = context.monotonic()
             try:
                 await self._poll(endpoint, sent)
-                failures = 0
+                failures = late_polls = 0
             except exceptions.RequestRefused as exc:
                 await self._handle_refusal(exc.reason)
             except exceptions.PlatformError:
+                if self._was_late(sent) and late_polls < MAX_LATE_POLLS:
+                    late_polls += 1
+                    self._ctx.metrics.count('looks_late')
+                    await curio.sleep(self._get_timing().retry_pause)
+                    continue
                 failures += 1
                 await self._handle_no_response(failures, sent)
         await self._client.close()
 
+    def _was_late(self, sent: float) -> bool:
+        """Return True if this host was late to make the last poll."""
+        if not self._get_timing().excuses_lateness:
+            return False
+        elapsed = context.monotonic() - sent
+        return elapsed > self._longest_poll
+
     async def _handle_no_response(self, failures: int, sent: float) -> None:
         self._ctx.metrics.count('looks_unanswered')
         self._engine.handle_no_response(self.name, sent, context.monotonic())
@@ -91,17 +107,21 @@
             return
         self._engine.mark_unresponsive(self.name)
         await self._wakeups.plan.set()
-        await curio.sleep(UNRESPONSIVE_POLL_PAUSE_S)
+        await curio.sleep(self._get_timing().retry_pause)
 
     async def _poll(self, endpoint: state.Endpoint, sent: float) -> None:
         cursor_before = endpoint.handled_cursor
-        report = await self._client.poll(
-            self._lease_deadline(endpoint, sent),
-            self._epoch,
-            endpoint.cursor_to_send(),
-            self._max_wait(endpoint),
-            POLL_TIMEOUT_S,
-        )
+        wait = self._max_wait(endpoint)
+        timeout = POLL_TIMEOUT_S + self._ctx.endpoint_calls.allowance
+        self._longest_poll = poll_timing.longest_poll(wait, timeout)
+        with self._track(held=wait > 0):
+            report = await self._client.poll(
+                self._lease_deadline(endpoint, sent),
+                self._epoch,
+                endpoint.cursor_to_send(),
+                wait,
+                timeout,
+            )
         now = context.monotonic()
         self._ctx.metrics.count('looks')
         first_poll = not endpoint.polled
@@ -118,6 +138,18 @@
             await self._wakeups.plan.set()
         await self._wait_for_next_poll(endpoint, sent, now)
 
+    def _track(
+        self, held: bool = False
+    ) -> contextlib.AbstractContextManager[None]:
+        """Count a call, unless the endpoint may hold it open."""
+        if held:
+            return contextlib.nullcontext()
+        return self._ctx.endpoint_calls.track()
+
+    @property
+    def _call_timeout(self) -> float:
+        return CALL_TIMEOUT_S + self._ctx.endpoint_calls.allowance
+
     def _max_wait(self, endpoint: state.Endpoint) -> float:
         """Return for how long the endpoint may delay its reply."""
         # An unresponsive endpoint isn't long-polled, so that its return is
@@ -188,7 +220,7 @@
         if reason == 'instance':
             self._engine.handle_replacement(self.name, context.monotonic())
             await self._wakeups.plan.set()
-        await curio.sleep(UNRESPONSIVE_POLL_PAUSE_S)
+        await curio.sleep(REFUSED_POLL_PAUSE_S)
 
     async def send_start(self, start: commands.Start) -> None:
         """Send a start request until it is answered or has expired."""
@@ -205,7 +237,10 @@
             if task_runs.is_needless(start.task, start.run):
                 break
             try:
-                clock = await self._client.start(request, CALL_TIMEOUT_S)
+                with self._track():
+                    clock = await self._client.start(
+                        request, self._call_timeout
+                    )
                 await self._handle_started(start, now, clock)
                 return
             except exceptions.RequestRefused as exc:
@@ -296,9 +331,10 @@
             if not self._holds_ownership():
                 return
             try:
-                await self._client.stop(
-                    stop.task, stop.run, self._epoch, CALL_TIMEOUT_S
-                )
+                with self._track():
+                    await self._client.stop(
+                        stop.task, stop.run, self._epoch, self._call_timeout
+                    )
                 break
             except exceptions.RequestRefused:
                 break
@@ -318,12 +354,13 @@
         if not self._holds_ownership():
             return
         try:
-            await self._client.pace(
-                pace.task,
-                pace.run,
-                pace.percent,
-                self._epoch,
-                CALL_TIMEOUT_S,
-            )
+            with self._track():
+                await self._client.pace(
+                    pace.task,
+                    pace.run,
+                    pace.percent,
+                    self._epoch,
+                    self._call_timeout,
+                )
         except exceptions.PlatformError as exc:
             self._ctx.log.note('pace_failed', task=pace.task, error=str(exc))
--- a/hibiscusslip/host/owner.py
+++ b/hibiscusslip/host/owner.py
@@ -358,7 +358,10 @@
         endpoints = self.engine.endpoints.values()
         busy = sum(bool(endpoint.allocations) for endpoint in endpoints)
         idle = len(endpoints) - busy
-        self._poll_timing = poll_timing.derive(busy, idle, self.engine.lease)
+        unresponsive = sum(not endpoint.responsive for endpoint in endpoints)
+        self._poll_timing = poll_timing.derive(
+            busy, idle, self.engine.lease, unresponsive
+        )
         self.ctx.metrics.gauge('long_poll', self._poll_timing.long_poll)
 
     async def _delete_old_jobs(self) -> None:
--- a/hibiscusslip/host/poll_timing.py
+++ b/hibiscusslip/host/poll_timing.py
@@ -15,6 +15,9 @@
 # which a start is valid.
 MAX_IDLE_POLL_S = 9.0
 IDLE_SPREAD = 0.25  # by which the pauses of idle endpoints may differ
+RETRY_PAUSE_S = 0.25  # before an unresponsive endpoint is polled again
+MAX_RETRY_PAUSE_S = 1.25
+LATENESS_S = 0.25  # of a host, beyond which the time-out of a poll is late
 RENEWALS_PER_LEASE = 3
 # From the end of the wait to the next poll, which the time-out of a poll and a
 # busy owner delay.
@@ -23,36 +26,58 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PollTiming:
-    """The longest wait of a long poll, and pause between idle polls, in s."""
+    """How the owner polls its endpoints.
+
+    `long_poll` is the longest wait of a long poll, `idle_poll` the pause
+    between idle polls, and `retry_pause` the one before another poll of an
+    unresponsive endpoint, in s. `excuses_lateness` is set if polls that this
+    host was late to make aren't counted against their endpoints.
+    """
 
     long_poll: float = LONG_POLL_S
     idle_poll: float = IDLE_POLL_S
+    retry_pause: float = RETRY_PAUSE_S
+    excuses_lateness: bool = False
 
     def idle_pause(self, name: str) -> float:
         """Return the pause between two polls of one idle endpoint.
 
-        A new owner polls all endpoints at once. Beyond the usual number their
-        pauses differ, so that later polls don't come all at once too.
+        A new owner polls many endpoints within seconds. Beyond the usual
+        number their pauses differ, so that later polls are spread further.
         """
         share = zlib.crc32(name.encode()) / 2**32
         pause = self.idle_poll * (1.0 - IDLE_SPREAD * share)
         return max(pause, IDLE_POLL_S)
 
 
-def derive(busy: int, idle: int, lease: float) -> PollTiming:
+def derive(
+    busy: int, idle: int, lease: float, unresponsive: int = 0
+) -> PollTiming:
     """Return the timing for so many endpoints with and without runs.
 
-    Beyond USUAL_ENDPOINTS the number of polls per second stays the same,
-    until each lease, which lasts `lease` seconds, would be renewed fewer than
-    RENEWALS_PER_LEASE times.
+    `unresponsive` of them don't respond. Beyond USUAL_ENDPOINTS the number of
+    polls per second stays the same, until each lease, which lasts `lease`
+    seconds, would be renewed fewer than RENEWALS_PER_LEASE times.
     """
     longest = min(renewal_interval(lease) - RENEWAL_MARGIN_S, MAX_LONG_POLL_S)
     return PollTiming(
         _stretch(LONG_POLL_S, busy, longest),
         _stretch(IDLE_POLL_S, idle, MAX_IDLE_POLL_S),
+        _stretch(RETRY_PAUSE_S, unresponsive, MAX_RETRY_PAUSE_S),
+        busy + idle > USUAL_ENDPOINTS,
     )
 
 
+def longest_poll(wait: float, timeout: float) -> float:
+    """Return how long a poll without a response takes, in seconds.
+
+    The request has to be sent within `timeout`, and after that the endpoint
+    may be silent for `wait` plus `timeout`. A poll that takes longer shows
+    that the event loop or the link of this host is late.
+    """
+    return wait + 2 * timeout + LATENESS_S
+
+
 def renewal_interval(lease: float) -> float:
     """Return after how many seconds at most a lease is renewed."""
     return lease / RENEWALS_PER_LEASE
--- a/tests/host/test_endpoint_session.py
+++ b/tests/host/test_endpoint_session.py
@@ -166,3 +166,17 @@
     timing = poll_timing.PollTiming(long_poll=1.5)
     client = poll_for(0.5, get_timing=lambda: timing)
     assert client.waits[1:3] == [1.5, poll_timing.LONG_POLL_S]
+
+
+def test_poll_that_this_host_was_late_to_make_isnt_counted(monkeypatch):
+    """An owner of 3,000 endpoints doubted them all while it was late."""
+    monkeypatch.setattr(poll_timing, 'longest_poll', lambda wait, timeout: 0)
+    timing = poll_timing.PollTiming(retry_pause=0.01, excuses_lateness=True)
+    client = poll_for(1.0, get_timing=lambda: timing)
+    counted = (
+        1
+        + endpoint_session.MAX_LATE_POLLS
+        + endpoint_session.FAILURES_UNTIL_UNRESPONSIVE
+    )
+    assert set(client.waits[1:counted]) == {poll_timing.LONG_POLL_S}
+    assert set(client.waits[counted:]) == {0.0}
--- a/tests/host/test_poll_timing.py
+++ b/tests/host/test_poll_timing.py
@@ -45,3 +45,17 @@
     pauses = [most.idle_pause(name) for name in names]
     assert 6.7 < min(pauses) < 6.8
     assert 8.9 < max(pauses) <= poll_timing.MAX_IDLE_POLL_S
+
+
+def test_many_unresponsive_endpoints_are_polled_less_often():
+    """3,000 of them caused 6,000 new connections per second."""
+    few = poll_timing.derive(0, 3000, 5.9, unresponsive=600)
+    assert few.retry_pause == poll_timing.RETRY_PAUSE_S
+    all_of_them = poll_timing.derive(0, 3000, 5.9, unresponsive=3000)
+    assert 3000 / all_of_them.retry_pause == pytest.approx(600 / 0.25)
+
+
+def test_lateness_is_excused_in_a_large_cell_only():
+    """Else silent endpoints of present deployments are found later."""
+    assert not poll_timing.derive(300, 300, 5.9).excuses_lateness
+    assert poll_timing.derive(300, 301, 5.9).excuses_lateness
