http: survive a host that runs out of descriptors

A socket that can't be created raised a bare OSError (EMFILE), which neither the client of the store nor that of endpoints expects. It ended the loops of the owner and of the host: the owner was lost, and the next one met the same fate.

The error is now OutOfDescriptors, a kind of NotSent.

--- a/hibiscusslip/host/endpoint_session.py
+++ b/hibiscusslip/host/endpoint_session.py
@@ -83,8 +83,8 @@
                 failures = late_polls = 0
             except exceptions.RequestRefused as exc:
                 await self._handle_refusal(exc.reason)
-            except exceptions.PlatformError:
-                if self._was_late(sent) and late_polls < MAX_LATE_POLLS:
+            except exceptions.PlatformError as exc:
+                if self._is_excused(exc, sent) and late_polls < MAX_LATE_POLLS:
                     late_polls += 1
                     self._ctx.metrics.count('looks_late')
                     await curio.sleep(self._get_timing().retry_pause)
@@ -93,8 +93,10 @@
                 await self._handle_no_response(failures, sent)
         await self._client.close()
 
-    def _was_late(self, sent: float) -> bool:
-        """Return True if this host was late to make the last poll."""
+    def _is_excused(self, exc: exceptions.PlatformError, sent: float) -> bool:
+        """Return True if this host is to blame for the failed poll."""
+        if isinstance(exc, exceptions.ConnectionsExhausted):
+            return True
         if not self._get_timing().excuses_lateness:
             return False
         elapsed = context.monotonic() - sent
@@ -252,16 +254,19 @@
             except exceptions.RequestOutcomeUnknown:
                 indeterminate = True
                 self._ctx.metrics.count('orders_unanswered')
+                self._doubt_endpoint(now)
+            except exceptions.ConnectionsExhausted:
+                pass  # for which the endpoint isn't to blame
             except exceptions.RequestNotSent:
-                pass
-            self._engine.handle_no_response(
-                self.name, now, context.monotonic()
-            )
+                self._doubt_endpoint(now)
             await curio.sleep(RETRY_PAUSE_S)
             now = context.monotonic()
         reason = 'in doubt' if indeterminate else 'unreached'
         await self._handle_start_failure(start, reason, indeterminate)
 
+    def _doubt_endpoint(self, sent: float) -> None:
+        self._engine.handle_no_response(self.name, sent, context.monotonic())
+
     def _start_request(
         self, start: commands.Start
     ) -> endpoint_client.StartRequest:
--- a/hibiscusslip/http/_exchange.py
+++ b/hibiscusslip/http/_exchange.py
@@ -1,5 +1,6 @@
 """Send one request over a connection and read its complete response."""
 
+import errno
 import time
 import typing
 
@@ -14,6 +15,8 @@
 
 READ_BYTES = 64 * 1024
 MIN_UPLOAD_TIME_S = 0.1  # a shorter one is within the limits of connections
+# The errors of a host that lacks descriptors or memory for a socket.
+EXHAUSTED_ERRNOS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 END_OF_MESSAGE = h11.EndOfMessage()
 
 
@@ -105,8 +108,6 @@
     ) -> None:
         self._sock = sock
         self._budget = budget
-        if budget is not None:
-            budget.open += 1
         self._limits = bounds
         self._conn = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=bounds.max_header_bytes
@@ -263,8 +264,25 @@
     bounds: limits.Limits,
     budget: connection_budget.ConnectionBudget | None = None,
 ) -> ClientConnection:
-    """Open a connection; raises NotSent."""
-    sock = await open_socket(address, port, bounds)
+    """Open a connection; raises NotSent.
+
+    The connection is counted in `budget` from now on until it is closed.
+    """
+    if budget is None:
+        return ClientConnection(
+            await open_socket(address, port, bounds), bounds
+        )
+    if budget.full:
+        raise exceptions.OutOfDescriptors(
+            f'{budget.open} connections are open, as many as the descriptors'
+            ' of this host allow; raise Limits.MaxFds'
+        )
+    budget.open += 1
+    try:
+        sock = await open_socket(address, port, bounds)
+    except BaseException:
+        budget.open -= 1
+        raise
     return ClientConnection(sock, bounds, budget)
 
 
@@ -272,8 +290,7 @@
     address: str, port: int, bounds: limits.Limits
 ) -> typing.Any:
     """Return a connected socket; raises NotSent."""
-    family = _sockets.family_of(address)
-    sock = curio.socket.socket(family, curio.socket.SOCK_STREAM)
+    sock = _create_socket(address)
     try:
         _sockets.set_options(sock, bounds.tcp_user_timeout)
         async with curio.timeout_after(bounds.connect_timeout):
@@ -287,3 +304,17 @@
         await sock.close()
         raise
     return sock
+
+
+def _create_socket(address: str) -> typing.Any:
+    """Return a new socket; raises OutOfDescriptors or NotSent."""
+    family = _sockets.family_of(address)
+    try:
+        return curio.socket.socket(family, curio.socket.SOCK_STREAM)
+    except OSError as exc:
+        if exc.errno in EXHAUSTED_ERRNOS:
+            raise exceptions.OutOfDescriptors(
+                f'no socket can be created: {exc}; raise the limit of open'
+                ' files'
+            ) from exc
+        raise exceptions.NotSent(f'no socket can be created: {exc}') from exc
--- a/hibiscusslip/http/client.py
+++ b/hibiscusslip/http/client.py
@@ -24,7 +24,8 @@
     Requests are never retried. A call that finds all connections in use
     waits for one within its timeout. With an `uplink`, calls allow for the
     time that their requests wait for the host's link. Once the `budget` of
-    the host is exceeded, at most one idle connection is kept.
+    the host is exceeded, at most one idle connection is kept; once it is
+    scarce, none is.
     """
 
     def __init__(
@@ -170,8 +171,11 @@
         """Return True if one more idle connection may be kept."""
         if self._closed:
             return False
-        exceeded = self._budget is not None and self._budget.exceeded
-        return not (self._idle and exceeded)
+        if self._budget is None:
+            return True
+        return not (
+            self._budget.scarce or (self._idle and self._budget.exceeded)
+        )
 
     async def _acquire(self) -> _exchange.ClientConnection:
         if self._closed:
--- a/hibiscusslip/http/exceptions.py
+++ b/hibiscusslip/http/exceptions.py
@@ -11,6 +11,10 @@
     """Raise when no byte of the request was written; a retry is safe."""
 
 
+class OutOfDescriptors(NotSent):
+    """Raise when this host has no descriptor for another connection."""
+
+
 class CallUnsettled(HttpError):
     """Raise when no complete response arrived after bytes were written.
 
--- a/hibiscusslip/platform/endpoint_client.py
+++ b/hibiscusslip/platform/endpoint_client.py
@@ -160,6 +160,8 @@
                 timeout=timeout,
                 wait=wait,
             )
+        except http_exceptions.OutOfDescriptors as exc:
+            raise exceptions.ConnectionsExhausted(str(exc)) from exc
         except http_exceptions.NotSent as exc:
             raise exceptions.RequestNotSent(str(exc)) from exc
         except http_exceptions.HttpError as exc:
--- a/hibiscusslip/platform/exceptions.py
+++ b/hibiscusslip/platform/exceptions.py
@@ -113,6 +113,10 @@
     """Raise when a request provably didn't reach the endpoint."""
 
 
+class ConnectionsExhausted(RequestNotSent):
+    """Raise when this host can't open a connection to the endpoint."""
+
+
 class RequestRefused(PlatformError):
     """Raise when an endpoint refused a request.
 
--- a/tests/host/test_endpoint_session.py
+++ b/tests/host/test_endpoint_session.py
@@ -18,7 +18,8 @@
 class EndpointClient:
     """Answer the first poll; record the wait time and the cursor of each."""
 
-    def __init__(self):
+    def __init__(self, error=exceptions.RequestOutcomeUnknown):
+        self.error = error
         self.waits = []
         self.cursors = []
 
@@ -29,7 +30,7 @@
             running = model.RunningRun('j.0.0.0', 1, '', 50, 0.0)
             return model.EndpointReport(1.0, 5.0, (running,), ())
         await curio.sleep(0.01)
-        raise exceptions.RequestOutcomeUnknown('no answer')
+        raise self.error('no answer')
 
     async def close(self):
         pass
@@ -40,7 +41,12 @@
     return endpoint_session.Wakeups(wakeup, wakeup, wakeup)
 
 
-def poll_for(seconds, acknowledged=0, get_timing=poll_timing.PollTiming):
+def poll_for(
+    seconds,
+    acknowledged=0,
+    get_timing=poll_timing.PollTiming,
+    error=exceptions.RequestOutcomeUnknown,
+):
     """Poll an endpoint that answers once; return its client."""
     ctx = fakes.make_context(fakes.FakeStore())
     engine = engines.Engine(5.9)
@@ -50,7 +56,7 @@
     session = endpoint_session.EndpointSession(
         ctx, engine, 'e1', 'h:1', 1, make_wakeups(), get_timing
     )
-    client = EndpointClient()
+    client = EndpointClient(error)
     session._client = client
 
     async def main():
@@ -172,7 +178,23 @@
     """An owner of 3,000 endpoints doubted them all while it was late."""
     monkeypatch.setattr(poll_timing, 'longest_poll', lambda wait, timeout: 0)
     timing = poll_timing.PollTiming(retry_pause=0.01, excuses_lateness=True)
-    client = poll_for(1.0, get_timing=lambda: timing)
+    assert_excused(poll_for(1.0, get_timing=lambda: timing))
+
+
+def test_lack_of_descriptors_isnt_counted_against_the_endpoint():
+    """Else an owner without descriptors finds all endpoints unresponsive."""
+    timing = poll_timing.PollTiming(retry_pause=0.01)
+    assert_excused(
+        poll_for(
+            1.0,
+            get_timing=lambda: timing,
+            error=exceptions.ConnectionsExhausted,
+        )
+    )
+
+
+def assert_excused(client):
+    """Check that the first failed polls didn't count, but later ones did."""
     counted = (
         1
         + endpoint_session.MAX_LATE_POLLS
--- a/tests/test_connection_budget.py
+++ b/tests/test_connection_budget.py
@@ -1,10 +1,13 @@
 """Check that idle connections are bounded over all pools of a host."""
 
+import errno
+
 import curio
 import pytest
 
 from hibiscusslip.http import client
 from hibiscusslip.http import connection_budget
+from hibiscusslip.http import exceptions
 from tests.faults import serving
 
 CALLS = 5
@@ -54,3 +57,39 @@
             await pool.close()
 
     serving.run(scenario)
+
+
+def test_full_budget_opens_no_connection_and_keeps_none():
+    """Else the store and the peers have no descriptors left."""
+
+    async def scenario():
+        budget = connection_budget.ConnectionBudget(0, 1)
+        async with serving.run_server(serving.Echo()) as (_, port):
+            pool = client.Pool('127.0.0.1', port, budget=budget)
+            await pool_call(pool)
+            assert budget.open == 0
+            budget.open = 1
+            with pytest.raises(exceptions.OutOfDescriptors):
+                await pool_call(pool)
+            assert budget.open == 1
+            await pool.close()
+
+    serving.run(scenario)
+
+
+def test_call_without_a_descriptor_isnt_sent(monkeypatch):
+    """A bare OSError ended the loops of the owner and of the host."""
+
+    def create(family, kind):
+        raise OSError(errno.EMFILE, 'Too many open files')
+
+    async def scenario():
+        budget = connection_budget.ConnectionBudget(10, 10)
+        pool = client.Pool('127.0.0.1', 9, budget=budget)
+        monkeypatch.setattr(curio.socket, 'socket', create)
+        with pytest.raises(exceptions.OutOfDescriptors):
+            await pool_call(pool)
+        monkeypatch.undo()
+        assert budget.open == 0
+
+    serving.run(scenario)
