ownership: count a host without enough descriptors as weak

A host's strength depended on its processor and its link only, so a host whose descriptors didn't suffice for 3,000 endpoints could own the cell and keep it.

Hosts announce their descriptors, and notices tell the number of endpoints, rounded up to hundreds, 0 up to 600. A host needs two connections per endpoint from 0.85 of its descriptors. With fewer, its strength counts for a twentieth at most, when hosts wait to claim and when the owner compares itself with others, so it yields to any host with enough whose processor isn't much slower. Both fields are last and 0 by default, which means not known: then nothing changes. One byte more in a heartbeat up to 600 endpoints, three beyond.

--- a/hibiscusslip/host/__main__.py
+++ b/hibiscusslip/host/__main__.py
@@ -28,8 +28,6 @@
 # Of the descriptors; the rest is for callers, peers and the store, and for
 # the connections that calls in progress need.
 KEPT_CONNECTIONS_SHARE = 0.5
-# Of the descriptors, beyond which no connection to an endpoint is opened.
-MAX_CONNECTIONS_SHARE = 0.85
 
 
 def main() -> int:
@@ -65,12 +63,16 @@
         log=events.open_log(cfg.name),
         metrics=prometheus.Metrics(),
         ownership=ownership.Ownership(
-            cfg.name, incarnation, host_strength, tie_break
+            cfg.name,
+            incarnation,
+            host_strength,
+            tie_break,
+            descriptors=cfg.max_descriptors,
         ),
         options=chosen,
         endpoint_connections=connection_budget.ConnectionBudget(
             int(cfg.max_descriptors * KEPT_CONNECTIONS_SHARE),
-            int(cfg.max_descriptors * MAX_CONNECTIONS_SHARE),
+            int(cfg.max_descriptors * ownership.ENDPOINT_DESCRIPTORS_SHARE),
         ),
         endpoint_calls=call_load.CallLoad(cores * call_load.CALLS_PER_CORE_S),
     )
--- a/hibiscusslip/host/feeds.py
+++ b/hibiscusslip/host/feeds.py
@@ -3,6 +3,7 @@
 from hibiscusslip.dispatch import model
 from hibiscusslip.host import context
 from hibiscusslip.host import notices
+from hibiscusslip.host import ownership
 from hibiscusslip.host import tailing
 from hibiscusslip.host import topics
 from hibiscusslip.platform import documents
@@ -94,14 +95,14 @@
         newest = await self.ctx.store.newest(self.topic, LOAD_TIMEOUT_S)
         for name, value in newest.values.items():
             self._apply_value(name, value)
-        self._update_strongest()
+        _update_strongest(self.ctx)
         return newest.end
 
     async def apply(self, offset: int, record: bytes) -> None:
         """Apply the record of a host, or its removal."""
         name, value = store.decode_keyed(record)
         self._apply_value(name, value)
-        self._update_strongest()
+        _update_strongest(self.ctx)
 
     def _apply_value(self, name: str, value: bytes) -> None:
         host = notices.decode_host(value) if value else None
@@ -110,9 +111,18 @@
         else:
             self.ctx.hosts[name] = host
 
-    def _update_strongest(self) -> None:
-        strengths = [known.strength for known in self.ctx.hosts.values()]
-        self.ctx.ownership.strongest = max(strengths, default=0.0)
+
+def _update_strongest(ctx: context.Context) -> None:
+    """Set the highest strength of all hosts for a cell of this size."""
+    ctx.ownership.strongest = max(
+        (
+            ownership.effective_strength(
+                known.strength, known.descriptors, ctx.ownership.endpoints
+            )
+            for known in ctx.hosts.values()
+        ),
+        default=0.0,
+    )
 
 
 class OwnerFeed(tailing.Tail):
@@ -139,7 +149,10 @@
             self.ctx.log.note('owner_notice_unreadable', offset=offset)
             return
         before = self.ctx.ownership.epoch
+        endpoints = self.ctx.ownership.endpoints
         self.ctx.ownership.apply_notice(notice, context.monotonic())
+        if self.ctx.ownership.endpoints != endpoints:
+            _update_strongest(self.ctx)
         if self.ctx.ownership.epoch != before:
             self.ctx.log.note(
                 'owner_known', epoch=notice.epoch, owner=notice.host
--- a/hibiscusslip/host/host.py
+++ b/hibiscusslip/host/host.py
@@ -201,6 +201,7 @@
             cfg.front.ip,
             cfg.ports[0],
             self._ctx.ownership.strength,
+            cfg.max_descriptors,
         )
         while True:
             listed = self._ctx.hosts.get(cfg.name)
@@ -242,6 +243,7 @@
             ctx.cfg.ports[0],
             ctx.ownership.known_loads(),
             lapses=ctx.ownership.remaining_leases(now),
+            endpoints=ctx.ownership.endpoints,
         )
         try:
             await ctx.store.append(
--- a/hibiscusslip/host/notices.py
+++ b/hibiscusslip/host/notices.py
@@ -10,7 +10,11 @@
 
 
 class HostRecord(msgspec.Struct, array_like=True):
-    """The address where a host listens for peers, and its strength."""
+    """The address where a host listens for peers, and its strength.
+
+    `descriptors` is how many files and sockets it may have open, 0 if that
+    isn't known.
+    """
 
     name: str
     incarnation: str
@@ -18,6 +22,7 @@
     address: str
     port: int
     strength: float = 0.0
+    descriptors: int = 0
 
 
 class QueueLoad(msgspec.Struct, array_like=True):
@@ -40,7 +45,8 @@
     the notices of an epoch, which may be written out of order. `lapses` maps
     silent endpoints to the rest of their leases in milliseconds, `beyond`
     organisations to the part of their jobs that is beyond their entitlement,
-    in percent.
+    in percent. `endpoints` is about how many endpoints the cell has, 0 if
+    there are few or their number isn't known.
     """
 
     kind: str
@@ -53,6 +59,7 @@
     number: int = 0
     lapses: dict[str, int] = {}
     beyond: dict[str, int] = {}
+    endpoints: int = 0
 
 
 def encode(record: msgspec.Struct) -> bytes:
--- a/hibiscusslip/host/owner.py
+++ b/hibiscusslip/host/owner.py
@@ -358,6 +358,7 @@
         endpoints = self.engine.endpoints.values()
         busy = sum(bool(endpoint.allocations) for endpoint in endpoints)
         idle = len(endpoints) - busy
+        self.ctx.ownership.set_endpoints(len(endpoints))
         unresponsive = sum(not endpoint.responsive for endpoint in endpoints)
         self._poll_timing = poll_timing.derive(
             busy, idle, self.engine.lease, unresponsive
--- a/hibiscusslip/host/ownership.py
+++ b/hibiscusslip/host/ownership.py
@@ -9,9 +9,11 @@
 """
 
 import dataclasses
+import math
 
 from hibiscusslip.host import lease_timing
 from hibiscusslip.host import notices
+from hibiscusslip.host import poll_timing
 
 HEARTBEAT_INTERVAL_S = 0.4
 HEARTBEAT_TIMEOUT_S = 1.0
@@ -21,6 +23,13 @@
 MAX_TIE_BREAK_DELAY_S = 0.15  # between claims of equally strong hosts
 SUFFICIENT_LINK_MBPS = 40.0
 YIELD_RATIO = 0.5
+CONNECTIONS_PER_ENDPOINT = 2  # a poll that is held open, and a command
+# The other descriptors of a host are for callers, peers and the store.
+ENDPOINT_DESCRIPTORS_SHARE = 0.85
+# Of a host without enough descriptors: below YIELD_RATIO of one with enough,
+# whose processor is five times as slow.
+INSUFFICIENT_FACTOR = 0.05
+ENDPOINTS_STEP = 100  # to which the number of endpoints is rounded up
 MS_PER_S = 1000
 
 
@@ -36,8 +45,9 @@
     `confirmed_at` when the owner's last successful write was sent.
     `former_notice` is the one before the newest of the same owner.
     `leases_end` is, for the silent endpoints in the newest notice, when their
-    leases have ended, and `notice_number` that notice's number. Times are on
-    the monotonic clock.
+    leases have ended, and `notice_number` that notice's number. `descriptors`
+    is how many files and sockets this host may have open, and `endpoints` the
+    number in the newest notice. Times are on the monotonic clock.
     """
 
     name: str
@@ -56,6 +66,8 @@
     leases_end: dict[str, float] = dataclasses.field(default_factory=dict)
     notice_number: int = 0
     former_notice: notices.OwnerNotice | None = None
+    descriptors: int = 0
+    endpoints: int = 0
 
     def record_read(self, end: int, now: float) -> None:
         """Record that the topic was read to its end."""
@@ -89,6 +101,7 @@
             self.former_notice = self.owner  # the same one may come twice
         self.epoch = notice.epoch
         self.owner = notice
+        self.endpoints = notice.endpoints
         self.last_notice_at = now
         if self.held_epoch and notice.epoch > self.held_epoch:
             self.held_epoch = 0
@@ -132,7 +145,15 @@
     @property
     def stagger(self) -> float:
         """Return how long this host lets stronger ones claim first, in s."""
-        return stagger(self.strength, self.strongest, self.tie_break)
+        own = self.effective_strength
+        return stagger(own, self.strongest, self.tie_break)
+
+    @property
+    def effective_strength(self) -> float:
+        """Return how well this host could own a cell of this size."""
+        return effective_strength(
+            self.strength, self.descriptors, self.endpoints
+        )
 
     def should_yield(self, strongest_candidate: float) -> bool:
         """Return True if a much stronger host should own the cell.
@@ -141,7 +162,7 @@
         """
         return (
             bool(self.held_epoch)
-            and self.strength < YIELD_RATIO * strongest_candidate
+            and self.effective_strength < YIELD_RATIO * strongest_candidate
         )
 
     def known_loads(self) -> dict[str, notices.QueueLoad]:
@@ -166,6 +187,10 @@
         """Record that the owner's write, sent at `sent`, succeeded."""
         self.confirmed_at = max(self.confirmed_at, sent)
 
+    def set_endpoints(self, count: int) -> None:
+        """Set the number of endpoints that this owner knows."""
+        self.endpoints = reported_endpoints(count)
+
     def lose(self) -> None:
         """Stop being the owner."""
         self.held_epoch = 0
@@ -187,6 +212,31 @@
     return cores * min(link_mbps / SUFFICIENT_LINK_MBPS, 1.0)
 
 
+def effective_strength(
+    host_strength: float, descriptors: int, endpoints: int
+) -> float:
+    """Return a host's strength as the owner of so many endpoints.
+
+    A host without enough descriptors can't poll all endpoints at once, however
+    strong it is. 0 descriptors or endpoints mean that the number isn't known.
+    """
+    needed = endpoints * CONNECTIONS_PER_ENDPOINT / ENDPOINT_DESCRIPTORS_SHARE
+    if not descriptors or descriptors >= needed:
+        return host_strength
+    return host_strength * INSUFFICIENT_FACTOR * descriptors / needed
+
+
+def reported_endpoints(count: int) -> int:
+    """Return the number of endpoints that notices tell.
+
+    It is 0 up to USUAL_ENDPOINTS, for which the descriptors of all hosts
+    suffice, and rounded up beyond, so that it seldom changes.
+    """
+    if count <= poll_timing.USUAL_ENDPOINTS:
+        return 0
+    return math.ceil(count / ENDPOINTS_STEP) * ENDPOINTS_STEP
+
+
 def stagger(host_strength: float, strongest: float, tie_break: float) -> float:
     """Return how long a host waits before it claims, in seconds.
 
--- a/hibiscusslip/host/ownership_keeper.py
+++ b/hibiscusslip/host/ownership_keeper.py
@@ -159,13 +159,20 @@
         are sent.
         """
         hosts = self._ctx.hosts
-        strengths = [hosts[n].strength for n in candidates if n in hosts]
+        own = self._ctx.ownership
+        strengths = [
+            ownership.effective_strength(
+                hosts[n].strength, hosts[n].descriptors, own.endpoints
+            )
+            for n in candidates
+            if n in hosts
+        ]
         strongest = max(strengths, default=0.0)
-        if self._ctx.ownership.should_yield(strongest):
+        if own.should_yield(strongest):
             self._ctx.log.note(
                 'owner_yields',
                 epoch=self._epoch,
-                strength=round(self._ctx.ownership.strength, 2),
+                strength=round(own.effective_strength, 2),
                 strongest=round(strongest, 2),
             )
             await self._release_ownership()
@@ -213,6 +220,7 @@
             number,
             lapses,
             self._beyond_percents(),
+            self._ctx.ownership.endpoints,
         )
 
     def _current_forecast(self) -> forecasts.Forecast | None:
--- a/tests/host/test_ownership.py
+++ b/tests/host/test_ownership.py
@@ -168,3 +168,37 @@
     assert ownership.stagger(fast, fast, 1.0) < ownership.stagger(
         slow, fast, 0.0
     )
+
+
+def test_host_without_enough_descriptors_is_weak_in_a_large_cell():
+    """It ran out of them with 3,000 endpoints, and the cell wasn't served."""
+    few = ownership.effective_strength(2.1, 4100, 3000)
+    enough = ownership.effective_strength(0.5, 8192, 3000)
+    assert enough == 0.5
+    assert few < ownership.YIELD_RATIO * enough
+    own = ownership.Ownership('me', 'i1', 2.1, 1.0, 0.5, descriptors=4100)
+    own.record_claim(3, 0.0)
+    own.set_endpoints(600)
+    assert own.stagger == ownership.MAX_TIE_BREAK_DELAY_S
+    assert not own.should_yield(0.5)
+    own.set_endpoints(3000)
+    assert own.stagger > ownership.MAX_WEAKNESS_DELAY_S
+    assert own.should_yield(0.5)
+
+
+def test_descriptors_dont_count_in_a_usual_cell_or_if_not_known():
+    """Else an owner of today yields, or one of the former release waits."""
+    for endpoints in range(601):
+        count = ownership.reported_endpoints(endpoints)
+        assert ownership.effective_strength(0.5, 1024, count) == 0.5
+    assert ownership.effective_strength(0.5, 0, 3000) == 0.5
+
+
+def test_claimant_knows_the_size_of_the_cell_from_the_last_notice():
+    """The former owner is lost, so it can't ask."""
+    own = ownership.Ownership('me', 'i1', 2.1, descriptors=4100)
+    record = notice()
+    record.endpoints = ownership.reported_endpoints(2951)
+    own.apply_notice(notices.decode_owner(notices.encode(record)), 1.0)
+    assert own.endpoints == 3000
+    assert own.effective_strength < 0.1
