host: bound the store calls that many hosts repeat

Each host may repeat 20 lost calls to the store a second and retries each failed read every 0.4 s. With 300 hosts that is 8,250 calls a second, more than the store of the load test admits (6,000 reads), so after an outage the owner's calls were refused as well. While all hosts start, each announcement ended the read of the list of hosts of every host: up to 90,000 reads.

Beyond 100 hosts, repeats and retries of all but the owner slow down in proportion to the number of hosts, with pauses that differ between hosts, and the list of hosts is read at most every 0.5 s with 300 hosts. Up to 100 hosts nothing changes. Not yet played in a load test: the figures are computed.

--- a/hibiscusslip/host/context.py
+++ b/hibiscusslip/host/context.py
@@ -9,6 +9,7 @@
 from hibiscusslip.host import notices
 from hibiscusslip.host import ownership
 from hibiscusslip.host import repeat_policy
+from hibiscusslip.host import store_share
 from hibiscusslip.http import connection_budget
 from hibiscusslip.http import uplink as uplinks
 from hibiscusslip.observe import events
@@ -68,6 +69,12 @@
         default_factory=call_load.CallLoad
     )
 
+    @property
+    def store_slowdown(self) -> float:
+        """Return by which factor this host repeats fewer calls."""
+        is_owner = bool(self.ownership.held_epoch)
+        return store_share.slowdown(len(self.hosts), is_owner)
+
     def record_store_success(self, now: float) -> None:
         """Record that the store has answered."""
         if self.store_failures >= FAILURES_UNTIL_UNAVAILABLE:
--- a/hibiscusslip/host/feeds.py
+++ b/hibiscusslip/host/feeds.py
@@ -4,6 +4,7 @@
 from hibiscusslip.host import context
 from hibiscusslip.host import notices
 from hibiscusslip.host import ownership
+from hibiscusslip.host import store_share
 from hibiscusslip.host import tailing
 from hibiscusslip.host import topics
 from hibiscusslip.platform import documents
@@ -90,6 +91,10 @@
     topic = topics.HOSTS
     wait = 5.0
 
+    def pause_after_read(self) -> float:
+        """Return a pause that leaves the store to others while all start."""
+        return store_share.hosts_read_pause(len(self.ctx.hosts))
+
     async def load_snapshot(self) -> int:
         """Read and apply the newest record of each host."""
         newest = await self.ctx.store.newest(self.topic, LOAD_TIMEOUT_S)
--- a/hibiscusslip/host/repeat_policy.py
+++ b/hibiscusslip/host/repeat_policy.py
@@ -47,9 +47,13 @@
         first = max(USUAL_ANSWERS * self._usual, MIN_DELAY_S)
         return min(first * BACKOFF**repeats, MAX_DELAY_S)
 
-    def take(self, now: float) -> bool:
-        """Return True if the budget allows one more repeat."""
-        refill = max(now - self._refilled_at, 0.0) * BUDGET_PER_S
+    def take(self, now: float, slowdown: float = 1.0) -> bool:
+        """Return True if the budget allows one more repeat.
+
+        `slowdown` is by which factor the budget grows more slowly.
+        """
+        rate = BUDGET_PER_S / slowdown
+        refill = max(now - self._refilled_at, 0.0) * rate
         self._budget = min(self._budget + refill, MAX_BUDGET)
         self._refilled_at = now
         if self._budget < 1.0:
--- a/hibiscusslip/host/repeating.py
+++ b/hibiscusslip/host/repeating.py
@@ -31,6 +31,7 @@
         give_up_at: float,
         wait: float,
     ) -> None:
+        self._ctx = ctx
         self._policy = ctx.repeats
         self._uplink = ctx.uplink
         self._attempt = attempt
@@ -51,7 +52,8 @@
                 repeats += 1
                 now = context.monotonic()
                 may_repeat = now + MIN_TIMEOUT_S < self._give_up_at
-                if may_repeat and self._policy.take(now):
+                slowdown = self._ctx.store_slowdown
+                if may_repeat and self._policy.take(now, slowdown):
                     await self._start()
         finally:
             for task in self._tasks:
--- a/hibiscusslip/host/tailing.py
+++ b/hibiscusslip/host/tailing.py
@@ -7,6 +7,7 @@
 
 from hibiscusslip.host import context
 from hibiscusslip.host import repeating
+from hibiscusslip.host import store_share
 from hibiscusslip.http import messages
 from hibiscusslip.platform import exceptions
 from hibiscusslip.platform import store
@@ -58,6 +59,16 @@
         """Handle that all records before the end of `batch` are applied."""
         return None
 
+    def pause_after_read(self) -> float:
+        """Return the pause before the next read, in seconds."""
+        return self.read_pause
+
+    def _shared_retry_pause(self) -> float:
+        own = self.ctx.ownership
+        return store_share.retry_pause(
+            self._retry_pause, self.ctx.store_slowdown, own.tie_break
+        )
+
     async def run(self) -> None:
         """Tail the topic until cancelled."""
         while True:
@@ -65,8 +76,8 @@
                 await self.read_once(self._next_wait())
                 self._failing = False
                 self._retry_pause = MIN_RETRY_PAUSE_S
-                if self.read_pause:
-                    await curio.sleep(self.read_pause)
+                if pause := self.pause_after_read():
+                    await curio.sleep(pause)
             except exceptions.HistoryTrimmed as exc:
                 self.ctx.log.note(
                     'history_gone', topic=self.topic, first=exc.first
@@ -76,7 +87,7 @@
                 self._failing = True
                 self.ctx.record_store_failure(str(exc))
                 self._report_failure(exc)
-                await curio.sleep(self._retry_pause)
+                await curio.sleep(self._shared_retry_pause())
                 self._retry_pause = min(
                     self._retry_pause * 2, MAX_RETRY_PAUSE_S
                 )
