--- a/hibiscusslip/host/__main__.py
+++ b/hibiscusslip/host/__main__.py
@@ -8,6 +8,7 @@
 import curio
 
 from hibiscusslip.dispatch import policy
+from hibiscusslip.host import call_load
 from hibiscusslip.host import context
 from hibiscusslip.host import host
 from hibiscusslip.host import options
@@ -62,12 +63,18 @@
         log=events.open_log(cfg.name),
         metrics=prometheus.Metrics(),
         ownership=ownership.Ownership(
-            cfg.name, incarnation, host_strength, tie_break
+            cfg.name,
+            incarnation,
+            host_strength,
+            tie_break,
+            descriptors=cfg.max_descriptors,
         ),
         options=chosen,
         endpoint_connections=connection_budget.ConnectionBudget(
-            int(cfg.max_descriptors * KEPT_CONNECTIONS_SHARE)
+            int(cfg.max_descriptors * KEPT_CONNECTIONS_SHARE),
+            int(cfg.max_descriptors * ownership.ENDPOINT_DESCRIPTORS_SHARE),
         ),
+        endpoint_calls=call_load.CallLoad(cores * call_load.CALLS_PER_CORE_S),
     )
 
 
--- a/hibiscusslip/host/context.py
+++ b/hibiscusslip/host/context.py
@@ -5,9 +5,11 @@
 
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import policy as policies
+from hibiscusslip.host import call_load
 from hibiscusslip.host import notices
 from hibiscusslip.host import ownership
 from hibiscusslip.host import repeat_policy
+from hibiscusslip.host import store_share
 from hibiscusslip.http import connection_budget
 from hibiscusslip.http import uplink as uplinks
 from hibiscusslip.observe import events
@@ -32,7 +34,8 @@
     host that is `leaving` fails its readiness probes, so that it gets no new
     connections, and claims no ownership; one that is `stopping` releases the
     ownership. `options` say which optional decisions its owner makes.
-    `endpoint_connections` bounds the idle connections to endpoints.
+    `endpoint_connections` bounds the idle connections to endpoints, and
+    `endpoint_calls` counts the calls to them.
     """
 
     cfg: settings.HostSettings
@@ -62,6 +65,15 @@
             default_factory=lambda: connection_budget.ConnectionBudget(512)
         )
     )
+    endpoint_calls: call_load.CallLoad = dataclasses.field(
+        default_factory=call_load.CallLoad
+    )
+
+    @property
+    def store_slowdown(self) -> float:
+        """Return by which factor this host repeats fewer calls."""
+        is_owner = bool(self.ownership.held_epoch)
+        return store_share.slowdown(len(self.hosts), is_owner)
 
     def record_store_success(self, now: float) -> None:
         """Record that the store has answered."""
