ownership: find the strongest host anew at the owner too

The owner sets the number of endpoints before it reads its own notice, so it didn't notice that the number had changed, and its next wait before a claim would have been measured against a host without enough descriptors.

--- a/hibiscusslip/host/feeds.py
+++ b/hibiscusslip/host/feeds.py
@@ -137,6 +137,10 @@
     wait = 0.6
     timeout = 0.5  # short, to detect an unavailable store early
 
+    def __init__(self, ctx: context.Context) -> None:
+        super().__init__(ctx)
+        self._endpoints = 0  # for which the strongest host was determined
+
     async def load_snapshot(self) -> int:
         """Return the offset of the oldest retained record."""
         try:
@@ -154,9 +158,9 @@
             self.ctx.log.note('owner_notice_unreadable', offset=offset)
             return
         before = self.ctx.ownership.epoch
-        endpoints = self.ctx.ownership.endpoints
         self.ctx.ownership.apply_notice(notice, context.monotonic())
-        if self.ctx.ownership.endpoints != endpoints:
+        if self.ctx.ownership.endpoints != self._endpoints:
+            self._endpoints = self.ctx.ownership.endpoints
             _update_strongest(self.ctx)
         if self.ctx.ownership.epoch != before:
             self.ctx.log.note(
--- a/tests/host/test_ownership.py
+++ b/tests/host/test_ownership.py
@@ -1,8 +1,12 @@
 """Check when a host may claim the ownership and act as the owner."""
 
+import curio
+
+from hibiscusslip.host import feeds
 from hibiscusslip.host import lease_timing
 from hibiscusslip.host import notices
 from hibiscusslip.host import ownership
+from tests.host import fakes
 
 
 def notice(kind=notices.HEARTBEAT, epoch=5, host='other', incarnation='x'):
@@ -202,3 +206,17 @@
     own.apply_notice(notices.decode_owner(notices.encode(record)), 1.0)
     assert own.endpoints == 3000
     assert own.effective_strength < 0.1
+
+
+def test_strongest_host_is_found_anew_when_the_size_of_the_cell_changes():
+    """Also at the owner itself, which set the size before it read it."""
+    ctx = fakes.make_context(fakes.FakeStore())
+    for name, strength, descriptors in (('a', 2.1, 4100), ('b', 0.5, 8192)):
+        ctx.hosts[name] = notices.HostRecord(
+            name, 'i', 'z1', '10.0.0.1', 1, strength, descriptors
+        )
+    ctx.ownership.set_endpoints(3000)
+    record = notice()
+    record.endpoints = 3000
+    curio.run(feeds.OwnerFeed(ctx).apply, 0, notices.encode(record))
+    assert ctx.ownership.strongest == 0.5
