host: name only queues with jobs or an unusual wait in heartbeats

A heartbeat named each queue with a predicted wait.

OwnerNotice has a new last field `waits`: for each service where work waits, the predicted waits from the priority on at which they change. A heartbeat names a queue only if it has jobs that haven't begun, or if jobs that use accelerators arrived in it and its wait therefore differs.

A host of the former release ignores `waits`. Under an owner of this release it accepts jobs of queues without pending jobs that it would have rejected, until it is changed, too. Notices of the former release are read as before.

--- a/hibiscusslip/bench/queue_costs.py
+++ b/hibiscusslip/bench/queue_costs.py
@@ -119,6 +119,7 @@
         1,
         load_report.make_loads(pending, forecast),
         beyond=forecast.beyond_percents,
+        waits=load_report.make_waits(forecast),
     )
 
 
--- a/hibiscusslip/dispatch/admission.py
+++ b/hibiscusslip/dispatch/admission.py
@@ -108,10 +108,16 @@
     def __len__(self) -> int:
         return len(self._queues)
 
+    def usual_of(self, name: str) -> Prediction:
+        """Return the prediction for a queue as if it weren't exceptional."""
+        queue = self._queues[name]
+        return self._find(queue.service, queue.priority, False)
+
     def usual(self) -> collections.abc.Iterator[tuple[str, int, Prediction]]:
-        """Yield services and priorities with those of their usual queues.
+        """Yield services, priorities and the predictions for their queues.
 
-        Services for which no work waits are left out: nothing waits there.
+        Exceptional queues aren't considered. Services for which no work waits
+        are left out: a new job doesn't wait there.
         """
         if self._config is None:
             return
--- a/hibiscusslip/host/admission_control.py
+++ b/hibiscusslip/host/admission_control.py
@@ -82,7 +82,7 @@
                 job_id,
                 spec,
                 queue,
-                load_report.read_prediction(notice, queue.name),
+                load_report.read_prediction(notice, queue),
                 notice.beyond.get(organisation, 0),
             )
             if rejection is None:
--- a/hibiscusslip/host/notices.py
+++ b/hibiscusslip/host/notices.py
@@ -33,6 +33,18 @@
     beyond_wait: int = 0
 
 
+class ServiceWait(msgspec.Struct, array_like=True):
+    """The predicted waits for queues of a service that no load names.
+
+    They are those of queues with this priority number, or a higher one up to
+    the service's next such entry, in tenths of a second.
+    """
+
+    priority: int
+    within_wait: int
+    beyond_wait: int
+
+
 class OwnerNotice(msgspec.Struct, array_like=True):
     """A claim, a heartbeat or a release of the ownership.
 
@@ -40,7 +52,7 @@
     the notices of an epoch, which may be written out of order. `lapses` maps
     silent endpoints to the rest of their leases in milliseconds, `beyond`
     organisations to the part of their jobs that is beyond their entitlement,
-    in percent.
+    in percent. `waits` maps services to waits, most urgent priority first.
     """
 
     kind: str
@@ -53,6 +65,7 @@
     number: int = 0
     lapses: dict[str, int] = {}
     beyond: dict[str, int] = {}
+    waits: dict[str, list[ServiceWait]] = {}
 
 
 def encode(record: msgspec.Struct) -> bytes:
--- a/hibiscusslip/host/ownership_keeper.py
+++ b/hibiscusslip/host/ownership_keeper.py
@@ -213,6 +213,7 @@
             number,
             lapses,
             self._beyond_percents(),
+            load_report.make_waits(self._current_forecast()),
         )
 
     def _current_forecast(self) -> forecasts.Forecast | None:
--- a/tests/dispatch/test_many_queues.py
+++ b/tests/dispatch/test_many_queues.py
@@ -90,7 +90,10 @@
     def __init__(self, rng, config):
         self.config = config
         self.ranked = [self._waiting(rng) for _ in range(rng.randrange(12))]
-        self.capacities = {name: self._work(rng, 9) for name in SERVICES[:2]}
+        self.capacities = {
+            name: (rng.uniform(0, 30), rng.uniform(0, 5))
+            for name in SERVICES[:2]
+        }
         names = [*config.queues, 'removed', 'unknown']
         keys = [(n, b) for n in names for b in (False, True)]
         rng.shuffle(keys)
