--- a/hibiscusslip/host/feeds.py
+++ b/hibiscusslip/host/feeds.py
@@ -60,7 +60,7 @@
     def _apply_value(self, value: bytes) -> None:
         if not value:
             return
-        config = documents.read_configuration(value)
+        config = documents.read_configuration(value, self.ctx.config)
         if config is None:
             self.ctx.log.note('config_unreadable', size=len(value))
             return
--- a/hibiscusslip/platform/documents.py
+++ b/hibiscusslip/platform/documents.py
@@ -7,6 +7,7 @@
 
 from hibiscusslip.dispatch import model
 from hibiscusslip.platform import exceptions
+from hibiscusslip.platform import queue_documents
 from hibiscusslip.platform import settings
 
 MAX_SPEC_CHARS = 4000
@@ -61,25 +62,6 @@
     interval_ms: float = 0.0
 
 
-class _Advice(_Document):
-    decision_ms: float = 0.0
-    period_ms: float = 0.0
-    valid_ms: float = 2000.0
-
-
-class _Route(_Document):
-    name: str
-    host: str
-    path_prefix: str
-    service: str
-    target_latency_ms: float = 1000.0
-    priority: int = 0
-    max_attempts: int = 1
-    stretch: float = 1.0
-    advice: _Advice | None = None
-    public: bool = False
-
-
 class _Organisation(_Document):
     name: str
     api_keys: list[str] = []
@@ -102,7 +84,7 @@
     """Represent the operator's configuration."""
 
     version: int
-    routes: list[_Route]
+    routes: list[queue_documents.Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
     organisations: list[_Organisation] | None = msgspec.field(
@@ -207,15 +189,22 @@
     )
 
 
-def read_configuration(value: bytes) -> model.Configuration | None:
-    """Return the configuration in a record, or None if it is invalid."""
+def read_configuration(
+    value: bytes, known: model.Configuration | None = None
+) -> model.Configuration | None:
+    """Return the configuration in a record, or None if it is invalid.
+
+    It shares its unchanged queues with `known`, the former version.
+    """
     try:
         config = msgspec.json.decode(value, type=ConfigDocument)
     except (msgspec.MsgspecError, RecursionError):
         return None
     return model.Configuration(
         version=config.version,
-        queues={route.name: to_queue(route) for route in config.routes},
+        queues=queue_documents.to_queues(
+            config.routes, known.queues if known else {}
+        ),
         services={
             service.name: to_service(service) for service in config.services
         },
@@ -261,29 +250,6 @@
     return hashlib.sha256(key.encode()).digest()
 
 
-def to_queue(route: _Route) -> model.Queue:
-    """Return the queue that an entry configures."""
-    advice = None
-    if route.advice is not None:
-        advice = model.Advice(
-            route.advice.decision_ms / settings.MS_PER_S,
-            route.advice.period_ms / settings.MS_PER_S,
-            route.advice.valid_ms / settings.MS_PER_S,
-        )
-    return model.Queue(
-        name=route.name,
-        host=route.host,
-        prefix=route.path_prefix,
-        service=route.service,
-        target_latency=route.target_latency_ms / settings.MS_PER_S,
-        priority=route.priority,
-        max_attempts=route.max_attempts,
-        stretch=route.stretch,
-        advice=advice,
-        public=route.public,
-    )
-
-
 def read_endpoint_entry(name: str, value: bytes) -> model.EndpointEntry | None:
     """Return an endpoint's entry in the list of endpoints.
 
--- a/hibiscusslip/platform/placed_configuration.py
+++ b/hibiscusslip/platform/placed_configuration.py
@@ -9,6 +9,7 @@
 
 from hibiscusslip import config_check
 from hibiscusslip.platform import documents
+from hibiscusslip.platform import queue_documents
 from hibiscusslip.platform import settings
 
 DRAFT_FIELDS = {
@@ -79,7 +80,7 @@
         tuple(
             config_check.QueueEntry(
                 _place('queues', number, QUEUE_FIELDS),
-                documents.to_queue(route),
+                queue_documents.to_queue(route),
                 _read_timeout(timeouts[number].timeout_ms),
             )
             for number, route in enumerate(document.routes)
