observe: keep a metric by queue from taking the room of all others

A host keeps 500 series each of counters and gauges. run_time_ratio has four for each of up to 500 queues, jobs_rejected two. So with many queues all series that were first set later were dropped, for example those of events that hadn't occurred before.

One metric now has at most 300 series. The new test fails without the change.

--- a/hibiscusslip/observe/prometheus.py
+++ b/hibiscusslip/observe/prometheus.py
@@ -5,34 +5,47 @@
 
 BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
 MAX_SERIES = 500
+MAX_SERIES_OF_METRIC = 300  # so that one by queue leaves room for others
 PREFIX = 'hibiscusslip_'
 
 
 class Metrics:
     """Aggregate counters, gauges and latency histograms.
 
-    Counters and gauges are bounded to MAX_SERIES label combinations each;
-    further ones are dropped.
+    Counters and gauges are bounded to MAX_SERIES label combinations each, of
+    which one metric has at most MAX_SERIES_OF_METRIC; further ones are
+    dropped.
     """
 
     def __init__(self) -> None:
         self._counters: dict[str, float] = {}
         self._gauges: dict[str, float] = {}
+        self._counts: dict[str, int] = {}
         self._histograms: dict[str, list[float]] = {}
         self._sums: dict[str, float] = {}
 
     def count(self, name: str, amount: float = 1, **labels: str) -> None:
         """Add to a counter."""
         key = _series_key(name, labels)
-        if key in self._counters or len(self._counters) < MAX_SERIES:
+        if self._may_set(self._counters, name, key):
             self._counters[key] = self._counters.get(key, 0) + amount
 
     def gauge(self, name: str, value: float, **labels: str) -> None:
         """Set a gauge."""
         key = _series_key(name, labels)
-        if key in self._gauges or len(self._gauges) < MAX_SERIES:
+        if self._may_set(self._gauges, name, key):
             self._gauges[key] = value
 
+    def _may_set(self, series: dict[str, float], name: str, key: str) -> bool:
+        """Return True for known series, and for new ones if there is room."""
+        if key in series:
+            return True
+        count = self._counts.get(name, 0)
+        if len(series) >= MAX_SERIES or count >= MAX_SERIES_OF_METRIC:
+            return False
+        self._counts[name] = count + 1
+        return True
+
     def time(self, name: str, seconds: float) -> None:
         """Add one duration, in seconds, to a histogram."""
         buckets = self._histograms.get(name)
--- a/tests/observe/test_events.py
+++ b/tests/observe/test_events.py
@@ -72,6 +72,20 @@
     assert metrics.render().count(b'\n') <= prometheus.MAX_SERIES + 2
 
 
+def test_metric_by_queue_leaves_room_for_others():
+    """Else a configuration of many queues would hide the host's state."""
+    metrics = prometheus.Metrics()
+    for number in range(prometheus.MAX_SERIES):
+        metrics.gauge('ratio', 1.0, queue=str(number))
+        metrics.count('rejected', queue=str(number))
+    metrics.gauge('config_version', 7)
+    metrics.count('answers')
+    lines = metrics.render().decode().splitlines()
+    assert {'hibiscusslip_config_version 7', 'hibiscusslip_answers 1'} <= {
+        *lines
+    }
+
+
 def test_only_whole_lines_are_written_when_the_reader_lags():
     """A slow reader must get no partial lines.
 
