dispatch: forget the arrivals of queues once they have decayed to 0

The work that arrived in a queue was kept for as long as the owner ran, and each forecast added all of it up, also that of removed queues.

An average is removed when it has decayed to exactly 0, which takes an hour. Sums, and whether accelerators are in use, stay the same to the last bit.

--- a/hibiscusslip/dispatch/arrivals.py
+++ b/hibiscusslip/dispatch/arrivals.py
@@ -56,11 +56,19 @@
         self._accelerators.setdefault(key, _Average()).add(work[1], now)
 
     def work(self, now: float) -> dict[tuple[str, bool], admission.Work]:
-        """Return the work per second, by queue and whether it is beyond."""
-        return {
+        """Return the work per second, by queue and whether it is beyond.
+
+        Queues are forgotten an hour after their last job, when their averages
+        have decayed to 0: thousands of queues may have jobs once a day.
+        """
+        works = {
             key: (cores.read(now), self._accelerators[key].read(now))
             for key, cores in self._cores.items()
         }
+        for key, work in works.items():
+            if not any(work):
+                del self._cores[key], self._accelerators[key]
+        return {key: work for key, work in works.items() if any(work)}
 
     def beyond_percents(
         self, weights: dict[str, float], now: float
--- a/tests/dispatch/test_admission.py
+++ b/tests/dispatch/test_admission.py
@@ -101,6 +101,19 @@
     assert 0.15 < accepted / sent < 0.4
 
 
+def test_work_of_queues_is_forgotten_once_it_is_nothing():
+    """Else each forecast would add up all queues that ever had a job."""
+    average = arrivals.Arrivals()
+    for number in range(100):
+        average.add_work(f'q{number}', False, (4.0, 0.0), 40.0 * number)
+    kept = average.work(4000.0)
+    assert ('q99', False) in kept and ('q7', False) in kept
+    assert all(cores > 0.0 for cores, _ in kept.values())
+    assert ('q6', False) not in kept
+    average.add_work('q6', False, (4.0, 0.0), 4000.0)
+    assert average.work(4000.0) == kept | {('q6', False): (0.8, 0.0)}
+
+
 def test_sender_at_its_rate_is_rarely_reported():
     average = arrivals.Arrivals()
     for number in range(300):
