tests: share the small cell of the node's new tests

Cause: test_draining and test_shard_transfer each had the same 25 lines that start a cell. Change: tests/node/support.py has them once; the checks are the same. A docstring of SuccessorWait named a private attribute.

--- a/hibiscusslip/node/draining.py
+++ b/hibiscusslip/node/draining.py
@@ -25,7 +25,7 @@
     ) -> bool:
         """Return whether to wait on, given the other hosts of the zone.
 
-        A host that doesn't respond counts until `wait` seconds after one
+        A host that doesn't respond counts for half of the grace after one
         that accepts shards was last seen: it may be restarting, or its
         heartbeats may be late.
         """
--- a/tests/node/test_draining.py
+++ b/tests/node/test_draining.py
@@ -10,41 +10,24 @@
 import curio
 import pytest
 
-from hibiscusslip import sheet
-from hibiscusslip.demo import cell
-from hibiscusslip.demo import traffic
 from hibiscusslip.membership import members
 from hibiscusslip.model import places
 from hibiscusslip.model import work
 from hibiscusslip.node import caller_service
 from hibiscusslip.node import draining
 from hibiscusslip.platform import base as platform_base
-from hibiscusslip.sheet import samples
-from hibiscusslip.standin import payload
+from tests.node import support
 
 GRACE_S = 20.0
 
 
 async def stop_while_peer_restarts():
     """Stop the owner of a zone, whose other host responds only later."""
-    groups = (cell.EndpointGroup('planner', 4, 64, 256, 0, 2),)
-    cell_ = cell.Cell(cell.Deployment('t', 'r', ('a', 'b'), groups, b''), 1)
-    await cell_.start()
-    try:
-        content = sheet.parse(samples.read('peachtree'))
-        await cell_.publish(0, traffic.with_standin_payloads(content))
-        assert await cell_.wait_until_serving(10.0)
+    async with support.serving_cell(('a', 'b')) as cell_:
         restarting = platform_base.EntryHostInfo('a-h1', 'a', '127.0.0.1', 1)
         cell_.hosts.table.put(time.monotonic(), restarting)
         await curio.sleep(1.0)  # two intervals of the host list
-        task_payload = payload.Payload(run_s=1.0, repeatable=False)
-        spec = work.JobSpec(
-            'a.0.kone',
-            'planner-north',
-            'timetable',
-            repeatable=False,
-            payload=payload.encode(task_payload),
-        )
+        spec = support.not_repeatable('a.0.kone', 1.0)
         service = caller_service.CallerService(cell_.nodes['b-h0'])
         caller = await curio.spawn(service.submit_and_wait, spec, 20.0)
         await curio.sleep(0.3)
@@ -54,8 +37,6 @@
         transferred = await stopping.join()
         await cell_.remove_host('a-h0')
         return transferred, await caller.join()
-    finally:
-        await cell_.stop()
 
 
 def test_shards_go_to_a_host_that_was_restarting():
@@ -72,11 +53,7 @@
 
 @pytest.mark.parametrize(
     'others',
-    [
-        [],
-        [member(is_draining=True)],
-        [member(alive=False, leaving=True)],
-    ],
+    [[], [member(is_draining=True)], [member(alive=False, leaving=True)]],
 )
 def test_stop_does_not_wait_for_hosts_that_take_no_shards(others):
     wait = draining.SuccessorWait(GRACE_S, 0.0)
--- a/tests/node/test_shard_transfer.py
+++ b/tests/node/test_shard_transfer.py
@@ -7,41 +7,23 @@
 import curio
 
 from hibiscusslip import codec
-from hibiscusslip import sheet
-from hibiscusslip.demo import cell
-from hibiscusslip.demo import traffic
 from hibiscusslip.jobs import handover
 from hibiscusslip.jobs import model
 from hibiscusslip.model import work
 from hibiscusslip.node import caller_service
 from hibiscusslip.node import clock
 from hibiscusslip.peer import messages
-from hibiscusslip.sheet import samples
-from hibiscusslip.standin import payload
+from tests.node import support
 
 
 async def crash_after_cancelled_transfer():
     """Return a job's states under both owners and the number of starts."""
-    groups = (cell.EndpointGroup('planner', 2, 64, 256, 0, 2),)
-    cell_ = cell.Cell(cell.Deployment('t', 'r', ('a',), groups, b''), 1)
-    await cell_.start(hosts_per_zone=2)
-    try:
-        content = sheet.parse(samples.read('peachtree'))
-        empty = type(content)(content.shares, content.quotas, ())
-        await cell_.publish(0, traffic.with_standin_payloads(empty))
-        assert await cell_.wait_until_serving(10.0)
+    async with support.serving_cell(('a',), 2) as cell_:
         nodes = cell_.nodes
         name = next(n for n in nodes if nodes[n].fleet.runners)
         owner = nodes[name]
         successor = next(n for n in nodes.values() if n is not owner)
-        task_payload = payload.Payload(run_s=0.1, repeatable=False)
-        spec = work.JobSpec(
-            'a.0.kone',
-            'planner-north',
-            'timetable',
-            repeatable=False,
-            payload=payload.encode(task_payload),
-        )
+        spec = support.not_repeatable('a.0.kone', 0.1)
         packed = handover.pack(model.new_job(spec, clock.now()))
         epoch = owner.ownership.epoch(0)
         state = codec.encode_list([packed])
@@ -49,9 +31,8 @@
         part = messages.ShardTransfer('t1', 0, epoch, 0, 1, state)
         reply = await successor.transfers.handle_part(owner.cfg.me, part)
         assert isinstance(reply, messages.Done), reply
-        before = await caller_service.CallerService(owner).submit_and_wait(
-            spec, 10.0
-        )
+        service = caller_service.CallerService(owner)
+        before = await service.submit_and_wait(spec, 10.0)
         await cell_.remove_host(name)
         # Endpoints that still know the run would report it as ended.
         for worker in cell_.fleet.workers.values():
@@ -59,12 +40,9 @@
         assert await cell_.wait_until_serving(20.0)
         await curio.sleep(1.0)  # time for a second start
         assert successor.ownership.epoch(0) == epoch + 1
-        after = await caller_service.CallerService(successor).status(
-            spec.job_id
-        )
+        service = caller_service.CallerService(successor)
+        after = await service.status(spec.job_id)
         return before, after, cell_.fleet.violations.counters.starts
-    finally:
-        await cell_.stop()
 
 
 def test_claim_does_not_use_the_state_of_a_cancelled_transfer():
