host: retire the ID of an ended job before it is used again

Callers saw a job cancelled or lost after its ID had been used by an ended job. If the deletion of the old cancellation failed, the next owner applied it to the new job. If a submission reached its partition just before the deletion of the same key, it was deleted, and the job was lost with the owner. A cancellation whose job never appeared waited without limit; above 10,000 of them, the oldest was forgotten with its key, so that its record stayed for the next owner to apply.

The cause is that nothing durable told the records of an ended job from those of a later one with the same ID: records of one ID are in several partitions, which fail independently, and the deletion was unconditional.

The owner now first writes the retirement of the ID, with the offsets up to which it has read each partition of the inbox. Records before them are void for every later owner, so it doesn't matter which of them are left. Void records are deleted by appends that take effect only if the owner has read the partition to its end, so none deletes an unread submission. Stray cancellations are retired after 30 s in the same way.

No test fails if a position is forgotten that is newer than its deletion.

Existing tests: the owner reads records at a position now, and keys are deleted only where they were read, so tests of deletions read records through tests/host/inbox_cell.py first and compare the exact keys. The test of the deferred bound checks that what is in excess is retired. find_ended_before returns the jobs instead of removing them.

--- a/hibiscusslip/dispatch/_durability.py
+++ b/hibiscusslip/dispatch/_durability.py
@@ -1,29 +1,26 @@
-"""Track which records are written, and forget jobs that ended long ago."""
+"""Track which records are written, and find jobs that ended long ago."""
 
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import state
 from hibiscusslip.dispatch import usage
 
 
-def forget_ended_before(
+def find_ended_before(
     jobs: dict[str, state.Job], ledger: usage.Ledger, before: float
-) -> list[str]:
-    """Remove jobs that ended before a time and return their IDs.
+) -> list[state.Job]:
+    """Return the jobs that ended before a time.
 
-    A job stays whose final state isn't written yet, or whose runs still count
-    towards the limit of its organisation.
+    Jobs are left out whose final state isn't written yet, or whose runs still
+    count towards the limit of their organisation.
     """
-    old = [
-        job.job_id
+    return [
+        job
         for job in jobs.values()
         if job.state.final
         and job.durable_state.final
         and job.final_at < before
         and not ledger.runs_of(job.job_id)
     ]
-    for job_id in old:
-        del jobs[job_id]
-    return old
 
 
 def confirm_records(
--- a/hibiscusslip/dispatch/_job_state.py
+++ b/hibiscusslip/dispatch/_job_state.py
@@ -177,6 +177,8 @@
     for none; `within_entitlement` is False if it had submitted more jobs than
     it is entitled to, and `holding` sums up what its runs hold in the pool.
     It is `contested` if another organisation has submitted a job of this ID.
+    Records of the inbox before `inbox_since`, an offset for each partition,
+    are those of former jobs with this ID; it is () if there are none.
     """
 
     job_id: str
@@ -196,6 +198,7 @@
     within_entitlement: bool = True
     holding: holdings.Holding | None = None
     contested: bool = False
+    inbox_since: tuple[int, ...] = ()
 
     def steps(self) -> list[StepState]:
         """Return the steps of all occurrences that are due."""
--- a/hibiscusslip/dispatch/engine.py
+++ b/hibiscusslip/dispatch/engine.py
@@ -195,13 +195,9 @@
             allocation.stop_requested_at = now
         self.stops.append(commands.Stop(name, task.name, number, reason))
 
-    def forget_ended_before(self, before: float) -> list[str]:
-        """Remove jobs that ended before a time and return their IDs.
-
-        A job stays whose final state isn't written yet, or whose runs still
-        count towards the limit of its organisation.
-        """
-        return _durability.forget_ended_before(self.jobs, self.ledger, before)
+    def find_ended_before(self, before: float) -> list[state.Job]:
+        """Return the jobs that ended before a time and may be forgotten."""
+        return _durability.find_ended_before(self.jobs, self.ledger, before)
 
     def queue_of(self, job: state.Job) -> model.Queue:
         """Return a job's queue, or DEFAULT_QUEUE if it isn't configured."""
--- a/hibiscusslip/dispatch/records.py
+++ b/hibiscusslip/dispatch/records.py
@@ -82,6 +82,17 @@
     born: float
 
 
+class InboxRow(msgspec.Struct, array_like=True):
+    """Which records of the inbox are those of former jobs with this ID.
+
+    `since` has an offset for each partition; records before it are void. If
+    the ID is `retired`, the record's job is a former one, too.
+    """
+
+    since: list[int]
+    retired: bool = False
+
+
 class JobRow(msgspec.Struct, array_like=True):
     """The record of a job's progress.
 
@@ -107,6 +118,7 @@
     delays: list[delay_records.DelayRow] = []
     contested: bool = False
     organisation: str = ''
+    inbox: InboxRow | None = None
 
     def occurrence_numbers(self) -> list[int]:
         """Return the numbers of all occurrences, completed ones too."""
@@ -166,6 +178,7 @@
         completed=_ranges(completed),
         contested=job.contested,
         organisation=job.organisation if job.contested else '',
+        inbox=InboxRow(list(job.inbox_since)) if job.inbox_since else None,
     )
     if job.state.final:
         current = [run.task for run in runs if run.is_current]
@@ -308,6 +321,8 @@
     job.state = model.JobState(row.state)
     job.durable_state = job.state
     job.contested = job.contested or row.contested
+    if row.inbox is not None:
+        job.inbox_since = tuple(row.inbox.since)
     for number in row.completed_numbers():
         for step in job.occurrences[number]:
             _mark_complete(step)
--- a/hibiscusslip/host/cancellations.py
+++ b/hibiscusslip/host/cancellations.py
@@ -6,6 +6,9 @@
 from hibiscusslip.host import topics
 
 MAX_DEFERRED_JOBS = 10_000
+# Callers wait for 3 s for a job to be accepted, and an append whose response
+# was lost may be carried out seconds later.
+DEFERRAL_S = 30.0
 
 
 class Cancellations:
@@ -20,7 +23,7 @@
     def __init__(self, ctx: context.Context) -> None:
         self._ctx = ctx
         self._deferred: dict[str, set[str]] = {}
-        self._keys: dict[str, set[str]] = {}
+        self._deferred_at: dict[str, float] = {}
 
     def apply(
         self, engine: engines.Engine, key: str, value: bytes, now: float
@@ -28,9 +31,9 @@
         """Apply a record; return False if its job isn't known yet."""
         job_id = topics.cancelled_job(key)
         organisation = topics.decode_cancel(value)
-        self._keys.setdefault(job_id, set()).add(key)
         if job_id not in engine.jobs:
-            self._defer(job_id, organisation)
+            self._deferred.setdefault(job_id, set()).add(organisation)
+            self._deferred_at.setdefault(job_id, now)
             return False
         self._cancel(engine, job_id, organisation, now)
         return True
@@ -39,17 +42,34 @@
         self, engine: engines.Engine, job_id: str, now: float
     ) -> None:
         """Apply the cancellations that were read before their job."""
-        for organisation in self._deferred.pop(job_id, ()):
+        organisations = self._deferred.get(job_id, set())
+        self.forget(job_id)
+        for organisation in organisations:
             self._cancel(engine, job_id, organisation, now)
 
-    def cancel_keys(self, job_id: str) -> set[str]:
-        """Return the keys of all records that may cancel a job."""
-        return self._keys.get(job_id, set()) | {topics.cancel_key(job_id, '')}
+    def forget(self, job_id: str) -> None:
+        """Forget the deferred cancellations of a job."""
+        self._deferred.pop(job_id, None)
+        self._deferred_at.pop(job_id, None)
 
-    def forget(self, job_ids: list[str]) -> None:
-        """Forget the cancellations of jobs whose records are deleted."""
-        for job_id in job_ids:
-            self._keys.pop(job_id, None)
+    def find_stray(self, before: float) -> list[str]:
+        """Return the jobs whose cancellations needn't wait any more.
+
+        These are the ones deferred before a time, and the oldest ones of too
+        many.
+        """
+        stray: list[str] = []
+        excess = len(self._deferred) - MAX_DEFERRED_JOBS
+        for job_id, since in self._deferred_at.items():  # oldest first
+            if len(stray) >= excess and since >= before:
+                break
+            stray.append(job_id)
+        return stray
+
+    @property
+    def overfull(self) -> bool:
+        """Return True if too many jobs have deferred cancellations."""
+        return len(self._deferred) > MAX_DEFERRED_JOBS
 
     def _cancel(
         self,
@@ -72,10 +92,3 @@
             organisation=organisation,
             job_organisation=job.organisation,
         )
-
-    def _defer(self, job_id: str, organisation: str) -> None:
-        self._deferred.setdefault(job_id, set()).add(organisation)
-        if len(self._deferred) > MAX_DEFERRED_JOBS:
-            oldest = next(iter(self._deferred))
-            del self._deferred[oldest]
-            self._keys.pop(oldest, None)
--- a/hibiscusslip/host/cell_feeds.py
+++ b/hibiscusslip/host/cell_feeds.py
@@ -3,6 +3,7 @@
 import typing
 
 from hibiscusslip.host import context
+from hibiscusslip.host import inbox_positions
 from hibiscusslip.host import recovery
 from hibiscusslip.host import tailing
 from hibiscusslip.host import topics
@@ -31,15 +32,19 @@
             self.topic, recovery.READ_TIMEOUT_S, self.part
         )
         for key, value in newest.values.items():
-            self._owner.apply_inbox_record(key, value)
+            self._apply(newest.offsets[key], key, value)
         return newest.end
 
     async def apply(self, offset: int, record: bytes) -> None:
         """Apply one accepted job or cancellation."""
         key, value = store.decode_keyed(record)
-        self._owner.apply_inbox_record(key, value)
+        self._apply(offset, key, value)
         await self._owner.plan_wakeup.set()
 
+    def _apply(self, offset: int, key: str, value: bytes) -> None:
+        position = inbox_positions.Position(self.part, offset)
+        self._owner.intake.apply(key, value, position)
+
 
 class EndpointFeed(tailing.Tail):
     """Tail the entries that endpoints publish."""
--- a/hibiscusslip/host/owner.py
+++ b/hibiscusslip/host/owner.py
@@ -11,22 +11,19 @@
 from hibiscusslip.dispatch import summary
 from hibiscusslip.host import access
 from hibiscusslip.host import advice_routing
-from hibiscusslip.host import cancellations
 from hibiscusslip.host import cell_feeds
 from hibiscusslip.host import context
 from hibiscusslip.host import crash_logging
 from hibiscusslip.host import endpoint_session
 from hibiscusslip.host import engine_events
 from hibiscusslip.host import estimate_reports
+from hibiscusslip.host import job_intake
 from hibiscusslip.host import lease_handover
 from hibiscusslip.host import lease_timing
 from hibiscusslip.host import notices
 from hibiscusslip.host import ownership_keeper
 from hibiscusslip.host import poll_timing
-from hibiscusslip.host import record_deletion
 from hibiscusslip.host import recovery
-from hibiscusslip.host import submissions
-from hibiscusslip.host import topics
 from hibiscusslip.host import wakeup_event
 from hibiscusslip.host import writer
 from hibiscusslip.platform import exceptions
@@ -72,15 +69,11 @@
             self.release_ownership,
             lambda: self.engine.shares.forecast if self.ready else None,
         )
-        self._inboxes: list[cell_feeds.InboxFeed] = []
+        self.inboxes: list[cell_feeds.InboxFeed] = []
         self._tasks = curio.TaskGroup(wait=any)
         self.endpoints_read_at = 0.0
         self._poll_timing = poll_timing.PollTiming()
-        self._submissions = submissions.Submissions(ctx)
-        self._cancellations = cancellations.Cancellations(ctx)
-        self._deletion = record_deletion.RecordDeletion(
-            ctx, self._submissions, self._cancellations
-        )
+        self.intake = job_intake.JobIntake(self)
 
     def _new_engine(self) -> engines.Engine:
         bounds = self.ctx.cfg.bounds
@@ -107,7 +100,7 @@
             crash_logging.run_loop, self.ctx, self._keeper.run_heartbeats
         )
         recovered = await self._recover()
-        self._writer.mark_used(recovered.used_parts)
+        self._resume(recovered)
         self._handover.set_engine(self.engine)
         self.ready = True
         self.ctx.metrics.count('successions')
@@ -116,16 +109,10 @@
             epoch=self.epoch,
             ms=int((context.monotonic() - started) * 1000),
         )
-        self._inboxes = [
-            cell_feeds.InboxFeed(self, part, offset)
-            for part, offset in enumerate(recovered.inbox_offsets)
-        ]
-        self.endpoints_read_at = recovered.endpoints_read_at
         endpoints = cell_feeds.EndpointFeed(self, recovered.endpoints_offset)
-        self._deletion.add(recovered.orphans)
         for loop in (
             self._writer.run,
-            *(feed.run for feed in self._inboxes),
+            *(feed.run for feed in self.inboxes),
             endpoints.run,
             self._plan,
             self._delete_old_jobs,
@@ -138,6 +125,16 @@
         while self.ctx.ownership.held_epoch == self.epoch:
             await curio.sleep(PLAN_IDLE_S)
 
+    def _resume(self, recovered: recovery.Recovered) -> None:
+        """Continue where the recovered records end."""
+        self._writer.mark_used(recovered.used_parts)
+        self.endpoints_read_at = recovered.endpoints_read_at
+        self.intake.deletion.start(recovered)
+        self.inboxes = [
+            cell_feeds.InboxFeed(self, part, offset)
+            for part, offset in enumerate(recovered.inbox_offsets)
+        ]
+
     async def _recover(self) -> recovery.Recovered:
         # Only this owner writes progress once its fence is set, so what has
         # been read stays valid for the next attempt.
@@ -150,8 +147,8 @@
                     self.ctx,
                     self.engine,
                     reader,
-                    self._submissions,
-                    self._cancellations,
+                    self.intake.submissions,
+                    self.intake.cancellations,
                 )
             except exceptions.ProducerFenced:
                 self.ctx.ownership.lose()
@@ -164,25 +161,6 @@
                     self.ctx, self.engine, self.epoch, self._send_starts
                 )
 
-    def apply_inbox_record(self, key: str, value: bytes) -> None:
-        """Apply a record of the inbox: an accepted job or a cancellation."""
-        now = context.monotonic()
-        if not value or not key:
-            return
-        if key.startswith(topics.CANCEL_PREFIX):
-            known = self._cancellations.apply(self.engine, key, value, now)
-            job_id = topics.cancelled_job(key)
-            self.ctx.log.note('cancel_taken', job=job_id, known=known)
-            return
-        job_id = topics.submitted_job(key)
-        wall_time = context.wall_time()
-        if self._submissions.apply(self.engine, key, value, now, wall_time):
-            self.ctx.log.note('job_taken', job=job_id)
-            if self._deletion.withdraw(job_id):
-                # Else the next owner would restore the ended job's progress.
-                self.engine.dirty.add(job_id)
-            self._cancellations.apply_deferred(self.engine, job_id, now)
-
     async def query_job_state(
         self, job_id: str, organisation: str
     ) -> model.JobState | None:
@@ -192,7 +170,11 @@
         PlatformError if the inbox can't be read to its end.
         """
         job = self.engine.jobs.get(job_id)
-        for feed in self._inboxes:
+        if job is None and self.intake.deletion.holds(job_id):
+            raise exceptions.StoreUnavailable(
+                'a former job of this ID is being deleted; ask again'
+            )
+        for feed in self.inboxes:
             if job is not None:
                 break
             await feed.read_once(0.0)
@@ -359,11 +341,8 @@
 
     async def _delete_old_jobs(self) -> None:
         while True:
+            await self.intake.delete_old(self._writer)
             await curio.sleep(DELETE_PERIOD_S)
-            kept = self.ctx.cfg.bounds.status_kept
-            before = context.monotonic() - kept * 1.5
-            self._deletion.add(self.engine.forget_ended_before(before))
-            await self._deletion.delete(self._writer, len(self._inboxes))
 
     def successor_can_recover(self, now: float) -> bool:
         """Return True if a new owner could read all that it needs.
@@ -373,7 +352,7 @@
         """
         if not self.ctx.store_available(now):
             return True
-        inbox_failing = any(feed.failing for feed in self._inboxes)
+        inbox_failing = any(feed.failing for feed in self.inboxes)
         return not inbox_failing and self._writer.all_serving(now)
 
     async def release_ownership(self) -> None:
--- a/hibiscusslip/host/recovery.py
+++ b/hibiscusslip/host/recovery.py
@@ -11,10 +11,13 @@
 from hibiscusslip.dispatch import engine as engines
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import records
+from hibiscusslip.dispatch import retirement as retirement_records
 from hibiscusslip.dispatch import run_records
 from hibiscusslip.dispatch import state
 from hibiscusslip.host import cancellations
 from hibiscusslip.host import context
+from hibiscusslip.host import inbox_positions
+from hibiscusslip.host import inbox_snapshot
 from hibiscusslip.host import lease_timing
 from hibiscusslip.host import submissions
 from hibiscusslip.host import topics
@@ -31,14 +34,18 @@
 
     `inbox_offsets`, one for each partition of the inbox, and
     `endpoints_offset` are where reading continues; the endpoints were read at
-    `endpoints_read_at`. `orphans` are jobs with progress but no submission,
-    `used_parts` the partitions that hold progress.
+    `endpoints_read_at`. `positions` are those of all records of the inbox,
+    `retired_since` the offsets before which those of a known job are void.
+    `orphans` are jobs with progress but no submission, `used_parts` the
+    partitions that hold progress.
     """
 
     inbox_offsets: list[int]
     endpoints_offset: int
     endpoints_read_at: float
-    orphans: list[str]
+    positions: inbox_positions.InboxPositions
+    retired_since: dict[str, tuple[int, ...]]
+    orphans: dict[str, retirement_records.Retirement]
     used_parts: list[int]
 
 
@@ -104,21 +111,41 @@
         entry = documents.read_endpoint_entry(name, value)
         if entry is not None:
             engine.register_endpoint(entry, now)
-    _submit_all(submits, engine, inboxes, progress, now)
-    restore_all(ctx, engine, progress, now)
-    for inbox in inboxes:
-        _cancel_all(engine, inbox, cancels, now)
+    inbox_rows = inbox_snapshot.read_inbox_rows(progress)
+    snapshot = inbox_snapshot.sort_out(
+        inboxes, {i: tuple(row.since) for i, row in inbox_rows.items()}
+    )
+    retired = {i for i, row in inbox_rows.items() if row.retired}
+    live_progress = {i: progress[i] for i in progress if i not in retired}
+    _submit_all(submits, engine, snapshot.submissions, live_progress, now)
+    restore_all(ctx, engine, live_progress, now)
+    _replace_retirements(engine, retired, snapshot.retired_since)
+    for key, value in snapshot.cancellations:
+        job_id = topics.cancelled_job(key)
+        if job_id in engine.jobs or job_id not in live_progress:
+            cancels.apply(engine, key, value, now)
     ctx.log.note(
         'state_recovered',
         jobs=len(engine.jobs),
         endpoints=len(engine.endpoints),
         placed=sum(len(e.allocations) for e in engine.endpoints.values()),
     )
+    inbox_offsets = [inbox.end for inbox in inboxes]
+    since = snapshot.retired_since
     return Recovered(
-        [inbox.end for inbox in inboxes],
+        inbox_offsets,
         listed.end,
         endpoints_read_at,
-        [job_id for job_id in progress if job_id not in engine.jobs],
+        snapshot.positions,
+        {job_id: since[job_id] for job_id in since if job_id in engine.jobs},
+        {
+            job_id: retirement_records.Retirement(
+                retirement_records.find_state(value),
+                since.get(job_id, tuple(inbox_offsets)),
+            )
+            for job_id, value in progress.items()
+            if job_id not in engine.jobs
+        },
         [part for part, newest in enumerate(parts) if newest.values],
     )
 
@@ -144,7 +171,7 @@
 def _submit_all(
     submits: submissions.Submissions,
     engine: engines.Engine,
-    inboxes: list[store.NewestValues],
+    rows: list[tuple[str, bytes]],
     progress: dict[str, bytes],
     now: float,
 ) -> None:
@@ -154,12 +181,6 @@
     other, most jobs of all but the first would be beyond the entitlement.
     """
     wall_time = context.wall_time()
-    rows = [
-        (key, inbox.values[key])
-        for inbox in inboxes
-        for key in sorted(inbox.values, key=inbox.offsets.__getitem__)
-        if inbox.values[key] and not key.startswith(topics.CANCEL_PREFIX)
-    ]
     contested = _contested_rows(rows, progress)
     config = engine.config
     if contested or (config is not None and config.organisations is not None):
@@ -320,15 +341,15 @@
     endpoint.allocate(task.name, allocation)
 
 
-def _cancel_all(
+def _replace_retirements(
     engine: engines.Engine,
-    inbox: store.NewestValues,
-    cancels: cancellations.Cancellations,
-    now: float,
+    retired: set[str],
+    retired_since: dict[str, tuple[int, ...]],
 ) -> None:
-    for key, value in inbox.values.items():
-        if value and key.startswith(topics.CANCEL_PREFIX):
-            cancels.apply(engine, key, value, now)
+    """Have records written of jobs that were submitted after a retirement."""
+    for job_id in retired & engine.jobs.keys():
+        engine.jobs[job_id].inbox_since = retired_since[job_id]
+        engine.dirty.add(job_id)
 
 
 def visible_state(job: state.Job) -> model.JobState:
--- a/hibiscusslip/host/submissions.py
+++ b/hibiscusslip/host/submissions.py
@@ -38,7 +38,7 @@
         since the epoch, both in seconds.
         """
         job_id = topics.submitted_job(key)
-        self._remember(job_id, key)  # also if it is unreadable, to delete it
+        self._remember(job_id, key)
         known = engine.jobs.get(job_id)
         if known is None:
             return self._submit(engine, key, value, now, wall_time)
@@ -50,10 +50,9 @@
         """Return the keys of all records that submit a job."""
         return set(self._keys.get(job_id, (job_id,)))
 
-    def forget(self, job_ids: list[str]) -> None:
-        """Forget the keys of jobs whose records are deleted."""
-        for job_id in job_ids:
-            self._keys.pop(job_id, None)
+    def forget(self, job_id: str) -> None:
+        """Forget the keys of a job whose ID is retired."""
+        self._keys.pop(job_id, None)
 
     def _remember(self, job_id: str, key: str) -> None:
         keys = self._keys.get(job_id, ())
--- a/hibiscusslip/host/topics.py
+++ b/hibiscusslip/host/topics.py
@@ -57,6 +57,13 @@
     return key[len(CANCEL_PREFIX) :].partition('/')[0]
 
 
+def job_of(key: str) -> str:
+    """Return the job in a key of the inbox."""
+    if key.startswith(CANCEL_PREFIX):
+        return cancelled_job(key)
+    return submitted_job(key)
+
+
 def encode_cancel(organisation: str) -> bytes:
     """Return the value of a cancellation; '' stands for no organisation."""
     return _CANCEL_MARK + organisation.encode()
--- a/hibiscusslip/host/writer.py
+++ b/hibiscusslip/host/writer.py
@@ -9,6 +9,7 @@
 from hibiscusslip.dispatch import engine as engines
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import records
+from hibiscusslip.dispatch import retirement as retirement_records
 from hibiscusslip.dispatch import state
 from hibiscusslip.host import context
 from hibiscusslip.host import repeating
@@ -25,6 +26,7 @@
 IDLE_S = 1.0
 FAILURE_MEMORY_S = 1.5
 
+HandleRetired = collections.abc.Callable[[list[str]], None]
 SendStarts = collections.abc.Callable[
     [list[commands.Start]], collections.abc.Awaitable[None]
 ]
@@ -71,6 +73,8 @@
         ]
         self._number = 0
         self._ended_jobs: list[str] = []
+        self._retirements: dict[str, retirement_records.Retirement] = {}
+        self._handle_retired: HandleRetired = lambda job_ids: None
         self.wakeup = wakeup_event.WakeupEvent()
         self.writing_since = 0.0
 
@@ -96,7 +100,10 @@
         while True:
             await self.wakeup.wait(IDLE_S)
             while (
-                self._engine.dirty or self._engine.starts or self._ended_jobs
+                self._engine.dirty
+                or self._engine.starts
+                or self._ended_jobs
+                or self._retirements
             ):
                 await self._write()
 
@@ -112,22 +119,60 @@
         self._ended_jobs += job_ids
         await self.wakeup.set()
 
+    async def retire(
+        self,
+        retirements: dict[str, retirement_records.Retirement],
+        handle_retired: HandleRetired,
+    ) -> None:
+        """Write the retirement of IDs with the next batch.
+
+        `handle_retired` is called with those that are written to all
+        partitions that have records. The others may be passed again: a
+        partition without the retirement may have the record of the ended
+        job, which would be the newest one once the other is deleted.
+        """
+        self._retirements.update(retirements)
+        self._handle_retired = handle_retired
+        await self.wakeup.set()
+
     async def _write(self) -> None:
         """Append all changes and deletions, then send the starts."""
         engine = self._engine
         starts, engine.starts = engine.starts, []
         cursors = engine.handled_cursors()
         deletions = self._encode_deletions()
-        written, batch = self._encode()
-        batch += deletions
-        if batch:
+        retirements, self._retirements = self._retirements, {}
+        written, batch = self._encode(retirements.keys())
+        # An ID may be retired again just after the deletion of its record.
+        removals = deletions + self._encode_retirements(retirements)
+        parts: set[int] = set()
+        if batch or removals:
             self.writing_since = context.monotonic()
-            for group in split_batch(batch, MAX_APPEND_BYTES):
-                await self._append(group)
+            for group in split_batch(batch + removals, MAX_APPEND_BYTES):
+                parts.add(await self._append(group))
             self.writing_since = 0.0
         engine.confirm_records(written, cursors)
         await self._send_starts(starts)
-        await self._delete_in_other_partition(deletions)
+        if not removals:
+            return
+        if await self._repeat_in_other_partition(
+            removals, parts, bool(retirements)
+        ):
+            self._handle_retired(list(retirements))
+        else:
+            engine.dirty.update(retirements.keys() & engine.jobs.keys())
+
+    def _encode_retirements(
+        self, retirements: dict[str, retirement_records.Retirement]
+    ) -> list[bytes]:
+        encoded = []
+        for job_id, retirement in retirements.items():
+            self._number += 1
+            value = retirement_records.encode(
+                retirement, self._epoch, self._number
+            )
+            encoded.append(store.encode_keyed(job_id, value))
+        return encoded
 
     def _encode_deletions(self) -> list[bytes]:
         """Return what deletes the records of ended jobs.
@@ -143,14 +188,17 @@
             if job_id not in again
         ]
 
-    def _encode(self) -> tuple[dict[str, model.JobState], list[bytes]]:
+    def _encode(
+        self, left_out: collections.abc.Set[str]
+    ) -> tuple[dict[str, model.JobState], list[bytes]]:
+        """Return the states and records of all changed jobs but some."""
         engine = self._engine
         job_ids, engine.dirty = engine.dirty, set()
         written = {}
         batch = []
         for job_id in job_ids:
             job = engine.jobs.get(job_id)
-            if job is None:
+            if job is None or job_id in left_out:
                 continue
             self._number += 1
             record = self._encode_small(job)
@@ -183,8 +231,11 @@
         )
         return store.encode_keyed(job.job_id, value)
 
-    async def _append(self, batch: list[bytes]) -> None:
-        """Append a batch; on a failure, retry at the other partition."""
+    async def _append(self, batch: list[bytes]) -> int:
+        """Append a batch; on a failure, retry at the other partition.
+
+        Return the partition that has it.
+        """
         pause = RETRY_PAUSE_S
         while True:
             if self._ctx.ownership.held_epoch != self._epoch:
@@ -212,6 +263,7 @@
         self._ctx.record_store_success(now)
         self._ctx.ownership.record_write(sent)
         self._ctx.metrics.time('record_append', now - sent)
+        return partition.part
 
     def _handle_failure(self, partition: _Partition, exc: Exception) -> None:
         """Record a failure; the other partition is tried next."""
@@ -257,14 +309,24 @@
             partition.sequence += 1
             partition.used = True
 
-    async def _delete_in_other_partition(self, deletions: list[bytes]) -> None:
-        """Try to delete the records in the other partition as well."""
+    async def _repeat_in_other_partition(
+        self, removals: list[bytes], parts: set[int], retires: bool
+    ) -> bool:
+        """Try to retire and delete jobs in the other partition as well.
+
+        `parts` are those that were written to. Return True if no partition
+        lacks any of the records that has other ones of the jobs.
+        """
         partition = self._partitions[-1]
-        if not deletions or not partition.used:
-            return
+        if len(parts) > 1:
+            return False  # it is unknown which of them has which records
+        pending = retires and partition.unanswered is not None
+        if not partition.used and not pending:
+            return True
         try:
-            for group in split_batch(deletions, MAX_APPEND_BYTES):
+            for group in split_batch(removals, MAX_APPEND_BYTES):
                 await self._send(partition, group)
+            return True
         except exceptions.OutOfOrderSequence as exc:
             partition.sequence = exc.expected
         except (
@@ -272,6 +334,7 @@
             exceptions.StoreOutcomeUnknown,
         ) as exc:
             self._ctx.log.note('forgetting_failed', error=str(exc)[:120])
+        return False
 
 
 def split_batch(batch: list[bytes], max_bytes: int) -> list[list[bytes]]:
--- a/tests/dispatch/test_engine.py
+++ b/tests/dispatch/test_engine.py
@@ -268,16 +268,16 @@
     assert summary.count_pending(bench.engine) == {'small': 1}
 
 
-def test_ended_jobs_are_removed_after_the_retention_time():
+def test_ended_jobs_are_found_after_the_retention_time():
     bench = support.Bench()
     bench.endpoint('e1')
     bench.submit('j', support.step())
     (start,) = bench.plan()
     bench.end(start)
     bench.commit()
-    assert bench.engine.forget_ended_before(bench.now) == []
-    assert bench.engine.forget_ended_before(bench.now + 1) == ['j']
-    assert 'j' not in bench.engine.jobs
+    assert bench.engine.find_ended_before(bench.now) == []
+    (job,) = bench.engine.find_ended_before(bench.now + 1)
+    assert job.job_id == 'j'
 
 
 def test_new_task_is_waiting():
--- a/tests/dispatch/test_limits_unknown_outcomes.py
+++ b/tests/dispatch/test_limits_unknown_outcomes.py
@@ -152,7 +152,8 @@
     cell.rng.draw = ANSWERS_LOST
     cell.cancel('j1')
     cell.run(0.5)
-    assert cell.engine.forget_ended_before(cell.now) == []
+    assert cell.engine.find_ended_before(cell.now) == []
     cell.rng.draw = ALL_ARRIVES
     cell.run(1.0)
-    assert cell.engine.forget_ended_before(cell.now) == ['j1']
+    (job,) = cell.engine.find_ended_before(cell.now)
+    assert job.job_id == 'j1'
--- a/tests/host/test_job_access.py
+++ b/tests/host/test_job_access.py
@@ -16,6 +16,7 @@
 from hibiscusslip.platform import documents
 from hibiscusslip.platform import store
 from tests.host import fakes
+from tests.host import inbox_cell
 from tests.host import test_access
 from tests.platform import cell
 
@@ -50,7 +51,7 @@
     """Return the state of a job after an owner has read these records."""
     local_owner = make_owner(config)
     for key, value in inbox:
-        local_owner.apply_inbox_record(key, value)
+        inbox_cell.read_by(local_owner, key, value)
     return local_owner.engine.jobs[JOB_ID].state
 
 
@@ -66,8 +67,8 @@
 
 def test_ignored_cancellation_is_logged_with_its_cause():
     local_owner = make_owner()
-    local_owner.apply_inbox_record(JOB_ID, submission())
-    local_owner.apply_inbox_record(*cancellation('o2'))
+    inbox_cell.read_by(local_owner, JOB_ID, submission())
+    inbox_cell.read_by(local_owner, *cancellation('o2'))
     (line,) = local_owner.ctx.log.named('cancel_ignored')
     assert line == {
         'job': JOB_ID,
@@ -134,25 +135,17 @@
     reader = recovery.PartitionReader(ctx)
     submits = submissions.Submissions(ctx)
     cancels = cancellations.Cancellations(ctx)
-    curio.run(recovery.recover, ctx, engine, reader, submits, cancels)
-    assert engine.jobs[JOB_ID].state is expected
-    assert set(inbox) == {JOB_ID, *cancels.cancel_keys(JOB_ID)} - (
-        set() if '' in organisations else {topics.cancel_key(JOB_ID, '')}
+    recovered = curio.run(
+        recovery.recover, ctx, engine, reader, submits, cancels
     )
-
-
-class EmptyFeed:
-    """An inbox partition without further records."""
-
-    failing = False
-
-    async def read_once(self, wait):
-        pass
+    assert engine.jobs[JOB_ID].state is expected
+    records = recovered.positions.find_before(JOB_ID, (len(inbox),))
+    assert records == [(key, 0) for key in inbox]
 
 
 def test_state_of_a_job_is_told_to_another_organisation():
     local_owner = make_owner()
-    local_owner.apply_inbox_record(JOB_ID, submission())
+    inbox_cell.read_by(local_owner, JOB_ID, submission())
 
     def query(organisation, job_id=JOB_ID):
         return curio.run(local_owner.query_job_state, job_id, organisation)
@@ -164,17 +157,17 @@
 
 def test_cancellations_outlive_the_deletion_of_their_job():
     local_owner = make_owner()
-    local_owner._inboxes = [EmptyFeed()]
-    local_owner.apply_inbox_record(JOB_ID, submission())
+    inbox_cell.read_by(local_owner, JOB_ID, submission())
     keys = {JOB_ID}
     for organisation in ('', 'o1', 'o2'):
         key, value = cancellation(organisation)
-        local_owner.apply_inbox_record(key, value)
+        inbox_cell.read_by(local_owner, key, value)
         keys.add(key)
-    local_owner._deletion.add([JOB_ID])
-    curio.run(local_owner._deletion.delete, local_owner._writer, 1)
-    assert set(local_owner.ctx.store.keys()) == keys
-    assert not local_owner._cancellations._keys
+    curio.run(inbox_cell.delete_ended, local_owner)
+    deleted = inbox_cell.deleted_keys(local_owner, topics.INBOX)
+    assert sorted(deleted) == sorted(keys)
+    positions = local_owner.intake.deletion.positions
+    assert not positions.find_before(JOB_ID, (len(keys),))
 
 
 class JobStates(front.JobStateSource):
--- a/tests/host/test_owner.py
+++ b/tests/host/test_owner.py
@@ -14,6 +14,7 @@
 from hibiscusslip.platform import exceptions
 from tests.dispatch import support
 from tests.host import fakes
+from tests.host import inbox_cell
 
 BODY = b'{"Spec":"x","Steps":[{"Count":1,"Cpu":500}]}'
 JOB_ID = 'a1'
@@ -23,9 +24,9 @@
     ctx = fakes.make_context(fakes.FakeStore())
     local_owner = owner.Owner(ctx, None, None, 1)
     submission = records.Submission('q', 's', 1.0, BODY)
-    local_owner.apply_inbox_record(f'{topics.CANCEL_PREFIX}{JOB_ID}', b'1')
-    local_owner.apply_inbox_record(
-        JOB_ID, records.encode_submission(submission)
+    inbox_cell.read_by(local_owner, f'{topics.CANCEL_PREFIX}{JOB_ID}', b'1')
+    inbox_cell.read_by(
+        local_owner, JOB_ID, records.encode_submission(submission)
     )
     assert local_owner.engine.jobs[JOB_ID].state is model.JobState.CANCELLED
 
@@ -40,9 +41,9 @@
     ctx = fakes.make_context(fakes.FakeStore())
     local_owner = owner.Owner(ctx, None, None, 1)
     now = context.monotonic()
-    local_owner._inboxes = [FakeFeed(False), FakeFeed(True)]
+    local_owner.inboxes = [FakeFeed(False), FakeFeed(True)]
     assert not local_owner.successor_can_recover(now)
-    local_owner._inboxes = [FakeFeed(False), FakeFeed(False)]
+    local_owner.inboxes = [FakeFeed(False), FakeFeed(False)]
     assert local_owner.successor_can_recover(now)
 
 
@@ -66,9 +67,13 @@
     ctx = fakes.make_context(fakes.FakeStore())
     local_owner = owner.Owner(ctx, None, None, 1)
     for number in range(5):
-        local_owner.apply_inbox_record(f'{topics.CANCEL_PREFIX}{number}', b'1')
-    assert list(local_owner._cancellations._deferred) == ['2', '3', '4']
-    assert list(local_owner._cancellations._keys) == ['2', '3', '4']
+        inbox_cell.read_by(
+            local_owner, f'{topics.CANCEL_PREFIX}{number}', b'1'
+        )
+    intake = local_owner.intake
+    assert list(intake.cancellations._deferred) == ['2', '3', '4']
+    assert list(intake.cancellations._deferred_at) == ['2', '3', '4']
+    assert list(intake.deletion._retiring) == ['0', '1']
 
 
 class FailOnce(fakes.FakeStore):
@@ -87,17 +92,20 @@
 
 
 def test_deletion_of_many_jobs_goes_on_where_it_failed(monkeypatch):
-    monkeypatch.setattr(record_deletion, 'MAX_JOBS', 10)
+    monkeypatch.setattr(record_deletion, 'MAX_RECORDS', 20)
     fake_store = FailOnce(failing=2)
     ctx = fakes.make_context(fake_store)
     local_owner = owner.Owner(ctx, None, None, 1)
-    deletion = local_owner._deletion
-    deletion.add([f'{number:016x}' for number in range(25)])
+    deletion = local_owner.intake.deletion
+    for job_id in (f'{number:016x}' for number in range(25)):
+        for key in (job_id, topics.cancel_key(job_id, '')):
+            inbox_cell.read_by(local_owner, key, b'1')
+        deletion._undeleted[job_id] = (1000,)
 
     async def delete_twice():
-        await deletion.delete(local_owner._writer, 1)
+        await deletion.delete(local_owner._writer)
         assert len(deletion._undeleted) == 15
-        await deletion.delete(local_owner._writer, 1)
+        await deletion.delete(local_owner._writer)
 
     curio.run(delete_twice)
     assert not deletion._undeleted
--- a/tests/host/test_record_deletion.py
+++ b/tests/host/test_record_deletion.py
@@ -7,6 +7,7 @@
 from hibiscusslip.host import topics
 from hibiscusslip.host import writer
 from hibiscusslip.platform import exceptions
+from tests.host import inbox_cell
 from tests.host import test_job_access
 from tests.host import test_submissions
 
@@ -18,32 +19,19 @@
 
 async def delete(local_owner):
     """Delete the records of jobs as the owner does every few seconds."""
-    await local_owner._deletion.delete(local_owner._writer, PARTITIONS)
+    await local_owner.intake.deletion.delete(local_owner._writer)
     await local_owner._writer._write()
 
 
 def ended_job_owner():
     """Return an owner with a job whose records are still to be deleted."""
     local_owner = test_job_access.make_owner()
-    local_owner.ctx.ownership.record_claim(1, 0.0)
-    local_owner.apply_inbox_record(KEY, VALUE)
-    del local_owner.engine.jobs[JOB_ID]
-    local_owner._deletion.add([JOB_ID])
+    inbox_cell.read_by(local_owner, KEY, VALUE)
+    curio.run(inbox_cell.retire_ended, local_owner)
+    local_owner.ctx.store.records.clear()
     return local_owner
 
 
-def deleted_keys(local_owner, topic):
-    return [
-        key
-        for (name, _), key in zip(
-            local_owner.ctx.store.records,
-            local_owner.ctx.store.keys(),
-            strict=True,
-        )
-        if name == topic
-    ]
-
-
 async def refuse(*_):
     raise exceptions.StoreUnavailable('503')
 
@@ -51,15 +39,22 @@
 @pytest.mark.parametrize('appends', [0, 1])
 def test_retried_deletion_deletes_a_job_that_was_submitted_again(appends):
     """The first try is refused after some of its appends."""
-    local_owner = ended_job_owner()
+    local_owner = test_job_access.make_owner()
+    for part in range(PARTITIONS):
+        inbox_cell.read_by(local_owner, KEY, VALUE, part)
+    curio.run(inbox_cell.retire_ended, local_owner)
     local_owner.ctx.store.script = [None] * appends + [refuse]
     curio.run(delete, local_owner)
-    local_owner.apply_inbox_record(KEY, VALUE)
+    inbox_cell.read_by(local_owner, KEY, VALUE)
     local_owner.ctx.store.records.clear()
     curio.run(delete, local_owner)
-    assert deleted_keys(local_owner, topics.INBOX) == []
+    # The record in the refused partition, unless the new one replaced it.
+    deleted = inbox_cell.deleted_keys(local_owner, topics.INBOX)
+    assert deleted == [KEY] * appends
     # The new record replaces the progress of the ended job.
-    ((_, record),) = local_owner.ctx.store.records
+    (record,) = (
+        r for t, r in local_owner.ctx.store.records if t != topics.INBOX
+    )
     job = local_owner.engine.jobs[JOB_ID]
     assert test_submissions.progress(record).state == job.state.value
 
@@ -68,11 +63,11 @@
     local_owner = ended_job_owner()
 
     async def submit_again(*_):
-        local_owner.apply_inbox_record(KEY, VALUE)
+        inbox_cell.read_by(local_owner, KEY, VALUE)
 
     local_owner.ctx.store.script = [submit_again]
     curio.run(delete, local_owner)
-    assert deleted_keys(local_owner, topics.INBOX).count(KEY) == 1
+    assert inbox_cell.deleted_keys(local_owner, topics.INBOX).count(KEY) == 1
     (record,) = (
         r for t, r in local_owner.ctx.store.records if t != topics.INBOX
     )
@@ -82,10 +77,10 @@
 def test_job_submitted_before_its_progress_is_deleted_loses_the_new_one():
     """The writer may delete the records of ended jobs much later."""
     local_owner = ended_job_owner()
-    deletion = local_owner._deletion
-    curio.run(deletion.delete, local_owner._writer, PARTITIONS)
+    deletion = local_owner.intake.deletion
+    curio.run(deletion.delete, local_owner._writer)
     local_owner.ctx.store.records.clear()
-    local_owner.apply_inbox_record(KEY, VALUE)
+    inbox_cell.read_by(local_owner, KEY, VALUE)
     curio.run(local_owner._writer._write)
     ((_, record),) = local_owner.ctx.store.records
     assert test_submissions.progress(record).number
@@ -93,16 +88,18 @@
 
 def test_job_is_replaced_by_an_ended_one_whose_record_is_left():
     local_owner = ended_job_owner()
-    local_owner.apply_inbox_record(OTHER_KEY, OTHER_VALUE)
+    inbox_cell.read_by(local_owner, OTHER_KEY, OTHER_VALUE)
     record = records.encode_job(local_owner.engine.jobs[JOB_ID], now=0.0)
     inbox = [(KEY, VALUE), (OTHER_KEY, OTHER_VALUE)]
-    assert test_submissions.recovered(inbox, [(JOB_ID, record)]) == 'o2'
+    engine, _ = test_submissions.recover(inbox, [(JOB_ID, record)])
+    assert engine.jobs[JOB_ID].organisation == 'o2'
 
 
 def test_deletion_of_a_job_with_many_records_exceeds_an_append(monkeypatch):
     """The store would refuse the append each time that it is retried."""
     monkeypatch.setattr(writer, 'MAX_APPEND_BYTES', 200)
-    local_owner = ended_job_owner()
+    local_owner = test_job_access.make_owner()
+    inbox_cell.read_by(local_owner, KEY, VALUE)
     sizes = []
 
     async def record_size(store, topic, batch):
@@ -112,21 +109,18 @@
         test_job_access.cancellation(f'o{number}') for number in range(20)
     ]
     for key, value in cancels:
-        local_owner.apply_inbox_record(key, value)
+        inbox_cell.read_by(local_owner, key, value)
     local_owner.ctx.store.script = [record_size] * 100
-    curio.run(delete, local_owner)
-    keys = deleted_keys(local_owner, topics.INBOX)
+    curio.run(inbox_cell.delete_ended, local_owner)
+    keys = inbox_cell.deleted_keys(local_owner, topics.INBOX)
     assert {KEY, *(key for key, _ in cancels)} <= set(keys)
     assert max(sizes) <= 200
 
 
 def test_unreadable_submission_of_an_ended_job_is_left():
     local_owner = test_job_access.make_owner()
-    local_owner.ctx.ownership.record_claim(1, 0.0)
-    local_owner.apply_inbox_record(OTHER_KEY, b'unreadable')
-    local_owner.apply_inbox_record(KEY, VALUE)
-    del local_owner.engine.jobs[JOB_ID]
-    local_owner._deletion.add([JOB_ID])
-    curio.run(delete, local_owner)
-    keys = deleted_keys(local_owner, topics.INBOX)
+    inbox_cell.read_by(local_owner, OTHER_KEY, b'unreadable')
+    inbox_cell.read_by(local_owner, KEY, VALUE)
+    curio.run(inbox_cell.delete_ended, local_owner)
+    keys = inbox_cell.deleted_keys(local_owner, topics.INBOX)
     assert {KEY, OTHER_KEY} <= set(keys)
--- a/tests/host/test_submissions.py
+++ b/tests/host/test_submissions.py
@@ -12,6 +12,7 @@
 from hibiscusslip.host import topics
 from hibiscusslip.platform import store
 from tests.host import fakes
+from tests.host import inbox_cell
 from tests.host import test_access
 from tests.host import test_job_access
 from tests.platform import cell
@@ -47,8 +48,8 @@
         return store.NewestValues(dict(rows), offsets, len(rows))
 
 
-def recovered(inbox, jobs=(), config=True, others=()):
-    """Return the organisation whose job a new owner has.
+def recover(inbox, jobs=(), config=True, others=()):
+    """Return the engine and the submissions of a new owner.
 
     The second partition of the inbox has the records `others`.
     """
@@ -59,6 +60,12 @@
     reader = recovery.PartitionReader(ctx)
     cancels = cancellations.Cancellations(ctx)
     curio.run(recovery.recover, ctx, engine, reader, submits, cancels)
+    return engine, submits
+
+
+def recovered(inbox, jobs=(), config=True, others=()):
+    """Return the organisation whose job a new owner has."""
+    engine, submits = recover(inbox, jobs, config, others)
     assert submits.keys(JOB_ID) == {key for key, _ in (*inbox, *others)}
     assert engine.jobs[JOB_ID].contested
     return engine.jobs[JOB_ID].organisation
@@ -79,16 +86,15 @@
     inbox = [submission('o1', 1.0), submission('o2', 0.5)]
     local_owner = test_job_access.make_owner()
     for key, value in inbox:
-        local_owner.apply_inbox_record(key, value)
+        inbox_cell.read_by(local_owner, key, value)
     (line,) = local_owner.ctx.log.named('submission_ignored')
     assert (line['organisation'], line['job_organisation']) == ('o2', 'o1')
     assert local_owner.engine.dirty == {JOB_ID}
     record = records.encode_job(local_owner.engine.jobs[JOB_ID], now=0.0)
     assert recovered(inbox, [(JOB_ID, record)]) == 'o1'
-    local_owner._inboxes = [test_job_access.EmptyFeed()]
-    local_owner._deletion.add([JOB_ID])
-    curio.run(local_owner._deletion.delete, local_owner._writer, 1)
-    assert {key for key, _ in inbox} <= set(local_owner.ctx.store.keys())
+    curio.run(inbox_cell.delete_ended, local_owner)
+    deleted = inbox_cell.deleted_keys(local_owner, topics.INBOX)
+    assert {key for key, _ in inbox} == set(deleted)
 
 
 @pytest.mark.parametrize('other_key', [JOB_ID, submission('o2', 0.5)[0]])
@@ -97,8 +103,8 @@
     first = (JOB_ID, submission('o1', 1.0)[1])
     other = (other_key, submission('o2', 0.5)[1])
     local_owner = test_job_access.make_owner()
-    local_owner.apply_inbox_record(*first)
-    local_owner.apply_inbox_record(*other)
+    inbox_cell.read_by(local_owner, *first)
+    inbox_cell.read_by(local_owner, *other)
     record = records.encode_job(local_owner.engine.jobs[JOB_ID], now=0.0)
     jobs = [(JOB_ID, record)]
     assert recovered([first], jobs, others=[other]) == 'o1'
