scheduler: move what is learned from ended runs out of the shard

What the end of a run teaches, the run time, the endpoint's health and the backoff of a service, is a class of its own in _completions.py. The code is the same, and so are the decisions: tests/scheduler passes unchanged.

--- a/hibiscusslip/scheduler/_shard.py
+++ b/hibiscusslip/scheduler/_shard.py
@@ -8,6 +8,7 @@
 from hibiscusslip.model import work
 from hibiscusslip.scheduler import _accounts
 from hibiscusslip.scheduler import _admission
+from hibiscusslip.scheduler import _completions
 from hibiscusslip.scheduler import _deadlines
 from hibiscusslip.scheduler import _delays
 from hibiscusslip.scheduler import _endpoints
@@ -30,7 +31,6 @@
 from hibiscusslip.scheduler import limits
 
 RECHECK_INTERVAL_S = 1.0
-STABLE_RUN_S = 60.0
 MAX_SHORT_RUN_S = 10.0
 
 
@@ -68,6 +68,9 @@
         ledger, bounds, rng = self._ledger, self._bounds, self._rng
         self._estimator = _estimates.Estimator()
         self._health = _health.EndpointHealth(ledger.inventory, rng)
+        self._completions = _completions.Completions(
+            self._estimator, self._health, bounds
+        )
         self._deadlines = _deadlines.Deadlines(
             self._estimator, bounds.unix_offset
         )
@@ -229,7 +232,7 @@
             return
         index = work.index_of(task)
         if index in job.placed:
-            self._record_completion(job, index, outcome, now)
+            self._completions.record(job, index, outcome, now)
         self._reclaimer.forget(task)
         self._ledger.release(job, index)
         self._ledger.remove_waiting(job, index)
@@ -354,29 +357,6 @@
         fits = _vector.fits(_vector.scale(need, tasks), quota_limit)
         return need if fits else declared
 
-    def _record_completion(
-        self, job: _jobs.Job, index: int, outcome: base.RunOutcome, now: float
-    ) -> None:
-        elapsed = now - job.started_at.get(index, now)
-        history = self._estimator.history(job.spec)
-        if outcome is base.RunOutcome.SUCCEEDED:
-            history.add_run_time(elapsed)
-        name = job.placed[index]
-        if self._bounds.quarantine_enabled:
-            self._health.record_run(name, outcome, elapsed, history, now)
-        if job.spec.form is work.Form.SERVICE:
-            self._back_off(job, outcome, elapsed)
-
-    def _back_off(
-        self, job: _jobs.Job, outcome: base.RunOutcome, elapsed: float
-    ) -> None:
-        """Update the restart backoff of a service after a run."""
-        if outcome is not base.RunOutcome.FAILED or elapsed >= STABLE_RUN_S:
-            job.backoff = 0.0
-            return
-        longer = max(self._bounds.service_backoff_s, 2 * job.backoff)
-        job.backoff = min(longer, self._bounds.max_service_backoff_s)
-
     def _endpoints_changed(self) -> None:
         self._ledger.accounts.set_capacity(self._ledger.inventory.capacity)
         self._ledger.order.unblock_all()
