dispatch: decide about rejections by the learned ratio of a queue

What a job may wait and still be of use was derived from its declared run time. It is off by as much as the declaration is, so jobs of use were rejected and useless ones accepted. A new owner had to learn all ratios again.

useful_wait() and decide() now take the ratio of actual to declared run time of the queue, which Estimates.reported_ratios() returns for queues with 8 runs or more whose ratio differs from 1 by a tenth or more, clamped to 0.2 to 5. The owner counts arrivals by the ratio that it reported. expect_initially() has an owner begin with reported ratios in place of declared times; they weigh as much as 2 runs. Where run times aren't learned the ratio is 1, and decisions are as before: the digests in test_policy_off.py are unchanged.

test_learned_forecast.py compares with hosts that know declared times only. It now turns the reported ratios off there too; its assertions are unchanged.

--- a/hibiscusslip/bench/admission.py
+++ b/hibiscusslip/bench/admission.py
@@ -90,7 +90,9 @@
 
     def _new_estimates(self) -> estimates.Estimates:
         """Return what a new owner expects."""
-        return estimates.Estimates(LEARNED)
+        initial = estimates.Estimates(LEARNED)
+        initial.expect_initially(self._engine.estimates.reported_ratios())
+        return initial
 
     def _rejects(
         self,
--- a/hibiscusslip/bench/organisations.py
+++ b/hibiscusslip/bench/organisations.py
@@ -141,7 +141,15 @@
             return False
         percent = forecast.beyond_percents.get(organisation, 0)
         queue = config.queues[kind.name]
-        rejection = admission.decide(job_id, spec, queue, prediction, percent)
+        ratios = self._engine.estimates.reported_ratios()
+        rejection = admission.decide(
+            job_id,
+            spec,
+            queue,
+            prediction,
+            percent,
+            ratios.get(queue.name, 1.0),
+        )
         return rejection is not None
 
     def _counts_of(self, job: state.Job) -> list[dispatch_report.JobCounts]:
--- a/hibiscusslip/commands/_expectations.py
+++ b/hibiscusslip/commands/_expectations.py
@@ -6,6 +6,7 @@
 
 MS_PER_S = 1000
 DECLARED = 'declared'
+FORMER_OWNER = 'former owner'
 Fields = collections.abc.Mapping[str, typing.Any]  # of one log line
 
 
@@ -25,18 +26,20 @@
 
     def describe(self) -> str:
         """Return one line of text about the expectation."""
-        noun = 'run' if self.runs == 1 else 'runs'
-        basis = (
-            'the declared time'
-            if self.source == DECLARED
-            else f'{self.runs} {noun} of the same {self.source}'
-        )
         status = 'started' if self.started else 'not started'
         return (
             f'step {self.step}, {status}, is expected to run for'
-            f' {self.seconds:.3f} s, by {basis}'
+            f' {self.seconds:.3f} s, by {self._basis()}'
         )
 
+    def _basis(self) -> str:
+        if self.source == DECLARED:
+            return 'the declared time'
+        if self.source == FORMER_OWNER:
+            return "the former owner's ratio of the queue"
+        noun = 'run' if self.runs == 1 else 'runs'
+        return f'{self.runs} {noun} of the same {self.source}'
+
 
 def find(lines: collections.abc.Iterable[Fields]) -> list[Expectation]:
     """Return the expectations in the log lines of a job, one for a step."""
--- a/hibiscusslip/dispatch/admission.py
+++ b/hibiscusslip/dispatch/admission.py
@@ -42,12 +42,14 @@
 
     `wait` is how long it would wait, `useful_wait` how long it could and
     still be of use, both in seconds. `retry_after` is in whole seconds.
+    `ratio` is the expected one of actual to declared run time.
     """
 
     within: bool
     wait: float
     useful_wait: float
     retry_after: int
+    ratio: float = 1.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -207,9 +209,12 @@
     return cores, accelerators
 
 
-def useful_wait(spec: model.JobSpec, queue: model.Queue) -> float:
+def useful_wait(
+    spec: model.JobSpec, queue: model.Queue, ratio: float = 1.0
+) -> float:
     """Return for how long a new job can wait and still be of use, in s.
 
+    Its tasks are expected to take `ratio` times their declared run time.
     Infinite for jobs without a deadline: those with a long-running task, and
     periodic ones, whose occurrences are due later.
     """
@@ -217,6 +222,7 @@
         return math.inf
     job = state.Job('', queue.name, queue.service, spec, 0.0)
     estimator = estimates.Estimates()
+    estimator.expect_ratio(queue.name, ratio)
     useful_until = estimator.objective(job, queue).useful_until
     return useful_until - estimator.critical_path(job)
 
@@ -227,19 +233,21 @@
     queue: model.Queue,
     prediction: Prediction,
     beyond_percent: int,
+    ratio: float = 1.0,
 ) -> Rejection | None:
     """Return why a new job is rejected, or None if it is accepted.
 
     `beyond_percent` of the jobs of its organisation are beyond the
     entitlement; which of them is derived from the ID, so that a job gets the
-    same answer from all hosts while the load is the same.
+    same answer from all hosts while the load is the same. `ratio` is that of
+    actual to declared run time, as far as the owner has told it.
     """
     number = zlib.crc32(job_id.encode())
     within = number % PERCENT >= beyond_percent
     wait = prediction.within if within else prediction.beyond
-    useful = useful_wait(spec, queue)
+    useful = useful_wait(spec, queue, ratio)
     if wait <= useful:
         return None
     spread = min(math.ceil(wait), MAX_RETRY_SPREAD_S)
     retry_after = 1 + number // PERCENT % spread
-    return Rejection(within, wait, useful, retry_after)
+    return Rejection(within, wait, useful, retry_after, ratio)
--- a/hibiscusslip/dispatch/estimates.py
+++ b/hibiscusslip/dispatch/estimates.py
@@ -20,6 +20,8 @@
 # With fewer runs an end is mostly that by the declared time, which may be
 # wrong by a factor of two.
 MIN_RUNS_TO_RELY = 8
+# Closer to 1 a ratio changes few decisions, and isn't worth its bytes.
+MIN_REPORTED_DIFFERENCE = 0.1
 MAX_CACHED = 10_000
 DEFAULT_QUEUE = model.Queue('', '', '', '')
 
@@ -70,6 +72,8 @@
         self.unlogged_steps: list[state.StepState] = []
         self.parallelism = parallelism.Parallelism()
         self._version = (0, 0)
+        self._reported: dict[str, float] = {}
+        self._reported_version = 0
 
     @property
     def learns(self) -> bool:
@@ -78,11 +82,43 @@
 
     def learn(self, queue: str, declared: float, actual: float) -> None:
         """Update a queue's ratio with a run that is done."""
-        ratio = actual / max(declared, MIN_DECLARED_S)
-        ratio = min(max(ratio, MIN_RATIO), MAX_RATIO)
+        ratio = clamp_ratio(actual / max(declared, MIN_DECLARED_S))
         known = self._ratios.get(queue, 1.0)
         self._ratios[queue] = known + LEARNING_RATE * (ratio - known)
 
+    def expect_ratio(self, queue: str, ratio: float) -> None:
+        """Expect the tasks of a queue to take `ratio` times what they declare.
+
+        This is for estimates that don't learn.
+        """
+        self._ratios[queue] = clamp_ratio(ratio)
+
+    def expect_initially(self, ratios: dict[str, float]) -> None:
+        """Begin with the ratios of queues that a former owner reported."""
+        self.run_times.expect_initially(
+            {queue: clamp_ratio(ratio) for queue, ratio in ratios.items()}
+        )
+
+    def reported_ratios(self) -> dict[str, float]:
+        """Return the ratios of queues that other hosts are told.
+
+        They are in hundredths, those used last first. A queue whose jobs take
+        about as long as they declare isn't in it.
+        """
+        if not self.policy.learned_run_times:
+            return {}
+        version = self.run_times.version
+        if self._reported_version != version:
+            self._reported_version = version
+            known = self.run_times.queue_ratios(MIN_RUNS_TO_RELY)
+            rounded = {q: round(clamp_ratio(r), 2) for q, r in known.items()}
+            self._reported = {
+                queue: ratio
+                for queue, ratio in rounded.items()
+                if round(abs(ratio - 1.0), 2) >= MIN_REPORTED_DIFFERENCE
+            }
+        return self._reported
+
     def run_time(self, step: state.StepState) -> float:
         """Return the expected run time of a step's tasks, in seconds."""
         return self._run_time(step.job, step.spec)
@@ -244,3 +280,11 @@
             self._version = version
             self._expected.clear()
             self._paths.clear()
+
+
+def clamp_ratio(ratio: float) -> float:
+    """Return a ratio within what is plausible.
+
+    It bounds the effect of a queue whose declarations are false.
+    """
+    return min(max(ratio, MIN_RATIO), MAX_RATIO)
--- a/hibiscusslip/dispatch/forecast.py
+++ b/hibiscusslip/dispatch/forecast.py
@@ -26,6 +26,7 @@
         self._arrivals = arrivals.Arrivals()
         self._updated_at = float('-inf')
         self._estimator = estimates.Estimates()
+        self._ratios: dict[str, float] = {}  # that hosts were told
 
     def count(self, job: state.Job, config: model.Configuration) -> None:
         """Count a new job that was classified."""
@@ -47,7 +48,8 @@
         sent = 1.0  # jobs for each accepted one; hosts reject the others
         if percent and queue is not None:
             predicted = self.predictions.get(job.queue, NO_WAIT)
-            useful = admission.useful_wait(job.spec, queue)
+            ratio = self._ratios.get(job.queue, 1.0)
+            useful = admission.useful_wait(job.spec, queue, ratio)
             if predicted.beyond > useful:
                 sent = admission.PERCENT / (admission.PERCENT - percent)
         self._arrivals.add_job(job.organisation, sent, now)
@@ -78,6 +80,7 @@
         """
         self._updated_at = now
         self._estimator = estimator
+        self._ratios = estimator.reported_ratios()
 
         def find_releases(service: str) -> list[occupancy.Release]:
             pool = pools.get(service, [])
--- a/hibiscusslip/dispatch/run_times.py
+++ b/hibiscusslip/dispatch/run_times.py
@@ -66,7 +66,7 @@
 
     `runs` is the weight, in runs, of the narrowest group that has as many as
     its broader group counts; `source` says what the group has in common,
-    'declared' for none.
+    'declared' for none, 'former owner' if that one told the queue's ratio.
     """
 
     median: float
@@ -165,6 +165,7 @@
         )
         self._shifts: list[Shift] = []
         self._run_count = 0
+        self._initial: dict[str, float] = {}  # octaves, by queue
 
     def __len__(self) -> int:
         return len(self._groups)
@@ -197,12 +198,41 @@
         if frequent or self._run_count % REFRESH_RUNS == 0:
             self.version += 1
 
+    def expect_initially(self, ratios: dict[str, float]) -> None:
+        """Expect these ratios of queues until their runs tell others.
+
+        They take the place of the declared time, on which a queue relies like
+        on `PRIOR_RUNS` runs.
+        """
+        self._initial = {q: math.log2(ratio) for q, ratio in ratios.items()}
+        self.version += 1
+
+    def queue_ratios(self, min_runs: float) -> dict[str, float]:
+        """Return the expected ratios of queues, the latest used first.
+
+        Those without `min_runs` runs have only what was expected initially.
+        """
+        medians = {
+            key[1]: self._queue_median(key[1], group)
+            for key, group in reversed(self._groups.items())
+            if key[0] == 'queue'
+            and (group.histogram.weight >= min_runs or key[1] in self._initial)
+        }
+        others = {q: m for q, m in self._initial.items() if q not in medians}
+        return {q: 2.0**median for q, median in (medians | others).items()}
+
+    def _queue_median(self, queue: str, group: _Group) -> float:
+        initial = self._initial.get(queue, 0.0)
+        confidence = _confidence(group.histogram.weight, PRIOR_RUNS)
+        return initial + confidence * (group.median - initial)
+
     def expect(self, work: Work) -> Ratios:
         """Return the expected ratio, 1 if nothing is known."""
-        median = broader_median = 0.0
-        high = broader_high = PRIOR_HIGH_OCTAVES
+        median = broader_median = self._initial.get(work.queue, 0.0)
+        high = broader_high = median + PRIOR_HIGH_OCTAVES
         runs = 0.0
-        source = 'declared'
+        known = work.queue in self._initial
+        source = 'former owner' if known else 'declared'
         for key in work.groups():
             group = self._groups.get(key)
             if group is None:
--- /dev/null
+++ b/tests/dispatch/test_admission_replay.py
@@ -0,0 +1,36 @@
+"""Check admission of jobs whose declared run times are off by up to two."""
+
+import functools
+
+import pytest
+
+from hibiscusslip.bench import admission
+from hibiscusslip.dispatch import estimates
+
+
+@functools.cache
+def replay(factor, tells):
+    """Return the decisions about new jobs, of one seed."""
+    with pytest.MonkeyPatch.context() as patch:
+        if not tells:
+            patch.setattr(
+                estimates.Estimates, 'reported_ratios', lambda self: {}
+            )
+        run = admission.AdmissionReplay(1, (factor, factor))
+        run.run(admission.NEW_OWNER_AT_S + admission.FIRST_S)
+    return run
+
+
+def test_jobs_that_declare_too_little_arent_rejected():
+    """They were, once the wait was half of what was of use."""
+    before, after = replay(0.5, False), replay(0.5, True)
+    assert before.settled.wrongly_rejected > 40
+    assert after.settled.wrongly_rejected < 20
+    assert after.first.wrongly_rejected < before.first.wrongly_rejected
+
+
+def test_jobs_that_declare_too_much_arent_accepted_for_no_use():
+    before, after = replay(2.0, False), replay(2.0, True)
+    assert before.settled.wrongly_accepted > 80
+    assert after.settled.wrongly_accepted < 40
+    assert after.first.wrongly_accepted < before.first.wrongly_accepted
--- a/tests/dispatch/test_learned_forecast.py
+++ b/tests/dispatch/test_learned_forecast.py
@@ -70,6 +70,8 @@
         if function is not None:
             owner = estimates.Estimates if name == 'work_time' else occupancy
             patch.setattr(owner, name, function)
+            if name == 'work_time':  # hosts knew declared times only, too
+                patch.setattr(owner, 'reported_ratios', lambda s: {})
         runs = [Replay(seed) for seed in (1, 2, 3)]
         reports = [run.run(60.0) for run in runs]
     return runs, reports
