host: count the waves of wide steps by the organisation's limit

A host that receives a job counted one wave of a wide step, so that it expected the job to be of use for a shorter time than the owner does, and rejected it.

With learned run times it now counts the waves that the limit of the job's organisation needs, which is in its configuration and costs no bytes; so does the owner for the surplus of an organisation. Parallelism.waves() returns at least 1, as documented; it returned 0 where neither a limit nor a pool bounds the tasks.

The test of admission control sends a body that tests can replace.

--- a/hibiscusslip/bench/organisations.py
+++ b/hibiscusslip/bench/organisations.py
@@ -149,9 +149,17 @@
             prediction,
             percent,
             ratios.get(queue.name, 1.0),
+            self._counted_limit(organisation),
         )
         return rejection is not None
 
+    def _counted_limit(self, organisation: str) -> model.Demand:
+        """Return the limit by which hosts count waves, if they do."""
+        config = self._engine.config
+        if config is None or not self._engine.policy.learned_run_times:
+            return admission.NO_LIMIT
+        return admission.limit_of(config, organisation)
+
     def _counts_of(self, job: state.Job) -> list[dispatch_report.JobCounts]:
         counts: list[dispatch_report.JobCounts] = []
         if job.within_entitlement:
--- a/hibiscusslip/dispatch/admission.py
+++ b/hibiscusslip/dispatch/admission.py
@@ -23,6 +23,7 @@
 MAX_WAIT_S = 600.0
 MAX_RETRY_SPREAD_S = 30
 PERCENT = 100
+NO_LIMIT = model.Demand()
 
 Work = tuple[float, float]  # core-seconds, accelerator-seconds
 FindReleases = collections.abc.Callable[[str], list[occupancy.Release]]
@@ -210,23 +211,34 @@
 
 
 def useful_wait(
-    spec: model.JobSpec, queue: model.Queue, ratio: float = 1.0
+    spec: model.JobSpec,
+    queue: model.Queue,
+    ratio: float = 1.0,
+    limit: model.Demand = NO_LIMIT,
 ) -> float:
     """Return for how long a new job can wait and still be of use, in s.
 
-    Its tasks are expected to take `ratio` times their declared run time.
-    Infinite for jobs without a deadline: those with a long-running task, and
-    periodic ones, whose occurrences are due later.
+    Its tasks are expected to take `ratio` times their declared run time, in as
+    many waves as the `limit` of its organisation needs. Infinite for jobs
+    without a deadline: those with a long-running task, and periodic ones,
+    whose occurrences are due later.
     """
     if spec.long_running or spec.times:
         return math.inf
     job = state.Job('', queue.name, queue.service, spec, 0.0)
     estimator = estimates.Estimates()
     estimator.expect_ratio(queue.name, ratio)
+    estimator.parallelism.set_limit(job.organisation, limit)
     useful_until = estimator.objective(job, queue).useful_until
     return useful_until - estimator.critical_path(job)
 
 
+def limit_of(config: model.Configuration, organisation: str) -> model.Demand:
+    """Return the limit of an organisation."""
+    item = (config.organisations or {}).get(organisation)
+    return item.limit if item is not None else NO_LIMIT
+
+
 def decide(
     job_id: str,
     spec: model.JobSpec,
@@ -234,18 +246,20 @@
     prediction: Prediction,
     beyond_percent: int,
     ratio: float = 1.0,
+    limit: model.Demand = NO_LIMIT,
 ) -> Rejection | None:
     """Return why a new job is rejected, or None if it is accepted.
 
     `beyond_percent` of the jobs of its organisation are beyond the
     entitlement; which of them is derived from the ID, so that a job gets the
     same answer from all hosts while the load is the same. `ratio` is that of
-    actual to declared run time, as far as the owner has told it.
+    actual to declared run time, as far as the owner has told it;
+    `limit` is that of the organisation if waves of wide steps are counted.
     """
     number = zlib.crc32(job_id.encode())
     within = number % PERCENT >= beyond_percent
     wait = prediction.within if within else prediction.beyond
-    useful = useful_wait(spec, queue, ratio)
+    useful = useful_wait(spec, queue, ratio, limit)
     if wait <= useful:
         return None
     spread = min(math.ceil(wait), MAX_RETRY_SPREAD_S)
--- a/hibiscusslip/dispatch/forecast.py
+++ b/hibiscusslip/dispatch/forecast.py
@@ -49,7 +49,10 @@
         if percent and queue is not None:
             predicted = self.predictions.get(job.queue, NO_WAIT)
             ratio = self._ratios.get(job.queue, 1.0)
-            useful = admission.useful_wait(job.spec, queue, ratio)
+            limit = admission.NO_LIMIT
+            if self._estimator.policy.learned_run_times:
+                limit = admission.limit_of(config, job.organisation)
+            useful = admission.useful_wait(job.spec, queue, ratio, limit)
             if predicted.beyond > useful:
                 sent = admission.PERCENT / (admission.PERCENT - percent)
         self._arrivals.add_job(job.organisation, sent, now)
--- a/hibiscusslip/dispatch/parallelism.py
+++ b/hibiscusslip/dispatch/parallelism.py
@@ -23,6 +23,7 @@
         self._limits: dict[str, model.Demand] = {}
         self._pools: dict[str, model.Demand] = {}
         self._updated_at = -math.inf
+        self._counts_waves = False
 
     def update(
         self,
@@ -43,13 +44,28 @@
         if (limits, pools) != (self._limits, self._pools):
             self.version += 1
             self._limits, self._pools = limits, pools
+            self._counts_waves = bool(pools)
+
+    def set_limit(self, organisation: str, limit: model.Demand) -> None:
+        """Count the waves of an organisation's steps by its limit only.
+
+        This is for a host that doesn't know the pools.
+        """
+        self.version += 1
+        self._limits = {organisation: limit}
+        self._counts_waves = True
 
     def waves(self, job: state.Job, spec: model.Step, tasks: int) -> int:
         """Return in how many waves `tasks` tasks of a step run, 1 or more.
 
         The members of a gang run all at a time.
         """
-        if tasks <= 1 or not self._pools or spec.gang or spec.long_running:
+        if (
+            tasks <= 1
+            or not self._counts_waves
+            or spec.gang
+            or spec.long_running
+        ):
             return 1
         limit = self._limits.get(job.organisation, model.Demand())
         pool = self._pools.get(job.service, model.Demand())
@@ -57,7 +73,7 @@
             _count_within(spec.demand, limit, 1.0),
             _count_within(spec.allocated_demand, pool, POOL_SHARE),
         )
-        return math.ceil(tasks / max(at_a_time, 1.0))
+        return max(math.ceil(tasks / max(at_a_time, 1.0)), 1)
 
 
 def _sum_capacities(
--- a/hibiscusslip/host/admission_control.py
+++ b/hibiscusslip/host/admission_control.py
@@ -85,11 +85,20 @@
                 load_report.read_prediction(notice, queue.name),
                 notice.beyond.get(organisation, 0),
                 load_report.read_ratio(notice, queue.name),
+                self._counted_limit(organisation),
             )
             if rejection is None:
                 return None
         return rejection
 
+    def _counted_limit(self, organisation: str) -> model.Demand:
+        """Return the limit by which waves are counted, if they are."""
+        config = self._ctx.config
+        policy = self._ctx.options.policy_under(config)
+        if config is None or not policy.learned_run_times:
+            return admission.NO_LIMIT
+        return admission.limit_of(config, organisation)
+
     def _remember(self, job_id: str) -> None:
         """Remember a job that may get written, the newest ones only."""
         self._passed[job_id] = None
--- a/tests/host/test_admission_control.py
+++ b/tests/host/test_admission_control.py
@@ -62,6 +62,7 @@
         self.inbox = RecordingInbox()
         self.handler = front.FrontHandler(self.ctx, self.owner, self.inbox)
         self.number = 0
+        self.body = BODY
 
     def hear(self, within_wait, age=0.0, kind=notices.HEARTBEAT, ratio=0):
         loads = {'q': notices.QueueLoad(3, within_wait, within_wait, ratio)}
@@ -75,7 +76,9 @@
     def post(self, job_id=JOB_ID):
         headers = {'host': 'a.example', 'x-deadline-ms': '3000'}
         path = f'/q/{job_id}'
-        req = messages.Request('POST', path, {}, headers, BODY, '10.0.0.9:1')
+        req = messages.Request(
+            'POST', path, {}, headers, self.body, '10.0.0.9:1'
+        )
         return curio.run(self.handler.handle, req)
 
 
