--- a/hibiscusslip/bench/queue_costs.py
+++ b/hibiscusslip/bench/queue_costs.py
@@ -117,7 +117,7 @@
         'incarnation',
         '10.0.0.1',
         1,
-        load_report.make_loads(pending, forecast),
+        load_report.make_loads(pending, forecast, {}),
         beyond=forecast.beyond_percents,
         waits=load_report.make_waits(forecast),
     )
--- a/hibiscusslip/dispatch/admission.py
+++ b/hibiscusslip/dispatch/admission.py
@@ -23,6 +23,7 @@
 MAX_WAIT_S = 600.0
 MAX_RETRY_SPREAD_S = 30
 PERCENT = 100
+NO_LIMIT = model.Demand()
 
 Work = tuple[float, float]  # core-seconds, accelerator-seconds
 # Work per second with whether it is beyond an entitlement and its priority.
@@ -44,12 +45,14 @@
 
     `wait` is how long it would wait, `useful_wait` how long it could and
     still be of use, both in seconds. `retry_after` is in whole seconds.
+    `ratio` is the expected one of actual to declared run time.
     """
 
     within: bool
     wait: float
     useful_wait: float
     retry_after: int
+    ratio: float = 1.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -284,39 +287,58 @@
     return cores, accelerators
 
 
-def useful_wait(spec: model.JobSpec, queue: model.Queue) -> float:
+def useful_wait(
+    spec: model.JobSpec,
+    queue: model.Queue,
+    ratio: float = 1.0,
+    limit: model.Demand = NO_LIMIT,
+) -> float:
     """Return for how long a new job can wait and still be of use, in s.
 
-    Infinite for jobs without a deadline: those with a long-running task, and
-    periodic ones, whose occurrences are due later.
+    Its tasks are expected to take `ratio` times their declared run time, in as
+    many waves as the `limit` of its organisation needs. Infinite for jobs
+    without a deadline: those with a long-running task, and periodic ones,
+    whose occurrences are due later.
     """
     if spec.long_running or spec.times:
         return math.inf
     job = state.Job('', queue.name, queue.service, spec, 0.0)
     estimator = estimates.Estimates()
+    estimator.expect_ratio(queue.name, ratio)
+    estimator.parallelism.set_limit(job.organisation, limit)
     useful_until = estimator.objective(job, queue).useful_until
     return useful_until - estimator.critical_path(job)
 
 
+def limit_of(config: model.Configuration, organisation: str) -> model.Demand:
+    """Return the limit of an organisation."""
+    item = (config.organisations or {}).get(organisation)
+    return item.limit if item is not None else NO_LIMIT
+
+
 def decide(
     job_id: str,
     spec: model.JobSpec,
     queue: model.Queue,
     prediction: Prediction,
     beyond_percent: int,
+    ratio: float = 1.0,
+    limit: model.Demand = NO_LIMIT,
 ) -> Rejection | None:
     """Return why a new job is rejected, or None if it is accepted.
 
     `beyond_percent` of the jobs of its organisation are beyond the
     entitlement; which of them is derived from the ID, so that a job gets the
-    same answer from all hosts while the load is the same.
+    same answer from all hosts while the load is the same. `ratio` is that of
+    actual to declared run time, as far as the owner has told it;
+    `limit` is that of the organisation if waves of wide steps are counted.
     """
     number = zlib.crc32(job_id.encode())
     within = number % PERCENT >= beyond_percent
     wait = prediction.within if within else prediction.beyond
-    useful = useful_wait(spec, queue)
+    useful = useful_wait(spec, queue, ratio, limit)
     if wait <= useful:
         return None
     spread = min(math.ceil(wait), MAX_RETRY_SPREAD_S)
     retry_after = 1 + number // PERCENT % spread
-    return Rejection(within, wait, useful, retry_after)
+    return Rejection(within, wait, useful, retry_after, ratio)
--- a/hibiscusslip/dispatch/run_times.py
+++ b/hibiscusslip/dispatch/run_times.py
@@ -28,6 +28,10 @@
 WEIGHT_AFTER_CHANGE = 2.0
 SHIFT_OCTAVES = 0.5
 MIN_SHIFT_RUNS = 16.0
+QUARTILES = (0.25, 0.75)
+# Declarations that are right within a factor of two by chance have quartiles
+# one octave apart.
+MAX_CONSISTENT_OCTAVES = 0.7
 REFRESH_SHARE = 1 / 8  # of a group's weight in new runs
 REFRESH_RUNS = 32
 FREQUENT_REFRESH_RUNS = 256
@@ -66,7 +70,7 @@
 
     `runs` is the weight, in runs, of the narrowest group that has as many as
     its broader group counts; `source` says what the group has in common,
-    'declared' for none.
+    'declared' for none, 'former owner' if that one told the queue's ratio.
     """
 
     median: float
@@ -113,6 +117,12 @@
         self.job_outside = ''
         self.jobs_outside = 0
 
+    @property
+    def is_consistent(self) -> bool:
+        """Return True if declarations are wrong by about the same ratio."""
+        lower, upper = self.histogram.quantiles(QUARTILES)
+        return upper - lower <= MAX_CONSISTENT_OCTAVES
+
     def learn(
         self, octaves: float, job: str, weight: float, at_least: bool
     ) -> None:
@@ -165,6 +175,7 @@
         )
         self._shifts: list[Shift] = []
         self._run_count = 0
+        self._initial: dict[str, float] = {}  # octaves, by queue
 
     def __len__(self) -> int:
         return len(self._groups)
@@ -197,12 +208,47 @@
         if frequent or self._run_count % REFRESH_RUNS == 0:
             self.version += 1
 
+    def expect_initially(self, ratios: dict[str, float]) -> None:
+        """Expect these ratios of queues until their runs tell others.
+
+        They take the place of the declared time, on which a queue relies like
+        on `PRIOR_RUNS` runs.
+        """
+        self._initial = {q: math.log2(ratio) for q, ratio in ratios.items()}
+        self.version += 1
+
+    def queue_ratios(self, min_runs: float) -> dict[str, float]:
+        """Return the expected ratios of queues, the latest used first.
+
+        Those without `min_runs` runs have only what was expected initially.
+        A queue whose declarations are wrong by chance is left out: no ratio
+        corrects them.
+        """
+        octaves = dict(self._initial)
+        for key, group in self._groups.items():
+            _, queue = key[:2]
+            if key[0] != 'queue':
+                continue
+            octaves.pop(queue, None)
+            enough = group.histogram.weight >= min_runs
+            if enough and not group.is_consistent:
+                continue
+            if enough or queue in self._initial:
+                octaves[queue] = self._queue_median(queue, group)
+        return {q: 2.0**value for q, value in reversed(octaves.items())}
+
+    def _queue_median(self, queue: str, group: _Group) -> float:
+        initial = self._initial.get(queue, 0.0)
+        confidence = _confidence(group.histogram.weight, PRIOR_RUNS)
+        return initial + confidence * (group.median - initial)
+
     def expect(self, work: Work) -> Ratios:
         """Return the expected ratio, 1 if nothing is known."""
-        median = broader_median = 0.0
-        high = broader_high = PRIOR_HIGH_OCTAVES
+        median = broader_median = self._initial.get(work.queue, 0.0)
+        high = broader_high = median + PRIOR_HIGH_OCTAVES
         runs = 0.0
-        source = 'declared'
+        known = work.queue in self._initial
+        source = 'former owner' if known else 'declared'
         for key in work.groups():
             group = self._groups.get(key)
             if group is None:
--- a/hibiscusslip/host/admission_control.py
+++ b/hibiscusslip/host/admission_control.py
@@ -84,11 +84,21 @@
                 queue,
                 load_report.read_prediction(notice, queue),
                 notice.beyond.get(organisation, 0),
+                load_report.read_ratio(notice, queue.name),
+                self._counted_limit(organisation),
             )
             if rejection is None:
                 return None
         return rejection
 
+    def _counted_limit(self, organisation: str) -> model.Demand:
+        """Return the limit by which waves are counted, if they are."""
+        config = self._ctx.config
+        policy = self._ctx.options.policy_under(config)
+        if config is None or not policy.learned_run_times:
+            return admission.NO_LIMIT
+        return admission.limit_of(config, organisation)
+
     def _remember(self, job_id: str) -> None:
         """Remember a job that may get written, the newest ones only."""
         self._passed[job_id] = None
@@ -113,6 +123,7 @@
             entitlement=reason,
             wait_ms=int(rejection.wait * 1000),
             useful_ms=int(rejection.useful_wait * 1000),
+            ratio=rejection.ratio,
             retry_after=rejection.retry_after,
         )
 
--- a/tests/host/test_load_report.py
+++ b/tests/host/test_load_report.py
@@ -30,7 +30,7 @@
 
 def encode_notice(inputs, pending):
     forecast = types.SimpleNamespace(predictions=inputs.predict())
-    loads = load_report.make_loads(pending, forecast)
+    loads = load_report.make_loads(pending, forecast, {})
     waits = load_report.make_waits(forecast)
     return notices.encode(notices.OwnerNotice(*FIELDS, loads, waits=waits))
 
