--- a/hibiscusslip/dispatch/run_times.py
+++ b/hibiscusslip/dispatch/run_times.py
@@ -29,9 +29,9 @@
 SHIFT_OCTAVES = 0.5
 MIN_SHIFT_RUNS = 16.0
 QUARTILES = (0.25, 0.75)
-# Declarations that are right within a factor of two by chance have quartiles
-# one octave apart.
-MAX_CONSISTENT_OCTAVES = 0.7
+# Half of the distance between the quartiles of declarations that are off by
+# up to a factor of two by chance.
+MAX_CONSISTENT_OCTAVES = 0.5
 REFRESH_SHARE = 1 / 8  # of a group's weight in new runs
 REFRESH_RUNS = 32
 FREQUENT_REFRESH_RUNS = 256
