--- a/hibiscusslip/host/cancellations.py
+++ b/hibiscusslip/host/cancellations.py
@@ -52,19 +52,19 @@
         self._deferred.pop(job_id, None)
         self._deferred_at.pop(job_id, None)
 
-    def find_stray(self, before: float) -> list[str]:
-        """Return the jobs whose cancellations needn't wait any more.
+    def find_expired(self, before: float) -> list[str]:
+        """Return the jobs whose deferred cancellations have expired.
 
-        These are the ones deferred before a time, and the oldest ones of too
-        many.
+        These are the ones deferred before `before`, and the oldest ones beyond
+        MAX_DEFERRED_JOBS.
         """
-        stray: list[str] = []
+        expired: list[str] = []
         excess = len(self._deferred) - MAX_DEFERRED_JOBS
         for job_id, since in self._deferred_at.items():  # oldest first
-            if len(stray) >= excess and since >= before:
+            if len(expired) >= excess and since >= before:
                 break
-            stray.append(job_id)
-        return stray
+            expired.append(job_id)
+        return expired
 
     @property
     def overfull(self) -> bool:
--- a/hibiscusslip/host/endpoint_session.py
+++ b/hibiscusslip/host/endpoint_session.py
@@ -66,7 +66,8 @@
         self._epoch = epoch
         self._wakeups = wakeups
         self._get_timing = get_timing
-        self._longest_poll = 0.0  # that the last poll takes unless late, in s
+        # After how many seconds the latest poll fails if this host isn't late.
+        self._longest_poll = 0.0
         self._client = endpoint_client.EndpointClient(
             name, address, ctx.uplink, ctx.endpoint_connections
         )
@@ -104,7 +105,7 @@
 
     async def _handle_no_response(self, failures: int, sent: float) -> None:
         self._ctx.metrics.count('looks_unanswered')
-        self._engine.handle_no_response(self.name, sent, context.monotonic())
+        self._record_no_response(sent)
         if failures < FAILURES_UNTIL_UNRESPONSIVE:
             return
         self._engine.mark_unresponsive(self.name)
@@ -254,17 +255,17 @@
             except exceptions.RequestOutcomeUnknown:
                 indeterminate = True
                 self._ctx.metrics.count('orders_unanswered')
-                self._doubt_endpoint(now)
+                self._record_no_response(now)
             except exceptions.ConnectionsExhausted:
-                pass  # for which the endpoint isn't to blame
+                pass  # a fault of this host, not of the endpoint
             except exceptions.RequestNotSent:
-                self._doubt_endpoint(now)
+                self._record_no_response(now)
             await curio.sleep(RETRY_PAUSE_S)
             now = context.monotonic()
         reason = 'in doubt' if indeterminate else 'unreached'
         await self._handle_start_failure(start, reason, indeterminate)
 
-    def _doubt_endpoint(self, sent: float) -> None:
+    def _record_no_response(self, sent: float) -> None:
         self._engine.handle_no_response(self.name, sent, context.monotonic())
 
     def _start_request(
--- a/hibiscusslip/host/feeds.py
+++ b/hibiscusslip/host/feeds.py
@@ -119,14 +119,8 @@
 
 def _update_strongest(ctx: context.Context) -> None:
     """Set the highest strength of all hosts for a cell of this size."""
-    ctx.ownership.strongest = max(
-        (
-            ownership.effective_strength(
-                known.strength, known.descriptors, ctx.ownership.endpoints
-            )
-            for known in ctx.hosts.values()
-        ),
-        default=0.0,
+    ctx.ownership.strongest = ownership.strongest(
+        ctx.hosts.values(), ctx.ownership.endpoints
     )
 
 
--- a/hibiscusslip/host/first_polls.py
+++ b/hibiscusslip/host/first_polls.py
@@ -8,11 +8,14 @@
 from hibiscusslip.host import context
 from hibiscusslip.host import takeover
 
+OpenSession = collections.abc.Callable[[str], collections.abc.Awaitable[None]]
+
 
 class FirstPolls:
-    """Open the sessions of one epoch; the first polls are sent at once.
+    """Open the sessions of one epoch step by step.
 
-    A step waits for the event loop, so an owner that is late makes fewer.
+    A session polls its endpoint as soon as it is open. The pause between two
+    steps ends later if the event loop is late, so a late owner slows down.
     """
 
     def __init__(self, ctx: context.Context, epoch: int) -> None:
@@ -27,9 +30,7 @@
     async def run(
         self,
         engine: engines.Engine,
-        open_session: collections.abc.Callable[
-            [str], collections.abc.Awaitable[None]
-        ],
+        open_session: OpenSession,
     ) -> None:
         """Open the sessions with all endpoints of a recovered engine."""
         names = list(engine.endpoints)
@@ -49,16 +50,14 @@
                 rate=round(rate),
             )
         try:
-            await self._take(steps, open_session)
+            await self._open_in_steps(steps, open_session)
         finally:
             self._waiting.clear()
 
-    async def _take(
+    async def _open_in_steps(
         self,
         steps: list[list[str]],
-        open_session: collections.abc.Callable[
-            [str], collections.abc.Awaitable[None]
-        ],
+        open_session: OpenSession,
     ) -> None:
         self._waiting.update(*steps)
         for number, names in enumerate(steps):
--- a/hibiscusslip/host/inbox_snapshot.py
+++ b/hibiscusslip/host/inbox_snapshot.py
@@ -1,4 +1,4 @@
-"""Sort out the records of the inbox that a new owner reads."""
+"""Select the records of the inbox that a new owner applies."""
 
 import collections.abc
 import dataclasses
@@ -29,11 +29,14 @@
     )
 
 
-def sort_out(
+def make_snapshot(
     inboxes: collections.abc.Iterable[store.NewestValues],
     retired_since: dict[str, tuple[int, ...]],
 ) -> InboxSnapshot:
-    """Return the records of all partitions, each in the order of offsets."""
+    """Return the records of all partitions without the void ones.
+
+    Those of a partition are in the order of their offsets.
+    """
     snapshot = InboxSnapshot(retired_since)
     for part, inbox in enumerate(inboxes):
         for key in sorted(inbox.values, key=inbox.offsets.__getitem__):
--- a/hibiscusslip/host/job_intake.py
+++ b/hibiscusslip/host/job_intake.py
@@ -15,9 +15,13 @@
 if typing.TYPE_CHECKING:
     from hibiscusslip.host import owner as owners
 
+# For how long an ended job stays known, as a multiple of the time for which
+# its state has to be retained.
+RETENTION_FACTOR = 1.5
+
 
 class JobIntake:
-    """Add and cancel jobs as callers ask, and forget those that ended."""
+    """Apply submissions and cancellations; free the IDs of ended jobs."""
 
     def __init__(self, owner: 'owners.Owner') -> None:
         self._owner = owner
@@ -26,7 +30,7 @@
         self.submissions = submissions.Submissions(owner.ctx)
         self.cancellations = cancellations.Cancellations(owner.ctx)
         self.deletion = record_deletion.RecordDeletion(
-            owner.ctx, self._read_to, self._free_id, self._apply
+            owner.ctx, self._read_offsets, self._free_id, self._apply
         )
 
     def apply(
@@ -35,17 +39,19 @@
         """Apply a record of the inbox: an accepted job or a cancellation."""
         if not value or not key:
             return
-        if not self.deletion.keep_back(key, value, position):
+        if not self.deletion.withhold(key, value, position):
             self._apply(key, value)
 
-    async def delete_old(self, progress: writer.Writer) -> None:
+    async def delete_old(self, job_writer: writer.Writer) -> None:
         """Retire the IDs of jobs that ended long ago; delete old records."""
         now = context.monotonic()
-        self._retire_ended(now - self._ctx.cfg.bounds.status_kept * 1.5)
-        self._retire_stray_if_all_read(now)
-        await self.deletion.retire(progress)
+        self._retire_ended(
+            now - self._ctx.cfg.bounds.status_kept * RETENTION_FACTOR
+        )
+        self._retire_expired_if_all_read(now)
+        await self.deletion.retire(job_writer)
         jobs = self._owner.engine.jobs
-        for job_id in await self.deletion.delete(progress):
+        for job_id in await self.deletion.delete(job_writer):
             if job_id in jobs:
                 jobs[job_id].inbox_since = ()
 
@@ -62,7 +68,7 @@
         job_id = topics.cancelled_job(key)
         self._ctx.log.note('cancel_taken', job=job_id, known=known)
         if self.cancellations.overfull:
-            self._retire_stray(-math.inf)
+            self._retire_expired(-math.inf)
 
     def _apply_submission(self, key: str, value: bytes) -> None:
         engine = self._owner.engine
@@ -78,27 +84,27 @@
                 engine.dirty.add(job_id)
             self.cancellations.apply_deferred(engine, job_id, now)
 
-    def _read_to(self) -> list[int | None]:
+    def _read_offsets(self) -> list[int | None]:
         return [feed.offset for feed in self._owner.inboxes]
 
     def _retire_ended(self, before: float) -> None:
         ended = self._owner.engine.find_ended_before(before)
         self.deletion.add({job.job_id: job.state.value for job in ended})
 
-    def _retire_stray_if_all_read(self, now: float) -> None:
-        """Retire stray IDs unless their jobs may be in an unread partition."""
+    def _retire_expired_if_all_read(self, now: float) -> None:
+        """Retire expired IDs unless a failed partition may have their jobs."""
         if any(feed.failing for feed in self._owner.inboxes):
             self._inbox_failed_at = now
         before = now - cancellations.DEFERRAL_S
         if self._inbox_failed_at < before:
-            self._retire_stray(before)
+            self._retire_expired(before)
 
-    def _retire_stray(self, before: float) -> None:
-        """Have cancellations deleted whose job didn't appear."""
+    def _retire_expired(self, before: float) -> None:
+        """Retire the IDs of expired cancellations, which are deleted then."""
         cancelled = model.JobState.CANCELLED.value
-        stray = self.cancellations.find_stray(before)
-        if self.deletion.add(dict.fromkeys(stray, cancelled)):
-            for job_id in stray:
+        expired = self.cancellations.find_expired(before)
+        if self.deletion.add(dict.fromkeys(expired, cancelled)):
+            for job_id in expired:
                 self.cancellations.forget(job_id)
                 self._ctx.log.note('cancel_expired', job=job_id)
 
--- a/hibiscusslip/host/ownership.py
+++ b/hibiscusslip/host/ownership.py
@@ -8,6 +8,7 @@
 start needs a record first.
 """
 
+import collections.abc
 import dataclasses
 import math
 
@@ -226,6 +227,19 @@
     return host_strength * INSUFFICIENT_FACTOR * descriptors / needed
 
 
+def strongest(
+    hosts: collections.abc.Iterable[notices.HostRecord], endpoints: int
+) -> float:
+    """Return the highest effective strength of hosts, 0 if there are none."""
+    return max(
+        (
+            effective_strength(host.strength, host.descriptors, endpoints)
+            for host in hosts
+        ),
+        default=0.0,
+    )
+
+
 def reported_endpoints(count: int) -> int:
     """Return the number of endpoints that notices tell.
 
--- a/hibiscusslip/host/ownership_keeper.py
+++ b/hibiscusslip/host/ownership_keeper.py
@@ -163,14 +163,9 @@
         """
         hosts = self._ctx.hosts
         own = self._ctx.ownership
-        strengths = [
-            ownership.effective_strength(
-                hosts[n].strength, hosts[n].descriptors, own.endpoints
-            )
-            for n in candidates
-            if n in hosts
-        ]
-        strongest = max(strengths, default=0.0)
+        strongest = ownership.strongest(
+            (hosts[n] for n in candidates if n in hosts), own.endpoints
+        )
         if own.should_yield(strongest):
             self._ctx.log.note(
                 'owner_yields',
--- a/hibiscusslip/host/poll_timing.py
+++ b/hibiscusslip/host/poll_timing.py
@@ -17,7 +17,8 @@
 IDLE_SPREAD = 0.25  # by which the pauses of idle endpoints may differ
 RETRY_PAUSE_S = 0.25  # before an unresponsive endpoint is polled again
 MAX_RETRY_PAUSE_S = 1.25
-LATENESS_S = 0.25  # of a host, beyond which the time-out of a poll is late
+# This host was late if a poll fails more than this after its time-outs.
+LATENESS_S = 0.25
 RENEWALS_PER_LEASE = 3
 # From the end of the wait to the next poll, which the time-out of a poll and a
 # busy owner delay.
--- a/hibiscusslip/host/record_deletion.py
+++ b/hibiscusslip/host/record_deletion.py
@@ -27,21 +27,21 @@
 class RecordDeletion:
     """Retire the IDs of ended jobs, then delete the jobs' records.
 
-    `read_to` returns the offset up to which the owner has read each partition
-    of the inbox, None if it isn't known. `free` is called with an ID once it
-    is retired: records before its retirement are void, and `apply` is called
-    with those that were read since.
+    `read_offsets` returns the offset up to which the owner has read each
+    partition of the inbox, None if it isn't known. `free` is called with an ID
+    once it is retired: records before its retirement are void, and `apply` is
+    called with those that were read since.
     """
 
     def __init__(
         self,
         ctx: context.Context,
-        read_to: collections.abc.Callable[[], list[int | None]],
+        read_offsets: collections.abc.Callable[[], list[int | None]],
         free: collections.abc.Callable[[str], None],
         apply: collections.abc.Callable[[str, bytes], None],
     ) -> None:
         self._ctx = ctx
-        self._read_to = read_to
+        self._read_offsets = read_offsets
         self._free = free
         self._apply = apply
         self._retiring: dict[str, retirement_records.Retirement] = {}
@@ -63,7 +63,7 @@
         keeps its offsets, as records after them are held.
         """
         since = []
-        for offset in self._read_to():
+        for offset in self._read_offsets():
             if offset is None:
                 return False
             since.append(offset)
@@ -79,14 +79,14 @@
         """
         return self._undeleted.get(job_id, ())
 
-    def keep_back(
+    def withhold(
         self, key: str, value: bytes, position: inbox_positions.Position
     ) -> bool:
-        """Return True if a record is void or can't be applied yet.
+        """Register a record; return True if it mustn't be applied now.
 
-        Void ones are deleted. A record of an ID that is being retired is
-        applied once it is: until then the next owner may take it for one of
-        the ended job.
+        A void record is deleted later. A record of an ID that is being retired
+        is held and applied after the retirement: until then the next owner
+        may take it for one of the ended job.
         """
         job_id = topics.job_of(key)
         self.positions.add(job_id, key, position)
@@ -107,10 +107,10 @@
         """Return True if records of an ID wait for its retirement."""
         return job_id in self._held
 
-    async def retire(self, progress: writer.Writer) -> None:
-        """Have the retirement of IDs written, again if that failed."""
+    async def retire(self, job_writer: writer.Writer) -> None:
+        """Have the pending retirements written, also those that failed."""
         if self._retiring:
-            await progress.retire(dict(self._retiring), self._handle_retired)
+            await job_writer.retire(dict(self._retiring), self._handle_retired)
 
     def _handle_retired(self, job_ids: list[str]) -> None:
         for job_id in job_ids:
@@ -129,12 +129,12 @@
             for (key, _), value in held.items():
                 self._apply(key, value)
 
-    async def delete(self, progress: writer.Writer) -> list[str]:
+    async def delete(self, job_writer: writer.Writer) -> list[str]:
         """Delete void records; return the IDs of which none are left.
 
         Those of a partition that fails are tried again by the next call.
         """
-        for part in range(len(self._read_to())):
+        for part in range(len(self._read_offsets())):
             try:
                 await self._delete_in_partition(part)
             except exceptions.PlatformError as exc:
@@ -147,14 +147,14 @@
         for job_id in done:
             del self._undeleted[job_id]
         if done:
-            await progress.delete_jobs(done)
+            await job_writer.delete_jobs(done)
         return done
 
     async def _delete_in_partition(self, part: int) -> None:
         """Delete the void records of a partition; raises PlatformError."""
         attempts = 0
         while names := self._find_void(part):
-            offset = self._read_to()[part]
+            offset = self._read_offsets()[part]
             if offset is None:
                 return
             try:
--- a/hibiscusslip/host/recovery.py
+++ b/hibiscusslip/host/recovery.py
@@ -107,12 +107,9 @@
     endpoints_read_at = context.monotonic()
     listed = await ctx.store.newest(store.ENDPOINTS_TOPIC, READ_TIMEOUT_S)
     now = context.monotonic()
-    for name, value in listed.values.items():
-        entry = documents.read_endpoint_entry(name, value)
-        if entry is not None:
-            engine.register_endpoint(entry, now)
+    _register_endpoints(engine, listed, now)
     inbox_rows = inbox_snapshot.read_inbox_rows(progress)
-    snapshot = inbox_snapshot.sort_out(
+    snapshot = inbox_snapshot.make_snapshot(
         inboxes, {i: tuple(row.since) for i, row in inbox_rows.items()}
     )
     retired = {i for i, row in inbox_rows.items() if row.retired}
@@ -133,23 +130,45 @@
     inbox_offsets = [inbox.end for inbox in inboxes]
     since = snapshot.retired_since
     return Recovered(
-        inbox_offsets,
-        listed.end,
-        endpoints_read_at,
-        snapshot.positions,
-        {job_id: since[job_id] for job_id in since if job_id in engine.jobs},
-        {
-            job_id: retirement_records.Retirement(
-                retirement_records.find_state(value),
-                since.get(job_id, tuple(inbox_offsets)),
-            )
-            for job_id, value in progress.items()
-            if job_id not in engine.jobs
-        },
-        [part for part, newest in enumerate(parts) if newest.values],
+        inbox_offsets=inbox_offsets,
+        endpoints_offset=listed.end,
+        endpoints_read_at=endpoints_read_at,
+        positions=snapshot.positions,
+        retired_since={i: since[i] for i in since if i in engine.jobs},
+        orphans=_find_orphans(engine, progress, since, tuple(inbox_offsets)),
+        used_parts=[p for p, newest in enumerate(parts) if newest.values],
     )
 
 
+def _register_endpoints(
+    engine: engines.Engine, listed: store.NewestValues, now: float
+) -> None:
+    for name, value in listed.values.items():
+        entry = documents.read_endpoint_entry(name, value)
+        if entry is not None:
+            engine.register_endpoint(entry, now)
+
+
+def _find_orphans(
+    engine: engines.Engine,
+    progress: dict[str, bytes],
+    retired_since: dict[str, tuple[int, ...]],
+    inbox_ends: tuple[int, ...],
+) -> dict[str, retirement_records.Retirement]:
+    """Return the retirements of jobs with progress but no submission.
+
+    One that a former owner has written keeps its offsets.
+    """
+    return {
+        job_id: retirement_records.Retirement(
+            retirement_records.find_state(value),
+            retired_since.get(job_id, inbox_ends),
+        )
+        for job_id, value in progress.items()
+        if job_id not in engine.jobs
+    }
+
+
 def _merge_progress(
     ctx: context.Context, parts: list[store.NewestValues]
 ) -> dict[str, bytes]:
--- a/hibiscusslip/host/store_share.py
+++ b/hibiscusslip/host/store_share.py
@@ -6,10 +6,11 @@
 the owner were refused too, and the outage went on.
 """
 
-USUAL_HOSTS = 100  # that call the store as often as this host would alone
-CLAIM_PAUSE_S = 0.2
-HOSTS_PAUSE_S = 0.5  # between two reads of the list of hosts, with 300 hosts
-HOSTS_PAUSE_PER_HOST_S = HOSTS_PAUSE_S / 300
+USUAL_HOSTS = 100  # up to which no host slows down
+CLAIM_PAUSE_S = 0.2  # after a failed claim, before it is slowed down
+# Between two reads of the list of hosts: 0.5 s, or 600 reads per second in
+# all, with 300 hosts.
+HOSTS_PAUSE_PER_HOST_S = 0.5 / 300
 
 
 def slowdown(hosts: int, is_owner: bool) -> float:
@@ -37,7 +38,7 @@
     """Return the pause after a claim that failed, in seconds.
 
     Up to USUAL_HOSTS hosts claim again as soon as they may. With 300, that
-    were 6,000 claims per second while the store refuses them.
+    would be 6,000 claims per second while the store refuses them.
     """
     if factor <= 1.0:
         return 0.0
--- a/hibiscusslip/host/writer.py
+++ b/hibiscusslip/host/writer.py
@@ -314,14 +314,15 @@
     ) -> bool:
         """Try to retire and delete jobs in the other partition as well.
 
-        `parts` are those that were written to. Return True if no partition
-        lacks any of the records that has other ones of the jobs.
+        `parts` are those that were written to. Return True if each partition
+        that may have records of the jobs has these as well.
         """
         partition = self._partitions[-1]
         if len(parts) > 1:
             return False  # it is unknown which of them has which records
-        pending = retires and partition.unanswered is not None
-        if not partition.used and not pending:
+        # An unanswered batch may still add records of the retired jobs.
+        may_be_used = retires and partition.unanswered is not None
+        if not partition.used and not may_be_used:
             return True
         try:
             for group in split_batch(removals, MAX_APPEND_BYTES):
--- a/hibiscusslip/http/connection_budget.py
+++ b/hibiscusslip/http/connection_budget.py
@@ -6,9 +6,9 @@
 
     Beyond `limit` connections, a pool keeps at most one that is idle. Each
     pool can still open as many as its calls need, up to `max_open` in all:
-    the other descriptors of the host are for its other connections. Halfway
-    between, no pool keeps an idle one: those of pools with few calls would
-    leave none to the calls of the others.
+    the other descriptors of the host are for its other connections. From
+    halfway between the two on, no pool keeps an idle connection, which the
+    calls of another pool may need.
     """
 
     def __init__(self, limit: int, max_open: int | None = None) -> None:
--- a/tests/host/test_reported_ratios.py
+++ b/tests/host/test_reported_ratios.py
@@ -35,8 +35,16 @@
 
 def notice(loads, epoch=3, number=7):
     return notices.OwnerNotice(
-        *('beat', epoch, 'h2', 'i', '10.0.0.2', 1, loads, number),
-        *({'e': 50}, {'o': 12}),
+        'beat',
+        epoch,
+        'h2',
+        'i',
+        '10.0.0.2',
+        1,
+        loads,
+        number,
+        lapses={'e': 50},
+        beyond={'o': 12},
     )
 
 
@@ -156,7 +164,9 @@
     loads = {'q': notices.QueueLoad(4, 30, 30, 180)}
     ctx.ownership.apply_notice(notice(loads, 1), context.monotonic())
     keeper = keepers.ownership_keeper.OwnershipKeeper(
-        *(ctx, keepers.Successors(), 2),
+        ctx,
+        keepers.Successors(),
+        2,
         keepers.lease_handover.LeaseHandover(ctx.ownership, 2),
         lambda: None,
         keepers.release_ownership,
--- a/tests/host/test_resubmission.py
+++ b/tests/host/test_resubmission.py
@@ -1,4 +1,7 @@
-"""Check that an ID can be used again while old records of it are left."""
+"""Check that an ID can be used again while old records of it are left.
+
+Most tests are named after the failure that they guard against.
+"""
 
 import curio
 import msgspec
