host: keep a second retirement of an ID until its records are deleted

A cancellation that expired could retire an ID a second time while records from before the first retirement were left. The deletion of those then deleted the second retirement as well, while it was written, so the next owner applied the old cancellation to a new job of that ID. Found by review; the test fails before the change.

--- a/hibiscusslip/host/record_deletion.py
+++ b/hibiscusslip/host/record_deletion.py
@@ -142,7 +142,9 @@
         done = [
             job_id
             for job_id, since in self._undeleted.items()
-            if not self.positions.find_before(job_id, since)
+            # Else the new retirement would be deleted, maybe in flight.
+            if job_id not in self._retiring
+            and not self.positions.find_before(job_id, since)
         ]
         for job_id in done:
             del self._undeleted[job_id]
--- a/tests/host/test_resubmission.py
+++ b/tests/host/test_resubmission.py
@@ -130,6 +130,42 @@
     curio.run(scenario)
 
 
+def test_former_deletion_ends_while_a_second_retirement_is_written():
+    """The deletion would delete the retirement, whose records are left."""
+
+    async def scenario():
+        cell = await ended_cell()
+        await cell.write()
+        cell.store.down = {CANCEL_PART}
+        await cell.delete()
+        cell.cancel(2)
+        await cell.read()
+        deletion, writer = cell.owner.intake.deletion, cell.owner._writer
+        assert deletion.add({JOB_ID: CANCELLED.value})
+        await deletion.retire(writer)
+        cell.store.down = set()
+        append = cell.store.append
+
+        async def append_and_delete(topic, *args, **options):
+            end = await append(topic, *args, **options)
+            if topic == topics.JOBS:
+                cell.store.append = append
+                await deletion.delete(writer)
+            return end
+
+        cell.store.append = append_and_delete
+        await cell.write()
+        cell.store.down = {(topics.INBOX, 2)}
+        await cell.write()
+        cell.submit(0)
+        await cell.read()
+        cell.owner.engine.dirty.clear()  # lost before the job's record
+        await cell.succeed()
+        assert cell.job().state is QUEUED
+
+    curio.run(scenario)
+
+
 def test_repeated_submission_of_a_known_job_runs_it_again():
     async def scenario():
         cell = inbox_cell.Cell()
