dispatch: report ratios of queues whose tasks differ among themselves

With half an octave as the limit for consistent declarations, queues that all declare too little had no ratio, as the run times of like tasks differ as well.

--- a/hibiscusslip/dispatch/run_times.py
+++ b/hibiscusslip/dispatch/run_times.py
@@ -29,9 +29,9 @@
 SHIFT_OCTAVES = 0.5
 MIN_SHIFT_RUNS = 16.0
 QUARTILES = (0.25, 0.75)
-# Half of the distance between the quartiles of declarations that are off by
-# up to a factor of two by chance.
-MAX_CONSISTENT_OCTAVES = 0.5
+# The quartiles of declarations that are off by up to a factor of two by chance
+# are one octave apart, those of like tasks that declare the same much less.
+MAX_CONSISTENT_OCTAVES = 0.6
 REFRESH_SHARE = 1 / 8  # of a group's weight in new runs
 REFRESH_RUNS = 32
 FREQUENT_REFRESH_RUNS = 256
