Clarify names and comments of ratios, queues and benchmarks

Some names and comments of the latest changes were vague: `settled` and `first` for decisions before and after a change of the owner, `COPIES` for queues of a kind, `lengths` for those of prefixes, `_waiting` for work, and positional arguments of `Kind`. The reasons for setting `state_sent` before the transfer and for a lower bound of one wave were missing.

Rename these, pass the arguments by name, and state the reasons. A listing that failed is repeated after `LISTING_RETRY_S`, as before.

--- a/hibiscusslip/bench/admission.py
+++ b/hibiscusslip/bench/admission.py
@@ -21,7 +21,7 @@
 LEARNED = policies.Policy(learned_run_times=True)
 SECONDS = 40.0
 NEW_OWNER_AT_S = 20.0
-FIRST_S = 4.0  # after a change of the owner
+AFTER_CHANGE_S = 4.0  # of the owner, for which decisions are counted
 FACTORS = (0.5, 0.7, 1.0, 1.4, 2.0)
 SEEDS = (1, 2, 3)
 QUEUE = 'batch'
@@ -32,9 +32,26 @@
 
     The jobs declare their usual run time times a factor within `declared`.
     """
-    urgent = dispatch_loads.Kind('urgent', 'm', 4.0, 2, 4, 1.0, 0, 3.0)
+    urgent = dispatch_loads.Kind(
+        'urgent',
+        'm',
+        arrivals_per_s=4.0,
+        tasks=2,
+        cpu=4,
+        run=1.0,
+        priority=0,
+        stretch=3.0,
+    )
     batch = dispatch_loads.Kind(
-        QUEUE, 'm', 10.0, 1, 16, 2.0, 1, 1.5, declared=declared
+        QUEUE,
+        'm',
+        arrivals_per_s=10.0,
+        tasks=1,
+        cpu=16,
+        run=2.0,
+        priority=1,
+        stretch=1.5,
+        declared=declared,
     )
     return dispatch_loads.Load(
         (urgent, batch), (dispatch_loads.Pool('m', 6, 32),)
@@ -49,25 +66,25 @@
     wrongly_rejected: int = 0
     wrongly_accepted: int = 0
 
-    def add(self, rejected: bool, should_be: bool) -> None:
+    def add(self, rejected: bool, should_reject: bool) -> None:
         """Count a decision."""
         self.jobs += 1
-        self.wrongly_rejected += rejected and not should_be
-        self.wrongly_accepted += should_be and not rejected
+        self.wrongly_rejected += rejected and not should_reject
+        self.wrongly_accepted += should_reject and not rejected
 
 
 class AdmissionReplay(organisations.OrganisationReplay):
     """Replay jobs of two queues, one of which declares wrong run times.
 
-    `settled` are the decisions about its jobs before the change of the owner,
-    `first` those within `FIRST_S` after it. `useless` of `completed` accepted
-    jobs took so long that they were of no use.
+    `before_change` are the decisions about its jobs before the change of the
+    owner, `after_change` those within `AFTER_CHANGE_S` after it. `useless` of
+    `completed` accepted jobs took so long that they were of no use.
     """
 
     def __init__(self, seed: int, declared: tuple[float, float]) -> None:
         super().__init__(seed, make_load(declared), 4, policy=LEARNED)
-        self.settled = Decisions()
-        self.first = Decisions()
+        self.before_change = Decisions()
+        self.after_change = Decisions()
         self.completed = 0
         self.useless = 0
         self._new_owner_at = self._now + NEW_OWNER_AT_S
@@ -116,9 +133,9 @@
             forecast.beyond_percents.get(organisation, 0),
         )
         if self._now < self._new_owner_at:
-            self.settled.add(rejected, rejection is not None)
-        elif self._now < self._new_owner_at + FIRST_S:
-            self.first.add(rejected, rejection is not None)
+            self.before_change.add(rejected, rejection is not None)
+        elif self._now < self._new_owner_at + AFTER_CHANGE_S:
+            self.after_change.add(rejected, rejection is not None)
         return rejected
 
     def _count_completed(self) -> None:
@@ -152,7 +169,7 @@
         replays = replay(declared)
         row = [
             sum(getattr(getattr(item, part), field) for item in replays)
-            for part in ('settled', 'first')
+            for part in ('before_change', 'after_change')
             for field in ('jobs', 'wrongly_rejected', 'wrongly_accepted')
         ]
         row += [
--- a/hibiscusslip/bench/queue_costs.py
+++ b/hibiscusslip/bench/queue_costs.py
@@ -16,7 +16,7 @@
 from hibiscusslip.host import load_report
 from hibiscusslip.host import notices
 
-COPIES = 10  # of each kind, each of which has a queue with jobs
+QUEUES_PER_KIND = 10  # with jobs
 STEPS_PER_HEARTBEAT = 8  # of 0.05 s
 MS_PER_S = 1000
 US_PER_S = 1_000_000
@@ -33,25 +33,25 @@
     of the heartbeats, `named` the numbers of queues that they name.
     """
 
-    passes: list[float]
-    forecast_passes: list[float]
-    heartbeats: list[float]
-    readings: list[float]
-    lookups: list[float]
-    sizes: list[int]
-    named: list[int]
+    passes: list[float] = dataclasses.field(default_factory=list)
+    forecast_passes: list[float] = dataclasses.field(default_factory=list)
+    heartbeats: list[float] = dataclasses.field(default_factory=list)
+    readings: list[float] = dataclasses.field(default_factory=list)
+    lookups: list[float] = dataclasses.field(default_factory=list)
+    sizes: list[int] = dataclasses.field(default_factory=list)
+    named: list[int] = dataclasses.field(default_factory=list)
 
 
 def spread_over_queues(load: dispatch_loads.Load) -> dispatch_loads.Load:
-    """Return a load with COPIES queues of each kind, and the same arrivals."""
+    """Return a load of the same arrivals in QUEUES_PER_KIND queues a kind."""
     kinds = tuple(
         dataclasses.replace(
             kind,
             name=f'{kind.name}-{number}',
-            arrivals_per_s=kind.arrivals_per_s / COPIES,
+            arrivals_per_s=kind.arrivals_per_s / QUEUES_PER_KIND,
         )
         for kind in load.kinds
-        for number in range(COPIES)
+        for number in range(QUEUES_PER_KIND)
     )
     return dataclasses.replace(load, kinds=kinds)
 
@@ -77,7 +77,7 @@
 
 def measure(replay: dispatching.Replay, steps: int) -> Costs:
     """Replay a number of steps and return what they cost."""
-    costs = Costs([], [], [], [], [], [], [])
+    costs = Costs()
     forecast = replay.engine.shares.forecast
     for number in range(steps):
         known = forecast.predictions
--- a/hibiscusslip/dispatch/admission.py
+++ b/hibiscusslip/dispatch/admission.py
@@ -3,9 +3,9 @@
 A new job waits for the work that is ordered ahead of it: core-seconds and
 accelerator-seconds of waiting steps, divided by the capacity that this work
 gets. Work that arrives later but goes first takes part of that capacity, and
-with learned run times so do running tasks until they should end. A
-job that would be of no use by the time it completes is rejected at once, so
-that its caller can react and no other job waits behind it.
+with learned run times so do running tasks until they should end. A job that
+would be of no use by the time it completes is rejected at once, so that its
+caller can react and no other job waits behind it.
 """
 
 import collections.abc
@@ -153,7 +153,7 @@
     def _find(
         self, service: str, priority: int, accelerators: bool
     ) -> Prediction:
-        """Return the prediction for a kind of queue."""
+        """Return the prediction for queues of a service and priority."""
         key = service, priority, accelerators
         known = self._known.get(key)
         if known is None:
@@ -209,7 +209,9 @@
         if rank.expired or step.spec.long_running:
             continue
         backlog = backlogs.setdefault(step.job.service, _Backlog())
-        backlog.add((rank.beyond, rank.priority), _waiting(step, estimator))
+        backlog.add(
+            (rank.beyond, rank.priority), _work_of_waiting(step, estimator)
+        )
     releases = {service: find_releases(service) for service in backlogs}
     return Predictions(config, backlogs, capacities, arrivals, releases)
 
@@ -274,7 +276,9 @@
     return demand.cpu / 1000 * seconds, demand.accelerators * seconds
 
 
-def _waiting(step: state.StepState, estimator: estimates.Estimates) -> Work:
+def _work_of_waiting(
+    step: state.StepState, estimator: estimates.Estimates
+) -> Work:
     run_time = estimator.expect(step).median
     return work_of(step.spec, len(step.waiting()), run_time)
 
@@ -311,7 +315,7 @@
 
 
 def limit_of(config: model.Configuration, organisation: str) -> model.Demand:
-    """Return the limit of an organisation."""
+    """Return an organisation's limit, NO_LIMIT if it isn't configured."""
     item = (config.organisations or {}).get(organisation)
     return item.limit if item is not None else NO_LIMIT
 
@@ -330,8 +334,8 @@
     `beyond_percent` of the jobs of its organisation are beyond the
     entitlement; which of them is derived from the ID, so that a job gets the
     same answer from all hosts while the load is the same. `ratio` is that of
-    actual to declared run time, as far as the owner has told it;
-    `limit` is that of the organisation if waves of wide steps are counted.
+    actual to declared run time, 1 if the owner reported none; `limit` is that
+    of the organisation, NO_LIMIT if waves of wide steps aren't counted.
     """
     number = zlib.crc32(job_id.encode())
     within = number % PERCENT >= beyond_percent
--- a/hibiscusslip/dispatch/estimates.py
+++ b/hibiscusslip/dispatch/estimates.py
@@ -100,10 +100,10 @@
         )
 
     def reported_ratios(self) -> dict[str, float]:
-        """Return the ratios of queues that other hosts are told.
+        """Return the ratios of queues that are reported to other hosts.
 
-        They are in hundredths, those used last first. A queue whose jobs take
-        about as long as they declare isn't in it.
+        They are rounded to hundredths, those used last first. Queues whose
+        jobs take about as long as they declare are left out.
         """
         if not self.policy.learned_run_times:
             return {}
--- a/hibiscusslip/dispatch/forecast.py
+++ b/hibiscusslip/dispatch/forecast.py
@@ -26,7 +26,7 @@
         self._arrivals = arrivals.Arrivals()
         self._updated_at = float('-inf')
         self._estimator = estimates.Estimates()
-        self._ratios: dict[str, float] = {}  # that hosts were told
+        self._ratios: dict[str, float] = {}  # last reported, by queue
 
     def count(self, job: state.Job, config: model.Configuration) -> None:
         """Count a new job that was classified."""
--- a/hibiscusslip/dispatch/parallelism.py
+++ b/hibiscusslip/dispatch/parallelism.py
@@ -73,6 +73,7 @@
             _count_within(spec.demand, limit, 1.0),
             _count_within(spec.allocated_demand, pool, POOL_SHARE),
         )
+        # `at_a_time` is infinite if neither the limit nor the pool bounds it.
         return max(math.ceil(tasks / max(at_a_time, 1.0)), 1)
 
 
--- a/hibiscusslip/dispatch/queue_index.py
+++ b/hibiscusslip/dispatch/queue_index.py
@@ -12,15 +12,18 @@
 
 
 class _HostQueues:
-    """The queues of one host by prefix, the first of those that share one."""
+    """The queues of one host by prefix.
+
+    Of queues with the same prefix, only the first configured one is found.
+    """
 
     def __init__(self) -> None:
         self.by_prefix: dict[str, model.Queue] = {}
-        self.lengths: list[int] = []
+        self.prefix_lengths: list[int] = []  # longest first
 
     def find(self, path: str) -> 'model.Queue | None':
-        """Return the queue with the longest prefix of `path`."""
-        for length in self.lengths:
+        """Return the queue whose prefix is the longest match for `path`."""
+        for length in self.prefix_lengths:
             queue = self.by_prefix.get(path[:length])
             if queue is not None:
                 return queue
@@ -59,5 +62,5 @@
             known.by_prefix.setdefault(queue.prefix, queue)
         for known in hosts.values():
             lengths = {len(prefix) for prefix in known.by_prefix}
-            known.lengths = sorted(lengths, reverse=True)
+            known.prefix_lengths = sorted(lengths, reverse=True)
         return hosts
--- a/hibiscusslip/dispatch/run_times.py
+++ b/hibiscusslip/dispatch/run_times.py
@@ -30,8 +30,9 @@
 MIN_SHIFT_RUNS = 16.0
 QUARTILES = (0.25, 0.75)
 # Half of the distance between the quartiles of declarations that are off by
-# up to a factor of two by chance.
-MAX_CONSISTENT_OCTAVES = 0.5
+# chance by up to a factor of two. It is 0 for those off by the same factor,
+# plus what the spread of the actual run times adds.
+MAX_QUARTILE_DISTANCE_OCTAVES = 0.5
 REFRESH_SHARE = 1 / 8  # of a group's weight in new runs
 REFRESH_RUNS = 32
 FREQUENT_REFRESH_RUNS = 256
@@ -70,7 +71,7 @@
 
     `runs` is the weight, in runs, of the narrowest group that has as many as
     its broader group counts; `source` says what the group has in common,
-    'declared' for none, 'former owner' if that one told the queue's ratio.
+    'declared' for none, 'former owner' for none but a ratio that it reported.
     """
 
     median: float
@@ -119,9 +120,9 @@
 
     @property
     def is_consistent(self) -> bool:
-        """Return True if declarations are wrong by about the same ratio."""
+        """Return True if declarations are off by about the same factor."""
         lower, upper = self.histogram.quantiles(QUARTILES)
-        return upper - lower <= MAX_CONSISTENT_OCTAVES
+        return upper - lower <= MAX_QUARTILE_DISTANCE_OCTAVES
 
     def learn(
         self, octaves: float, job: str, weight: float, at_least: bool
@@ -209,7 +210,7 @@
             self.version += 1
 
     def expect_initially(self, ratios: dict[str, float]) -> None:
-        """Expect these ratios of queues until their runs tell others.
+        """Set the ratios of queues that are expected before any run.
 
         They take the place of the declared time, on which a queue relies like
         on `PRIOR_RUNS` runs.
@@ -220,20 +221,20 @@
     def queue_ratios(self, min_runs: float) -> dict[str, float]:
         """Return the expected ratios of queues, the latest used first.
 
-        Those without `min_runs` runs have only what was expected initially.
-        A queue whose declarations are wrong by chance is left out: no ratio
-        corrects them.
+        A queue with fewer than `min_runs` runs has one only if a ratio was
+        expected initially. A queue whose declarations are off by chance has
+        none, as no single ratio corrects them.
         """
         octaves = dict(self._initial)
         for key, group in self._groups.items():
-            _, queue = key[:2]
-            if key[0] != 'queue':
+            kind, queue = key[:2]
+            if kind != 'queue':
                 continue
-            octaves.pop(queue, None)
-            enough = group.histogram.weight >= min_runs
-            if enough and not group.is_consistent:
+            octaves.pop(queue, None)  # added again in the order of use
+            has_enough_runs = group.histogram.weight >= min_runs
+            if has_enough_runs and not group.is_consistent:
                 continue
-            if enough or queue in self._initial:
+            if has_enough_runs or queue in self._initial:
                 octaves[queue] = self._queue_median(queue, group)
         return {q: 2.0**value for q, value in reversed(octaves.items())}
 
--- a/hibiscusslip/jobs/_contact.py
+++ b/hibiscusslip/jobs/_contact.py
@@ -9,6 +9,8 @@
 
 Contact = _state.Contact
 
+LISTING_RETRY_S = 1.0
+
 
 def handle_listing_failure(
     st: _state.ShardState, name: str, now: float
@@ -17,7 +19,7 @@
     view = st.endpoints.get(name)
     if view is not None:
         view.list_in_flight = False
-        view.next_list_at = now + 1.0
+        view.next_list_at = now + LISTING_RETRY_S
 
 
 def handle_ended_runs(
--- a/hibiscusslip/node/shard_transfer.py
+++ b/hibiscusslip/node/shard_transfer.py
@@ -88,6 +88,8 @@
         self, runner: shard_runner.ShardRunner, plan: actions.TransferPlan
     ) -> bool:
         """Send all jobs of a shard in parts; each must be confirmed."""
+        # Set before the first part is sent: a part without a reply may have
+        # arrived.
         runner.state_sent = True
         jobs = [handover.pack(job) for job in runner.engine.jobs.values()]
         groups = snapshots.group_by_size(jobs, MAX_PART_BYTES)
--- a/hibiscusslip/observe/prometheus.py
+++ b/hibiscusslip/observe/prometheus.py
@@ -20,7 +20,7 @@
     def __init__(self) -> None:
         self._counters: dict[str, float] = {}
         self._gauges: dict[str, float] = {}
-        self._counts: dict[str, int] = {}
+        self._series_counts: dict[str, int] = {}
         self._histograms: dict[str, list[float]] = {}
         self._sums: dict[str, float] = {}
 
@@ -40,10 +40,10 @@
         """Return True for known series, and for new ones if there is room."""
         if key in series:
             return True
-        count = self._counts.get(name, 0)
+        count = self._series_counts.get(name, 0)
         if len(series) >= MAX_SERIES or count >= MAX_SERIES_OF_METRIC:
             return False
-        self._counts[name] = count + 1
+        self._series_counts[name] = count + 1
         return True
 
     def time(self, name: str, seconds: float) -> None:
--- a/hibiscusslip/scheduler/_completions.py
+++ b/hibiscusslip/scheduler/_completions.py
@@ -7,7 +7,7 @@
 from hibiscusslip.scheduler import base
 from hibiscusslip.scheduler import limits
 
-STABLE_RUN_S = 60.0
+STABLE_RUN_S = 60.0  # after which a failure ends the restart backoff
 
 
 class Completions:
--- a/tests/dispatch/test_many_queues.py
+++ b/tests/dispatch/test_many_queues.py
@@ -146,7 +146,7 @@
         backlogs = {}
         for rank, step in self.ranked:
             if not rank.expired:
-                work = admission._waiting(step, self.estimator)
+                work = admission._work_of_waiting(step, self.estimator)
                 backlogs.setdefault(
                     step.job.service, admission._Backlog()
                 ).add((rank.beyond, rank.priority), work)
