--- a/tests/dispatch/test_run_times.py
+++ b/tests/dispatch/test_run_times.py
@@ -3,6 +3,8 @@
 import random
 import tracemalloc
 
+import pytest
+
 from hibiscusslip.dispatch import run_times
 
 DAY_S = 86_400.0
@@ -141,6 +143,19 @@
     assert len(learner.model) == 0
 
 
+@pytest.mark.parametrize('seed', range(5))
+def test_only_declarations_off_by_the_same_factor_have_a_queue_ratio(seed):
+    """Else hosts reject more jobs of a queue that declares at random."""
+    learner = Learner()
+    rng = random.Random(seed)
+    for _ in range(100):
+        chance = 2.0 ** rng.uniform(-1.0, 1.0)
+        learner.learn(work(2.0 * chance, 'by chance'), 2.0)
+        learner.learn(work(1.0, 'same factor'), 2.0 * rng.uniform(0.9, 1.1))
+    ratios = learner.model.queue_ratios(8.0)
+    assert ratios == {'same factor': pytest.approx(2.0, rel=0.1)}
+
+
 def test_shift_of_a_group_is_told_once():
     learner = Learner()
     learner.learn(work(), *[1.0] * 40)
