dispatch: judge failed runs by the queue as the job was accepted

Callers saw jobs `failed` after 1 of 3 attempts (LOST). An owner that has no configuration yet, as all hosts were killed and the store didn't serve its partition, took DEFAULT_QUEUE for the queue of each job; that allows one attempt.

Rule: nothing that can't be taken back may be decided by a queue that the owner doesn't know. The record of a submission now has the settings of the queue by which the host accepted the job; they count while the configuration lacks it. Of records of former releases, which have none, a failed task waits until its attempts are known: neither the end of the job nor a start after the last attempt could be taken back. Tasks that haven't failed start as before. The same default made a job of a removed queue the most urgent one, which stopped runs of others; a queue that isn't known preempts nothing.

--- a/hibiscusslip/commands/_timeline.py
+++ b/hibiscusslip/commands/_timeline.py
@@ -28,6 +28,7 @@
     'cancel_ignored',
     'cancel_taken',
     'held_by_limit',
+    'retry_held',
 )
 # Changes of the state of hosts, shards and endpoints that may explain what
 # happens to a job meanwhile.
--- a/hibiscusslip/commands/_waits.py
+++ b/hibiscusslip/commands/_waits.py
@@ -7,6 +7,7 @@
 # Events that name the cause of a wait, and how the cause is shown.
 CAUSES = {
     'held_by_limit': 'the limit of its organisation',
+    'retry_held': 'the settings of its queue, which the owner lacked',
     'step_yields': 'other organisations, which go first',
 }
 START_EVENTS = frozenset({'run_ordered', 'run_adopted'})
--- a/hibiscusslip/dispatch/_job_state.py
+++ b/hibiscusslip/dispatch/_job_state.py
@@ -179,6 +179,8 @@
     It is `contested` if another organisation has submitted a job of this ID.
     Records of the inbox before `inbox_since`, an offset for each partition,
     are those of former jobs with this ID; it is () if there are none.
+    `accepted_queue` is its queue as it was when the job was accepted, None if
+    that isn't known.
     """
 
     job_id: str
@@ -199,6 +201,7 @@
     holding: holdings.Holding | None = None
     contested: bool = False
     inbox_since: tuple[int, ...] = ()
+    accepted_queue: model.Queue | None = None
 
     def steps(self) -> list[StepState]:
         """Return the steps of all occurrences that are due."""
--- a/hibiscusslip/dispatch/_planning.py
+++ b/hibiscusslip/dispatch/_planning.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from hibiscusslip.dispatch import _attempts
 from hibiscusslip.dispatch import _copy_starts
 from hibiscusslip.dispatch import _learned_planning
 from hibiscusslip.dispatch import _reservations
@@ -92,7 +93,8 @@
     spec = step.spec
     if urgent is None or spec.gang or spec.demand.accelerators:
         return False
-    return current.engine.queue_of(step.job).priority <= urgent
+    queue = current.engine.known_queue_of(step.job)
+    return queue is not None and queue.priority <= urgent
 
 
 def _rank_steps(
@@ -189,7 +191,9 @@
     tasks = [
         task
         for task in step.waiting()
-        if task.not_before <= current.now and crashes.may_start(task)
+        if task.not_before <= current.now
+        and crashes.may_start(task)
+        and _attempts.may_start(current.engine, task)
     ]
     if not tasks or (step.spec.gang and len(tasks) < len(step.tasks)):
         return []
--- a/hibiscusslip/dispatch/_reports.py
+++ b/hibiscusslip/dispatch/_reports.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from hibiscusslip.dispatch import _attempts
 from hibiscusslip.dispatch import _lost_runs
 from hibiscusslip.dispatch import commands
 from hibiscusslip.dispatch import crashes
@@ -130,7 +131,8 @@
         end.how is model.RunOutcome.FAILED and not task.step.job.state.final
     )
     if counts and not task.step.spec.long_running:
-        if _record_failure(engine, task, end.run):
+        _count_failure(task, end.run)
+        if _attempts.has_attempt_left(engine, task) is False:
             _lost_runs.note_copy_end(engine, task)
             task.status = state.Status.FAILED
             engine.finish(task.step.job, model.JobState.FAILED, now)
@@ -206,22 +208,14 @@
         engine.finish(job, model.JobState.COMPLETED, now)
 
 
-def _record_failure(
-    engine: 'engines.Engine', task: state.Task, run: int
-) -> bool:
-    """Count a failed run; return True if no attempt is left.
-
-    For a gang, failures of several members in one run count once.
-    """
+def _count_failure(task: state.Task, run: int) -> None:
+    """Count a failed run; those of several members of a gang count once."""
     step = task.step
-    max_attempts = engine.queue_of(step.job).max_attempts
     if not step.spec.gang:
         task.failures += 1
-        return task.failures >= max_attempts
-    if step.failed_run != run:
+    elif step.failed_run != run:
         step.failed_run = run
         step.failures += 1
-    return step.failures >= max_attempts
 
 
 def _record_endpoint_failure(
--- a/hibiscusslip/dispatch/_reservations.py
+++ b/hibiscusslip/dispatch/_reservations.py
@@ -211,7 +211,9 @@
     accelerators, and then those whose stop loses the least. A step beyond an
     entitlement stops none that is within one.
     """
-    priority = engine.queue_of(step.job).priority
+    queue = engine.known_queue_of(step.job)
+    if queue is None:
+        return []
     victims = []
     for allocation in endpoint.allocations.values():
         task = allocation.task
@@ -223,7 +225,7 @@
             continue
         if task.step.job.within_entitlement > step.job.within_entitlement:
             continue
-        if engine.queue_of(task.step.job).priority > priority:
+        if engine.queue_of(task.step.job).priority > queue.priority:
             stop_estimate = preemption.estimate_stop(
                 engine.estimates, endpoint, allocation, now
             )
--- a/hibiscusslip/dispatch/engine.py
+++ b/hibiscusslip/dispatch/engine.py
@@ -3,6 +3,7 @@
 import collections.abc
 import typing
 
+from hibiscusslip.dispatch import _attempts
 from hibiscusslip.dispatch import _draining
 from hibiscusslip.dispatch import _durability
 from hibiscusslip.dispatch import _headroom
@@ -22,6 +23,7 @@
 from hibiscusslip.dispatch import estimates
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import policy as policies
+from hibiscusslip.dispatch import queue_records
 from hibiscusslip.dispatch import records
 from hibiscusslip.dispatch import shares
 from hibiscusslip.dispatch import state
@@ -55,7 +57,8 @@
     `recent_losses` those that crashed lately. `ledger` has what each
     organisation has running; its limit may be exceeded by the share
     `limit_overage` as far as `limits.count_startable` says. Its rate of jobs
-    is judged over `entitlement_window` seconds.
+    is judged over `entitlement_window` seconds. `held_tasks` have failed and
+    wait until it is known how many attempts they have.
     """
 
     def __init__(
@@ -93,6 +96,8 @@
         self.headroom: dict[str, _headroom.Headroom] = {}
         self.ledger = usage.Ledger()
         self.limiter = _limiter.Limiter(self.ledger, note, limit_overage)
+        self.held_tasks: dict[str, state.Task] = {}
+        self._accepted_queues: dict[model.Queue, model.Queue] = {}
 
     def configure(
         self, config: model.Configuration | None, policy: policies.Policy
@@ -128,6 +133,7 @@
             spec,
             now,
             organisation=submission.organisation,
+            accepted_queue=self._accepted_queue(submission),
         )
         self.shares.classify(job, self.config, submission.accepted, wall_time)
         self.jobs[job_id] = job
@@ -199,10 +205,33 @@
         """Return the jobs that ended before a time and may be forgotten."""
         return _durability.find_ended_before(self.jobs, self.ledger, before)
 
+    def _accepted_queue(
+        self, submission: records.Submission
+    ) -> model.Queue | None:
+        """Return the queue under which a job was accepted, if it's known.
+
+        Former releases don't record it; the configuration may still have it.
+        """
+        if submission.queue_row is None:
+            return self._configured_queue(submission.queue)
+        queue = queue_records.decode(
+            submission.queue_row, submission.queue, submission.service
+        )
+        return self._accepted_queues.setdefault(queue, queue)  # saves memory
+
+    def _configured_queue(self, name: str) -> model.Queue | None:
+        return self.config.queues.get(name) if self.config else None
+
+    def known_queue_of(self, job: state.Job) -> model.Queue | None:
+        """Return a job's queue, else as it was accepted; None if unknown."""
+        return self._configured_queue(job.queue) or job.accepted_queue
+
     def queue_of(self, job: state.Job) -> model.Queue:
-        """Return a job's queue, or DEFAULT_QUEUE if it isn't configured."""
-        queue = self.config.queues.get(job.queue) if self.config else None
-        return queue or estimates.DEFAULT_QUEUE
+        """Return a job's queue, or DEFAULT_QUEUE if it isn't known.
+
+        Only for decisions that can be changed later.
+        """
+        return self.known_queue_of(job) or estimates.DEFAULT_QUEUE
 
     # Endpoints.
 
@@ -358,6 +387,7 @@
     ) -> None:
         """Run one scheduling pass, which adds commands."""
         self.create_due_occurrences(now, wall_time)
+        _attempts.decide_held(self, now)
         _lost_runs.abandon_expired(self, now)
         _draining.move_runs(self, now)
         _pacing.pace(self, now)
--- a/hibiscusslip/dispatch/records.py
+++ b/hibiscusslip/dispatch/records.py
@@ -8,6 +8,7 @@
 from hibiscusslip.dispatch import copy_records
 from hibiscusslip.dispatch import delay_records
 from hibiscusslip.dispatch import model
+from hibiscusslip.dispatch import queue_records
 from hibiscusslip.dispatch import run_records
 from hibiscusslip.dispatch import state
 from hibiscusslip.dispatch import usage
@@ -18,6 +19,8 @@
 
     `accepted` is a Unix time by the clock of the host that accepted it.
     `organisation` is the one that submitted the job, '' for none.
+    `queue_row` has the settings of the queue under which it was accepted, None
+    in records of former releases.
     """
 
     queue: str
@@ -25,6 +28,7 @@
     accepted: float
     body: bytes
     organisation: str = ''
+    queue_row: queue_records.QueueRow | None = None
 
 
 class TaskRow(msgspec.Struct, array_like=True):
--- a/hibiscusslip/host/engine_events.py
+++ b/hibiscusslip/host/engine_events.py
@@ -12,6 +12,7 @@
         'crash_suspected',
         'task_given_up',
         'held_by_limit',
+        'retry_held',
         'run_preempted',
         *copies.EVENTS,
     )
--- a/hibiscusslip/host/front.py
+++ b/hibiscusslip/host/front.py
@@ -7,6 +7,7 @@
 import curio
 
 from hibiscusslip.dispatch import model
+from hibiscusslip.dispatch import queue_records
 from hibiscusslip.dispatch import records
 from hibiscusslip.host import access
 from hibiscusslip.host import admission_control
@@ -197,6 +198,7 @@
             context.wall_time(),
             body,
             call.organisation,
+            queue_records.encode(call.queue),
         )
         rejection = await self._admission.check(
             call.job_id, submission, call.queue, spec
