host: don't decide about callers without a configuration

An owner that read the job or the cancellation before it had a configuration took the caller for one without access: `may_access` returned False for "not known". A cancellation is read once, so it was ignored for good.

The decision has a third result now, as that about keys. A cancellation that can't be decided about is kept until the owner has a configuration, a query is answered with 503. The queue's settings in the submission decide where they can: a job of a queue that was public when it was accepted stays open to the cancellations of its callers, also once the queue is removed.

--- a/hibiscusslip/commands/_timeline.py
+++ b/hibiscusslip/commands/_timeline.py
@@ -26,6 +26,7 @@
     'start_in_doubt',
     'start_refused',
     'cancel_ignored',
+    'cancel_undecided',
     'cancel_taken',
     'held_by_limit',
     'retry_held',
--- a/hibiscusslip/host/access.py
+++ b/hibiscusslip/host/access.py
@@ -100,20 +100,23 @@
         return None if digest is None else self._index.find(digest)
 
 
-def may_access(
+def decide_job_access(
     config: model.Configuration | None,
-    queue: str,
+    queue: model.Queue | None,
     job_organisation: str,
     organisation: str,
-) -> bool:
-    """Return True if callers of `organisation` may see and cancel a job.
+) -> Verdict:
+    """Return whether callers of `organisation` may see and cancel a job.
 
-    The job of `job_organisation` was submitted to `queue`. '' stands for no
-    organisation.
+    The job of `job_organisation` was submitted to `queue`, None if that isn't
+    known. '' stands for no organisation.
     """
     if job_organisation in ('', organisation):
-        return True
+        return Verdict.ADMITTED
+    if queue is not None and queue.public:
+        return Verdict.ADMITTED
     if config is None:
-        return False
-    known = config.queues.get(queue)
-    return config.organisations is None or bool(known and known.public)
+        return Verdict.UNDECIDED
+    if config.organisations is None:
+        return Verdict.ADMITTED
+    return Verdict.REFUSED
--- a/hibiscusslip/host/cancellations.py
+++ b/hibiscusslip/host/cancellations.py
@@ -14,16 +14,17 @@
 class Cancellations:
     """Cancel jobs for callers that may access them.
 
-    A cancellation that is read before its job is deferred.
-
-    A job and its cancellation may be in different partitions, each of which
-    is read on its own.
+    A cancellation that is read before its job is deferred: both may be in
+    different partitions, each of which is read on its own. One of a caller
+    whose access can't be decided without a configuration is kept until there
+    is one.
     """
 
     def __init__(self, ctx: context.Context) -> None:
         self._ctx = ctx
         self._deferred: dict[str, set[str]] = {}
         self._deferred_at: dict[str, float] = {}
+        self._undecided: dict[str, set[str]] = {}
 
     def apply(
         self, engine: engines.Engine, key: str, value: bytes, now: float
@@ -47,11 +48,22 @@
         for organisation in organisations:
             self._cancel(engine, job_id, organisation, now)
 
+    def decide_undecided(self, engine: engines.Engine, now: float) -> None:
+        """Decide again about the callers that couldn't be decided about."""
+        undecided, self._undecided = self._undecided, {}
+        for job_id, organisations in undecided.items():
+            for organisation in organisations:
+                self._cancel(engine, job_id, organisation, now)
+
     def forget(self, job_id: str) -> None:
         """Forget the deferred cancellations of a job."""
         self._deferred.pop(job_id, None)
         self._deferred_at.pop(job_id, None)
 
+    def forget_undecided(self, job_id: str) -> None:
+        """Forget the undecided cancellations of a former job."""
+        self._undecided.pop(job_id, None)
+
     def find_expired(self, before: float) -> list[str]:
         """Return the jobs whose deferred cancellations have expired.
 
@@ -81,11 +93,25 @@
         job = engine.jobs.get(job_id)
         if job is None:
             return
-        if access.may_access(
-            engine.config, job.queue, job.organisation, organisation
-        ):
+        verdict = access.decide_job_access(
+            engine.config,
+            engine.known_queue_of(job),
+            job.organisation,
+            organisation,
+        )
+        if verdict is access.Verdict.ADMITTED:
             engine.cancel(job_id, now)
             return
+        if verdict is access.Verdict.UNDECIDED:
+            self._undecided.setdefault(job_id, set()).add(organisation)
+            self._ctx.metrics.count('access_undecided', call='cancel')
+            self._ctx.log.note(
+                'cancel_undecided',
+                job=job_id,
+                organisation=organisation,
+                job_organisation=job.organisation,
+            )
+            return
         self._ctx.log.note(
             'cancel_ignored',
             job=job_id,
--- a/hibiscusslip/host/job_intake.py
+++ b/hibiscusslip/host/job_intake.py
@@ -112,3 +112,4 @@
         """Forget a job whose records no later owner applies."""
         self._owner.engine.jobs.pop(job_id, None)
         self.submissions.forget(job_id)
+        self.cancellations.forget_undecided(job_id)
--- a/hibiscusslip/host/owner.py
+++ b/hibiscusslip/host/owner.py
@@ -173,7 +173,8 @@
         """Return a job's state, or None if it provably doesn't exist.
 
         To callers that may not access it a job doesn't exist. Raises
-        PlatformError if the inbox can't be read to its end.
+        PlatformError if the inbox can't be read to its end, or if it takes a
+        configuration to decide who may access the job.
         """
         job = self.engine.jobs.get(job_id)
         if job is None and self.intake.deletion.holds(job_id):
@@ -185,9 +186,20 @@
                 break
             await feed.read_once(0.0)
             job = self.engine.jobs.get(job_id)
-        if job is None or not access.may_access(
-            self.engine.config, job.queue, job.organisation, organisation
-        ):
+        if job is None:
+            return None
+        verdict = access.decide_job_access(
+            self.engine.config,
+            self.engine.known_queue_of(job),
+            job.organisation,
+            organisation,
+        )
+        if verdict is access.Verdict.UNDECIDED:
+            self.ctx.metrics.count('access_undecided', call='state')
+            raise exceptions.StoreUnavailable(
+                'the owner has no configuration yet; ask again'
+            )
+        if verdict is access.Verdict.REFUSED:
             return None
         return recovery.visible_state(job)
 
@@ -251,7 +263,12 @@
 
     def _configure(self) -> None:
         config = self.ctx.config
+        is_new = config is not self.engine.config
         self.engine.configure(config, self.ctx.options.policy_under(config))
+        if is_new:
+            self.intake.cancellations.decide_undecided(
+                self.engine, context.monotonic()
+            )
 
     async def _resume_withheld_leases(self) -> None:
         """Have leases extended at once that were withheld until now."""
