dispatch: classify jobs that were read before the configuration

An owner that read jobs without a configuration never classified them: they counted as within the entitlement and as holding nothing for the rest of their lives, so an organisation whose jobs were running got the share of one that holds nothing. `Shares.classify` returned for "no configuration" as for "no organisations".

The engine keeps these jobs and classifies them, in the order of acceptance, with the first configuration; their runs are added to what is held.

--- a/hibiscusslip/dispatch/engine.py
+++ b/hibiscusslip/dispatch/engine.py
@@ -98,6 +98,7 @@
         self.limiter = _limiter.Limiter(self.ledger, note, limit_overage)
         self.held_tasks: dict[str, state.Task] = {}
         self._accepted_queues: dict[model.Queue, model.Queue] = {}
+        self._unclassified: list[tuple[float, state.Job]] = []
 
     def configure(
         self, config: model.Configuration | None, policy: policies.Policy
@@ -108,6 +109,22 @@
         self.config = config
         self.policy = policy
         self.estimates.policy = policy
+        if config is not None and self._unclassified:
+            self._classify_late(config)
+
+    def _classify_late(self, config: model.Configuration) -> None:
+        """Classify the jobs that were read before there was a configuration.
+
+        All jobs so far are among them, so no holding has a run of theirs yet.
+        """
+        unclassified, self._unclassified = self._unclassified, []
+        unclassified.sort(key=lambda pair: pair[0])
+        for accepted, job in unclassified:
+            self.shares.classify(job, config, accepted, accepted)
+        for endpoint in self.endpoints.values():
+            for allocation in endpoint.allocations.values():
+                if allocation.holding is not None:
+                    allocation.holding.add(allocation.demand)
 
     # Jobs.
 
@@ -135,6 +152,9 @@
             organisation=submission.organisation,
             accepted_queue=self._accepted_queue(submission),
         )
+        if self.config is None:
+            accepted = min(submission.accepted, wall_time)
+            self._unclassified.append((accepted, job))
         self.shares.classify(job, self.config, submission.accepted, wall_time)
         self.jobs[job_id] = job
         if spec.times:
--- a/tests/dispatch/test_shares.py
+++ b/tests/dispatch/test_shares.py
@@ -299,3 +299,32 @@
 
 def test_configuration_without_organisations_leaves_the_plan_as_it_was():
     assert run_mixed_load(True) == run_mixed_load(False)
+
+
+def test_runs_of_jobs_that_are_classified_late_count_as_held():
+    """The owner had no configuration yet when it read and started them."""
+    bench = support.Bench()
+    config, bench.engine.config = bench.engine.config, None
+    bench.endpoint('w1')
+    submission = records.Submission(
+        'small', support.SERVICE, support.WALL_TIME, b'', 'a'
+    )
+    spec = model.JobSpec('x', (support.step(3, cpu=1000),))
+    job = bench.engine.submit(
+        '1' * 16, submission, spec, bench.now, support.WALL_TIME
+    )
+    bench.plan()
+    organisations = {'a': model.Organisation('a')}
+    bench.engine.configure(
+        dataclasses.replace(config, organisations=organisations),
+        policies.Policy(),
+    )
+    assert job.holding is not None
+    held = sum(
+        a.demand.cpu for a in bench.engine.endpoints['w1'].allocations.values()
+    )
+    assert job.holding.cpu == held > 0
+    bench.engine.cancel(job.job_id, bench.now)
+    for name, run in list(bench.engine.endpoints['w1'].allocations):
+        bench.engine.endpoints['w1'].release(name, run)
+    assert job.holding.held == (0, 0, 0)
--- a/tests/host/test_recovery.py
+++ b/tests/host/test_recovery.py
@@ -5,6 +5,7 @@
 
 from hibiscusslip.dispatch import engine as engines
 from hibiscusslip.dispatch import model
+from hibiscusslip.dispatch import policy as policies
 from hibiscusslip.dispatch import records
 from hibiscusslip.host import cancellations
 from hibiscusslip.host import recovery
@@ -70,8 +71,12 @@
     assert sorted(fake_store.reads) == [0, 1, 1]
 
 
-def test_new_owner_classifies_jobs_as_the_former_one_did():
-    """It reads partition by partition, the former read all side by side."""
+@pytest.mark.parametrize('configured', [True, False])
+def test_new_owner_classifies_jobs_as_the_former_one_did(configured):
+    """It reads partition by partition, the former read all side by side.
+
+    One that has no configuration yet classified none, for good.
+    """
     body = b'{"Spec":"x","Steps":[{"Count":1,"Cpu":500}]}'
     queue = support.queue('q')
     organisations = {'a': model.Organisation('a', 2.0)}
@@ -93,7 +98,8 @@
 
     ctx = fakes.make_context(InboxStore())
     former, new = engines.Engine(5.9), engines.Engine(5.9)
-    former.config = new.config = config
+    former.config = config
+    new.config = config if configured else None
     for job_id, value in values.items():
         submissions.Submissions(ctx).apply(
             former, job_id, value, 0.0, accepted[job_id] + 0.1
@@ -102,6 +108,7 @@
     submits = submissions.Submissions(ctx)
     cancels = cancellations.Cancellations(ctx)
     curio.run(recovery.recover, ctx, new, reader, submits, cancels)
+    new.configure(config, policies.Policy())
     classified = {i: job.within_entitlement for i, job in new.jobs.items()}
     assert len(classified) == 40
     assert set(classified.values()) == {True, False}
