host: tell no queue size before it is known

"No notice" was taken for "no jobs".

Such a host answers 503 and logs `queue_size_unknown`; an owner that can't tell says so in its notices (`loads_known`, left out of the bytes otherwise). A host that has read a notice once tells its figures as before, also while it is cut off. The fixture of test_access now has read the owners' topic of a new cell.

Measured: test_front on, 2 tests fail (`200 == 503`); pass now.

--- a/hibiscusslip/host/front.py
+++ b/hibiscusslip/host/front.py
@@ -169,7 +169,7 @@
     async def _route(self, call: _Call) -> messages.Response:
         method = call.req.method
         if method == 'GET' and not call.job_id:
-            return callers.queue_size(self._pending_jobs(call.queue.name))
+            return self._tell_queue_size(call.queue.name)
         if not JOB_ID.match(call.job_id):
             return callers.bad_request("a job's name has 16 hex digits")
         if method == 'POST':
@@ -180,10 +180,14 @@
             return await self._cancel(call)
         return callers.method_not_allowed()
 
-    def _pending_jobs(self, queue: str) -> int:
-        owner = self._ctx.ownership.owner
-        load = owner.loads.get(queue) if owner else None
-        return load.pending if load else 0
+    def _tell_queue_size(self, queue: str) -> messages.Response:
+        """Return the number of pending jobs, a 503 if it isn't known yet."""
+        loads = self._ctx.ownership.known_loads()
+        if loads is None:
+            self._ctx.log.note('queue_size_unknown', queue=queue)
+            return self._unavailable("the number of jobs isn't known yet")
+        load = loads.get(queue)
+        return callers.queue_size(load.pending if load else 0)
 
     async def _submit(self, call: _Call) -> messages.Response:
         body = call.req.body
--- a/hibiscusslip/host/host.py
+++ b/hibiscusslip/host/host.py
@@ -248,6 +248,7 @@
         ctx = self._ctx
         end = ctx.ownership.end_offset
         epoch = end + 1
+        loads = ctx.ownership.known_loads()
         notice = notices.OwnerNotice(
             notices.CLAIM,
             epoch,
@@ -255,9 +256,10 @@
             ctx.incarnation,
             ctx.cfg.front.ip,
             ctx.cfg.ports[0],
-            ctx.ownership.known_loads(),
+            loads or {},
             lapses=ctx.ownership.remaining_leases(now),
             endpoints=ctx.ownership.endpoints,
+            loads_known=loads is not None,
         )
         try:
             await ctx.store.append(
--- a/hibiscusslip/host/notices.py
+++ b/hibiscusslip/host/notices.py
@@ -61,7 +61,8 @@
     organisations to the part of their jobs that is beyond their entitlement,
     in percent. `waits` maps services to waits, most urgent priority first.
     `endpoints` is about how many endpoints the cell has, 0 if there are few or
-    their number isn't known.
+    their number isn't known. `loads_known` is False if the owner can't tell
+    `loads`: it hasn't read the jobs yet, and knows no former owner's.
     """
 
     kind: str
@@ -76,23 +77,25 @@
     beyond: dict[str, int] = {}
     waits: dict[str, list[ServiceWait]] = {}
     endpoints: int = 0
+    loads_known: bool = True
 
 
 def encode(record: msgspec.Struct) -> bytes:
     """Return a record encoded as MessagePack.
 
-    Loads without a ratio don't have the field, so that it costs nothing where
-    run times aren't learned.
+    Fields of an owner's notice that are rarely needed are left out otherwise,
+    as it is written 2.5 times a second: ratios, and `loads_known`.
     """
-    if isinstance(record, OwnerNotice) and record.loads:
-        loads = {
-            name: load
-            if load.ratio
-            else (load.pending, load.within_wait, load.beyond_wait)
-            for name, load in record.loads.items()
-        }
-        record = msgspec.structs.replace(record, loads=loads)
-    return msgspec.msgpack.encode(record)
+    if not isinstance(record, OwnerNotice):
+        return msgspec.msgpack.encode(record)
+    loads = {
+        name: load
+        if load.ratio
+        else (load.pending, load.within_wait, load.beyond_wait)
+        for name, load in record.loads.items()
+    }
+    row = msgspec.structs.astuple(msgspec.structs.replace(record, loads=loads))
+    return msgspec.msgpack.encode(row[:-1] if record.loads_known else row)
 
 
 def decode_host(data: bytes) -> HostRecord | None:
--- a/hibiscusslip/host/ownership.py
+++ b/hibiscusslip/host/ownership.py
@@ -166,9 +166,12 @@
             and self.effective_strength < YIELD_RATIO * strongest_candidate
         )
 
-    def known_loads(self) -> dict[str, notices.QueueLoad]:
-        """Return the queue loads in the newest notice."""
-        return self.owner.loads if self.owner is not None else {}
+    def known_loads(self) -> dict[str, notices.QueueLoad] | None:
+        """Return the queue loads in the newest notice, None if unknown."""
+        if self.owner is not None:
+            return self.owner.loads if self.owner.loads_known else None
+        never_owned = self.last_read_at is not None and not self.end_offset
+        return {} if never_owned else None
 
     def remaining_leases(self, now: float) -> dict[str, int]:
         """Return the rest of the leases of silent endpoints, in ms."""
--- a/hibiscusslip/host/ownership_keeper.py
+++ b/hibiscusslip/host/ownership_keeper.py
@@ -204,6 +204,7 @@
         self, kind: str, releases: bool = False
     ) -> notices.OwnerNotice:
         cfg = self._ctx.cfg
+        loads = self._loads()
         number, lapses = self._handover.next_notice(
             context.monotonic(), releases
         )
@@ -214,12 +215,13 @@
             self._ctx.incarnation,
             cfg.front.ip,
             cfg.ports[0],
-            self._loads(),
+            loads or {},
             number,
             lapses,
             self._beyond_percents(),
             load_report.make_waits(self._current_forecast()),
             self._ctx.ownership.endpoints,
+            loads is not None,
         )
 
     def _current_forecast(self) -> forecasts.Forecast | None:
@@ -232,11 +234,15 @@
         forecast = self._current_forecast()
         return forecast.beyond_percents if forecast is not None else {}
 
-    def _loads(self) -> dict[str, notices.QueueLoad]:
-        """Return the queue loads, the former owner's until jobs are read."""
+    def _loads(self) -> dict[str, notices.QueueLoad] | None:
+        """Return the queue loads, the former owner's until jobs are read.
+
+        Returns None if neither are known.
+        """
         pending = self._pending()
         if pending is None:
-            return load_report.repeat_loads(self._ctx.ownership.known_loads())
+            known = self._ctx.ownership.known_loads()
+            return None if known is None else load_report.repeat_loads(known)
         config = self._ctx.config
         queues = config.queues if config is not None else {}
         ratios = {
--- a/tests/host/test_access.py
+++ b/tests/host/test_access.py
@@ -94,6 +94,7 @@
         self.ctx = fakes.make_context(self.store)
         self.ctx.config = config
         self.ctx.config_confirmed_at = context.monotonic() - config_age
+        self.ctx.ownership.record_read(0, context.monotonic())
         self.inbox = inbox.Inbox(self.ctx, fakes.FakeRelay())
         self.handler = front.FrontHandler(self.ctx, None, self.inbox)
 
--- a/tests/host/test_front.py
+++ b/tests/host/test_front.py
@@ -5,6 +5,9 @@
 from hibiscusslip.host import context
 from hibiscusslip.host import feeds
 from hibiscusslip.host import front
+from hibiscusslip.host import lease_handover
+from hibiscusslip.host import notices
+from hibiscusslip.host import ownership_keeper
 from hibiscusslip.http import messages
 from hibiscusslip.platform import documents
 from hibiscusslip.platform import store
@@ -79,3 +82,50 @@
     assert changing_store.waits == [0.0, feed.wait, feed.wait, 0.0, feed.wait]
     assert confirmed == [True, True, False, True, True]
     assert ctx.config.version == 8
+
+
+def size_of_queue(ctx, handler):
+    return curio.run(handler.handle, request(cell.PREFIX))
+
+
+def heartbeat(**fields):
+    return notices.OwnerNotice(
+        notices.HEARTBEAT, 4, 'h2', 'i2', '127.0.0.1', 7000, **fields
+    )
+
+
+def test_queue_size_is_not_0_before_a_notice_of_an_owner_was_read():
+    """A host that had just started told that no job was pending."""
+    ctx, handler = make_handler()
+    assert size_of_queue(ctx, handler).status == 503
+    ctx.ownership.record_read(12, 1.0)  # its notices aren't retained
+    assert size_of_queue(ctx, handler).status == 503
+    load = notices.QueueLoad(3)
+    ctx.ownership.apply_notice(heartbeat(loads={'r-small': load}), 1.0)
+    response = size_of_queue(ctx, handler)
+    assert (response.status, b'3' in response.content) == (200, True)
+
+
+def test_queue_size_of_a_new_cell_is_0():
+    ctx, handler = make_handler()
+    ctx.ownership.record_read(0, 1.0)
+    assert size_of_queue(ctx, handler).status == 200
+
+
+def test_owner_that_knows_no_loads_yet_tells_so():
+    """All hosts were killed, and the former notices are deleted."""
+    ctx, handler = make_handler()
+    ctx.ownership.record_read(12, 1.0)
+    keeper = ownership_keeper.OwnershipKeeper(
+        ctx,
+        None,
+        4,
+        lease_handover.LeaseHandover(ctx.ownership, 4),
+        lambda: None,
+        None,
+    )
+    notice = keeper._notice(notices.HEARTBEAT)
+    ctx.ownership.apply_notice(
+        notices.decode_owner(notices.encode(notice)), 1.0
+    )
+    assert size_of_queue(ctx, handler).status == 503
