host: don't deny a job while a partition of the inbox fails

A host that is about to reject a submission with 429 ("never runs") asks the owner whether the job was accepted by another host. The owner answered from what it had read, also while a partition of the inbox couldn't be read, or while a record of the ID was withheld until its former job is deleted. So an accepted job could be rejected, and run all the same.

The owner says that it may know the job then; the host writes the record, which is idempotent.

--- a/hibiscusslip/host/host.py
+++ b/hibiscusslip/host/host.py
@@ -315,7 +315,7 @@
         """Return False if the owner says that it hasn't read the job."""
         local_owner = self._owner
         if local_owner is not None and local_owner.ready:
-            return job_id in local_owner.engine.jobs
+            return local_owner.may_know_job(job_id)
         notice = self._ctx.ownership.owner
         if notice is None or notice.host == self._ctx.cfg.name:
             return True
--- a/hibiscusslip/host/owner.py
+++ b/hibiscusslip/host/owner.py
@@ -203,6 +203,18 @@
             return None
         return recovery.visible_state(job)
 
+    def may_know_job(self, job_id: str) -> bool:
+        """Return False if no partition of the inbox has the job.
+
+        True while one of them can't be read, or while a record of the ID is
+        withheld: the job may have been accepted.
+        """
+        return (
+            job_id in self.engine.jobs
+            or self.intake.deletion.holds(job_id)
+            or any(feed.failing for feed in self.inboxes)
+        )
+
     async def open_session(self, name: str) -> None:
         """Open a session with an endpoint, unless one is open already."""
         endpoint = self.engine.endpoints.get(name)
--- a/hibiscusslip/host/peer_handler.py
+++ b/hibiscusslip/host/peer_handler.py
@@ -65,7 +65,7 @@
                 'not_owner', 'ask the owner', RETRY_AFTER_S
             )
         if query.from_memory:
-            known = query.job in local_owner.engine.jobs
+            known = local_owner.may_know_job(query.job)
             return messages.CellJobReply(known, '')
         try:
             job_state = await local_owner.query_job_state(
--- a/tests/host/test_owner.py
+++ b/tests/host/test_owner.py
@@ -8,9 +8,11 @@
 from hibiscusslip.host import cancellations
 from hibiscusslip.host import context
 from hibiscusslip.host import owner
+from hibiscusslip.host import peer_handler
 from hibiscusslip.host import record_deletion
 from hibiscusslip.host import topics
 from hibiscusslip.host import writer
+from hibiscusslip.peer import messages
 from hibiscusslip.platform import exceptions
 from tests.dispatch import support
 from tests.host import fakes
@@ -163,3 +165,23 @@
     local_owner._first_polls._waiting.add('e1')
     curio.run(local_owner.open_session, 'e1')
     assert not local_owner._sessions
+
+
+def reply_from_memory(local_owner):
+    """Return what a host is told that asks whether it may reject a job."""
+    local_owner.ready = True
+    handler = peer_handler.PeerHandler(
+        local_owner.ctx, None, None, None, lambda: local_owner
+    )
+    query = messages.CellJobQuery(JOB_ID, from_memory=True)
+    return curio.run(handler.handle, None, query).known
+
+
+def test_job_isnt_denied_while_a_partition_of_the_inbox_fails():
+    """It may have been accepted; a 429 would say that it never runs."""
+    ctx = fakes.make_context(fakes.FakeStore())
+    local_owner = owner.Owner(ctx, None, None, 1)
+    local_owner.inboxes = [FakeFeed(False), FakeFeed(False)]
+    assert not reply_from_memory(local_owner)
+    local_owner.inboxes = [FakeFeed(False), FakeFeed(True)]
+    assert reply_from_memory(local_owner)
