dispatch: reserve nothing for tasks that can't use it

A step that needs much of an endpoint has endpoints reserved; which tasks of the step run there already wasn't subtracted from its spread, so each endpoint was reserved "from now on" for tasks that the step keeps off it, for as long as its runs last.

Rule: nothing may be held back, or stopped, for work that can't use it. The same reservation broke it in other ways, each with its test: - The spread counts from when the step's own runs there end, never if they last. No run is stopped for it before. - Only tasks that may start now count, not those that wait for news of a former run or for their attempts. - Tasks that are only placed together can't use an endpoint before all are free: others may run on the first ones until then, no run is stopped unless the whole starts sooner, and a step for one rack that doesn't fit reserves nothing, as a gang does. - Endpoints of a step whose tickets expired over a second ago aren't kept free: the advice service is away. - Where the capacity is free now, tasks that fit beside it may start. - A step that may not use the headroom keeps nobody off who may.

--- a/hibiscusslip/dispatch/_copy_starts.py
+++ b/hibiscusslip/dispatch/_copy_starts.py
@@ -50,16 +50,11 @@
         if needs_advice
         else None
     )
-    run_time = engine.estimates.run_time(step)
     choice = _copy_planning.choose(
         straggler,
-        [
-            candidate
-            for candidate in candidates.eligible_for(step, admitting)
-            if current.reserved.admits(
-                candidate.endpoint, run_time / candidate.speed, now
-            )
-        ],
+        _scheduling_pass.find_unreserved(
+            current, step, candidates.eligible_for(step, admitting)
+        ),
     )
     if choice is None:
         advice_planning.request_advice_if_needed(
--- a/hibiscusslip/dispatch/_planning.py
+++ b/hibiscusslip/dispatch/_planning.py
@@ -145,7 +145,7 @@
             candidates.eligible_for(step, admitting),
             rank,
         )
-    needed = current.engine.limiter.count_startable(step, len(step.waiting()))
+    needed = sum(task.status is state.Status.WAITING for task in tasks)
     _log_yielding(current, step, rank)
     _record_contention(current, step, rank)
     if rank.expired or not needed:
@@ -153,34 +153,34 @@
     if rank.beyond and step.job.service in current.contended:
         return
     if _is_urgent(current, step) and not (rank.late or rank.beyond):
-        waiting = sum(t.status is state.Status.WAITING for t in tasks)
-        current.preempting.add(step, waiting, rank.priority)
+        current.preempting.add(step, needed, rank.priority)
     if _reservations.is_large(step, candidates.max_endpoint_cpu):
-        eligible = step.eligible if needs_advice else None
-        _reserve(current, step, needed, eligible, not rank.late)
+        request = _reservations.Request(
+            step, needed, not rank.late, len(startable) < len(tasks)
+        )
+        _reserve(current, request, needs_advice)
 
 
 def _reserve(
     current: _scheduling_pass.Pass,
-    step: state.StepState,
-    needed: int,
-    eligible: set[str] | None,
-    can_be_on_time: bool,
+    request: _reservations.Request,
+    needs_advice: bool,
 ) -> None:
-    """Reserve endpoints for `needed` tasks; `eligible` None means any."""
+    """Reserve endpoints where the step could start its tasks."""
+    step = request.step
+    now = current.now
+    eligible = (
+        advice_planning.endpoints_to_reserve(step, now)
+        if needs_advice
+        else None
+    )
     candidates = current.candidates[step.job.service]
     endpoints = [
         candidate.endpoint
         for candidate in candidates.eligible_for(step, eligible)
     ]
     _reservations.reserve(
-        current.engine,
-        current.reserved,
-        step,
-        needed,
-        endpoints,
-        can_be_on_time,
-        current.now,
+        current.engine, current.reserved, request, endpoints, now
     )
 
 
@@ -236,14 +236,7 @@
     rank: ordering.Rank,
 ) -> None:
     """Start as many of a step's startable tasks as fit."""
-    run_time = current.engine.estimates.run_time(step)
-    unreserved = [
-        candidate
-        for candidate in candidates
-        if current.reserved.admits(
-            candidate.endpoint, run_time / candidate.speed, current.now
-        )
-    ]
+    unreserved = _scheduling_pass.find_unreserved(current, step, candidates)
     preference = _learned_planning.prefer(current, step, rank)
     on_trial = [task for task in startable if task.on_trial]
     if step.spec.gang and on_trial:
@@ -278,7 +271,10 @@
     choices: list[placement.Choice],
 ) -> None:
     newest = max(task.run for task in step.tasks)
+    planned = _scheduling_pass.plan_run(current, step)
     for choice in choices:
+        if not current.reserved.take(choice.candidate, planned, current.now):
+            continue  # it is left for another pass
         run = task_runs.next_run(choice.task)
         if step.spec.gang:
             run = 1 + newest
--- a/hibiscusslip/dispatch/_reservations.py
+++ b/hibiscusslip/dispatch/_reservations.py
@@ -11,6 +11,7 @@
 import dataclasses
 import typing
 
+from hibiscusslip.dispatch import candidate_pool
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import preemption
 from hibiscusslip.dispatch import state
@@ -25,33 +26,140 @@
 NEVER = float('inf')
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlannedRun:
+    """What a task would take of an endpoint, and for how many seconds.
+
+    The `run_time` is that at ordinary speed. `all_or_none` tasks are only
+    placed together, so none can be left out if too many would start beside a
+    reservation.
+    """
+
+    demand: model.Demand
+    run_time: float
+    may_use_headroom: bool
+    all_or_none: bool
+
+
 @dataclasses.dataclass(slots=True)
 class Reservations:
     """The endpoints reserved in a scheduling pass, and until when.
 
     `until` is when the capacity for the step should be free: tasks that
-    complete by then may still be started.
+    complete by then may still be started. Where it is free now, the step waits
+    for something else, such as other endpoints; tasks that fit in what is
+    `left` beside it may start there. The endpoints in `for_spare` have it now
+    for a step that may not use the headroom and waits for CPU beyond it: steps
+    that may use the headroom aren't kept off them.
     """
 
     until: dict[str, float] = dataclasses.field(default_factory=dict)
+    left: dict[str, model.Demand] = dataclasses.field(default_factory=dict)
+    for_spare: set[str] = dataclasses.field(default_factory=set)
 
     def admits(
-        self, endpoint: state.Endpoint, run_time: float, now: float
+        self,
+        candidate: candidate_pool.Candidate,
+        run: PlannedRun,
+        now: float,
+    ) -> bool:
+        """Return True if one task may start on a candidate."""
+        if not self._outlasts(candidate, run, now):
+            return True
+        name = candidate.endpoint.name
+        if run.may_use_headroom and name in self.for_spare:
+            return True
+        left = self.left.get(name)
+        if left is None or run.all_or_none:
+            return False
+        return run.demand.fits(left)
+
+    def take(
+        self,
+        candidate: candidate_pool.Candidate,
+        run: PlannedRun,
+        now: float,
+    ) -> bool:
+        """Subtract a task from what is left; return False if it may not start.
+
+        Several tasks may have been placed where `admits` allowed one.
+        """
+        if not self.admits(candidate, run, now):
+            return False
+        if self._outlasts(candidate, run, now):
+            name = candidate.endpoint.name
+            self.left[name] = self.left[name] - run.demand
+        return True
+
+    def add(self, request: 'Request', claim: '_Claim', now: float) -> None:
+        """Reserve what a claim takes."""
+        option = claim.option
+        name = option.endpoint.name
+        self.until[name] = claim.until
+        if option.free_at <= now:
+            left = option.endpoint.free_capacity()
+            for _ in range(option.count):
+                left = left - request.step.spec.allocated_demand
+            self.left[name] = left
+            if request.lacks_spare:
+                self.for_spare.add(name)
+
+    def _outlasts(
+        self,
+        candidate: candidate_pool.Candidate,
+        run: PlannedRun,
+        now: float,
     ) -> bool:
-        """Return True if a task of `run_time` seconds may start there."""
-        until = self.until.get(endpoint.name)
-        return until is None or now + run_time <= until
+        """Return True if a task would still run when a reservation begins."""
+        until = self.until.get(candidate.endpoint.name)
+        return (
+            until is not None and now + run.run_time / candidate.speed > until
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """What a step wants to have reserved.
+
+    `needed` is the number of its tasks that could start and wait for capacity.
+    Only a step that can still be on time preempts others. One that
+    `lacks_spare` may not use the CPU that is free, as it is headroom.
+    """
+
+    step: state.StepState
+    needed: int
+    can_be_on_time: bool
+    lacks_spare: bool = False
+
+    @property
+    def all_or_none(self) -> bool:
+        """Return True if the step's tasks are only placed together."""
+        return self.step.spec.all_or_none
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Option:
-    """An endpoint that has capacity for `count` tasks from `free_at` on."""
+    """An endpoint that has capacity for `count` tasks from `free_at` on.
+
+    The step's spread allows these tasks from `allowed_at` on, which is no
+    later.
+    """
 
     free_at: float
+    allowed_at: float
     endpoint: state.Endpoint
     count: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Claim:
+    """An option, the runs to stop for it, and when it should be free then."""
+
+    option: _Option
+    until: float
+    victims: tuple[state.Allocation, ...] = ()
+
+
 def is_large(step: state.StepState, max_endpoint_cpu: int) -> bool:
     """Return True if small tasks would fragment the capacity a step needs.
 
@@ -66,62 +174,139 @@
 def reserve(
     engine: 'engines.Engine',
     reservations: Reservations,
-    step: state.StepState,
-    needed: int,
+    request: Request,
     endpoints: list[state.Endpoint],
-    can_be_on_time: bool,
     now: float,
 ) -> None:
     """Reserve the endpoints that will have capacity for a step soonest.
 
-    `needed` is the number of its tasks that wait for capacity. Only a step
-    that can still be on time preempts others. A gang that doesn't fit even
-    when all of these endpoints are free reserves none.
+    A step whose tasks are only placed together reserves none if they don't
+    fit even when all of these endpoints are free.
     """
     options = [
         option
         for endpoint in endpoints
         if endpoint.name not in reservations.until
-        and (option := _make_option(engine, step, endpoint, needed, now))
+        and (option := _make_option(engine, request, endpoint, now))
     ]
-    if sum(option.count for option in options) < needed:
-        if step.spec.gang:
+    if request.all_or_none:
+        if sum(option.count for option in options) < request.needed:
             return
     options.sort(key=lambda option: option.free_at)
+    claims = _claim(engine, request, options, now)
+    for claim in claims:
+        reservations.add(request, claim, now)
+        _stop(engine, request.step, claim, now)
+
+
+def _claim(
+    engine: 'engines.Engine',
+    request: Request,
+    options: list[_Option],
+    now: float,
+) -> list[_Claim]:
+    """Claim the first options that suffice.
+
+    Tasks that are only placed together can use none of them before all are
+    free, and no run is stopped unless that makes them start sooner.
+    """
+    claims = []
+    needed = request.needed
     for option in options:
         if needed <= 0:
-            return
-        until = option.free_at
-        if can_be_on_time and until > now + MIN_PREEMPT_WAIT_S:
-            until = _preempt(engine, step, option, now)
-        reservations.until[option.endpoint.name] = until
+            break
+        claims.append(_claim_option(engine, request, option, now))
         needed -= option.count
+    if not request.all_or_none or not claims:
+        return claims
+    last_free_at = max(claim.option.free_at for claim in claims)
+    until = max(claim.until for claim in claims)
+    if until + MIN_PREEMPT_WAIT_S > last_free_at:
+        return [_Claim(claim.option, last_free_at) for claim in claims]
+    return [_Claim(claim.option, until, claim.victims) for claim in claims]
+
+
+def _claim_option(
+    engine: 'engines.Engine',
+    request: Request,
+    option: _Option,
+    now: float,
+) -> _Claim:
+    """Claim an option; stop runs if that frees it sooner."""
+    soon = now + MIN_PREEMPT_WAIT_S
+    if not request.can_be_on_time or option.free_at <= soon:
+        return _Claim(option, option.free_at)
+    if option.allowed_at > soon:
+        return _Claim(option, option.free_at)
+    victims = _choose_victims(engine, request.step, option, now)
+    if victims is None:
+        return _Claim(option, option.free_at)
+    return _Claim(option, now + MIN_REMAINING_S, victims)
 
 
 def _make_option(
     engine: 'engines.Engine',
-    step: state.StepState,
+    request: Request,
     endpoint: state.Endpoint,
-    needed: int,
     now: float,
 ) -> _Option | None:
-    """Return how many of `needed` tasks an endpoint can run, and when.
+    """Return how many of the needed tasks an endpoint can run, and when.
 
-    Returns None if it will never have capacity for one of them.
+    Returns None if it will never have capacity for one of them, or if the
+    step's spread never allows one.
     """
     assert endpoint.entry is not None
+    step = request.step
+    ends = _ends_of_step(engine, step, endpoint, now)
+    lasting = sum(end == NEVER for end in ends)
+    max_tasks = (step.spec.spread or request.needed + lasting) - lasting
     demand = step.spec.allocated_demand
     capacity = endpoint.entry.capacity
     count = 0
     total = model.Demand()
-    max_tasks = step.spec.spread or needed
-    while count < min(needed, max_tasks) and (total + demand).fits(capacity):
+    while count < min(request.needed, max_tasks):
+        if not (total + demand).fits(capacity):
+            break
         total = total + demand
         count += 1
     if not count:
         return None
-    free_at = _free_at(engine, endpoint, total, now)
-    return None if free_at == NEVER else _Option(free_at, endpoint, count)
+    allowed_at = _allowed_at(step, count, ends, now)
+    free_at = max(_free_at(engine, endpoint, total, now), allowed_at)
+    if free_at == NEVER:
+        return None
+    return _Option(free_at, allowed_at, endpoint, count)
+
+
+def _ends_of_step(
+    engine: 'engines.Engine',
+    step: state.StepState,
+    endpoint: state.Endpoint,
+    now: float,
+) -> list[float]:
+    """Return when the runs of a step on an endpoint should end, in order."""
+    return sorted(
+        _expected_end(engine, endpoint, allocation, now)
+        for allocation in endpoint.allocations.values()
+        if allocation.task is not None
+        and allocation.task.step is step
+        and task_runs.is_expected(
+            allocation.task, endpoint.name, allocation.run
+        )
+    )
+
+
+def _allowed_at(
+    step: state.StepState, count: int, ends: list[float], now: float
+) -> float:
+    """Return when a step's spread allows `count` more tasks on an endpoint.
+
+    `ends` are the ends of its runs there, in ascending order.
+    """
+    if not step.spec.spread:
+        return now
+    excess = len(ends) + count - step.spec.spread
+    return ends[excess - 1] if excess > 0 else now
 
 
 def _free_at(
@@ -168,15 +353,16 @@
     return max(end, now + MIN_REMAINING_S)
 
 
-def _preempt(
+def _choose_victims(
     engine: 'engines.Engine',
     step: state.StepState,
     option: _Option,
     now: float,
-) -> float:
-    """Stop runs to free capacity for a step; return when it should be free.
+) -> tuple[state.Allocation, ...] | None:
+    """Return the runs to stop so that an option's capacity gets free.
 
-    Stops none if that wouldn't free enough, and none that is about to end.
+    Returns None if stopping runs wouldn't free enough. Those that are about to
+    end aren't stopped.
     """
     endpoint = option.endpoint
     demand = model.Demand()
@@ -190,13 +376,20 @@
         free = free + allocation.demand
         if not stop_estimate.is_ending:
             victims.append(allocation)
-    if not demand.fits(free):
-        return option.free_at
-    for allocation in victims:
+    return tuple(victims) if demand.fits(free) else None
+
+
+def _stop(
+    engine: 'engines.Engine',
+    step: state.StepState,
+    claim: _Claim,
+    now: float,
+) -> None:
+    """Stop the runs that a claim stops."""
+    for allocation in claim.victims:
         assert allocation.task is not None
         reason = f'makes way for {step.name}'
         engine.stop(allocation.task, reason, now, allocation.run)
-    return now + MIN_REMAINING_S
 
 
 def _victims(
--- a/hibiscusslip/dispatch/_scheduling_pass.py
+++ b/hibiscusslip/dispatch/_scheduling_pass.py
@@ -70,20 +70,27 @@
     current: Pass, step: state.StepState, tasks: list[state.Task]
 ) -> list[state.Task]:
     """Return the tasks that may start without use of the headroom."""
-    service = step.job.service
-    cpu = step.spec.allocated_demand.cpu
-    urgent = current.urgent.get(service)
-    if urgent is None or not cpu or step.spec.demand.accelerators:
-        return tasks
-    is_urgent = current.engine.queue_of(step.job).priority <= urgent
-    if is_urgent and step.job.within_entitlement:
+    if may_use_headroom(current, step):
         return tasks
+    cpu = step.spec.allocated_demand.cpu
     max_tasks = max(int(_spare_for(current, step) // cpu), 0)
     if step.spec.gang and max_tasks < len(tasks):
         return []
     return tasks[:max_tasks]
 
 
+def may_use_headroom(current: Pass, step: state.StepState) -> bool:
+    """Return True if the headroom isn't kept free of a step."""
+    urgent = current.urgent.get(step.job.service)
+    spec = step.spec
+    if urgent is None or not spec.allocated_demand.cpu:
+        return True
+    if spec.demand.accelerators:
+        return True
+    is_urgent = current.engine.queue_of(step.job).priority <= urgent
+    return is_urgent and step.job.within_entitlement
+
+
 def lacks_spare(current: Pass, step: state.StepState) -> bool:
     """Return True if no task of a step beyond an entitlement may start."""
     if step.job.service not in current.spare:
@@ -104,3 +111,29 @@
     if step.job.within_entitlement:
         return spare
     return spare - current.headroom[service]
+
+
+def plan_run(current: Pass, step: state.StepState) -> _reservations.PlannedRun:
+    """Return what a task of a step would take of an endpoint."""
+    return _reservations.PlannedRun(
+        step.spec.allocated_demand,
+        current.engine.estimates.run_time(step),
+        may_use_headroom(current, step),
+        step.spec.all_or_none,
+    )
+
+
+def find_unreserved(
+    current: Pass,
+    step: state.StepState,
+    candidates: list[candidate_pool.Candidate],
+) -> list[candidate_pool.Candidate]:
+    """Return the candidates on which a task of a step may start."""
+    if not current.reserved.until:
+        return candidates
+    run = plan_run(current, step)
+    return [
+        candidate
+        for candidate in candidates
+        if current.reserved.admits(candidate, run, current.now)
+    ]
--- a/hibiscusslip/dispatch/advice_planning.py
+++ b/hibiscusslip/dispatch/advice_planning.py
@@ -26,6 +26,7 @@
 RETRY_DELAY_S = 0.3
 FULL_RETRY_DELAY_S = 0.05  # while the hosts make as many calls as they can
 WIDENING_PERIOD_S = 0.25
+RENEWAL_S = 1.0  # for which endpoints are kept free after their tickets
 LONG_CALL_S = 0.1
 MAX_SHORT_LOAD_PER_HOST_S = 0.2  # pending short calls, in seconds of cost
 MAX_SHORT_CALL_HOSTS = 2  # these make no long calls
@@ -38,6 +39,17 @@
     return step.endpoints_with_ticket(now + START_MARGIN_S)
 
 
+def endpoints_to_reserve(step: state.StepState, now: float) -> set[str]:
+    """Return the endpoints that may be kept free for a step.
+
+    None if its tickets have expired and weren't renewed: the advice service
+    can't be asked, so it isn't known when the step can start.
+    """
+    tickets = (step.tickets or {}).values()
+    expired_at = max((ticket.until for ticket in tickets), default=0.0)
+    return step.eligible if now < expired_at + RENEWAL_S else set()
+
+
 def request_advice_if_needed(
     engine: 'engines.Engine',
     step: state.StepState,
--- a/hibiscusslip/dispatch/model.py
+++ b/hibiscusslip/dispatch/model.py
@@ -77,6 +77,11 @@
             return Demand(0, self.demand.memory, self.demand.accelerators)
         return self.demand
 
+    @property
+    def all_or_none(self) -> bool:
+        """Return True if the tasks are only placed together."""
+        return self.gang or self.same_rack
+
     @property
     def resumable(self) -> bool:
         """Return True if a stopped task resumes from its checkpoint.
