dispatch: do nothing for steps that can never start

Of a step whose waiting tasks no endpoint could run, as they are too large, the label doesn't exist, or its own lasting runs take up its spread or the pool: - urgent preemption stopped each patient run once, in vain; - its tickets were requested and renewed for as long as it lived, which took calls of the advice service from steps that could start; - it kept steps beyond their entitlement from reserving endpoints, and copies from capacity that it couldn't use; - it counted as work ahead of new jobs, so hosts rejected these with 429.

`feasibility` tells how many tasks of a step could run if nothing else did. A step without any is logged once as `step_hopeless`, shown by `why` and counted; it is looked at again in each pass, and isn't hopeless while an endpoint is unusable, as that may come back. The check is by the largest capacity and the labels of the pool; only steps with a spread or lasting tasks are rated.

Four tests in test_queueing kept a step waiting by endpoints that are too small for it, and expected requests for it. They have endpoints that are full now and pass on too.

--- a/hibiscusslip/commands/_timeline.py
+++ b/hibiscusslip/commands/_timeline.py
@@ -30,6 +30,7 @@
     'cancel_taken',
     'held_by_limit',
     'retry_held',
+    'step_hopeless',
 )
 # Changes of the state of hosts, shards and endpoints that may explain what
 # happens to a job meanwhile.
--- a/hibiscusslip/commands/_waits.py
+++ b/hibiscusslip/commands/_waits.py
@@ -8,6 +8,7 @@
 CAUSES = {
     'held_by_limit': 'the limit of its organisation',
     'retry_held': 'the settings of its queue, which the owner lacked',
+    'step_hopeless': 'an endpoint that could run its tasks',
     'step_yields': 'other organisations, which go first',
 }
 START_EVENTS = frozenset({'run_ordered', 'run_adopted'})
--- a/hibiscusslip/dispatch/_copy_planning.py
+++ b/hibiscusslip/dispatch/_copy_planning.py
@@ -6,6 +6,7 @@
 from hibiscusslip.dispatch import candidate_pool
 from hibiscusslip.dispatch import copies
 from hibiscusslip.dispatch import estimates
+from hibiscusslip.dispatch import feasibility
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import ordering
 from hibiscusslip.dispatch import placement
@@ -238,7 +239,7 @@
         )
         self._spare = _free_capacity(candidates)
         for step in own:
-            self._spare = self._spare - _awaited(step)
+            self._spare = self._spare - _awaited(step, candidates)
 
     def admits(self, demand: model.Demand) -> bool:
         """Return True if one more copy may be started."""
@@ -268,11 +269,13 @@
     )
 
 
-def _awaited(step: state.StepState) -> model.Demand:
+def _awaited(
+    step: state.StepState, candidates: candidate_pool.Candidates
+) -> model.Demand:
     """Return the demand of a step's tasks that wait for their start."""
     if not step.job.within_entitlement or not step.ready:
         return model.Demand()
-    count = len(step.waiting())
+    count = feasibility.count_placeable(step, candidates, False)
     demand = step.spec.allocated_demand
     return model.Demand(
         count * demand.cpu,
--- a/hibiscusslip/dispatch/_job_state.py
+++ b/hibiscusslip/dispatch/_job_state.py
@@ -117,7 +117,8 @@
     reply of the advice service. `asked_about` are all endpoints that it was
     asked about, `eligible` those that may run the step. While
     `advice_pending`, and before `next_advice_at`, it isn't asked again, and
-    before `next_widening_at` not about more endpoints.
+    before `next_widening_at` not about more endpoints. It is `hopeless` if
+    none of its waiting tasks could run on the present pool.
     """
 
     job: 'Job'
@@ -136,6 +137,7 @@
     checkpoint: str = ''
     done_count: int = 0
     waiting_since: float = 0.0
+    hopeless: bool = False
 
     @property
     def name(self) -> str:
--- a/hibiscusslip/dispatch/_learned_planning.py
+++ b/hibiscusslip/dispatch/_learned_planning.py
@@ -60,16 +60,25 @@
 
 
 def update_forecast(
-    engine: 'engines.Engine',
+    current: _scheduling_pass.Pass,
     ranked: list[tuple[ordering.Rank, state.StepState]],
-    services: dict[str, list[state.Endpoint]],
-    now: float,
 ) -> None:
-    """Predict the waits of new jobs from the steps that still wait."""
+    """Predict the waits of new jobs from the steps that still wait.
+
+    Nobody waits for hopeless ones.
+    """
+    engine = current.engine
     forecast = engine.shares.forecast
-    if forecast.is_due(engine.config, now):
+    if forecast.is_due(engine.config, current.now):
         assert engine.config is not None
-        forecast.update(engine.config, ranked, services, engine.estimates, now)
+        waiting = [item for item in ranked if not item[1].hopeless]
+        forecast.update(
+            engine.config,
+            waiting,
+            current.services,
+            engine.estimates,
+            current.now,
+        )
 
 
 def prefer(
--- a/hibiscusslip/dispatch/_planning.py
+++ b/hibiscusslip/dispatch/_planning.py
@@ -12,6 +12,7 @@
 from hibiscusslip.dispatch import advice_planning
 from hibiscusslip.dispatch import candidate_pool
 from hibiscusslip.dispatch import crashes
+from hibiscusslip.dispatch import feasibility
 from hibiscusslip.dispatch import ordering
 from hibiscusslip.dispatch import placement
 from hibiscusslip.dispatch import state
@@ -37,7 +38,7 @@
         )
     if engine.policy.copies:
         _copy_starts.plan_copies(current)
-    _learned_planning.update_forecast(engine, ranked, current.services, now)
+    _learned_planning.update_forecast(current, ranked)
 
 
 def _begin_pass(engine: 'engines.Engine', now: float) -> _scheduling_pass.Pass:
@@ -147,13 +148,18 @@
         )
     needed = sum(task.status is state.Status.WAITING for task in tasks)
     _log_yielding(current, step, rank)
+    if needed and feasibility.is_hopeless(
+        current.engine, step, candidates, needs_advice
+    ):
+        return
     _record_contention(current, step, rank)
     if rank.expired or not needed:
         return
     if rank.beyond and step.job.service in current.contended:
         return
     if _is_urgent(current, step) and not (rank.late or rank.beyond):
-        current.preempting.add(step, needed, rank.priority)
+        placeable = feasibility.count_placeable(step, candidates, needs_advice)
+        current.preempting.add(step, min(placeable, needed), rank.priority)
     if _reservations.is_large(step, candidates.max_endpoint_cpu):
         request = _reservations.Request(
             step, needed, not rank.late, len(startable) < len(tasks)
--- a/hibiscusslip/dispatch/advice_planning.py
+++ b/hibiscusslip/dispatch/advice_planning.py
@@ -14,6 +14,7 @@
 from hibiscusslip.dispatch import advice_sizing
 from hibiscusslip.dispatch import candidate_pool
 from hibiscusslip.dispatch import commands
+from hibiscusslip.dispatch import feasibility
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import preferences
 from hibiscusslip.dispatch import state
@@ -69,6 +70,11 @@
         return
     if not _is_call_due(engine, advice, step, candidates, now, copied_from):
         return
+    if not copied_from and feasibility.is_hopeless(
+        engine, step, candidates, True
+    ):
+        step.next_advice_at = now + RETRY_DELAY_S
+        return
     names = advice_sizing.select(
         step,
         candidates,
--- a/hibiscusslip/dispatch/candidate_pool.py
+++ b/hibiscusslip/dispatch/candidate_pool.py
@@ -113,8 +113,9 @@
     """List the usable endpoints of a service during one scheduling pass.
 
     They are kept between passes. `max_endpoint_cpu` is the CPU of the largest
-    endpoint of the pool, usable or not, allocated or not. With `has_trials` a
-    run may be on trial.
+    endpoint of the pool, usable or not, allocated or not, `max_capacity` the
+    largest amount of each resource that one has and `labels` all their labels,
+    draining ones left out. With `has_trials` a run may be on trial.
     """
 
     def __init__(self) -> None:
@@ -122,6 +123,8 @@
         self.all: list[Candidate] = []
         self.has_trials = False
         self.max_endpoint_cpu = 0
+        self.max_capacity = model.Demand()
+        self.labels: set[str] = set()
         self._listed: list[Candidate] = []
         self._numbers: dict[str, int] = {}
         self._by_name: dict[str, Candidate] = {}
@@ -154,6 +157,20 @@
             [item.entry.capacity.cpu for item in self._listed], default=0
         )
 
+    def _summarise_entries(self) -> None:
+        """Find what the endpoints that stay have in all."""
+        staying = [
+            item.entry for item in self._listed if not item.entry.draining
+        ]
+        self.max_capacity = model.Demand(
+            max([entry.capacity.cpu for entry in staying], default=-1),
+            max([entry.capacity.memory for entry in staying], default=-1),
+            max(
+                [entry.capacity.accelerators for entry in staying], default=-1
+            ),
+        )
+        self.labels = {label for entry in staying for label in entry.labels}
+
     def _build(self, pool: list[state.Endpoint]) -> None:
         self.pool = pool
         self.all = []
@@ -167,21 +184,28 @@
         self._numbers = {
             endpoint.name: number for number, endpoint in enumerate(pool)
         }
+        self._summarise_entries()
 
     def _update_listed(
         self, suspicions: _suspicion.Suspicions, now: float
     ) -> bool:
         """Update all candidates; return True if others are usable."""
         others_usable = False
+        entries_changed = False
         for candidate in self._listed:
             endpoint = candidate.endpoint
+            former = candidate.entry
             candidate.update()
+            if candidate.entry is not former:  # mostly a heartbeat
+                entries_changed |= _differs(former, candidate.entry)
             usable = endpoint.usable(now) and suspicions.allows(endpoint)
             if usable is not candidate.usable:
                 candidate.usable = usable
                 self._changed.append(candidate)
                 others_usable = True
             candidate.slow = progress.is_slow(endpoint, now)
+        if entries_changed:
+            self._summarise_entries()
         self._outdate_ratings()
         return others_usable
 
@@ -203,6 +227,11 @@
         """Return the place of an endpoint in the pool, None if not there."""
         return self._numbers.get(name)
 
+    @property
+    def all_usable(self) -> bool:
+        """Return True if each endpoint that stays is usable."""
+        return all(item.usable or item.entry.draining for item in self._listed)
+
     def count_others(self, excluded: str) -> int:
         """Return how many endpoints the pool has beside one, '' for none."""
         return len(self.pool) - (excluded in self._numbers)
@@ -264,3 +293,12 @@
             for candidate in candidates
             if label in candidate.entry.labels
         ]
+
+
+def _differs(former: model.EndpointEntry, entry: model.EndpointEntry) -> bool:
+    """Return True if another set of tasks could run on an endpoint."""
+    return (
+        former.draining is not entry.draining
+        or former.capacity != entry.capacity
+        or former.labels != entry.labels
+    )
--- a/hibiscusslip/dispatch/placement.py
+++ b/hibiscusslip/dispatch/placement.py
@@ -36,6 +36,15 @@
         return self.candidate.endpoint
 
 
+def endpoints_of(step: state.StepState) -> list[str]:
+    """Return the endpoint of each run of a step, a task's second one too."""
+    names = [task.endpoint for task in step.tasks if task.status.placed]
+    names += [
+        task.second.endpoint for task in step.tasks if task.second is not None
+    ]
+    return names
+
+
 def count_placed(step: state.StepState, endpoint: str) -> int:
     """Return how many tasks of a step are placed on an endpoint."""
     return sum(
--- a/hibiscusslip/host/engine_events.py
+++ b/hibiscusslip/host/engine_events.py
@@ -13,6 +13,7 @@
         'task_given_up',
         'held_by_limit',
         'retry_held',
+        'step_hopeless',
         'run_preempted',
         *copies.EVENTS,
     )
--- a/tests/dispatch/test_queueing.py
+++ b/tests/dispatch/test_queueing.py
@@ -98,6 +98,14 @@
     assert len(bench.plan()) == 2
 
 
+def full_endpoint(bench, name):
+    """List an endpoint that has room for a task once its run has ended."""
+    endpoint = bench.endpoint(name, cpu=1000)
+    run = state.Allocation(None, 1, model.Demand(500), bench.now)
+    endpoint.allocate('other', run)
+    return endpoint
+
+
 def give_tickets(bench, names, valid=2.0):
     (request,) = bench.engine.advice_requests
     bench.engine.advice_requests = []
@@ -120,7 +128,7 @@
 def test_eligible_endpoint_that_is_listed_again_is_asked_about_again():
     """A partitioned zone has its endpoints unlisted for some seconds."""
     bench = support.Bench(support.queue(advice=ADVICE))
-    absent_entry = bench.endpoint('e1', cpu=500).entry
+    absent_entry = full_endpoint(bench, 'e1').entry
     bench.submit('j', support.step())
     bench.plan()
     give_tickets(bench, ['e1'])
@@ -140,8 +148,8 @@
 
 def test_only_eligible_endpoints_are_asked_about_again():
     bench = support.Bench(support.queue(advice=ADVICE))
-    bench.endpoint('e1', cpu=500)
-    bench.endpoint('e2', cpu=500)
+    full_endpoint(bench, 'e1')
+    full_endpoint(bench, 'e2')
     bench.submit('j', support.step())
     bench.plan()
     give_tickets(bench, ['e2'])
@@ -157,7 +165,7 @@
 def test_expired_ticket_is_never_sent():
     bench = support.Bench(support.queue(advice=ADVICE))
     bench.submit('j', support.step())
-    bench.endpoint('e1', cpu=500)
+    full_endpoint(bench, 'e1')
     bench.plan()
     give_tickets(bench, ['e1'])
     bench.now += 1.9
@@ -248,8 +256,8 @@
 def test_eligible_endpoints_of_a_large_pool_are_asked_about_again():
     bench = support.Bench(support.queue(advice=ADVICE))
     for number in range(2 * advice_sizing.MAX_ENDPOINTS_PER_CALL):
-        bench.endpoint(f'e{number}', cpu=500)
-    bench.submit('j', support.step())
+        full_endpoint(bench, f'e{number}')
+    bench.submit('j', support.step(100))
     bench.plan()
     eligible = {f'e{number}' for number in range(60)}
     give_tickets(bench, sorted(eligible))
