host: have an odd entry of an endpoint cost only itself

Another operator's report: one odd entry in the list of endpoints, and the machines that read it ended or stopped following it. It can happen here. An entry whose `born` has 400 digits raised OverflowError: a live owner left the record out, but a new one failed in its recovery, lost the ownership, claimed again, and so on for ever. One whose Cpu has 400 digits ended the owner's planning loop, while it went on with heartbeats. A port of many digits with leading zeros passed the check of the port; a host name in place of an IP address was resolved, in the event loop; a sequence number beyond all others made all later entries of that endpoint "older".

Each field of an entry is checked now, and refused for a reason that is logged once (`endpoint_entry_refused`) and counted.

Why the fuzz test of the decoders missed it: its largest number, 10**30, can be turned into a float.

--- a/hibiscusslip/host/cell_feeds.py
+++ b/hibiscusslip/host/cell_feeds.py
@@ -4,10 +4,10 @@
 
 from hibiscusslip.host import context
 from hibiscusslip.host import inbox_positions
+from hibiscusslip.host import record_errors
 from hibiscusslip.host import recovery
 from hibiscusslip.host import tailing
 from hibiscusslip.host import topics
-from hibiscusslip.platform import documents
 from hibiscusslip.platform import store
 
 if typing.TYPE_CHECKING:
@@ -69,7 +69,8 @@
                     name, context.monotonic()
                 )
         for name, value in newest.values.items():
-            await self._apply_entry(name, value)
+            with self._leaving_out(newest.offsets[name], name):
+                await self._apply_entry(name, value)
         return newest.end
 
     async def handle_caught_up(self, batch: store.Batch) -> None:
@@ -83,7 +84,9 @@
     async def _apply_entry(self, name: str, value: bytes) -> None:
         now = context.monotonic()
         engine = self._owner.engine
-        entry = documents.read_endpoint_entry(name, value) if value else None
+        entry = None
+        if value:
+            entry = record_errors.read_entry(self.ctx, name, value)
         if entry is None:
             engine.unregister_endpoint(name, now)
             return
--- a/hibiscusslip/host/context.py
+++ b/hibiscusslip/host/context.py
@@ -35,7 +35,8 @@
     connections, and claims no ownership; one that is `stopping` releases the
     ownership. `options` say which optional decisions its owner makes.
     `endpoint_connections` bounds the idle connections to endpoints, and
-    `endpoint_calls` counts the calls to them.
+    `endpoint_calls` counts the calls to them. `refused_entries` has the reason
+    for each listed endpoint whose entry can't be used.
     """
 
     cfg: settings.HostSettings
@@ -68,6 +69,7 @@
     endpoint_calls: call_load.CallLoad = dataclasses.field(
         default_factory=call_load.CallLoad
     )
+    refused_entries: dict[str, str] = dataclasses.field(default_factory=dict)
 
     @property
     def store_slowdown(self) -> float:
--- a/hibiscusslip/host/recovery.py
+++ b/hibiscusslip/host/recovery.py
@@ -19,9 +19,9 @@
 from hibiscusslip.host import inbox_positions
 from hibiscusslip.host import inbox_snapshot
 from hibiscusslip.host import lease_timing
+from hibiscusslip.host import record_errors
 from hibiscusslip.host import submissions
 from hibiscusslip.host import topics
-from hibiscusslip.platform import documents
 from hibiscusslip.platform import exceptions
 from hibiscusslip.platform import store
 
@@ -107,7 +107,7 @@
     endpoints_read_at = context.monotonic()
     listed = await ctx.store.newest(store.ENDPOINTS_TOPIC, READ_TIMEOUT_S)
     now = context.monotonic()
-    _register_endpoints(engine, listed, now)
+    _register_endpoints(ctx, engine, listed, now)
     inbox_rows = inbox_snapshot.read_inbox_rows(progress)
     snapshot = inbox_snapshot.make_snapshot(
         inboxes, {i: tuple(row.since) for i, row in inbox_rows.items()}
@@ -141,12 +141,18 @@
 
 
 def _register_endpoints(
-    engine: engines.Engine, listed: store.NewestValues, now: float
+    ctx: context.Context,
+    engine: engines.Engine,
+    listed: store.NewestValues,
+    now: float,
 ) -> None:
+    topic = store.ENDPOINTS_TOPIC
     for name, value in listed.values.items():
-        entry = documents.read_endpoint_entry(name, value)
-        if entry is not None:
-            engine.register_endpoint(entry, now)
+        offset = listed.offsets.get(name)
+        with record_errors.leaving_out(ctx, topic, 0, offset, name):
+            entry = record_errors.read_entry(ctx, name, value)
+            if entry is not None:
+                engine.register_endpoint(entry, now)
 
 
 def _find_orphans(
--- a/hibiscusslip/host/tailing.py
+++ b/hibiscusslip/host/tailing.py
@@ -1,11 +1,13 @@
 """Tail topics of the store through outages and truncated history."""
 
 import abc
+import contextlib
 import math
 
 import curio
 
 from hibiscusslip.host import context
+from hibiscusslip.host import record_errors
 from hibiscusslip.host import repeating
 from hibiscusslip.host import store_share
 from hibiscusslip.http import messages
@@ -132,19 +134,16 @@
 
     async def _apply_safely(self, offset: int, record: bytes) -> None:
         """Apply one record, or leave it out if it has an unexpected form."""
-        try:
+        with self._leaving_out(offset):
             await self.apply(offset, record)
-        except exceptions.PlatformError:
-            raise
-        except Exception as exc:
-            self.ctx.metrics.count('records_left_out', topic=self.topic)
-            self.ctx.log.note(
-                'record_left_out',
-                topic=self.topic,
-                part=self.part,
-                offset=offset,
-                error=repr(exc)[:200],
-            )
+
+    def _leaving_out(
+        self, offset: int, key: str = ''
+    ) -> contextlib.AbstractContextManager[None]:
+        """Return a context in which one record may fail to be applied."""
+        return record_errors.leaving_out(
+            self.ctx, self.topic, self.part, offset, key
+        )
 
     def _report_failure(self, exc: exceptions.PlatformError) -> None:
         """Log a failed read and how much of its response had arrived."""
--- a/hibiscusslip/platform/documents.py
+++ b/hibiscusslip/platform/documents.py
@@ -7,6 +7,7 @@
 
 from hibiscusslip.dispatch import model
 from hibiscusslip.platform import exceptions
+from hibiscusslip.platform import fields
 from hibiscusslip.platform import queue_documents
 from hibiscusslip.platform import settings
 
@@ -14,29 +15,10 @@
 MAX_STEPS = 100
 MAX_TASKS = 10000
 MAX_OCCURRENCES = 10000
-MAX_PORT = 65535
 MAX_COUNT = 2**63 - 1
 
 
-class _Document(msgspec.Struct, rename='pascal'):
-    """Base class of documents, whose field names are in PascalCase."""
-
-
-class _Resources(_Document):
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
-
-    def amounts(self) -> tuple[int, int, int]:
-        """Return the CPU, the memory and the accelerators."""
-        return self.cpu, self.mem_mb, self.gpu
-
-    def demand(self) -> model.Demand:
-        """Return the resources as a Demand."""
-        return model.Demand(*self.amounts())
-
-
-class _Step(_Resources):
+class _Step(fields.Resources):
     count: int = 1
     estimate_ms: float = 0.0
     depends_on: list[int] = []
@@ -54,7 +36,7 @@
     may_miss: int = 0
 
 
-class _Job(_Document):
+class _Job(fields.Document):
     spec: str
     steps: list[_Step]
     times: int = 0
@@ -62,25 +44,25 @@
     interval_ms: float = 0.0
 
 
-class _Organisation(_Document):
+class _Organisation(fields.Document):
     name: str
     api_keys: list[str] = []
     weight: float = 1.0
-    at_most: _Resources | None = None
+    at_most: fields.Resources | None = None
 
 
-class _Service(_Document):
+class _Service(fields.Document):
     name: str
     health_path: str = ''
     rejects_overload: bool = False
     standby: bool = False
 
 
-class _Limits(_Document):
+class _Limits(fields.Document):
     max_body_bytes: int = 262144
 
 
-class ConfigDocument(_Document):
+class ConfigDocument(fields.Document):
     """Represent the operator's configuration."""
 
     version: int
@@ -92,18 +74,6 @@
     )
 
 
-class _Entry(_Document):
-    service: str
-    addr: str
-    zone: str
-    state: str
-    capacity: _Resources
-    labels: list[str] = []
-    seq: int = 0
-    clock_ms: float | None = None
-    born: int = msgspec.field(name='born', default=0)
-
-
 def read_job(body: bytes) -> model.JobSpec:
     """Return the job in the body of a request; raises JobInvalid."""
     try:
@@ -234,7 +204,7 @@
 
 def to_organisation(document: _Organisation) -> model.Organisation:
     """Return the organisation that an entry configures."""
-    limit = document.at_most or _Resources()
+    limit = document.at_most or fields.Resources()
     return model.Organisation(
         name=document.name,
         weight=document.weight,
@@ -250,47 +220,7 @@
     return hashlib.sha256(key.encode()).digest()
 
 
-def read_endpoint_entry(name: str, value: bytes) -> model.EndpointEntry | None:
-    """Return an endpoint's entry in the list of endpoints.
-
-    Returns None if the entry is invalid, or if its state or its address
-    means that the endpoint can't be used.
-    """
-    try:
-        entry = msgspec.json.decode(value, type=_Entry)
-    except (msgspec.MsgspecError, RecursionError):
-        return None
-    if entry.state not in ('ready', 'draining'):
-        return None
-    if not _is_address(entry.addr) or min(entry.capacity.amounts()) < 0:
-        return None
-    return model.EndpointEntry(
-        name=name,
-        service=entry.service,
-        address=entry.addr,
-        zone=entry.zone,
-        labels=tuple(entry.labels),
-        capacity=entry.capacity.demand(),
-        draining=entry.state == 'draining',
-        seq=entry.seq,
-        born=entry.born / settings.MS_PER_S,
-        clock=_to_seconds(entry.clock_ms),
-    )
-
-
-def _is_address(text: str) -> bool:
-    """Return True for an IP address, a colon and a port."""
-    ip, _, port = text.rpartition(':')
-    if not ip.isascii() or not port.isascii() or not port.isdigit():
-        return False
-    return bool(ip) and 0 < int(port[:6]) <= MAX_PORT
-
-
-def _to_seconds(clock_ms: float | None) -> float | None:
-    return None if clock_ms is None else clock_ms / settings.MS_PER_S
-
-
-class _Report(_Document):
+class _Report(fields.Document):
     clock_ms: float
     running: list[tuple[typing.Any, ...]] = []
     ended: list[tuple[typing.Any, ...]] = []
--- a/hibiscusslip/platform/exceptions.py
+++ b/hibiscusslip/platform/exceptions.py
@@ -39,6 +39,10 @@
     """Raise when the settings file is unreadable or invalid."""
 
 
+class EntryInvalid(PlatformError):
+    """Raise when an endpoint's entry can't be read or used."""
+
+
 class StoreUnavailable(PlatformError):
     """Raise when the store is unreachable or refuses a call.
 
