host: give up the ownership if a vital loop of the owner ends

With an entry whose Cpu has 400 digits the owner's planning loop ended, and the owner went on: heartbeats kept all others from claiming, polls kept the leases, and nothing started any more.

The owner keeps the error of a loop without which it starts nothing, raises it, and so loses the ownership; another host takes over. Loops of which nothing else depends, the reports of load and the deletion of old records, are started again after a pause.

--- a/hibiscusslip/host/owner.py
+++ b/hibiscusslip/host/owner.py
@@ -36,6 +36,7 @@
 RECOVERY_RETRY_PAUSE_S = 0.1
 DELETE_PERIOD_S = 5.0
 SESSION_RESTART_PAUSE_S = 0.5
+LOOP_RESTART_PAUSE_S = 1.0
 LOAD_PERIOD_S = 1.0
 STOP_FLUSH_S = 0.5
 START_MARGIN_S = 0.3  # from the decision or the record to the last repeat
@@ -74,6 +75,7 @@
         )
         self.inboxes: list[cell_feeds.InboxFeed] = []
         self._tasks = curio.TaskGroup(wait=any)
+        self._loop_error: Exception | None = None
         self.endpoints_read_at = 0.0
         self._poll_timing = poll_timing.PollTiming()
         self._first_polls = first_polls.FirstPolls(ctx, epoch)
@@ -102,9 +104,7 @@
 
     async def _run(self) -> None:
         started = context.monotonic()
-        await self._tasks.spawn(
-            crash_logging.run_loop, self.ctx, self._keeper.run_heartbeats
-        )
+        await self._tasks.spawn(self._run_vital, self._keeper.run_heartbeats)
         recovered = await self._recover()
         self._resume(recovered)
         self._handover.set_engine(self.engine)
@@ -121,16 +121,39 @@
             *(feed.run for feed in self.inboxes),
             endpoints.run,
             self._plan,
-            self._delete_old_jobs,
-            self._report_load_and_set_timing,
             self._keeper.run_liveness_checks,
         ):
-            await self._tasks.spawn(crash_logging.run_loop, self.ctx, loop)
+            await self._tasks.spawn(self._run_vital, loop)
+        for loop in (self._delete_old_jobs, self._report_load_and_set_timing):
+            await self._tasks.spawn(self._run_repeatedly, loop)
         self._update_poll_timing()
         await self._first_polls.run(self.engine, self.open_session)
         while self.ctx.ownership.held_epoch == self.epoch:
+            if self._loop_error is not None:
+                raise self._loop_error
             await curio.sleep(PLAN_IDLE_S)
 
+    async def _run_vital(self, loop: crash_logging.Loop) -> None:
+        """Run a loop without which this owner must not go on.
+
+        It would extend leases and start nothing, while no other host claims.
+        """
+        try:
+            await crash_logging.run_loop(self.ctx, loop)
+        except Exception as exc:
+            self._loop_error = exc
+
+    async def _run_repeatedly(self, loop: crash_logging.Loop) -> None:
+        """Run a loop; after an unexpected error run it again."""
+        while True:
+            try:
+                await crash_logging.run_loop(self.ctx, loop)
+            except exceptions.ProducerFenced as exc:
+                self._loop_error = exc
+                return
+            except Exception:
+                await curio.sleep(LOOP_RESTART_PAUSE_S)
+
     def _resume(self, recovered: recovery.Recovered) -> None:
         """Continue where the recovered records end."""
         self._writer.mark_used(recovered.used_parts)
@@ -240,7 +263,9 @@
             lambda: self._poll_timing,
         )
         self._sessions[name] = session
-        await self._tasks.spawn(self._run_session, session)
+        await self._tasks.spawn(
+            self._run_vital, functools.partial(self._run_session, session)
+        )
 
     async def _run_session(
         self, session: endpoint_session.EndpointSession
