platform: refuse jobs with numbers that can't be computed with

One caller's job stopped the whole cell: with a Cpu of 400 digits it was accepted with 200, and where a service has two priorities the owner's planning loop ended with OverflowError, since the CPU that is kept free is a float. Nothing was started any more, also by no later owner, as each read the job. Estimates and times of 1e308 turned the sums that order steps into infinities.

The amounts, times and counts of a job are bounded by 2**53, up to which floats represent all whole numbers; beyond, the answer is 400.

--- a/hibiscusslip/platform/documents.py
+++ b/hibiscusslip/platform/documents.py
@@ -108,10 +108,16 @@
             f'a step has at least one task, a job at most {MAX_TASKS}; mend'
             ' the counts'
         )
-    if any(_is_negative(step) for step in job.steps):
+    if any(min(_numbers_of(step)) < 0 for step in job.steps):
         raise exceptions.JobInvalid(
             "a step's amounts and times aren't negative; mend the body"
         )
+    numbers = [number for step in job.steps for number in _numbers_of(step)]
+    times = (job.times, job.start_ms, job.interval_ms)
+    if not fields.are_plausible([*numbers, *times]):
+        raise exceptions.JobInvalid(
+            'a number is too large to compute with; mend the body'
+        )
     if job.times > MAX_OCCURRENCES or (job.times > 1 and job.interval_ms <= 0):
         raise exceptions.JobInvalid(
             f'a job has at most {MAX_OCCURRENCES} occurrences, at an interval'
@@ -125,8 +131,8 @@
             )
 
 
-def _is_negative(step: _Step) -> bool:
-    amounts = (
+def _numbers_of(step: _Step) -> tuple[float, ...]:
+    return (
         step.cpu,
         step.mem_mb,
         step.gpu,
@@ -135,7 +141,6 @@
         step.target_ms,
         step.may_miss,
     )
-    return min(amounts) < 0
 
 
 def _to_step(step: _Step) -> model.Step:
