host: set a job aside whose progress can't be read

Records of progress that a host can't read (another release's layout, numbers out of range) cost more than their job. A range of 10**12 completed occurrences took all memory; an address without a port, or a row of a task that the job doesn't have, ended each recovery, so that no host could own the cell. Where the error was caught, the job counted as new: all its tasks were started beside those that ran (TWICE), and the next record replaced the unreadable one. A job whose submission couldn't be read was taken for one without, and its records were deleted.

Whatever restoring one job raises sets aside that job: none of its tasks is started, its record stays until the job is cancelled, and it is logged and counted. Times and queue settings that are no numbers are unreadable, too. An endpoint whose recorded address can't be called gets no session.

--- a/hibiscusslip/dispatch/_job_state.py
+++ b/hibiscusslip/dispatch/_job_state.py
@@ -182,7 +182,8 @@
     Records of the inbox before `inbox_since`, an offset for each partition,
     are those of former jobs with this ID; it is () if there are none.
     `accepted_queue` is its queue as it was when the job was accepted, None if
-    that isn't known.
+    that isn't known. With `progress_unknown` its record couldn't be read:
+    tasks of it may run or be done, so none is started.
     """
 
     job_id: str
@@ -204,6 +205,7 @@
     contested: bool = False
     inbox_since: tuple[int, ...] = ()
     accepted_queue: model.Queue | None = None
+    progress_unknown: bool = False
 
     def steps(self) -> list[StepState]:
         """Return the steps of all occurrences that are due."""
--- a/hibiscusslip/dispatch/_planning.py
+++ b/hibiscusslip/dispatch/_planning.py
@@ -103,9 +103,9 @@
 ) -> list[tuple[ordering.Rank, state.StepState]]:
     ranked = []
     for step in engine.active_steps.values():
-        if step.job.state.final or not step.has_waiting():
-            continue
         job = step.job
+        if job.state.final or not step.has_waiting() or job.progress_unknown:
+            continue
         if job.holding is not None:
             job.holding.wanted_at = now
         queue = engine.queue_of(job)
--- a/hibiscusslip/dispatch/queue_records.py
+++ b/hibiscusslip/dispatch/queue_records.py
@@ -4,10 +4,14 @@
 the queue was removed. Then the settings count with which the job was accepted.
 """
 
+import collections.abc
+
 import msgspec
 
 from hibiscusslip.dispatch import model
 
+MAX_NUMBER = 2**63 - 1  # as the check of configurations allows
+
 
 class AdviceRow(msgspec.Struct, array_like=True, frozen=True):
     """The settings of a queue's calls to the advice service, in seconds."""
@@ -28,6 +32,25 @@
     public: bool = False
 
 
+def are_plausible(numbers: collections.abc.Iterable[float]) -> bool:
+    """Return False if a number is NaN or beyond MAX_NUMBER."""
+    return all(-MAX_NUMBER <= number <= MAX_NUMBER for number in numbers)
+
+
+def numbers_of(
+    item: QueueRow | model.Queue,
+) -> collections.abc.Iterator[float]:
+    """Yield the numbers among the settings of a queue."""
+    yield item.priority
+    yield item.max_attempts
+    yield item.target_latency
+    yield item.stretch
+    if item.advice is not None:
+        yield item.advice.decision
+        yield item.advice.per_endpoint
+        yield item.advice.valid
+
+
 def encode(queue: model.Queue) -> QueueRow:
     """Return the row of a queue."""
     advice = queue.advice
--- a/hibiscusslip/dispatch/records.py
+++ b/hibiscusslip/dispatch/records.py
@@ -1,6 +1,7 @@
 """Encode jobs as records, and restore them from records."""
 
 import collections.abc
+import math
 import typing
 
 import msgspec
@@ -13,6 +14,8 @@
 from hibiscusslip.dispatch import state
 from hibiscusslip.dispatch import usage
 
+MAX_OCCURRENCES = 10_000  # of a job, which hosts accept
+
 
 class Submission(msgspec.Struct, array_like=True):
     """The record of an accepted job, which is written once.
@@ -148,7 +151,15 @@
 
 def decode_submission(data: bytes) -> Submission:
     """Decode the record of an accepted job; raises Unreadable."""
-    return _decode(data, Submission)
+    submission: Submission = _decode(data, Submission)
+    if not math.isfinite(submission.accepted):
+        raise Unreadable('the time of acceptance is no number')
+    row = submission.queue_row
+    if row is not None and not queue_records.are_plausible(
+        queue_records.numbers_of(row)
+    ):
+        raise Unreadable("the queue's settings are out of range")
+    return submission
 
 
 def encode_job(
@@ -302,7 +313,15 @@
 
 def decode_job(data: bytes) -> JobRow:
     """Decode the record of a job's progress; raises Unreadable."""
-    return _decode(data, JobRow)
+    row: JobRow = _decode(data, JobRow)
+    if any(last - first >= MAX_OCCURRENCES for first, last in row.completed):
+        raise Unreadable('a range of occurrences is too long')
+    starts = [place.born for place in row.endpoints]
+    starts += [place.born for place in row.losses]
+    starts += [place.born for place in row.runs]
+    if not all(math.isfinite(start) for start in starts):
+        raise Unreadable('the start of an endpoint is no number')
+    return row
 
 
 def newest_of(values: list[bytes]) -> bytes:
@@ -388,7 +407,7 @@
 def _decode(data: bytes, kind: typing.Any) -> typing.Any:
     try:
         return msgspec.msgpack.decode(data, type=kind)
-    except msgspec.MsgspecError as exc:
+    except (msgspec.MsgspecError, RecursionError) as exc:
         raise Unreadable(
             f'the record has another layout: {exc}; run the same release on'
             ' all hosts'
--- a/hibiscusslip/host/owner.py
+++ b/hibiscusslip/host/owner.py
@@ -28,6 +28,7 @@
 from hibiscusslip.host import recovery
 from hibiscusslip.host import wakeup_event
 from hibiscusslip.host import writer
+from hibiscusslip.http import addresses
 from hibiscusslip.platform import exceptions
 
 PLAN_IDLE_S = 0.1
@@ -241,7 +242,7 @@
     async def open_session(self, name: str) -> None:
         """Open a session with an endpoint, unless one is open already."""
         endpoint = self.engine.endpoints.get(name)
-        if endpoint is None or not endpoint.address:
+        if endpoint is None or not addresses.is_address(endpoint.address):
             return
         if self._first_polls.holds_back(name):
             return
--- a/hibiscusslip/host/recovery.py
+++ b/hibiscusslip/host/recovery.py
@@ -26,6 +26,7 @@
 from hibiscusslip.platform import store
 
 READ_TIMEOUT_S = 2.5
+UNREADABLE = b''  # in place of a record that can't be read
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -114,13 +115,14 @@
     )
     retired = {i for i, row in inbox_rows.items() if row.retired}
     live_progress = {i: progress[i] for i in progress if i not in retired}
-    _submit_all(submits, engine, snapshot.submissions, live_progress, now)
+    _submit_all(ctx, submits, engine, snapshot.submissions, live_progress, now)
     restore_all(ctx, engine, live_progress, now)
     _replace_retirements(engine, retired, snapshot.retired_since)
     for key, value in snapshot.cancellations:
         job_id = topics.cancelled_job(key)
         if job_id in engine.jobs or job_id not in live_progress:
-            cancels.apply(engine, key, value, now)
+            with record_errors.leaving_out(ctx, topics.INBOX, -1, None, key):
+                cancels.apply(engine, key, value, now)
     ctx.log.note(
         'state_recovered',
         jobs=len(engine.jobs),
@@ -135,7 +137,9 @@
         endpoints_read_at=endpoints_read_at,
         positions=snapshot.positions,
         retired_since={i: since[i] for i in since if i in engine.jobs},
-        orphans=_find_orphans(engine, progress, since, tuple(inbox_offsets)),
+        orphans=_find_orphans(
+            snapshot.submissions, progress, since, tuple(inbox_offsets)
+        ),
         used_parts=[p for p, newest in enumerate(parts) if newest.values],
     )
 
@@ -156,22 +160,24 @@
 
 
 def _find_orphans(
-    engine: engines.Engine,
+    submitted: list[tuple[str, bytes]],
     progress: dict[str, bytes],
     retired_since: dict[str, tuple[int, ...]],
     inbox_ends: tuple[int, ...],
 ) -> dict[str, retirement_records.Retirement]:
     """Return the retirements of jobs with progress but no submission.
 
-    One that a former owner has written keeps its offsets.
+    One that a former owner has written keeps its offsets. A submission that
+    can't be read is one, too.
     """
+    known = {topics.submitted_job(key) for key, _ in submitted}
     return {
         job_id: retirement_records.Retirement(
             retirement_records.find_state(value),
             retired_since.get(job_id, inbox_ends),
         )
         for job_id, value in progress.items()
-        if job_id not in engine.jobs
+        if job_id not in known
     }
 
 
@@ -188,12 +194,13 @@
     for job_id, values in values_by_job.items():
         try:
             merged[job_id] = records.newest_of(values)
-        except records.Unreadable as exc:
-            ctx.log.note('progress_unreadable', job=job_id, error=repr(exc))
+        except records.Unreadable:
+            merged[job_id] = UNREADABLE  # it may be the newest
     return merged
 
 
 def _submit_all(
+    ctx: context.Context,
     submits: submissions.Submissions,
     engine: engines.Engine,
     rows: list[tuple[str, bytes]],
@@ -213,7 +220,8 @@
             key=lambda row: (contested.get(row, False), _accepted(row[1]))
         )
     for key, value in rows:
-        submits.apply(engine, key, value, now, wall_time)
+        with record_errors.leaving_out(ctx, topics.INBOX, -1, None, key):
+            submits.apply(engine, key, value, now, wall_time)
 
 
 def _contested_rows(
@@ -272,13 +280,24 @@
                     engine.create_occurrence(job, number, now)
             records.restore(job, row)
             delay_records.restore(job, row.delays, now)
-        except (records.Unreadable, KeyError, IndexError, ValueError) as exc:
-            ctx.log.note('progress_unreadable', job=job_id, error=repr(exc))
+            _restore_allocations(ctx, engine, job, now)
+        except Exception as exc:
+            _set_aside(ctx, job, exc)
             continue
-        _restore_allocations(ctx, engine, job, now)
         other_runs.append((job, row.runs))
     for job, rows in other_runs:
-        _restore_other_runs(ctx, engine, job, rows, now)
+        try:
+            _restore_other_runs(ctx, engine, job, rows, now)
+        except Exception as exc:
+            _set_aside(ctx, job, exc)
+
+
+def _set_aside(ctx: context.Context, job: state.Job, exc: Exception) -> None:
+    """Have no task of a job started whose progress couldn't be restored."""
+    job.progress_unknown = True
+    job.has_started = True
+    ctx.metrics.count('records_left_out', topic=topics.JOBS)
+    ctx.log.note('progress_unreadable', job=job.job_id, error=repr(exc)[:200])
 
 
 def _restore_allocations(
--- a/hibiscusslip/host/writer.py
+++ b/hibiscusslip/host/writer.py
@@ -200,6 +200,8 @@
             job = engine.jobs.get(job_id)
             if job is None or job_id in left_out:
                 continue
+            if job.progress_unknown and not job.state.final:
+                continue  # its record may be readable for a later owner
             self._number += 1
             record = self._encode_small(job)
             if len(record) > MAX_RECORD_BYTES:
