host: have odd records of hosts, owners and configurations cost themselves

After a notice with an epoch beyond all others no true notice was believed: the owner lost the cell again and again. A configuration with a number of 400 digits ended hosts that started.

Records that name no host to call, and notices with an epoch that their offset rules out, are left out, logged and counted; so is a configuration whose numbers are beyond those that `config check` allows.

The property test of the check wanted what hosts refuse not to be decoded at all. It wants an error for each such document now, wherever it is found.

--- a/hibiscusslip/host/cell_feeds.py
+++ b/hibiscusslip/host/cell_feeds.py
@@ -32,7 +32,8 @@
             self.topic, recovery.READ_TIMEOUT_S, self.part
         )
         for key, value in newest.values.items():
-            self._apply(newest.offsets[key], key, value)
+            with self._leaving_out(newest.offsets[key], key):
+                self._apply(newest.offsets[key], key, value)
         return newest.end
 
     async def apply(self, offset: int, record: bytes) -> None:
--- a/hibiscusslip/host/feeds.py
+++ b/hibiscusslip/host/feeds.py
@@ -41,7 +41,8 @@
     async def load_snapshot(self) -> int:
         """Read and apply the newest configuration."""
         newest = await self.ctx.store.newest(self.topic, LOAD_TIMEOUT_S)
-        self._apply_value(newest.values.get(store.CONFIG_KEY, b''))
+        with self._leaving_out(newest.end - 1, store.CONFIG_KEY):
+            self._apply_value(newest.values.get(store.CONFIG_KEY, b''))
         return newest.end
 
     async def apply(self, offset: int, record: bytes) -> None:
@@ -64,6 +65,7 @@
             return
         config = documents.read_configuration(value, self.ctx.config)
         if config is None:
+            self.ctx.metrics.count('records_left_out', topic=self.topic)
             self.ctx.log.note('config_unreadable', size=len(value))
             return
         if self._is_newer(config):
@@ -99,7 +101,8 @@
         """Read and apply the newest record of each host."""
         newest = await self.ctx.store.newest(self.topic, LOAD_TIMEOUT_S)
         for name, value in newest.values.items():
-            self._apply_value(name, value)
+            with self._leaving_out(newest.offsets[name], name):
+                self._apply_value(name, value)
         _update_strongest(self.ctx)
         return newest.end
 
@@ -111,10 +114,12 @@
 
     def _apply_value(self, name: str, value: bytes) -> None:
         host = notices.decode_host(value) if value else None
-        if host is None:
-            self.ctx.hosts.pop(name, None)
-        else:
+        if host is not None and host.name == name:
             self.ctx.hosts[name] = host
+            return
+        self.ctx.hosts.pop(name, None)
+        if value:
+            raise ValueError('the record names no host that can be called')
 
 
 def _update_strongest(ctx: context.Context) -> None:
@@ -148,7 +153,10 @@
     async def apply(self, offset: int, record: bytes) -> None:
         """Apply a notice."""
         notice = notices.decode_owner(record)
-        if notice is None:
+        # A claim's epoch is its offset + 1. After a higher one all true
+        # notices would count as those of a former owner.
+        if notice is None or notice.epoch > offset + 1:
+            self.ctx.metrics.count('records_left_out', topic=self.topic)
             self.ctx.log.note('owner_notice_unreadable', offset=offset)
             return
         before = self.ctx.ownership.epoch
--- a/hibiscusslip/host/notices.py
+++ b/hibiscusslip/host/notices.py
@@ -4,9 +4,17 @@
 
 import msgspec
 
+from hibiscusslip.http import addresses
+
 CLAIM = 'claim'
 HEARTBEAT = 'beat'
 RELEASE = 'release'
+KINDS = (CLAIM, HEARTBEAT, RELEASE)
+MAX_STRENGTH = 1e6  # in cores
+MAX_DESCRIPTORS = 2**31
+MAX_ENDPOINTS = 10**6
+MAX_LEASE_MS = 3_600_000
+MAX_NUMBER = 2**53
 
 
 class HostRecord(msgspec.Struct, array_like=True):
@@ -99,17 +107,39 @@
 
 
 def decode_host(data: bytes) -> HostRecord | None:
-    """Return a host's record, or None if it can't be decoded."""
-    return _decode(data, HostRecord)
+    """Return a host's record, None if it can't be used."""
+    record = _decode(data, HostRecord)
+    if record is None:
+        return None
+    usable = (
+        _is_peer_address(record.address, record.port)
+        and 0 <= record.strength <= MAX_STRENGTH
+        and 0 <= record.descriptors <= MAX_DESCRIPTORS
+    )
+    return record if usable else None
 
 
 def decode_owner(data: bytes) -> OwnerNotice | None:
-    """Return an owner's notice, or None if it can't be decoded."""
-    return _decode(data, OwnerNotice)
+    """Return an owner's notice, None if it can't be used."""
+    notice = _decode(data, OwnerNotice)
+    if notice is None or notice.kind not in KINDS:
+        return None
+    usable = (
+        notice.epoch > 0
+        and 0 <= notice.number <= MAX_NUMBER
+        and 0 <= notice.endpoints <= MAX_ENDPOINTS
+        and _is_peer_address(notice.address, notice.port)
+        and all(0 <= left <= MAX_LEASE_MS for left in notice.lapses.values())
+    )
+    return notice if usable else None
+
+
+def _is_peer_address(address: str, port: int) -> bool:
+    return addresses.is_ip(address) and addresses.is_port(port)
 
 
 def _decode(data: bytes, kind: typing.Any) -> typing.Any:
     try:
         return msgspec.msgpack.decode(data, type=kind)
-    except msgspec.MsgspecError:
+    except (msgspec.MsgspecError, RecursionError):
         return None
--- a/hibiscusslip/platform/documents.py
+++ b/hibiscusslip/platform/documents.py
@@ -1,11 +1,13 @@
 """Decode the platform's JSON documents into this package's data types."""
 
+import collections.abc
 import hashlib
 import typing
 
 import msgspec
 
 from hibiscusslip.dispatch import model
+from hibiscusslip.dispatch import queue_records
 from hibiscusslip.platform import exceptions
 from hibiscusslip.platform import fields
 from hibiscusslip.platform import queue_documents
@@ -169,6 +171,19 @@
 ) -> model.Configuration | None:
     """Return the configuration in a record, or None if it is invalid.
 
+    It shares its unchanged queues with `known`, the former version.
+    """
+    config = decode_configuration(value, known)
+    if config is None or not queue_records.are_plausible(_numbers_in(config)):
+        return None
+    return config
+
+
+def decode_configuration(
+    value: bytes, known: model.Configuration | None = None
+) -> model.Configuration | None:
+    """Return a configuration whose numbers aren't checked, None if invalid.
+
     It shares its unchanged queues with `known`, the former version.
     """
     try:
@@ -188,6 +203,20 @@
     )
 
 
+def _numbers_in(
+    config: model.Configuration,
+) -> collections.abc.Iterator[float]:
+    """Yield all numbers of a configuration."""
+    yield config.version
+    yield config.max_body_bytes
+    for queue in config.queues.values():
+        yield from queue_records.numbers_of(queue)
+    for organisation in (config.organisations or {}).values():
+        limit = organisation.limit
+        yield organisation.weight
+        yield from (limit.cpu, limit.memory, limit.accelerators)
+
+
 def _to_organisations(
     documents: list[_Organisation] | None,
 ) -> dict[str, model.Organisation] | None:
--- a/hibiscusslip/platform/placed_configuration.py
+++ b/hibiscusslip/platform/placed_configuration.py
@@ -69,7 +69,7 @@
 
 def read(value: bytes) -> config_check.Draft | list[config_check.Finding]:
     """Return a configuration, or all that a host would refuse in it."""
-    configuration = documents.read_configuration(value)
+    configuration = documents.decode_configuration(value)
     if configuration is None:
         return list(_find_refusals(value, documents.ConfigDocument, ''))
     document = msgspec.json.decode(value, type=documents.ConfigDocument)
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -140,11 +140,13 @@
     """Check that hosts go on beside records, follow, and start again."""
     await complete(cell, 'h0', JOBS[0])
     owner = cell.owner()
+    epoch = cell.contexts[owner].ownership.held_epoch
     cell.store._store_records(topic, 0, records)
     await cell.add_endpoint('e9')
     cell.store.put('keyed.servers', 'e0', b'')
     await complete(cell, 'h1', JOBS[1])  # by e9, which was read after them
     assert cell.owner() == owner
+    assert cell.contexts[owner].ownership.held_epoch == epoch
     assert not any(task.terminated for task in cell.hosts.values())
     for name in list(cell.hosts):
         await cell.kill(name)
