--- a/tests/platform/soak/__main__.py
+++ b/tests/platform/soak/__main__.py
@@ -33,7 +33,10 @@
 
     def __init__(self, seed: int, folder: pathlib.Path, bug: str) -> None:
         rng = random.Random(seed)
-        self._faults = faults.draw_faults(rng)
+        self._faults = sorted(
+            faults.draw_faults(rng) + faults.draw_unconfigured(seed),
+            key=lambda fault: fault.at,
+        )
         self._cell = cells.Cell(seed, folder, bug)
         self._callers = callers.Callers(self._cell, rng)
         self._injector = faults.FaultInjector(self._cell, rng)
@@ -57,6 +60,7 @@
     async def _run_phases(self) -> None:
         calling = await curio.spawn(self._callers.run, daemon=True)
         probing = await curio.spawn(self._probe, daemon=True)
+        await self._cell.control('odd_entries')
         await self._injector.run(self._faults)
         self._callers.stopped = True
         await calling.join()
--- a/tests/platform/soak/faults.py
+++ b/tests/platform/soak/faults.py
@@ -71,6 +71,21 @@
 )
 
 
+# All hosts are killed while the configuration can't be read: the owner knows
+# the jobs and not their queues.
+UNCONFIGURED = 'kill_all_unconfigured'
+
+
+def draw_unconfigured(seed: int) -> list[Fault]:
+    """Draw the outage of the configuration, in trials of odd seeds."""
+    if not seed % 2:
+        return []
+    # Drawn apart, so that the seeds play the same other faults as ever.
+    rng = random.Random(f'configuration {seed}')
+    at = rng.uniform(layout.FAULT_PHASE_S / 3, layout.FAULT_PHASE_S)
+    return [Fault(at, UNCONFIGURED, '', rng.uniform(2.0, 6.0))]
+
+
 def draw_faults(rng: random.Random) -> list[Fault]:
     """Draw the faults of one trial."""
     faults = []
@@ -170,9 +185,12 @@
     async def _inject_everywhere(self, fault: Fault) -> None:
         cell = self._cell
         if fault.kind == 'kill_all':
-            async with curio.TaskGroup(wait=all) as group:
-                for host in cell.hosts.values():
-                    await group.spawn(self._restart, host, True)
+            await self._kill_all()
+        elif fault.kind == UNCONFIGURED:
+            await cell.control('hide_config', hidden=True)
+            await self._kill_all()
+            await curio.sleep(fault.lasts)
+            await cell.control('hide_config', hidden=False)
         elif fault.kind == 'all_forget':
             await cell.control('forget')
         elif fault.kind == 'some_parts':
@@ -187,10 +205,18 @@
             await curio.sleep(fault.lasts)
             await cell.control('store', mode='')
 
+    async def _kill_all(self) -> None:
+        async with curio.TaskGroup(wait=all) as group:
+            for host in self._cell.hosts.values():
+                await group.spawn(self._restart, host, True)
+
 
 def heal(cell: cells.Cell) -> list[typing.Any]:
     """Restart what was stopped; return awaitables that end all faults."""
-    waits: list[typing.Any] = [cell.control('store', mode='')]
+    waits: list[typing.Any] = [
+        cell.control('store', mode=''),
+        cell.control('hide_config', hidden=False),
+    ]
     for name, endpoint_proxy in cell.endpoints.items():
         waits.append(endpoint_proxy.set_mode(proxy.PASS))
         waits.append(cell.control('endpoint', name=name, mode=''))
--- a/tests/platform/soak/platform.py
+++ b/tests/platform/soak/platform.py
@@ -17,6 +17,7 @@
 from hibiscusslip.http import server
 from tests.platform import cell
 from tests.platform import standin
+from tests.platform import test_odd_entries
 from tests.platform.soak import endpoint
 from tests.platform.soak import layout
 
@@ -50,6 +51,8 @@
         }
         self._addresses: dict[str, str] = {}
         self._sequence = 1
+        self._unavailable_jobs: set[tuple[str, int]] = set()
+        self._hidden: set[tuple[str, int]] = set()
 
     async def handle(self, req: messages.Request) -> messages.Response:
         """Run the method that the call names and return its result."""
@@ -89,9 +92,23 @@
     ) -> None:
         """Set the store's mode and the unavailable partitions of the jobs."""
         self.store.mode = mode
-        self.store.unavailable = {
+        self._unavailable_jobs = {
             ('keyed.jobs', part) for part in unavailable or []
         }
+        self._set_unavailable()
+
+    def do_hide_config(self, hidden: bool) -> None:
+        """Set whether the partition of the configuration is unavailable."""
+        self._hidden = {('keyed.op', 0)} if hidden else set()
+        self._set_unavailable()
+
+    def _set_unavailable(self) -> None:
+        self.store.unavailable = self._unavailable_jobs | self._hidden
+
+    def do_odd_entries(self) -> None:
+        """List entries that name no endpoint, as another writer does."""
+        for number, value in enumerate(test_odd_entries.REFUSED):
+            self.store.put('keyed.servers', f'odd-{number}', value)
 
     def do_forget(self) -> None:
         """Drop the history of all topics."""
