host: log no number for a partition that isn't known

Cause: records of the inbox that a recovery left out were logged with part -1.

Change: the field is null then.

Measured: tests of record_errors, recovery and unreadable progress pass.

--- a/hibiscusslip/host/record_errors.py
+++ b/hibiscusslip/host/record_errors.py
@@ -18,12 +18,16 @@
 
 @contextlib.contextmanager
 def leaving_out(
-    ctx: context.Context, topic: str, part: int, offset: int | None, key: str
+    ctx: context.Context,
+    topic: str,
+    part: int | None,
+    offset: int | None,
+    key: str,
 ) -> collections.abc.Iterator[None]:
     """Leave out the record that is applied within if that fails.
 
-    `offset` is None if it isn't known. A PlatformError is raised: it is not
-    the fault of the record.
+    `part` and `offset` are None if they aren't known. A PlatformError is
+    raised: it is not the fault of the record.
     """
     try:
         yield
--- a/hibiscusslip/host/recovery.py
+++ b/hibiscusslip/host/recovery.py
@@ -121,7 +121,7 @@
     for key, value in snapshot.cancellations:
         job_id = topics.cancelled_job(key)
         if job_id in engine.jobs or job_id not in live_progress:
-            with record_errors.leaving_out(ctx, topics.INBOX, -1, None, key):
+            with record_errors.leaving_out(ctx, topics.INBOX, None, None, key):
                 cancels.apply(engine, key, value, now)
     ctx.log.note(
         'state_recovered',
@@ -220,7 +220,7 @@
             key=lambda row: (contested.get(row, False), _accepted(row[1]))
         )
     for key, value in rows:
-        with record_errors.leaving_out(ctx, topics.INBOX, -1, None, key):
+        with record_errors.leaving_out(ctx, topics.INBOX, None, None, key):
             submits.apply(engine, key, value, now, wall_time)
 
 
