--- a/review/rig2/cell.py
+++ b/review/rig2/cell.py
@@ -117,27 +117,32 @@
         self._subnet = f'127.{10 + os.getpid() // 200 % 200}'
         self._subnet += f'.{os.getpid() % 200}'
 
-    async def start(self, hosts=2, max_attempts=2, stretch=2.0):
-        """Start the store, the workers' entries and the hosts."""
+    async def start(self, hosts=2, max_attempts=2, stretch=2.0, more=()):
+        """Start the store, the workers' entries and the hosts.
+
+        `more` are further queues: pairs of a prefix and a priority.
+        """
         http_server = server.Server(self.store)
         port = await http_server.listen('127.0.0.1', 0)
         await curio.spawn(http_server.serve, daemon=True)
         self._store_address = f'127.0.0.1:{port}'
+        queues = ((PREFIX, 0), *more)
         config = {
             'Version': 3,
             'Routes': [
                 {
-                    'Name': 'r-one',
+                    'Name': f'r-{number}',
                     'Host': QUEUE_HOST,
-                    'PathPrefix': PREFIX,
+                    'PathPrefix': prefix,
                     'Kind': 'unsafe',
                     'TimeoutMs': 3000,
                     'TargetLatencyMs': 1000,
-                    'Priority': 0,
+                    'Priority': priority,
                     'Service': SERVICE,
                     'MaxAttempts': max_attempts,
                     'Stretch': stretch,
                 }
+                for number, (prefix, priority) in enumerate(queues)
             ],
             'Services': [
                 {'Name': name, 'HealthPath': '/h', 'MaxConns': 64}
@@ -248,12 +253,13 @@
         finally:
             await pool.close()
 
-    async def submit(self, name, job_id, job):
+    async def submit(self, name, job_id, job, prefix=PREFIX, quiet=False):
         """Hand a job in until it is accepted; return the last status."""
         body = msgspec.json.encode(job)
         for _ in range(8):
-            status, _ = await self.call(name, 'POST', PREFIX + job_id, body)
-            self.recorder.note('client: POST', job_id, '->', status)
+            status, _ = await self.call(name, 'POST', prefix + job_id, body)
+            if not quiet or status != 200:
+                self.recorder.note('client: POST', job_id, '->', status)
             if status == 200:
                 return status
             await curio.sleep(0.3)
--- a/review/rig2/worker.py
+++ b/review/rig2/worker.py
@@ -54,7 +54,8 @@
 
     `runs` are all runs of all its lives. `answer_late` is called with each
     start and returns how long it is to stay unanswered before it is carried
-    out, 0 for an ordinary answer.
+    out, 0 for an ordinary answer. With `lasting_s` runs whose Spec is 'lasts'
+    take that long, in seconds.
     """
 
     def __init__(self, ident, zone, run_s, recorder, capacity, checkpoints):
@@ -70,6 +71,7 @@
         self.runs = []
         self.life = 0
         self.log_starts = True
+        self.lasting_s = None
         self.answer_late = lambda body: 0.0
         self._server = None
         self._begin_life()
@@ -203,11 +205,12 @@
             return self._refuse('old')
         if (task, run) not in self.running:
             now = time.monotonic()
+            lasts = self.lasting_s is not None and body['Spec'] == 'lasts'
             entry = Run(
                 task,
                 run,
                 now,
-                now + self.run_s,
+                now + (self.lasting_s if lasts else self.run_s),
                 life=self.life,
                 worker=self.ident,
             )
@@ -273,17 +276,26 @@
         return max(0, min(99, int(100 * done / whole)))
 
     def _advance(self):
-        """End the runs that are due; they end in the order of their starts."""
+        """End the runs that are due.
+
+        They end in the order of their starts, if none lasts longer.
+        """
         now = time.monotonic()
         lapsed = self.clock_ms() > self.lease_ms
-        while self.running:
-            (task, run), first = next(iter(self.running.items()))
-            if first.ends_at <= now:
+        for task, run in list(self.running) if lapsed else self._first():
+            if self.running[task, run].ends_at <= now:
                 self._end(task, run, 'done')
             elif lapsed:
                 self._end(task, run, 'lapsed')
-            else:
-                break
+
+    def _first(self):
+        """Yield the runs that may be due, while they are."""
+        now = time.monotonic()
+        for key, run in list(self.running.items()):
+            if run.ends_at <= now:
+                yield key
+            elif self.lasting_s is None:
+                return
 
     def _end(self, task, run, how):
         entry = self.running.pop((task, run))
