Give no run up because of a report that leaves out ended runs

Cause: an endpoint lists 500 ended runs at a time, and the others once these are acknowledged. A run in neither list of a report counted as lost, though its end may have been on the next page. The rule that was broken: nothing follows from what is missing in an answer that may be partial.

Change: a report says whether its ends are complete. While they aren't, no run is abandoned as missing; an endpoint without running tasks keeps the leases that a former owner granted; the runs that a restart may have ended are abandoned, and blamed, with the first complete report; and the next poll isn't a long one. A start that was confirmed after the poll was sent survives a restart as it does otherwise. Event and metric `ends_partial`.

The same rule elsewhere: a query for a job read the inbox once, at most 1 MiB, or nothing if another read was faster, and answered 410; it reads to the end now. Partitions that aren't read to their end count as those that fail, for rejections and for expired cancellations. A list of the store with an empty or missing page before its last is read again.

The endpoints of the soak list 3 ended runs at a time, and the planted bug `partial-ends` takes these for all.

--- a/hibiscusslip/dispatch/_endpoint_state.py
+++ b/hibiscusslip/dispatch/_endpoint_state.py
@@ -34,7 +34,9 @@
     host's clock, the latest end of a lease that a former owner, or this one to
     a former incarnation, may have granted. `handled_cursor` is the number of
     the last ended run that was handled, `acknowledged_cursor` that of the last
-    whose record is written. It `may_have_restarted` since its last report if a
+    whose record is written. With `ends_partial` its last report left out ended
+    runs. A restart was seen at `restarted_at`, 0 once the runs that it ended
+    are abandoned. It `may_have_restarted` since its last report if a
     call went unanswered or its clock went back. `last_response_at` is when it
     last answered a call, `suspected_at` when a call first went unanswered
     after that, 0 for none. It is `silent` once several calls went unanswered.
@@ -63,6 +65,8 @@
     inherited_leases_until: float = 0.0
     handled_cursor: int = 0
     acknowledged_cursor: int = 0
+    ends_partial: bool = False
+    restarted_at: float = 0.0
     may_have_restarted: bool = False
     quarantined_until: float = 0.0
     consecutive_failures: int = 0
--- a/hibiscusslip/dispatch/_lost_runs.py
+++ b/hibiscusslip/dispatch/_lost_runs.py
@@ -105,24 +105,39 @@
 
 
 def handle_restart(
+    engine: 'engines.Engine', endpoint: state.Endpoint, now: float
+) -> None:
+    """Forget the numbers and leases of an endpoint's former incarnation."""
+    engine.note('endpoint_restarted', **_loss_fields(endpoint, now))
+    endpoint.restarted_at = now
+    endpoint.handled_cursor = 0
+    endpoint.acknowledged_cursor = 0
+    endpoint.leased_until = 0.0
+
+
+def abandon_ended_by_restart(
     engine: 'engines.Engine',
     endpoint: state.Endpoint,
     report: model.EndpointReport,
+    sent: float,
     now: float,
 ) -> None:
-    """Abandon the runs of an endpoint that it lost by a restart.
+    """Abandon the runs that an endpoint lost by a restart.
 
-    Those that the new incarnation lists were started there.
+    Those that the new incarnation lists were started there, and it may have
+    those that were confirmed after the poll was sent or decided later.
     """
-    engine.note('endpoint_restarted', **_loss_fields(endpoint, now))
     listed = report.listed_runs()
-    convicted = _blame_runs(engine, endpoint, listed, now)
-    endpoint.handled_cursor = 0
-    endpoint.acknowledged_cursor = 0
-    endpoint.leased_until = 0.0
-    for key, allocation in list(endpoint.allocations.items()):
-        if key in listed:
-            continue
+    lost = {
+        key: allocation
+        for key, allocation in endpoint.allocations.items()
+        if key not in listed
+        and allocation.confirmed_at <= sent
+        and allocation.decided_at <= endpoint.restarted_at
+    }
+    endpoint.restarted_at = 0.0
+    convicted = _blame_runs(engine, endpoint, list(lost.values()), now)
+    for key, allocation in lost.items():
         abandon_run(engine, endpoint, *key, 'restarted', now)
         _count_late_start(engine, endpoint, key[0], allocation, now)
         if _may_start_late(allocation) and allocation.task is not None:
@@ -159,19 +174,11 @@
 def _blame_runs(
     engine: 'engines.Engine',
     endpoint: state.Endpoint,
-    listed: set[tuple[str, int]],
+    lost: list[state.Allocation],
     now: float,
 ) -> list[state.Task]:
-    """Hold a crash against runs; return the tasks to be given up.
-
-    Runs that the new incarnation has `listed` weren't in the crash.
-    """
-    runs = [
-        allocation
-        for key, allocation in endpoint.allocations.items()
-        if key not in listed
-    ]
-    runs += crashes.take_lapsed(endpoint)
+    """Hold a crash against runs; return the tasks to be given up."""
+    runs = lost + crashes.take_lapsed(endpoint)
     return crashes.handle_crash(engine, endpoint, runs, now) if runs else []
 
 
@@ -181,7 +188,9 @@
     """Abandon the runs of an endpoint whose address another one has."""
     if endpoint.entry is not None or endpoint.allocations:
         engine.note('endpoint_replaced', **_loss_fields(endpoint, now))
-    convicted = _blame_runs(engine, endpoint, set(), now)
+    convicted = _blame_runs(
+        engine, endpoint, list(endpoint.allocations.values()), now
+    )
     endpoint.entry = None
     endpoint.responsive = False
     for name, run in list(endpoint.allocations):
--- a/hibiscusslip/dispatch/_reports.py
+++ b/hibiscusslip/dispatch/_reports.py
@@ -29,15 +29,20 @@
 ) -> None:
     """Apply the report of a poll that was sent at `sent`."""
     if endpoint.born and report.born != endpoint.born:
-        _lost_runs.handle_restart(engine, endpoint, report, now)
+        _lost_runs.handle_restart(engine, endpoint, now)
         endpoint.inherited_leases_until = _longest_lease_end(engine, now)
     elif not endpoint.polled:
         endpoint.inherited_leases_until = min(
             endpoint.inherited_leases_until, _longest_lease_end(engine, now)
         )
-    if not report.running:
+    if not report.running and report.ends_complete:
         endpoint.inherited_leases_until = 0.0
-    crashes.take_lapsed(endpoint)
+    if endpoint.restarted_at and report.ends_complete:
+        _lost_runs.abandon_ended_by_restart(
+            engine, endpoint, report, sent, now
+        )
+    if not endpoint.restarted_at:
+        crashes.take_lapsed(endpoint)
     if endpoint.may_have_restarted or endpoint.silent:
         _mark_unmeasurable(endpoint)
     endpoint.polled = True
@@ -51,7 +56,26 @@
     endpoint.clock_read_at = now
     _handle_ended_runs(engine, endpoint, report, now)
     listed = _handle_running(engine, endpoint, report, now)
-    _lost_runs.abandon_missing(engine, endpoint, report, listed, sent, now)
+    _note_partial_ends(engine, endpoint, report, listed)
+    if report.ends_complete:
+        _lost_runs.abandon_missing(engine, endpoint, report, listed, sent, now)
+
+
+def _note_partial_ends(
+    engine: 'engines.Engine',
+    endpoint: state.Endpoint,
+    report: model.EndpointReport,
+    listed: set[tuple[str, int]],
+) -> None:
+    """Log once that runs without a place in a report may have ended."""
+    if not report.ends_complete and not endpoint.ends_partial:
+        engine.note(
+            'ends_partial',
+            endpoint=endpoint.name,
+            listed=len(report.ended),
+            unlisted=len(endpoint.allocations.keys() - listed),
+        )
+    endpoint.ends_partial = not report.ends_complete
 
 
 def _mark_unmeasurable(endpoint: state.Endpoint) -> None:
--- a/hibiscusslip/dispatch/model.py
+++ b/hibiscusslip/dispatch/model.py
@@ -300,13 +300,15 @@
     """Represent an endpoint's reply to a poll.
 
     `clock` is the time on the endpoint's clock, `born` identifies its
-    incarnation.
+    incarnation. Unless `ends_complete`, more runs may have ended than are
+    listed, which follow once these are acknowledged.
     """
 
     born: float
     clock: float
     running: tuple[RunningRun, ...]
     ended: tuple[EndedRun, ...]
+    ends_complete: bool = True
 
     def listed_runs(self) -> set[tuple[str, int]]:
         """Return the tasks and numbers of all runs in the report."""
--- a/hibiscusslip/host/endpoint_session.py
+++ b/hibiscusslip/host/endpoint_session.py
@@ -156,12 +156,14 @@
     def _max_wait(self, endpoint: state.Endpoint) -> float:
         """Return for how long the endpoint may delay its reply."""
         # An unresponsive endpoint isn't long-polled, so that its return is
-        # noticed at once, and then its leases are extended.
+        # noticed at once, and then its leases are extended. One that left out
+        # ended runs has more to report.
         long_poll = (
             endpoint.allocations
             and endpoint.polled
             and endpoint.responsive
             and not endpoint.withheld
+            and not endpoint.ends_partial
         )
         if not long_poll:
             return 0.0
--- a/hibiscusslip/host/engine_events.py
+++ b/hibiscusslip/host/engine_events.py
@@ -9,6 +9,7 @@
     (
         'endpoint_restarted',
         'endpoint_replaced',
+        'ends_partial',
         'crash_suspected',
         'task_given_up',
         'held_by_limit',
--- a/hibiscusslip/host/job_intake.py
+++ b/hibiscusslip/host/job_intake.py
@@ -92,8 +92,8 @@
         self.deletion.add({job.job_id: job.state.value for job in ended})
 
     def _retire_expired_if_all_read(self, now: float) -> None:
-        """Retire expired IDs unless a failed partition may have their jobs."""
-        if any(feed.failing for feed in self._owner.inboxes):
+        """Retire expired IDs unless an unread record may submit their jobs."""
+        if any(feed.failing or feed.behind for feed in self._owner.inboxes):
             self._inbox_failed_at = now
         before = now - cancellations.DEFERRAL_S
         if self._inbox_failed_at < before:
--- a/hibiscusslip/host/owner.py
+++ b/hibiscusslip/host/owner.py
@@ -208,7 +208,7 @@
         for feed in self.inboxes:
             if job is not None:
                 break
-            await feed.read_once(0.0)
+            await feed.read_to_end()
             job = self.engine.jobs.get(job_id)
         if job is None:
             return None
@@ -230,13 +230,13 @@
     def may_know_job(self, job_id: str) -> bool:
         """Return False if no partition of the inbox has the job.
 
-        True while one of them can't be read, or while a record of the ID is
-        withheld: the job may have been accepted.
+        True while one of them can't be read to its end, or while a record of
+        the ID is withheld: the job may have been accepted.
         """
         return (
             job_id in self.engine.jobs
             or self.intake.deletion.holds(job_id)
-            or any(feed.failing for feed in self.inboxes)
+            or any(feed.failing or feed.behind for feed in self.inboxes)
         )
 
     async def open_session(self, name: str) -> None:
--- a/hibiscusslip/host/tailing.py
+++ b/hibiscusslip/host/tailing.py
@@ -36,6 +36,7 @@
         self.ctx = ctx
         self.part = 0
         self.offset: int | None = None
+        self.behind = False  # the last read didn't reach the end
         self._retry_pause = MIN_RETRY_PAUSE_S
         self._failing = False
         self._caught_up_at = 0.0
@@ -103,8 +104,26 @@
             return min(self.wait, LOSSY_WAIT_S)
         return self.wait
 
-    async def read_once(self, wait: float) -> None:
-        """Read and apply the next records; raises PlatformError."""
+    async def read_to_end(self) -> None:
+        """Apply all records that the store has now; raises PlatformError.
+
+        A read returns a part of them, and a concurrent one that was sent
+        earlier may have been faster.
+        """
+        end = await self.read_once(0.0)
+        while self.offset is None or self.offset < end:
+            start = self.offset
+            await self.read_once(0.0)
+            if self.offset is not None and self.offset == start:
+                raise exceptions.StoreOutcomeUnknown(
+                    'the store sent no record before the end; read again'
+                )
+
+    async def read_once(self, wait: float) -> int:
+        """Read and apply the next records; raises PlatformError.
+
+        Returns where the topic ended, which may be beyond what was read.
+        """
         if context.monotonic() > self._caught_up_at + self.max_lag:
             self.offset = None
         if self.offset is None:
@@ -115,9 +134,11 @@
         batch = await self._read(self.offset, wait)
         self.ctx.record_store_success(context.monotonic())
         self._count_bytes(sum(len(record) for record in batch.records))
-        if batch.start < self.offset:
-            return  # a concurrent read_once() was faster
-        await self._apply_batch(batch)
+        if batch.start >= self.offset:
+            await self._apply_batch(batch)
+        # else a concurrent read_once() was faster
+        self.behind = self.offset is None or self.offset < batch.end
+        return batch.end
 
     async def _read(self, offset: int, wait: float) -> store.Batch:
         """Read from an offset on; raises PlatformError."""
--- a/hibiscusslip/platform/documents.py
+++ b/hibiscusslip/platform/documents.py
@@ -18,6 +18,7 @@
 MAX_TASKS = 10000
 MAX_OCCURRENCES = 10000
 MAX_COUNT = 2**63 - 1
+MAX_LISTED_ENDS = 500  # in one report; more of them follow later
 
 
 class _Step(fields.Resources):
@@ -274,6 +275,7 @@
             clock=report.clock_ms / settings.MS_PER_S,
             running=tuple(_to_running_run(row) for row in report.running),
             ended=tuple(_to_ended_run(row) for row in report.ended),
+            ends_complete=len(report.ended) < MAX_LISTED_ENDS,
         )
     except (
         msgspec.MsgspecError,
--- a/hibiscusslip/platform/store.py
+++ b/hibiscusslip/platform/store.py
@@ -196,8 +196,12 @@
             for item in page.items:
                 offsets[item.key] = item.offset
                 values[item.key] = _decode_value(item)
-            if not page.more or not page.items:
+            if not page.more:
                 return NewestValues(values, offsets, end)
+            if not page.items:
+                raise exceptions.StoreOutcomeUnknown(
+                    'the store sent an empty page before the last; read again'
+                )
             after = page.items[-1].key
 
     async def _try_page(
@@ -221,7 +225,7 @@
             query['DependsOn'] = after  # here: the last key of the page before
         path = f'/v1/log-newest?{urllib.parse.urlencode(query)}'
         response = await self._call('GET', path, b'', {}, timeout)
-        if response.status == 404:
+        if response.status == 404 and not after:
             return _Page([], 0)
         if response.status != 200:
             raise self._to_exception(response)
--- a/tests/dispatch/support.py
+++ b/tests/dispatch/support.py
@@ -97,11 +97,19 @@
         for start in starts:
             self.engine.confirm_start(start, self.now)
 
-    def report(self, name, running=(), ended=(), born=1.0, sent=None):
+    def report(
+        self,
+        name,
+        running=(),
+        ended=(),
+        born=1.0,
+        sent=None,
+        ends_complete=True,
+    ):
         """Apply an endpoint's reply to a poll that was sent at `sent`."""
         clock = self.now
         report = model.EndpointReport(
-            born, clock, tuple(running), tuple(ended)
+            born, clock, tuple(running), tuple(ended), ends_complete
         )
         self.engine.handle_report(name, report, sent or self.now, self.now)
 
--- a/tests/host/inbox_cell.py
+++ b/tests/host/inbox_cell.py
@@ -178,9 +178,10 @@
     """Stand for the feed of a partition without further records."""
 
     failing = False
+    behind = False
 
     def __init__(self):
         self.offset = 0
 
-    async def read_once(self, wait):
+    async def read_to_end(self):
         pass
--- a/tests/host/test_endpoint_session.py
+++ b/tests/host/test_endpoint_session.py
@@ -47,6 +47,7 @@
     acknowledged=0,
     get_timing=poll_timing.PollTiming,
     error=exceptions.RequestOutcomeUnknown,
+    client=None,
 ):
     """Poll an endpoint that answers once; return its client."""
     ctx = fakes.make_context(fakes.FakeStore())
@@ -57,7 +58,7 @@
     session = endpoint_session.EndpointSession(
         ctx, engine, 'e1', 'h:1', 1, make_wakeups(), get_timing
     )
-    client = EndpointClient(error)
+    client = client or EndpointClient(error)
     session._client = client
 
     async def main():
@@ -191,3 +192,17 @@
     counted = 1 + excused + endpoint_session.FAILURES_UNTIL_UNRESPONSIVE
     assert set(client.waits[1:counted]) == {poll_timing.LONG_POLL_S}
     assert set(client.waits[counted:]) == {0.0}
+
+
+def test_endpoint_that_left_out_ended_runs_isnt_long_polled():
+    """Guards against waiting for an end while others aren't known yet."""
+
+    class PartialReports(EndpointClient):
+        async def poll(self, deadline, fence, seen, wait, timeout):
+            self.waits.append(wait)
+            await curio.sleep(0.01)
+            running = model.RunningRun('j.0.0.0', 1, '', 50, 0.0)
+            return model.EndpointReport(1.0, 5.0, (running,), (), False)
+
+    client = poll_for(0.2, client=PartialReports())
+    assert len(client.waits) > 2 and set(client.waits) == {0.0}
--- a/tests/host/test_owner.py
+++ b/tests/host/test_owner.py
@@ -34,8 +34,9 @@
 
 
 class FakeFeed:
-    def __init__(self, failing):
+    def __init__(self, failing, behind=False):
         self.failing = failing
+        self.behind = behind
 
 
 def test_successor_cannot_recover_while_an_inbox_partition_fails():
--- a/tests/host/test_submissions.py
+++ b/tests/host/test_submissions.py
@@ -1,5 +1,7 @@
 """Check that no organisation replaces a job of another with the same ID."""
 
+import dataclasses
+
 import curio
 import msgspec
 import pytest
@@ -109,3 +111,22 @@
     jobs = [(JOB_ID, record)]
     assert recovered([first], jobs, others=[other]) == 'o1'
     assert recovered([other], jobs, others=[first]) == 'o1'
+
+
+def test_job_behind_many_others_in_the_inbox_is_found():
+    """Guards against a 410 for an accepted job that the first read lacks."""
+
+    class PagedStore(inbox_cell.LogStore):
+        async def read(self, topic, start, wait, timeout, part=0, began=None):
+            batch = await super().read(topic, start, wait, timeout, part)
+            return dataclasses.replace(batch, records=batch.records[:1])
+
+    async def scenario():
+        cell = inbox_cell.Cell()
+        cell.store = PagedStore()
+        await cell.succeed()
+        for number in range(3):
+            cell.submit(job_id=f'{number:016x}')
+        return await cell.owner.query_job_state(f'{2:016x}', 'o1')
+
+    assert curio.run(scenario) is inbox_cell.QUEUED
--- a/tests/host/test_tailing.py
+++ b/tests/host/test_tailing.py
@@ -95,3 +95,67 @@
     assert feed.applied == [b'a', b'b']
     (event,) = ctx.log.named('record_left_out')
     assert event['offset'] == 1
+
+
+class PagedStore:
+    """Serve one record a read, as a store does with large records."""
+
+    def __init__(self, records):
+        self.records = records
+        self.reads = 0
+
+    async def read(self, topic, start, wait, timeout, part, began):
+        self.reads += 1
+        page = self.records[start : start + 1]
+        return store.Batch(start, page, 0, len(self.records))
+
+
+class RecordingTail(EmptyTail):
+    def __init__(self, ctx):
+        super().__init__(ctx)
+        self.applied = []
+
+    async def apply(self, offset, record):
+        self.applied.append(record)
+
+
+def test_topic_is_read_to_its_end_page_by_page():
+    """Guards against a 410 for a job whose record is on a later page."""
+    tail = RecordingTail(fakes.make_context(PagedStore([b'a', b'b', b'c'])))
+    curio.run(tail.read_once, 0.0)
+    assert tail.behind
+    curio.run(tail.read_to_end)
+    assert tail.applied == [b'a', b'b', b'c'] and not tail.behind
+
+
+def test_record_written_before_a_read_to_the_end_isnt_missed():
+    """Guards against a read that drops its records, as another was faster."""
+
+    class Overtaken(PagedStore):
+        async def read(self, topic, start, wait, timeout, part, began):
+            batch = await super().read(
+                topic, start, wait, timeout, part, began
+            )
+            if self.reads == 1:  # an earlier read applies the first record
+                tail.offset = 1
+            return batch
+
+    tail = RecordingTail(fakes.make_context(Overtaken([b'a', b'b'])))
+    curio.run(tail.read_to_end)
+    assert tail.applied == [b'b']
+
+
+def test_read_to_the_end_gives_up_without_progress():
+    class Stuck(PagedStore):
+        async def read(self, topic, start, wait, timeout, part, began):
+            return store.Batch(start, [], 0, 2)
+
+    tail = RecordingTail(fakes.make_context(Stuck([])))
+    try:
+        curio.run(tail.read_to_end)
+    except curio.TaskError as exc:
+        assert isinstance(exc.__cause__, exceptions.StoreOutcomeUnknown)
+    except exceptions.StoreOutcomeUnknown:
+        pass
+    else:
+        raise AssertionError('the missing records went unnoticed')
--- a/tests/platform/soak/endpoint.py
+++ b/tests/platform/soak/endpoint.py
@@ -39,6 +39,8 @@
     then calls `on_reboot`.
     """
 
+    page_ends = layout.MAX_LISTED_ENDS
+
     def __init__(
         self,
         number: int,
--- a/tests/platform/soak/hosted.py
+++ b/tests/platform/soak/hosted.py
@@ -21,6 +21,8 @@
 from hibiscusslip.host import endpoint_session
 from hibiscusslip.host import front
 from hibiscusslip.host import host
+from hibiscusslip.platform import documents
+from tests.platform.soak import layout
 
 SHIFT_VARIABLE = 'SOAK_CLOCK_SHIFT_FILE'
 BUG_VARIABLE = 'SOAK_PLANTED'
@@ -113,6 +115,11 @@
     )
 
 
+def take_partial_reports_for_whole() -> None:
+    """Take the first ended runs in a report for all of them."""
+    documents.MAX_LISTED_ENDS = sys.maxsize
+
+
 BUGS: dict[str, typing.Callable[[], None]] = {
     'lease': no_lease_check,
     'early-note': acknowledge_before_commit,
@@ -122,9 +129,11 @@
     'endless-crashes': never_give_up,
     'kept-keys': keep_keys,
     'limit-per-step': limit_each_step,
+    'partial-ends': take_partial_reports_for_whole,
 }
 
 if __name__ == '__main__':
+    documents.MAX_LISTED_ENDS = layout.MAX_LISTED_ENDS
     shift_clock(os.environ[SHIFT_VARIABLE])
     bug = os.environ.get(BUG_VARIABLE, '')
     if bug:
--- a/tests/platform/soak/layout.py
+++ b/tests/platform/soak/layout.py
@@ -18,6 +18,7 @@
 DEADLY_SPEC = 'deadly'  # of jobs whose first task crashes its endpoints
 CRASH_DOWN_S = 1.5
 MAX_LEASE_MS = 6000
+MAX_LISTED_ENDS = 3  # in one report of an endpoint, so that many are partial
 FAULT_PHASE_S = 18.0
 COMPLETION_TIMEOUT_S = 45.0  # for all accepted jobs to end, after the faults
 # A task that crashes endpoints is given up after its fourth start as a rule.
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -197,9 +197,12 @@
     `mode` is the fault that is injected; '' is none. With 'deaf' it handles
     start requests but doesn't respond to them, with 'dark' it handles no
     request at all. A start of a task whose name ends with one of `deadly`
-    crashes it: it is 'dark' until `reboot`.
+    crashes it: it is 'dark' until `reboot`. A report lists `page_ends` ended
+    runs at most.
     """
 
+    page_ends = 500
+
     def __init__(self, name, run_s=0.1):
         self.name = name
         self.run_s = run_s
@@ -306,7 +309,7 @@
             {
                 'ClockMs': self.clock_ms(),
                 'Running': running,
-                'Ended': self.ended,
+                'Ended': self.ended[: self.page_ends],
                 'born': self.born,
             },
         )
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -259,6 +259,42 @@
     with_store(scenario)
 
 
+@pytest.mark.parametrize('broken', ['empty', 'missing'])
+def test_list_that_ends_before_its_last_page_raises(broken):
+    """Guards against taking the entries so far for all that there are."""
+
+    class BrokenPages(standin.Store):
+        def _newest(self, req, part):
+            if not req.query.get('DependsOn', ''):
+                return super()._newest(req, part)
+            if broken == 'missing':
+                return standin.json_response(404)
+            return standin.json_response(
+                200, {'items': [], 'MorePages': True, 'End': 8}
+            )
+
+    async def scenario(handler, client):
+        for number in range(8):
+            handler.put('keyed.t', f'k{number}', b'v')
+        with pytest.raises(exceptions.PlatformError):
+            await client.newest('keyed.t', 1)
+
+    with_store(scenario, BrokenPages())
+
+
+@pytest.mark.parametrize(
+    'ends, complete', [(0, True), (499, True), (500, False)]
+)
+def test_report_with_a_full_page_of_ends_is_partial(ends, complete):
+    """Guards against taking the first ends of an endpoint for all of them."""
+    rows = ','.join(
+        f'[{n},"j.0.0.{n}",1,"done",""]' for n in range(1, 1 + ends)
+    )
+    body = f'{{"ClockMs":1,"Running":[],"Ended":[{rows}],"born":1}}'
+    report = documents.read_endpoint_report(body.encode())
+    assert report.ends_complete is complete
+
+
 def test_read_of_trimmed_history_raises():
     async def scenario(handler, client):
         await client.append('t', [b'a', b'b'], 1)
