Log and measure how long a task holds the event loop

Each turn of a task on the loop is timed: turns of 10 ms or more go into the histogram `loop_hold` and the longest into a gauge; from 100 ms on `loop_held` names the task, the time and the processor time, which tells a host that computes from a machine that didn't run it.

--- a/hibiscusslip/host/__main__.py
+++ b/hibiscusslip/host/__main__.py
@@ -11,6 +11,7 @@
 from hibiscusslip.host import call_load
 from hibiscusslip.host import context
 from hibiscusslip.host import host
+from hibiscusslip.host import loop_watch
 from hibiscusslip.host import options
 from hibiscusslip.host import ownership
 from hibiscusslip.http import connection_budget
@@ -42,7 +43,8 @@
         return EXIT_SETTINGS
     logs.configure('WARNING', True, cfg.name)
     ctx = make_context(cfg, chosen)
-    curio.run(host.Host(ctx, secret, path).run)
+    watch = loop_watch.LoopWatch(ctx)
+    curio.run(host.Host(ctx, secret, path).run, activations=[watch])
     return 0 if ctx.stopping else EXIT_LOOP_ENDED
 
 
