Bound the calls that one job has an owner make at a time

Seen in a trial with two real hosts, an endpoint stand-in each for 8 endpoints and the largest valid jobs, one after the other, on: no task held the loop for more than 0.35 s, but a job of 10,000 tasks still cost two to thirteen owners: thousands of calls were ready at once, each of which only waited for the others, and every end had a report of 1,250 rows read again.

Change: a pass decides no more starts than 500 that aren't answered, as later ones would expire before they are sent; 200 stops and paces are sent at a time; reports that list many runs are read less often; the writer makes a pause after more than 256 KiB. The members of a gang are stopped once when one is missed: each missing one had all others stopped again, up to 3.0 s in one turn.

A gang of that size still can't start, as its starts expire while they are sent.

--- a/hibiscusslip/dispatch/_job_state.py
+++ b/hibiscusslip/dispatch/_job_state.py
@@ -115,7 +115,8 @@
     reply of the advice service. `asked_about` are all endpoints that it was
     asked about, `eligible` those that may run the step. While
     `advice_pending`, and before `next_advice_at`, it isn't asked again, and
-    before `next_widening_at` not about more endpoints. It is `hopeless` if
+    before `next_widening_at` not about more endpoints. The members of a gang
+    were stopped in `stopped_run`, as one was missing. It is `hopeless` if
     none of its waiting tasks could run on the present pool.
     """
 
@@ -132,6 +133,7 @@
     next_widening_at: float = 0.0
     failures: int = 0
     failed_run: int = 0
+    stopped_run: int = 0
     checkpoint: str = ''
     done_count: int = 0
     waiting_since: float = 0.0
--- a/hibiscusslip/dispatch/_lost_runs.py
+++ b/hibiscusslip/dispatch/_lost_runs.py
@@ -98,7 +98,13 @@
 def _stop_gang(
     engine: 'engines.Engine', step: state.StepState, run: int, now: float
 ) -> None:
-    """Stop the other members of a gang, which can't run without this one."""
+    """Stop the other members of a gang, which can't run without this one.
+
+    All are stopped when the first one is missed; reports repeat their stops.
+    """
+    if step.stopped_run == run:
+        return
+    step.stopped_run = run
     for member in step.tasks:
         if member.status.placed and member.run == run:
             engine.stop(member, 'a member of its gang is missing', now)
--- a/hibiscusslip/dispatch/_planning.py
+++ b/hibiscusslip/dispatch/_planning.py
@@ -64,6 +64,8 @@
         for rank, step in ranked:
             may_continue = True
             while may_continue and _may_plan(current, step):
+                if engine.starts_left <= 0:
+                    return  # less urgent steps mustn't go first
                 may_continue = _plan_ranked(current, step, rank)
                 yield True
         self._finish(ranked)
@@ -190,8 +192,8 @@
 
     Returns True if as many were started as one piece of the pass may start.
     """
-    now = current.now
-    needs_advice = current.engine.queue_of(step.job).advice is not None
+    engine, now = current.engine, current.now
+    needs_advice = engine.queue_of(step.job).advice is not None
     tasks = _startable(current, step)
     if not tasks or (needs_advice and step.tickets is None):
         return False
@@ -205,7 +207,7 @@
         )
         piece = startable
         if not step.spec.all_or_none:
-            piece = startable[:STARTED_IN_PIECE]
+            piece = startable[: min(STARTED_IN_PIECE, engine.starts_left)]
         started = _place_tasks(
             current,
             step,
@@ -366,8 +368,11 @@
 ) -> None:
     newest = max(task.run for task in step.tasks)
     planned = _scheduling_pass.plan_run(current, step)
+    reserved = current.reserved
     for choice in choices:
-        if not current.reserved.take(choice.candidate, planned, current.now):
+        if reserved.until and not reserved.take(
+            choice.candidate, planned, current.now
+        ):
             continue  # it is left for another pass
         run = task_runs.next_run(choice.task)
         if step.spec.gang:
--- a/hibiscusslip/dispatch/_starts.py
+++ b/hibiscusslip/dispatch/_starts.py
@@ -34,6 +34,8 @@
     checkpoint = step.checkpoint if step.spec.gang else task.checkpoint
     allocation.measurable = not checkpoint
     ticket = (step.tickets or {}).get(endpoint.name)
+    current.engine.starts_decided += 1
+    current.engine.starts_left -= 1
     current.engine.dirty.add(step.job.job_id)
     current.engine.starts.append(
         commands.Start(
--- a/hibiscusslip/dispatch/engine.py
+++ b/hibiscusslip/dispatch/engine.py
@@ -1,6 +1,7 @@
 """Turn jobs, endpoint reports and the time into starts and stops."""
 
 import collections.abc
+import sys
 import typing
 
 from hibiscusslip.dispatch import _attempts
@@ -58,7 +59,8 @@
     organisation has running; its limit may be exceeded by the share
     `limit_overage` as far as `limits.count_startable` says. Its rate of jobs
     is judged over `entitlement_window` seconds. `held_tasks` have failed and
-    wait until it is known how many attempts they have.
+    wait until it is known how many attempts they have. `starts_decided` is the
+    number of starts so far; passes decide at most `starts_left` more.
     """
 
     def __init__(
@@ -97,6 +99,8 @@
         self.ledger = usage.Ledger()
         self.limiter = _limiter.Limiter(self.ledger, note, limit_overage)
         self.held_tasks: dict[str, state.Task] = {}
+        self.starts_decided = 0
+        self.starts_left = sys.maxsize
         self._accepted_queues: dict[model.Queue, model.Queue] = {}
         self._unclassified: list[tuple[float, state.Job]] = []
 
--- a/hibiscusslip/host/endpoint_session.py
+++ b/hibiscusslip/host/endpoint_session.py
@@ -205,6 +205,10 @@
             await self.wakeup.wait(self._get_timing().idle_pause(self.name))
         elif now - sent < MIN_POLL_GAP_S:
             await curio.sleep(MIN_POLL_GAP_S)
+        gap = self._get_timing().report_gap(len(endpoint.allocations))
+        left = sent + gap - context.monotonic()
+        if left > 0:
+            await curio.sleep(left)
 
     async def _await_commit(
         self, endpoint: state.Endpoint, sent: float, now: float
--- a/hibiscusslip/host/owner.py
+++ b/hibiscusslip/host/owner.py
@@ -1,7 +1,9 @@
 """Own the cell: accept jobs, place their tasks and track the runs."""
 
+import collections.abc
 import dataclasses
 import functools
+import typing
 
 import curio
 
@@ -32,6 +34,8 @@
 from hibiscusslip.http import addresses
 from hibiscusslip.platform import exceptions
 
+Command = typing.TypeVar('Command', commands.Stop, commands.Pace)
+
 PLAN_IDLE_S = 0.1
 PLAN_GAP_S = 0.01
 MAX_UPLINK_BACKLOG_S = 0.5  # with which starts are still decided
@@ -42,6 +46,9 @@
 LOAD_PERIOD_S = 1.0
 STOP_FLUSH_S = 0.5
 START_MARGIN_S = 0.3  # from the decision or the record to the last repeat
+# More calls at a time would only wait for each other.
+MAX_PENDING_STARTS = 500
+MAX_PENDING_COMMANDS = 200  # stops and paces
 
 
 class Owner:
@@ -82,6 +89,8 @@
         self._poll_timing = poll_timing.PollTiming()
         self._first_polls = first_polls.FirstPolls(ctx, epoch)
         self.intake = job_intake.JobIntake(self)
+        self._starts_finished = 0
+        self._pending_commands = 0
 
     def _new_engine(self) -> engines.Engine:
         bounds = self.ctx.cfg.bounds
@@ -303,6 +312,7 @@
 
         The rest of a pass is left out once nothing may be started any more.
         """
+        self._limit_starts()
         planning = self.engine.begin_plan(
             now, context.wall_time(), self._knows_capacities(now)
         )
@@ -315,8 +325,17 @@
             now = context.monotonic()
             if not self._may_plan(now) or not self._knows_capacities(now):
                 return
+            self._limit_starts()
             planning.refresh(now)
 
+    def _limit_starts(self) -> None:
+        """Have no more starts decided than can be sent before they expire."""
+        engine = self.engine
+        pending = engine.starts_decided - self._starts_finished
+        engine.starts_left = MAX_PENDING_STARTS - pending
+        if engine.starts_left <= 0:
+            self.ctx.metrics.count('passes_held_back')
+
     def _configure(self) -> None:
         config = self.ctx.config
         is_new = config is not self.engine.config
@@ -353,22 +372,47 @@
         engine = self.engine
         if engine.dirty or engine.starts:
             await self._writer.wakeup.set()
-        work = slices.Slices()
-        stops, engine.stops = engine.stops, []
-        for stop in stops:
+        for stop in self._take_commands(engine.stops):
             session = self._sessions.get(stop.endpoint)
             if session is not None:
-                await curio.spawn(session.send_stop, stop, daemon=True)
-            await work.pause_if_due()
-        paces, engine.paces = engine.paces, []
-        for pace in paces:
+                await self._spawn_command(session.send_stop, stop)
+        for pace in self._take_commands(engine.paces):
             session = self._sessions.get(pace.endpoint)
             if session is not None:
-                await curio.spawn(session.send_pace, pace, daemon=True)
+                await self._spawn_command(session.send_pace, pace)
         advice_requests, engine.advice_requests = engine.advice_requests, []
         for request in advice_requests:
             await curio.spawn(self._request_advice, request, daemon=True)
 
+    def _take_commands(self, commands: list[Command]) -> list[Command]:
+        """Remove and return the first commands, as many as may be sent now."""
+        count = max(MAX_PENDING_COMMANDS - self._pending_commands, 0)
+        taken = commands[:count]
+        del commands[:count]
+        return taken
+
+    async def _spawn_command(
+        self,
+        send: collections.abc.Callable[
+            [Command], collections.abc.Awaitable[None]
+        ],
+        command: Command,
+    ) -> None:
+        self._pending_commands += 1
+        await curio.spawn(self._send_command, send, command, daemon=True)
+
+    async def _send_command(
+        self,
+        send: collections.abc.Callable[
+            [Command], collections.abc.Awaitable[None]
+        ],
+        command: Command,
+    ) -> None:
+        try:
+            await send(command)
+        finally:
+            self._pending_commands -= 1
+
     async def _request_advice(self, request: commands.AdviceRequest) -> None:
         asked_at = context.monotonic()
         try:
@@ -400,13 +444,31 @@
             now = context.monotonic()
             session = self._sessions.get(start.endpoint)
             if session is None:
-                self.engine.revert_start(start, 'endpoint gone', now)
+                self._revert_start(start, 'endpoint gone', now)
             elif not self._knows_capacities(now):
-                self.engine.revert_start(start, 'capacity unknown', now)
+                self._revert_start(start, 'capacity unknown', now)
             elif not self.engine.still_fits(start):
-                self.engine.revert_start(start, 'room', now)
+                self._revert_start(start, 'room', now)
             else:
-                await curio.spawn(session.send_start, start, daemon=True)
+                await curio.spawn(
+                    self._send_start, session, start, daemon=True
+                )
+
+    def _revert_start(
+        self, start: commands.Start, reason: str, now: float
+    ) -> None:
+        self._starts_finished += 1
+        self.engine.revert_start(start, reason, now)
+
+    async def _send_start(
+        self,
+        session: endpoint_session.EndpointSession,
+        start: commands.Start,
+    ) -> None:
+        try:
+            await session.send_start(start)
+        finally:
+            self._starts_finished += 1
 
     async def _report_load_and_set_timing(self) -> None:
         """Log the load, publish metrics and set the timing of polls."""
@@ -424,7 +486,11 @@
         self.ctx.ownership.set_endpoints(len(endpoints))
         unresponsive = sum(not endpoint.responsive for endpoint in endpoints)
         self._poll_timing = poll_timing.derive(
-            busy, idle, self.engine.lease, unresponsive
+            busy,
+            idle,
+            self.engine.lease,
+            unresponsive,
+            sum(len(endpoint.allocations) for endpoint in endpoints),
         )
         self.ctx.metrics.gauge('long_poll', self._poll_timing.long_poll)
 
--- a/hibiscusslip/host/poll_timing.py
+++ b/hibiscusslip/host/poll_timing.py
@@ -19,6 +19,9 @@
 MAX_RETRY_PAUSE_S = 1.25
 # This host was late if a poll fails more than this after its time-outs.
 LATENESS_S = 0.25
+MAX_LISTED_RUNS_PER_S = 20_000  # by all endpoints in all reports
+GAP_PER_RUN_S = 0.001
+MAX_REPORT_GAP_S = 0.5
 RENEWALS_PER_LEASE = 3
 # From the end of the wait to the next poll, which the time-out of a poll and a
 # busy owner delay.
@@ -32,13 +35,24 @@
     `long_poll` is the longest wait of a long poll, `idle_poll` the pause
     between idle polls, and `retry_pause` the one before another poll of an
     unresponsive endpoint, in s. `excuses_lateness` is set if polls that this
-    host was late to make aren't counted against their endpoints.
+    host was late to make aren't counted against their endpoints. All endpoints
+    have `runs` runs, which their reports list.
     """
 
     long_poll: float = LONG_POLL_S
     idle_poll: float = IDLE_POLL_S
     retry_pause: float = RETRY_PAUSE_S
     excuses_lateness: bool = False
+    runs: int = 0
+
+    def report_gap(self, listed: int) -> float:
+        """Return the time from one poll to the next that lists so many runs.
+
+        Where runs end all the time a long poll returns at once, and each
+        report lists all the others, too.
+        """
+        gap = min(self.runs / MAX_LISTED_RUNS_PER_S, listed * GAP_PER_RUN_S)
+        return min(gap, MAX_REPORT_GAP_S)
 
     def idle_pause(self, name: str) -> float:
         """Return the pause between two polls of one idle endpoint.
@@ -52,9 +66,9 @@
 
 
 def derive(
-    busy: int, idle: int, lease: float, unresponsive: int = 0
+    busy: int, idle: int, lease: float, unresponsive: int = 0, runs: int = 0
 ) -> PollTiming:
-    """Return the timing for so many endpoints with and without runs.
+    """Return the timing for so many endpoints with and without `runs` runs.
 
     `unresponsive` of them don't respond. Beyond USUAL_ENDPOINTS the number of
     polls per second stays the same, until each lease, which lasts `lease`
@@ -66,6 +80,7 @@
         _stretch(IDLE_POLL_S, idle, MAX_IDLE_POLL_S),
         _stretch(RETRY_PAUSE_S, unresponsive, MAX_RETRY_PAUSE_S),
         busy + idle > USUAL_ENDPOINTS,
+        runs,
     )
 
 
--- a/hibiscusslip/host/writer.py
+++ b/hibiscusslip/host/writer.py
@@ -24,6 +24,8 @@
 MAX_RETRY_PAUSE_S = 0.3
 MAX_APPEND_BYTES = 1_000_000  # the store accepts at most twice that
 MAX_RECORD_BYTES = 262_144  # the store accepts no larger record
+# The record of a large job is written anew for each of its runs that ends.
+MAX_RECORD_BYTES_PER_S = 4_000_000
 IDLE_S = 1.0
 FAILURE_MEMORY_S = 1.5
 
@@ -106,7 +108,9 @@
                 or self._ended_jobs
                 or self._retirements
             ):
-                await self._write()
+                written = await self._write()
+                if written > MAX_RECORD_BYTES:
+                    await curio.sleep(written / MAX_RECORD_BYTES_PER_S)
 
     async def flush(self, timeout: float) -> None:
         """Wait until everything is written, at most `timeout` seconds."""
@@ -136,8 +140,11 @@
         self._handle_retired = handle_retired
         await self.wakeup.set()
 
-    async def _write(self) -> None:
-        """Append all changes and deletions, then send the starts."""
+    async def _write(self) -> int:
+        """Append all changes and deletions, then send the starts.
+
+        Returns the number of bytes.
+        """
         engine = self._engine
         starts, engine.starts = engine.starts, []
         cursors = engine.handled_cursors()
@@ -154,14 +161,16 @@
             self.writing_since = 0.0
         engine.confirm_records(written, cursors)
         await self._send_starts(starts)
+        size = sum(map(len, batch)) + sum(map(len, removals))
         if not removals:
-            return
+            return size
         if await self._repeat_in_other_partition(
             removals, parts, bool(retirements)
         ):
             self._handle_retired(list(retirements))
         else:
             engine.dirty.update(retirements.keys() & engine.jobs.keys())
+        return size
 
     def _encode_retirements(
         self, retirements: dict[str, retirement_records.Retirement]
--- a/tests/dispatch/test_many_occurrences.py
+++ b/tests/dispatch/test_many_occurrences.py
@@ -80,3 +80,14 @@
     assert bench.plan() == []
     (stop,) = bench.stops()
     assert (stop.task, stop.run) == (start.task.name, start.run)
+
+
+def test_members_of_a_gang_are_stopped_once():
+    """Guards against as many stops as the square of a large gang."""
+    bench = support.Bench()
+    bench.endpoint('e1', cpu=50_000, memory=50_000)
+    bench.submit('j', support.step(50, gang=True))
+    starts = bench.plan()
+    for start in starts[:20]:
+        bench.engine.revert_start(start, 'too old to send', bench.now)
+    assert len(bench.stops()) <= 50
--- a/tests/host/test_poll_timing.py
+++ b/tests/host/test_poll_timing.py
@@ -59,3 +59,14 @@
     """Else silent endpoints of present deployments are found later."""
     assert not poll_timing.derive(300, 300, 5.9).excuses_lateness
     assert poll_timing.derive(300, 301, 5.9).excuses_lateness
+
+
+def test_long_reports_are_read_less_often():
+    """Guards against an owner that reads thousands of rows all the time."""
+    few = poll_timing.derive(27, 0, 5.9, runs=400)
+    assert few.report_gap(15) <= 0.02  # as often as ever
+    crowded = poll_timing.derive(8, 0, 5.9, runs=10_000)
+    rows_per_s = 8 * 1250 / crowded.report_gap(1250)
+    assert rows_per_s <= poll_timing.MAX_LISTED_RUNS_PER_S
+    large = poll_timing.derive(2500, 0, 5.9, runs=11_000)
+    assert large.report_gap(5) <= 0.02
--- a/tests/host/test_slices.py
+++ b/tests/host/test_slices.py
@@ -3,6 +3,7 @@
 import curio
 import pytest
 
+from hibiscusslip.dispatch import commands
 from hibiscusslip.dispatch import engine as engines
 from hibiscusslip.dispatch import records
 from hibiscusslip.host import cancellations
@@ -201,3 +202,46 @@
 
     curio.run(apply_both)
     assert applied == list(range(20))
+
+
+def test_no_more_starts_are_decided_than_can_be_sent():
+    """Guards against thousands of calls that only wait for each other."""
+    local_owner = make_owner()
+    submit_jobs(local_owner)
+    now = context.monotonic()
+    engine = local_owner.engine
+    local_owner._starts_finished = 7 - owner.MAX_PENDING_STARTS
+    curio.run(local_owner._run_pass, now)
+    assert len(engine.starts) == 7
+    curio.run(local_owner._run_pass, now)
+    assert len(engine.starts) == 7
+    curio.run(local_owner._send_starts, engine.starts)  # there is no session
+    assert local_owner._starts_finished == 14 - owner.MAX_PENDING_STARTS
+    curio.run(local_owner._run_pass, now)
+    assert engine.starts_decided == 14
+
+
+def test_stops_are_sent_a_few_at_a_time():
+    local_owner = make_owner()
+    sent = []
+
+    class Session:
+        async def send_stop(self, stop):
+            sent.append(stop)
+
+    local_owner._sessions['e1'] = Session()
+    stops = [
+        commands.Stop('e1', f'{number}', 1, 'cancelled')
+        for number in range(owner.MAX_PENDING_COMMANDS + 1)
+    ]
+    local_owner.engine.stops = list(stops)
+
+    async def dispatch():
+        await local_owner._dispatch_commands()
+        assert local_owner.engine.stops == stops[-1:]
+        await curio.sleep(0.01)
+        await local_owner._dispatch_commands()
+        await curio.sleep(0.01)
+
+    curio.run(dispatch)
+    assert sent == stops and not local_owner._pending_commands
