Keep no capacity back for long from work that must run

Cause: the CPU that is kept free for urgent queues was kept from tasks that last, too, and nothing that ends makes room beyond it. The rule that was broken: for 3 s, with capacity for it twice over, a task that lasts must run, however full its service is; and a job must have something running while less than half of the service is in use. No reason to keep capacity back said for how long it may.

Change: tasks that last may use the headroom. For all other reasons there is one bound: a step that has waited for 1 s beside room for twice as much, on endpoints that it may use, starts there, if its tasks last, or if nothing of its job runs and less than half of the service's CPU is in use. A new owner begins the wait anew. Endpoints that are silent, withheld or suspected still get nothing, nor do tasks that wait until a former start can't be carried out late, or until it is known whether they crash endpoints. Event and metric `keeping_ended` tell which reasons had held.

--- a/hibiscusslip/dispatch/_endpoint_state.py
+++ b/hibiscusslip/dispatch/_endpoint_state.py
@@ -118,14 +118,20 @@
 
     def usable(self, now: float) -> bool:
         """Return True if new runs may be started on this endpoint."""
+        return (
+            self.reachable()
+            and now >= self.quarantined_until
+            and now >= self.full_until
+        )
+
+    def reachable(self) -> bool:
+        """Return True if it stays and would answer to a start."""
         return (
             self.entry is not None
             and not self.entry.draining
             and self.polled
             and self.responsive
             and not self.withheld
-            and now >= self.quarantined_until
-            and now >= self.full_until
         )
 
     def free_capacity(self) -> model.Demand:
--- a/hibiscusslip/dispatch/_job_state.py
+++ b/hibiscusslip/dispatch/_job_state.py
@@ -116,8 +116,9 @@
     asked about, `eligible` those that may run the step. While
     `advice_pending`, and before `next_advice_at`, it isn't asked again, and
     before `next_widening_at` not about more endpoints. The members of a gang
-    were stopped in `stopped_run`, as one was missing. It is `hopeless` if
-    none of its waiting tasks could run on the present pool.
+    were stopped in `stopped_run`, as one was missing. Since `kept_back_since`
+    capacity that its tasks could use is kept for others, 0 for none. It is
+    `hopeless` if none of its waiting tasks could run on the present pool.
     """
 
     job: 'Job'
@@ -137,6 +138,7 @@
     checkpoint: str = ''
     done_count: int = 0
     waiting_since: float = 0.0
+    kept_back_since: float = 0.0
     hopeless: bool = False
 
     @property
--- a/hibiscusslip/dispatch/_planning.py
+++ b/hibiscusslip/dispatch/_planning.py
@@ -5,6 +5,7 @@
 
 from hibiscusslip.dispatch import _attempts
 from hibiscusslip.dispatch import _copy_starts
+from hibiscusslip.dispatch import _kept_back
 from hibiscusslip.dispatch import _learned_planning
 from hibiscusslip.dispatch import _reservations
 from hibiscusslip.dispatch import _scheduling_pass
@@ -104,6 +105,7 @@
     for name, pool in services.items():
         candidates[name].update(pool, suspicions, now)
     _scheduling_pass.compute_spare(current)
+    _scheduling_pass.find_half_free(current)
     for service in services:
         entries = (c.entry for c in candidates[service].all)
         engine.shares.update(engine.config, service, entries, now)
@@ -130,7 +132,9 @@
     engine = current.engine
     if rank.beyond and _scheduling_pass.lacks_spare(current, step):
         _log_yielding(current, step, rank)
-        return False  # tickets would expire before there is capacity
+        _start_kept_back(current, step)
+        if not _kept_back.is_kept_back(step, current.now):
+            return False  # tickets would expire before there is capacity
     if step.ready and _plan_step(current, step, rank):
         return True
     if engine.queue_of(step.job).advice is None:
@@ -218,6 +222,7 @@
         if len(piece) < len(startable) and started == len(piece):
             return True
     _log_yielding(current, step, rank)
+    _start_kept_back(current, step)
     request = _reservations.Request(
         step,
         sum(task.status is state.Status.WAITING for task in tasks),
@@ -228,6 +233,31 @@
     return False
 
 
+def _start_kept_back(
+    current: _scheduling_pass.Pass, step: state.StepState
+) -> None:
+    """Start tasks from which free capacity was kept back for too long."""
+    if not step.ready or step.job.service not in current.candidates:
+        return
+    needs_advice = current.engine.queue_of(step.job).advice is not None
+    if needs_advice and step.tickets is None:
+        return
+    admitting = (
+        advice_planning.endpoints_admitting(step, current.now)
+        if needs_advice
+        else None
+    )
+    waiting = [task for task in _startable(current, step) if not task.on_trial]
+    choices = _kept_back.update(current, step, waiting, admitting)
+    run = 1 + max(task.run for task in step.tasks)
+    for choice in choices:
+        _start(current, step, choice, run if step.spec.gang else _next(choice))
+
+
+def _next(choice: placement.Choice) -> int:
+    return task_runs.next_run(choice.task)
+
+
 def _claim_capacity(
     current: _scheduling_pass.Pass,
     request: _reservations.Request,
--- a/hibiscusslip/dispatch/_scheduling_pass.py
+++ b/hibiscusslip/dispatch/_scheduling_pass.py
@@ -23,8 +23,10 @@
     the CPU to keep free for them and `spare` to that which other queues may
     use, both in thousandths of a core. `reserved` are the endpoints reserved
     for large steps, `largest` are the largest demands of each service if
-    endpoints' speeds are considered. `contended` maps a service to the lowest
-    share level among its ready steps that are within their entitlement.
+    endpoints' speeds are considered. `half_free` are the services of which
+    less than half of the CPU is in use, `jobs_with_runs` tells of some jobs
+    whether they have any. `contended` maps a service to the
+    lowest share level among its ready steps that are within their entitlement.
     """
 
     engine: 'engines.Engine'
@@ -34,6 +36,8 @@
     spare: dict[str, float] = dataclasses.field(default_factory=dict)
     headroom: dict[str, float] = dataclasses.field(default_factory=dict)
     urgent: dict[str, int] = dataclasses.field(default_factory=dict)
+    half_free: set[str] = dataclasses.field(default_factory=set)
+    jobs_with_runs: dict[str, bool] = dataclasses.field(default_factory=dict)
     reserved: _reservations.Reservations = dataclasses.field(
         default_factory=_reservations.Reservations
     )
@@ -46,6 +50,16 @@
     )
 
 
+def find_half_free(current: Pass) -> None:
+    """Find the services of which less than half of the CPU is in use."""
+    current.half_free = {
+        service
+        for service, pool in current.services.items()
+        if 2 * sum(e.used.cpu for e in pool)
+        < sum(e.entry.capacity.cpu for e in pool if e.entry is not None)
+    }
+
+
 def compute_spare(current: Pass) -> None:
     """Compute for each service the CPU that non-urgent queues may use."""
     engine = current.engine
@@ -80,12 +94,15 @@
 
 
 def may_use_headroom(current: Pass, step: state.StepState) -> bool:
-    """Return True if the headroom isn't kept free of a step."""
+    """Return True if the headroom isn't kept free of a step.
+
+    Tasks that last may use it, as nothing that ends makes room for them.
+    """
     urgent = current.urgent.get(step.job.service)
     spec = step.spec
     if urgent is None or not spec.allocated_demand.cpu:
         return True
-    if spec.demand.accelerators:
+    if spec.demand.accelerators or spec.long_running:
         return True
     is_urgent = current.engine.queue_of(step.job).priority <= urgent
     return is_urgent and step.job.within_entitlement
@@ -95,7 +112,7 @@
     """Return True if no task of a step beyond an entitlement may start."""
     if step.job.service not in current.spare:
         return False
-    if step.spec.demand.accelerators:
+    if step.spec.demand.accelerators or step.spec.long_running:
         return False
     return _spare_for(current, step) < step.spec.allocated_demand.cpu
 
--- a/hibiscusslip/dispatch/candidate_pool.py
+++ b/hibiscusslip/dispatch/candidate_pool.py
@@ -115,12 +115,14 @@
     They are kept between passes. `max_endpoint_cpu` is the CPU of the largest
     endpoint of the pool, usable or not, allocated or not, `max_capacity` the
     largest amount of each resource that one has and `labels` all their labels,
-    draining ones left out. With `has_trials` a run may be on trial.
+    draining ones left out. With `has_trials` a run may be on trial. Endpoints
+    that are `distrusted` would answer, but are in a quarantine or a back-off.
     """
 
     def __init__(self) -> None:
         self.pool: list[state.Endpoint] = []
         self.all: list[Candidate] = []
+        self.distrusted: list[Candidate] = []
         self.has_trials = False
         self.max_endpoint_cpu = 0
         self.max_capacity = model.Demand()
@@ -147,6 +149,13 @@
         if self._update_listed(suspicions, now):
             self.all = [item for item in self._listed if item.usable]
             self._by_name = {item.endpoint.name: item for item in self.all}
+        self.distrusted = [
+            item
+            for item in self._listed
+            if not item.usable
+            and item.endpoint.reachable()
+            and suspicions.allows(item.endpoint)
+        ]
         self.has_trials = any([item.endpoint.trials for item in self.all])
         self._largest = model.Demand(
             max([item.cpu for item in self.all], default=-1),
--- a/hibiscusslip/dispatch/placement.py
+++ b/hibiscusslip/dispatch/placement.py
@@ -69,6 +69,27 @@
     return _place_by_cost(step, tasks, candidates, preference)
 
 
+def choose_some(
+    step: state.StepState,
+    tasks: list[state.Task],
+    candidates: list[candidate_pool.Candidate],
+) -> list[Choice]:
+    """Choose candidates for as many tasks as fit, whatever their step asks."""
+    return _place_by_cost(step, tasks, candidates, preferences.NONE)
+
+
+def count_fitting(
+    step: state.StepState, candidates: list[candidate_pool.Candidate]
+) -> int:
+    """Return how many tasks of a step could start on candidates now."""
+    demand = step.spec.allocated_demand
+    placed = _count_by_endpoint(step)
+    return sum(
+        _Option(step, candidate, placed).max_tasks(demand)
+        for candidate in candidates
+    )
+
+
 def max_tasks(
     step: state.StepState, candidate: candidate_pool.Candidate
 ) -> int:
--- a/hibiscusslip/host/engine_events.py
+++ b/hibiscusslip/host/engine_events.py
@@ -13,6 +13,7 @@
         'crash_suspected',
         'task_given_up',
         'held_by_limit',
+        'keeping_ended',
         'retry_held',
         'step_hopeless',
         'run_preempted',
