Have the soak submit a job of past times, and check the holds of the loop

Each trial now has a job of 1,000 times that are all past, and a turn of a host's loop that takes 400 ms of processor time, the interval of heartbeats, is a violation (`HELD`). The planted bug `long-pieces` counts all tasks of a job for each occurrence.

--- a/tests/platform/soak/__main__.py
+++ b/tests/platform/soak/__main__.py
@@ -127,6 +127,7 @@
         checker.check_completion(running)
         checker.check_config(self._probes, await self._query_queue())
         checker.check_graceful_stops(self._injector.done)
+        checker.check_holds(self._folder)
         checker.broken += access.check_keys(
             self._key_probes, self._callers.jobs, self._injector.done
         )
@@ -147,6 +148,7 @@
             'peak_limit_use': round(quota_checker.peak_use, 2),
             'key_probes': len(self._key_probes.withdrawn),
             'platform_stall_s': checker.longest_stall_s,
+            'longest_hold_ms': checker.longest_hold_ms,
             'faults': [done.fault.kind for done in self._injector.done],
         }
         (self._folder / 'figures').write_text(json.dumps(figures))
--- a/tests/platform/soak/callers.py
+++ b/tests/platform/soak/callers.py
@@ -43,13 +43,17 @@
 
 @dataclasses.dataclass
 class Job:
-    """Represent a job and the results of all calls about it."""
+    """Represent a job and the results of all calls about it.
+
+    With `times` it is a scheduled one, all times of which are past.
+    """
 
     job_id: str
     counts: list[int]
     cpus: list[int]
     deadly: bool = False
     speculative: bool = False
+    times: int = 0
     submissions: list[CallResult] = dataclasses.field(default_factory=list)
     queries: list[CallResult] = dataclasses.field(default_factory=list)
     cancellations: list[CallResult] = dataclasses.field(default_factory=list)
@@ -92,10 +96,23 @@
 
     async def run(self) -> None:
         """Submit jobs until stopped."""
+        await curio.spawn(self._run_scheduled, daemon=True)
         while not self.stopped:
             await curio.spawn(self._run_job, daemon=True)
             await curio.sleep(self._rng.uniform(0.5, 1.5) * SUBMIT_INTERVAL_S)
 
+    async def _run_scheduled(self) -> None:
+        """Submit a job of an organisation whose limit is in CPU only."""
+        await curio.sleep(layout.SCHEDULED_AT_S)
+        job = Job(
+            '', [1], [layout.SCHEDULED_CPU], times=layout.SCHEDULED_TIMES
+        )
+        while job.organisation != 'o2':
+            job.job_id += '5'
+        job.job_id = job.job_id.rjust(16, '0')
+        self.jobs[job.job_id] = job
+        await self._submit(job)
+
     async def _run_job(self) -> None:
         rng = self._rng
         counts = [rng.randint(1, 4) for _ in range(rng.choice((1, 1, 2)))]
@@ -135,7 +152,11 @@
             for step in steps:
                 step['Image'] = duration
         spec = layout.DEADLY_SPEC if job.deadly else duration
-        body = json.dumps({'Spec': spec, 'Steps': steps}).encode()
+        document: dict[str, typing.Any] = {'Spec': spec, 'Steps': steps}
+        if job.times:
+            document.update(Times=job.times, StartMs=0, IntervalMs=1000)
+            document['Spec'] = layout.SCHEDULED_SPEC
+        body = json.dumps(document).encode()
         for _ in range(4):
             result = await self._call('POST', job, body)
             job.submissions.append(result)
--- a/tests/platform/soak/hosted.py
+++ b/tests/platform/soak/hosted.py
@@ -11,6 +11,7 @@
 import time
 import typing
 
+from hibiscusslip.dispatch import _occurrences
 from hibiscusslip.dispatch import _planning
 from hibiscusslip.dispatch import crashes
 from hibiscusslip.dispatch import limits
@@ -120,6 +121,19 @@
     documents.MAX_LISTED_ENDS = sys.maxsize
 
 
+def count_open_tasks_each_time() -> None:
+    """Count all tasks of a job for each of its occurrences."""
+    next_due = _occurrences.next_due
+
+    def count_first(job: typing.Any, wall_time: float):
+        for _ in range(10):
+            sum(len(step.tasks) - step.done_count for step in job.steps())
+        return next_due(job, wall_time)
+
+    _occurrences.next_due = count_first
+    _occurrences.MAX_CREATED_TASKS = _occurrences.MAX_OPEN_TASKS
+
+
 BUGS: dict[str, typing.Callable[[], None]] = {
     'lease': no_lease_check,
     'early-note': acknowledge_before_commit,
@@ -129,6 +143,7 @@
     'endless-crashes': never_give_up,
     'kept-keys': keep_keys,
     'limit-per-step': limit_each_step,
+    'long-pieces': count_open_tasks_each_time,
     'partial-ends': take_partial_reports_for_whole,
 }
 
--- a/tests/platform/soak/layout.py
+++ b/tests/platform/soak/layout.py
@@ -20,6 +20,12 @@
 MAX_LEASE_MS = 6000
 MAX_LISTED_ENDS = 3  # in one report of an endpoint, so that many are partial
 FAULT_PHASE_S = 18.0
+# A job whose times are all past is submitted in each trial.
+SCHEDULED_AT_S = 6.0
+SCHEDULED_TIMES = 1_000
+SCHEDULED_CPU = 20
+SCHEDULED_SPEC = '0.05'  # its tasks take so many seconds
+MAX_LOOP_HOLD_MS = 400  # of processor time; heartbeats are as far apart
 COMPLETION_TIMEOUT_S = 45.0  # for all accepted jobs to end, after the faults
 # A task that crashes endpoints is given up after its fourth start as a rule.
 # Each comes START_VALID_S after the one before, which wasn't answered; 2.5 s
--- a/tests/platform/soak/oracle.py
+++ b/tests/platform/soak/oracle.py
@@ -40,6 +40,7 @@
         self.starts = 0
         self.copies = 0
         self.longest_stall_s = 0.0
+        self.longest_hold_ms = 0
 
     def check_runs(self) -> None:
         """Check the ledger: capacity, duplicate runs, step order, attempts."""
@@ -111,8 +112,11 @@
         return all(
             any(
                 ended <= at
-                for ended, _ in self._done[f'{job.job_id}.0.{step}.{index}']
+                for ended, _ in self._done[
+                    f'{job.job_id}.{occurrence}.{step}.{index}'
+                ]
             )
+            for occurrence in range(job.times or 1)
             for index in range(job.counts[step])
         )
 
@@ -186,6 +190,19 @@
             if result.status != 200:
                 self._add_violation(result.at, 'CONFIG: not in force', result)
 
+    def check_holds(self, folder: pathlib.Path) -> None:
+        """Check that no task of a host held its loop for long."""
+        for log in folder.glob('*.log'):
+            for line in log.read_text(errors='replace').splitlines():
+                if '"event":"loop_held"' not in line:
+                    continue
+                row = json.loads(line)
+                self.longest_hold_ms = max(
+                    self.longest_hold_ms, row['processor_ms']
+                )
+                if row['processor_ms'] > layout.MAX_LOOP_HOLD_MS:
+                    self._add_violation(0.0, 'HELD', row['host'], row)
+
     def check_graceful_stops(
         self, injected: list[faults.InjectedFault]
     ) -> None:
