Remember that a start whose repeat was confirmed may come late

Cause: after a restart a task waits until its start can't be carried out late, but not if the start was confirmed; that an earlier send was still open was only known to the task that sent it.

A run whose lease lapsed, or that a report lacks, doesn't: as before, an unconfirmed start that comes after these is stopped when a report lists it.

test_task_waits_for_an_unanswered_start_whose_repeat_was_confirmed failed without the change of _lost_runs.py: assert [Start(...)] == [].

--- a/hibiscusslip/dispatch/_job_state.py
+++ b/hibiscusslip/dispatch/_job_state.py
@@ -241,7 +241,8 @@
     tells the length of its work: it began anew, under this owner, and was
     neither throttled nor stalled. It is `overdue` once it was learned that
     it takes longer than expected. `checkpointed_at` is when a report had a
-    new checkpoint of it last, 0 for never.
+    new checkpoint of it last, 0 for never. A start that was sent again is
+    `partly_unanswered`: an earlier one may still be carried out.
     """
 
     task: Task | None
@@ -261,6 +262,7 @@
     measurable: bool = True
     overdue: bool = False
     checkpointed_at: float = 0.0
+    partly_unanswered: bool = False
 
     @property
     def holding(self) -> holdings.Holding | None:
--- a/hibiscusslip/dispatch/_lost_runs.py
+++ b/hibiscusslip/dispatch/_lost_runs.py
@@ -155,9 +155,12 @@
 def _may_start_late(allocation: state.Allocation) -> bool:
     """Return True if a later incarnation may carry out the start.
 
-    Starts of a former owner are refused by their epoch.
+    Starts of a former owner are refused by their epoch. That a repeat was
+    confirmed says nothing about an earlier one without an answer.
     """
-    return not allocation.confirmed_at and not allocation.recovered
+    if allocation.recovered:
+        return False
+    return allocation.partly_unanswered or not allocation.confirmed_at
 
 
 def _count_late_start(
--- a/hibiscusslip/dispatch/engine.py
+++ b/hibiscusslip/dispatch/engine.py
@@ -377,6 +377,12 @@
             if start.task.on_trial:
                 self.dirty.add(start.task.step.job.job_id)
 
+    def note_unanswered(self, start: commands.Start) -> None:
+        """Record that a start was sent and may be carried out late."""
+        allocation = self._allocation_of(start)
+        if allocation is not None:
+            allocation.partly_unanswered = True
+
     def still_fits(self, start: commands.Start) -> bool:
         """Return False if the endpoint has shrunk since the decision."""
         endpoint = self.endpoints.get(start.endpoint)
--- a/hibiscusslip/host/endpoint_session.py
+++ b/hibiscusslip/host/endpoint_session.py
@@ -260,6 +260,7 @@
                 return
             except exceptions.RequestOutcomeUnknown:
                 indeterminate = True
+                self._engine.note_unanswered(start)
                 self._ctx.metrics.count('orders_unanswered')
                 self._record_no_response(now)
             except exceptions.ConnectionsExhausted:
--- a/tests/dispatch/test_unknown_outcomes.py
+++ b/tests/dispatch/test_unknown_outcomes.py
@@ -198,6 +198,23 @@
     assert [s.task for s in bench.plan()] == [start.task]
 
 
+def test_task_waits_for_an_unanswered_start_whose_repeat_was_confirmed():
+    """Guards against a second run beside the late first one (review/10)."""
+    bench = support.Bench()
+    start = start_on_e1(bench)
+    bench.engine.note_unanswered(start)
+    bench.confirm([start])
+    bench.now += 2.0
+    bench.report('e1', born=2.0)
+    assert bench.events('run_lost')[0]['reason'] == 'restarted'
+    assert bench.plan() == []
+    late = bench.running_run(start)
+    bench.now += 4.0
+    bench.report('e1', [late], born=2.0)
+    assert start.task.status is state.Status.RUNNING
+    assert bench.plan() == []
+
+
 def test_new_owner_waits_for_an_unconfirmed_start_of_the_former_one():
     """A restarted endpoint knows no fence, so it may carry out the start."""
     bench = support.Bench()
