Predict waits while no more starts may be decided

A pass that decides no start, as 500 are pending, left out the forecast of new jobs' waits and preemption, too, so hosts would have judged new jobs by an old forecast or none.

--- a/hibiscusslip/dispatch/_planning.py
+++ b/hibiscusslip/dispatch/_planning.py
@@ -64,10 +64,10 @@
         engine.limiter.begin_pass(engine.config, (step for _, step in ranked))
         for rank, step in ranked:
             may_continue = True
-            while may_continue and _may_plan(current, step):
-                if engine.starts_left <= 0:
-                    return  # less urgent steps mustn't go first
-                may_continue = _plan_ranked(current, step, rank)
+            while may_continue and engine.starts_left > 0:
+                may_continue = _may_plan(current, step) and _plan_ranked(
+                    current, step, rank
+                )
                 yield True
         self._finish(ranked)
 
