End the session with an endpoint's former address

Cause: a changed address started a second session and the first one went on polling.

Change: a session ends once the endpoint is known at another address; what its last call returned isn't applied, and isn't counted against the endpoint.

test_endpoint_that_has_moved_isnt_judged_by_its_former_address failed before: assert None (the session went on). The sessions of the other tests in that file get the address under which their endpoint is listed.

--- a/hibiscusslip/host/endpoint_session.py
+++ b/hibiscusslip/host/endpoint_session.py
@@ -73,10 +73,10 @@
         )
 
     async def run(self) -> None:
-        """Poll until the engine has removed the endpoint."""
+        """Poll until the endpoint is removed, or has another address."""
         failures = 0
         late_polls = 0
-        while self.name in self._engine.endpoints:
+        while self.is_current():
             endpoint = self._engine.endpoints[self.name]
             sent = context.monotonic()
             try:
@@ -90,10 +90,20 @@
                     self._ctx.metrics.count('looks_late')
                     await curio.sleep(self._get_timing().retry_pause)
                     continue
+                if not self.is_current():
+                    break
                 failures += 1
                 await self._handle_no_response(failures, sent)
         await self._client.close()
 
+    def is_current(self) -> bool:
+        """Return True if the endpoint is still known at this address.
+
+        Another one may have the former address of an endpoint that moved.
+        """
+        endpoint = self._engine.endpoints.get(self.name)
+        return endpoint is not None and endpoint.address == self.address
+
     def _is_excused(self, exc: exceptions.PlatformError, sent: float) -> bool:
         """Return True if this host is to blame for the failed poll."""
         if isinstance(exc, exceptions.ConnectionsExhausted):
@@ -127,6 +137,8 @@
             )
         now = context.monotonic()
         self._ctx.metrics.count('looks')
+        if not self.is_current():
+            return
         first_poll = not endpoint.polled
         returned = not endpoint.responsive
         self._engine.handle_report(self.name, report, sent, now)
@@ -226,7 +238,7 @@
 
     async def _handle_refusal(self, reason: str) -> None:
         self._ctx.log.note('hold_refused', endpoint=self.name, reason=reason)
-        if reason == 'instance':
+        if reason == 'instance' and self.is_current():
             self._engine.handle_replacement(self.name, context.monotonic())
             await self._wakeups.plan.set()
         await curio.sleep(REFUSED_POLL_PAUSE_S)
--- a/hibiscusslip/host/owner.py
+++ b/hibiscusslip/host/owner.py
@@ -282,7 +282,7 @@
         self, session: endpoint_session.EndpointSession
     ) -> None:
         """Run a session; after an unexpected error run it again."""
-        while session.name in self.engine.endpoints:
+        while session.is_current():
             try:
                 await crash_logging.run_loop(self.ctx, session.run)
             except exceptions.ProducerFenced:
--- a/tests/host/test_endpoint_session.py
+++ b/tests/host/test_endpoint_session.py
@@ -52,7 +52,9 @@
     """Poll an endpoint that answers once; return its client."""
     ctx = fakes.make_context(fakes.FakeStore())
     engine = engines.Engine(5.9)
-    engine.register_endpoint(support.entry('e1'), context.monotonic())
+    engine.register_endpoint(
+        support.entry('e1', address='h:1'), context.monotonic()
+    )
     engine.endpoints['e1'].handled_cursor = acknowledged
     engine.endpoints['e1'].acknowledged_cursor = acknowledged
     session = endpoint_session.EndpointSession(
@@ -206,3 +208,33 @@
 
     client = poll_for(0.2, client=PartialReports())
     assert len(client.waits) > 2 and set(client.waits) == {0.0}
+
+
+def test_endpoint_that_has_moved_isnt_judged_by_its_former_address():
+    """Guards against giving up runs that go on elsewhere (review/5)."""
+    ctx = fakes.make_context(fakes.FakeStore())
+    engine = engines.Engine(5.9)
+    now = context.monotonic()
+    engine.register_endpoint(support.entry('e1', address='h:1'), now)
+    session = endpoint_session.EndpointSession(
+        ctx, engine, 'e1', 'h:1', 1, make_wakeups(), poll_timing.PollTiming
+    )
+
+    class Moved(EndpointClient):
+        async def poll(self, *args):
+            moved = support.entry('e1', address='h:2', seq=2)
+            engine.register_endpoint(moved, context.monotonic())
+            allocation = state.Allocation(None, 1, model.Demand(), now)
+            engine.endpoints['e1'].allocate('j.0.0.0', allocation)
+            raise exceptions.RequestRefused('instance')
+
+    session._client = Moved()
+
+    async def main():
+        async with curio.ignore_after(1.0):
+            await session.run()
+            return True
+
+    assert curio.run(main)  # the session has ended by itself
+    assert engine.endpoints['e1'].allocations
+    assert engine.endpoints['e1'].entry is not None
