Start no gang in part that waits beside free capacity

Found by reading the change to kept capacity: members on trial were left out, so the others of a gang would have been started without them. A step that isn't owed a start is left before its tasks are looked at. Endpoints with another job's run on trial get nothing, either.

test_gang_with_a_member_on_trial_isnt_started_in_part.

--- a/hibiscusslip/dispatch/_kept_back.py
+++ b/hibiscusslip/dispatch/_kept_back.py
@@ -28,11 +28,12 @@
 ) -> list[placement.Choice]:
     """Return where to start tasks that capacity was kept back from for long.
 
-    `waiting` are those that found no place in this pass. Without room for
-    twice as much their wait has another reason, and begins anew.
+    `waiting` are those of a step that is owed its start, which found no place
+    in this pass. Without room for twice as much their wait has another reason,
+    and begins anew.
     """
     now = current.now
-    if not waiting or not _is_owed(current, step):
+    if not waiting:
         step.kept_back_since = 0.0
         return []
     candidates = _candidates(current, step, tickets)
@@ -64,7 +65,7 @@
     return bool(since) and now >= since + MAX_KEPT_BACK_S
 
 
-def _is_owed(current: _scheduling_pass.Pass, step: state.StepState) -> bool:
+def is_owed(current: _scheduling_pass.Pass, step: state.StepState) -> bool:
     """Return True if a step's tasks last, or if its job makes no progress.
 
     The latter counts while less than half of the service is in use: then
@@ -106,6 +107,7 @@
         for candidate in pool.distrusted
         if (names is None or candidate.endpoint.name in names)
         and (not label or label in candidate.entry.labels)
+        and not candidate.endpoint.on_trial_for_other(step.job.job_id)
     ]
     return [candidate for candidate in found if candidate.fits(demand)]
 
--- a/hibiscusslip/dispatch/_planning.py
+++ b/hibiscusslip/dispatch/_planning.py
@@ -237,7 +237,8 @@
     current: _scheduling_pass.Pass, step: state.StepState
 ) -> None:
     """Start tasks from which free capacity was kept back for too long."""
-    if not step.ready or step.job.service not in current.candidates:
+    if not step.ready or not _kept_back.is_owed(current, step):
+        step.kept_back_since = 0.0
         return
     needs_advice = current.engine.queue_of(step.job).advice is not None
     if needs_advice and step.tickets is None:
@@ -248,14 +249,12 @@
         else None
     )
     waiting = [task for task in _startable(current, step) if not task.on_trial]
-    choices = _kept_back.update(current, step, waiting, admitting)
-    run = 1 + max(task.run for task in step.tasks)
-    for choice in choices:
-        _start(current, step, choice, run if step.spec.gang else _next(choice))
-
-
-def _next(choice: placement.Choice) -> int:
-    return task_runs.next_run(choice.task)
+    if step.spec.gang and len(waiting) < len(step.tasks):
+        return
+    newest = max(task.run for task in step.tasks)
+    for choice in _kept_back.update(current, step, waiting, admitting):
+        run = task_runs.next_run(choice.task)
+        _start(current, step, choice, 1 + newest if step.spec.gang else run)
 
 
 def _claim_capacity(
--- a/tests/dispatch/test_kept_back.py
+++ b/tests/dispatch/test_kept_back.py
@@ -188,3 +188,15 @@
     assert len(waiting) == 1 and not job.steps()[0].kept_back_since
     assert state.Status.WAITING in {t.status for t in job.steps()[0].tasks}
     assert job.state is model.JobState.QUEUED
+
+
+def test_gang_with_a_member_on_trial_isnt_started_in_part():
+    bench = support.Bench(URGENT, PATIENT)
+    for number in range(2):
+        endpoint = bench.endpoint(f'e{number}', cpu=10 * CORE, memory=10**6)
+        endpoint.quarantined_until = bench.now + 60.0
+    job = submit(bench, 2, gang=True, **LASTS)
+    job.steps()[0].tasks[0].crashes = state.Crashes(1, 0, 0)
+    assert wait(bench) == []
+    job.steps()[0].tasks[0].crashes = state.Crashes()
+    assert len(wait(bench)) == 2
