--- a/tests/platform/soak/hosted.py
+++ b/tests/platform/soak/hosted.py
@@ -12,7 +12,7 @@
 import typing
 
 from hibiscusslip.dispatch import _occurrences
-from hibiscusslip.dispatch import _planning
+from hibiscusslip.dispatch import _step_planning
 from hibiscusslip.dispatch import crashes
 from hibiscusslip.dispatch import limits
 from hibiscusslip.dispatch import state
@@ -73,14 +73,14 @@
 
 def reset_run_number() -> None:
     """Number each run of a task as its first."""
-    start = _planning._start
+    start = _step_planning._start
 
     def first(
         current: typing.Any, step: typing.Any, choice: typing.Any, run: int
     ) -> None:
         start(current, step, choice, 1)
 
-    _planning._start = first
+    _step_planning._start = first
 
 
 def send_stale_cursor() -> None:
