Leave starts to other jobs while one wants more than can be sent

With 500 starts pending at most, the job of 10,000 times, which ranks first, took all that became free, so others waited until all its tasks were sent, and on a loaded machine for longer than 14 s. The bound on pending starts had made that possible: capacity was kept back by it.

Change: in a pass a job may decide half of the starts that are left when its first step is looked at; the next job half of the rest.

test_job_of_many_tasks_leaves_starts_to_others failed before: the last job got no start.

--- a/hibiscusslip/dispatch/_scheduling_pass.py
+++ b/hibiscusslip/dispatch/_scheduling_pass.py
@@ -25,7 +25,8 @@
     for large steps, `largest` are the largest demands of each service if
     endpoints' speeds are considered. `half_free` are the services of which
     less than half of the CPU is in use, `jobs_with_runs` tells of some jobs
-    whether they have any. `contended` maps a service to the
+    whether they have any. `allotted_starts` has how many more each job may
+    decide in this pass. `contended` maps a service to the
     lowest share level among its ready steps that are within their entitlement.
     """
 
@@ -38,6 +39,7 @@
     urgent: dict[str, int] = dataclasses.field(default_factory=dict)
     half_free: set[str] = dataclasses.field(default_factory=set)
     jobs_with_runs: dict[str, bool] = dataclasses.field(default_factory=dict)
+    allotted_starts: dict[str, int] = dataclasses.field(default_factory=dict)
     reserved: _reservations.Reservations = dataclasses.field(
         default_factory=_reservations.Reservations
     )
@@ -50,6 +52,18 @@
     )
 
 
+def starts_allowed(current: Pass, step: state.StepState) -> int:
+    """Return how many tasks of a step the pass may start now.
+
+    A job gets half of what is left when its first step is looked at, so that
+    the others aren't kept from free capacity until all its tasks are sent.
+    """
+    left = current.engine.starts_left
+    job_id = step.job.job_id
+    allotted = current.allotted_starts.setdefault(job_id, (left + 1) // 2)
+    return max(min(allotted, left), 0)
+
+
 def find_half_free(current: Pass) -> None:
     """Find the services of which less than half of the CPU is in use."""
     current.half_free = {
--- a/hibiscusslip/dispatch/_step_planning.py
+++ b/hibiscusslip/dispatch/_step_planning.py
@@ -71,8 +71,11 @@
 
     Returns True if as many were started as one piece of the pass may start.
     """
-    engine, now = current.engine, current.now
-    needs_advice = engine.queue_of(step.job).advice is not None
+    now = current.now
+    allowed = _scheduling_pass.starts_allowed(current, step)
+    if not allowed:
+        return False
+    needs_advice = current.engine.queue_of(step.job).advice is not None
     tasks = _startable(current, step)
     if not tasks or (needs_advice and step.tickets is None):
         return False
@@ -86,7 +89,7 @@
         )
         piece = startable
         if not step.spec.all_or_none:
-            piece = startable[: min(STARTED_IN_PIECE, engine.starts_left)]
+            piece = startable[: min(STARTED_IN_PIECE, allowed)]
         started = _place_tasks(
             current,
             step,
@@ -94,6 +97,7 @@
             candidates.eligible_for(step, admitting),
             rank,
         )
+        current.allotted_starts[step.job.job_id] -= started
         if len(piece) < len(startable) and started == len(piece):
             return True
     _log_yielding(current, step, rank)
--- a/tests/dispatch/test_many_occurrences.py
+++ b/tests/dispatch/test_many_occurrences.py
@@ -91,3 +91,23 @@
     for start in starts[:20]:
         bench.engine.revert_start(start, 'too old to send', bench.now)
     assert len(bench.stops()) <= 50
+
+
+def test_job_of_many_tasks_leaves_starts_to_others():
+    """Guards against jobs that wait beside free capacity (review/8).
+
+    Fewer starts may be decided than the first job wants, which goes first.
+    """
+    bench = support.Bench()
+    bench.endpoint('e1', cpu=10**6, memory=10**6)
+    submit(bench, support.step(cpu=10, memory=1), times=1000)
+    bench.submit('wide', support.step(1000, cpu=10, memory=1))
+    bench.now += 0.1
+    bench.submit('late', support.step(2))
+    for left in (20, 8, 8):
+        bench.engine.starts_left = left
+        starts = bench.plan()
+        assert len(starts) <= left
+        if any(start.task.step.job.job_id == 'late' for start in starts):
+            return
+    raise AssertionError('the last job got no start')
