Let a gang ask other shards again as soon as none else does

Cause: after a request for capacity on other shards has failed, the gang's own delay doubles up to 8 s. It lets other gangs of the shard have their turn, but it was fixed when the request failed and went on when no other gang waited any more. The pause between a shard's requests (up to 1.6 s) bounds their number already.

Change: while no job of the shard asks for remote_retry_s (0.5 s) after its pause, the backoff that began first ends. Delayed tasks know when their delay ends, so an entry of a delay that was ended can't end the next one.

--- a/hibiscusslip/scheduler/_delays.py
+++ b/hibiscusslip/scheduler/_delays.py
@@ -16,15 +16,22 @@
 
     def add(self, job: _jobs.Job, index: int, until: float) -> None:
         """Delay a task until `until`."""
-        self._ledger.delay(job, index)
+        self._ledger.delay(job, index, until)
         self._seq += 1
         heapq.heappush(self._heap, (until, self._seq, job, index))
 
     def release_due(self, now: float) -> None:
         """Queue the tasks whose delay has passed."""
         while self._heap and self._heap[0][0] <= now:
-            _, _, job, index = heapq.heappop(self._heap)
-            self._ledger.undelay(job, index)
+            until, _, job, index = heapq.heappop(self._heap)
+            self.end(job, index, until)
+
+    def end(self, job: _jobs.Job, index: int, until: float) -> bool:
+        """Queue a task if its delay is the one that ends at `until`."""
+        if job.delayed.get(index) != until:
+            return False
+        self._ledger.undelay(job, index)
+        return True
 
     def next_time(self) -> float | None:
         """Return when the next delay ends."""
--- a/hibiscusslip/scheduler/_holds.py
+++ b/hibiscusslip/scheduler/_holds.py
@@ -1,5 +1,6 @@
 """Hold capacity for gangs that span shards and for other shards' jobs."""
 
+import collections
 import dataclasses
 import heapq
 import random
@@ -32,6 +33,15 @@
     committed: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Backoff:
+    """Represent the delay until `until` of a job whose request failed."""
+
+    job: _jobs.Job
+    tasks: list[int]
+    until: float
+
+
 class Holds:
     """Track holds until they are committed, released or expired.
 
@@ -56,6 +66,10 @@
         self._now = 0.0
         self._next_request_at = 0.0
         self._failed_requests = 0
+        # The one that began first is first.
+        self._backoffs: collections.OrderedDict[str, Backoff] = (
+            collections.OrderedDict()
+        )
 
     def hold(
         self, hold_id: str, spec: work.JobSpec, tasks: list[int], until: float
@@ -110,11 +124,33 @@
         a random time: otherwise gangs of two shards, each holding what the
         other lacks, could fail forever.
         """
-        requesting = any(
-            not (hold.committed or hold.job.foreign)
-            for hold in self._holds.values()
-        )
-        return not requesting and now >= self._next_request_at
+        return not self._is_requesting() and now >= self._next_request_at
+
+    def end_idle_backoff(self, now: float) -> bool:
+        """End the oldest backoff while no other job requests capacity.
+
+        A backoff only lets other jobs of the shard have their turn, so it
+        must not outlast them. Return True if the tasks of a job were queued.
+        """
+        idle_at = self.next_idle_retry()
+        if idle_at is None or now < idle_at:
+            return False
+        while self._backoffs:
+            _, backoff = self._backoffs.popitem(last=False)
+            ended = [
+                self._delays.end(backoff.job, index, backoff.until)
+                for index in backoff.tasks
+            ]
+            if any(ended):
+                backoff.job.next_remote_attempt_at = now
+                return True
+        return False
+
+    def next_idle_retry(self) -> float | None:
+        """Return when a backoff ends early if no job makes a request."""
+        if not self._backoffs or self._is_requesting():
+            return None
+        return self._next_request_at + self._bounds.remote_retry_s
 
     def commit(self, hold_id: str, now: float) -> bool:
         """Turn a hold into allocations; return False if it has expired.
@@ -134,6 +170,7 @@
         hold.job.ever_started = True
         if not hold.job.foreign:
             self._failed_requests = 0
+            self._backoffs.pop(hold.job.job_id, None)
         return True
 
     def release(self, hold_id: str, now: float) -> None:
@@ -151,6 +188,7 @@
     def abandon(self, job_id: str) -> None:
         """Release the hold of a cancelled job unless it is committed."""
         self._remove_uncommitted(job_id)
+        self._backoffs.pop(job_id, None)
 
     def expire(self, now: float) -> None:
         """Release expired holds and remove the records of committed ones."""
@@ -166,6 +204,12 @@
         """Return when the next hold expires."""
         return self._expiries[0][0] if self._expiries else None
 
+    def _is_requesting(self) -> bool:
+        return any(
+            not (hold.committed or hold.job.foreign)
+            for hold in self._holds.values()
+        )
+
     def _add(self, hold: Hold) -> None:
         self._holds[hold.hold_id] = hold
         heapq.heappush(self._expiries, (hold.until, hold.hold_id))
@@ -189,8 +233,11 @@
         job.next_remote_attempt_at = until
         self._delay_requests(now)
         local = [work.index_of(start.task) for start in hold.starts]
-        for index in local + hold.missing:
+        tasks = local + hold.missing
+        for index in tasks:
             self._delays.add(job, index, until)
+        self._backoffs.pop(job.job_id, None)
+        self._backoffs[job.job_id] = Backoff(job, tasks, until)
 
     def _delay_requests(self, now: float) -> None:
         """Pause the shard's requests, longer after each failure."""
--- a/hibiscusslip/scheduler/_jobs.py
+++ b/hibiscusslip/scheduler/_jobs.py
@@ -13,7 +13,8 @@
 
     The last of `pending` starts next. A task is in exactly one of `pending`,
     `delayed`, `placed` (allocated or held here) and `remote`, or it is over.
-    `started_at` has the times of the tasks that were started here;
+    `delayed` has the times when the delays of its tasks end. `started_at`
+    has the times of the tasks that were started here;
     `ever_started` is True once any task has started. `foreign` jobs belong to
     another shard, `short` ones are expected to run for a short time. `shape`
     is -1 until the job is queued.
@@ -26,7 +27,7 @@
     shape: int = -1
     foreign: bool = False
     pending: list[int] = dataclasses.field(default_factory=list)
-    delayed: set[int] = dataclasses.field(default_factory=set)
+    delayed: dict[int, float] = dataclasses.field(default_factory=dict)
     placed: dict[int, str] = dataclasses.field(default_factory=dict)
     remote: set[int] = dataclasses.field(default_factory=set)
     tasks_by_rack: collections.Counter[str] = dataclasses.field(
--- a/hibiscusslip/scheduler/_ledger.py
+++ b/hibiscusslip/scheduler/_ledger.py
@@ -71,15 +71,15 @@
         if job.pending:
             self.order.push(job)
 
-    def delay(self, job: _jobs.Job, index: int) -> None:
-        """Count a task as queued that must not start yet."""
-        job.delayed.add(index)
+    def delay(self, job: _jobs.Job, index: int, until: float) -> None:
+        """Count a task as queued that must not start before `until`."""
+        job.delayed[index] = until
         self._count_queued(job, 1)
 
     def undelay(self, job: _jobs.Job, index: int) -> None:
         """Move a delayed task to the queue."""
         if index in job.delayed:
-            job.delayed.discard(index)
+            del job.delayed[index]
             self._count_queued(job, -1)
             self.queue(job, [index])
 
@@ -93,7 +93,7 @@
     def remove_waiting(self, job: _jobs.Job, index: int) -> None:
         """Remove one task from the queue."""
         if index in job.delayed:
-            job.delayed.discard(index)
+            del job.delayed[index]
             self._count_queued(job, -1)
         elif index in job.pending:
             job.pending.remove(index)
--- a/hibiscusslip/scheduler/_shard.py
+++ b/hibiscusslip/scheduler/_shard.py
@@ -218,6 +218,9 @@
                 decisions.append(gang_start)
         self._start_queued(decisions, now, limit)
         self._request_remote(decisions, now)
+        if self._holds.end_idle_backoff(now):
+            self._start_queued(decisions, now, limit)
+            self._request_remote(decisions, now)
         if len(decisions) < limit:
             preempts = self._reclaimer.check(now)
             decisions.extend(preempts)
@@ -270,6 +273,7 @@
         times = [
             self._delays.next_time(),
             self._holds.next_expiry(),
+            self._holds.next_idle_retry(),
             self._deadlines.next_time(),
             self._health.next_quarantine_end(),
             now + RECHECK_INTERVAL_S if self._ledger.queued else None,
--- a/hibiscusslip/scheduler/limits.py
+++ b/hibiscusslip/scheduler/limits.py
@@ -11,8 +11,9 @@
     to `now` to get Unix time, for deadlines. `quota_fraction` is the part of
     each team's quota that this shard may allocate. `remote_hold_s` is how long
     a request for capacity on other shards may take, `remote_retry_s` the first
-    delay until the same job requests again, `remote_pause_s` the first pause
-    of all requests of the shard after a failed one. `quarantine_enabled`
+    delay until the same job requests again, and the time without requests of
+    the shard that ends a longer delay. `remote_pause_s` is the first pause of
+    all requests of the shard after a failed one. `quarantine_enabled`
     quarantines endpoints that fail their runs; `backfill` lets short work use
     the capacity that is reserved or accumulated for a gang.
     """
--- a/tests/scheduler/test_gangs.py
+++ b/tests/scheduler/test_gangs.py
@@ -1,7 +1,13 @@
 """Test gangs, holds, endpoint quarantine and service restarts."""
 
+import itertools
+
+import pytest
+
 from hibiscusslip.model import work
+from hibiscusslip.scheduler import _holds
 from hibiscusslip.scheduler import base
+from hibiscusslip.scheduler import limits
 from tests.scheduler import samples
 
 GANG = work.Form.GANG
@@ -152,3 +158,60 @@
         waits.append(sched._delays.next_time() - now)
         now += waits[-1]
     assert waits == [1.0, 2.0, 4.0, 8.0]
+
+
+def request_times(sched, until, shard_busy=lambda now: True):
+    """Return the times of requests for remote capacity, by job.
+
+    They fail at once while `shard_busy` says so.
+    """
+    times = {}
+    now = 0.0
+    while now < until:
+        for decision in sched.decide(now):
+            if isinstance(decision, base.RemoteHoldRequest):
+                times.setdefault(decision.job_id, []).append(now)
+                if shard_busy(now):
+                    sched.release_hold(decision.job_id, now)
+                else:
+                    assert sched.commit_hold(decision.job_id, now)
+        now = max(now + 0.01, sched.next_wakeup(now) or now)
+    return times
+
+
+def test_a_lone_gang_is_not_kept_from_free_remote_capacity_by_its_backoff():
+    # Failure: gangs waited up to 8 s with capacity free on other shards.
+    bounds = limits.Limits()
+    sched = samples.build(bounds, shares=ONE_KIND)
+    samples.add_endpoints(sched, 1)
+    sched.submit(samples.job('g', form=GANG, tasks=10), 0.0)
+    times = request_times(sched, until=60.0)['g']
+    longest_pause = bounds.remote_pause_s * 2**_holds.MAX_DELAY_DOUBLINGS
+    gaps = [later - time for time, later in itertools.pairwise(times)]
+    assert len(gaps) > 10
+    assert max(gaps) <= longest_pause + bounds.remote_retry_s + 0.05
+
+
+@pytest.mark.parametrize('seed', range(1, 9))
+def test_a_backoff_does_not_outlast_the_turns_of_other_gangs(seed):
+    # Failure: the last gang sat out a backoff chosen while others waited.
+    bounds = limits.Limits()
+    sched = samples.build(bounds, seed=seed, shares=ONE_KIND)
+    samples.add_endpoints(sched, 1)
+    for name in ('g', 'h'):
+        sched.submit(samples.job(name, form=GANG, tasks=10), 0.0)
+    times = request_times(sched, 40.0, shard_busy=lambda now: now < 20.0)
+    longest_pause = bounds.remote_pause_s * 2**_holds.MAX_DELAY_DOUBLINGS
+    turn = longest_pause + bounds.remote_retry_s + 0.05
+    assert max(times['g'][-1], times['h'][-1]) <= 20.0 + turn
+
+
+def test_gangs_that_wait_for_remote_capacity_take_turns():
+    sched = samples.build(shares=ONE_KIND)
+    samples.add_endpoints(sched, 1)
+    for i in range(6):
+        sched.submit(samples.job(f'g{i}', form=GANG, tasks=10), 0.0)
+    times = request_times(sched, until=120.0)
+    asked = sorted(len(job_times) for job_times in times.values())
+    assert len(asked) == 6
+    assert asked[-1] <= 2 * asked[0]
