Make calls for advice that a start can follow first

Cause: a step with waiting tasks renews its tickets before they end, with capacity or without. Calls of over 0.1 s share a few slots, given in the order of ranks, and a lasting task that waits ranks ever higher. So the renewals of a full service took the calls of an idle one. A call counted the room of endpoints where the step's own runs use up its spread, too.

Change: advice_calls.py decides who makes the next call. A call that a start can follow goes first; its room then doesn't count for another call. Of the services with steps that may start, the one with the fewest calls goes first. Renewals no longer keep steps beyond an entitlement from calling. Event advice_waits, counted in engine_events, tells why a step waits for its call.

--- a/hibiscusslip/dispatch/_job_state.py
+++ b/hibiscusslip/dispatch/_job_state.py
@@ -115,7 +115,8 @@
     reply of the advice service. `asked_about` are all endpoints that it was
     asked about, `eligible` those that may run the step. While
     `advice_pending`, and before `next_advice_at`, it isn't asked again, and
-    before `next_widening_at` not about more endpoints. The members of a gang
+    before `next_widening_at` not about more endpoints. With `call_refused` the
+    next call had to wait for those of other steps. The members of a gang
     were stopped in `stopped_run`, as one was missing. Since `kept_back_since`
     capacity that its tasks could use is kept for others, 0 for none. It is
     `hopeless` if none of its waiting tasks could run on the present pool.
@@ -132,6 +133,7 @@
     advice_pending: bool = False
     next_advice_at: float = 0.0
     next_widening_at: float = 0.0
+    call_refused: bool = False
     failures: int = 0
     failed_run: int = 0
     stopped_run: int = 0
--- a/hibiscusslip/dispatch/advice_planning.py
+++ b/hibiscusslip/dispatch/advice_planning.py
@@ -4,13 +4,15 @@
 expire. While a step waits, its tickets are renewed before they expire, and
 more endpoints are asked about if those with tickets are full and others
 aren't. The first tickets are requested while the steps that it depends on
-still run, as a call can take longer than a task. Steps beyond an entitlement
-leave part of the calls to others, and ask for nothing while others wait for
-a call.
+still run, as a call can take longer than a task. Which step makes the next
+call is decided in `advice_calls`. Steps beyond an entitlement ask for nothing
+while others that may start wait for a call.
 """
 
+import dataclasses
 import typing
 
+from hibiscusslip.dispatch import advice_calls
 from hibiscusslip.dispatch import advice_sizing
 from hibiscusslip.dispatch import candidate_pool
 from hibiscusslip.dispatch import commands
@@ -28,10 +30,6 @@
 FULL_RETRY_DELAY_S = 0.05  # while the hosts make as many calls as they can
 WIDENING_PERIOD_S = 0.25
 RENEWAL_S = 1.0  # for which endpoints are kept free after their tickets
-LONG_CALL_S = 0.1
-MAX_SHORT_LOAD_PER_HOST_S = 0.2  # pending short calls, in seconds of cost
-MAX_SHORT_CALL_HOSTS = 2  # these make no long calls
-BEYOND_SHARE = 0.5  # of the calls, for steps beyond an entitlement
 DEFERRED_S = 0.1  # for which a step that waits for a call keeps these back
 
 
@@ -75,6 +73,9 @@
     ):
         step.next_advice_at = now + RETRY_DELAY_S
         return
+    call = _make_call(engine, step, candidates, advice.cost(1))
+    if not _may_call(engine, step, call, now):
+        return
     names = advice_sizing.select(
         step,
         candidates,
@@ -86,11 +87,9 @@
     cost = advice.cost(len(names))
     if not names or not _is_ready_by_reply(engine, step, cost, now):
         return
-    if not _has_call_capacity(engine, step, cost, now):
-        step.next_advice_at = now + FULL_RETRY_DELAY_S
-        _defer_others(engine, step, now)
-        return
-    _request(engine, step, names, cost)
+    call = dataclasses.replace(call, cost=cost)
+    if _may_call(engine, step, call, now):
+        _request(engine, step, names, call)
 
 
 def _may_request(
@@ -117,7 +116,7 @@
 ) -> bool:
     """Return True if a step needs tickets and the shortest call is possible.
 
-    If it isn't possible, the first call of a step has others deferred.
+    If it isn't possible, a step without valid tickets has others deferred.
     """
     max_endpoints = min(
         candidates.count_others(copied_from),
@@ -126,9 +125,11 @@
     longest = advice.cost(max_endpoints)
     if not _is_ready_by_reply(engine, step, longest, now):
         return False
-    if not _has_call_capacity(engine, step, advice.cost(1), now):
-        if step.tickets is None and step.job.within_entitlement:
-            _defer_others(engine, step, now)
+    shortest = advice.cost(1)
+    if engine.advice_calls.is_full(
+        shortest, not step.job.within_entitlement, engine.adviser_count
+    ):
+        _want_first_call(engine, step, candidates, shortest, now)
         return False
     renewal = advice.cost(min(len(step.eligible), max_endpoints))
     return _needs_tickets(step, candidates, renewal, now, copied_from)
@@ -138,14 +139,12 @@
     engine: 'engines.Engine',
     step: state.StepState,
     names: tuple[str, ...],
-    cost: float,
+    call: advice_calls.Call,
 ) -> None:
     step.advice_pending = True
-    if is_long_call(cost):
-        engine.long_calls += 1
-    else:
-        engine.short_calls_cost += cost
-    engine.advice_requests.append(commands.AdviceRequest(step, names, cost))
+    step.call_refused = False
+    engine.advice_calls.begin(call)
+    engine.advice_requests.append(commands.AdviceRequest(step, names, call))
 
 
 def handle_reply(
@@ -156,6 +155,7 @@
     now: float,
 ) -> None:
     """Apply a reply, whose tickets expire at `until`; None if it failed."""
+    engine.advice_calls.finish(request.call)
     step = request.step
     step.advice_pending = False
     if tickets is None:
@@ -241,54 +241,106 @@
     return advice_sizing.unasked_free_tasks(step, candidates) >= missing
 
 
-def is_long_call(cost: float) -> bool:
-    """Return True if a call of `cost` seconds would delay many short ones."""
-    return cost > LONG_CALL_S
-
+def _make_call(
+    engine: 'engines.Engine',
+    step: state.StepState,
+    candidates: candidate_pool.Candidates,
+    cost: float,
+) -> advice_calls.Call:
+    """Return the call that a step wants to make."""
+    demand = step.spec.allocated_demand
+    kind = advice_calls.Kind(
+        step.job.service, step.spec.label, demand.accelerators > 0
+    )
+    size = max(demand.accelerators or demand.cpu, 1)
+    wanted = max(len(step.waiting()), 1)  # or a copy
+    free = 0
+    if candidates.may_fit_anywhere(demand):
+        free = engine.advice_calls.unclaimed(
+            kind, advice_sizing.count_free_tasks(step, candidates), size
+        )
+    if step.spec.all_or_none and free < wanted:
+        free = 0
+    return advice_calls.Call(
+        kind, cost, min(free, wanted), size, not step.job.within_entitlement
+    )
 
-def finish_call(engine: 'engines.Engine', cost: float) -> None:
-    """Record that a call has ended, with or without a reply."""
-    if is_long_call(cost):
-        engine.long_calls -= 1
-    else:
-        engine.short_calls_cost -= cost
 
+def _want_first_call(
+    engine: 'engines.Engine',
+    step: state.StepState,
+    candidates: candidate_pool.Candidates,
+    cost: float,
+    now: float,
+) -> None:
+    """Have a call left to a step without valid tickets if it may start.
 
-def hosts_for_short_calls(hosts: int) -> int:
-    """Return how many of the hosts make short calls only."""
-    return min(MAX_SHORT_CALL_HOSTS, hosts // 2)
+    One such step of a service suffices, as thousands may wait.
+    """
+    if not candidates.may_fit_anywhere(step.spec.allocated_demand):
+        return
+    if engine.advice_calls.was_wanted(
+        step.job.service,
+        cost,
+        not step.job.within_entitlement,
+        now - FULL_RETRY_DELAY_S,
+    ):
+        return
+    if not endpoints_admitting(step, now):
+        call = _make_call(engine, step, candidates, cost)
+        _leave_next_call(engine, step, call, now)
 
 
-def _has_call_capacity(
-    engine: 'engines.Engine', step: state.StepState, cost: float, now: float
+def _may_call(
+    engine: 'engines.Engine',
+    step: state.StepState,
+    call: advice_calls.Call,
+    now: float,
 ) -> bool:
-    """Return True if the hosts can make a call without much queueing."""
-    share = 1.0
-    if not step.job.within_entitlement:
-        full_until = engine.shares.advice_full_until.get(step.job.queue, now)
-        if now < max(engine.shares.advice_wanted_until, full_until):
-            return False
-        share = BEYOND_SHARE
-    if is_long_call(cost):
-        hosts = engine.adviser_count - hosts_for_short_calls(
-            engine.adviser_count
-        )
-        return engine.long_calls < hosts * share
-    load = engine.short_calls_cost + cost
-    return load <= MAX_SHORT_LOAD_PER_HOST_S * engine.adviser_count * share
+    """Return True if a step may make a call now; else others leave it one."""
+    calls, hosts = engine.advice_calls, engine.adviser_count
+    if not (call.beyond and _is_deferred(engine, step, now)):
+        has_capacity = calls.has_capacity(call, hosts)
+        if has_capacity and not calls.yields(call, hosts, now):
+            return True
+        _leave_next_call(engine, step, call, now)
+    step.next_advice_at = now + FULL_RETRY_DELAY_S
+    return False
 
 
-def _defer_others(
+def _is_deferred(
     engine: 'engines.Engine', step: state.StepState, now: float
+) -> bool:
+    """Return True if a step beyond an entitlement waits for others."""
+    full_until = engine.shares.advice_full_until.get(step.job.queue, now)
+    return now < max(engine.shares.advice_wanted_until, full_until)
+
+
+def _leave_next_call(
+    engine: 'engines.Engine',
+    step: state.StepState,
+    call: advice_calls.Call,
+    now: float,
 ) -> None:
-    """Keep back steps beyond an entitlement while another waits for a call.
+    """Keep back others while a step that may start waits for a call.
 
-    One of them keeps back only those of its queue, which take as long.
+    A step beyond an entitlement keeps back those of its queue, which take as
+    long. Logs once for each call that a step has to wait for.
     """
-    if step.job.within_entitlement:
-        engine.shares.advice_wanted_until = now + DEFERRED_S
-    else:
+    engine.advice_calls.note_wanted(call, now)
+    if call.beyond:
         engine.shares.advice_full_until[step.job.queue] = now + DEFERRED_S
+    elif call.tasks:
+        engine.shares.advice_wanted_until = now + DEFERRED_S
+    if not step.call_refused:
+        step.call_refused = True
+        engine.note(
+            'advice_waits',
+            step=step.name,
+            service=call.kind.service,
+            startable=call.tasks,
+            hosts=engine.adviser_count,
+        )
 
 
 def _is_ready_by_reply(
--- a/hibiscusslip/dispatch/advice_sizing.py
+++ b/hibiscusslip/dispatch/advice_sizing.py
@@ -15,6 +15,7 @@
 
 from hibiscusslip.dispatch import candidate_pool
 from hibiscusslip.dispatch import placement
+from hibiscusslip.dispatch import pool_rating
 from hibiscusslip.dispatch import preferences
 from hibiscusslip.dispatch import prospects as prospect_lists
 from hibiscusslip.dispatch import state
@@ -124,8 +125,26 @@
     step: state.StepState,
     candidates: typing.Iterable[candidate_pool.Candidate],
 ) -> int:
-    """Return how many tasks of a step the candidates have capacity for."""
-    return sum(placement.max_tasks(step, item) for item in candidates)
+    """Return how many more tasks of a step fit on the candidates.
+
+    Runs of the step take up its spread.
+    """
+    placed = placement.count_by_endpoint(step)
+    limit = placement.max_spread(step)
+    return sum(
+        pool_rating.count_fitting(
+            step.spec.demand, item, limit - placed[item.endpoint.name]
+        )
+        for item in candidates
+    )
+
+
+def count_free_tasks(
+    step: state.StepState, candidates: candidate_pool.Candidates
+) -> int:
+    """Return how many more tasks fit on endpoints that may be eligible."""
+    known = candidates.eligible_for(step, step.eligible)
+    return free_tasks(step, known) + unasked_free_tasks(step, candidates)
 
 
 def unasked_free_tasks(
@@ -142,11 +161,15 @@
     rating = candidates.rate(step.spec.demand, step.spec.label)
     limit = placement.max_spread(step)
     tasks = rating.free_tasks(limit)
-    for name in step.asked_about:
+    placed = placement.count_by_endpoint(step)
+    for name in step.asked_about | placed.keys():
         number = candidates.number_of(name)
         fit = None if number is None else rating.fit(number)
-        if fit is not None:
-            tasks -= min(fit.free, limit)
+        if fit is None:
+            continue
+        tasks -= min(fit.free, limit)
+        if name not in step.asked_about:
+            tasks += min(fit.free, max(limit - placed[name], 0))
     return tasks
 
 
--- a/hibiscusslip/dispatch/commands.py
+++ b/hibiscusslip/dispatch/commands.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from hibiscusslip.dispatch import advice_calls
 from hibiscusslip.dispatch import estimates
 from hibiscusslip.dispatch import state
 
@@ -52,9 +53,14 @@
 class AdviceRequest:
     """Ask the advice service which endpoints are eligible for a step.
 
-    `cost` is how long the call takes, in seconds.
+    `call` is what was counted for it.
     """
 
     step: state.StepState
     endpoints: tuple[str, ...]
-    cost: float
+    call: advice_calls.Call
+
+    @property
+    def cost(self) -> float:
+        """Return how long the call takes, in seconds."""
+        return self.call.cost
--- a/hibiscusslip/dispatch/engine.py
+++ b/hibiscusslip/dispatch/engine.py
@@ -15,6 +15,7 @@
 from hibiscusslip.dispatch import _planning
 from hibiscusslip.dispatch import _reports
 from hibiscusslip.dispatch import _suspicion
+from hibiscusslip.dispatch import advice_calls
 from hibiscusslip.dispatch import advice_planning
 from hibiscusslip.dispatch import advice_sizing
 from hibiscusslip.dispatch import candidate_pool
@@ -51,9 +52,8 @@
     a lease in seconds, `max_lease` that of the longest that endpoints grant.
     `active_steps` are the steps with unfinished tasks, `periodic_jobs` the
     jobs with occurrences to come. `adviser_count` is the number of hosts that
-    call the advice service, `long_calls` the number of pending long calls,
-    `short_calls_cost` the expected duration of all pending short calls, in
-    seconds. `eligible_shares` are what was learned of the advice, by queue.
+    call the advice service, `advice_calls` has the calls in progress.
+    `eligible_shares` are what was learned of the advice, by queue.
     `withheld_names` are the endpoints whose leases may not be extended,
     `recent_losses` those that crashed lately. `ledger` has what each
     organisation has running; its limit may be exceeded by the share
@@ -89,8 +89,7 @@
         self.active_steps: dict[str, state.StepState] = {}
         self.periodic_jobs: dict[str, state.Job] = {}
         self.adviser_count = 1
-        self.short_calls_cost = 0.0
-        self.long_calls = 0
+        self.advice_calls = advice_calls.AdviceCalls()
         self.withheld_names: set[str] = set()
         self.recent_losses: list[crashes.Loss] = []
         self.eligible_shares: dict[str, advice_sizing.EligibleShare] = {}
@@ -415,7 +414,6 @@
 
         `tickets` is None if the call failed.
         """
-        advice_planning.finish_call(self, request.cost)
         advice_planning.handle_reply(self, request, tickets, until, now)
 
     # Time.
--- a/hibiscusslip/dispatch/placement.py
+++ b/hibiscusslip/dispatch/placement.py
@@ -46,7 +46,7 @@
     return names
 
 
-def _count_by_endpoint(step: state.StepState) -> collections.Counter[str]:
+def count_by_endpoint(step: state.StepState) -> collections.Counter[str]:
     """Count the runs on each endpoint, of a step whose spread is bounded."""
     return collections.Counter(endpoints_of(step) if step.spec.spread else ())
 
@@ -83,7 +83,7 @@
 ) -> int:
     """Return how many tasks of a step could start on candidates now."""
     demand = step.spec.allocated_demand
-    placed = _count_by_endpoint(step)
+    placed = count_by_endpoint(step)
     return sum(
         _Option(step, candidate, placed).max_tasks(demand)
         for candidate in candidates
@@ -195,7 +195,7 @@
 ) -> list[Choice]:
     """Place each task on the candidate of the lowest cost, as many as fit."""
     demand = step.spec.allocated_demand
-    placed = _count_by_endpoint(step)
+    placed = count_by_endpoint(step)
     found = [
         _Option(step, candidate, placed)
         for candidate in candidates
--- a/hibiscusslip/host/advice_routing.py
+++ b/hibiscusslip/host/advice_routing.py
@@ -7,7 +7,7 @@
 zone are avoided briefly as well.
 """
 
-from hibiscusslip.dispatch import advice_planning
+from hibiscusslip.dispatch import advice_calls
 from hibiscusslip.dispatch import commands
 from hibiscusslip.host import context
 from hibiscusslip.peer import base
@@ -108,8 +108,8 @@
         """Return the candidates; some hosts are reserved for short calls."""
         me = self._name
         names = [me, *sorted(n for n in self._ctx.hosts if n != me)]
-        if advice_planning.is_long_call(cost):
-            return names[advice_planning.hosts_for_short_calls(len(names)) :]
+        if advice_calls.is_long_call(cost):
+            return names[advice_calls.hosts_for_short_calls(len(names)) :]
         return names
 
     def _load(self, name: str) -> float:
--- a/hibiscusslip/host/engine_events.py
+++ b/hibiscusslip/host/engine_events.py
@@ -7,6 +7,7 @@
 
 COUNTED_EVENTS = frozenset(
     (
+        'advice_waits',
         'endpoint_restarted',
         'endpoint_replaced',
         'ends_partial',
--- a/tests/host/test_advice_routing.py
+++ b/tests/host/test_advice_routing.py
@@ -2,6 +2,7 @@
 
 import curio
 
+from hibiscusslip.dispatch import advice_calls
 from hibiscusslip.dispatch import commands
 from hibiscusslip.dispatch import state
 from hibiscusslip.host import advice_routing
@@ -45,7 +46,9 @@
         bench = support.Bench()
         job = bench.submit('j', support.step())
         step: state.StepState = job.occurrences[0][0]
-        request = commands.AdviceRequest(step, ('e1',), 0.02)
+        request = commands.AdviceRequest(
+            step, ('e1',), advice_calls.Call(advice_calls.Kind(''), 0.02, 1)
+        )
         # A load on this host keeps the router from calling locally.
         self.router._loads[self.ctx.cfg.name] = 9.0
         return await self.router.request_advice(request)
@@ -88,7 +91,9 @@
 async def request_many(router, count, cost):
     job = support.Bench().submit('j', support.step())
     step = job.occurrences[0][0]
-    request = commands.AdviceRequest(step, ('e1',), cost)
+    request = commands.AdviceRequest(
+        step, ('e1',), advice_calls.Call(advice_calls.Kind(''), cost, 1)
+    )
     async with curio.TaskGroup(wait=all) as group:
         for _ in range(count):
             await group.spawn(router.request_advice, request)
