Give a restarted endpoint no work by its former entry

Cause: a restart is seen by a poll, the labels and the service come from the list of endpoints, and nothing compared the two. "A new incarnation may be of a different kind, even at the same address" (PROTOCOL, Running tasks). The same holds for a new owner that polls an endpoint before its list is new.

Change: if the incarnation that answers isn't that of the entry, the endpoint gets no work until an entry of it is read, nor as one of those that are used for tasks that were kept back for too long. After 3 s it is used again, so that a host that is cut off from the platform doesn't lose it. Event entry_outdated, counted.

Three tests restarted an endpoint that was never listed anew and then expected a start there. They list it now, as the platform does; what they check is as before.

--- a/hibiscusslip/dispatch/_endpoint_state.py
+++ b/hibiscusslip/dispatch/_endpoint_state.py
@@ -36,10 +36,11 @@
     the last ended run that was handled, `acknowledged_cursor` that of the last
     whose record is written. With `ends_partial` its last report left out ended
     runs. A restart was seen at `restarted_at`, 0 once the runs that it ended
-    are abandoned. It `may_have_restarted` since its last report if a
-    call went unanswered or its clock went back. `last_response_at` is when it
-    last answered a call, `suspected_at` when a call first went unanswered
-    after that, 0 for none. It is `silent` once several calls went unanswered.
+    are abandoned. Until `entry_outdated_until` its entry is that of another
+    incarnation, and may differ. It `may_have_restarted` since its last report
+    if a call went unanswered or its clock went back. `last_response_at` is
+    when it last answered a call, `suspected_at` when a call first went
+    unanswered after that, 0 for none. It is `silent` once several calls went unanswered.
     While `withheld` no lease may be granted there. `lapsed` are the runs that
     were given up while it was silent, `trials` the runs beside which no other
     job may start any. The last start there was decided at `last_start_at`, for
@@ -67,6 +68,7 @@
     acknowledged_cursor: int = 0
     ends_partial: bool = False
     restarted_at: float = 0.0
+    entry_outdated_until: float = 0.0
     may_have_restarted: bool = False
     quarantined_until: float = 0.0
     consecutive_failures: int = 0
@@ -122,6 +124,7 @@
             self.reachable()
             and now >= self.quarantined_until
             and now >= self.full_until
+            and now >= self.entry_outdated_until
         )
 
     def reachable(self) -> bool:
--- a/hibiscusslip/dispatch/_reports.py
+++ b/hibiscusslip/dispatch/_reports.py
@@ -19,6 +19,23 @@
 FAILURES_TO_QUARANTINE = 3
 QUARANTINE_S = 3.0
 STOP_RETRY_S = 0.4
+ENTRY_LAG_S = 3.0  # within which the list of endpoints has a new entry
+
+
+def _check_entry(
+    engine: 'engines.Engine',
+    endpoint: state.Endpoint,
+    born: float,
+    now: float,
+) -> None:
+    """Don't use an endpoint by the entry of another incarnation for a while.
+
+    It may serve another service or have other labels now. A host that can't
+    read the list of endpoints uses it again after the usual lag of the list.
+    """
+    if endpoint.entry is not None and endpoint.entry.born != born:
+        endpoint.entry_outdated_until = now + ENTRY_LAG_S
+        engine.note('entry_outdated', endpoint=endpoint.name)
 
 
 def apply(
@@ -36,6 +53,8 @@
         endpoint.inherited_leases_until = min(
             endpoint.inherited_leases_until, _longest_lease_end(engine, now)
         )
+    if report.born != endpoint.born:
+        _check_entry(engine, endpoint, report.born, now)
     if not report.running and report.ends_complete:
         endpoint.inherited_leases_until = 0.0
     if endpoint.restarted_at and report.ends_complete:
--- a/hibiscusslip/dispatch/candidate_pool.py
+++ b/hibiscusslip/dispatch/candidate_pool.py
@@ -154,6 +154,7 @@
             for item in self._listed
             if not item.usable
             and item.endpoint.reachable()
+            and now >= item.endpoint.entry_outdated_until
             and suspicions.allows(item.endpoint)
         ]
         self.has_trials = any([item.endpoint.trials for item in self.all])
--- a/hibiscusslip/dispatch/engine.py
+++ b/hibiscusslip/dispatch/engine.py
@@ -294,6 +294,8 @@
             if known.seq > entry.seq:
                 return  # an older entry that was read late
         endpoint.entry = entry
+        if entry.born == endpoint.born:
+            endpoint.entry_outdated_until = 0.0
         endpoint.address = entry.address
         endpoint.zone = entry.zone
         if entry.draining and not endpoint.draining_since:
--- a/hibiscusslip/host/engine_events.py
+++ b/hibiscusslip/host/engine_events.py
@@ -11,6 +11,7 @@
         'endpoint_restarted',
         'endpoint_replaced',
         'ends_partial',
+        'entry_outdated',
         'crash_suspected',
         'task_given_up',
         'held_by_limit',
--- a/tests/dispatch/crashing_cell.py
+++ b/tests/dispatch/crashing_cell.py
@@ -139,6 +139,7 @@
         machine.ends = 0
         machine.born += 1.0
         machine.poll_lost_until = self.now + LOST_POLL_S
+        self.engine.register_endpoint(self._entry(machine), self.now)
 
     def _go_down(self, machine):
         machine.crashed_at = self.now
--- a/tests/dispatch/support.py
+++ b/tests/dispatch/support.py
@@ -1,5 +1,7 @@
 """Build queues, jobs and endpoints, and drive an engine step by step."""
 
+import dataclasses
+
 from hibiscusslip.dispatch import engine as engines
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import policy as policies
@@ -67,6 +69,12 @@
         self.report(name)
         return self.engine.endpoints[name]
 
+    def list_again(self, name, **fields):
+        """Apply another entry of a listed endpoint, which differs in fields."""
+        entry_ = self.engine.endpoints[name].entry
+        entry_ = dataclasses.replace(entry_, **fields)
+        self.engine.register_endpoint(entry_, self.now)
+
     def submit(self, job_id, *steps, queue='small', **fields):
         spec = model.JobSpec('payload', tuple(steps), **fields)
         submission = records.Submission(queue, SERVICE, WALL_TIME, b'')
--- a/tests/dispatch/test_partial_reports.py
+++ b/tests/dispatch/test_partial_reports.py
@@ -93,6 +93,7 @@
     report_partly(bench, starts, born=2.0)
     assert bench.plan() == [] and not bench.events('run_lost')
     bench.report('e1', ended=ends(starts[PAGE:4], 1 + PAGE), born=2.0)
+    bench.list_again('e1', born=2.0)
     (lost,) = bench.events('run_lost')
     assert (lost['task'], lost['reason']) == ('j.0.0.4', 'restarted')
     assert [start.task.name for start in bench.plan()] == ['j.0.0.4']
@@ -103,6 +104,7 @@
     bench, _ = placed(1)
     sent = bench.now - 2.0  # the start was confirmed a second later
     bench.report('e1', born=2.0, sent=sent)
+    bench.list_again('e1', born=2.0)
     assert bench.plan() == [] and not bench.events('run_lost')
     bench.report('e1', born=2.0)
     assert len(bench.plan()) == 1
