Ignore SIGHUP until a host can handle it

Cause: the handler is installed once all modules are imported and the settings are read; until then the signal's default action ends the process.

Change: __main__ ignores the signal before it imports the rest, which is the new module `starting`.

--- a/hibiscusslip/dispatch/_endpoint_state.py
+++ b/hibiscusslip/dispatch/_endpoint_state.py
@@ -40,7 +40,8 @@
     incarnation, and may differ. It `may_have_restarted` since its last report
     if a call went unanswered or its clock went back. `last_response_at` is
     when it last answered a call, `suspected_at` when a call first went
-    unanswered after that, 0 for none. It is `silent` once several calls went unanswered.
+    unanswered after that, 0 for none. It is `silent` once several calls went
+    unanswered.
     While `withheld` no lease may be granted there. `lapsed` are the runs that
     were given up while it was silent, `trials` the runs beside which no other
     job may start any. The last start there was decided at `last_start_at`, for
--- a/tests/dispatch/support.py
+++ b/tests/dispatch/support.py
@@ -70,7 +70,7 @@
         return self.engine.endpoints[name]
 
     def list_again(self, name, **fields):
-        """Apply another entry of a listed endpoint, which differs in fields."""
+        """Apply another entry of an endpoint, which differs in fields."""
         entry_ = self.engine.endpoints[name].entry
         entry_ = dataclasses.replace(entry_, **fields)
         self.engine.register_endpoint(entry_, self.now)
--- a/tests/platform/cell.py
+++ b/tests/platform/cell.py
@@ -7,8 +7,8 @@
 import curio
 import msgspec
 
-from hibiscusslip.host import __main__ as host_main
 from hibiscusslip.host import host
+from hibiscusslip.host import starting
 from hibiscusslip.http import client
 from hibiscusslip.http import server
 from hibiscusslip.platform import settings
@@ -157,7 +157,7 @@
         text = SETTINGS_FILE.format(name=name, ip=ip, store=store_address)
         text += f'Limits.LinkMbps={link_mbps or 1000}\n'
         text += self._extra_settings
-        ctx = host_main.make_context(settings.parse(text))
+        ctx = starting.make_context(settings.parse(text))
         task = await curio.spawn(host.Host(ctx, SECRET, '').run, daemon=True)
         self.hosts[name] = task
         self.contexts[name] = ctx
--- a/tests/platform/soak/hosted.py
+++ b/tests/platform/soak/hosted.py
@@ -17,11 +17,11 @@
 from hibiscusslip.dispatch import limits
 from hibiscusslip.dispatch import state
 from hibiscusslip.dispatch import usage
-from hibiscusslip.host import __main__ as host_main
 from hibiscusslip.host import access
 from hibiscusslip.host import endpoint_session
 from hibiscusslip.host import front
 from hibiscusslip.host import host
+from hibiscusslip.host import starting
 from hibiscusslip.platform import documents
 from tests.platform.soak import layout
 
@@ -153,4 +153,4 @@
     bug = os.environ.get(BUG_VARIABLE, '')
     if bug:
         BUGS[bug]()
-    sys.exit(host_main.main())
+    sys.exit(starting.main())
