Let renewals of a queue not keep its own steps from calling

What callers would see: in a queue beyond its entitlement, tasks for a free kind of endpoint don't start while others of the queue wait for a full kind.

Cause: a step beyond an entitlement that has to wait for its call keeps back the others of its queue for 0.1 s, as they take as long. Since that isn't so: renewals wait for calls that a start can follow, and then kept these back.

Change: only a step that may start keeps its queue back, and only if the hosts make as many calls as they can.

Failed before, by its assertion: test_a_full_kind_of_endpoint_leaves_calls_to_a_free_one[False]: 111.0 <= 110.0

--- a/hibiscusslip/dispatch/advice_planning.py
+++ b/hibiscusslip/dispatch/advice_planning.py
@@ -303,6 +303,10 @@
         has_capacity = calls.has_capacity(call, hosts)
         if has_capacity and not calls.yields(call, hosts, now):
             return True
+        if call.beyond and call.tasks and not has_capacity:
+            # Others of the queue are beyond it, too, and take as long.
+            full_until = now + DEFERRED_S
+            engine.shares.advice_full_until[step.job.queue] = full_until
         _leave_next_call(engine, step, call, now)
     step.next_advice_at = now + FULL_RETRY_DELAY_S
     return False
@@ -324,13 +328,10 @@
 ) -> None:
     """Keep back others while a step that may start waits for a call.
 
-    A step beyond an entitlement keeps back those of its queue, which take as
-    long. Logs once for each call that a step has to wait for.
+    Logs once for each call that a step has to wait for.
     """
     engine.advice_calls.note_wanted(call, now)
-    if call.beyond:
-        engine.shares.advice_full_until[step.job.queue] = now + DEFERRED_S
-    elif call.tasks:
+    if call.tasks and not call.beyond:
         engine.shares.advice_wanted_until = now + DEFERRED_S
     if not step.call_refused:
         step.call_refused = True
--- a/tests/dispatch/test_advice_calls.py
+++ b/tests/dispatch/test_advice_calls.py
@@ -27,14 +27,17 @@
         self.pending = []
         self.calls = []
         self.started = {}
+        self.within_entitlement = True
 
     def submit(self, job_id, *steps, queue='busy'):
         """Submit a job to the queue and the service of one name."""
         spec = model.JobSpec('payload', tuple(steps))
         submission = records.Submission(queue, queue, support.WALL_TIME, b'')
-        return self.engine.submit(
+        job = self.engine.submit(
             job_id, submission, spec, self.now, support.WALL_TIME
         )
+        job.within_entitlement = self.within_entitlement
+        return job
 
     def first_starts(self, queue, number):
         """Return when the numbered jobs of a queue first had a start."""
@@ -92,11 +95,13 @@
         cell.submit(f'{queue}{index}', support.step(**fields), queue=queue)
 
 
-def test_renewals_on_a_full_service_leave_calls_to_an_idle_one():
+@pytest.mark.parametrize('within', [True, False])
+def test_renewals_on_a_full_service_leave_calls_to_an_idle_one(within):
     # Failure: jobs of an idle service never started, as steps of a full one
     # renewed their tickets over and over and made all long calls.
     cell = make_cell()
     fill(cell)
+    cell.within_entitlement = within
     submit_many(cell, 30, count=2, cpu=8000, long_running=True)
     cell.run_until(cell.now + 5.0)
     begun = cell.now
@@ -118,10 +123,12 @@
     assert max(cell.first_starts('idle', 5)) <= begun + 3.0
 
 
-def test_a_full_kind_of_endpoint_leaves_calls_to_a_free_one():
+@pytest.mark.parametrize('within', [True, False])
+def test_a_full_kind_of_endpoint_leaves_calls_to_a_free_one(within):
     # Failure: as above, within one service.
     cell = make_cell()
     fill(cell)
+    cell.within_entitlement = within
     cell.endpoint('free', service='busy', cpu=4000)
     submit_many(cell, 30, count=2, cpu=8000, long_running=True)
     cell.run_until(cell.now + 5.0)
