soak: have endpoints come back as another kind

Two of the four endpoints change their kind with each restart, and their new entry is listed 1.5 s later; two of five jobs require a kind. A start on an endpoint of another kind is ROUTE, but later than 3 s after the restart, as hosts that can't read the list use a former entry then.

--- a/tests/platform/soak/callers.py
+++ b/tests/platform/soak/callers.py
@@ -64,6 +64,14 @@
         # Drawn apart, so that the seeds play the same faults as ever.
         return random.Random(f'key {self.job_id}').choice(list(layout.KEYS))
 
+    @property
+    def kind(self) -> str:
+        """Return the label that the job requires, '' for none."""
+        rng = random.Random(f'kind {self.job_id}')
+        if self.times or rng.random() >= layout.KIND_SHARE:
+            return ''
+        return rng.choice(layout.KINDS)
+
     @property
     def key(self) -> str:
         """Return the key of the organisation that submits the job."""
@@ -143,6 +151,7 @@
                 'MemMb': layout.TASK_MEM_MB,
                 'EstimateMs': rng.choice((100, 400, 1500)),
                 **({'Speculative': True} if job.speculative else {}),
+                **({'Requires': job.kind} if job.kind else {}),
                 **({'DependsOn': [number - 1]} if number else {}),
             }
             for number, count in enumerate(job.counts)
--- a/tests/platform/soak/endpoint.py
+++ b/tests/platform/soak/endpoint.py
@@ -58,12 +58,15 @@
         self._crashing = False
         self._durations: dict[tuple[str, int], float] = {}
         self._highest_runs: dict[str, int] = {}
+        self._kinds = layout.ENDPOINT_KINDS[number]
+        self._restarts = 0
+        self._record_kind()
 
     def entry(self, *args: typing.Any) -> bytes:
         """Return the endpoint's entry, with its capacity and machine kind."""
         entry = msgspec.json.decode(super().entry(*args))
         entry['Capacity']['Cpu'] = self._cpu
-        entry['Labels'][0] = f'speed-{self._speed}'
+        entry['Labels'] = [f'speed-{self._speed}', 'r1', self._kind]
         return msgspec.json.encode(entry)
 
     async def handle(self, req: messages.Request) -> messages.Response:
@@ -167,6 +170,15 @@
         self._highest_runs = {}
         self.started_at = time.monotonic()
         self.born = int(time.time() * 1000)
+        self._restarts += 1
+        self._record_kind()
+
+    @property
+    def _kind(self) -> str:
+        return self._kinds[self._restarts % len(self._kinds)]
+
+    def _record_kind(self) -> None:
+        self._ledger.add(time.monotonic(), 'kind', self.name, self._kind)
 
 
 def _draw_outcome(task: str, run: int) -> str:
--- a/tests/platform/soak/hosted.py
+++ b/tests/platform/soak/hosted.py
@@ -12,6 +12,7 @@
 import typing
 
 from hibiscusslip.dispatch import _occurrences
+from hibiscusslip.dispatch import _reports
 from hibiscusslip.dispatch import _step_planning
 from hibiscusslip.dispatch import crashes
 from hibiscusslip.dispatch import limits
@@ -134,6 +135,11 @@
     _occurrences.MAX_CREATED_TASKS = _occurrences.MAX_OPEN_TASKS
 
 
+def use_former_entries() -> None:
+    """Use a restarted endpoint by its former entry."""
+    _reports._check_entry = lambda engine, endpoint, born, now: None
+
+
 BUGS: dict[str, typing.Callable[[], None]] = {
     'lease': no_lease_check,
     'early-note': acknowledge_before_commit,
@@ -144,6 +150,7 @@
     'kept-keys': keep_keys,
     'limit-per-step': limit_each_step,
     'long-pieces': count_open_tasks_each_time,
+    'former-kind': use_former_entries,
     'partial-ends': take_partial_reports_for_whole,
 }
 
--- a/tests/platform/soak/layout.py
+++ b/tests/platform/soak/layout.py
@@ -12,6 +12,13 @@
 ENDPOINT_CPU = (12000, 8000, 8000, 4000)  # thousandths of a core
 ENDPOINT_SPEEDS = (1.0, 0.7, 1.4, 1.0)
 ENDPOINTS = len(ENDPOINT_CPU)
+# Labels of the endpoints. With two of them an endpoint changes to the other
+# one with each restart, and its new entry is listed ENTRY_LAG_S later.
+ENDPOINT_KINDS = (('k0',), ('k0', 'k1'), ('k1', 'k0'), ('k1',))
+ENTRY_LAG_S = 1.5
+MAX_ENTRY_LAG_S = 3.0  # after which hosts use a former entry again
+KINDS = ('k0', 'k1')
+KIND_SHARE = 0.4  # of the jobs, which require one
 TASK_MEM_MB = 10
 MAX_ATTEMPTS = 2
 MAX_CRASHING_STARTS = 5  # the sixth is the third after three crashes
--- a/tests/platform/soak/oracle.py
+++ b/tests/platform/soak/oracle.py
@@ -34,6 +34,7 @@
         self._done = collections.defaultdict(list)
         self._failed: collections.Counter[str] = collections.Counter()
         self._crashes: collections.Counter[str] = collections.Counter()
+        self._kinds: dict[str, tuple[float, str]] = {}
         self._acked = {
             (row[2], row[3]) for row in self.rows if row[1] == 'ack'
         }
@@ -53,6 +54,7 @@
                 self.copies += bool(running[task])
                 self._check_start(at, task, run, running, acked_failures)
                 running[task][endpoint] = run
+                self._check_kind(at, endpoint, task, run)
                 self._check_capacity(at, endpoint, running)
             elif event == 'end':
                 endpoint, task, run, how = fields
@@ -64,6 +66,9 @@
             elif event == 'ack':
                 task, run, how = fields
                 acked_failures[task] += how == FAILED
+            elif event == 'kind':
+                endpoint, kind = fields
+                self._kinds[endpoint] = at, kind
             elif event == 'stall':
                 self.longest_stall_s = max(self.longest_stall_s, *fields)
 
@@ -93,6 +98,15 @@
         if step and not self._step_done(job, step - 1, at):
             self._add_violation(at, 'ORDER', task, run)
 
+    def _check_kind(
+        self, at: float, endpoint: str, task: str, run: int
+    ) -> None:
+        job, _, _ = self._parse_task(task)
+        changed_at, kind = self._kinds[endpoint]
+        may_lag = at > changed_at + layout.MAX_ENTRY_LAG_S
+        if job is not None and job.kind not in ('', kind) and not may_lag:
+            self._add_violation(at, 'ROUTE', task, run, endpoint, kind)
+
     def _check_capacity(
         self, at: float, endpoint: str, running: dict[str, dict[str, int]]
     ) -> None:
--- a/tests/platform/soak/platform.py
+++ b/tests/platform/soak/platform.py
@@ -50,6 +50,7 @@
             for number in range(layout.ENDPOINTS)
         }
         self._addresses: dict[str, str] = {}
+        self._restarted: list[tuple[float, str]] = []
         self._sequence = 1
         self._unavailable_jobs: set[tuple[str, int]] = set()
         self._hidden: set[tuple[str, int]] = set()
@@ -122,7 +123,7 @@
     def do_crash(self, name: str) -> None:
         """Restart an endpoint."""
         self.endpoints[name].crash()
-        self._write_entry(name, 'ready')
+        self._list_ready(name)
 
     def do_drain(self, name: str, state: str) -> None:
         """List an endpoint with a state: 'ready' or 'draining'."""
@@ -139,7 +140,15 @@
         ]
 
     def _list_ready(self, name: str) -> None:
-        self._write_entry(name, 'ready')
+        """List an endpoint that has restarted, a little later."""
+        self._restarted.append((time.monotonic() + layout.ENTRY_LAG_S, name))
+
+    async def list_restarted(self) -> None:
+        """Write the entries of restarted endpoints until cancelled."""
+        while True:
+            await curio.sleep(WATCH_INTERVAL_S)
+            while self._restarted and self._restarted[0][0] < time.monotonic():
+                self._write_entry(self._restarted.pop(0)[1], 'ready')
 
     def _write_entry(self, name: str, state: str) -> None:
         self._sequence += 1
@@ -164,6 +173,7 @@
     """Serve until killed."""
     control = Control(seed, path)
     await curio.spawn(record_stalls, control.ledger, daemon=True)
+    await curio.spawn(control.list_restarted, daemon=True)
     handlers = {'control': control, 'store': control.store}
     handlers |= control.endpoints
     ports = {}
