Revert "Leave an owner's objects out of the automatic full collections"

So some connections are closed by the garbage collector only, and a frozen one stays open until the owner's objects have doubled. An owner could run out of descriptors, which is worse than late heartbeats.

--- a/hibiscusslip/host/host.py
+++ b/hibiscusslip/host/host.py
@@ -8,7 +8,6 @@
 
 from hibiscusslip.dispatch import model
 from hibiscusslip.host import advice_routing
-from hibiscusslip.host import collector
 from hibiscusslip.host import config_exchange
 from hibiscusslip.host import context
 from hibiscusslip.host import crash_logging
@@ -133,7 +132,6 @@
                 self._announce,
                 self._run_ownership,
                 self._flush,
-                collector.Collector(self._ctx).run,
                 self._reloader.run,
                 self._await_stop,
             ):
