Bound the histograms of a host

Cause: counters and gauges were bounded, histograms weren't, and the front had one for each method that a client made up. Change: at most 500, as for the others.

--- a/hibiscusslip/observe/prometheus.py
+++ b/hibiscusslip/observe/prometheus.py
@@ -13,8 +13,8 @@
     """Aggregate counters, gauges and latency histograms.
 
     Counters and gauges are bounded to MAX_SERIES label combinations each, of
-    which one metric has at most MAX_SERIES_OF_METRIC; further ones are
-    dropped.
+    which one metric has at most MAX_SERIES_OF_METRIC, and histograms to
+    MAX_SERIES; further ones are dropped.
     """
 
     def __init__(self) -> None:
@@ -49,6 +49,8 @@
     def time(self, name: str, seconds: float) -> None:
         """Add one duration, in seconds, to a histogram."""
         buckets = self._histograms.get(name)
+        if buckets is None and len(self._histograms) >= MAX_SERIES:
+            return
         if buckets is None:
             buckets = self._histograms[name] = [0] * (len(BUCKETS_S) + 1)
         buckets[bisect.bisect_left(BUCKETS_S, seconds)] += 1
