Bound what a stranger sends to the hosts' own port

What others saw: 32 connections without a handshake kept all other hosts out, as a new one was closed at once, and each could send a frame of 1 MiB, or pings whose answers were kept, before it proved anything. A refused hello wrote a log line of up to 4 kB, at any rate.

Change: before the handshake is complete a connection may send 16 KiB in all (max_handshake_bytes). At the limit one that hasn't completed it within 0.1 s makes room for a new one (evict_after). One line a second tells of refused hellos, with the number of others, cut to 200 characters; `links_refused` counts the closed ones.

--- a/hibiscusslip/peer/_channel.py
+++ b/hibiscusslip/peer/_channel.py
@@ -71,9 +71,18 @@
         self._send_queue_bytes = 0
         self._writer_wakeup = curio.Event()
         self._partially_written = False
+        self._bytes_allowed: int | None = None
         self.closed = False
         self.last_used = time.monotonic()
 
+    def limit_bytes(self, size: int | None) -> None:
+        """Let the other side send `size` bytes, None for any number.
+
+        A frame takes memory before it is complete, and so do the answers to
+        control frames.
+        """
+        self._bytes_allowed = size
+
     @property
     def queued(self) -> int:
         """Return the number of messages that wait to be written."""
@@ -95,11 +104,13 @@
         return self._received.popleft()
 
     async def _read_socket(self) -> None:
-        data = await self._sock.recv(READ_BYTES)
+        data = await self._sock.recv(self._next_read_size())
         if not data:
             raise exceptions.ChannelClosed(
                 'the other host closed the connection'
             )
+        if self._bytes_allowed is not None:
+            self._bytes_allowed -= len(data)
         self._counts.bytes_received += len(data)
         self.last_used = time.monotonic()
         self._proto.receive_data(data)
@@ -107,6 +118,16 @@
             await self._handle_event(event)
         self._check_open()
 
+    def _next_read_size(self) -> int:
+        """Return how much to read; raises ChannelClosed at the limit."""
+        if self._bytes_allowed is None:
+            return READ_BYTES
+        if self._bytes_allowed <= 0:
+            raise exceptions.ChannelClosed(
+                'too much was sent before the handshake; check what connects'
+            )
+        return min(self._bytes_allowed, READ_BYTES)
+
     async def _handle_event(self, event: object) -> None:
         if not isinstance(event, frames.Frame):
             self._http_messages.append(event)  # type: ignore[arg-type]
@@ -218,6 +239,13 @@
             self._proto.send_close(frames.CloseCode.GOING_AWAY)
         await self._writer_wakeup.set()
 
+    def shut_down(self) -> None:
+        """Shut the socket down, so that a task that waits on it wakes."""
+        try:
+            self._sock._socket.shutdown(socket.SHUT_RDWR)
+        except (OSError, AttributeError):
+            return  # it is closed or disconnected already
+
     async def close(self) -> None:
         """Send a close frame unless a write was partial, then close."""
         if self.closed:
--- a/hibiscusslip/peer/_session.py
+++ b/hibiscusslip/peer/_session.py
@@ -62,6 +62,7 @@
 
         Raises HelloRefused, ChannelClosed, OSError or TaskTimeout.
         """
+        self._channel.limit_bytes(self._limits.max_handshake_bytes)
         async with curio.timeout_after(self._limits.hello_timeout):
             await self._upgrade()
             try:
@@ -95,6 +96,7 @@
         self._party.check_proof(opening, reply, proof.proof)
         await self._channel.send(codec.encode(_handshake.HelloDone()))
         self.peer = places.HostId(opening.host, opening.incarnation)
+        self._channel.limit_bytes(None)
 
     async def serve(self, spawn: Spawner) -> None:
         """Serve calls until the link ends; `spawn` starts the handlers."""
@@ -180,6 +182,10 @@
                 return
             await curio.sleep(DRAIN_POLL_S)
 
+    def shut_down(self) -> None:
+        """Shut the connection down; its task wakes and closes it."""
+        self._channel.shut_down()
+
     async def request_close(self) -> None:
         """Start to close the link; queued replies aren't sent."""
         await self._channel.request_close()
--- a/hibiscusslip/peer/limits.py
+++ b/hibiscusslip/peer/limits.py
@@ -10,7 +10,9 @@
     `max_pending_calls` bounds the calls of one link that wait for a reply,
     `max_in_flight` those that the server handles at a time,
     `max_unauthenticated` the accepted connections without a completed
-    handshake. A handler may run for `handler_grace` longer than its caller
+    handshake, each of which may send `max_handshake_bytes`. At that limit, one
+    that hasn't completed it within `evict_after` is closed for a new one. A
+    handler may run for `handler_grace` longer than its caller
     waits.
     """
 
@@ -21,6 +23,8 @@
     max_in_flight: int = 64
     max_links: int = 256
     max_unauthenticated: int = 32
+    max_handshake_bytes: int = 16 * 1024
+    evict_after: float = 0.1
     connect_timeout: float = 3.0
     hello_timeout: float = 3.0
     write_timeout: float = 10.0
--- a/hibiscusslip/peer/server.py
+++ b/hibiscusslip/peer/server.py
@@ -8,6 +8,7 @@
 import loguru
 
 from hibiscusslip.model import places
+from hibiscusslip.observe import refusal_log
 from hibiscusslip.peer import _channel
 from hibiscusslip.peer import _handshake
 from hibiscusslip.peer import _session
@@ -28,7 +29,8 @@
     """Accept links and pass each call to the handler.
 
     Further connections are closed at once when `max_links` are open or
-    `max_unauthenticated` haven't completed their handshake.
+    `max_unauthenticated` haven't completed their handshake, unless one of
+    these is overdue.
     """
 
     def __init__(
@@ -44,6 +46,10 @@
         self._handler = handler
         self._sock: curio.io.Socket | None = None
         self._sessions: set[_session.Session] = set()
+        # Sessions without a completed handshake, the oldest first, with the
+        # time of their acceptance.
+        self._unauthenticated: dict[_session.Session, float] = {}
+        self._log = refusal_log.RefusalLog()
         self._connection_count = 0
         self._tasks: set[curio.Task] = set()
         self._stop = curio.Event()
@@ -90,42 +96,69 @@
                 loguru.logger.warning('accepting a link failed: {}', exc)
                 await curio.sleep(ACCEPT_RETRY_S)
                 continue
-            if self._at_connection_limit():
+            if self._at_connection_limit(time.monotonic()):
+                self.counts.links_refused += 1
                 await sock.close()
                 continue
             self._connection_count += 1
             await self._spawn(self._serve_link(sock))
+            # New connections mustn't keep the others waiting.
+            await curio.sleep(0)
 
-    def _at_connection_limit(self) -> bool:
+    def _at_connection_limit(self, now: float) -> bool:
+        """Return True if there is no room for one more, nor can be made."""
         unauthenticated = self._connection_count - len(self._sessions)
-        return (
-            self._connection_count >= self._limits.max_links
-            or unauthenticated >= self._limits.max_unauthenticated
-        )
+        if (
+            self._connection_count < self._limits.max_links
+            and unauthenticated < self._limits.max_unauthenticated
+        ):
+            return False
+        return not self._make_room(now)
+
+    def _make_room(self, now: float) -> bool:
+        """Shut down the oldest connection without a completed handshake.
+
+        Returns False if none has been open for `evict_after`.
+        """
+        for session, accepted_at in self._unauthenticated.items():
+            if now < accepted_at + self._limits.evict_after:
+                return False
+            del self._unauthenticated[session]
+            self._connection_count -= 1
+            self.counts.links_refused += 1
+            session.shut_down()
+            return True
+        return False
 
     async def _serve_link(self, sock: curio.io.Socket) -> None:
-        session = None
+        session = _session.Session(
+            sock, self._party, self._handler, self._limits, self.counts
+        )
+        self._unauthenticated[session] = time.monotonic()
         try:
             _channel.set_socket_options(sock, self._limits)
-            session = _session.Session(
-                sock, self._party, self._handler, self._limits, self.counts
-            )
             await self._serve_session(session)
         except OSError as exc:
             loguru.logger.debug('link ended: {}', exc)
         finally:
-            self._connection_count -= 1
-            await (session or sock).close()
+            authenticated = session.peer is not None
+            waiting = self._unauthenticated.pop(session, None) is not None
+            if authenticated or waiting:  # else it made room for another
+                self._connection_count -= 1
+            await session.close()
 
     async def _serve_session(self, session: _session.Session) -> None:
         try:
             await session.open()
         except exceptions.HelloRefused as exc:
             self.counts.hellos_refused += 1
-            loguru.logger.warning('handshake refused: {}', exc)
+            self._log.warn(f'handshake refused: {exc}', time.monotonic())
             return
         except (curio.TaskTimeout, exceptions.PeerError) as exc:
-            loguru.logger.info('handshake failed: {!r}', exc)
+            loguru.logger.debug('handshake failed: {!r}', exc)
+            return
+        if self._unauthenticated.pop(session, None) is None:
+            session.peer = None  # it made room for another
             return
         self.counts.links_made += 1
         self._sessions.add(session)
--- a/tests/peer/test_faults.py
+++ b/tests/peer/test_faults.py
@@ -1,9 +1,12 @@
 """Test that invalid input and broken connections affect no other link."""
 
+import contextlib
+
 import curio
 import pytest
 
 from hibiscusslip import codec
+from hibiscusslip.observe import refusal_log
 from hibiscusslip.peer import _channel
 from hibiscusslip.peer import _handshake
 from hibiscusslip.peer import _session
@@ -175,6 +178,74 @@
     curio.run(scenario)
 
 
+def test_hosts_are_linked_beside_a_crowd_that_says_nothing():
+    """A crowd that kept the limit reached kept all other hosts out."""
+    lim = fakes.limits.Limits(
+        max_unauthenticated=3, hello_timeout=30.0, evict_after=0.05
+    )
+
+    async def scenario():
+        async with fakes.running_server(lim=lim) as running:
+            crowd = [
+                await curio.open_connection('127.0.0.1', running.port)
+                for _ in range(3)
+            ]
+            await curio.sleep(0.2)
+            async with fakes.peer_links(running.port) as links:
+                assert await links.call('b', QUERY, 5)
+                assert await crowd[0].recv(1) == b''
+            assert running.server.counts.links_refused == 1
+            for sock in crowd:
+                await sock.close()
+            await _assert_still_serves(running)
+
+    curio.run(scenario)
+
+
+@pytest.mark.parametrize(
+    'data',
+    [
+        b'\x82\xff' + (60_000).to_bytes(8, 'big') + b'mask' + b'x' * 59_999,
+        b'\x89\xfdmask' + b'x' * 125,
+    ],
+)
+def test_stranger_sends_little_before_the_handshake(data):
+    """It sent frames of 1 MiB, or pings whose answers were kept."""
+    lim = fakes.limits.Limits(hello_timeout=30.0)
+
+    async def scenario():
+        async with fakes.running_server(lim=lim) as running:
+            async with raw.raw_caller(running.port) as caller:
+                with contextlib.suppress(OSError):
+                    for _ in range(200):
+                        await caller.sock.sendall(data)
+                async with curio.timeout_after(5.0):
+                    with contextlib.suppress(OSError):
+                        while await caller.sock.recv(65536):
+                            pass
+                received = running.server.counts.bytes_received
+                assert received <= lim.max_handshake_bytes
+
+    curio.run(scenario)
+
+
+def test_refused_hellos_are_logged_once_a_second(monkeypatch):
+    """Each one wrote a line of up to 4 kB."""
+    lines = []
+    log = refusal_log.RefusalLog()
+    monkeypatch.setattr(
+        refusal_log.loguru.logger,
+        'warning',
+        lambda *args: lines.append(args),
+    )
+    for number in range(1000):
+        log.warn('x' * 4000, 100.0 + number / 1000)
+    log.warn('x', 101.5)
+    assert len(lines) == 2
+    assert [len(text) for _, text, _ in lines] == [200, 1]
+    assert lines[1][2] == 999
+
+
 async def _call_succeeds(links):
     try:
         return await links.call('b', QUERY, 5)
