Keep nothing of a refused request while its refusal is sent

What it held: 150 clients with 3,500 header fields each took an entry host to 174 MiB. Cause: the refusal was sent from within the handling of the exception, whose traceback keeps the frames that hold the parsed head, for up to 2 s of lingering. Change: the exception ends before the refusal is sent.

--- a/hibiscusslip/http/_connection.py
+++ b/hibiscusslip/http/_connection.py
@@ -1,6 +1,7 @@
 """Serve the requests of one connection in order."""
 
 import abc
+import dataclasses
 import time
 import typing
 
@@ -23,6 +24,15 @@
 Reason = intakes.Reason
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Refusal:
+    """The response to input that no handler gets."""
+
+    reason: Reason
+    status: int
+    detail: str
+
+
 class Handler(abc.ABC):
     """Handle HTTP requests."""
 
@@ -139,23 +149,38 @@
 
     async def _serve(self) -> None:
         while True:
-            try:
-                req = await self._receiver.receive()
-            except exceptions.RequestRefused as exc:
-                await self._refuse(exc.reason, exc.status, str(exc))
+            received = await self._receive()
+            if received is None:
                 return
-            except h11.RemoteProtocolError as exc:
-                await self._refuse_input(exc)
+            if isinstance(received, _Refusal):
+                await self._refuse(
+                    received.reason, received.status, received.detail
+                )
                 return
-            if req is None:
-                return
-            await self._respond(req)
+            await self._respond(received)
             self._receiver.finish()
             if self._conn.our_state is not h11.DONE:
                 await self._sender.linger()
                 return
             self._conn.start_next_cycle()
 
+    async def _receive(self) -> 'messages.Request | _Refusal | None':
+        """Return the next request, why it is refused, or None at the end.
+
+        An exception would keep what was received until the refusal has
+        reached the peer.
+        """
+        try:
+            return await self._receiver.receive()
+        except exceptions.RequestRefused as exc:
+            return _Refusal(exc.reason, exc.status, str(exc))
+        except h11.RemoteProtocolError as exc:
+            status = exc.error_status_hint
+            reason = Reason.MALFORMED
+            if status == STATUS_HEAD_TOO_LARGE:
+                reason = Reason.HEAD_TOO_LARGE
+            return _Refusal(reason, status, str(exc))
+
     async def _respond(self, req: messages.Request) -> None:
         head_only = req.method == 'HEAD'
         method = req.method[:MAX_LOGGED_CHARS]
@@ -177,13 +202,6 @@
                 raise exceptions.DropConnection('invalid response') from exc
             await self._sender.respond(_internal_error(), head_only)
 
-    async def _refuse_input(self, exc: h11.RemoteProtocolError) -> None:
-        status = exc.error_status_hint
-        reason = Reason.MALFORMED
-        if status == STATUS_HEAD_TOO_LARGE:
-            reason = Reason.HEAD_TOO_LARGE
-        await self._refuse(reason, status, str(exc))
-
     async def _refuse(self, reason: Reason, status: int, detail: str) -> None:
         """Respond to input that no handler gets, then close."""
         self._intake.refuse(reason, self.peer)
