Bound the clients of an entry host together

Cause: hibiscusslip/node shares the HTTP layer, and nothing bounded the sum of what its connections held. A settings check keeps the largest request served.

--- a/hibiscusslip/node/daemon.py
+++ b/hibiscusslip/node/daemon.py
@@ -1,5 +1,6 @@
 """Run the daemon of an entry host until it is asked to stop."""
 
+import dataclasses
 import gc
 import sys
 
@@ -12,6 +13,7 @@
 from hibiscusslip.http import server as http_server
 from hibiscusslip.node import assembly
 from hibiscusslip.node import caller_service
+from hibiscusslip.node import client_intake
 from hibiscusslip.node import clock
 from hibiscusslip.node import operator_service
 from hibiscusslip.node import signals
@@ -61,7 +63,15 @@
             limits.peer_calls_per_second,
             limits.team_jobs_per_second,
         )
-        self._callers = http_server.Server(handler, make_http_limits(limits))
+        sender = self._node.dependencies.metrics_sender
+        bounds = make_http_limits(limits)
+        self._callers = http_server.Server(
+            handler,
+            bounds,
+            client_intake.ClientIntake(
+                limits.max_client_bytes, 'callers', sender
+            ),
+        )
         verifier = signing.Verifier(
             {key.key_id: key.secret for key in cfg.keys.operators}
         )
@@ -70,7 +80,17 @@
         )
         self._operators = http_server.Server(
             operator_handler.OperatorHandler(fleet_service, verifier),
-            make_http_limits(limits),
+            dataclasses.replace(
+                bounds,
+                max_connections=min(
+                    limits.max_connections, client_intake.OPERATOR_CONNECTIONS
+                ),
+            ),
+            client_intake.ClientIntake(
+                int(limits.max_client_bytes * client_intake.OPERATORS_SHARE),
+                'operators',
+                sender,
+            ),
         )
 
     async def run(self) -> int:
--- a/hibiscusslip/settings/_checks.py
+++ b/hibiscusslip/settings/_checks.py
@@ -11,6 +11,10 @@
 from hibiscusslip.settings import _file
 from hibiscusslip.settings import _model
 
+# A request takes five times its body while it is handled, of three quarters of
+# the bytes of a listener; that of the operators has a quarter of all.
+CLIENT_BYTES_PER_BODY_BYTE = 28
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Problem:
@@ -125,6 +129,20 @@
             )
 
 
+@register
+def check_client_bytes(cfg: _file.SettingsFile) -> Problems:
+    """Check that the largest request of an operator fits into its share."""
+    limits = cfg.limits
+    least = limits.max_body_bytes * CLIENT_BYTES_PER_BODY_BYTE
+    if limits.max_client_bytes < least:
+        yield Problem(
+            'limits.max_client_bytes',
+            f'at least {least}, {CLIENT_BYTES_PER_BODY_BYTE} times'
+            f' limits.max_body_bytes, found {limits.max_client_bytes}',
+            'raise it, or lower limits.max_body_bytes',
+        )
+
+
 @register
 def check_seeds(cfg: _file.SettingsFile) -> Problems:
     """Check that the names and addresses of the seeds are unique."""
--- a/hibiscusslip/settings/_file.py
+++ b/hibiscusslip/settings/_file.py
@@ -193,6 +193,7 @@
     """Define the limits of one process; times are in seconds."""
 
     max_body_bytes: Count = 4 * 2**20
+    max_client_bytes: Count = 128 * 2**20
     max_header_bytes: Count = 16 * 2**10
     max_connections: Count = 1024
     max_jobs_per_request: Count = 1000
--- a/hibiscusslip/settings/_model.py
+++ b/hibiscusslip/settings/_model.py
@@ -91,6 +91,7 @@
     """Store the limits of one process; times are in seconds."""
 
     max_body_bytes: int
+    max_client_bytes: int
     max_header_bytes: int
     max_connections: int
     max_jobs_per_request: int
--- a/tests/crowds/hosts.py
+++ b/tests/crowds/hosts.py
@@ -23,6 +23,13 @@
 HOST = cell.HOST
 
 
+def read_peak_memory_mib(pid):
+    """Return the most memory that a process has had resident."""
+    status = pathlib.Path(f'/proc/{pid}/status').read_text()
+    (line,) = [x for x in status.splitlines() if x.startswith('VmHWM')]
+    return int(line.split()[1]) / KIB_PER_MIB
+
+
 class Host:
     """Represent the process of a host, and of the platform that it uses."""
 
@@ -40,9 +47,7 @@
 
     def peak_memory_mib(self):
         """Return the most memory that the process has had resident."""
-        status = pathlib.Path(f'/proc/{self._process.pid}/status').read_text()
-        (line,) = [x for x in status.splitlines() if x.startswith('VmHWM')]
-        return int(line.split()[1]) / KIB_PER_MIB
+        return read_peak_memory_mib(self._process.pid)
 
     def open_descriptors(self):
         """Return how many files and sockets the process has open."""
@@ -133,7 +138,8 @@
         assert descriptors <= self.max_descriptors, f'{descriptors} open'
 
 
-def _wait_until(condition, process, what):
+def wait_until(condition, process, what):
+    """Wait until a started process is ready."""
     give_up_at = time.monotonic() + START_TIMEOUT_S
     while not condition():
         assert process.poll() is None, f'{what} has ended'
@@ -175,7 +181,7 @@
             )
         limits = (memory_mib, descriptors)
         host = Host(platform, platform_port, process, ip, limits)
-        _wait_until(
+        wait_until(
             lambda: host.try_call(READY, 'GET', '/v1/ready') == (200, b''),
             process,
             'the host',
