soak: have clients that don't behave call the hosts

16 connections at a time, all to one host and port, which announce or send too much, send nothing or little, or read no answers. A host may have 96 MiB.

--- a/tests/platform/soak/__main__.py
+++ b/tests/platform/soak/__main__.py
@@ -16,6 +16,7 @@
 from tests.platform.soak import cell as cells
 from tests.platform.soak import faults
 from tests.platform.soak import hosted
+from tests.platform.soak import intruders
 from tests.platform.soak import layout
 from tests.platform.soak import oracle
 from tests.platform.soak import quotas
@@ -40,6 +41,7 @@
         self._cell = cells.Cell(seed, folder, bug)
         self._callers = callers.Callers(self._cell, rng)
         self._injector = faults.FaultInjector(self._cell, rng)
+        self._intruders = intruders.Intruders(self._cell, seed)
         self._probes: list[callers.CallResult] = []
         self._key_probes = access.KeyProbes()
         self._published_at = math.inf
@@ -60,11 +62,13 @@
     async def _run_phases(self) -> None:
         calling = await curio.spawn(self._callers.run, daemon=True)
         probing = await curio.spawn(self._probe, daemon=True)
+        intruding = await curio.spawn(self._intruders.run, daemon=True)
         await self._cell.control('odd_entries')
         await self._injector.run(self._faults)
         self._callers.stopped = True
         await calling.join()
         await probing.cancel()
+        await intruding.cancel()
         for wait in faults.heal(self._cell):
             await wait
         await curio.sleep(callers.CALLER_TIMEOUT_S)
@@ -128,6 +132,7 @@
         checker.check_config(self._probes, await self._query_queue())
         checker.check_graceful_stops(self._injector.done)
         checker.check_holds(self._folder)
+        checker.broken += self._intruders.check_memory()
         checker.broken += access.check_keys(
             self._key_probes, self._callers.jobs, self._injector.done
         )
--- a/tests/platform/soak/cell.py
+++ b/tests/platform/soak/cell.py
@@ -160,6 +160,7 @@
         )
         text += f'Contracts={platform_settings.ORGANISATIONS_CONTRACT}\n'
         text += f'Bounds.ConfigApplyMs={layout.CONFIG_APPLY_S * 1000}\n'
+        text += f'Limits.MemoryMb={layout.MAX_MEMORY_MIB}\n'
         text += f'Bounds.QuotaOverage={layout.QUOTA_OVERAGE}\n'
         host.settings.write_text(text)
 
--- a/tests/platform/soak/layout.py
+++ b/tests/platform/soak/layout.py
@@ -20,6 +20,7 @@
 KINDS = ('k0', 'k1')
 KIND_SHARE = 0.4  # of the jobs, which require one
 TASK_MEM_MB = 10
+MAX_MEMORY_MIB = 96  # of a host
 MAX_ATTEMPTS = 2
 MAX_CRASHING_STARTS = 5  # the sixth is the third after three crashes
 DEADLY_SPEC = 'deadly'  # of jobs whose first task crashes its endpoints
