--- a/hibiscusslip/host/client_limits.py
+++ b/hibiscusslip/host/client_limits.py
@@ -22,7 +22,7 @@
 UNAUTHENTICATED_LINKS = 32
 REFUSALS = 64
 LINKS_PER_HOST = 2  # one in each direction
-MIN_CALLERS_SHARE = 1 / 16
+MIN_CALLERS_SHARE = 1 / 64  # what the most endpoint connections leave
 LOG_INTERVAL_S = 1.0
 
 
--- a/hibiscusslip/http/intake.py
+++ b/hibiscusslip/http/intake.py
@@ -5,7 +5,7 @@
 
 from hibiscusslip.http import memory
 
-MAX_BYTES = 64 * 1024 * 1024
+MAX_BYTES = 512 * 1024 * 1024  # of a listener without a setting of its own
 # What a connection costs that has sent nothing: its task, its parser, and the
 # buffer in which the kernel keeps what wasn't read yet.
 RECEIVE_BUFFER_BYTES = 16 * 1024
--- a/tests/crowds/test_memory.py
+++ b/tests/crowds/test_memory.py
@@ -4,6 +4,7 @@
 
 from tests.crowds import crowd
 from tests.crowds import hosts
+from tests.platform import cell
 
 MIB = 1024 * 1024
 MAX_BODY = 262144  # of the configuration in force
@@ -72,6 +73,23 @@
         assert list(host.inbox()).count('0123456789abcdef') == 0
 
 
+def test_refused_keys_stay_within_the_memory(tmp_path):
+    """What a caller without a key sends is received before its refusal."""
+    extra = 'Contracts=tenants\n'
+    config = cell.organisations_document(2, {'o1': ['key-1']})
+    with hosts.running(tmp_path, extra=extra) as host:
+        host.configure(config)
+        host.headers['Authorization'] = 'Bearer key-1'
+        hosts.wait_until(host.refuses_strangers, host, 'the configuration')
+        address = (host.ip, hosts.FRONT)
+        with crowd.present(address, 600, announced(MAX_BODY)):
+            host.check_bounds()
+        with crowd.present(address, 300, announced(MAX_BODY) + b' '):
+            host.check_bounds()
+        host.check_bounds()
+        assert list(host.inbox()).count('0123456789abcdef') == 0
+
+
 @pytest.mark.parametrize('port', [hosts.READY, hosts.METRICS])
 def test_other_listeners_stay_within_the_memory(port, tmp_path):
     data = announced(8 * MIB, b'POST /v1/ready HTTP/1.1\r\nhost: x\r\n')
