Tell the peers of requests that were given up before closing others again

Seen in tests/test_http_crowds.py (slow_body), 3 of 4 runs in parallel, none alone: a client whose request was given up got no 503, its connection was closed. Cause: when room was short again, the request that began first was chosen again, though its body was dropped already, and so the connection was shut down.

--- a/hibiscusslip/http/_receiver.py
+++ b/hibiscusslip/http/_receiver.py
@@ -37,7 +37,6 @@
         '_activity',
         '_body',
         '_conn',
-        '_given_up',
         '_limits',
         '_max_body_bytes',
         '_peer',
@@ -63,7 +62,6 @@
         self._peer = peer
         self._max_body_bytes = max_body_bytes
         self._body = bytearray()
-        self._given_up = False
         self._reads_in_a_row = 0
         self.holding = budget.open(self)
 
@@ -96,11 +94,9 @@
         The peer is told so when it sends more. One that has no body, or that
         was given up before, is shut down.
         """
-        if self._body and not self._given_up:
-            self._given_up = True
+        if self._body:
             self._body = bytearray()
             return intake.CONNECTION_BYTES + intake.REQUEST_BYTES
-        self._given_up = True
         self.holding.unfinished_since = None
         _sockets.shut_down(self._sock)
         return intake.CONNECTION_BYTES
@@ -186,7 +182,7 @@
 
     async def _read(self) -> None:
         data = await self._receive_bytes()
-        if self._given_up:
+        if self.holding.given_up:
             raise _out_of_memory()
         if data:
             self._start_request(time.monotonic())
--- a/hibiscusslip/http/memory.py
+++ b/hibiscusslip/http/memory.py
@@ -26,15 +26,17 @@
     """Record how many bytes are held for one peer.
 
     `unfinished_since` is when the request began that is being read, on the
-    monotonic clock, None if there is none.
+    monotonic clock, None if there is none. It is `given_up` once it was
+    dropped for another.
     """
 
-    __slots__ = ('budget', 'holder', 'size', 'unfinished_since')
+    __slots__ = ('budget', 'given_up', 'holder', 'size', 'unfinished_since')
 
     def __init__(self, budget: 'MemoryBudget', holder: Holder) -> None:
         self.budget = budget
         self.holder = holder
         self.size = 0
+        self.given_up = False
         self.unfinished_since: float | None = None
 
     def resize(self, size: int) -> bool:
@@ -89,6 +91,7 @@
             victim = self._find_slowest(holding, before)
             if victim is None:
                 return False
+            victim.given_up = True
             left = victim.holder.give_up()
             if left >= victim.size:
                 victim.unfinished_since = None  # it has no more to give up
@@ -97,10 +100,15 @@
         return True
 
     def _find_slowest(self, holding: Holding, before: float) -> Holding | None:
-        """Return the unfinished request that began first, before `before`."""
-        slowest = None
-        for other in self.holdings:
-            began = other.unfinished_since
-            if began is not None and began <= before and other is not holding:
-                slowest, before = other, began
-        return slowest
+        """Return the unfinished request that began first, up to `before`.
+
+        Those that were given up come last: their peers are yet to be told so.
+        """
+        candidates = [
+            (other.given_up, other.unfinished_since, number, other)
+            for number, other in enumerate(self.holdings)
+            if other is not holding
+            and other.unfinished_since is not None
+            and other.unfinished_since <= before
+        ]
+        return min(candidates)[-1] if candidates else None
--- a/tests/test_http_crowds.py
+++ b/tests/test_http_crowds.py
@@ -73,6 +73,16 @@
     assert budget.held == 50 + 10 + 35
 
 
+def test_a_request_that_was_given_up_goes_last():
+    """Its connection was closed before its peer was told."""
+    budget = memory.MemoryBudget(100)
+    first, second = Holder(budget, 45, 1.0), Holder(budget, 45, 2.0)
+    assert Holder(budget, 40, 3.0).admitted
+    assert (first.given_up, second.given_up) == (1, 0)
+    assert Holder(budget, 35, 4.0).admitted
+    assert (first.given_up, second.given_up) == (1, 1)
+
+
 def test_a_request_is_not_given_up_for_a_later_one_than_its_own():
     budget = memory.MemoryBudget(100)
     first = Holder(budget, 60, 1.0)
