Refuse bodies in tiny chunks

What callers saw: beside 50 clients that sent 256 kB in chunks of a byte, an ordinary job got a 504 for a minute (1 of 2 runs of tests/crowds on, that one at load 7 to 15). Cause: each chunk takes as much time as hundreds of bytes; a read of 16 KiB has 2,700, four reads came in a row, and with 50 clients a turn of all took longer than the host's calls to the store may.

Change: a body may have 128 chunks of any size, further ones of 64 bytes on average, else it gets a 400 (small_chunks); two reads in a row.

--- a/hibiscusslip/http/_receiver.py
+++ b/hibiscusslip/http/_receiver.py
@@ -18,7 +18,12 @@
 
 READ_BYTES = 16 * 1024
 # Reads in a row that found input at once; then other connections have a turn.
-MAX_READS_IN_A_ROW = 4
+MAX_READS_IN_A_ROW = 2
+# A chunk takes as much time as hundreds of bytes in a larger one. A body has so
+# many of any size; further ones have so many bytes on average.
+FREE_CHUNKS = 128
+MIN_CHUNK_BYTES = 64
+STATUS_BAD_REQUEST = 400
 STATUS_TIMEOUT = 408
 STATUS_TOO_LARGE = 413
 STATUS_HEAD_TOO_LARGE = 431
@@ -160,12 +165,15 @@
         activity.deadline = _activity.NEVER
 
     async def _read_body(self, event: typing.Any, limit: int) -> None:
+        chunks = 0
         while type(event) is not h11.EndOfMessage:
             if event is h11.NEED_DATA:
                 self._hold_unfinished()
                 await self._read()
             elif type(event) is h11.Data:
                 _check_size(len(self._body) + len(event.data), limit)
+                chunks += event.chunk_start
+                _check_chunks(chunks, len(self._body))
                 self._body += event.data
                 self._extend_deadline(len(event.data))
             event = self._conn.next_event()
@@ -250,6 +258,16 @@
         )
 
 
+def _check_chunks(chunks: int, size: int) -> None:
+    """Refuse a body whose chunks are too small on average."""
+    if chunks > FREE_CHUNKS + size // MIN_CHUNK_BYTES:
+        raise exceptions.RequestRefused(
+            Reason.SMALL_CHUNKS,
+            STATUS_BAD_REQUEST,
+            f'chunks of under {MIN_CHUNK_BYTES} bytes; send larger ones',
+        )
+
+
 def _size_of(head: h11.Request) -> int:
     """Return about how many bytes a parsed head takes."""
     fields = sum(len(name) + len(value) for name, value in head.headers)
--- a/hibiscusslip/http/intake.py
+++ b/hibiscusslip/http/intake.py
@@ -25,6 +25,7 @@
     BODY_TOO_LARGE = 'body_too_large'
     HEAD_TOO_LARGE = 'head_too_large'
     MALFORMED = 'malformed'
+    SMALL_CHUNKS = 'small_chunks'
     TOO_SLOW = 'too_slow'
     OUT_OF_MEMORY = 'out_of_memory'
     TOO_MANY_CONNECTIONS = 'too_many_connections'
--- a/tests/crowds/test_memory.py
+++ b/tests/crowds/test_memory.py
@@ -54,6 +54,14 @@
         60,
         announced(8 * MIB, JOB.replace(b'POST', b'DELETE')),
     ),
+    'announced with GET': (
+        60,
+        announced(8 * MIB, JOB.replace(b'POST', b'GET')),
+    ),
+    'announced with PUT': (
+        60,
+        announced(8 * MIB, JOB.replace(b'POST', b'PUT')),
+    ),
     'just sent': (60, chunked(7 * MIB)),
     'within the limit': (600, announced(MAX_BODY)),
     'many header fields': (400, many_fields()),
