--- a/hibiscusslip/http/_receiver.py
+++ b/hibiscusslip/http/_receiver.py
@@ -19,8 +19,8 @@
 READ_BYTES = 16 * 1024
 # Reads in a row that found input at once; then other connections have a turn.
 MAX_READS_IN_A_ROW = 2
-# A chunk takes as much time as hundreds of bytes in a larger one. A body has so
-# many of any size; further ones have so many bytes on average.
+# A chunk takes as much time as hundreds of bytes in a larger one. A body has
+# so many of any size; further ones have so many bytes on average.
 FREE_CHUNKS = 128
 MIN_CHUNK_BYTES = 64
 STATUS_BAD_REQUEST = 400
