Mend what a second reading of the bounds found

A body whose start was given up is never handled: no path to that was found, as nothing waits between the last read and the end of a body, but one line rules it out. A MemoryMb or RecordBytes that is empty or 0 counts as missing, where it would have left no memory for clients (test). The refusal of many braces names them. ListenerIntake is named for what it is.

--- a/hibiscusslip/host/client_limits.py
+++ b/hibiscusslip/host/client_limits.py
@@ -100,8 +100,8 @@
         )
 
 
-class ProbesIntake(intake.Intake):
-    """Bound what readiness probes and collectors of metrics make it hold."""
+class ListenerIntake(intake.Intake):
+    """Bound what the clients of a listener make a host hold."""
 
     def __init__(self, ctx: context.Context, max_bytes: int, name: str):
         super().__init__(max_bytes)
@@ -113,7 +113,7 @@
         self._refusal_log.record(reason.value, peer, context.monotonic())
 
 
-class CallersIntake(ProbesIntake):
+class CallersIntake(ListenerIntake):
     """Bound what callers make a host hold, and which descriptors are left."""
 
     def __init__(self, ctx: context.Context, limits: ClientLimits) -> None:
--- a/hibiscusslip/host/host.py
+++ b/hibiscusslip/host/host.py
@@ -124,12 +124,12 @@
         self._ready = server.Server(
             front.ReadinessHandler(ctx),
             _PROBE_LIMITS,
-            client_limits.ProbesIntake(ctx, limits.probes_bytes, 'ready'),
+            client_limits.ListenerIntake(ctx, limits.probes_bytes, 'ready'),
         )
         self._metrics = server.Server(
             front.MetricsHandler(ctx),
             _PROBE_LIMITS,
-            client_limits.ProbesIntake(ctx, limits.probes_bytes, 'metrics'),
+            client_limits.ListenerIntake(ctx, limits.probes_bytes, 'metrics'),
         )
 
     async def run(self) -> None:
--- a/hibiscusslip/http/_receiver.py
+++ b/hibiscusslip/http/_receiver.py
@@ -151,6 +151,8 @@
         if conn.they_are_waiting_for_100_continue:
             await self._send_continue()
         await self._read_body(event, limit)
+        if self.holding.given_up:
+            raise _out_of_memory()  # the start of the body is gone
         body = bytes(self._body)
         self._body = bytearray()
         return body
--- a/hibiscusslip/platform/documents.py
+++ b/hibiscusslip/platform/documents.py
@@ -84,7 +84,8 @@
     """Return the job in the body of a request; raises JobInvalid."""
     if body.count(b'{') > MAX_BRACES:
         raise exceptions.JobInvalid(
-            f'a job has 1 to {MAX_STEPS} steps; mend the body'
+            f'the body has over {MAX_BRACES} braces, a job 1 to {MAX_STEPS}'
+            ' steps; mend the body'
         )
     try:
         job = msgspec.json.decode(body, type=_Job)
--- a/hibiscusslip/platform/settings.py
+++ b/hibiscusslip/platform/settings.py
@@ -160,12 +160,18 @@
         bounds=_bounds(fields),
         heartbeat=float(fields.get('HeartbeatMs', '1500')) / MS_PER_S,
         max_descriptors=int(fields.get('Limits.MaxFds', '1024')),
-        memory_mb=int(float(fields.get('Limits.MemoryMb') or '256')),
-        record_bytes=int(fields.get('platform.RecordBytes') or '262144'),
+        memory_mb=_size(fields, 'Limits.MemoryMb', 256),
+        record_bytes=_size(fields, 'platform.RecordBytes', 262144),
         contracts=_contracts(fields),
     )
 
 
+def _size(fields: dict[str, str], key: str, default: int) -> int:
+    """Return a size, the default if it is missing, empty or 0."""
+    size = int(float(fields.get(key) or '0'))
+    return size if size > 0 else default
+
+
 def _contracts(fields: dict[str, str]) -> frozenset[str]:
     names = fields.get('Contracts', '').split(',')
     return frozenset(name.strip() for name in names if name.strip())
--- a/tests/host/test_client_limits.py
+++ b/tests/host/test_client_limits.py
@@ -31,6 +31,15 @@
     assert 10 * limits.max_body_bytes <= memory_mb * MIB / 6
 
 
+@pytest.mark.parametrize(
+    'text', ['', 'Limits.MemoryMb=\n', 'Limits.MemoryMb=0\n']
+)
+def test_memory_of_an_unknown_machine_is_assumed(text):
+    """A host without a memory for clients would serve none."""
+    base = cell.SETTINGS_FILE.format(name='h0', ip='127.0.0.1', store='x:1')
+    assert settings.parse(base + text).memory_mb == 256
+
+
 def test_connections_leave_descriptors_to_the_host_itself():
     limits = client_limits.derive(make_settings())
     assert limits.max_callers(hosts=9, endpoint_connections=100) > 1500
