--- a/tests/crowds/test_memory.py
+++ b/tests/crowds/test_memory.py
@@ -34,10 +34,11 @@
     return JOB + fields + b'content-length: 9\r\n\r\n1'
 
 
-def small_chunks(size):
-    """Return a body within the limit, in chunks of a byte."""
+def small_chunks(size, chunk_size=1):
+    """Return a body within the limit, in chunks of a byte or more."""
     head = JOB + b'transfer-encoding: chunked\r\n\r\n'
-    return head + b'1\r\n \r\n' * size
+    chunk = b'%x\r\n' % chunk_size + b' ' * chunk_size + b'\r\n'
+    return head + chunk * (size // chunk_size)
 
 
 def body_and_trailers(size):
@@ -66,6 +67,7 @@
     'within the limit': (600, announced(MAX_BODY)),
     'many header fields': (400, many_fields()),
     'chunks of a byte': (50, small_chunks(MAX_BODY - 1)),
+    'chunks as small as allowed': (300, small_chunks(MAX_BODY - 64, 64)),
     'trailers': (600, body_and_trailers(MAX_BODY - 1)),
 }
 
