--- a/Makefile
+++ b/Makefile
@@ -40,7 +40,7 @@
 	PYTHONHASHSEED=0 $(PY) -m pytest tests/fuzz -n 3 $(PYTEST_ARGS)
 	PYTHONHASHSEED=0 $(PY) -m pytest --ignore=tests/fuzz --ignore=tests/crowds \
 		-n $(TEST_PROCESSES) $(PYTEST_ARGS)
-	PYTHONHASHSEED=0 $(PY) -m pytest tests/crowds -p no:xdist $(PYTEST_ARGS)
+	PYTHONHASHSEED=0 $(PY) -m pytest tests/crowds -n 0 $(PYTEST_ARGS)
 
 format: setup
 	.venv/bin/ruff check -q --fix --select I .
