--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,8 @@
 PLANT ?=
 # The tests wait more than they compute, so they run in parallel. The fuzz tests
 # run separately: hypothesis draws constants from all loaded modules, so the
-# result of a seed depends on which tests the process ran before.
+# result of a seed depends on which tests the process ran before. The crowds
+# run one at a time: they measure what a process holds.
 TEST_PROCESSES ?= 4
 # The users' bench and the folder of its site files, for `make regression`.
 FLEETBENCH ?=
@@ -37,8 +38,9 @@
 
 test: setup
 	PYTHONHASHSEED=0 $(PY) -m pytest tests/fuzz -n 3 $(PYTEST_ARGS)
-	PYTHONHASHSEED=0 $(PY) -m pytest --ignore=tests/fuzz \
+	PYTHONHASHSEED=0 $(PY) -m pytest --ignore=tests/fuzz --ignore=tests/crowds \
 		-n $(TEST_PROCESSES) $(PYTEST_ARGS)
+	PYTHONHASHSEED=0 $(PY) -m pytest tests/crowds -p no:xdist $(PYTEST_ARGS)
 
 format: setup
 	.venv/bin/ruff check -q --fix --select I .
--- a/hibiscusslip/host/front.py
+++ b/hibiscusslip/host/front.py
@@ -11,6 +11,7 @@
 from hibiscusslip.dispatch import records
 from hibiscusslip.host import access
 from hibiscusslip.host import admission_control
+from hibiscusslip.host import client_limits
 from hibiscusslip.host import context
 from hibiscusslip.host import inbox
 from hibiscusslip.host import retry_hints
@@ -19,12 +20,15 @@
 from hibiscusslip.http import server
 from hibiscusslip.platform import callers
 from hibiscusslip.platform import exceptions
+from hibiscusslip.platform import store
 
 RESPONSE_RESERVE_S = 0.05
 # Below context.MAX_STORE_ANSWER_AGE_S, as being unready costs less than
 # refusing requests.
 READY_MAX_STORE_ANSWER_AGE_S = 0.75
 MAX_LOGGED_PATH_CHARS = 80
+METHODS = ('GET', 'POST', 'DELETE')
+OTHER_METHOD = 'other'  # all further ones: clients make them up
 JOB_ID = re.compile(r'[0-9a-f]{16}\Z')
 
 
@@ -83,13 +87,22 @@
         ctx: context.Context,
         job_states: JobStateSource,
         job_inbox: inbox.Inbox,
+        limits: client_limits.ClientLimits | None = None,
     ) -> None:
         self._ctx = ctx
+        self._limits = limits or client_limits.derive(ctx.cfg)
         self._job_states = job_states
         self._inbox = job_inbox
         self._authenticator = access.Authenticator()
         self._admission = admission_control.AdmissionControl(ctx, job_states)
 
+    @property
+    def max_body_bytes(self) -> int:
+        """Return the largest body by the configuration in force."""
+        config = self._ctx.config
+        configured = config.max_body_bytes if config else 0
+        return client_limits.max_body_bytes(configured, self._limits)
+
     async def handle(self, req: messages.Request) -> messages.Response:
         """Return the response to one request."""
         started = context.monotonic()
@@ -161,6 +174,8 @@
     def _record_metrics(
         self, method: str, status: int, started: float
     ) -> None:
+        if method not in METHODS:
+            method = OTHER_METHOD
         self._ctx.metrics.count('answers', method=method, status=str(status))
         self._ctx.metrics.time(
             f'answer_{method.lower()}', context.monotonic() - started
@@ -190,12 +205,12 @@
         return callers.queue_size(load.pending if load else 0)
 
     async def _submit(self, call: _Call) -> messages.Response:
-        body = call.req.body
         try:
             spec = callers.read_job(call.req)
         except exceptions.JobInvalid as exc:
             self._log('job_invalid', call.job_id, error=str(exc)[:200])
             return callers.bad_request(str(exc))
+        body = callers.compact_body(call.req)
         submission = records.Submission(
             call.queue.name,
             call.queue.service,
@@ -213,6 +228,10 @@
             )
         key = topics.submission_key(call.job_id, call.organisation)
         value = records.encode_submission(submission)
+        size = len(store.encode_keyed(key, value))
+        if size > self._ctx.cfg.record_bytes:
+            self._log('job_too_large', call.job_id, bytes=size)
+            return callers.job_too_large()
         outcome = await self._inbox.write([(key, value)], call.deadline)
         self._log(
             f'job_{outcome.value}',
--- a/hibiscusslip/host/host.py
+++ b/hibiscusslip/host/host.py
@@ -1,5 +1,6 @@
 """Assemble a host and run it until it is asked to stop."""
 
+import dataclasses
 import os
 import signal
 import types
@@ -8,6 +9,7 @@
 
 from hibiscusslip.dispatch import model
 from hibiscusslip.host import advice_routing
+from hibiscusslip.host import client_limits
 from hibiscusslip.host import config_exchange
 from hibiscusslip.host import context
 from hibiscusslip.host import crash_logging
@@ -42,12 +44,19 @@
 DRAIN_TIMEOUT_S = 2.0
 KEY_ID = 'cell'
 METRICS_PORT = 9102
+MAX_PROBE_BODY_BYTES = 4096
 _HTTP_LIMITS = http_limits.Limits(
     idle_timeout=30.0,
     read_timeout=4.0,
     write_timeout=4.0,
     max_connections=1500,
-    linger=0.5,
+    max_refusals=client_limits.REFUSALS,
+)
+_PROBE_LIMITS = dataclasses.replace(
+    _HTTP_LIMITS,
+    max_connections=client_limits.PROBE_CONNECTIONS,
+    max_body_bytes=MAX_PROBE_BODY_BYTES,
+    max_refusals=0,
 )
 _PEER_LIMITS = peer_limits.Limits(
     connect_timeout=0.5,
@@ -55,6 +64,7 @@
     tcp_user_timeout=1.5,
     min_backoff=0.05,
     max_backoff=0.5,
+    max_unauthenticated=client_limits.UNAUTHENTICATED_LINKS,
 )
 
 
@@ -105,10 +115,22 @@
         self._peers = peer_server.PeerServer(
             me, info, keys, _PEER_LIMITS, message_handler
         )
-        front_handler = front.FrontHandler(ctx, self, self._inbox)
-        self._front = server.Server(front_handler, _HTTP_LIMITS)
-        self._ready = server.Server(front.ReadinessHandler(ctx), _HTTP_LIMITS)
-        self._metrics = server.Server(front.MetricsHandler(ctx), _HTTP_LIMITS)
+        limits = client_limits.derive(cfg)
+        self._front = server.Server(
+            front.FrontHandler(ctx, self, self._inbox, limits),
+            _HTTP_LIMITS,
+            client_limits.CallersIntake(ctx, limits),
+        )
+        self._ready = server.Server(
+            front.ReadinessHandler(ctx),
+            _PROBE_LIMITS,
+            client_limits.ProbesIntake(ctx, limits.probes_bytes, 'ready'),
+        )
+        self._metrics = server.Server(
+            front.MetricsHandler(ctx),
+            _PROBE_LIMITS,
+            client_limits.ProbesIntake(ctx, limits.probes_bytes, 'metrics'),
+        )
 
     async def run(self) -> None:
         """Run until SIGTERM or SIGINT, then stop gracefully."""
--- a/hibiscusslip/http/_connection.py
+++ b/hibiscusslip/http/_connection.py
@@ -1,7 +1,7 @@
 """Serve the requests of one connection in order."""
 
 import abc
-import socket
+import time
 import typing
 
 import h11
@@ -12,13 +12,25 @@
 from hibiscusslip.http import _sender
 from hibiscusslip.http import _sockets
 from hibiscusslip.http import exceptions
+from hibiscusslip.http import intake as intakes
 from hibiscusslip.http import limits
 from hibiscusslip.http import messages
 
+MAX_LOGGED_CHARS = 80
+RETRY_AFTER_S = 1
+STATUS_HEAD_TOO_LARGE = 431
+STATUS_UNAVAILABLE = 503
+Reason = intakes.Reason
+
 
 class Handler(abc.ABC):
     """Handle HTTP requests."""
 
+    @property
+    def max_body_bytes(self) -> int | None:
+        """Return the largest body that is taken, None for the listener's."""
+        return None
+
     @abc.abstractmethod
     async def handle(self, req: messages.Request) -> messages.Response:
         """Return the response to one request.
@@ -37,10 +49,13 @@
     __slots__ = (
         '_conn',
         '_handler',
+        '_intake',
+        '_limits',
         '_receiver',
         '_sender',
         '_sock',
         'activity',
+        'peer',
     )
 
     def __init__(
@@ -49,19 +64,33 @@
         peer: str,
         handler: Handler,
         bounds: limits.Limits,
+        intake: intakes.Intake,
     ) -> None:
         conn = h11.Connection(
             h11.SERVER, max_incomplete_event_size=bounds.max_header_bytes
         )
-        self.activity = _activity.Activity()
+        self.activity = _activity.Activity(time.monotonic())
+        self.peer = peer
         self._sock = sock
         self._conn = conn
         self._handler = handler
+        self._intake = intake
+        self._limits = bounds
         self._receiver = _receiver.Receiver(
-            sock, conn, bounds, self.activity, peer
+            sock,
+            conn,
+            bounds,
+            self.activity,
+            peer,
+            intake.memory,
+            self._max_body_bytes,
         )
         self._sender = _sender.Sender(sock, conn, bounds, self.activity)
 
+    def admit(self) -> bool:
+        """Account for this connection; return False if memory is short."""
+        return self._receiver.holding.resize(intakes.CONNECTION_BYTES)
+
     async def run(self) -> None:
         """Serve requests until either side closes the connection."""
         try:
@@ -71,42 +100,57 @@
         except OSError:
             pass
         finally:
-            await self._sock.close()
+            await self.close()
 
-    async def refuse(self, response: messages.Response) -> None:
-        """Send `response` without reading a request, then close."""
+    async def refuse(self, reason: Reason, detail: str) -> None:
+        """Respond with a 503 without reading a request, then close."""
         try:
-            await self._respond_and_close(response)
+            await self._refuse(reason, STATUS_UNAVAILABLE, detail)
         except OSError:
             pass
         finally:
-            await self._sock.close()
+            await self.close()
 
-    def expire(self) -> None:
-        """Shut down an overdue connection; its task wakes and closes it.
+    async def close(self) -> None:
+        """Close the socket; nothing is held any more."""
+        self._receiver.holding.close()
+        await self._sock.close()
 
-        While a request is being read only the reading side is shut down, so
-        that the 408 response can still be sent.
-        """
-        self.activity.timed_out = True
+    def expire(self) -> None:
+        """Shut an overdue connection down; its task wakes and closes it."""
+        if self.activity.busy:
+            self._intake.refuse(Reason.ANSWER_NOT_READ, self.peer)
         self.activity.deadline = _activity.NEVER
-        how = socket.SHUT_RD if self.activity.reading else socket.SHUT_RDWR
-        _sockets.shut_down(self._sock, how)
+        _sockets.shut_down(self._sock)
+
+    def make_room(self) -> None:
+        """Shut the connection down, as a new one needs its place."""
+        self._intake.refuse(Reason.MADE_ROOM, self.peer)
+        self._receiver.holding.close()
+        _sockets.shut_down(self._sock)
 
     def shut_down(self) -> None:
         """Shut the connection down, even during a request."""
         _sockets.shut_down(self._sock)
 
+    def _max_body_bytes(self) -> int:
+        limit = self._handler.max_body_bytes
+        return self._limits.max_body_bytes if limit is None else limit
+
     async def _serve(self) -> None:
         while True:
             try:
                 req = await self._receiver.receive()
+            except exceptions.RequestRefused as exc:
+                await self._refuse(exc.reason, exc.status, str(exc))
+                return
             except h11.RemoteProtocolError as exc:
                 await self._refuse_input(exc)
                 return
             if req is None:
                 return
             await self._respond(req)
+            self._receiver.finish()
             if self._conn.our_state is not h11.DONE:
                 await self._sender.linger()
                 return
@@ -114,38 +158,41 @@
 
     async def _respond(self, req: messages.Request) -> None:
         head_only = req.method == 'HEAD'
+        method = req.method[:MAX_LOGGED_CHARS]
+        path = req.path[:MAX_LOGGED_CHARS]
         try:
             response = await self._handler.handle(req)
         except exceptions.DropConnection:
             raise
         except Exception:
-            logger.exception(
-                '{} {!r}: the handler failed', req.method, req.path
-            )
+            logger.exception('{} {!r}: the handler failed', method, path)
             response = _internal_error()
         try:
             await self._sender.respond(response, head_only)
         except (h11.LocalProtocolError, UnicodeError) as exc:
             logger.exception(
-                '{} {!r}: the response of the handler is invalid',
-                req.method,
-                req.path,
+                '{} {!r}: the response of the handler is invalid', method, path
             )
             if self._conn.our_state is not h11.SEND_RESPONSE:
                 raise exceptions.DropConnection('invalid response') from exc
             await self._sender.respond(_internal_error(), head_only)
-        self.activity.busy = False
 
     async def _refuse_input(self, exc: h11.RemoteProtocolError) -> None:
+        status = exc.error_status_hint
+        reason = Reason.MALFORMED
+        if status == STATUS_HEAD_TOO_LARGE:
+            reason = Reason.HEAD_TOO_LARGE
+        await self._refuse(reason, status, str(exc))
+
+    async def _refuse(self, reason: Reason, status: int, detail: str) -> None:
+        """Respond to input that no handler gets, then close."""
+        self._intake.refuse(reason, self.peer)
+        self._receiver.finish()
         if self._conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
-        status = exc.error_status_hint
-        await self._respond_and_close(
-            messages.problem_response(status, 'bad request', str(exc))
-        )
-
-    async def _respond_and_close(self, response: messages.Response) -> None:
-        self.activity.reading = False
+        response = messages.problem_response(status, reason.value, detail)
+        if status == STATUS_UNAVAILABLE:
+            response.headers['retry-after'] = str(RETRY_AFTER_S)
         self.activity.draining = True
         await self._sender.respond(response, False)
         await self._sender.linger()
--- a/hibiscusslip/http/_sender.py
+++ b/hibiscusslip/http/_sender.py
@@ -16,12 +16,14 @@
 from hibiscusslip.http import limits
 from hibiscusslip.http import messages
 
-READ_BYTES = 64 * 1024
+DISCARD_BYTES = 64 * 1024
+MAX_DISCARDS_IN_A_ROW = 4  # then other connections have a turn
 MAX_WRITE_BYTES = 256 * 1024
-MAX_LINGER_BYTES = 1024 * 1024
+MAX_LINGER_BYTES = 64 * 1024 * 1024
 CACHED_HEADS = 512
 NO_BODY_STATUSES = (204, 304)
 END_OF_MESSAGE = h11.EndOfMessage()
+_DISCARDED = bytearray(DISCARD_BYTES)
 
 
 class Sender:
@@ -63,13 +65,16 @@
         could lose the response.
         """
         _sockets.shut_down(self._sock, socket.SHUT_WR)
-        self._activity.deadline = time.monotonic() + self._limits.linger
-        remaining = MAX_LINGER_BYTES
-        while remaining > 0:
-            data = await self._sock.recv(READ_BYTES)
-            if not data:
+        self._activity.start_lingering(time.monotonic(), self._limits.linger)
+        discarded = reads = 0
+        while discarded < MAX_LINGER_BYTES:
+            size = await self._sock.recv_into(_DISCARDED)
+            if not size:
                 return
-            remaining -= len(data)
+            discarded += size
+            reads += 1
+            if reads % MAX_DISCARDS_IN_A_ROW == 0:
+                await curio.sleep(0)
 
     def _send_head(
         self, response: messages.Response, size: int | None
@@ -106,14 +111,14 @@
     async def _write(self, data: bytes) -> None:
         activity = self._activity
         timeout = self._limits.write_timeout
-        activity.deadline = time.monotonic() + timeout
+        activity.start_writing(time.monotonic(), timeout)
         if len(data) <= MAX_WRITE_BYTES:
             await self._sock.sendall(data)
         else:
             view = memoryview(data)
             for start in range(0, len(data), MAX_WRITE_BYTES):
                 await self._sock.sendall(view[start : start + MAX_WRITE_BYTES])
-                activity.deadline = time.monotonic() + timeout
+                activity.start_writing(time.monotonic(), timeout)
         activity.deadline = _activity.NEVER
 
 
--- a/hibiscusslip/http/_sockets.py
+++ b/hibiscusslip/http/_sockets.py
@@ -34,10 +34,17 @@
     return socket.AF_INET6 if ':' in address else socket.AF_INET
 
 
-def listen(address: str, port: int, backlog: int) -> typing.Any:
-    """Return a listening curio socket; raises OSError."""
+def listen(
+    address: str, port: int, backlog: int, receive_buffer: int
+) -> typing.Any:
+    """Return a listening curio socket; raises OSError.
+
+    The kernel keeps `receive_buffer` bytes for each connection that weren't
+    read yet.
+    """
     sock = curio_socket.socket(family_of(address), socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
     sock.bind((address, port))
     sock.listen(backlog)
     return sock
@@ -54,6 +61,18 @@
         return
 
 
+def receive_now(sock: typing.Any, size: int) -> bytes | None:
+    """Return up to `size` bytes, None if there are none yet.
+
+    Raises OSError.
+    """
+    try:
+        data: bytes = sock._socket.recv(size)
+    except (BlockingIOError, InterruptedError):
+        return None
+    return data
+
+
 def reset_on_close(sock: typing.Any) -> None:
     """Make close() reset the connection and discard its unsent data."""
     try:
--- a/hibiscusslip/http/exceptions.py
+++ b/hibiscusslip/http/exceptions.py
@@ -1,5 +1,6 @@
 """Define the errors of HTTP exchanges."""
 
+from hibiscusslip.http import intake
 from hibiscusslip.http import messages
 
 
@@ -35,3 +36,17 @@
 
 class DropConnection(HttpError):
     """Raise in a handler to close the connection without a response."""
+
+
+class RequestRefused(HttpError):
+    """Raise for a request that is refused before it reaches the handler.
+
+    `status` is that of the response, whose detail is the message.
+    """
+
+    def __init__(
+        self, reason: intake.Reason, status: int, detail: str
+    ) -> None:
+        super().__init__(detail)
+        self.reason = reason
+        self.status = status
--- a/hibiscusslip/platform/callers.py
+++ b/hibiscusslip/platform/callers.py
@@ -12,6 +12,7 @@
 METRICS_PATH = '/metrics'
 DEFAULT_TIMEOUT_S = 3.0
 MAX_TIMEOUT_S = 60.0
+MAX_PLAIN_BODY_BYTES = 16 * 1024  # larger ones are stored without blanks
 _JSON = {'content-type': 'application/json'}
 
 
@@ -50,6 +51,13 @@
     return documents.read_job(req.body)
 
 
+def compact_body(req: messages.Request) -> bytes:
+    """Return the body of a valid job, without blanks if it is large."""
+    if len(req.body) <= MAX_PLAIN_BODY_BYTES:
+        return req.body
+    return msgspec.json.format(req.body, indent=-1)
+
+
 def accepted() -> messages.Response:
     """Return a 200: the job or the cancellation is stored."""
     return messages.Response(200, _JSON, b'{}')
@@ -118,6 +126,11 @@
     return _problem(400, reason)
 
 
+def job_too_large() -> messages.Response:
+    """Return a 413: the job doesn't fit into a record of the store."""
+    return _problem(413, "the job doesn't fit into a record; shorten it")
+
+
 def method_not_allowed() -> messages.Response:
     """Return a 405: the method isn't supported."""
     return _problem(405, 'use POST, GET or DELETE')
--- a/hibiscusslip/platform/documents.py
+++ b/hibiscusslip/platform/documents.py
@@ -18,6 +18,9 @@
 MAX_TASKS = 10000
 MAX_OCCURRENCES = 10000
 MAX_COUNT = 2**63 - 1
+# Decoding an object of two bytes takes hundreds. A valid body has one for each
+# step, and braces in its texts.
+MAX_BRACES = 2 * (MAX_STEPS + MAX_SPEC_CHARS)
 MAX_LISTED_ENDS = 500  # in one report; more of them follow later
 
 
@@ -62,7 +65,7 @@
 
 
 class _Limits(fields.Document):
-    max_body_bytes: int = 262144
+    max_body_bytes: int = settings.DEFAULT_MAX_BODY_BYTES
 
 
 class ConfigDocument(fields.Document):
@@ -79,6 +82,10 @@
 
 def read_job(body: bytes) -> model.JobSpec:
     """Return the job in the body of a request; raises JobInvalid."""
+    if body.count(b'{') > MAX_BRACES:
+        raise exceptions.JobInvalid(
+            f'a job has 1 to {MAX_STEPS} steps; mend the body'
+        )
     try:
         job = msgspec.json.decode(body, type=_Job)
     except (msgspec.MsgspecError, RecursionError) as exc:
--- a/hibiscusslip/platform/settings.py
+++ b/hibiscusslip/platform/settings.py
@@ -8,6 +8,7 @@
 
 FILE_VARIABLE = 'HIBISCUSSLIP_NODE_FILE'
 MS_PER_S = 1000.0
+DEFAULT_MAX_BODY_BYTES = 262144
 ORGANISATIONS_CONTRACT = 'tenants'
 
 
@@ -63,7 +64,8 @@
     an endpoint writes its entry, in seconds. `cpu_share` is the
     share of a processor core that the host may use, and `cores` is how many
     times as fast that core runs. The host may have `max_descriptors` files
-    and sockets open. `contracts` are the names of what the
+    and sockets open and `memory_mb` MiB of memory. A record of the store has
+    `record_bytes` at most. `contracts` are the names of what the
     deployment asks for beyond the basic service.
     """
 
@@ -83,6 +85,8 @@
     bounds: Bounds
     heartbeat: float = 1.5
     max_descriptors: int = 1024
+    memory_mb: int = 256
+    record_bytes: int = 262144
     contracts: frozenset[str] = frozenset()
 
     @property
@@ -156,6 +160,8 @@
         bounds=_bounds(fields),
         heartbeat=float(fields.get('HeartbeatMs', '1500')) / MS_PER_S,
         max_descriptors=int(fields.get('Limits.MaxFds', '1024')),
+        memory_mb=int(float(fields.get('Limits.MemoryMb') or '256')),
+        record_bytes=int(fields.get('platform.RecordBytes') or '262144'),
         contracts=_contracts(fields),
     )
 
