--- a/review/rig3/cell.py
+++ b/review/rig3/cell.py
@@ -115,6 +115,7 @@
         self.processes = {}
         self.workers = {}
         self.addresses = {}
+        self.started_hosts = 1
         self.store = 0
         deploy = tomllib.loads((ROOT / 'deploy/system.toml').read_text())
         (self.role,) = deploy['roles'].values()
@@ -176,9 +177,9 @@
 
     def start_host(self, name, zone):
         """Start a host of the system with the command of the deploy file."""
-        number = len(self.addresses) + 2
+        self.started_hosts += 1
         pid = os.getpid()
-        ip = f'127.{20 + pid // 250 % 200}.{pid % 250}.{number}'
+        ip = f'127.{20 + pid // 250 % 200}.{pid % 250}.{self.started_hosts}'
         settings = pathlib.Path(self.temp.name, f'{name}.conf')
         settings.write_text(
             SETTINGS.format(name=name, ip=ip, zone=zone, store=self.store)
