Wait for inherited leases only as long as they can last

Cause: a successor waited for the longest time for which any owner may extend a lease, 10 s without the store and a lease, from its own start, for each endpoint that no notice had named as silent.

Change: an owner without the store extends leases for 2.5 s; beyond that only while all hosts that it relies on vouch that they don't claim. A successor that the owner knew (notices tell up to where it had read the list of hosts) and that hasn't vouched waits from the last heartbeat for 2.5 s and a lease. The former owner's host is asked whether it is gone. Notices tell until when earlier leases last and whether any was extended since, so a second change doesn't begin the wait anew.

test_owner_extends_leases_only_for_a_while_after_its_last_record recorded a write that was answered; that no longer counts, as a frozen owner's heartbeat may be written after a claim. It reads the heartbeat back now, same bounds.

--- a/hibiscusslip/dispatch/_endpoint_state.py
+++ b/hibiscusslip/dispatch/_endpoint_state.py
@@ -32,7 +32,8 @@
     `clock_read_at`. `leased_until` is the latest end of a lease or start
     request sent to it, on its clock; `inherited_leases_until` is, on the
     host's clock, the latest end of a lease that a former owner, or this one to
-    a former incarnation, may have granted. `handled_cursor` is the number of
+    a former incarnation, may have granted, and `lease_evidence` tells from
+    what that was derived. `handled_cursor` is the number of
     the last ended run that was handled, `acknowledged_cursor` that of the last
     whose record is written. With `ends_partial` its last report left out ended
     runs. A restart was seen at `restarted_at`, 0 once the runs that it ended
@@ -65,6 +66,7 @@
     responsive: bool = False
     leased_until: float = 0.0
     inherited_leases_until: float = 0.0
+    lease_evidence: str = ''
     handled_cursor: int = 0
     acknowledged_cursor: int = 0
     ends_partial: bool = False
--- a/hibiscusslip/dispatch/_lost_runs.py
+++ b/hibiscusslip/dispatch/_lost_runs.py
@@ -270,14 +270,34 @@
 ) -> None:
     """Abandon the runs of an endpoint; those on trial are held for longer."""
     holds_trials = not endpoint.leases_expired(now - crashes.TRIAL_HOLD_S)
-    for key, allocation in list(endpoint.allocations.items()):
-        if holds_trials and key in endpoint.trials:
-            continue
+    held = endpoint.trials.keys() if holds_trials else set()
+    lapsed = [
+        (key, allocation)
+        for key, allocation in endpoint.allocations.items()
+        if key not in held
+    ]
+    if not lapsed:
+        return
+    engine.note(
+        'leases_lapsed',
+        endpoint=endpoint.name,
+        runs=len(lapsed),
+        trials=len(held),
+        evidence='' if endpoint.polled else endpoint.lease_evidence,
+        answered_ms_ago=_answered_ms_ago(endpoint, now),
+    )
+    for key, allocation in lapsed:
         crashes.note_lapse(endpoint, allocation, now)
         abandon_run(engine, endpoint, *key, 'lease lapsed', now)
         _count_late_start(engine, endpoint, key[0], allocation, now)
 
 
+def _answered_ms_ago(endpoint: state.Endpoint, now: float) -> int | None:
+    if not endpoint.last_response_at:
+        return None
+    return int((now - endpoint.last_response_at) * 1000)
+
+
 def revert_start(
     engine: 'engines.Engine',
     endpoint: state.Endpoint,
--- a/hibiscusslip/dispatch/_starts.py
+++ b/hibiscusslip/dispatch/_starts.py
@@ -5,8 +5,6 @@
 from hibiscusslip.dispatch import placement
 from hibiscusslip.dispatch import state
 
-START_VALID_S = 2.0
-
 
 def send_start(
     current: _scheduling_pass.Pass,
@@ -19,7 +17,7 @@
     task = choice.task
     endpoint = choice.endpoint
     assert endpoint.entry is not None
-    deadline = endpoint.clock_now(now) + START_VALID_S
+    deadline = endpoint.clock_now(now) + commands.START_VALID_S
     if step.job.service in current.spare:
         current.spare[step.job.service] -= step.spec.allocated_demand.cpu
     allocation = state.Allocation(
--- a/hibiscusslip/dispatch/commands.py
+++ b/hibiscusslip/dispatch/commands.py
@@ -6,6 +6,8 @@
 from hibiscusslip.dispatch import estimates
 from hibiscusslip.dispatch import state
 
+START_VALID_S = 2.0  # of a start request, from its decision
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Start:
--- a/hibiscusslip/host/context.py
+++ b/hibiscusslip/host/context.py
@@ -120,6 +120,10 @@
         age = now - self.config_confirmed_at
         return age <= self.cfg.bounds.config_apply
 
+    def other_hosts(self) -> frozenset[str]:
+        """Return the names of the other hosts that are listed."""
+        return frozenset(self.hosts.keys() - {self.cfg.name})
+
     def store_available(self, now: float) -> bool:
         """Return True if the store is believed to serve this host."""
         return (
--- a/hibiscusslip/host/endpoint_session.py
+++ b/hibiscusslip/host/endpoint_session.py
@@ -116,12 +116,24 @@
     async def _handle_no_response(self, failures: int, sent: float) -> None:
         self._ctx.metrics.count('looks_unanswered')
         self._record_no_response(sent)
+        endpoint = self._engine.endpoints[self.name]
+        if endpoint.allocations and self._is_named_now(endpoint, failures):
+            await self._wakeups.notice.set()
         if failures < FAILURES_UNTIL_UNRESPONSIVE:
             return
         self._engine.mark_unresponsive(self.name)
         await self._wakeups.plan.set()
         await curio.sleep(self._get_timing().retry_pause)
 
+    def _is_named_now(self, endpoint: state.Endpoint, failures: int) -> bool:
+        """Return True if the next notice is the first to name it.
+
+        A successor that has no such notice waits for its leases anew.
+        """
+        if not endpoint.polled:
+            return failures == 1
+        return endpoint.responsive and failures >= FAILURES_UNTIL_UNRESPONSIVE
+
     async def _poll(self, endpoint: state.Endpoint, sent: float) -> None:
         cursor_before = endpoint.handled_cursor
         wait = self._max_wait(endpoint)
@@ -175,6 +187,7 @@
             and endpoint.polled
             and endpoint.responsive
             and not endpoint.withheld
+            and not self._ctx.ownership.renewal.held_back
             and not endpoint.ends_partial
         )
         if not long_poll:
@@ -211,7 +224,9 @@
         """Wait after a poll that was sent at `sent`."""
         if endpoint.acknowledged_cursor < endpoint.handled_cursor:
             await self._await_commit(endpoint, sent, now)
-        elif endpoint.withheld:
+        elif endpoint.withheld or (
+            endpoint.allocations and self._ctx.ownership.renewal.held_back
+        ):
             await self.wakeup.wait(WITHHELD_POLL_S)
         elif not endpoint.allocations:
             await self.wakeup.wait(self._get_timing().idle_pause(self.name))
--- a/hibiscusslip/host/feeds.py
+++ b/hibiscusslip/host/feeds.py
@@ -100,20 +100,31 @@
     async def load_snapshot(self) -> int:
         """Read and apply the newest record of each host."""
         newest = await self.ctx.store.newest(self.topic, LOAD_TIMEOUT_S)
+        self.ctx.ownership.own_record = None
         for name, value in newest.values.items():
-            with self._leaving_out(newest.offsets[name], name):
-                self._apply_value(name, value)
+            offset = newest.offsets[name]
+            with self._leaving_out(offset, name):
+                self._apply_value(offset, name, value)
+        self.ctx.ownership.record_hosts_read(newest.end)
         _update_strongest(self.ctx)
         return newest.end
 
     async def apply(self, offset: int, record: bytes) -> None:
         """Apply the record of a host, or its removal."""
         name, value = store.decode_keyed(record)
-        self._apply_value(name, value)
+        try:
+            self._apply_value(offset, name, value)
+        finally:
+            self.ctx.ownership.record_hosts_read(offset + 1)
         _update_strongest(self.ctx)
 
-    def _apply_value(self, name: str, value: bytes) -> None:
+    def _apply_value(self, offset: int, name: str, value: bytes) -> None:
         host = notices.decode_host(value) if value else None
+        if name == self.ctx.cfg.name:
+            is_own = (
+                host is not None and host.incarnation == self.ctx.incarnation
+            )
+            self.ctx.ownership.own_record = offset if is_own else None
         if host is not None and host.name == name:
             self.ctx.hosts[name] = host
             return
--- a/hibiscusslip/host/host.py
+++ b/hibiscusslip/host/host.py
@@ -9,6 +9,7 @@
 
 from hibiscusslip.dispatch import model
 from hibiscusslip.host import advice_routing
+from hibiscusslip.host import claims
 from hibiscusslip.host import client_limits
 from hibiscusslip.host import config_exchange
 from hibiscusslip.host import context
@@ -35,7 +36,7 @@
 from hibiscusslip.platform import store
 
 CLAIM_POLL_S = 0.05
-CLAIM_TIMEOUT_S = 0.8
+ANNOUNCE_TIMEOUT_S = 0.8
 LOG_FLUSH_PERIOD_S = 0.1
 SIGNAL_POLL_S = 0.05
 ANNOUNCE_PERIOD_S = 0.5
@@ -239,7 +240,7 @@
         entry = store.encode_keyed(self._ctx.cfg.name, value)
         try:
             await self._ctx.store.append(
-                topics.HOSTS, [entry], CLAIM_TIMEOUT_S
+                topics.HOSTS, [entry], ANNOUNCE_TIMEOUT_S
             )
         except exceptions.PlatformError as exc:
             self._ctx.log.note('announce_failed', error=str(exc)[:120])
@@ -252,7 +253,7 @@
             if ctx.ownership.held_epoch and not ctx.stopping:
                 await self._run_owner(ctx.ownership.held_epoch)
             elif not ctx.leaving and ctx.ownership.may_claim(now):
-                if not await self._claim(now):
+                if not await claims.claim(ctx, now):
                     await curio.sleep(self._claim_pause())
             await curio.sleep(CLAIM_POLL_S)
 
@@ -262,51 +263,14 @@
             ctx.store_slowdown, ctx.ownership.tie_break
         )
 
-    async def _claim(self, now: float) -> bool:
-        """Append a claim; return True if it was written.
-
-        On a conflict another host was faster.
-        """
-        ctx = self._ctx
-        end = ctx.ownership.end_offset
-        epoch = end + 1
-        loads = ctx.ownership.known_loads()
-        notice = notices.OwnerNotice(
-            notices.CLAIM,
-            epoch,
-            ctx.cfg.name,
-            ctx.incarnation,
-            ctx.cfg.front.ip,
-            ctx.cfg.ports[0],
-            loads or {},
-            lapses=ctx.ownership.remaining_leases(now),
-            endpoints=ctx.ownership.endpoints,
-            loads_known=loads is not None,
-        )
-        try:
-            await ctx.store.append(
-                topics.OWNER,
-                [notices.encode(notice)],
-                CLAIM_TIMEOUT_S,
-                at=end,
-            )
-        except exceptions.StoreConflict:
-            return False
-        except exceptions.PlatformError as exc:
-            ctx.log.note('claim_failed', error=str(exc)[:120])
-            return False
-        ctx.ownership.record_claim(epoch, now)
-        last_notice_at = ctx.ownership.last_notice_at
-        silent_s = (
-            None if last_notice_at is None else round(now - last_notice_at, 2)
-        )
-        ctx.log.note('owner_won', epoch=epoch, silent_s=silent_s)
-        return True
-
     async def _run_owner(self, epoch: int) -> None:
         ctx = self._ctx
         self._owner = owner.Owner(
-            ctx, self._advice_router, self._peer_client, epoch
+            ctx,
+            self._advice_router,
+            self._peer_client,
+            epoch,
+            self._peer_client,
         )
         try:
             await self._owner.run()
--- a/hibiscusslip/host/lease_handover.py
+++ b/hibiscusslip/host/lease_handover.py
@@ -8,8 +8,14 @@
 a promise: its leases are extended, and runs started on it, only after a later
 notice without it was read back from the log. A host that claims the ownership
 then has read that notice as well.
+
+Until an owner has recovered, its notices promise so for all endpoints: it has
+extended no lease itself. They tell until when those of its predecessors last,
+so that the wait for them doesn't start anew if it is lost, too.
 """
 
+import dataclasses
+
 from hibiscusslip.dispatch import engine as engines
 from hibiscusslip.dispatch import state
 from hibiscusslip.host import ownership
@@ -18,6 +24,15 @@
 MS_PER_S = 1000
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Inheritance:
+    """What a notice tells of the leases that it doesn't name."""
+
+    hosts_read: int
+    inherited: int  # the rest of those of former owners, in ms
+    grants: bool
+
+
 class LeaseHandover:
     """Name silent endpoints in the notices of one epoch of the ownership.
 
@@ -31,6 +46,7 @@
         self._engine: engines.Engine | None = None
         self._number = 0
         self._dropped: dict[str, int] = {}
+        own.renewal.held_back = True
 
     def set_engine(self, engine: engines.Engine) -> None:
         """Set the engine once it has recovered all runs.
@@ -46,15 +62,33 @@
             else:
                 self._dropped[name] = self._number + 1
 
+    def inheritance(self, now: float) -> Inheritance:
+        """Return what a notice that is composed now tells of leases."""
+        own = self._ownership
+        bound = own.inherited
+        left = bound.until - now if bound is not None else 0.0
+        return Inheritance(
+            own.hosts_read,
+            int(left * MS_PER_S) + 1 if left > 0 else 0,
+            self._engine is not None,
+        )
+
     def next_notice(
-        self, now: float, releases: bool = False
+        self,
+        now: float,
+        releases: bool = False,
+        hosts: frozenset[str] = frozenset(),
     ) -> tuple[int, dict[str, int]]:
         """Return a notice's number and the endpoints that it names.
 
         They are mapped to the rest of their leases in milliseconds. A notice
         that `releases` the ownership names all endpoints that have runs.
+        `hosts` are the other hosts that are known now.
         """
         self._number += 1
+        self._ownership.renewal.note_sent(
+            self._number, now, hosts, self._engine is not None
+        )
         if self._engine is None:
             return self._number, self._ownership.remaining_leases(now)
         named: dict[str, int] = {}
@@ -62,7 +96,8 @@
             if not endpoint.allocations and not endpoint.withheld:
                 continue
             silent = endpoint.silent or (
-                endpoint.withheld and not endpoint.responsive
+                not endpoint.responsive
+                and (endpoint.withheld or bool(endpoint.suspected_at))
             )
             if (silent or releases) and len(named) < MAX_NAMED_ENDPOINTS:
                 named[endpoint.name] = self._name(endpoint, now)
--- a/hibiscusslip/host/notices.py
+++ b/hibiscusslip/host/notices.py
@@ -71,6 +71,9 @@
     `endpoints` is about how many endpoints the cell has, 0 if there are few or
     their number isn't known. `loads_known` is False if the owner can't tell
     `loads`: it hasn't read the jobs yet, and knows no former owner's.
+    `hosts_read` is up to which offset it has read the list of hosts. Leases
+    that the owners before it extended last for `inherited` milliseconds at
+    most; without `grants` it extends none itself before a later notice.
     """
 
     kind: str
@@ -86,13 +89,20 @@
     waits: dict[str, list[ServiceWait]] = {}
     endpoints: int = 0
     loads_known: bool = True
+    hosts_read: int = 0
+    inherited: int = 0
+    grants: bool = True
+
+
+# The last fields have these values in most notices and are left out then.
+_USUAL_END = (True, 0, 0, True)  # from `loads_known` on
 
 
 def encode(record: msgspec.Struct) -> bytes:
     """Return a record encoded as MessagePack.
 
     Fields of an owner's notice that are rarely needed are left out otherwise,
-    as it is written 2.5 times a second: ratios, and `loads_known`.
+    as it is written 2.5 times a second: ratios, and the last ones.
     """
     if not isinstance(record, OwnerNotice):
         return msgspec.msgpack.encode(record)
@@ -103,7 +113,16 @@
         for name, load in record.loads.items()
     }
     row = msgspec.structs.astuple(msgspec.structs.replace(record, loads=loads))
-    return msgspec.msgpack.encode(row[:-1] if record.loads_known else row)
+    return msgspec.msgpack.encode(_without_usual_end(row))
+
+
+def _without_usual_end(row: tuple[object, ...]) -> tuple[object, ...]:
+    count = len(row)
+    for value in reversed(_USUAL_END):
+        if row[count - 1] != value:
+            break
+        count -= 1
+    return row[:count]
 
 
 def decode_host(data: bytes) -> HostRecord | None:
@@ -128,6 +147,8 @@
         notice.epoch > 0
         and 0 <= notice.number <= MAX_NUMBER
         and 0 <= notice.endpoints <= MAX_ENDPOINTS
+        and 0 <= notice.hosts_read <= MAX_NUMBER
+        and 0 <= notice.inherited <= MAX_LEASE_MS
         and _is_peer_address(notice.address, notice.port)
         and all(0 <= left <= MAX_LEASE_MS for left in notice.lapses.values())
     )
--- a/hibiscusslip/host/owner.py
+++ b/hibiscusslip/host/owner.py
@@ -22,6 +22,7 @@
 from hibiscusslip.host import first_polls
 from hibiscusslip.host import job_intake
 from hibiscusslip.host import lease_handover
+from hibiscusslip.host import lease_peers
 from hibiscusslip.host import lease_timing
 from hibiscusslip.host import load_report
 from hibiscusslip.host import notices
@@ -60,8 +61,10 @@
         advice_router: advice_routing.AdviceRouter,
         successors: ownership_keeper.Successors,
         epoch: int,
+        peers: lease_peers.LeasePeers | None = None,
     ) -> None:
         self.ctx = ctx
+        self._peers = peers
         self.epoch = epoch
         self.engine = self._new_engine()
         self.plan_wakeup = wakeup_event.WakeupEvent()
@@ -91,6 +94,7 @@
         self.intake = job_intake.JobIntake(self)
         self._starts_finished = 0
         self._pending_commands = 0
+        self._was_held_back = True
 
     def _new_engine(self) -> engines.Engine:
         bounds = self.ctx.cfg.bounds
@@ -119,6 +123,7 @@
         recovered = await self._recover()
         self._resume(recovered)
         self._handover.set_engine(self.engine)
+        await self._keeper.notice_wakeup.set()
         self.ready = True
         self.ctx.metrics.count('successions')
         self.ctx.log.note(
@@ -133,6 +138,7 @@
             endpoints.run,
             self._plan,
             self._keeper.run_liveness_checks,
+            *self._lease_loops(),
         ):
             await self._tasks.spawn(self._run_vital, loop)
         for loop in (self._delete_old_jobs, self._report_load_and_set_timing):
@@ -144,6 +150,21 @@
                 raise self._loop_error
             await curio.sleep(PLAN_IDLE_S)
 
+    def _lease_loops(self) -> list[crash_logging.Loop]:
+        """Return the loops that ask other hosts about leases."""
+        if self._peers is None:
+            return []
+        return [
+            lease_peers.Vouching(self.ctx, self._peers, self.epoch).run,
+            lease_peers.FormerOwner(
+                self.ctx, self._peers, self.epoch, self._shorten_waits
+            ).run,
+        ]
+
+    def _shorten_waits(self) -> None:
+        """Have runs given up as soon as the inherited leases have ended."""
+        recovery.shorten_waits(self.ctx, self.engine)
+
     async def _run_vital(self, loop: crash_logging.Loop) -> None:
         """Run a loop without which this owner must not go on.
 
@@ -347,7 +368,12 @@
 
     async def _resume_withheld_leases(self) -> None:
         """Have leases extended at once that were withheld until now."""
-        for name in self._handover.lift_promises():
+        names = self._handover.lift_promises()
+        held_back = self.ctx.ownership.renewal.held_back
+        if self._was_held_back and not held_back:
+            names = list(self._sessions)
+        self._was_held_back = held_back
+        for name in names:
             session = self._sessions.get(name)
             if session is not None:
                 await session.wakeup.set()
--- a/hibiscusslip/host/ownership.py
+++ b/hibiscusslip/host/ownership.py
@@ -3,15 +3,18 @@
 A claim is an append on condition that the topic ends where the claimant has
 read to, so of two concurrent claims one fails. The owner's heartbeats go to
 the same topic; hosts that can read the topic claim once no heartbeat has come
-for `HEARTBEAT_TIMEOUT_S`. An owner that can't reach the store extends leases
-only until RENEWAL_LIMIT_S after its last record. It starts nothing, as each
-start needs a record first.
+for `HEARTBEAT_TIMEOUT_S`. How long an owner that can't reach the store extends
+leases is decided in `lease_renewal`, until when its successor has to wait for
+them in `inherited_leases`. It starts nothing, as each start needs a record
+first.
 """
 
 import collections.abc
 import dataclasses
 import math
 
+from hibiscusslip.host import inherited_leases
+from hibiscusslip.host import lease_renewal
 from hibiscusslip.host import lease_timing
 from hibiscusslip.host import notices
 from hibiscusslip.host import poll_timing
@@ -49,6 +52,18 @@
     leases have ended, and `notice_number` that notice's number. `descriptors`
     is how many files and sockets this host may have open, and `endpoints` the
     number in the newest notice. Times are on the monotonic clock.
+
+    `renewal` is the right of this host to extend leases while it is the owner;
+    `inherited` is until when leases of former owners may last, None if that
+    isn't known, and `predecessor` is the newest notice of the last of them.
+    The owner was heard of last at `heard_at`. Its newest notice tells whether
+    it has extended leases (`owner_grants`), until when those of the owners
+    before it last (`told_until`), and up to which offset it had read the list
+    of hosts (`owner_hosts_read`). This host has read that list up to
+    `hosts_read`; its own record is at `own_record`. It has vouched for an
+    owner until `vouched_until`, and vouches for none while a claim of its own,
+    to be written at `claimed_at_offset`, may still be written. Endpoints grant
+    leases of `max_lease` seconds at most.
     """
 
     name: str
@@ -63,12 +78,25 @@
     last_read_at: float | None = None
     readable_since: float = 0.0
     held_epoch: int = 0
-    confirmed_at: float = 0.0
     leases_end: dict[str, float] = dataclasses.field(default_factory=dict)
     notice_number: int = 0
     former_notice: notices.OwnerNotice | None = None
     descriptors: int = 0
     endpoints: int = 0
+    max_lease: float = 6.0
+    renewal: lease_renewal.LeaseRenewal = dataclasses.field(
+        default_factory=lease_renewal.LeaseRenewal
+    )
+    inherited: inherited_leases.Bound | None = None
+    predecessor: notices.OwnerNotice | None = None
+    heard_at: float | None = None
+    owner_grants: bool = True
+    told_until: float = 0.0
+    owner_hosts_read: int = 0
+    hosts_read: int = 0
+    own_record: int | None = None
+    vouched_until: float = 0.0
+    claimed_at_offset: int = -1
 
     def record_read(self, end: int, now: float) -> None:
         """Record that the topic was read to its end."""
@@ -91,11 +119,7 @@
         ):
             return  # written concurrently with the release
         if notice.epoch > self.epoch or notice.number >= self.notice_number:
-            self.notice_number = notice.number
-            self.leases_end = {
-                name: now + left / MS_PER_S
-                for name, left in notice.lapses.items()
-            }
+            self._apply_leases(notice, now)
         if notice.epoch != self.epoch:
             self.former_notice = None
         elif self.owner is not None and self.owner.number != notice.number:
@@ -104,8 +128,23 @@
         self.owner = notice
         self.endpoints = notice.endpoints
         self.last_notice_at = now
+        if notice.kind != notices.RELEASE:
+            self.heard_at = now
         if self.held_epoch and notice.epoch > self.held_epoch:
             self.held_epoch = 0
+        if self.held_epoch == notice.epoch:
+            self.renewal.confirm(notice.number)
+
+    def _apply_leases(self, notice: notices.OwnerNotice, now: float) -> None:
+        """Take what the newest notice tells of leases."""
+        self.notice_number = notice.number
+        self.leases_end = {
+            name: now + left / MS_PER_S for name, left in notice.lapses.items()
+        }
+        self.owner_grants = notice.grants
+        left = notice.inherited / MS_PER_S * lease_timing.CLOCK_SPREAD
+        self.told_until = now + left if notice.inherited else 0.0
+        self.owner_hosts_read = notice.hosts_read
 
     def _is_released(self, epoch: int) -> bool:
         owner = self.owner
@@ -121,7 +160,7 @@
             or self.last_notice_at is None
         ):
             return False
-        if now > self.last_read_at + MAX_READ_AGE_S:
+        if self._is_blind(now):
             return False
         since = max(self.last_notice_at, self.readable_since)
         if not self._is_vacant():
@@ -180,16 +219,104 @@
             for name, end in self.leases_end.items()
         }
 
-    def record_claim(self, epoch: int, sent: float) -> None:
-        """Record that this host's claim, sent at `sent`, was written."""
+    def record_hosts_read(self, end: int) -> None:
+        """Record that the list of hosts was read up to an offset."""
+        self.hosts_read = max(self.hosts_read, end)
+
+    def begin_claim(self, now: float) -> inherited_leases.Bound:
+        """Vouch for no owner until it is known what became of a claim.
+
+        Returns until when leases of former owners may last.
+        """
+        self.claimed_at_offset = self.end_offset
+        self.predecessor = self.owner
+        return self._inherited_bound(now)
+
+    def record_claim(
+        self,
+        epoch: int,
+        sent: float,
+        hosts: frozenset[str] = frozenset(),
+        inherited: inherited_leases.Bound | None = None,
+    ) -> None:
+        """Record that this host's claim, sent at `sent`, was written.
+
+        `hosts` are the other hosts that it knew then.
+        """
+        self.inherited = inherited
         self.notice_number = 0
         self.held_epoch = epoch
         self.epoch = epoch
-        self.confirmed_at = sent
+        self.renewal.begin(sent, hosts)
+
+    def _inherited_bound(self, now: float) -> inherited_leases.Bound:
+        """Return until when leases of former owners may last."""
+        bound = inherited_leases.derive(
+            inherited_leases.Findings(
+                self.heard_at,
+                self.told_until,
+                self.owner_grants,
+                self._is_known_to_owner(),
+                self.vouched_until,
+                not self.end_offset,
+            ),
+            now,
+            self.max_lease,
+        )
+        if self.owner is None or not self._is_previous_incarnation(self.owner):
+            return bound
+        return inherited_leases.after_end(bound, now, self.max_lease)
 
-    def record_write(self, sent: float) -> None:
-        """Record that the owner's write, sent at `sent`, succeeded."""
-        self.confirmed_at = max(self.confirmed_at, sent)
+    def note_former_end(self, answered_at: float) -> bool:
+        """Note that the former owner extends no leases; return if it helps.
+
+        Its answer arrived at `answered_at`.
+        """
+        if self.inherited is None:
+            return False
+        before = self.inherited
+        self.inherited = inherited_leases.after_end(
+            before, answered_at, self.max_lease
+        )
+        return self.inherited is not before
+
+    def _is_known_to_owner(self) -> bool:
+        """Return True if the owner can't do without vouches of this host.
+
+        This host must have read the removals of hosts that the owner had read.
+        """
+        return (
+            self.own_record is not None
+            and self.own_record < self.owner_hosts_read <= self.hosts_read
+        )
+
+    def vouch(self, epoch: int, now: float) -> bool:
+        """Vouch for an owner, unless this host may claim before long.
+
+        Only a host that has read no later claim since it started may vouch.
+        """
+        if self.held_epoch or self.owner is None or self.last_read_at is None:
+            return False
+        if epoch != self.epoch or self._is_released(epoch):
+            return False
+        if self.end_offset <= self.claimed_at_offset:
+            return False
+        if not self._is_blind(now) and not self._has_just_heard(now):
+            return False
+        until = now + lease_timing.elapsed_elsewhere(lease_timing.VOUCH_S)
+        self.vouched_until = max(self.vouched_until, until)
+        return True
+
+    def _is_blind(self, now: float) -> bool:
+        """Return True if the topic can't be read at present."""
+        assert self.last_read_at is not None
+        return now > self.last_read_at + MAX_READ_AGE_S
+
+    def _has_just_heard(self, now: float) -> bool:
+        return (
+            self.heard_at is not None
+            and now < self.heard_at + HEARTBEAT_TIMEOUT_S
+        )
 
     def set_endpoints(self, count: int) -> None:
         """Set the number of endpoints that this owner knows."""
@@ -201,10 +328,7 @@
 
     def may_renew(self, now: float) -> bool:
         """Return True if this owner may still extend leases."""
-        return (
-            bool(self.held_epoch)
-            and now < self.confirmed_at + lease_timing.RENEWAL_LIMIT_S
-        )
+        return bool(self.held_epoch) and self.renewal.allows(now)
 
 
 def strength(cores: float, link_mbps: float) -> float:
--- a/hibiscusslip/host/ownership_keeper.py
+++ b/hibiscusslip/host/ownership_keeper.py
@@ -113,7 +113,6 @@
             self._ctx.log.note('beat_failed', error=str(exc)[:120])
             await self._release_on_lone_failure()
             return
-        self._ctx.ownership.record_write(sent)
         self._ctx.record_store_success(context.monotonic())
         self._lone_failures = 0
 
@@ -205,9 +204,11 @@
     ) -> notices.OwnerNotice:
         cfg = self._ctx.cfg
         loads = self._loads()
+        now = context.monotonic()
         number, lapses = self._handover.next_notice(
-            context.monotonic(), releases
+            now, releases, self._ctx.other_hosts()
         )
+        leases = self._handover.inheritance(now)
         return notices.OwnerNotice(
             kind,
             self._epoch,
@@ -222,6 +223,9 @@
             load_report.make_waits(self._current_forecast()),
             self._ctx.ownership.endpoints,
             loads is not None,
+            leases.hosts_read,
+            leases.inherited,
+            leases.grants,
         )
 
     def _current_forecast(self) -> forecasts.Forecast | None:
--- a/hibiscusslip/host/peer_client.py
+++ b/hibiscusslip/host/peer_client.py
@@ -8,6 +8,7 @@
 from hibiscusslip.host import context
 from hibiscusslip.host import front
 from hibiscusslip.host import inbox
+from hibiscusslip.host import lease_peers
 from hibiscusslip.host import notices
 from hibiscusslip.host import ownership_keeper
 from hibiscusslip.peer import exceptions as peer_exceptions
@@ -20,9 +21,12 @@
 PROBE_TIMEOUT_S = 0.15
 RELAY_TIMEOUT_S = 0.9
 LIVENESS_TIMEOUT_S = 0.3
+VOUCH_TIMEOUT_S = 0.3
 
 
-class PeerClient(inbox.Relay, ownership_keeper.Successors):
+class PeerClient(
+    inbox.Relay, ownership_keeper.Successors, lease_peers.LeasePeers
+):
     """Call the other hosts of the cell."""
 
     def __init__(self, ctx: context.Context, peers: links.PeerLinks) -> None:
@@ -92,7 +96,7 @@
         if names:
             any_replied = any(reply is not None for reply in replies.values())
             self._ctx.record_peer_replies(any_replied)
-        return _hosts_with_store(replies)
+        return _confirming_hosts(replies)
 
     async def _relay_to(
         self, name: str, items: list[tuple[str, bytes]]
@@ -136,9 +140,36 @@
             unresponsive=[
                 name for name, reply in replies.items() if reply is None
             ],
-            with_store=_hosts_with_store(replies),
+            with_store=_confirming_hosts(replies),
         )
 
+    async def ask_to_vouch(self, names: list[str], epoch: int) -> list[str]:
+        """Return the hosts that vouch for the owner of an epoch."""
+        query = messages.VouchQuery(epoch)
+        replies = await self.call_all(names, query, VOUCH_TIMEOUT_S)
+        return _confirming_hosts(replies)
+
+    async def has_ended(self, owner: notices.OwnerNotice) -> bool:
+        """Return True if the owner's host says that it isn't the owner.
+
+        It may have started again, and be listed at another address.
+        """
+        host = self._ctx.hosts.get(owner.host)
+        address = (
+            (owner.address, owner.port)
+            if host is None
+            else (host.address, host.port)
+        )
+        self._links.set_address(owner.host, *address)
+        query = messages.EpochQuery(owner.epoch)
+        try:
+            reply = await self._call_address(
+                owner.host, query, LIVENESS_TIMEOUT_S
+            )
+        except peer_exceptions.PeerError:
+            return False
+        return isinstance(reply, messages.Done)
+
     async def call_all(
         self, names: list[str], message: messages.PeerMessage, timeout: float
     ) -> dict[str, messages.PeerMessage | None]:
@@ -201,10 +232,10 @@
         return names
 
 
-def _hosts_with_store(
+def _confirming_hosts(
     replies: dict[str, messages.PeerMessage | None],
 ) -> list[str]:
-    """Return the hosts that reported that the store serves them."""
+    """Return the hosts that replied `Done`."""
     return [
         name
         for name, reply in replies.items()
--- a/hibiscusslip/host/peer_handler.py
+++ b/hibiscusslip/host/peer_handler.py
@@ -48,6 +48,10 @@
             return self._configs.reply(body, context.monotonic())
         if isinstance(body, messages.StoreQuery):
             return self._refuse_without_store() or messages.Done()
+        if isinstance(body, messages.VouchQuery):
+            return self._reply_vouch(body)
+        if isinstance(body, messages.EpochQuery):
+            return self._reply_epoch(body)
         if isinstance(body, messages.InboxWrite):
             return await self._write_for_peer(body)
         if isinstance(body, messages.OwnerRelease):
@@ -94,6 +98,18 @@
             return None
         return _refusal(inbox.Outcome.REFUSED, 'no store here')
 
+    def _reply_vouch(self, query: messages.VouchQuery) -> messages.PeerMessage:
+        if self._ctx.ownership.vouch(query.epoch, context.monotonic()):
+            return messages.Done()
+        return messages.Refusal(
+            'may_claim', 'this host may claim the ownership', RETRY_AFTER_S
+        )
+
+    def _reply_epoch(self, query: messages.EpochQuery) -> messages.PeerMessage:
+        if self._ctx.ownership.held_epoch != query.epoch:
+            return messages.Done()
+        return messages.Refusal('owner', 'this host owns it', RETRY_AFTER_S)
+
     async def _write_release(
         self, message: messages.OwnerRelease
     ) -> messages.PeerMessage:
--- a/hibiscusslip/host/recovery.py
+++ b/hibiscusslip/host/recovery.py
@@ -18,6 +18,7 @@
 from hibiscusslip.host import context
 from hibiscusslip.host import inbox_positions
 from hibiscusslip.host import inbox_snapshot
+from hibiscusslip.host import inherited_leases
 from hibiscusslip.host import lease_timing
 from hibiscusslip.host import record_errors
 from hibiscusslip.host import slices
@@ -120,6 +121,7 @@
         ctx, submits, engine, snapshot.submissions, live_progress, now
     )
     await restore_all(ctx, engine, live_progress, now)
+    _note_inherited(ctx, engine, now)
     _replace_retirements(engine, retired, snapshot.retired_since)
     for key, value in snapshot.cancellations:
         job_id = topics.cancelled_job(key)
@@ -345,14 +347,17 @@
 ) -> None:
     """Allocate for runs beside those that the tasks of a job name.
 
-    The leases that the former owner told of needn't include theirs, so this
-    is called once the endpoints have the leases of all other runs.
+    Their starts may still be carried out, after a restart of the endpoint on
+    its new clock, and extend the leases of all its runs. The leases that the
+    former owner told of don't include that, so this is called once the
+    endpoints have the leases of all other runs.
     """
     longest = lease_timing.longest_inherited(ctx.cfg.bounds.max_lease)
     for row in rows:
         task = engine.find_task(job, row.occurrence, row.step, row.index)
         endpoint = _find_or_add(engine, row.endpoint, row.address, row.born)
         endpoint.inherited_leases_until = now + longest
+        endpoint.lease_evidence = inherited_leases.Evidence.LATE_START
         _add_allocation(endpoint, task, row.run, now)
 
 
@@ -375,13 +380,63 @@
     run: int,
     now: float,
 ) -> None:
-    told_end = ctx.ownership.leases_end.get(endpoint.name)
+    _inherit_leases(ctx, endpoint, now)
+    _add_allocation(endpoint, task, run, now)
+
+
+def _note_inherited(
+    ctx: context.Context, engine: engines.Engine, now: float
+) -> None:
+    """Log until when runs of silent endpoints are held, and why."""
+    ends: dict[str, list[float]] = {}
+    for endpoint in engine.endpoints.values():
+        if endpoint.allocations:
+            end = endpoint.inherited_leases_until
+            ends.setdefault(endpoint.lease_evidence, []).append(end)
+    for evidence, found in ends.items():
+        ctx.metrics.gauge(
+            'inherited_leases_s', max(found) - now, evidence=evidence
+        )
+        ctx.log.note(
+            'leases_inherited',
+            endpoints=len(found),
+            until_ms=int((max(found) - now) * 1000),
+            evidence=evidence,
+        )
+
+
+def shorten_waits(ctx: context.Context, engine: engines.Engine) -> None:
+    """Expect no lease of a former owner after what is known to be the end.
+
+    Late starts may still extend the leases of an endpoint beyond that.
+    """
+    bound = ctx.ownership.inherited
+    assert bound is not None
+    for endpoint in engine.endpoints.values():
+        if endpoint.lease_evidence == inherited_leases.Evidence.LATE_START:
+            continue
+        if bound.until < endpoint.inherited_leases_until:
+            endpoint.inherited_leases_until = bound.until
+            endpoint.lease_evidence = bound.evidence
+
+
+def _inherit_leases(
+    ctx: context.Context, endpoint: state.Endpoint, now: float
+) -> None:
+    """Set until when former owners may have extended leases."""
+    own = ctx.ownership
+    told_end = own.leases_end.get(endpoint.name)
     if told_end is not None:
         endpoint.inherited_leases_until = told_end + lease_timing.SLACK_S
-    else:
-        longest = lease_timing.longest_inherited(ctx.cfg.bounds.max_lease)
-        endpoint.inherited_leases_until = now + longest
-    _add_allocation(endpoint, task, run, now)
+        endpoint.lease_evidence = inherited_leases.Evidence.NAMED
+        return
+    longest = lease_timing.longest_inherited(own.max_lease)
+    bound = own.inherited or inherited_leases.Bound(
+        now + longest, inherited_leases.Evidence.NO_RECORD
+    )
+    bound = inherited_leases.with_starts(bound, now)
+    endpoint.inherited_leases_until = bound.until
+    endpoint.lease_evidence = bound.evidence
 
 
 def _add_allocation(
--- a/hibiscusslip/host/starting.py
+++ b/hibiscusslip/host/starting.py
@@ -70,6 +70,7 @@
             host_strength,
             tie_break,
             descriptors=cfg.max_descriptors,
+            max_lease=cfg.bounds.max_lease,
         ),
         options=chosen,
         endpoint_connections=connection_budget.ConnectionBudget(
--- a/hibiscusslip/host/writer.py
+++ b/hibiscusslip/host/writer.py
@@ -298,7 +298,6 @@
                 pause = min(pause * 2, MAX_RETRY_PAUSE_S)
         now = context.monotonic()
         self._ctx.record_store_success(now)
-        self._ctx.ownership.record_write(sent)
         self._ctx.metrics.time('record_append', now - sent)
         return partition.part
 
--- a/hibiscusslip/peer/_cell_messages.py
+++ b/hibiscusslip/peer/_cell_messages.py
@@ -67,6 +67,21 @@
     """Ask a host whether it can reach the store; `Done` confirms it."""
 
 
+class VouchQuery(_message.Message, frozen=True, tag='vouch_query'):
+    """Ask a host to vouch that it doesn't claim from the owner of an epoch.
+
+    `Done` says that it has, and counts this if it claims after all.
+    """
+
+    epoch: int
+
+
+class EpochQuery(_message.Message, frozen=True, tag='epoch_query'):
+    """Ask a host whether it has ceased to own an epoch; `Done` says so."""
+
+    epoch: int
+
+
 class InboxWrite(_message.Message, frozen=True, tag='inbox_write'):
     """Ask a host to write inbox records for a sender that can't."""
 
--- a/hibiscusslip/peer/messages.py
+++ b/hibiscusslip/peer/messages.py
@@ -26,6 +26,7 @@
 ConfigState = _host_messages.ConfigState
 DrainEndpoint = _operator_messages.DrainEndpoint
 EndpointDraining = _operator_messages.EndpointDraining
+EpochQuery = _cell_messages.EpochQuery
 EventsQuery = _operator_messages.EventsQuery
 Heartbeat = _host_messages.Heartbeat
 HeartbeatAck = _host_messages.HeartbeatAck
@@ -58,6 +59,7 @@
 StopHost = _operator_messages.StopHost
 StopTasks = _offload_messages.StopTasks
 StoreQuery = _cell_messages.StoreQuery
+VouchQuery = _cell_messages.VouchQuery
 
 
 class Done(_message.Message, frozen=True, tag='done'):
@@ -116,6 +118,8 @@
     AdviceQuery,
     AdviceReply,
     StoreQuery,
+    VouchQuery,
+    EpochQuery,
     InboxWrite,
     OwnerRelease,
     Done,
--- a/tests/host/test_ownership.py
+++ b/tests/host/test_ownership.py
@@ -103,7 +103,13 @@
 def test_owner_extends_leases_only_for_a_while_after_its_last_record():
     own = current_ownership()
     own.record_claim(11, 1.0)
-    own.record_write(4.0)
+    own.renewal.note_sent(1, 4.0, frozenset(), True)
+    own.apply_notice(
+        notices.OwnerNotice(
+            notices.HEARTBEAT, 11, 'me', 'i1', '10.0.0.1', 1, number=1
+        ),
+        4.3,
+    )
     assert own.may_renew(4.0 + lease_timing.RENEWAL_LIMIT_S - 0.01)
     assert not own.may_renew(4.0 + lease_timing.RENEWAL_LIMIT_S)
     own.lose()
