Repeat no start whose run has ended or was given up

What callers saw: a task might run a second time. The store of the failing test's stand-in had two starts of one run.

Cause: a start without an answer is sent again for 1.2 s. If a poll between two sends reports that the run has ended, and the end is acknowledged, the repeat is a start of a run that the endpoint has forgotten. Polls that end the wait after a recovery come early enough for it; before, only chance polls did.

Change: the run's allocation must still be there before each repeat.

--- a/hibiscusslip/host/endpoint_session.py
+++ b/hibiscusslip/host/endpoint_session.py
@@ -270,7 +270,7 @@
         request = self._start_request(start)
         give_up_at = start.decided_at + MAX_START_AGE_S + START_RETRY_MARGIN_S
         while now < give_up_at and self._holds_ownership():
-            if task_runs.is_needless(start.task, start.run):
+            if not self._is_awaited(start):
                 break
             try:
                 with self._track():
@@ -299,6 +299,16 @@
         reason = 'in doubt' if indeterminate else 'unreached'
         await self._handle_start_failure(start, reason, indeterminate)
 
+    def _is_awaited(self, start: commands.Start) -> bool:
+        """Return False once its run is needless, has ended or is given up.
+
+        A repeat would start it again.
+        """
+        endpoint = self._engine.endpoints.get(self.name)
+        if endpoint is None or task_runs.is_needless(start.task, start.run):
+            return False
+        return (start.task.name, start.run) in endpoint.allocations
+
     def _record_no_response(self, sent: float) -> None:
         self._engine.handle_no_response(self.name, sent, context.monotonic())
 
