--- a/hibiscusslip/host/endpoint_session.py
+++ b/hibiscusslip/host/endpoint_session.py
@@ -10,6 +10,7 @@
 from hibiscusslip.dispatch import engine as engines
 from hibiscusslip.dispatch import state
 from hibiscusslip.dispatch import task_runs
+from hibiscusslip.host import _lease_grants
 from hibiscusslip.host import context
 from hibiscusslip.host import estimate_reports
 from hibiscusslip.host import poll_timing
@@ -18,7 +19,6 @@
 from hibiscusslip.platform import exceptions
 
 POLL_TIMEOUT_S = 0.25
-FAILURES_UNTIL_UNRESPONSIVE = 2
 REFUSED_POLL_PAUSE_S = 0.25
 MAX_LATE_POLLS = 3  # in a row that aren't counted against an endpoint
 WITHHELD_POLL_S = 0.25
@@ -117,31 +117,26 @@
         self._ctx.metrics.count('looks_unanswered')
         self._record_no_response(sent)
         endpoint = self._engine.endpoints[self.name]
-        if endpoint.allocations and self._is_named_now(endpoint, failures):
+        if _lease_grants.is_named_now(endpoint, failures):
             await self._wakeups.notice.set()
-        if failures < FAILURES_UNTIL_UNRESPONSIVE:
+        if failures < _lease_grants.FAILURES_UNTIL_UNRESPONSIVE:
             return
         self._engine.mark_unresponsive(self.name)
         await self._wakeups.plan.set()
         await curio.sleep(self._get_timing().retry_pause)
 
-    def _is_named_now(self, endpoint: state.Endpoint, failures: int) -> bool:
-        """Return True if the next notice is the first to name it.
-
-        A successor that has no such notice waits for its leases anew.
-        """
-        if not endpoint.polled:
-            return failures == 1
-        return endpoint.responsive and failures >= FAILURES_UNTIL_UNRESPONSIVE
-
     async def _poll(self, endpoint: state.Endpoint, sent: float) -> None:
         cursor_before = endpoint.handled_cursor
-        wait = self._max_wait(endpoint)
+        wait = _lease_grants.longest_wait(
+            endpoint, self._ctx.ownership.renewal.held_back, self._get_timing()
+        )
         timeout = POLL_TIMEOUT_S + self._ctx.endpoint_calls.allowance
         self._longest_poll = poll_timing.longest_poll(wait, timeout)
         with self._track(held=wait > 0):
             report = await self._client.poll(
-                self._lease_deadline(endpoint, sent),
+                _lease_grants.lease_deadline(
+                    self._ctx, self._engine, endpoint, sent
+                ),
                 self._epoch,
                 endpoint.cursor_to_send(),
                 wait,
@@ -177,47 +172,6 @@
     def _call_timeout(self) -> float:
         return CALL_TIMEOUT_S + self._ctx.endpoint_calls.allowance
 
-    def _max_wait(self, endpoint: state.Endpoint) -> float:
-        """Return for how long the endpoint may delay its reply."""
-        # An unresponsive endpoint isn't long-polled, so that its return is
-        # noticed at once, and then its leases are extended. One that left out
-        # ended runs has more to report.
-        long_poll = (
-            endpoint.allocations
-            and endpoint.polled
-            and endpoint.responsive
-            and not endpoint.withheld
-            and not self._ctx.ownership.renewal.held_back
-            and not endpoint.ends_partial
-        )
-        if not long_poll:
-            return 0.0
-        if endpoint.suspected_at:  # a second failure should be noticed soon
-            return poll_timing.LONG_POLL_S
-        return self._get_timing().long_poll
-
-    def _lease_deadline(
-        self, endpoint: state.Endpoint, now: float
-    ) -> float | None:
-        """Return the end of the lease to grant, on the endpoint's clock.
-
-        None leaves the lease as it is.
-        """
-        if not endpoint.polled or not endpoint.allocations:
-            return None
-        if not endpoint.responsive:
-            return None  # else its lease would never provably expire
-        if endpoint.withheld:
-            return None  # successors were told that it isn't extended
-        if not self._ctx.ownership.may_renew(now):
-            return None
-        lease = self._engine.lease
-        if self._ctx.stopping or not self._ctx.store_available(now):
-            lease = self._ctx.cfg.bounds.max_lease
-        deadline = endpoint.clock_now(now) + lease
-        endpoint.leased_until = max(endpoint.leased_until, deadline)
-        return deadline
-
     async def _wait_for_next_poll(
         self, endpoint: state.Endpoint, sent: float, now: float
     ) -> None:
--- a/hibiscusslip/host/owner.py
+++ b/hibiscusslip/host/owner.py
@@ -11,7 +11,8 @@
 from hibiscusslip.dispatch import engine as engines
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import summary
-from hibiscusslip.host import access
+from hibiscusslip.host import _job_queries
+from hibiscusslip.host import _lease_duties
 from hibiscusslip.host import advice_routing
 from hibiscusslip.host import cell_feeds
 from hibiscusslip.host import context
@@ -64,7 +65,6 @@
         peers: lease_peers.LeasePeers | None = None,
     ) -> None:
         self.ctx = ctx
-        self._peers = peers
         self.epoch = epoch
         self.engine = self._new_engine()
         self.plan_wakeup = wakeup_event.WakeupEvent()
@@ -75,6 +75,9 @@
         )
         self._sessions: dict[str, endpoint_session.EndpointSession] = {}
         self._handover = lease_handover.LeaseHandover(ctx.ownership, epoch)
+        self._leases = _lease_duties.LeaseDuties(
+            ctx, epoch, self._handover, peers
+        )
         self._keeper = ownership_keeper.OwnershipKeeper(
             ctx,
             successors,
@@ -94,7 +97,6 @@
         self.intake = job_intake.JobIntake(self)
         self._starts_finished = 0
         self._pending_commands = 0
-        self._was_held_back = True
 
     def _new_engine(self) -> engines.Engine:
         bounds = self.ctx.cfg.bounds
@@ -138,7 +140,7 @@
             endpoints.run,
             self._plan,
             self._keeper.run_liveness_checks,
-            *self._lease_loops(),
+            *self._leases.loops(self.engine),
         ):
             await self._tasks.spawn(self._run_vital, loop)
         for loop in (self._delete_old_jobs, self._report_load_and_set_timing):
@@ -150,21 +152,6 @@
                 raise self._loop_error
             await curio.sleep(PLAN_IDLE_S)
 
-    def _lease_loops(self) -> list[crash_logging.Loop]:
-        """Return the loops that ask other hosts about leases."""
-        if self._peers is None:
-            return []
-        return [
-            lease_peers.Vouching(self.ctx, self._peers, self.epoch).run,
-            lease_peers.FormerOwner(
-                self.ctx, self._peers, self.epoch, self._shorten_waits
-            ).run,
-        ]
-
-    def _shorten_waits(self) -> None:
-        """Have runs given up as soon as the inherited leases have ended."""
-        recovery.shorten_waits(self.ctx, self.engine)
-
     async def _run_vital(self, loop: crash_logging.Loop) -> None:
         """Run a loop without which this owner must not go on.
 
@@ -227,36 +214,9 @@
     ) -> model.JobState | None:
         """Return a job's state, or None if it provably doesn't exist.
 
-        To callers that may not access it a job doesn't exist. Raises
-        PlatformError if the inbox can't be read to its end, or if it takes a
-        configuration to decide who may access the job.
+        Raises PlatformError if that can't be told now.
         """
-        job = self.engine.jobs.get(job_id)
-        if job is None and self.intake.deletion.holds(job_id):
-            raise exceptions.StoreUnavailable(
-                'a former job of this ID is being deleted; ask again'
-            )
-        for feed in self.inboxes:
-            if job is not None:
-                break
-            await feed.read_to_end()
-            job = self.engine.jobs.get(job_id)
-        if job is None:
-            return None
-        verdict = access.decide_job_access(
-            self.engine.config,
-            self.engine.known_queue_of(job),
-            job.organisation,
-            organisation,
-        )
-        if verdict is access.Verdict.UNDECIDED:
-            self.ctx.metrics.count('access_undecided', call='state')
-            raise exceptions.StoreUnavailable(
-                'the owner has no configuration yet; ask again'
-            )
-        if verdict is access.Verdict.REFUSED:
-            return None
-        return recovery.visible_state(job)
+        return await _job_queries.query_state(self, job_id, organisation)
 
     def may_know_job(self, job_id: str) -> bool:
         """Return False if no partition of the inbox has the job.
@@ -368,12 +328,7 @@
 
     async def _resume_withheld_leases(self) -> None:
         """Have leases extended at once that were withheld until now."""
-        names = self._handover.lift_promises()
-        held_back = self.ctx.ownership.renewal.held_back
-        if self._was_held_back and not held_back:
-            names = list(self._sessions)
-        self._was_held_back = held_back
-        for name in names:
+        for name in self._leases.take_lifted(self._sessions):
             session = self._sessions.get(name)
             if session is not None:
                 await session.wakeup.set()
--- a/tests/host/lease_chaos.py
+++ b/tests/host/lease_chaos.py
@@ -7,11 +7,9 @@
 import dataclasses
 
 from hibiscusslip.dispatch import model
+from hibiscusslip.host import _lease_grants
 from hibiscusslip.host import claims
-from hibiscusslip.host import endpoint_session
-from hibiscusslip.host import poll_timing
 from hibiscusslip.host import topics
-from hibiscusslip.host import wakeup_event
 from tests.host import succession
 
 HOSTS = ('h1', 'h2', 'h3', 'h4')
@@ -171,8 +169,9 @@
         endpoint = engine.endpoints.get(succession.LOST)
         if endpoint is None:
             return
-        session = self._session(engine)
-        deadline = session._lease_deadline(endpoint, clock)
+        deadline = _lease_grants.lease_deadline(
+            self.member.ctx, engine, endpoint, clock
+        )
         if chaos.rng.random() < 0.1:  # carried out late, without an answer
             chaos.poll_late(self.own.held_epoch, deadline)
         if chaos.world.now < self.reaches_from:
@@ -193,18 +192,6 @@
         )
         engine.handle_report(succession.LOST, report, clock, clock)
 
-    def _session(self, engine):
-        wakeup = wakeup_event.WakeupEvent()
-        return endpoint_session.EndpointSession(
-            self.member.ctx,
-            engine,
-            succession.LOST,
-            '10.0.0.9:1',
-            self.own.held_epoch,
-            endpoint_session.Wakeups(wakeup, wakeup, wakeup),
-            poll_timing.PollTiming,
-        )
-
 
 class Chaos:
     """A cell with random faults; `broken` says what went wrong, '' if nothing.
--- a/tests/host/test_endpoint_session.py
+++ b/tests/host/test_endpoint_session.py
@@ -7,6 +7,7 @@
 from hibiscusslip.dispatch import engine as engines
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import state
+from hibiscusslip.host import _lease_grants
 from hibiscusslip.host import context
 from hibiscusslip.host import endpoint_session
 from hibiscusslip.host import poll_timing
@@ -74,7 +75,7 @@
 def test_unresponsive_endpoint_isnt_long_polled():
     """The next poll notices that a zone has recovered, without a wait."""
     client = poll_for(0.5)
-    failures = endpoint_session.FAILURES_UNTIL_UNRESPONSIVE
+    failures = _lease_grants.FAILURES_UNTIL_UNRESPONSIVE
     assert set(client.waits[1 : 1 + failures]) == {poll_timing.LONG_POLL_S}
     assert set(client.waits[1 + failures :]) == {0.0}
 
@@ -191,7 +192,7 @@
     timing = poll_timing.PollTiming(retry_pause=0.01, excuses_lateness=late)
     client = poll_for(1.0, get_timing=lambda: timing, error=error)
     excused = endpoint_session.MAX_LATE_POLLS
-    counted = 1 + excused + endpoint_session.FAILURES_UNTIL_UNRESPONSIVE
+    counted = 1 + excused + _lease_grants.FAILURES_UNTIL_UNRESPONSIVE
     assert set(client.waits[1:counted]) == {poll_timing.LONG_POLL_S}
     assert set(client.waits[counted:]) == {0.0}
 
--- a/tests/host/test_lease_handover.py
+++ b/tests/host/test_lease_handover.py
@@ -1,19 +1,15 @@
 """Check what owners tell their successors about leases of silent endpoints."""
 
-import curio
-
 from hibiscusslip.dispatch import engine as engines
 from hibiscusslip.dispatch import model
 from hibiscusslip.dispatch import state
+from hibiscusslip.host import _lease_grants
+from hibiscusslip.host import _run_restoration
 from hibiscusslip.host import context
-from hibiscusslip.host import endpoint_session
 from hibiscusslip.host import lease_handover
 from hibiscusslip.host import lease_timing
 from hibiscusslip.host import notices
 from hibiscusslip.host import ownership
-from hibiscusslip.host import poll_timing
-from hibiscusslip.host import recovery
-from hibiscusslip.host import wakeup_event
 from tests.dispatch import support
 from tests.host import fakes
 
@@ -160,7 +156,7 @@
     engine = engines.Engine(LEASE_S)
     job = placed_job(engine, now)
     ctx.ownership.leases_end = {'gone': now + 2.0}
-    recovery._restore_allocations(ctx, engine, job, now)
+    _run_restoration._restore_allocations(ctx, engine, job, now)
     endpoint = engine.endpoints['gone']
     assert not endpoint.leases_expired(now + 1.9)
     assert endpoint.leases_expired(now + 2.0 + lease_timing.SLACK_S)
@@ -171,12 +167,12 @@
     now = context.monotonic()
     engine = engines.Engine(LEASE_S)
     job = placed_job(engine, now)
-    recovery._restore_allocations(ctx, engine, job, now)
+    _run_restoration._restore_allocations(ctx, engine, job, now)
     longest = lease_timing.RENEWAL_LIMIT_S + ctx.cfg.bounds.max_lease
     assert not engine.endpoints['gone'].leases_expired(now + longest)
 
 
-def test_session_extends_no_lease_that_is_withheld():
+def test_poll_extends_no_lease_that_is_withheld():
     ctx = fakes.make_context(fakes.FakeStore())
     now = context.monotonic()
     ctx.ownership.record_claim(1, now)
@@ -185,12 +181,6 @@
     endpoint = engine.endpoints['e1']
     endpoint.polled = endpoint.responsive = True
     endpoint.allocate('j.0.0.0', state.Allocation(None, 1, model.Demand(), 0))
-    wakeup = wakeup_event.WakeupEvent()
-    wakeups = endpoint_session.Wakeups(wakeup, wakeup, wakeup)
-    session = endpoint_session.EndpointSession(
-        ctx, engine, 'e1', 'h:1', 1, wakeups, poll_timing.PollTiming
-    )
-    assert session._lease_deadline(endpoint, now) is not None
+    assert _lease_grants.lease_deadline(ctx, engine, endpoint, now) is not None
     endpoint.withheld = True
-    assert session._lease_deadline(endpoint, now) is None
-    curio.run(session._client.close)
+    assert _lease_grants.lease_deadline(ctx, engine, endpoint, now) is None
